--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# Every target needs only Go and make.
+MODULES := core emberd embctl embfake embplay
+PROGRAMS := emberd embctl embfake embplay
+BIN := $(CURDIR)/bin
+
+.PHONY: all build demo test
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	@for p in $(PROGRAMS); do (cd $$p && go build -o $(BIN)/ .) || exit 1; done
+
+demo: build
+	@BIN=$(BIN) scripts/demo.sh
+
+test: build
+	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
--- /dev/null
+++ b/core/entry/refuse.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"embertally.dev/core/event"
+)
+
+// Ran tells whether a refused request ran.
+type Ran string
+
+// Whether a request ran. NotRun is only said when it is certain: nothing was
+// handed to a target, or what was handed over may be repeated and was thrown
+// away.
+const (
+	NotRun  Ran = "notRun"
+	Unknown Ran = "unknown"
+	DidRun  Ran = "ran"
+)
+
+// Code says why a request was refused.
+type Code string
+
+// The codes of refusals towards callers.
+const (
+	CodeNotReady       Code = "notReady"
+	CodeBadKey         Code = "badKey"
+	CodeBadRequest     Code = "badRequest"
+	CodeTooLarge       Code = "bodyTooLarge"
+	CodeNotFound       Code = "notFound"
+	CodeNotAllowed     Code = "notAllowed"
+	CodeQueueFull      Code = "queueFull"
+	CodeTooLate        Code = "deadlineCannotBeMet"
+	CodeNoTarget       Code = "noTarget"
+	CodeTargetFailed   Code = "targetFailed"
+	CodeStreamBroken   Code = "streamBroken"
+	CodeOutcomeUnknown Code = "outcomeUnknown"
+	CodeInProgress     Code = "inProgress"
+	CodeKeyReused      Code = "keyReused"
+	CodeKeyExpired     Code = "keyExpired"
+	CodeBadIdempotency Code = "badIdempotencyKey"
+	CodeNoClaim        Code = "claimUnavailable"
+	CodeAlreadyRan     Code = "alreadyRan"
+	CodeAnswerTooLarge Code = "answerTooLarge"
+)
+
+// Refusal is the typed answer to a request that gets no other.
+type Refusal struct {
+	Status  int
+	Code    Code
+	Ran     Ran
+	Message string
+	// RetryAfter says when to come back; zero says nothing.
+	RetryAfter time.Duration
+}
+
+// Error describes the refusal.
+func (r *Refusal) Error() string {
+	return string(r.Code) + " (" + string(r.Ran) + "): " + r.Message
+}
+
+func refuse(status int, code Code, ran Ran, message string) *Refusal {
+	return &Refusal{Status: status, Code: code, Ran: ran, Message: message}
+}
+
+func (r *Refusal) after(d time.Duration) *Refusal {
+	r.RetryAfter = d
+	return r
+}
+
+// refusalBody is the wire form, in the published form of errors with more
+// fields.
+type refusalBody struct {
+	Error refusalError `json:"error"`
+}
+
+type refusalError struct {
+	Code    Code   `json:"code"`
+	Type    string `json:"type"`
+	Message string `json:"message"`
+	// Ran is notRun, unknown or ran.
+	Ran              Ran    `json:"ran"`
+	Request          string `json:"request"`
+	RetryAfterMillis int64  `json:"retryAfterMillis,omitempty"`
+}
+
+func (r *Refusal) body(request string) refusalBody {
+	return refusalBody{refusalError{
+		Code: r.Code, Type: "embertally", Message: r.Message, Ran: r.Ran, Request: request,
+		RetryAfterMillis: r.RetryAfter.Milliseconds(),
+	}}
+}
+
+// write gives the refusal to the caller.
+func (r *Refusal) write(c echo.Context, request string) error {
+	if r.RetryAfter > 0 {
+		up := (r.RetryAfter + time.Second - 1) / time.Second
+		c.Response().Header().Set("Retry-After", strconv.FormatInt(int64(up), 10))
+	}
+	return c.JSON(r.Status, r.body(request))
+}
+
+// asEvent is the refusal as the last message of a stream that has begun.
+func (r *Refusal) asEvent(request string) []byte {
+	raw, err := json.Marshal(r.body(request))
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+func (s *Server) refused(c echo.Context, q *request, r *Refusal) error {
+	s.stats.Refused.Add(1)
+	s.o.Log.Emit(event.RequestRefused, q.ref(""), r.Error())
+	return r.write(c, q.id)
+}
+
+// isTooLarge reports whether reading a body ended at its limit.
+func isTooLarge(err error) bool {
+	_, ok := err.(*http.MaxBytesError)
+	return ok
+}
--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,208 @@
+// Package event owns the numbered events of a process: their catalogue, the
+// log lines written from them, the bounded ring that the time line reads, and
+// the merging of several processes' events into one ordered time line.
+//
+// It must not know what any event is about: callers pass identifiers, never
+// prompts, answers or keys.
+package event
+
+import (
+	"io"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"embertally.dev/core/bugs"
+)
+
+// Event is one numbered event of one process.
+type Event struct {
+	// Seq rises by one with each event of a process.
+	Seq uint64 `json:"seq"`
+	// At is the process's wall clock; it orders the time line, nothing else.
+	At           time.Time `json:"at"`
+	Process      string    `json:"process"`
+	Code         Code      `json:"code"`
+	Name         string    `json:"name"`
+	Level        Level     `json:"level"`
+	Text         string    `json:"text,omitempty"`
+	Request      string    `json:"request,omitempty"`
+	Context      string    `json:"context,omitempty"`
+	Organisation string    `json:"organisation,omitempty"`
+	Target       string    `json:"target,omitempty"`
+	Resource     string    `json:"resource,omitempty"`
+}
+
+// Ref names what an event is about. Empty fields are left out.
+type Ref struct {
+	Request      string
+	Context      string
+	Organisation string
+	Target       string
+	Resource     string
+}
+
+// ringSize bounds the events kept for the time line: about 1 MB.
+const ringSize = 4096
+
+// Log writes events and keeps the latest. The zero value keeps events and
+// writes no lines.
+type Log struct {
+	process string
+	out     *logrus.Logger
+
+	ringMu sync.Mutex
+	// ring holds the latest events; the event with sequence s is at
+	// s % ringSize. Guarded by ringMu.
+	ring []Event
+	// next is the sequence of the next event. Guarded by ringMu.
+	next uint64
+}
+
+// Format names the form of log lines.
+type Format string
+
+// The forms of log lines.
+const (
+	FormatJSON Format = "json"
+	FormatText Format = "text"
+)
+
+// NewLog returns a log for the named process that writes lines of the given
+// form to w, leaving out those below min.
+func NewLog(process string, w io.Writer, form Format, min Level) *Log {
+	out := logrus.New()
+	out.SetOutput(w)
+	if form == FormatJSON {
+		out.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	}
+	lvl, err := logrus.ParseLevel(string(min))
+	if err != nil {
+		lvl = logrus.InfoLevel
+	}
+	out.SetLevel(lvl)
+	return &Log{process: process, out: out}
+}
+
+// Emit records one event.
+func (l *Log) Emit(code Code, ref Ref, text string) {
+	entry, ok := byCode[code]
+	if !ok {
+		bugs.Report("event code %d is not in the catalogue", code)
+		return
+	}
+	ev := Event{
+		At: time.Now(), Process: l.process, Code: code, Name: entry.Name, Level: entry.Level,
+		Text: text, Request: ref.Request, Context: ref.Context, Organisation: ref.Organisation,
+		Target: ref.Target, Resource: ref.Resource,
+	}
+	l.keep(&ev)
+	l.write(&ev)
+}
+
+func (l *Log) keep(ev *Event) {
+	l.ringMu.Lock()
+	defer l.ringMu.Unlock()
+	ev.Seq = l.next
+	l.next++
+	if len(l.ring) < ringSize {
+		l.ring = append(l.ring, *ev)
+		return
+	}
+	l.ring[ev.Seq%ringSize] = *ev
+}
+
+func (l *Log) write(ev *Event) {
+	if l.out == nil {
+		return
+	}
+	lvl, err := logrus.ParseLevel(string(ev.Level))
+	if err != nil || !l.out.IsLevelEnabled(lvl) {
+		return
+	}
+	line := logrus.Fields{"process": ev.Process, "code": int(ev.Code), "event": ev.Name}
+	for _, f := range ev.identifiers() {
+		if f.value != "" {
+			line[f.name] = f.value
+		}
+	}
+	l.out.WithTime(ev.At).WithFields(line).Log(lvl, ev.Text)
+}
+
+type identifier struct{ name, value string }
+
+func (ev *Event) identifiers() []identifier {
+	return []identifier{
+		{"request", ev.Request},
+		{"context", ev.Context},
+		{"organisation", ev.Organisation},
+		{"target", ev.Target},
+		{"resource", ev.Resource},
+	}
+}
+
+// Since returns the kept events with a sequence of at least from, oldest
+// first, at most limit of them.
+func (l *Log) Since(from uint64, limit int) []Event {
+	l.ringMu.Lock()
+	defer l.ringMu.Unlock()
+	first := l.next - uint64(len(l.ring))
+	if from < first {
+		from = first
+	}
+	var out []Event
+	for s := from; s < l.next && len(out) < limit; s++ {
+		out = append(out, l.ring[s%ringSize])
+	}
+	return out
+}
+
+// Filter selects events of a time line. Empty fields select everything.
+type Filter struct {
+	Ref
+	// Code selects one kind of event when it is not zero.
+	Code Code
+}
+
+// Match reports whether ev is selected.
+func (f Filter) Match(ev Event) bool {
+	if f.Code != 0 && f.Code != ev.Code {
+		return false
+	}
+	want := (&Event{
+		Request: f.Request, Context: f.Context, Organisation: f.Organisation,
+		Target: f.Target, Resource: f.Resource,
+	}).identifiers()
+	for i, have := range ev.identifiers() {
+		if want[i].value != "" && want[i].value != have.value {
+			return false
+		}
+	}
+	return true
+}
+
+// Merge orders the events of several processes into one time line. Events of
+// one process keep their own order even where its clock was set back.
+func Merge(lists [][]Event, f Filter) []Event {
+	var out []Event
+	for _, list := range lists {
+		var last time.Time
+		for _, ev := range list {
+			if ev.At.Before(last) {
+				ev.At = last
+			}
+			last = ev.At
+			if f.Match(ev) {
+				out = append(out, ev)
+			}
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].At.Before(out[j].At) })
+	return out
+}
+
+// String returns the code as it is written in documents.
+func (c Code) String() string { return strconv.Itoa(int(c)) }
--- /dev/null
+++ b/core/fleet/view.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"embertally.dev/core/conf"
+	"embertally.dev/core/plat"
+)
+
+// Peer is one daemon as another sees it.
+type Peer struct {
+	Name    string
+	Address string
+	Domain  string
+	// Incarnation tells one run of the daemon from the next; empty while it
+	// has not been heard.
+	Incarnation string
+	// Alive tells that its heartbeats arrive.
+	Alive bool
+	// Draining tells that it takes no new duties.
+	Draining bool
+	// Listed tells that the box list names it as live.
+	Listed bool
+}
+
+// View is the fleet at one moment. It never changes; a request uses one view
+// from start to end.
+type View struct {
+	self string
+	// peers are the other daemons, ordered by name.
+	peers []Peer
+	// boxes are the boxes of the platform's list by name.
+	boxes map[string]plat.Box
+	// boxesKnown tells that the list was read at least once.
+	boxesKnown bool
+	marks      map[string]Mark
+	// cells is how many cells the fleet has.
+	cells int
+	// duty are the daemons of this cell that take duties, this one included
+	// unless it drains, ordered by name.
+	duty     []string
+	draining bool
+	at       time.Time
+}
+
+// Self returns this daemon's name.
+func (v *View) Self() string { return v.self }
+
+// Peers returns the other daemons, ordered by name. It must not be changed.
+func (v *View) Peers() []Peer { return v.peers }
+
+// Cells returns how many cells the fleet has.
+func (v *View) Cells() int { return v.cells }
+
+// Cell returns the cell of this daemon.
+func (v *View) Cell() int { return cellOf(Key(v.self), v.cells) }
+
+// CellOf returns the cell that a target or daemon falls into.
+func (v *View) CellOf(name string) int { return cellOf(Key(name), v.cells) }
+
+// Draining reports whether this daemon takes no new duties.
+func (v *View) Draining() bool { return v.draining }
+
+// Duty returns who of this cell has the duty that key names.
+func (v *View) Duty(key uint64) string { return First(key, v.duty) }
+
+// DutyOf returns who of the whole fleet has the duty that key names, as far as
+// this daemon knows.
+func (v *View) DutyOf(key uint64) string {
+	return First(key, v.cellDuty(cellOf(key, v.cells)))
+}
+
+// cellDuty returns the daemons of a cell that take duties.
+func (v *View) cellDuty(cell int) []string {
+	if cell == v.Cell() {
+		return v.duty
+	}
+	var names []string
+	for _, p := range v.peers {
+		if v.CellOf(p.Name) == cell && p.Alive && !p.Draining {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// OnDuty returns the daemons of this cell that take duties.
+func (v *View) OnDuty() []string { return v.duty }
+
+// Homes returns the daemons to ask about the context, best first, at most n.
+// Where nobody else is alive it is this daemon.
+func (v *View) Homes(root uint64, n int) []string {
+	names := v.cellDuty(cellOf(root, v.cells))
+	ranked := Rank(root, names)
+	if len(ranked) > n {
+		ranked = ranked[:n]
+	}
+	if !slices.Contains(ranked, v.self) {
+		ranked = append(ranked, v.self)
+	}
+	return ranked
+}
+
+// Usable reports whether a target may get new work, by configuration, drain
+// orders and the box list.
+func (v *View) Usable(name string, t *conf.Target) bool {
+	if t == nil || t.Drain || v.marks[name].Leaving {
+		return false
+	}
+	if t.Box == "" || !v.boxesKnown {
+		return true
+	}
+	box, listed := v.boxes[t.Box]
+	return listed && box.State == plat.BoxLive
+}
+
+// Boxes returns the boxes of the platform's list by name. It must not be
+// changed.
+func (v *View) Boxes() map[string]plat.Box { return v.boxes }
+
+// Marks returns the drain orders by target. It must not be changed.
+func (v *View) Marks() map[string]Mark { return v.marks }
+
+// Mark is an operator's order that a target gets no new work, or gets it
+// again. It spreads between daemons without the key-value service.
+type Mark struct {
+	Leaving bool `msgpack:"l" json:"leaving"`
+	// Stamp orders the marks of a target; the highest counts.
+	Stamp int64 `msgpack:"s" json:"stamp"`
+}
--- /dev/null
+++ b/core/home/loads.go
@@ -0,0 +1,183 @@
+package home
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// staleAfter is the age at which a worker's report counts as no report.
+const staleAfter = 4 * time.Second
+
+// loads is what is known of the workers' work. The zero value knows nothing.
+type loads struct {
+	loadsMu sync.Mutex
+	// reports are the latest by worker. Guarded by loadsMu.
+	reports map[string]report
+	// sent are this daemon's placements that no report can show yet, by
+	// worker. Guarded by loadsMu.
+	sent map[string][]placed
+	// failed is until when a worker counts as not answering. Guarded by
+	// loadsMu.
+	failed map[string]time.Time
+	// fresh are the workers followed here whose report changed since the last
+	// heartbeat. Guarded by loadsMu.
+	fresh map[string]bool
+	// own are the workers followed here. Guarded by loadsMu.
+	own map[string]bool
+}
+
+type report struct {
+	workerLoad
+	// taken is when the worker made the report, by this daemon's clock.
+	taken time.Time
+}
+
+type placed struct {
+	request  string
+	tokens   int
+	priority int
+	at       time.Time
+}
+
+// set records a report and reports whether it is newer than the one known.
+func (l *loads) set(w workerLoad, now time.Time) bool {
+	l.loadsMu.Lock()
+	defer l.loadsMu.Unlock()
+	l.init()
+	taken := now.Add(-w.Age)
+	if old, ok := l.reports[w.Worker]; ok && old.taken.After(taken) {
+		return false
+	}
+	l.reports[w.Worker] = report{w, taken}
+	l.sent[w.Worker] = slices.DeleteFunc(l.sent[w.Worker], func(p placed) bool { return p.at.Before(taken.Add(-reportLag)) })
+	return true
+}
+
+// reportLag is how long after it was sent a request may be missing from the
+// worker's report.
+const reportLag = 300 * time.Millisecond
+
+func (l *loads) init() {
+	if l.reports == nil {
+		l.reports, l.sent = map[string]report{}, map[string][]placed{}
+		l.failed, l.fresh, l.own = map[string]time.Time{}, map[string]bool{}, map[string]bool{}
+	}
+}
+
+// setOwn records a report of a worker that is followed here.
+func (l *loads) setOwn(w workerLoad, now time.Time) {
+	l.set(w, now)
+	l.loadsMu.Lock()
+	defer l.loadsMu.Unlock()
+	l.fresh[w.Worker], l.own[w.Worker] = true, true
+}
+
+// disown records that a worker is no longer followed here.
+func (l *loads) disown(worker string) {
+	l.loadsMu.Lock()
+	defer l.loadsMu.Unlock()
+	delete(l.fresh, worker)
+	delete(l.own, worker)
+}
+
+// place records that a request is on its way to a worker.
+func (l *loads) place(worker, request string, tokens, priority int, now time.Time) {
+	l.loadsMu.Lock()
+	defer l.loadsMu.Unlock()
+	l.init()
+	l.sent[worker] = append(l.sent[worker], placed{request, tokens, priority, now})
+}
+
+// done records that a worker has begun to answer a request, or failed.
+func (l *loads) done(worker, request string) {
+	l.loadsMu.Lock()
+	defer l.loadsMu.Unlock()
+	l.sent[worker] = slices.DeleteFunc(l.sent[worker], func(p placed) bool { return p.request == request })
+}
+
+// failPause is how long a worker that did not answer gets no work.
+const failPause = time.Second
+
+// fail records that a worker did not answer.
+func (l *loads) fail(worker string, now time.Time) {
+	l.loadsMu.Lock()
+	defer l.loadsMu.Unlock()
+	l.init()
+	l.failed[worker] = now.Add(failPause)
+}
+
+// load returns a worker's report with the tokens that a request of the
+// priority waits for, or false if the worker cannot be counted on.
+func (l *loads) load(worker string, priority int, now time.Time) (workerLoad, int, bool) {
+	l.loadsMu.Lock()
+	defer l.loadsMu.Unlock()
+	r, ok := l.reports[worker]
+	if !ok || now.Sub(r.taken) > staleAfter || now.Before(l.failed[worker]) {
+		return workerLoad{}, 0, false
+	}
+	tokens := 0
+	for p := priority; p < len(r.Queued); p++ {
+		tokens += r.Queued[p]
+	}
+	for _, p := range l.sent[worker] {
+		if p.priority >= priority {
+			tokens += p.tokens
+		}
+	}
+	return r.workerLoad, tokens, true
+}
+
+// holds returns how many of the given workers are fresh and how many of those
+// hold the weights.
+func (l *loads) holds(workers []string, weights string, now time.Time) (ready, total int) {
+	l.loadsMu.Lock()
+	defer l.loadsMu.Unlock()
+	for _, w := range workers {
+		r, ok := l.reports[w]
+		if !ok || now.Sub(r.taken) > staleAfter {
+			continue
+		}
+		total++
+		if slices.Contains(r.Holds, weights) {
+			ready++
+		}
+	}
+	return ready, total
+}
+
+// Collect returns the reports of the workers followed here.
+func (l *loads) Collect(full bool) any {
+	l.loadsMu.Lock()
+	defer l.loadsMu.Unlock()
+	var out []workerLoad
+	now := time.Now()
+	for w := range l.own {
+		if full || l.fresh[w] {
+			r := l.reports[w]
+			r.Age = now.Sub(r.taken)
+			out = append(out, r.workerLoad)
+		}
+	}
+	if !full {
+		clear(l.fresh)
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	return out
+}
+
+// Receive takes a peer's reports.
+func (l *loads) Receive(_ string, body []byte) {
+	var list []workerLoad
+	if msgpack.Unmarshal(body, &list) != nil {
+		return
+	}
+	now := time.Now()
+	for _, w := range list {
+		l.set(w, now)
+	}
+}
--- /dev/null
+++ b/core/home/msgs.go
@@ -0,0 +1,133 @@
+package home
+
+import (
+	"time"
+
+	"embertally.dev/core/cache"
+	"embertally.dev/core/route"
+	"embertally.dev/core/wire"
+)
+
+// Kinds of messages between daemons.
+const (
+	kindPlace    wire.Kind = "home.place"
+	kindDone     wire.Kind = "home.done"
+	kindLost     wire.Kind = "home.lost"
+	kindResynced wire.Kind = "home.resynced"
+	kindLinkAsk  wire.Kind = "home.linkAsk"
+	kindLinkDone wire.Kind = "home.linkDone"
+)
+
+// Ask is a request for a worker, sent to the home of its context.
+type Ask struct {
+	Request    string     `msgpack:"i"`
+	Deployment string     `msgpack:"d"`
+	Salt       cache.Salt `msgpack:"s"`
+	// Roots is how many first blocks name the context.
+	Roots int          `msgpack:"r"`
+	Chain []cache.Hash `msgpack:"c"`
+	// Tokens is the length of the prompt.
+	Tokens int `msgpack:"t"`
+	// Deadline is the time left until the first token is due.
+	Deadline time.Duration `msgpack:"l"`
+	Priority int           `msgpack:"p"`
+	Prices   route.Prices  `msgpack:"w"`
+	// Targets restricts the workers; empty means all of the deployment.
+	Targets []string `msgpack:"a,omitempty"`
+	// Exclude are workers that failed this request.
+	Exclude []string `msgpack:"x,omitempty"`
+	// Again tells that the request was placed before.
+	Again bool `msgpack:"g,omitempty"`
+}
+
+// seed returns the start of the chain.
+func (a *Ask) seed() cache.Hash { return a.Salt.Seed() }
+
+// Root returns the hash that names the context.
+func (a *Ask) Root() cache.Hash { return cache.Root(a.seed(), a.Chain, a.Roots) }
+
+// Answer says where a request goes and why.
+type Answer struct {
+	Verdict    route.Verdict  `msgpack:"v"`
+	Worker     string         `msgpack:"w"`
+	Expected   time.Duration  `msgpack:"e"`
+	RetryAfter time.Duration  `msgpack:"r,omitempty"`
+	Weighed    []route.Option `msgpack:"o,omitempty"`
+	// Held is how many blocks the worker was believed to hold.
+	Held int `msgpack:"h"`
+	// Imported is how many blocks were read from a store for the request.
+	Imported  int   `msgpack:"m"`
+	LinkBytes int64 `msgpack:"b,omitempty"`
+	// Home is the daemon that decided.
+	Home string `msgpack:"n"`
+}
+
+// Done tells the home of a context how a request ended.
+type Done struct {
+	Request string       `msgpack:"i"`
+	Salt    cache.Salt   `msgpack:"s"`
+	Roots   int          `msgpack:"r"`
+	Chain   []cache.Hash `msgpack:"c"`
+	Worker  string       `msgpack:"w"`
+	// Prefilled tells that the worker computed the whole prompt, so that it
+	// holds its blocks.
+	Prefilled bool `msgpack:"p"`
+	// Cached is how many prompt tokens the worker did not compute.
+	Cached int `msgpack:"c2"`
+	// ExportFrom is the shortest context worth keeping, in blocks.
+	ExportFrom int `msgpack:"x"`
+	// Failed tells that the worker did not answer.
+	Failed bool `msgpack:"f,omitempty"`
+}
+
+// marks tells the home of contexts what a worker lost or holds.
+type marks struct {
+	Worker string       `msgpack:"w"`
+	Marks  []cache.Mark `msgpack:"m"`
+}
+
+// linkAsk asks the scheduler of a store's link for its turn.
+type linkAsk struct {
+	Store        string `msgpack:"s"`
+	Organisation string `msgpack:"o"`
+	Bytes        int64  `msgpack:"b"`
+	Waiting      bool   `msgpack:"w"`
+}
+
+// linkTurn allows a transfer.
+type linkTurn struct {
+	ID uint64 `msgpack:"i"`
+}
+
+// linkDone ends a transfer.
+type linkDone struct {
+	Store string `msgpack:"s"`
+	ID    uint64 `msgpack:"i"`
+	// Bytes and Took are what was moved and in which time; zero if it failed.
+	Bytes int64         `msgpack:"b"`
+	Took  time.Duration `msgpack:"t"`
+}
+
+// workerLoad is what the follower of a worker tells its cell.
+type workerLoad struct {
+	Worker string `msgpack:"w"`
+	// Queued is the waiting prompt tokens by priority, lowest first.
+	Queued     []int   `msgpack:"q"`
+	Running    int     `msgpack:"r"`
+	Free       int     `msgpack:"f"`
+	Total      int     `msgpack:"t"`
+	Speed      float64 `msgpack:"s"`
+	BlockBytes int     `msgpack:"k"`
+	Loading    bool    `msgpack:"l,omitempty"`
+	// Holds lists loaded weights as "model@version", with adapters after "+".
+	Holds []string `msgpack:"h"`
+	// Age is how old the report was when it was sent.
+	Age time.Duration `msgpack:"a"`
+}
+
+// linkState is what the scheduler of a link tells its cell.
+type linkState struct {
+	Store   string  `msgpack:"s"`
+	Backlog int64   `msgpack:"b"`
+	Rate    float64 `msgpack:"r"`
+}
--- /dev/null
+++ b/core/once/once.go
@@ -0,0 +1,256 @@
+// Package once owns the requests that may not be repeated: the claims that
+// must be committed before a call is handed to a target, and their outcomes.
+//
+// It must not know what a call does or how it is relayed. At most once rests
+// on guarded writes alone; clocks only decide how long a claim is remembered.
+package once
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/lease"
+	"embertally.dev/core/plat"
+	"embertally.dev/core/wire"
+)
+
+// kv is what claims need of the key-value service.
+type kv interface {
+	lease.KV
+	Range(ctx context.Context, span plat.Span) ([]plat.Pair, int64, error)
+}
+
+// DefaultWindow is how long a key may be used.
+const DefaultWindow = 10 * time.Minute
+
+// Options of Once.
+type Options struct {
+	Name        string
+	Incarnation string
+	// Window is how long a key may be used; zero means DefaultWindow.
+	Window time.Duration
+	Fleet  *fleet.Fleet
+	KV     kv
+	Log    *event.Log
+}
+
+// Once claims calls and owns this daemon's shards of claims.
+type Once struct {
+	name        string
+	incarnation string
+	window      time.Duration
+	fleet       *fleet.Fleet
+	kv          kv
+	log         *event.Log
+	shards      [shards]*shard
+	writes      atomic.Int64
+	settling    chan *settle
+}
+
+// maxSettling bounds the ends of attempts that wait to be told to an owner.
+const maxSettling = 4096
+
+// New returns Once and registers its messages with the fleet.
+func New(o Options) *Once {
+	c := &Once{
+		name: o.Name, incarnation: o.Incarnation, window: o.Window, fleet: o.Fleet, kv: o.KV, log: o.Log,
+		settling: make(chan *settle, maxSettling),
+	}
+	if c.window == 0 {
+		c.window = DefaultWindow
+	}
+	for i := range c.shards {
+		c.shards[i] = &shard{n: i, owner: c, kick: make(chan struct{}, 1)}
+	}
+	o.Fleet.Mux().Register(kindClaim, wire.Handle(func(ctx context.Context, _ string, m *Claim) (Answer, error) {
+		ctx, cancel := context.WithTimeout(ctx, claimLimit)
+		defer cancel()
+		return c.shards[m.Key.shard()].claim(ctx, m), nil
+	}))
+	o.Fleet.Mux().Register(kindSettle, wire.Handle(func(ctx context.Context, _ string, m *settle) (bool, error) {
+		return c.shards[m.Key.shard()].settled(ctx, m), nil
+	}))
+	return c
+}
+
+// Run owns shards and tells ends until ctx ends.
+func (c *Once) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, s := range c.shards {
+		wg.Go(func() { s.run(ctx) })
+	}
+	for range settlers {
+		wg.Go(func() { settler{c}.run(ctx) })
+	}
+	wg.Wait()
+}
+
+// settlers is how many ends of attempts are told at once.
+const settlers = 64
+
+// Writes returns how many batches this daemon committed.
+func (c *Once) Writes() int64 { return c.writes.Load() }
+
+// Owned returns how many shards this daemon owns.
+func (c *Once) Owned() int {
+	n := 0
+	for _, s := range c.shards {
+		if s.isOwned() {
+			n++
+		}
+	}
+	return n
+}
+
+func duty(shard int) string { return "once/" + strconv.Itoa(shard) }
+
+// Duties returns the names of the duties of owning shards.
+func Duties() []string {
+	out := make([]string, shards)
+	for i := range out {
+		out[i] = duty(i)
+	}
+	return out
+}
+
+func (c *Once) hasDuty(shard int) bool { return c.ownerOf(shard) == c.name }
+
+func (c *Once) ownerOf(shard int) string {
+	return c.fleet.View().DutyOf(fleet.Key(duty(shard)))
+}
+
+// running reports whether a daemon still runs in the incarnation.
+func (c *Once) running(name, incarnation string) bool {
+	if name == c.name {
+		return incarnation == c.incarnation
+	}
+	for _, p := range c.fleet.View().Peers() {
+		if p.Name == name {
+			return p.Alive && p.Incarnation == incarnation
+		}
+	}
+	return false
+}
+
+// claimLimit bounds the wait for a claim to be committed.
+const claimLimit = 3 * time.Second
+
+// Attempt is a granted claim. Exactly one of its methods must be called.
+type Attempt struct {
+	once *Once
+	key  Key
+	id   string
+}
+
+// Claim asks for the right to run a call. With any answer but Granted the
+// call must not be run, and this try has not run it.
+func (c *Once) Claim(ctx context.Context, key Key, keyTime time.Time, print uint64) (*Attempt, Answer) {
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	m := &Claim{
+		Key: key, KeyMillis: keyTime.UnixMilli(), Attempt: uuid.NewString(),
+		Asker: c.name, Incarnation: c.incarnation, Print: print,
+	}
+	a := &Attempt{once: c, key: key, id: m.Attempt}
+	ans, err := c.ask(ctx, m)
+	if err != nil {
+		ans = Answer{State: Unavailable}
+	}
+	if ans.State == Unavailable {
+		// The claim may be committed all the same: give it back.
+		a.NotRun()
+	}
+	if ans.State != Granted {
+		return nil, ans
+	}
+	return a, ans
+}
+
+func (c *Once) ask(ctx context.Context, m *Claim) (Answer, error) {
+	n := m.Key.shard()
+	owner := c.ownerOf(n)
+	if owner == c.name {
+		return c.shards[n].claim(ctx, m), nil
+	}
+	if owner == "" {
+		return Answer{}, errors.New("nobody owns the shard")
+	}
+	var ans Answer
+	return ans, c.fleet.Call(ctx, owner, kindClaim, m, &ans)
+}
+
+// Ran records the outcome of the call.
+func (a *Attempt) Ran(o Outcome) {
+	if len(o.Body) > MaxKeptBody {
+		o.Body, o.Cut = nil, true
+	}
+	a.tell(endRan, o)
+}
+
+// NotRun gives the claim back: nothing was sent to a target.
+func (a *Attempt) NotRun() { a.tell(endNotRun, Outcome{}) }
+
+// Unknown records that it is not known whether the call ran.
+func (a *Attempt) Unknown() { a.tell(endUnknown, Outcome{}) }
+
+func (a *Attempt) tell(e end, o Outcome) {
+	select {
+	case a.once.settling <- &settle{Key: a.key, Attempt: a.id, End: e, Outcome: o}:
+	default:
+		// Without its end the claim reads as running or unknown, which is safe.
+	}
+}
+
+// settler tells the ends of attempts to the owners of their shards.
+type settler struct{ *Once }
+
+// settleLimit bounds how long one end is tried to be told.
+const settleLimit = 20 * time.Second
+
+// settleWait bounds one telling, which ends when the service holds it.
+const settleWait = 5 * time.Second
+
+func (s settler) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.settling:
+			s.handle(ctx, m)
+		}
+	}
+}
+
+func (s settler) handle(ctx context.Context, m *settle) {
+	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	for !s.tell(ctx, m) {
+		t := time.NewTimer(retryPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s settler) tell(ctx context.Context, m *settle) bool {
+	n := m.Key.shard()
+	owner := s.ownerOf(n)
+	if owner == s.name {
+		return s.shards[n].settled(ctx, m)
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	var owned bool
+	return s.fleet.Call(ctx, owner, kindSettle, m, &owned) == nil && owned
+}
--- /dev/null
+++ b/core/plat/boxes.go
@@ -0,0 +1,82 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// BoxState is what the box list says of a box.
+type BoxState string
+
+// The states of boxes. A box that is gone is not listed.
+const (
+	BoxLive    BoxState = "live"
+	BoxLeaving BoxState = "leaving"
+)
+
+// Role is what a box is for.
+type Role string
+
+// The roles of boxes.
+const (
+	RoleEntry  Role = "entry"
+	RoleTarget Role = "target"
+)
+
+// Box is one entry of the platform's box list.
+type Box struct {
+	Name string `json:"name"`
+	Role Role   `json:"role"`
+	// Address is the peer address of an entry box, as IP and port.
+	Address string `json:"address,omitempty"`
+	// Domain is the failure domain.
+	Domain string   `json:"domain"`
+	State  BoxState `json:"state"`
+}
+
+// BoxList reads the platform's list of live and leaving boxes.
+type BoxList struct {
+	url    string
+	client *http.Client
+	// tag is the version of the last list read; only the reader uses it.
+	tag string
+}
+
+// NewBoxList returns a reader of the list at url, for use by one goroutine.
+func NewBoxList(url string, client *http.Client) *BoxList {
+	return &BoxList{url: url, client: client}
+}
+
+// Read returns the list, or changed false if it is the same as last time.
+func (b *BoxList) Read(ctx context.Context) (boxes []Box, changed bool, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, b.url, nil)
+	if err != nil {
+		return nil, false, errors.WithStack(err)
+	}
+	if b.tag != "" {
+		req.Header.Set("If-None-Match", b.tag)
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "box list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return nil, false, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, false, errors.Errorf("box list answered %s", resp.Status)
+	}
+	var body struct {
+		Boxes []Box `json:"boxes"`
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(&body); err != nil {
+		return nil, false, errors.Wrap(err, "box list")
+	}
+	b.tag = resp.Header.Get("ETag")
+	return body.Boxes, true, nil
+}
--- /dev/null
+++ b/core/plat/kv.go
@@ -0,0 +1,315 @@
+// Package plat owns the clients of the platform's services: the key-value
+// service and the box list.
+//
+// It must not know what is kept in the service or why. It never repeats a
+// write whose outcome is unknown; its callers settle that by reading back.
+package plat
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrUnknown says that a write was sent and its outcome is not known.
+var ErrUnknown = errors.New("outcome of the write is unknown")
+
+// ErrCompacted says that a watch asked for revisions that the service has
+// given up; the caller must read the whole state anew.
+var ErrCompacted = errors.New("revision was compacted")
+
+// Pair is one key with its value.
+type Pair struct {
+	Key   string
+	Value []byte
+	// ModRevision is the revision of the last write to the key.
+	ModRevision int64
+}
+
+// Compare is a condition on one key of a transaction.
+type Compare struct {
+	Key string
+	// ModRevision is the expected revision of the last write to Key; zero
+	// means that Key must not exist.
+	ModRevision int64
+}
+
+// Put is one write of a transaction.
+type Put struct {
+	Key   string
+	Value []byte
+}
+
+// Txn writes Puts and removes Deletes if all Compares hold.
+type Txn struct {
+	Compares []Compare
+	Puts     []Put
+	// Deletes are single keys.
+	Deletes []string
+	// DeletePrefixTo removes the half-open key range given, when set.
+	DeleteRange *Span
+}
+
+// Span is the half-open range of keys [From, To).
+type Span struct{ From, To string }
+
+// Prefix returns the span of all keys that begin with p.
+func Prefix(p string) Span { return Span{From: p, To: prefixEnd(p)} }
+
+func prefixEnd(p string) string {
+	b := []byte(p)
+	for i := len(b) - 1; i >= 0; i-- {
+		if b[i] < 0xff {
+			b[i]++
+			return string(b[:i+1])
+		}
+	}
+	return "\x00"
+}
+
+// Outcome is the result of a transaction that was carried out.
+type Outcome struct {
+	// Succeeded tells whether the compares held and the writes took effect.
+	Succeeded bool
+	// Revision is the service's revision after the transaction.
+	Revision int64
+}
+
+// Change is one event of a watch.
+type Change struct {
+	Pair
+	Deleted bool
+}
+
+// KV is a client of the key-value service, which speaks etcd's published v3
+// JSON gateway. Its methods may be called from several goroutines.
+type KV struct {
+	urls   []string
+	client *http.Client
+	calls  atomic.Int64
+	bytes  atomic.Int64
+	// at is the index of the URL in use; a failed call moves it on.
+	at atomic.Int64
+}
+
+// NewKV returns a client that uses the given base URLs in turn.
+func NewKV(urls []string, client *http.Client) *KV {
+	return &KV{urls: urls, client: client}
+}
+
+// Calls returns how many calls were made, a watch counting as one.
+func (k *KV) Calls() int64 { return k.calls.Load() }
+
+// Bytes returns how many body bytes were sent and received.
+func (k *KV) Bytes() int64 { return k.bytes.Load() }
+
+type wireCompare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision string `json:"mod_revision"`
+}
+
+type wireSpan struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+type wirePut struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+}
+
+type wireOp struct {
+	RequestPut         *wirePut  `json:"request_put,omitempty"`
+	RequestDeleteRange *wireSpan `json:"request_delete_range,omitempty"`
+}
+
+type wireHeader struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type wireKV struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// Range reads the keys of span, ordered by key, and the revision read at.
+func (k *KV) Range(ctx context.Context, span Span) ([]Pair, int64, error) {
+	var reply struct {
+		Header wireHeader `json:"header"`
+		Kvs    []wireKV   `json:"kvs"`
+	}
+	err := k.call(ctx, "/v3/kv/range", wireSpan{Key: []byte(span.From), RangeEnd: []byte(span.To)}, &reply)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "range")
+	}
+	pairs := make([]Pair, len(reply.Kvs))
+	for i, kv := range reply.Kvs {
+		pairs[i] = Pair{Key: string(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision}
+	}
+	return pairs, reply.Header.Revision, nil
+}
+
+// Read returns one key, or nil if it does not exist.
+func (k *KV) Read(ctx context.Context, key string) (*Pair, error) {
+	pairs, _, err := k.Range(ctx, Span{From: key, To: key + "\x00"})
+	if err != nil || len(pairs) == 0 {
+		return nil, err
+	}
+	return &pairs[0], nil
+}
+
+// Commit carries out t. An error that is ErrUnknown means that t may have
+// taken effect; every other error means that it did not.
+func (k *KV) Commit(ctx context.Context, t Txn) (Outcome, error) {
+	var body struct {
+		Compare []wireCompare `json:"compare"`
+		Success []wireOp      `json:"success"`
+	}
+	for _, c := range t.Compares {
+		body.Compare = append(body.Compare, wireCompare{
+			Key: []byte(c.Key), Target: "MOD", Result: "EQUAL",
+			ModRevision: strconv.FormatInt(c.ModRevision, 10),
+		})
+	}
+	for _, p := range t.Puts {
+		body.Success = append(body.Success, wireOp{RequestPut: &wirePut{Key: []byte(p.Key), Value: p.Value}})
+	}
+	for _, d := range t.Deletes {
+		body.Success = append(body.Success, wireOp{RequestDeleteRange: &wireSpan{Key: []byte(d)}})
+	}
+	if r := t.DeleteRange; r != nil {
+		body.Success = append(body.Success, wireOp{RequestDeleteRange: &wireSpan{Key: []byte(r.From), RangeEnd: []byte(r.To)}})
+	}
+	var reply struct {
+		Header    wireHeader `json:"header"`
+		Succeeded bool       `json:"succeeded"`
+	}
+	if err := k.call(ctx, "/v3/kv/txn", body, &reply); err != nil {
+		return Outcome{}, errors.Wrapf(ErrUnknown, "txn: %v", err)
+	}
+	return Outcome{Succeeded: reply.Succeeded, Revision: reply.Header.Revision}, nil
+}
+
+// maxReply bounds the body of one reply of the service.
+const maxReply = 64 << 20
+
+func (k *KV) call(ctx context.Context, path string, body, reply any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	resp, err := k.post(ctx, path, raw)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	k.bytes.Add(int64(len(got)))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.Wrap(json.Unmarshal(got, reply), "reply of the key-value service")
+}
+
+func (k *KV) post(ctx context.Context, path string, raw []byte) (*http.Response, error) {
+	at := k.at.Load()
+	url := k.urls[int(at)%len(k.urls)] + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	k.calls.Add(1)
+	k.bytes.Add(int64(len(raw)))
+	resp, err := k.client.Do(req)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		err = errors.Errorf("key-value service answered %s", resp.Status)
+	}
+	if err != nil {
+		k.at.CompareAndSwap(at, at+1)
+		return nil, errors.WithStack(err)
+	}
+	return resp, nil
+}
+
+// Watch calls f with the changes of each revision of span from the given
+// revision on, until ctx ends, f fails or the stream breaks. A message without
+// changes reports progress up to its revision.
+func (k *KV) Watch(ctx context.Context, span Span, from int64, f func(changes []Change, revision int64) error) error {
+	type create struct {
+		wireSpan
+		StartRevision  string `json:"start_revision"`
+		ProgressNotify bool   `json:"progress_notify"`
+	}
+	body := struct {
+		CreateRequest create `json:"create_request"`
+	}{create{
+		wireSpan:      wireSpan{Key: []byte(span.From), RangeEnd: []byte(span.To)},
+		StartRevision: strconv.FormatInt(from, 10), ProgressNotify: true,
+	}}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	resp, err := k.post(ctx, "/v3/watch", raw)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	dec := json.NewDecoder(bufio.NewReader(resp.Body))
+	for {
+		if err := k.nextWatch(dec, f); err != nil {
+			return err
+		}
+	}
+}
+
+func (k *KV) nextWatch(dec *json.Decoder, f func([]Change, int64) error) error {
+	type wireEvent struct {
+		Type string `json:"type"`
+		KV   wireKV `json:"kv"`
+	}
+	var msg struct {
+		Result struct {
+			Header          wireHeader  `json:"header"`
+			Canceled        bool        `json:"canceled"`
+			CompactRevision int64       `json:"compact_revision,string"`
+			Events          []wireEvent `json:"events"`
+		} `json:"result"`
+	}
+	before := dec.InputOffset()
+	if err := dec.Decode(&msg); err != nil {
+		return errors.Wrap(err, "watch")
+	}
+	k.bytes.Add(dec.InputOffset() - before)
+	if msg.Result.CompactRevision > 0 {
+		return errors.WithStack(ErrCompacted)
+	}
+	if msg.Result.Canceled {
+		return errors.New("watch was cancelled by the service")
+	}
+	changes := make([]Change, 0, len(msg.Result.Events))
+	for _, e := range msg.Result.Events {
+		changes = append(changes, Change{
+			Pair:    Pair{Key: string(e.KV.Key), Value: e.KV.Value, ModRevision: e.KV.ModRevision},
+			Deleted: e.Type == "DELETE",
+		})
+	}
+	return f(changes, msg.Result.Header.Revision)
+}
+
+// CallTimeout bounds one call of the key-value service, which answers in
+// milliseconds when it is well.
+const CallTimeout = 2 * time.Second
--- /dev/null
+++ b/core/route/place.go
@@ -0,0 +1,311 @@
+// Package route owns the decisions: whether a request is taken, which worker
+// answers it, how much of its context is imported, what is exported, what a
+// full store gives up, and how often may be retried.
+//
+// Everything here is pure: state, time and chance come in as values, and a
+// decision with its reasons comes out. It must not know of clocks, networks or
+// goroutines.
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Placement names a way to choose a worker.
+type Placement string
+
+// The placements. All but Returning are there to be measured against.
+const (
+	// Returning weighs queue, import and recomputation.
+	Returning Placement = "returning"
+	// RoundRobin takes the workers in turn.
+	RoundRobin Placement = "roundRobin"
+	// LeastTokens takes the worker with the least projected work, as in
+	// "Capacity-aware inference: why heterogeneous GPUs need a scheduler, not a
+	// retry loop", section 7.
+	LeastTokens Placement = "leastTokens"
+	// StickyHash takes the worker that the context's hash names.
+	StickyHash Placement = "stickyHash"
+	// Always takes the least projected work, and always exports and imports.
+	Always Placement = "always"
+	// First is the project's first working version: the worker that holds
+	// most, else the least projected work with everything imported.
+	First Placement = "first"
+)
+
+// Placements lists all placements.
+func Placements() []Placement {
+	return []Placement{Returning, RoundRobin, LeastTokens, StickyHash, Always, First}
+}
+
+// Exports reports whether a placement writes contexts to stores.
+func (p Placement) Exports() bool { return p == Returning || p == Always || p == First }
+
+// Prices turn the measures into seconds of first-token time.
+type Prices struct {
+	// FirstToken multiplies the expected time to first token.
+	FirstToken float64
+	// Token is the price of one recomputed token in seconds.
+	Token float64
+	// Byte is the price of one byte over a store's link in seconds.
+	Byte float64
+}
+
+// Request is what a decision needs to know of a request.
+type Request struct {
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Blocks is the number of whole blocks of the prompt.
+	Blocks int
+	// BlockTokens is the number of tokens in a block.
+	BlockTokens int
+	// Deadline is the time left until the first token is due.
+	Deadline time.Duration
+	Prices   Prices
+	// Context spreads requests for placements that go by hash.
+	Context uint64
+	// Turn counts requests for placements that go in turn.
+	Turn uint64
+	// Chance is a random number from 0 up to 1.
+	Chance float64
+}
+
+// Worker is what is known of one candidate.
+type Worker struct {
+	Name string
+	// Held is how many first blocks of the prompt it holds.
+	Held int
+	// QueuedTokens is the projected work before this request: what was
+	// reported, corrected by what was sent since.
+	QueuedTokens int
+	// Running is the number of answers being generated.
+	Running int
+	// Speed is its prefill speed in tokens a second.
+	Speed float64
+	// Distance is the time for one way there.
+	Distance time.Duration
+}
+
+// Kept is what a store keeps of the prompt's context.
+type Kept struct {
+	Store string
+	// Blocks is how many first blocks of the prompt it keeps.
+	Blocks int
+	// BlockBytes is the size of one block's cache.
+	BlockBytes int64
+	// Rate is the capacity of its link in bytes a second.
+	Rate float64
+	// Backlog is the bytes that wait for the link ahead of this request.
+	Backlog int64
+	// Latency is the time before the first byte.
+	Latency time.Duration
+}
+
+// Import says what is read from a store before the request is sent.
+type Import struct {
+	Store string
+	// From and To are the blocks [From, To) of the prompt.
+	From, To int
+}
+
+// Blocks returns how many blocks are read.
+func (i Import) Blocks() int { return i.To - i.From }
+
+// Option is one weighed way to answer a request.
+type Option struct {
+	Worker string
+	Import Import
+	// Queue, Transfer and Prefill are the expected parts of the first-token
+	// time; queue and transfer pass at the same time.
+	Queue, Transfer, Prefill time.Duration
+	// Expected is the expected time to first token.
+	Expected time.Duration
+	// Recomputed is the number of tokens that are prefilled.
+	Recomputed int
+	LinkBytes  int64
+	// Cost is the price of the option in seconds.
+	Cost float64
+}
+
+// Verdict is what was decided about a request.
+type Verdict string
+
+// The verdicts.
+const (
+	Placed Verdict = "placed"
+	// NoWorker means that no candidate was there.
+	NoWorker Verdict = "noWorker"
+	// TooLate means that no candidate can meet the deadline.
+	TooLate Verdict = "tooLate"
+)
+
+// Decision is the outcome with what was weighed.
+type Decision struct {
+	Verdict Verdict
+	// Chosen is the best option, also when it is too late.
+	Chosen Option
+	// Weighed are the best options of the best candidates, best first.
+	Weighed []Option
+	// RetryAfter says when the deadline could be met, for TooLate.
+	RetryAfter time.Duration
+}
+
+// maxWeighed bounds the options that are reported.
+const maxWeighed = 5
+
+// perRunning is how much one running answer slows the prefill of another, as a
+// share.
+const perRunning = 0.02
+
+// Place decides about a request.
+func Place(p Placement, r Request, workers []Worker, kept []Kept) Decision {
+	if len(workers) == 0 {
+		return Decision{Verdict: NoWorker}
+	}
+	options := optionsFor(p, r, workers, kept)
+	chosen := choose(p, r, options)
+	d := Decision{Verdict: Placed, Chosen: chosen, Weighed: best(options)}
+	if r.Deadline > 0 && chosen.Expected > r.Deadline {
+		return late(d, r, options)
+	}
+	return d
+}
+
+// late takes the fastest option where the cheapest comes too late, and refuses
+// where that comes too late as well.
+func late(d Decision, r Request, options []Option) Decision {
+	fastest := slices.MinFunc(options, func(a, b Option) int { return cmp.Compare(a.Expected, b.Expected) })
+	d.Chosen = fastest
+	if fastest.Expected > r.Deadline {
+		d.Verdict = TooLate
+		d.RetryAfter = fastest.Expected - r.Deadline
+	}
+	return d
+}
+
+func best(options []Option) []Option {
+	sorted := slices.Clone(options)
+	slices.SortStableFunc(sorted, func(a, b Option) int { return cmp.Compare(a.Cost, b.Cost) })
+	return sorted[:min(len(sorted), maxWeighed)]
+}
+
+// optionsFor returns the best option of each worker.
+func optionsFor(p Placement, r Request, workers []Worker, kept []Kept) []Option {
+	out := make([]Option, 0, len(workers))
+	for _, w := range workers {
+		out = append(out, cheapest(r, importsFor(p, r, w, kept)))
+	}
+	return out
+}
+
+func cheapest(r Request, list []Option) Option {
+	for i := range list {
+		list[i].price(r.Prices)
+	}
+	return slices.MinFunc(list, func(a, b Option) int { return cmp.Compare(a.Cost, b.Cost) })
+}
+
+func (o *Option) price(p Prices) {
+	o.Cost = p.FirstToken*o.Expected.Seconds() + p.Token*float64(o.Recomputed) + p.Byte*float64(o.LinkBytes)
+}
+
+// importsFor returns the ways to answer on one worker. Cost is piecewise
+// linear in the number of imported blocks, so the ends and the point at which
+// the import takes as long as the queue are all that need to be weighed.
+func importsFor(p Placement, r Request, w Worker, kept []Kept) []Option {
+	plain := option(r, w, Import{}, Kept{})
+	if p == RoundRobin || p == LeastTokens || p == StickyHash {
+		return []Option{plain}
+	}
+	out := []Option{plain}
+	for _, k := range kept {
+		if k.Blocks <= w.Held {
+			continue
+		}
+		all := Import{Store: k.Store, From: w.Held, To: k.Blocks}
+		out = append(out, option(r, w, all, k))
+		if p == Always || p == First {
+			return out[1:]
+		}
+		if n := hidden(plain.Queue, k); n > 0 && n < all.Blocks() {
+			part := Import{Store: k.Store, From: w.Held, To: w.Held + n}
+			out = append(out, option(r, w, part, k))
+		}
+	}
+	return out
+}
+
+// hidden returns how many blocks can be read while the request waits anyway.
+func hidden(queue time.Duration, k Kept) int {
+	if k.BlockBytes == 0 {
+		return 0
+	}
+	bytes := (queue-k.Latency).Seconds()*k.Rate - float64(k.Backlog)
+	return int(bytes / float64(k.BlockBytes))
+}
+
+func option(r Request, w Worker, im Import, k Kept) Option {
+	speed := w.Speed / (1 + perRunning*float64(w.Running))
+	o := Option{Worker: w.Name, Import: im}
+	o.Queue = seconds(float64(w.QueuedTokens) / speed)
+	have := w.Held
+	if im.Blocks() > 0 {
+		o.LinkBytes = int64(im.Blocks()) * k.BlockBytes
+		o.Transfer = k.Latency + seconds(float64(k.Backlog+o.LinkBytes)/k.Rate)
+		have = im.To
+	}
+	o.Recomputed = max(1, r.Tokens-have*r.BlockTokens)
+	o.Prefill = seconds(float64(o.Recomputed) / speed)
+	o.Expected = 2*w.Distance + max(o.Queue, o.Transfer) + o.Prefill
+	return o
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// near is how much more than the best an option may cost and still be taken
+// now and then, so that daemons which decide at once on the same old state do
+// not all take the same worker.
+const (
+	nearShare = 0.10
+	nearFloor = 0.004
+)
+
+// choose takes one of the workers' options.
+func choose(p Placement, r Request, options []Option) Option {
+	switch p {
+	case RoundRobin:
+		return options[r.Turn%uint64(len(options))]
+	case StickyHash:
+		return options[r.Context%uint64(len(options))]
+	case LeastTokens, Always:
+		return leastQueue(options)
+	case First:
+		return firstVersion(options)
+	}
+	least := slices.MinFunc(options, func(a, b Option) int { return cmp.Compare(a.Cost, b.Cost) })
+	limit := least.Cost + max(nearFloor, nearShare*least.Cost)
+	var near []Option
+	for _, o := range options {
+		if o.Cost <= limit {
+			near = append(near, o)
+		}
+	}
+	return near[int(r.Chance*float64(len(near)))%len(near)]
+}
+
+func leastQueue(options []Option) Option {
+	return slices.MinFunc(options, func(a, b Option) int {
+		return cmp.Compare(a.Queue+a.Prefill, b.Queue+b.Prefill)
+	})
+}
+
+func firstVersion(options []Option) Option {
+	return slices.MinFunc(options, func(a, b Option) int {
+		if c := cmp.Compare(a.Recomputed+int(a.LinkBytes), b.Recomputed+int(b.LinkBytes)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Queue, b.Queue)
+	})
+}
--- /dev/null
+++ b/core/target/store.go
@@ -0,0 +1,86 @@
+package target
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"embertally.dev/core/cache"
+)
+
+// Store is a client of one store box.
+type Store struct {
+	url    string
+	client *http.Client
+}
+
+// NewStore returns a client of the store at url.
+func NewStore(url string, client *http.Client) *Store { return &Store{url, client} }
+
+// URL returns where engines reach the store.
+func (s *Store) URL() string { return s.url }
+
+// Manifest commits the export of a context: only blocks that it names, with
+// these generations and sums, are read back.
+type Manifest struct {
+	Root   cache.Hash `json:"root"`
+	Salt   cache.Salt `json:"salt"`
+	Blocks []Block    `json:"blocks"`
+}
+
+// Manifest reads the manifest of a context, or nil if there is none.
+func (s *Store) Manifest(ctx context.Context, root cache.Hash) (*Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookLimit)
+	defer cancel()
+	var m Manifest
+	err := do(ctx, s.client, http.MethodGet, s.url+"/v1/manifests/"+root.String(), nil, &m)
+	if Status(err) == http.StatusNotFound {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &m, nil
+}
+
+// lookLimit bounds the time in which a request waits for a store to say what
+// it keeps.
+const lookLimit = 250 * time.Millisecond
+
+// PutManifest commits an export.
+func (s *Store) PutManifest(ctx context.Context, m Manifest) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return do(ctx, s.client, http.MethodPut, s.url+"/v1/manifests/"+m.Root.String(), m, nil)
+}
+
+// Remove gives up a kept context: its manifest first, then its blocks.
+func (s *Store) Remove(ctx context.Context, root cache.Hash) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return do(ctx, s.client, http.MethodDelete, s.url+"/v1/manifests/"+root.String(), nil, nil)
+}
+
+// KeptContext is one line of a store's list.
+type KeptContext struct {
+	Root   cache.Hash `json:"root"`
+	Blocks int        `json:"blocks"`
+	// Idle is how long ago the context was last read or written.
+	IdleSeconds float64 `json:"idleSeconds"`
+	Reads       int     `json:"reads"`
+}
+
+// Usage says how full a store is.
+type Usage struct {
+	UsedBlocks  int           `json:"usedBlocks"`
+	TotalBlocks int           `json:"totalBlocks"`
+	Contexts    []KeptContext `json:"contexts"`
+}
+
+// Usage reads how full the store is and what it keeps.
+func (s *Store) Usage(ctx context.Context) (Usage, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	var u Usage
+	return u, do(ctx, s.client, http.MethodGet, s.url+"/v1/usage", nil, &u)
+}
--- /dev/null
+++ b/emberd/internal/daemon/main.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"embertally.dev/core/event"
+)
+
+// Exit codes of emberd.
+const (
+	exitOK       = 0
+	exitSettings = 2
+	exitFailed   = 1
+)
+
+// Main runs the command line and returns the exit code.
+func Main(args []string) int {
+	app := kingpin.New("emberd", "The daemon that runs on every entry box.\n\nExamples:\n  emberd check /etc/emberd.yaml\n  emberd run /etc/emberd.yaml\n\nExit codes: 0 stopped as planned, 1 failed, 2 faults in the settings or the command line.")
+	app.Terminate(nil)
+	run := app.Command("run", "Run the daemon until SIGTERM, which drains it.")
+	runFile := run.Arg("settings", "The YAML file.").Required().String()
+	check := app.Command("check", "Check a settings file and name all faults.")
+	checkFile := check.Arg("settings", "The YAML file.").Required().String()
+	reference := app.Command("reference", "Print the page of all settings.")
+	events := app.Command("events", "Print the page of all events.")
+	metrics := app.Command("metrics", "Print the list of all figures at /debug/vars.")
+	cmd, err := app.Parse(args)
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "emberd:", err)
+		return exitSettings
+	case cmd == run.FullCommand():
+		return runDaemon(*runFile)
+	case cmd == check.FullCommand():
+		return checkSettings(*checkFile)
+	case cmd == reference.FullCommand():
+		io.WriteString(os.Stdout, Reference())
+	case cmd == events.FullCommand():
+		io.WriteString(os.Stdout, EventPage())
+	case cmd == metrics.FullCommand():
+		io.WriteString(os.Stdout, VariablePage())
+	}
+	return exitOK
+}
+
+func checkSettings(path string) int {
+	if _, err := ReadSettings(path); err != nil {
+		fmt.Fprintln(os.Stderr, "emberd:", err)
+		return exitSettings
+	}
+	fmt.Println("settings are in order")
+	return exitOK
+}
+
+func runDaemon(path string) int {
+	set, err := ReadSettings(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "emberd:", err)
+		return exitSettings
+	}
+	d, err := New(set)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "emberd:", err)
+		return exitSettings
+	}
+	publish(d)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "emberd:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// EventPage returns the page docs/EVENTS.md.
+func EventPage() string {
+	var b strings.Builder
+	b.WriteString("# Events\n\nEvery log line and every entry of the time line is one of these. Numbers keep their meaning for ever. ")
+	b.WriteString("This page is written by `emberd events`; a test keeps it true.\n\n| code | event | level | meaning |\n| --- | --- | --- | --- |\n")
+	for _, e := range event.Catalogue() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Code, e.Name, e.Level, e.Meaning)
+	}
+	return b.String()
+}
+
+// VariablePage returns the table of figures in docs/OPERATIONS.md.
+func VariablePage() string {
+	var b strings.Builder
+	b.WriteString("| figure | meaning |\n| --- | --- |\n")
+	for _, v := range variables {
+		fmt.Fprintf(&b, "| `%s` | %s |\n", v.name, v.meaning)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/emberd/internal/daemon/settings.go
@@ -0,0 +1,250 @@
+package daemon
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+
+	"embertally.dev/core/event"
+	"embertally.dev/core/route"
+)
+
+// Settings are everything that a daemon is told by its file. docs/SETTINGS.md
+// is written from the doc tags.
+type Settings struct {
+	Name      string           `yaml:"name" doc:"Name of the box in the platform's box list. Required."`
+	Domain    string           `yaml:"domain" doc:"Failure domain of the box. Required."`
+	Callers   Listener         `yaml:"callers" doc:"Where callers are answered."`
+	Operators Listener         `yaml:"operators" doc:"Where operators are answered."`
+	Peers     PeerSettings     `yaml:"peers" doc:"How other daemons are reached."`
+	Platform  PlatformSettings `yaml:"platform" doc:"The platform's services."`
+	Log       LogSettings      `yaml:"log" doc:"Log lines on standard error."`
+	Limits    LimitSettings    `yaml:"limits" doc:"Bounds of this daemon."`
+	Placement string           `yaml:"placement" doc:"How workers are chosen: returning, or one of the ways it is measured against (roundRobin, leastTokens, stickyHash, always, first)."`
+	// OperatorKeyHashes are for the first access, before any operator exists.
+	OperatorKeyHashes []string `yaml:"operatorKeyHashes" doc:"SHA-256 sums, in hexadecimal digits, of operators' keys that are valid beside the configured operators. For the first access."`
+}
+
+// Listener is one listening address with its keys.
+type Listener struct {
+	Address string `yaml:"address" doc:"IP address and port to listen on. Required."`
+	TLS     TLS    `yaml:"tls" doc:"Keys of the listener."`
+}
+
+// TLS names the files of keys; they are read again when they change.
+type TLS struct {
+	Cert     string `yaml:"cert" doc:"File with the certificate chain in PEM form. Empty means no TLS, which insecure must allow."`
+	Key      string `yaml:"key" doc:"File with the private key in PEM form."`
+	CA       string `yaml:"ca" doc:"File with the certificates that peers must be signed by, in PEM form. Needed for peers only."`
+	Insecure bool   `yaml:"insecure" doc:"Allow the listener to run without TLS."`
+}
+
+// PeerSettings say how daemons reach each other.
+type PeerSettings struct {
+	Address   string        `yaml:"address" doc:"IP address and port to listen on for peers, as the box list names it. Required."`
+	TLS       TLS           `yaml:"tls" doc:"Keys towards peers. A peer's certificate must name its box."`
+	Seeds     []Seed        `yaml:"seeds" doc:"Peers for the time when the box list cannot be read."`
+	Heartbeat time.Duration `yaml:"heartbeat" doc:"Time between heartbeats."`
+	Suspect   time.Duration `yaml:"suspect" doc:"Silence after which a peer counts as lost. At least three heartbeats."`
+}
+
+// Seed is a peer known from the settings.
+type Seed struct {
+	Name    string `yaml:"name" doc:"Name of the peer's box."`
+	Address string `yaml:"address" doc:"IP address and port of the peer."`
+	Domain  string `yaml:"domain" doc:"Failure domain of the peer."`
+}
+
+// PlatformSettings say where the platform's services are.
+type PlatformSettings struct {
+	KeyValue []string      `yaml:"keyValue" doc:"Base URLs of the key-value service. Required."`
+	BoxList  string        `yaml:"boxList" doc:"URL of the box list. Empty means that only seeds are known."`
+	BoxPause time.Duration `yaml:"boxPause" doc:"Time between readings of the box list."`
+}
+
+// LogSettings are the form of log lines.
+type LogSettings struct {
+	Format string `yaml:"format" doc:"text or json."`
+	Level  string `yaml:"level" doc:"Least severity: debug, info, warning or error."`
+}
+
+// LimitSettings are the bounds of one daemon.
+type LimitSettings struct {
+	MaxBodyBytes int64         `yaml:"maxBodyBytes" doc:"Largest body of a caller's request."`
+	MaxRunning   int           `yaml:"maxRunning" doc:"Most running requests of one organisation, where it sets none itself."`
+	DrainLimit   time.Duration `yaml:"drainLimit" doc:"How long a planned stop waits for running requests."`
+	ClaimWindow  time.Duration `yaml:"claimWindow" doc:"How long an idempotency key may be used after the time that it carries. The same on all daemons."`
+	IsolatedStop time.Duration `yaml:"isolatedStop" doc:"How long a daemon that hears nothing of peers, box list and key-value service still takes requests."`
+	LoadPause    time.Duration `yaml:"loadPause" doc:"Time between readings of a worker's load."`
+}
+
+// Defaults returns the settings that hold where a file says nothing.
+func Defaults() Settings {
+	return Settings{
+		Peers:    PeerSettings{Heartbeat: 500 * time.Millisecond, Suspect: 3 * time.Second},
+		Platform: PlatformSettings{BoxPause: time.Second},
+		Log:      LogSettings{Format: "text", Level: "info"},
+		Limits: LimitSettings{
+			MaxBodyBytes: 8 << 20, MaxRunning: 1024, DrainLimit: 10 * time.Minute,
+			ClaimWindow: 10 * time.Minute, IsolatedStop: 10 * time.Second, LoadPause: 250 * time.Millisecond,
+		},
+		Placement: string(route.Returning),
+	}
+}
+
+// ReadSettings reads and checks a file. The error names all faults at once.
+func ReadSettings(path string) (Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.WithStack(err)
+	}
+	return ParseSettings(raw)
+}
+
+// ParseSettings reads and checks settings. The error names all faults at once.
+func ParseSettings(raw []byte) (Settings, error) {
+	s := Defaults()
+	dec := yaml.NewDecoder(bytes.NewReader(raw))
+	dec.KnownFields(true)
+	var list []string
+	if err := dec.Decode(&s); err != nil {
+		var typ *yaml.TypeError
+		if !errors.As(err, &typ) {
+			return s, errors.Wrap(err, "settings")
+		}
+		list = append(list, typ.Errors...)
+	}
+	list = append(list, s.check()...)
+	if len(list) > 0 {
+		return s, errors.Errorf("settings have %d faults:\n  %s", len(list), strings.Join(list, "\n  "))
+	}
+	return s, nil
+}
+
+// checker collects faults of settings.
+type checker struct{ list []string }
+
+func (c *checker) need(ok bool, field, text string) {
+	if !ok {
+		c.list = append(c.list, field+": "+text)
+	}
+}
+
+func (c *checker) address(field, v string) {
+	host, _, err := net.SplitHostPort(v)
+	c.need(err == nil && net.ParseIP(host) != nil, field, "must be an IP address and a port")
+}
+
+func (c *checker) positive(field string, d time.Duration) {
+	c.need(d > 0, field, "must be more than 0, with a unit such as 500ms")
+}
+
+var hashForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func (s *Settings) check() []string {
+	var c checker
+	c.need(s.Name != "", "name", "is required")
+	c.need(s.Domain != "", "domain", "is required")
+	c.address("callers.address", s.Callers.Address)
+	c.address("operators.address", s.Operators.Address)
+	c.address("peers.address", s.Peers.Address)
+	c.tls("callers.tls", s.Callers.TLS, false)
+	c.tls("operators.tls", s.Operators.TLS, false)
+	c.tls("peers.tls", s.Peers.TLS, true)
+	for i, p := range s.Peers.Seeds {
+		at := fmt.Sprintf("peers.seeds[%d]", i)
+		c.need(p.Name != "", at+".name", "is required")
+		c.address(at+".address", p.Address)
+	}
+	c.positive("peers.heartbeat", s.Peers.Heartbeat)
+	c.need(s.Peers.Suspect >= 3*s.Peers.Heartbeat, "peers.suspect", "must be at least three heartbeats")
+	c.need(len(s.Platform.KeyValue) > 0, "platform.keyValue", "needs at least one URL")
+	for i, u := range s.Platform.KeyValue {
+		c.need(strings.HasPrefix(u, "http"), fmt.Sprintf("platform.keyValue[%d]", i), "must be a URL")
+	}
+	c.positive("platform.boxPause", s.Platform.BoxPause)
+	c.need(s.Log.Format == string(event.FormatText) || s.Log.Format == string(event.FormatJSON), "log.format", "must be text or json")
+	c.need(slices.Contains([]string{"debug", "info", "warning", "error"}, s.Log.Level), "log.level", "must be debug, info, warning or error")
+	c.limits(s.Limits)
+	c.need(slices.Contains(route.Placements(), route.Placement(s.Placement)), "placement", "is not known")
+	for i, h := range s.OperatorKeyHashes {
+		c.need(hashForm.MatchString(h), fmt.Sprintf("operatorKeyHashes[%d]", i), "must be a SHA-256 sum in hexadecimal digits")
+	}
+	return c.list
+}
+
+func (c *checker) limits(l LimitSettings) {
+	c.need(l.MaxBodyBytes > 0, "limits.maxBodyBytes", "must be more than 0")
+	c.need(l.MaxRunning > 0, "limits.maxRunning", "must be more than 0")
+	c.positive("limits.drainLimit", l.DrainLimit)
+	c.positive("limits.claimWindow", l.ClaimWindow)
+	c.positive("limits.isolatedStop", l.IsolatedStop)
+	c.positive("limits.loadPause", l.LoadPause)
+}
+
+func (c *checker) tls(field string, t TLS, peers bool) {
+	if t.Cert == "" && t.Key == "" && t.CA == "" {
+		c.need(t.Insecure, field, "needs cert and key, or insecure: true")
+		return
+	}
+	c.need(t.Cert != "", field+".cert", "is required with key")
+	c.need(t.Key != "", field+".key", "is required with cert")
+	c.need(!peers || t.CA != "", field+".ca", "is required for peers")
+	c.need(!t.Insecure, field+".insecure", "must not be set together with keys")
+}
+
+// Reference returns the page docs/SETTINGS.md.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# Settings of emberd\n\n")
+	b.WriteString("One YAML file per daemon, checked at start and by `emberd check FILE`. Unknown keys are refused, and all faults are reported at once. ")
+	b.WriteString("Times carry a unit, such as `500ms`. This page is written by `emberd reference`; a test keeps it true.\n\n")
+	b.WriteString("| key | type | default | meaning |\n| --- | --- | --- | --- |\n")
+	describe(&b, "", reflect.ValueOf(Defaults()))
+	return b.String()
+}
+
+func describe(b *strings.Builder, prefix string, v reflect.Value) {
+	t := v.Type()
+	for i := range t.NumField() {
+		f := t.Field(i)
+		key := prefix + f.Tag.Get("yaml")
+		doc := f.Tag.Get("doc")
+		switch {
+		case f.Type.Kind() == reflect.Struct:
+			fmt.Fprintf(b, "| `%s` | section | | %s |\n", key, doc)
+			describe(b, key+".", v.Field(i))
+		case f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct:
+			fmt.Fprintf(b, "| `%s` | list | | %s |\n", key, doc)
+			describe(b, key+"[].", reflect.New(f.Type.Elem()).Elem())
+		default:
+			fmt.Fprintf(b, "| `%s` | %s | %s | %s |\n", key, typeName(f.Type), defaultText(v.Field(i)), doc)
+		}
+	}
+}
+
+func typeName(t reflect.Type) string {
+	if t == reflect.TypeFor[time.Duration]() {
+		return "time"
+	}
+	if t.Kind() == reflect.Slice {
+		return "list of " + typeName(t.Elem())
+	}
+	return t.Kind().String()
+}
+
+func defaultText(v reflect.Value) string {
+	if v.IsZero() {
+		return ""
+	}
+	return fmt.Sprintf("`%v`", v.Interface())
+}
--- /dev/null
+++ b/emberd/internal/daemon/vars.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"expvar"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"embertally.dev/core/conf"
+)
+
+// variable is one published figure. docs/OPERATIONS.md lists them.
+type variable struct {
+	name    string
+	meaning string
+	value   func(d *Daemon) any
+}
+
+func counter(f func(d *Daemon) *atomic.Int64) func(*Daemon) any {
+	return func(d *Daemon) any { return f(d).Load() }
+}
+
+var variables = []variable{
+	{"requests", "Callers' requests received.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().Requests })},
+	{"requestsDone", "Requests answered whole.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().Done })},
+	{"requestsRefused", "Requests refused.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().Refused })},
+	{"requestsRetried", "Tries beyond the first.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().Retried })},
+	{"requestsRunning", "Requests that have not ended.", func(d *Daemon) any { return d.entry.Running() }},
+	{"streamsResumed", "Broken streams that were taken up again.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().Resumed })},
+	{"streamsBroken", "Streams ended with an explicit error.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().Broken })},
+	{"callersGone", "Requests whose caller closed its connection.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().CallerGone })},
+	{"calls", "Calls of plain services.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().Calls })},
+	{"callsUnknown", "Calls that were cut with an unknown outcome.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().CallsUnknown })},
+	{"promptTokens", "Prompt tokens of answered requests.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().PromptTokens })},
+	{"cachedTokens", "Prompt tokens that workers did not compute.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().CachedTokens })},
+	{"answerTokens", "Tokens given to callers.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().Tokens })},
+	{"relayedBytes", "Bytes of answers relayed. They are not control.", counter(func(d *Daemon) *atomic.Int64 { return &d.entry.Stats().RelayedBytes })},
+	{"placed", "Decisions made here as the home of a context.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().Placed })},
+	{"imports", "Contexts read from stores.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().Imports })},
+	{"importedBlocks", "Blocks read from stores and committed.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().ImportedBlocks })},
+	{"importsRejected", "Imports with blocks that failed their checks, or that failed whole.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().ImportsRejected })},
+	{"exports", "Contexts written to stores.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().Exports })},
+	{"exportedBlocks", "Blocks written to stores.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().ExportedBlocks })},
+	{"exportsFailed", "Exports that did not finish.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().ExportsFailed })},
+	{"linkBytes", "Bytes moved over the links to stores for this daemon.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().LinkBytes })},
+	{"contexts", "Contexts whose home is here.", func(d *Daemon) any { return d.home.Contexts() }},
+	{"claimWrites", "Batches of claims committed.", func(d *Daemon) any { return d.once.Writes() }},
+	{"claimShards", "Shards of claims owned here.", func(d *Daemon) any { return d.once.Owned() }},
+	{"configurationSequence", "Sequence of the configuration in force.", func(d *Daemon) any { return d.store.Snapshot().Seq() }},
+	{"organisations", "Organisations in the configuration.", func(d *Daemon) any { return d.store.Snapshot().Count(conf.KindOrganisation) }},
+	{"keyValueCalls", "Calls of the key-value service, a watch counting as one.", func(d *Daemon) any { return d.kv.Calls() }},
+	{"keyValueBytes", "Bytes to and from the key-value service.", func(d *Daemon) any { return d.kv.Bytes() }},
+	{"peerBytes", "Bytes to and from other daemons.", func(d *Daemon) any { return d.fleet.Bytes() }},
+	{"processorSeconds", "Processor time of the process in seconds.", func(*Daemon) any { return processorTime().Seconds() }},
+	{"goroutines", "Goroutines of the process.", func(*Daemon) any { return runtime.NumGoroutine() }},
+}
+
+// publish makes the figures readable at /debug/vars.
+func publish(d *Daemon) {
+	for _, v := range variables {
+		expvar.Publish(v.name, expvar.Func(func() any { return v.value(d) }))
+	}
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/embfake/fake/boxes.go
@@ -0,0 +1,107 @@
+package fake
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"embertally.dev/core/plat"
+)
+
+// Boxes stands in for the platform's box list.
+type Boxes struct {
+	Server
+	// Lag is how late changes show; set it before use.
+	Lag time.Duration
+
+	boxMu   sync.Mutex
+	boxes   map[string]plat.Box // guarded by boxMu
+	order   []string            // names in order of appearance; guarded by boxMu
+	version int                 // guarded by boxMu
+}
+
+// NewBoxes starts a box list at address.
+func NewBoxes(address string) (*Boxes, error) {
+	b := &Boxes{boxes: map[string]plat.Box{}}
+	return b, b.start(address, func(e *echo.Echo) {
+		e.GET("/v1/boxes", b.list)
+		e.PUT("/v1/boxes/:name", b.put)
+		e.DELETE("/v1/boxes/:name", func(c echo.Context) error {
+			b.Remove(c.Param("name"))
+			return c.NoContent(http.StatusNoContent)
+		})
+	})
+}
+
+// Put adds or changes a box, after the lag.
+func (b *Boxes) Put(box plat.Box) {
+	b.later(func() {
+		if _, ok := b.boxes[box.Name]; !ok {
+			b.order = append(b.order, box.Name)
+		}
+		b.boxes[box.Name] = box
+	})
+}
+
+// Remove takes a box off the list, after the lag.
+func (b *Boxes) Remove(name string) {
+	b.later(func() { delete(b.boxes, name) })
+}
+
+// State changes the state of a box, after the lag.
+func (b *Boxes) State(name string, s plat.BoxState) {
+	b.later(func() {
+		if box, ok := b.boxes[name]; ok {
+			box.State = s
+			b.boxes[name] = box
+		}
+	})
+}
+
+func (b *Boxes) later(f func()) {
+	do := func() {
+		b.boxMu.Lock()
+		defer b.boxMu.Unlock()
+		f()
+		b.version++
+	}
+	if b.Lag == 0 {
+		do()
+		return
+	}
+	time.AfterFunc(b.Lag, do)
+}
+
+func (b *Boxes) put(c echo.Context) error {
+	var box plat.Box
+	if err := c.Bind(&box); err != nil {
+		return err
+	}
+	box.Name = c.Param("name")
+	b.Put(box)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (b *Boxes) list(c echo.Context) error {
+	b.boxMu.Lock()
+	defer b.boxMu.Unlock()
+	tag := strconv.Itoa(b.version)
+	c.Response().Header().Set("ETag", tag)
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	var body struct {
+		Boxes []plat.Box `json:"boxes"`
+	}
+	seen := map[string]bool{}
+	for _, name := range b.order {
+		if box, ok := b.boxes[name]; ok && !seen[name] {
+			seen[name] = true
+			body.Boxes = append(body.Boxes, box)
+		}
+	}
+	return c.JSON(http.StatusOK, body)
+}
--- /dev/null
+++ b/embfake/fake/engine.go
@@ -0,0 +1,582 @@
+package fake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"embertally.dev/core/cache"
+	"embertally.dev/core/target"
+)
+
+// EngineOptions are the size and speed of an engine.
+type EngineOptions struct {
+	Name string
+	// Blocks is the room of its cache in blocks.
+	Blocks     int
+	BlockBytes int
+	// PrefillTokensPerSecond is its speed on prompt tokens.
+	PrefillTokensPerSecond float64
+	// TokenTime is the time between two tokens of an answer.
+	TokenTime time.Duration
+	// EventLag and LoadLag are how late cache events and load reports are.
+	EventLag, LoadLag time.Duration
+	// ChecksFence tells that orders with an old fence are refused.
+	ChecksFence bool
+	Weights     []target.Weights
+	// WeightStore is the URL of the weight store; empty loads at once.
+	WeightStore string
+}
+
+// Engine stands in for a model engine. An answer is a function of model,
+// weight version and text alone, so that a judge can tell a whole and right
+// answer from any other; a block whose content is not that of its hash spoils
+// every answer that uses it.
+type Engine struct {
+	Server
+	o    EngineOptions
+	boot string
+
+	engineMu sync.Mutex
+	cache    blockCache         // guarded by engineMu
+	staged   map[string]staging // guarded by engineMu
+	streams  map[string]*stream // guarded by engineMu
+	queue    []*stream          // waiting for prefill; guarded by engineMu
+	working  bool               // a prefill runs; guarded by engineMu
+	running  int                // streams that generate; guarded by engineMu
+	weights  []target.Weights   // guarded by engineMu
+	loading  bool               // guarded by engineMu
+	fence    uint64             // highest seen; guarded by engineMu
+	orders   []target.Order     // taken; guarded by engineMu
+	report   target.Load        // the latest report, which lags; guarded by engineMu
+	runs     []EngineRun        // guarded by engineMu
+	busy     time.Duration      // prefill time; guarded by engineMu
+	close    context.CancelFunc
+}
+
+type staging struct {
+	parent cache.Hash
+	blocks []carried
+}
+
+// EngineRun is one prompt that an engine answered.
+type EngineRun struct {
+	Request string `json:"request"`
+	Version string `json:"version"`
+	Tokens  int    `json:"tokens"`
+	// Cached is the prompt tokens that were not computed.
+	Cached int `json:"cached"`
+	// Spoiled tells that a block's content was not that of its hash.
+	Spoiled bool `json:"spoiled"`
+}
+
+// stream is one answer, from its prompt until it was read whole.
+type stream struct {
+	id       string
+	prompt   target.Prompt
+	version  string
+	adapter  string
+	chain    []cache.Hash
+	cached   int
+	spoiled  bool
+	arrived  time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tokens   []string
+	finished bool
+	moved    chan struct{} // closed and replaced at each change
+	readers  int
+}
+
+// NewEngine starts an engine at address.
+func NewEngine(address string, o EngineOptions) (*Engine, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Engine{
+		o: o, boot: uuid.NewString(), staged: map[string]staging{}, streams: map[string]*stream{},
+		weights: slices.Clone(o.Weights), close: cancel,
+	}
+	e.cache.init(o.Blocks, o.EventLag)
+	e.report = e.measure()
+	go reporter{e}.run(ctx)
+	return e, e.start(address, func(r *echo.Echo) {
+		r.POST("/v1/completions", e.complete)
+		r.GET("/v1/streams/:id", e.resume)
+		r.DELETE("/v1/streams/:id", e.cancelStream)
+		r.GET("/v1/load", e.load)
+		r.GET("/v1/cache/events", e.events)
+		r.GET("/v1/cache/contents", e.contents)
+		r.POST("/v1/cache/import", e.importBlocks)
+		r.POST("/v1/cache/commit", e.commit)
+		r.POST("/v1/cache/export", e.exportBlocks)
+		r.POST("/v1/orders", e.order)
+		r.POST("/evict", func(c echo.Context) error { e.EvictAll(); return c.NoContent(http.StatusNoContent) })
+		r.GET("/runs", func(c echo.Context) error { return c.JSON(http.StatusOK, e.Runs()) })
+		r.GET("/orders", func(c echo.Context) error { return c.JSON(http.StatusOK, e.Orders()) })
+	})
+}
+
+// Close stops the engine at once.
+func (e *Engine) Close() {
+	e.close()
+	e.Server.Close()
+}
+
+// Runs returns every prompt that was answered.
+func (e *Engine) Runs() []EngineRun {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	return append([]EngineRun{}, e.runs...)
+}
+
+// Orders returns every order that was taken.
+func (e *Engine) Orders() []target.Order {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	return append([]target.Order{}, e.orders...)
+}
+
+// EvictAll pushes every block out of the cache.
+func (e *Engine) EvictAll() {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	e.cache.evict(len(e.cache.blocks))
+}
+
+// priorities is how many classes a load report tells apart.
+const priorities = 10
+
+// measure returns the load as it is now; the caller holds engineMu.
+func (e *Engine) measure() target.Load {
+	l := target.Load{
+		Boot: e.boot, Running: e.running, TotalBlocks: e.o.Blocks, FreeBlocks: e.o.Blocks - len(e.cache.blocks),
+		PrefillTokensPerSecond: e.o.PrefillTokensPerSecond, BlockBytes: e.o.BlockBytes,
+		Weights: slices.Clone(e.weights), Loading: e.loading,
+	}
+	queued := make([]int, priorities)
+	for _, s := range e.queue {
+		p := min(max(0, -s.prompt.Priority), priorities-1)
+		queued[p] += max(1, cache.Tokens(len(s.prompt.Prompt))-e.cache.held(s.chain)*cache.BlockTokens)
+	}
+	last := 0
+	for p, n := range queued {
+		if n > 0 {
+			last = p + 1
+		}
+	}
+	l.QueuedTokens = queued[:last]
+	return l
+}
+
+// reporter makes the load reports, which lag.
+type reporter struct{ e *Engine }
+
+func (r reporter) run(ctx context.Context) {
+	pause := max(r.e.o.LoadLag, 10*time.Millisecond)
+	t := time.NewTicker(pause)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		r.e.engineMu.Lock()
+		r.e.report = r.e.measure()
+		r.e.engineMu.Unlock()
+	}
+}
+
+func (e *Engine) load(c echo.Context) error {
+	e.engineMu.Lock()
+	l := e.report
+	e.engineMu.Unlock()
+	return c.JSON(http.StatusOK, l)
+}
+
+// holds reports whether weights are loaded; the caller holds engineMu.
+func (e *Engine) holds(model, version, adapter string) bool {
+	for _, w := range e.weights {
+		if w.Model == model && w.Version == version && (adapter == "" || slices.Contains(w.Adapters, adapter)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Engine) complete(c echo.Context) error {
+	var p target.Prompt
+	if err := json.NewDecoder(c.Request().Body).Decode(&p); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	var salt cache.Hash
+	if err := salt.UnmarshalText([]byte(p.CacheSalt)); err != nil {
+		return c.String(http.StatusBadRequest, "cache_salt: "+err.Error())
+	}
+	model, adapter, _ := strings.Cut(p.Model, ":")
+	s := &stream{
+		id: c.Request().Header.Get(target.HeaderRequestID), prompt: p, adapter: adapter,
+		version: c.Request().Header.Get(target.HeaderWeightVersion),
+		chain:   cache.Chain(salt, p.Prompt), arrived: time.Now(), moved: make(chan struct{}),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	e.engineMu.Lock()
+	if !e.holds(model, s.version, adapter) {
+		e.engineMu.Unlock()
+		return c.String(http.StatusConflict, "these weights are not loaded\n")
+	}
+	e.streams[s.id] = s
+	e.queue = append(e.queue, s)
+	if !e.working {
+		e.working = true
+		go prefiller{e}.run()
+	}
+	e.engineMu.Unlock()
+	return e.send(c, s, 0)
+}
+
+// prefiller computes prompts, one after the other, while any wait.
+type prefiller struct{ e *Engine }
+
+func (p prefiller) run() {
+	for {
+		s := p.next()
+		if s == nil {
+			return
+		}
+		took := p.e.prefill(s)
+		select {
+		case <-time.After(took):
+			go decoder{p.e, s}.run()
+		case <-s.ctx.Done():
+			p.e.ended()
+		}
+	}
+}
+
+// next takes the waiting prompt of the highest priority.
+func (p prefiller) next() *stream {
+	e := p.e
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	e.queue = slices.DeleteFunc(e.queue, func(s *stream) bool { return s.ctx.Err() != nil })
+	if len(e.queue) == 0 {
+		e.working = false
+		return nil
+	}
+	best := 0
+	for i, s := range e.queue {
+		if s.prompt.Priority < e.queue[best].prompt.Priority {
+			best = i
+		}
+	}
+	s := e.queue[best]
+	e.queue = slices.Delete(e.queue, best, best+1)
+	return s
+}
+
+// perRunning is how much each running answer slows a prefill, as a share.
+const perRunning = 0.02
+
+// prefill takes the prompt's blocks into the cache and returns how long it
+// takes.
+func (e *Engine) prefill(s *stream) time.Duration {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	held := e.cache.held(s.chain)
+	s.spoiled = e.cache.spoiled(s.chain[:held])
+	s.cached = min(held*cache.BlockTokens, cache.Tokens(len(s.prompt.Prompt))-1)
+	fresh := make([]carried, 0, len(s.chain)-held)
+	for _, h := range s.chain[held:] {
+		fresh = append(fresh, carried{target.Block{Hash: h}, contentOf(h)})
+	}
+	e.cache.use(s.chain[:held])
+	e.cache.add(parentOf(s.chain, held), fresh)
+	tokens := cache.Tokens(len(s.prompt.Prompt)) - s.cached
+	speed := e.o.PrefillTokensPerSecond / (1 + perRunning*float64(e.running))
+	took := time.Duration(float64(tokens) / speed * float64(time.Second))
+	e.busy += took
+	e.runs = append(e.runs, EngineRun{
+		Request: s.id, Version: s.version, Tokens: cache.Tokens(len(s.prompt.Prompt)), Cached: s.cached, Spoiled: s.spoiled,
+	})
+	e.running++
+	return took
+}
+
+func parentOf(chain []cache.Hash, at int) cache.Hash {
+	if at == 0 {
+		return cache.Hash{}
+	}
+	return chain[at-1]
+}
+
+// decoder generates one answer.
+type decoder struct {
+	e *Engine
+	s *stream
+}
+
+func (d decoder) run() {
+	e, s := d.e, d.s
+	gen := newAnswer(s.prompt.Model, s.version, s.prompt.Prompt, s.spoiled)
+	for n := 0; n < s.prompt.MaxTokens && s.ctx.Err() == nil; n++ {
+		if n > 0 {
+			select {
+			case <-time.After(e.o.TokenTime):
+			case <-s.ctx.Done():
+			}
+		}
+		word := gen.next()
+		e.engineMu.Lock()
+		s.tokens = append(s.tokens, word)
+		s.move()
+		e.engineMu.Unlock()
+	}
+	e.engineMu.Lock()
+	s.finished = true
+	s.move()
+	e.engineMu.Unlock()
+	e.ended()
+	time.AfterFunc(streamKept, func() { e.forget(s) })
+}
+
+// ended counts an answer that no longer runs.
+func (e *Engine) ended() {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	e.running--
+}
+
+// streamKept is how long a finished or unread stream can be taken up.
+const streamKept = 5 * time.Second
+
+func (e *Engine) forget(s *stream) {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	if e.streams[s.id] == s && s.readers == 0 {
+		delete(e.streams, s.id)
+	}
+	if s.readers == 0 {
+		s.cancel()
+	}
+}
+
+func (s *stream) move() {
+	close(s.moved)
+	s.moved = make(chan struct{})
+}
+
+// Answer returns what an engine answers to a text: the judge's measure.
+func Answer(model, version, text string, tokens int) string {
+	gen := newAnswer(model, version, text, false)
+	var b strings.Builder
+	for range tokens {
+		b.WriteString(gen.next())
+	}
+	return b.String()
+}
+
+// answer generates words, each a function of all text before it.
+type answer struct {
+	h interface {
+		Write([]byte) (int, error)
+		Sum64() uint64
+	}
+}
+
+func newAnswer(model, version, text string, spoiled bool) answer {
+	h := fnv.New64a()
+	h.Write([]byte(model + "@" + version + "\x00"))
+	if spoiled {
+		h.Write([]byte("spoiled"))
+	}
+	h.Write([]byte(text))
+	return answer{h}
+}
+
+func (a answer) next() string {
+	word := fmt.Sprintf("%04x ", a.h.Sum64()>>48)
+	a.h.Write([]byte(word))
+	return word
+}
+
+func (e *Engine) resume(c echo.Context) error {
+	after, err := strconv.Atoi(c.QueryParam("after"))
+	if err != nil {
+		return c.String(http.StatusBadRequest, "after must be a number\n")
+	}
+	e.engineMu.Lock()
+	s := e.streams[c.Param("id")]
+	e.engineMu.Unlock()
+	if s == nil {
+		return c.String(http.StatusNotFound, "no such stream\n")
+	}
+	return e.send(c, s, after)
+}
+
+func (e *Engine) cancelStream(c echo.Context) error {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	if s := e.streams[c.Param("id")]; s != nil {
+		s.cancel()
+		delete(e.streams, s.id)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// send writes a stream from a token on.
+func (e *Engine) send(c echo.Context, s *stream, after int) error {
+	e.engineMu.Lock()
+	s.readers++
+	e.engineMu.Unlock()
+	defer e.left(s)
+	w := sender{c: c, e: e, s: s, name: s.id}
+	if e.Take(Cross) {
+		w.name = "another-request"
+	}
+	for n := after; ; {
+		e.engineMu.Lock()
+		tokens, finished, moved := s.tokens, s.finished, s.moved
+		e.engineMu.Unlock()
+		for ; n < len(tokens); n++ {
+			if err := w.token(n, tokens[n]); err != nil {
+				return err
+			}
+			if e.Take(CutStream) {
+				return e.cut(c, s)
+			}
+		}
+		if finished {
+			return w.end()
+		}
+		select {
+		case <-moved:
+		case <-c.Request().Context().Done():
+			return nil
+		}
+	}
+}
+
+// left gives up a stream that nobody takes up.
+func (e *Engine) left(s *stream) {
+	e.engineMu.Lock()
+	s.readers--
+	e.engineMu.Unlock()
+	time.AfterFunc(streamKept, func() { e.forget(s) })
+}
+
+func (e *Engine) cut(c echo.Context, s *stream) error {
+	if e.Take(ForgetStream) {
+		e.engineMu.Lock()
+		delete(e.streams, s.id)
+		s.cancel()
+		e.engineMu.Unlock()
+	}
+	return hangUp(c)
+}
+
+// sender writes a stream in the published form.
+type sender struct {
+	c     echo.Context
+	e     *Engine
+	s     *stream
+	name  string
+	begun bool
+}
+
+type wireChoice struct {
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type wireUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+type wireChunk struct {
+	ID          string       `json:"id"`
+	Object      string       `json:"object"`
+	Fingerprint string       `json:"system_fingerprint"`
+	Choices     []wireChoice `json:"choices"`
+	Usage       *wireUsage   `json:"usage,omitempty"`
+}
+
+func (w *sender) token(n int, word string) error {
+	ch := w.chunk()
+	ch.Choices = []wireChoice{{Text: word}}
+	times := 1
+	if w.e.Value(Repeat) > 0 {
+		times = 2
+	}
+	for range times {
+		if err := w.event(strconv.Itoa(n+1), ch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *sender) chunk() wireChunk {
+	return wireChunk{ID: w.name, Object: "text_completion", Fingerprint: w.s.version, Choices: []wireChoice{}}
+}
+
+func (w *sender) event(id string, v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	var b bytes.Buffer
+	if id != "" {
+		b.WriteString("id: " + id + "\n")
+	}
+	b.WriteString("data: ")
+	b.Write(raw)
+	b.WriteString("\n\n")
+	return w.write(b.Bytes())
+}
+
+func (w *sender) write(raw []byte) error {
+	if !w.begun {
+		w.begun = true
+		w.c.Response().Header().Set("Content-Type", "text/event-stream")
+		w.c.Response().WriteHeader(http.StatusOK)
+	}
+	if _, err := w.c.Response().Write(raw); err != nil {
+		return err
+	}
+	w.c.Response().Flush()
+	return nil
+}
+
+func (w *sender) end() error {
+	if w.e.Take(Truncate) {
+		return nil
+	}
+	reason := "length"
+	ch := w.chunk()
+	ch.Choices = []wireChoice{{FinishReason: &reason}}
+	if err := w.event("", ch); err != nil {
+		return err
+	}
+	ch = w.chunk()
+	ch.Usage = &wireUsage{PromptTokens: cache.Tokens(len(w.s.prompt.Prompt)), CompletionTokens: len(w.s.tokens)}
+	ch.Usage.Details.CachedTokens = w.s.cached
+	if err := w.event("", ch); err != nil {
+		return err
+	}
+	return w.write([]byte("data: [DONE]\n\n"))
+}
