Fenced orders for weights, linters, sizes of today's deployments

Cause: a swap of weights needs one holder of orders for each cell and a bound on loads over the whole fleet. Slots in the key-value service bound the loads and outlive their holder; the lease's revision is the fence.

Ruled out: the lease's epoch as fence. It falls where a worker passes to another cell's lease; the service's revision rises over all leases.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -72,14 +72,14 @@
 )
 
 // NewLog returns a log for the named process that writes lines of the given
-// form to w, leaving out those below min.
-func NewLog(process string, w io.Writer, form Format, min Level) *Log {
+// form to w, leaving out those below least.
+func NewLog(process string, w io.Writer, form Format, least Level) *Log {
 	out := logrus.New()
 	out.SetOutput(w)
 	if form == FormatJSON {
 		out.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	}
-	lvl, err := logrus.ParseLevel(string(min))
+	lvl, err := logrus.ParseLevel(string(least))
 	if err != nil {
 		lvl = logrus.InfoLevel
 	}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -89,9 +89,14 @@
 // Held reports whether this is a lease at all.
 func (l Lease) Held() bool { return l.epoch > 0 }
 
-// Epoch returns the number of the holder, which fences its orders.
+// Epoch returns the number of the holder among those of the key.
 func (l Lease) Epoch() uint64 { return l.epoch }
 
+// Fence returns the number that fences the holder's orders. It rises with
+// every holder of every lease, so that a target which passes from one lease to
+// another sees it rise as well.
+func (l Lease) Fence() uint64 { return uint64(max(0, l.revision)) }
+
 // Guard returns the condition under which acts of this holder count.
 func (l Lease) Guard() plat.Compare {
 	if !l.Held() {
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -152,12 +152,12 @@
 
 // Claim asks for the right to run a call. With any answer but Granted the
 // call must not be run, and this try has not run it.
-func (c *Once) Claim(ctx context.Context, key Key, keyTime time.Time, print uint64) (*Attempt, Answer) {
+func (c *Once) Claim(ctx context.Context, key Key, keyTime time.Time, digest uint64) (*Attempt, Answer) {
 	ctx, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
 	m := &Claim{
 		Key: key, KeyMillis: keyTime.UnixMilli(), Attempt: uuid.NewString(),
-		Asker: c.name, Incarnation: c.incarnation, Print: print,
+		Asker: c.name, Incarnation: c.incarnation, Print: digest,
 	}
 	a := &Attempt{once: c, key: key, id: m.Attempt}
 	ans, err := c.ask(ctx, m)
--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -24,6 +24,7 @@
 
 // envelope is one frame's content.
 type envelope struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
 	// ID joins an answer to its call; zero marks a notice, which gets none.
 	ID uint64
--- a/embctl/internal/ctl/fleet.go
+++ b/embctl/internal/ctl/fleet.go
@@ -153,8 +153,11 @@
 func (p *program) events(f event.Filter) ([]event.Event, error) {
 	q := url.Values{}
 	for _, v := range [][2]string{
-		{"request", f.Request}, {"context", f.Context}, {"organisation", f.Organisation},
-		{"target", f.Target}, {"resource", f.Resource},
+		{"request", f.Request},
+		{"context", f.Context},
+		{"organisation", f.Organisation},
+		{"target", f.Target},
+		{"resource", f.Resource},
 	} {
 		if v[1] != "" {
 			q.Set(v[0], v[1])
@@ -197,8 +200,11 @@
 func about(ev event.Event) string {
 	var b strings.Builder
 	for _, v := range [][2]string{
-		{"request", ev.Request}, {"context", ev.Context}, {"organisation", ev.Organisation},
-		{"target", ev.Target}, {"resource", ev.Resource},
+		{"request", ev.Request},
+		{"context", ev.Context},
+		{"organisation", ev.Organisation},
+		{"target", ev.Target},
+		{"resource", ev.Resource},
 	} {
 		if v[1] != "" {
 			b.WriteString(" " + v[0] + "=" + v[1])
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/home"
 	"embertally.dev/core/once"
+	"embertally.dev/core/order"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/route"
 	"embertally.dev/core/spread"
@@ -46,6 +47,7 @@
 	entry  *entry.Server
 	admin  *admin.Server
 	sync   *conf.Syncer
+	orders *order.Holder
 
 	callerKeys, operatorKeys, peerKeys *keys
 
@@ -135,6 +137,9 @@
 		Name: d.set.Name, Incarnation: incarnation, Window: d.set.Limits.ClaimWindow,
 		Fleet: d.fleet, KV: d.kv, Log: d.log,
 	})
+	d.orders = order.New(order.Options{
+		Name: d.set.Name, Conf: d.store, Fleet: d.fleet, Workers: d.home, KV: d.kv, Log: d.log, Client: engines,
+	})
 	d.entry = entry.New(entry.Options{
 		Conf: d.store, Fleet: d.fleet, Home: d.home, Once: d.once, Log: d.log,
 		Engines: engines,
@@ -144,7 +149,7 @@
 	})
 	d.admin = admin.New(admin.Options{
 		Conf: d.store, Writer: conf.NewWriter(d.store, d.kv, d.log), Spread: d.spread, Fleet: d.fleet, Home: d.home, Log: d.log,
-		Duties:    append([]string{spread.DutyWatch}, once.Duties()...),
+		Duties:    append([]string{spread.DutyWatch, order.Duty(0)}, once.Duties()...),
 		KeyHashes: d.set.OperatorKeyHashes, Ready: d.NotReady, Running: d.entry.Running,
 	})
 }
@@ -200,7 +205,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	wg.Go(func() { d.fleet.Run(work, ls.peers) })
-	for _, run := range []func(context.Context){d.sync.Run, d.spread.Run, d.home.Run, d.once.Run, d.loop} {
+	for _, run := range []func(context.Context){d.sync.Run, d.spread.Run, d.home.Run, d.once.Run, d.orders.Run, d.loop} {
 		wg.Go(func() { run(work) })
 	}
 	for _, k := range []*keys{d.callerKeys, d.operatorKeys, d.peerKeys} {
--- a/embfake/fake/engine.go
+++ b/embfake/fake/engine.go
@@ -32,6 +32,8 @@
 	TokenTime time.Duration
 	// EventLag and LoadLag are how late cache events and load reports are.
 	EventLag, LoadLag time.Duration
+	// Latency is the time there and back of each request.
+	Latency time.Duration
 	// ChecksFence tells that orders with an old fence are refused.
 	ChecksFence bool
 	Weights     []target.Weights
@@ -108,6 +110,7 @@
 	}
 	e.cache.init(o.Blocks, o.EventLag)
 	e.report = e.measure()
+	e.latency = o.Latency
 	go reporter{e}.run(ctx)
 	return e, e.start(address, func(r *echo.Echo) {
 		r.POST("/v1/completions", e.complete)
--- a/embfake/fake/fault.go
+++ b/embfake/fake/fault.go
@@ -88,8 +88,8 @@
 	return true
 }
 
-// guard applies the faults that every stand-in has.
-func (f *Faults) guard(next echo.HandlerFunc) echo.HandlerFunc {
+// guard applies the latency and the faults that every stand-in has.
+func (f *Server) guard(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if c.Path() == faultPath {
 			return next(c)
@@ -99,9 +99,9 @@
 		} else if down > 0 {
 			return c.String(http.StatusServiceUnavailable, "down\n")
 		}
-		if ms := f.Value(Slow); ms > 0 {
+		if wait := f.latency + time.Duration(f.Value(Slow))*time.Millisecond; wait > 0 {
 			select {
-			case <-time.After(time.Duration(ms) * time.Millisecond):
+			case <-time.After(wait):
 			case <-c.Request().Context().Done():
 			}
 		}
@@ -126,8 +126,10 @@
 // Server is the listening side that all stand-ins share.
 type Server struct {
 	Faults
-	url string
-	srv *http.Server
+	// latency delays every answer; set before start.
+	latency time.Duration
+	url     string
+	srv     *http.Server
 }
 
 // URL returns where the stand-in listens.
--- a/embfake/fake/main.go
+++ b/embfake/fake/main.go
@@ -22,20 +22,29 @@
 	app.Terminate(nil)
 	site := app.Command("site", "Run a whole set of stand-ins and write the settings and resources for it.")
 	var o SiteOptions
-	site.Flag("dir", "Folder that receives the files; it must exist.").Required().StringVar(&o.Dir)
-	site.Flag("daemons", "Entry boxes to write settings for.").Default("3").IntVar(&o.Daemons)
-	site.Flag("engines", "Model engines.").Default("3").IntVar(&o.Engines)
-	site.Flag("stores", "Store boxes.").Default("2").IntVar(&o.Stores)
-	site.Flag("services", "Instances of the plain service.").Default("2").IntVar(&o.Services)
-	site.Flag("domains", "Failure domains.").Default("3").IntVar(&o.Domains)
-	site.Flag("organisations", "Organisations.").Default("2").IntVar(&o.Organisations)
-	site.Flag("placement", "How the daemons choose workers.").StringVar(&o.Placement)
-	site.Flag("logLevel", "Least severity of the daemons' log lines.").Default("info").StringVar(&o.LogLevel)
-	site.Flag("plain", "Leave TLS out.").BoolVar(&o.Plain)
+	preset := site.Flag("deployment", "Take the sizes of a deployment of today: abonamente or cascade.").String()
+	dir := site.Flag("dir", "Folder that receives the files; it must exist.").Required().String()
+	site.Flag("daemons", "Entry boxes to write settings for.").IntVar(&o.Daemons)
+	site.Flag("engines", "Model engines.").IntVar(&o.Engines)
+	site.Flag("stores", "Store boxes.").IntVar(&o.Stores)
+	site.Flag("services", "Instances of the plain service.").IntVar(&o.Services)
+	site.Flag("domains", "Failure domains.").IntVar(&o.Domains)
+	site.Flag("organisations", "Organisations.").IntVar(&o.Organisations)
+	placement := site.Flag("placement", "How the daemons choose workers.").String()
+	site.Flag("logLevel", "Least severity of the daemons' log lines.").StringVar(&o.LogLevel)
+	plain := site.Flag("plain", "Leave TLS out.").Bool()
 	if _, err := app.Parse(args); err != nil {
 		fmt.Fprintln(os.Stderr, "embfake:", err)
 		return exitUsage
 	}
+	if *preset != "" {
+		var err error
+		if o, err = SitePreset(*preset); err != nil {
+			fmt.Fprintln(os.Stderr, "embfake:", err)
+			return exitUsage
+		}
+	}
+	o.Dir, o.Placement, o.Plain = *dir, *placement, *plain
 	s, err := NewSite(o)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "embfake:", err)
--- a/embfake/fake/site.go
+++ b/embfake/fake/site.go
@@ -83,6 +83,42 @@
 	o.Store.BlockBytes = o.Engine.BlockBytes
 }
 
+// Deployments of today, by the name that SitePreset knows them by.
+const (
+	Abonamente = "abonamente"
+	Cascade    = "cascade"
+)
+
+// SitePreset returns the sizes of one of today's deployments, as the brief
+// states them. Speeds and rooms are scaled so that a trace of half a minute
+// stands for hours: contexts do not fit the workers' memory, and stores are
+// behind links that imports can fill.
+func SitePreset(name string) (SiteOptions, error) {
+	o := SiteOptions{
+		Daemons: 8, Stores: 2, Organisations: 10, LogLevel: "warning",
+		Engine: EngineOptions{
+			Blocks: 320, BlockBytes: 4 << 20, PrefillTokensPerSecond: 8000, TokenTime: 10 * time.Millisecond,
+			EventLag: 100 * time.Millisecond, LoadLag: 100 * time.Millisecond,
+		},
+		Store:  StoreOptions{Blocks: 24000, LinkBytesPerSecond: 4e9},
+		BoxLag: time.Second,
+	}
+	switch name {
+	case Abonamente:
+		o.Engines, o.Services, o.Domains = 20, 4, 4
+		o.Engine.Latency, o.Deadline = 2*time.Millisecond, conf.Seconds(8)
+		o.Weights = conf.Weights{FirstToken: 1, RecomputedSeconds: 0.005, LinkSeconds: 0.00001}
+	case Cascade:
+		o.Engines, o.Services, o.Domains = 15, 3, 3
+		o.Engine.Latency, o.Deadline = time.Millisecond, conf.Seconds(12)
+		o.Weights = conf.Weights{FirstToken: 0.3, RecomputedSeconds: 0.1, LinkSeconds: 0.0001}
+	default:
+		return o, errors.Errorf("deployment %q is not known: abonamente or cascade", name)
+	}
+	o.Store.Latency = o.Engine.Latency
+	return o, nil
+}
+
 // SiteDaemon is one daemon that the site expects.
 type SiteDaemon struct {
 	Name      string `json:"name"`
@@ -377,7 +413,7 @@
 		add(conf.KindOrganisation, name, &conf.Organisation{KeyHashes: []string{conf.HashKey(key)}})
 		add(conf.KindPolicy, name, &conf.Policy{
 			Organisation: name, Deployments: []string{SiteDeployment}, Services: []string{SiteService},
-			Priority: i % 2, Weights: s.o.Weights, Deadline: s.o.Deadline,
+			Priority: 1, Weights: s.o.Weights, Deadline: s.o.Deadline,
 		})
 	}
 	if failed != nil {
--- a/embfake/fake/store.go
+++ b/embfake/fake/store.go
@@ -36,6 +36,8 @@
 	Blocks int
 	// BlockBytes is the size of one block's cache.
 	BlockBytes int
+	// Latency is the time there and back of each request.
+	Latency time.Duration
 	// LinkBytesPerSecond is the capacity of its link.
 	LinkBytesPerSecond float64
 }
@@ -61,6 +63,7 @@
 func NewStore(address string, o StoreOptions) (*Store, error) {
 	s := &Store{o: o}
 	s.Reset()
+	s.latency = o.Latency
 	return s, s.start(address, func(e *echo.Echo) {
 		e.POST("/v1/blocks/read", s.read)
 		e.POST("/v1/blocks/write", s.write)
