--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROGRAMS := emberd embctl embfake embplay
 BIN := $(CURDIR)/bin
 
-.PHONY: all build demo test
+.PHONY: all build demo test compare lint
 all: build
 
 build:
@@ -15,3 +15,12 @@
 
 test: build
 	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
+
+# make compare DEPLOYMENT=abonamente SEED=7
+DEPLOYMENT ?= abonamente
+SEED ?= 1
+compare: build
+	@BIN=$(BIN) scripts/compare.sh $(DEPLOYMENT) $(SEED)
+
+lint:
+	@BIN=$(BIN) scripts/lint.sh
--- a/embplay/internal/play/main.go
+++ b/embplay/internal/play/main.go
@@ -9,8 +9,12 @@
 import (
 	"fmt"
 	"io"
+	"os"
+	"strings"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
 )
 
 // Exit codes of embplay.
@@ -29,6 +33,8 @@
 
 Examples:
   embplay demo --dir /tmp/site
+  embplay trace --deployment abonamente --seed 7 --duration 30s --out trace.jsonl
+  embplay run --dir /tmp/site --trace trace.jsonl
 
 Exit codes: 0 done, 1 failed or a stated outcome was not met, 2 wrong command line.`
 
@@ -41,6 +47,7 @@
 	demo := app.Command("demo", "Show the main job on a running site, step by step.")
 	demoDir := demo.Flag("dir", "Folder of the site.").Required().String()
 	commands = append(commands, command{demo, func() error { return runDemo(*demoDir, out) }})
+	commands = append(commands, traceCommands(app, out)...)
 	selected, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintln(errs, "embplay:", err)
@@ -57,3 +64,73 @@
 	}
 	return exitOK
 }
+
+func traceCommands(app *kingpin.Application, out io.Writer) []command {
+	trace := app.Command("trace", "Write a seeded trace with its stated outcomes.")
+	deployment := trace.Flag("deployment", "abonamente or cascade.").Required().String()
+	seed := trace.Flag("seed", "Seed; the same one gives the same trace.").Default("1").Uint64()
+	length := trace.Flag("duration", "Length of the trace.").Default("30s").Duration()
+	faults := trace.Flag("faults", "Add one of each scheduled fault and a swap of weights.").Bool()
+	traceOut := trace.Flag("out", "File to write.").Required().String()
+
+	run := app.Command("run", "Replay a trace against running boxes and judge its stated outcomes.")
+	runDir := run.Flag("dir", "Folder of the site.").Required().String()
+	runFile := run.Flag("trace", "The trace.").Required().ExistingFile()
+	runPlacement := run.Flag("placement", "Name that the figures bear.").Default("returning").String()
+	runOut := run.Flag("out", "File for the figures.").String()
+
+	compare := app.Command("compare", "Join the figures of several replays into a table and a plot.")
+	compareDir := compare.Flag("dir", "Folder to write to.").Required().String()
+	compareFiles := compare.Arg("figures", "Files that run wrote.").Required().ExistingFiles()
+	return []command{
+		{trace, func() error { return writeTrace(*deployment, *seed, *length, *faults, *traceOut) }},
+		{run, func() error { return playTrace(*runDir, *runFile, *runPlacement, *runOut, out) }},
+		{compare, func() error { return runCompare(*compareFiles, *compareDir, out) }},
+	}
+}
+
+func writeTrace(deployment string, seed uint64, length time.Duration, faults bool, path string) error {
+	t, err := NewTrace(deployment, seed, length, faults)
+	if err != nil {
+		return err
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer f.Close()
+	return t.Write(f)
+}
+
+func playTrace(dir, file, placement, save string, out io.Writer) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer f.Close()
+	t, err := ReadTrace(f)
+	if err != nil {
+		return err
+	}
+	figures, err := runTrace(dir, t)
+	if err != nil {
+		return err
+	}
+	figures.Placement = placement
+	if save != "" {
+		if err := saveFigures(save, figures); err != nil {
+			return err
+		}
+	}
+	if err := printTable([]Figures{*figures}, out); err != nil {
+		return err
+	}
+	for _, why := range figures.Failures {
+		fmt.Fprintln(out, why)
+	}
+	if unmet := figures.unmet(t.Header.Outcomes); len(unmet) > 0 {
+		return errors.New("stated outcomes are not met: " + strings.Join(unmet, "; "))
+	}
+	fmt.Fprintln(out, "all stated outcomes are met")
+	return nil
+}
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -5,8 +5,8 @@
 PIDS=()
 
 stop_site() {
-  for pid in "${PIDS[@]}"; do kill -TERM "$pid" 2>/dev/null; done
-  for pid in "${PIDS[@]}"; do wait "$pid" 2>/dev/null; done
+  for pid in "${PIDS[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${PIDS[@]}"; do wait "$pid" 2>/dev/null || true; done
   rm -rf "$SITE"
 }
 trap stop_site EXIT
@@ -34,6 +34,7 @@
   for settings in "$SITE"/entry-*.yaml; do
     "$BIN/emberd" run "$settings" >"$settings.log" 2>&1 &
     PIDS+=($!)
+    echo $! >"${settings%.yaml}.pid"
   done
   export EMBERTALLY_KEY EMBERTALLY_SERVER EMBERTALLY_CA
   EMBERTALLY_KEY=$(field operatorKey)
