Tests of the slices; refusals of keyed calls say no more than is known

The words spoke of the try, a caller reads them of the call.

Ruled out: a second field for earlier tries; a caller that reads only ran would still be told something false.

After: the state is unknown wherever only the claim could tell. Also found: the root path of a service was refused.

--- /dev/null
+++ b/core/cache/cache_test.go
@@ -0,0 +1,239 @@
+package cache
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"embertally.dev/core/event"
+)
+
+// No two salts share a block of the same text, however their parts run
+// together.
+func TestSaltsKeepBlocksApart(t *testing.T) {
+	text := strings.Repeat("equal text ", 100)
+	salts := []Salt{
+		{"org", "model", "v1", ""},
+		{"org2", "model", "v1", ""},
+		{"org", "model", "v2", ""},
+		{"org", "model2", "v1", ""},
+		{"org", "model", "v1", "adapter"},
+		{"orgm", "odel", "v1", ""},
+		{"", "orgmodel", "v1", ""},
+		{"org", "modelv1", "", ""},
+		{"org", "model", "", "v1"},
+	}
+	seen := map[Hash]Salt{}
+	for _, s := range salts {
+		for _, h := range Chain(s.Seed(), text) {
+			if other, ok := seen[h]; ok {
+				t.Fatalf("%+v and %+v share a block", s, other)
+			}
+			seen[h] = s
+		}
+	}
+}
+
+func TestChainIsOfWholeBlocksAndTheirPast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := rapid.StringN(0, -1, 4*BlockBytes).Draw(t, "a")
+		b := rapid.StringN(0, -1, 4*BlockBytes).Draw(t, "b")
+		seed := Salt{Organisation: "o"}.Seed()
+		ca, cb := Chain(seed, a), Chain(seed, b)
+		if len(ca) != len(a)/BlockBytes {
+			t.Fatalf("%d blocks of %d bytes", len(ca), len(a))
+		}
+		for i := range min(len(ca), len(cb)) {
+			same := a[:(i+1)*BlockBytes] == b[:(i+1)*BlockBytes]
+			if same != (ca[i] == cb[i]) {
+				t.Fatalf("block %d: same text %v, same hash %v", i, same, ca[i] == cb[i])
+			}
+		}
+	})
+}
+
+func chainOf(n int, last uint64) []uint64 {
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = uint64(i + 1)
+	}
+	if n > 0 && last != 0 {
+		out[n-1] = last
+	}
+	return out
+}
+
+func TestIndexCutsToWhatChainsShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var x Index
+	now := time.Unix(1, 0)
+	x.Held(7, chainOf(10, 0), "w", 10, now)
+	x.Kept(7, chainOf(10, 0), "s", 8, now)
+	g.Expect(x.Find(7, chainOf(6, 0)).Holdings).To(gomega.Equal([]Holding{{"w", 6}}))
+	g.Expect(x.Find(7, chainOf(6, 99)).Holdings).To(gomega.Equal([]Holding{{"w", 5}}))
+	g.Expect(x.Find(7, chainOf(6, 99)).Keepings).To(gomega.Equal([]Keeping{{"s", 5}}))
+	g.Expect(x.Find(8, chainOf(6, 0))).To(gomega.Equal(Position{}))
+	x.Held(7, chainOf(6, 99), "v", 6, now)
+	g.Expect(x.Find(7, chainOf(10, 0)).Holdings).To(gomega.ConsistOf(Holding{"w", 5}, Holding{"v", 5}))
+}
+
+func TestIndexLosesWhatWorkersLose(t *testing.T) {
+	tests := []struct {
+		name string
+		mark Mark
+		want []Holding
+	}{
+		{"inner block", Mark{7, 4, 4}, []Holding{{"w", 3}}},
+		{"first block", Mark{7, 1, 1}, nil},
+		{"block of another chain", Mark{7, 99, 4}, []Holding{{"w", 10}}},
+		{"another context", Mark{8, 4, 4}, []Holding{{"w", 10}}},
+		{"depth out of range", Mark{7, 4, 40}, []Holding{{"w", 10}}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var x Index
+			x.Held(7, chainOf(10, 0), "w", 10, time.Unix(1, 0))
+			x.Lose("w", []Mark{tc.mark})
+			gomega.NewWithT(t).Expect(x.Find(7, chainOf(10, 0)).Holdings).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
+func TestIndexIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := Index{Limit: 3}
+	for i := range uint64(10) {
+		x.Held(i, chainOf(4, 0), "w", 4, time.Unix(int64(i), 0))
+	}
+	g.Expect(x.Len()).To(gomega.Equal(3))
+	g.Expect(x.Find(9, chainOf(4, 0)).Known).To(gomega.BeTrue())
+	g.Expect(x.Find(0, chainOf(4, 0)).Known).To(gomega.BeFalse())
+}
+
+// scriptedFeed gives notes as a test wants them.
+type scriptedFeed struct {
+	notes    []Note
+	contents Contents
+	reads    int
+}
+
+func (f *scriptedFeed) CacheNotes(_ context.Context, seq uint64) ([]Note, error) {
+	var out []Note
+	for _, n := range f.notes {
+		if n.Seq > seq {
+			out = append(out, n)
+		}
+	}
+	return out, nil
+}
+
+func (f *scriptedFeed) CacheContents(context.Context) (Contents, error) {
+	f.reads++
+	return f.contents, nil
+}
+
+type heardMarks struct{ lost, tips []Mark }
+
+func (h *heardMarks) Lost(_ string, m []Mark)     { h.lost = append(h.lost, m...) }
+func (h *heardMarks) Resynced(_ string, m []Mark) { h.tips = m }
+
+func TestFollowerTellsTheFirstBlockLostOfEachContext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	chain := Chain(Salt{}.Seed(), strings.Repeat("x", 8*BlockBytes))
+	feed, heard := &scriptedFeed{}, &heardMarks{}
+	f := NewFollower("w", feed, 2, heard, &event.Log{})
+	g.Expect(f.step(context.Background())).To(gomega.Succeed())
+	feed.notes = []Note{
+		{Seq: 1, Stored: &Run{Blocks: chain[:5]}},
+		{Seq: 2, Stored: &Run{Parent: chain[4], Blocks: chain[5:]}},
+		{Seq: 2, Stored: &Run{Parent: chain[4], Blocks: chain[5:]}},
+		{Seq: 3, Removed: []Hash{chain[7], chain[6], chain[5]}},
+	}
+	g.Expect(f.step(context.Background())).To(gomega.Succeed())
+	g.Expect(heard.lost).To(gomega.Equal([]Mark{{Root: chain[1].Short(), Short: chain[5].Short(), Depth: 6}}))
+	g.Expect(f.Blocks()).To(gomega.Equal(5))
+}
+
+func TestFollowerTrustsNothingPastAGap(t *testing.T) {
+	g := gomega.NewWithT(t)
+	chain := Chain(Salt{}.Seed(), strings.Repeat("y", 6*BlockBytes))
+	feed, heard := &scriptedFeed{}, &heardMarks{}
+	f := NewFollower("w", feed, 2, heard, &event.Log{})
+	g.Expect(f.step(context.Background())).To(gomega.Succeed())
+	feed.notes = []Note{{Seq: 1, Stored: &Run{Blocks: chain}}, {Seq: 3, Removed: []Hash{chain[5]}}}
+	feed.contents = Contents{Seq: 3, Runs: []Run{{Blocks: chain[:4]}}}
+	g.Expect(f.step(context.Background())).To(gomega.Succeed())
+	g.Expect(feed.reads).To(gomega.Equal(2))
+	g.Expect(heard.lost).To(gomega.BeEmpty(), "nothing after the gap is believed")
+	g.Expect(heard.tips).To(gomega.Equal([]Mark{{Root: chain[1].Short(), Short: chain[3].Short(), Depth: 4}}))
+	var x Index
+	x.Held(chain[1].Short(), Shorts(chain), "w", 6, time.Unix(1, 0))
+	x.Resync("w", heard.tips)
+	g.Expect(x.Find(chain[1].Short(), Shorts(chain)).Holdings).To(gomega.Equal([]Holding{{"w", 4}}))
+}
+
+// Whatever order and gaps notes come with, what a follower holds after a
+// resync is what the worker holds.
+func TestFollowerAgreesWithWorker(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		worker := map[Hash]bool{}
+		var notes []Note
+		var chains [][]Hash
+		for i := range rapid.IntRange(1, 4).Draw(t, "chains") {
+			c := Chain(Salt{Organisation: string(rune('a' + i))}.Seed(), strings.Repeat("z", BlockBytes*rapid.IntRange(1, 6).Draw(t, "blocks")))
+			chains = append(chains, c)
+			notes = append(notes, Note{Stored: &Run{Blocks: c}})
+			for _, h := range c {
+				worker[h] = true
+			}
+		}
+		for _, c := range chains {
+			keep := rapid.IntRange(0, len(c)).Draw(t, "keep")
+			if keep < len(c) {
+				notes = append(notes, Note{Removed: c[keep:]})
+				for _, h := range c[keep:] {
+					delete(worker, h)
+				}
+			}
+		}
+		feed := &scriptedFeed{}
+		f := NewFollower("w", feed, 2, &heardMarks{}, &event.Log{})
+		if err := f.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		gap := false
+		for i := range notes {
+			notes[i].Seq = uint64(i + 1)
+			if rapid.IntRange(0, 5).Draw(t, "drop") == 0 {
+				gap = true
+				continue
+			}
+			feed.notes = append(feed.notes, notes[i])
+		}
+		feed.contents.Seq = uint64(len(notes))
+		for _, c := range chains {
+			n := 0
+			for n < len(c) && worker[c[n]] {
+				n++
+			}
+			feed.contents.Runs = append(feed.contents.Runs, Run{Blocks: c[:n]})
+		}
+		if err := f.step(context.Background()); err != nil && !errors.Is(err, context.Canceled) {
+			t.Fatal(err)
+		}
+		// The last note may be the dropped one; the next note shows the gap.
+		feed.notes = append(feed.notes, Note{Seq: uint64(len(notes) + 1)})
+		feed.contents.Seq++
+		if err := f.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if f.Blocks() != len(worker) {
+			t.Fatalf("gap %v: follower holds %d blocks, worker %d", gap, f.Blocks(), len(worker))
+		}
+	})
+}
--- a/core/entry/refuse.go
+++ b/core/entry/refuse.go
@@ -16,7 +16,7 @@
 
 // Whether a request ran. NotRun is only said when it is certain: nothing was
 // handed to a target, or what was handed over may be repeated and was thrown
-// away.
+// away. Of a call with an idempotency key it speaks of all tries with the key.
 const (
 	NotRun  Ran = "notRun"
 	Unknown Ran = "unknown"
@@ -73,6 +73,17 @@
 	return r
 }
 
+// keyed makes the refusal true for a call with an idempotency key as well: an
+// earlier try with the key may have run, and only its claim tells.
+func (r *Refusal) keyed(req *http.Request) *Refusal {
+	if req.Header.Get(HeaderIdempotency) == "" || r.Code == CodeBadKey {
+		return r
+	}
+	r.Ran = Unknown
+	r.Message += "; this try did not run, an earlier one with its key may have"
+	return r
+}
+
 // refusalBody is the wire form, in the published form of errors with more
 // fields.
 type refusalBody struct {
--- a/core/entry/server.go
+++ b/core/entry/server.go
@@ -118,7 +118,7 @@
 		q := &request{id: uuid.NewString(), snap: s.o.Conf.Snapshot(), view: s.o.Fleet.View(), began: time.Now()}
 		c.Response().Header().Set(HeaderRequest, q.id)
 		if r := s.admit(c, q); r != nil {
-			return s.refused(c, q, r)
+			return s.refused(c, q, r.keyed(c.Request()))
 		}
 		defer s.release(q)
 		s.o.Log.Emit(event.RequestAccepted, q.ref(""), c.Request().Method+" "+c.Path())
--- a/core/entry/service.go
+++ b/core/entry/service.go
@@ -137,9 +137,9 @@
 	if path == "" {
 		path = "/"
 	}
-	lower := strings.ToLower(path)
+	lower := strings.ToLower(strings.TrimSuffix(path, "/")) + "/"
 	for _, bad := range []string{"//", "/./", "/../", "%2f", "%2e", "%5c", "\\"} {
-		if strings.Contains(lower+"/", bad) {
+		if strings.Contains(lower, bad) {
 			return "", refuse(http.StatusBadRequest, CodeBadRequest, NotRun, "the path must be plain: no dots, empty parts or escaped slashes")
 		}
 	}
@@ -248,9 +248,11 @@
 	case once.Mismatch:
 		return nil, refuse(http.StatusUnprocessableEntity, CodeKeyReused, NotRun, "the key was used for another call")
 	case once.Expired:
-		return nil, refuse(http.StatusBadRequest, CodeKeyExpired, NotRun, "the key's time is outside the window in which repeated calls are known")
+		return nil, refuse(http.StatusBadRequest, CodeKeyExpired, Unknown,
+			"the key's time is outside the window in which repeated calls are known; this try did not run")
 	}
-	return nil, refuse(http.StatusServiceUnavailable, CodeNoClaim, NotRun, "the call could not be claimed").after(claimPause)
+	return nil, refuse(http.StatusServiceUnavailable, CodeNoClaim, Unknown,
+		"the call could not be claimed; this try did not run, and the same key may be sent again").after(claimPause)
 }
 
 // claimPause is when to come back where a claim could not be committed.
@@ -402,7 +404,11 @@
 	}
 	// Without this the transport might send the body a second time by itself.
 	req.GetBody = nil
+	hop := strings.Split(k.header.Get("Connection"), ",")
 	for name, values := range k.header {
+		if slices.ContainsFunc(hop, func(h string) bool { return strings.EqualFold(strings.TrimSpace(h), name) }) {
+			continue
+		}
 		if !hopHeader(name) && name != "Authorization" && name != "Cookie" && !strings.HasPrefix(name, headerPrefix) {
 			req.Header[name] = values
 		}
--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"embertally.dev/core/conf"
+	"embertally.dev/core/event"
+	"embertally.dev/core/plat"
+)
+
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("entry-%02d", i)
+	}
+	return out
+}
+
+// When a name goes, only what it came first for moves.
+func TestFirstMovesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := names(rapid.IntRange(2, 20).Draw(t, "names"))
+		gone := rapid.IntRange(0, len(all)-1).Draw(t, "gone")
+		rest := append(append([]string{}, all[:gone]...), all[gone+1:]...)
+		key := rapid.Uint64().Draw(t, "key")
+		before, after := First(key, all), First(key, rest)
+		if before != all[gone] && after != before {
+			t.Fatalf("moved from %s to %s though %s went", before, after, all[gone])
+		}
+		if r := Rank(key, all); r[0] != before {
+			t.Fatalf("Rank begins with %s, First is %s", r[0], before)
+		}
+	})
+}
+
+func TestFirstSpreadsEvenly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	counts := map[string]int{}
+	for i := range 8000 {
+		counts[First(Key(fmt.Sprint("context ", i)), names(8))]++
+	}
+	for name, n := range counts {
+		g.Expect(n).To(gomega.BeNumerically("~", 1000, 150), name)
+	}
+}
+
+func TestCellsHoldAtMostTwenty(t *testing.T) {
+	tests := []struct{ daemons, cells int }{{1, 1}, {8, 1}, {16, 1}, {17, 2}, {330, 28}}
+	for _, tc := range tests {
+		g := gomega.NewWithT(t)
+		g.Expect(cellCount(tc.daemons)).To(gomega.Equal(tc.cells))
+		counts := make([]int, tc.cells)
+		for _, n := range names(tc.daemons) {
+			counts[cellOf(Key(n), tc.cells)]++
+		}
+		for c, n := range counts {
+			g.Expect(n).To(gomega.BeNumerically("<=", 22), "cell %d of %d daemons", c, tc.daemons)
+		}
+	}
+}
+
+func TestUsable(t *testing.T) {
+	known := map[string]plat.Box{"live": {State: plat.BoxLive}, "leaving": {State: plat.BoxLeaving}}
+	tests := []struct {
+		name   string
+		view   View
+		target *conf.Target
+		want   bool
+	}{
+		{"listed live", View{boxes: known, boxesKnown: true}, &conf.Target{Box: "live"}, true},
+		{"listed leaving", View{boxes: known, boxesKnown: true}, &conf.Target{Box: "leaving"}, false},
+		{"not listed", View{boxes: known, boxesKnown: true}, &conf.Target{Box: "gone"}, false},
+		{"list not read yet", View{}, &conf.Target{Box: "live"}, true},
+		{"no box", View{boxesKnown: true}, &conf.Target{}, true},
+		{"drained by configuration", View{}, &conf.Target{Drain: true}, false},
+		{"drained by order", View{marks: map[string]Mark{"t": {Leaving: true}}}, &conf.Target{}, false},
+		{"order taken back", View{marks: map[string]Mark{"t": {Leaving: false}}}, &conf.Target{}, true},
+		{"not configured", View{}, nil, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			gomega.NewWithT(t).Expect(tc.view.Usable("t", tc.target)).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
+// The newest drain order holds in the end, in whatever order they arrive.
+func TestMarksEndWithTheNewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New(Options{Name: "me", Log: &event.Log{}})
+		stamps := rapid.SliceOfNDistinct(rapid.Int64Range(1, 1000), 1, 10, rapid.ID).Draw(t, "stamps")
+		var newest Mark
+		for _, s := range stamps {
+			m := Mark{Leaving: s%2 == 0, Stamp: s}
+			if s > newest.Stamp {
+				newest = m
+			}
+			f.merge(map[string]Mark{"t": m})
+		}
+		if got := f.View().Marks()["t"]; got != newest {
+			t.Fatalf("ended with %+v, newest is %+v", got, newest)
+		}
+	})
+}
+
+// member is one running fleet of a test.
+type member struct {
+	*Fleet
+	stop func()
+}
+
+// start runs n fleets that know each other from their settings.
+func start(t *testing.T, n int) []member {
+	t.Helper()
+	var seeds []Peer
+	var ls []net.Listener
+	for _, name := range names(n) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ls = append(ls, l)
+		seeds = append(seeds, Peer{Name: name, Address: l.Addr().String()})
+	}
+	var out []member
+	for i, name := range names(n) {
+		f := New(Options{
+			Name: name, Incarnation: name + "-1", Seeds: seeds, Heartbeat: 50 * time.Millisecond,
+			Suspect: time.Second, Log: &event.Log{},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { f.Run(ctx, ls[i]) })
+		m := member{f, sync.OnceFunc(func() { cancel(); wg.Wait() })}
+		t.Cleanup(m.stop)
+		out = append(out, m)
+	}
+	return out
+}
+
+func TestFleetFindsLosesAndDrainsMembers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ms := start(t, 4)
+	duty := func(i int) func() []string { return func() []string { return ms[i].View().OnDuty() } }
+	for i := range ms {
+		g.Eventually(duty(i), "20s", "20ms").Should(gomega.HaveLen(4))
+	}
+	ms[3].stop()
+	for i := range 3 {
+		g.Eventually(duty(i), "20s", "20ms").Should(gomega.Equal(names(3)))
+	}
+	ms[2].Drain()
+	for i := range 3 {
+		g.Eventually(duty(i), "20s", "20ms").Should(gomega.Equal(names(2)))
+	}
+}
+
+func TestDrainOrderReachesAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ms := start(t, 3)
+	g.Eventually(func() []string { return ms[0].View().OnDuty() }, "20s", "20ms").Should(gomega.HaveLen(3))
+	ms[0].SetMark("engine", true)
+	for _, m := range ms {
+		g.Eventually(func() bool { return m.View().Usable("engine", &conf.Target{}) }, "20s", "20ms").Should(gomega.BeFalse())
+	}
+	ms[1].SetMark("engine", false)
+	for _, m := range ms {
+		g.Eventually(func() bool { return m.View().Usable("engine", &conf.Target{}) }, "20s", "20ms").Should(gomega.BeTrue())
+	}
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,235 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func request() Request {
+	return Request{
+		Tokens: 6400, Blocks: 100, BlockTokens: 64, Deadline: 10 * time.Second,
+		Prices: Prices{FirstToken: 1},
+	}
+}
+
+func worker(name string, held, queued int) Worker {
+	return Worker{Name: name, Held: held, QueuedTokens: queued, Speed: 8000, Distance: time.Millisecond}
+}
+
+func kept(blocks int, rate float64) []Kept {
+	return []Kept{{Store: "s", Blocks: blocks, BlockBytes: 4 << 20, Rate: rate, Latency: 3 * time.Millisecond}}
+}
+
+func TestPlace(t *testing.T) {
+	tests := []struct {
+		name    string
+		change  func(r *Request)
+		workers []Worker
+		kept    []Kept
+		want    string
+		imports int
+		verdict Verdict
+	}{
+		{"nobody", nil, nil, nil, "", 0, NoWorker},
+		{"the holder, if it is idle", nil, []Worker{worker("a", 0, 0), worker("b", 100, 0)}, nil, "b", 0, Placed},
+		{"another, if the holder's queue is longer than the prefill", nil, []Worker{worker("a", 0, 0), worker("b", 100, 20000)}, nil, "a", 0, Placed},
+		{"an import, if the holder is busy and the link fast", nil, []Worker{worker("a", 0, 0), worker("b", 100, 8000)}, kept(100, 4e9), "a", 100, Placed},
+		{"a recomputation, if the link is slow", nil, []Worker{worker("a", 0, 0)}, kept(100, 1e8), "a", 0, Placed},
+		{"the import all the same, if recomputed tokens cost much", func(r *Request) { r.Prices.Token = 0.01 }, []Worker{worker("a", 0, 0)}, kept(100, 1e8), "a", 100, Placed},
+		{"only what the holder lacks", nil, []Worker{worker("a", 60, 0)}, kept(100, 4e9), "a", 40, Placed},
+		{"too late", func(r *Request) { r.Deadline = 100 * time.Millisecond }, []Worker{worker("a", 0, 0)}, nil, "a", 0, TooLate},
+		{"the fastest, where the cheapest is too late", func(r *Request) {
+			r.Prices.Token = 1
+			r.Deadline = time.Second
+		}, []Worker{worker("a", 0, 0), worker("b", 100, 80000)}, nil, "a", 0, Placed},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := request()
+			if tc.change != nil {
+				tc.change(&r)
+			}
+			d := Place(Returning, r, tc.workers, tc.kept)
+			g.Expect(d.Verdict).To(gomega.Equal(tc.verdict), fmt.Sprintf("%+v", d))
+			g.Expect(d.Chosen.Worker).To(gomega.Equal(tc.want))
+			g.Expect(d.Chosen.Import.Blocks()).To(gomega.Equal(tc.imports))
+			if tc.verdict == TooLate {
+				g.Expect(d.RetryAfter).To(gomega.BeNumerically(">", 0))
+			}
+		})
+	}
+}
+
+func TestBaselines(t *testing.T) {
+	workers := []Worker{worker("a", 0, 900), worker("b", 50, 500), worker("c", 0, 100)}
+	tests := []struct {
+		placement Placement
+		turn, key uint64
+		want      string
+		imports   int
+	}{
+		{RoundRobin, 0, 0, "a", 0},
+		{RoundRobin, 4, 0, "b", 0},
+		{LeastTokens, 0, 0, "b", 0},
+		{StickyHash, 0, 5, "c", 0},
+		{Always, 0, 0, "c", 100},
+		{First, 0, 0, "b", 0},
+	}
+	for _, tc := range tests {
+		t.Run(fmt.Sprint(tc.placement, tc.turn), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := request()
+			r.Turn, r.Context = tc.turn, tc.key
+			var k []Kept
+			if tc.placement == Always {
+				k = kept(100, 4e9)
+			}
+			d := Place(tc.placement, r, workers, k)
+			g.Expect(d.Chosen.Worker).To(gomega.Equal(tc.want))
+			g.Expect(d.Chosen.Import.Blocks()).To(gomega.Equal(tc.imports))
+		})
+	}
+}
+
+// A request is refused only if no option meets the deadline, an accepted one
+// is expected in time, and imports stay inside what is kept.
+func TestPlaceIsSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := request()
+		r.Deadline = time.Duration(rapid.IntRange(1, 5000).Draw(t, "deadline")) * time.Millisecond
+		r.Chance = rapid.Float64Range(0, 0.999).Draw(t, "chance")
+		r.Prices = Prices{
+			FirstToken: rapid.Float64Range(0, 2).Draw(t, "first"), Token: rapid.Float64Range(0, 0.01).Draw(t, "token"),
+			Byte: rapid.Float64Range(0, 1e-8).Draw(t, "byte"),
+		}
+		var workers []Worker
+		for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+			w := worker(fmt.Sprint(i), rapid.IntRange(0, 100).Draw(t, "held"), rapid.IntRange(0, 50000).Draw(t, "queued"))
+			workers = append(workers, w)
+		}
+		k := kept(rapid.IntRange(0, 100).Draw(t, "kept"), rapid.Float64Range(1e7, 1e10).Draw(t, "rate"))
+		d := Place(Returning, r, workers, k)
+		im := d.Chosen.Import
+		if im.Blocks() < 0 || (im.Blocks() > 0 && im.To > k[0].Blocks) {
+			t.Fatalf("imports %+v of %d", im, k[0].Blocks)
+		}
+		fastest := time.Duration(1 << 62)
+		for _, w := range workers {
+			for _, o := range importsFor(Returning, r, w, k) {
+				fastest = min(fastest, o.Expected)
+			}
+		}
+		if d.Verdict == Placed && d.Chosen.Expected > r.Deadline {
+			t.Fatalf("accepted, though expected after %v of %v", d.Chosen.Expected, r.Deadline)
+		}
+		if d.Verdict == TooLate && d.Chosen.Expected <= r.Deadline {
+			t.Fatalf("refused, though expected in time")
+		}
+	})
+}
+
+// Daemons that decide at once on the same old state do not all take the same
+// worker.
+func TestPlaceDoesNotHerd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var workers []Worker
+	for i := range 20 {
+		workers = append(workers, worker(fmt.Sprint(i), 0, 0))
+	}
+	counts := map[string]int{}
+	for i := range 1000 {
+		r := request()
+		r.Chance = float64(i) / 1000
+		counts[Place(Returning, r, workers, nil).Chosen.Worker]++
+	}
+	for name, n := range counts {
+		g.Expect(n).To(gomega.BeNumerically("<=", 100), name)
+	}
+	g.Expect(counts).To(gomega.HaveLen(20))
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var b Budget
+	retries := 0
+	for range 10000 {
+		b.Earn()
+		for b.Spend() {
+			retries++
+		}
+	}
+	g.Expect(retries).To(gomega.BeNumerically("<=", 10000*retryShare+retryBurst+1))
+	g.Expect(retries).To(gomega.BeNumerically(">=", 10000*retryShare-1))
+}
+
+func TestVersionMovesWithTheWorkers(t *testing.T) {
+	tests := []struct {
+		fraction     float64
+		ready, total int
+		want         bool
+	}{
+		{0.1, 0, 10, false}, {0.1, 2, 10, true}, {0.5, 2, 10, false}, {0.99, 10, 10, true}, {0.5, 0, 0, true},
+	}
+	for _, tc := range tests {
+		got := Version(tc.fraction, tc.ready, tc.total)
+		gomega.NewWithT(t).Expect(got).To(gomega.Equal(tc.want), fmt.Sprintf("%+v", tc))
+	}
+}
+
+func TestGiveUpTakesTheLeastWorth(t *testing.T) {
+	g := gomega.NewWithT(t)
+	list := []Shed{{0, 10, 5, 4}, {1, 10, 100, 0}, {2, 10, 100, 9}, {3, 10, 1, 0}}
+	g.Expect(GiveUp(list, 10)).To(gomega.Equal([]int{1}))
+	g.Expect(GiveUp(list, 15)).To(gomega.Equal([]int{1, 2}))
+	g.Expect(GiveUp(list, 0)).To(gomega.BeEmpty())
+}
+
+func TestLinkServesWaitingCallersFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l Link
+	l.Ask(Transfer{ID: 1, Organisation: "a", Bytes: 10})
+	l.Ask(Transfer{ID: 2, Organisation: "a", Bytes: 10, Waiting: true})
+	first, ok := l.Next()
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(first.ID).To(gomega.Equal(uint64(2)))
+	_, ok = l.Next()
+	g.Expect(ok).To(gomega.BeFalse(), "an export waits while a caller's transfer runs")
+	l.Done(2)
+	next, ok := l.Next()
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(next.ID).To(gomega.Equal(uint64(1)))
+}
+
+// However many transfers one organisation asks for, another's turn comes.
+func TestLinkIsFair(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l Link
+	for i := range uint64(100) {
+		l.Ask(Transfer{ID: i, Organisation: "large", Bytes: 1000, Waiting: true})
+	}
+	for range 10 {
+		l.Next()
+	}
+	l.Ask(Transfer{ID: 1000, Organisation: "small", Bytes: 1000, Waiting: true})
+	l.Done(0)
+	next, ok := l.Next()
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(next.Organisation).To(gomega.Equal("small"))
+}
+
+func TestLinkIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l Link
+	taken := 0
+	for i := range uint64(2 * maxWaiting) {
+		if l.Ask(Transfer{ID: i}) {
+			taken++
+		}
+	}
+	g.Expect(taken).To(gomega.Equal(maxWaiting))
+}
