--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -309,3 +309,20 @@
 	g.Eventually(func() uint64 { return s.Snapshot().Seq() }, "20s", "10ms").Should(gomega.Equal(uint64(2)))
 	g.Expect(s.Confirmed()).NotTo(gomega.BeZero())
 }
+
+// A store that has nothing takes everything from a peer, also where the peer
+// still keeps all changes from the first on.
+func TestEmptyStoreStartsFromPeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDaemon(t, &memkv.KV{})
+	_, err := d.put(KindDeployment, "d1", modelSpec, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	delta, err := d.store.Delta(0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s := NewStore(&event.Log{})
+	g.Expect(delta.Full).NotTo(gomega.BeNil())
+	g.Expect(s.Replace(*delta.Full)).To(gomega.BeTrue())
+	g.Expect(s.Snapshot().Deployment("d1")).NotTo(gomega.BeNil())
+	_, err = NewStore(&event.Log{}).Delta(0)
+	g.Expect(err).To(gomega.HaveOccurred(), "who has nothing gives nothing")
+}
--- a/core/conf/sync.go
+++ b/core/conf/sync.go
@@ -35,7 +35,8 @@
 	if !s.Loaded() {
 		return Delta{}, errors.New("no configuration is loaded here")
 	}
-	if changes, ok := s.Since(seq); ok {
+	// A peer at zero has nothing that changes could follow.
+	if changes, ok := s.Since(seq); ok && seq > 0 {
 		return Delta{Changes: changes}, nil
 	}
 	full, err := s.Full()
--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -413,7 +413,10 @@
 		a.cancel()
 	}
 	gone := ctx.Err() != nil || errors.Is(err, errGone)
-	p.tell(a.tokens > 0, err != nil && !gone && target.Status(err) == 0)
+	failed := err != nil && !gone && target.Status(err) == 0
+	if failed || a.tokens == 0 {
+		p.tell(false, failed)
+	}
 	return err
 }
 
--- a/core/entry/relay.go
+++ b/core/entry/relay.go
@@ -264,6 +264,11 @@
 	}
 	a.tokens++
 	a.run.tokens++
+	if a.tokens == 1 {
+		// The worker has computed the prompt: its blocks can be exported while
+		// it still holds them.
+		a.tell(true, false)
+	}
 	if a.first.IsZero() {
 		a.first = time.Now()
 		a.unwait()
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -60,6 +60,8 @@
 	Placed, Imports, ImportedBlocks, ImportsRejected atomic.Int64
 	Exports, ExportedBlocks, ExportsFailed           atomic.Int64
 	LinkBytes                                        atomic.Int64
+	// CacheLosses counts the contexts of which a followed worker lost blocks.
+	CacheLosses atomic.Int64
 }
 
 // maxExports bounds the exports that wait.
@@ -164,7 +166,9 @@
 		return ans, nil
 	}
 	h.stats.Placed.Add(1)
-	h.loads.place(d.Chosen.Worker, a.Request, d.Chosen.Recomputed, a.Priority, now)
+	h.loads.place(d.Chosen.Worker, placed{
+		request: a.Request, tokens: d.Chosen.Recomputed, blocks: len(a.Chain), priority: a.Priority, at: now,
+	})
 	for _, w := range workers {
 		if w.Name == ans.Worker {
 			ans.Held = w.Held
@@ -201,13 +205,13 @@
 	blockBytes := int64(0)
 	weights := Weights(a.Salt)
 	for _, name := range h.engines(snap, view, a) {
-		load, queued, ok := h.loads.load(name, a.Priority, now)
+		load, ok := h.loads.load(name, a.Priority, now)
 		if !ok || !contains(load.Holds, weights) {
 			continue
 		}
 		t := snap.Target(name)
 		w := route.Worker{
-			Name: name, QueuedTokens: queued, Running: load.Running, Speed: load.Speed,
+			Name: name, QueuedTokens: load.waiting, Room: max(1, load.room), Running: load.Running, Speed: load.Speed,
 			Distance: distance(t.Domain == h.domain(view)),
 		}
 		if w.Speed == 0 {
@@ -275,7 +279,7 @@
 	var out []string
 	now := time.Now()
 	for _, name := range h.engines(snap, view, &Ask{Deployment: deployment}) {
-		load, _, ok := h.loads.load(name, 0, now)
+		load, ok := h.loads.load(name, 0, now)
 		if !ok {
 			continue
 		}
@@ -365,7 +369,7 @@
 			if t.Type != conf.TypeEngine || !view.Usable(r.Name(), t) || view.CellOf(r.Name()) != view.Cell() {
 				continue
 			}
-			if _, _, ok := h.loads.load(r.Name(), 0, now); !ok {
+			if _, ok := h.loads.load(r.Name(), 0, now); !ok {
 				return false
 			}
 		}
@@ -386,8 +390,8 @@
 
 // Worker returns what is known of a worker, or false where nothing is fresh.
 func (h *Home) Worker(name string) (WorkerStatus, bool) {
-	l, queued, ok := h.loads.load(name, 0, time.Now())
-	return WorkerStatus{queued, l.Running, l.Free, l.Total, l.Holds, l.Loading}, ok
+	l, ok := h.loads.load(name, 0, time.Now())
+	return WorkerStatus{l.waiting, l.Running, l.Free, l.Total, l.Holds, l.Loading}, ok
 }
 
 // LinkStatus returns the backlog in bytes and the rate in bytes a second of a
--- a/core/home/loads.go
+++ b/core/home/loads.go
@@ -36,8 +36,10 @@
 }
 
 type placed struct {
-	request  string
-	tokens   int
+	request string
+	tokens  int
+	// blocks is the length of the whole prompt.
+	blocks   int
 	priority int
 	at       time.Time
 }
@@ -84,11 +86,11 @@
 }
 
 // place records that a request is on its way to a worker.
-func (l *loads) place(worker, request string, tokens, priority int, now time.Time) {
+func (l *loads) place(worker string, p placed) {
 	l.loadsMu.Lock()
 	defer l.loadsMu.Unlock()
 	l.init()
-	l.sent[worker] = append(l.sent[worker], placed{request, tokens, priority, now})
+	l.sent[worker] = append(l.sent[worker], p)
 }
 
 // done records that a worker has begun to answer a request, or failed.
@@ -109,25 +111,36 @@
 	l.failed[worker] = now.Add(failPause)
 }
 
-// load returns a worker's report with the tokens that a request of the
-// priority waits for, or false if the worker cannot be counted on.
-func (l *loads) load(worker string, priority int, now time.Time) (workerLoad, int, bool) {
+// work is what a new request meets at a worker.
+type work struct {
+	workerLoad
+	// waiting is the tokens that the request waits for.
+	waiting int
+	// room is how many blocks the memory takes beside the requests that were
+	// placed here and have no first token yet.
+	room int
+}
+
+// load returns what a request of the priority meets at a worker, or false if
+// the worker cannot be counted on.
+func (l *loads) load(worker string, priority int, now time.Time) (work, bool) {
 	l.loadsMu.Lock()
 	defer l.loadsMu.Unlock()
 	r, ok := l.reports[worker]
 	if !ok || now.Sub(r.taken) > staleAfter || now.Before(l.failed[worker]) {
-		return workerLoad{}, 0, false
+		return work{}, false
 	}
-	tokens := 0
+	w := work{workerLoad: r.workerLoad, room: r.Total}
 	for p := priority; p < len(r.Queued); p++ {
-		tokens += r.Queued[p]
+		w.waiting += r.Queued[p]
 	}
 	for _, p := range l.sent[worker] {
 		if p.priority >= priority {
-			tokens += p.tokens
+			w.waiting += p.tokens
 		}
+		w.room -= p.blocks
 	}
-	return r.workerLoad, tokens, true
+	return w, true
 }
 
 // holds returns how many of the given workers are fresh and how many of those
--- a/core/home/move.go
+++ b/core/home/move.go
@@ -203,7 +203,7 @@
 }
 
 func (h *Home) blockBytes(worker string) int {
-	load, _, _ := h.loads.load(worker, 0, time.Now())
+	load, _ := h.loads.load(worker, 0, time.Now())
 	return load.BlockBytes
 }
 
--- a/core/once/msgs.go
+++ b/core/once/msgs.go
@@ -79,6 +79,9 @@
 	Expired State = "expired"
 	// Unavailable means that the claim could not be committed.
 	Unavailable State = "unavailable"
+	// notOwner means that the asked daemon does not own the shard; the asker
+	// looks for the owner again.
+	notOwner State = "notOwner"
 )
 
 // Claim asks for the right to run a call.
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -78,6 +78,8 @@
 	shards      [shards]*shard
 	writes      atomic.Int64
 	settling    chan *settle
+	// limit bounds the wait for a claim to be committed.
+	limit time.Duration
 }
 
 // maxSettling bounds the ends of attempts that wait to be told to an owner.
@@ -87,7 +89,7 @@
 func New(o Options) *Once {
 	c := newOnce(o, fleetPeers{o.Fleet})
 	o.Fleet.Mux().Register(kindClaim, wire.Handle(func(ctx context.Context, _ string, m *Claim) (Answer, error) {
-		ctx, cancel := context.WithTimeout(ctx, claimLimit)
+		ctx, cancel := context.WithTimeout(ctx, c.limit)
 		defer cancel()
 		return c.shards[m.Key.shard()].claim(ctx, m), nil
 	}))
@@ -100,7 +102,7 @@
 func newOnce(o Options, p peers) *Once {
 	c := &Once{
 		name: o.Name, incarnation: o.Incarnation, window: o.Window, peers: p, kv: o.KV, log: o.Log,
-		settling: make(chan *settle, maxSettling),
+		settling: make(chan *settle, maxSettling), limit: claimLimit,
 	}
 	if c.window == 0 {
 		c.window = DefaultWindow
@@ -176,17 +178,14 @@
 // Claim asks for the right to run a call. With any answer but Granted the
 // call must not be run, and this try has not run it.
 func (c *Once) Claim(ctx context.Context, key Key, keyTime time.Time, digest uint64) (*Attempt, Answer) {
-	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	ctx, cancel := context.WithTimeout(ctx, c.limit)
 	defer cancel()
 	m := &Claim{
 		Key: key, KeyMillis: keyTime.UnixMilli(), Attempt: uuid.NewString(),
 		Asker: c.name, Incarnation: c.incarnation, Print: digest,
 	}
 	a := &Attempt{once: c, key: key, id: m.Attempt}
-	ans, err := c.ask(ctx, m)
-	if err != nil {
-		ans = Answer{State: Unavailable}
-	}
+	ans := c.askOwner(ctx, m)
 	if ans.State == Unavailable {
 		// The claim may be committed all the same: give it back.
 		a.NotRun()
@@ -197,6 +196,30 @@
 	return a, ans
 }
 
+// askOwner asks until a daemon that owns the shard answers. Asking again is
+// safe: a claim that was committed for this attempt reads as running.
+func (c *Once) askOwner(ctx context.Context, m *Claim) Answer {
+	for {
+		ans, err := c.ask(ctx, m)
+		if err == nil && ans.State != notOwner {
+			return ans
+		}
+		if err != nil && !errors.Is(err, wire.ErrNotSent) {
+			return Answer{State: Unavailable}
+		}
+		t := time.NewTimer(ownerPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return Answer{State: Unavailable}
+		case <-t.C:
+		}
+	}
+}
+
+// ownerPause spaces the looks for the owner of a shard that changes hands.
+const ownerPause = 50 * time.Millisecond
+
 func (c *Once) ask(ctx context.Context, m *Claim) (Answer, error) {
 	n := m.Key.shard()
 	owner := c.ownerOf(n)
@@ -204,7 +227,7 @@
 		return c.shards[n].claim(ctx, m), nil
 	}
 	if owner == "" {
-		return Answer{}, errors.New("nobody owns the shard")
+		return Answer{State: notOwner}, nil
 	}
 	var ans Answer
 	return ans, c.peers.Call(ctx, owner, kindClaim, m, &ans)
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -74,6 +74,7 @@
 	m := &mesh{nodes: map[string]*Once{}, owner: map[string]string{}, dead: map[string]bool{}}
 	for _, n := range names {
 		m.nodes[n] = newOnce(Options{Name: n, Incarnation: n + "-1", KV: kv, Log: &event.Log{}}, meshPeers{m, n})
+		m.nodes[n].limit = 200 * time.Millisecond
 		m.owner[n] = names[0]
 	}
 	return m
--- a/core/once/shard.go
+++ b/core/once/shard.go
@@ -266,7 +266,10 @@
 func (s *shard) enqueue(c *Claim) (chan bool, Answer) {
 	s.shardMu.Lock()
 	defer s.shardMu.Unlock()
-	if !s.owned || len(s.pending) >= maxPending {
+	if !s.owned {
+		return nil, Answer{State: notOwner}
+	}
+	if len(s.pending) >= maxPending {
 		return nil, Answer{State: Unavailable}
 	}
 	if ans := s.table.check(c, time.Now(), s.owner.window, s.owner.running); ans.State != "" {
--- a/core/route/link.go
+++ b/core/route/link.go
@@ -34,6 +34,9 @@
 	activeImports = 4
 	// activeExports bounds the exports at once.
 	activeExports = 1
+	// importsBesideExport is how many imports may run where an export begins:
+	// with none allowed, exports wait until the blocks have been pushed out.
+	importsBesideExport = 1
 	// maxWaiting bounds the transfers that wait for one link.
 	maxWaiting = 1024
 	// maxUsers bounds the organisations whose use is remembered.
@@ -81,7 +84,7 @@
 	if t.Waiting {
 		return imports < activeImports
 	}
-	return imports == 0 && exports < activeExports && !l.callerWaits()
+	return imports <= importsBesideExport && exports < activeExports && !l.callerWaits()
 }
 
 func (l *Link) callerWaits() bool {
--- a/core/route/place.go
+++ b/core/route/place.go
@@ -80,6 +80,9 @@
 	// QueuedTokens is the projected work before this request: what was
 	// reported, corrected by what was sent since.
 	QueuedTokens int
+	// Room is how many blocks its memory takes beside the requests that this
+	// daemon gave it and that have no first token yet; zero means unknown.
+	Room int
 	// Running is the number of answers being generated.
 	Running int
 	// Speed is its prefill speed in tokens a second.
@@ -251,11 +254,16 @@
 	o := Option{Worker: w.Name, Import: im}
 	o.Queue = seconds(float64(w.QueuedTokens) / speed)
 	have := w.Held
+	crowded := w.Room != 0 && w.Room < r.Blocks
 	if im.Blocks() > 0 {
 		o.LinkBytes = int64(im.Blocks()) * k.BlockBytes
 		o.Transfer = k.Latency + seconds(float64(k.Backlog+o.LinkBytes)/k.Rate)
 		have = im.To
 	}
+	if crowded {
+		// The requests before this one push its blocks out before its turn.
+		have = 0
+	}
 	o.Recomputed = max(1, r.Tokens-have*r.BlockTokens)
 	o.Prefill = seconds(float64(o.Recomputed) / speed)
 	o.Expected = 2*w.Distance + max(o.Queue, o.Transfer) + o.Prefill
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -219,6 +219,9 @@
 	operators := d.serve(&wg, ls.operators, d.operatorRoutes())
 	d.log.Emit(event.DaemonStarted, event.Ref{}, "callers "+ls.callers.Addr().String()+", operators "+ls.operators.Addr().String())
 	<-ctx.Done()
+	// Connections end with their next answer, so that none is cut idle while
+	// a caller sends on it.
+	callers.SetKeepAlivesEnabled(false)
 	d.drain()
 	d.closeServer(callers)
 	d.log.Emit(event.DaemonStopped, event.Ref{}, "")
--- a/embfake/fake/engine.go
+++ b/embfake/fake/engine.go
@@ -74,9 +74,13 @@
 
 // EngineRun is one prompt that an engine answered.
 type EngineRun struct {
-	Request string `json:"request"`
-	Version string `json:"version"`
-	Tokens  int    `json:"tokens"`
+	// Arrived is when the prompt reached the engine.
+	Arrived time.Time `json:"arrived"`
+	// Began is when its prompt was computed.
+	Began   time.Time `json:"began"`
+	Request string    `json:"request"`
+	Version string    `json:"version"`
+	Tokens  int       `json:"tokens"`
 	// Cached is the prompt tokens that were not computed.
 	Cached int `json:"cached"`
 	// Spoiled tells that a block's content was not that of its hash.
@@ -149,6 +153,13 @@
 	return append([]target.Order{}, e.orders...)
 }
 
+// Holds reports whether the engine has loaded a version of any model.
+func (e *Engine) Holds(version string) bool {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	return slices.ContainsFunc(e.weights, func(w target.Weights) bool { return w.Version == version })
+}
+
 // EvictAll pushes every block out of the cache.
 func (e *Engine) EvictAll() {
 	e.engineMu.Lock()
@@ -310,7 +321,7 @@
 	took := time.Duration(float64(tokens) / speed * float64(time.Second))
 	e.busy += took
 	e.runs = append(e.runs, EngineRun{
-		Request: s.id, Version: s.version, Tokens: cache.Tokens(len(s.prompt.Prompt)), Cached: s.cached, Spoiled: s.spoiled,
+		Arrived: s.arrived, Request: s.id, Version: s.version, Tokens: cache.Tokens(len(s.prompt.Prompt)), Cached: s.cached, Spoiled: s.spoiled,
 	})
 	e.running++
 	return took
--- a/embplay/internal/play/caller.go
+++ b/embplay/internal/play/caller.go
@@ -41,6 +41,9 @@
 	return &Caller{client: &http.Client{Transport: t}}, nil
 }
 
+// HTTP returns the client that the caller uses.
+func (c *Caller) HTTP() *http.Client { return c.client }
+
 // Refused is the typed refusal of an entry box.
 type Refused struct {
 	Status           int    `json:"-"`
--- a/embplay/internal/play/judge.go
+++ b/embplay/internal/play/judge.go
@@ -75,6 +75,7 @@
 	seen := map[cache.Hash]span{}
 	var desk, returns []float64
 	var seenTokens, again, bound float64
+	timed := 0
 	for i := range r.records {
 		rec := &r.records[i]
 		if rec.event.Kind != Review && rec.event.Kind != Desk {
@@ -85,6 +86,13 @@
 		if !f.sound(rec) {
 			continue
 		}
+		seenTokens += float64(known)
+		bound += float64(unready)
+		again += max(0, float64(known-rec.reply.CachedTokens))
+		if rec.event.At < r.trace.Header.CountFrom {
+			continue
+		}
+		timed++
 		first := milliseconds(rec.reply.First)
 		f.Firsts = append(f.Firsts, first)
 		if rec.event.Kind == Desk {
@@ -95,14 +103,11 @@
 		if rec.reply.First.Seconds() > late {
 			f.Late++
 		}
-		seenTokens += float64(known)
-		bound += float64(unready)
-		again += max(0, float64(known-rec.reply.CachedTokens))
 	}
 	f.FirstTokenP50, f.FirstTokenP95, f.FirstTokenP99 = percentile(f.Firsts, 50), percentile(f.Firsts, 95), percentile(f.Firsts, 99)
 	f.DeskP95, f.ReturnP95 = percentile(desk, 95), percentile(returns, 95)
 	f.RecomputedShare, f.RecomputedBound = share(again, seenTokens), share(bound, seenTokens)
-	f.LateShare = share(float64(f.Late), float64(f.Requests))
+	f.LateShare = share(float64(f.Late), float64(timed))
 }
 
 // learn returns how many tokens of a prompt had been seen before it was sent,
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -45,12 +45,15 @@
   wait_for "the workers' loads" all_loaded
 }
 
-# all_loaded succeeds once every daemon knows the load of every engine.
+# all_loaded succeeds once every daemon may use every engine and knows its load,
+# and sees all daemons.
 all_loaded() {
   local want server have
   want=$(grep -c '"name": "engine-' "$SITE/site.json")
   for server in $(field operators); do
-    have=$("$BIN/embctl" --server "$server" status | grep -c "tokens wait") || true
+    have=$("$BIN/embctl" --server "$server" status | grep -c " usable .*tokens wait") || true
     [ "$have" = "$want" ] || return 1
+    have=$("$BIN/embctl" --server "$server" status | grep -c "^entry-.* live ") || true
+    [ "$have" = "$(field settings | wc -l)" ] || return 1
   done
 }
