--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 # Every target needs only Go and make.
+SHELL := bash
+.SHELLFLAGS := -o pipefail -c
 MODULES := core emberd embctl embfake embplay
 PROGRAMS := emberd embctl embfake embplay
 BIN := $(CURDIR)/bin
 
-.PHONY: all build demo test compare lint prove
+.PHONY: all build demo test compare lint prove slopes
 all: build
 
 build:
@@ -29,3 +31,7 @@
 PROMISE ?= 0
 prove: build
 	@cd embplay && go test ./prove -run 'TestProve' -count=1 -timeout 10m -v -proveSeed=$(SEED) -provePromise=$(PROMISE) | grep -v '^=== \|^--- \|^time='
+
+# make slopes writes docs/measurements/slopes.json
+slopes: build
+	@cd embplay && go test ./prove -run 'TestSlopes' -count=1 -timeout 20m -v -slopes=$(CURDIR)/docs/measurements | grep -v '^=== \|^--- \|^time='
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -51,6 +51,10 @@
 
 	callerKeys, operatorKeys, peerKeys *keys
 
+	// platformMeter and targetMeter count control bytes: to the platform's
+	// services, and to targets beside callers' requests.
+	platformMeter, targetMeter plat.Meter
+
 	draining atomic.Bool
 	// ready tells that the daemon was ready at the last look.
 	ready atomic.Bool
@@ -59,10 +63,6 @@
 	wokeAt atomic.Int64
 }
 
-// platformTimeout bounds calls of platform services without a time of their
-// own; a watch has its own.
-const platformIdle = 30 * time.Second
-
 // New puts a daemon together.
 func New(set Settings) (*Daemon, error) {
 	d := &Daemon{set: set}
@@ -74,10 +74,7 @@
 		return nil, err
 	}
 	incarnation := uuid.NewString()
-	platform := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: plat.CallTimeout}).DialContext,
-		MaxIdleConnsPerHost: 16, IdleConnTimeout: platformIdle,
-	}}
+	platform := plat.NewClient(&d.platformMeter)
 	d.kv = plat.NewKV(set.Platform.KeyValue, platform)
 	d.store = conf.NewStore(d.log)
 	d.fleet = fleet.New(d.fleetOptions(incarnation, platform))
@@ -128,17 +125,20 @@
 
 func (d *Daemon) build(incarnation string) {
 	engines := &http.Client{Transport: target.NewTransport()}
+	following := target.NewTransport()
+	d.targetMeter.Measure(following)
+	control := &http.Client{Transport: following}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	d.home = home.New(home.Options{
 		Placement: route.Placement(d.set.Placement), Conf: d.store, Fleet: d.fleet, Log: d.log,
-		Client: engines, LoadPause: d.set.Limits.LoadPause,
+		Client: control, LoadPause: d.set.Limits.LoadPause,
 	})
 	d.once = once.New(once.Options{
 		Name: d.set.Name, Incarnation: incarnation, Window: d.set.Limits.ClaimWindow,
 		Fleet: d.fleet, KV: d.kv, Log: d.log,
 	})
 	d.orders = order.New(order.Options{
-		Name: d.set.Name, Conf: d.store, Fleet: d.fleet, Workers: d.home, KV: d.kv, Log: d.log, Client: engines,
+		Name: d.set.Name, Conf: d.store, Fleet: d.fleet, Workers: d.home, KV: d.kv, Log: d.log, Client: control,
 	})
 	d.entry = entry.New(entry.Options{
 		Conf: d.store, Fleet: d.fleet, Home: d.home, Once: d.once, Log: d.log,
--- a/emberd/internal/daemon/vars.go
+++ b/emberd/internal/daemon/vars.go
@@ -53,6 +53,9 @@
 	{"keyValueCalls", "Calls of the key-value service, a watch counting as one.", func(d *Daemon) any { return d.kv.Calls() }},
 	{"keyValueBytes", "Bytes to and from the key-value service.", func(d *Daemon) any { return d.kv.Bytes() }},
 	{"peerBytes", "Bytes to and from other daemons.", func(d *Daemon) any { return d.fleet.Bytes() }},
+	{"controlBytes", "Bytes of control: to and from peers, the platform's services, and targets beside callers' requests.", func(d *Daemon) any { return d.fleet.Bytes() + d.platformMeter.Bytes() + d.targetMeter.Bytes() }},
+	{"controlPlatformBytes", "The part of controlBytes to and from the platform's services.", func(d *Daemon) any { return d.platformMeter.Bytes() }},
+	{"controlTargetBytes", "The part of controlBytes to and from targets.", func(d *Daemon) any { return d.targetMeter.Bytes() }},
 	{"processorSeconds", "Processor time of the process in seconds.", func(*Daemon) any { return processorTime().Seconds() }},
 	{"goroutines", "Goroutines of the process.", func(*Daemon) any { return runtime.NumGoroutine() }},
 }
--- a/embfake/fake/engine.go
+++ b/embfake/fake/engine.go
@@ -83,6 +83,9 @@
 	Tokens  int       `json:"tokens"`
 	// Cached is the prompt tokens that were not computed.
 	Cached int `json:"cached"`
+	// Salt is the prompt's cache salt and Head its first bytes.
+	Salt string `json:"salt"`
+	Head string `json:"head"`
 	// Spoiled tells that a block's content was not that of its hash.
 	Spoiled bool `json:"spoiled"`
 }
@@ -160,6 +163,31 @@
 	return slices.ContainsFunc(e.weights, func(w target.Weights) bool { return w.Version == version })
 }
 
+// Churn adds and removes runs of blocks, as prompts would, until ctx ends.
+func (e *Engine) Churn(ctx context.Context, perSecond float64) {
+	t := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+	defer t.Stop()
+	seed := cache.Salt{Organisation: "churn", Model: e.boot}.Seed()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		chain := cache.Chain(seed, strings.Repeat(fmt.Sprintf("%08d", n), churnBlocks*cache.BlockBytes/8))
+		list := make([]carried, len(chain))
+		for i, h := range chain {
+			list[i] = carried{target.Block{Hash: h}, contentOf(h)}
+		}
+		e.engineMu.Lock()
+		e.cache.add(seed, list)
+		e.engineMu.Unlock()
+	}
+}
+
+// churnBlocks is the length of a run that Churn adds.
+const churnBlocks = 16
+
 // EvictAll pushes every block out of the cache.
 func (e *Engine) EvictAll() {
 	e.engineMu.Lock()
@@ -299,6 +327,9 @@
 	return s
 }
 
+// headBytes is how much of a prompt a record holds.
+const headBytes = 64
+
 // perRunning is how much each running answer slows a prefill, as a share.
 const perRunning = 0.02
 
@@ -322,6 +353,7 @@
 	e.busy += took
 	e.runs = append(e.runs, EngineRun{
 		Arrived: s.arrived, Request: s.id, Version: s.version, Tokens: cache.Tokens(len(s.prompt.Prompt)), Cached: s.cached, Spoiled: s.spoiled,
+		Salt: s.prompt.CacheSalt, Head: s.prompt.Prompt[:min(len(s.prompt.Prompt), headBytes)],
 	})
 	e.running++
 	return took
--- a/embfake/fake/keyvalue.go
+++ b/embfake/fake/keyvalue.go
@@ -23,6 +23,7 @@
 	compacted int64         // guarded by kvMu
 	moved     chan struct{} // closed and replaced at each change; guarded by kvMu
 	counts    KeyValueCounts
+	waiting   int // open watches; guarded by kvMu
 }
 
 // KeyValueCounts counts the calls of a key-value service.
@@ -66,6 +67,13 @@
 	return k.counts
 }
 
+// Waiting returns how many watches are open.
+func (k *KeyValue) Waiting() int {
+	k.kvMu.Lock()
+	defer k.kvMu.Unlock()
+	return k.waiting
+}
+
 // Compact forgets all changes before the present revision.
 func (k *KeyValue) Compact() {
 	k.kvMu.Lock()
@@ -223,7 +231,9 @@
 	}
 	k.kvMu.Lock()
 	k.counts.Watches++
+	k.waiting++
 	k.kvMu.Unlock()
+	defer k.left()
 	next := body.CreateRequest.StartRevision
 	c.Response().WriteHeader(http.StatusOK)
 	enc := json.NewEncoder(c.Response())
@@ -248,6 +258,13 @@
 	}
 }
 
+// left counts a watch that has ended.
+func (k *KeyValue) left() {
+	k.kvMu.Lock()
+	defer k.kvMu.Unlock()
+	k.waiting--
+}
+
 // after returns the changes of span from a revision on.
 func (k *KeyValue) after(span kvSpan, from int64) (kvMessage, <-chan struct{}) {
 	k.kvMu.Lock()
--- a/embplay/prove/judge_test.go
+++ b/embplay/prove/judge_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 
+	"embertally.dev/core/cache"
 	"embertally.dev/embfake/fake"
 )
 
@@ -91,8 +92,9 @@
 }
 
 // judgeSharing judges that no organisation gains from another's blocks, and no
-// weights from others': the first run at any engine of an organisation's
-// prompt on a text under some weights has nothing cached.
+// weights from others': every run bears the salt of its caller's organisation
+// and of its own weights, and the first run at any engine under a salt has
+// nothing of its text cached.
 func (vs *verdicts) judgeSharing(r *rig, l *load) {
 	byRequest := map[string]*asked{}
 	for _, a := range l.asks {
@@ -100,28 +102,23 @@
 			byRequest[a.reply.Request] = a
 		}
 	}
-	type firstRun struct {
-		run fake.EngineRun
-		who string
-	}
-	first := map[string]firstRun{}
+	first := map[string]fake.EngineRun{}
 	for _, e := range r.site.Engines {
 		for _, run := range e.Runs() {
-			request := run.Request[:strings.LastIndex(run.Request, "-")]
-			a := byRequest[request]
-			if a == nil {
-				continue
+			if a := byRequest[run.Request[:strings.LastIndex(run.Request, "-")]]; a != nil {
+				salt := cache.Salt{Organisation: a.organisation, Model: fake.SiteModel, WeightVersion: run.Version}
+				vs[2].check(run.Salt == salt.Seed().String(), "run %s of %s bears another salt", run.Request, a.organisation)
+				vs[3].check(run.Salt == salt.Seed().String(), "run %s under %s bears another salt", run.Request, run.Version)
 			}
-			text := a.prompt[:strings.Index(a.prompt, "Question")]
-			key := a.organisation + "/" + run.Version + "/" + text
-			if f, ok := first[key]; !ok || run.Began.Before(f.run.Began) {
-				first[key] = firstRun{run, a.organisation}
+			key := run.Salt + run.Head
+			if f, ok := first[key]; !ok || run.Began.Before(f.Began) {
+				first[key] = run
 			}
 		}
 	}
-	for _, f := range first {
-		vs[2].check(f.run.Cached < 64, "first prompt of %s on a text had %d tokens cached", f.who, f.run.Cached)
-		vs[3].check(f.run.Cached < 64, "first prompt under %s on a text had %d tokens cached", f.run.Version, f.run.Cached)
+	for _, run := range first {
+		vs[2].check(run.Cached < cache.BlockTokens, "first run %s under a salt had %d tokens cached", run.Request, run.Cached)
+		vs[3].check(run.Cached < cache.BlockTokens, "first run %s under a salt had %d tokens cached", run.Request, run.Cached)
 	}
 }
 
--- a/embplay/prove/rig_test.go
+++ b/embplay/prove/rig_test.go
@@ -45,8 +45,26 @@
 	caller *play.Caller
 }
 
-// newRig starts stand-ins and daemons, and applies the site's resources.
+// newRig starts stand-ins and daemons, with relays between them, and applies
+// the site's resources.
 func newRig(dir string, o fake.SiteOptions) (*rig, error) {
+	r, err := newSite(dir, o)
+	if err != nil {
+		return r, err
+	}
+	for _, p := range r.procs {
+		if err := r.wire(p); err != nil {
+			return r, err
+		}
+	}
+	if err := r.start(); err != nil {
+		return r, err
+	}
+	return r, r.apply()
+}
+
+// newSite starts stand-ins and prepares daemons.
+func newSite(dir string, o fake.SiteOptions) (*rig, error) {
 	o.Dir = dir
 	site, err := fake.NewSite(o)
 	if err != nil {
@@ -57,18 +75,18 @@
 		return nil, err
 	}
 	for _, d := range site.File.Daemons {
-		p := &proc{SiteDaemon: d, peers: map[string]*relay{}}
-		r.procs = append(r.procs, p)
-		if err := r.wire(p); err != nil {
-			return r, err
-		}
+		r.procs = append(r.procs, &proc{SiteDaemon: d, peers: map[string]*relay{}})
 	}
+	return r, nil
+}
+
+func (r *rig) start() error {
 	for _, p := range r.procs {
 		if err := p.start(); err != nil {
-			return r, err
+			return err
 		}
 	}
-	return r, r.apply()
+	return nil
 }
 
 // wire puts relays between a daemon and what it reaches, and a box list of its
@@ -160,8 +178,10 @@
 	for _, p := range r.procs {
 		p.wake()
 		p.kill()
-		p.kv.close()
-		p.boxes.Close()
+		if p.kv != nil {
+			p.kv.close()
+			p.boxes.Close()
+		}
 		for _, l := range p.peers {
 			l.close()
 		}
@@ -231,6 +251,15 @@
 
 // apply puts the site's resources in force and waits until all is ready.
 func (r *rig) apply() error {
+	if err := r.applyTo(r.procs[0]); err != nil {
+		return err
+	}
+	return r.allReady()
+}
+
+// applyTo puts the site's resources in force through one daemon, once all
+// answer.
+func (r *rig) applyTo(through *proc) error {
 	for _, p := range r.procs {
 		err := wait(p.Name+" to answer", func() error {
 			_, err := r.operate(p, http.MethodGet, "/v1/status", nil, nil)
@@ -245,11 +274,11 @@
 		body := struct {
 			Spec json.RawMessage `json:"spec"`
 		}{res.Spec}
-		if err := wait(path, func() error { _, err := r.operate(r.procs[0], http.MethodPut, path, body, nil); return err }); err != nil {
+		if err := wait(path, func() error { _, err := r.operate(through, http.MethodPut, path, body, nil); return err }); err != nil {
 			return err
 		}
 	}
-	return r.allReady()
+	return nil
 }
 
 // allReady waits until every running daemon takes requests and knows the load
