Tickets for outages; stories by promise; authorities are read in one place

Cause: while the key-value service is down no claim can be committed, so none of the calls with a key were served. A ticket binds a call to the memory of one incarnation of one daemon, which grants it once.

Ruled out: granting from an owner's memory (it cannot know whether the shard was taken over, and its death would let a repeated call run again), and copies in other daemons' memory (a replicated store of our own).

--- a/core/certs/certs.go
+++ b/core/certs/certs.go
@@ -1,5 +1,6 @@
-// Package certs owns the making of keys for first steps and tests: a signing
-// certificate, certificates of boxes, and random API keys.
+// Package certs owns the reading of certificate authorities, and the making of
+// keys for first steps and tests: a signing certificate, certificates of boxes,
+// and random API keys.
 //
 // It must not know where the keys are used. Sites with a certificate authority
 // of their own do not need it.
@@ -89,6 +90,19 @@
 	return block.Bytes, nil
 }
 
+// Pool reads the certificates that others must be signed by from a file.
+func Pool(path string) (*x509.CertPool, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return nil, errors.Errorf("%s holds no certificate", path)
+	}
+	return pool, nil
+}
+
 // CAFile returns the file with the authority's certificate.
 func (a *Authority) CAFile() string { return filepath.Join(a.dir, caCert) }
 
--- a/core/entry/refuse.go
+++ b/core/entry/refuse.go
@@ -76,7 +76,7 @@
 // keyed makes the refusal true for a call with an idempotency key as well: an
 // earlier try with the key may have run, and only its claim tells.
 func (r *Refusal) keyed(req *http.Request) *Refusal {
-	if req.Header.Get(HeaderIdempotency) == "" || r.Code == CodeBadKey {
+	if req.Header.Get(HeaderIdempotency)+req.Header.Get(HeaderTicket) == "" || r.Code == CodeBadKey {
 		return r
 	}
 	r.Ran = Unknown
--- a/core/entry/server.go
+++ b/core/entry/server.go
@@ -83,6 +83,7 @@
 	e.GET("/v1/models", s.handle(s.models))
 	e.POST("/v1/completions", s.handle(s.completions))
 	e.POST("/v1/chat/completions", s.handle(s.chat))
+	e.POST("/v1/tickets", s.handle(s.ticket))
 	e.Any("/services/:service", s.handle(s.service))
 	e.Any("/services/:service/*", s.handle(s.service))
 	e.RouteNotFound("/*", func(c echo.Context) error {
--- a/core/entry/service.go
+++ b/core/entry/service.go
@@ -26,6 +26,7 @@
 // Headers of calls to plain services.
 const (
 	HeaderIdempotency  = "Idempotency-Key"
+	HeaderTicket       = "X-Embertally-Ticket"
 	HeaderOrganisation = "X-Embertally-Organisation"
 	headerPrefix       = "X-Embertally-"
 )
@@ -130,6 +131,26 @@
 	return nil
 }
 
+// ticket gives out a ticket for one call of a service.
+func (s *Server) ticket(c echo.Context, q *request) *Refusal {
+	var body struct {
+		Service string `json:"service"`
+	}
+	if r := s.decode(c, &body); r != nil {
+		return r
+	}
+	if _, policy := q.snap.Policy(q.organisation, conf.KindService, body.Service); policy == nil {
+		return refuse(http.StatusNotFound, CodeNotFound, NotRun, "there is no service of this name for your organisation")
+	}
+	reply := struct {
+		Ticket string `json:"ticket"`
+	}{s.o.Once.NewTicket(q.organisation, body.Service)}
+	if err := c.JSON(http.StatusOK, reply); err != nil {
+		s.gone(q)
+	}
+	return nil
+}
+
 // servicePath returns the path below the service. A path that a target might
 // read in another way than the routes were matched is refused.
 func servicePath(u *url.URL, service string) (string, *Refusal) {
@@ -180,13 +201,16 @@
 	// What was handed to a target goes on when the caller leaves, so that its
 	// outcome is known to a repeated call.
 	ctx = context.WithoutCancel(ctx)
-	key := k.header.Get(HeaderIdempotency)
-	if key == "" {
-		ans, end, r := k.single(ctx)
-		k.record(end)
-		return ans, r
-	}
-	return k.claimed(ctx, key)
+	key, ticket := k.header.Get(HeaderIdempotency), k.header.Get(HeaderTicket)
+	switch {
+	case ticket != "":
+		return k.ticketed(ctx, ticket)
+	case key != "":
+		return k.claimed(ctx, key)
+	}
+	ans, end, r := k.single(ctx)
+	k.record(end)
+	return ans, r
 }
 
 // ended says what is known of a call that may not be repeated.
@@ -216,6 +240,23 @@
 	if a == nil {
 		return k.unclaimed(ans)
 	}
+	return k.granted(ctx, a)
+}
+
+// ticketed runs a call under a ticket.
+func (k *call) ticketed(ctx context.Context, ticket string) (*answer, *Refusal) {
+	a, ans, err := k.s.o.Once.ClaimTicket(ctx, k.q.organisation, k.service, ticket, k.print())
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, CodeBadIdempotency, NotRun, "the header "+HeaderTicket+" must be a ticket of POST /v1/tickets")
+	}
+	if a == nil {
+		return k.unclaimed(ans)
+	}
+	return k.granted(ctx, a)
+}
+
+// granted runs a call that nobody else may run, and records its end.
+func (k *call) granted(ctx context.Context, a *once.Attempt) (*answer, *Refusal) {
 	k.s.o.Log.Emit(event.ClaimGranted, k.q.ref(""), "")
 	got, end, r := k.single(ctx)
 	k.record(end)
--- a/core/once/msgs.go
+++ b/core/once/msgs.go
@@ -123,6 +123,8 @@
 	Attempt string  `msgpack:"a"`
 	End     end     `msgpack:"e"`
 	Outcome Outcome `msgpack:"o"`
+	// issuer is who granted a ticket; empty for claims.
+	issuer string
 }
 
 // end is how an attempt ended.
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -79,7 +79,8 @@
 	writes      atomic.Int64
 	settling    chan *settle
 	// limit bounds the wait for a claim to be committed.
-	limit time.Duration
+	limit   time.Duration
+	tickets *tickets
 }
 
 // maxSettling bounds the ends of attempts that wait to be told to an owner.
@@ -96,13 +97,20 @@
 	o.Fleet.Mux().Register(kindSettle, wire.Handle(func(ctx context.Context, _ string, m *settle) (bool, error) {
 		return c.shards[m.Key.shard()].settled(ctx, m), nil
 	}))
+	o.Fleet.Mux().Register(kindTicket, wire.Handle(func(_ context.Context, _ string, m *ticketAsk) (Answer, error) {
+		return c.grantTicket(m), nil
+	}))
+	o.Fleet.Mux().Register(kindTicketSettle, wire.Handle(func(_ context.Context, _ string, m *settle) (bool, error) {
+		c.tickets.settle(m)
+		return true, nil
+	}))
 	return c
 }
 
 func newOnce(o Options, p peers) *Once {
 	c := &Once{
 		name: o.Name, incarnation: o.Incarnation, window: o.Window, peers: p, kv: o.KV, log: o.Log,
-		settling: make(chan *settle, maxSettling), limit: claimLimit,
+		settling: make(chan *settle, maxSettling), limit: claimLimit, tickets: newTickets(),
 	}
 	if c.window == 0 {
 		c.window = DefaultWindow
@@ -173,6 +181,8 @@
 	once *Once
 	key  Key
 	id   string
+	// issuer is who granted a ticket; empty for claims.
+	issuer string
 }
 
 // Claim asks for the right to run a call. With any answer but Granted the
@@ -249,7 +259,7 @@
 
 func (a *Attempt) tell(e end, o Outcome) {
 	select {
-	case a.once.settling <- &settle{Key: a.key, Attempt: a.id, End: e, Outcome: o}:
+	case a.once.settling <- &settle{Key: a.key, Attempt: a.id, End: e, Outcome: o, issuer: a.issuer}:
 	default:
 		// Without its end the claim reads as running or unknown, which is safe.
 	}
@@ -291,12 +301,19 @@
 
 func (s settler) tell(ctx context.Context, m *settle) bool {
 	n := m.Key.shard()
-	owner := s.ownerOf(n)
-	if owner == s.name {
+	to, kind := s.ownerOf(n), kindSettle
+	if m.issuer != "" {
+		to, kind = m.issuer, kindTicketSettle
+	}
+	switch {
+	case to == s.name && kind == kindTicketSettle:
+		s.tickets.settle(m)
+		return true
+	case to == s.name:
 		return s.shards[n].settled(ctx, m)
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleWait)
 	defer cancel()
-	var owned bool
-	return s.peers.Call(ctx, owner, kindSettle, m, &owned) == nil && owned
+	var taken bool
+	return s.peers.Call(ctx, to, kind, m, &taken) == nil && taken
 }
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -56,7 +56,14 @@
 	case *Claim:
 		*resp.(*Answer) = n.shards[m.Key.shard()].claim(ctx, m)
 	case *settle:
+		if m.issuer != "" {
+			n.tickets.settle(m)
+			*resp.(*bool) = true
+			return nil
+		}
 		*resp.(*bool) = n.shards[m.Key.shard()].settled(ctx, m)
+	case *ticketAsk:
+		*resp.(*Answer) = n.grantTicket(m)
 	}
 	return nil
 }
@@ -339,3 +346,54 @@
 	wg.Wait()
 	g.Expect(kv.Writes()).To(gomega.BeNumerically("<", claims/4))
 }
+
+// A ticket is granted once, through any daemon, without the service, and never
+// after its issuer's incarnation has ended.
+func TestTickets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	kv.SetDown(true)
+	m := newMesh(kv, "a", "b", "c")
+	m.start(t)
+	claim := func(node, org, ticket string, digest uint64) (*Attempt, State) {
+		a, ans, err := m.nodes[node].ClaimTicket(context.Background(), org, "pay", ticket, digest)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return a, ans.State
+	}
+	first := m.nodes["a"].NewTicket("org", "pay")
+	tests := []struct {
+		name, node, org string
+		digest          uint64
+		want            State
+	}{
+		{"another organisation", "b", "rival", 1, Mismatch},
+		{"first use, through another daemon", "b", "org", 1, Granted},
+		{"second use", "c", "org", 1, Running},
+		{"second use, through the issuer", "a", "org", 1, Running},
+		{"another call", "a", "org", 2, Mismatch},
+	}
+	var granted *Attempt
+	for _, tc := range tests {
+		a, state := claim(tc.node, tc.org, first, tc.digest)
+		g.Expect(state).To(gomega.Equal(tc.want), tc.name)
+		if a != nil {
+			granted = a
+		}
+	}
+	granted.Ran(Outcome{Status: 200})
+	g.Eventually(func() State { _, s := claim("c", "org", first, 1); return s }, "20s", "10ms").Should(gomega.Equal(Ran))
+
+	second := m.nodes["a"].NewTicket("org", "pay")
+	m.mu.Lock()
+	m.nodes["a"].incarnation = "a-2"
+	m.mu.Unlock()
+	_, state := claim("b", "org", second, 1)
+	g.Expect(state).To(gomega.Equal(Unknown), "the issuer has started anew")
+	m.mu.Lock()
+	m.dead["a"] = true
+	m.mu.Unlock()
+	_, state = claim("b", "org", second, 1)
+	g.Expect(state).To(gomega.Equal(Unavailable), "the issuer is gone")
+	_, _, err := m.nodes["b"].ClaimTicket(context.Background(), "org", "pay", "no ticket", 1)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- a/embctl/internal/ctl/client.go
+++ b/embctl/internal/ctl/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -14,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/certs"
 	"embertally.dev/core/conf"
 )
 
@@ -39,13 +39,9 @@
 	if ca == "" {
 		return c, nil
 	}
-	raw, err := os.ReadFile(ca)
+	pool, err := certs.Pool(ca)
 	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(raw) {
-		return nil, errors.Errorf("%s holds no certificate", ca)
+		return nil, err
 	}
 	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
 	return c, nil
--- a/emberd/internal/daemon/keys.go
+++ b/emberd/internal/daemon/keys.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/certs"
 	"embertally.dev/core/event"
 )
 
@@ -50,15 +51,8 @@
 	if k.files.CA == "" {
 		return out, nil
 	}
-	raw, err := os.ReadFile(k.files.CA)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	out.pool = x509.NewCertPool()
-	if !out.pool.AppendCertsFromPEM(raw) {
-		return nil, errors.Errorf("%s holds no certificate", k.files.CA)
-	}
-	return out, nil
+	out.pool, err = certs.Pool(k.files.CA)
+	return out, err
 }
 
 func (k *keys) changed() time.Time {
--- a/embplay/internal/play/caller.go
+++ b/embplay/internal/play/caller.go
@@ -5,15 +5,15 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"embertally.dev/core/certs"
 )
 
 // Caller calls entry boxes as an organisation's program would.
@@ -28,13 +28,9 @@
 func NewCaller(ca string) (*Caller, error) {
 	t := &http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true}
 	if ca != "" {
-		raw, err := os.ReadFile(ca)
+		pool, err := certs.Pool(ca)
 		if err != nil {
-			return nil, errors.WithStack(err)
-		}
-		pool := x509.NewCertPool()
-		if !pool.AppendCertsFromPEM(raw) {
-			return nil, errors.Errorf("%s holds no certificate", ca)
+			return nil, err
 		}
 		t.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 	}
@@ -89,7 +85,7 @@
 		return Reply{Err: errors.WithStack(err)}
 	}
 	began := time.Now()
-	resp, err := c.send(ctx, http.MethodPost, box+"/v1/completions", key, "", raw)
+	resp, err := c.send(ctx, http.MethodPost, box+"/v1/completions", key, "", "", raw)
 	if err != nil {
 		return Reply{Err: err, Took: time.Since(began)}
 	}
@@ -105,10 +101,16 @@
 	return r
 }
 
-// Call calls a plain service.
+// Call calls a plain service, with an idempotency key if that is not empty.
 func (c *Caller) Call(ctx context.Context, box, key, method, path, idempotency string, body []byte) Reply {
+	return c.CallWith(ctx, box, key, method, path, "Idempotency-Key", idempotency, body)
+}
+
+// CallWith calls a plain service with one more header, if its value is not
+// empty.
+func (c *Caller) CallWith(ctx context.Context, box, key, method, path, header, value string, body []byte) Reply {
 	began := time.Now()
-	resp, err := c.send(ctx, method, box+path, key, idempotency, body)
+	resp, err := c.send(ctx, method, box+path, key, header, value, body)
 	if err != nil {
 		return Reply{Err: err, Took: time.Since(began)}
 	}
@@ -126,15 +128,15 @@
 	return r
 }
 
-func (c *Caller) send(ctx context.Context, method, url, key, idempotency string, body []byte) (*http.Response, error) {
+func (c *Caller) send(ctx context.Context, method, url, key, header, value string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Content-Type", "application/json")
-	if idempotency != "" {
-		req.Header.Set("Idempotency-Key", idempotency)
+	if value != "" {
+		req.Header.Set(header, value)
 		// The transport must not repeat the call by itself.
 		req.GetBody = nil
 	}
--- a/embplay/internal/play/run.go
+++ b/embplay/internal/play/run.go
@@ -222,7 +222,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	resp, err := r.caller.send(ctx, method, r.site.Daemons[r.box()].Operators+path, r.site.OperatorKey, "", raw)
+	resp, err := r.caller.send(ctx, method, r.site.Daemons[r.box()].Operators+path, r.site.OperatorKey, "", "", raw)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/embplay/prove/story_answers_test.go
@@ -0,0 +1,153 @@
+package prove
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"embertally.dev/core/plat"
+	"embertally.dev/embfake/fake"
+	"embertally.dev/embplay/internal/play"
+)
+
+var _ = Describe("Promise 4: every caller gets the whole answer to its own request", func() {
+	tests := []struct {
+		name string
+		harm func(e *fake.Engine)
+	}{
+		{"a cut stream", func(e *fake.Engine) { e.Set(fake.CutStream, 2) }},
+		{"a cut stream that the engine forgot", func(e *fake.Engine) { e.Set(fake.ForgetStream, 1); e.Set(fake.CutStream, 1) }},
+		{"a truncated stream", func(e *fake.Engine) { e.Set(fake.Truncate, 1) }},
+		{"another request's answer", func(e *fake.Engine) { e.Set(fake.Cross, 1) }},
+		{"tokens sent twice", func(e *fake.Engine) { e.Set(fake.Repeat, 1) }},
+	}
+	for _, tc := range tests {
+		It("through "+tc.name, func() {
+			r := site(nil)
+			// Half of the engines fail: a request is given to four at most.
+			for _, e := range r.site.Engines[:2] {
+				tc.harm(e)
+			}
+			for n := range 6 {
+				prompt := fmt.Sprintf("%s, number %d", longText(2), n)
+				expectWhole(r.ask(n%len(r.procs), orgOne, prompt, 30), "v1", prompt, 30)
+			}
+		})
+	}
+
+	It("goes on elsewhere when an engine dies in the middle", func() {
+		r := site(nil)
+		prompt := longText(5)
+		got := make(chan play.Reply, 1)
+		go func() { got <- r.ask(0, orgOne, prompt, 300) }()
+		var busy *fake.Engine
+		Eventually(func() *fake.Engine {
+			for _, e := range r.site.Engines {
+				if len(e.Runs()) > 0 {
+					busy = e
+				}
+			}
+			return busy
+		}).ShouldNot(BeNil())
+		busy.Close()
+		expectWhole(<-got, "v1", prompt, 300)
+	})
+
+	It("ends with an explicit error when nobody can go on", func() {
+		r := site(func(o *fake.SiteOptions) { o.Engines = 1 })
+		got := make(chan play.Reply, 1)
+		go func() { got <- r.ask(0, orgOne, longText(5), 400) }()
+		Eventually(func() int { return len(r.site.Engines[0].Runs()) }).Should(Equal(1))
+		r.site.Engines[0].Close()
+		a := <-got
+		Expect(a.Whole).To(BeFalse())
+		Expect(a.Refused).NotTo(BeNil())
+	})
+})
+
+var _ = Describe("Promise 5: not run is true", func() {
+	It("in every refusal before a target", func() {
+		r := site(nil)
+		mark := uuid.NewString()
+		body := `{"mark":"` + mark + `"}`
+		pay := "/services/" + fake.SiteService + "/renewals"
+		good := "Bearer " + r.site.File.CallerKeys[orgOne]
+		old := "018f0000-0000-7000-8000-000000000000"
+		prompt := func(fields string) string { return `{"model":"` + fake.SiteDeployment + `",` + fields + `}` }
+		tests := []struct {
+			name, key, idempotency, path, body, code, ran string
+		}{
+			{"no key", "", "", pay, body, "badKey", "notRun"},
+			{"wrong key", "Bearer nobody", "", pay, body, "badKey", "notRun"},
+			{"no such path", good, "", "/v2/renewals", body, "notFound", "notRun"},
+			{"no such service", good, "", "/services/parking/x", body, "notFound", "notRun"},
+			{"path with dots", good, "", "/services/" + fake.SiteService + "/a/%2e%2e/b", body, "badRequest", "notRun"},
+			{"body too large", good, "", pay, strings.Repeat("x", 9<<20), "bodyTooLarge", "notRun"},
+			{"key of the wrong form", good, "payment-1", pay, body, "badIdempotencyKey", "notRun"},
+			{"key that is too old", good, old, pay, body, "keyExpired", "unknown"},
+			{"no such model", good, "", "/v1/completions", `{"model":"other","prompt":"x"}`, "notFound", "notRun"},
+			{"no such adapter", good, "", "/v1/completions", `{"model":"reader:poems","prompt":"x"}`, "notFound", "notRun"},
+			{"unknown field", good, "", "/v1/completions", prompt(`"prompt":"x","logprobs":3`), "badRequest", "notRun"},
+			{"several answers", good, "", "/v1/completions", prompt(`"prompt":"x","n":2`), "badRequest", "notRun"},
+			{"no JSON", good, "", "/v1/completions", "{", "badRequest", "notRun"},
+			{"no messages", good, "", "/v1/chat/completions", prompt(`"messages":[]`), "badRequest", "notRun"},
+			{"unknown role", good, "", "/v1/chat/completions", prompt(`"messages":[{"role":"boss","content":"x"}]`), "badRequest", "notRun"},
+		}
+		for _, tc := range tests {
+			refused := r.refused(tc.key, tc.idempotency, tc.path, tc.body)
+			Expect(refused.Code).To(Equal(tc.code), tc.name)
+			Expect(refused.Ran).To(Equal(tc.ran), tc.name)
+		}
+		Expect(r.runsByMark()[mark]).To(BeEmpty())
+		for _, e := range r.site.Engines {
+			Expect(e.Runs()).To(BeEmpty())
+		}
+	})
+
+	It("when no target can be used or reached", func() {
+		r := site(nil)
+		for _, s := range r.site.Services {
+			s.Close()
+		}
+		key, mark := newKey(), uuid.NewString()
+		got := r.pay(0, orgOne, key, mark)
+		Expect(got.Refused).NotTo(BeNil())
+		Expect(got.Refused.Code).To(Equal("noTarget"))
+		Expect(got.Refused.Ran).To(Equal("notRun"))
+		Expect(got.Refused.RetryAfterMillis).To(BeNumerically(">", 0))
+		for _, e := range r.site.File.Engines {
+			r.listed(e.Name, plat.BoxLeaving)
+		}
+		Eventually(func() string {
+			a := r.ask(0, orgOne, "anyone?", 2)
+			if a.Refused == nil {
+				return ""
+			}
+			return a.Refused.Code + " " + a.Refused.Ran
+		}).Should(Equal("noTarget notRun"))
+	})
+})
+
+// refused sends a request that is to be refused and returns its refusal.
+func (r *rig) refused(key, idempotency, path, body string) play.Refused {
+	GinkgoHelper()
+	req, err := http.NewRequest(http.MethodPost, r.procs[0].Callers+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", key)
+	if idempotency != "" {
+		req.Header.Set("Idempotency-Key", idempotency)
+	}
+	resp, err := r.caller.HTTP().Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var got struct {
+		Error play.Refused `json:"error"`
+	}
+	Expect(json.NewDecoder(resp.Body).Decode(&got)).To(Succeed())
+	return got.Error
+}
