A plan of the cell's targets; the next cell where the first has no worker

Cause: each request looked through the targets of the whole fleet and hashed each name over all cells; at 2,200 targets and 28 cells that is 61,600 hashes a request. With 92 workers a model over 28 cells, 4 in 100 cells hold none of a model, and their contexts were refused.

After: targets are sorted into cells once for each configuration and view, and a context whose cell has no worker goes to its next cell. Ruled out: larger cells, whose heartbeats grow with their square.

--- a/core/admin/admin.go
+++ b/core/admin/admin.go
@@ -497,7 +497,7 @@
 	}}
 	for _, p := range view.Peers() {
 		out = append(out, daemonStatus{
-			p.Name, view.CellOf(p.Name), p.Domain, p.Alive, p.Listed, p.Draining, s.o.Spread.Seq(p.Name),
+			p.Name, p.Cell, p.Domain, p.Alive, p.Listed, p.Draining, s.o.Spread.Seq(p.Name),
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
--- a/core/conf/snap.go
+++ b/core/conf/snap.go
@@ -53,6 +53,8 @@
 	// kinds maps each kind to its resources by name; maps are replaced, not
 	// edited.
 	kinds map[Kind]map[string]*Resource
+	// lists are the resources of each kind ordered by name.
+	lists map[Kind][]*Resource
 	// callers maps the sums of callers' keys to organisations.
 	callers map[string]string
 	// policies maps organisations to the names of their policies, sorted.
@@ -67,12 +69,9 @@
 // Resource returns a resource, or nil.
 func (s *Snapshot) Resource(k Kind, name string) *Resource { return s.kinds[k][name] }
 
-// List returns the resources of a kind ordered by name.
-func (s *Snapshot) List(k Kind) []*Resource {
-	out := slices.Collect(maps.Values(s.kinds[k]))
-	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
-	return out
-}
+// List returns the resources of a kind ordered by name. It must not be
+// changed.
+func (s *Snapshot) List(k Kind) []*Resource { return s.lists[k] }
 
 // Count returns how many resources of a kind there are.
 func (s *Snapshot) Count(k Kind) int { return len(s.kinds[k]) }
@@ -156,10 +155,10 @@
 func (s *Snapshot) with(changes []Change) (next *Snapshot, bad []error) {
 	next = &Snapshot{
 		seq: s.seq, headRevision: s.headRevision,
-		kinds: maps.Clone(s.kinds), callers: s.callers, policies: s.policies,
+		kinds: maps.Clone(s.kinds), lists: maps.Clone(s.lists), callers: s.callers, policies: s.policies,
 	}
 	if next.kinds == nil {
-		next.kinds = map[Kind]map[string]*Resource{}
+		next.kinds, next.lists = map[Kind]map[string]*Resource{}, map[Kind][]*Resource{}
 	}
 	cloned := map[Kind]bool{}
 	for _, c := range changes {
@@ -204,6 +203,11 @@
 
 // derive rebuilds the indexes whose kinds changed.
 func (s *Snapshot) derive(changed map[Kind]bool) {
+	for k := range changed {
+		list := slices.Collect(maps.Values(s.kinds[k]))
+		sort.Slice(list, func(i, j int) bool { return list[i].name < list[j].name })
+		s.lists[k] = list
+	}
 	if changed[KindOrganisation] {
 		s.callers = make(map[string]string, len(s.kinds[KindOrganisation]))
 		for name, r := range s.kinds[KindOrganisation] {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -257,7 +257,7 @@
 	var part, full *beat
 	view := f.View()
 	for _, p := range view.peers {
-		if view.CellOf(p.Name) != view.Cell() || p.Address == "" {
+		if p.Cell != view.cell || p.Address == "" {
 			continue
 		}
 		msg := &part
@@ -371,10 +371,11 @@
 	}
 	known := f.knownPeers()
 	v.cells = cellCount(len(known) + 1)
+	v.cell = v.CellOf(f.o.Name)
 	for _, p := range known {
 		f.fill(&p, v)
 		v.peers = append(v.peers, p)
-		if p.Alive && !p.Draining && v.CellOf(p.Name) == v.Cell() {
+		if p.Alive && !p.Draining && p.Cell == v.cell {
 			v.duty = append(v.duty, p.Name)
 		}
 	}
@@ -387,10 +388,11 @@
 
 // fill completes a peer from what its heartbeats said.
 func (f *Fleet) fill(p *Peer, v *View) {
+	p.Cell = v.CellOf(p.Name)
 	if h := f.heard[p.Name]; h != nil {
 		p.Alive, p.Incarnation, p.Draining = h.alive, h.incarnation, h.draining
 	}
-	if v.CellOf(p.Name) != v.Cell() {
+	if p.Cell != v.cell {
 		p.Alive = v.at.After(f.failed[p.Name])
 	}
 	box := f.boxes[p.Name]
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -176,3 +176,21 @@
 		g.Eventually(func() bool { return m.View().Usable("engine", &conf.Target{}) }, "20s", "20ms").Should(gomega.BeTrue())
 	}
 }
+
+// Every key has its cells in one order, whose first is its cell.
+func TestHomeCellsBeginWithTheCellOfTheKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key, count := rapid.Uint64().Draw(t, "key"), rapid.IntRange(1, 30).Draw(t, "cells")
+		got := rankCells(key, count, cellsTried)
+		if len(got) != min(count, cellsTried) || got[0] != cellOf(key, count) {
+			t.Fatalf("cells %v of %d, first is %d", got, count, cellOf(key, count))
+		}
+		seen := map[int]bool{}
+		for _, c := range got {
+			if seen[c] || c < 0 || c >= count {
+				t.Fatalf("cells %v", got)
+			}
+			seen[c] = true
+		}
+	})
+}
--- a/core/fleet/rank.go
+++ b/core/fleet/rank.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 
@@ -75,15 +76,29 @@
 }
 
 // cellOf returns the cell of a name or key among count cells.
-func cellOf(key uint64, count int) int {
+func cellOf(key uint64, count int) int { return rankCells(key, count, 1)[0] }
+
+// rankCells returns the first n of count cells for a key, best first.
+func rankCells(key uint64, count, n int) []int {
 	if count <= 1 {
-		return 0
+		return []int{0}
+	}
+	type scored struct {
+		cell  int
+		score uint64
 	}
-	best, high := 0, uint64(0)
+	best := make([]scored, 0, n+1)
 	for c := range count {
-		if s := score(key, strconv.Itoa(c)); s >= high {
-			best, high = c, s
+		s := scored{c, score(key, strconv.Itoa(c))}
+		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+		if at < n {
+			best = slices.Insert(best, at, s)
+			best = best[:min(len(best), n)]
 		}
 	}
-	return best
+	out := make([]int, len(best))
+	for i, s := range best {
+		out[i] = s.cell
+	}
+	return out
 }
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -13,6 +13,8 @@
 	Name    string
 	Address string
 	Domain  string
+	// Cell is the cell of the daemon.
+	Cell int
 	// Incarnation tells one run of the daemon from the next; empty while it
 	// has not been heard.
 	Incarnation string
@@ -37,6 +39,8 @@
 	marks      map[string]Mark
 	// cells is how many cells the fleet has.
 	cells int
+	// cell is the cell of this daemon.
+	cell int
 	// duty are the daemons of this cell that take duties, this one included
 	// unless it drains, ordered by name.
 	duty     []string
@@ -54,7 +58,7 @@
 func (v *View) Cells() int { return v.cells }
 
 // Cell returns the cell of this daemon.
-func (v *View) Cell() int { return cellOf(Key(v.self), v.cells) }
+func (v *View) Cell() int { return v.cell }
 
 // CellOf returns the cell that a target or daemon falls into.
 func (v *View) CellOf(name string) int { return cellOf(Key(name), v.cells) }
@@ -78,7 +82,7 @@
 	}
 	var names []string
 	for _, p := range v.peers {
-		if v.CellOf(p.Name) == cell && p.Alive && !p.Draining {
+		if p.Cell == cell && p.Alive && !p.Draining {
 			names = append(names, p.Name)
 		}
 	}
@@ -88,20 +92,29 @@
 // OnDuty returns the daemons of this cell that take duties.
 func (v *View) OnDuty() []string { return v.duty }
 
-// Homes returns the daemons to ask about the context, best first, at most n.
-// Where nobody else is alive it is this daemon.
-func (v *View) Homes(root uint64, n int) []string {
-	names := v.cellDuty(cellOf(root, v.cells))
-	ranked := Rank(root, names)
+// cellsTried is how many cells are tried for one context.
+const cellsTried = 3
+
+// HomeCells returns the cells where a context may be at home, best first. The
+// second counts where the first has no worker for the request.
+func (v *View) HomeCells(root uint64) []int { return rankCells(root, v.cells, cellsTried) }
+
+// Homes returns the daemons of a cell to ask about a context, best first, at
+// most n. This daemon is the last one for its own cell.
+func (v *View) Homes(cell int, root uint64, n int) []string {
+	ranked := Rank(root, v.cellDuty(cell))
 	if len(ranked) > n {
 		ranked = ranked[:n]
 	}
-	if !slices.Contains(ranked, v.self) {
+	if cell == v.Cell() && !slices.Contains(ranked, v.self) {
 		ranked = append(ranked, v.self)
 	}
 	return ranked
 }
 
+// Home returns the daemon of this cell that a context is at home at.
+func (v *View) Home(root uint64) string { return v.Homes(v.Cell(), root, 1)[0] }
+
 // Usable reports whether a target may get new work, by configuration, drain
 // orders and the box list.
 func (v *View) Usable(name string, t *conf.Target) bool {
--- a/core/home/duty.go
+++ b/core/home/duty.go
@@ -14,8 +14,11 @@
 // duties follows the workers that this daemon has the duty for.
 type duties struct {
 	home *Home
-	// running are the followed workers; only run uses it.
+	// running are the followed workers, adjusted to snap and view; only run
+	// uses these.
 	running map[string]followed
+	snap    *conf.Snapshot
+	view    *fleet.View
 }
 
 type followed struct {
@@ -46,12 +49,14 @@
 // adjust starts and stops following so that it fits the duties.
 func (d *duties) adjust(ctx context.Context, wg *sync.WaitGroup) {
 	snap, view := d.home.o.Conf.Snapshot(), d.home.o.Fleet.View()
+	if d.snap == snap && d.view == view {
+		return
+	}
+	d.snap, d.view = snap, view
 	want := map[string]*conf.Target{}
-	for _, r := range snap.List(conf.KindTarget) {
-		t := r.Spec().(*conf.Target)
-		if t.Type == conf.TypeEngine && view.CellOf(r.Name()) == view.Cell() &&
-			view.Duty(fleet.Key("follow/"+r.Name())) == view.Self() {
-			want[r.Name()] = t
+	for _, name := range d.home.plan(snap, view).workers {
+		if view.Duty(fleet.Key("follow/"+name)) == view.Self() {
+			want[name] = snap.Target(name)
 		}
 	}
 	for name, f := range d.running {
@@ -146,7 +151,7 @@
 	view := h.o.Fleet.View()
 	out := map[string][]cache.Mark{}
 	for _, m := range list {
-		home := view.Homes(m.Root, 1)[0]
+		home := view.Home(m.Root)
 		out[home] = append(out[home], m)
 	}
 	return out
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,7 @@
 	exports chan export
 	turn    atomic.Uint64
 	began   time.Time
+	planned atomic.Pointer[plan]
 	warm    atomic.Bool // Warm was true once
 	stats   Stats
 	// storeMu guards storeDown.
@@ -107,29 +109,43 @@
 // homesAsked is how many daemons are asked before this one decides itself.
 const homesAsked = 2
 
-// Place finds a worker for a request, by asking the home of its context.
+// Place finds a worker for a request, by asking the home of its context. Where
+// the context's cell has no worker for it, the next cell counts.
 func (h *Home) Place(ctx context.Context, view *fleet.View, a *Ask) (Answer, error) {
-	var last error
-	for _, name := range view.Homes(a.Root().Short(), homesAsked) {
-		var ans Answer
-		var err error
+	root := a.Root().Short()
+	none, last := Answer{}, errors.New("no daemon decided")
+	for _, cell := range view.HomeCells(root) {
+		ans, err := h.placeIn(ctx, view, cell, root, a)
+		if err != nil {
+			last = err
+			continue
+		}
+		if ans.Verdict != route.NoWorker {
+			return ans, nil
+		}
+		none, last = ans, nil
+	}
+	return none, last
+}
+
+// placeIn asks the daemons of one cell until one decides.
+func (h *Home) placeIn(ctx context.Context, view *fleet.View, cell int, root uint64, a *Ask) (ans Answer, err error) {
+	err = errors.Errorf("cell %d has no daemon", cell)
+	for _, name := range view.Homes(cell, root, homesAsked) {
+		if ctx.Err() != nil {
+			return ans, errors.WithStack(ctx.Err())
+		}
 		if name == view.Self() {
 			ans, err = h.place(ctx, name, a)
 		} else {
+			ans = Answer{}
 			err = h.o.Fleet.Call(ctx, name, kindPlace, a, &ans)
 		}
-		if err == nil && ans.Verdict != "" {
+		if err == nil {
 			return ans, nil
 		}
-		last = err
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if last == nil {
-		last = errors.New("no daemon decided")
 	}
-	return Answer{}, last
+	return ans, err
 }
 
 // tellLimit bounds a notice to the home of a context.
@@ -206,7 +222,7 @@
 	weights := Weights(a.Salt)
 	for _, name := range h.engines(snap, view, a) {
 		load, ok := h.loads.load(name, a.Priority, now)
-		if !ok || !contains(load.Holds, weights) {
+		if !ok || !slices.Contains(load.Holds, weights) {
 			continue
 		}
 		t := snap.Target(name)
@@ -241,27 +257,16 @@
 	return name
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 // engines returns the workers of the cell that the request may use.
 func (h *Home) engines(snap *conf.Snapshot, view *fleet.View, a *Ask) []string {
+	all := h.plan(snap, view).usable[a.Deployment]
+	if len(a.Exclude)+len(a.Targets) == 0 {
+		return all
+	}
 	var out []string
-	for _, r := range snap.List(conf.KindTarget) {
-		t := r.Spec().(*conf.Target)
-		switch {
-		case t.Type != conf.TypeEngine || !t.Serves(a.Deployment):
-		case !view.Usable(r.Name(), t) || view.CellOf(r.Name()) != view.Cell():
-		case contains(a.Exclude, r.Name()):
-		case len(a.Targets) > 0 && !contains(a.Targets, r.Name()):
-		default:
-			out = append(out, r.Name())
+	for _, name := range all {
+		if !slices.Contains(a.Exclude, name) && (len(a.Targets) == 0 || slices.Contains(a.Targets, name)) {
+			out = append(out, name)
 		}
 	}
 	return out
@@ -284,7 +289,7 @@
 			continue
 		}
 		for _, held := range load.Holds {
-			if v, ok := versionOf(held, model); ok && !contains(out, v) {
+			if v, ok := versionOf(held, model); ok && !slices.Contains(out, v) {
 				out = append(out, v)
 			}
 		}
@@ -364,12 +369,8 @@
 	}
 	snap, view, now := h.o.Conf.Snapshot(), h.o.Fleet.View(), time.Now()
 	if now.Sub(h.began) < warmLimit {
-		for _, r := range snap.List(conf.KindTarget) {
-			t := r.Spec().(*conf.Target)
-			if t.Type != conf.TypeEngine || !view.Usable(r.Name(), t) || view.CellOf(r.Name()) != view.Cell() {
-				continue
-			}
-			if _, ok := h.loads.load(r.Name(), 0, now); !ok {
+		for _, name := range h.plan(snap, view).workers {
+			if _, ok := h.loads.load(name, 0, now); !ok && view.Usable(name, snap.Target(name)) {
 				return false
 			}
 		}
--- a/core/home/move.go
+++ b/core/home/move.go
@@ -24,14 +24,7 @@
 // placed on them. Anyone computes the same order, so that a kept context is
 // found without an index.
 func (h *Home) stores(snap *conf.Snapshot, view *fleet.View, root cache.Hash) []string {
-	var names []string
-	for _, r := range snap.List(conf.KindTarget) {
-		t := r.Spec().(*conf.Target)
-		if t.Type == conf.TypeStore && view.Usable(r.Name(), t) && view.CellOf(r.Name()) == view.Cell() {
-			names = append(names, r.Name())
-		}
-	}
-	return fleet.Rank(root.Short(), names)
+	return fleet.Rank(root.Short(), h.plan(snap, view).stores)
 }
 
 // storesAsked bounds the stores that are asked for one context.
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -42,6 +42,8 @@
 // workers is what orders need to know of workers.
 type workers interface {
 	Worker(name string) (home.WorkerStatus, bool)
+	// Workers returns the engines of this cell.
+	Workers(snap *conf.Snapshot, view *fleet.View) []string
 }
 
 // Options of a holder.
@@ -153,19 +155,16 @@
 // wants returns the loads that the configuration asks for.
 func (h *Holder) wants(snap *conf.Snapshot, view *fleet.View) []want {
 	var out []want
-	for _, r := range snap.List(conf.KindTarget) {
-		t := r.Spec().(*conf.Target)
-		if t.Type != conf.TypeEngine || view.CellOf(r.Name()) != view.Cell() || !view.Usable(r.Name(), t) {
-			continue
-		}
-		st, ok := h.o.Workers.Worker(r.Name())
-		if !ok {
+	for _, worker := range h.o.Workers.Workers(snap, view) {
+		t := snap.Target(worker)
+		st, ok := h.o.Workers.Worker(worker)
+		if !ok || !view.Usable(worker, t) {
 			continue
 		}
 		for _, name := range t.Deployments {
 			d := snap.Deployment(name)
 			if d != nil && !holds(st, d) {
-				out = append(out, want{r.Name(), t, name, d})
+				out = append(out, want{worker, t, name, d})
 			}
 		}
 	}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -123,7 +123,7 @@
 	s.statesMu.Lock()
 	defer s.statesMu.Unlock()
 	for _, p := range view.Peers() {
-		if (p.Alive || p.Listed) && view.CellOf(p.Name) == view.Cell() {
+		if (p.Alive || p.Listed) && p.Cell == view.Cell() {
 			seq = min(seq, s.states[p.Name].Seq)
 		}
 	}
@@ -260,7 +260,7 @@
 	}
 	s.statesMu.Lock()
 	for _, p := range view.Peers() {
-		if (p.Alive || p.Listed) && view.CellOf(p.Name) == view.Cell() && s.states[p.Name].Seq < seq {
+		if (p.Alive || p.Listed) && p.Cell == view.Cell() && s.states[p.Name].Seq < seq {
 			out = append(out, p.Name)
 		}
 	}
--- a/embfake/fake/site.go
+++ b/embfake/fake/site.go
@@ -172,6 +172,8 @@
 	Stores   []*Store
 	Services []*Service
 	specs    []SiteResource
+	// port is the last that was given to a daemon.
+	port int
 }
 
 const anyPort = "127.0.0.1:0"
@@ -279,11 +281,16 @@
 	portTries = 100
 )
 
-// freeAddress returns an address that nothing listens on now.
-func freeAddress() (string, error) {
+// freeAddress returns an address that nothing listens on now and that this
+// site did not give out before.
+func (s *Site) freeAddress() (string, error) {
+	if s.port == 0 {
+		s.port = rand.IntN(portCount)
+	}
 	var last error
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		s.port++
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+s.port%portCount)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, errors.WithStack(l.Close())
@@ -317,7 +324,7 @@
 	d := SiteDaemon{Name: fmt.Sprintf("entry-%02d", i+1), Domain: s.domain(i)}
 	var addr [3]string
 	for n := range addr {
-		a, err := freeAddress()
+		a, err := s.freeAddress()
 		if err != nil {
 			return err
 		}
