--- /dev/null
+++ b/core/cache/leak_test.go
@@ -0,0 +1,9 @@
+package cache
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -393,9 +393,19 @@
 		Request: p.q.id, Salt: p.ask.Salt, Roots: p.ask.Roots, Chain: p.ask.Chain, Worker: p.last.Worker,
 		Prefilled: prefilled, Cached: p.usage.Details.CachedTokens, ExportFrom: p.deployment.ExportFrom(), Failed: failed,
 	}
-	go p.s.o.Home.Finish(p.q.view, p.last.Home, d)
+	go teller{p.s.o.Home, p.q.view, p.last.Home, d}.run()
 }
 
+// teller tells a home how a request went, beside the request.
+type teller struct {
+	from *home.Home
+	view *fleet.View
+	home string
+	done *home.Done
+}
+
+func (t teller) run() { t.from.Finish(t.view, t.home, t.done) }
+
 // attempt relays the answer of the chosen worker. After an error the request
 // may go on elsewhere.
 func (p *run) attempt(ctx context.Context) error {
