Bounds on waiting for a home and a body; requests move on with a swap

A home that froze just now still counts as alive, and a request waited for it up to its whole deadline; a body could arrive without end; a request whose weights were swapped away while it waited was refused; reports and links of boxes that are long gone were kept for ever; a panic in a handler reached the server's own log alone.

After: 3 s at most for one home, 30 s for a body, a request without a token goes on under the weights that are there, what is gone is forgotten after ten minutes, and a broken invariant is reported with its stack and costs one request.

--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -298,8 +298,10 @@
 		if try > 0 && !p.s.mayRetry() {
 			break
 		}
-		r := p.place(ctx, try > 0)
-		if r != nil {
+		if r := p.place(ctx, try > 0); r != nil {
+			if r.Code == CodeNoTarget && p.moved() {
+				continue
+			}
 			return p.end(r)
 		}
 		last = p.attempt(ctx)
@@ -311,11 +313,23 @@
 			return nil
 		}
 		p.s.o.Log.Emit(event.RequestRetried, p.ref(), last.Error())
-		p.ask.Exclude = append(p.ask.Exclude, p.last.Worker)
+		exclude := append(p.ask.Exclude, p.last.Worker)
+		p.moved()
+		p.ask.Exclude = exclude
 	}
 	return p.end(refuse(http.StatusBadGateway, CodeTargetFailed, NotRun, "no worker gave an answer").after(queuePause))
 }
 
+// moved reports whether the request goes on under other weights: before its
+// first token, and where a swap has passed it by.
+func (p *run) moved() bool {
+	if p.tokens > 0 {
+		return false
+	}
+	before := p.ask.Salt.WeightVersion
+	return p.resolve() == nil && p.ask.Salt.WeightVersion != before
+}
+
 func (p *run) ref() event.Ref {
 	r := p.q.ref(p.last.Worker)
 	r.Context = p.ask.Root().String()
--- a/core/entry/server.go
+++ b/core/entry/server.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"embertally.dev/core/bugs"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
@@ -123,7 +124,7 @@
 		}
 		defer s.release(q)
 		s.o.Log.Emit(event.RequestAccepted, q.ref(""), c.Request().Method+" "+c.Path())
-		if r := f(c, q); r != nil {
+		if r := s.guarded(f, c, q); r != nil {
 			return s.refused(c, q, r)
 		}
 		s.stats.Done.Add(1)
@@ -131,6 +132,17 @@
 	}
 }
 
+// guarded makes a broken invariant cost one request, not the process.
+func (s *Server) guarded(f func(echo.Context, *request) *Refusal, c echo.Context, q *request) (r *Refusal) {
+	defer func() {
+		if why := recover(); why != nil {
+			bugs.Report("request %s: %v", q.id, why)
+			r = refuse(http.StatusInternalServerError, CodeTargetFailed, Unknown, "the daemon met a state that it rules out")
+		}
+	}()
+	return f(c, q)
+}
+
 // notReadyPause is when to come back to a daemon that is not ready; the
 // balancer then leads to another.
 const notReadyPause = time.Second
@@ -190,8 +202,15 @@
 	return true
 }
 
+// bodyLimit bounds the time in which a body arrives.
+const bodyLimit = 30 * time.Second
+
 // readBody reads the whole body within the limit.
 func (s *Server) readBody(c echo.Context) ([]byte, *Refusal) {
+	rc := http.NewResponseController(c.Response().Writer)
+	if err := rc.SetReadDeadline(time.Now().Add(bodyLimit)); err == nil {
+		defer rc.SetReadDeadline(time.Time{})
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.o.MaxBody))
 	if isTooLarge(err) {
 		return nil, refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, NotRun, "the body is larger than this daemon takes")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -384,6 +384,12 @@
 	}
 	sort.Strings(v.duty)
 	f.view.Store(v)
+	for name, l := range f.links {
+		if _, known := v.peer(name); !known {
+			l.Close()
+			delete(f.links, name)
+		}
+	}
 }
 
 // fill completes a peer from what its heartbeats said.
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -138,8 +138,7 @@
 		if name == view.Self() {
 			ans, err = h.place(ctx, name, a)
 		} else {
-			ans = Answer{}
-			err = h.o.Fleet.Call(ctx, name, kindPlace, a, &ans)
+			ans, err = h.askHome(ctx, name, a)
 		}
 		if err == nil {
 			return ans, nil
@@ -148,6 +147,20 @@
 	return ans, err
 }
 
+// homeLimit bounds the wait for one daemon's decision, with its import: a
+// daemon that froze just now still counts as alive.
+const (
+	homeLimit = 3 * time.Second
+	homeLeast = 300 * time.Millisecond
+)
+
+func (h *Home) askHome(ctx context.Context, name string, a *Ask) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(homeLimit, max(homeLeast, a.Deadline/2)))
+	defer cancel()
+	var ans Answer
+	return ans, h.o.Fleet.Call(ctx, name, kindPlace, a, &ans)
+}
+
 // tellLimit bounds a notice to the home of a context.
 const tellLimit = 2 * time.Second
 
--- a/core/home/loads.go
+++ b/core/home/loads.go
@@ -53,11 +53,28 @@
 	if old, ok := l.reports[w.Worker]; ok && old.taken.After(taken) {
 		return false
 	}
+	if _, known := l.reports[w.Worker]; !known {
+		l.forget(now)
+	}
 	l.reports[w.Worker] = report{w, taken}
 	l.sent[w.Worker] = slices.DeleteFunc(l.sent[w.Worker], func(p placed) bool { return p.at.Before(taken.Add(-reportLag)) })
 	return true
 }
 
+// forgetAfter is how long a worker that no report comes of is remembered.
+const forgetAfter = 10 * time.Minute
+
+// forget drops workers that are long gone; the caller holds loadsMu.
+func (l *loads) forget(now time.Time) {
+	for name, r := range l.reports {
+		if now.Sub(r.taken) > forgetAfter {
+			delete(l.reports, name)
+			delete(l.sent, name)
+			delete(l.failed, name)
+		}
+	}
+}
+
 // reportLag is how long after it was sent a request may be missing from the
 // worker's report.
 const reportLag = 300 * time.Millisecond
