Following, heartbeats and memory cost less

Cause: the slopes showed that one call for each cache event and one for each load report are most of following a worker, that heartbeats repeat names and weights, and that reading 23,000 organisations leaves twice their size behind as garbage.

After: one call gathers events for a quarter of a second and brings the load; hashes of events are packed; heartbeats are arrays, tell weights once and unchanged loads once a second; the heap is collected at half its size and given back after a large configuration.

--- a/core/cache/cache_test.go
+++ b/core/cache/cache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -149,10 +150,10 @@
 	f := NewFollower("w", feed, 2, heard, &event.Log{})
 	g.Expect(f.step(context.Background())).To(gomega.Succeed())
 	feed.notes = []Note{
-		{Seq: 1, Stored: &Run{Blocks: chain[:5]}},
-		{Seq: 2, Stored: &Run{Parent: chain[4], Blocks: chain[5:]}},
-		{Seq: 2, Stored: &Run{Parent: chain[4], Blocks: chain[5:]}},
-		{Seq: 3, Removed: []Hash{chain[7], chain[6], chain[5]}},
+		{Seq: 1, Stored: &Run{Blocks: Shorts(chain[:5])}},
+		{Seq: 2, Stored: &Run{Parent: chain[4].Short(), Blocks: Shorts(chain[5:])}},
+		{Seq: 2, Stored: &Run{Parent: chain[4].Short(), Blocks: Shorts(chain[5:])}},
+		{Seq: 3, Removed: Shorts([]Hash{chain[7], chain[6], chain[5]})},
 	}
 	g.Expect(f.step(context.Background())).To(gomega.Succeed())
 	g.Expect(heard.lost).To(gomega.Equal([]Mark{{Root: chain[1].Short(), Short: chain[5].Short(), Depth: 6}}))
@@ -165,8 +166,8 @@
 	feed, heard := &scriptedFeed{}, &heardMarks{}
 	f := NewFollower("w", feed, 2, heard, &event.Log{})
 	g.Expect(f.step(context.Background())).To(gomega.Succeed())
-	feed.notes = []Note{{Seq: 1, Stored: &Run{Blocks: chain}}, {Seq: 3, Removed: []Hash{chain[5]}}}
-	feed.contents = Contents{Seq: 3, Runs: []Run{{Blocks: chain[:4]}}}
+	feed.notes = []Note{{Seq: 1, Stored: &Run{Blocks: Shorts(chain)}}, {Seq: 3, Removed: Shorts(chain[5:6])}}
+	feed.contents = Contents{Seq: 3, Runs: []Run{{Blocks: Shorts(chain[:4])}}}
 	g.Expect(f.step(context.Background())).To(gomega.Succeed())
 	g.Expect(feed.reads).To(gomega.Equal(2))
 	g.Expect(heard.lost).To(gomega.BeEmpty(), "nothing after the gap is believed")
@@ -187,7 +188,7 @@
 		for i := range rapid.IntRange(1, 4).Draw(t, "chains") {
 			c := Chain(Salt{Organisation: string(rune('a' + i))}.Seed(), strings.Repeat("z", BlockBytes*rapid.IntRange(1, 6).Draw(t, "blocks")))
 			chains = append(chains, c)
-			notes = append(notes, Note{Stored: &Run{Blocks: c}})
+			notes = append(notes, Note{Stored: &Run{Blocks: Shorts(c)}})
 			for _, h := range c {
 				worker[h] = true
 			}
@@ -195,7 +196,7 @@
 		for _, c := range chains {
 			keep := rapid.IntRange(0, len(c)).Draw(t, "keep")
 			if keep < len(c) {
-				notes = append(notes, Note{Removed: c[keep:]})
+				notes = append(notes, Note{Removed: Shorts(c[keep:])})
 				for _, h := range c[keep:] {
 					delete(worker, h)
 				}
@@ -221,7 +222,7 @@
 			for n < len(c) && worker[c[n]] {
 				n++
 			}
-			feed.contents.Runs = append(feed.contents.Runs, Run{Blocks: c[:n]})
+			feed.contents.Runs = append(feed.contents.Runs, Run{Blocks: Shorts(c[:n])})
 		}
 		if err := f.step(context.Background()); err != nil && !errors.Is(err, context.Canceled) {
 			t.Fatal(err)
@@ -237,3 +238,26 @@
 		}
 	})
 }
+
+func TestPackedHashesComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Packed(rapid.SliceOf(rapid.Uint64()).Draw(t, "shorts"))
+		text, err := p.MarshalText()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Packed
+		if err := back.UnmarshalText(text); err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Equal(p, back) {
+			t.Fatalf("%v came back as %v", p, back)
+		}
+	})
+	var p Packed
+	for _, bad := range []string{"A", "AAAA", "!!"} {
+		if p.UnmarshalText([]byte(bad)) == nil {
+			t.Errorf("%q was read", bad)
+		}
+	}
+}
--- a/core/cache/chain.go
+++ b/core/cache/chain.go
@@ -9,6 +9,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/binary"
 	"encoding/hex"
 
@@ -103,9 +104,37 @@
 	return chain[min(roots, len(chain))-1]
 }
 
+// Packed is a list of short hashes, written as one base64 text: cache events
+// are most of what following a worker costs.
+type Packed []uint64
+
+const shortBytes = 8
+
+// MarshalText writes the packed form.
+func (p Packed) MarshalText() ([]byte, error) {
+	raw := make([]byte, 0, shortBytes*len(p))
+	for _, s := range p {
+		raw = binary.BigEndian.AppendUint64(raw, s)
+	}
+	return base64.RawStdEncoding.AppendEncode(nil, raw), nil
+}
+
+// UnmarshalText reads the packed form.
+func (p *Packed) UnmarshalText(text []byte) error {
+	raw, err := base64.RawStdEncoding.DecodeString(string(text))
+	if err != nil || len(raw)%shortBytes != 0 {
+		return errors.Errorf("%d bytes are no packed hashes", len(text))
+	}
+	*p = make(Packed, 0, len(raw)/shortBytes)
+	for ; len(raw) > 0; raw = raw[shortBytes:] {
+		*p = append(*p, binary.BigEndian.Uint64(raw))
+	}
+	return nil
+}
+
 // Shorts returns the first halves of the hashes of a chain.
-func Shorts(chain []Hash) []uint64 {
-	out := make([]uint64, len(chain))
+func Shorts(chain []Hash) Packed {
+	out := make(Packed, len(chain))
 	for i, h := range chain {
 		out[i] = h.Short()
 	}
--- a/core/cache/follow.go
+++ b/core/cache/follow.go
@@ -13,8 +13,8 @@
 // Run is a run of blocks of one chain in a cache event: each is the parent of
 // the next.
 type Run struct {
-	Parent Hash   `json:"parent"`
-	Blocks []Hash `json:"blocks"`
+	Parent uint64 `json:"parent"`
+	Blocks Packed `json:"blocks"`
 }
 
 // Note is one cache event of a worker.
@@ -22,7 +22,7 @@
 	// Seq rises by one with each note; a jump is a gap.
 	Seq     uint64 `json:"seq"`
 	Stored  *Run   `json:"stored,omitempty"`
-	Removed []Hash `json:"removed,omitempty"`
+	Removed Packed `json:"removed,omitempty"`
 }
 
 // Contents is everything that a worker holds, after the note Seq.
@@ -138,30 +138,30 @@
 }
 
 func (f *Follower) store(r Run) {
-	parent := r.Parent.Short()
+	parent := r.Parent
 	above := f.held[parent]
-	for _, h := range r.Blocks {
+	for _, short := range r.Blocks {
 		n := node{parent: parent, root: above.root, depth: above.depth + 1}
 		if int(n.depth) == f.roots {
-			n.root = h.Short()
+			n.root = short
 		}
-		f.held[h.Short()] = n
-		parent, above = h.Short(), n
+		f.held[short] = n
+		parent, above = short, n
 	}
 }
 
 // remove forgets blocks and returns, for each context, the first one lost.
-func (f *Follower) remove(hashes []Hash) []Mark {
+func (f *Follower) remove(shorts []uint64) []Mark {
 	first := map[uint64]Mark{}
-	for _, h := range hashes {
-		n, ok := f.held[h.Short()]
+	for _, short := range shorts {
+		n, ok := f.held[short]
 		if !ok {
 			continue
 		}
-		delete(f.held, h.Short())
+		delete(f.held, short)
 		m, seen := first[n.root]
 		if n.root != 0 && (!seen || int(n.depth) < m.Depth) {
-			first[n.root] = Mark{Root: n.root, Short: h.Short(), Depth: int(n.depth)}
+			first[n.root] = Mark{Root: n.root, Short: short, Depth: int(n.depth)}
 		}
 	}
 	return slices.Collect(maps.Values(first))
--- a/core/conf/sync.go
+++ b/core/conf/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -160,10 +161,22 @@
 	if err != nil {
 		return err
 	}
-	s.store.Replace(full)
+	s.replace(full)
 	return nil
 }
 
+// largeConf is the number of resources from which reading them all leaves much
+// garbage behind.
+const largeConf = 2000
+
+// replace puts a whole configuration in force and gives back the memory that
+// reading it took, which the daemon does not need again.
+func (s *Syncer) replace(full Full) {
+	if s.store.Replace(full) && len(full.Resources) > largeConf {
+		debug.FreeOSMemory()
+	}
+}
+
 // watch follows the log until the stream ends, stalls or this daemon is no
 // longer the watch holder.
 func (s *Syncer) watch(ctx context.Context) error {
@@ -236,7 +249,7 @@
 		return
 	}
 	if delta.Full != nil {
-		s.store.Replace(*delta.Full)
+		s.replace(*delta.Full)
 		return
 	}
 	s.store.Apply(delta.Changes)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -37,7 +37,6 @@
 // Options of a fleet.
 type Options struct {
 	Name        string
-	Domain      string
 	Incarnation string
 	// Seeds are peers known from the settings, for when the box list cannot be
 	// read.
@@ -93,7 +92,6 @@
 type heard struct {
 	at          time.Time
 	incarnation string
-	domain      string
 	draining    bool
 	alive       bool
 	// sent is the incarnation that got a full heartbeat of this daemon.
@@ -106,15 +104,18 @@
 
 // beat is a heartbeat.
 type beat struct {
-	Incarnation string     `msgpack:"i"`
-	Domain      string     `msgpack:"d"`
-	Draining    bool       `msgpack:"x,omitempty"`
-	Parts       []beatPart `msgpack:"p"`
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack    struct{} `msgpack:",as_array"`
+	Incarnation string
+	Draining    bool
+	Parts       []beatPart
 }
 
 type beatPart struct {
-	Name string             `msgpack:"n"`
-	Body msgpack.RawMessage `msgpack:"b"`
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     string
+	Body     msgpack.RawMessage
 }
 
 // New returns a fleet that knows only this daemon.
@@ -289,7 +290,7 @@
 
 func (f *Fleet) collect(full bool) *beat {
 	f.fleetMu.Lock()
-	b := &beat{Incarnation: f.o.Incarnation, Domain: f.o.Domain, Draining: f.draining}
+	b := &beat{Incarnation: f.o.Incarnation, Draining: f.draining}
 	f.fleetMu.Unlock()
 	for _, p := range f.parts {
 		v := p.part.Collect(full)
@@ -357,7 +358,7 @@
 	}
 	changed := !h.alive || h.incarnation != b.Incarnation || h.draining != b.Draining
 	h.at, h.alive = now, true
-	h.incarnation, h.domain, h.draining = b.Incarnation, b.Domain, b.Draining
+	h.incarnation, h.draining = b.Incarnation, b.Draining
 	return changed
 }
 
--- a/core/home/duty.go
+++ b/core/home/duty.go
@@ -73,9 +73,8 @@
 		ctx, stop := context.WithCancel(ctx)
 		d.running[name] = followed{url: t.URL, stop: stop}
 		e := d.home.engine(t)
-		f := cache.NewFollower(name, e, d.roots(snap, t), d.home, d.home.o.Log)
+		f := cache.NewFollower(name, &feed{d.home, name, e}, d.roots(snap, t), d.home, d.home.o.Log)
 		wg.Go(func() { f.Run(ctx) })
-		wg.Go(func() { loadReader{d.home, name, e}.run(ctx) })
 	}
 }
 
@@ -89,36 +88,33 @@
 	return 1
 }
 
-// loadReader reads the load of one worker.
-type loadReader struct {
+// feed is what one worker tells of its cache and load.
+type feed struct {
 	home   *Home
 	worker string
 	engine *target.Engine
 }
 
-func (r loadReader) run(ctx context.Context) {
-	t := time.NewTicker(r.home.o.LoadPause)
-	defer t.Stop()
-	for {
-		l, err := r.engine.Load(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil {
-			r.home.loads.setOwn(r.convert(l), time.Now())
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+// CacheNotes gathers cache events and takes the load that comes with them.
+func (f *feed) CacheNotes(ctx context.Context, seq uint64) ([]cache.Note, error) {
+	n, err := f.engine.News(ctx, seq, f.home.o.LoadPause)
+	if err != nil {
+		return nil, err
 	}
+	f.home.loads.setOwn(f.convert(n.Load), time.Now())
+	return n.Events, nil
+}
+
+// CacheContents returns all blocks that the worker holds.
+func (f *feed) CacheContents(ctx context.Context) (cache.Contents, error) {
+	return f.engine.CacheContents(ctx)
 }
 
-func (r loadReader) convert(l target.Load) workerLoad {
+func (f *feed) convert(l target.Load) workerLoad {
 	w := workerLoad{
-		Worker: r.worker, Queued: l.QueuedTokens, Running: l.Running, Free: l.FreeBlocks, Total: l.TotalBlocks,
-		Speed: l.PrefillTokensPerSecond, BlockBytes: l.BlockBytes, Loading: l.Loading,
+		Holds:  []string{},
+		Worker: f.worker, Queued: l.QueuedTokens, Running: l.Running, Free: l.FreeBlocks, Total: l.TotalBlocks,
+		Speed: float32(l.PrefillTokensPerSecond), BlockBytes: l.BlockBytes, Loading: l.Loading,
 	}
 	for _, v := range l.Weights {
 		base := cache.Salt{Model: v.Model, WeightVersion: v.Version}
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -28,6 +28,8 @@
 
 // Options of a home.
 type Options struct {
+	// Domain is this daemon's failure domain.
+	Domain    string
 	Placement route.Placement
 	Conf      *conf.Store
 	Fleet     *fleet.Fleet
@@ -240,8 +242,8 @@
 		}
 		t := snap.Target(name)
 		w := route.Worker{
-			Name: name, QueuedTokens: load.waiting, Room: max(1, load.room), Running: load.Running, Speed: load.Speed,
-			Distance: distance(t.Domain == h.domain(view)),
+			Name: name, QueuedTokens: load.waiting, Room: max(1, load.room), Running: load.Running, Speed: float64(load.Speed),
+			Distance: distance(t.Domain == h.o.Domain),
 		}
 		if w.Speed == 0 {
 			w.Speed = t.Prefill()
@@ -257,10 +259,6 @@
 	return out, blockBytes
 }
 
-func (h *Home) domain(view *fleet.View) string {
-	return view.Boxes()[view.Self()].Domain
-}
-
 // Weights names loaded weights as load reports do.
 func Weights(s cache.Salt) string {
 	name := s.Model + "@" + s.WeightVersion
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -55,20 +55,30 @@
 	g.Expect(ok).To(gomega.BeFalse())
 	ready, total := l.holds([]string{"w", "v"}, "m@v1", start)
 	g.Expect([]int{ready, total}).To(gomega.Equal([]int{1, 1}))
-	g.Expect(l.set(workerLoad{Worker: "w", Age: time.Minute}, start)).To(gomega.BeFalse(), "an older report is passed over")
+	g.Expect(l.set(workerLoad{Worker: "w", AgeMillis: 60000}, start)).To(gomega.BeFalse(), "an older report is passed over")
 }
 
 func TestLoadsTellOnlyWhatChanged(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var mine, theirs loads
-	mine.setOwn(workerLoad{Worker: "w", Running: 3}, time.Now())
+	report := workerLoad{Worker: "w", Running: 3, Holds: []string{"m@v1"}}
+	mine.setOwn(report, time.Now())
 	raw, err := msgpack.Marshal(mine.Collect(false))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	theirs.Receive("peer", raw)
 	w, ok := theirs.load("w", 0, time.Now())
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(w.Running).To(gomega.Equal(3))
-	g.Expect(mine.Collect(false)).To(gomega.BeNil())
+	mine.setOwn(report, time.Now())
+	g.Expect(mine.Collect(false)).To(gomega.BeNil(), "nothing new")
+	report.Running = 4
+	mine.setOwn(report, time.Now())
+	raw, err = msgpack.Marshal(mine.Collect(false))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	theirs.Receive("peer", raw)
+	w, _ = theirs.load("w", 0, time.Now())
+	g.Expect(w.Running).To(gomega.Equal(4))
+	g.Expect(w.Holds).To(gomega.Equal([]string{"m@v1"}), "weights are told once")
 	g.Expect(mine.Collect(true)).To(gomega.HaveLen(1))
 	mine.disown("w")
 	g.Expect(mine.Collect(true)).To(gomega.BeNil())
--- a/core/home/links.go
+++ b/core/home/links.go
@@ -131,7 +131,7 @@
 	defer l.linksMu.Unlock()
 	st := l.known[store]
 	if s := l.sched[store]; s != nil {
-		st = linkState{store, s.link.Backlog(), s.rate}
+		st = linkState{Store: store, Backlog: s.link.Backlog(), Rate: s.rate}
 	}
 	if st.Rate == 0 {
 		st.Rate = def
@@ -147,7 +147,7 @@
 	for store, s := range l.sched {
 		if full || s.changed {
 			s.changed = s.changed && full
-			out = append(out, linkState{store, s.link.Backlog(), s.rate})
+			out = append(out, linkState{Store: store, Backlog: s.link.Backlog(), Rate: s.rate})
 		}
 	}
 	if len(out) == 0 {
--- a/core/home/loads.go
+++ b/core/home/loads.go
@@ -25,6 +25,10 @@
 	// fresh are the workers followed here whose report changed since the last
 	// heartbeat. Guarded by loadsMu.
 	fresh map[string]bool
+	// moved are those whose weights changed since, and told is when each was
+	// last told. Guarded by loadsMu.
+	moved map[string]bool
+	told  map[string]time.Time
 	// own are the workers followed here. Guarded by loadsMu.
 	own map[string]bool
 }
@@ -49,11 +53,15 @@
 	l.loadsMu.Lock()
 	defer l.loadsMu.Unlock()
 	l.init()
-	taken := now.Add(-w.Age)
-	if old, ok := l.reports[w.Worker]; ok && old.taken.After(taken) {
+	taken := now.Add(-time.Duration(w.AgeMillis) * time.Millisecond)
+	old, known := l.reports[w.Worker]
+	if known && old.taken.After(taken) {
 		return false
 	}
-	if _, known := l.reports[w.Worker]; !known {
+	if w.Holds == nil {
+		w.Holds = old.Holds
+	}
+	if !known {
 		l.forget(now)
 	}
 	l.reports[w.Worker] = report{w, taken}
@@ -83,15 +91,35 @@
 	if l.reports == nil {
 		l.reports, l.sent = map[string]report{}, map[string][]placed{}
 		l.failed, l.fresh, l.own = map[string]time.Time{}, map[string]bool{}, map[string]bool{}
+		l.moved, l.told = map[string]bool{}, map[string]time.Time{}
 	}
 }
 
 // setOwn records a report of a worker that is followed here.
 func (l *loads) setOwn(w workerLoad, now time.Time) {
+	l.loadsMu.Lock()
+	l.init()
+	old := l.reports[w.Worker]
+	l.loadsMu.Unlock()
 	l.set(w, now)
 	l.loadsMu.Lock()
 	defer l.loadsMu.Unlock()
-	l.fresh[w.Worker], l.own[w.Worker] = true, true
+	l.own[w.Worker] = true
+	if !slices.Equal(old.Holds, w.Holds) {
+		l.moved[w.Worker] = true
+	}
+	if !same(old.workerLoad, w) || now.Sub(l.told[w.Worker]) > tellAgain {
+		l.fresh[w.Worker] = true
+	}
+}
+
+// tellAgain is how often an unchanged report is told, well below staleAfter.
+const tellAgain = staleAfter / 4
+
+// same reports whether two reports say the same.
+func same(a, b workerLoad) bool {
+	return slices.Equal(a.Queued, b.Queued) && slices.Equal(a.Holds, b.Holds) && a.Running == b.Running &&
+		a.Free == b.Free && a.Total == b.Total && a.Speed == b.Speed && a.Loading == b.Loading
 }
 
 // disown records that a worker is no longer followed here.
@@ -100,6 +128,8 @@
 	defer l.loadsMu.Unlock()
 	delete(l.fresh, worker)
 	delete(l.own, worker)
+	delete(l.moved, worker)
+	delete(l.told, worker)
 }
 
 // place records that a request is on its way to a worker.
@@ -185,14 +215,22 @@
 	var out []workerLoad
 	now := time.Now()
 	for w := range l.own {
-		if full || l.fresh[w] {
-			r := l.reports[w]
-			r.Age = now.Sub(r.taken)
-			out = append(out, r.workerLoad)
+		if !full && !l.fresh[w] {
+			continue
+		}
+		r := l.reports[w]
+		r.AgeMillis = int(now.Sub(r.taken).Milliseconds())
+		if !full && !l.moved[w] {
+			r.Holds = nil
+		}
+		out = append(out, r.workerLoad)
+		if !full {
+			l.told[w] = now
 		}
 	}
 	if !full {
 		clear(l.fresh)
+		clear(l.moved)
 	}
 	if len(out) == 0 {
 		return nil
--- a/core/home/msgs.go
+++ b/core/home/msgs.go
@@ -110,24 +110,29 @@
 
 // workerLoad is what the follower of a worker tells its cell.
 type workerLoad struct {
-	Worker string `msgpack:"w"`
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Worker   string
 	// Queued is the waiting prompt tokens by priority, lowest first.
-	Queued     []int   `msgpack:"q"`
-	Running    int     `msgpack:"r"`
-	Free       int     `msgpack:"f"`
-	Total      int     `msgpack:"t"`
-	Speed      float64 `msgpack:"s"`
-	BlockBytes int     `msgpack:"k"`
-	Loading    bool    `msgpack:"l,omitempty"`
-	// Holds lists loaded weights as "model@version", with adapters after "+".
-	Holds []string `msgpack:"h"`
-	// Age is how old the report was when it was sent.
-	Age time.Duration `msgpack:"a"`
+	Queued     []int
+	Running    int
+	Free       int
+	Total      int
+	Speed      float32
+	BlockBytes int
+	Loading    bool
+	// Holds lists loaded weights as "model@version", with adapters after "+";
+	// nil says that they are as before.
+	Holds []string
+	// AgeMillis is how old the report was when it was sent.
+	AgeMillis int
 }
 
 // linkState is what the scheduler of a link tells its cell.
 type linkState struct {
-	Store   string  `msgpack:"s"`
-	Backlog int64   `msgpack:"b"`
-	Rate    float64 `msgpack:"r"`
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Store    string
+	Backlog  int64
+	Rate     float64
 }
--- a/core/once/shard.go
+++ b/core/once/shard.go
@@ -116,7 +116,7 @@
 }
 
 // dutyPause is the time between looks at whether the duty changed.
-const dutyPause = 200 * time.Millisecond
+const dutyPause = 500 * time.Millisecond
 
 // wait keeps the pace of writes; it reports whether there is one to make.
 func (s *shard) wait(ctx context.Context, last time.Time) bool {
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -30,11 +30,13 @@
 
 // state is the part of a heartbeat that tells what a daemon has in force.
 type state struct {
-	Seq    uint64 `msgpack:"s"`
-	Loaded bool   `msgpack:"l"`
-	// Age is how long ago the sequence was known to be the latest; negative
-	// if it never was.
-	Age time.Duration `msgpack:"a"`
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Seq      uint64
+	Loaded   bool
+	// AgeMillis is how long ago the sequence was known to be the latest;
+	// negative if it never was.
+	AgeMillis int
 }
 
 // DutyWatch names the duty of watching the service for a cell.
@@ -138,9 +140,9 @@
 
 // Collect returns what this daemon has in force.
 func (s *Spread) Collect(bool) any {
-	st := state{Seq: s.store.Snapshot().Seq(), Loaded: s.store.Loaded(), Age: -1}
+	st := state{Seq: s.store.Snapshot().Seq(), Loaded: s.store.Loaded(), AgeMillis: -1}
 	if at := s.store.Confirmed(); !at.IsZero() {
-		st.Age = time.Since(at)
+		st.AgeMillis = int(time.Since(at).Milliseconds())
 	}
 	return st
 }
@@ -159,8 +161,8 @@
 		s.moved = make(chan struct{})
 	}
 	s.statesMu.Unlock()
-	if st.Loaded && st.Age >= 0 {
-		s.store.Confirm(st.Seq, time.Now().Add(-st.Age))
+	if st.Loaded && st.AgeMillis >= 0 {
+		s.store.Confirm(st.Seq, time.Now().Add(-time.Duration(st.AgeMillis)*time.Millisecond))
 	}
 	if st.Loaded && (st.Seq > s.store.Snapshot().Seq() || !s.store.Loaded()) {
 		s.wakeUp()
--- a/core/target/client.go
+++ b/core/target/client.go
@@ -91,19 +91,21 @@
 // NewEngine returns a client of the engine at url.
 func NewEngine(url string, client *http.Client) *Engine { return &Engine{url, client} }
 
-// notesWait is how long the engine holds a request for cache events back when
-// it has none.
-const notesWait = 2 * time.Second
+// News is what an engine tells who follows it.
+type News struct {
+	Events []cache.Note `json:"events"`
+	Load   Load         `json:"load"`
+}
 
-// CacheNotes waits for cache events after seq.
-func (e *Engine) CacheNotes(ctx context.Context, seq uint64) ([]cache.Note, error) {
-	ctx, cancel := context.WithTimeout(ctx, notesWait+callLimit)
+// News gathers cache events after seq for the given time and returns them with
+// the load. One call for both, and for many events, is most of what keeps
+// following cheap.
+func (e *Engine) News(ctx context.Context, seq uint64, gather time.Duration) (News, error) {
+	ctx, cancel := context.WithTimeout(ctx, gather+callLimit)
 	defer cancel()
-	var body struct {
-		Events []cache.Note `json:"events"`
-	}
-	path := "/v1/cache/events?after=" + strconv.FormatUint(seq, 10) + "&waitMillis=" + strconv.FormatInt(notesWait.Milliseconds(), 10)
-	return body.Events, e.do(ctx, http.MethodGet, path, nil, &body)
+	var n News
+	path := "/v1/cache/events?after=" + strconv.FormatUint(seq, 10) + "&gatherMillis=" + strconv.FormatInt(gather.Milliseconds(), 10)
+	return n, e.do(ctx, http.MethodGet, path, nil, &n)
 }
 
 // callLimit bounds short calls of targets.
@@ -141,14 +143,6 @@
 	Loading                bool      `json:"loading,omitempty"`
 }
 
-// Load reads the engine's report.
-func (e *Engine) Load(ctx context.Context) (Load, error) {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	var l Load
-	return l, e.do(ctx, http.MethodGet, "/v1/load", nil, &l)
-}
-
 // Staged says what an engine read from a store. Nothing of it is used until a
 // request names it.
 type Staged struct {
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,7 +74,7 @@
 	if err := d.readKeys(); err != nil {
 		return nil, err
 	}
-	incarnation := uuid.NewString()
+	incarnation := newIncarnation()
 	platform := plat.NewClient(&d.platformMeter)
 	d.kv = plat.NewKV(set.Platform.KeyValue, platform)
 	d.store = conf.NewStore(d.log)
@@ -88,6 +89,12 @@
 	return d, nil
 }
 
+// newIncarnation names this run of the daemon.
+func newIncarnation() string {
+	const digits = 12
+	return strings.ReplaceAll(uuid.NewString(), "-", "")[:digits]
+}
+
 func (d *Daemon) readKeys() error {
 	for _, k := range []struct {
 		into  **keys
@@ -108,7 +115,7 @@
 
 func (d *Daemon) fleetOptions(incarnation string, platform *http.Client) fleet.Options {
 	o := fleet.Options{
-		Name: d.set.Name, Domain: d.set.Domain, Incarnation: incarnation, Heartbeat: d.set.Peers.Heartbeat,
+		Name: d.set.Name, Incarnation: incarnation, Heartbeat: d.set.Peers.Heartbeat,
 		Suspect: d.set.Peers.Suspect, BoxPause: d.set.Platform.BoxPause, Log: d.log,
 	}
 	for _, s := range d.set.Peers.Seeds {
@@ -130,6 +137,7 @@
 	control := &http.Client{Transport: following}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	d.home = home.New(home.Options{
+		Domain:    d.set.Domain,
 		Placement: route.Placement(d.set.Placement), Conf: d.store, Fleet: d.fleet, Log: d.log,
 		Client: control, LoadPause: d.set.Limits.LoadPause,
 	})
@@ -301,7 +309,7 @@
 }
 
 // readyPause is the time between looks at readiness.
-const readyPause = 100 * time.Millisecond
+const readyPause = 250 * time.Millisecond
 
 // loop records when readiness changes.
 func (d *Daemon) loop(ctx context.Context) {
--- a/emberd/internal/daemon/main.go
+++ b/emberd/internal/daemon/main.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -60,7 +61,13 @@
 	return exitOK
 }
 
+// collectAt is how much the heap grows before it is collected, in percent. A
+// daemon holds little and may use 32 MB (users' letter 1), so memory counts
+// more than the time of collecting.
+const collectAt = 50
+
 func runDaemon(path string) int {
+	debug.SetGCPercent(collectAt)
 	set, err := ReadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "emberd:", err)
--- a/embfake/fake/blocks.go
+++ b/embfake/fake/blocks.go
@@ -42,12 +42,11 @@
 	clock  uint64
 	seq    uint64
 	notes  []timedNote
-	moved  chan struct{}
 }
 
 func (b *blockCache) init(room int, lag time.Duration) {
 	b.room, b.lag = room, lag
-	b.blocks, b.moved = map[cache.Hash]*cached{}, make(chan struct{})
+	b.blocks = map[cache.Hash]*cached{}
 }
 
 // held returns how many first blocks of a chain are cached.
@@ -78,7 +77,7 @@
 		return
 	}
 	b.clock++
-	run := cache.Run{Parent: parent}
+	run := cache.Run{Parent: parent.Short()}
 	for _, c := range list {
 		if b.blocks[c.Hash] == nil {
 			b.blocks[c.Hash] = &cached{parent: parent, content: c.Content, used: b.clock}
@@ -87,7 +86,7 @@
 			}
 		}
 		b.blocks[c.Hash].used = b.clock
-		run.Blocks = append(run.Blocks, c.Hash)
+		run.Blocks = append(run.Blocks, c.Hash.Short())
 		parent = c.Hash
 	}
 	b.note(cache.Note{Stored: &run})
@@ -132,7 +131,7 @@
 		}
 	}
 	if len(gone) > 0 {
-		b.note(cache.Note{Removed: gone})
+		b.note(cache.Note{Removed: cache.Shorts(gone)})
 	}
 }
 
@@ -146,59 +145,45 @@
 	if len(b.notes) > keptNotes {
 		b.notes = append([]timedNote(nil), b.notes[len(b.notes)-keptNotes/2:]...)
 	}
-	close(b.moved)
-	b.moved = make(chan struct{})
 }
 
-// after returns the events after seq that show by now, and when the next one
-// does.
-func (b *blockCache) after(seq uint64, now time.Time) (out []cache.Note, next time.Time) {
+// after returns the events after seq that show by now.
+func (b *blockCache) after(seq uint64, now time.Time) []cache.Note {
+	var out []cache.Note
 	for _, n := range b.notes {
-		if n.Seq <= seq {
-			continue
-		}
 		if n.shown.After(now) {
-			return out, n.shown
+			break
+		}
+		if n.Seq > seq {
+			out = append(out, n.Note)
 		}
-		out = append(out, n.Note)
 	}
-	return out, time.Time{}
+	return out
 }
 
-func (e *Engine) events(c echo.Context) error {
+// news answers, after the time of gathering, with the events that show by then
+// and the load.
+func (e *Engine) news(c echo.Context) error {
 	after, err1 := strconv.ParseUint(c.QueryParam("after"), 10, 64)
-	wait, err2 := strconv.Atoi(c.QueryParam("waitMillis"))
+	gather, err2 := strconv.Atoi(c.QueryParam("gatherMillis"))
 	if err1 != nil || err2 != nil {
-		return c.String(http.StatusBadRequest, "after and waitMillis must be numbers\n")
+		return c.String(http.StatusBadRequest, "after and gatherMillis must be numbers\n")
 	}
-	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
-	var body struct {
-		Events []cache.Note `json:"events"`
-	}
-	for {
-		e.engineMu.Lock()
-		list, next := e.cache.after(after, time.Now())
-		moved := e.cache.moved
-		e.engineMu.Unlock()
-		if len(list) > 0 || time.Now().After(end) {
-			for _, n := range list {
-				if !e.Take(DropEvents) {
-					body.Events = append(body.Events, n)
-				}
-			}
-			return c.JSON(http.StatusOK, body)
-		}
-		until := end
-		if !next.IsZero() && next.Before(end) {
-			until = next
-		}
-		select {
-		case <-moved:
-		case <-time.After(time.Until(until)):
-		case <-c.Request().Context().Done():
-			return nil
+	select {
+	case <-time.After(time.Duration(gather) * time.Millisecond):
+	case <-c.Request().Context().Done():
+		return nil
+	}
+	e.engineMu.Lock()
+	list := e.cache.after(after, time.Now())
+	out := target.News{Load: e.report}
+	e.engineMu.Unlock()
+	for _, n := range list {
+		if !e.Take(DropEvents) {
+			out.Events = append(out.Events, n)
 		}
 	}
+	return c.JSON(http.StatusOK, out)
 }
 
 func (e *Engine) contents(c echo.Context) error {
@@ -217,8 +202,8 @@
 func (b *blockCache) chainTo(h cache.Hash) cache.Run {
 	var run cache.Run
 	for c := b.blocks[h]; c != nil; c = b.blocks[h] {
-		run.Blocks = append(run.Blocks, h)
-		run.Parent, h = c.parent, c.parent
+		run.Blocks = append(run.Blocks, h.Short())
+		run.Parent, h = c.parent.Short(), c.parent
 	}
 	slices.Reverse(run.Blocks)
 	return run
--- a/embfake/fake/engine.go
+++ b/embfake/fake/engine.go
@@ -120,8 +120,7 @@
 		r.POST("/v1/completions", e.complete)
 		r.GET("/v1/streams/:id", e.resume)
 		r.DELETE("/v1/streams/:id", e.cancelStream)
-		r.GET("/v1/load", e.load)
-		r.GET("/v1/cache/events", e.events)
+		r.GET("/v1/cache/events", e.news)
 		r.GET("/v1/cache/contents", e.contents)
 		r.POST("/v1/cache/import", e.importBlocks)
 		r.POST("/v1/cache/commit", e.commit)
@@ -236,13 +235,6 @@
 	}
 }
 
-func (e *Engine) load(c echo.Context) error {
-	e.engineMu.Lock()
-	l := e.report
-	e.engineMu.Unlock()
-	return c.JSON(http.StatusOK, l)
-}
-
 // holds reports whether weights are loaded; the caller holds engineMu.
 func (e *Engine) holds(model, version, adapter string) bool {
 	for _, w := range e.weights {
