Sharper proofs: contents of blocks know their weights, a lasting answer

Cause: two promises were broken by hand and their stories passed. Under a salt without the weight version, the first request after a swap missed the engine that held the old blocks; and a drain that ended at once was covered by the listener's own five seconds.

After: a block's content names the weights that computed it, twelve requests follow a swap, and an answer of seven seconds runs across the restart.

--- a/embfake/fake/blocks.go
+++ b/embfake/fake/blocks.go
@@ -16,8 +16,9 @@
 	"embertally.dev/core/target"
 )
 
-// contentOf is what a block with the hash must contain.
-func contentOf(h cache.Hash) string { return "kv of " + h.String() }
+// contentOf is what a block with the hash contains that was computed with the
+// weights of a version.
+func contentOf(h cache.Hash, version string) string { return "kv of " + h.String() + " under " + version }
 
 // cached is one block in an engine's cache.
 type cached struct {
@@ -59,9 +60,10 @@
 	return len(chain)
 }
 
-// spoiled reports whether any block's content is not that of its hash.
-func (b *blockCache) spoiled(chain []cache.Hash) bool {
-	return slices.ContainsFunc(chain, func(h cache.Hash) bool { return b.blocks[h].content != contentOf(h) })
+// spoiled reports whether any block's content is not that of its hash under the
+// weights.
+func (b *blockCache) spoiled(chain []cache.Hash, version string) bool {
+	return slices.ContainsFunc(chain, func(h cache.Hash) bool { return b.blocks[h].content != contentOf(h, version) })
 }
 
 func (b *blockCache) use(chain []cache.Hash) {
--- a/embfake/fake/engine.go
+++ b/embfake/fake/engine.go
@@ -173,7 +173,7 @@
 		chain := cache.Chain(seed, strings.Repeat(fmt.Sprintf("%08d", n), churnBlocks*cache.BlockBytes/8))
 		list := make([]carried, len(chain))
 		for i, h := range chain {
-			list[i] = carried{target.Block{Hash: h}, contentOf(h)}
+			list[i] = carried{target.Block{Hash: h}, contentOf(h, "")}
 		}
 		e.engineMu.Lock()
 		e.cache.add(seed, list)
@@ -328,11 +328,11 @@
 	e.engineMu.Lock()
 	defer e.engineMu.Unlock()
 	held := e.cache.held(s.chain)
-	s.spoiled = e.cache.spoiled(s.chain[:held])
+	s.spoiled = e.cache.spoiled(s.chain[:held], s.version)
 	s.cached = min(held*cache.BlockTokens, cache.Tokens(len(s.prompt.Prompt))-1)
 	fresh := make([]carried, 0, len(s.chain)-held)
 	for _, h := range s.chain[held:] {
-		fresh = append(fresh, carried{target.Block{Hash: h}, contentOf(h)})
+		fresh = append(fresh, carried{target.Block{Hash: h}, contentOf(h, s.version)})
 	}
 	e.cache.use(s.chain[:held])
 	e.cache.add(parentOf(s.chain, held), fresh)
--- a/embplay/prove/story_blocks_test.go
+++ b/embplay/prove/story_blocks_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -201,6 +202,10 @@
 		}
 		Expect(first).NotTo(BeNil())
 		Expect(first.Cached).To(BeZero(), "kept blocks of v1 are not used under v2")
+		for n := range 12 {
+			again := fmt.Sprintf("%sAnd question %d?", prompt, n)
+			expectWhole(r.ask(n%len(r.procs), orgOne, again, 4), "v2", again, 4)
+		}
 		r.unspoiled()
 	})
 
--- a/embplay/prove/story_stops_test.go
+++ b/embplay/prove/story_stops_test.go
@@ -11,6 +11,7 @@
 
 	"embertally.dev/core/plat"
 	"embertally.dev/embfake/fake"
+	"embertally.dev/embplay/internal/play"
 )
 
 var _ = Describe("Promise 7: a leaving target gets no new work", func() {
@@ -69,6 +70,11 @@
 	It("restarts all daemons one after the other under load without a failed request", func() {
 		r := site(nil)
 		l := r.load(1)
+		// Longer than the closing of a listener waits by itself.
+		const long = 1500
+		lasting := make(chan play.Reply, 1)
+		go func() { lasting <- r.ask(0, orgOne, "a lasting answer", long) }()
+		Eventually(func() int { return r.running(r.procs[0]) }).Should(BeNumerically(">", 0))
 		for i, p := range r.procs {
 			p.signal(syscall.SIGTERM)
 			Eventually(func() string { return r.notReady(p) }).ShouldNot(BeEmpty())
@@ -79,6 +85,7 @@
 			l.leaveOut(i, false)
 		}
 		l.end()
+		expectWhole(<-lasting, "v1", "a lasting answer", long)
 		Expect(len(l.asks)).To(BeNumerically(">", 20))
 		for _, a := range l.asks {
 			Expect(a.reply.Err).NotTo(HaveOccurred())
@@ -92,6 +99,17 @@
 	})
 })
 
+// running returns how many requests a daemon has in hand.
+func (r *rig) running(p *proc) int {
+	var st struct {
+		Running int `json:"running"`
+	}
+	if _, err := r.operate(p, http.MethodGet, "/v1/status", nil, &st); err != nil {
+		return 0
+	}
+	return st.Running
+}
+
 // notReady returns why a daemon takes no requests, as its own health page says.
 func (r *rig) notReady(p *proc) string {
 	resp, err := r.caller.HTTP().Get(p.Operators + "/readyz")
