--- a/core/home/home.go
+++ b/core/home/home.go
@@ -188,7 +188,7 @@
 	pos := h.index.Find(root.Short(), shorts)
 	found := h.look(ctx, snap, view, a, root, &pos)
 	workers, blockBytes := h.candidates(snap, view, a, pos, now)
-	d := route.Place(h.o.Placement, h.request(a, root), workers, h.kept(snap, pos, blockBytes, now))
+	d := route.Place(h.o.Placement, h.request(a, root), workers, h.kept(snap, pos, blockBytes))
 	ans := Answer{
 		Verdict: d.Verdict, Worker: d.Chosen.Worker, Expected: d.Chosen.Expected,
 		RetryAfter: d.RetryAfter, Weighed: d.Weighed, Home: view.Self(),
--- a/core/home/move.go
+++ b/core/home/move.go
@@ -104,7 +104,7 @@
 const storeLatency = 3 * time.Millisecond
 
 // kept returns what the stores keep in the form that decisions need.
-func (h *Home) kept(snap *conf.Snapshot, pos cache.Position, blockBytes int64, _ time.Time) []route.Kept {
+func (h *Home) kept(snap *conf.Snapshot, pos cache.Position, blockBytes int64) []route.Kept {
 	var out []route.Kept
 	for _, k := range pos.Keepings {
 		t := snap.Target(k.Store)
--- a/core/plat/kv.go
+++ b/core/plat/kv.go
@@ -54,7 +54,7 @@
 	Puts     []Put
 	// Deletes are single keys.
 	Deletes []string
-	// DeletePrefixTo removes the half-open key range given, when set.
+	// DeleteRange removes a range of keys, when set.
 	DeleteRange *Span
 }
 
--- a/embfake/fake/blocks.go
+++ b/embfake/fake/blocks.go
@@ -18,7 +18,9 @@
 
 // contentOf is what a block with the hash contains that was computed with the
 // weights of a version.
-func contentOf(h cache.Hash, version string) string { return "kv of " + h.String() + " under " + version }
+func contentOf(h cache.Hash, version string) string {
+	return "kv of " + h.String() + " under " + version
+}
 
 // cached is one block in an engine's cache.
 type cached struct {
--- a/embfake/fake/fault.go
+++ b/embfake/fake/fault.go
@@ -89,17 +89,17 @@
 }
 
 // guard applies the latency and the faults that every stand-in has.
-func (f *Server) guard(next echo.HandlerFunc) echo.HandlerFunc {
+func (s *Server) guard(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if c.Path() == faultPath {
 			return next(c)
 		}
-		if down := f.Value(Down); down > 1 {
+		if down := s.Value(Down); down > 1 {
 			return hangUp(c)
 		} else if down > 0 {
 			return c.String(http.StatusServiceUnavailable, "down\n")
 		}
-		if wait := f.latency + time.Duration(f.Value(Slow))*time.Millisecond; wait > 0 {
+		if wait := s.latency + time.Duration(s.Value(Slow))*time.Millisecond; wait > 0 {
 			select {
 			case <-time.After(wait):
 			case <-c.Request().Context().Done():
--- a/embplay/internal/play/trace.go
+++ b/embplay/internal/play/trace.go
@@ -109,9 +109,6 @@
 	lateSeconds float64
 }
 
-// clauseBytes is about the length of one clause of a contract.
-const clauseBytes = 94
-
 var shapes = map[string]shape{
 	fake.Abonamente: {
 		review: 12, desk: 24, pay: 4, look: 3, contexts: 90, minClauses: 130, maxClauses: 500,
@@ -185,9 +182,9 @@
 }
 
 // spread adds events at random times with a mean rate.
-func (t *tracer) spread(secs, rate float64, make func(at float64) Event) {
+func (t *tracer) spread(secs, rate float64, next func(at float64) Event) {
 	for at := t.rnd.ExpFloat64() / rate; at < secs; at += t.rnd.ExpFloat64() / rate {
-		t.trace.Events = append(t.trace.Events, make(at))
+		t.trace.Events = append(t.trace.Events, next(at))
 	}
 }
 
--- a/embplay/prove/prove_test.go
+++ b/embplay/prove/prove_test.go
@@ -48,18 +48,6 @@
 	}
 }
 
-func newSmall(t *testing.T) *rig {
-	t.Helper()
-	r, err := newRig(t.TempDir(), small())
-	if r != nil {
-		t.Cleanup(r.close)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	return r
-}
-
 // TestProve runs the seeded schedule of all faults under load. It is for make
 // prove; make test runs the stories.
 func TestProve(t *testing.T) {
--- a/embplay/prove/rig_test.go
+++ b/embplay/prove/rig_test.go
@@ -167,12 +167,6 @@
 func (p *proc) freeze() { p.signal(syscall.SIGSTOP) }
 func (p *proc) wake()   { p.signal(syscall.SIGCONT) }
 
-// stop stops a daemon as planned.
-func (p *proc) stop() error {
-	p.signal(syscall.SIGTERM)
-	return p.end()
-}
-
 // close ends everything.
 func (r *rig) close() {
 	for _, p := range r.procs {
