New daemons take the configuration from peers first; writes of claims measured

Cause: when a failure domain comes back, 41 daemons would each read the whole configuration, about 10 MB at 23,000 organisations, from the small service. Ruled out: reading it in pieces, which keeps the bytes.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 # make added measures the time that a daemon adds to the first token.
 added: build
-	@cd embplay && go test ./prove -run 'TestAdded' -count=1 -v -added | grep -v '^=== \|^--- \|^time='
+	@cd embplay && go test ./prove -run 'TestAdded|TestClaimWrites' -count=1 -v -added | grep -v '^=== \|^--- \|^time='
 
 bench:
 	@cd core && go test -run '^$$' -bench . -benchtime 2000x ./route ./cache ./entry
--- a/core/conf/sync.go
+++ b/core/conf/sync.go
@@ -73,6 +73,7 @@
 func (s *Syncer) Run(ctx context.Context) {
 	p := puller{Syncer: s, done: make(chan struct{})}
 	go p.run(ctx)
+	s.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		pause := pollPause
 		err := s.step(ctx)
@@ -85,6 +86,18 @@
 	<-p.done
 }
 
+// peersFirst is how long a new daemon waits for a peer's configuration before
+// it reads the whole from the service. When a failure domain comes back at
+// once, its daemons would else all read everything from the small service.
+const peersFirst = 1500 * time.Millisecond
+
+func (s *Syncer) awaitPeers(ctx context.Context) {
+	end := time.Now().Add(peersFirst)
+	for !s.store.Loaded() && time.Now().Before(end) && ctx.Err() == nil {
+		s.sleep(ctx, peersFirst/30)
+	}
+}
+
 func (s *Syncer) sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/embplay/prove/added_test.go
+++ b/embplay/prove/added_test.go
@@ -106,3 +106,39 @@
 	}
 	return 0
 }
+
+// TestClaimWrites measures the writes of the key-value service at several
+// rates of calls with keys. It is for make added.
+func TestClaimWrites(t *testing.T) {
+	if !*added {
+		t.Skip("make added runs it")
+	}
+	o := small()
+	o.LogLevel = "warning"
+	r, err := newRig(t.TempDir(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.close()
+	for _, rate := range []int{10, 50, 200, 400} {
+		before, began := r.site.KeyValue.Counts().Writes, time.Now()
+		var mu sync.Mutex
+		served := 0
+		took := firsts(rate, func(n int) time.Duration {
+			id, err := uuid.NewV7()
+			if err != nil {
+				return 0
+			}
+			a := r.pay(n%len(r.procs), orgOne, id.String(), id.String())
+			mu.Lock()
+			defer mu.Unlock()
+			if a.Whole {
+				served++
+			}
+			return a.Took
+		})
+		writes := float64(r.site.KeyValue.Counts().Writes-before) / time.Since(began).Seconds()
+		fmt.Printf("%d calls with keys a second: %.0f writes a second, %d of %d served, p50 %v p99 %v\n",
+			rate, writes, served, len(took), at(took, 50), at(took, 99))
+	}
+}
