Stories that could fail without a fault are made sound

After: calls are led elsewhere like prompts, and the home counts what it knows. No check is loosened.

--- a/core/home/duty.go
+++ b/core/home/duty.go
@@ -132,7 +132,6 @@
 	for home, ms := range h.byHome(list) {
 		h.tell(home, kindLost, &marks{worker, ms})
 	}
-	h.stats.CacheLosses.Add(int64(len(list)))
 }
 
 // Resynced tells every daemon of the cell what a worker holds now.
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -64,7 +64,7 @@
 	Placed, Imports, ImportedBlocks, ImportsRejected atomic.Int64
 	Exports, ExportedBlocks, ExportsFailed           atomic.Int64
 	LinkBytes                                        atomic.Int64
-	// CacheLosses counts the contexts of which a followed worker lost blocks.
+	// CacheLosses counts the contexts at home here of which a worker lost blocks.
 	CacheLosses atomic.Int64
 }
 
@@ -343,6 +343,7 @@
 // lost takes what a worker no longer holds.
 func (h *Home) lost(_ context.Context, _ string, m *marks) (struct{}, error) {
 	h.index.Lose(m.Worker, m.Marks)
+	h.stats.CacheLosses.Add(int64(len(m.Marks)))
 	return struct{}{}, nil
 }
 
@@ -363,9 +364,9 @@
 	case name != h.o.Fleet.View().Self():
 		_ = h.o.Fleet.Notify(ctx, name, kind, m)
 	case kind == kindLost:
-		h.index.Lose(m.Worker, m.Marks)
+		_, _ = h.lost(ctx, name, m)
 	default:
-		h.index.Resync(m.Worker, m.Marks)
+		_, _ = h.resynced(ctx, name, m)
 	}
 }
 
--- a/emberd/internal/daemon/vars.go
+++ b/emberd/internal/daemon/vars.go
@@ -44,7 +44,7 @@
 	{"exportedBlocks", "Blocks written to stores.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().ExportedBlocks })},
 	{"exportsFailed", "Exports that did not finish.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().ExportsFailed })},
 	{"linkBytes", "Bytes moved over the links to stores for this daemon.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().LinkBytes })},
-	{"cacheLosses", "Contexts of which a worker followed here lost blocks.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().CacheLosses })},
+	{"cacheLosses", "Contexts whose home is here of which a worker lost blocks.", counter(func(d *Daemon) *atomic.Int64 { return &d.home.Stats().CacheLosses })},
 	{"contexts", "Contexts whose home is here.", func(d *Daemon) any { return d.home.Contexts() }},
 	{"claimWrites", "Batches of claims committed.", func(d *Daemon) any { return d.once.Writes() }},
 	{"claimShards", "Shards of claims owned here.", func(d *Daemon) any { return d.once.Owned() }},
--- a/embplay/prove/load_test.go
+++ b/embplay/prove/load_test.go
@@ -192,13 +192,22 @@
 	})
 }
 
+// try sends a call through one daemon, or through the next where the balancer
+// leads elsewhere.
 func (l *load) try(c *called) play.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	box := l.rig.procs[l.box()]
 	body := []byte(`{"mark":"` + c.mark + `"}`)
-	return l.rig.caller.Call(ctx, box.Callers, l.rig.site.File.CallerKeys[c.organisation], http.MethodPost,
-		"/services/"+fake.SiteService+"/renewals", c.key, body)
+	var r play.Reply
+	for range 3 {
+		box := l.rig.procs[l.box()]
+		r = l.rig.caller.Call(ctx, box.Callers, l.rig.site.File.CallerKeys[c.organisation], http.MethodPost,
+			"/services/"+fake.SiteService+"/renewals", c.key, body)
+		if !elsewhere(&r) {
+			break
+		}
+	}
+	return r
 }
 
 // runsByMark returns the runs at the targets by the mark in their bodies.
