Full heartbeats are acknowledged; claims outlive a change of owner

A restarted daemon refused a request as having no worker: its peers' full heartbeat went into the connection of the former process, and the ones after it left the weights out. A claim was refused because the shard changed hands while it waited. A story called a daemon that had just woken and was not ready.

After: a peer goes on sending full heartbeats until one is acknowledged, a claim asks the next owner and is granted to its own attempt, and the story waits for the daemon. TestClaimOutlivesAChangeOfOwner failed before with unavailable.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -94,8 +94,11 @@
 	incarnation string
 	draining    bool
 	alive       bool
-	// sent is the incarnation that got a full heartbeat of this daemon.
-	sent string
+	// full is the incarnation of the peer that a full heartbeat was taken from.
+	full string
+	// acknowledged is this daemon's incarnation of which the peer says that it
+	// has taken a full heartbeat.
+	acknowledged string
 	// beats counts the heartbeats sent since the last full one.
 	beats int
 }
@@ -108,7 +111,12 @@
 	_msgpack    struct{} `msgpack:",as_array"`
 	Incarnation string
 	Draining    bool
-	Parts       []beatPart
+	// Full tells that the parts say everything, not only what changed.
+	Full bool
+	// Taken is the receiver's incarnation of which the sender has taken a full
+	// heartbeat; without it the receiver goes on sending full ones.
+	Taken string
+	Parts []beatPart
 }
 
 type beatPart struct {
@@ -262,35 +270,39 @@
 			continue
 		}
 		msg := &part
-		if f.wantsFull(p) {
+		wantsFull, taken := f.wantsFull(p)
+		if wantsFull {
 			msg = &full
 		}
 		if *msg == nil {
-			*msg = f.collect(msg == &full)
+			*msg = f.collect(wantsFull)
 		}
-		go sender{f, p, *msg}.run(ctx)
+		own := **msg
+		own.Taken = taken
+		go sender{f, p, &own}.run(ctx)
 	}
 }
 
-// wantsFull reports whether the peer's next heartbeat is a full one.
-func (f *Fleet) wantsFull(p Peer) bool {
+// wantsFull reports whether the peer's next heartbeat is a full one, and which
+// incarnation of the peer a full one was taken from.
+func (f *Fleet) wantsFull(p Peer) (full bool, taken string) {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
 	h := f.heard[p.Name]
 	if h == nil {
-		return true
+		return true, ""
 	}
 	h.beats++
-	if h.sent == h.incarnation && h.beats < fullEvery {
-		return false
+	if h.acknowledged == f.o.Incarnation && h.beats < fullEvery {
+		return false, h.full
 	}
-	h.sent, h.beats = h.incarnation, 0
-	return true
+	h.beats = 0
+	return true, h.full
 }
 
 func (f *Fleet) collect(full bool) *beat {
 	f.fleetMu.Lock()
-	b := &beat{Incarnation: f.o.Incarnation, Draining: f.draining}
+	b := &beat{Incarnation: f.o.Incarnation, Draining: f.draining, Full: full}
 	f.fleetMu.Unlock()
 	for _, p := range f.parts {
 		v := p.part.Collect(full)
@@ -315,18 +327,8 @@
 func (s sender) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, sendLimit)
 	defer cancel()
-	if err := s.f.link(s.peer).Notify(ctx, kindBeat, s.msg); err != nil {
-		s.f.missed(s.peer.Name)
-	}
-}
-
-// missed makes the next heartbeat to a peer a full one.
-func (f *Fleet) missed(name string) {
-	f.fleetMu.Lock()
-	defer f.fleetMu.Unlock()
-	if h := f.heard[name]; h != nil {
-		h.sent = ""
-	}
+	// A heartbeat that is lost is made up for by the next.
+	_ = s.f.link(s.peer).Notify(ctx, kindBeat, s.msg)
 }
 
 // receive takes a heartbeat.
@@ -358,7 +360,10 @@
 	}
 	changed := !h.alive || h.incarnation != b.Incarnation || h.draining != b.Draining
 	h.at, h.alive = now, true
-	h.incarnation, h.draining = b.Incarnation, b.Draining
+	h.incarnation, h.draining, h.acknowledged = b.Incarnation, b.Draining, b.Taken
+	if b.Full {
+		h.full = b.Incarnation
+	}
 	return changed
 }
 
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -207,7 +207,7 @@
 }
 
 // askOwner asks until a daemon that owns the shard answers. Asking again is
-// safe: a claim that was committed for this attempt reads as running.
+// safe: the claim of one attempt is granted to this asker alone.
 func (c *Once) askOwner(ctx context.Context, m *Claim) Answer {
 	for {
 		ans, err := c.ask(ctx, m)
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -199,6 +199,29 @@
 	g.Expect(ans.State).To(gomega.Equal(Granted))
 }
 
+// A shard that changes hands while a claim waits answers it all the same.
+func TestClaimOutlivesAChangeOfOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMesh(&memkv.KV{}, "a", "b")
+	for _, n := range m.nodes {
+		n.limit = 20 * time.Second
+	}
+	m.start(t)
+	const claims = 40
+	states := make(chan State, claims)
+	for i := range claims {
+		id, at := v7(t)
+		go func() {
+			_, ans := m.nodes["b"].Claim(context.Background(), NewKey("org", "pay", id), at, 1)
+			states <- ans.State
+		}()
+		m.believe([]string{"a", "b"}[i/10%2])
+	}
+	for range claims {
+		g.Eventually(states, "30s").Should(gomega.Receive(gomega.Equal(Granted)))
+	}
+}
+
 func TestKeyTime(t *testing.T) {
 	now, nowAt := v7(t)
 	tests := []struct {
--- a/core/once/shard.go
+++ b/core/once/shard.go
@@ -257,10 +257,12 @@
 		if ok {
 			return Answer{State: Granted}
 		}
+		// The shard has passed to another, who knows whether it is committed.
+		return Answer{State: notOwner}
 	case <-ctx.Done():
+		s.settle(&settle{Key: c.Key, Attempt: c.Attempt, End: endNotRun})
+		return Answer{State: Unavailable}
 	}
-	s.settle(&settle{Key: c.Key, Attempt: c.Attempt, End: endNotRun})
-	return Answer{State: Unavailable}
 }
 
 func (s *shard) enqueue(c *Claim) (chan bool, Answer) {
--- a/core/once/table.go
+++ b/core/once/table.go
@@ -62,7 +62,9 @@
 	t.kept += len(c.outcome.Body)
 }
 
-// check returns what becomes of a claim, or "" if it can be committed.
+// check returns what becomes of a claim, or "" if it can be committed. An
+// attempt that is committed already is granted: nobody but its asker asks for
+// it, and it asks until it is answered once.
 // running tells whether an asker's incarnation is alive.
 func (t *table) check(c *Claim, now time.Time, window time.Duration, running func(asker, incarnation string) bool) Answer {
 	at := time.UnixMilli(c.KeyMillis)
@@ -77,6 +79,9 @@
 		return Answer{}
 	}
 	switch {
+	case old.attempt == c.Attempt && old.end == 0 && old.committed:
+		// The asker was not answered when it asked a former owner.
+		return Answer{State: Granted}
 	case old.print != c.Print:
 		return Answer{State: Mismatch}
 	case old.end == endRan:
--- a/embplay/prove/story_once_test.go
+++ b/embplay/prove/story_once_test.go
@@ -79,6 +79,7 @@
 		for _, tc := range tests {
 			key, mark := newKey(), uuid.NewString()
 			var wg sync.WaitGroup
+			Expect(r.ready(r.procs[0])).To(Succeed(), tc.name)
 			granted := r.events(codeClaimGranted)
 			wg.Go(func() {
 				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
