A daemon that has just started does not decide as a home

Peers hear a new daemon's heartbeats, and ask it as the home of contexts, before it knows any load; it said that there was no worker. Ruled out: keeping it off duty until it is warm, since where all start at once nobody would follow the workers.

After: it answers with an error, and the next in rank decides. The test failed before with the verdict noWorker.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -178,10 +178,16 @@
 	_ = h.o.Fleet.Notify(ctx, home, kindDone, d)
 }
 
+var errNotWarm = errors.New("the daemon has not heard of all workers yet")
+
 // place decides about a request whose context is at home here.
 func (h *Home) place(ctx context.Context, _ string, a *Ask) (Answer, error) {
-	if len(a.Chain) > maxChain {
+	switch {
+	case len(a.Chain) > maxChain:
 		return Answer{}, errors.New("chain is too long")
+	case !h.Warm():
+		// The asker goes to the next daemon, which knows the workers.
+		return Answer{}, errNotWarm
 	}
 	snap, view, now := h.o.Conf.Snapshot(), h.o.Fleet.View(), time.Now()
 	root, shorts := a.Root(), cache.Shorts(a.Chain)
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,6 +12,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/conf"
+	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/route"
 	"embertally.dev/core/target"
 )
 
@@ -160,3 +165,24 @@
 		gomega.NewWithT(t).Expect([]any{got, ok}).To(gomega.Equal([]any{tc.want, tc.ok}), tc.held)
 	}
 }
+
+// A daemon that has just started is known to its peers before it knows the
+// workers; it must not say that there are none.
+func TestNewHomeDoesNotDecide(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := fleet.New(fleet.Options{Name: "me", Log: &event.Log{}})
+	store := conf.NewStore(&event.Log{})
+	spec := func(s string) json.RawMessage { return json.RawMessage(s) }
+	store.Replace(conf.Full{Seq: 2, Resources: []conf.Change{
+		{Seq: 1, Kind: conf.KindDeployment, Name: "d", Spec: spec(`{"model":"m","weightVersion":"v1"}`)},
+		{Seq: 2, Kind: conf.KindTarget, Name: "w", Spec: spec(`{"type":"engine","url":"http://127.0.0.1:1","deployments":["d"]}`)},
+	}})
+	h := New(Options{Placement: route.Returning, Conf: store, Fleet: f, Log: &event.Log{}})
+	ask := &Ask{Deployment: "d", Salt: cache.Salt{Organisation: "o", Model: "m", WeightVersion: "v1"}, Tokens: 10}
+	_, err := h.Place(context.Background(), f.View(), ask)
+	g.Expect(err).To(gomega.MatchError(errNotWarm))
+	h.loads.set(workerLoad{Worker: "w", Holds: []string{"m@v1"}, Speed: 8000}, time.Now())
+	ans, err := h.Place(context.Background(), f.View(), ask)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(ans.Worker).To(gomega.Equal("w"))
+}
