--- /dev/null
+++ b/core/admin/status.go
@@ -0,0 +1,147 @@
+package admin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"embertally.dev/core/conf"
+	"embertally.dev/core/fleet"
+)
+
+// drain gives or takes back the order that a target gets no new work. It
+// spreads without the key-value service; the configuration keeps it for later.
+func (s *Server) drain(c echo.Context) error {
+	var body struct {
+		Leaving bool `json:"leaving"`
+	}
+	dec := json.NewDecoder(io.LimitReader(c.Request().Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&body); err != nil {
+		return refuse(c, invalid("leaving", "must be true or false"))
+	}
+	name := c.Param("target")
+	r := s.o.Conf.Snapshot().Resource(conf.KindTarget, name)
+	if r == nil {
+		return refuse(c, &conf.Rejection{Code: conf.CodeNotFound, Text: "there is no targets/" + name})
+	}
+	s.o.Fleet.SetMark(name, body.Leaving)
+	t := *r.Spec().(*conf.Target)
+	t.Drain = body.Leaving
+	raw, err := json.Marshal(&t)
+	if err != nil {
+		return err
+	}
+	_, err = s.o.Writer.Commit(c.Request().Context(), conf.Write{Kind: conf.KindTarget, Name: name, Spec: raw, Version: r.Version()})
+	reply := struct {
+		Target  string `json:"target"`
+		Leaving bool   `json:"leaving"`
+		// Kept tells that the configuration holds the order as well.
+		Kept bool `json:"kept"`
+	}{name, body.Leaving, err == nil}
+	return c.JSON(http.StatusOK, reply)
+}
+
+// daemonStatus is one daemon in the status.
+type daemonStatus struct {
+	Name     string `json:"name"`
+	Cell     int    `json:"cell"`
+	Domain   string `json:"domain"`
+	Alive    bool   `json:"alive"`
+	Listed   bool   `json:"listed"`
+	Draining bool   `json:"draining"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// targetStatus is one target in the status.
+type targetStatus struct {
+	Name   string          `json:"name"`
+	Type   conf.TargetType `json:"type"`
+	Domain string          `json:"domain,omitempty"`
+	// Usable tells that it may get new work.
+	Usable bool `json:"usable"`
+	// Load is what is known of a worker's work.
+	Load string `json:"load,omitempty"`
+}
+
+// leaseStatus is one duty and who has it.
+type leaseStatus struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+}
+
+// linkStatus is one store's link.
+type linkStatus struct {
+	Store          string  `json:"store"`
+	BacklogBytes   int64   `json:"backlogBytes"`
+	BytesPerSecond float64 `json:"bytesPerSecond"`
+}
+
+func (s *Server) status(c echo.Context) error {
+	snap, view := s.o.Conf.Snapshot(), s.o.Fleet.View()
+	missing := s.o.Spread.NotYet(c.Request().Context(), snap.Seq())
+	body := struct {
+		Daemon    string         `json:"daemon"`
+		NotReady  string         `json:"notReady,omitempty"`
+		Running   int64          `json:"running"`
+		Sequence  uint64         `json:"sequence"`
+		Status    *Status        `json:"configuration"`
+		Confirmed string         `json:"confirmedAgo"`
+		Cells     int            `json:"cells"`
+		Daemons   []daemonStatus `json:"daemons"`
+		Targets   []targetStatus `json:"targets"`
+		Leases    []leaseStatus  `json:"leases"`
+		Links     []linkStatus   `json:"links"`
+	}{
+		Daemon: view.Self(), NotReady: s.o.Ready(), Running: s.o.Running(), Sequence: snap.Seq(),
+		Status: statusFor(missing), Cells: view.Cells(), Daemons: s.daemons(snap, view),
+	}
+	if at := s.o.Conf.Confirmed(); !at.IsZero() {
+		body.Confirmed = time.Since(at).Round(time.Millisecond).String()
+	}
+	for _, r := range snap.List(conf.KindTarget) {
+		t := r.Spec().(*conf.Target)
+		body.Targets = append(body.Targets, targetStatus{r.Name(), t.Type, t.Domain, view.Usable(r.Name(), t), s.load(r.Name())})
+		if t.Type == conf.TypeStore {
+			backlog, rate := s.o.Home.LinkStatus(r.Name(), t)
+			body.Links = append(body.Links, linkStatus{r.Name(), backlog, rate})
+		}
+	}
+	for _, name := range s.o.Duties {
+		body.Leases = append(body.Leases, leaseStatus{name, view.DutyOf(fleet.Key(name))})
+	}
+	return c.JSON(http.StatusOK, body)
+}
+
+func (s *Server) daemons(snap *conf.Snapshot, view *fleet.View) []daemonStatus {
+	out := []daemonStatus{{
+		Name: view.Self(), Cell: view.Cell(), Domain: view.Boxes()[view.Self()].Domain, Alive: true,
+		Listed: true, Draining: view.Draining(), Sequence: snap.Seq(),
+	}}
+	for _, p := range view.Peers() {
+		out = append(out, daemonStatus{
+			p.Name, p.Cell, p.Domain, p.Alive, p.Listed, p.Draining, s.o.Spread.Seq(p.Name),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+func (s *Server) load(worker string) string {
+	w, ok := s.o.Home.Worker(worker)
+	if !ok {
+		return ""
+	}
+	text := fmt.Sprintf("%d tokens wait, %d answers run, %d of %d blocks free, %s",
+		w.Queued, w.Running, w.Free, w.Total, strings.Join(w.Holds, " "))
+	if w.Loading {
+		text += ", loading"
+	}
+	return text
+}
--- a/core/admin/timeline.go
+++ b/core/admin/timeline.go
@@ -68,3 +68,20 @@
 	wg.Wait()
 	return lists, silent
 }
+
+// maxEvents bounds one reply of events.
+const maxEvents = 4096
+
+func (s *Server) events(c echo.Context) error {
+	from := uint64(0)
+	if text := c.QueryParam("from"); text != "" {
+		var err error
+		if from, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return refuse(c, invalid("from", "must be a number"))
+		}
+	}
+	body := struct {
+		Events []event.Event `json:"events"`
+	}{s.o.Log.Since(from, maxEvents)}
+	return c.JSON(http.StatusOK, body)
+}
