A continued answer is not refused for the first token's deadline

Before: the story, with a deadline of 1 s and an engine that dies after it, failed with "the first token would come in 42ms, later than its deadline". After: it passes; a request whose first token was given has no deadline.

--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -359,6 +359,8 @@
 	p.ask.Again = again
 	if p.tokens > 0 {
 		p.continueFrom()
+		// The first token has been given; the deadline was for that.
+		p.ask.Deadline = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline+placeSlack)
 	defer cancel()
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -157,7 +157,11 @@
 )
 
 func (h *Home) askHome(ctx context.Context, name string, a *Ask) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(homeLimit, max(homeLeast, a.Deadline/2)))
+	limit := homeLimit
+	if a.Deadline > 0 {
+		limit = min(limit, max(homeLeast, a.Deadline/2))
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var ans Answer
 	return ans, h.o.Fleet.Call(ctx, name, kindPlace, a, &ans)
--- a/core/home/msgs.go
+++ b/core/home/msgs.go
@@ -28,7 +28,8 @@
 	Chain []cache.Hash `msgpack:"c"`
 	// Tokens is the length of the prompt.
 	Tokens int `msgpack:"t"`
-	// Deadline is the time left until the first token is due.
+	// Deadline is the time left until the first token is due; zero means that
+	// it has been given.
 	Deadline time.Duration `msgpack:"l"`
 	Priority int           `msgpack:"p"`
 	Prices   route.Prices  `msgpack:"w"`
--- a/embplay/prove/story_answers_test.go
+++ b/embplay/prove/story_answers_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"embertally.dev/core/conf"
 	"embertally.dev/core/plat"
 	"embertally.dev/embfake/fake"
 	"embertally.dev/embplay/internal/play"
@@ -40,11 +41,12 @@
 		})
 	}
 
-	It("goes on elsewhere when an engine dies in the middle", func() {
-		r := site(nil)
+	It("goes on elsewhere when an engine dies in the middle, after the deadline for the first token", func() {
+		r := site(func(o *fake.SiteOptions) { o.Deadline = conf.Seconds(1) })
 		prompt := longText(5)
+		const long, pastDeadline = 600, 50000
 		got := make(chan play.Reply, 1)
-		go func() { got <- r.ask(0, orgOne, prompt, 300) }()
+		go func() { got <- r.ask(0, orgOne, prompt, long) }()
 		var busy *fake.Engine
 		Eventually(func() *fake.Engine {
 			for _, e := range r.site.Engines {
@@ -54,8 +56,9 @@
 			}
 			return busy
 		}).ShouldNot(BeNil())
+		Eventually(func() float64 { return r.count("relayedBytes") }).Should(BeNumerically(">", pastDeadline))
 		busy.Close()
-		expectWhole(<-got, "v1", prompt, 300)
+		expectWhole(<-got, "v1", prompt, long)
 	})
 
 	It("ends with an explicit error when nobody can go on", func() {
