--- a/embfake/fake/engine.go
+++ b/embfake/fake/engine.go
@@ -341,7 +341,7 @@
 	took := time.Duration(float64(tokens) / speed * float64(time.Second))
 	e.busy += took
 	e.runs = append(e.runs, EngineRun{
-		Arrived: s.arrived, Request: s.id, Version: s.version, Tokens: cache.Tokens(len(s.prompt.Prompt)), Cached: s.cached, Spoiled: s.spoiled,
+		Arrived: s.arrived, Began: time.Now(), Request: s.id, Version: s.version, Tokens: cache.Tokens(len(s.prompt.Prompt)), Cached: s.cached, Spoiled: s.spoiled,
 		Salt: s.prompt.CacheSalt, Head: s.prompt.Prompt[:min(len(s.prompt.Prompt), headBytes)],
 	})
 	e.running++
