What nobody reads is not kept or sent

A request told its home that it was placed before, and its end told how much was cached; nothing read either. A store could be forgotten by the index, and nothing asked for it: blocks that a lost store kept fail their checks and are looked up anew.

Ruled out: joining the wire types of the operators' side and its command line; a client that shares them could not see a change of the form.

--- a/core/cache/index.go
+++ b/core/cache/index.go
@@ -246,20 +246,6 @@
 	}
 }
 
-// ForgetStore drops what is known of a store, as when it was lost.
-func (x *Index) ForgetStore(store string) {
-	x.indexMu.Lock()
-	defer x.indexMu.Unlock()
-	for e := x.order.Front(); e != nil; e = e.Next() {
-		r := e.Value.(*record)
-		for i := range r.stores {
-			if r.stores[i].Store == store {
-				r.stores[i].Blocks = 0
-			}
-		}
-	}
-}
-
 // BeginExport reports whether an export of the context may begin: none is
 // running and no store keeps as much as n blocks. EndExport must follow.
 func (x *Index) BeginExport(root uint64, n int) bool {
--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -298,7 +298,7 @@
 		if try > 0 && !p.s.mayRetry() {
 			break
 		}
-		if r := p.place(ctx, try > 0); r != nil {
+		if r := p.place(ctx); r != nil {
 			if r.Code == CodeNoTarget && p.moved() {
 				continue
 			}
@@ -353,10 +353,9 @@
 const placeSlack = time.Second
 
 // place asks for a worker.
-func (p *run) place(ctx context.Context, again bool) *Refusal {
+func (p *run) place(ctx context.Context) *Refusal {
 	deadline := p.policy.Deadline.Or(conf.DefaultDeadline)
 	p.ask.Deadline = max(time.Millisecond, deadline-time.Since(p.q.began))
-	p.ask.Again = again
 	if p.tokens > 0 {
 		p.continueFrom()
 		// The first token has been given; the deadline was for that.
@@ -407,7 +406,7 @@
 func (p *run) tell(prefilled, failed bool) {
 	d := &home.Done{
 		Request: p.q.id, Salt: p.ask.Salt, Roots: p.ask.Roots, Chain: p.ask.Chain, Worker: p.last.Worker,
-		Prefilled: prefilled, Cached: p.usage.Details.CachedTokens, ExportFrom: p.deployment.ExportFrom(), Failed: failed,
+		Prefilled: prefilled, ExportFrom: p.deployment.ExportFrom(), Failed: failed,
 	}
 	go teller{p.s.o.Home, p.q.view, p.last.Home, d}.run()
 }
--- a/core/home/msgs.go
+++ b/core/home/msgs.go
@@ -37,8 +37,6 @@
 	Targets []string `msgpack:"a,omitempty"`
 	// Exclude are workers that failed this request.
 	Exclude []string `msgpack:"x,omitempty"`
-	// Again tells that the request was placed before.
-	Again bool `msgpack:"g,omitempty"`
 }
 
 // seed returns the start of the chain.
@@ -73,8 +71,6 @@
 	// Prefilled tells that the worker computed the whole prompt, so that it
 	// holds its blocks.
 	Prefilled bool `msgpack:"p"`
-	// Cached is how many prompt tokens the worker did not compute.
-	Cached int `msgpack:"c2"`
 	// ExportFrom is the shortest context worth keeping, in blocks.
 	ExportFrom int `msgpack:"x"`
 	// Failed tells that the worker did not answer.
