--- a/core/entry/refuse.go
+++ b/core/entry/refuse.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 
 	"embertally.dev/core/event"
 )
@@ -47,6 +48,7 @@
 	CodeNoClaim        Code = "claimUnavailable"
 	CodeAlreadyRan     Code = "alreadyRan"
 	CodeAnswerTooLarge Code = "answerTooLarge"
+	CodeTimeout        Code = "timeLimitReached"
 )
 
 // Refusal is the typed answer to a request that gets no other.
@@ -64,6 +66,25 @@
 	return string(r.Code) + " (" + string(r.Ran) + "): " + r.Message
 }
 
+// NewRefusal returns a refusal for slices that answer callers beside this one.
+func NewRefusal(status int, code Code, ran Ran, message string, after time.Duration) *Refusal {
+	return refuse(status, code, ran, message).after(after)
+}
+
+// Write gives the refusal to a caller of a routed request. The header that
+// says when to come back is the caller's form and is set before.
+func (r *Refusal) Write(w http.ResponseWriter, request string) error {
+	raw, err := json.Marshal(r.body(request))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.WriteHeader(r.Status)
+	_, err = w.Write(raw)
+	return errors.WithStack(err)
+}
+
 func refuse(status int, code Code, ran Ran, message string) *Refusal {
 	return &Refusal{Status: status, Code: code, Ran: ran, Message: message}
 }
--- a/core/entry/service.go
+++ b/core/entry/service.go
@@ -186,7 +186,9 @@
 	return err
 }
 
-// hopHeader reports whether a header belongs to one connection only.
+// HopHeader reports whether a header belongs to one connection only.
+func HopHeader(name string) bool { return hopHeader(name) }
+
 func hopHeader(name string) bool {
 	return slices.Contains([]string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -6,14 +6,16 @@
 
 // The codes of all events. docs/EVENTS.md is written from the catalogue below.
 const (
-	DaemonStarted   Code = 1001
-	DaemonReady     Code = 1002
-	DaemonNotReady  Code = 1003
-	DaemonDraining  Code = 1004
-	DaemonStopped   Code = 1005
-	KeysReloaded    Code = 1006
-	KeysRejected    Code = 1007
-	InvariantBroken Code = 1008
+	DaemonStarted    Code = 1001
+	DaemonReady      Code = 1002
+	DaemonNotReady   Code = 1003
+	DaemonDraining   Code = 1004
+	DaemonStopped    Code = 1005
+	KeysReloaded     Code = 1006
+	KeysRejected     Code = 1007
+	InvariantBroken  Code = 1008
+	SettingsReloaded Code = 1009
+	SettingsRejected Code = 1010
 
 	PeerUp          Code = 2001
 	PeerDown        Code = 2002
@@ -101,6 +103,8 @@
 	{KeysReloaded, "keysReloaded", Info, "Changed TLS files were read and are in use."},
 	{KeysRejected, "keysRejected", Error, "Changed TLS files do not fit together; the former ones stay in use."},
 	{InvariantBroken, "invariantBroken", Error, "A state was met that the program rules out. Please report it with the stack."},
+	{SettingsReloaded, "settingsReloaded", Info, "A changed settings file was read; the text says what of it is in force."},
+	{SettingsRejected, "settingsRejected", Error, "A changed settings file has faults; the former settings stay in force."},
 
 	{PeerUp, "peerUp", Info, "Heartbeats of another daemon arrive."},
 	{PeerDown, "peerDown", Warning, "No heartbeat of another daemon arrived within the suspicion time."},
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -53,6 +53,8 @@
 type Log struct {
 	process string
 	out     *logrus.Logger
+	// pace bounds the lines written; nil bounds nothing.
+	pace *Pace
 
 	ringMu sync.Mutex
 	// ring holds the latest events; the event with sequence s is at
@@ -87,6 +89,22 @@
 	return &Log{process: process, out: out}
 }
 
+// SetPace bounds the lines that are written. It must be called before the
+// first event.
+func (l *Log) SetPace(p *Pace) { l.pace = p }
+
+// SetRate changes how many lines of one code are written in a second.
+func (l *Log) SetRate(perSecond int) { l.pace.setRate(perSecond) }
+
+// SetLevel changes the least severity of the lines that are written.
+func (l *Log) SetLevel(least Level) {
+	lvl, err := logrus.ParseLevel(string(least))
+	if err != nil || l.out == nil {
+		return
+	}
+	l.out.SetLevel(lvl)
+}
+
 // Emit records one event.
 func (l *Log) Emit(code Code, ref Ref, text string) {
 	entry, ok := byCode[code]
@@ -123,12 +141,19 @@
 	if err != nil || !l.out.IsLevelEnabled(lvl) {
 		return
 	}
+	allowed, skipped := l.pace.allow(ev.Code, ev.Level, ev.At)
+	if !allowed {
+		return
+	}
 	line := logrus.Fields{"process": ev.Process, "code": int(ev.Code), "event": ev.Name}
 	for _, f := range ev.identifiers() {
 		if f.value != "" {
 			line[f.name] = f.value
 		}
 	}
+	if skipped > 0 {
+		line["skipped"] = skipped
+	}
 	l.out.WithTime(ev.At).WithFields(line).Log(lvl, ev.Text)
 }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -34,6 +34,12 @@
 	Receive(peer string, body []byte)
 }
 
+// BoxLister reads the platform's list of boxes.
+type BoxLister interface {
+	// Read returns the list, or changed false if it is the same as last time.
+	Read(ctx context.Context) (boxes []plat.Box, changed bool, err error)
+}
+
 // Options of a fleet.
 type Options struct {
 	Name        string
@@ -47,7 +53,7 @@
 	Suspect time.Duration
 	// BoxPause is the time between readings of the box list.
 	BoxPause time.Duration
-	Boxes    *plat.BoxList
+	Boxes    BoxLister
 	// TLS returns the client side's configuration; nil for plain links.
 	TLS func() *tls.Config
 	Log *event.Log
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -105,3 +105,6 @@
 	}
 	return plat.Compare{Key: l.key, ModRevision: l.revision}
 }
+
+// isOver reports whether the service says that a session has ended.
+func isOver(err error) bool { return errors.Is(err, plat.ErrSessionOver) }
--- /dev/null
+++ b/core/lease/presence.go
@@ -0,0 +1,103 @@
+package lease
+
+import (
+	"context"
+	"time"
+
+	"embertally.dev/core/event"
+	"embertally.dev/core/plat"
+)
+
+// Presence keeps one key in the service for as long as this process lives, so
+// that others can find it. The key goes when the process is silent for Life.
+type Presence struct {
+	Key    string
+	Value  []byte
+	Life   time.Duration
+	Store  plat.Store
+	Mirror *plat.Mirror
+	Log    *event.Log
+	// session is 0 while none is open; only run uses it.
+	session int64
+	// seen tells that the service was reached at the last try.
+	seen bool
+}
+
+const (
+	// presenceShare is how many renewals fall into the key's life.
+	presenceShare = 4
+	// presenceRetry spaces the tries to write the key.
+	presenceRetry = 400 * time.Millisecond
+)
+
+// Run keeps the key until ctx ends, and then removes it.
+func (p *Presence) Run(ctx context.Context) {
+	for {
+		pause := presenceRetry
+		if p.step(ctx) {
+			pause = p.Life / presenceShare
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			p.leave()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// step renews the session or writes the key, and reports whether it is there.
+func (p *Presence) step(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	err := p.renew(ctx)
+	if err == nil {
+		p.seen = true
+		return true
+	}
+	if isOver(err) {
+		p.session = 0
+	}
+	if p.seen {
+		p.Log.Emit(event.ServiceDown, event.Ref{Resource: p.Key}, err.Error())
+	}
+	p.seen = false
+	return false
+}
+
+func (p *Presence) renew(ctx context.Context) error {
+	if p.session != 0 {
+		if err := p.Store.Renew(ctx, p.session); err != nil {
+			return err
+		}
+		if pair, there := p.Mirror.Pair(p.Key); there && string(pair.Value) == string(p.Value) {
+			return nil
+		}
+	}
+	return p.write(ctx)
+}
+
+// write makes the key, whatever a former run of this daemon left there.
+func (p *Presence) write(ctx context.Context) error {
+	if p.session == 0 {
+		session, err := p.Store.Open(ctx, p.Life)
+		if err != nil {
+			return err
+		}
+		p.session = session
+	}
+	_, err := p.Store.Commit(ctx, plat.Txn{Puts: []plat.Put{{Key: p.Key, Value: p.Value, Session: p.session}}})
+	return err
+}
+
+func (p *Presence) leave() {
+	if p.session == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	// Where this fails the key goes by itself a little later.
+	_ = p.Store.End(ctx, p.session)
+}
--- a/core/plat/kv.go
+++ b/core/plat/kv.go
@@ -46,6 +46,8 @@
 type Put struct {
 	Key   string
 	Value []byte
+	// Session ends the key with a session of the service; 0 keeps it.
+	Session int64
 }
 
 // Txn writes Puts and removes Deletes if all Compares hold.
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,190 @@
+// Package roster owns the targets of a site: which are listed, what each
+// reported of itself, how much work is on its way to each from this daemon and
+// from the others, and which of them answer badly.
+//
+// It must not know how a target is chosen or how the list is written on the
+// platform.
+package roster
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"embertally.dev/core/event"
+)
+
+// Entry is what the platform's list says of a target. It never changes.
+type Entry struct {
+	// ID names one run of a target; its next run has another.
+	ID      string
+	Service string
+	// Address is IP and port; it may pass to a target of another service.
+	Address string
+	Domain  string
+	Slots   int
+	// Leaving tells that the target takes no new work.
+	Leaving bool
+	// Cold is how much longer the target stays slow from its start.
+	Cold time.Duration
+	// Weights holds the version of each model that the target has.
+	Weights map[string]int64
+	// Orders is how many orders the target has taken.
+	Orders int64
+}
+
+// Load is the work on its way to a target.
+type Load struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	// Running is how many requests have not ended.
+	Running int
+	// Unread is how many prompt tokens belong to requests without an answer.
+	Unread int
+	// Held is how many tokens of context all running requests hold.
+	Held int
+}
+
+func (l *Load) add(m Load, sign int) {
+	l.Running += sign * m.Running
+	l.Unread += sign * m.Unread
+	l.Held += sign * m.Held
+}
+
+// Roster keeps the targets current.
+//
+// Lock order: rosterMu before a target's targetMu.
+type Roster struct {
+	log *event.Log
+	// regained tells when the list's last outage ended and how long it was.
+	regained func() (time.Time, time.Duration)
+	byName   atomic.Pointer[map[string][]*Target]
+
+	rosterMu sync.Mutex
+	targets  map[string]*Target // by ID; guarded by rosterMu
+	// peers holds the loads that other daemons told. Guarded by rosterMu.
+	peers map[string]peerLoads
+	// ordered says which targets are about to change their weights, and until
+	// when. Guarded by rosterMu.
+	ordered map[string]time.Time
+}
+
+type peerLoads struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// New returns an empty roster. regained may be nil.
+func New(log *event.Log, regained func() (time.Time, time.Duration)) *Roster {
+	if regained == nil {
+		regained = func() (time.Time, time.Duration) { return time.Time{}, 0 }
+	}
+	r := &Roster{log: log, regained: regained, targets: map[string]*Target{}, peers: map[string]peerLoads{}, ordered: map[string]time.Time{}}
+	r.byName.Store(&map[string][]*Target{})
+	return r
+}
+
+// Times of the list.
+const (
+	// returnTime is how long after an outage of the list an entry that lapsed
+	// meanwhile may take to come back: the users' letter 2 says about two
+	// seconds, and that what is still missing then is gone.
+	returnTime = 2 * time.Second
+	// lapseFrom is the shortest outage in which entries lapse.
+	lapseFrom = 1500 * time.Millisecond
+	// peerLoadLife is how long the loads that a peer told are counted.
+	peerLoadLife = 1200 * time.Millisecond
+)
+
+// Put records what the list says of a target.
+func (r *Roster) Put(e Entry) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	t := r.targets[e.ID]
+	if t == nil {
+		t = &Target{id: e.ID}
+		r.targets[e.ID] = t
+		r.log.Emit(event.BoxAppeared, event.Ref{Target: e.ID}, e.Service+" at "+e.Address)
+	} else if e.Leaving && !t.Entry().Leaving {
+		r.log.Emit(event.BoxLeaving, event.Ref{Target: e.ID}, e.Service+" at "+e.Address)
+	}
+	t.set(e)
+	r.publish()
+}
+
+// Remove records that the list no longer names a target. After an outage of
+// the list the entry may have lapsed while its target lives; it is kept for as
+// long as such entries take to come back.
+func (r *Roster) Remove(id string, now time.Time) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	t := r.targets[id]
+	if t == nil {
+		return
+	}
+	back, silence := r.regained()
+	if until := back.Add(returnTime); silence >= lapseFrom && now.Before(until) && !t.Entry().Leaving {
+		t.lapse(until)
+		r.log.Emit(event.TargetSuspect, event.Ref{Target: id}, "its entry lapsed in an outage of the list")
+		time.AfterFunc(until.Sub(now), func() { r.expire(id) })
+		return
+	}
+	r.remove(t)
+}
+
+// expire removes a target whose lapsed entry has not come back.
+func (r *Roster) expire(id string) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	if t := r.targets[id]; t != nil && t.lapsed() {
+		r.remove(t)
+	}
+}
+
+// remove is called with rosterMu held.
+func (r *Roster) remove(t *Target) {
+	delete(r.targets, t.id)
+	delete(r.ordered, t.id)
+	t.retire()
+	r.log.Emit(event.BoxGone, event.Ref{Target: t.id}, t.Entry().Service+" at "+t.Entry().Address)
+	r.publish()
+}
+
+// publish makes the lists by service anew. It is called with rosterMu held.
+func (r *Roster) publish() {
+	next := map[string][]*Target{}
+	for _, t := range r.targets {
+		name := t.Entry().Service
+		next[name] = append(next[name], t)
+	}
+	for _, list := range next {
+		slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.id, b.id) })
+	}
+	r.byName.Store(&next)
+}
+
+// Of returns the targets of a service, leaving ones included, ordered by name.
+// The list must not be changed.
+func (r *Roster) Of(service string) []*Target { return (*r.byName.Load())[service] }
+
+// Target returns a target by ID, or nil.
+func (r *Roster) Target(id string) *Target {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	return r.targets[id]
+}
+
+// Learn records the version of a model that a target was seen to hold, which
+// only rises within one run of it.
+func (r *Roster) Learn(id, model string, version int64) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	t := r.targets[id]
+	if t == nil || t.Entry().Weights[model] >= version {
+		return
+	}
+	t.raise(model, version)
+	r.log.Emit(event.OrderDone, event.Ref{Target: id}, model+" version "+itoa(version))
+}
--- /dev/null
+++ b/core/roster/target.go
@@ -0,0 +1,210 @@
+package roster
+
+import (
+	"maps"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+// Target is one run of one target. Its methods may be called at any time, also
+// after it was removed from the list.
+type Target struct {
+	id    string
+	entry atomic.Pointer[Entry]
+
+	targetMu sync.Mutex
+	own      Load // guarded by targetMu
+	// others is the work on its way from other daemons. Guarded by targetMu.
+	others Load
+	// failures counts failures to get any answer since the last answer.
+	// Guarded by targetMu.
+	failures int
+	// failed is when the last of them was. Guarded by targetMu.
+	failed time.Time
+	// faults is the recent share of bad answers, from 0 to 1. Guarded by
+	// targetMu.
+	faults float64
+	// pace is the recent time to a first answer over that which was expected.
+	// Guarded by targetMu; 0 before the first answer.
+	pace float64
+	// paced is when pace was last told. Guarded by targetMu.
+	paced time.Time
+	// until is when a lapsed entry counts as gone; zero where it is listed.
+	// Guarded by targetMu.
+	until time.Time
+	gone  bool // guarded by targetMu
+}
+
+// ID returns the name of this run of the target.
+func (t *Target) ID() string { return t.id }
+
+// Entry returns what the list says. It must not be changed.
+func (t *Target) Entry() *Entry { return t.entry.Load() }
+
+func (t *Target) set(e Entry) {
+	if old := t.entry.Load(); old != nil {
+		// Entries are written seldom; what was seen since may be newer.
+		weights := maps.Clone(e.Weights)
+		for model, v := range old.Weights {
+			if weights != nil && weights[model] < v {
+				weights[model] = v
+			}
+		}
+		e.Weights = weights
+		e.Orders = max(e.Orders, old.Orders)
+	}
+	t.entry.Store(&e)
+	t.targetMu.Lock()
+	t.until = time.Time{}
+	t.targetMu.Unlock()
+}
+
+func (t *Target) raise(model string, version int64) {
+	e := *t.Entry()
+	e.Weights = maps.Clone(e.Weights)
+	if e.Weights == nil {
+		e.Weights = map[string]int64{}
+	}
+	e.Weights[model] = version
+	t.entry.Store(&e)
+}
+
+func (t *Target) lapse(until time.Time) {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	t.until = until
+}
+
+func (t *Target) lapsed() bool {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	return !t.until.IsZero()
+}
+
+func (t *Target) retire() {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	t.gone = true
+}
+
+// Begin records work that is sent to the target, and End that it has ended.
+func (t *Target) Begin(l Load) { t.change(l, 1) }
+
+// End takes back what Begin recorded.
+func (t *Target) End(l Load) { t.change(l, -1) }
+
+func (t *Target) change(l Load, sign int) {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	t.own.add(l, sign)
+}
+
+// Own returns the work that this daemon has on its way to the target.
+func (t *Target) Own() Load {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	return t.own
+}
+
+// Health is how a target answers.
+type Health struct {
+	// Suspect tells that it did not answer lately.
+	Suspect bool
+	// Lapsed tells that its entry went in an outage of the list.
+	Lapsed bool
+	Gone   bool
+	// Faults is the recent share of bad answers, from 0 to 1.
+	Faults float64
+	// Pace is the recent time to a first answer over that which was expected;
+	// 1 where nothing is known.
+	Pace float64
+}
+
+// Figures of what is learned from answers.
+const (
+	// suspectTime is how long a target that gave no answer is passed over; it
+	// doubles with each failure in a row up to suspectMost, so that a target
+	// that comes back is tried within the users' recovery times.
+	suspectTime = 250 * time.Millisecond
+	suspectMost = 2 * time.Second
+	// faultShare is the weight of one answer in the share of faults: about the
+	// last eight answers count.
+	faultShare = 0.12
+	// forgetPace is how long a pace counts, so that a target that was slow is
+	// tried again.
+	forgetPace = 3 * time.Second
+	paceShare  = 0.2
+	paceMost   = 20
+)
+
+// Health returns how the target answers.
+func (t *Target) Health(now time.Time) Health {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	h := Health{Lapsed: !t.until.IsZero(), Gone: t.gone, Faults: t.faults, Pace: 1}
+	if t.failures > 0 {
+		pause := min(suspectTime<<min(t.failures-1, 8), suspectMost)
+		h.Suspect = now.Sub(t.failed) < pause
+	}
+	if t.pace > 0 && now.Sub(t.paced) < forgetPace {
+		h.Pace = t.pace
+	}
+	if age := now.Sub(t.paced); age >= forgetPace {
+		// A target that is passed over for its faults is tried again.
+		h.Faults /= 2
+	}
+	return h
+}
+
+// Silent records that the target gave no answer.
+func (t *Target) Silent(now time.Time) {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	t.failures++
+	t.failed = now
+	t.faults += (1 - t.faults) * faultShare
+	t.paced = now
+}
+
+// Answered records an answer, whether it was good, and its time over that
+// which was expected; pace 0 says nothing of time.
+func (t *Target) Answered(now time.Time, good bool, pace float64) {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	t.failures = 0
+	t.paced = now
+	fault := 1.0
+	if good {
+		fault = 0
+	}
+	t.faults += (fault - t.faults) * faultShare
+	if pace <= 0 {
+		return
+	}
+	pace = min(pace, paceMost)
+	if t.pace == 0 {
+		t.pace = pace
+		return
+	}
+	t.pace += (pace - t.pace) * paceShare
+}
+
+// Load returns all work on its way to the target, from this daemon and from
+// others.
+func (t *Target) Load() Load {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	l := t.own
+	l.add(t.others, 1)
+	return l
+}
+
+func (t *Target) setOthers(l Load) {
+	t.targetMu.Lock()
+	defer t.targetMu.Unlock()
+	t.others = l
+}
--- /dev/null
+++ b/core/table/table_test.go
@@ -0,0 +1,95 @@
+package table
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func spec() Spec {
+	return Spec{
+		Version: 7,
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Splits: []Split{{"s1", 3}, {"s2", 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Splits: []Split{{"s1", 0}}},
+			{Name: "other", Host: "B.example", Prefix: "/", Splits: []Split{{"s3", 1}}},
+		},
+		Services: []Service{
+			{Name: "s2", Store: &Store{Address: "10.0.0.2:1"}},
+			{Name: "s1", Store: &Store{Address: "10.0.0.1:1"}},
+			{Name: "s3", Engine: &Engine{Slots: 4}},
+		},
+		Organisations: []Organisation{{Name: "o", Keys: []string{"k1", "k2"}}},
+	}
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example:8080", "/x/1", "short"},
+		{"A.Example", "/x/y/1", "long"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"b.example", "/z", "other"},
+		{"c.example", "/x/1", ""},
+		{"", "/x/1", ""},
+	}
+	tbl := New(spec())
+	for _, tc := range tests {
+		t.Run(tc.host+tc.path, func(t *testing.T) {
+			got := ""
+			if r := tbl.Match(tc.host, tc.path); r != nil {
+				got = r.Name
+			}
+			gomega.NewWithT(t).Expect(got).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
+func TestSplitsAreTakenByWeight(t *testing.T) {
+	tests := []struct {
+		route string
+		draw  float64
+		want  string
+	}{
+		{"/x/", 0, "s1"},
+		{"/x/", 0.74, "s1"},
+		{"/x/", 0.76, "s2"},
+		{"/x/", 0.999, "s2"},
+		{"/x/y/", 0.5, "s1"},
+	}
+	tbl := New(spec())
+	for _, tc := range tests {
+		gomega.NewWithT(t).Expect(tbl.Match("a.example", tc.route).Service(tc.draw)).To(gomega.Equal(tc.want))
+	}
+}
+
+func TestTableAnswersByName(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tbl := New(spec())
+	g.Expect(tbl.Version()).To(gomega.Equal(int64(7)))
+	g.Expect(tbl.Keyed()).To(gomega.BeTrue())
+	g.Expect(tbl.Organisation("k2").Name).To(gomega.Equal("o"))
+	g.Expect(tbl.Organisation("k3")).To(gomega.BeNil())
+	g.Expect(tbl.Stores()).To(gomega.HaveLen(2))
+	g.Expect(tbl.Stores()[0].Address).To(gomega.Equal("10.0.0.1:1"))
+	g.Expect(tbl.Engines()).To(gomega.HaveLen(1))
+	g.Expect(tbl.Service("none")).To(gomega.BeNil())
+	g.Expect(New(Spec{}).Keyed()).To(gomega.BeFalse())
+}
+
+func TestOnlyWhatMayRepeatIsSentAgain(t *testing.T) {
+	tests := []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Once}, false},
+		{Route{Kind: Repeatable}, true},
+		{Route{Kind: Stream}, false},
+		{Route{Kind: Stream, Resumable: true}, true},
+		{Route{Kind: Once, Resumable: true}, false},
+	}
+	for _, tc := range tests {
+		gomega.NewWithT(t).Expect(tc.route.MayRepeat()).To(gomega.Equal(tc.want))
+	}
+}
--- a/emberd/internal/daemon/main.go
+++ b/emberd/internal/daemon/main.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"embertally.dev/core/event"
+	"embertally.dev/emberd/internal/host"
 )
 
 // Exit codes of emberd.
@@ -28,6 +29,8 @@
 	app.Terminate(nil)
 	run := app.Command("run", "Run the daemon until SIGTERM, which drains it.")
 	runFile := run.Arg("settings", "The YAML file.").Required().String()
+	hostRun := app.Command("host", "Run the daemon on a platform that keeps configuration and targets in its store, until SIGTERM.")
+	hostFile := hostRun.Arg("settings", "The YAML file.").Required().String()
 	check := app.Command("check", "Check a settings file and name all faults.")
 	checkFile := check.Arg("settings", "The YAML file.").Required().String()
 	reference := app.Command("reference", "Print the page of all settings.")
@@ -40,6 +43,8 @@
 		return exitSettings
 	case cmd == run.FullCommand():
 		return runDaemon(*runFile)
+	case cmd == hostRun.FullCommand():
+		return host.Main(*hostFile)
 	case cmd == check.FullCommand():
 		return checkSettings(*checkFile)
 	case cmd == reference.FullCommand():
--- /dev/null
+++ b/emberd/internal/host/settings.go
@@ -0,0 +1,131 @@
+// Package host owns the life of an emberd that serves on a platform which keeps
+// the configuration and the list of targets in its store: the settings, the
+// putting together of the slices, readiness, and the planned stop.
+//
+// It must not decide anything that a slice decides, and it must not know how
+// the platform names things (see Platform).
+package host
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+)
+
+// Settings are everything that a hosted daemon is told by its file.
+type Settings struct {
+	Name   string `yaml:"name" doc:"Name of the box. Required."`
+	Domain string `yaml:"domain" doc:"Failure domain of the box. Required."`
+	// Callers, Readiness, Peers and Metrics are listening addresses.
+	Callers   string   `yaml:"callers" doc:"IP address and port where callers are answered. Required."`
+	Readiness string   `yaml:"readiness" doc:"IP address and port of the readiness question, GET /v1/readyz. Required."`
+	Peers     string   `yaml:"peers" doc:"IP address and port where other daemons are answered. Required."`
+	Metrics   string   `yaml:"metrics" doc:"IP address and port of the figures, GET /metrics. Required."`
+	Store     string   `yaml:"store" doc:"IP address and port of the platform's store. Required."`
+	MemoryMB  int64    `yaml:"memoryMB" doc:"Memory that the process may use. Required."`
+	LogLevel  string   `yaml:"logLevel" doc:"Least severity of log lines: debug, info, warning or error."`
+	LogRate   int      `yaml:"logRate" doc:"Most lines of one event in a second; warnings and errors get five times as many."`
+	Bounds    Bounds   `yaml:"bounds" doc:"What the deployment promises and asks for."`
+	Retries   Retries  `yaml:"retries" doc:"How often requests may be sent again, over all daemons together."`
+	Tuning    Tuning   `yaml:"tuning" doc:"How often daemons talk."`
+	Comments  []string `yaml:"comments" doc:"Free text."`
+}
+
+// Bounds are the times of a deployment.
+type Bounds struct {
+	Stop       time.Duration `yaml:"stop" doc:"How long a planned stop may take."`
+	OrderApart time.Duration `yaml:"orderApart" doc:"Least time between orders of two holders of the right to give them."`
+	Contact    time.Duration `yaml:"contact" doc:"Silence of the store after which the configuration may be old."`
+}
+
+// Retries bound repeated sends.
+type Retries struct {
+	Share  float64       `yaml:"share" doc:"Repeated sends for each request."`
+	Extra  float64       `yaml:"extra" doc:"Repeated sends beside, in a window."`
+	Window time.Duration `yaml:"window" doc:"Length of the window."`
+}
+
+// Tuning sets how often daemons talk.
+type Tuning struct {
+	Heartbeat time.Duration `yaml:"heartbeat" doc:"Time between heartbeats."`
+	Suspect   time.Duration `yaml:"suspect" doc:"Silence after which a peer counts as lost. At least three heartbeats."`
+}
+
+// Defaults returns the settings that hold where a file says nothing.
+func Defaults() Settings {
+	return Settings{
+		LogLevel: "info", LogRate: 40,
+		Bounds:  Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Contact: 3 * time.Second},
+		Retries: Retries{Share: 0.2, Window: 10 * time.Second},
+		Tuning:  Tuning{Heartbeat: 150 * time.Millisecond, Suspect: 1500 * time.Millisecond},
+	}
+}
+
+// ReadSettings reads and checks a file. The error names all faults at once.
+func ReadSettings(path string) (Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.WithStack(err)
+	}
+	return ParseSettings(raw)
+}
+
+// ParseSettings reads and checks settings. The error names all faults at once.
+func ParseSettings(raw []byte) (Settings, error) {
+	s := Defaults()
+	dec := yaml.NewDecoder(bytes.NewReader(raw))
+	dec.KnownFields(true)
+	var faults []string
+	if err := dec.Decode(&s); err != nil {
+		var typ *yaml.TypeError
+		if !errors.As(err, &typ) {
+			return s, errors.Wrap(err, "settings")
+		}
+		faults = append(faults, typ.Errors...)
+	}
+	faults = append(faults, s.check()...)
+	if len(faults) > 0 {
+		return s, errors.Errorf("settings have %d faults:\n  %s", len(faults), strings.Join(faults, "\n  "))
+	}
+	return s, nil
+}
+
+func (s *Settings) check() []string {
+	var faults []string
+	need := func(ok bool, field, text string) {
+		if !ok {
+			faults = append(faults, field+": "+text)
+		}
+	}
+	need(s.Name != "", "name", "is required")
+	need(s.Domain != "", "domain", "is required")
+	for _, a := range []struct{ field, value string }{
+		{"callers", s.Callers}, {"readiness", s.Readiness}, {"peers", s.Peers}, {"metrics", s.Metrics}, {"store", s.Store},
+	} {
+		host, _, err := net.SplitHostPort(a.value)
+		need(err == nil && net.ParseIP(host) != nil, a.field, "must be an IP address and a port")
+	}
+	need(s.MemoryMB >= leastMemoryMB, "memoryMB", fmt.Sprintf("must be at least %d", leastMemoryMB))
+	need(s.LogRate > 0, "logRate", "must be more than 0")
+	for _, d := range []struct {
+		field string
+		value time.Duration
+	}{
+		{"bounds.stop", s.Bounds.Stop}, {"bounds.orderApart", s.Bounds.OrderApart}, {"bounds.contact", s.Bounds.Contact},
+		{"retries.window", s.Retries.Window}, {"tuning.heartbeat", s.Tuning.Heartbeat},
+	} {
+		need(d.value > 0, d.field, "must be more than 0, with a unit such as 500ms")
+	}
+	need(s.Retries.Share >= 0 && s.Retries.Extra >= 0, "retries", "must not be negative")
+	need(s.Tuning.Suspect >= 3*s.Tuning.Heartbeat, "tuning.suspect", "must be at least three heartbeats")
+	return faults
+}
+
+// leastMemoryMB is what a daemon with libraries and buffers needs at start.
+const leastMemoryMB = 24
