--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target needs only Go and make.
 SHELL := bash
 .SHELLFLAGS := -o pipefail -c
-MODULES := core emberd embctl embfake embplay
+MODULES := core emberd embctl embfake embplay platform
 PROGRAMS := emberd embctl embfake embplay
 BIN := $(CURDIR)/bin
 
--- a/core/cache/kept.go
+++ b/core/cache/kept.go
@@ -156,6 +156,7 @@
 	// eventWait is how long a store may hold a question for changes. The
 	// platform prices questions that wait less than 200 ms.
 	eventWait = time.Second
+	firstWait = 200 * time.Millisecond
 	// answerLimit is left for the answer beside.
 	answerLimit = time.Second
 	// downPause spaces the questions to a store that does not answer.
@@ -208,7 +209,12 @@
 		f.k.fill(f.address, all)
 		return nil
 	}
-	ev, err := f.k.watcher.Events(ctx, f.address, since, eventWait)
+	wait := eventWait
+	if f.k.unheard(f.address) {
+		// The list does not tell the targets' clock, which copies need.
+		wait = firstWait
+	}
+	ev, err := f.k.watcher.Events(ctx, f.address, since, wait)
 	if err != nil {
 		return err
 	}
@@ -235,6 +241,14 @@
 	return sh.next, sh.known
 }
 
+// unheard reports whether a store has not told its clock yet.
+func (k *Kept) unheard(address string) bool {
+	k.keptMu.Lock()
+	defer k.keptMu.Unlock()
+	sh := k.shelves[address]
+	return sh != nil && sh.heard.IsZero()
+}
+
 // fill takes everything that a store holds.
 func (k *Kept) fill(address string, all PartEvents) {
 	k.keptMu.Lock()
--- a/core/cache/sweep.go
+++ b/core/cache/sweep.go
@@ -10,8 +10,9 @@
 // SweepOptions of a sweeper.
 type SweepOptions struct {
 	Kept *Kept
-	// Mine reports whether this daemon frees parts of a store.
-	Mine func(address string) bool
+	// Rank says how many daemons free parts of a store before this one, which
+	// takes part where they do not.
+	Rank func(address string) int
 	// Superseded returns since when this daemon knows that newer weights than
 	// those of a salt are named; false where there are none.
 	Superseded func(salt string) (time.Time, bool)
@@ -31,11 +32,14 @@
 
 const (
 	// sweepLook is the pause between looks.
-	sweepLook = 500 * time.Millisecond
+	sweepLook = 250 * time.Millisecond
 	// sweepAfter is how long after newer weights were named parts of the older
 	// are freed: CopyFresh for daemons that have not heard of it yet, copyLimit
 	// for their last transfers, and a margin for the time on the way.
 	sweepAfter = CopyFresh + copyLimit + 800*time.Millisecond
+	// sweepRank spaces the daemons that free parts of one store; an event that
+	// says so takes about 0.2 s.
+	sweepRank = 700 * time.Millisecond
 	// sweepMost is how many parts one call frees.
 	sweepMost = 400
 	// sweepLimit bounds one call.
@@ -51,18 +55,17 @@
 	for ctx.Err() == nil {
 		pause(ctx, sweepLook)
 		for _, address := range s.o.Kept.Stores() {
-			if s.o.Mine(address) {
-				s.sweep(ctx, address)
-			}
+			s.sweep(ctx, address)
 		}
 	}
 }
 
 func (s *Sweeper) sweep(ctx context.Context, address string) {
 	now := time.Now()
+	after := sweepAfter + time.Duration(s.o.Rank(address))*sweepRank
 	parts, epoch := s.o.Kept.Outdated(address, sweepMost, func(salt string) bool {
 		since, superseded := s.o.Superseded(salt)
-		return !superseded || now.Sub(since) < sweepAfter
+		return !superseded || now.Sub(since) < after
 	})
 	if len(parts) == 0 {
 		return
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -25,7 +25,8 @@
 	"embertally.dev/core/wire"
 )
 
-// Part is what a slice attaches to heartbeats.
+// Part is what a slice attaches to heartbeats. A part with a method Told hears
+// when a round of heartbeats was sent.
 type Part interface {
 	// Collect returns the part of one heartbeat, or nil for none. full asks
 	// for everything, not only for what changed.
@@ -287,6 +288,11 @@
 		own.Taken = taken
 		go sender{f, p, &own}.run(ctx)
 	}
+	for _, p := range f.parts {
+		if t, ok := p.part.(interface{ Told() }); ok {
+			t.Told()
+		}
+	}
 }
 
 // wantsFull reports whether the peer's next heartbeat is a full one, and which
--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -11,8 +11,8 @@
 
 // Timed is the right to act alone, bound to a session of the service: the key
 // goes when its holder is silent, and who takes it next waits until the former
-// holder can no longer act. The fence is the revision at which the key was
-// made, so it rises with each holder.
+// holder can no longer have acted within Apart. The fence is the revision at
+// which the key was made, so it rises with each holder.
 //
 // Nothing rests on wall clocks. A holder that was paused finds its last renewal
 // too old by the steady clock and does not act.
@@ -24,10 +24,14 @@
 	// renewed is when the last renewal that succeeded was sent. Guarded by
 	// timedMu.
 	renewed time.Time
+	// asked is when a renewal was last tried. Guarded by timedMu.
+	asked time.Time
 	// fence is 0 while the key is not held. Guarded by timedMu.
 	fence uint64
 	// from is when this holder may act first. Guarded by timedMu.
 	from time.Time
+	// acted is when the holder last acted. Guarded by timedMu.
+	acted time.Time
 	// refused is the fence that a target refused as too old. Guarded by timedMu.
 	refused uint64
 }
@@ -36,7 +40,8 @@
 type TimedOptions struct {
 	Key   string
 	Owner string
-	// Apart is the least time between the acts of two holders.
+	// Apart is the least time between the acts of two holders, and the life of
+	// the key without renewals.
 	Apart  time.Duration
 	Store  plat.Store
 	Mirror *plat.Mirror
@@ -45,20 +50,29 @@
 	Rank func() int
 	// Idle reports that this daemon must not hold the lease.
 	Idle func() bool
+	// Urgent reports that the holder has something to do. Without it, the lease
+	// is renewed only as often as it needs to be kept.
+	Urgent func() bool
 }
 
 // Times of a timed lease, as shares of Apart.
 const (
-	// renewShare is the pause between renewals: a renewal costs the platform a
-	// tenth of a call.
-	renewShare = 8
-	// actShare bounds the age of the renewal under which a holder acts, so that
-	// it stops acting long before its session ends.
-	actShare = 3
+	// actShare bounds the age of the renewal under which a holder acts. A
+	// holder that is lost delays its successor by Apart and this, so it is
+	// short.
+	actShare = 4
+	// urgentShare and restShare are the pauses between renewals with and
+	// without something to do: a renewal costs the platform a tenth of a call.
+	urgentShare = 12
+	restShare   = 3
+	// transit is left for an act of the former holder that is still on its way.
+	transit = 250 * time.Millisecond
 	// callLimit bounds one call of the service.
 	callLimit = time.Second
 	// rankPause spaces the daemons that try to take a free lease.
 	rankPause = 250 * time.Millisecond
+	// timedLook is the pause between looks.
+	timedLook = 50 * time.Millisecond
 )
 
 // NewTimed returns a lease that is not held.
@@ -66,18 +80,18 @@
 
 // Run takes and keeps the lease until ctx ends, and then gives it back.
 func (t *Timed) Run(ctx context.Context) {
-	tick := time.NewTicker(t.o.Apart / renewShare)
+	tick := time.NewTicker(timedLook)
 	defer tick.Stop()
 	var free time.Time
 	for {
 		select {
 		case <-ctx.Done():
-			t.giveBack()
+			t.giveBack("the daemon stops")
 			return
 		case <-tick.C:
 		}
 		if t.o.Idle() {
-			t.giveBack()
+			t.giveBack("another daemon is to hold it")
 			continue
 		}
 		if t.keep(ctx) {
@@ -98,52 +112,79 @@
 	}
 }
 
-// keep renews the session and reports whether the key is held.
+// held reports what the mirror says of the key: whether this holder has it.
+// A key that was just taken shows there a moment later.
+func (t *Timed) held() (mine, lost bool, revision int64) {
+	t.timedMu.Lock()
+	fence := t.fence
+	t.timedMu.Unlock()
+	pair, there := t.o.Mirror.Pair(t.o.Key)
+	switch {
+	case there && string(pair.Value) == t.o.Owner:
+		return true, false, pair.ModRevision
+	case there:
+		return false, true, 0
+	case fence > uint64(t.o.Mirror.Revision()):
+		return true, false, int64(fence)
+	}
+	return false, fence != 0, 0
+}
+
+// keep renews the session where it is time to, and reports whether the key is
+// held.
 func (t *Timed) keep(ctx context.Context) bool {
 	t.timedMu.Lock()
-	session, fence := t.session, t.fence
+	session, asked := t.session, t.asked
 	t.timedMu.Unlock()
 	if session == 0 {
 		return false
 	}
-	pair, there := t.o.Mirror.Pair(t.o.Key)
-	mine := there && string(pair.Value) == t.o.Owner
-	// The mirror shows a key that was just taken a moment later.
-	unseen := !there && fence > uint64(t.o.Mirror.Revision())
-	switch {
-	case there && !mine:
-		t.drop("another holds it")
+	mine, lost, revision := t.held()
+	if lost {
+		t.drop("it ran out or another holds it")
 		return false
-	case !there && fence != 0 && !unseen:
-		t.drop("it ran out")
+	}
+	pause := t.o.Apart / restShare
+	if t.o.Urgent() {
+		pause = t.o.Apart / urgentShare
+	}
+	if time.Since(asked) >= pause && !t.renew(ctx, session) {
 		return false
 	}
-	mine = mine || unseen
+	t.timedMu.Lock()
+	defer t.timedMu.Unlock()
+	if mine && t.session == session && t.fence != uint64(revision) {
+		// The answer to the taking was lost.
+		t.hold(revision)
+	}
+	return mine
+}
+
+// renew renews the session and reports whether it may still live.
+func (t *Timed) renew(ctx context.Context, session int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	sent := time.Now()
-	if err := t.o.Store.Renew(ctx, session); err != nil {
-		if isOver(err) {
-			t.drop(err.Error())
-			return false
-		}
-		return mine
+	err := t.o.Store.Renew(ctx, session)
+	if isOver(err) {
+		t.drop(err.Error())
+		return false
 	}
 	t.timedMu.Lock()
 	defer t.timedMu.Unlock()
-	t.renewed = sent
-	if there && t.fence != uint64(pair.ModRevision) {
-		t.hold(pair.ModRevision)
+	t.asked = sent
+	if err == nil {
+		t.renewed = sent
 	}
-	return mine
+	return true
 }
 
-// hold records that the key was found to be this holder's. It is called with
-// timedMu held.
+// hold records that the key is this holder's. It is called with timedMu held.
 func (t *Timed) hold(revision int64) {
 	t.fence = uint64(revision)
-	t.from = time.Now().Add(t.o.Apart)
-	t.o.Log.Emit(event.LeaseTaken, event.Ref{Resource: t.o.Key}, "acts "+t.o.Apart.String()+" from now")
+	wait := t.o.Apart/actShare + transit
+	t.from = time.Now().Add(wait)
+	t.o.Log.Emit(event.LeaseTaken, event.Ref{Resource: t.o.Key}, "acts "+wait.String()+" from now")
 }
 
 // take opens a session and writes the key under it, unless somebody has it.
@@ -167,7 +208,7 @@
 	})
 	t.timedMu.Lock()
 	defer t.timedMu.Unlock()
-	t.session = session
+	t.session, t.asked = session, sent
 	switch {
 	case isOver(err):
 		t.session = 0
@@ -187,22 +228,25 @@
 	t.session, t.fence = 0, 0
 }
 
-// giveBack ends the session, so that another may take the lease at once.
-func (t *Timed) giveBack() {
+// giveBack ends the session, so that another may take the lease. After a recent
+// act the session runs out by itself instead: who finds the key gone relies on
+// the time since the last act.
+func (t *Timed) giveBack(why string) {
 	t.timedMu.Lock()
-	session := t.session
+	session, held := t.session, t.fence != 0
+	recent := time.Since(t.acted) < t.o.Apart
 	t.session, t.fence = 0, 0
 	t.timedMu.Unlock()
-	if session == 0 {
+	if held {
+		t.o.Log.Emit(event.LeaseLost, event.Ref{Resource: t.o.Key}, "given back: "+why)
+	}
+	if session == 0 || recent {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	if err := t.o.Store.End(ctx, session); err != nil {
-		t.o.Log.Emit(event.LeaseLost, event.Ref{Resource: t.o.Key}, "not given back, it will run out: "+err.Error())
-		return
-	}
-	t.o.Log.Emit(event.LeaseLost, event.Ref{Resource: t.o.Key}, "given back")
+	// Where this fails the session runs out by itself.
+	_ = t.o.Store.End(ctx, session)
 }
 
 // Refused records that a target has seen a higher fence; the lease is taken
@@ -213,16 +257,31 @@
 	t.refused = fence
 	t.timedMu.Unlock()
 	if same {
-		t.giveBack()
+		t.giveBack("a target has seen a higher fence")
 	}
 }
 
-// Fence returns the number that fences this holder's acts, and whether it may
-// act now.
-func (t *Timed) Fence() (uint64, bool) {
+// Held reports whether the lease is held and its holder may act once the lease
+// is renewed.
+func (t *Timed) Held() bool {
+	t.timedMu.Lock()
+	defer t.timedMu.Unlock()
+	return t.mayHold(time.Now())
+}
+
+// mayHold is called with timedMu held.
+func (t *Timed) mayHold(now time.Time) bool {
+	return t.fence != 0 && t.fence != t.refused && !now.Before(t.from)
+}
+
+// Act returns the number that fences an act, and whether it may be done now.
+func (t *Timed) Act() (uint64, bool) {
 	t.timedMu.Lock()
 	defer t.timedMu.Unlock()
 	now := time.Now()
-	may := t.fence != 0 && t.fence != t.refused && now.After(t.from) && now.Sub(t.renewed) < t.o.Apart/actShare
-	return t.fence, may
+	if !t.mayHold(now) || now.Sub(t.renewed) >= t.o.Apart/actShare {
+		return 0, false
+	}
+	t.acted = now
+	return t.fence, true
 }
--- a/core/memkv/memkv.go
+++ b/core/memkv/memkv.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -40,6 +41,9 @@
 	writes   int
 	down     bool
 	fate     func() Fate
+	// sessions holds the keys of each open session.
+	sessions map[int64][]string
+	opened   int64
 }
 
 // SetFate makes f decide about each commit.
@@ -91,7 +95,8 @@
 	return out, k.revision, nil
 }
 
-func in(s plat.Span, key string) bool { return key >= s.From && key < s.To }
+// in reports whether a span holds a key; an end of "\x00" holds all later keys.
+func in(s plat.Span, key string) bool { return key >= s.From && (key < s.To || s.To == "\x00") }
 
 // Commit carries out t as its fate wants.
 func (k *KV) Commit(_ context.Context, t plat.Txn) (plat.Outcome, error) {
@@ -116,6 +121,11 @@
 		k.late = append(k.late, t)
 		return plat.Outcome{}, plat.ErrUnknown
 	}
+	for _, p := range t.Puts {
+		if _, open := k.sessions[p.Session]; p.Session != 0 && !open {
+			return plat.Outcome{}, plat.ErrSessionOver
+		}
+	}
 	out := k.apply(t)
 	if fate == Lost {
 		return plat.Outcome{}, plat.ErrUnknown
@@ -135,6 +145,9 @@
 	k.revision++
 	k.writes++
 	for _, p := range t.Puts {
+		if p.Session != 0 {
+			k.sessions[p.Session] = append(k.sessions[p.Session], p.Key)
+		}
 		pair := plat.Pair{Key: p.Key, Value: p.Value, ModRevision: k.revision}
 		k.data[p.Key] = pair
 		k.history = append(k.history, plat.Change{Pair: pair})
@@ -161,6 +174,67 @@
 	}
 }
 
+// Open begins a session, which lives until it is ended or expired.
+func (k *KV) Open(context.Context, time.Duration) (int64, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.down {
+		return 0, errDown
+	}
+	if k.sessions == nil {
+		k.sessions = map[int64][]string{}
+	}
+	k.opened++
+	k.sessions[k.opened] = nil
+	return k.opened, nil
+}
+
+// Renew fails where a session was ended or expired.
+func (k *KV) Renew(_ context.Context, session int64) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.down {
+		return errDown
+	}
+	if _, open := k.sessions[session]; !open {
+		return plat.ErrSessionOver
+	}
+	return nil
+}
+
+// End ends a session with its keys.
+func (k *KV) End(_ context.Context, session int64) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.down {
+		return errDown
+	}
+	k.end(session)
+	return nil
+}
+
+// Expire ends all sessions, as if nobody had renewed them.
+func (k *KV) Expire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for session := range k.sessions {
+		k.end(session)
+	}
+}
+
+func (k *KV) end(session int64) {
+	keys := k.sessions[session]
+	delete(k.sessions, session)
+	k.revision++
+	for _, key := range keys {
+		k.remove(plat.Span{From: key, To: key + "\x00"})
+	}
+	if k.moved != nil {
+		close(k.moved)
+		k.moved = nil
+	}
+}
+
 // Watch calls f with the changes of span from a revision on, until ctx ends or
 // the service goes down.
 func (k *KV) Watch(ctx context.Context, span plat.Span, from int64, f func([]plat.Change, int64) error) error {
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
 )
@@ -72,17 +73,22 @@
 
 // Right is the right to give orders.
 type Right interface {
-	// Fence returns the number that fences orders, and whether they may be
-	// given now.
-	Fence() (uint64, bool)
+	// Held reports whether this daemon is the one to give orders.
+	Held() bool
+	// Act returns the number that fences an order, and whether it may be given
+	// now.
+	Act() (uint64, bool)
 	// Refused records that a worker has seen a higher fence.
 	Refused(fence uint64)
 }
 
 // SwapOptions of a swapper.
 type SwapOptions struct {
-	Name      string
-	Right     Right
+	Name string
+	// Rights are the rights to give orders to parts of the workers; the hash of
+	// a worker's run says which part it belongs to. Where the holder of one is
+	// lost, the other parts go on.
+	Rights    []Right
 	Commander Commander
 	Roster    *roster.Roster
 	// Table returns the configuration in force, or nil.
@@ -102,6 +108,8 @@
 	jobs   map[string]*job // by target; guarded by swapMu
 	// rest is when a target that failed may be tried again. Guarded by swapMu.
 	rest map[string]time.Time
+	// last is when the last swap beyond a part's own began. Guarded by swapMu.
+	last time.Time
 }
 
 // NewSwapper returns a swapper.
@@ -130,12 +138,43 @@
 	jobLimit = 9 * time.Second
 	// restTime is the pause after a swap that failed.
 	restTime = time.Second
-	// swapDivisor sets how many workers load at a time: on the users' sites
-	// loads stay fast up to a fifth to a seventh of the workers.
-	swapDivisor = 6
-	swapLeast   = 2
+	// swapDivisor sets how many workers change at a time. On the users' sites
+	// loads stay fast up to a fifth to a seventh of the workers, and a worker
+	// ends its runs for about as long as it loads.
+	swapDivisor = 3
+	swapLeast   = 3
+	// extraPause is two heartbeats: other daemons have heard of the swap.
+	extraPause = 350 * time.Millisecond
+	// rightPause and rightTries bound the wait for a renewal of the right.
+	rightPause = 50 * time.Millisecond
+	rightTries = 12
 )
 
+// right returns the right to give orders to a worker.
+func (s *Swapper) right(id string) Right {
+	return s.o.Rights[fleet.Key(id)%uint64(len(s.o.Rights))]
+}
+
+// Wanted reports whether a worker of a part holds older weights than are
+// named.
+func (s *Swapper) Wanted(part int) bool {
+	t := s.o.Table()
+	if t == nil {
+		return false
+	}
+	for _, svc := range t.Engines() {
+		for _, model := range svc.Engine.Models {
+			version := s.o.Named(model)
+			for _, w := range s.o.Roster.Of(svc.Name) {
+				if s.right(w.ID()) == s.o.Rights[part] && w.Entry().Weights[model] < version {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // Run gives orders until ctx ends.
 func (s *Swapper) Run(ctx context.Context) {
 	tick := time.NewTicker(swapLook)
@@ -157,7 +196,7 @@
 // next returns the swaps to begin now.
 func (s *Swapper) next() []*job {
 	t := s.o.Table()
-	if _, may := s.o.Right.Fence(); !may || t == nil {
+	if t == nil {
 		return nil
 	}
 	s.swapMu.Lock()
@@ -177,27 +216,53 @@
 	version := s.o.Named(model)
 	workers := s.o.Roster.Of(service)
 	now := time.Now()
-	var behind []*roster.Target
-	running := 0
+	// Other daemons' swaps are told in heartbeats.
+	ordered := s.o.Roster.Ordered(now)
+	behind := map[Right][]*roster.Target{}
+	running := map[Right]int{}
+	total := 0
 	for _, t := range workers {
+		right := s.right(t.ID())
 		switch {
 		case s.jobs[t.ID()] != nil:
-			running++
-		case t.Entry().Weights[model] < version && !t.Entry().Leaving && now.After(s.rest[t.ID()]):
-			behind = append(behind, t)
+			running[right]++
+			total++
+		case ordered[t.ID()]:
+			total++
+		case t.Entry().Weights[model] < version && !t.Entry().Leaving && now.After(s.rest[t.ID()]) && right.Held():
+			behind[right] = append(behind[right], t)
 		}
 	}
-	free := max(swapLeast, len(workers)/swapDivisor) - running
-	slices.SortStableFunc(behind, func(a, b *roster.Target) int { return cmp.Compare(weight(a), weight(b)) })
 	var out []*job
-	for _, t := range behind[:max(0, min(free, len(behind)))] {
-		j := &job{s: s, target: t, model: model, version: version}
-		s.jobs[t.ID()] = j
-		out = append(out, j)
+	for right, list := range behind {
+		slices.SortStableFunc(list, func(a, b *roster.Target) int { return cmp.Compare(weight(a), weight(b)) })
+		for _, t := range list {
+			if running[right] >= own(len(workers), len(s.o.Rights)) && !s.extra(total, len(workers), now) {
+				break
+			}
+			running[right]++
+			total++
+			j := &job{s: s, target: t, model: model, version: version}
+			s.jobs[t.ID()] = j
+			out = append(out, j)
+		}
 	}
 	return out
 }
 
+// own is how many swaps of a part may run whatever other parts do.
+func own(workers, parts int) int { return max(1, workers/swapDivisor/parts) }
+
+// extra reports whether a part may begin one more swap because other parts
+// have fewer workers left. Heartbeats must tell of the last one first.
+func (s *Swapper) extra(total, workers int, now time.Time) bool {
+	if total >= max(swapLeast, workers/swapDivisor) || now.Sub(s.last) < extraPause {
+		return false
+	}
+	s.last = now
+	return true
+}
+
 // weight orders workers by what a swap interrupts.
 func weight(t *roster.Target) int {
 	l := t.Load()
@@ -289,7 +354,12 @@
 
 // give gives the order once.
 func (j *job) give(ctx context.Context) error {
-	fence, may := j.s.o.Right.Fence()
+	right := j.s.right(j.target.ID())
+	fence, may := right.Act()
+	for n := 0; !may && right.Held() && n < rightTries; n++ {
+		sleep(ctx, rightPause)
+		fence, may = right.Act()
+	}
 	if !may {
 		return errNoRight
 	}
@@ -308,7 +378,7 @@
 	j.s.o.Log.Emit(event.OrderSent, event.Ref{Target: id}, text+": "+v.String())
 	switch v {
 	case Fenced:
-		j.s.o.Right.Refused(fence)
+		right.Refused(fence)
 		return errNoRight
 	case Elsewhere, Refused:
 		return errors.Errorf("the worker says %s", v)
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,7 +17,7 @@
 // Mirror keeps a copy of some keys of the key-value service current, with one
 // watch. The zero value is not usable; see NewMirror.
 //
-// Lock order: mirrorMu is taken alone; observers are called without it.
+// Lock order: tellMu before what observers take; mirrorMu is taken alone.
 type Mirror struct {
 	from Reader
 	span Span
@@ -24,6 +25,10 @@
 	// observers are filled before Run.
 	observers []func([]Change)
 
+	// tellMu keeps the observers' calls apart: the service and a peer may tell
+	// of changes at the same time.
+	tellMu sync.Mutex
+
 	mirrorMu sync.Mutex
 	pairs    map[string]Pair // guarded by mirrorMu
 	// revision is the highest that was seen; 0 before the first copy. Guarded
@@ -37,15 +42,26 @@
 	// silence is how long that silence was. Guarded by mirrorMu.
 	silence time.Duration
 	down    bool // guarded by mirrorMu
+	// via is when the service had answered a peer that told of it. Guarded by
+	// mirrorMu.
+	via time.Time
+	// history holds the latest changes, in order, for peers that the service
+	// does not answer. Guarded by mirrorMu.
+	history []Change
+	// base is the revision after which history is whole. Guarded by mirrorMu.
+	base int64
 }
 
+// historyMost bounds the changes kept for peers.
+const historyMost = 1024
+
 // NewMirror returns a mirror of the keys in span.
 func NewMirror(from Reader, span Span, log *event.Log) *Mirror {
 	return &Mirror{from: from, span: span, log: log, pairs: map[string]Pair{}}
 }
 
-// Observe makes f hear of all changes, in order, from one goroutine. It must be
-// called before Run.
+// Observe makes f hear of all changes, one call at a time. It must be called
+// before Run.
 func (m *Mirror) Observe(f func([]Change)) { m.observers = append(m.observers, f) }
 
 // Pauses of a mirror.
@@ -87,6 +103,7 @@
 		*whole = true
 	}
 	err := m.from.Watch(ctx, m.span, m.Revision()+1, func(changes []Change, revision int64) error {
+		m.heard()
 		m.apply(changes, revision)
 		return nil
 	})
@@ -105,13 +122,27 @@
 	if err != nil {
 		return err
 	}
-	m.apply(m.differences(pairs), revision)
+	m.heard()
+	m.reset(pairs, revision)
 	return nil
 }
 
-func (m *Mirror) differences(pairs []Pair) []Change {
+// reset takes a whole copy, unless a newer state is known.
+func (m *Mirror) reset(pairs []Pair, revision int64) {
 	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
+	if revision < m.revision {
+		m.mirrorMu.Unlock()
+		return
+	}
+	changes := m.differences(pairs, revision)
+	m.put(changes)
+	m.revision, m.base, m.history = revision, revision, nil
+	m.mirrorMu.Unlock()
+	m.tell(changes)
+}
+
+// differences is called with mirrorMu held.
+func (m *Mirror) differences(pairs []Pair, revision int64) []Change {
 	gone := maps.Clone(m.pairs)
 	var changes []Change
 	for _, p := range pairs {
@@ -122,14 +153,31 @@
 		}
 	}
 	for key := range gone {
-		changes = append(changes, Change{Pair: Pair{Key: key}, Deleted: true})
+		changes = append(changes, Change{Pair: Pair{Key: key, ModRevision: revision}, Deleted: true})
 	}
 	return changes
 }
 
+// apply takes the changes after a revision that is known up to another one.
+// Changes that are known already are left out: the service and peers may both
+// tell of them.
 func (m *Mirror) apply(changes []Change, revision int64) {
 	m.mirrorMu.Lock()
-	m.hear(time.Now())
+	var news []Change
+	for _, c := range changes {
+		if c.ModRevision > m.revision {
+			news = append(news, c)
+		}
+	}
+	m.put(news)
+	m.remember(news)
+	m.revision = max(m.revision, revision)
+	m.mirrorMu.Unlock()
+	m.tell(news)
+}
+
+// put is called with mirrorMu held.
+func (m *Mirror) put(changes []Change) {
 	for _, c := range changes {
 		if c.Deleted {
 			delete(m.pairs, c.Key)
@@ -137,18 +185,88 @@
 			m.pairs[c.Key] = c.Pair
 		}
 	}
-	m.revision = max(m.revision, revision)
-	m.mirrorMu.Unlock()
+}
+
+// remember is called with mirrorMu held.
+func (m *Mirror) remember(changes []Change) {
+	m.history = append(m.history, changes...)
+	if over := len(m.history) - historyMost; over > 0 {
+		m.base = m.history[over-1].ModRevision
+		m.history = append([]Change(nil), m.history[over:]...)
+	}
+}
+
+func (m *Mirror) tell(changes []Change) {
 	if len(changes) == 0 {
 		return
 	}
+	m.tellMu.Lock()
+	defer m.tellMu.Unlock()
 	for _, f := range m.observers {
 		f(changes)
 	}
 }
 
-// hear records an answer. It is called with mirrorMu held.
-func (m *Mirror) hear(now time.Time) {
+// Since returns the changes after a revision and the revision that they lead
+// to, for a peer; whole is false where they are not kept any more.
+func (m *Mirror) Since(after int64) (changes []Change, revision int64, whole bool) {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	if after < m.base || m.revision == 0 {
+		return nil, m.revision, false
+	}
+	for _, c := range m.history {
+		if c.ModRevision > after {
+			changes = append(changes, c)
+		}
+	}
+	return changes, m.revision, true
+}
+
+// All returns the whole copy and its revision, for a peer.
+func (m *Mirror) All() ([]Pair, int64) {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	return slices.Collect(maps.Values(m.pairs)), m.revision
+}
+
+// Take takes changes from a peer, or its whole copy, and when the service had
+// answered it.
+func (m *Mirror) Take(changes []Change, revision int64, heard time.Time) {
+	m.apply(changes, revision)
+	m.hearVia(heard)
+}
+
+// TakeAll takes a peer's whole copy.
+func (m *Mirror) TakeAll(pairs []Pair, revision int64, heard time.Time) {
+	m.reset(pairs, revision)
+	m.hearVia(heard)
+}
+
+func (m *Mirror) hearVia(heard time.Time) {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	if heard.After(m.via) {
+		m.via = heard
+	}
+}
+
+// Fresh returns when the service last answered this daemon, or a peer whose
+// state this daemon has taken.
+func (m *Mirror) Fresh() time.Time {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	if m.via.After(m.contact) {
+		return m.via
+	}
+	return m.contact
+}
+
+// heard records an answer of the service.
+func (m *Mirror) heard() {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	now := time.Now()
 	if gap := now.Sub(m.contact); !m.contact.IsZero() && (gap > downAfter || m.down) {
 		m.regained, m.silence = now, gap
 		m.log.Emit(event.ServiceUp, event.Ref{}, "silent for "+gap.Round(time.Millisecond).String())
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"embertally.dev/core/cache"
@@ -42,6 +43,17 @@
 	connShare = 0.9
 )
 
+// option is one target that may get a send.
+type option struct {
+	target  *roster.Target
+	entry   *roster.Entry
+	health  roster.Health
+	load    roster.Load
+	version int64
+	// short tells that the target is set aside for short prompts.
+	short bool
+}
+
 // choose returns the target for the next send, or why there is none.
 func (p *pass) choose() (*choice, string) {
 	if time.Until(p.until) < shortest {
@@ -52,36 +64,47 @@
 		return nil, "the service is not configured"
 	}
 	now := time.Now()
-	var targets []*roster.Target
-	var list []route.Candidate
+	options, why := p.options(svc, now)
+	usual := p.usual(options)
+	list := make([]route.Candidate, len(options))
+	for i, o := range options {
+		list[i] = p.candidate(svc, o, o.target == usual, now)
+	}
+	asked := p.asked(svc)
+	at := route.Pick(asked, list, draw())
+	if at < 0 {
+		return nil, why
+	}
+	return p.chosen(svc, options[at], asked, list[at], len(list) == 1, now), ""
+}
+
+// options returns the targets that may get the request, or why there are none.
+func (p *pass) options(svc *table.Service, now time.Time) ([]option, string) {
+	var out []option
 	ordered := p.f.o.Roster.Ordered(now)
-	named := p.f.o.Named(p.ask.Model)
 	full, suspects := 0, 0
+	var short map[string]bool
+	if svc.Engine != nil {
+		short = p.f.shortWorkers(p.service)
+	}
 	for _, t := range p.f.o.Roster.Of(p.service) {
-		e := t.Entry()
-		h := t.Health(now)
+		o := option{target: t, entry: t.Entry(), health: t.Health(now), load: t.Load()}
 		switch {
-		case e.Leaving, h.Gone, p.tried[t.ID()] > 0, ordered[t.ID()]:
+		case o.entry.Leaving, o.health.Gone, p.tried[t.ID()] > 0, ordered[t.ID()]:
 			continue
-		case h.Suspect:
+		case o.health.Suspect:
 			suspects++
 			continue
 		}
-		p.bound(svc, e.Address)
-		load := t.Load()
-		if load.Running >= p.most(svc, e) || p.f.o.Pool.Room(e.Address) <= 0 {
+		p.bound(svc, o.entry.Address)
+		if o.load.Running >= p.most(svc, o.entry) || p.f.o.Pool.Room(o.entry.Address) <= 0 {
 			full++
 			continue
 		}
-		targets = append(targets, t)
-		list = append(list, p.candidate(svc, t, e, h, load, named, now))
-	}
-	asked := p.asked(svc)
-	at := route.Pick(asked, list, draw())
-	if at < 0 {
-		return nil, noneLeft(full, suspects)
+		o.version, o.short = o.entry.Weights[p.ask.Model], short[t.ID()]
+		out = append(out, o)
 	}
-	return p.chosen(svc, targets[at], asked, list[at], len(list) == 1, now), ""
+	return out, noneLeft(full, suspects)
 }
 
 func noneLeft(full, suspects int) string {
@@ -113,39 +136,92 @@
 
 func (p *pass) asked(svc *table.Service) route.Asked {
 	if svc.Engine != nil {
-		return route.Asked{Tokens: p.ask.Prompt}
+		return route.Asked{Tokens: p.ask.Prompt, Shared: p.shared()}
 	}
 	return route.Asked{Work: time.Duration(float64(p.route.Aim) * plainWorkShare)}
 }
 
-func (p *pass) candidate(svc *table.Service, t *roster.Target, e *roster.Entry, h roster.Health, load roster.Load, named int64, now time.Time) route.Candidate {
+// candidate works out what a decision needs to know of an option.
+func (p *pass) candidate(svc *table.Service, o option, usual bool, now time.Time) route.Candidate {
 	c := route.Candidate{
-		Running: load.Running, Slots: max(1, e.Slots), Unread: load.Unread, Held: load.Held,
-		Far: e.Domain != p.f.o.Domain, Doubtful: h.Lapsed, Faults: h.Faults, Pace: h.Pace,
+		Running: o.load.Running, Slots: max(1, o.entry.Slots), Unread: o.load.Unread, Held: o.load.Held,
+		Short: o.short, Far: o.entry.Domain != p.f.o.Domain, Doubtful: o.health.Lapsed, Faults: o.health.Faults, Pace: o.health.Pace,
 	}
 	if svc.Engine == nil {
 		return c
 	}
 	c.Memory = svc.Engine.MemoryTokens
-	version := e.Weights[p.ask.Model]
-	c.Old = version < named
-	if t == p.usual() {
-		c.Kept = p.shared()
-		return c
-	}
+	c.Old = o.version < p.f.o.Named(p.ask.Model)
 	for _, part := range p.sharedParts() {
 		if part.Tokens < copyFrom {
+			// Small parts are not looked for: they are where such requests
+			// usually go.
+			if usual {
+				c.Kept += part.Tokens
+			}
 			continue
 		}
-		name := cache.PartName{Salt: p.salt(version).String(), ID: part.ID}
-		if place, ok := p.f.o.Kept.Find(name, e.Domain, now); ok {
-			c.Copied += place.Tokens
-			c.CopyTime += place.Time
+		src := p.source(svc, o, part, now)
+		switch {
+		case src.here:
+			c.Kept += part.Tokens
+		case src.address != "":
+			c.Copied += part.Tokens
+			c.CopyTime += src.time
 		}
 	}
 	return c
 }
 
+// source is where a worker gets a part from.
+type source struct {
+	// here tells that the worker is believed to hold the part.
+	here bool
+	// address is the store or worker that the part can be copied from, or "".
+	address string
+	time    time.Duration
+	// until is when a copy is void, on the targets' clock; 0 for workers, which
+	// free nothing that they hand out.
+	until time.Duration
+}
+
+// workerFirst is the wait before the first byte of a copy between workers.
+const workerFirst = 61 * time.Millisecond
+
+// source finds a part for a worker.
+func (p *pass) source(svc *table.Service, o option, part cache.Part, now time.Time) source {
+	var out source
+	name := cache.PartName{Salt: p.salt(o.version).String(), ID: part.ID}
+	holder, seen := p.f.o.Where.Find(name, now)
+	out.here = seen && holder == o.target.ID()
+	// Parts of superseded weights in stores are about to be freed.
+	if o.version >= p.f.o.Named(p.ask.Model) && p.f.o.CopyMay() {
+		if place, ok := p.f.o.Kept.Find(name, o.entry.Domain, now); ok {
+			out.address, out.time, out.until = place.Address, place.Time, place.Until
+			return out
+		}
+	}
+	if !seen || out.here {
+		return out
+	}
+	t := p.f.o.Roster.Target(holder)
+	if t == nil || t.Entry().Weights[p.ask.Model] != o.version || t.Health(now).Suspect {
+		return out
+	}
+	out.address = t.Entry().Address
+	out.time = workerFirst + linkTime(svc.Engine, part.Tokens)
+	return out
+}
+
+// linkTime is how long tokens of context take over a worker's link.
+func linkTime(e *table.Engine, tokens int) time.Duration {
+	if e.LinkBits <= 0 {
+		return 0
+	}
+	const bitsPerByte = 8
+	return time.Duration(float64(tokens*e.TokenBytes) * bitsPerByte / e.LinkBits * float64(time.Second))
+}
+
 // sharedParts are the parts that other requests have as well: all but the last.
 func (p *pass) sharedParts() []cache.Part {
 	if len(p.ask.Parts) < 2 {
@@ -164,32 +240,39 @@
 }
 
 // usual returns the worker that requests with the same last shared part go to
-// where nothing speaks against it, so that it is likely to hold the parts. All
-// daemons name the same one.
-func (p *pass) usual() *roster.Target {
+// where nothing speaks against it, so that it is likely to hold the parts.
+// Daemons that see the same workers name the same one. Workers with the newest
+// weights come first.
+func (p *pass) usual(options []option) *roster.Target {
 	parts := p.sharedParts()
 	if len(parts) == 0 {
 		return nil
 	}
-	if p.usualKnown {
-		return p.usualTarget
+	// Newer weights come first, then workers of the prompt's kind.
+	rank := func(o option) int64 {
+		if o.short == (p.ask.Prompt <= route.ShortPrompt) {
+			return o.version<<1 + 1
+		}
+		return o.version << 1
+	}
+	best := int64(-1)
+	for _, o := range options {
+		best = max(best, rank(o))
 	}
 	var names []string
 	byName := map[string]*roster.Target{}
-	for _, t := range p.f.o.Roster.Of(p.service) {
-		if !t.Entry().Leaving {
-			names = append(names, t.ID())
-			byName[t.ID()] = t
+	for _, o := range options {
+		if rank(o) == best {
+			names = append(names, o.target.ID())
+			byName[o.target.ID()] = o.target
 		}
 	}
-	p.usualTarget = byName[fleet.First(fleet.Key(parts[len(parts)-1].ID), names)]
-	p.usualKnown = true
-	return p.usualTarget
+	return byName[fleet.First(fleet.Key(parts[len(parts)-1].ID), names)]
 }
 
 // chosen works out what is said to the target.
-func (p *pass) chosen(svc *table.Service, t *roster.Target, asked route.Asked, c route.Candidate, alone bool, now time.Time) *choice {
-	e := t.Entry()
+func (p *pass) chosen(svc *table.Service, o option, asked route.Asked, c route.Candidate, alone bool, now time.Time) *choice {
+	t := o.target
 	out := &choice{target: t, alone: alone, expected: route.Cost(asked, route.Candidate{
 		Running: c.Running, Slots: c.Slots, Unread: c.Unread, Kept: c.Kept, Copied: c.Copied, CopyTime: c.CopyTime,
 	})}
@@ -198,52 +281,56 @@
 	if svc.Engine == nil {
 		return out
 	}
-	version := e.Weights[p.ask.Model]
-	salt := p.salt(version)
-	out.sending.Weights = version
+	salt := p.salt(o.version)
+	out.sending.Weights = o.version
 	out.sending.Salt = salt.String()
 	out.sending.Priority = p.priority()
 	out.load.Unread = max(0, p.ask.Prompt-c.Kept-c.Copied)
 	out.load.Held = p.ask.Prompt
-	p.copies(out, salt, e.Domain, now)
+	p.copies(svc, out, o, now)
 	p.f.o.Stats.Read.Add(p.ask.Prompt)
 	p.f.o.Stats.Copied.Add(c.Copied)
 	p.f.o.Stats.Kept.Add(c.Kept)
-	p.note("kept %d, copied %d of %d tokens, before it %d, running %d, expected %s",
-		c.Kept, c.Copied, p.ask.Prompt, c.Unread, c.Running, out.expected.Round(time.Millisecond))
+	p.note("kept %d, copied %d of %d shared in %d tokens, before it %d, running %d, held %d, expected %s, version %d",
+		c.Kept, c.Copied, asked.Shared, p.ask.Prompt, c.Unread, c.Running, c.Held, out.expected.Round(time.Millisecond), o.version)
 	return out
 }
 
-// copies names the stores that parts are copied from and sent to.
-func (p *pass) copies(c *choice, salt cache.PartSalt, domain string, now time.Time) {
+// copies names where parts are copied from and which stores they are sent to.
+func (p *pass) copies(svc *table.Service, c *choice, o option, now time.Time) {
 	shared := p.sharedParts()
-	if len(shared) == 0 || salt.Version == 0 || !p.f.o.CopyMay() {
+	if len(shared) == 0 || o.version == 0 {
 		return
 	}
-	copyFromStores := make([]string, len(p.ask.Parts))
-	keepAt := make([]string, len(p.ask.Parts))
+	from, to := make([]string, len(p.ask.Parts)), make([]string, len(p.ask.Parts))
 	copies, keeps := false, false
+	newest := o.version >= p.f.o.Named(p.ask.Model)
 	for i, part := range shared {
 		if part.Tokens < copyFrom {
 			continue
 		}
-		name := cache.PartName{Salt: salt.String(), ID: part.ID}
-		if place, ok := p.f.o.Kept.Find(name, domain, now); ok {
-			copyFromStores[i], copies = place.Address, true
-			if c.sending.CopyUntil == 0 || place.Until < c.sending.CopyUntil {
-				c.sending.CopyUntil = place.Until
-			}
-			continue
+		name := cache.PartName{Salt: c.sending.Salt, ID: part.ID}
+		src := p.source(svc, o, part, now)
+		if src.address != "" {
+			from[i], copies = src.address, true
+		}
+		if src.until > 0 && (c.sending.CopyUntil == 0 || src.until < c.sending.CopyUntil) {
+			c.sending.CopyUntil = src.until
 		}
-		if at := p.f.o.Kept.Room(name, part.Tokens, now); at != "" {
-			keepAt[i], keeps = at, true
+		if src.until == 0 && newest {
+			// No store has it.
+			to[i] = p.f.o.Kept.Room(name, part.Tokens, now)
+			keeps = keeps || to[i] != ""
 		}
+		p.f.o.Where.Note(name, o.target.ID(), now)
 	}
 	if copies {
-		c.sending.Copy = copyFromStores
+		c.sending.Copy = from
+		p.note("copied from %s", strings.Join(from, ","))
 	}
 	if keeps {
-		c.sending.Keep = keepAt
+		c.sending.Keep = to
+		p.note("sent to %s", strings.Join(to, ","))
 	}
 }
 
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -48,9 +48,6 @@
 	first time.Time
 	// aborted tells that the answer was cut.
 	aborted bool
-	// usualTarget is the worker that holds the parts if any does.
-	usualTarget *roster.Target
-	usualKnown  bool
 	// notes are the decisions, for the log.
 	notes []string
 }
@@ -91,10 +88,14 @@
 func (p *pass) run() *entry.Refusal {
 	p.service = p.route.Service(draw())
 	p.f.earn(p.service)
+	if p.ask.Prompt > 0 {
+		p.f.count(p.service, p.ask.Prompt)
+	}
 	p.after = p.ask.After
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.until.Add(lateMargin))
 	defer cancel()
 	var kept *plainAnswer
+	unsent := 0
 	for {
 		c, why := p.choose()
 		if c == nil {
@@ -114,6 +115,9 @@
 			return p.giveUp(kept, "the time is up")
 		case notSent:
 			// The target got nothing; another one may get the request.
+			if unsent++; unsent >= unsentMost {
+				return p.giveUp(kept, "no target can be reached")
+			}
 		case refused, broken, bad:
 			if !p.again(out) {
 				return p.giveUp(kept, "it may not be sent again")
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -22,6 +22,7 @@
 	"embertally.dev/core/cache"
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
 	"embertally.dev/core/table"
@@ -104,6 +105,7 @@
 	Roster  *roster.Roster
 	Pool    *target.Pool
 	Kept    *cache.Kept
+	Where   *cache.Where
 	Log     *event.Log
 	Stats   *Stats
 	// Domain is the failure domain of this daemon.
@@ -139,11 +141,13 @@
 	allowMu sync.Mutex
 	// allowances bound repeated sends by service. Guarded by allowMu.
 	allowances map[string]*route.Allowance
+	// mixes count the prompts of each service. Guarded by allowMu.
+	mixes map[string]*route.Mix
 }
 
 // New returns a relay that has no table yet.
 func New(o Options) *Relay {
-	return &Relay{o: o, began: time.Now(), allowances: map[string]*route.Allowance{}}
+	return &Relay{o: o, began: time.Now(), allowances: map[string]*route.Allowance{}, mixes: map[string]*route.Mix{}}
 }
 
 // SetTable puts a configuration in force. Running requests keep theirs.
@@ -299,6 +303,43 @@
 	f.allowance(service).Earn(time.Since(f.began))
 }
 
+// count records a prompt for a service.
+func (f *Relay) count(service string, tokens int) {
+	f.allowMu.Lock()
+	defer f.allowMu.Unlock()
+	m := f.mixes[service]
+	if m == nil {
+		m = &route.Mix{}
+		f.mixes[service] = m
+	}
+	m.Count(tokens)
+}
+
+// shortWorkers returns the workers of a service that are set aside for short
+// prompts. All daemons that see the same list and mix name the same ones.
+func (f *Relay) shortWorkers(service string) map[string]bool {
+	f.allowMu.Lock()
+	var m route.Mix
+	if known := f.mixes[service]; known != nil {
+		m = *known
+	}
+	f.allowMu.Unlock()
+	targets := f.o.Roster.Of(service)
+	n := m.ShortWorkers(len(targets))
+	if n == 0 {
+		return nil
+	}
+	names := make([]string, len(targets))
+	for i, t := range targets {
+		names[i] = t.ID()
+	}
+	out := make(map[string]bool, n)
+	for _, name := range fleet.Rank(fleet.Key("short"), names)[:n] {
+		out[name] = true
+	}
+	return out
+}
+
 // allowedShare is the part of what is allowed that is used: requests that were
 // counted here but never arrived at a daemon's peer lower the others' count.
 const allowedShare = 0.7
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,279 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/cache"
+	"embertally.dev/core/roster"
+)
+
+func TestAnswersOfPlainTargets(t *testing.T) {
+	foreign := func(w *bufio.Writer, _ *http.Request) error {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: another\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno")
+		return nil
+	}
+	unsigned := func(w *bufio.Writer, r *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nno", r.Header.Get("Id"))
+		return nil
+	}
+	short := func(w *bufio.Writer, r *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 20\r\n\r\nhalf", r.Header.Get("Id"))
+		return fmt.Errorf("cut")
+	}
+	tests := []struct {
+		name   string
+		path   string
+		first  func(int) handler
+		second func(int) handler
+		status int
+		body   string
+		sends  int
+	}{
+		{"whole", "/once/a?b=c", always(answers(200, "yes")), nil, 200, "yes", 1},
+		{"own failure is passed on", "/once/a", always(answers(500, "bad")), nil, 500, "bad", 1},
+		{"not run moves on", "/once/a", always(declines), always(declines), 503, "notRun", 2},
+		{"not run is served by the other", "/once/a", inTurn(declines), always(answers(200, "yes")), 200, "yes", 0},
+		{"cut once is unknown", "/once/a", always(hangsUp), always(answers(200, "yes")), 0, "", 1},
+		{"cut repeatable is sent again", "/again/a", inTurn(hangsUp, answers(200, "yes")), always(answers(200, "yes")), 200, "yes", 0},
+		{"failure of repeatable is sent again", "/again/a", always(answers(500, "bad")), always(answers(500, "bad")), 500, "bad", 2},
+		{"foreign answer", "/once/a", always(foreign), nil, 502, "unknown", 1},
+		{"unsigned answer", "/once/a", always(unsigned), nil, 502, "unknown", 1},
+		{"short answer", "/once/a", always(short), nil, 502, "unknown", 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("t1", "plain", tc.first)
+			if tc.second != nil {
+				r.target("t2", "plain", tc.second)
+			}
+			a := r.ask(http.MethodPost, tc.path, "hello")
+			if tc.status != 0 {
+				r.g.Expect(a.status).To(gomega.Equal(tc.status))
+			}
+			r.g.Expect(a.body).To(gomega.ContainSubstring(tc.body))
+			if tc.sends > 0 {
+				r.g.Expect(r.sends()).To(gomega.HaveLen(tc.sends))
+			}
+			for _, s := range r.sends() {
+				r.g.Expect(s.uri).To(gomega.Equal(tc.path))
+				r.g.Expect(s.body).To(gomega.Equal("hello"))
+				r.g.Expect(s.header.Get("Organisation")).To(gomega.Equal("org"))
+				r.g.Expect(s.header.Get("Key")).To(gomega.BeEmpty())
+				r.g.Expect(s.header.Get("Target")).To(gomega.Equal(s.target))
+			}
+		})
+	}
+}
+
+func TestCutOfWhatMayRunOnceIsNeverCalledNotRun(t *testing.T) {
+	r := newRig(t, nil)
+	r.target("t1", "plain", always(hangsUp))
+	r.target("t2", "plain", always(hangsUp))
+	a := r.ask(http.MethodPost, "/once/a", "x")
+	r.g.Expect(a.status).To(gomega.Equal(http.StatusBadGateway))
+	r.g.Expect(a.header.Get("Come-Back")).To(gomega.BeEmpty())
+	r.g.Expect(r.sends()).To(gomega.HaveLen(1))
+}
+
+func TestRefusalsWithoutASend(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		headers []string
+		stale   bool
+		status  int
+	}{
+		{"no route", "/none/", nil, false, 404},
+		{"no route, old configuration", "/none/", nil, true, 503},
+		{"bad key", "/once/", []string{"Key", "other"}, false, 401},
+		{"bad key, old configuration", "/once/", []string{"Key", "other"}, true, 503},
+		{"no target", "/once/", nil, false, 503},
+		{"public needs no key", "/public/", []string{"Key", ""}, false, 503},
+		{"bad deadline", "/once/", []string{"Deadline", "soon"}, false, 400},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.stale = tc.stale
+			a := r.ask(http.MethodPost, tc.path, "x", tc.headers...)
+			r.g.Expect(a.status).To(gomega.Equal(tc.status))
+			r.g.Expect(a.body).To(gomega.ContainSubstring(`"ran":"notRun"`))
+			r.g.Expect(a.header.Get("Come-Back") != "").To(gomega.Equal(tc.status == 503))
+			r.g.Expect(r.sends()).To(gomega.BeEmpty())
+		})
+	}
+}
+
+func TestTimeLimitOfARoute(t *testing.T) {
+	release := make(chan struct{})
+	r := newRig(t, nil)
+	t.Cleanup(func() { close(release) })
+	r.target("t1", "plain", always(func(*bufio.Writer, *http.Request) error { <-release; return nil }))
+	a := r.ask(http.MethodPost, "/short/", "x")
+	r.g.Expect(a.status).To(gomega.Equal(http.StatusGatewayTimeout))
+	r.g.Expect(a.body).To(gomega.ContainSubstring(`"ran":"unknown"`))
+}
+
+func TestLeavingTargetsGetNothing(t *testing.T) {
+	r := newRig(t, nil)
+	f := r.target("t1", "plain", always(answers(200, "yes")))
+	r.roster.Put(roster.Entry{ID: "t1", Service: "plain", Address: f.l.Addr().String(), Leaving: true})
+	r.g.Expect(r.ask(http.MethodPost, "/once/", "x").status).To(gomega.Equal(http.StatusServiceUnavailable))
+	r.g.Expect(r.sends()).To(gomega.BeEmpty())
+}
+
+func TestStreams(t *testing.T) {
+	tests := []struct {
+		name     string
+		path     string
+		first    func(int) handler
+		second   func(int) handler
+		body     string
+		cut      bool
+		resumeAt string
+	}{
+		{"whole", "/stream/", always(streams(true, "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n")), nil, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, ""},
+		{
+			"broken inside an event, taken up elsewhere", "/stream/",
+			always(streams(false, "id: 1\ndata: a\n\n", "id: 2\nda")),
+			always(streams(true, "id: 2\ndata: b\n\n")),
+			"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, "1",
+		},
+		{
+			"events that the caller has are left out", "/stream/",
+			always(streams(false, "id: 9\ndata: a\n\n")),
+			always(streams(true, "id: 9\ndata: a\n\n", "id: 10\ndata: b\n\n")),
+			"id: 9\ndata: a\n\nid: 10\ndata: b\n\n", false, "9",
+		},
+		{"broken and not resumable", "/single/", always(streams(false, "id: 1\ndata: a\n\n")), always(streams(true, "id: 2\ndata: b\n\n")), "id: 1\ndata: a\n\n", true, ""},
+		{"ends inside an event", "/single/", always(streams(true, "id: 1\ndata: a\n\n", "id: 2\nda")), nil, "id: 1\ndata: a\n\n", true, ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("t1", "llm", tc.first)
+			if tc.second != nil {
+				// The first one is chosen: the second is busy.
+				r.target("t2", "llm", tc.second)
+				r.roster.Target("t2").Begin(roster.Load{Running: 3})
+			}
+			a := r.ask(http.MethodPost, tc.path, "x", "Model", "m")
+			r.g.Expect(a.body).To(gomega.Equal(tc.body))
+			r.g.Expect(a.err != nil).To(gomega.Equal(tc.cut))
+			r.g.Expect(a.header.Get("Seal")).To(gomega.Equal("s-t1"))
+			if tc.resumeAt != "" {
+				s := r.sends()
+				r.g.Expect(s).To(gomega.HaveLen(2))
+				r.g.Expect(s[1].target).To(gomega.Equal("t2"))
+				r.g.Expect(s[1].header.Get("After")).To(gomega.Equal(tc.resumeAt))
+			}
+		})
+	}
+}
+
+func TestCallerThatLeavesEndsTheSend(t *testing.T) {
+	r := newRig(t, nil)
+	began, ended := make(chan struct{}), make(chan struct{})
+	r.target("t1", "plain", always(func(w *bufio.Writer, req *http.Request) error {
+		close(began)
+		<-req.Context().Done()
+		return nil
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.front.URL+"/again/", strings.NewReader("x"))
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	req.Host = "h"
+	req.Header.Set("Id", "try-1")
+	req.Header.Set("Key", "secret")
+	go func() {
+		defer close(ended)
+		http.DefaultClient.Do(req)
+	}()
+	<-began
+	cancel()
+	<-ended
+	r.g.Eventually(r.relay.Running, "10s", "5ms").Should(gomega.BeZero())
+	r.g.Expect(r.roster.Target("t1").Own()).To(gomega.Equal(roster.Load{}))
+}
+
+func TestRetriesStayWithinWhatIsAllowed(t *testing.T) {
+	r := newRig(t, nil)
+	r.relay.o.RetryShare, r.relay.o.RetryExtra = 0, 3.5/allowedShare
+	r.target("t1", "plain", always(answers(500, "bad")))
+	r.target("t2", "plain", always(answers(500, "bad")))
+	for range 10 {
+		r.ask(http.MethodPost, "/again/", "x")
+	}
+	r.g.Expect(r.sends()).To(gomega.HaveLen(13))
+}
+
+// keptPart makes the rig's stores hold one part under a salt.
+func keptPart(r *rig, salt string) {
+	r.kept.Set(t0(r.t), []cache.StoreInfo{{Address: "store:1", Room: 1 << 20}})
+	name := cache.PartName{Salt: salt, ID: "shared"}
+	r.g.Eventually(func() bool {
+		_, ok := r.kept.Find(name, "", time.Now())
+		return ok
+	}, "10s", "5ms").Should(gomega.BeTrue())
+}
+
+func t0(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestPartsAreCopiedOnlyUnderTheNewestWeights(t *testing.T) {
+	tests := []struct {
+		name  string
+		named int64
+		copy  string
+	}{
+		{"newest", 1, "store:1,"},
+		{"superseded", 2, ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			salt := cache.PartSalt{Model: "m", Version: 1}.String()
+			r := newRig(t, noStores{[]cache.PartChange{{PartName: cache.PartName{Salt: salt, ID: "shared"}, Tokens: 5000}}})
+			r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
+			keptPart(r, salt)
+			r.named = tc.named
+			r.ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", "shared:5000 own:10")
+			r.g.Expect(r.sends()).To(gomega.HaveLen(1))
+			r.g.Expect(r.sends()[0].header.Get("Copy")).To(gomega.Equal(tc.copy))
+			r.g.Expect(r.sends()[0].header.Get("Salt")).To(gomega.Equal(salt))
+		})
+	}
+}
+
+func TestIsolatedOrganisationsHaveASaltOfTheirOwn(t *testing.T) {
+	r := newRig(t, nil)
+	r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
+	r.ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", "a:10 b:10")
+	r.ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", "a:10 b:10", "Key", "walled")
+	s := r.sends()
+	r.g.Expect(s[0].header.Get("Salt")).To(gomega.Equal("v1/m/"))
+	r.g.Expect(s[1].header.Get("Salt")).To(gomega.Equal("v1/m/walled"))
+}
+
+func TestPlannedStop(t *testing.T) {
+	r := newRig(t, nil)
+	r.target("t1", "plain", always(answers(200, "yes")))
+	r.relay.Close()
+	a := r.ask(http.MethodPost, "/once/", "x")
+	r.g.Expect(a.status).To(gomega.Equal(200))
+	r.relay.Refuse()
+	a = r.ask(http.MethodPost, "/once/", "x")
+	r.g.Expect(a.status).To(gomega.Equal(503))
+	r.g.Expect(r.sends()).To(gomega.HaveLen(1))
+}
--- /dev/null
+++ b/core/relay/rig_test.go
@@ -0,0 +1,289 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/cache"
+	"embertally.dev/core/event"
+	"embertally.dev/core/roster"
+	"embertally.dev/core/table"
+	"embertally.dev/core/target"
+)
+
+// plainDialect is a dialect with names of its own.
+type plainDialect struct{}
+
+func (plainDialect) Ask(h http.Header) (Ask, error) {
+	ask := Ask{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), After: h.Get("After")}
+	ms, err := strconv.Atoi(h.Get("Deadline"))
+	if h.Get("Deadline") != "" && err != nil {
+		return ask, err
+	}
+	ask.Deadline = time.Duration(ms) * time.Millisecond
+	for _, f := range strings.Fields(h.Get("Parts")) {
+		id, n, _ := strings.Cut(f, ":")
+		tokens, _ := strconv.Atoi(n)
+		ask.Parts = append(ask.Parts, cache.Part{ID: id, Tokens: tokens})
+		ask.Prompt += tokens
+	}
+	return ask, nil
+}
+
+func (plainDialect) Sending(h http.Header, s *Sending) {
+	h.Del("Key")
+	h.Set("Organisation", s.Organisation)
+	h.Set("Deadline", strconv.FormatInt(s.Deadline.Milliseconds(), 10))
+	h.Set("Target", s.Target)
+	h.Set("Weights", strconv.FormatInt(s.Weights, 10))
+	h.Set("Salt", s.Salt)
+	h.Set("After", s.After)
+	h.Set("Copy", strings.Join(s.Copy, ","))
+	h.Set("Keep", strings.Join(s.Keep, ","))
+}
+
+func (plainDialect) Reply(_ int, h http.Header) Reply {
+	version, _ := strconv.ParseInt(h.Get("Weights"), 10, 64)
+	return Reply{
+		ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Target: h.Get("Run"),
+		Weights: version, Encoded: h.Get("Content-Encoding") != "",
+	}
+}
+
+func (plainDialect) Refusal(h http.Header, id string, after time.Duration) {
+	h.Set("Id", id)
+	if after > 0 {
+		h.Set("Come-Back", after.String())
+	}
+}
+
+// seen is one request as a target got it.
+type seen struct {
+	target string
+	method string
+	uri    string
+	header http.Header
+	body   string
+}
+
+// handler answers one request on a connection of a target; an error closes
+// the connection.
+type handler func(w *bufio.Writer, r *http.Request) error
+
+// fakeTarget answers requests as a test wants.
+type fakeTarget struct {
+	id     string
+	rig    *rig
+	l      net.Listener
+	handle func(n int) handler
+
+	mu    sync.Mutex
+	count int
+}
+
+func (t *fakeTarget) loop() {
+	for {
+		c, err := t.l.Accept()
+		if err != nil {
+			return
+		}
+		go t.run(c)
+	}
+}
+
+func (t *fakeTarget) run(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		n := t.count
+		t.count++
+		t.mu.Unlock()
+		t.rig.record(seen{t.id, req.Method, req.RequestURI, req.Header, string(body)})
+		w := bufio.NewWriter(c)
+		err = t.handle(n)(w, req)
+		w.Flush()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// rig is a relay before fake targets.
+type rig struct {
+	t      *testing.T
+	g      *gomega.WithT
+	relay  *Relay
+	roster *roster.Roster
+	kept   *cache.Kept
+	log    *event.Log
+	front  *httptest.Server
+	named  int64
+	stale  bool
+
+	mu   sync.Mutex
+	seen []seen
+}
+
+func (r *rig) record(s seen) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = append(r.seen, s)
+}
+
+func (r *rig) sends() []seen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]seen(nil), r.seen...)
+}
+
+// noStores is a watcher of stores that hold what a test says.
+type noStores struct{ parts []cache.PartChange }
+
+func (n noStores) Events(ctx context.Context, _ string, since int64, _ time.Duration) (cache.PartEvents, error) {
+	if since > 1 {
+		<-ctx.Done()
+		return cache.PartEvents{}, ctx.Err()
+	}
+	return cache.PartEvents{Epoch: 1, Next: 2, Changes: n.parts, Clock: time.Minute}, nil
+}
+
+func (n noStores) Contents(context.Context, string) (cache.PartEvents, error) {
+	return cache.PartEvents{Epoch: 1, Next: 1}, nil
+}
+
+func (noStores) Free(context.Context, string, int64, []cache.PartName) error { return nil }
+
+var testRoutes = []table.Route{
+	{Name: "once", Host: "h", Prefix: "/once/", Kind: table.Once, Timeout: 2 * time.Second, Aim: time.Second, Attempts: 1, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+	{Name: "again", Host: "h", Prefix: "/again/", Kind: table.Repeatable, Timeout: 2 * time.Second, Aim: 10 * time.Second, Attempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, Aim: time.Second, Attempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+	{Name: "single", Host: "h", Prefix: "/single/", Kind: table.Stream, Timeout: 5 * time.Second, Aim: time.Second, Attempts: 1, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+	{Name: "public", Host: "h", Prefix: "/public/", Kind: table.Once, Timeout: time.Second, Attempts: 1, Public: true, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+	{Name: "short", Host: "h", Prefix: "/short/", Kind: table.Once, Timeout: 150 * time.Millisecond, Attempts: 1, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+}
+
+func newRig(t *testing.T, stores cache.Watcher) *rig {
+	r := &rig{t: t, g: gomega.NewWithT(t), log: &event.Log{}, named: 1}
+	if stores == nil {
+		stores = noStores{}
+	}
+	r.roster = roster.New(r.log, nil)
+	r.kept = cache.NewKept(stores, r.log)
+	r.relay = New(Options{
+		Dialect: plainDialect{}, Roster: r.roster, Pool: &target.Pool{}, Kept: r.kept, Where: &cache.Where{}, Log: r.log, Stats: NewStats(),
+		Named: func(string) int64 { return r.named }, Current: func() bool { return !r.stale }, CopyMay: func() bool { return true },
+		Daemons: func() int { return 1 }, RetryShare: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
+	})
+	r.relay.SetTable(table.New(table.Spec{
+		Version: 1, Routes: testRoutes,
+		Services: []table.Service{
+			{Name: "plain"}, {Name: "llm", Engine: &table.Engine{Models: []string{"m"}, Slots: 4, MemoryTokens: 1 << 20}},
+		},
+		Organisations: []table.Organisation{{Name: "org", Keys: []string{"secret"}}, {Name: "walled", Keys: []string{"walled"}, Isolated: true}},
+	}))
+	r.front = httptest.NewServer(r.relay)
+	t.Cleanup(r.front.Close)
+	return r
+}
+
+// target adds a target of a service.
+func (r *rig) target(id, service string, handle func(n int) handler) *fakeTarget {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	f := &fakeTarget{id: id, rig: r, l: l, handle: handle}
+	r.t.Cleanup(func() { l.Close() })
+	go f.loop()
+	r.roster.Put(roster.Entry{ID: id, Service: service, Address: l.Addr().String(), Slots: 4, Weights: map[string]int64{"m": 1}})
+	return f
+}
+
+// always answers every request in the same way.
+func always(h handler) func(int) handler { return func(int) handler { return h } }
+
+// inTurn answers with one handler after the other, the last one for ever.
+func inTurn(hs ...handler) func(int) handler {
+	return func(n int) handler { return hs[min(n, len(hs)-1)] }
+}
+
+// answers is a whole answer with a body.
+func answers(status int, body string, extra ...string) handler {
+	return func(w *bufio.Writer, r *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 %d X\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n%s\r\n%s",
+			status, r.Header.Get("Id"), len(body), strings.Join(append(extra, ""), "\r\n"), body)
+		return nil
+	}
+}
+
+// declines says that the request was not run.
+func declines(w *bufio.Writer, _ *http.Request) error {
+	fmt.Fprint(w, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	return nil
+}
+
+// hangsUp closes the connection without an answer.
+func hangsUp(*bufio.Writer, *http.Request) error { return io.ErrClosedPipe }
+
+// streams answers with the given bytes in chunks; whole ends the stream.
+func streams(whole bool, chunks ...string) handler {
+	return func(w *bufio.Writer, r *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+			r.Header.Get("Id"), r.Header.Get("Target"))
+		for _, c := range chunks {
+			fmt.Fprintf(w, "%x\r\n%s\r\n", len(c), c)
+			w.Flush()
+		}
+		if !whole {
+			return io.ErrClosedPipe
+		}
+		fmt.Fprint(w, "0\r\n\r\n")
+		return nil
+	}
+}
+
+// got is an answer as the caller got it.
+type got struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends a request as a caller. Headers are name and value in turn.
+func (r *rig) ask(method, path, body string, headers ...string) got {
+	req, err := http.NewRequest(method, r.front.URL+path, strings.NewReader(body))
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	req.Host = "h"
+	req.Header.Set("Id", "try-1")
+	req.Header.Set("Key", "secret")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return got{err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return got{resp.StatusCode, resp.Header, string(raw), err}
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -23,6 +23,8 @@
 	CopyTime time.Duration
 	// Old tells that the target holds older weights than were named.
 	Old bool
+	// Short tells that the target is set aside for short prompts.
+	Short bool
 	// Far tells that the target is in another failure domain.
 	Far bool
 	// Doubtful tells that the target may be gone.
@@ -37,6 +39,8 @@
 type Asked struct {
 	// Tokens is the length of the prompt; 0 for plain calls.
 	Tokens int
+	// Shared is how many of them other requests have as well.
+	Shared int
 	// Work is the usual time of a plain call.
 	Work time.Duration
 }
@@ -49,13 +53,30 @@
 	// 55 to 157 a millisecond; candidates are compared with each other, so the
 	// slower is used for all.
 	tokenTime = time.Second / 55000
-	// slotTime is by how much a running request slows the next token of others
-	// (users' engines: 0.12 ms a step over about 30 steps).
-	slotTime = 4 * time.Millisecond
+	// againTime is the cost of reading a shared token that a worker has read
+	// before, beside its time. On the users' sites 300 tokens read again cost a
+	// fifth of a short answer, and 13,000 more than a long answer is worth: a
+	// queue of 0.2 s is the better choice for the former, any for the latter.
+	againTime = 600 * time.Microsecond
+	// copyShare is by how much a copy costs more than its time: bytes moved are
+	// priced.
+	copyShare = 1.3
+	// slotTime is by how much a running request slows another (users' engines:
+	// 0.12 ms a step over about ten steps to a stream's first events).
+	slotTime = time.Millisecond
+	// ShortPrompt is the length up to which a prompt is read between the pieces
+	// of longer ones, and shortQueue how many tokens it waits for at most: two
+	// pieces.
+	ShortPrompt = 2048
+	shortQueue  = 8192
 	// waitTime is the cost of each request that waits for a slot.
 	waitTime = 60 * time.Millisecond
 	// oldCost makes new weights worth a queue of a few prompts.
 	oldCost = 400 * time.Millisecond
+	// misplacedCost keeps long prompts away from workers that are set aside for
+	// short ones: one long prompt pushes out the parts of some 60 sessions
+	// there, which are then read again.
+	misplacedCost = 800 * time.Millisecond
 	// farCost prefers the caller's failure domain among equals: bytes between
 	// domains are priced.
 	farCost = 3 * time.Millisecond
@@ -63,19 +84,34 @@
 	doubtCost = 5 * time.Second
 	// faultCost is the cost of a certain bad answer.
 	faultCost = 2 * time.Second
-	// fullCost is the cost of a target whose memory is spoken for: requests
-	// there are set aside and read again.
-	fullCost = 800 * time.Millisecond
+	// fullCost is the cost of a worker whose memory is spoken for: requests
+	// there are set aside and read again. From freeShare on the cost rises to
+	// it, since parts that wait for their requests are pushed out.
+	fullCost  = 2 * time.Second
+	freeShare = 0.45
 )
 
+// pressure is the cost of a worker's memory filling up.
+func pressure(filled float64) time.Duration {
+	over := (filled - freeShare) / (1 - freeShare)
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over * over * float64(fullCost))
+}
+
 // Cost returns the expected time to a first answer at a candidate, with what
 // else speaks against it in the same measure.
 func Cost(a Asked, c Candidate) time.Duration {
-	cost := time.Duration(c.Unread) * tokenTime
+	unread := c.Unread
+	if a.Tokens <= ShortPrompt {
+		unread = min(unread, shortQueue)
+	}
+	cost := time.Duration(unread) * tokenTime
 	if missing := a.Tokens - c.Kept - c.Copied; missing > 0 {
 		cost += time.Duration(missing) * tokenTime
 	}
-	cost += c.CopyTime + a.Work
+	cost += time.Duration(copyShare*float64(c.CopyTime)) + a.Work
 	if c.Running < c.Slots {
 		cost += time.Duration(c.Running) * slotTime
 		if a.Tokens == 0 {
@@ -91,14 +127,22 @@
 	if c.Pace > 1 {
 		cost = time.Duration(float64(cost) * c.Pace)
 	}
-	if c.Memory > 0 && c.Held+a.Tokens > c.Memory {
-		cost += fullCost
+	if c.Memory > 0 {
+		cost += pressure(float64(c.Held+a.Tokens) / float64(c.Memory))
+	}
+	if again := a.Shared - c.Kept - c.Copied; again > 0 {
+		cost += time.Duration(again) * againTime
 	}
 	cost += time.Duration(c.Faults * float64(faultCost))
 	for _, extra := range []struct {
 		holds bool
 		cost  time.Duration
-	}{{c.Old, oldCost}, {c.Far, farCost}, {c.Doubtful, doubtCost}} {
+	}{
+		{c.Old, oldCost},
+		{c.Far, farCost},
+		{c.Doubtful, doubtCost},
+		{c.Short && a.Tokens > ShortPrompt, misplacedCost},
+	} {
 		if extra.holds {
 			cost += extra.cost
 		}
@@ -142,3 +186,43 @@
 	}
 	return len(list) - 1
 }
+
+// Mix counts the short and the long prompts of a service, so that workers are
+// set aside for short ones only where there are both. The zero value is ready.
+type Mix struct{ short, long float64 }
+
+const (
+	// mixForget is the share of the counts that each request takes away: the
+	// last few hundred requests count.
+	mixForget = 1.0 / 300
+	// mixLeast is the share of requests from which a kind counts.
+	mixLeast = 0.03
+	// mixEnough is the count below which both kinds are taken to come, so that
+	// a daemon that has just started chooses as the others do.
+	mixEnough = 60
+	// shortShare is the part of the workers that is set aside for short prompts
+	// where there are both. On the users' sites the parts of all sessions fit
+	// into the memory of a third of the workers, and long prompts need half of
+	// the workers' time at most.
+	shortShare = 0.3
+)
+
+// Count records a prompt.
+func (m *Mix) Count(tokens int) {
+	m.short *= 1 - mixForget
+	m.long *= 1 - mixForget
+	if tokens <= ShortPrompt {
+		m.short++
+	} else {
+		m.long++
+	}
+}
+
+// ShortWorkers returns how many of n workers are set aside for short prompts.
+func (m *Mix) ShortWorkers(n int) int {
+	total := m.short + m.long
+	if total >= mixEnough && (m.short < mixLeast*total || m.long < mixLeast*total) {
+		return 0
+	}
+	return int(shortShare*float64(n) + 0.5)
+}
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -57,8 +57,6 @@
 	keepMargin = 700 * time.Millisecond
 	// idleMost bounds the idle connections to one target.
 	idleMost = 24
-	// headMost bounds the head of an answer.
-	headMost = 64 << 10
 	// waitStep is the pause between looks for a free connection.
 	waitStep = 5 * time.Millisecond
 )
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -6,6 +6,9 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +24,7 @@
 	"embertally.dev/core/plat"
 	"embertally.dev/core/relay"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/spread"
 	"embertally.dev/core/table"
 	"embertally.dev/core/target"
 	"embertally.dev/platform"
@@ -29,9 +33,14 @@
 // Keys of the system in the platform's store.
 const (
 	keyBoxes = "embertally/boxes/"
-	keySwap  = "embertally/duty/weights"
+	keySwap  = "embertally/duty/weights/"
 )
 
+// swapParts is how many parts the workers fall into for orders. The loss of a
+// daemon delays the workers of its parts by about four seconds; more parts than
+// workers that load at a time (2 to 12 on the users' sites) would load too many.
+const swapParts = 4
+
 // Host is one running daemon.
 type Host struct {
 	set   Settings
@@ -42,12 +51,14 @@
 	store    *platform.Store
 	decoder  platform.Decoder
 	mirror   *plat.Mirror
+	mirrors  *spread.Mirrors
 	fleet    *fleet.Fleet
 	roster   *roster.Roster
 	kept     *cache.Kept
+	where    cache.Where
 	pool     *target.Pool
 	relay    *relay.Relay
-	right    *lease.Timed
+	rights   []*lease.Timed
 	swapper  *order.Swapper
 	sweeper  *cache.Sweeper
 	presence *lease.Presence
@@ -74,6 +85,8 @@
 		BoxPause: boxPause, Boxes: &boxes{mirror: h.mirror}, Log: h.log,
 	})
 	h.fleet.Attach("roster", roster.Share{Roster: h.roster})
+	h.mirrors = spread.NewMirrors(h.mirror, h.fleet)
+	h.fleet.Attach("where", &h.where)
 	engines := platform.NewEngines(newClient())
 	h.kept = cache.NewKept(engines, h.log)
 	h.pool = &target.Pool{Opened: h.stats.Opened}
@@ -100,29 +113,28 @@
 
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Log: h.log, Stats: h.stats,
+		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Log: h.log, Stats: h.stats,
 		Domain: h.set.Domain, Named: h.named.version, Daemons: h.daemons.count,
-		Current:    func() bool { return time.Since(h.mirror.Contact()) < h.set.Bounds.Contact },
-		CopyMay:    func() bool { return time.Since(h.mirror.Contact()) < cache.CopyFresh },
+		Current:    func() bool { return time.Since(h.mirror.Fresh()) < h.set.Bounds.Contact },
+		CopyMay:    func() bool { return time.Since(h.mirror.Fresh()) < cache.CopyFresh },
 		RetryShare: h.set.Retries.Share, RetryExtra: h.set.Retries.Extra, RetryWindow: h.set.Retries.Window,
 	})
 }
 
 func (h *Host) buildDuties(incarnation string, engines *platform.Engines) {
-	h.right = lease.NewTimed(lease.TimedOptions{
-		Key: keySwap, Owner: h.set.Name + "/" + incarnation, Apart: h.set.Bounds.OrderApart,
-		Store: h.store, Mirror: h.mirror, Log: h.log, Rank: h.rank, Idle: h.draining.Load,
-	})
+	var rights []order.Right
+	for part := range swapParts {
+		t := h.newRight(part, incarnation)
+		h.rights = append(h.rights, t)
+		rights = append(rights, t)
+	}
 	h.swapper = order.NewSwapper(order.SwapOptions{
-		Name: h.set.Name, Right: h.right, Commander: engines, Roster: h.roster,
+		Name: h.set.Name, Rights: rights, Commander: engines, Roster: h.roster,
 		Table: h.relay.Table, Named: h.named.version, Log: h.log,
 	})
 	h.sweeper = cache.NewSweeper(cache.SweepOptions{
 		Kept: h.kept, Log: h.log, Superseded: h.named.superseded,
-		Mine: func(address string) bool {
-			view := h.fleet.View()
-			return view.Duty(fleet.Key("store/"+address)) == view.Self()
-		},
+		Rank: func(address string) int { return h.rank("store/" + address) },
 	})
 	// What a box is found by, as the box list names it.
 	value, err := json.Marshal(plat.Box{
@@ -141,14 +153,50 @@
 // that it is lost; renewing costs the platform a tenth of a call.
 const boxLife = 12 * time.Second
 
-// rank says how many others take the right to give orders before this daemon.
-func (h *Host) rank() int {
-	for i, name := range fleet.Rank(fleet.Key(keySwap), h.fleet.View().OnDuty()) {
-		if name == h.set.Name {
-			return i
-		}
+// rank says how many others come before this daemon for a duty.
+func (h *Host) rank(duty string) int {
+	names := h.fleet.View().OnDuty()
+	at := slices.Index(fleet.Rank(fleet.Key(duty), names), h.set.Name)
+	if at < 0 {
+		return len(names)
 	}
-	return len(h.fleet.View().OnDuty())
+	return at
+}
+
+// newRight returns the right to give orders to one part of the workers. It
+// moves to the daemon of the first rank while there is nothing to do.
+func (h *Host) newRight(part int, incarnation string) *lease.Timed {
+	key := keySwap + strconv.Itoa(part)
+	var second time.Time
+	return lease.NewTimed(lease.TimedOptions{
+		Key: key, Owner: h.set.Name + "/" + incarnation, Apart: h.set.Bounds.OrderApart,
+		Store: h.store, Mirror: h.mirror, Log: h.log,
+		Rank:   func() int { return h.rank(key) },
+		Urgent: func() bool { return h.swapper.Wanted(part) },
+		Idle: func() bool {
+			if h.draining.Load() {
+				return true
+			}
+			if h.rank(key) == 0 || h.swapper.Wanted(part) {
+				second = time.Time{}
+				return false
+			}
+			if second.IsZero() {
+				second = time.Now()
+			}
+			return time.Since(second) > moveAfter && h.held(key)
+		},
+	})
+}
+
+// moveAfter is how long another daemon must have come first before a duty
+// moves to it.
+const moveAfter = 4 * time.Second
+
+// held reports whether the mirror shows this daemon as the holder of a key.
+func (h *Host) held(key string) bool {
+	p, ok := h.mirror.Pair(key)
+	return ok && strings.HasPrefix(string(p.Value), h.set.Name+"/")
 }
 
 // observe takes changes of the platform's store.
@@ -239,12 +287,15 @@
 	wg.Go(func() { h.fleet.Run(work, ls.peers) })
 	duties, endDuties := context.WithCancel(work)
 	defer endDuties()
-	for _, run := range []func(context.Context){h.mirror.Run, h.presence.Run, h.loop} {
+	for _, run := range []func(context.Context){h.mirror.Run, h.mirrors.Run, h.presence.Run, h.loop} {
 		wg.Go(func() { run(work) })
 	}
-	for _, run := range []func(context.Context){h.right.Run, h.swapper.Run, h.sweeper.Run} {
+	for _, run := range []func(context.Context){h.swapper.Run, h.sweeper.Run} {
 		wg.Go(func() { run(duties) })
 	}
+	for _, t := range h.rights {
+		wg.Go(func() { t.Run(duties) })
+	}
 	callers := h.serve(&wg, ls.callers, h.relay)
 	side := []*http.Server{h.serve(&wg, ls.readiness, h.readiness()), h.serve(&wg, ls.metrics, h.metrics())}
 	h.log.Emit(event.DaemonStarted, event.Ref{}, "callers "+h.set.Callers+", domain "+h.set.Domain)
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -117,8 +117,11 @@
 		field string
 		value time.Duration
 	}{
-		{"bounds.stop", s.Bounds.Stop}, {"bounds.orderApart", s.Bounds.OrderApart}, {"bounds.contact", s.Bounds.Contact},
-		{"retries.window", s.Retries.Window}, {"tuning.heartbeat", s.Tuning.Heartbeat},
+		{"bounds.stop", s.Bounds.Stop},
+		{"bounds.orderApart", s.Bounds.OrderApart},
+		{"bounds.contact", s.Bounds.Contact},
+		{"retries.window", s.Retries.Window},
+		{"tuning.heartbeat", s.Tuning.Heartbeat},
 	} {
 		need(d.value > 0, d.field, "must be more than 0, with a unit such as 500ms")
 	}
