The oldest weights are replaced first, and nothing begins on those replaced long ago

Change: workers are ordered by the age of their weights first; a worker whose weights were replaced 8 s ago (the bound less 4 s) gets no request. A part that nobody read under the newest weights costs no more than its reading.

--- a/core/cache/where.go
+++ b/core/cache/where.go
@@ -34,9 +34,12 @@
 }
 
 const (
-	// WhereLife is how long a worker is believed to hold a part: on the users'
+	// whereLife is how long a worker is believed to hold a part: on the users'
 	// sites, requests' own parts push out everything unused within about 14 s.
-	WhereLife = 9 * time.Second
+	whereLife = 9 * time.Second
+	// readLife is how long a part counts as read before: the users price reading
+	// again only within 20 s of the last use.
+	readLife = 20 * time.Second
 	// whereSweep is the pause between removals of old sightings.
 	whereSweep = 5 * time.Second
 	// toldMost bounds the sightings of one heartbeat.
@@ -64,18 +67,25 @@
 	}
 	w.swept = now
 	for n, s := range w.seen {
-		if now.Sub(s.at) > WhereLife {
+		if now.Sub(s.at) > readLife {
 			delete(w.seen, n)
 		}
 	}
 }
 
-// Find returns the worker that is believed to hold a part.
-func (w *Where) Find(name PartName, now time.Time) (string, bool) {
+// Find returns the worker that is believed to hold a part, or "", and whether
+// the part was read lately at all.
+func (w *Where) Find(name PartName, now time.Time) (target string, read bool) {
 	w.whereMu.Lock()
 	defer w.whereMu.Unlock()
 	s, ok := w.seen[name]
-	return s.target, ok && now.Sub(s.at) < WhereLife
+	switch age := now.Sub(s.at); {
+	case !ok || age > readLife:
+		return "", false
+	case age > whereLife:
+		return "", true
+	}
+	return s.target, true
 }
 
 // Collect returns what peers have not been told yet.
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -235,7 +235,10 @@
 	}
 	var out []*job
 	for right, list := range behind {
-		slices.SortStableFunc(list, func(a, b *roster.Target) int { return cmp.Compare(weight(a), weight(b)) })
+		// The oldest weights come first: requests may not begin on them for long.
+		slices.SortStableFunc(list, func(a, b *roster.Target) int {
+			return cmp.Or(cmp.Compare(a.Entry().Weights[model], b.Entry().Weights[model]), cmp.Compare(weight(a), weight(b)))
+		})
 		for _, t := range list {
 			if running[right] >= own(len(workers), len(s.o.Rights)) && !s.extra(total, len(workers), now) {
 				break
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -82,7 +82,7 @@
 func (p *pass) options(svc *table.Service, now time.Time) ([]option, string) {
 	var out []option
 	ordered := p.f.o.Roster.Ordered(now)
-	full, suspects := 0, 0
+	full, suspects, outdated := 0, 0, 0
 	var short map[string]bool
 	if svc.Engine != nil {
 		short = p.f.shortWorkers(p.service)
@@ -102,13 +102,19 @@
 			continue
 		}
 		o.version, o.short = o.entry.Weights[p.ask.Model], short[t.ID()]
+		if svc.Engine != nil && p.f.o.Outdated(p.ask.Model, o.version) {
+			outdated++
+			continue
+		}
 		out = append(out, o)
 	}
-	return out, noneLeft(full, suspects)
+	return out, noneLeft(full, suspects, outdated)
 }
 
-func noneLeft(full, suspects int) string {
+func noneLeft(full, suspects, outdated int) string {
 	switch {
+	case outdated > 0:
+		return "all targets hold weights that were replaced too long ago"
 	case full > 0:
 		return "all targets are full"
 	case suspects > 0:
@@ -136,7 +142,7 @@
 
 func (p *pass) asked(svc *table.Service) route.Asked {
 	if svc.Engine != nil {
-		return route.Asked{Tokens: p.ask.Prompt, Shared: p.shared()}
+		return route.Asked{Tokens: p.ask.Prompt}
 	}
 	return route.Asked{Work: time.Duration(float64(p.route.Aim) * plainWorkShare)}
 }
@@ -158,6 +164,8 @@
 			// usually go.
 			if usual {
 				c.Kept += part.Tokens
+			} else {
+				c.Again += part.Tokens
 			}
 			continue
 		}
@@ -168,6 +176,8 @@
 		case src.address != "":
 			c.Copied += part.Tokens
 			c.CopyTime += src.time
+		case src.read:
+			c.Again += part.Tokens
 		}
 	}
 	return c
@@ -177,6 +187,8 @@
 type source struct {
 	// here tells that the worker is believed to hold the part.
 	here bool
+	// read tells that some worker has read the part lately.
+	read bool
 	// address is the store or worker that the part can be copied from, or "".
 	address string
 	time    time.Duration
@@ -192,8 +204,8 @@
 func (p *pass) source(svc *table.Service, o option, part cache.Part, now time.Time) source {
 	var out source
 	name := cache.PartName{Salt: p.salt(o.version).String(), ID: part.ID}
-	holder, seen := p.f.o.Where.Find(name, now)
-	out.here = seen && holder == o.target.ID()
+	holder, read := p.f.o.Where.Find(name, now)
+	out.here, out.read = holder == o.target.ID(), read
 	// Parts of superseded weights in stores are about to be freed.
 	if o.version >= p.f.o.Named(p.ask.Model) && p.f.o.CopyMay() {
 		if place, ok := p.f.o.Kept.Find(name, o.entry.Domain, now); ok {
@@ -201,7 +213,7 @@
 			return out
 		}
 	}
-	if !seen || out.here {
+	if holder == "" || out.here {
 		return out
 	}
 	t := p.f.o.Roster.Target(holder)
@@ -292,7 +304,7 @@
 	p.f.o.Stats.Copied.Add(c.Copied)
 	p.f.o.Stats.Kept.Add(c.Kept)
 	p.note("kept %d, copied %d of %d shared in %d tokens, before it %d, running %d, held %d, expected %s, version %d",
-		c.Kept, c.Copied, asked.Shared, p.ask.Prompt, c.Unread, c.Running, c.Held, out.expected.Round(time.Millisecond), o.version)
+		c.Kept, c.Copied, p.shared(), p.ask.Prompt, c.Unread, c.Running, c.Held, out.expected.Round(time.Millisecond), o.version)
 	return out
 }
 
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -214,7 +214,7 @@
 		p.f.o.Roster.Learn(c.target.ID(), p.ask.Model, reply.Weights)
 	}
 	if p.route.Kind == table.Stream && in.Status == http.StatusOK {
-		out := p.stream(ctx, c, in, sent, onFirst)
+		out := p.stream(c, in, sent, onFirst)
 		return out, nil
 	}
 	return p.plain(ctx, c, in, sent)
@@ -351,7 +351,7 @@
 func (p *pass) plain(ctx context.Context, c *choice, in *target.Incoming, sent time.Time) (outcome, *plainAnswer) {
 	body, err := readAll(nil, io.LimitReader(in, plainMost))
 	if err != nil {
-		return p.brokenOff(ctx, c, err), nil
+		return p.brokenOff(c, err), nil
 	}
 	ans := &plainAnswer{in.Status, in.Header, body}
 	good := in.Status < http.StatusInternalServerError
@@ -388,7 +388,7 @@
 }
 
 // brokenOff records an answer that broke off while it was read.
-func (p *pass) brokenOff(ctx context.Context, c *choice, err error) outcome {
+func (p *pass) brokenOff(c *choice, err error) outcome {
 	p.note("%v", errors.Cause(err))
 	now := time.Now()
 	c.target.Answered(now, false, 0)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -112,6 +112,9 @@
 	Domain string
 	// Named returns the newest version named of a model's weights.
 	Named func(model string) int64
+	// Outdated reports whether weights were replaced so long ago that no request
+	// may begin on them any more.
+	Outdated func(model string, version int64) bool
 	// Current reports whether this daemon's configuration is known to be
 	// current, so that it may say that a route or key does not exist.
 	Current func() bool
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -183,7 +183,7 @@
 func TestCallerThatLeavesEndsTheSend(t *testing.T) {
 	r := newRig(t, nil)
 	began, ended := make(chan struct{}), make(chan struct{})
-	r.target("t1", "plain", always(func(w *bufio.Writer, req *http.Request) error {
+	r.target("t1", "plain", always(func(_ *bufio.Writer, req *http.Request) error {
 		close(began)
 		<-req.Context().Done()
 		return nil
@@ -277,3 +277,13 @@
 	r.g.Expect(a.status).To(gomega.Equal(503))
 	r.g.Expect(r.sends()).To(gomega.HaveLen(1))
 }
+
+func TestNothingBeginsOnWeightsReplacedLongAgo(t *testing.T) {
+	r := newRig(t, nil)
+	r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
+	r.named, r.least = 2, 2
+	a := r.ask(http.MethodPost, "/stream/", "x", "Model", "m")
+	r.g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	r.g.Expect(a.body).To(gomega.ContainSubstring("notRun"))
+	r.g.Expect(r.sends()).To(gomega.BeEmpty())
+}
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -139,6 +139,7 @@
 	log    *event.Log
 	front  *httptest.Server
 	named  int64
+	least  int64
 	stale  bool
 
 	mu   sync.Mutex
@@ -192,7 +193,7 @@
 	r.kept = cache.NewKept(stores, r.log)
 	r.relay = New(Options{
 		Dialect: plainDialect{}, Roster: r.roster, Pool: &target.Pool{}, Kept: r.kept, Where: &cache.Where{}, Log: r.log, Stats: NewStats(),
-		Named: func(string) int64 { return r.named }, Current: func() bool { return !r.stale }, CopyMay: func() bool { return true },
+		Named: func(string) int64 { return r.named }, Current: func() bool { return !r.stale }, Outdated: func(_ string, v int64) bool { return v < r.least }, CopyMay: func() bool { return true },
 		Daemons: func() int { return 1 }, RetryShare: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 	})
 	r.relay.SetTable(table.New(table.Spec{
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -56,7 +55,7 @@
 
 // stream passes on the events of an answer. Where it breaks, the request may
 // be taken up by another worker after the last event that the caller has.
-func (p *pass) stream(ctx context.Context, c *choice, in *target.Incoming, sent time.Time, onFirst func()) outcome {
+func (p *pass) stream(c *choice, in *target.Incoming, sent time.Time, onFirst func()) outcome {
 	reply := p.f.o.Dialect.Reply(in.Status, in.Header)
 	if !reply.Sealed || reply.Encoded {
 		in.Spoil()
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -21,6 +21,9 @@
 	Copied int
 	// CopyTime is how long that takes.
 	CopyTime time.Duration
+	// Again is how many tokens would be read there that were read elsewhere
+	// lately.
+	Again int
 	// Old tells that the target holds older weights than were named.
 	Old bool
 	// Short tells that the target is set aside for short prompts.
@@ -39,8 +42,6 @@
 type Asked struct {
 	// Tokens is the length of the prompt; 0 for plain calls.
 	Tokens int
-	// Shared is how many of them other requests have as well.
-	Shared int
 	// Work is the usual time of a plain call.
 	Work time.Duration
 }
@@ -71,8 +72,9 @@
 	shortQueue  = 8192
 	// waitTime is the cost of each request that waits for a slot.
 	waitTime = 60 * time.Millisecond
-	// oldCost makes new weights worth a queue of a few prompts.
-	oldCost = 400 * time.Millisecond
+	// oldCost makes new weights worth a short queue: an answer on old ones costs
+	// a fifth of its credit, a late one four fifths.
+	oldCost = 120 * time.Millisecond
 	// misplacedCost keeps long prompts away from workers that are set aside for
 	// short ones: one long prompt pushes out the parts of some 60 sessions
 	// there, which are then read again.
@@ -130,9 +132,7 @@
 	if c.Memory > 0 {
 		cost += pressure(float64(c.Held+a.Tokens) / float64(c.Memory))
 	}
-	if again := a.Shared - c.Kept - c.Copied; again > 0 {
-		cost += time.Duration(again) * againTime
-	}
+	cost += time.Duration(c.Again) * againTime
 	cost += time.Duration(c.Faults * float64(faultCost))
 	for _, extra := range []struct {
 		holds bool
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -111,10 +111,17 @@
 	}}
 }
 
+// beginMargin is left of the time in which a request may begin on older weights
+// for its wait at the worker.
+const beginMargin = 4 * time.Second
+
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Log: h.log, Stats: h.stats,
 		Domain: h.set.Domain, Named: h.named.version, Daemons: h.daemons.count,
+		Outdated: func(model string, version int64) bool {
+			return h.named.age(model, version) > h.set.Bounds.Weights-beginMargin
+		},
 		Current:    func() bool { return time.Since(h.mirror.Fresh()) < h.set.Bounds.Contact },
 		CopyMay:    func() bool { return time.Since(h.mirror.Fresh()) < cache.CopyFresh },
 		RetryShare: h.set.Retries.Share, RetryExtra: h.set.Retries.Extra, RetryWindow: h.set.Retries.Window,
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -41,6 +41,7 @@
 type Bounds struct {
 	Stop       time.Duration `yaml:"stop" doc:"How long a planned stop may take."`
 	OrderApart time.Duration `yaml:"orderApart" doc:"Least time between orders of two holders of the right to give them."`
+	Weights    time.Duration `yaml:"weights" doc:"How long after newer weights were named a request may begin on the older ones."`
 	Contact    time.Duration `yaml:"contact" doc:"Silence of the store after which the configuration may be old."`
 }
 
@@ -61,7 +62,7 @@
 func Defaults() Settings {
 	return Settings{
 		LogLevel: "info", LogRate: 40,
-		Bounds:  Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Contact: 3 * time.Second},
+		Bounds:  Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second},
 		Retries: Retries{Share: 0.2, Window: 10 * time.Second},
 		Tuning:  Tuning{Heartbeat: 150 * time.Millisecond, Suspect: 1500 * time.Millisecond},
 	}
@@ -120,6 +121,7 @@
 		{"bounds.stop", s.Bounds.Stop},
 		{"bounds.orderApart", s.Bounds.OrderApart},
 		{"bounds.contact", s.Bounds.Contact},
+		{"bounds.weights", s.Bounds.Weights},
 		{"retries.window", s.Retries.Window},
 		{"tuning.heartbeat", s.Tuning.Heartbeat},
 	} {
--- a/emberd/internal/host/state.go
+++ b/emberd/internal/host/state.go
@@ -14,12 +14,17 @@
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
 
-// named knows which version of each model's weights is named.
+// named knows which versions of each model's weights were named.
 type named struct {
-	namedMu  sync.Mutex
-	versions map[string]namedVersion // guarded by namedMu
+	namedMu sync.Mutex
+	// versions holds what was named of each model, in rising order. Guarded by
+	// namedMu.
+	versions map[string][]namedVersion
 }
 
+// namedMost bounds the versions kept of one model.
+const namedMost = 32
+
 type namedVersion struct {
 	version int64
 	// since is when this daemon learned of it.
@@ -30,18 +35,47 @@
 	n.namedMu.Lock()
 	defer n.namedMu.Unlock()
 	if n.versions == nil {
-		n.versions = map[string]namedVersion{}
+		n.versions = map[string][]namedVersion{}
 	}
-	if n.versions[model].version < version {
-		n.versions[model] = namedVersion{version, time.Now()}
+	list := n.versions[model]
+	if len(list) > 0 && list[len(list)-1].version >= version {
+		return
 	}
+	list = append(list, namedVersion{version, time.Now()})
+	n.versions[model] = list[max(0, len(list)-namedMost):]
 }
 
 // version returns the newest version of a model; 0 where none is named.
 func (n *named) version(model string) int64 {
 	n.namedMu.Lock()
 	defer n.namedMu.Unlock()
-	return n.versions[model].version
+	list := n.versions[model]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].version
+}
+
+// replaced returns since when this daemon knows of newer weights than a
+// version; false where there are none.
+func (n *named) replaced(model string, version int64) (time.Time, bool) {
+	n.namedMu.Lock()
+	defer n.namedMu.Unlock()
+	for _, v := range n.versions[model] {
+		if v.version > version {
+			return v.since, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// age returns how long a version has been replaced; 0 where it is the newest.
+func (n *named) age(model string, version int64) time.Duration {
+	since, replaced := n.replaced(model, version)
+	if !replaced {
+		return 0
+	}
+	return time.Since(since)
 }
 
 // superseded returns since when newer weights than those of a salt are named.
@@ -50,10 +84,7 @@
 	if !ok {
 		return time.Time{}, false
 	}
-	n.namedMu.Lock()
-	defer n.namedMu.Unlock()
-	v := n.versions[model]
-	return v.since, v.version > version
+	return n.replaced(model, version)
 }
 
 // boxes reads the list of daemons from the mirror of the platform's store.
