Long prompts are held back while the workers' memory is spoken for

Ruled out: more workers for short prompts. Change: a worker whose requests hold 0.7 of its memory takes no more long prompts; where all are so, a request waits a fifth of its aim and is then refused as not run.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -35,6 +35,10 @@
 	plainFull = 4
 	// engineFull is the same for model workers.
 	engineFull = 3
+	// heldMost is the share of a worker's memory that requests on their way may
+	// hold when a long prompt is added. Above it, the users' engines read parts
+	// again that were copied for waiting requests, and the load grows by itself.
+	heldMost = 0.7
 	// copyFrom is the size from which a part is copied from a store or kept
 	// there: below, a copy takes longer than the prompt's reading.
 	copyFrom = 1000
@@ -97,7 +101,7 @@
 			continue
 		}
 		p.bound(svc, o.entry.Address)
-		if o.load.Running >= p.most(svc, o.entry) || p.f.o.Pool.Room(o.entry.Address) <= 0 {
+		if o.load.Running >= p.most(svc, o.entry) || p.crowded(svc, o.load) || p.f.o.Pool.Room(o.entry.Address) <= 0 {
 			full++
 			continue
 		}
@@ -111,18 +115,29 @@
 	return out, noneLeft(full, suspects, outdated)
 }
 
+// allFull says that targets are there but take nothing more.
+const allFull = "all targets are full"
+
 func noneLeft(full, suspects, outdated int) string {
 	switch {
 	case outdated > 0:
 		return "all targets hold weights that were replaced too long ago"
 	case full > 0:
-		return "all targets are full"
+		return allFull
 	case suspects > 0:
 		return "no target answers"
 	}
 	return "no target is listed"
 }
 
+// crowded reports whether a worker's memory is spoken for, so that a long
+// prompt would push out the parts that others wait for. The prompt's own length
+// does not count: the longest would never be taken.
+func (p *pass) crowded(svc *table.Service, l roster.Load) bool {
+	return svc.Engine != nil && svc.Engine.MemoryTokens > 0 && p.ask.Prompt > route.ShortPrompt &&
+		float64(l.Held) > heldMost*float64(svc.Engine.MemoryTokens)
+}
+
 // most is how many requests a target may have on their way.
 func (p *pass) most(svc *table.Service, e *roster.Entry) int {
 	slots := max(1, e.Slots)
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -97,7 +97,7 @@
 	var kept *plainAnswer
 	unsent := 0
 	for {
-		c, why := p.choose()
+		c, why := p.chooseSoon(ctx)
 		if c == nil {
 			return p.giveUp(kept, why)
 		}
@@ -126,6 +126,32 @@
 	}
 }
 
+// Times of waiting for a place at a target.
+const (
+	// holdShare is the part of the aim that a request without a place waits
+	// before it is refused: the users count a refusal up to a quarter as early.
+	holdShare = 0.2
+	holdLook  = 15 * time.Millisecond
+)
+
+// chooseSoon chooses a target, waiting a little while all are full.
+func (p *pass) chooseSoon(ctx context.Context) (*choice, string) {
+	end := p.began.Add(time.Duration(holdShare * float64(p.route.Aim)))
+	for {
+		c, why := p.choose()
+		if c != nil || why != allFull || !time.Now().Before(end) {
+			return c, why
+		}
+		t := time.NewTimer(holdLook)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil, why
+		case <-t.C:
+		}
+	}
+}
+
 // Bounds on sends of one request.
 const (
 	// refusedMost is how many targets may refuse a request before it is given
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -287,3 +287,27 @@
 	r.g.Expect(a.body).To(gomega.ContainSubstring("notRun"))
 	r.g.Expect(r.sends()).To(gomega.BeEmpty())
 }
+
+func TestLongPromptsWaitForMemory(t *testing.T) {
+	tests := []struct {
+		name   string
+		held   int
+		parts  string
+		status int
+	}{
+		{"room", 1 << 19, "a:3000 b:10", 200},
+		{"spoken for", 1 << 20, "a:3000 b:10", 503},
+		{"spoken for, short prompt", 1 << 20, "a:300 b:10", 200},
+		{"room, longer than the memory", 0, "a:3000000 b:10", 200},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
+			r.roster.Target("t1").Begin(roster.Load{Running: 1, Held: tc.held})
+			a := r.ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", tc.parts)
+			r.g.Expect(a.status).To(gomega.Equal(tc.status))
+			r.g.Expect(a.header.Get("Come-Back") != "").To(gomega.Equal(tc.status == 503))
+		})
+	}
+}
