--- /dev/null
+++ b/core/lease/timed_test.go
@@ -0,0 +1,151 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/event"
+	"embertally.dev/core/memkv"
+	"embertally.dev/core/plat"
+)
+
+// apart is short, so that tests pass quickly; conditions are waited for.
+const apart = 400 * time.Millisecond
+
+// holder is one daemon that wants a lease.
+type holder struct {
+	lease *Timed
+	stop  func()
+	idle  atomic.Bool
+}
+
+func newHolder(t *testing.T, kv *memkv.KV, name string, rank int) *holder {
+	h := &holder{}
+	log := &event.Log{}
+	mirror := plat.NewMirror(kv, plat.Prefix(""), log)
+	h.lease = NewTimed(TimedOptions{
+		Key: "duty", Owner: name, Apart: apart, Store: kv, Mirror: mirror, Log: log,
+		Rank: func() int { return rank }, Idle: h.idle.Load, Urgent: func() bool { return true },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { mirror.Run(ctx) })
+	wg.Go(func() { h.lease.Run(ctx) })
+	h.stop = func() { cancel(); wg.Wait() }
+	t.Cleanup(h.stop)
+	return h
+}
+
+func (h *holder) may() bool {
+	_, may := h.lease.Act()
+	return may
+}
+
+func TestFirstRankHoldsAndFencesRise(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	first := newHolder(t, kv, "a", 0)
+	g.Eventually(first.may, "10s", "5ms").Should(gomega.BeTrue())
+	second := newHolder(t, kv, "b", 1)
+	fence, _ := first.lease.Act()
+	// The holder falls silent and its session runs out.
+	first.stop()
+	g.Expect(second.may()).To(gomega.BeFalse())
+	kv.Expire()
+	g.Eventually(second.may, "10s", "5ms").Should(gomega.BeTrue())
+	next, _ := second.lease.Act()
+	g.Expect(next).To(gomega.BeNumerically(">", fence))
+	g.Expect(first.may()).To(gomega.BeFalse())
+}
+
+func TestHolderThatCannotRenewStopsActing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	h := newHolder(t, kv, "a", 0)
+	g.Eventually(h.may, "10s", "5ms").Should(gomega.BeTrue())
+	kv.SetDown(true)
+	g.Eventually(h.may, "10s", "5ms").Should(gomega.BeFalse())
+	kv.SetDown(false)
+	g.Eventually(h.may, "10s", "5ms").Should(gomega.BeTrue())
+}
+
+func TestTakingWithALostAnswerIsFound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	var lost atomic.Bool
+	kv.SetFate(func() memkv.Fate {
+		if lost.CompareAndSwap(false, true) {
+			return memkv.Lost
+		}
+		return memkv.Answered
+	})
+	h := newHolder(t, kv, "a", 0)
+	g.Eventually(h.may, "10s", "5ms").Should(gomega.BeTrue())
+	g.Expect(kv.Writes()).To(gomega.Equal(1))
+}
+
+func TestGivenBackOnlyAfterTheLastActIsLongAgo(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	first := newHolder(t, kv, "a", 0)
+	g.Eventually(first.may, "10s", "5ms").Should(gomega.BeTrue())
+	// It has just acted: its key stays until the session runs out.
+	first.stop()
+	pair, err := kv.Read(context.Background(), "duty")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(pair).NotTo(gomega.BeNil())
+}
+
+func TestGivenBackAtOnceWithoutAnAct(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	first := newHolder(t, kv, "a", 0)
+	g.Eventually(first.lease.Held, "10s", "5ms").Should(gomega.BeTrue())
+	first.idle.Store(true)
+	g.Eventually(func() *plat.Pair {
+		pair, _ := kv.Read(context.Background(), "duty")
+		return pair
+	}, "10s", "5ms").Should(gomega.BeNil())
+	g.Expect(first.lease.Held()).To(gomega.BeFalse())
+}
+
+func TestRefusedFenceIsNotUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	h := newHolder(t, kv, "a", 0)
+	g.Eventually(h.may, "10s", "5ms").Should(gomega.BeTrue())
+	fence, _ := h.lease.Act()
+	h.lease.Refused(fence)
+	g.Expect(h.may()).To(gomega.BeFalse())
+	kv.Expire()
+	g.Eventually(h.may, "10s", "5ms").Should(gomega.BeTrue())
+	next, _ := h.lease.Act()
+	g.Expect(next).To(gomega.BeNumerically(">", fence))
+}
+
+func TestPresenceIsThereWhileItLives(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	log := &event.Log{}
+	mirror := plat.NewMirror(kv, plat.Prefix(""), log)
+	p := &Presence{Key: "box", Value: []byte("v"), Life: apart, Store: kv, Mirror: mirror, Log: log}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { mirror.Run(ctx) })
+	wg.Go(func() { p.Run(ctx) })
+	there := func() bool {
+		pair, _ := kv.Read(context.Background(), "box")
+		return pair != nil
+	}
+	g.Eventually(there, "10s", "5ms").Should(gomega.BeTrue())
+	kv.Expire()
+	g.Eventually(there, "10s", "5ms").Should(gomega.BeTrue())
+	cancel()
+	wg.Wait()
+	g.Expect(there()).To(gomega.BeFalse())
+}
--- /dev/null
+++ b/core/order/swap_test.go
@@ -0,0 +1,199 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/event"
+	"embertally.dev/core/roster"
+	"embertally.dev/core/table"
+)
+
+// fakeRight is a right that a test gives and takes.
+type fakeRight struct {
+	mu      sync.Mutex
+	fence   uint64
+	refused uint64
+}
+
+func (r *fakeRight) Held() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fence > r.refused
+}
+
+func (r *fakeRight) Act() (uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fence, r.fence > r.refused
+}
+
+func (r *fakeRight) Refused(fence uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused = max(r.refused, fence)
+}
+
+// fakeWorkers carries out orders at the next report.
+type fakeWorkers struct {
+	mu     sync.Mutex
+	states map[string]WorkerState
+	orders []WeightOrder
+	// verdict decides about an order; nil takes it.
+	verdict func(n int, o WeightOrder) (Verdict, error)
+	running int
+	most    int
+}
+
+func (w *fakeWorkers) Order(_ context.Context, _ string, o WeightOrder) (Verdict, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := len(w.orders)
+	w.orders = append(w.orders, o)
+	if w.verdict != nil {
+		if v, err := w.verdict(n, o); v != Taken || err != nil {
+			return v, err
+		}
+	}
+	if st := w.states[o.Target]; st.Orders != o.After {
+		return Conflict, nil
+	}
+	w.states[o.Target] = WorkerState{Busy: true, Orders: o.After + 1, Weights: map[string]int64{"m": o.Version}}
+	w.running++
+	w.most = max(w.most, w.running)
+	return Taken, nil
+}
+
+func (w *fakeWorkers) State(_ context.Context, _, target string) (WorkerState, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	st := w.states[target]
+	if st.Busy {
+		done := st
+		done.Busy = false
+		w.states[target] = done
+		w.running--
+	}
+	return st, nil
+}
+
+func (w *fakeWorkers) given() []WeightOrder {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]WeightOrder(nil), w.orders...)
+}
+
+// swapRig is a swapper before fake workers.
+type swapRig struct {
+	g       *gomega.WithT
+	workers *fakeWorkers
+	right   *fakeRight
+	roster  *roster.Roster
+	swapper *Swapper
+	named   int64
+}
+
+func newSwapRig(t *testing.T, n int) *swapRig {
+	r := &swapRig{g: gomega.NewWithT(t), workers: &fakeWorkers{states: map[string]WorkerState{}}, right: &fakeRight{fence: 7}, named: 2}
+	r.roster = roster.New(&event.Log{}, nil)
+	for i := range n {
+		id := fmt.Sprintf("w%02d", i)
+		r.roster.Put(roster.Entry{ID: id, Service: "llm", Address: id, Weights: map[string]int64{"m": 1}})
+		r.workers.states[id] = WorkerState{Weights: map[string]int64{"m": 1}}
+	}
+	tbl := table.New(table.Spec{Services: []table.Service{{Name: "llm", Engine: &table.Engine{Models: []string{"m"}}}}})
+	r.swapper = NewSwapper(SwapOptions{
+		Name: "me", Rights: []Right{r.right}, Commander: r.workers, Roster: r.roster,
+		Table: func() *table.Table { return tbl }, Named: func(string) int64 { return r.named }, Log: &event.Log{},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { r.swapper.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return r
+}
+
+func (r *swapRig) behind() int {
+	n := 0
+	for _, t := range r.roster.Of("llm") {
+		if t.Entry().Weights["m"] < r.named {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAllWorkersGetTheNamedWeightsAFewAtATime(t *testing.T) {
+	r := newSwapRig(t, 9)
+	r.g.Expect(r.swapper.Wanted(0)).To(gomega.BeTrue())
+	r.g.Eventually(r.behind, "30s", "10ms").Should(gomega.BeZero())
+	r.g.Expect(r.swapper.Wanted(0)).To(gomega.BeFalse())
+	r.g.Expect(r.workers.given()).To(gomega.HaveLen(9))
+	r.g.Expect(r.workers.most).To(gomega.BeNumerically("<=", 3))
+	for _, o := range r.workers.given() {
+		r.g.Expect(o.Fence).To(gomega.Equal(uint64(7)))
+		r.g.Expect(o.After).To(gomega.BeZero())
+	}
+}
+
+func TestWithoutTheRightNoOrderIsGiven(t *testing.T) {
+	r := newSwapRig(t, 2)
+	r.g.Eventually(r.behind, "30s", "10ms").Should(gomega.BeZero())
+	given := len(r.workers.given())
+	r.right.Refused(7)
+	r.named = 3
+	r.g.Consistently(func() int { return len(r.workers.given()) }, "500ms", "20ms").Should(gomega.Equal(given))
+}
+
+func TestAnOrderWithoutAnswerIsGivenAgainAndCountsOnce(t *testing.T) {
+	r := newSwapRig(t, 1)
+	r.workers.verdict = func(n int, _ WeightOrder) (Verdict, error) {
+		if n == 0 {
+			return 0, errors.New("no answer")
+		}
+		return Taken, nil
+	}
+	r.g.Eventually(r.behind, "30s", "10ms").Should(gomega.BeZero())
+	r.g.Expect(r.workers.given()).To(gomega.HaveLen(2))
+	// The first one, carried out late, would find that the worker has taken
+	// another.
+	v, err := r.workers.Order(context.Background(), "w00", r.workers.given()[0])
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(v).To(gomega.Equal(Conflict))
+}
+
+func TestAFencedHolderStops(t *testing.T) {
+	r := newSwapRig(t, 3)
+	r.workers.mu.Lock()
+	r.workers.verdict = func(int, WeightOrder) (Verdict, error) { return Fenced, nil }
+	r.workers.mu.Unlock()
+	r.g.Eventually(r.right.Held, "30s", "10ms").Should(gomega.BeFalse())
+	r.g.Eventually(func() int {
+		r.swapper.swapMu.Lock()
+		defer r.swapper.swapMu.Unlock()
+		return len(r.swapper.jobs)
+	}, "30s", "10ms").Should(gomega.BeZero())
+	r.g.Expect(len(r.workers.given())).To(gomega.BeNumerically("<=", 3))
+}
+
+func TestTheOldestWeightsComeFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ros := roster.New(&event.Log{}, nil)
+	for i, v := range []int64{2, 1, 2, 1, 1, 1} {
+		ros.Put(roster.Entry{ID: fmt.Sprint(i), Service: "llm", Weights: map[string]int64{"m": v}})
+	}
+	s := NewSwapper(SwapOptions{
+		Rights: []Right{&fakeRight{fence: 1}}, Roster: ros, Log: &event.Log{},
+		Named: func(string) int64 { return 3 },
+	})
+	for _, j := range s.nextOf("llm", "m") {
+		g.Expect(j.target.Entry().Weights["m"]).To(gomega.Equal(int64(1)))
+	}
+	g.Expect(time.Duration(jobLimit)).To(gomega.BeNumerically(">", 3*time.Second))
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,141 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"embertally.dev/core/event"
+)
+
+func entry(id string) Entry {
+	return Entry{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 4, Weights: map[string]int64{"m": 1}}
+}
+
+func ids(list []*Target) []string {
+	out := []string{}
+	for _, t := range list {
+		out = append(out, t.ID())
+	}
+	return out
+}
+
+func TestEntriesComeAndGo(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New(&event.Log{}, nil)
+	r.Put(entry("b"))
+	r.Put(entry("a"))
+	g.Expect(ids(r.Of("s"))).To(gomega.Equal([]string{"a", "b"}))
+	leaving := entry("a")
+	leaving.Leaving = true
+	r.Put(leaving)
+	g.Expect(r.Target("a").Entry().Leaving).To(gomega.BeTrue())
+	kept := r.Target("a")
+	r.Remove("a", time.Now())
+	g.Expect(ids(r.Of("s"))).To(gomega.Equal([]string{"b"}))
+	g.Expect(kept.Health(time.Now()).Gone).To(gomega.BeTrue())
+	r.Remove("none", time.Now())
+}
+
+func TestEntriesThatLapseInAnOutageMayComeBack(t *testing.T) {
+	tests := []struct {
+		name    string
+		silence time.Duration
+		leaving bool
+		stays   bool
+	}{
+		{"after an outage", 4 * time.Second, false, true},
+		{"after a short silence", 100 * time.Millisecond, false, false},
+		{"was leaving", 4 * time.Second, true, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			now := time.Now()
+			r := New(&event.Log{}, func() (time.Time, time.Duration) { return now, tc.silence })
+			e := entry("a")
+			e.Leaving = tc.leaving
+			r.Put(e)
+			r.Remove("a", now)
+			g.Expect(r.Target("a") != nil).To(gomega.Equal(tc.stays))
+			if !tc.stays {
+				return
+			}
+			g.Expect(r.Target("a").Health(now).Lapsed).To(gomega.BeTrue())
+			r.Put(e)
+			r.expire("a")
+			g.Expect(r.Target("a").Health(now).Lapsed).To(gomega.BeFalse())
+			r.Remove("a", now)
+			r.expire("a")
+			g.Expect(r.Target("a")).To(gomega.BeNil())
+		})
+	}
+}
+
+func TestWeightsOnlyRise(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New(&event.Log{}, nil)
+	r.Put(entry("a"))
+	r.Learn("a", "m", 3)
+	r.Learn("a", "m", 2)
+	r.Put(entry("a")) // an entry that was written before
+	g.Expect(r.Target("a").Entry().Weights["m"]).To(gomega.Equal(int64(3)))
+	r.Learn("none", "m", 9)
+}
+
+func TestSuspicionGrowsAndEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New(&event.Log{}, nil)
+	r.Put(entry("a"))
+	a, now := r.Target("a"), time.Now()
+	a.Silent(now)
+	g.Expect(a.Health(now).Suspect).To(gomega.BeTrue())
+	g.Expect(a.Health(now.Add(suspectTime)).Suspect).To(gomega.BeFalse())
+	a.Silent(now)
+	g.Expect(a.Health(now.Add(suspectTime)).Suspect).To(gomega.BeTrue())
+	g.Expect(a.Health(now.Add(suspectMost)).Suspect).To(gomega.BeFalse())
+	a.Answered(now, true, 0)
+	g.Expect(a.Health(now).Suspect).To(gomega.BeFalse())
+}
+
+func TestBadAnswersAndPaceAreRemembered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New(&event.Log{}, nil)
+	r.Put(entry("a"))
+	a, now := r.Target("a"), time.Now()
+	for range 20 {
+		a.Answered(now, false, 8)
+	}
+	g.Expect(a.Health(now).Faults).To(gomega.BeNumerically(">", 0.8))
+	g.Expect(a.Health(now).Pace).To(gomega.BeNumerically("~", 8, 0.1))
+	later := now.Add(forgetPace)
+	g.Expect(a.Health(later).Pace).To(gomega.Equal(1.0))
+	for range 20 {
+		a.Answered(now, true, 1)
+	}
+	g.Expect(a.Health(now).Faults).To(gomega.BeNumerically("<", 0.1))
+}
+
+func TestLoadsOfPeersAreAddedAndForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	mine, other := New(&event.Log{}, nil), New(&event.Log{}, nil)
+	mine.Put(entry("a"))
+	other.Put(entry("a"))
+	mine.Target("a").Begin(Load{Running: 1, Unread: 10, Held: 10})
+	other.Target("a").Begin(Load{Running: 2, Unread: 5, Held: 7})
+	other.Order("a", time.Now().Add(time.Minute))
+	raw, err := msgpack.Marshal(Share{other}.Collect(false))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	Share{mine}.Receive("other", raw)
+	g.Expect(mine.Target("a").Load()).To(gomega.Equal(Load{Running: 3, Unread: 15, Held: 17}))
+	g.Expect(mine.Ordered(time.Now())).To(gomega.HaveKey("a"))
+	mine.Done("a")
+	g.Expect(mine.Ordered(time.Now())).To(gomega.BeEmpty())
+	mine.sum(time.Now().Add(2 * peerLoadLife))
+	g.Expect(mine.Target("a").Load()).To(gomega.Equal(Load{Running: 1, Unread: 10, Held: 10}))
+	Share{mine}.Receive("other", []byte("no msgpack"))
+	mine.Target("a").End(Load{Running: 1, Unread: 10, Held: 10})
+	g.Expect(mine.Target("a").Own()).To(gomega.Equal(Load{}))
+}
--- /dev/null
+++ b/core/target/pool_test.go
@@ -0,0 +1,198 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// server answers each request of each connection by a function.
+type server struct {
+	address string
+	conns   atomic.Int64
+	arrived atomic.Int64
+}
+
+func serve(t *testing.T, answer func(c net.Conn, n int64, r *http.Request) bool) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{address: l.Addr().String()}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.run(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) run(c net.Conn, answer func(c net.Conn, n int64, r *http.Request) bool) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if !answer(c, s.arrived.Add(1), req) {
+			return
+		}
+	}
+}
+
+func whole(c net.Conn, text string, extra string) bool {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", extra, len(text), text)
+	return true
+}
+
+func get(p *Pool, address string) (string, error) {
+	in, err := p.Send(context.Background(), address, &Outgoing{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+	if err != nil {
+		return "", err
+	}
+	defer in.Close()
+	raw, err := io.ReadAll(in)
+	return string(raw), err
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := serve(t, func(c net.Conn, _ int64, r *http.Request) bool {
+		io.Copy(io.Discard, r.Body)
+		return whole(c, "yes", "")
+	})
+	p := &Pool{}
+	for range 5 {
+		text, err := get(p, s.address)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(text).To(gomega.Equal("yes"))
+	}
+	g.Expect(s.conns.Load()).To(gomega.Equal(int64(1)))
+	p.Forget(s.address)
+	_, err := get(p, s.address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.conns.Load()).To(gomega.Equal(int64(2)))
+}
+
+func TestConnectionsThatAreNotKept(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(c net.Conn) bool
+	}{
+		{"told to close", func(c net.Conn) bool { return whole(c, "yes", "Connection: close\r\n") }},
+		{"kept for no time", func(c net.Conn) bool { return whole(c, "yes", "Keep-Alive: timeout=0\r\n") }},
+		{"bytes after the answer", func(c net.Conn) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyesHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+			return true
+		}},
+		{"no length", func(c net.Conn) bool { fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nyes"); return false }},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := serve(t, func(c net.Conn, _ int64, _ *http.Request) bool { return tc.answer(c) })
+			p := &Pool{}
+			for range 3 {
+				text, err := get(p, s.address)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(text).To(gomega.Equal("yes"))
+			}
+			g.Expect(s.conns.Load()).To(gomega.Equal(int64(3)))
+		})
+	}
+}
+
+func TestNothingIsEverSentTwice(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := serve(t, func(c net.Conn, n int64, _ *http.Request) bool {
+		if n == 2 {
+			return false // a kept connection that is closed under a request
+		}
+		return whole(c, "yes", "")
+	})
+	p := &Pool{}
+	_, err := get(p, s.address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = get(p, s.address)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(WasSent(err)).To(gomega.BeTrue())
+	g.Expect(s.arrived.Load()).To(gomega.Equal(int64(2)))
+}
+
+func TestWhatWasNotSentIsKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	address := l.Addr().String()
+	l.Close()
+	_, err = get(&Pool{}, address)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(WasSent(err)).To(gomega.BeFalse())
+}
+
+func TestShortAnswersAreNotWhole(t *testing.T) {
+	tests := []struct{ name, raw string }{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nyes"},
+		{"chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nyes"},
+		{"last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n"},
+		{"bad chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nyes\r\n"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			s := serve(t, func(c net.Conn, _ int64, _ *http.Request) bool { fmt.Fprint(c, tc.raw); return false })
+			_, err := get(&Pool{}, s.address)
+			gomega.NewWithT(t).Expect(err).To(gomega.HaveOccurred())
+		})
+	}
+}
+
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := serve(t, func(c net.Conn, _ int64, _ *http.Request) bool { return whole(c, "no", "") })
+	p := &Pool{}
+	body := []byte(strings.Repeat("x", 64<<20)) // more than sockets hold
+	for range 2 {
+		in, err := p.Send(context.Background(), s.address, &Outgoing{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: body})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		raw, err := io.ReadAll(in)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(raw)).To(gomega.Equal("no"))
+		in.Close()
+	}
+	g.Expect(s.conns.Load()).To(gomega.Equal(int64(2)))
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	s := serve(t, func(c net.Conn, _ int64, _ *http.Request) bool { <-release; return whole(c, "yes", "") })
+	p := &Pool{}
+	p.SetMost(s.address, 1)
+	done := make(chan error, 1)
+	go func() { _, err := get(p, s.address); done <- err }()
+	g.Eventually(func() int { return p.Room(s.address) }, "10s", "1ms").Should(gomega.BeZero())
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := p.Send(ctx, s.address, &Outgoing{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+	g.Expect(err).To(gomega.MatchError(ErrFull))
+	g.Expect(WasSent(err)).To(gomega.BeFalse())
+	close(release)
+	g.Expect(<-done).NotTo(gomega.HaveOccurred())
+	g.Expect(p.Room(s.address)).To(gomega.Equal(1))
+}
