--- a/core/plat/mirror_test.go
+++ b/core/plat/mirror_test.go
@@ -21,7 +21,7 @@
 	heard []plat.Change
 }
 
-func watch(t *testing.T, from plat.Reader) *watched {
+func watch(from plat.Reader) *watched {
 	w := &watched{Mirror: plat.NewMirror(from, plat.Prefix("a/"), &event.Log{})}
 	w.Observe(func(cs []plat.Change) {
 		w.mu.Lock()
@@ -58,7 +58,7 @@
 	kv := &memkv.KV{}
 	put(t, kv, "a/1", "x")
 	put(t, kv, "b/1", "other")
-	m := watch(t, kv)
+	m := watch(kv)
 	m.start(t)
 	g.Eventually(m.value("a/1"), "10s", "5ms").Should(gomega.Equal("x"))
 	put(t, kv, "a/1", "y")
@@ -75,7 +75,7 @@
 	g := gomega.NewWithT(t)
 	kv := &memkv.KV{}
 	put(t, kv, "a/1", "x")
-	m := watch(t, kv)
+	m := watch(kv)
 	m.start(t)
 	g.Eventually(m.value("a/1"), "10s", "5ms").Should(gomega.Equal("x"))
 	kv.SetDown(true)
@@ -111,7 +111,7 @@
 	g := gomega.NewWithT(t)
 	kv := &forgetful{KV: &memkv.KV{}}
 	put(t, kv.KV, "a/1", "x")
-	m := watch(t, kv)
+	m := watch(kv)
 	m.start(t)
 	g.Eventually(m.value("a/2"), "10s", "5ms").Should(gomega.Equal("y"))
 	g.Expect(m.value("a/1")()).To(gomega.BeEmpty())
@@ -124,11 +124,11 @@
 	g := gomega.NewWithT(t)
 	kv := &memkv.KV{}
 	put(t, kv, "a/1", "x")
-	peer := watch(t, kv)
+	peer := watch(kv)
 	peer.start(t)
 	g.Eventually(peer.value("a/1"), "10s", "5ms").Should(gomega.Equal("x"))
 
-	cut := watch(t, kv) // never started: the service does not answer it
+	cut := watch(kv) // never started: the service does not answer it
 	pairs, revision := peer.All()
 	now := time.Now()
 	cut.TakeAll(pairs, revision, now)
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -243,7 +243,7 @@
 		out := p.stream(c, in, sent, onFirst)
 		return out, nil
 	}
-	return p.plain(ctx, c, in, sent)
+	return p.plain(c, in, sent)
 }
 
 var errSlow = errors.New("the target was slower than others are")
@@ -374,7 +374,7 @@
 }
 
 // plain passes on an answer that is not a stream.
-func (p *pass) plain(ctx context.Context, c *choice, in *target.Incoming, sent time.Time) (outcome, *plainAnswer) {
+func (p *pass) plain(c *choice, in *target.Incoming, sent time.Time) (outcome, *plainAnswer) {
 	body, err := readAll(nil, io.LimitReader(in, plainMost))
 	if err != nil {
 		return p.brokenOff(c, err), nil
