Large fleets: a few daemons of a cell follow the store and each store of kept parts, the others follow them

Change: three daemons of a cell ask the store and one asks each store of kept parts; peers take the changes from them; workers are shared out by cell, so that a daemon knows the load of those it uses.

--- a/core/cache/kept.go
+++ b/core/cache/kept.go
@@ -120,8 +120,20 @@
 	clock time.Duration
 	// down tells that it did not answer lately.
 	down bool
+	// history holds the latest changes for peers, and base is where it begins.
+	history []keptBatch
+	base    int64
 }
 
+// keptBatch is what one answer of a store told.
+type keptBatch struct {
+	next    int64
+	changes []PartChange
+}
+
+// batchMost bounds the answers kept for peers.
+const batchMost = 256
+
 // NewKept returns a view of stores that are named by Set.
 func NewKept(watcher Watcher, log *event.Log) *Kept {
 	return &Kept{watcher: watcher, log: log, shelves: map[string]*shelf{}}
@@ -259,6 +271,7 @@
 	}
 	sh.parts, sh.used = map[PartName]int{}, 0
 	sh.epoch, sh.next, sh.known = all.Epoch, all.Next, true
+	sh.history, sh.base = nil, all.Next
 	sh.take(all)
 	k.log.Emit(event.CacheResynced, event.Ref{Target: address}, strconv.Itoa(len(sh.parts))+" parts")
 }
@@ -278,9 +291,44 @@
 		return
 	}
 	sh.next = ev.Next
+	if len(ev.Changes) > 0 {
+		sh.history = append(sh.history, keptBatch{ev.Next, ev.Changes})
+	}
+	if len(sh.history) > batchMost {
+		sh.base = sh.history[0].next
+		sh.history = sh.history[1:]
+	}
 	sh.take(ev)
 }
 
+// Told returns what a store told after a point, for a peer that does not ask
+// the store itself, or everything where all is set. It fails where this daemon
+// does not know the store's state.
+func (k *Kept) Told(address string, since int64, all bool, now time.Time) (PartEvents, bool) {
+	k.keptMu.Lock()
+	defer k.keptMu.Unlock()
+	sh := k.shelves[address]
+	if sh == nil || !sh.fresh(now) {
+		return PartEvents{}, false
+	}
+	out := PartEvents{Epoch: sh.epoch, Next: sh.next, Clock: sh.clock + now.Sub(sh.heard)}
+	switch {
+	case all:
+		for name, tokens := range sh.parts {
+			out.Changes = append(out.Changes, PartChange{name, tokens})
+		}
+	case since < sh.base:
+		out.Gap = true
+	default:
+		for _, b := range sh.history {
+			if b.next > since {
+				out.Changes = append(out.Changes, b.changes...)
+			}
+		}
+	}
+	return out, true
+}
+
 func (sh *shelf) take(ev PartEvents) {
 	for _, c := range ev.Changes {
 		sh.used += c.Tokens - sh.parts[c.PartName]
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -128,6 +128,26 @@
 	return listed && box.State == plat.BoxLive
 }
 
+// Share returns the names that the daemons of this cell use where all daemons
+// share them out by cell, in proportion to the daemons of each cell. Daemons
+// with the same view agree on it. With one cell it returns all.
+func (v *View) Share(names []string) []string {
+	if v.cells <= 1 || len(names) < v.cells {
+		return names
+	}
+	sizes := make([]int, v.cells)
+	sizes[v.cell]++
+	for _, p := range v.peers {
+		sizes[p.Cell]++
+	}
+	before, total := 0, len(v.peers)+1
+	for _, n := range sizes[:v.cell] {
+		before += n
+	}
+	ranked := Rank(Key("share"), names)
+	return ranked[before*len(names)/total : (before+sizes[v.cell])*len(names)/total]
+}
+
 // Boxes returns the boxes of the platform's list by name. It must not be
 // changed.
 func (v *View) Boxes() map[string]plat.Box { return v.boxes }
--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -98,7 +98,7 @@
 			free = time.Time{}
 			continue
 		}
-		if _, taken := t.o.Mirror.Pair(t.o.Key); taken || t.o.Mirror.Contact().IsZero() {
+		if _, taken := t.o.Mirror.Pair(t.o.Key); taken || t.o.Mirror.Fresh().IsZero() {
 			free = time.Time{}
 			continue
 		}
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -17,13 +17,16 @@
 // Mirror keeps a copy of some keys of the key-value service current, with one
 // watch. The zero value is not usable; see NewMirror.
 //
-// Lock order: tellMu before what observers take; mirrorMu is taken alone.
+// Lock order: tellMu before mirrorMu and before what observers take.
 type Mirror struct {
 	from Reader
 	span Span
 	log  *event.Log
 	// observers are filled before Run.
 	observers []func([]Change)
+	// Follows, if set, reports whether this daemon asks the service itself; the
+	// others take the changes from peers. It is set before Run.
+	Follows func() bool
 
 	// tellMu keeps the observers' calls apart: the service and a peer may tell
 	// of changes at the same time.
@@ -71,6 +74,8 @@
 	// must follow again well within the 3 s that the users' rules give it.
 	retryPause = 150 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
+	// restPause spaces the looks of a daemon that takes changes from peers.
+	restPause = 200 * time.Millisecond
 	// downAfter is the silence that counts as an outage: watches answer at
 	// least every two seconds.
 	downAfter = 2500 * time.Millisecond
@@ -81,10 +86,18 @@
 	pause := retryPause
 	whole := false
 	for ctx.Err() == nil {
+		if m.Follows != nil && !m.Follows() {
+			m.rest()
+			wait(ctx, restPause)
+			continue
+		}
 		err := m.follow(ctx, &whole)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errRests) {
+			continue
+		}
 		if m.since() < retryPause {
 			pause = retryPause
 		}
@@ -94,6 +107,17 @@
 	}
 }
 
+// rest forgets when the service last answered, so that its silence meanwhile
+// is not taken for an outage.
+func (m *Mirror) rest() {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	m.contact, m.down = time.Time{}, false
+}
+
+// errRests ends the watch of a daemon that takes changes from peers now.
+var errRests = errors.New("peers follow the service")
+
 // follow copies everything where needed, then watches.
 func (m *Mirror) follow(ctx context.Context, whole *bool) error {
 	if !*whole {
@@ -105,6 +129,9 @@
 	err := m.from.Watch(ctx, m.span, m.Revision()+1, func(changes []Change, revision int64) error {
 		m.heard()
 		m.apply(changes, revision)
+		if m.Follows != nil && !m.Follows() {
+			return errors.WithStack(errRests)
+		}
 		return nil
 	})
 	if errors.Is(err, ErrCompacted) {
@@ -129,6 +156,8 @@
 
 // reset takes a whole copy, unless a newer state is known.
 func (m *Mirror) reset(pairs []Pair, revision int64) {
+	m.tellMu.Lock()
+	defer m.tellMu.Unlock()
 	m.mirrorMu.Lock()
 	if revision < m.revision {
 		m.mirrorMu.Unlock()
@@ -162,6 +191,8 @@
 // Changes that are known already are left out: the service and peers may both
 // tell of them.
 func (m *Mirror) apply(changes []Change, revision int64) {
+	m.tellMu.Lock()
+	defer m.tellMu.Unlock()
 	m.mirrorMu.Lock()
 	var news []Change
 	for _, c := range changes {
@@ -196,12 +227,11 @@
 	}
 }
 
+// tell is called with tellMu held, so that observers hear of changes in order.
 func (m *Mirror) tell(changes []Change) {
 	if len(changes) == 0 {
 		return
 	}
-	m.tellMu.Lock()
-	defer m.tellMu.Unlock()
 	for _, f := range m.observers {
 		f(changes)
 	}
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -68,7 +68,7 @@
 		return nil, "the service is not configured"
 	}
 	now := time.Now()
-	options, why := p.options(svc, now)
+	options, why := p.ownOptions(svc, now)
 	usual := p.usual(options)
 	list := make([]route.Candidate, len(options))
 	for i, o := range options {
@@ -82,6 +82,29 @@
 	return p.chosen(svc, options[at], asked, list[at], len(list) == 1, now), ""
 }
 
+// ownOptions returns the options among the workers that are this daemon's to
+// use, and among all where none of these answers.
+func (p *pass) ownOptions(svc *table.Service, now time.Time) ([]option, string) {
+	all, why := p.options(svc, now)
+	if svc.Engine == nil || len(all) == 0 {
+		return all, why
+	}
+	mine := map[string]bool{}
+	for _, name := range p.f.workers(p.service) {
+		mine[name] = true
+	}
+	var own []option
+	for _, o := range all {
+		if mine[o.target.ID()] {
+			own = append(own, o)
+		}
+	}
+	if len(own) == 0 {
+		return all, why
+	}
+	return own, why
+}
+
 // options returns the targets that may get the request, or why there are none.
 func (p *pass) options(svc *table.Service, now time.Time) ([]option, string) {
 	var out []option
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -121,6 +121,9 @@
 	// CopyMay reports whether parts may be copied from stores: the daemon has
 	// heard lately which weights are named.
 	CopyMay func() bool
+	// Share returns the workers that this daemon's requests go to, where a large
+	// fleet shares them out so that daemons know the load of theirs.
+	Share func(names []string) []string
 	// Daemons returns how many daemons share the connections to targets.
 	Daemons func() int
 	// RetryShare, RetryExtra and RetryWindow bound repeated sends over all
@@ -327,15 +330,11 @@
 		m = *known
 	}
 	f.allowMu.Unlock()
-	targets := f.o.Roster.Of(service)
-	n := m.ShortWorkers(len(targets))
+	names := f.workers(service)
+	n := m.ShortWorkers(len(names))
 	if n == 0 {
 		return nil
 	}
-	names := make([]string, len(targets))
-	for i, t := range targets {
-		names[i] = t.ID()
-	}
 	out := make(map[string]bool, n)
 	for _, name := range fleet.Rank(fleet.Key("short"), names)[:n] {
 		out[name] = true
@@ -343,6 +342,16 @@
 	return out
 }
 
+// workers returns the workers of a service that this daemon's requests go to.
+func (f *Relay) workers(service string) []string {
+	targets := f.o.Roster.Of(service)
+	names := make([]string, len(targets))
+	for i, t := range targets {
+		names[i] = t.ID()
+	}
+	return f.o.Share(names)
+}
+
 // allowedShare is the part of what is allowed that is used: requests that were
 // counted here but never arrived at a daemon's peer lower the others' count.
 const allowedShare = 0.7
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	s := &Mirrors{mirror: m, fleet: f, peers: map[string]time.Time{}}
 	f.Attach("mirror", s)
 	f.Mux().Register(kindMirror, wire.Handle(s.answer))
+	m.Follows = s.Follows
 	return s
 }
 
@@ -46,6 +48,8 @@
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
 	After    int64
+	// WaitMillis is how long the answer may wait for a change.
+	WaitMillis int64
 }
 
 type mirrorAnswer struct {
@@ -85,14 +89,16 @@
 	}
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
-	s.peers[peer] = time.Now().Add(-time.Duration(b.AgeMillis) * time.Millisecond)
+	age := time.Duration(min(max(0, b.AgeMillis), mostAgeMillis)) * time.Millisecond
+	s.peers[peer] = time.Now().Add(-age)
 }
 
 // answer tells a peer what has changed.
-func (s *Mirrors) answer(_ context.Context, _ string, ask *mirrorAsk) (*mirrorAnswer, error) {
+func (s *Mirrors) answer(ctx context.Context, _ string, ask *mirrorAsk) (*mirrorAnswer, error) {
+	s.await(ctx, ask)
 	contact := s.mirror.Contact()
 	if contact.IsZero() {
-		return nil, errors.New("the service has not answered this daemon yet")
+		return nil, errors.New("this daemon does not ask the service")
 	}
 	out := &mirrorAnswer{AgeMillis: time.Since(contact).Milliseconds()}
 	changes, revision, whole := s.mirror.Since(ask.After)
@@ -111,17 +117,57 @@
 	return out, nil
 }
 
+// await returns when there is something to tell or the wait is over.
+func (s *Mirrors) await(ctx context.Context, ask *mirrorAsk) {
+	end := time.Now().Add(time.Duration(ask.WaitMillis) * time.Millisecond)
+	t := time.NewTicker(awaitLook)
+	defer t.Stop()
+	for time.Now().Before(end) && s.mirror.Revision() <= ask.After {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // Times of taking changes from peers.
 const (
 	// silentAfter is the silence of the service after which a peer is asked:
 	// watches answer every 1.5 s.
 	silentAfter = 1800 * time.Millisecond
 	// askPause spaces the questions.
-	askPause = 250 * time.Millisecond
+	askPause = 100 * time.Millisecond
+	// askWait is how long a peer may wait for a change before it answers, and
 	// askLimit bounds one question.
-	askLimit = 400 * time.Millisecond
+	askWait  = 500 * time.Millisecond
+	askLimit = askWait + 400*time.Millisecond
+	// mostAgeMillis bounds the ages that peers tell: older is as good as never.
+	mostAgeMillis = 3600 * 1000
+	// transitMargin is left for the way of an answer between daemons.
+	transitMargin = 100 * time.Millisecond
+	// awaitLook is the pause between looks for a change.
+	awaitLook = 50 * time.Millisecond
+	// followers is how many daemons of a large cell ask the service themselves;
+	// each call is priced, and two may be lost at a time.
+	followers = 3
+	// smallFleet is the size up to which all do.
+	smallFleet = 16
+	// staleAfter is the age of what peers told from which a daemon asks the
+	// service itself.
+	staleAfter = 1800 * time.Millisecond
 )
 
+// Follows reports whether this daemon asks the service itself.
+func (s *Mirrors) Follows() bool {
+	view := s.fleet.View()
+	if len(view.Peers()) < smallFleet || time.Since(s.mirror.Fresh()) > staleAfter {
+		return true
+	}
+	first := fleet.Rank(fleet.Key("mirror"), view.OnDuty())
+	return slices.Contains(first[:min(followers, len(first))], view.Self())
+}
+
 // Run asks a peer for changes while the service is silent, until ctx ends.
 func (s *Mirrors) Run(ctx context.Context) {
 	t := time.NewTicker(askPause)
@@ -132,7 +178,7 @@
 			return
 		case <-t.C:
 		}
-		if time.Since(s.mirror.Contact()) > silentAfter {
+		if time.Since(s.mirror.Contact()) > silentAfter || !s.Follows() {
 			s.ask(ctx)
 		}
 	}
@@ -146,13 +192,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	sent := time.Now()
 	var got mirrorAnswer
-	if err := s.fleet.Call(ctx, peer, kindMirror, &mirrorAsk{After: s.mirror.Revision()}, &got); err != nil {
+	if err := s.fleet.Call(ctx, peer, kindMirror, &mirrorAsk{After: s.mirror.Revision(), WaitMillis: askWait.Milliseconds()}, &got); err != nil {
 		s.forget(peer)
 		return
 	}
-	heard := sent.Add(-time.Duration(got.AgeMillis) * time.Millisecond)
+	// The answer may have waited; its age counts from when it was given, and it
+	// was given before it arrived.
+	age := time.Duration(min(max(0, got.AgeMillis), mostAgeMillis)) * time.Millisecond
+	heard := time.Now().Add(-age - transitMargin)
 	if got.All {
 		s.mirror.TakeAll(got.pairs(), got.Revision, heard)
 		return
--- /dev/null
+++ b/core/spread/shelves.go
@@ -0,0 +1,172 @@
+package spread
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/cache"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/wire"
+)
+
+const kindShelf wire.Kind = "spread.shelf"
+
+// Shelves asks stores what they hold. In a small fleet each daemon asks each
+// store; in a large one, one daemon of each cell does and the others ask it,
+// since a store answers only a few followers at a time.
+type Shelves struct {
+	direct cache.Watcher
+	fleet  *fleet.Fleet
+	// kept is what this daemon tells peers from. Set before Run.
+	kept *cache.Kept
+
+	badMu sync.Mutex
+	// bad holds until when a peer that did not answer is not asked. Guarded by
+	// badMu.
+	bad map[string]time.Time
+}
+
+// NewShelves returns a watcher of stores. Serve must be called before it is
+// used.
+func NewShelves(direct cache.Watcher, f *fleet.Fleet) *Shelves {
+	return &Shelves{direct: direct, fleet: f, bad: map[string]time.Time{}}
+}
+
+// Serve makes peers learn from kept. It must be called before the fleet runs.
+func (s *Shelves) Serve(kept *cache.Kept) {
+	s.kept = kept
+	s.fleet.Mux().Register(kindShelf, wire.Handle(s.answer))
+}
+
+const (
+	// directFleet is the size up to which each daemon asks each store: the
+	// users' stores answer 12 followers.
+	directFleet = 10
+	// badTime is how long a peer that did not answer is not asked.
+	badTime = 2 * time.Second
+	// peerLimit is left for a peer's answer beside its wait.
+	peerLimit = 500 * time.Millisecond
+)
+
+// source returns the peer that asks a store for this daemon, or "" where this
+// daemon asks it itself.
+func (s *Shelves) source(address string) string {
+	view := s.fleet.View()
+	if len(view.Peers()) < directFleet {
+		return ""
+	}
+	now := time.Now()
+	s.badMu.Lock()
+	defer s.badMu.Unlock()
+	for _, name := range fleet.Rank(fleet.Key("shelf/"+address), view.OnDuty()) {
+		if name == view.Self() {
+			return ""
+		}
+		if now.After(s.bad[name]) {
+			return name
+		}
+	}
+	return ""
+}
+
+type shelfAsk struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack   struct{} `msgpack:",as_array"`
+	Address    string
+	Since      int64
+	All        bool
+	WaitMillis int64
+}
+
+type shelfAnswer struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Epoch    int64
+	Next     int64
+	Gap      bool
+	Parts    []shelfPart
+	// ClockMillis is the targets' clock at the answer.
+	ClockMillis int64
+}
+
+type shelfPart struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Salt     string
+	ID       string
+	Tokens   int
+}
+
+// Events returns the changes of a store since a point.
+func (s *Shelves) Events(ctx context.Context, address string, since int64, wait time.Duration) (cache.PartEvents, error) {
+	peer := s.source(address)
+	if peer == "" {
+		return s.direct.Events(ctx, address, since, wait)
+	}
+	return s.ask(ctx, peer, shelfAsk{Address: address, Since: since, WaitMillis: wait.Milliseconds()})
+}
+
+// Contents returns everything that a store holds.
+func (s *Shelves) Contents(ctx context.Context, address string) (cache.PartEvents, error) {
+	peer := s.source(address)
+	if peer == "" {
+		return s.direct.Contents(ctx, address)
+	}
+	return s.ask(ctx, peer, shelfAsk{Address: address, All: true})
+}
+
+// Free frees parts of a store.
+func (s *Shelves) Free(ctx context.Context, address string, epoch int64, parts []cache.PartName) error {
+	return s.direct.Free(ctx, address, epoch, parts)
+}
+
+func (s *Shelves) ask(ctx context.Context, peer string, ask shelfAsk) (cache.PartEvents, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(ask.WaitMillis)*time.Millisecond+peerLimit)
+	defer cancel()
+	var got shelfAnswer
+	if err := s.fleet.Call(ctx, peer, kindShelf, &ask, &got); err != nil {
+		s.badMu.Lock()
+		s.bad[peer] = time.Now().Add(badTime)
+		s.badMu.Unlock()
+		return cache.PartEvents{}, err
+	}
+	out := cache.PartEvents{Epoch: got.Epoch, Next: got.Next, Gap: got.Gap, Clock: time.Duration(got.ClockMillis) * time.Millisecond}
+	for _, p := range got.Parts {
+		out.Changes = append(out.Changes, cache.PartChange{PartName: cache.PartName{Salt: p.Salt, ID: p.ID}, Tokens: p.Tokens})
+	}
+	return out, nil
+}
+
+var errUnknownShelf = errors.New("the store's state is not known here")
+
+// answer tells a peer what this daemon knows of a store, waiting for a change.
+func (s *Shelves) answer(ctx context.Context, _ string, ask *shelfAsk) (*shelfAnswer, error) {
+	end := time.Now().Add(time.Duration(ask.WaitMillis) * time.Millisecond)
+	t := time.NewTicker(awaitLook)
+	defer t.Stop()
+	for {
+		got, ok := s.kept.Told(ask.Address, ask.Since, ask.All, time.Now())
+		if !ok {
+			return nil, errors.WithStack(errUnknownShelf)
+		}
+		if ask.All || got.Gap || len(got.Changes) > 0 || !time.Now().Before(end) {
+			return shelfOf(got), nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.WithStack(ctx.Err())
+		case <-t.C:
+		}
+	}
+}
+
+func shelfOf(ev cache.PartEvents) *shelfAnswer {
+	out := &shelfAnswer{Epoch: ev.Epoch, Next: ev.Next, Gap: ev.Gap, ClockMillis: ev.Clock.Milliseconds()}
+	for _, c := range ev.Changes {
+		out.Parts = append(out.Parts, shelfPart{Salt: c.Salt, ID: c.ID, Tokens: c.Tokens})
+	}
+	return out
+}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -88,7 +88,9 @@
 	h.mirrors = spread.NewMirrors(h.mirror, h.fleet)
 	h.fleet.Attach("where", &h.where)
 	engines := platform.NewEngines(newClient())
-	h.kept = cache.NewKept(engines, h.log)
+	shelves := spread.NewShelves(engines, h.fleet)
+	h.kept = cache.NewKept(shelves, h.log)
+	shelves.Serve(h.kept)
 	h.pool = &target.Pool{Opened: h.stats.Opened}
 	h.daemons.view = h.fleet.View
 	h.buildRelay()
@@ -119,6 +121,7 @@
 	h.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Log: h.log, Stats: h.stats,
 		Domain: h.set.Domain, Named: h.named.version, Daemons: h.daemons.count,
+		Share: func(names []string) []string { return h.fleet.View().Share(names) },
 		Outdated: func(model string, version int64) bool {
 			return h.named.age(model, version) > h.set.Bounds.Weights-beginMargin
 		},
