After the notice of a planned stop new requests are refused

Ruled out: the end of the process (0.7 s before the platform's kill). Change: requests are refused as not run from the time on in which the platform sends no new connections (2.6 s), not two seconds before the end.

--- a/core/spread/shelves.go
+++ b/core/spread/shelves.go
@@ -45,31 +45,36 @@
 	// directFleet is the size up to which each daemon asks each store: the
 	// users' stores answer 12 followers.
 	directFleet = 10
+	// askers is how many daemons of a cell may ask a store: a second one where
+	// the first does not answer.
+	askers = 2
 	// badTime is how long a peer that did not answer is not asked.
-	badTime = 2 * time.Second
+	badTime = time.Second
 	// peerLimit is left for a peer's answer beside its wait.
 	peerLimit = 500 * time.Millisecond
 )
 
 // source returns the peer that asks a store for this daemon, or "" where this
-// daemon asks it itself.
-func (s *Shelves) source(address string) string {
+// daemon asks it itself. Only the first two in rank ever do: a store that
+// refuses some of its followers refuses the first in rank as likely as others.
+func (s *Shelves) source(address string) (peer string, err error) {
 	view := s.fleet.View()
 	if len(view.Peers()) < directFleet {
-		return ""
+		return "", nil
 	}
 	now := time.Now()
 	s.badMu.Lock()
 	defer s.badMu.Unlock()
-	for _, name := range fleet.Rank(fleet.Key("shelf/"+address), view.OnDuty()) {
+	ranked := fleet.Rank(fleet.Key("shelf/"+address), view.OnDuty())
+	for _, name := range ranked[:min(askers, len(ranked))] {
 		if name == view.Self() {
-			return ""
+			return "", nil
 		}
 		if now.After(s.bad[name]) {
-			return name
+			return name, nil
 		}
 	}
-	return ""
+	return "", errors.WithStack(errUnknownShelf)
 }
 
 type shelfAsk struct {
@@ -102,7 +107,10 @@
 
 // Events returns the changes of a store since a point.
 func (s *Shelves) Events(ctx context.Context, address string, since int64, wait time.Duration) (cache.PartEvents, error) {
-	peer := s.source(address)
+	peer, err := s.source(address)
+	if err != nil {
+		return cache.PartEvents{}, err
+	}
 	if peer == "" {
 		return s.direct.Events(ctx, address, since, wait)
 	}
@@ -111,7 +119,10 @@
 
 // Contents returns everything that a store holds.
 func (s *Shelves) Contents(ctx context.Context, address string) (cache.PartEvents, error) {
-	peer := s.source(address)
+	peer, err := s.source(address)
+	if err != nil {
+		return cache.PartEvents{}, err
+	}
 	if peer == "" {
 		return s.direct.Contents(ctx, address)
 	}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -430,14 +430,12 @@
 	noticeTime = 2600 * time.Millisecond
 	// stopMargin is left of the stop's time for the end of the process.
 	stopMargin = 700 * time.Millisecond
-	// lastTime is the end of a stop in which new requests are refused, since
-	// they could no longer end.
-	lastTime  = 2 * time.Second
-	drainLook = 50 * time.Millisecond
+	drainLook  = 50 * time.Millisecond
 )
 
-// drain answers what comes until callers have gone elsewhere, then closes idle
-// connections and waits for running requests.
+// drain answers what comes until callers have gone elsewhere; then it refuses
+// what still comes on kept connections, since a long answer might not end in
+// time, and waits for running requests.
 func (h *Host) drain(callers *http.Server) {
 	began := time.Now()
 	h.draining.Store(true)
@@ -446,11 +444,11 @@
 	h.log.Emit(event.DaemonDraining, event.Ref{}, "")
 	end := began.Add(h.set.Bounds.Stop - stopMargin)
 	for time.Now().Before(end) {
-		if time.Since(began) > noticeTime && h.relay.Running() == 0 {
-			break
-		}
-		if time.Now().After(end.Add(-lastTime)) {
+		if time.Since(began) > noticeTime {
 			h.relay.Refuse()
+			if h.relay.Running() == 0 {
+				break
+			}
 		}
 		time.Sleep(drainLook)
 	}
