--- a/emberd/internal/daemon/settings.go
+++ b/emberd/internal/daemon/settings.go
@@ -16,6 +16,7 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/route"
+	"embertally.dev/emberd/internal/host"
 )
 
 // Settings are everything that a daemon is told by its file. docs/SETTINGS.md
@@ -210,6 +211,10 @@
 	b.WriteString("Times carry a unit, such as `500ms`. This page is written by `emberd reference`; a test keeps it true.\n\n")
 	b.WriteString("| key | type | default | meaning |\n| --- | --- | --- | --- |\n")
 	describe(&b, "", reflect.ValueOf(Defaults()))
+	b.WriteString("\n## On a platform that keeps configuration and targets: emberd host\n\n")
+	b.WriteString("Checked in the same way. On the users' machines `deploy/settings.yaml` is filled and laid out by the platform.\n\n")
+	b.WriteString("| key | type | default | meaning |\n| --- | --- | --- | --- |\n")
+	describe(&b, "", reflect.ValueOf(host.Defaults()))
 	return b.String()
 }
 
--- /dev/null
+++ b/emberd/internal/host/host_test.go
@@ -0,0 +1,99 @@
+package host
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+const good = `
+name: box-1
+domain: z
+callers: 10.0.0.1:1
+readiness: 10.0.0.1:2
+peers: 10.0.0.1:3
+metrics: 10.0.0.1:4
+store: 10.0.0.2:5
+memoryMB: 112
+`
+
+func TestSettingsReportAllFaultsAtOnce(t *testing.T) {
+	tests := []struct {
+		name, text string
+		faults     []string
+	}{
+		{"good", good, nil},
+		{"empty", "", []string{"settings"}},
+		{"unknown key", good + "colour: red\n", []string{"field colour not found"}},
+		{"several", strings.NewReplacer("name: box-1\n", "", "10.0.0.2:5", "nowhere", "112", "2").Replace(good), []string{"name: is required", "store: must be", "memoryMB: must be"}},
+		{"times", good + "bounds: {stop: 0s, weights: -1s}\ntuning: {heartbeat: 1s, suspect: 2s}\n", []string{"bounds.stop", "bounds.weights", "tuning.suspect"}},
+		{"retries", good + "retries: {share: -1}\nlogRate: 0\n", []string{"retries", "logRate"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, err := ParseSettings([]byte(tc.text))
+			if tc.faults == nil {
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				return
+			}
+			for _, f := range tc.faults {
+				g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(f)))
+			}
+		})
+	}
+}
+
+func FuzzParseSettings(f *testing.F) {
+	f.Add(good)
+	f.Add("name: [")
+	f.Add("bounds: 7")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := ParseSettings([]byte(text))
+		if err == nil && len(s.check()) > 0 {
+			t.Fatalf("settings with faults were taken: %q", text)
+		}
+	})
+}
+
+func TestTheTemplateGivesGoodSettings(t *testing.T) {
+	g := gomega.NewWithT(t)
+	raw, err := os.ReadFile(filepath.Join("..", "..", "..", "deploy", "settings.yaml"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	// As the platform fills it.
+	filled := strings.NewReplacer(
+		"{{NodeName}}", "edge-1", "{{Zone}}", "z", "{{Listen.Front}}", "10.0.0.1:1", "{{Listen.Readiness}}", "10.0.0.1:2",
+		"{{Ip}}", "10.0.0.1", "{{EphemeralPorts.0}}", "7740", "{{Platform.Address}}", "10.0.0.9:1", "{{Limits.MemoryMb}}", "134",
+		"{{Bounds.GraceS}}", "8", "{{Bounds.LeaseMs}}", "3000", "{{Bounds.ContactMs}}", "3000", "{{Bounds.VersionMs}}", "12000",
+		"{{Bounds.RetryBudgetRatio}}", "0.2", "{{Bounds.BudgetSlack}}", "56", "{{Bounds.BudgetWindowS}}", "10",
+	).Replace(string(raw))
+	g.Expect(filled).NotTo(gomega.ContainSubstring("{{"))
+	s, err := ParseSettings([]byte(filled))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Bounds).To(gomega.Equal(Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second}))
+	g.Expect(s.Retries).To(gomega.Equal(Retries{Share: 0.2, Extra: 56, Window: 10 * time.Second}))
+	g.Expect(s.Peers).To(gomega.Equal("10.0.0.1:7740"))
+}
+
+func TestNamedWeights(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var n named
+	g.Expect(n.version("m")).To(gomega.BeZero())
+	n.set("m", 1)
+	n.set("m", 3)
+	n.set("m", 2) // told late
+	g.Expect(n.version("m")).To(gomega.Equal(int64(3)))
+	_, replaced := n.superseded("v3/m/")
+	g.Expect(replaced).To(gomega.BeFalse())
+	since, replaced := n.superseded("v1/m/org")
+	g.Expect(replaced).To(gomega.BeTrue())
+	g.Expect(time.Since(since)).To(gomega.BeNumerically("<", time.Minute))
+	g.Expect(n.age("m", 3)).To(gomega.BeZero())
+	g.Expect(n.age("m", 1)).To(gomega.BeNumerically(">", 0))
+	_, replaced = n.superseded("no salt")
+	g.Expect(replaced).To(gomega.BeFalse())
+}
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -20,21 +20,19 @@
 
 // Settings are everything that a hosted daemon is told by its file.
 type Settings struct {
-	Name   string `yaml:"name" doc:"Name of the box. Required."`
-	Domain string `yaml:"domain" doc:"Failure domain of the box. Required."`
-	// Callers, Readiness, Peers and Metrics are listening addresses.
-	Callers   string   `yaml:"callers" doc:"IP address and port where callers are answered. Required."`
-	Readiness string   `yaml:"readiness" doc:"IP address and port of the readiness question, GET /v1/readyz. Required."`
-	Peers     string   `yaml:"peers" doc:"IP address and port where other daemons are answered. Required."`
-	Metrics   string   `yaml:"metrics" doc:"IP address and port of the figures, GET /metrics. Required."`
-	Store     string   `yaml:"store" doc:"IP address and port of the platform's store. Required."`
-	MemoryMB  int64    `yaml:"memoryMB" doc:"Memory that the process may use. Required."`
-	LogLevel  string   `yaml:"logLevel" doc:"Least severity of log lines: debug, info, warning or error."`
-	LogRate   int      `yaml:"logRate" doc:"Most lines of one event in a second; warnings and errors get five times as many."`
-	Bounds    Bounds   `yaml:"bounds" doc:"What the deployment promises and asks for."`
-	Retries   Retries  `yaml:"retries" doc:"How often requests may be sent again, over all daemons together."`
-	Tuning    Tuning   `yaml:"tuning" doc:"How often daemons talk."`
-	Comments  []string `yaml:"comments" doc:"Free text."`
+	Name      string  `yaml:"name" doc:"Name of the box. Required."`
+	Domain    string  `yaml:"domain" doc:"Failure domain of the box. Required."`
+	Callers   string  `yaml:"callers" doc:"IP address and port where callers are answered. Required."`
+	Readiness string  `yaml:"readiness" doc:"IP address and port of the readiness question, GET /v1/readyz. Required."`
+	Peers     string  `yaml:"peers" doc:"IP address and port where other daemons are answered. Required."`
+	Metrics   string  `yaml:"metrics" doc:"IP address and port of the figures, GET /metrics. Required."`
+	Store     string  `yaml:"store" doc:"IP address and port of the platform's store. Required."`
+	MemoryMB  int64   `yaml:"memoryMB" doc:"Memory that the process may use. Required."`
+	LogLevel  string  `yaml:"logLevel" doc:"Least severity of log lines: debug, info, warning or error."`
+	LogRate   int     `yaml:"logRate" doc:"Most lines of one event in a second; warnings and errors get five times as many."`
+	Bounds    Bounds  `yaml:"bounds" doc:"What the deployment promises and asks for."`
+	Retries   Retries `yaml:"retries" doc:"How often requests may be sent again, over all daemons together."`
+	Tuning    Tuning  `yaml:"tuning" doc:"How often daemons talk."`
 }
 
 // Bounds are the times of a deployment.
