--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -517,8 +517,8 @@
 	if p.table != nil {
 		version = p.table.Version()
 	}
-	text := fmt.Sprintf("took %s%s, configuration %d, sends %d, runs %d: %s",
-		took.Round(time.Millisecond), first, version, p.sends, p.runs, strings.Join(p.notes, "; "))
+	text := fmt.Sprintf("took %s%s, configuration %d known %s ago, sends %d, runs %d; %s",
+		took.Round(time.Millisecond), first, version, p.f.o.Age().Round(10*time.Millisecond), p.sends, p.runs, strings.Join(p.notes, "; "))
 	p.f.o.Log.Emit(code, p.ref(), text)
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -115,6 +115,8 @@
 	// Outdated reports whether weights were replaced so long ago that no request
 	// may begin on them any more.
 	Outdated func(model string, version int64) bool
+	// Age returns how old this daemon's knowledge of the platform's store is.
+	Age func() time.Duration
 	// Current reports whether this daemon's configuration is known to be
 	// current, so that it may say that a route or key does not exist.
 	Current func() bool
@@ -210,6 +212,7 @@
 		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, err.Error(), 0)
 	}
 	t := p.f.Table()
+	p.table = t
 	if t == nil || p.f.closed.Load() {
 		return p.notNow(entry.CodeNotReady, "the daemon takes no requests now")
 	}
@@ -221,7 +224,6 @@
 	if p.organisation == nil && t.Keyed() && !p.route.Public {
 		return p.unknown(http.StatusUnauthorized, entry.CodeBadKey, "the key is not known")
 	}
-	p.table = t
 	p.limit()
 	return p.read(t.Limits())
 }
--- a/embctl/internal/ctl/ctl_test.go
+++ b/embctl/internal/ctl/ctl_test.go
@@ -178,3 +178,28 @@
 	g.Expect(strings.Count(got, "<circle")).To(gomega.Equal(3))
 	g.Expect(got).NotTo(gomega.ContainSubstring("<b>"))
 }
+
+func TestEventsAreReadFromLogLines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var lines bytes.Buffer
+	log := event.NewLog("box-1", &lines, event.FormatJSON, event.Debug)
+	log.Emit(event.RequestDone, event.Ref{Request: "r1", Target: "i-1"}, "took 3ms; i-1=done")
+	log.Emit(event.RequestRefused, event.Ref{Request: "r2"}, "no")
+	file := write(t, lines.String())
+	code, out, _ := run(t, "explain", "--logs", file, "r1")
+	g.Expect(code).To(gomega.Equal(0))
+	g.Expect(out).To(gomega.ContainSubstring("requestDone i-1"))
+	g.Expect(out).To(gomega.ContainSubstring("i-1=done"))
+	code, out, _ = run(t, "timeline", "--logs", file, "--code", "4004")
+	g.Expect(code).To(gomega.Equal(0))
+	g.Expect(out).To(gomega.ContainSubstring("request=r2"))
+	g.Expect(out).NotTo(gomega.ContainSubstring("request=r1"))
+	code, _, errs := run(t, "explain", "--logs", file, "r3")
+	g.Expect(code).NotTo(gomega.Equal(0))
+	g.Expect(errs).To(gomega.ContainSubstring("r3"))
+	code, _, errs = run(t, "timeline", "--logs", write(t, "not a log\n"))
+	g.Expect(code).NotTo(gomega.Equal(0))
+	g.Expect(errs).To(gomega.ContainSubstring("none of the 1 lines"))
+	code, _, _ = run(t, "timeline", "--logs", filepath.Join(t.TempDir(), "none"))
+	g.Expect(code).NotTo(gomega.Equal(0))
+}
--- a/embctl/internal/ctl/fleet.go
+++ b/embctl/internal/ctl/fleet.go
@@ -33,14 +33,52 @@
 	line.Flag("resource", "Only of this resource, as kind/name.").StringVar(&f.Resource)
 	code := line.Flag("code", "Only events of this number.").Int()
 	picture := line.Flag("svg", "Write a picture to this file instead of text.").String()
-	p.add(line, p.remote(func() error {
+	lineLogs := line.Flag("logs", "Read log lines from this file, or - for standard input, instead of asking the daemons.").String()
+	p.add(line, p.either(lineLogs, func(source eventSource) error {
 		f.Code = event.Code(*code)
-		return p.timeline(f, *picture)
+		return p.timeline(source, f, *picture)
 	}))
 
 	explain := app.Command("explain", "Say why a request went where it went and what was weighed.")
 	request := explain.Arg("request", "Name of the request, as its X-Request-Id header gave it.").Required().String()
-	p.add(explain, p.remote(func() error { return p.explain(*request) }))
+	explainLogs := explain.Flag("logs", "Read log lines from this file, or - for standard input, instead of asking the daemons.").String()
+	p.add(explain, p.either(explainLogs, func(source eventSource) error { return p.explain(source, *request) }))
+}
+
+// eventSource returns the events that a filter selects, as one time line.
+type eventSource func(f event.Filter) ([]event.Event, error)
+
+// either runs a command on the events of a file of log lines where one is
+// named, and of the daemons otherwise.
+func (p *program) either(logs *string, run func(source eventSource) error) func() error {
+	remote := p.remote(func() error { return run(p.events) })
+	return func() error {
+		if *logs == "" {
+			return remote()
+		}
+		return run(func(f event.Filter) ([]event.Event, error) { return p.logged(*logs, f) })
+	}
+}
+
+// logged returns the events of log lines.
+func (p *program) logged(path string, f event.Filter) ([]event.Event, error) {
+	in := os.Stdin
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		defer file.Close()
+		in = file
+	}
+	lists, foreign, err := event.ReadLines(in)
+	if err != nil {
+		return nil, err
+	}
+	if len(lists) == 0 && foreign > 0 {
+		return nil, errors.Errorf("none of the %d lines is an event of a daemon", foreign)
+	}
+	return event.Merge(lists, f), nil
 }
 
 func (p *program) drain(target string, leaving bool) error {
@@ -181,8 +219,8 @@
 
 const clockForm = "15:04:05.000000"
 
-func (p *program) timeline(f event.Filter, picture string) error {
-	list, err := p.events(f)
+func (p *program) timeline(source eventSource, f event.Filter, picture string) error {
+	list, err := source(f)
 	if err != nil {
 		return err
 	}
@@ -213,13 +251,13 @@
 	return b.String()
 }
 
-func (p *program) explain(request string) error {
-	list, err := p.events(event.Filter{Ref: event.Ref{Request: request}})
+func (p *program) explain(source eventSource, request string) error {
+	list, err := source(event.Filter{Ref: event.Ref{Request: request}})
 	if err != nil {
 		return err
 	}
 	if len(list) == 0 {
-		return errors.Errorf("no daemon remembers request %s", request)
+		return errors.Errorf("no event of request %s is known", request)
 	}
 	began := list[0].At
 	for _, ev := range list {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -113,6 +113,9 @@
 	}}
 }
 
+// age returns how old the knowledge of the platform's store is.
+func (h *Host) age() time.Duration { return time.Since(h.mirror.Fresh()) }
+
 // beginMargin is left of the time in which a request may begin on older weights
 // for its wait at the worker.
 const beginMargin = 4 * time.Second
@@ -125,8 +128,9 @@
 		Outdated: func(model string, version int64) bool {
 			return h.named.age(model, version) > h.set.Bounds.Weights-beginMargin
 		},
-		Current:    func() bool { return time.Since(h.mirror.Fresh()) < h.set.Bounds.Contact },
-		CopyMay:    func() bool { return time.Since(h.mirror.Fresh()) < cache.CopyFresh },
+		Age:        h.age,
+		Current:    func() bool { return h.age() < h.set.Bounds.Contact },
+		CopyMay:    func() bool { return h.age() < cache.CopyFresh },
 		RetryShare: h.set.Retries.Share, RetryExtra: h.set.Retries.Extra, RetryWindow: h.set.Retries.Window,
 	})
 }
