Long prompts that would be late are refused, and a full share of workers is not left for others

Ruled out: shares that differ between daemons (targets by daemon and second agree), slow daemons (0.045 of a core at most). Change: a daemon goes beyond its share only where none of it answers; a long prompt before which more than 0.6 of its aim must be read is refused, with the speed of reading learned from first events.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -21,6 +21,8 @@
 	load    roster.Load
 	// expected is the expected time to the first answer.
 	expected time.Duration
+	// before is how many tokens are read there before the prompt.
+	before int
 	// alone tells that there was no other candidate.
 	alone bool
 }
@@ -39,6 +41,10 @@
 	// hold when a long prompt is added. Above it, the users' engines read parts
 	// again that were copied for waiting requests, and the load grows by itself.
 	heldMost = 0.7
+	// queueMost is the part of the aim that may go by before a long prompt's
+	// turn. Above it most answers would be late, which is worth a fifth to the
+	// users; a refusal lets those in time that are taken.
+	queueMost = 0.6
 	// copyFrom is the size from which a part is copied from a store or kept
 	// there: below, a copy takes longer than the prompt's reading.
 	copyFrom = 1000
@@ -83,38 +89,39 @@
 }
 
 // ownOptions returns the options among the workers that are this daemon's to
-// use, and among all where none of these answers.
+// use. Where these are full the request waits or is refused: of other workers'
+// load this daemon knows nothing. Only where none of its own answers does it use
+// all.
 func (p *pass) ownOptions(svc *table.Service, now time.Time) ([]option, string) {
-	all, why := p.options(svc, now)
-	if svc.Engine == nil || len(all) == 0 {
-		return all, why
+	if svc.Engine == nil {
+		return p.options(svc, nil, now)
 	}
 	mine := map[string]bool{}
 	for _, name := range p.f.workers(p.service) {
 		mine[name] = true
 	}
-	var own []option
-	for _, o := range all {
-		if mine[o.target.ID()] {
-			own = append(own, o)
-		}
-	}
-	if len(own) == 0 {
-		return all, why
+	own, why := p.options(svc, mine, now)
+	if len(own) > 0 || why == allFull {
+		return own, why
 	}
-	return own, why
+	return p.options(svc, nil, now)
 }
 
 // options returns the targets that may get the request, or why there are none.
-func (p *pass) options(svc *table.Service, now time.Time) ([]option, string) {
+// Where mine is not nil only the targets in it are looked at.
+func (p *pass) options(svc *table.Service, mine map[string]bool, now time.Time) ([]option, string) {
 	var out []option
 	ordered := p.f.o.Roster.Ordered(now)
 	full, suspects, outdated := 0, 0, 0
+	speed := p.f.speed(p.service)
 	var short map[string]bool
 	if svc.Engine != nil {
 		short = p.f.shortWorkers(p.service)
 	}
 	for _, t := range p.f.o.Roster.Of(p.service) {
+		if mine != nil && !mine[t.ID()] {
+			continue
+		}
 		o := option{target: t, entry: t.Entry(), health: t.Health(now), load: t.Load()}
 		switch {
 		case o.entry.Leaving, o.health.Gone, p.tried[t.ID()] > 0, ordered[t.ID()]:
@@ -124,7 +131,7 @@
 			continue
 		}
 		p.bound(svc, o.entry.Address)
-		if o.load.Running >= p.most(svc, o.entry) || p.crowded(svc, o.load) || p.f.o.Pool.Room(o.entry.Address) <= 0 {
+		if o.load.Running >= p.most(svc, o.entry) || p.crowded(svc, o.load) || p.behind(svc, o.load, &speed) || p.f.o.Pool.Room(o.entry.Address) <= 0 {
 			full++
 			continue
 		}
@@ -161,6 +168,13 @@
 		float64(l.Held) > heldMost*float64(svc.Engine.MemoryTokens)
 }
 
+// behind reports whether so much is read at a worker before a long prompt that
+// its answer would be late. Its own length does not count.
+func (p *pass) behind(svc *table.Service, l roster.Load, speed *route.Speed) bool {
+	return svc.Engine != nil && p.ask.Prompt > route.ShortPrompt && p.route.Aim > 0 &&
+		speed.Time(l.Unread) > time.Duration(queueMost*float64(p.route.Aim))
+}
+
 // most is how many requests a target may have on their way.
 func (p *pass) most(svc *table.Service, e *roster.Entry) int {
 	slots := max(1, e.Slots)
@@ -337,6 +351,7 @@
 	out.sending.Priority = p.priority()
 	out.load.Unread = max(0, p.ask.Prompt-c.Kept-c.Copied)
 	out.load.Held = p.ask.Prompt
+	out.before = c.Unread
 	p.copies(svc, out, o, now)
 	p.f.o.Stats.Read.Add(p.ask.Prompt)
 	p.f.o.Stats.Copied.Add(c.Copied)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -151,11 +151,14 @@
 	allowances map[string]*route.Allowance
 	// mixes count the prompts of each service. Guarded by allowMu.
 	mixes map[string]*route.Mix
+	// speeds learn how fast the workers of each service read. Guarded by
+	// allowMu.
+	speeds map[string]*route.Speed
 }
 
 // New returns a relay that has no table yet.
 func New(o Options) *Relay {
-	return &Relay{o: o, began: time.Now(), allowances: map[string]*route.Allowance{}, mixes: map[string]*route.Mix{}}
+	return &Relay{o: o, began: time.Now(), allowances: map[string]*route.Allowance{}, mixes: map[string]*route.Mix{}, speeds: map[string]*route.Speed{}}
 }
 
 // SetTable puts a configuration in force. Running requests keep theirs.
@@ -323,6 +326,28 @@
 	m.Count(tokens)
 }
 
+// sample records how long tokens took to be read.
+func (f *Relay) sample(service string, tokens int, took time.Duration) {
+	f.allowMu.Lock()
+	defer f.allowMu.Unlock()
+	s := f.speeds[service]
+	if s == nil {
+		s = &route.Speed{}
+		f.speeds[service] = s
+	}
+	s.Sample(tokens, took)
+}
+
+// speed returns how fast the workers of a service read.
+func (f *Relay) speed(service string) route.Speed {
+	f.allowMu.Lock()
+	defer f.allowMu.Unlock()
+	if s := f.speeds[service]; s != nil {
+		return *s
+	}
+	return route.Speed{}
+}
+
 // shortWorkers returns the workers of a service that are set aside for short
 // prompts. All daemons that see the same list and mix name the same ones.
 func (f *Relay) shortWorkers(service string) map[string]bool {
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -311,3 +311,28 @@
 		})
 	}
 }
+
+func TestAFullShareOfWorkersIsNotLeftForOthers(t *testing.T) {
+	tests := []struct {
+		name   string
+		make   func(t *roster.Target)
+		status int
+		sends  int
+	}{
+		{"own worker is free", func(*roster.Target) {}, 200, 1},
+		{"own worker is full", func(t *roster.Target) { t.Begin(roster.Load{Running: 1, Held: 1 << 20}) }, 503, 0},
+		{"own worker does not answer", func(t *roster.Target) { t.Silent(time.Now().Add(time.Minute)) }, 200, 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.o.Share = func([]string) []string { return []string{"mine"} }
+			r.target("mine", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
+			r.target("other", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
+			tc.make(r.roster.Target("mine"))
+			a := r.ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", "a:3000 b:10")
+			r.g.Expect(a.status).To(gomega.Equal(tc.status))
+			r.g.Expect(r.sends()).To(gomega.HaveLen(tc.sends))
+		})
+	}
+}
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -74,6 +74,7 @@
 		if n == 0 {
 			onFirst()
 			c.target.Answered(time.Now(), true, p.pace(c, time.Since(sent)))
+			p.f.sample(p.service, c.before+c.load.Unread, time.Since(sent))
 		}
 		if !newer(ev.id, p.after) {
 			// The caller has this event from the worker before.
--- a/core/route/pick_test.go
+++ b/core/route/pick_test.go
@@ -96,3 +96,18 @@
 		gomega.NewWithT(t).Expect(m.ShortWorkers(18)).To(gomega.Equal(tc.want), tc.name)
 	}
 }
+
+func TestSpeedIsLearned(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var s Speed
+	g.Expect(s.Time(55000)).To(gomega.BeNumerically("~", time.Second, time.Millisecond))
+	s.Sample(100, time.Second) // too short to tell
+	for range 200 {
+		s.Sample(16000, speedFixed+100*time.Millisecond)
+	}
+	g.Expect(s.Time(16000)).To(gomega.BeNumerically("~", 100*time.Millisecond, 2*time.Millisecond))
+	for range 200 {
+		s.Sample(1<<20, speedFixed+time.Millisecond)
+	}
+	g.Expect(s.Time(speedMost)).To(gomega.BeNumerically(">=", 990*time.Millisecond))
+}
