Connections are kept once the request is written

Cause: the race detector showed a connection given up now and then because the writer had not yet reported its end when the answer was whole. Change: short requests are written in place, the end of longer ones is waited for up to 10 ms.

--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -55,6 +55,13 @@
 	keepDefault = 4 * time.Second
 	// keepMargin is left of the time that a target says.
 	keepMargin = 700 * time.Millisecond
+	// directWrite is the body up to which a request fits into the buffers of a
+	// connection, so that its writing does not wait for the target to read.
+	directWrite = 4 << 10
+	// wroteWait is how long the end of a longer request's writing is waited for
+	// when its answer is whole: the last write has returned by then or the
+	// target has not read the request.
+	wroteWait = 10 * time.Millisecond
 	// idleMost bounds the idle connections to one target.
 	idleMost = 24
 	// waitStep is the pause between looks for a free connection.
@@ -151,10 +158,12 @@
 	if in.failed || !in.whole || in.Header.Get("Connection") == "close" {
 		return false
 	}
+	t := time.NewTimer(wroteWait)
+	defer t.Stop()
 	select {
 	case err := <-in.wrote:
 		return err == nil
-	default:
+	case <-t.C:
 		// The target answered before it had read the request.
 		return false
 	}
@@ -244,7 +253,12 @@
 	}
 	in := &Incoming{line: l, wrote: make(chan error, 1)}
 	in.stop = context.AfterFunc(ctx, func() { l.conn.SetDeadline(time.Unix(1, 0)) })
-	go writer{l, out, in.wrote}.run()
+	w := writer{l, out, in.wrote}
+	if len(out.Body) <= directWrite {
+		w.run()
+	} else {
+		go w.run()
+	}
 	if err := in.head(out.Method); err != nil {
 		in.failed = true
 		in.Close()
