Rights stay where they are, and who the store does not answer does not try to take one

Ruled out: watches without changes (340). Change: a right moves only when its holder is gone; a daemon that holds others comes later; a daemon tries only while the store answers it; tries are slower while peers tell the state.

--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -71,6 +71,9 @@
 	callLimit = time.Second
 	// rankPause spaces the daemons that try to take a free lease.
 	rankPause = 250 * time.Millisecond
+	// answered is the age of the service's last answer up to which a daemon
+	// tries: watches answer every 1.5 s.
+	answered = 2500 * time.Millisecond
 	// timedLook is the pause between looks.
 	timedLook = 50 * time.Millisecond
 )
@@ -98,7 +101,9 @@
 			free = time.Time{}
 			continue
 		}
-		if _, taken := t.o.Mirror.Pair(t.o.Key); taken || t.o.Mirror.Fresh().IsZero() {
+		// A daemon that the service does not answer could not take it.
+		_, taken := t.o.Mirror.Pair(t.o.Key)
+		if taken || time.Since(t.o.Mirror.Contact()) > answered {
 			free = time.Time{}
 			continue
 		}
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -74,6 +74,11 @@
 	// must follow again well within the 3 s that the users' rules give it.
 	retryPause = 150 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
+	// toldPause spaces the tries while peers tell what the service says: refused
+	// calls are priced too.
+	toldPause = 1200 * time.Millisecond
+	// toldFresh is the age up to which peers count as telling.
+	toldFresh = 2 * time.Second
 	// restPause spaces the looks of a daemon that takes changes from peers.
 	restPause = 200 * time.Millisecond
 	// downAfter is the silence that counts as an outage: watches answer at
@@ -102,6 +107,9 @@
 			pause = retryPause
 		}
 		m.lost(err)
+		if m.told() {
+			pause = toldPause
+		}
 		wait(ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, retryMost)
 	}
@@ -320,6 +328,13 @@
 	m.log.Emit(event.ServiceDown, event.Ref{}, text)
 }
 
+// told reports whether peers tell what the service says.
+func (m *Mirror) told() bool {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	return time.Since(m.via) < toldFresh
+}
+
 func (m *Mirror) since() time.Duration {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -177,40 +177,31 @@
 	return at
 }
 
-// newRight returns the right to give orders to one part of the workers. It
-// moves to the daemon of the first rank while there is nothing to do.
+// newRight returns the right to give orders to one part of the workers. A
+// daemon that holds others comes later for it, so that they spread.
 func (h *Host) newRight(part int, incarnation string) *lease.Timed {
 	key := keySwap + strconv.Itoa(part)
-	var second time.Time
 	return lease.NewTimed(lease.TimedOptions{
 		Key: key, Owner: h.set.Name + "/" + incarnation, Apart: h.set.Bounds.OrderApart,
 		Store: h.store, Mirror: h.mirror, Log: h.log,
-		Rank:   func() int { return h.rank(key) },
+		Rank:   func() int { return h.rank(key) + holderRanks*h.held() },
 		Urgent: func() bool { return h.swapper.Wanted(part) },
-		Idle: func() bool {
-			if h.draining.Load() {
-				return true
-			}
-			if h.rank(key) == 0 || h.swapper.Wanted(part) {
-				second = time.Time{}
-				return false
-			}
-			if second.IsZero() {
-				second = time.Now()
-			}
-			return time.Since(second) > moveAfter && h.held(key)
-		},
+		Idle:   h.draining.Load,
 	})
 }
 
-// moveAfter is how long another daemon must have come first before a duty
-// moves to it.
-const moveAfter = 4 * time.Second
+// holderRanks is by how many daemons one comes later for each right it holds.
+const holderRanks = 3
 
-// held reports whether the mirror shows this daemon as the holder of a key.
-func (h *Host) held(key string) bool {
-	p, ok := h.mirror.Pair(key)
-	return ok && strings.HasPrefix(string(p.Value), h.set.Name+"/")
+// held counts the rights that the mirror shows this daemon to hold.
+func (h *Host) held() int {
+	n := 0
+	for _, p := range h.mirror.Under(keySwap) {
+		if strings.HasPrefix(string(p.Value), h.set.Name+"/") {
+			n++
+		}
+	}
+	return n
 }
 
 // observe takes changes of the platform's store.
