--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -74,6 +74,9 @@
 	// must follow again well within the 3 s that the users' rules give it.
 	retryPause = 150 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
+	// gatherPause gathers changes that follow each other; the users' tightest
+	// bound on a configuration is 2 s.
+	gatherPause = 150 * time.Millisecond
 	// toldPause spaces the tries while peers tell what the service says: refused
 	// calls are priced too.
 	toldPause = 1200 * time.Millisecond
@@ -140,6 +143,10 @@
 		if m.Follows != nil && !m.Follows() {
 			return errors.WithStack(errRests)
 		}
+		if len(changes) > 0 {
+			// Changes come in series; each answer is a priced call.
+			wait(ctx, gatherPause)
+		}
 		return nil
 	})
 	if errors.Is(err, ErrCompacted) {
