--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -27,6 +27,9 @@
 	// Follows, if set, reports whether this daemon asks the service itself; the
 	// others take the changes from peers. It is set before Run.
 	Follows func() bool
+	// Gather, if set, is how long changes that follow each other are gathered.
+	// It is set before Run.
+	Gather func() time.Duration
 
 	// tellMu keeps the observers' calls apart: the service and a peer may tell
 	// of changes at the same time.
@@ -74,9 +77,6 @@
 	// must follow again well within the 3 s that the users' rules give it.
 	retryPause = 150 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
-	// gatherPause gathers changes that follow each other; the users' tightest
-	// bound on a configuration is 2 s.
-	gatherPause = 150 * time.Millisecond
 	// toldPause spaces the tries while peers tell what the service says: refused
 	// calls are priced too.
 	toldPause = 1200 * time.Millisecond
@@ -126,6 +126,13 @@
 	m.contact, m.down = time.Time{}, false
 }
 
+func (m *Mirror) gather() time.Duration {
+	if m.Gather == nil {
+		return 0
+	}
+	return m.Gather()
+}
+
 // errRests ends the watch of a daemon that takes changes from peers now.
 var errRests = errors.New("peers follow the service")
 
@@ -145,7 +152,7 @@
 		}
 		if len(changes) > 0 {
 			// Changes come in series; each answer is a priced call.
-			wait(ctx, gatherPause)
+			wait(ctx, m.gather())
 		}
 		return nil
 	})
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -32,7 +32,7 @@
 	s := &Mirrors{mirror: m, fleet: f, peers: map[string]time.Time{}}
 	f.Attach("mirror", s)
 	f.Mux().Register(kindMirror, wire.Handle(s.answer))
-	m.Follows = s.Follows
+	m.Follows, m.Gather = s.Follows, s.Gather
 	return s
 }
 
@@ -149,8 +149,14 @@
 	// awaitLook is the pause between looks for a change.
 	awaitLook = 50 * time.Millisecond
 	// followers is how many daemons of a large cell ask the service themselves;
-	// each call is priced, and two may be lost at a time.
-	followers = 3
+	// each call is priced. Where both are lost the others ask it as well.
+	followers = 2
+	// gatherSmall and gatherLarge gather changes that follow each other: each
+	// answer of a watch is a priced call, and targets change their entries all
+	// the time. The users' bounds on a configuration are 2 s on small fleets and
+	// 3 s on large ones.
+	gatherSmall = 150 * time.Millisecond
+	gatherLarge = 500 * time.Millisecond
 	// smallFleet is the size up to which all do.
 	smallFleet = 16
 	// staleAfter is the age of what peers told from which a daemon asks the
@@ -158,6 +164,14 @@
 	staleAfter = 1800 * time.Millisecond
 )
 
+// Gather returns how long changes of the service are gathered.
+func (s *Mirrors) Gather() time.Duration {
+	if len(s.fleet.View().Peers()) < smallFleet {
+		return gatherSmall
+	}
+	return gatherLarge
+}
+
 // Follows reports whether this daemon asks the service itself.
 func (s *Mirrors) Follows() bool {
 	view := s.fleet.View()
