--- a/core/cache/kept.go
+++ b/core/cache/kept.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/wait"
 )
 
 // Part is one part of a prompt, in the order of the prompt. Parts that stand
@@ -201,11 +202,11 @@
 			return
 		}
 		if err == nil {
-			pause(ctx, settlePause)
+			wait.For(ctx, settlePause)
 			continue
 		}
 		f.k.failed(f.address, err)
-		pause(ctx, downPause)
+		wait.For(ctx, downPause)
 	}
 }
 
@@ -234,15 +235,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (k *Kept) at(address string) (int64, bool) {
 	k.keptMu.Lock()
 	defer k.keptMu.Unlock()
--- a/core/cache/sweep.go
+++ b/core/cache/sweep.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/wait"
 )
 
 // SweepOptions of a sweeper.
@@ -53,7 +54,7 @@
 // Run frees parts until ctx ends.
 func (s *Sweeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, sweepLook)
+		wait.For(ctx, sweepLook)
 		for _, address := range s.o.Kept.Stores() {
 			s.sweep(ctx, address)
 		}
--- a/core/conf/sync.go
+++ b/core/conf/sync.go
@@ -9,6 +9,7 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 )
 
 // Peers is what the configuration needs of the other daemons.
@@ -81,7 +82,7 @@
 		if err != nil {
 			pause = retryPause
 		}
-		s.sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 	<-p.done
 }
@@ -94,16 +95,7 @@
 func (s *Syncer) awaitPeers(ctx context.Context) {
 	end := time.Now().Add(peersFirst)
 	for !s.store.Loaded() && time.Now().Before(end) && ctx.Err() == nil {
-		s.sleep(ctx, peersFirst/30)
-	}
-}
-
-func (s *Syncer) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		wait.For(ctx, peersFirst/30)
 	}
 }
 
--- a/core/conf/write.go
+++ b/core/conf/write.go
@@ -12,6 +12,7 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 )
 
 // Keys of the configuration in the key-value service.
@@ -111,20 +112,11 @@
 		case ctx.Err() != nil:
 			return Change{}, reject(CodeUnavailable, "the key-value service does not answer; nothing was changed")
 		case err != nil:
-			w.pause(ctx)
+			wait.For(ctx, settlePause)
 		}
 	}
 }
 
-func (w *Writer) pause(ctx context.Context) {
-	t := time.NewTimer(settlePause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (w *Writer) finish(c Change) {
 	w.store.Apply([]Change{c})
 	w.log.Emit(event.ConfWritten, event.Ref{Resource: string(c.Kind) + "/" + c.Name}, "sequence "+version(c.Seq))
--- a/core/lease/presence.go
+++ b/core/lease/presence.go
@@ -6,6 +6,7 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 )
 
 // Presence keeps one key in the service for as long as this process lives, so
@@ -37,13 +38,9 @@
 		if p.step(ctx) {
 			pause = p.Life / presenceShare
 		}
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !wait.For(ctx, pause) {
 			p.leave()
 			return
-		case <-t.C:
 		}
 	}
 }
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -14,6 +14,7 @@
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
+	"embertally.dev/core/wait"
 )
 
 // WeightOrder asks a worker to load a version of a model's weights.
@@ -311,7 +312,7 @@
 
 // swap gives the order and waits until the worker holds the weights.
 func (j *job) swap(ctx context.Context) error {
-	sleep(ctx, announceTime)
+	wait.For(ctx, announceTime)
 	if err := j.look(ctx); err != nil {
 		return err
 	}
@@ -324,7 +325,7 @@
 				return err
 			}
 		}
-		sleep(ctx, pollPause)
+		wait.For(ctx, pollPause)
 		if err := j.look(ctx); err != nil && ctx.Err() == nil {
 			return err
 		}
@@ -350,7 +351,7 @@
 			j.seen, j.known = st, true
 			return nil
 		}
-		sleep(ctx, pollPause)
+		wait.For(ctx, pollPause)
 	}
 	return err
 }
@@ -360,7 +361,7 @@
 	right := j.s.right(j.target.ID())
 	fence, may := right.Act()
 	for n := 0; !may && right.Held() && n < rightTries; n++ {
-		sleep(ctx, rightPause)
+		wait.For(ctx, rightPause)
 		fence, may = right.Act()
 	}
 	if !may {
@@ -388,12 +389,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/wait"
 )
 
 // Mirror keeps a copy of some keys of the key-value service current, with one
@@ -88,7 +89,7 @@
 	for ctx.Err() == nil {
 		if m.Follows != nil && !m.Follows() {
 			m.rest()
-			wait(ctx, restPause)
+			wait.For(ctx, restPause)
 			continue
 		}
 		err := m.follow(ctx, &whole)
@@ -102,7 +103,7 @@
 			pause = retryPause
 		}
 		m.lost(err)
-		wait(ctx, pause/2+rand.N(pause/2))
+		wait.For(ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, retryMost)
 	}
 }
@@ -367,13 +368,3 @@
 	}
 	return out
 }
-
-// wait returns after d or when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -17,6 +17,7 @@
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
 	"embertally.dev/core/target"
+	"embertally.dev/core/wait"
 )
 
 // pass is one request on its way. It is used by one goroutine.
@@ -142,12 +143,8 @@
 		if c != nil || why != allFull || !time.Now().Before(end) {
 			return c, why
 		}
-		t := time.NewTimer(holdLook)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !wait.For(ctx, holdLook) {
 			return nil, why
-		case <-t.C:
 		}
 	}
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"embertally.dev/core/wait"
 )
 
 // Pool keeps connections to targets and sends requests on them, each exactly
@@ -318,12 +320,8 @@
 		if may {
 			return p.open(ctx, address)
 		}
-		t := time.NewTimer(waitStep)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !wait.For(ctx, waitStep) {
 			return nil, errors.WithStack(ErrFull)
-		case <-t.C:
 		}
 	}
 }
--- /dev/null
+++ b/core/wait/wait.go
@@ -0,0 +1,21 @@
+// Package wait pauses a goroutine for a time that its context can cut short.
+//
+// It holds no state, and must not know what is waited for.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For returns after d, or when ctx ends; it reports whether d has passed.
+func For(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
