--- /dev/null
+++ b/core/relay/send.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/entry"
+	"embertally.dev/core/event"
+	"embertally.dev/core/roster"
+	"embertally.dev/core/table"
+	"embertally.dev/core/target"
+)
+
+// attempt sends the request to one target and passes its answer on.
+func (p *pass) attempt(ctx context.Context, c *choice) (outcome, *plainAnswer) {
+	c.target.Begin(c.load)
+	read := false
+	defer func() {
+		l := c.load
+		if read {
+			l.Unread = 0
+		}
+		c.target.End(l)
+	}()
+	// The prompt counts as unread until the first event or answer.
+	onFirst := func() {
+		if !read {
+			read = true
+			c.target.End(roster.Load{Unread: c.load.Unread})
+		}
+	}
+	sent := time.Now()
+	p.f.o.Stats.Sent.Inc()
+	ctx, cancel := p.patience(ctx, c)
+	defer cancel()
+	in, err := p.f.o.Pool.Send(ctx, c.target.Entry().Address, p.outgoing(c))
+	if err != nil {
+		return p.unanswered(ctx, c, err), nil
+	}
+	defer in.Close()
+	reply := p.f.o.Dialect.Reply(in.Status, in.Header)
+	if out, ok := p.check(c, in, &reply); !ok {
+		return out, nil
+	}
+	p.sends++
+	p.runs++
+	if reply.Weights > 0 {
+		p.f.o.Roster.Learn(c.target.ID(), p.ask.Model, reply.Weights)
+	}
+	if p.route.Kind == table.Stream && in.Status == http.StatusOK {
+		out := p.stream(c, in, sent, onFirst)
+		return out, nil
+	}
+	return p.plain(c, in, sent)
+}
+
+// errSlow ends the wait for a target that another one may be quicker than.
+var errSlow = errors.New("the target was slower than others are")
+
+// patienceShare is the share of the aim after which a repeatable call that has
+// no answer yet is sent to another target. A call's work is a fifth of its aim
+// on the users' sites.
+const patienceShare = 0.6
+
+// patience bounds the wait for an answer that another target may still give in
+// time.
+func (p *pass) patience(ctx context.Context, c *choice) (context.Context, context.CancelFunc) {
+	if p.route.Kind != table.Repeatable || p.runs+1 >= p.route.Attempts || p.route.Aim <= 0 || c.alone {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeoutCause(ctx, time.Duration(float64(p.route.Aim)*patienceShare), errSlow)
+}
+
+// unanswered records a send without any answer.
+func (p *pass) unanswered(ctx context.Context, c *choice, err error) outcome {
+	p.note("%v", errors.Cause(err))
+	sent := target.WasSent(err)
+	if sent {
+		p.sends++
+		p.runs++
+	}
+	switch {
+	case gone(p.r.Context()):
+		return left
+	case errors.Is(err, target.ErrFull):
+		return notSent
+	case !time.Now().Before(p.until):
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			c.target.Answered(time.Now(), false, 0)
+		}
+		return late
+	case errors.Is(context.Cause(ctx), errSlow):
+		c.target.Answered(time.Now(), false, 0)
+		return broken
+	}
+	c.target.Silent(time.Now())
+	if !sent {
+		return notSent
+	}
+	return broken
+}
+
+// check decides whether an answer is the target's answer to this request.
+func (p *pass) check(c *choice, in *target.Incoming, reply *Reply) (outcome, bool) {
+	moved := in.Status == http.StatusMisdirectedRequest
+	switch {
+	case reply.ID != "" && reply.ID != p.ask.ID, reply.ID == "" && !reply.NotRun && !moved:
+		p.f.o.Stats.Foreign.Inc()
+		p.f.o.Log.Emit(event.AnswerRejected, p.ref(), "the answer names request "+strconv.Quote(reply.ID))
+		in.Spoil()
+		p.sends++
+		p.runs++
+		c.target.Answered(time.Now(), false, 0)
+		return broken, false
+	case moved:
+		p.f.o.Stats.Moved.Inc()
+		if reply.Weights > 0 {
+			p.f.o.Roster.Learn(c.target.ID(), p.ask.Model, reply.Weights)
+		}
+		if reply.Target != "" && reply.Target != c.target.ID() {
+			// Another target has the address now.
+			c.target.Silent(time.Now())
+		}
+	case reply.NotRun:
+		p.f.o.Stats.NotRun.Inc()
+	default:
+		return done, true
+	}
+	// Where this fails the connection is not kept; the refusal is known already.
+	_, _ = io.Copy(io.Discard, io.LimitReader(in, drainMost))
+	p.sends++
+	return refused, false
+}
+
+// drainMost bounds what is read of a refusal so that its connection can be
+// kept.
+const drainMost = 16 << 10
+
+// outgoing is the request as the target gets it.
+func (p *pass) outgoing(c *choice) *target.Outgoing {
+	h := make(http.Header, len(p.r.Header)+8)
+	hop := strings.Split(p.r.Header.Get("Connection"), ",")
+	for name, values := range p.r.Header {
+		if !entry.HopHeader(name) && !names(hop, name) && name != "Content-Length" && name != "Expect" {
+			h[name] = values
+		}
+	}
+	s := c.sending
+	s.Deadline = time.Until(p.until)
+	s.After = p.after
+	if p.organisation != nil {
+		s.Organisation = p.organisation.Name
+	}
+	p.f.o.Dialect.Sending(h, &s)
+	out := &target.Outgoing{Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body}
+	if !p.route.MayRepeat() {
+		out.Fresh = freshLimit
+	}
+	return out
+}
+
+// freshLimit is the idle time after which a connection is not used for what
+// may run only once: targets may close idle connections without notice.
+const freshLimit = 1500 * time.Millisecond
+
+// names reports whether a list of header names holds a name.
+func names(list []string, name string) bool {
+	for _, s := range list {
+		if strings.EqualFold(strings.TrimSpace(s), name) {
+			return true
+		}
+	}
+	return false
+}
+
+// pace is the time to a first answer over that which was expected.
+func (p *pass) pace(c *choice, took time.Duration) float64 {
+	if c.expected <= 0 {
+		return 0
+	}
+	return float64(took) / float64(c.expected)
+}
