--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -29,14 +29,14 @@
 
 // admit reads the request and finds its route and organisation.
 func (p *pass) admit() *entry.Refusal {
-	ask, err := p.f.o.Dialect.Ask(p.r.Header)
+	ask, err := p.relay.o.Dialect.Ask(p.r.Header)
 	p.ask = ask
 	if err != nil {
 		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, err.Error(), 0)
 	}
-	t := p.f.Table()
+	t := p.relay.Table()
 	p.table = t
-	if t == nil || p.f.closed.Load() {
+	if t == nil || p.relay.closed.Load() {
 		return p.notNow(entry.CodeNotReady, "the daemon takes no requests now")
 	}
 	path, _, _ := strings.Cut(p.r.RequestURI, "?")
@@ -54,7 +54,7 @@
 // unknown refuses for what the configuration does not hold. A daemon that may
 // have missed a change does not know that, and says so.
 func (p *pass) unknown(status int, code entry.Code, text string) *entry.Refusal {
-	if !p.f.o.Current() {
+	if !p.relay.o.Current() {
 		return p.notNow(entry.CodeNotReady, "the daemon does not know whether its configuration is current: "+text)
 	}
 	return entry.NewRefusal(status, code, entry.NotRun, text, 0)
--- a/core/relay/end.go
+++ b/core/relay/end.go
@@ -12,7 +12,7 @@
 
 // end gives the final answer where there is none yet, and writes the log line.
 func (p *pass) end(r *entry.Refusal) {
-	st := p.f.o.Stats
+	st := p.relay.o.Stats
 	took := time.Since(p.began)
 	switch {
 	case gone(p.r.Context()):
@@ -20,7 +20,7 @@
 		p.log(event.CallerGone, took)
 	case r != nil:
 		st.Refused.Inc()
-		p.f.o.Dialect.Refusal(p.w.Header(), p.ask.ID, r.RetryAfter)
+		p.relay.o.Dialect.Refusal(p.w.Header(), p.ask.ID, r.RetryAfter)
 		p.note("%s", r.Error())
 		if err := r.Write(p.w, p.ask.ID); err != nil {
 			p.note("the caller has gone: %v", err)
@@ -69,6 +69,6 @@
 		version = p.table.Version()
 	}
 	text := fmt.Sprintf("took %s%s, configuration %d known %s ago, sends %d, runs %d; %s",
-		took.Round(time.Millisecond), first, version, p.f.o.Age().Round(10*time.Millisecond), p.sends, p.runs, strings.Join(p.notes, "; "))
-	p.f.o.Log.Emit(code, p.ref(), text)
+		took.Round(time.Millisecond), first, version, p.relay.o.Age().Round(10*time.Millisecond), p.sends, p.runs, strings.Join(p.notes, "; "))
+	p.relay.o.Log.Emit(code, p.ref(), text)
 }
--- a/core/relay/learned.go
+++ b/core/relay/learned.go
@@ -8,17 +8,17 @@
 )
 
 // mayRepeat takes one repeated send to a service out of what is allowed.
-func (f *Relay) mayRepeat(service string) bool {
-	f.allowMu.Lock()
-	defer f.allowMu.Unlock()
-	return f.allowance(service).Spend(time.Since(f.began))
+func (rl *Relay) mayRepeat(service string) bool {
+	rl.allowMu.Lock()
+	defer rl.allowMu.Unlock()
+	return rl.allowance(service).Spend(time.Since(rl.began))
 }
 
 // earn records a request for a service.
-func (f *Relay) earn(service string) {
-	f.allowMu.Lock()
-	defer f.allowMu.Unlock()
-	f.allowance(service).Earn(time.Since(f.began))
+func (rl *Relay) earn(service string) {
+	rl.allowMu.Lock()
+	defer rl.allowMu.Unlock()
+	rl.allowance(service).Earn(time.Since(rl.began))
 }
 
 // allowedShare is the part of what is allowed that is used: requests that were
@@ -26,45 +26,45 @@
 const allowedShare = 0.7
 
 // allowance is called with allowMu held.
-func (f *Relay) allowance(service string) *route.Allowance {
-	a := f.allowances[service]
+func (rl *Relay) allowance(service string) *route.Allowance {
+	a := rl.allowances[service]
 	if a == nil {
-		a = &route.Allowance{Share: f.o.RetryShare * allowedShare, Window: f.o.RetryWindow}
-		f.allowances[service] = a
+		a = &route.Allowance{Share: rl.o.RetryShare * allowedShare, Window: rl.o.RetryWindow}
+		rl.allowances[service] = a
 	}
-	a.Extra = f.o.RetryExtra * allowedShare / float64(max(1, f.o.Daemons()))
+	a.Extra = rl.o.RetryExtra * allowedShare / float64(max(1, rl.o.Daemons()))
 	return a
 }
 
 // count records a prompt for a service.
-func (f *Relay) count(service string, tokens int) {
-	f.allowMu.Lock()
-	defer f.allowMu.Unlock()
-	m := f.mixes[service]
+func (rl *Relay) count(service string, tokens int) {
+	rl.allowMu.Lock()
+	defer rl.allowMu.Unlock()
+	m := rl.mixes[service]
 	if m == nil {
 		m = &route.Mix{}
-		f.mixes[service] = m
+		rl.mixes[service] = m
 	}
 	m.Count(tokens)
 }
 
 // sample records how long tokens took to be read.
-func (f *Relay) sample(service string, tokens int, took time.Duration) {
-	f.allowMu.Lock()
-	defer f.allowMu.Unlock()
-	s := f.speeds[service]
+func (rl *Relay) sample(service string, tokens int, took time.Duration) {
+	rl.allowMu.Lock()
+	defer rl.allowMu.Unlock()
+	s := rl.speeds[service]
 	if s == nil {
 		s = &route.Speed{}
-		f.speeds[service] = s
+		rl.speeds[service] = s
 	}
 	s.Sample(tokens, took)
 }
 
 // speed returns how fast the workers of a service read.
-func (f *Relay) speed(service string) route.Speed {
-	f.allowMu.Lock()
-	defer f.allowMu.Unlock()
-	if s := f.speeds[service]; s != nil {
+func (rl *Relay) speed(service string) route.Speed {
+	rl.allowMu.Lock()
+	defer rl.allowMu.Unlock()
+	if s := rl.speeds[service]; s != nil {
 		return *s
 	}
 	return route.Speed{}
@@ -72,14 +72,14 @@
 
 // shortWorkers returns the workers of a service that are set aside for short
 // prompts. All daemons that see the same list and mix name the same ones.
-func (f *Relay) shortWorkers(service string) map[string]bool {
-	f.allowMu.Lock()
+func (rl *Relay) shortWorkers(service string) map[string]bool {
+	rl.allowMu.Lock()
 	var m route.Mix
-	if known := f.mixes[service]; known != nil {
+	if known := rl.mixes[service]; known != nil {
 		m = *known
 	}
-	f.allowMu.Unlock()
-	names := f.workers(service)
+	rl.allowMu.Unlock()
+	names := rl.workers(service)
 	n := m.ShortWorkers(len(names))
 	if n == 0 {
 		return nil
@@ -92,11 +92,11 @@
 }
 
 // workers returns the workers of a service that this daemon's requests go to.
-func (f *Relay) workers(service string) []string {
-	targets := f.o.Roster.Of(service)
+func (rl *Relay) workers(service string) []string {
+	targets := rl.o.Roster.Of(service)
 	names := make([]string, len(targets))
 	for i, t := range targets {
 		names[i] = t.ID()
 	}
-	return f.o.Share(names)
+	return rl.o.Share(names)
 }
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -14,7 +14,7 @@
 
 // pass is one request on its way. It is used by one goroutine.
 type pass struct {
-	f     *Relay
+	relay *Relay
 	w     http.ResponseWriter
 	r     *http.Request
 	began time.Time
@@ -52,9 +52,9 @@
 // run sends the request until it is answered, or says why not.
 func (p *pass) run() *entry.Refusal {
 	p.service = p.route.Service(draw())
-	p.f.earn(p.service)
+	p.relay.earn(p.service)
 	if p.ask.Prompt > 0 {
-		p.f.count(p.service, p.ask.Prompt)
+		p.relay.count(p.service, p.ask.Prompt)
 	}
 	p.after = p.ask.After
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.until.Add(lateMargin))
@@ -138,11 +138,11 @@
 	case p.sends-p.runs > refusedMost:
 		return false
 	}
-	if !p.f.mayRepeat(p.service) {
+	if !p.relay.mayRepeat(p.service) {
 		p.note("retries are used up")
 		return false
 	}
-	p.f.o.Stats.Repeated.Inc()
+	p.relay.o.Stats.Repeated.Inc()
 	return true
 }
 
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -31,7 +31,7 @@
 	}
 	ans := &plainAnswer{in.Status, in.Header, body}
 	good := in.Status < http.StatusInternalServerError
-	reply := p.f.o.Dialect.Reply(in.Status, in.Header)
+	reply := p.relay.o.Dialect.Reply(in.Status, in.Header)
 	if (in.Status/100 == 2 && !reply.Sealed) || reply.Encoded {
 		in.Spoil()
 		c.target.Answered(time.Now(), false, 0)
@@ -88,7 +88,7 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	if p.f.closing.Load() {
+	if p.relay.closing.Load() {
 		h.Set("Connection", "close")
 	}
 	p.begun = true
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -87,30 +87,30 @@
 }
 
 // SetTable puts a configuration in force. Running requests keep theirs.
-func (f *Relay) SetTable(t *table.Table) { f.table.Store(t) }
+func (rl *Relay) SetTable(t *table.Table) { rl.table.Store(t) }
 
 // Table returns the configuration in force, or nil.
-func (f *Relay) Table() *table.Table { return f.table.Load() }
+func (rl *Relay) Table() *table.Table { return rl.table.Load() }
 
 // Running returns how many requests have not ended.
-func (f *Relay) Running() int64 { return f.running.Load() }
+func (rl *Relay) Running() int64 { return rl.running.Load() }
 
 // Close makes each answer the last one on its connection: a planned stop has
 // begun.
-func (f *Relay) Close() { f.closing.Store(true) }
+func (rl *Relay) Close() { rl.closing.Store(true) }
 
 // Refuse makes the relay refuse new requests: the planned stop is about to end.
-func (f *Relay) Refuse() { f.closed.Store(true) }
+func (rl *Relay) Refuse() { rl.closed.Store(true) }
 
 // ServeHTTP answers one request.
-func (f *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.running.Add(1)
-	defer f.running.Add(-1)
-	f.o.Stats.Requests.Inc()
-	if f.closing.Load() {
+func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	rl.running.Add(1)
+	defer rl.running.Add(-1)
+	rl.o.Stats.Requests.Inc()
+	if rl.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	p := &pass{f: f, w: w, r: r, began: time.Now(), tried: map[string]int{}}
+	p := &pass{relay: rl, w: w, r: r, began: time.Now(), tried: map[string]int{}}
 	refusal := p.admit()
 	if refusal == nil {
 		refusal = p.run()
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -36,22 +36,22 @@
 		}
 	}
 	sent := time.Now()
-	p.f.o.Stats.Sent.Inc()
+	p.relay.o.Stats.Sent.Inc()
 	ctx, cancel := p.patience(ctx, c)
 	defer cancel()
-	in, err := p.f.o.Pool.Send(ctx, c.target.Entry().Address, p.outgoing(c))
+	in, err := p.relay.o.Pool.Send(ctx, c.target.Entry().Address, p.outgoing(c))
 	if err != nil {
 		return p.unanswered(ctx, c, err), nil
 	}
 	defer in.Close()
-	reply := p.f.o.Dialect.Reply(in.Status, in.Header)
+	reply := p.relay.o.Dialect.Reply(in.Status, in.Header)
 	if out, ok := p.check(c, in, &reply); !ok {
 		return out, nil
 	}
 	p.sends++
 	p.runs++
 	if reply.Weights > 0 {
-		p.f.o.Roster.Learn(c.target.ID(), p.ask.Model, reply.Weights)
+		p.relay.o.Roster.Learn(c.target.ID(), p.ask.Model, reply.Weights)
 	}
 	if p.route.Kind == table.Stream && in.Status == http.StatusOK {
 		out := p.stream(c, in, sent, onFirst)
@@ -111,24 +111,24 @@
 	moved := in.Status == http.StatusMisdirectedRequest
 	switch {
 	case reply.ID != "" && reply.ID != p.ask.ID, reply.ID == "" && !reply.NotRun && !moved:
-		p.f.o.Stats.Foreign.Inc()
-		p.f.o.Log.Emit(event.AnswerRejected, p.ref(), "the answer names request "+strconv.Quote(reply.ID))
+		p.relay.o.Stats.Foreign.Inc()
+		p.relay.o.Log.Emit(event.AnswerRejected, p.ref(), "the answer names request "+strconv.Quote(reply.ID))
 		in.Spoil()
 		p.sends++
 		p.runs++
 		c.target.Answered(time.Now(), false, 0)
 		return broken, false
 	case moved:
-		p.f.o.Stats.Moved.Inc()
+		p.relay.o.Stats.Moved.Inc()
 		if reply.Weights > 0 {
-			p.f.o.Roster.Learn(c.target.ID(), p.ask.Model, reply.Weights)
+			p.relay.o.Roster.Learn(c.target.ID(), p.ask.Model, reply.Weights)
 		}
 		if reply.Target != "" && reply.Target != c.target.ID() {
 			// Another target has the address now.
 			c.target.Silent(time.Now())
 		}
 	case reply.NotRun:
-		p.f.o.Stats.NotRun.Inc()
+		p.relay.o.Stats.NotRun.Inc()
 	default:
 		return done, true
 	}
@@ -157,7 +157,7 @@
 	if p.organisation != nil {
 		s.Organisation = p.organisation.Name
 	}
-	p.f.o.Dialect.Sending(h, &s)
+	p.relay.o.Dialect.Sending(h, &s)
 	out := &target.Outgoing{Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body}
 	if !p.route.MayRepeat() {
 		out.Fresh = freshLimit
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -56,7 +56,7 @@
 // stream passes on the events of an answer. Where it breaks, the request may
 // be taken up by another worker after the last event that the caller has.
 func (p *pass) stream(c *choice, in *target.Incoming, sent time.Time, onFirst func()) outcome {
-	reply := p.f.o.Dialect.Reply(in.Status, in.Header)
+	reply := p.relay.o.Dialect.Reply(in.Status, in.Header)
 	if !reply.Sealed || reply.Encoded {
 		in.Spoil()
 		c.target.Answered(time.Now(), false, 0)
@@ -74,7 +74,7 @@
 		if n == 0 {
 			onFirst()
 			c.target.Answered(time.Now(), true, p.pace(c, time.Since(sent)))
-			p.f.sample(p.service, c.before+c.load.Unread, time.Since(sent))
+			p.relay.sample(p.service, c.before+c.load.Unread, time.Since(sent))
 		}
 		if !newer(ev.id, p.after) {
 			// The caller has this event from the worker before.
@@ -108,7 +108,7 @@
 	if !p.begun {
 		(&plainAnswer{in.Status, in.Header, nil}).head(p, -1)
 		p.first = time.Now()
-		p.f.o.Stats.First.Update(p.first.Sub(p.began).Seconds())
+		p.relay.o.Stats.First.Update(p.first.Sub(p.began).Seconds())
 	}
 	if _, err := p.w.Write(ev.raw); err != nil {
 		return errors.WithStack(err)
@@ -142,8 +142,8 @@
 		return late
 	}
 	if p.begun && p.route.Resumable {
-		p.f.o.Stats.Resumed.Inc()
-		p.f.o.Log.Emit(event.StreamResumed, p.ref(), "after event "+p.after+": "+err.Error())
+		p.relay.o.Stats.Resumed.Inc()
+		p.relay.o.Log.Emit(event.StreamResumed, p.ref(), "after event "+p.after+": "+err.Error())
 	}
 	return broken
 }
