--- /dev/null
+++ b/emberd/internal/host/duties.go
@@ -0,0 +1,106 @@
+package host
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"embertally.dev/core/cache"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/lease"
+	"embertally.dev/core/order"
+	"embertally.dev/core/plat"
+	"embertally.dev/platform"
+)
+
+// swapParts is how many parts the workers fall into for orders. The loss of a
+// daemon delays the workers of its parts by about four seconds; more parts than
+// workers that load at a time (2 to 12 on the users' sites) would load too many.
+const swapParts = 4
+
+// buildDuties makes what only some daemons do at a time, and the key that
+// others find this daemon by.
+func (h *Host) buildDuties(incarnation string, engines *platform.Engines) {
+	var rights []order.Right
+	for part := range swapParts {
+		t := h.newRight(part, incarnation)
+		h.rights = append(h.rights, t)
+		rights = append(rights, t)
+	}
+	h.swapper = order.NewSwapper(order.SwapOptions{
+		Name: h.set.Name, Rights: rights, Commander: engines, Roster: h.roster,
+		Table: h.relay.Table, Named: h.named.version, Log: h.log,
+	})
+	h.sweeper = cache.NewSweeper(cache.SweepOptions{
+		Kept: h.kept, Log: h.log, Superseded: h.named.superseded,
+		Rank: func(address string) int { return h.rank("store/" + address) },
+	})
+	h.presence = h.newPresence()
+}
+
+// newPresence returns the key that others find this daemon by.
+func (h *Host) newPresence() *lease.Presence {
+	// What a box is found by, as the box list names it.
+	value, err := json.Marshal(plat.Box{
+		Name: h.set.Name, Role: plat.RoleEntry, Address: h.set.Peers, Domain: h.set.Domain, State: plat.BoxLive,
+	})
+	if err != nil {
+		// Strings can always be encoded.
+		panic(err)
+	}
+	return &lease.Presence{
+		Key: keyBoxes + h.set.Name, Value: value, Life: boxLife, Store: h.store, Mirror: h.mirror, Log: h.log,
+	}
+}
+
+// boxLife is how long a silent daemon stays in the list. Heartbeats say sooner
+// that it is lost; renewing costs the platform a tenth of a call.
+const boxLife = 12 * time.Second
+
+// rank says how many others come before this daemon for a duty.
+func (h *Host) rank(duty string) int {
+	names := h.fleet.View().OnDuty()
+	at := slices.Index(fleet.Rank(fleet.Key(duty), names), h.set.Name)
+	if at < 0 {
+		return len(names)
+	}
+	return at
+}
+
+// newRight returns the right to give orders to one part of the workers. It
+// moves to the daemon of the first rank while there is nothing to do.
+func (h *Host) newRight(part int, incarnation string) *lease.Timed {
+	key := keySwap + strconv.Itoa(part)
+	var second time.Time
+	return lease.NewTimed(lease.TimedOptions{
+		Key: key, Owner: h.set.Name + "/" + incarnation, Apart: h.set.Bounds.OrderApart,
+		Store: h.store, Mirror: h.mirror, Log: h.log,
+		Rank:   func() int { return h.rank(key) },
+		Urgent: func() bool { return h.swapper.Wanted(part) },
+		Idle: func() bool {
+			if h.draining.Load() {
+				return true
+			}
+			if h.rank(key) == 0 || h.swapper.Wanted(part) {
+				second = time.Time{}
+				return false
+			}
+			if second.IsZero() {
+				second = time.Now()
+			}
+			return time.Since(second) > moveAfter && h.held(key)
+		},
+	})
+}
+
+// moveAfter is how long another daemon must have come first before a duty
+// moves to it.
+const moveAfter = 4 * time.Second
+
+// held reports whether the mirror shows this daemon as the holder of a key.
+func (h *Host) held(key string) bool {
+	p, ok := h.mirror.Pair(key)
+	return ok && strings.HasPrefix(string(p.Value), h.set.Name+"/")
+}
--- a/emberd/internal/host/main.go
+++ b/emberd/internal/host/main.go
@@ -61,6 +61,7 @@
 	hup  <-chan os.Signal
 }
 
+// run reads the settings at each signal until ctx ends.
 func (r reloader) run(ctx context.Context) {
 	for {
 		select {
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -1,9 +1,3 @@
-// Package host owns the life of an emberd that serves on a platform which keeps
-// the configuration and the list of targets in its store: the settings, the
-// putting together of the slices, readiness, and the planned stop.
-//
-// It must not decide anything that a slice decides, and it must not know how
-// the platform names things (see Platform).
 package host
 
 import (
--- a/emberd/internal/host/state.go
+++ b/emberd/internal/host/state.go
@@ -12,6 +12,7 @@
 	"embertally.dev/core/plat"
 )
 
+// itoa writes a number as it stands in log lines.
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
 
 // named knows which versions of each model's weights were named.
@@ -25,12 +26,14 @@
 // namedMost bounds the versions kept of one model.
 const namedMost = 32
 
+// namedVersion is one version that was named.
 type namedVersion struct {
 	version int64
 	// since is when this daemon learned of it.
 	since time.Time
 }
 
+// set records that a version of a model was named; an older one changes nothing.
 func (n *named) set(model string, version int64) {
 	n.namedMu.Lock()
 	defer n.namedMu.Unlock()
@@ -107,6 +110,7 @@
 		if err := json.Unmarshal(p.Value, &box); err == nil {
 			out = append(out, box)
 		}
+		// A key that no daemon wrote so names none; the others still count.
 	}
 	return out, true, nil
 }
@@ -124,6 +128,7 @@
 // may still use its connections.
 const countLife = 15 * time.Second
 
+// count returns the highest count of daemons lately, this one included.
 func (d *daemons) count() int {
 	now := len(d.view().Peers()) + 1
 	d.countMu.Lock()
