The time of a transfer over a link is worked out in one place

The relay (links of workers) and the host (links of stores) each had the same sum with its own bitsPerByte. Both call table.LinkTime now, beside the settings it is made of.

--- a/core/relay/parts.go
+++ b/core/relay/parts.go
@@ -67,19 +67,10 @@
 		return out
 	}
 	out.address = t.Entry().Address
-	out.time = workerFirst + linkTime(svc.Engine, part.Tokens)
+	out.time = workerFirst + table.LinkTime(part.Tokens*svc.Engine.TokenBytes, svc.Engine.LinkBits)
 	return out
 }
 
-// linkTime is how long tokens of context take over a worker's link.
-func linkTime(e *table.Engine, tokens int) time.Duration {
-	if e.LinkBits <= 0 {
-		return 0
-	}
-	const bitsPerByte = 8
-	return time.Duration(float64(tokens*e.TokenBytes) * bitsPerByte / e.LinkBits * float64(time.Second))
-}
-
 // copies names where parts are copied from and which stores they are sent to.
 func (p *pass) copies(svc *table.Service, c *choice, o option, now time.Time) {
 	shared := p.sharedParts()
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -108,6 +108,18 @@
 	Watchers int
 }
 
+// bitsPerByte turns sizes into what a link carries.
+const bitsPerByte = 8
+
+// LinkTime returns how long some bytes take over a link with a rate in bits a
+// second; 0 where the rate is not known.
+func LinkTime(size int, linkBits float64) time.Duration {
+	if linkBits <= 0 {
+		return 0
+	}
+	return time.Duration(float64(size) * bitsPerByte / linkBits * float64(time.Second))
+}
+
 // Service is one service of the site.
 type Service struct {
 	Name string
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 )
@@ -93,3 +94,22 @@
 		gomega.NewWithT(t).Expect(tc.route.MayRepeat()).To(gomega.Equal(tc.want))
 	}
 }
+
+func TestLinkTime(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		size     int
+		linkBits float64
+		want     time.Duration
+	}{
+		{"a second", 125, 1000, time.Second},
+		{"nothing", 0, 1000, 0},
+		{"the rate is not known", 125, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := LinkTime(tc.size, tc.linkBits); got != tc.want {
+				t.Errorf("LinkTime(%d, %v) = %v, want %v", tc.size, tc.linkBits, got, tc.want)
+			}
+		})
+	}
+}
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -63,13 +63,10 @@
 	h.kept.Set(h.work, stores)
 }
 
-const bitsPerByte = 8
-
 // storeInfo is what the cache needs to know of a store.
 func storeInfo(s *table.Store, tokenBytes int) cache.StoreInfo {
-	info := cache.StoreInfo{Address: s.Address, Domain: s.Domain, Room: s.Tokens, First: s.First}
-	if s.LinkBits > 0 {
-		info.TokenTime = time.Duration(float64(tokenBytes) * bitsPerByte / s.LinkBits * float64(time.Second))
+	return cache.StoreInfo{
+		Address: s.Address, Domain: s.Domain, Room: s.Tokens, First: s.First,
+		TokenTime: table.LinkTime(tokenBytes, s.LinkBits),
 	}
-	return info
 }
