Settings files of both kinds of daemon are read by one package

daemon and host each had the same reading, decoding and reporting of faults, and host its own copies of the checks of addresses and times.

--- a/emberd/internal/daemon/settings.go
+++ b/emberd/internal/daemon/settings.go
@@ -1,22 +1,17 @@
 package daemon
 
 import (
-	"bytes"
 	"fmt"
-	"net"
-	"os"
 	"reflect"
 	"regexp"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-	"gopkg.in/yaml.v3"
-
 	"embertally.dev/core/event"
 	"embertally.dev/core/route"
 	"embertally.dev/emberd/internal/host"
+	"embertally.dev/emberd/internal/settings"
 )
 
 // Settings are everything that a daemon is told by its file. docs/SETTINGS.md
@@ -104,103 +99,69 @@
 
 // ReadSettings reads and checks a file. The error names all faults at once.
 func ReadSettings(path string) (Settings, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, errors.WithStack(err)
-	}
-	return ParseSettings(raw)
+	return settings.Read(path, Defaults(), (*Settings).check)
 }
 
 // ParseSettings reads and checks settings. The error names all faults at once.
 func ParseSettings(raw []byte) (Settings, error) {
-	s := Defaults()
-	dec := yaml.NewDecoder(bytes.NewReader(raw))
-	dec.KnownFields(true)
-	var list []string
-	if err := dec.Decode(&s); err != nil {
-		var typ *yaml.TypeError
-		if !errors.As(err, &typ) {
-			return s, errors.Wrap(err, "settings")
-		}
-		list = append(list, typ.Errors...)
-	}
-	list = append(list, s.check()...)
-	if len(list) > 0 {
-		return s, errors.Errorf("settings have %d faults:\n  %s", len(list), strings.Join(list, "\n  "))
-	}
-	return s, nil
+	return settings.Parse(raw, Defaults(), (*Settings).check)
 }
 
 // checker collects faults of settings.
-type checker struct{ list []string }
-
-func (c *checker) need(ok bool, field, text string) {
-	if !ok {
-		c.list = append(c.list, field+": "+text)
-	}
-}
-
-func (c *checker) address(field, v string) {
-	host, _, err := net.SplitHostPort(v)
-	c.need(err == nil && net.ParseIP(host) != nil, field, "must be an IP address and a port")
-}
-
-func (c *checker) positive(field string, d time.Duration) {
-	c.need(d > 0, field, "must be more than 0, with a unit such as 500ms")
-}
+type checker struct{ settings.Checker }
 
 var hashForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
 func (s *Settings) check() []string {
 	var c checker
-	c.need(s.Name != "", "name", "is required")
-	c.need(s.Domain != "", "domain", "is required")
-	c.address("callers.address", s.Callers.Address)
-	c.address("operators.address", s.Operators.Address)
-	c.address("peers.address", s.Peers.Address)
+	c.Need(s.Name != "", "name", "is required")
+	c.Need(s.Domain != "", "domain", "is required")
+	c.Address("callers.address", s.Callers.Address)
+	c.Address("operators.address", s.Operators.Address)
+	c.Address("peers.address", s.Peers.Address)
 	c.tls("callers.tls", s.Callers.TLS, false)
 	c.tls("operators.tls", s.Operators.TLS, false)
 	c.tls("peers.tls", s.Peers.TLS, true)
 	for i, p := range s.Peers.Seeds {
 		at := fmt.Sprintf("peers.seeds[%d]", i)
-		c.need(p.Name != "", at+".name", "is required")
-		c.address(at+".address", p.Address)
+		c.Need(p.Name != "", at+".name", "is required")
+		c.Address(at+".address", p.Address)
 	}
-	c.positive("peers.heartbeat", s.Peers.Heartbeat)
-	c.need(s.Peers.Suspect >= 3*s.Peers.Heartbeat, "peers.suspect", "must be at least three heartbeats")
-	c.need(len(s.Platform.KeyValue) > 0, "platform.keyValue", "needs at least one URL")
+	c.Positive("peers.heartbeat", s.Peers.Heartbeat)
+	c.Need(s.Peers.Suspect >= 3*s.Peers.Heartbeat, "peers.suspect", "must be at least three heartbeats")
+	c.Need(len(s.Platform.KeyValue) > 0, "platform.keyValue", "needs at least one URL")
 	for i, u := range s.Platform.KeyValue {
-		c.need(strings.HasPrefix(u, "http"), fmt.Sprintf("platform.keyValue[%d]", i), "must be a URL")
+		c.Need(strings.HasPrefix(u, "http"), fmt.Sprintf("platform.keyValue[%d]", i), "must be a URL")
 	}
-	c.positive("platform.boxPause", s.Platform.BoxPause)
-	c.need(s.Log.Format == string(event.FormatText) || s.Log.Format == string(event.FormatJSON), "log.format", "must be text or json")
-	c.need(slices.Contains([]string{"debug", "info", "warning", "error"}, s.Log.Level), "log.level", "must be debug, info, warning or error")
+	c.Positive("platform.boxPause", s.Platform.BoxPause)
+	c.Need(s.Log.Format == string(event.FormatText) || s.Log.Format == string(event.FormatJSON), "log.format", "must be text or json")
+	c.Need(slices.Contains([]string{"debug", "info", "warning", "error"}, s.Log.Level), "log.level", "must be debug, info, warning or error")
 	c.limits(s.Limits)
-	c.need(slices.Contains(route.Placements(), route.Placement(s.Placement)), "placement", "is not known")
+	c.Need(slices.Contains(route.Placements(), route.Placement(s.Placement)), "placement", "is not known")
 	for i, h := range s.OperatorKeyHashes {
-		c.need(hashForm.MatchString(h), fmt.Sprintf("operatorKeyHashes[%d]", i), "must be a SHA-256 sum in hexadecimal digits")
+		c.Need(hashForm.MatchString(h), fmt.Sprintf("operatorKeyHashes[%d]", i), "must be a SHA-256 sum in hexadecimal digits")
 	}
-	return c.list
+	return c.Faults()
 }
 
 func (c *checker) limits(l LimitSettings) {
-	c.need(l.MaxBodyBytes > 0, "limits.maxBodyBytes", "must be more than 0")
-	c.need(l.MaxRunning > 0, "limits.maxRunning", "must be more than 0")
-	c.positive("limits.drainLimit", l.DrainLimit)
-	c.positive("limits.claimWindow", l.ClaimWindow)
-	c.positive("limits.isolatedStop", l.IsolatedStop)
-	c.positive("limits.loadPause", l.LoadPause)
+	c.Need(l.MaxBodyBytes > 0, "limits.maxBodyBytes", "must be more than 0")
+	c.Need(l.MaxRunning > 0, "limits.maxRunning", "must be more than 0")
+	c.Positive("limits.drainLimit", l.DrainLimit)
+	c.Positive("limits.claimWindow", l.ClaimWindow)
+	c.Positive("limits.isolatedStop", l.IsolatedStop)
+	c.Positive("limits.loadPause", l.LoadPause)
 }
 
 func (c *checker) tls(field string, t TLS, peers bool) {
 	if t.Cert == "" && t.Key == "" && t.CA == "" {
-		c.need(t.Insecure, field, "needs cert and key, or insecure: true")
+		c.Need(t.Insecure, field, "needs cert and key, or insecure: true")
 		return
 	}
-	c.need(t.Cert != "", field+".cert", "is required with key")
-	c.need(t.Key != "", field+".key", "is required with cert")
-	c.need(!peers || t.CA != "", field+".ca", "is required for peers")
-	c.need(!t.Insecure, field+".insecure", "must not be set together with keys")
+	c.Need(t.Cert != "", field+".cert", "is required with key")
+	c.Need(t.Key != "", field+".key", "is required with cert")
+	c.Need(!peers || t.CA != "", field+".ca", "is required for peers")
+	c.Need(!t.Insecure, field+".insecure", "must not be set together with keys")
 }
 
 // Reference returns the page docs/SETTINGS.md.
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -1,15 +1,10 @@
 package host
 
 import (
-	"bytes"
 	"fmt"
-	"net"
-	"os"
-	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-	"gopkg.in/yaml.v3"
+	"embertally.dev/emberd/internal/settings"
 )
 
 // Settings are everything that a hosted daemon is told by its file.
@@ -62,50 +57,25 @@
 
 // ReadSettings reads and checks a file. The error names all faults at once.
 func ReadSettings(path string) (Settings, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, errors.WithStack(err)
-	}
-	return ParseSettings(raw)
+	return settings.Read(path, Defaults(), (*Settings).check)
 }
 
 // ParseSettings reads and checks settings. The error names all faults at once.
 func ParseSettings(raw []byte) (Settings, error) {
-	s := Defaults()
-	dec := yaml.NewDecoder(bytes.NewReader(raw))
-	dec.KnownFields(true)
-	var faults []string
-	if err := dec.Decode(&s); err != nil {
-		var typ *yaml.TypeError
-		if !errors.As(err, &typ) {
-			return s, errors.Wrap(err, "settings")
-		}
-		faults = append(faults, typ.Errors...)
-	}
-	faults = append(faults, s.check()...)
-	if len(faults) > 0 {
-		return s, errors.Errorf("settings have %d faults:\n  %s", len(faults), strings.Join(faults, "\n  "))
-	}
-	return s, nil
+	return settings.Parse(raw, Defaults(), (*Settings).check)
 }
 
 func (s *Settings) check() []string {
-	var faults []string
-	need := func(ok bool, field, text string) {
-		if !ok {
-			faults = append(faults, field+": "+text)
-		}
-	}
-	need(s.Name != "", "name", "is required")
-	need(s.Domain != "", "domain", "is required")
+	var c settings.Checker
+	c.Need(s.Name != "", "name", "is required")
+	c.Need(s.Domain != "", "domain", "is required")
 	for _, a := range []struct{ field, value string }{
 		{"callers", s.Callers}, {"readiness", s.Readiness}, {"peers", s.Peers}, {"metrics", s.Metrics}, {"store", s.Store},
 	} {
-		host, _, err := net.SplitHostPort(a.value)
-		need(err == nil && net.ParseIP(host) != nil, a.field, "must be an IP address and a port")
+		c.Address(a.field, a.value)
 	}
-	need(s.MemoryMB >= leastMemoryMB, "memoryMB", fmt.Sprintf("must be at least %d", leastMemoryMB))
-	need(s.LogRate > 0, "logRate", "must be more than 0")
+	c.Need(s.MemoryMB >= leastMemoryMB, "memoryMB", fmt.Sprintf("must be at least %d", leastMemoryMB))
+	c.Need(s.LogRate > 0, "logRate", "must be more than 0")
 	for _, d := range []struct {
 		field string
 		value time.Duration
@@ -117,11 +87,11 @@
 		{"retries.window", s.Retries.Window},
 		{"tuning.heartbeat", s.Tuning.Heartbeat},
 	} {
-		need(d.value > 0, d.field, "must be more than 0, with a unit such as 500ms")
+		c.Positive(d.field, d.value)
 	}
-	need(s.Retries.Share >= 0 && s.Retries.Extra >= 0, "retries", "must not be negative")
-	need(s.Tuning.Suspect >= 3*s.Tuning.Heartbeat, "tuning.suspect", "must be at least three heartbeats")
-	return faults
+	c.Need(s.Retries.Share >= 0 && s.Retries.Extra >= 0, "retries", "must not be negative")
+	c.Need(s.Tuning.Suspect >= 3*s.Tuning.Heartbeat, "tuning.suspect", "must be at least three heartbeats")
+	return c.Faults()
 }
 
 // leastMemoryMB is what a daemon with libraries and buffers needs at start.
--- /dev/null
+++ b/emberd/internal/settings/settings.go
@@ -0,0 +1,72 @@
+// Package settings reads the settings files of both kinds of daemon and
+// collects their faults, so that all are reported at once.
+//
+// It must not know which settings there are.
+package settings
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+)
+
+// Read reads and checks a file. What it does not set stays as in defaults. The
+// error names all faults at once.
+func Read[T any](path string, defaults T, check func(*T) []string) (T, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		var none T
+		return none, errors.WithStack(err)
+	}
+	return Parse(raw, defaults, check)
+}
+
+// Parse reads and checks settings. What they do not set stays as in defaults.
+// The error names all faults at once.
+func Parse[T any](raw []byte, defaults T, check func(*T) []string) (T, error) {
+	s := defaults
+	dec := yaml.NewDecoder(bytes.NewReader(raw))
+	dec.KnownFields(true)
+	var faults []string
+	if err := dec.Decode(&s); err != nil {
+		var typ *yaml.TypeError
+		if !errors.As(err, &typ) {
+			return s, errors.Wrap(err, "settings")
+		}
+		faults = append(faults, typ.Errors...)
+	}
+	faults = append(faults, check(&s)...)
+	if len(faults) > 0 {
+		return s, errors.Errorf("settings have %d faults:\n  %s", len(faults), strings.Join(faults, "\n  "))
+	}
+	return s, nil
+}
+
+// Checker collects faults. The zero value has none.
+type Checker struct{ faults []string }
+
+// Faults returns what was found, in the order of the checks.
+func (c *Checker) Faults() []string { return c.faults }
+
+// Need records a fault of a field unless ok.
+func (c *Checker) Need(ok bool, field, text string) {
+	if !ok {
+		c.faults = append(c.faults, field+": "+text)
+	}
+}
+
+// Address checks that a field is an IP address and a port.
+func (c *Checker) Address(field, v string) {
+	host, _, err := net.SplitHostPort(v)
+	c.Need(err == nil && net.ParseIP(host) != nil, field, "must be an IP address and a port")
+}
+
+// Positive checks that a time is more than 0.
+func (c *Checker) Positive(field string, d time.Duration) {
+	c.Need(d > 0, field, "must be more than 0, with a unit such as 500ms")
+}
