core/order/swap.go is split, and what swaps begin is worked out in steps

Words to workers are in commander.go and the swap of one worker in job.go. nextOf counted, sorted and began in one function of 45 lines; counting is progress, sorting is sortBehind. job.known was written and never read.

--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -3,86 +3,16 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
-	"embertally.dev/core/wait"
-)
-
-// WeightOrder asks a worker to load a version of a model's weights.
-type WeightOrder struct {
-	// Target is the run of the worker that the order is for.
-	Target  string
-	Model   string
-	Version int64
-	Holder  string
-	Fence   uint64
-	// After is how many orders the worker has taken before this one; it refuses
-	// the order where it has taken others, so that an order which arrives late
-	// does not undo a newer one.
-	After int64
-}
-
-// Verdict is what a worker says to an order.
-type Verdict int
-
-// The verdicts of workers.
-const (
-	// Taken: the worker will load the weights.
-	Taken Verdict = iota
-	// Held: it has them already.
-	Held
-	// Conflict: it is busy with another order, or has taken others.
-	Conflict
-	// Fenced: it has seen a higher fence.
-	Fenced
-	// Elsewhere: another run has its address.
-	Elsewhere
-	// Refused: it does not know the order, or the version was not named.
-	Refused
 )
 
-// String returns the verdict as it stands in log lines.
-func (v Verdict) String() string {
-	return [...]string{"taken", "held", "conflict", "fenced", "elsewhere", "refused"}[v]
-}
-
-// WorkerState is what a worker reports of orders.
-type WorkerState struct {
-	Busy bool
-	// Orders is how many orders the worker has taken.
-	Orders int64
-	// Weights holds the version of each model.
-	Weights map[string]int64
-}
-
-// Commander gives orders to workers.
-type Commander interface {
-	// Order gives an order. After an error it may have been taken, or may be
-	// taken later.
-	Order(ctx context.Context, address string, o WeightOrder) (Verdict, error)
-	State(ctx context.Context, address, target string) (WorkerState, error)
-}
-
-// Right is the right to give orders.
-type Right interface {
-	// Held reports whether this daemon is the one to give orders.
-	Held() bool
-	// Act returns the number that fences an order, and whether it may be given
-	// now.
-	Act() (uint64, bool)
-	// Refused records that a worker has seen a higher fence.
-	Refused(fence uint64)
-}
-
 // SwapOptions of a swapper.
 type SwapOptions struct {
 	Name string
@@ -118,25 +48,11 @@
 	return &Swapper{o: o, jobs: map[string]*job{}, rest: map[string]time.Time{}}
 }
 
-// Times and bounds of swaps.
+// Times and bounds of beginning swaps.
 const (
 	// swapLook is the pause between looks; without a difference between what
 	// is named and held a look costs nothing outside.
 	swapLook = 100 * time.Millisecond
-	// announceTime is how long before the order the other daemons hear of it,
-	// so that they send the worker no more requests: one or two heartbeats.
-	announceTime = 250 * time.Millisecond
-	// orderLimit bounds one order or report; workers answer in milliseconds.
-	orderLimit = 700 * time.Millisecond
-	// pollPause spaces the reports of a worker that loads. A report is priced
-	// as a health check.
-	pollPause = 150 * time.Millisecond
-	// repeatPause is how long an order without an answer may take to show in a
-	// report before it is given again.
-	repeatPause = 900 * time.Millisecond
-	// jobLimit bounds one swap: runs end first, and a load takes about a
-	// second, longer while many load.
-	jobLimit = 9 * time.Second
 	// restTime is the pause after a swap that failed.
 	restTime = time.Second
 	// swapDivisor sets how many workers change at a time. On the users' sites
@@ -146,9 +62,6 @@
 	swapLeast   = 3
 	// extraPause is two heartbeats: other daemons have heard of the swap.
 	extraPause = 350 * time.Millisecond
-	// rightPause and rightTries bound the wait for a renewal of the right.
-	rightPause = 50 * time.Millisecond
-	rightTries = 12
 )
 
 // right returns the right to give orders to a worker.
@@ -211,41 +124,53 @@
 	return out
 }
 
-// nextOf returns the swaps of one model to begin now. It is called with swapMu
-// held.
-func (s *Swapper) nextOf(service, model string) []*job {
-	version := s.o.Named(model)
+// progress is how far the swaps of one model are.
+type progress struct {
+	workers int
+	// behind holds the workers that a swap may begin at, by the right to it.
+	behind map[Right][]*roster.Target
+	// running counts this daemon's swaps by right, total those of all daemons.
+	running map[Right]int
+	total   int
+}
+
+// progress returns how far the swaps of a model to a version are. It is called
+// with swapMu held.
+func (s *Swapper) progress(service, model string, version int64, now time.Time) progress {
 	workers := s.o.Roster.Of(service)
-	now := time.Now()
+	pr := progress{workers: len(workers), behind: map[Right][]*roster.Target{}, running: map[Right]int{}}
 	// Other daemons' swaps are told in heartbeats.
 	ordered := s.o.Roster.Ordered(now)
-	behind := map[Right][]*roster.Target{}
-	running := map[Right]int{}
-	total := 0
 	for _, t := range workers {
 		right := s.right(t.ID())
 		switch {
 		case s.jobs[t.ID()] != nil:
-			running[right]++
-			total++
+			pr.running[right]++
+			pr.total++
 		case ordered[t.ID()]:
-			total++
+			pr.total++
 		case t.Entry().Weights[model] < version && !t.Entry().Leaving && now.After(s.rest[t.ID()]) && right.Held():
-			behind[right] = append(behind[right], t)
+			pr.behind[right] = append(pr.behind[right], t)
 		}
 	}
+	return pr
+}
+
+// nextOf returns the swaps of one model to begin now. It is called with swapMu
+// held.
+func (s *Swapper) nextOf(service, model string) []*job {
+	version := s.o.Named(model)
+	now := time.Now()
+	pr := s.progress(service, model, version, now)
 	var out []*job
-	for right, list := range behind {
-		// The oldest weights come first: requests may not begin on them for long.
-		slices.SortStableFunc(list, func(a, b *roster.Target) int {
-			return cmp.Or(cmp.Compare(a.Entry().Weights[model], b.Entry().Weights[model]), cmp.Compare(weight(a), weight(b)))
-		})
+	for right, list := range pr.behind {
+		sortBehind(list, model)
 		for _, t := range list {
-			if running[right] >= own(len(workers), len(s.o.Rights)) && !s.extra(total, len(workers), now) {
+			if pr.running[right] >= own(pr.workers, len(s.o.Rights)) && !s.extra(pr.total, pr.workers, now) {
 				break
 			}
-			running[right]++
-			total++
+			pr.running[right]++
+			pr.total++
 			j := &job{s: s, target: t, model: model, version: version}
 			s.jobs[t.ID()] = j
 			out = append(out, j)
@@ -254,6 +179,14 @@
 	return out
 }
 
+// sortBehind puts workers in the order of their swaps. The oldest weights come
+// first: requests may not begin on them for long.
+func sortBehind(list []*roster.Target, model string) {
+	slices.SortStableFunc(list, func(a, b *roster.Target) int {
+		return cmp.Or(cmp.Compare(a.Entry().Weights[model], b.Entry().Weights[model]), cmp.Compare(weight(a), weight(b)))
+	})
+}
+
 // own is how many swaps of a part may run whatever other parts do.
 func own(workers, parts int) int { return max(1, workers/swapDivisor/parts) }
 
@@ -272,120 +205,3 @@
 	l := t.Load()
 	return l.Held + l.Running
 }
-
-// job is the swap of one worker.
-type job struct {
-	s       *Swapper
-	target  *roster.Target
-	model   string
-	version int64
-	// ordered is when the order was last given; zero before.
-	ordered time.Time
-	// seen is what the worker last reported, once known is set.
-	seen  WorkerState
-	known bool
-}
-
-func (j *job) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, jobLimit)
-	defer cancel()
-	s, id := j.s, j.target.ID()
-	s.o.Roster.Order(id, time.Now().Add(jobLimit/3))
-	err := j.swap(ctx)
-	s.o.Roster.Done(id)
-	s.swapMu.Lock()
-	defer s.swapMu.Unlock()
-	delete(s.jobs, id)
-	if err != nil {
-		s.rest[id] = time.Now().Add(restTime)
-		s.o.Log.Emit(event.OrderRejected, event.Ref{Target: id}, fmt.Sprintf("%s version %d: %v", j.model, j.version, err))
-		return
-	}
-	delete(s.rest, id)
-	s.o.Roster.Learn(id, j.model, j.version)
-}
-
-var (
-	errNoRight = errors.New("the right to give orders was lost")
-	errLong    = errors.New("the worker did not finish in time")
-)
-
-// swap gives the order and waits until the worker holds the weights.
-func (j *job) swap(ctx context.Context) error {
-	wait.For(ctx, announceTime)
-	if err := j.look(ctx); err != nil {
-		return err
-	}
-	for j.seen.Weights[j.model] < j.version || j.seen.Busy {
-		if ctx.Err() != nil {
-			return errLong
-		}
-		if j.due() {
-			if err := j.give(ctx); err != nil {
-				return err
-			}
-		}
-		wait.For(ctx, pollPause)
-		if err := j.look(ctx); err != nil && ctx.Err() == nil {
-			return err
-		}
-		j.s.o.Roster.Order(j.target.ID(), time.Now().Add(time.Second))
-	}
-	return nil
-}
-
-// due reports whether the order is to be given now.
-func (j *job) due() bool {
-	return !j.seen.Busy && j.seen.Weights[j.model] < j.version && time.Since(j.ordered) > repeatPause
-}
-
-// look asks the worker what it holds. One answer may be lost.
-func (j *job) look(ctx context.Context) error {
-	var err error
-	for range 3 {
-		own, cancel := context.WithTimeout(ctx, orderLimit)
-		var st WorkerState
-		st, err = j.s.o.Commander.State(own, j.target.Entry().Address, j.target.ID())
-		cancel()
-		if err == nil {
-			j.seen, j.known = st, true
-			return nil
-		}
-		wait.For(ctx, pollPause)
-	}
-	return err
-}
-
-// give gives the order once.
-func (j *job) give(ctx context.Context) error {
-	right := j.s.right(j.target.ID())
-	fence, may := right.Act()
-	for n := 0; !may && right.Held() && n < rightTries; n++ {
-		wait.For(ctx, rightPause)
-		fence, may = right.Act()
-	}
-	if !may {
-		return errNoRight
-	}
-	ctx, cancel := context.WithTimeout(ctx, orderLimit)
-	defer cancel()
-	j.ordered = time.Now()
-	id := j.target.ID()
-	v, err := j.s.o.Commander.Order(ctx, j.target.Entry().Address, WeightOrder{
-		Target: id, Model: j.model, Version: j.version, Holder: j.s.o.Name, Fence: fence, After: j.seen.Orders,
-	})
-	text := fmt.Sprintf("%s version %d, fence %d, after order %d", j.model, j.version, fence, j.seen.Orders)
-	if err != nil {
-		j.s.o.Log.Emit(event.OrderSent, event.Ref{Target: id}, text+", no answer: "+err.Error())
-		return nil
-	}
-	j.s.o.Log.Emit(event.OrderSent, event.Ref{Target: id}, text+": "+v.String())
-	switch v {
-	case Fenced:
-		right.Refused(fence)
-		return errNoRight
-	case Elsewhere, Refused:
-		return errors.Errorf("the worker says %s", v)
-	}
-	return nil
-}
