Loops that do something after each pause are one function

Six goroutines each had the same ticker and select around a few lines of work. wait.Every has them now, and Run of a timed lease shows in step what one look does. Taking a lease says why a failure to open a session is let go.

--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -7,6 +7,7 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 )
 
 // Timed is the right to act alone, bound to a session of the service: the key
@@ -80,36 +81,32 @@
 
 // Run takes and keeps the lease until ctx ends, and then gives it back.
 func (t *Timed) Run(ctx context.Context) {
-	tick := time.NewTicker(timedLook)
-	defer tick.Stop()
 	var free time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			t.giveBack("the daemon stops")
-			return
-		case <-tick.C:
-		}
-		if t.o.Idle() {
-			t.giveBack("another daemon is to hold it")
-			continue
-		}
-		if t.keep(ctx) {
-			free = time.Time{}
-			continue
-		}
-		if _, taken := t.o.Mirror.Pair(t.o.Key); taken || t.o.Mirror.Fresh().IsZero() {
-			free = time.Time{}
-			continue
-		}
-		if free.IsZero() {
-			free = time.Now()
-		}
-		if time.Since(free) >= time.Duration(t.o.Rank())*rankPause {
-			t.take(ctx)
-			free = time.Now()
-		}
+	wait.Every(ctx, timedLook, func() { free = t.step(ctx, free) })
+	t.giveBack("the daemon stops")
+}
+
+// step keeps, takes or gives back the lease. It gets and returns since when
+// the key is seen to be free; zero where it is not.
+func (t *Timed) step(ctx context.Context, free time.Time) time.Time {
+	if t.o.Idle() {
+		t.giveBack("another daemon is to hold it")
+		return free
+	}
+	if t.keep(ctx) {
+		return time.Time{}
+	}
+	if _, taken := t.o.Mirror.Pair(t.o.Key); taken || t.o.Mirror.Fresh().IsZero() {
+		return time.Time{}
+	}
+	if free.IsZero() {
+		free = time.Now()
+	}
+	if time.Since(free) < time.Duration(t.o.Rank())*rankPause {
+		return free
 	}
+	t.take(ctx)
+	return time.Now()
 }
 
 // held reports what the mirror says of the key: whether this holder has it.
@@ -182,9 +179,9 @@
 // hold records that the key is this holder's. It is called with timedMu held.
 func (t *Timed) hold(revision int64) {
 	t.fence = uint64(revision)
-	wait := t.o.Apart/actShare + transit
-	t.from = time.Now().Add(wait)
-	t.o.Log.Emit(event.LeaseTaken, event.Ref{Resource: t.o.Key}, "acts "+wait.String()+" from now")
+	delay := t.o.Apart/actShare + transit
+	t.from = time.Now().Add(delay)
+	t.o.Log.Emit(event.LeaseTaken, event.Ref{Resource: t.o.Key}, "acts "+delay.String()+" from now")
 }
 
 // take opens a session and writes the key under it, unless somebody has it.
@@ -197,6 +194,7 @@
 	if session == 0 {
 		got, err := t.o.Store.Open(ctx, t.o.Apart)
 		if err != nil {
+			// The next look tries again; the mirror tells of an outage.
 			return
 		}
 		session = got
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -25,6 +25,7 @@
 	"embertally.dev/core/lease"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/target"
+	"embertally.dev/core/wait"
 )
 
 // KeyRoot is the prefix of everything that orders keep in the service.
@@ -87,16 +88,7 @@
 
 // Run gives orders while this daemon has the duty, until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
-	t := time.NewTicker(lookPause)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		h.step(ctx)
-	}
+	wait.Every(ctx, lookPause, func() { h.step(ctx) })
 }
 
 // slot is a running load.
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -11,6 +11,7 @@
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
+	"embertally.dev/core/wait"
 )
 
 // SwapOptions of a swapper.
@@ -91,20 +92,13 @@
 
 // Run gives orders until ctx ends.
 func (s *Swapper) Run(ctx context.Context) {
-	tick := time.NewTicker(swapLook)
-	defer tick.Stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	wait.Every(ctx, swapLook, func() {
 		for _, j := range s.next() {
 			wg.Go(func() { j.run(ctx) })
 		}
-	}
+	})
 }
 
 // next returns the swaps to begin now.
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -11,6 +11,7 @@
 
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 	"embertally.dev/core/wire"
 )
 
@@ -170,18 +171,11 @@
 
 // Run asks a peer for changes while the service is silent, until ctx ends.
 func (s *Mirrors) Run(ctx context.Context) {
-	t := time.NewTicker(askPause)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	wait.Every(ctx, askPause, func() {
 		if time.Since(s.mirror.Contact()) > silentAfter || !s.Follows() {
 			s.ask(ctx)
 		}
-	}
+	})
 }
 
 // ask takes what a peer knows more.
--- a/core/wait/wait.go
+++ b/core/wait/wait.go
@@ -19,3 +19,18 @@
 		return true
 	}
 }
+
+// Every calls f after each d until ctx ends. Calls that fall into a longer one
+// are left out.
+func Every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		f()
+	}
+}
--- a/core/wait/wait_test.go
+++ b/core/wait/wait_test.go
@@ -25,3 +25,16 @@
 		})
 	}
 }
+
+func TestEveryCallsUntilTheContextEnds(t *testing.T) {
+	ctx, end := context.WithCancel(context.Background())
+	calls := 0
+	Every(ctx, time.Millisecond, func() {
+		if calls++; calls == 3 {
+			end()
+		}
+	})
+	if calls < 3 {
+		t.Errorf("Every made %d calls, want at least 3", calls)
+	}
+}
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"embertally.dev/core/route"
 	"embertally.dev/core/spread"
 	"embertally.dev/core/target"
+	"embertally.dev/core/wait"
 )
 
 // Daemon is one running emberd.
@@ -313,24 +314,17 @@
 
 // loop records when readiness changes.
 func (d *Daemon) loop(ctx context.Context) {
-	t := time.NewTicker(readyPause)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	wait.Every(ctx, readyPause, func() {
 		why := d.NotReady()
 		if d.ready.Swap(why == "") == (why == "") {
-			continue
+			return
 		}
 		if why == "" {
 			d.log.Emit(event.DaemonReady, event.Ref{}, "")
 		} else {
 			d.log.Emit(event.DaemonNotReady, event.Ref{}, why)
 		}
-	}
+	})
 }
 
 // Pauses of a planned stop.
--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/wait"
 )
 
 // notReady says why the daemon takes no requests, or "".
@@ -24,25 +25,18 @@
 
 // loop records when readiness changes.
 func (h *Host) loop(ctx context.Context) {
-	t := time.NewTicker(readyLook)
-	defer t.Stop()
 	ready := false
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	wait.Every(ctx, readyLook, func() {
 		why := h.notReady()
 		if ready == (why == "") {
-			continue
+			return
 		}
 		if ready = why == ""; ready {
 			h.log.Emit(event.DaemonReady, event.Ref{}, "configuration "+itoa(h.relay.Table().Version()))
 		} else {
 			h.log.Emit(event.DaemonNotReady, event.Ref{}, why)
 		}
-	}
+	})
 }
 
 // Times of a planned stop.
