core/route: the cost of a candidate is worked out in parts

What running requests cost is in turn, and what speaks against a candidate whatever its load in against; the sums are the same.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -113,19 +113,7 @@
 	if missing := a.Tokens - c.Kept - c.Copied; missing > 0 {
 		cost += time.Duration(missing) * tokenTime
 	}
-	cost += time.Duration(copyShare*float64(c.CopyTime)) + a.Work
-	if c.Running < c.Slots {
-		cost += time.Duration(c.Running) * slotTime
-		if a.Tokens == 0 {
-			cost += a.Work * time.Duration(c.Running) / time.Duration(4*c.Slots)
-		}
-	} else {
-		over := c.Running - c.Slots + 1
-		cost += time.Duration(c.Slots)*slotTime + time.Duration(over)*waitTime
-		if a.Work > 0 {
-			cost += a.Work * time.Duration(over) / time.Duration(max(1, c.Slots))
-		}
-	}
+	cost += time.Duration(copyShare*float64(c.CopyTime)) + a.Work + turn(a, c)
 	if c.Pace > 1 {
 		cost = time.Duration(float64(cost) * c.Pace)
 	}
@@ -134,6 +122,30 @@
 	}
 	cost += time.Duration(c.Again) * againTime
 	cost += time.Duration(c.Faults * float64(faultCost))
+	return cost + against(a, c)
+}
+
+// turn returns the cost of the requests that run at a candidate: beside them
+// while a slot is free, else the wait for one.
+func turn(a Asked, c Candidate) time.Duration {
+	if c.Running < c.Slots {
+		cost := time.Duration(c.Running) * slotTime
+		if a.Tokens == 0 {
+			cost += a.Work * time.Duration(c.Running) / time.Duration(4*c.Slots)
+		}
+		return cost
+	}
+	over := c.Running - c.Slots + 1
+	cost := time.Duration(c.Slots)*slotTime + time.Duration(over)*waitTime
+	if a.Work > 0 {
+		cost += a.Work * time.Duration(over) / time.Duration(max(1, c.Slots))
+	}
+	return cost
+}
+
+// against returns what speaks against a candidate whatever its load.
+func against(a Asked, c Candidate) time.Duration {
+	cost := time.Duration(0)
 	for _, extra := range []struct {
 		holds bool
 		cost  time.Duration
