--- a/core/cache/sweep.go
+++ b/core/cache/sweep.go
@@ -61,6 +61,7 @@
 	}
 }
 
+// sweep frees what may be freed in one store, a call's worth of it.
 func (s *Sweeper) sweep(ctx context.Context, address string) {
 	now := time.Now()
 	after := sweepAfter + time.Duration(s.o.Rank(address))*sweepRank
--- a/core/cache/where.go
+++ b/core/cache/where.go
@@ -19,6 +19,7 @@
 	swept  time.Time // guarded by whereMu
 }
 
+// sighting is when a worker was last seen to have a part.
 type sighting struct {
 	target string
 	at     time.Time
--- a/core/event/lines.go
+++ b/core/event/lines.go
@@ -38,6 +38,7 @@
 	return lists, foreign, errors.WithStack(scan.Err())
 }
 
+// parseLine reads one line; it reports false where that is no event.
 func parseLine(line []byte) (Event, bool) {
 	start := bytes.IndexByte(line, '{')
 	if start < 0 {
--- a/core/event/pace.go
+++ b/core/event/pace.go
@@ -21,6 +21,7 @@
 	skipped map[Code]int
 }
 
+// setRate changes how many lines are written; a nil pace bounds nothing.
 func (p *Pace) setRate(perSecond int) {
 	if p == nil {
 		return
--- a/core/event/spool.go
+++ b/core/event/spool.go
@@ -24,6 +24,7 @@
 	return s
 }
 
+// run writes the lines until Close.
 func (s *Spool) run() {
 	defer close(s.done)
 	for line := range s.lines {
--- a/core/lease/presence.go
+++ b/core/lease/presence.go
@@ -64,6 +64,7 @@
 	return false
 }
 
+// renew renews the session, and writes the key where it is not as it must be.
 func (p *Presence) renew(ctx context.Context) error {
 	if p.session != 0 {
 		if err := p.Store.Renew(ctx, p.session); err != nil {
@@ -89,6 +90,7 @@
 	return err
 }
 
+// leave ends the session, with which the key goes.
 func (p *Presence) leave() {
 	if p.session == 0 {
 		return
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -274,6 +274,7 @@
 	m.hearVia(heard)
 }
 
+// hearVia records when the service had answered a peer.
 func (m *Mirror) hearVia(heard time.Time) {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
@@ -321,6 +322,7 @@
 	m.log.Emit(event.ServiceDown, event.Ref{}, text)
 }
 
+// since returns how long the service has been silent.
 func (m *Mirror) since() time.Duration {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -25,6 +25,7 @@
 	defaultLimit = 30 * time.Second
 )
 
+// afterSome returns when a refused caller is to come back.
 func afterSome() time.Duration { return comeBack + rand.N(comeBackSpread) }
 
 // admit reads the request and finds its route and organisation.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -47,6 +47,7 @@
 	Held int
 }
 
+// add adds m, or with sign -1 takes it off.
 func (l *Load) add(m Load, sign int) {
 	l.Running += sign * m.Running
 	l.Unread += sign * m.Unread
@@ -71,6 +72,7 @@
 	ordered map[string]time.Time
 }
 
+// peerLoads is what one daemon told of its work, and when.
 type peerLoads struct {
 	at    time.Time
 	loads map[string]Load
--- a/core/roster/target.go
+++ b/core/roster/target.go
@@ -8,6 +8,7 @@
 	"time"
 )
 
+// itoa writes a number as it stands in log lines.
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
 
 // Target is one run of one target. Its methods may be called at any time, also
@@ -45,6 +46,8 @@
 // Entry returns what the list says. It must not be changed.
 func (t *Target) Entry() *Entry { return t.entry.Load() }
 
+// set takes what the list says, which ends a lapse. It is called with rosterMu
+// held.
 func (t *Target) set(e Entry) {
 	if old := t.entry.Load(); old != nil {
 		// Entries are written seldom; what was seen since may be newer.
@@ -63,6 +66,7 @@
 	t.targetMu.Unlock()
 }
 
+// raise records a newer version of a model. It is called with rosterMu held.
 func (t *Target) raise(model string, version int64) {
 	e := *t.Entry()
 	e.Weights = maps.Clone(e.Weights)
@@ -73,18 +77,21 @@
 	t.entry.Store(&e)
 }
 
+// lapse records that the entry went and counts as gone from until on.
 func (t *Target) lapse(until time.Time) {
 	t.targetMu.Lock()
 	defer t.targetMu.Unlock()
 	t.until = until
 }
 
+// lapsed reports whether the entry went and has not come back.
 func (t *Target) lapsed() bool {
 	t.targetMu.Lock()
 	defer t.targetMu.Unlock()
 	return !t.until.IsZero()
 }
 
+// retire records that the target is gone.
 func (t *Target) retire() {
 	t.targetMu.Lock()
 	defer t.targetMu.Unlock()
@@ -97,6 +104,7 @@
 // End takes back what Begin recorded.
 func (t *Target) End(l Load) { t.change(l, -1) }
 
+// change adds to this daemon's work, or with sign -1 takes off it.
 func (t *Target) change(l Load, sign int) {
 	t.targetMu.Lock()
 	defer t.targetMu.Unlock()
@@ -203,6 +211,7 @@
 	return l
 }
 
+// setOthers records the work on its way from other daemons.
 func (t *Target) setOthers(l Load) {
 	t.targetMu.Lock()
 	defer t.targetMu.Unlock()
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -45,6 +45,7 @@
 	AgeMillis int64
 }
 
+// mirrorAsk asks a peer for the changes after a revision.
 type mirrorAsk struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
@@ -53,6 +54,7 @@
 	WaitMillis int64
 }
 
+// mirrorAnswer holds them.
 type mirrorAnswer struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
@@ -63,6 +65,7 @@
 	AgeMillis int64
 }
 
+// mirrorChange is one change as peers send it.
 type mirrorChange struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
@@ -206,6 +209,7 @@
 	s.mirror.Take(changes, got.Revision, heard)
 }
 
+// pairs returns the whole copy that a peer sent.
 func (a *mirrorAnswer) pairs() []plat.Pair {
 	out := make([]plat.Pair, len(a.Changes))
 	for i, c := range a.Changes {
@@ -214,6 +218,7 @@
 	return out
 }
 
+// pair returns what the change leaves of its key.
 func (c mirrorChange) pair() plat.Pair {
 	return plat.Pair{Key: c.Key, Value: c.Value, ModRevision: c.Revision}
 }
@@ -232,6 +237,7 @@
 	return name
 }
 
+// forget makes a peer that did not answer not be asked before its next heartbeat.
 func (s *Mirrors) forget(peer string) {
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
--- a/core/spread/shelves.go
+++ b/core/spread/shelves.go
@@ -77,6 +77,7 @@
 	return "", errors.WithStack(errUnknownShelf)
 }
 
+// shelfAsk asks a peer for what a store told after Since, or for everything.
 type shelfAsk struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack   struct{} `msgpack:",as_array"`
@@ -86,6 +87,7 @@
 	WaitMillis int64
 }
 
+// shelfAnswer is what the store told.
 type shelfAnswer struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
@@ -97,6 +99,7 @@
 	ClockMillis int64
 }
 
+// shelfPart is one change of it.
 type shelfPart struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
@@ -134,6 +137,7 @@
 	return s.direct.Free(ctx, address, epoch, parts)
 }
 
+// ask asks a peer; one that fails is not asked for badTime.
 func (s *Shelves) ask(ctx context.Context, peer string, ask shelfAsk) (cache.PartEvents, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(ask.WaitMillis)*time.Millisecond+peerLimit)
 	defer cancel()
@@ -174,6 +178,7 @@
 	}
 }
 
+// shelfOf writes what a store told as peers send it.
 func shelfOf(ev cache.PartEvents) *shelfAnswer {
 	out := &shelfAnswer{Epoch: ev.Epoch, Next: ev.Next, Gap: ev.Gap, ClockMillis: ev.Clock.Milliseconds()}
 	for _, c := range ev.Changes {
