--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -144,7 +144,7 @@
 	wg.Go(func() { h.fleet.Run(work, ls.peers) })
 	duties, endDuties := context.WithCancel(work)
 	defer endDuties()
-	h.start(&wg, work, duties)
+	h.start(work, duties, &wg)
 	callers := h.serve(&wg, ls.callers, h.relay)
 	side := []*http.Server{h.serve(&wg, ls.readiness, h.readiness()), h.serve(&wg, ls.metrics, h.metrics())}
 	h.log.Emit(event.DaemonStarted, event.Ref{}, "callers "+h.set.Callers+", domain "+h.set.Domain)
@@ -164,7 +164,7 @@
 
 // start runs the slices: those that only some daemons do end with duties, at
 // the beginning of a planned stop, the others with work.
-func (h *Host) start(wg *sync.WaitGroup, work, duties context.Context) {
+func (h *Host) start(work, duties context.Context, wg *sync.WaitGroup) {
 	for _, run := range []func(context.Context){h.mirror.Run, h.mirrors.Run, h.presence.Run, h.loop} {
 		wg.Go(func() { run(work) })
 	}
