--- a/core/cache/sweep.go
+++ b/core/cache/sweep.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/wait"
 )
 
 // SweepOptions of a sweeper.
@@ -53,13 +54,14 @@
 // Run frees parts until ctx ends.
 func (s *Sweeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, sweepLook)
+		wait.For(ctx, sweepLook)
 		for _, address := range s.o.Kept.Stores() {
 			s.sweep(ctx, address)
 		}
 	}
 }
 
+// sweep frees what may be freed in one store, a call's worth of it.
 func (s *Sweeper) sweep(ctx context.Context, address string) {
 	now := time.Now()
 	after := sweepAfter + time.Duration(s.o.Rank(address))*sweepRank
--- a/core/lease/presence.go
+++ b/core/lease/presence.go
@@ -6,6 +6,7 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 )
 
 // Presence keeps one key in the service for as long as this process lives, so
@@ -37,13 +38,9 @@
 		if p.step(ctx) {
 			pause = p.Life / presenceShare
 		}
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !wait.For(ctx, pause) {
 			p.leave()
 			return
-		case <-t.C:
 		}
 	}
 }
@@ -67,6 +64,7 @@
 	return false
 }
 
+// renew renews the session, and writes the key where it is not as it must be.
 func (p *Presence) renew(ctx context.Context) error {
 	if p.session != 0 {
 		if err := p.Store.Renew(ctx, p.session); err != nil {
@@ -92,6 +90,7 @@
 	return err
 }
 
+// leave ends the session, with which the key goes.
 func (p *Presence) leave() {
 	if p.session == 0 {
 		return
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/wait"
 )
 
 // Mirror keeps a copy of some keys of the key-value service current, with one
@@ -96,7 +97,7 @@
 	for ctx.Err() == nil {
 		if m.Follows != nil && !m.Follows() {
 			m.rest()
-			wait(ctx, restPause)
+			wait.For(ctx, restPause)
 			continue
 		}
 		err := m.follow(ctx, &whole)
@@ -113,7 +114,7 @@
 		if m.told() {
 			pause = toldPause
 		}
-		wait(ctx, pause/2+rand.N(pause/2))
+		wait.For(ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, retryMost)
 	}
 }
@@ -152,7 +153,7 @@
 		}
 		if len(changes) > 0 {
 			// Changes come in series; each answer is a priced call.
-			wait(ctx, m.gather())
+			wait.For(ctx, m.gather())
 		}
 		return nil
 	})
@@ -295,6 +296,7 @@
 	m.hearVia(heard)
 }
 
+// hearVia records when the service had answered a peer.
 func (m *Mirror) hearVia(heard time.Time) {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
@@ -349,6 +351,7 @@
 	return time.Since(m.via) < toldFresh
 }
 
+// since returns how long the service has been silent.
 func (m *Mirror) since() time.Duration {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
@@ -396,13 +399,3 @@
 	}
 	return out
 }
-
-// wait returns after d or when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -11,6 +11,7 @@
 
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 	"embertally.dev/core/wire"
 )
 
@@ -44,6 +45,7 @@
 	AgeMillis int64
 }
 
+// mirrorAsk asks a peer for the changes after a revision.
 type mirrorAsk struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
@@ -52,6 +54,7 @@
 	WaitMillis int64
 }
 
+// mirrorAnswer holds them.
 type mirrorAnswer struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
@@ -62,6 +65,7 @@
 	AgeMillis int64
 }
 
+// mirrorChange is one change as peers send it.
 type mirrorChange struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
@@ -184,18 +188,11 @@
 
 // Run asks a peer for changes while the service is silent, until ctx ends.
 func (s *Mirrors) Run(ctx context.Context) {
-	t := time.NewTicker(askPause)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	wait.Every(ctx, askPause, func() {
 		if time.Since(s.mirror.Contact()) > silentAfter || !s.Follows() {
 			s.ask(ctx)
 		}
-	}
+	})
 }
 
 // ask takes what a peer knows more.
@@ -226,6 +223,7 @@
 	s.mirror.Take(changes, got.Revision, heard)
 }
 
+// pairs returns the whole copy that a peer sent.
 func (a *mirrorAnswer) pairs() []plat.Pair {
 	out := make([]plat.Pair, len(a.Changes))
 	for i, c := range a.Changes {
@@ -234,6 +232,7 @@
 	return out
 }
 
+// pair returns what the change leaves of its key.
 func (c mirrorChange) pair() plat.Pair {
 	return plat.Pair{Key: c.Key, Value: c.Value, ModRevision: c.Revision}
 }
@@ -252,6 +251,7 @@
 	return name
 }
 
+// forget makes a peer that did not answer not be asked before its next heartbeat.
 func (s *Mirrors) forget(peer string) {
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
