--- a/core/order/swap_test.go
+++ b/core/order/swap_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,11 +97,12 @@
 	right   *fakeRight
 	roster  *roster.Roster
 	swapper *Swapper
-	named   int64
+	named   atomic.Int64
 }
 
 func newSwapRig(t *testing.T, n int) *swapRig {
-	r := &swapRig{g: gomega.NewWithT(t), workers: &fakeWorkers{states: map[string]WorkerState{}}, right: &fakeRight{fence: 7}, named: 2}
+	r := &swapRig{g: gomega.NewWithT(t), workers: &fakeWorkers{states: map[string]WorkerState{}}, right: &fakeRight{fence: 7}}
+	r.named.Store(2)
 	r.roster = roster.New(&event.Log{}, nil)
 	for i := range n {
 		id := fmt.Sprintf("w%02d", i)
@@ -110,7 +112,7 @@
 	tbl := table.New(table.Spec{Services: []table.Service{{Name: "llm", Engine: &table.Engine{Models: []string{"m"}}}}})
 	r.swapper = NewSwapper(SwapOptions{
 		Name: "me", Rights: []Right{r.right}, Commander: r.workers, Roster: r.roster,
-		Table: func() *table.Table { return tbl }, Named: func(string) int64 { return r.named }, Log: &event.Log{},
+		Table: func() *table.Table { return tbl }, Named: func(string) int64 { return r.named.Load() }, Log: &event.Log{},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -122,7 +124,7 @@
 func (r *swapRig) behind() int {
 	n := 0
 	for _, t := range r.roster.Of("llm") {
-		if t.Entry().Weights["m"] < r.named {
+		if t.Entry().Weights["m"] < r.named.Load() {
 			n++
 		}
 	}
@@ -134,12 +136,15 @@
 	r.g.Expect(r.swapper.Wanted(0)).To(gomega.BeTrue())
 	r.g.Eventually(r.behind, "30s", "10ms").Should(gomega.BeZero())
 	r.g.Expect(r.swapper.Wanted(0)).To(gomega.BeFalse())
-	r.g.Expect(r.workers.given()).To(gomega.HaveLen(9))
-	r.g.Expect(r.workers.most).To(gomega.BeNumerically("<=", 3))
-	for _, o := range r.workers.given() {
+	given := r.workers.given()
+	r.g.Expect(given).To(gomega.HaveLen(9))
+	for _, o := range given {
 		r.g.Expect(o.Fence).To(gomega.Equal(uint64(7)))
 		r.g.Expect(o.After).To(gomega.BeZero())
 	}
+	r.workers.mu.Lock()
+	defer r.workers.mu.Unlock()
+	r.g.Expect(r.workers.most).To(gomega.BeNumerically("<=", 3))
 }
 
 func TestWithoutTheRightNoOrderIsGiven(t *testing.T) {
@@ -147,18 +152,20 @@
 	r.g.Eventually(r.behind, "30s", "10ms").Should(gomega.BeZero())
 	given := len(r.workers.given())
 	r.right.Refused(7)
-	r.named = 3
+	r.named.Store(3)
 	r.g.Consistently(func() int { return len(r.workers.given()) }, "500ms", "20ms").Should(gomega.Equal(given))
 }
 
 func TestAnOrderWithoutAnswerIsGivenAgainAndCountsOnce(t *testing.T) {
 	r := newSwapRig(t, 1)
+	r.workers.mu.Lock()
 	r.workers.verdict = func(n int, _ WeightOrder) (Verdict, error) {
 		if n == 0 {
 			return 0, errors.New("no answer")
 		}
 		return Taken, nil
 	}
+	r.workers.mu.Unlock()
 	r.g.Eventually(r.behind, "30s", "10ms").Should(gomega.BeZero())
 	r.g.Expect(r.workers.given()).To(gomega.HaveLen(2))
 	// The first one, carried out late, would find that the worker has taken
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -160,8 +160,6 @@
 	if errors.Is(err, ErrCompacted) {
 		*whole = false
 		m.log.Emit(event.ConfResynced, event.Ref{}, "the service has given up the history; everything is read anew")
-		// The history is gone but the service answers: read at once.
-		return m.follow(ctx, whole)
 	}
 	return err
 }
--- a/core/relay/end.go
+++ b/core/relay/end.go
@@ -19,7 +19,11 @@
 		st.Gone.Inc()
 		p.log(event.CallerGone, took)
 	case r != nil:
-		st.Refused.Inc()
+		if r.Ran == entry.NotRun {
+			st.Refused.Inc()
+		} else {
+			st.Failed.Inc()
+		}
 		p.relay.o.Dialect.Refusal(p.w.Header(), p.ask.ID, r.RetryAfter)
 		p.note("%s", r.Error())
 		if err := r.Write(p.w, p.ask.ID); err != nil {
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -102,10 +102,10 @@
 // noneLeft says why no target may get a request.
 func noneLeft(full, suspects, outdated int) string {
 	switch {
-	case outdated > 0:
-		return "all targets hold weights that were replaced too long ago"
 	case full > 0:
 		return allFull
+	case outdated > 0:
+		return "all targets hold weights that were replaced too long ago"
 	case suspects > 0:
 		return "no target answers"
 	}
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -39,7 +39,7 @@
 		return broken, nil
 	}
 	c.target.Answered(time.Now(), good, p.pace(c, time.Since(sent)))
-	if !good && p.route.MayRepeat() {
+	if !good && p.route.MayRepeat() && len(body) < plainMost {
 		return bad, ans
 	}
 	p.first = time.Now()
@@ -97,10 +97,16 @@
 
 // write passes on the whole answer.
 func (a *plainAnswer) write(p *pass) {
-	a.head(p, int64(len(a.body)))
 	if p.r.Method == http.MethodHead {
+		// The length is that of the body which a GET would get.
+		length, err := strconv.ParseInt(a.header.Get("Content-Length"), 10, 64)
+		if err != nil {
+			length = -1
+		}
+		a.head(p, length)
 		return
 	}
+	a.head(p, int64(len(a.body)))
 	if _, err := p.w.Write(a.body); err != nil {
 		p.note("the caller has gone: %v", err)
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -336,3 +336,14 @@
 		})
 	}
 }
+
+func TestLargeFailuresArePassedOnWhole(t *testing.T) {
+	r := newRig(t, nil)
+	large := strings.Repeat("x", plainMost+1000)
+	r.target("t1", "plain", always(answers(500, large)))
+	r.target("t2", "plain", always(answers(500, large)))
+	a := r.ask(http.MethodPost, "/again/", "x")
+	r.g.Expect(a.err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(a.status).To(gomega.Equal(500))
+	r.g.Expect(len(a.body)).To(gomega.Equal(len(large)))
+}
--- a/emberd/internal/host/host_test.go
+++ b/emberd/internal/host/host_test.go
@@ -31,6 +31,7 @@
 		{"unknown key", good + "colour: red\n", []string{"field colour not found"}},
 		{"several", strings.NewReplacer("name: box-1\n", "", "10.0.0.2:5", "nowhere", "112", "2").Replace(good), []string{"name: is required", "store: must be", "memoryMB: must be"}},
 		{"times", good + "bounds: {stop: 0s, weights: -1s}\ntuning: {heartbeat: 1s, suspect: 2s}\n", []string{"bounds.stop", "bounds.weights", "tuning.suspect"}},
+		{"log", good + "logLevel: loud\n", []string{"logLevel: must be"}},
 		{"retries", good + "retries: {share: -1}\nlogRate: 0\n", []string{"retries", "logRate"}},
 	}
 	for _, tc := range tests {
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"embertally.dev/emberd/internal/settings"
@@ -76,6 +77,7 @@
 	}
 	c.Need(s.MemoryMB >= leastMemoryMB, "memoryMB", fmt.Sprintf("must be at least %d", leastMemoryMB))
 	c.Need(s.LogRate > 0, "logRate", "must be more than 0")
+	c.Need(slices.Contains([]string{"debug", "info", "warning", "error"}, s.LogLevel), "logLevel", "must be debug, info, warning or error")
 	for _, d := range []struct {
 		field string
 		value time.Duration
