What reading the change once more showed: work done twice, a check that stood twice

For each choice of a worker the daemon worked out its share of the workers twice, and again where none of them answered: ranking all of them by hash each time, on the path of every prompt. It is worked out once and handed on. The bound on ages that peers tell stood in two places; it is one function. Behaviour stays; no assertion changed.

--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -281,14 +281,13 @@
 	return slices.Collect(maps.Values(m.pairs)), m.revision
 }
 
-// Take takes changes from a peer, or its whole copy, and when the service had
-// answered it.
+// Take takes changes from a peer, and when the service had answered it.
 func (m *Mirror) Take(changes []Change, revision int64, heard time.Time) {
 	m.apply(changes, revision)
 	m.hearVia(heard)
 }
 
-// TakeAll takes a peer's whole copy.
+// TakeAll takes a peer's whole copy, and when the service had answered it.
 func (m *Mirror) TakeAll(pairs []Pair, revision int64, heard time.Time) {
 	m.reset(pairs, revision)
 	m.hearVia(heard)
--- a/core/relay/learned.go
+++ b/core/relay/learned.go
@@ -70,16 +70,15 @@
 	return route.Speed{}
 }
 
-// shortWorkers returns the workers of a service that are set aside for short
-// prompts. All daemons that see the same list and mix name the same ones.
-func (rl *Relay) shortWorkers(service string) map[string]bool {
+// shortWorkers returns those of a service's workers that are set aside for
+// short prompts. All daemons that see the same list and mix name the same ones.
+func (rl *Relay) shortWorkers(service string, names []string) map[string]bool {
 	rl.allowMu.Lock()
 	var m route.Mix
 	if known := rl.mixes[service]; known != nil {
 		m = *known
 	}
 	rl.allowMu.Unlock()
-	names := rl.workers(service)
 	n := m.ShortWorkers(len(names))
 	if n == 0 {
 		return nil
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -45,30 +45,29 @@
 // all.
 func (p *pass) ownOptions(svc *table.Service, now time.Time) ([]option, string) {
 	if svc.Engine == nil {
-		return p.options(svc, nil, now)
+		return p.options(svc, nil, nil, now)
 	}
-	mine := map[string]bool{}
-	for _, name := range p.relay.workers(p.service) {
+	names := p.relay.workers(p.service)
+	short := p.relay.shortWorkers(p.service, names)
+	mine := make(map[string]bool, len(names))
+	for _, name := range names {
 		mine[name] = true
 	}
-	own, why := p.options(svc, mine, now)
+	own, why := p.options(svc, mine, short, now)
 	if len(own) > 0 || why == allFull {
 		return own, why
 	}
-	return p.options(svc, nil, now)
+	return p.options(svc, nil, short, now)
 }
 
 // options returns the targets that may get the request, or why there are none.
-// Where mine is not nil only the targets in it are looked at.
-func (p *pass) options(svc *table.Service, mine map[string]bool, now time.Time) ([]option, string) {
+// Where mine is not nil only the targets in it are looked at; short holds those
+// that are set aside for short prompts.
+func (p *pass) options(svc *table.Service, mine, short map[string]bool, now time.Time) ([]option, string) {
 	var out []option
 	ordered := p.relay.o.Roster.Ordered(now)
 	full, suspects, outdated := 0, 0, 0
 	speed := p.relay.speed(p.service)
-	var short map[string]bool
-	if svc.Engine != nil {
-		short = p.relay.shortWorkers(p.service)
-	}
 	for _, t := range p.relay.o.Roster.Of(p.service) {
 		if mine != nil && !mine[t.ID()] {
 			continue
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -80,7 +80,7 @@
 			// The caller has this event from the worker before.
 			continue
 		}
-		if err := p.pass(in, ev); err != nil {
+		if err := p.give(in, ev); err != nil {
 			in.Spoil()
 			return left
 		}
@@ -99,8 +99,8 @@
 	return id > last
 }
 
-// pass gives one event to the caller.
-func (p *pass) pass(in *target.Incoming, ev rawEvent) error {
+// give passes one event on to the caller.
+func (p *pass) give(in *target.Incoming, ev rawEvent) error {
 	rc := http.NewResponseController(p.w)
 	if err := rc.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
 		return errors.WithStack(err)
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -93,8 +93,13 @@
 	}
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
-	age := time.Duration(min(max(0, b.AgeMillis), mostAgeMillis)) * time.Millisecond
-	s.peers[peer] = time.Now().Add(-age)
+	s.peers[peer] = time.Now().Add(-toldAge(b.AgeMillis))
+}
+
+// toldAge returns an age that a peer told, which is bounded so that it cannot
+// wrap to a time in the future.
+func toldAge(millis int64) time.Duration {
+	return time.Duration(min(max(0, millis), mostAgeMillis)) * time.Millisecond
 }
 
 // answer tells a peer what has changed.
@@ -210,8 +215,7 @@
 	}
 	// The answer may have waited; its age counts from when it was given, and it
 	// was given before it arrived.
-	age := time.Duration(min(max(0, got.AgeMillis), mostAgeMillis)) * time.Millisecond
-	heard := time.Now().Add(-age - transitMargin)
+	heard := time.Now().Add(-toldAge(got.AgeMillis) - transitMargin)
 	if got.All {
 		s.mirror.TakeAll(got.pairs(), got.Revision, heard)
 		return
