Long prompts are told to other daemons at once

Cause: daemons chose workers on loads that were 75 ms old on the mean (a heartbeat each 150 ms). Change: a long prompt that is sent makes the daemon's next heartbeat come 5 ms later; kickPause 20 ms to 5 ms. Test: TestLongPromptsAreToldAtOnce, failed before.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -198,8 +198,9 @@
 	}
 }
 
-// kickPause is the least time between heartbeats.
-const kickPause = 20 * time.Millisecond
+// kickPause gathers what changes together. Daemons that choose on loads of 75 ms
+// ago, the mean age with heartbeats alone, all take the same worker.
+const kickPause = 5 * time.Millisecond
 
 // loop sends heartbeats and notices lost peers.
 func (f *Fleet) loop(ctx context.Context) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -48,6 +48,9 @@
 	// CopyMay reports whether parts may be copied from stores: the daemon has
 	// heard lately which weights are named.
 	CopyMay func() bool
+	// Placed hears of each long prompt that is sent, so that other daemons learn
+	// of it at once.
+	Placed func()
 	// Share returns the workers that this daemon's requests go to, where a large
 	// fleet shares them out so that daemons know the load of theirs.
 	Share func(names []string) []string
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -312,6 +312,29 @@
 	}
 }
 
+// Other daemons hear of a long prompt while it runs, with the work that it
+// adds, so that they do not all take the same worker.
+func TestLongPromptsAreToldAtOnce(t *testing.T) {
+	tests := []struct {
+		name  string
+		parts string
+		want  []int
+	}{
+		{"long prompt", "a:3000 b:10", []int{3010}},
+		{"short prompt", "a:300 b:10", nil},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
+			var told []int
+			r.relay.o.Placed = func() { told = append(told, r.roster.Target("t1").Own().Held) }
+			r.g.Expect(r.ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", tc.parts).status).To(gomega.Equal(http.StatusOK))
+			r.g.Expect(told).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
 func TestAFullShareOfWorkersIsNotLeftForOthers(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -194,7 +194,7 @@
 	r.relay = New(Options{
 		Dialect: plainDialect{}, Roster: r.roster, Pool: &target.Pool{}, Kept: r.kept, Where: &cache.Where{}, Log: r.log, Stats: NewStats(),
 		Named: func(string) int64 { return r.named }, Current: func() bool { return !r.stale }, Outdated: func(_ string, v int64) bool { return v < r.least }, CopyMay: func() bool { return true },
-		Daemons: func() int { return 1 }, Age: func() time.Duration { return 0 }, Share: func(names []string) []string { return names }, RetryShare: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
+		Daemons: func() int { return 1 }, Placed: func() {}, Age: func() time.Duration { return 0 }, Share: func(names []string) []string { return names }, RetryShare: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 	})
 	r.relay.SetTable(table.New(table.Spec{
 		Version: 1, Routes: testRoutes,
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -13,6 +13,7 @@
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/route"
 	"embertally.dev/core/table"
 	"embertally.dev/core/target"
 )
@@ -20,6 +21,9 @@
 // attempt sends the request to one target and passes its answer on.
 func (p *pass) attempt(ctx context.Context, c *choice) (outcome, *plainAnswer) {
 	c.target.Begin(c.load)
+	if p.ask.Prompt > route.ShortPrompt {
+		p.relay.o.Placed()
+	}
 	read := false
 	defer func() {
 		l := c.load
