Small parts before large ones are kept and copied with them

A prompt whose first part is small, as a common instruction before a long text, would never have had its long part copied; the users' sites have none such today, others of their kinds may. Change: the copyable parts of a prompt are those up to its last large one. Test: TestSmallPartsBeforeLargeOnesAreCopiedWithThem, failed before.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -73,25 +73,21 @@
 	}
 	c.Memory = svc.Engine.MemoryTokens
 	c.Old = o.version < p.relay.o.Named(p.ask.Model)
-	for _, part := range p.sharedParts() {
-		if part.Tokens < copyFrom {
+	list, copied := p.sources(svc, o, now)
+	for i, part := range p.sharedParts() {
+		switch {
+		case i >= len(list) && usual:
 			// Small parts are not looked for: they are where such requests
 			// usually go.
-			if usual {
-				c.Kept += part.Tokens
-			} else {
-				c.Again += part.Tokens
-			}
-			continue
-		}
-		src := p.source(svc, o, part, now)
-		switch {
-		case src.here:
 			c.Kept += part.Tokens
-		case src.address != "":
+		case i >= len(list):
+			c.Again += part.Tokens
+		case list[i].here:
+			c.Kept += part.Tokens
+		case i < copied:
 			c.Copied += part.Tokens
-			c.CopyTime += src.time
-		case src.read:
+			c.CopyTime += list[i].time
+		case list[i].read:
 			c.Again += part.Tokens
 		}
 	}
--- a/core/relay/parts.go
+++ b/core/relay/parts.go
@@ -12,6 +12,19 @@
 // kept there: below, a copy takes longer than the prompt's reading.
 const copyFrom = 1000
 
+// copyable returns how many of the first shared parts are copied and kept: those
+// up to the last large one. Engines copy no part after one that no place is named
+// for, so that small parts before a large one count with it.
+func (p *pass) copyable() int {
+	n := 0
+	for i, part := range p.sharedParts() {
+		if part.Tokens >= copyFrom {
+			n = i + 1
+		}
+	}
+	return n
+}
+
 // sharedParts are the parts that other requests have as well: all but the last.
 func (p *pass) sharedParts() []cache.Part {
 	if len(p.ask.Parts) < 2 {
@@ -71,6 +84,21 @@
 	return out
 }
 
+// sources finds the copyable parts for a worker, and how many of them are copied:
+// none after one that is nowhere.
+func (p *pass) sources(svc *table.Service, o option, now time.Time) (list []source, copied int) {
+	broken := false
+	for i, part := range p.sharedParts()[:p.copyable()] {
+		src := p.source(svc, o, part, now)
+		list = append(list, src)
+		broken = broken || src.address == ""
+		if !broken {
+			copied = i + 1
+		}
+	}
+	return list, copied
+}
+
 // copies names where parts are copied from and which stores they are sent to.
 func (p *pass) copies(svc *table.Service, c *choice, o option, now time.Time) {
 	shared := p.sharedParts()
@@ -78,28 +106,25 @@
 		return
 	}
 	from, to := make([]string, len(p.ask.Parts)), make([]string, len(p.ask.Parts))
-	copies, keeps := false, false
+	keeps := false
 	newest := o.version >= p.relay.o.Named(p.ask.Model)
-	for i, part := range shared {
-		if part.Tokens < copyFrom {
-			continue
-		}
-		name := cache.PartName{Salt: c.sending.Salt, ID: part.ID}
-		src := p.source(svc, o, part, now)
-		if src.address != "" {
-			from[i], copies = src.address, true
-		}
-		if src.until > 0 && (c.sending.CopyUntil == 0 || src.until < c.sending.CopyUntil) {
-			c.sending.CopyUntil = src.until
+	list, copied := p.sources(svc, o, now)
+	for i, src := range list {
+		name := cache.PartName{Salt: c.sending.Salt, ID: shared[i].ID}
+		if i < copied {
+			from[i] = src.address
+			if src.until > 0 && (c.sending.CopyUntil == 0 || src.until < c.sending.CopyUntil) {
+				c.sending.CopyUntil = src.until
+			}
 		}
 		if src.until == 0 && newest {
 			// No store has it.
-			to[i] = p.relay.o.Kept.Room(name, part.Tokens, now)
+			to[i] = p.relay.o.Kept.Room(name, shared[i].Tokens, now)
 			keeps = keeps || to[i] != ""
 		}
 		p.relay.o.Where.Note(name, o.target.ID(), now)
 	}
-	if copies {
+	if copied > 0 {
 		c.sending.Copy = from
 		p.note("copied from %s", strings.Join(from, ","))
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -217,9 +217,9 @@
 }
 
 // keptPart makes the rig's stores hold one part under a salt.
-func keptPart(r *rig, salt string) {
+func keptPart(r *rig, salt, id string) {
 	r.kept.Set(t0(r.t), []cache.StoreInfo{{Address: "store:1", Room: 1 << 20}})
-	name := cache.PartName{Salt: salt, ID: "shared"}
+	name := cache.PartName{Salt: salt, ID: id}
 	r.g.Eventually(func() bool {
 		_, ok := r.kept.Find(name, "", time.Now())
 		return ok
@@ -246,7 +246,7 @@
 			salt := cache.PartSalt{Model: "m", Version: 1}.String()
 			r := newRig(t, noStores{[]cache.PartChange{{PartName: cache.PartName{Salt: salt, ID: "shared"}, Tokens: 5000}}})
 			r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
-			keptPart(r, salt)
+			keptPart(r, salt, "shared")
 			r.named = tc.named
 			r.ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", "shared:5000 own:10")
 			r.g.Expect(r.sends()).To(gomega.HaveLen(1))
@@ -256,6 +256,39 @@
 	}
 }
 
+// Engines copy no part after one that no place is named for, so that small
+// parts are kept and named with the large ones that they stand before.
+func TestSmallPartsBeforeLargeOnesAreCopiedWithThem(t *testing.T) {
+	salt := cache.PartSalt{Model: "m", Version: 1}.String()
+	part := func(id string, tokens int) cache.PartChange {
+		return cache.PartChange{PartName: cache.PartName{Salt: salt, ID: id}, Tokens: tokens}
+	}
+	tests := []struct {
+		name   string
+		stored []cache.PartChange
+		parts  string
+		copy   string
+		keep   string
+	}{
+		{"both in the store", []cache.PartChange{part("first", 60), part("text", 5000)}, "first:60 text:5000 own:10", "store:1,store:1,", ""},
+		{"the small one not in the store", []cache.PartChange{part("text", 5000)}, "first:60 text:5000 own:10", "", "store:1,,"},
+		{"a small one after it", []cache.PartChange{part("text", 5000)}, "text:5000 last:60 own:10", "store:1,,", ""},
+		{"none in the store", []cache.PartChange{part("else", 10)}, "first:60 text:5000 own:10", "", "store:1,store:1,"},
+		{"small ones only", []cache.PartChange{part("first", 60)}, "first:60 session:240 own:10", "", ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, noStores{tc.stored})
+			r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
+			keptPart(r, salt, tc.stored[0].ID)
+			r.ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", tc.parts)
+			r.g.Expect(r.sends()).To(gomega.HaveLen(1))
+			r.g.Expect(r.sends()[0].header.Get("Copy")).To(gomega.Equal(tc.copy))
+			r.g.Expect(r.sends()[0].header.Get("Keep")).To(gomega.Equal(tc.keep))
+		})
+	}
+}
+
 func TestIsolatedOrganisationsHaveASaltOfTheirOwn(t *testing.T) {
 	r := newRig(t, nil)
 	r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
