--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -43,13 +43,31 @@
 		list[i] = p.candidate(svc, o, o.target == usual, now)
 	}
 	asked := p.asked(svc)
-	at := route.Pick(asked, list, draw())
+	at := route.PickBy(p.placement(svc), asked, list, route.Spot{Context: p.context(), Turn: p.relay.turn.Add(1), Chance: draw()})
 	if at < 0 {
 		return nil, why
 	}
 	return p.chosen(svc, options[at], asked, list[at], len(list) == 1, now), ""
 }
 
+// placement is how a worker is chosen; the placements to measure against are for
+// engines only.
+func (p *pass) placement(svc *table.Service) route.Placement {
+	if svc.Engine == nil {
+		return route.Returning
+	}
+	return p.relay.o.Placement
+}
+
+// context is the hash of the last shared part, or 0.
+func (p *pass) context() uint64 {
+	parts := p.sharedParts()
+	if len(parts) == 0 {
+		return 0
+	}
+	return fleet.Key(parts[len(parts)-1].ID)
+}
+
 // plainWorkShare is the part of a route's aim that the work of a plain call
 // usually takes: the users' aims are five times the work.
 const plainWorkShare = 0.2
@@ -121,7 +139,7 @@
 			byName[o.target.ID()] = o.target
 		}
 	}
-	return byName[fleet.First(fleet.Key(parts[len(parts)-1].ID), names)]
+	return byName[fleet.First(p.context(), names)]
 }
 
 // chosen works out what is said to the target.
--- a/core/relay/parts.go
+++ b/core/relay/parts.go
@@ -102,7 +102,7 @@
 // copies names where parts are copied from and which stores they are sent to.
 func (p *pass) copies(svc *table.Service, c *choice, o option, now time.Time) {
 	shared := p.sharedParts()
-	if len(shared) == 0 || o.version == 0 {
+	if len(shared) == 0 || o.version == 0 || !p.relay.o.Placement.Exports() {
 		return
 	}
 	from, to := make([]string, len(p.ask.Parts)), make([]string, len(p.ask.Parts))
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -33,6 +33,8 @@
 	Where   *cache.Where
 	Log     *event.Log
 	Stats   *Stats
+	// Placement chooses the workers; the zero value stands for route.Returning.
+	Placement route.Placement
 	// Domain is the failure domain of this daemon.
 	Domain string
 	// Named returns the newest version named of a model's weights.
@@ -67,6 +69,8 @@
 type Relay struct {
 	o     Options
 	table atomic.Pointer[table.Table]
+	// turn counts the choices.
+	turn atomic.Uint64
 	// began is the origin of the steady time that allowances count in.
 	began   time.Time
 	running atomic.Int64
@@ -86,6 +90,9 @@
 
 // New returns a relay that has no table yet.
 func New(o Options) *Relay {
+	if o.Placement == "" {
+		o.Placement = route.Returning
+	}
 	return &Relay{o: o, began: time.Now(), allowances: map[string]*route.Allowance{}, mixes: map[string]*route.Mix{}, speeds: map[string]*route.Speed{}}
 }
 
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -165,6 +165,40 @@
 	return cost
 }
 
+// Spot is what the placements that are kept to measure against go by, beside the
+// candidates.
+type Spot struct {
+	// Context is the hash of the last part that other requests have as well.
+	Context uint64
+	// Turn rises with each request.
+	Turn uint64
+	// Chance is drawn from [0, 1).
+	Chance float64
+}
+
+// PickBy returns the index of the candidate that a placement takes, or -1
+// without candidates.
+func PickBy(p Placement, a Asked, list []Candidate, s Spot) int {
+	if len(list) == 0 {
+		return -1
+	}
+	switch p {
+	case RoundRobin:
+		return int(s.Turn % uint64(len(list)))
+	case StickyHash:
+		return int(s.Context % uint64(len(list)))
+	case LeastTokens:
+		least := 0
+		for i, c := range list {
+			if c.Unread < list[least].Unread {
+				least = i
+			}
+		}
+		return least
+	}
+	return Pick(a, list, s.Chance)
+}
+
 // nearPick is the difference in cost that is left to chance, so that daemons
 // which decide on the same reports do not all take the same target.
 const nearPick = 2 * time.Millisecond
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -25,6 +25,7 @@
 	"embertally.dev/core/plat"
 	"embertally.dev/core/relay"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/route"
 	"embertally.dev/core/spread"
 	"embertally.dev/core/target"
 	"embertally.dev/platform"
@@ -119,7 +120,7 @@
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Log: h.log, Stats: h.stats,
-		Placed: h.fleet.Kick,
+		Placement: route.Placement(h.set.Placement), Placed: h.fleet.Kick,
 		Domain: h.set.Domain, Named: h.named.version, Daemons: h.daemons.count,
 		Share: func(names []string) []string { return h.fleet.View().Share(names) },
 		Outdated: func(model string, version int64) bool {
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"embertally.dev/core/route"
 	"embertally.dev/emberd/internal/settings"
 )
 
@@ -18,6 +19,7 @@
 	Metrics   string  `yaml:"metrics" doc:"IP address and port of the figures, GET /metrics. Required."`
 	Store     string  `yaml:"store" doc:"IP address and port of the platform's store. Required."`
 	MemoryMB  int64   `yaml:"memoryMB" doc:"Memory that the process may use. Required."`
+	Placement string  `yaml:"placement" doc:"How model workers are chosen: returning, or roundRobin, leastTokens or stickyHash to measure against; these copy nothing from stores."`
 	LogLevel  string  `yaml:"logLevel" doc:"Least severity of log lines: debug, info, warning or error."`
 	LogRate   int     `yaml:"logRate" doc:"Most lines of one event in a second; warnings and errors get five times as many."`
 	Bounds    Bounds  `yaml:"bounds" doc:"What the deployment promises and asks for."`
@@ -49,7 +51,7 @@
 // Defaults returns the settings that hold where a file says nothing.
 func Defaults() Settings {
 	return Settings{
-		LogLevel: "info", LogRate: 40,
+		Placement: string(route.Returning), LogLevel: "info", LogRate: 40,
 		Bounds:  Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second},
 		Retries: Retries{Share: 0.2, Window: 10 * time.Second},
 		Tuning:  Tuning{Heartbeat: 150 * time.Millisecond, Suspect: 1500 * time.Millisecond},
@@ -76,6 +78,7 @@
 		c.Address(a.field, a.value)
 	}
 	c.Need(s.MemoryMB >= leastMemoryMB, "memoryMB", fmt.Sprintf("must be at least %d", leastMemoryMB))
+	c.Need(slices.Contains(hostPlacements, route.Placement(s.Placement)), "placement", "must be returning, roundRobin, leastTokens or stickyHash")
 	c.Need(s.LogRate > 0, "logRate", "must be more than 0")
 	c.Need(slices.Contains([]string{"debug", "info", "warning", "error"}, s.LogLevel), "logLevel", "must be debug, info, warning or error")
 	for _, d := range []struct {
@@ -96,5 +99,8 @@
 	return c.Faults()
 }
 
+// hostPlacements are the placements that a hosted daemon knows.
+var hostPlacements = []route.Placement{route.Returning, route.RoundRobin, route.LeastTokens, route.StickyHash}
+
 // leastMemoryMB is what a daemon with libraries and buffers needs at start.
 const leastMemoryMB = 24
