A daemon that starts while the platform's store is away gets its state from its peers

Peers are asked for a whole copy only where their address is known, and that stood in the store alone. Ruled out: the copy itself (peers hand it out), readiness (needs a table only). Change: full heartbeats tell the sender's address; without a box list, peers that are heard count. Test: TestADaemonStartsFromItsPeersWhileTheStoreIsAway, real processes; failed before. Its first form failed once in four: peers had not yet heard of the daemon before the outage, which the test now waits for.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -45,6 +45,10 @@
 type Options struct {
 	Name        string
 	Incarnation string
+	// Address and Domain are told in heartbeats, so that a peer that cannot read
+	// the box list finds this daemon; an empty address is not told.
+	Address string
+	Domain  string
 	// Seeds are peers known from the settings, for when the box list cannot be
 	// read.
 	Seeds []Peer
@@ -101,6 +105,9 @@
 	incarnation string
 	draining    bool
 	alive       bool
+	// address and domain are the peer's where it told them.
+	address string
+	domain  string
 	// full is the incarnation of the peer that a full heartbeat was taken from.
 	full string
 	// acknowledged is this daemon's incarnation of which the peer says that it
@@ -124,6 +131,9 @@
 	// heartbeat; without it the receiver goes on sending full ones.
 	Taken string
 	Parts []beatPart
+	// Address and Domain are the sender's; full heartbeats tell them.
+	Address string
+	Domain  string
 }
 
 type beatPart struct {
@@ -316,6 +326,9 @@
 func (f *Fleet) collect(full bool) *beat {
 	f.fleetMu.Lock()
 	b := &beat{Incarnation: f.o.Incarnation, Draining: f.draining, Full: full}
+	if full {
+		b.Address, b.Domain = f.o.Address, f.o.Domain
+	}
 	f.fleetMu.Unlock()
 	for _, p := range f.parts {
 		v := p.part.Collect(full)
@@ -376,6 +389,8 @@
 	h.incarnation, h.draining, h.acknowledged = b.Incarnation, b.Draining, b.Taken
 	if b.Full {
 		h.full = b.Incarnation
+		changed = changed || h.address != b.Address
+		h.address, h.domain = b.Address, b.Domain
 	}
 	return changed
 }
@@ -428,7 +443,7 @@
 }
 
 // knownPeers joins the box list with the settings; the list counts where both
-// name a peer.
+// name a peer. Without a list, peers that are heard count as well.
 func (f *Fleet) knownPeers() []Peer {
 	byName := map[string]Peer{}
 	for _, s := range f.o.Seeds {
@@ -443,12 +458,25 @@
 			byName[b.Name] = Peer{Name: b.Name, Address: b.Address, Domain: b.Domain}
 		}
 	}
+	if !f.boxesKnown {
+		f.addHeard(byName)
+	}
 	delete(byName, f.o.Name)
 	out := slices.Collect(maps.Values(byName))
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
 
+// addHeard adds the peers that told where they are. It is called with fleetMu
+// held.
+func (f *Fleet) addHeard(byName map[string]Peer) {
+	for name, h := range f.heard {
+		if _, known := byName[name]; !known && h.alive && h.address != "" {
+			byName[name] = Peer{Name: name, Address: h.address, Domain: h.domain}
+		}
+	}
+}
+
 func (f *Fleet) link(p Peer) *wire.Link {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -77,7 +77,7 @@
 	h.mirror.Observe(h.observe)
 	h.roster = roster.New(h.log, h.mirror.Regained)
 	h.fleet = fleet.New(fleet.Options{
-		Name: set.Name, Incarnation: incarnation, Heartbeat: set.Tuning.Heartbeat, Suspect: set.Tuning.Suspect,
+		Name: set.Name, Incarnation: incarnation, Address: set.Peers, Domain: set.Domain, Heartbeat: set.Tuning.Heartbeat, Suspect: set.Tuning.Suspect,
 		BoxPause: boxPause, Boxes: &boxes{mirror: h.mirror}, Log: h.log,
 	})
 	h.fleet.Attach("roster", roster.Share{Roster: h.roster})
