Route's files by matter: costs, placements, the mix of prompts

Cause: pick.go held the weights, the costs, the choice, the placements to measure against and the mix of prompts; the type of a placement stood in place.go. Tests of core green.

--- a/core/route/place.go
+++ b/core/route/place.go
@@ -13,36 +13,6 @@
 	"time"
 )
 
-// Placement names a way to choose a worker.
-type Placement string
-
-// The placements. All but Returning are there to be measured against.
-const (
-	// Returning weighs queue, import and recomputation.
-	Returning Placement = "returning"
-	// RoundRobin takes the workers in turn.
-	RoundRobin Placement = "roundRobin"
-	// LeastTokens takes the worker with the least projected work, as in
-	// "Capacity-aware inference: why heterogeneous GPUs need a scheduler, not a
-	// retry loop", section 7.
-	LeastTokens Placement = "leastTokens"
-	// StickyHash takes the worker that the context's hash names.
-	StickyHash Placement = "stickyHash"
-	// Always takes the least projected work, and always exports and imports.
-	Always Placement = "always"
-	// First is the project's first working version: the worker that holds
-	// most, else the least projected work with everything imported.
-	First Placement = "first"
-)
-
-// Placements lists all placements.
-func Placements() []Placement {
-	return []Placement{Returning, RoundRobin, LeastTokens, StickyHash, Always, First}
-}
-
-// Exports reports whether a placement writes contexts to stores.
-func (p Placement) Exports() bool { return p == Returning || p == Always || p == First }
-
 // Prices turn the measures into seconds of first-token time.
 type Prices struct {
 	// FirstToken multiplies the expected time to first token.
--- /dev/null
+++ b/core/route/placement_test.go
@@ -0,0 +1,26 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func TestPlacementsToMeasureAgainst(t *testing.T) {
+	list := []Candidate{{Slots: 4, Unread: 500}, {Slots: 4, Unread: 900, Kept: 5000}, {Slots: 4, Unread: 100, Again: 5000}}
+	spot := Spot{Context: 7, Turn: 5, Chance: 0.5}
+	tests := []struct {
+		placement Placement
+		list      []Candidate
+		want      int
+	}{
+		{Returning, list, 1},
+		{RoundRobin, list, 2},
+		{LeastTokens, list, 2},
+		{StickyHash, list, 1},
+		{StickyHash, nil, -1},
+	}
+	for _, tc := range tests {
+		gomega.NewWithT(t).Expect(PickBy(tc.placement, Asked{Tokens: 5100}, tc.list, spot)).To(gomega.Equal(tc.want), string(tc.placement))
+	}
+}
