--- /dev/null
+++ b/core/fleet/call.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/wire"
+)
+
+// link returns the link to a peer, a new one where its address has changed.
+func (f *Fleet) link(p Peer) *wire.Link {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	l := f.links[p.Name]
+	if l == nil || l.Address() != p.Address {
+		if l != nil {
+			l.Close()
+		}
+		l = wire.NewLink(f.o.Name, p.Name, p.Address, f.o.TLS)
+		f.links[p.Name] = l
+	}
+	return l
+}
+
+// ErrNoPeer says that a daemon is not known.
+var ErrNoPeer = errors.New("no such daemon is known")
+
+// failPause is how long a peer of another cell counts as lost after a failed
+// call.
+const failPause = 2 * time.Second
+
+// Call sends a message to a peer and waits for its answer.
+func (f *Fleet) Call(ctx context.Context, peer string, kind wire.Kind, req, resp any) error {
+	p, ok := f.View().peer(peer)
+	if !ok || p.Address == "" {
+		return errors.Wrapf(wire.ErrNotSent, "%s: %v", peer, ErrNoPeer)
+	}
+	err := f.link(p).Call(ctx, kind, req, resp)
+	if err != nil && !errors.Is(err, wire.ErrRemote) {
+		f.fleetMu.Lock()
+		f.failed[peer] = time.Now().Add(failPause)
+		f.fleetMu.Unlock()
+	}
+	return err
+}
+
+// Notify sends a message that gets no answer.
+func (f *Fleet) Notify(ctx context.Context, peer string, kind wire.Kind, msg any) error {
+	p, ok := f.View().peer(peer)
+	if !ok || p.Address == "" {
+		return errors.Wrapf(wire.ErrNotSent, "%s: %v", peer, ErrNoPeer)
+	}
+	return f.link(p).Notify(ctx, kind, msg)
+}
+
+// Bytes returns how many bytes went between this daemon and its peers.
+func (f *Fleet) Bytes() int64 {
+	n := f.mux.Bytes()
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	for _, l := range f.links {
+		n += l.Bytes()
+	}
+	return n
+}
--- /dev/null
+++ b/core/fleet/peers.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"embertally.dev/core/plat"
+)
+
+// rebuild makes the view anew from what is known.
+func (f *Fleet) rebuild() {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	v := &View{
+		self: f.o.Name, boxes: f.boxes, boxesKnown: f.boxesKnown, marks: maps.Clone(f.marks),
+		draining: f.draining, at: time.Now(),
+	}
+	known := f.knownPeers()
+	v.cells = cellCount(len(known) + 1)
+	v.cell = v.CellOf(f.o.Name)
+	for _, p := range known {
+		f.fill(&p, v)
+		v.peers = append(v.peers, p)
+		if p.Alive && !p.Draining && p.Cell == v.cell {
+			v.duty = append(v.duty, p.Name)
+		}
+	}
+	if !f.draining {
+		v.duty = append(v.duty, f.o.Name)
+	}
+	sort.Strings(v.duty)
+	f.view.Store(v)
+	f.closeLinks(v)
+}
+
+// closeLinks closes the links to peers that a view no longer names. It is called
+// with fleetMu held.
+func (f *Fleet) closeLinks(v *View) {
+	for name, l := range f.links {
+		if _, known := v.peer(name); !known {
+			l.Close()
+			delete(f.links, name)
+		}
+	}
+}
+
+// fill completes a peer from its heartbeats and the box list. It is called with
+// fleetMu held.
+func (f *Fleet) fill(p *Peer, v *View) {
+	p.Cell = v.CellOf(p.Name)
+	if h := f.heard[p.Name]; h != nil {
+		p.Alive, p.Incarnation, p.Draining = h.alive, h.incarnation, h.draining
+	}
+	if p.Cell != v.cell {
+		p.Alive = v.at.After(f.failed[p.Name])
+	}
+	box := f.boxes[p.Name]
+	p.Listed = box.State == plat.BoxLive
+	if box.State == plat.BoxLeaving {
+		p.Draining = true
+	}
+}
+
+// knownPeers joins the box list with the settings; the list counts where both
+// name a peer. Without a list, peers whose heartbeats carried an address count as
+// well. It is called with fleetMu held.
+func (f *Fleet) knownPeers() []Peer {
+	byName := map[string]Peer{}
+	for _, s := range f.o.Seeds {
+		_, listed := f.boxes[s.Name]
+		heard := f.heard[s.Name]
+		if !f.boxesKnown || listed || (heard != nil && heard.alive) {
+			byName[s.Name] = s
+		}
+	}
+	for _, b := range f.boxes {
+		if b.Role == plat.RoleEntry {
+			byName[b.Name] = Peer{Name: b.Name, Address: b.Address, Domain: b.Domain}
+		}
+	}
+	if !f.boxesKnown {
+		f.addHeard(byName)
+	}
+	delete(byName, f.o.Name)
+	out := slices.Collect(maps.Values(byName))
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// addHeard adds the live peers whose heartbeats carried an address. It is called
+// with fleetMu held.
+func (f *Fleet) addHeard(byName map[string]Peer) {
+	for name, h := range f.heard {
+		if _, known := byName[name]; !known && h.alive && h.address != "" {
+			byName[name] = Peer{Name: name, Address: h.address, Domain: h.domain}
+		}
+	}
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -162,3 +162,20 @@
 	// Stamp orders the marks of a target; the highest counts.
 	Stamp int64 `msgpack:"s" json:"stamp"`
 }
+
+// peer returns a daemon by name.
+func (v *View) peer(name string) (Peer, bool) {
+	i, ok := slices.BinarySearchFunc(v.peers, name, func(p Peer, n string) int {
+		if p.Name < n {
+			return -1
+		}
+		if p.Name > n {
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return Peer{}, false
+	}
+	return v.peers[i], true
+}
