Relay: what is copied and what is kept are functions of their own

Cause: copies and candidate each did several things in one loop. Now weighParts, setCopy, setKeep and partName; copyFrom, a size, is copyLeast, as other least sizes are named. No change of behaviour. Tests of core green, those of relay with the race detector too.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -43,7 +43,8 @@
 		list[i] = p.candidate(svc, o, o.target == usual, now)
 	}
 	asked := p.asked(svc)
-	at := route.PickBy(p.placement(svc), asked, list, route.Spot{Context: p.context(), Turn: p.relay.turn.Add(1), Chance: draw()})
+	spot := route.Spot{Context: p.context(), Turn: p.relay.turn.Add(1), Chance: draw()}
+	at := route.PickBy(p.placement(svc), asked, list, spot)
 	if at < 0 {
 		return nil, why
 	}
@@ -91,12 +92,18 @@
 	}
 	c.Memory = svc.Engine.MemoryTokens
 	c.Old = o.version < p.relay.o.Named(p.ask.Model)
+	p.weighParts(&c, svc, o, usual, now)
+	return c
+}
+
+// weighParts works out how a worker gets the shared parts: held, copied or read.
+func (p *pass) weighParts(c *route.Candidate, svc *table.Service, o option, usual bool, now time.Time) {
 	list, copied := p.sources(svc, o, now)
 	for i, part := range p.sharedParts() {
 		switch {
 		case i >= len(list) && usual:
-			// Small parts are not looked for: they are where such requests
-			// usually go.
+			// Small parts after the last large one are not looked for: they are
+			// where such requests usually go.
 			c.Kept += part.Tokens
 		case i >= len(list):
 			c.Again += part.Tokens
@@ -109,7 +116,6 @@
 			c.Again += part.Tokens
 		}
 	}
-	return c
 }
 
 // usual returns the worker that requests with the same last shared part go to
--- a/core/relay/parts.go
+++ b/core/relay/parts.go
@@ -8,9 +8,9 @@
 	"embertally.dev/core/table"
 )
 
-// copyFrom is the size, in tokens, from which a part is copied from a store or
+// copyLeast is the size, in tokens, from which a part is copied from a store or
 // kept there: below, a copy takes longer than the prompt's reading.
-const copyFrom = 1000
+const copyLeast = 1000
 
 // copyable returns how many of the first shared parts are copied and kept: those
 // up to the last large one. Engines copy no part after one that no place is named
@@ -18,7 +18,7 @@
 func (p *pass) copyable() int {
 	n := 0
 	for i, part := range p.sharedParts() {
-		if part.Tokens >= copyFrom {
+		if part.Tokens >= copyLeast {
 			n = i + 1
 		}
 	}
@@ -50,7 +50,8 @@
 	read bool
 	// address is the store or worker that the part can be copied from, or "".
 	address string
-	time    time.Duration
+	// time is how long the copy takes.
+	time time.Duration
 	// until is when a copy is void, on the targets' clock; 0 for workers, which
 	// free nothing that they hand out.
 	until time.Duration
@@ -59,10 +60,10 @@
 // workerFirst is the wait before the first byte of a copy between workers.
 const workerFirst = 61 * time.Millisecond
 
-// source finds a part for a worker.
-func (p *pass) source(svc *table.Service, o option, part cache.Part, now time.Time) source {
+// source finds the part at an index of the prompt for a worker.
+func (p *pass) source(svc *table.Service, o option, at int, now time.Time) source {
 	var out source
-	name := cache.PartName{Salt: p.salt(o.version).String(), ID: part.ID}
+	name, part := p.partName(o, at), p.ask.Parts[at]
 	holder, read := p.relay.o.Where.Find(name, now)
 	out.here, out.read = holder == o.target.ID(), read
 	// Parts of superseded weights in stores are about to be freed.
@@ -84,52 +85,70 @@
 	return out
 }
 
-// sources finds the copyable parts for a worker, and how many of them are copied:
-// none after one that is nowhere.
+// sources finds the copyable parts for a worker, in the order of the prompt. copied
+// is how many of them are copied: the first ones that all have an address.
 func (p *pass) sources(svc *table.Service, o option, now time.Time) (list []source, copied int) {
-	broken := false
-	for i, part := range p.sharedParts()[:p.copyable()] {
-		src := p.source(svc, o, part, now)
-		list = append(list, src)
-		broken = broken || src.address == ""
-		if !broken {
-			copied = i + 1
-		}
+	for at := range p.copyable() {
+		list = append(list, p.source(svc, o, at, now))
+	}
+	for copied < len(list) && list[copied].address != "" {
+		copied++
 	}
 	return list, copied
 }
 
-// copies names where parts are copied from and which stores they are sent to.
+// copies says where parts are copied from and which stores they are sent to, and
+// records that the worker will hold them.
 func (p *pass) copies(svc *table.Service, c *choice, o option, now time.Time) {
-	shared := p.sharedParts()
-	if len(shared) == 0 || o.version == 0 || !p.relay.o.Placement.Exports() {
+	if len(p.sharedParts()) == 0 || o.version == 0 || !p.relay.o.Placement.Exports() {
 		return
 	}
-	from, to := make([]string, len(p.ask.Parts)), make([]string, len(p.ask.Parts))
-	keeps := false
-	newest := o.version >= p.relay.o.Named(p.ask.Model)
 	list, copied := p.sources(svc, o, now)
-	for i, src := range list {
-		name := cache.PartName{Salt: c.sending.Salt, ID: shared[i].ID}
-		if i < copied {
-			from[i] = src.address
-			if src.until > 0 && (c.sending.CopyUntil == 0 || src.until < c.sending.CopyUntil) {
-				c.sending.CopyUntil = src.until
-			}
-		}
-		if src.until == 0 && newest {
-			// No store has it.
-			to[i] = p.relay.o.Kept.Room(name, shared[i].Tokens, now)
-			keeps = keeps || to[i] != ""
+	p.setCopy(&c.sending, list[:copied])
+	if o.version >= p.relay.o.Named(p.ask.Model) {
+		p.setKeep(&c.sending, list, o, now)
+	}
+	for i := range list {
+		p.relay.o.Where.Note(p.partName(o, i), o.target.ID(), now)
+	}
+}
+
+// partName returns the name under which the part at an index of the prompt is kept
+// with the worker's weights.
+func (p *pass) partName(o option, at int) cache.PartName {
+	return cache.PartName{Salt: p.salt(o.version).String(), ID: p.ask.Parts[at].ID}
+}
+
+// setCopy names the addresses that the first parts are copied from, and until when.
+func (p *pass) setCopy(to *Sending, copied []source) {
+	if len(copied) == 0 {
+		return
+	}
+	to.Copy = make([]string, len(p.ask.Parts))
+	for i, src := range copied {
+		to.Copy[i] = src.address
+		if src.until > 0 && (to.CopyUntil == 0 || src.until < to.CopyUntil) {
+			to.CopyUntil = src.until
 		}
-		p.relay.o.Where.Note(name, o.target.ID(), now)
 	}
-	if copied > 0 {
-		c.sending.Copy = from
-		p.note("copied from %s", strings.Join(from, ","))
+	p.note("copied from %s", strings.Join(to.Copy, ","))
+}
+
+// setKeep names the stores that parts are sent to: those parts that no store has
+// and that one has room for.
+func (p *pass) setKeep(to *Sending, list []source, o option, now time.Time) {
+	stores := make([]string, len(p.ask.Parts))
+	keeps := false
+	for i, src := range list {
+		if src.until != 0 {
+			// A store has it.
+			continue
+		}
+		stores[i] = p.relay.o.Kept.Room(p.partName(o, i), p.ask.Parts[i].Tokens, now)
+		keeps = keeps || stores[i] != ""
 	}
 	if keeps {
-		c.sending.Keep = to
-		p.note("sent to %s", strings.Join(to, ","))
+		to.Keep = stores
+		p.note("sent to %s", strings.Join(stores, ","))
 	}
 }
