Roster: what is told of swaps in a file and words of its own

Cause: orders about to change weights and weights seen stood in two files, under the names told, learned, left and running. No change of behaviour. Tests of core green, those of roster with the race detector too.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -70,11 +70,12 @@
 	// ordered says which targets this daemon takes to be about to change their
 	// weights, and until when. Guarded by rosterMu.
 	ordered map[string]time.Time
-	// told is the same as each peer told it last. Guarded by rosterMu.
-	told map[string]map[string]time.Time
-	// learned says when a target was last seen to hold newer weights than were
+	// peerOrdered is the same for each peer, from its last heartbeat; it is not
+	// passed on. Guarded by rosterMu.
+	peerOrdered map[string]map[string]time.Time
+	// learnedAt says when a target was last seen to hold newer weights than were
 	// known. Guarded by rosterMu.
-	learned map[string]time.Time
+	learnedAt map[string]time.Time
 }
 
 // peerLoads is what one daemon told of its work, and when.
@@ -90,7 +91,7 @@
 	}
 	r := &Roster{
 		log: log, regained: regained, targets: map[string]*Target{}, peers: map[string]peerLoads{},
-		ordered: map[string]time.Time{}, told: map[string]map[string]time.Time{}, learned: map[string]time.Time{},
+		ordered: map[string]time.Time{}, peerOrdered: map[string]map[string]time.Time{}, learnedAt: map[string]time.Time{},
 	}
 	r.byName.Store(&map[string][]*Target{})
 	return r
@@ -185,22 +186,3 @@
 	defer r.rosterMu.Unlock()
 	return r.targets[id]
 }
-
-// Learn records the version of a model that a target was seen to hold, which
-// only rises within one run of it.
-func (r *Roster) Learn(id, model string, version int64) {
-	r.rosterMu.Lock()
-	defer r.rosterMu.Unlock()
-	r.learn(id, model, version)
-}
-
-// learn is called with rosterMu held.
-func (r *Roster) learn(id, model string, version int64) {
-	t := r.targets[id]
-	if t == nil || t.Entry().Weights[model] >= version {
-		return
-	}
-	t.raise(model, version)
-	r.learned[id] = time.Now()
-	r.log.Emit(event.OrderDone, event.Ref{Target: id}, model+" version "+itoa(version))
-}
--- a/core/roster/share.go
+++ b/core/roster/share.go
@@ -24,10 +24,6 @@
 	Learned map[string]map[string]int64
 }
 
-// learnedLife is how long other daemons are told of a version that a target was
-// seen to hold: a few heartbeats may be lost.
-const learnedLife = 2 * time.Second
-
 // Collect returns this daemon's part of a heartbeat.
 func (s Share) Collect(bool) any {
 	s.rosterMu.Lock()
@@ -39,24 +35,14 @@
 		}
 	}
 	now := time.Now()
-	body.Ordered = left(s.ordered, now)
-	for id, at := range s.learned {
-		t := s.targets[id]
-		if t == nil || now.Sub(at) > learnedLife {
-			delete(s.learned, id)
-			continue
-		}
-		if body.Learned == nil {
-			body.Learned = map[string]map[string]int64{}
-		}
-		body.Learned[id] = t.Entry().Weights
-	}
+	body.Ordered = millisLeft(s.ordered, now)
+	body.Learned = s.learnedLately(now)
 	return &body
 }
 
-// left returns for how many more milliseconds each of some times is to come,
+// millisLeft returns for how many more milliseconds each of some times is to come,
 // or nil without any.
-func left(times map[string]time.Time, now time.Time) map[string]int64 {
+func millisLeft(times map[string]time.Time, now time.Time) map[string]int64 {
 	var out map[string]int64
 	for id, until := range times {
 		if d := until.Sub(now); d > 0 {
@@ -80,13 +66,7 @@
 	defer s.rosterMu.Unlock()
 	now := time.Now()
 	s.peers[peer] = peerLoads{now, body.Loads}
-	delete(s.told, peer)
-	for id, ms := range body.Ordered {
-		if s.told[peer] == nil {
-			s.told[peer] = map[string]time.Time{}
-		}
-		s.told[peer][id] = now.Add(time.Duration(ms) * time.Millisecond)
-	}
+	s.setPeerOrdered(peer, body.Ordered, now)
 	for id, weights := range body.Learned {
 		for model, version := range weights {
 			s.learn(id, model, version)
@@ -113,47 +93,3 @@
 		t.setOthers(total[id])
 	}
 }
-
-// Order records that a target is about to change its weights, so that it gets
-// no new work until then. Other daemons hear of it until Done.
-func (r *Roster) Order(id string, until time.Time) {
-	r.rosterMu.Lock()
-	defer r.rosterMu.Unlock()
-	if until.After(r.ordered[id]) {
-		r.ordered[id] = until
-	}
-}
-
-// Done records that a target has changed its weights, or will not.
-func (r *Roster) Done(id string) {
-	r.rosterMu.Lock()
-	defer r.rosterMu.Unlock()
-	delete(r.ordered, id)
-	for _, told := range r.told {
-		delete(told, id)
-	}
-}
-
-// Ordered returns the targets that are about to change their weights.
-func (r *Roster) Ordered(now time.Time) map[string]bool {
-	r.rosterMu.Lock()
-	defer r.rosterMu.Unlock()
-	out := map[string]bool{}
-	running(r.ordered, now, out)
-	for _, told := range r.told {
-		running(told, now, out)
-	}
-	return out
-}
-
-// running adds the targets whose time has not come to out, and forgets the
-// others.
-func running(times map[string]time.Time, now time.Time, out map[string]bool) {
-	for id, until := range times {
-		if now.Before(until) {
-			out[id] = true
-		} else {
-			delete(times, id)
-		}
-	}
-}
