Order: the bounds of a swap that stood in the code have names

Cause: a third of jobLimit, one second and three tries had no name and no reason. They are firstOrdered, stillOrdered and lookTries, with the same values; comments of Changed and extraPause say what they do.

--- a/core/order/job.go
+++ b/core/order/job.go
@@ -29,6 +29,13 @@
 	// jobLimit bounds one swap: runs end first, and a load takes about a
 	// second, longer while many load.
 	jobLimit = 9 * time.Second
+	// firstOrdered is how long a worker counts as about to change its weights from
+	// the beginning of its swap, and stillOrdered from each report on. Done ends
+	// either sooner; they bound it where this daemon is lost.
+	firstOrdered = jobLimit / 3
+	stillOrdered = time.Second
+	// lookTries is how often a report is asked for before the swap fails.
+	lookTries = 3
 	// rightPause and rightTries bound the wait for a renewal of the right.
 	rightPause = 50 * time.Millisecond
 	rightTries = 12
@@ -51,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(ctx, jobLimit)
 	defer cancel()
 	s, id := j.s, j.target.ID()
-	s.o.Roster.Order(id, time.Now().Add(jobLimit/3))
+	s.o.Roster.Order(id, time.Now().Add(firstOrdered))
 	s.o.Changed()
 	err := j.swap(ctx)
 	s.o.Roster.Done(id)
@@ -93,7 +100,7 @@
 		if err := j.look(ctx); err != nil && ctx.Err() == nil {
 			return err
 		}
-		j.s.o.Roster.Order(j.target.ID(), time.Now().Add(time.Second))
+		j.s.o.Roster.Order(j.target.ID(), time.Now().Add(stillOrdered))
 	}
 	return nil
 }
@@ -103,10 +110,10 @@
 	return !j.seen.Busy && j.seen.Weights[j.model] < j.version && time.Since(j.ordered) > repeatPause
 }
 
-// look asks the worker what it holds. One answer may be lost.
+// look asks the worker what it holds. Answers may be lost.
 func (j *job) look(ctx context.Context) error {
 	var err error
-	for range 3 {
+	for range lookTries {
 		own, cancel := context.WithTimeout(ctx, orderLimit)
 		var st WorkerState
 		st, err = j.s.o.Commander.State(own, j.target.Entry().Address, j.target.ID())
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -27,7 +27,7 @@
 	Table func() *table.Table
 	// Named returns the newest version named of a model's weights.
 	Named func(model string) int64
-	// Changed makes other daemons hear soon of what the roster says.
+	// Changed makes other daemons hear at once that a swap has begun or ended.
 	Changed func()
 	Log     *event.Log
 }
@@ -63,7 +63,8 @@
 	// ends its runs for about as long as it loads.
 	swapDivisor = 3
 	swapLeast   = 3
-	// extraPause is the time in which other daemons hear of the swap.
+	// extraPause is the least time between swaps beyond a part's own, in which
+	// other daemons hear of the first.
 	extraPause = 100 * time.Millisecond
 )
 
--- a/core/order/swap_test.go
+++ b/core/order/swap_test.go
@@ -113,7 +113,8 @@
 	tbl := table.New(table.Spec{Services: []table.Service{{Name: "llm", Engine: &table.Engine{Models: []string{"m"}}}}})
 	r.swapper = NewSwapper(SwapOptions{
 		Name: "me", Rights: []Right{r.right}, Commander: r.workers, Roster: r.roster,
-		Table: func() *table.Table { return tbl }, Named: func(string) int64 { return r.named.Load() }, Changed: func() { r.changes.Add(1) }, Log: &event.Log{},
+		Table: func() *table.Table { return tbl }, Named: func(string) int64 { return r.named.Load() },
+		Changed: func() { r.changes.Add(1) }, Log: &event.Log{},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
