--- a/emberd/internal/host/duties.go
+++ b/emberd/internal/host/duties.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"embertally.dev/core/cache"
@@ -15,11 +13,6 @@
 	"embertally.dev/platform"
 )
 
-// swapParts is how many parts the workers fall into for orders. The loss of a
-// daemon delays the workers of its parts by about four seconds; more parts than
-// workers that load at a time (2 to 12 on the users' sites) would load too many.
-const swapParts = 4
-
 // buildDuties makes what only some daemons do at a time, and the key that
 // others find this daemon by.
 func (h *Host) buildDuties(incarnation string, engines *platform.Engines) {
@@ -68,36 +61,3 @@
 	}
 	return at
 }
-
-// newRight returns the right to give orders to one part of the workers. A
-// daemon that holds others comes later for it, so that they spread.
-func (h *Host) newRight(part int, incarnation string) *lease.Timed {
-	key := keySwap + strconv.Itoa(part)
-	return lease.NewTimed(lease.TimedOptions{
-		Key: key, Owner: h.set.Name + "/" + incarnation, Apart: h.set.Bounds.OrderApart,
-		Store: h.store, Mirror: h.mirror, Log: h.log,
-		Rank:   func() int { return h.rank(key) + holderRanks*h.held() },
-		Urgent: func() bool { return h.swapper.Wanted(part) },
-		Idle:   func() bool { return h.draining.Load() || time.Since(h.began) < settleTime },
-	})
-}
-
-// settleTime is how long after its start a daemon takes no right. Until daemons
-// that start together know of each other, each ranks first for all rights and
-// tries to take them, which costs some fifteen priced calls a daemon. The users'
-// boxes start within 0.3 s; a box is known once its key was written and read.
-const settleTime = 1500 * time.Millisecond
-
-// holderRanks is by how many daemons one comes later for each right it holds.
-const holderRanks = 3
-
-// held counts the rights that the mirror shows this daemon to hold.
-func (h *Host) held() int {
-	n := 0
-	for _, p := range h.mirror.Under(keySwap) {
-		if strings.HasPrefix(string(p.Value), h.set.Name+"/") {
-			n++
-		}
-	}
-	return n
-}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -79,7 +79,8 @@
 	h.mirror.Observe(h.observe)
 	h.roster = roster.New(h.log, h.mirror.Regained)
 	h.fleet = fleet.New(fleet.Options{
-		Name: set.Name, Incarnation: incarnation, Address: set.Peers, Domain: set.Domain, Heartbeat: set.Tuning.Heartbeat, Suspect: set.Tuning.Suspect,
+		Name: set.Name, Incarnation: incarnation, Address: set.Peers, Domain: set.Domain,
+		Heartbeat: set.Tuning.Heartbeat, Suspect: set.Tuning.Suspect,
 		BoxPause: boxPause, Boxes: &boxes{mirror: h.mirror}, Log: h.log,
 	})
 	h.fleet.Attach("roster", roster.Share{Roster: h.roster})
@@ -121,7 +122,8 @@
 // buildRelay makes the relay that answers callers.
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Log: h.log, Stats: h.stats,
+		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where,
+		Log: h.log, Stats: h.stats,
 		Placement: route.Placement(h.set.Placement), Placed: h.fleet.Kick,
 		Domain: h.set.Domain, Named: h.named.version, Daemons: h.daemons.count,
 		Share: func(names []string) []string { return h.fleet.View().Share(names) },
