A store's clock is asked for at once

Ruled out: the lists (0.02 s), the weights' freshness (0.07 s old). Change: the clock is asked for without a wait.

--- a/core/cache/shelffollower.go
+++ b/core/cache/shelffollower.go
@@ -14,9 +14,9 @@
 	// eventWait is how long a store may hold a question for changes. The
 	// platform prices questions that wait less than 200 ms.
 	eventWait = time.Second
-	// firstWait is the same for a store whose clock is not known yet: the
-	// shortest wait that is not priced.
-	firstWait = 200 * time.Millisecond
+	// firstWait is the same for a store whose clock is not known yet: nothing may
+	// be copied before it is, which costs more than the question.
+	firstWait = time.Millisecond
 	// answerLimit is left for the answer beside.
 	answerLimit = time.Second
 	// downPause spaces the questions to a store that does not answer.
@@ -39,7 +39,9 @@
 			return
 		}
 		if err == nil {
-			wait.For(ctx, settlePause)
+			if !f.k.unheard(f.address) {
+				wait.For(ctx, settlePause)
+			}
 			continue
 		}
 		f.k.failed(f.address, err)
