Links and workers' memories are learned; parts of any size are kept and copied

And what daemons believed workers to hold for 9 s was gone: 70,000 tokens of memory there are filled anew every 3 s. Ruled out: engines that are overloaded (a quarter of their time), the stores' room (11 to 23 parts found none), prompts read for want of a place. Change: (1) learn.Links: each link's time over that configured, by samples that fade, told to peers; copies wait for those before them; the place that hands a part out first is named, a worker too; none where it would come too late. (2) cache.Where models each worker's memory as it fills, the longest unused first. (3) no least size of parts. The set worker of a session (usual) is gone: memories say more.

--- a/core/cache/kept.go
+++ b/core/cache/kept.go
@@ -78,7 +78,7 @@
 	return sh.told(since, all, now), true
 }
 
-// Place says where a part is, or where it shall be kept.
+// Place is a store that holds a part.
 type Place struct {
 	Address string
 	// Tokens is how many are kept.
@@ -86,29 +86,28 @@
 	// Until is the time on the targets' clock after which a transfer must be
 	// thrown away.
 	Until time.Duration
-	// Time is the expected time of the transfer.
-	Time time.Duration
+
+	info *StoreInfo
 }
 
-// Find returns the store that holds a part, nearest first.
-func (k *Kept) Find(name PartName, domain string, now time.Time) (Place, bool) {
+// Time returns how long the transfer to a domain takes as the store's link is
+// configured.
+func (p Place) Time(domain string) time.Duration { return p.info.transfer(p.Tokens, domain) }
+
+// Find returns the stores that hold a part.
+func (k *Kept) Find(name PartName, now time.Time) []Place {
 	k.keptMu.Lock()
 	defer k.keptMu.Unlock()
-	var best Place
+	var out []Place
 	for _, sh := range k.shelves {
 		tokens := sh.parts[name]
 		if tokens == 0 || !sh.fresh(now) {
 			continue
 		}
-		p := Place{
-			Address: sh.info.Address, Tokens: tokens, Until: sh.clock + now.Sub(sh.heard) + copyLimit,
-			Time: sh.transfer(tokens, domain),
-		}
-		if best.Tokens == 0 || p.Time < best.Time {
-			best = p
-		}
+		info := sh.info
+		out = append(out, Place{Address: info.Address, Tokens: tokens, Until: sh.clock + now.Sub(sh.heard) + copyLimit, info: &info})
 	}
-	return best, best.Tokens > 0
+	return out
 }
 
 // Room returns the store where a part that no store holds is to be kept, or
--- a/core/cache/parts.go
+++ b/core/cache/parts.go
@@ -83,3 +83,13 @@
 	// First is the wait before the first byte of a transfer.
 	First time.Duration
 }
+
+// transfer returns how long tokens take to a worker in a domain; links between
+// domains carry half.
+func (s *StoreInfo) transfer(tokens int, domain string) time.Duration {
+	d := time.Duration(tokens) * s.TokenTime
+	if domain != "" && domain != s.Domain {
+		d *= 2
+	}
+	return d + s.First
+}
--- a/core/cache/shelf.go
+++ b/core/cache/shelf.go
@@ -94,16 +94,6 @@
 	return out
 }
 
-// transfer returns how long tokens take to a worker in a domain; links between
-// domains carry half.
-func (sh *shelf) transfer(tokens int, domain string) time.Duration {
-	d := time.Duration(tokens) * sh.info.TokenTime
-	if domain != "" && domain != sh.info.Domain {
-		d *= 2
-	}
-	return d + sh.info.First
-}
-
 // score ranks the store for a part: a weighted draw by hashing, in which larger
 // stores take more.
 func (sh *shelf) score(name PartName) float64 {
--- /dev/null
+++ b/core/cache/where_test.go
@@ -0,0 +1,136 @@
+package cache
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+// use is a request with one shared part and a rest of its own.
+func use(target, id string, tokens, rest int) Use {
+	return Use{Target: target, Salt: "v1/m/", Parts: []UsedPart{{ID: id, Tokens: tokens}}, Rest: rest}
+}
+
+// holders returns the workers that are believed to hold a part.
+func holders(w *Where, id string) []string {
+	targets, _ := w.Find(PartName{"v1/m/", id}, time.Now())
+	return targets
+}
+
+func room(tokens int) func(string) int { return func(string) int { return tokens } }
+
+func TestUsesAreToldOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var mine, other Where
+	now := time.Now()
+	mine.Note(use("w1", "1", 10, 5), now)
+	raw, err := msgpack.Marshal(mine.Collect(false))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	mine.Note(use("w2", "2", 10, 5), now)
+	mine.Told()
+	g.Expect(mine.Collect(false)).To(gomega.Equal([]Use{use("w2", "2", 10, 5)}), "noted while the first was told")
+	mine.Told()
+	g.Expect(mine.Collect(false)).To(gomega.BeNil())
+	other.Receive("mine", raw)
+	g.Expect(holders(&other, "1")).To(gomega.Equal([]string{"w1"}))
+	other.Receive("mine", []byte("no msgpack"))
+}
+
+func TestWhatWasReadLatelyIsForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := Where{ReadLife: time.Minute}
+	name, now := PartName{"v1/m/", "1"}, time.Now()
+	w.Note(use("w1", "1", 10, 5), now)
+	_, read := w.Find(name, now.Add(59*time.Second))
+	g.Expect(read).To(gomega.BeTrue())
+	_, read = w.Find(name, now.Add(61*time.Second))
+	g.Expect(read).To(gomega.BeFalse())
+	w.Note(use("w2", "2", 10, 5), now.Add(61*time.Second))
+	targets, _ := w.Find(name, now.Add(61*time.Second))
+	g.Expect(targets).To(gomega.BeEmpty(), "a worker that got nothing for so long is forgotten")
+}
+
+func TestMemoryGivesUpWhatIsUnusedForLongest(t *testing.T) {
+	tests := []struct {
+		name string
+		uses []Use
+		want map[string]bool
+	}{
+		{"all fit", []Use{use("w", "a", 40, 0), use("w", "b", 40, 0)}, map[string]bool{"a": true, "b": true}},
+		{"the older goes", []Use{use("w", "a", 40, 0), use("w", "b", 70, 0)}, map[string]bool{"a": false, "b": true}},
+		{"a use keeps a part", []Use{use("w", "a", 40, 0), use("w", "b", 40, 0), use("w", "a", 40, 0), use("w", "c", 40, 0)}, map[string]bool{"a": true, "b": false, "c": true}},
+		{"requests' own parts take room", []Use{use("w", "a", 40, 0), use("w", "b", 10, 55)}, map[string]bool{"a": false, "b": true}},
+		{"another worker's room is its own", []Use{use("w", "a", 40, 0), use("v", "b", 90, 0)}, map[string]bool{"a": true, "b": true}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w := Where{Room: room(100)}
+			for _, u := range tc.uses {
+				w.Note(u, time.Now())
+			}
+			for id, held := range tc.want {
+				g.Expect(len(holders(&w, id)) > 0).To(gomega.Equal(held), id)
+			}
+		})
+	}
+}
+
+// A worker that changes its weights drops what it kept.
+func TestNewWeightsEmptyAMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := Where{Room: room(100)}
+	other := Use{Target: "w", Salt: "v1/other/", Parts: []UsedPart{{ID: "o", Tokens: 20}}}
+	newer := Use{Target: "w", Salt: "v2/m/", Parts: []UsedPart{{ID: "b", Tokens: 60}}}
+	for _, u := range []Use{use("w", "a", 40, 20), other, newer} {
+		w.Note(u, time.Now())
+	}
+	g.Expect(holders(&w, "a")).To(gomega.BeEmpty())
+	targets, _ := w.Find(PartName{"v2/m/", "b"}, time.Now())
+	g.Expect(targets).To(gomega.Equal([]string{"w"}))
+	targets, _ = w.Find(PartName{"v1/other/", "o"}, time.Now())
+	g.Expect(targets).To(gomega.Equal([]string{"w"}), "another model's parts stay")
+}
+
+// Whatever is used, no memory is believed to hold more than its room, and who
+// holds a part agrees with what the memories hold.
+func TestMemoriesStayWithinTheirRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := Where{Room: room(500)}
+		now := time.Now()
+		for range rapid.IntRange(1, 60).Draw(t, "uses") {
+			u := use("w"+strconv.Itoa(rapid.IntRange(0, 2).Draw(t, "worker")), strconv.Itoa(rapid.IntRange(0, 9).Draw(t, "part")),
+				rapid.IntRange(0, 300).Draw(t, "tokens"), rapid.IntRange(-5, 300).Draw(t, "rest"))
+			u.Salt = PartSalt{Model: "m", Version: int64(rapid.IntRange(1, 3).Draw(t, "version"))}.String()
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+			w.Note(u, now)
+		}
+		found := 0
+		for target, m := range w.memories {
+			sum := 0
+			for e := m.order.Front(); e != nil; e = e.Next() {
+				sum += e.Value.(*held).tokens
+			}
+			if sum != m.tokens || sum > 500 {
+				t.Fatalf("%s holds %d tokens, counted %d", target, sum, m.tokens)
+			}
+			found += len(m.parts)
+		}
+		listed := 0
+		for name, targets := range w.holders {
+			for _, target := range targets {
+				if w.memories[target].parts[name] == nil {
+					t.Fatalf("%v is not at %s", name, target)
+				}
+				listed++
+			}
+		}
+		if listed != found {
+			t.Fatalf("%d holders listed of %d", listed, found)
+		}
+	})
+}
--- /dev/null
+++ b/core/learn/links_test.go
@@ -0,0 +1,117 @@
+package learn
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+func TestASlowLinkIsLearnedAndTriedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l Links
+	now := time.Now()
+	g.Expect(l.State("store", now).Slow).To(gomega.Equal(1.0))
+	// Copies from the store take four times as long, to whichever worker.
+	for i := range 40 {
+		to := []string{"w1", "w2", "w3", "w4"}[i%4]
+		expected := l.State("store", now).Slow * l.State(to, now).Slow
+		l.Sample("store", to, 4/expected, 1, now)
+		now = now.Add(30 * time.Millisecond)
+	}
+	g.Expect(l.State("store", now).Slow).To(gomega.BeNumerically(">", 2.5))
+	g.Expect(l.State("w1", now).Slow).To(gomega.BeNumerically("<", 2))
+	g.Expect(l.State("other", now).Slow).To(gomega.Equal(1.0))
+	g.Expect(l.State("store", now.Add(10*time.Second)).Slow).To(gomega.BeNumerically("<", 1.25))
+}
+
+func TestCopiesWaitForThoseBefore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l Links
+	now := time.Now()
+	l.Begin("store", "w1", 100*time.Millisecond, now)
+	l.Begin("store", "w2", 50*time.Millisecond, now)
+	g.Expect(l.State("store", now).Wait).To(gomega.Equal(150 * time.Millisecond))
+	g.Expect(l.State("w2", now).Wait).To(gomega.Equal(50 * time.Millisecond))
+	g.Expect(l.State("store", now.Add(120*time.Millisecond)).Wait).To(gomega.Equal(30 * time.Millisecond))
+	g.Expect(l.State("store", now.Add(time.Second)).Wait).To(gomega.BeZero())
+	for range 1000 {
+		l.Begin("store", "w1", time.Second, now)
+	}
+	g.Expect(l.State("store", now).Wait).To(gomega.Equal(busyMost))
+}
+
+func TestLinksAreToldOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var mine, other Links
+	now := time.Now()
+	mine.Begin("store", "w1", time.Second, now)
+	mine.Sample("store", "w1", 8, 1, now)
+	raw, err := msgpack.Marshal(mine.Collect(false))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	mine.Begin("late", "w1", time.Second, now)
+	mine.Told()
+	other.Receive("mine", raw)
+	g.Expect(other.State("store", now).Wait).To(gomega.BeNumerically("~", time.Second, 100*time.Millisecond))
+	g.Expect(other.State("store", now).Slow).To(gomega.BeNumerically("~", mine.State("store", now).Slow, 0.01))
+	news, ok := mine.Collect(false).(*linkNews)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(news.Copies).To(gomega.HaveLen(1))
+	mine.Told()
+	g.Expect(mine.Collect(false)).To(gomega.BeNil())
+}
+
+// What a peer that has gone mad tells, and observations that cannot be, change
+// nothing beyond their bounds.
+func TestNonsenseDoesNotPoisonLinks(t *testing.T) {
+	tests := []struct {
+		name     string
+		news     linkNews
+		rejected int
+	}{
+		{"a copy below no time", linkNews{Copies: []linkCopy{{From: "store", To: "w", Micros: -5}}}, 1},
+		{"a copy without end", linkNews{Copies: []linkCopy{{From: "store", To: "w", Micros: math.MaxInt64}}}, 1},
+		{"no number", linkNews{Samples: []linkSample{{Address: "store", Log: float32(math.NaN()), Weight: 1}}}, 1},
+		{"infinite", linkNews{Samples: []linkSample{{Address: "store", Log: float32(math.Inf(1)), Weight: 1}}}, 1},
+		{"a weight of its own", linkNews{Samples: []linkSample{{Address: "store", Log: 1, Weight: 1e9}}}, 1},
+		{"far too slow", linkNews{Samples: []linkSample{{Address: "store", Log: 1e9, Weight: 1}}}, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var l Links
+			raw, err := msgpack.Marshal(&tc.news)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			l.Receive("mad", raw)
+			st := l.State("store", time.Now())
+			g.Expect(st.Slow).To(gomega.And(gomega.BeNumerically(">=", 1), gomega.BeNumerically("<=", slowMost)))
+			g.Expect(st.Wait).To(gomega.BeNumerically("<=", busyMost))
+			g.Expect(l.Rejected()).To(gomega.Equal(tc.rejected))
+		})
+	}
+	g := gomega.NewWithT(t)
+	var l Links
+	for _, ratio := range []float64{0, -1, math.NaN(), math.Inf(1)} {
+		l.Sample("store", "w", ratio, 1, time.Now())
+	}
+	l.Receive("mad", []byte("no msgpack"))
+	g.Expect(l.State("store", time.Now())).To(gomega.Equal(LinkState{Slow: 1}))
+}
+
+func TestMeanForgets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var m Mean
+	now := time.Now()
+	g.Expect(m.Value(7, 1, now, time.Second)).To(gomega.Equal(7.0))
+	g.Expect(m.Add(math.NaN(), 1, now, time.Second)).To(gomega.BeFalse())
+	g.Expect(m.Add(1, -1, now, time.Second)).To(gomega.BeFalse())
+	for range 3 {
+		g.Expect(m.Add(11, 1, now, time.Second)).To(gomega.BeTrue())
+	}
+	g.Expect(m.Value(7, 1, now, time.Second)).To(gomega.BeNumerically("~", 10, 1e-9))
+	g.Expect(m.Value(7, 1, now.Add(time.Second), time.Second)).To(gomega.BeNumerically("~", (7+11*1.5)/2.5, 1e-9))
+	// A clock that goes back does not make samples count for more.
+	g.Expect(m.Value(7, 1, now.Add(-time.Hour), time.Second)).To(gomega.BeNumerically("~", 10, 1e-9))
+}
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -22,6 +22,8 @@
 	expected time.Duration
 	// before is how many tokens are read there before the prompt.
 	before int
+	// plan is how the target gets the shared parts.
+	plan plan
 	// alone tells that there was no other candidate.
 	alone bool
 }
@@ -37,10 +39,19 @@
 	}
 	now := time.Now()
 	options, why := p.ownOptions(svc, now)
-	usual := p.usual(options)
 	list := make([]route.Candidate, len(options))
+	plans := make([]plan, len(options))
+	parts := map[int64][]sharedPart{}
 	for i, o := range options {
-		list[i] = p.candidate(svc, o, o.target == usual, now)
+		list[i] = p.candidate(svc, o)
+		if svc.Engine == nil {
+			continue
+		}
+		if _, found := parts[o.version]; !found {
+			parts[o.version] = p.find(o.version, now)
+		}
+		plans[i] = p.plan(svc, o, parts[o.version], now)
+		plans[i].weigh(&list[i], parts[o.version])
 	}
 	asked := p.asked(svc)
 	spot := route.Spot{Context: p.context(), Turn: p.relay.turn.Add(1), Chance: draw()}
@@ -48,7 +59,7 @@
 	if at < 0 {
 		return nil, why
 	}
-	return p.chosen(svc, options[at], asked, list[at], len(list) == 1, now), ""
+	return p.chosen(svc, options[at], plans[at], asked, list[at], len(list) == 1, now), ""
 }
 
 // placement is how a worker is chosen; the placements to measure against are for
@@ -81,77 +92,24 @@
 	return route.Asked{Work: time.Duration(float64(p.route.Aim) * plainWorkShare)}
 }
 
-// candidate works out what a decision needs to know of an option.
-func (p *pass) candidate(svc *table.Service, o option, usual bool, now time.Time) route.Candidate {
+// candidate works out what a decision needs to know of an option beside the
+// shared parts of the prompt.
+func (p *pass) candidate(svc *table.Service, o option) route.Candidate {
 	c := route.Candidate{
 		Running: o.load.Running, Slots: max(1, o.entry.Slots), Unread: o.load.Unread, Held: o.load.Held,
 		Short: o.short, Far: o.entry.Domain != p.relay.o.Domain, Doubtful: o.health.Lapsed, Faults: o.health.Faults, Pace: o.health.Pace,
 	}
-	if svc.Engine == nil {
-		return c
+	if svc.Engine != nil {
+		c.Memory = svc.Engine.MemoryTokens
+		c.Old = o.version < p.relay.o.Named(p.ask.Model)
 	}
-	c.Memory = svc.Engine.MemoryTokens
-	c.Old = o.version < p.relay.o.Named(p.ask.Model)
-	p.weighParts(&c, svc, o, usual, now)
 	return c
 }
 
-// weighParts works out how a worker gets the shared parts: held, copied or read.
-func (p *pass) weighParts(c *route.Candidate, svc *table.Service, o option, usual bool, now time.Time) {
-	list, copied := p.sources(svc, o, now)
-	for i, part := range p.sharedParts() {
-		switch {
-		case i >= len(list) && usual:
-			// Small parts after the last large one are not looked for: they are
-			// where such requests usually go.
-			c.Kept += part.Tokens
-		case i >= len(list):
-			c.Again += part.Tokens
-		case list[i].here:
-			c.Kept += part.Tokens
-		case i < copied:
-			c.Copied += part.Tokens
-			c.CopyTime += list[i].time
-		case list[i].read:
-			c.Again += part.Tokens
-		}
-	}
-}
-
-// usual returns the worker that requests with the same last shared part go to
-// where nothing speaks against it, so that it is likely to hold the parts.
-// Daemons that see the same workers name the same one.
-func (p *pass) usual(options []option) *roster.Target {
-	parts := p.sharedParts()
-	if len(parts) == 0 {
-		return nil
-	}
-	// Newer weights come first, then workers of the prompt's kind.
-	rank := func(o option) int64 {
-		if o.short == (p.ask.Prompt <= route.ShortPrompt) {
-			return o.version<<1 + 1
-		}
-		return o.version << 1
-	}
-	best := int64(-1)
-	for _, o := range options {
-		best = max(best, rank(o))
-	}
-	var names []string
-	byName := map[string]*roster.Target{}
-	for _, o := range options {
-		if rank(o) == best {
-			names = append(names, o.target.ID())
-			byName[o.target.ID()] = o.target
-		}
-	}
-	return byName[fleet.First(p.context(), names)]
-}
-
 // chosen works out what is said to the target.
-func (p *pass) chosen(svc *table.Service, o option, asked route.Asked, c route.Candidate, alone bool, now time.Time) *choice {
+func (p *pass) chosen(svc *table.Service, o option, pl plan, asked route.Asked, c route.Candidate, alone bool, now time.Time) *choice {
 	t := o.target
-	out := &choice{target: t, alone: alone, expected: route.Cost(asked, route.Candidate{
+	out := &choice{target: t, plan: pl, alone: alone, expected: route.Cost(asked, route.Candidate{
 		Running: c.Running, Slots: c.Slots, Unread: c.Unread, Kept: c.Kept, Copied: c.Copied, CopyTime: c.CopyTime,
 	})}
 	out.sending.Target = t.ID()
@@ -166,7 +124,7 @@
 	out.load.Unread = max(0, p.ask.Prompt-c.Kept-c.Copied)
 	out.load.Held = p.ask.Prompt
 	out.before = c.Unread
-	p.copies(svc, out, o, now)
+	p.copies(out, o, now)
 	p.relay.o.Stats.Read.Add(p.ask.Prompt)
 	p.relay.o.Stats.Copied.Add(c.Copied)
 	p.relay.o.Stats.Kept.Add(c.Kept)
--- a/core/relay/parts.go
+++ b/core/relay/parts.go
@@ -5,26 +5,12 @@
 	"time"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/learn"
+	"embertally.dev/core/roster"
+	"embertally.dev/core/route"
 	"embertally.dev/core/table"
 )
 
-// copyLeast is the size, in tokens, from which a part is copied from a store or
-// kept there: below, a copy takes longer than the prompt's reading.
-const copyLeast = 1000
-
-// copyable returns how many of the first shared parts are copied and kept: those
-// up to the last large one. Engines copy no part after one that no place is named
-// for, so that small parts before a large one count with it.
-func (p *pass) copyable() int {
-	n := 0
-	for i, part := range p.sharedParts() {
-		if part.Tokens >= copyLeast {
-			n = i + 1
-		}
-	}
-	return n
-}
-
 // sharedParts are the parts that other requests have as well: all but the last.
 func (p *pass) sharedParts() []cache.Part {
 	if len(p.ask.Parts) < 2 {
@@ -42,16 +28,52 @@
 	return n
 }
 
+// sharedPart is what is known of one shared part under one version of the weights.
+type sharedPart struct {
+	cache.Part
+	name cache.PartName
+	// stores hold the part and may hand it out.
+	stores []cache.Place
+	// holders are the workers that are believed to hold it.
+	holders []*roster.Target
+	// read tells that some worker has read it lately.
+	read bool
+}
+
+// find looks the shared parts up as they are under a version of the weights.
+func (p *pass) find(version int64, now time.Time) []sharedPart {
+	// Parts of superseded weights in stores are about to be freed.
+	stores := version >= p.relay.o.Named(p.ask.Model) && p.relay.o.CopyMay()
+	salt := p.salt(version).String()
+	var out []sharedPart
+	for _, part := range p.sharedParts() {
+		known := sharedPart{Part: part, name: cache.PartName{Salt: salt, ID: part.ID}}
+		if stores {
+			known.stores = p.relay.o.Kept.Find(known.name, now)
+		}
+		targets, read := p.relay.o.Where.Find(known.name, now)
+		known.read = read
+		for _, id := range targets {
+			if t := p.relay.o.Roster.Target(id); t != nil && t.Entry().Weights[p.ask.Model] == version {
+				known.holders = append(known.holders, t)
+			}
+		}
+		out = append(out, known)
+	}
+	return out
+}
+
 // source is where a worker gets a part from.
 type source struct {
 	// here tells that the worker is believed to hold the part.
 	here bool
-	// read tells that some worker has read the part lately.
-	read bool
+	// stored tells that a store holds the part.
+	stored bool
 	// address is the store or worker that the part can be copied from, or "".
 	address string
-	// time is how long the copy takes.
-	time time.Duration
+	// time is how long the copy takes once it has its turn, as was learned, and
+	// wait how long it waits for that.
+	time, wait time.Duration
 	// until is when a copy is void, on the targets' clock; 0 for workers, which
 	// free nothing that they hand out.
 	until time.Duration
@@ -60,63 +82,115 @@
 // workerFirst is the wait before the first byte of a copy between workers.
 const workerFirst = 61 * time.Millisecond
 
-// source finds the part at an index of the prompt for a worker.
-func (p *pass) source(svc *table.Service, o option, at int, now time.Time) source {
-	var out source
-	name, part := p.partName(o, at), p.ask.Parts[at]
-	holder, read := p.relay.o.Where.Find(name, now)
-	out.here, out.read = holder == o.target.ID(), read
-	// Parts of superseded weights in stores are about to be freed.
-	if o.version >= p.relay.o.Named(p.ask.Model) && p.relay.o.CopyMay() {
-		if place, ok := p.relay.o.Kept.Find(name, o.entry.Domain, now); ok {
-			out.address, out.time, out.until = place.Address, place.Time, place.Until
-			return out
+// source finds the best place for a worker to get a part from.
+func (p *pass) source(svc *table.Service, o option, part *sharedPart, now time.Time) source {
+	out := source{stored: len(part.stores) > 0}
+	to := p.relay.o.Links.State(o.entry.Address, now)
+	for _, place := range part.stores {
+		p.offer(&out, to, source{address: place.Address, time: place.Time(o.entry.Domain), until: place.Until}, now)
+	}
+	for _, t := range part.holders {
+		if t == o.target {
+			out.here = true
+			continue
 		}
+		if t.Health(now).Suspect {
+			continue
+		}
+		took := workerFirst + table.LinkTime(part.Tokens*svc.Engine.TokenBytes, svc.Engine.LinkBits)
+		p.offer(&out, to, source{address: t.Entry().Address, time: took}, now)
 	}
-	if holder == "" || out.here {
-		return out
+	return out
+}
+
+// offer makes a place to copy from the best one, if it is. to is the state of the
+// worker's own link.
+func (p *pass) offer(best *source, to learn.LinkState, with source, now time.Time) {
+	from := p.relay.o.Links.State(with.address, now)
+	with.time = time.Duration(float64(with.time) * from.Slow * to.Slow)
+	with.wait = max(from.Wait, to.Wait)
+	if best.address == "" || with.wait+with.time < best.wait+best.time {
+		best.address, best.time, best.wait, best.until = with.address, with.time, with.wait, with.until
 	}
-	t := p.relay.o.Roster.Target(holder)
-	if t == nil || t.Entry().Weights[p.ask.Model] != o.version || t.Health(now).Suspect {
-		return out
+}
+
+// plan is how a worker gets the shared parts of a prompt.
+type plan struct {
+	// sources are those of the parts, in the order of the prompt.
+	sources []source
+	// copied is how many of them are copied: the first ones. Engines copy no part
+	// after one that no place is named for.
+	copied int
+	// time is when the last of them has arrived.
+	time time.Duration
+}
+
+// plan works out how a worker gets the shared parts. They are copied as long as
+// each can be in the time that a copy may take.
+func (p *pass) plan(svc *table.Service, o option, parts []sharedPart, now time.Time) plan {
+	var out plan
+	var wait, sum time.Duration
+	whole := true
+	for i := range parts {
+		src := p.source(svc, o, &parts[i], now)
+		out.sources = append(out.sources, src)
+		wait, sum = max(wait, src.wait), sum+src.time
+		if src.address == "" || (src.until > 0 && wait+sum > cache.CopyLimit()) {
+			whole = false
+		}
+		if whole && !src.here {
+			out.copied, out.time = i+1, wait+sum
+		}
 	}
-	out.address = t.Entry().Address
-	out.time = workerFirst + table.LinkTime(part.Tokens*svc.Engine.TokenBytes, svc.Engine.LinkBits)
 	return out
 }
 
-// sources finds the copyable parts for a worker, in the order of the prompt. copied
-// is how many of them are copied: the first ones that all have an address.
-func (p *pass) sources(svc *table.Service, o option, now time.Time) (list []source, copied int) {
-	for at := range p.copyable() {
-		list = append(list, p.source(svc, o, at, now))
-	}
-	for copied < len(list) && list[copied].address != "" {
-		copied++
+// weigh adds how a worker gets the shared parts to what a decision knows of it:
+// held, copied or read.
+func (pl *plan) weigh(c *route.Candidate, parts []sharedPart) {
+	c.CopyTime = pl.time
+	whole := true
+	for i, part := range parts {
+		switch {
+		case whole && pl.sources[i].here:
+			c.Kept += part.Tokens
+		case whole && i < pl.copied:
+			c.Copied += part.Tokens
+		default:
+			// What stands behind a part that is read is read as well.
+			whole = false
+			if part.read {
+				c.Again += part.Tokens
+			}
+		}
 	}
-	return list, copied
 }
 
 // copies says where parts are copied from and which stores they are sent to, and
 // records that the worker will hold them.
-func (p *pass) copies(svc *table.Service, c *choice, o option, now time.Time) {
-	if len(p.sharedParts()) == 0 || o.version == 0 || !p.relay.o.Placement.Exports() {
+func (p *pass) copies(c *choice, o option, now time.Time) {
+	if o.version == 0 || !p.relay.o.Placement.Exports() {
 		return
 	}
-	list, copied := p.sources(svc, o, now)
-	p.setCopy(&c.sending, list[:copied])
-	if o.version >= p.relay.o.Named(p.ask.Model) {
-		p.setKeep(&c.sending, list, o, now)
+	copied := c.plan.sources[:c.plan.copied]
+	p.setCopy(&c.sending, copied)
+	for _, src := range copied {
+		p.relay.o.Links.Begin(src.address, o.entry.Address, src.time, now)
 	}
-	for i := range list {
-		p.relay.o.Where.Note(p.partName(o, i), o.target.ID(), now)
+	if o.version >= p.relay.o.Named(p.ask.Model) {
+		p.setKeep(&c.sending, c.plan.sources, o, now)
 	}
+	p.relay.o.Where.Note(p.use(o), now)
 }
 
-// partName returns the name under which the part at an index of the prompt is kept
-// with the worker's weights.
-func (p *pass) partName(o option, at int) cache.PartName {
-	return cache.PartName{Salt: p.salt(o.version).String(), ID: p.ask.Parts[at].ID}
+// use is what the request leaves in a worker's memory.
+func (p *pass) use(o option) cache.Use {
+	u := cache.Use{Target: o.target.ID(), Salt: p.salt(o.version).String(), Rest: p.ask.Prompt}
+	for _, part := range p.sharedParts() {
+		u.Parts = append(u.Parts, cache.UsedPart{ID: part.ID, Tokens: part.Tokens})
+		u.Rest -= part.Tokens
+	}
+	return u
 }
 
 // setCopy names the addresses that the first parts are copied from, and until when.
@@ -139,12 +213,13 @@
 func (p *pass) setKeep(to *Sending, list []source, o option, now time.Time) {
 	stores := make([]string, len(p.ask.Parts))
 	keeps := false
+	salt := p.salt(o.version).String()
 	for i, src := range list {
-		if src.until != 0 {
-			// A store has it.
+		if src.stored {
 			continue
 		}
-		stores[i] = p.relay.o.Kept.Room(p.partName(o, i), p.ask.Parts[i].Tokens, now)
+		part := p.ask.Parts[i]
+		stores[i] = p.relay.o.Kept.Room(cache.PartName{Salt: salt, ID: part.ID}, part.Tokens, now)
 		keeps = keeps || stores[i] != ""
 	}
 	if keeps {
@@ -152,3 +227,22 @@
 		p.note("sent to %s", strings.Join(stores, ","))
 	}
 }
+
+// learnCopies records what the time to the first event of a stream says of the
+// links that its parts were copied over. Where the prompt waited as long to be
+// read as for its copies, it says little.
+func (p *pass) learnCopies(c *choice, took time.Duration, now time.Time) {
+	if c.plan.copied == 0 {
+		return
+	}
+	speed := p.relay.speed(p.service)
+	reading, queue := speed.Time(c.load.Unread)+route.FirstTime, speed.Time(c.before)
+	share := float64(c.plan.time) / float64(c.plan.time+queue+copyNoise)
+	ratio := float64(max(took-reading, copyNoise/10)) / float64(c.plan.time)
+	from := c.plan.sources[c.plan.copied-1].address
+	p.relay.o.Links.Sample(from, c.target.Entry().Address, ratio, share, now)
+}
+
+// copyNoise is the time by which first events come sooner or later for other
+// reasons than copies: about the step of an engine.
+const copyNoise = 30 * time.Millisecond
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"embertally.dev/core/cache"
 	"embertally.dev/core/event"
+	"embertally.dev/core/learn"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
 	"embertally.dev/core/table"
@@ -31,6 +32,7 @@
 	Pool    *target.Pool
 	Kept    *cache.Kept
 	Where   *cache.Where
+	Links   *learn.Links
 	Log     *event.Log
 	Stats   *Stats
 	// Placement chooses the workers; the zero value stands for route.Returning.
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -74,7 +74,10 @@
 		if n == 0 {
 			onFirst()
 			c.target.Answered(time.Now(), true, p.pace(c, time.Since(sent)))
-			p.relay.sample(p.service, c.before+c.load.Unread, time.Since(sent))
+			if c.plan.copied == 0 {
+				p.relay.sample(p.service, c.before+c.load.Unread, time.Since(sent))
+			}
+			p.learnCopies(c, time.Since(sent), time.Now())
 		}
 		if !newer(ev.id, p.after) {
 			// The caller has this event from the worker before.
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -70,7 +70,7 @@
 		cost += time.Duration(missing) * tokenTime
 	}
 	if a.Tokens > 0 {
-		cost += firstTime
+		cost += FirstTime
 	}
 	cost += time.Duration(copyShare*float64(c.CopyTime)) + a.Work + turn(a, c)
 	if c.Pace > 1 {
--- a/core/route/speed.go
+++ b/core/route/speed.go
@@ -15,9 +15,9 @@
 	// speedLeast is the length from which a time to a first event tells of the
 	// speed: below, fixed times outweigh it.
 	speedLeast = 3000
-	// firstTime is the time to a first event beside the reading, at an idle
+	// FirstTime is the time to a first event beside the reading, at an idle
 	// worker: 39 ms at the median on one of the users' sites, 80 on the other.
-	firstTime = 40 * time.Millisecond
+	FirstTime = 40 * time.Millisecond
 	// speedShare is the weight of one sample.
 	speedShare = 0.05
 	// speedMost bounds a sample, so that a part that was held after all does
@@ -27,10 +27,10 @@
 
 // Sample records that tokens were read within a time.
 func (s *Speed) Sample(tokens int, took time.Duration) {
-	if tokens < speedLeast || took <= firstTime {
+	if tokens < speedLeast || took <= FirstTime {
 		return
 	}
-	sample := min(float64(tokens)/(took-firstTime).Seconds(), speedMost)
+	sample := min(float64(tokens)/(took-FirstTime).Seconds(), speedMost)
 	if s.perSecond == 0 {
 		s.perSecond = float64(time.Second / tokenTime)
 	}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -20,6 +20,7 @@
 	"embertally.dev/core/cache"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
+	"embertally.dev/core/learn"
 	"embertally.dev/core/lease"
 	"embertally.dev/core/order"
 	"embertally.dev/core/plat"
@@ -52,6 +53,7 @@
 	roster   *roster.Roster
 	kept     *cache.Kept
 	where    cache.Where
+	links    learn.Links
 	pool     *target.Pool
 	relay    *relay.Relay
 	rights   []*lease.Timed
@@ -85,7 +87,9 @@
 	})
 	h.fleet.Attach("roster", roster.Share{Roster: h.roster})
 	h.mirrors = spread.NewMirrors(h.mirror, h.fleet)
+	h.where.Room = h.memory
 	h.fleet.Attach("where", &h.where)
+	h.fleet.Attach("links", &h.links)
 	engines := platform.NewEngines(newClient())
 	shelves := spread.NewShelves(engines, h.fleet)
 	h.kept = cache.NewKept(shelves, h.log)
@@ -119,10 +123,23 @@
 // for its wait at the worker.
 const beginMargin = 4 * time.Second
 
+// memory returns how many tokens of context a worker holds, or 0.
+func (h *Host) memory(worker string) int {
+	target, t := h.roster.Target(worker), h.relay.Table()
+	if target == nil || t == nil {
+		return 0
+	}
+	svc := t.Service(target.Entry().Service)
+	if svc == nil || svc.Engine == nil {
+		return 0
+	}
+	return svc.Engine.MemoryTokens
+}
+
 // buildRelay makes the relay that answers callers.
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where,
+		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Links: &h.links,
 		Log: h.log, Stats: h.stats,
 		Placement: route.Placement(h.set.Placement), Placed: h.fleet.Kick,
 		Domain: h.set.Domain, Named: h.named.version, Daemons: h.daemons.count,
