Choices by the worth expected to be served, times and targets learned

Cause: decisions compared seconds by literals of two sites (18 us a token, 600 us a token read again, prompts up to 2,048 tokens as short, three tenths of the workers set aside for them, windows of 0.2 and 0.6 of the aim). Change: learn.Times fits, by route, the time to a first answer to the tokens of its own and before it, what runs beside, and how full the memory will be, and keeps the distribution around it; learn.Targets how slow a target is and how often it fails, told to peers. route.Judge turns that into what callers gain (chances in time and before the deadline, less what others lose by its work) and the worth less the operators' prices, which are settings. No gain: the request waits while an answer in time is likely, then is refused; prices refuse nobody. Set-aside workers, waiting windows and speeds are removed. A slow call goes to another target when that is the likelier to answer in time.

--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -221,7 +221,7 @@
 		Request: p.q.id, Deployment: name, Salt: salt, Roots: p.deployment.Roots(),
 		Chain: cache.Chain(salt.Seed(), p.prompt), Tokens: cache.Tokens(len(p.prompt)),
 		Priority: p.policy.Priority, Targets: p.policy.Targets,
-		Prices: route.Prices{
+		Prices: route.Policy{
 			FirstToken: orOne(w.FirstToken), Token: w.RecomputedSeconds / 1000, Byte: w.LinkSeconds / 1e6,
 		},
 	}
--- a/core/home/msgs.go
+++ b/core/home/msgs.go
@@ -32,7 +32,7 @@
 	// it has been given.
 	Deadline time.Duration `msgpack:"l"`
 	Priority int           `msgpack:"p"`
-	Prices   route.Prices  `msgpack:"w"`
+	Prices   route.Policy  `msgpack:"w"`
 	// Targets restricts the workers; empty means all of the deployment.
 	Targets []string `msgpack:"a,omitempty"`
 	// Exclude are workers that failed this request.
--- /dev/null
+++ b/core/learn/times_test.go
@@ -0,0 +1,148 @@
+package learn
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// prior is what the tests expect before anything is observed.
+func prior() *Prior {
+	return &Prior{
+		Fixed: 50 * time.Millisecond, Own: 20 * time.Millisecond, Before: 20 * time.Millisecond, Beside: 50 * time.Millisecond,
+		Waiting: time.Second, Crowd: 300 * time.Millisecond, Spread: 0.5, Weight: 5,
+	}
+}
+
+func TestAPriorIsExpectedFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := NewTimes().Estimate("k", prior(), time.Now())
+	g.Expect(e.Count()).To(gomega.BeZero())
+	g.Expect(e.Time(Factors{})).To(gomega.BeNumerically("~", 50*time.Millisecond, time.Millisecond))
+	g.Expect(e.Time(Factors{Own: 1000, Before: 2000})).To(gomega.BeNumerically("~", 110*time.Millisecond, time.Millisecond))
+	before, own := e.Parts(Factors{Own: 1000, Before: 2000, Beside: 1})
+	g.Expect(before).To(gomega.BeNumerically("~", 40*time.Millisecond, time.Millisecond))
+	g.Expect(own).To(gomega.BeNumerically("~", 120*time.Millisecond, time.Millisecond))
+	g.Expect(e.Chance(1)).To(gomega.BeNumerically("~", 0.5, 0.05))
+	g.Expect(e.Chance(math.Exp(0.5))).To(gomega.BeNumerically("~", 0.84, 0.05))
+}
+
+// Engines of any speed are learned, whatever was expected, from some dozens of
+// answers of which each tenth is late for reasons of its own.
+func TestSpeedsAreLearned(t *testing.T) {
+	tests := []struct {
+		name          string
+		fixed, tokens time.Duration
+	}{
+		{"as expected", 50 * time.Millisecond, 20 * time.Millisecond},
+		{"five times slower", 250 * time.Millisecond, 100 * time.Millisecond},
+		{"five times faster", 10 * time.Millisecond, 4 * time.Millisecond},
+		{"slow to begin, fast to read", 200 * time.Millisecond, 5 * time.Millisecond},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := rand.New(rand.NewPCG(1, 2))
+			l, now := NewTimes(), time.Now()
+			truth := func(f Factors) time.Duration {
+				return tc.fixed + time.Duration(f.Own+f.Before)*tc.tokens/1000
+			}
+			for range 150 {
+				f := Factors{Own: r.IntN(12000), Before: r.IntN(8000)}
+				took := time.Duration(float64(truth(f)) * math.Exp(0.2*r.NormFloat64()))
+				if r.IntN(10) == 0 {
+					took *= 3
+				}
+				l.Observe("k", prior(), f, took, now)
+				now = now.Add(50 * time.Millisecond)
+			}
+			e := l.Estimate("k", prior(), now.Add(time.Second))
+			g.Expect(e.Count()).To(gomega.BeNumerically(">", 100))
+			for _, f := range []Factors{{Own: 1000}, {Own: 10000}, {Own: 3000, Before: 6000}} {
+				g.Expect(float64(e.Time(f)) / float64(truth(f))).To(gomega.BeNumerically("~", 1.1, 0.3))
+			}
+			g.Expect(e.Quantile(0.99)).To(gomega.BeNumerically(">", 2), "late answers are in the distribution")
+		})
+	}
+}
+
+func TestWhatChangesIsLearnedAnew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, now := NewTimes(), time.Now()
+	observe := func(took time.Duration) {
+		for range 500 {
+			l.Observe("k", prior(), Factors{}, took, now)
+			now = now.Add(40 * time.Millisecond)
+		}
+	}
+	observe(50 * time.Millisecond)
+	observe(150 * time.Millisecond)
+	g.Expect(l.Estimate("k", prior(), now.Add(time.Second)).Time(Factors{})).To(gomega.BeNumerically(">", 100*time.Millisecond))
+}
+
+// Whatever is observed, an estimate's times are positive numbers and its chances
+// rise from 0 to 1.
+func TestEstimatesAreSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := NewTimes(), time.Now()
+		for range rapid.IntRange(0, 60).Draw(t, "observations") {
+			f := Factors{
+				Own: rapid.IntRange(0, 1<<24).Draw(t, "own"), Before: rapid.IntRange(0, 1<<26).Draw(t, "before"),
+				Beside: rapid.Float64Range(0, 1).Draw(t, "beside"), Waiting: rapid.Float64Range(0, 50).Draw(t, "waiting"), Crowd: rapid.Float64Range(0, 2).Draw(t, "crowd"),
+			}
+			took := time.Duration(rapid.Int64Range(-int64(time.Hour), int64(time.Hour)).Draw(t, "took"))
+			// The clock may stand still or go back.
+			now = now.Add(time.Duration(rapid.Int64Range(-int64(time.Minute), int64(time.Minute)).Draw(t, "pause")))
+			l.Observe("k", prior(), f, took, now)
+		}
+		e := l.Estimate("k", prior(), now.Add(time.Second))
+		for _, f := range []Factors{{}, {Own: 1 << 24}, {Before: 12000, Crowd: 1}} {
+			if e.Time(f) <= 0 || e.Time(f) > 1000*time.Hour {
+				t.Fatalf("%v for %+v", e.Time(f), f)
+			}
+		}
+		last := 0.0
+		for ratio := 0.0; ratio < 20; ratio += 0.1 {
+			c := e.Chance(ratio)
+			if c < last || c > 1 {
+				t.Fatalf("the chance falls from %v to %v at %v", last, c, ratio)
+			}
+			last = c
+		}
+	})
+}
+
+func TestImpossibleTimesAreCountedAndNotLearned(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, now := NewTimes(), time.Now()
+	for _, took := range []time.Duration{0, -time.Second, 2 * longest} {
+		l.Observe("k", prior(), Factors{}, took, now)
+	}
+	g.Expect(l.Rejected()).To(gomega.Equal(3))
+	g.Expect(l.Estimate("k", prior(), now).Count()).To(gomega.BeZero())
+}
+
+func TestPatienceEndsWhereAnotherIsLikelier(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, now := NewTimes(), time.Now()
+	// One answer in twenty takes five times as long.
+	for i := range 400 {
+		took := 30 * time.Millisecond
+		if i%20 == 0 {
+			took = 150 * time.Millisecond
+		}
+		l.Observe("k", prior(), Factors{}, took, now)
+		now = now.Add(time.Millisecond)
+	}
+	e := l.Estimate("k", prior(), now.Add(time.Second))
+	expected := e.Time(Factors{})
+	wait := e.Patience(140*time.Millisecond, expected, expected, 0.1)
+	g.Expect(wait).To(gomega.BeNumerically(">", 25*time.Millisecond))
+	g.Expect(wait).To(gomega.BeNumerically("<", 110*time.Millisecond))
+	g.Expect(e.Patience(35*time.Millisecond, expected, expected, 0.1)).To(gomega.Equal(35*time.Millisecond), "no time is left for another")
+	g.Expect(e.Patience(time.Second, expected, 3*time.Second, 0.1)).To(gomega.Equal(time.Second), "the other is no likelier")
+}
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"embertally.dev/core/fleet"
+	"embertally.dev/core/learn"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
 	"embertally.dev/core/table"
@@ -18,10 +19,14 @@
 	target  *roster.Target
 	sending Sending
 	load    roster.Load
-	// expected is the expected time to the first answer.
-	expected time.Duration
-	// before is how many tokens are read there before the prompt.
-	before int
+	// judged is what was expected of it, and usual the time to the first answer
+	// that would be expected of any target of the service with its load.
+	judged route.Judgement
+	usual  time.Duration
+	// send works out what is said to the target, once it is decided.
+	send func()
+	// factors are what that time depends on.
+	factors learn.Factors
 	// plan is how the target gets the shared parts.
 	plan plan
 	// alone tells that there was no other candidate.
@@ -53,13 +58,17 @@
 		plans[i] = p.plan(svc, o, parts[o.version], now)
 		plans[i].weigh(&list[i], parts[o.version])
 	}
-	asked := p.asked(svc)
+	asked, estimate := p.asked(len(options), now), p.estimate(now)
 	spot := route.Spot{Context: p.context(), Turn: p.relay.turn.Add(1), Chance: draw()}
-	at := route.PickBy(p.placement(svc), asked, list, spot)
+	at, judged := route.PickBy(p.placement(svc), &asked, list, estimate, &p.relay.o.Prices, spot)
 	if at < 0 {
 		return nil, why
 	}
-	return p.chosen(svc, options[at], plans[at], asked, list[at], len(list) == 1, now), ""
+	out := &choice{target: options[at].target, plan: plans[at], alone: len(list) == 1, judged: judged}
+	out.factors = list[at].Factors(&asked)
+	out.usual = estimate.Time(out.factors)
+	out.send = func() { p.address(svc, out, options[at], &list[at], now) }
+	return out, ""
 }
 
 // placement is how a worker is chosen; the placements to measure against are for
@@ -80,16 +89,12 @@
 	return fleet.Key(parts[len(parts)-1].ID)
 }
 
-// plainWorkShare is the part of a route's aim that the work of a plain call
-// usually takes: the users' aims are five times the work.
-const plainWorkShare = 0.2
-
-// asked is what a decision needs to know of the request.
-func (p *pass) asked(svc *table.Service) route.Asked {
-	if svc.Engine != nil {
-		return route.Asked{Tokens: p.ask.Prompt}
+// asked is what a decision among some targets needs to know of the request.
+func (p *pass) asked(targets int, now time.Time) route.Asked {
+	return route.Asked{
+		Tokens: p.ask.Prompt, Bytes: len(p.body), Aim: p.route.Aim, Spent: now.Sub(p.began), Left: p.until.Sub(now),
+		Rate: p.relay.rate(p.service, targets, now),
 	}
-	return route.Asked{Work: time.Duration(float64(p.route.Aim) * plainWorkShare)}
 }
 
 // candidate works out what a decision needs to know of an option beside the
@@ -97,7 +102,8 @@
 func (p *pass) candidate(svc *table.Service, o option) route.Candidate {
 	c := route.Candidate{
 		Running: o.load.Running, Slots: max(1, o.entry.Slots), Unread: o.load.Unread, Held: o.load.Held,
-		Short: o.short, Far: o.entry.Domain != p.relay.o.Domain, Doubtful: o.health.Lapsed, Faults: o.health.Faults, Pace: o.health.Pace,
+		Far: o.entry.Domain != p.relay.o.Domain, Cold: !p.relay.o.Pool.Warm(o.entry.Address), Doubtful: o.health.Lapsed,
+		Faults: o.state.Faults, Pace: o.state.Pace,
 	}
 	if svc.Engine != nil {
 		c.Memory = svc.Engine.MemoryTokens
@@ -106,31 +112,25 @@
 	return c
 }
 
-// chosen works out what is said to the target.
-func (p *pass) chosen(svc *table.Service, o option, pl plan, asked route.Asked, c route.Candidate, alone bool, now time.Time) *choice {
-	t := o.target
-	out := &choice{target: t, plan: pl, alone: alone, expected: route.Cost(asked, route.Candidate{
-		Running: c.Running, Slots: c.Slots, Unread: c.Unread, Kept: c.Kept, Copied: c.Copied, CopyTime: c.CopyTime,
-	})}
-	out.sending.Target = t.ID()
+// address works out what is said to the chosen target.
+func (p *pass) address(svc *table.Service, out *choice, o option, c *route.Candidate, now time.Time) {
+	out.sending.Target = o.target.ID()
 	out.load = roster.Load{Running: 1}
 	if svc.Engine == nil {
-		return out
+		return
 	}
-	salt := p.salt(o.version)
 	out.sending.Weights = o.version
-	out.sending.Salt = salt.String()
+	out.sending.Salt = p.salt(o.version).String()
 	out.sending.Priority = p.priority()
-	out.load.Unread = max(0, p.ask.Prompt-c.Kept-c.Copied)
+	out.load.Unread = out.factors.Own
 	out.load.Held = p.ask.Prompt
-	out.before = c.Unread
 	p.copies(out, o, now)
 	p.relay.o.Stats.Read.Add(p.ask.Prompt)
 	p.relay.o.Stats.Copied.Add(c.Copied)
 	p.relay.o.Stats.Kept.Add(c.Kept)
-	p.note("kept %d, copied %d of %d shared in %d tokens, before it %d, running %d, held %d, expected %s, version %d",
-		c.Kept, c.Copied, p.shared(), p.ask.Prompt, c.Unread, c.Running, c.Held, out.expected.Round(time.Millisecond), o.version)
-	return out
+	p.note("kept %d, copied %d of %d shared in %d tokens, before it %d, running %d, held %d, expected %s, in time %.2f, worth %.2f, version %d",
+		c.Kept, c.Copied, p.shared(), p.ask.Prompt, c.Unread, c.Running, c.Held, out.judged.Expected.Round(time.Millisecond),
+		out.judged.InTime, out.judged.Worth, o.version)
 }
 
 // Ranks of requests at model workers, 0 first.
--- a/core/relay/learned.go
+++ b/core/relay/learned.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"embertally.dev/core/fleet"
+	"embertally.dev/core/learn"
 	"embertally.dev/core/route"
 )
 
@@ -14,11 +14,29 @@
 	return rl.allowance(service).Spend(time.Since(rl.began))
 }
 
-// earn records a request for a service.
-func (rl *Relay) earn(service string) {
+// earn records a request for a service, of some worth.
+func (rl *Relay) earn(service string, worth float64, now time.Time) {
 	rl.allowMu.Lock()
 	defer rl.allowMu.Unlock()
 	rl.allowance(service).Earn(time.Since(rl.began))
+	r := rl.rates[service]
+	if r == nil {
+		r = &learn.Rate{}
+		rl.rates[service] = r
+	}
+	r.Add(worth, now)
+}
+
+// rate returns the worth of the requests that come to each of some targets of a
+// service in a second, from all daemons.
+func (rl *Relay) rate(service string, targets int, now time.Time) float64 {
+	rl.allowMu.Lock()
+	defer rl.allowMu.Unlock()
+	r := rl.rates[service]
+	if r == nil {
+		return 0
+	}
+	return r.PerSecond(now) * float64(max(1, rl.o.Daemons())) / float64(max(1, targets))
 }
 
 // allowedShare is the part of what is allowed that is used: requests that were
@@ -36,66 +54,57 @@
 	return a
 }
 
-// count records a prompt for a service.
-func (rl *Relay) count(service string, tokens int) {
-	rl.allowMu.Lock()
-	defer rl.allowMu.Unlock()
-	m := rl.mixes[service]
-	if m == nil {
-		m = &route.Mix{}
-		rl.mixes[service] = m
+// workers returns the workers of a service that this daemon's requests go to.
+func (rl *Relay) workers(service string) []string {
+	targets := rl.o.Roster.Of(service)
+	names := make([]string, len(targets))
+	for i, t := range targets {
+		names[i] = t.ID()
 	}
-	m.Count(tokens)
+	return rl.o.Share(names)
 }
 
-// sample records how long tokens took to be read.
-func (rl *Relay) sample(service string, tokens int, took time.Duration) {
-	rl.allowMu.Lock()
-	defer rl.allowMu.Unlock()
-	s := rl.speeds[service]
-	if s == nil {
-		s = &route.Speed{}
-		rl.speeds[service] = s
+// kind is what the times to first answers of a request are learned by: the route,
+// since the work of calls and the urgency of prompts are its own.
+func (p *pass) kind() (string, *learn.Prior) {
+	name := p.service + " " + p.route.Name
+	if svc := p.table.Service(p.service); svc != nil && svc.Engine != nil {
+		return name, &p.relay.o.Engines
 	}
-	s.Sample(tokens, took)
+	return name, &p.relay.o.Calls
 }
 
-// speed returns how fast the workers of a service read.
-func (rl *Relay) speed(service string) route.Speed {
-	rl.allowMu.Lock()
-	defer rl.allowMu.Unlock()
-	if s := rl.speeds[service]; s != nil {
-		return *s
-	}
-	return route.Speed{}
+// estimate returns what is known of the times to first answers of the request.
+func (p *pass) estimate(now time.Time) *learn.Estimate {
+	kind, prior := p.kind()
+	return p.relay.o.Times.Estimate(kind, prior, now)
 }
 
-// shortWorkers returns those of a service's workers that are set aside for
-// short prompts. All daemons that see the same list and mix name the same ones.
-func (rl *Relay) shortWorkers(service string, names []string) map[string]bool {
-	rl.allowMu.Lock()
-	var m route.Mix
-	if known := rl.mixes[service]; known != nil {
-		m = *known
-	}
-	rl.allowMu.Unlock()
-	n := m.ShortWorkers(len(names))
-	if n == 0 {
-		return nil
+// answered records an answer of a target, and whether it was good.
+func (p *pass) answered(c *choice, good bool) {
+	now := time.Now()
+	c.target.Answered()
+	p.relay.o.Targets.Answered(c.target.ID(), p.service, good, now)
+}
+
+// first records that the first answer to a send has come.
+func (p *pass) firstAnswer(c *choice, sent time.Time) {
+	now := time.Now()
+	took := now.Sub(sent)
+	p.learnCopies(c, took, now)
+	if c.plan.copied > 0 {
+		return
 	}
-	out := make(map[string]bool, n)
-	for _, name := range fleet.Rank(fleet.Key("short"), names)[:n] {
-		out[name] = true
+	kind, prior := p.kind()
+	p.relay.o.Times.Observe(kind, prior, c.factors, took, now)
+	if c.usual > 0 {
+		p.relay.o.Targets.Timed(c.target.ID(), p.service, float64(took)/float64(c.usual), now)
 	}
-	return out
 }
 
-// workers returns the workers of a service that this daemon's requests go to.
-func (rl *Relay) workers(service string) []string {
-	targets := rl.o.Roster.Of(service)
-	names := make([]string, len(targets))
-	for i, t := range targets {
-		names[i] = t.ID()
-	}
-	return rl.o.Share(names)
+// silent records that a target gave no answer.
+func (p *pass) silent(c *choice) {
+	now := time.Now()
+	c.target.Silent(now)
+	p.relay.o.Targets.Answered(c.target.ID(), p.service, false, now)
 }
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"embertally.dev/core/learn"
 	"embertally.dev/core/roster"
-	"embertally.dev/core/route"
 	"embertally.dev/core/table"
 )
 
@@ -15,14 +15,6 @@
 	plainFull = 4
 	// engineFull is the same for model workers.
 	engineFull = 3
-	// heldMost is the share of a worker's memory that requests on their way may
-	// hold when a long prompt is added. Above it, the users' engines read parts
-	// again that were copied for waiting requests, and the load grows by itself.
-	heldMost = 0.7
-	// queueMost is the part of the aim that may go by before a long prompt's
-	// turn. Above it most answers would be late, which is worth a fifth to the
-	// users; a refusal lets those in time that are taken.
-	queueMost = 0.6
 	// connShare is the part of a target's connections that the daemons share
 	// out; the rest is left for daemons that one of them does not know of.
 	connShare = 0.9
@@ -35,8 +27,7 @@
 	health  roster.Health
 	load    roster.Load
 	version int64
-	// short tells that the target is set aside for short prompts.
-	short bool
+	state   learn.TargetState
 }
 
 // ownOptions returns the options among the workers that are this daemon's to
@@ -45,29 +36,26 @@
 // all.
 func (p *pass) ownOptions(svc *table.Service, now time.Time) ([]option, string) {
 	if svc.Engine == nil {
-		return p.options(svc, nil, nil, now)
+		return p.options(svc, nil, now)
 	}
 	names := p.relay.workers(p.service)
-	short := p.relay.shortWorkers(p.service, names)
 	mine := make(map[string]bool, len(names))
 	for _, name := range names {
 		mine[name] = true
 	}
-	own, why := p.options(svc, mine, short, now)
+	own, why := p.options(svc, mine, now)
 	if len(own) > 0 || why == allFull {
 		return own, why
 	}
-	return p.options(svc, nil, short, now)
+	return p.options(svc, nil, now)
 }
 
 // options returns the targets that may get the request, or why there are none.
-// Where mine is not nil only the targets in it are looked at; short holds those
-// that are set aside for short prompts.
-func (p *pass) options(svc *table.Service, mine, short map[string]bool, now time.Time) ([]option, string) {
+// Where mine is not nil only the targets in it are looked at.
+func (p *pass) options(svc *table.Service, mine map[string]bool, now time.Time) ([]option, string) {
 	var out []option
 	ordered := p.relay.o.Roster.Ordered(now)
 	full, suspects, outdated := 0, 0, 0
-	speed := p.relay.speed(p.service)
 	for _, t := range p.relay.o.Roster.Of(p.service) {
 		if mine != nil && !mine[t.ID()] {
 			continue
@@ -81,11 +69,12 @@
 			continue
 		}
 		p.bound(svc, o.entry.Address)
-		if o.load.Running >= p.most(svc, o.entry) || p.crowded(svc, o.load) || p.behind(svc, o.load, &speed) || p.relay.o.Pool.Room(o.entry.Address) <= 0 {
+		if o.load.Running >= p.most(svc, o.entry) || p.relay.o.Pool.Room(o.entry.Address) <= 0 {
 			full++
 			continue
 		}
-		o.version, o.short = o.entry.Weights[p.ask.Model], short[t.ID()]
+		o.version = o.entry.Weights[p.ask.Model]
+		o.state = p.relay.o.Targets.State(t.ID(), p.service, now)
 		if svc.Engine != nil && p.relay.o.Outdated(p.ask.Model, o.version) {
 			outdated++
 			continue
@@ -111,21 +100,6 @@
 	return "no target is listed"
 }
 
-// crowded reports whether a worker's memory is spoken for, so that a long
-// prompt would push out the parts that others wait for. The prompt's own length
-// does not count: the longest would never be taken.
-func (p *pass) crowded(svc *table.Service, l roster.Load) bool {
-	return svc.Engine != nil && svc.Engine.MemoryTokens > 0 && p.ask.Prompt > route.ShortPrompt &&
-		float64(l.Held) > heldMost*float64(svc.Engine.MemoryTokens)
-}
-
-// behind reports whether so much is read at a worker before a long prompt that
-// its answer would be late. Its own length does not count.
-func (p *pass) behind(svc *table.Service, l roster.Load, speed *route.Speed) bool {
-	return svc.Engine != nil && p.ask.Prompt > route.ShortPrompt && p.route.Aim > 0 &&
-		speed.Time(l.Unread) > time.Duration(queueMost*float64(p.route.Aim))
-}
-
 // most is how many requests a target may have on their way.
 func (p *pass) most(svc *table.Service, e *roster.Entry) int {
 	slots := max(1, e.Slots)
--- a/core/relay/parts.go
+++ b/core/relay/parts.go
@@ -235,8 +235,7 @@
 	if c.plan.copied == 0 {
 		return
 	}
-	speed := p.relay.speed(p.service)
-	reading, queue := speed.Time(c.load.Unread)+route.FirstTime, speed.Time(c.before)
+	queue, reading := p.estimate(now).Parts(c.factors)
 	share := float64(c.plan.time) / float64(c.plan.time+queue+copyNoise)
 	ratio := float64(max(took-reading, copyNoise/10)) / float64(c.plan.time)
 	from := c.plan.sources[c.plan.copied-1].address
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -7,6 +7,7 @@
 
 	"embertally.dev/core/cache"
 	"embertally.dev/core/entry"
+	"embertally.dev/core/learn"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
 	"embertally.dev/core/wait"
@@ -52,10 +53,7 @@
 // run sends the request until it is answered, or says why not.
 func (p *pass) run() *entry.Refusal {
 	p.service = p.route.Service(draw())
-	p.relay.earn(p.service)
-	if p.ask.Prompt > 0 {
-		p.relay.count(p.service, p.ask.Prompt)
-	}
+	p.relay.earn(p.service, p.relay.o.Prices.Worth(p.ask.Prompt), p.began)
 	p.after = p.ask.After
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.until.Add(lateMargin))
 	defer cancel()
@@ -91,21 +89,22 @@
 	}
 }
 
-// Times of waiting for a place at a target.
-const (
-	// holdShare is the part of the aim that a request without a place waits
-	// before it is refused: the users count a refusal up to a quarter as early.
-	holdShare = 0.2
-	holdLook  = 15 * time.Millisecond
-)
+// holdLook is the pause between looks for a place.
+const holdLook = 15 * time.Millisecond
 
-// chooseSoon chooses a target, waiting a little while all are full.
+// chooseSoon chooses a target. Where none is worth taking now the request waits,
+// as long as it could still be answered in time.
 func (p *pass) chooseSoon(ctx context.Context) (*choice, string) {
-	end := p.began.Add(time.Duration(holdShare * float64(p.route.Aim)))
 	for {
 		c, why := p.choose()
-		if c != nil || why != allFull || !time.Now().Before(end) {
+		switch {
+		case c != nil && c.judged.Gain > 0:
+			c.send()
 			return c, why
+		case c == nil && why != allFull:
+			return nil, why
+		case !p.hopeful():
+			return nil, allFull
 		}
 		if !wait.For(ctx, holdLook) {
 			return nil, why
@@ -113,6 +112,19 @@
 	}
 }
 
+// hopefulChance is the chance of an answer in time below which a request waits no
+// longer for a place.
+const hopefulChance = 0.5
+
+// hopeful reports whether an answer is likely to come in time if a target takes
+// the request now.
+func (p *pass) hopeful() bool {
+	now := time.Now()
+	e := p.estimate(now)
+	expected := e.Time(learn.Factors{Own: p.ask.Prompt - p.shared()})
+	return e.Chance((p.route.Aim-now.Sub(p.began)).Seconds()/expected.Seconds()) >= hopefulChance
+}
+
 // Bounds on sends of one request.
 const (
 	// refusedMost is how many targets may refuse a request before it is given
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -34,11 +34,12 @@
 	reply := p.relay.o.Dialect.Reply(in.Status, in.Header)
 	if (in.Status/100 == 2 && !reply.Sealed) || reply.Encoded {
 		in.Spoil()
-		c.target.Answered(time.Now(), false, 0)
+		p.answered(c, false)
 		p.note("the answer is not signed")
 		return broken, nil
 	}
-	c.target.Answered(time.Now(), good, p.pace(c, time.Since(sent)))
+	p.answered(c, good)
+	p.firstAnswer(c, sent)
 	if !good && p.route.MayRepeat() && len(body) < plainMost {
 		return bad, ans
 	}
@@ -67,7 +68,7 @@
 func (p *pass) brokenOff(c *choice, err error) outcome {
 	p.note("%v", errors.Cause(err))
 	now := time.Now()
-	c.target.Answered(now, false, 0)
+	p.answered(c, false)
 	switch {
 	case gone(p.r.Context()):
 		return left
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -33,8 +33,15 @@
 	Kept    *cache.Kept
 	Where   *cache.Where
 	Links   *learn.Links
-	Log     *event.Log
-	Stats   *Stats
+	// Times and Targets are what is learned of the targets' answers, and Engines
+	// and Calls what is expected of model workers and of plain calls before.
+	Times          *learn.Times
+	Targets        *learn.Targets
+	Engines, Calls learn.Prior
+	// Prices say what answers are worth.
+	Prices route.Prices
+	Log    *event.Log
+	Stats  *Stats
 	// Placement chooses the workers; the zero value stands for route.Returning.
 	Placement route.Placement
 	// Domain is the failure domain of this daemon.
@@ -83,11 +90,9 @@
 	allowMu sync.Mutex
 	// allowances bound repeated sends by service. Guarded by allowMu.
 	allowances map[string]*route.Allowance
-	// mixes count the prompts of each service. Guarded by allowMu.
-	mixes map[string]*route.Mix
-	// speeds learn how fast the workers of each service read. Guarded by
+	// rates are the worth of the requests that come for each service. Guarded by
 	// allowMu.
-	speeds map[string]*route.Speed
+	rates map[string]*learn.Rate
 }
 
 // New returns a relay that has no table yet.
@@ -95,7 +100,7 @@
 	if o.Placement == "" {
 		o.Placement = route.Returning
 	}
-	return &Relay{o: o, began: time.Now(), allowances: map[string]*route.Allowance{}, mixes: map[string]*route.Mix{}, speeds: map[string]*route.Speed{}}
+	return &Relay{o: o, began: time.Now(), allowances: map[string]*route.Allowance{}, rates: map[string]*learn.Rate{}}
 }
 
 // SetTable puts a configuration in force. Running requests keep theirs.
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -20,6 +20,7 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/route"
 	"embertally.dev/core/table"
 	"embertally.dev/core/target"
 )
@@ -185,6 +186,14 @@
 	{Name: "short", Host: "h", Prefix: "/short/", Kind: table.Once, Timeout: 150 * time.Millisecond, Attempts: 1, Splits: []table.Split{{Service: "plain", Weight: 1}}},
 }
 
+// What is expected before anything was observed, and prices as those of the
+// settings.
+var (
+	enginePrior = learn.Prior{Fixed: 50 * time.Millisecond, Own: 20 * time.Millisecond, Before: 20 * time.Millisecond, Beside: 50 * time.Millisecond, Crowd: 300 * time.Millisecond, Waiting: time.Second, Spread: 0.5, Weight: 5}
+	callPrior   = learn.Prior{Fixed: 40 * time.Millisecond, Waiting: 40 * time.Millisecond, Spread: 0.5, Weight: 5}
+	testPrices  = route.Prices{Token: 0.0004, Late: 0.25, Again: 0.0008, Copied: 0.000012, Old: 0.2, Connect: 0.03, Across: 4, Wait: 0.1}
+)
+
 func newRig(t *testing.T, stores cache.Watcher) *rig {
 	r := &rig{t: t, g: gomega.NewWithT(t), log: &event.Log{}, named: 1}
 	if stores == nil {
@@ -195,6 +204,7 @@
 	r.relay = New(Options{
 		Dialect: plainDialect{}, Roster: r.roster, Pool: &target.Pool{}, Kept: r.kept, Where: &cache.Where{}, Links: &learn.Links{}, Log: r.log, Stats: NewStats(),
 		Named: func(string) int64 { return r.named }, Current: func() bool { return !r.stale }, Outdated: func(_ string, v int64) bool { return v < r.least }, CopyMay: func() bool { return true },
+		Times: learn.NewTimes(), Targets: &learn.Targets{}, Engines: enginePrior, Calls: callPrior, Prices: testPrices,
 		Daemons: func() int { return 1 }, Placed: func() {}, Age: func() time.Duration { return 0 }, Share: func(names []string) []string { return names }, RetryShare: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 	})
 	r.relay.SetTable(table.New(table.Spec{
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -13,7 +13,6 @@
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
 	"embertally.dev/core/roster"
-	"embertally.dev/core/route"
 	"embertally.dev/core/table"
 	"embertally.dev/core/target"
 )
@@ -21,7 +20,7 @@
 // attempt sends the request to one target and passes its answer on.
 func (p *pass) attempt(ctx context.Context, c *choice) (outcome, *plainAnswer) {
 	c.target.Begin(c.load)
-	if p.ask.Prompt > route.ShortPrompt {
+	if p.ask.Prompt > 0 {
 		p.relay.o.Placed()
 	}
 	read := false
@@ -67,18 +66,23 @@
 // errSlow ends the wait for a target that another one may be quicker than.
 var errSlow = errors.New("the target was slower than others are")
 
-// patienceShare is the share of the aim after which a repeatable call that has
-// no answer yet is sent to another target. A call's work is a fifth of its aim
-// on the users' sites.
-const patienceShare = 0.6
+// patienceMargin is by how much the chance of an answer in time must be larger at
+// another target before a slow one is left: a second send costs a place there.
+const patienceMargin = 0.1
 
 // patience bounds the wait for an answer that another target may still give in
 // time.
 func (p *pass) patience(ctx context.Context, c *choice) (context.Context, context.CancelFunc) {
-	if p.route.Kind != table.Repeatable || p.runs+1 >= p.route.Attempts || p.route.Aim <= 0 || c.alone {
+	now := time.Now()
+	left := p.route.Aim - now.Sub(p.began)
+	if p.route.Kind != table.Repeatable || p.runs+1 >= p.route.Attempts || left <= 0 || c.alone {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeoutCause(ctx, time.Duration(float64(p.route.Aim)*patienceShare), errSlow)
+	wait := p.estimate(now).Patience(left, c.judged.Expected, c.judged.Expected, patienceMargin)
+	if wait >= left {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeoutCause(ctx, wait, errSlow)
 }
 
 // unanswered records a send without any answer.
@@ -96,14 +100,14 @@
 		return notSent
 	case !time.Now().Before(p.until):
 		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-			c.target.Answered(time.Now(), false, 0)
+			p.answered(c, false)
 		}
 		return late
 	case errors.Is(context.Cause(ctx), errSlow):
-		c.target.Answered(time.Now(), false, 0)
+		p.answered(c, false)
 		return broken
 	}
-	c.target.Silent(time.Now())
+	p.silent(c)
 	if !sent {
 		return notSent
 	}
@@ -120,7 +124,7 @@
 		in.Spoil()
 		p.sends++
 		p.runs++
-		c.target.Answered(time.Now(), false, 0)
+		p.answered(c, false)
 		return broken, false
 	case moved:
 		p.relay.o.Stats.Moved.Inc()
@@ -129,7 +133,7 @@
 		}
 		if reply.Target != "" && reply.Target != c.target.ID() {
 			// Another target has the address now.
-			c.target.Silent(time.Now())
+			p.silent(c)
 		}
 	case reply.NotRun:
 		p.relay.o.Stats.NotRun.Inc()
@@ -182,11 +186,3 @@
 	}
 	return false
 }
-
-// pace is the time to a first answer over that which was expected.
-func (p *pass) pace(c *choice, took time.Duration) float64 {
-	if c.expected <= 0 {
-		return 0
-	}
-	return float64(took) / float64(c.expected)
-}
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -59,7 +59,7 @@
 	reply := p.relay.o.Dialect.Reply(in.Status, in.Header)
 	if !reply.Sealed || reply.Encoded {
 		in.Spoil()
-		c.target.Answered(time.Now(), false, 0)
+		p.answered(c, false)
 		return broken
 	}
 	r := bufio.NewReaderSize(in, 2<<10)
@@ -73,11 +73,8 @@
 		}
 		if n == 0 {
 			onFirst()
-			c.target.Answered(time.Now(), true, p.pace(c, time.Since(sent)))
-			if c.plan.copied == 0 {
-				p.relay.sample(p.service, c.before+c.load.Unread, time.Since(sent))
-			}
-			p.learnCopies(c, time.Since(sent), time.Now())
+			p.answered(c, true)
+			p.firstAnswer(c, sent)
 		}
 		if !newer(ev.id, p.after) {
 			// The caller has this event from the worker before.
@@ -129,7 +126,7 @@
 	}
 	// A whole answer without events.
 	(&plainAnswer{in.Status, in.Header, nil}).head(p, -1)
-	c.target.Answered(time.Now(), true, 0)
+	p.answered(c, true)
 	return done
 }
 
@@ -140,7 +137,7 @@
 		return left
 	}
 	now := time.Now()
-	c.target.Answered(now, false, 0)
+	p.answered(c, false)
 	if !now.Before(p.until) {
 		return late
 	}
--- a/core/roster/target.go
+++ b/core/roster/target.go
@@ -26,14 +26,6 @@
 	failures int
 	// failed is when the last of them was. Guarded by targetMu.
 	failed time.Time
-	// faults is the recent share of bad answers, from 0 to 1. Guarded by
-	// targetMu.
-	faults float64
-	// pace is the recent time to a first answer over that which was expected.
-	// Guarded by targetMu; 0 before the first answer.
-	pace float64
-	// paced is when pace was last told. Guarded by targetMu.
-	paced time.Time
 	// until is when a lapsed entry counts as gone; zero where it is listed.
 	// Guarded by targetMu.
 	until time.Time
@@ -125,48 +117,26 @@
 	// Lapsed tells that its entry went in an outage of the list.
 	Lapsed bool
 	Gone   bool
-	// Faults is the recent share of bad answers, from 0 to 1.
-	Faults float64
-	// Pace is the recent time to a first answer over that which was expected;
-	// 1 where nothing is known.
-	Pace float64
 }
 
-// Figures of what is learned from answers.
+// Times of silence.
 const (
 	// suspectTime is how long a target that gave no answer is passed over; it
 	// doubles with each failure in a row up to suspectMost, so that a target
 	// that comes back is tried within the users' recovery times.
 	suspectTime = 250 * time.Millisecond
 	suspectMost = 2 * time.Second
-	// faultShare is the weight of one answer in the share of faults: about the
-	// last eight answers count.
-	faultShare = 0.12
-	// forgetPace is how long a pace counts, so that a target that was slow is
-	// tried again.
-	forgetPace = 3 * time.Second
-	paceShare  = 0.2
-	// paceMost bounds one answer, so that one that waited behind a long prompt
-	// does not make a sound target look slow.
-	paceMost = 8
 )
 
 // Health returns how the target answers.
 func (t *Target) Health(now time.Time) Health {
 	t.targetMu.Lock()
 	defer t.targetMu.Unlock()
-	h := Health{Lapsed: !t.until.IsZero(), Gone: t.gone, Faults: t.faults, Pace: 1}
+	h := Health{Lapsed: !t.until.IsZero(), Gone: t.gone}
 	if t.failures > 0 {
 		pause := min(suspectTime<<min(t.failures-1, 8), suspectMost)
 		h.Suspect = now.Sub(t.failed) < pause
 	}
-	if t.pace > 0 && now.Sub(t.paced) < forgetPace {
-		h.Pace = t.pace
-	}
-	if age := now.Sub(t.paced); age >= forgetPace {
-		// A target that is passed over for its faults is tried again.
-		h.Faults /= 2
-	}
 	return h
 }
 
@@ -176,31 +146,13 @@
 	defer t.targetMu.Unlock()
 	t.failures++
 	t.failed = now
-	t.faults += (1 - t.faults) * faultShare
-	t.paced = now
 }
 
-// Answered records an answer, whether it was good, and its time over that
-// which was expected; pace 0 says nothing of time.
-func (t *Target) Answered(now time.Time, good bool, pace float64) {
+// Answered records that the target gave an answer.
+func (t *Target) Answered() {
 	t.targetMu.Lock()
 	defer t.targetMu.Unlock()
 	t.failures = 0
-	t.paced = now
-	fault := 1.0
-	if good {
-		fault = 0
-	}
-	t.faults += (fault - t.faults) * faultShare
-	if pace <= 0 {
-		return
-	}
-	pace = min(pace, paceMost)
-	if t.pace == 0 {
-		t.pace = pace
-		return
-	}
-	t.pace += (pace - t.pace) * paceShare
 }
 
 // Load returns all work on its way to the target, from this daemon and from
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -1,84 +1,51 @@
 package route
 
-import "time"
+import "embertally.dev/core/learn"
 
-// Candidate is one target that a request may be sent to.
-type Candidate struct {
-	// Running is how many requests are on their way to the target or run there.
-	Running int
-	// Slots is how many run at a time.
-	Slots int
-	// Unread is how many prompt tokens must be read there before a new request's.
-	Unread int
-	// Held is how many tokens of context the running requests hold.
-	Held int
-	// Memory is how many tokens of context fit; 0 for plain services.
-	Memory int
-	// Kept is how many tokens of the request's prompt the target is believed to
-	// hold.
-	Kept int
-	// Copied is how many more tokens a store can hand to it.
-	Copied int
-	// CopyTime is how long that takes.
-	CopyTime time.Duration
-	// Again is how many tokens would be read there that were read elsewhere
-	// lately.
-	Again int
-	// Old tells that the target holds older weights than were named.
-	Old bool
-	// Short tells that the target is set aside for short prompts.
-	Short bool
-	// Far tells that the target is in another failure domain.
-	Far bool
-	// Doubtful tells that the target may be gone.
-	Doubtful bool
-	// Faults is the recent share of bad answers.
-	Faults float64
-	// Pace is the recent time to a first answer over that expected.
-	Pace float64
-}
-
-// Asked is what a choice needs to know of a request.
-type Asked struct {
-	// Tokens is the length of the prompt; 0 for plain calls.
-	Tokens int
-	// Work is the usual time of a plain call.
-	Work time.Duration
-}
-
-// nearPick is the difference in cost that is left to chance, so that daemons
-// which decide on the same reports do not all take the same target.
-const nearPick = 2 * time.Millisecond
+// nearPick is the difference, as a part of what an answer is worth, that is left
+// to chance, so that daemons which decide on the same reports do not all take the
+// same target.
+const nearPick = 0.003
 
-// Pick returns the index of the candidate to take, or -1 without candidates.
-// chance is drawn from [0, 1).
-func Pick(a Asked, list []Candidate, chance float64) int {
+// Pick returns the index of the candidate to take and what is expected there, or
+// -1 without candidates. chance is drawn from [0, 1).
+func Pick(a *Asked, list []Candidate, e *learn.Estimate, p *Prices, chance float64) (int, Judgement) {
 	if len(list) == 0 {
-		return -1
+		return -1, Judgement{}
 	}
-	costs := make([]time.Duration, len(list))
-	least := time.Duration(-1)
-	for i, c := range list {
-		costs[i] = Cost(a, c)
-		if least < 0 || costs[i] < least {
-			least = costs[i]
+	judged := make([]Judgement, len(list))
+	best := 0
+	for i := range list {
+		judged[i] = Judge(a, &list[i], e, p)
+		if better(&judged[i], &judged[best]) {
+			best = i
 		}
 	}
+	least := judged[best].Worth - nearPick*p.Worth(a.Tokens)
 	near := 0
-	for _, c := range costs {
-		if c <= least+nearPick {
+	for _, j := range judged {
+		if j.Worth >= least && (j.Gain > 0 || judged[best].Gain <= 0) {
 			near++
 		}
 	}
 	at := int(chance * float64(near))
-	for i, c := range costs {
-		if c > least+nearPick {
+	for i, j := range judged {
+		if j.Worth < least || (j.Gain <= 0 && judged[best].Gain > 0) {
 			continue
 		}
 		if at == 0 {
-			return i
+			return i, j
 		}
 		at--
 	}
-	return len(list) - 1
+	return best, judged[best]
+}
+
+// better reports whether a is the better choice than b: callers gain by it, and it
+// is worth more.
+func better(a, b *Judgement) bool {
+	if (a.Gain > 0) != (b.Gain > 0) {
+		return a.Gain > 0
+	}
+	return a.Worth > b.Worth
 }
--- a/core/route/place.go
+++ b/core/route/place.go
@@ -13,8 +13,8 @@
 	"time"
 )
 
-// Prices turn the measures into seconds of first-token time.
-type Prices struct {
+// Policy holds prices that turn the measures into seconds of first-token time.
+type Policy struct {
 	// FirstToken multiplies the expected time to first token.
 	FirstToken float64
 	// Token is the price of one recomputed token in seconds.
@@ -33,7 +33,7 @@
 	BlockTokens int
 	// Deadline is the time left until the first token is due.
 	Deadline time.Duration
-	Prices   Prices
+	Prices   Policy
 	// Context spreads requests for placements that go by hash.
 	Context uint64
 	// Turn counts requests for placements that go in turn.
@@ -194,7 +194,7 @@
 	return list[least]
 }
 
-func (o *Option) price(p Prices) {
+func (o *Option) price(p Policy) {
 	o.Cost = p.FirstToken*o.Expected.Seconds() + p.Token*float64(o.Recomputed) + p.Byte*float64(o.LinkBytes)
 }
 
--- a/core/route/placement.go
+++ b/core/route/placement.go
@@ -1,5 +1,7 @@
 package route
 
+import "embertally.dev/core/learn"
+
 // Placement names a way to choose a worker.
 type Placement string
 
@@ -41,25 +43,26 @@
 	Chance float64
 }
 
-// PickBy returns the index of the candidate that a placement takes, or -1
-// without candidates.
-func PickBy(p Placement, a Asked, list []Candidate, s Spot) int {
+// PickBy returns the index of the candidate that a placement takes and what is
+// expected there, or -1 without candidates.
+func PickBy(p Placement, a *Asked, list []Candidate, e *learn.Estimate, prices *Prices, s Spot) (int, Judgement) {
 	if len(list) == 0 {
-		return -1
+		return -1, Judgement{}
 	}
+	at := 0
 	switch p {
 	case RoundRobin:
-		return int(s.Turn % uint64(len(list)))
+		at = int(s.Turn % uint64(len(list)))
 	case StickyHash:
-		return int(s.Context % uint64(len(list)))
+		at = int(s.Context % uint64(len(list)))
 	case LeastTokens:
-		least := 0
 		for i, c := range list {
-			if c.Unread < list[least].Unread {
-				least = i
+			if c.Unread < list[at].Unread {
+				at = i
 			}
 		}
-		return least
+	default:
+		return Pick(a, list, e, prices, s.Chance)
 	}
-	return Pick(a, list, s.Chance)
+	return at, Judge(a, &list[at], e, prices)
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -108,6 +108,17 @@
 	return known.most - known.open + len(known.idle)
 }
 
+// Warm reports whether a connection to an address is open and idle.
+func (p *Pool) Warm(address string) bool {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	known := p.peers[address]
+	if known == nil || len(known.idle) == 0 {
+		return false
+	}
+	return time.Since(known.idle[len(known.idle)-1].used) < known.keep
+}
+
 // Send sends a request and returns the answer's head. The caller must Close
 // the answer. An error is a *SendError.
 func (p *Pool) Send(ctx context.Context, address string, out *Outgoing) (*Incoming, error) {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -54,6 +54,8 @@
 	kept     *cache.Kept
 	where    cache.Where
 	links    learn.Links
+	times    *learn.Times
+	targets  learn.Targets
 	pool     *target.Pool
 	relay    *relay.Relay
 	rights   []*lease.Timed
@@ -72,7 +74,7 @@
 
 // New puts a daemon together.
 func New(set Settings) *Host {
-	h := &Host{set: set, began: time.Now(), stats: relay.NewStats(), spool: event.NewSpool(os.Stdout)}
+	h := &Host{set: set, began: time.Now(), stats: relay.NewStats(), times: learn.NewTimes(), spool: event.NewSpool(os.Stdout)}
 	h.log = event.NewLog(set.Name, h.spool, event.FormatJSON, event.Level(set.LogLevel))
 	h.log.SetPace(&event.Pace{PerSecond: set.LogRate})
 	incarnation := uuid.NewString()
@@ -90,6 +92,7 @@
 	h.where.Room = h.memory
 	h.fleet.Attach("where", &h.where)
 	h.fleet.Attach("links", &h.links)
+	h.fleet.Attach("targets", &h.targets)
 	engines := platform.NewEngines(newClient())
 	shelves := spread.NewShelves(engines, h.fleet)
 	h.kept = cache.NewKept(shelves, h.log)
@@ -139,7 +142,8 @@
 // buildRelay makes the relay that answers callers.
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Links: &h.links,
+		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Links: &h.links, Times: h.times, Targets: &h.targets,
+		Engines: h.set.Expect.Engines.prior(), Calls: h.set.Expect.Calls.prior(), Prices: h.set.Prices.prices(),
 		Log: h.log, Stats: h.stats,
 		Placement: route.Placement(h.set.Placement), Placed: h.fleet.Kick,
 		Domain: h.set.Domain, Named: h.named.version, Daemons: h.daemons.count,
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"embertally.dev/core/learn"
 	"embertally.dev/core/route"
 	"embertally.dev/emberd/internal/settings"
 )
@@ -25,6 +26,57 @@
 	Bounds    Bounds  `yaml:"bounds" doc:"What the deployment promises and asks for."`
 	Retries   Retries `yaml:"retries" doc:"How often requests may be sent again, over all daemons together."`
 	Tuning    Tuning  `yaml:"tuning" doc:"How often daemons talk."`
+	Prices    Prices  `yaml:"prices" doc:"What answers are worth and what serving them costs, in answers to a plain call. They are the operators' to choose."`
+	Expect    Expect  `yaml:"expect" doc:"What is expected of targets before they were observed."`
+}
+
+// Prices are what the decisions of a hosted daemon maximize.
+type Prices struct {
+	Token   float64 `yaml:"token" doc:"What a thousand tokens of a prompt add to the worth of its answer."`
+	Late    float64 `yaml:"late" doc:"Part of its worth that an answer after its aim keeps."`
+	Again   float64 `yaml:"again" doc:"Price of reading a thousand tokens again that a worker has read lately."`
+	Copied  float64 `yaml:"copied" doc:"Price of copying a thousand tokens of kept context."`
+	Old     float64 `yaml:"old" doc:"Part of its worth that an answer on replaced weights loses."`
+	Connect float64 `yaml:"connect" doc:"Price of a new connection to a target."`
+	Across  float64 `yaml:"across" doc:"Price of a megabyte between failure domains."`
+	Wait    float64 `yaml:"wait" doc:"Part of its worth that an answer loses with each aim's time before it, also within the aim."`
+}
+
+// prices returns them as decisions need them.
+func (p *Prices) prices() route.Prices {
+	return route.Prices{
+		Token: p.Token / thousand, Late: p.Late, Again: p.Again / thousand, Copied: p.Copied / thousand,
+		Old: p.Old, Connect: p.Connect, Across: p.Across, Wait: p.Wait,
+	}
+}
+
+// thousand is the number of tokens that prices of tokens are for.
+const thousand = 1000
+
+// Expect is what is expected of targets.
+type Expect struct {
+	Engines Prior `yaml:"engines" doc:"Of model workers: the time to the first event."`
+	Calls   Prior `yaml:"calls" doc:"Of plain targets: the time to the answer."`
+}
+
+// Prior is what is expected of one kind of target.
+type Prior struct {
+	Fixed   time.Duration `yaml:"fixed" doc:"Time of an idle target beside the reading of the prompt."`
+	Own     time.Duration `yaml:"own" doc:"Time to read a thousand tokens of the prompt."`
+	Before  time.Duration `yaml:"before" doc:"The same for prompts that are read before it."`
+	Beside  time.Duration `yaml:"beside" doc:"What is added at a target that runs all the requests it can."`
+	Waiting time.Duration `yaml:"waiting" doc:"What is added for each time as many requests wait."`
+	Crowd   time.Duration `yaml:"crowd" doc:"Wait for memory where there is none."`
+	Spread  float64       `yaml:"spread" doc:"Standard deviation of the logarithm of observed over expected times."`
+	Weight  float64       `yaml:"weight" doc:"How many observations this counts for."`
+}
+
+// prior returns it as estimates need it.
+func (p *Prior) prior() learn.Prior {
+	return learn.Prior{
+		Fixed: p.Fixed, Own: p.Own, Before: p.Before, Beside: p.Beside, Waiting: p.Waiting, Crowd: p.Crowd,
+		Spread: p.Spread, Weight: p.Weight,
+	}
 }
 
 // Bounds are the times of a deployment.
@@ -55,6 +107,14 @@
 		Bounds:  Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second},
 		Retries: Retries{Share: 0.2, Window: 10 * time.Second},
 		Tuning:  Tuning{Heartbeat: 150 * time.Millisecond, Suspect: 1500 * time.Millisecond},
+		Prices:  Prices{Token: 0.4, Late: 0.25, Again: 0.8, Copied: 0.012, Old: 0.2, Connect: 0.03, Across: 4, Wait: 0.1},
+		Expect: Expect{
+			Engines: Prior{
+				Fixed: 60 * time.Millisecond, Own: 18 * time.Millisecond, Before: 15 * time.Millisecond, Beside: 50 * time.Millisecond,
+				Waiting: time.Second, Crowd: 300 * time.Millisecond, Spread: 0.5, Weight: 5,
+			},
+			Calls: Prior{Fixed: 40 * time.Millisecond, Beside: 10 * time.Millisecond, Waiting: 40 * time.Millisecond, Spread: 0.5, Weight: 5},
+		},
 	}
 }
 
