How likely workers hold parts is learned and weighed

Change: learn.Retention keeps the chance by depth, from times to first events that tell of long parts, told to peers; parts count as held, copied and read as likely as they are; a part that may be gone is copied where that pays; a store or a worker is copied from by time and risk.

--- a/core/cache/memory.go
+++ b/core/cache/memory.go
@@ -12,6 +12,9 @@
 	parts map[PartName]*list.Element
 	// tokens is the sum over order.
 	tokens int
+	// clock counts the tokens of all uses, so that the difference since a part's
+	// last use says how much was used after it.
+	clock int
 	// versions is the newest version of each model's weights that a request ran
 	// on; what older ones made is gone.
 	versions map[string]int64
@@ -23,18 +26,24 @@
 type held struct {
 	name   PartName
 	tokens int
+	// used is what the memory's clock said after the last use.
+	used int
 }
 
 // put records the use of a part and reports whether it was not held.
 func (m *memory) put(name PartName, tokens int) bool {
 	if e := m.parts[name]; e != nil {
+		h := e.Value.(*held)
+		m.clock += h.tokens
+		h.used = m.clock
 		m.order.MoveToFront(e)
 		return false
 	}
 	if tokens <= 0 {
 		return false
 	}
-	e := m.order.PushFront(&held{name, tokens})
+	m.clock += tokens
+	e := m.order.PushFront(&held{name, tokens, m.clock})
 	m.tokens += tokens
 	if name.ID == "" {
 		return false
@@ -46,6 +55,17 @@
 	return true
 }
 
+// depth returns how much was used since the begin of the last use of a part, as a
+// part of the room: from 1 on the part is likely pushed out.
+func (m *memory) depth(name PartName, room int) float64 {
+	e := m.parts[name]
+	if e == nil || room <= 0 {
+		return 0
+	}
+	h := e.Value.(*held)
+	return float64(m.clock-h.used+h.tokens) / float64(room)
+}
+
 // fit drops what was unused for longest until the rest fits into room, and
 // returns the parts dropped. A room of 0 is not known and drops nothing.
 func (m *memory) fit(room int) []PartName {
--- a/core/cache/where.go
+++ b/core/cache/where.go
@@ -146,13 +146,29 @@
 	return readLife
 }
 
+// Holder is a worker that is believed to hold a part.
+type Holder struct {
+	Target string
+	// Depth says how much the worker has used since the part, over the room it
+	// has: the deeper a part lies the likelier it was pushed out. It is 0 where the
+	// room is not known.
+	Depth float64
+}
+
 // Find returns the workers that are believed to hold a part, and whether the
 // part was read lately at all.
-func (w *Where) Find(name PartName, now time.Time) (targets []string, read bool) {
+func (w *Where) Find(name PartName, now time.Time) (holders []Holder, read bool) {
 	w.whereMu.Lock()
 	defer w.whereMu.Unlock()
+	for _, target := range w.holders[name] {
+		h := Holder{Target: target}
+		if w.Room != nil {
+			h.Depth = w.memories[target].depth(name, w.Room(target))
+		}
+		holders = append(holders, h)
+	}
 	at, ok := w.used[name]
-	return slices.Clone(w.holders[name]), ok && now.Sub(at) <= w.readLife()
+	return holders, ok && now.Sub(at) <= w.readLife()
 }
 
 // Collect returns what peers have not been told yet.
--- a/core/cache/where_test.go
+++ b/core/cache/where_test.go
@@ -17,8 +17,17 @@
 
 // holders returns the workers that are believed to hold a part.
 func holders(w *Where, id string) []string {
-	targets, _ := w.Find(PartName{"v1/m/", id}, time.Now())
-	return targets
+	return targetsOf(w, PartName{"v1/m/", id}, time.Now())
+}
+
+// targetsOf returns the workers that are believed to hold a part.
+func targetsOf(w *Where, name PartName, now time.Time) []string {
+	found, _ := w.Find(name, now)
+	var out []string
+	for _, h := range found {
+		out = append(out, h.Target)
+	}
+	return out
 }
 
 func room(tokens int) func(string) int { return func(string) int { return tokens } }
@@ -50,8 +59,7 @@
 	_, read = w.Find(name, now.Add(61*time.Second))
 	g.Expect(read).To(gomega.BeFalse())
 	w.Note(use("w2", "2", 10, 5), now.Add(61*time.Second))
-	targets, _ := w.Find(name, now.Add(61*time.Second))
-	g.Expect(targets).To(gomega.BeEmpty(), "a worker that got nothing for so long is forgotten")
+	g.Expect(targetsOf(&w, name, now.Add(61*time.Second))).To(gomega.BeEmpty(), "a worker that got nothing for so long is forgotten")
 }
 
 func TestMemoryGivesUpWhatIsUnusedForLongest(t *testing.T) {
@@ -80,6 +88,18 @@
 	}
 }
 
+func TestDepthIsWhatWasUsedSince(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := Where{Room: room(1000)}
+	now := time.Now()
+	w.Note(use("w", "a", 100, 50), now)
+	found, _ := w.Find(PartName{"v1/m/", "a"}, now)
+	g.Expect(found).To(gomega.Equal([]Holder{{Target: "w", Depth: 0.1}}))
+	w.Note(use("w", "b", 300, 100), now)
+	found, _ = w.Find(PartName{"v1/m/", "a"}, now)
+	g.Expect(found).To(gomega.Equal([]Holder{{Target: "w", Depth: 0.5}}))
+}
+
 // A worker that changes its weights drops what it kept.
 func TestNewWeightsEmptyAMemory(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -90,10 +110,8 @@
 		w.Note(u, time.Now())
 	}
 	g.Expect(holders(&w, "a")).To(gomega.BeEmpty())
-	targets, _ := w.Find(PartName{"v2/m/", "b"}, time.Now())
-	g.Expect(targets).To(gomega.Equal([]string{"w"}))
-	targets, _ = w.Find(PartName{"v1/other/", "o"}, time.Now())
-	g.Expect(targets).To(gomega.Equal([]string{"w"}), "another model's parts stay")
+	g.Expect(targetsOf(&w, PartName{"v2/m/", "b"}, time.Now())).To(gomega.Equal([]string{"w"}))
+	g.Expect(targetsOf(&w, PartName{"v1/other/", "o"}, time.Now())).To(gomega.Equal([]string{"w"}), "another model's parts stay")
 }
 
 // Whatever is used, no memory is believed to hold more than its room, and who
--- /dev/null
+++ b/core/learn/retention_test.go
@@ -0,0 +1,73 @@
+package learn
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+func TestWhatLiesDeepIsLikelyGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var r Retention
+	now := time.Now()
+	g.Expect(r.Chance("s", 0.1, now)).To(gomega.BeNumerically(">", 0.99))
+	g.Expect(r.Chance("s", depthUsual, now)).To(gomega.BeNumerically("~", 0.5, 0.01))
+	g.Expect(r.Chance("s", 2, now)).To(gomega.BeZero())
+	g.Expect(r.Chance("s", math.NaN(), now)).To(gomega.BeZero())
+}
+
+func TestRetentionIsLearnedByDepth(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var mine, other Retention
+	now := time.Now()
+	// Workers of this service give parts up at half of their memory.
+	for range 40 {
+		mine.Observe("s", 0.45, true, now)
+		mine.Observe("s", 0.65, false, now)
+	}
+	g.Expect(mine.Chance("s", 0.45, now)).To(gomega.BeNumerically(">", 0.95))
+	g.Expect(mine.Chance("s", 0.65, now)).To(gomega.BeNumerically("<", 0.2))
+	g.Expect(mine.Chance("else", 0.65, now)).To(gomega.BeNumerically(">", 0.9))
+	raw, err := msgpack.Marshal(mine.Collect(false))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	mine.Told()
+	g.Expect(mine.Collect(false)).To(gomega.BeNil())
+	other.Receive("mine", raw)
+	g.Expect(other.Chance("s", 0.65, time.Now())).To(gomega.BeNumerically("<", 0.2))
+}
+
+func TestNonsenseDoesNotPoisonRetention(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var r Retention
+	now := time.Now()
+	for _, depth := range []float64{-1, math.NaN(), math.Inf(1), 1e12} {
+		r.Observe("s", depth, false, now)
+	}
+	raw, err := msgpack.Marshal([]depthSample{{Service: "s", Depth: -3}, {Service: "s", Depth: float32(math.Inf(1))}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Receive("mad", raw)
+	r.Receive("mad", []byte("no msgpack"))
+	g.Expect(r.Rejected()).To(gomega.Equal(6))
+	g.Expect(r.Collect(false)).To(gomega.BeNil())
+	g.Expect(r.Chance("s", 0.1, now)).To(gomega.BeNumerically(">", 0.99))
+}
+
+// Whatever is observed, a chance is one.
+func TestChancesOfRetentionAreChances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Retention
+		now := time.Now()
+		for range rapid.IntRange(0, 100).Draw(t, "observations") {
+			r.Observe("s", rapid.Float64Range(-1, 3).Draw(t, "depth"), rapid.Bool().Draw(t, "kept"), now)
+			now = now.Add(time.Duration(rapid.IntRange(-1000, 5000).Draw(t, "pause")) * time.Millisecond)
+		}
+		c := r.Chance("s", rapid.Float64Range(-1, 3).Draw(t, "asked"), now)
+		if !(c >= 0 && c <= 1) {
+			t.Fatalf("chance %v", c)
+		}
+	})
+}
--- a/core/relay/learned.go
+++ b/core/relay/learned.go
@@ -95,6 +95,7 @@
 	if c.plan.copied > 0 {
 		return
 	}
+	p.learnRetention(c, took, now)
 	kind, prior := p.kind()
 	p.relay.o.Times.Observe(kind, prior, c.factors, took, now)
 	if c.usual > 0 {
@@ -108,3 +109,43 @@
 	c.target.Silent(now)
 	p.relay.o.Targets.Answered(c.target.ID(), p.service, false, now)
 }
+
+// Shares of the time that reading a part takes: a first event that is later than
+// expected by less than keptShare of it tells that the part was held, one that is
+// later by more than readShare that it was read.
+const (
+	keptShare = 0.35
+	readShare = 0.65
+)
+
+// learnRetention records whether a worker held the part that lies deepest in its
+// memory of those that it was believed to hold, where the time to the first event
+// can tell.
+func (p *pass) learnRetention(c *choice, took time.Duration, now time.Time) {
+	deepest, largest := 0.0, 0
+	for i, src := range c.plan.sources {
+		if src.here == 0 {
+			break
+		}
+		// Where a part is gone, what stands behind it is read as well.
+		if src.depth > deepest || i == 0 {
+			deepest, largest = src.depth, 0
+		}
+		largest += p.ask.Parts[i].Tokens
+	}
+	e := p.estimate(now)
+	held := e.Time(c.factors)
+	factors := c.factors
+	factors.Own += largest
+	reading := e.Time(factors) - held
+	// Times differ by a share of themselves for other reasons.
+	if largest == 0 || reading < held {
+		return
+	}
+	switch late := took - held; {
+	case late < time.Duration(keptShare*float64(reading)):
+		p.relay.o.Retention.Observe(p.service, deepest, true, now)
+	case late > time.Duration(readShare*float64(reading)) && late < 2*reading:
+		p.relay.o.Retention.Observe(p.service, deepest, false, now)
+	}
+}
--- a/core/relay/parts.go
+++ b/core/relay/parts.go
@@ -35,11 +35,19 @@
 	// stores hold the part and may hand it out.
 	stores []cache.Place
 	// holders are the workers that are believed to hold it.
-	holders []*roster.Target
+	holders []holder
 	// read tells that some worker has read it lately.
 	read bool
 }
 
+// holder is a worker that is believed to hold a part.
+type holder struct {
+	target *roster.Target
+	// depth says how much the worker has used since, and chance how likely it
+	// still holds the part.
+	depth, chance float64
+}
+
 // find looks the shared parts up as they are under a version of the weights.
 func (p *pass) find(version int64, now time.Time) []sharedPart {
 	// Parts of superseded weights in stores are about to be freed.
@@ -51,12 +59,14 @@
 		if stores {
 			known.stores = p.relay.o.Kept.Find(known.name, now)
 		}
-		targets, read := p.relay.o.Where.Find(known.name, now)
+		found, read := p.relay.o.Where.Find(known.name, now)
 		known.read = read
-		for _, id := range targets {
-			if t := p.relay.o.Roster.Target(id); t != nil && t.Entry().Weights[p.ask.Model] == version {
-				known.holders = append(known.holders, t)
+		for _, f := range found {
+			t := p.relay.o.Roster.Target(f.Target)
+			if t == nil || t.Entry().Weights[p.ask.Model] != version {
+				continue
 			}
+			known.holders = append(known.holders, holder{t, f.Depth, p.relay.o.Retention.Chance(p.service, f.Depth, now)})
 		}
 		out = append(out, known)
 	}
@@ -65,12 +75,15 @@
 
 // source is where a worker gets a part from.
 type source struct {
-	// here tells that the worker is believed to hold the part.
-	here bool
+	// here is the chance that the worker holds the part, and depth how much it has
+	// used since.
+	here, depth float64
 	// stored tells that a store holds the part.
 	stored bool
-	// address is the store or worker that the part can be copied from, or "".
+	// address is the store or worker that the part can be copied from, or "", and
+	// chance how likely it still has the part.
 	address string
+	chance  float64
 	// time is how long the copy takes once it has its turn, as was learned, and
 	// wait how long it waits for that.
 	time, wait time.Duration
@@ -87,31 +100,44 @@
 	out := source{stored: len(part.stores) > 0}
 	to := p.relay.o.Links.State(o.entry.Address, now)
 	for _, place := range part.stores {
-		p.offer(&out, to, source{address: place.Address, time: place.Time(o.entry.Domain), until: place.Until}, now)
+		p.offer(&out, to, part, source{address: place.Address, chance: 1, time: place.Time(o.entry.Domain), until: place.Until}, now)
 	}
-	for _, t := range part.holders {
-		if t == o.target {
-			out.here = true
+	for _, h := range part.holders {
+		if h.target == o.target {
+			out.here, out.depth = h.chance, h.depth
 			continue
 		}
-		if t.Health(now).Suspect {
+		if h.target.Health(now).Suspect {
 			continue
 		}
 		took := workerFirst + table.LinkTime(part.Tokens*svc.Engine.TokenBytes, svc.Engine.LinkBits)
-		p.offer(&out, to, source{address: t.Entry().Address, time: took}, now)
+		p.offer(&out, to, part, source{address: h.target.Entry().Address, chance: h.chance, time: took}, now)
 	}
 	return out
 }
 
-// offer makes a place to copy from the best one, if it is. to is the state of the
-// worker's own link.
-func (p *pass) offer(best *source, to learn.LinkState, with source, now time.Time) {
+// offer makes a place to copy from the best one, if it is: where the time of the
+// copy and the risk that the part is read after all cost least. to is the state of
+// the worker's own link.
+func (p *pass) offer(best *source, to learn.LinkState, part *sharedPart, with source, now time.Time) {
 	from := p.relay.o.Links.State(with.address, now)
 	with.time = time.Duration(float64(with.time) * from.Slow * to.Slow)
 	with.wait = max(from.Wait, to.Wait)
-	if best.address == "" || with.wait+with.time < best.wait+best.time {
-		best.address, best.time, best.wait, best.until = with.address, with.time, with.wait, with.until
+	if best.address != "" && p.copyCost(&with, part) >= p.copyCost(best, part) {
+		return
 	}
+	best.address, best.chance, best.time, best.wait, best.until = with.address, with.chance, with.time, with.wait, with.until
+}
+
+// copyCost returns what a copy costs where its time is all that an answer waits
+// for.
+func (p *pass) copyCost(src *source, part *sharedPart) float64 {
+	prices := &p.relay.o.Prices
+	cost := (1 - src.chance) * prices.Again * float64(part.Tokens)
+	if p.route.Aim > 0 {
+		cost += prices.Worth(p.ask.Prompt) * (src.wait + src.time).Seconds() / p.route.Aim.Seconds()
+	}
+	return cost
 }
 
 // plan is how a worker gets the shared parts of a prompt.
@@ -132,38 +158,53 @@
 	var wait, sum time.Duration
 	whole := true
 	for i := range parts {
-		src := p.source(svc, o, &parts[i], now)
+		part := &parts[i]
+		src := p.source(svc, o, part, now)
 		out.sources = append(out.sources, src)
 		wait, sum = max(wait, src.wait), sum+src.time
 		if src.address == "" || (src.until > 0 && wait+sum > cache.CopyLimit()) {
 			whole = false
 		}
-		if whole && !src.here {
+		if whole && p.copyPays(&src, part) {
 			out.copied, out.time = i+1, wait+sum
 		}
 	}
 	return out
 }
 
+// copyPays reports whether copying a part costs less than the risk that the worker
+// does not hold it after all. Engines copy what they are told to, also what they
+// hold.
+func (p *pass) copyPays(src *source, part *sharedPart) bool {
+	prices := &p.relay.o.Prices
+	gain := (1 - src.here) * src.chance * prices.Again * float64(part.Tokens)
+	cost := prices.Copied * float64(part.Tokens)
+	if p.route.Aim > 0 {
+		cost += prices.Worth(p.ask.Prompt) * (src.wait + src.time).Seconds() / p.route.Aim.Seconds()
+	}
+	return src.here == 0 || gain > cost
+}
+
 // weigh adds how a worker gets the shared parts to what a decision knows of it:
-// held, copied or read.
+// held, copied or read, each as likely as it is.
 func (pl *plan) weigh(c *route.Candidate, parts []sharedPart) {
 	c.CopyTime = pl.time
-	whole := true
+	whole, kept, copied, again := 1.0, 0.0, 0.0, 0.0
 	for i, part := range parts {
-		switch {
-		case whole && pl.sources[i].here:
-			c.Kept += part.Tokens
-		case whole && i < pl.copied:
-			c.Copied += part.Tokens
-		default:
-			// What stands behind a part that is read is read as well.
-			whole = false
-			if part.read {
-				c.Again += part.Tokens
-			}
+		src, tokens := &pl.sources[i], float64(part.Tokens)
+		// What stands behind a part that is read is read as well.
+		held, got := whole*src.here, whole*src.here
+		if i < pl.copied {
+			got += (whole - held) * src.chance
+		}
+		kept += held * tokens
+		copied += (got - held) * tokens
+		if part.read {
+			again += (1 - got) * tokens
 		}
+		whole = got
 	}
+	c.Kept, c.Copied, c.Again = int(kept), int(copied), int(again)
 }
 
 // copies says where parts are copied from and which stores they are sent to, and
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -33,6 +33,8 @@
 	Kept    *cache.Kept
 	Where   *cache.Where
 	Links   *learn.Links
+	// Retention is what is learned of how long workers hold parts.
+	Retention *learn.Retention
 	// Times and Targets are what is learned of the targets' answers, and Engines
 	// and Calls what is expected of model workers and of plain calls before.
 	Times          *learn.Times
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -336,6 +336,37 @@
 	}
 }
 
+// A part that the worker may have pushed out is copied as well, where that costs
+// less than the risk.
+func TestPartsThatMayBeGoneAreCopied(t *testing.T) {
+	salt := cache.PartSalt{Model: "m", Version: 1}.String()
+	name := cache.PartName{Salt: salt, ID: "text"}
+	tests := []struct {
+		name string
+		// used is what the worker got since, in tokens of its room of 20,000.
+		used int
+		copy string
+	}{
+		{"just used", 0, ""},
+		{"likely there", 1000, ""},
+		{"likely gone", 13000, "store:1,"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, noStores{[]cache.PartChange{{PartName: name, Tokens: 5000}}})
+			r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
+			keptPart(r, salt, "text")
+			r.relay.o.Where.Room = func(string) int { return 20000 }
+			now := time.Now()
+			r.relay.o.Where.Note(cache.Use{Target: "t1", Salt: salt, Parts: []cache.UsedPart{{ID: "text", Tokens: 5000}}}, now)
+			r.relay.o.Where.Note(cache.Use{Target: "t1", Salt: salt, Rest: tc.used}, now)
+			r.ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", "text:5000 own:10")
+			r.g.Expect(r.sends()).To(gomega.HaveLen(1))
+			r.g.Expect(r.sends()[0].header.Get("Copy")).To(gomega.Equal(tc.copy))
+		})
+	}
+}
+
 func TestIsolatedOrganisationsHaveASaltOfTheirOwn(t *testing.T) {
 	r := newRig(t, nil)
 	r.target("t1", "llm", always(streams(true, "id: 1\ndata: a\n\n")))
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -45,25 +45,26 @@
 	spool *event.Spool
 	stats *relay.Stats
 
-	store    *platform.Store
-	decoder  platform.Decoder
-	mirror   *plat.Mirror
-	mirrors  *spread.Mirrors
-	fleet    *fleet.Fleet
-	roster   *roster.Roster
-	kept     *cache.Kept
-	where    cache.Where
-	links    learn.Links
-	times    *learn.Times
-	targets  learn.Targets
-	pool     *target.Pool
-	relay    *relay.Relay
-	rights   []*lease.Timed
-	swapper  *order.Swapper
-	sweeper  *cache.Sweeper
-	presence *lease.Presence
-	named    named
-	daemons  daemons
+	store     *platform.Store
+	decoder   platform.Decoder
+	mirror    *plat.Mirror
+	mirrors   *spread.Mirrors
+	fleet     *fleet.Fleet
+	roster    *roster.Roster
+	kept      *cache.Kept
+	where     cache.Where
+	links     learn.Links
+	retention learn.Retention
+	times     *learn.Times
+	targets   learn.Targets
+	pool      *target.Pool
+	relay     *relay.Relay
+	rights    []*lease.Timed
+	swapper   *order.Swapper
+	sweeper   *cache.Sweeper
+	presence  *lease.Presence
+	named     named
+	daemons   daemons
 
 	// began is when the process started.
 	began    time.Time
@@ -93,6 +94,7 @@
 	h.fleet.Attach("where", &h.where)
 	h.fleet.Attach("links", &h.links)
 	h.fleet.Attach("targets", &h.targets)
+	h.fleet.Attach("retention", &h.retention)
 	engines := platform.NewEngines(newClient())
 	shelves := spread.NewShelves(engines, h.fleet)
 	h.kept = cache.NewKept(shelves, h.log)
@@ -142,7 +144,7 @@
 // buildRelay makes the relay that answers callers.
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Links: &h.links, Times: h.times, Targets: &h.targets,
+		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Links: &h.links, Retention: &h.retention, Times: h.times, Targets: &h.targets,
 		Engines: h.set.Expect.Engines.prior(), Calls: h.set.Expect.Calls.prior(), Prices: h.set.Prices.prices(),
 		Log: h.log, Stats: h.stats,
 		Placement: route.Placement(h.set.Placement), Placed: h.fleet.Kick,
