Forecasts in log lines, embctl calibration, switches for each mechanism and the ablation script

Cause: what decisions expect could be read from no log line but by its wording, and no mechanism could be switched off, so that neither a wrong model nor a worthless mechanism shows. Change: the line that ends a request holds what was expected of its first send (time, chances, what was left of the aim) and what came; embctl calibration holds them against each other by route and target, as text and a plot; lines that are cut or another program's are counted and named. The settings without.* switch seventeen mechanisms off; scripts/ablate.sh plays sites with each off, embplay worth prints what each is worth.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -34,6 +34,8 @@
 	Organisation string    `json:"organisation,omitempty"`
 	Target       string    `json:"target,omitempty"`
 	Resource     string    `json:"resource,omitempty"`
+	// Forecast is what was expected of a request; nil for other events.
+	Forecast *Forecast `json:"forecast,omitempty"`
 }
 
 // Ref names what an event is about. Empty fields are left out.
@@ -106,7 +108,11 @@
 }
 
 // Emit records one event.
-func (l *Log) Emit(code Code, ref Ref, text string) {
+func (l *Log) Emit(code Code, ref Ref, text string) { l.EmitForecast(code, ref, text, nil) }
+
+// EmitForecast records one event with what was expected of its request, which may
+// be nil.
+func (l *Log) EmitForecast(code Code, ref Ref, text string, f *Forecast) {
 	entry, ok := byCode[code]
 	if !ok {
 		bugs.Report("event code %d is not in the catalogue", code)
@@ -115,7 +121,7 @@
 	ev := Event{
 		At: time.Now(), Process: l.process, Code: code, Name: entry.Name, Level: entry.Level,
 		Text: text, Request: ref.Request, Context: ref.Context, Organisation: ref.Organisation,
-		Target: ref.Target, Resource: ref.Resource,
+		Target: ref.Target, Resource: ref.Resource, Forecast: f,
 	}
 	l.keep(&ev)
 	l.write(&ev)
@@ -154,6 +160,9 @@
 	if skipped > 0 {
 		line["skipped"] = skipped
 	}
+	if ev.Forecast != nil {
+		line["forecast"] = ev.Forecast
+	}
 	l.out.WithTime(ev.At).WithFields(line).Log(lvl, ev.Text)
 }
 
--- a/core/event/lines.go
+++ b/core/event/lines.go
@@ -22,7 +22,7 @@
 	scan := bufio.NewScanner(r)
 	scan.Buffer(make([]byte, 0, 64<<10), lineMost)
 	for scan.Scan() {
-		ev, ok := parseLine(scan.Bytes())
+		ev, ok := ParseLine(scan.Bytes())
 		if !ok {
 			foreign++
 			continue
@@ -38,8 +38,8 @@
 	return lists, foreign, errors.WithStack(scan.Err())
 }
 
-// parseLine reads one line; it reports false where that is no event.
-func parseLine(line []byte) (Event, bool) {
+// ParseLine reads one log line in JSON form, from its first brace on; it reports false where that is no event.
+func ParseLine(line []byte) (Event, bool) {
 	start := bytes.IndexByte(line, '{')
 	if start < 0 {
 		return Event{}, false
@@ -56,12 +56,13 @@
 		Target       string    `json:"target"`
 		Resource     string    `json:"resource"`
 		Time         time.Time `json:"time"`
+		Forecast     *Forecast `json:"forecast"`
 	}
 	if json.Unmarshal(line[start:], &l) != nil || l.Code == 0 {
 		return Event{}, false
 	}
 	return Event{
 		At: l.Time, Process: l.Process, Code: l.Code, Name: l.Event, Level: l.Level, Text: l.Msg, Request: l.Request,
-		Context: l.Context, Organisation: l.Organisation, Target: l.Target, Resource: l.Resource,
+		Context: l.Context, Organisation: l.Organisation, Target: l.Target, Resource: l.Resource, Forecast: l.Forecast,
 	}, true
 }
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -91,22 +91,29 @@
 
 // asked is what a decision among some targets needs to know of the request.
 func (p *pass) asked(targets int, now time.Time) route.Asked {
-	return route.Asked{
+	out := route.Asked{
 		Tokens: p.ask.Prompt, Bytes: len(p.body), Aim: p.route.Aim, Spent: now.Sub(p.began), Left: p.until.Sub(now),
 		Rate: p.relay.rate(p.service, targets, now),
 	}
+	if p.relay.o.Without.Line {
+		out.Rate = 0
+	}
+	return out
 }
 
 // candidate works out what a decision needs to know of an option beside the
 // shared parts of the prompt.
 func (p *pass) candidate(svc *table.Service, o option) route.Candidate {
+	without := &p.relay.o.Without
 	c := route.Candidate{
 		Running: o.load.Running, Slots: max(1, o.entry.Slots), Unread: o.load.Unread, Held: o.load.Held,
-		Far: o.entry.Domain != p.relay.o.Domain, Cold: !p.relay.o.Pool.Warm(o.entry.Address), Doubtful: o.health.Lapsed,
+		Far: o.entry.Domain != p.relay.o.Domain && !without.Near, Cold: !p.relay.o.Pool.Warm(o.entry.Address) && !without.Warm, Doubtful: o.health.Lapsed,
 		Faults: o.state.Faults, Pace: o.state.Pace,
 	}
 	if svc.Engine != nil {
-		c.Memory = svc.Engine.MemoryTokens
+		if !without.Crowd {
+			c.Memory = svc.Engine.MemoryTokens
+		}
 		c.Old = o.version < p.relay.o.Named(p.ask.Model)
 	}
 	return c
--- a/core/relay/end.go
+++ b/core/relay/end.go
@@ -74,5 +74,19 @@
 	}
 	text := fmt.Sprintf("took %s%s, configuration %d known %s ago, sends %d, runs %d; %s",
 		took.Round(time.Millisecond), first, version, p.relay.o.Age().Round(10*time.Millisecond), p.sends, p.runs, strings.Join(p.notes, "; "))
-	p.relay.o.Log.Emit(code, p.ref(), text)
+	if p.forecast != nil {
+		p.forecast.Sends = p.sends
+	}
+	p.relay.o.Log.EmitForecast(code, p.ref(), text, p.forecast)
+}
+
+// expect records what is expected of the first send.
+func (p *pass) expect(c *choice) {
+	if p.forecast != nil {
+		return
+	}
+	p.forecast = &event.Forecast{
+		Service: p.service, Target: c.target.ID(), ExpectedMillis: event.Millis(c.judged.Expected),
+		InTime: c.judged.InTime, Served: c.judged.Served, AimMillis: event.Millis(p.route.Aim - time.Since(p.began)),
+	}
 }
--- a/core/relay/learned.go
+++ b/core/relay/learned.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
 	"embertally.dev/core/route"
 )
@@ -82,32 +83,48 @@
 
 // answered records an answer of a target, and whether it was good.
 func (p *pass) answered(c *choice, good bool) {
-	now := time.Now()
 	c.target.Answered()
-	p.relay.o.Targets.Answered(c.target.ID(), p.service, good, now)
+	p.learnAnswer(c, good)
 }
 
-// first records that the first answer to a send has come.
+// firstAnswer records that the first answer to a send has come.
 func (p *pass) firstAnswer(c *choice, sent time.Time) {
 	now := time.Now()
 	took := now.Sub(sent)
+	if p.forecast != nil && p.forecast.FirstMillis == 0 && p.sends <= 1 {
+		p.forecast.FirstMillis = event.Millis(took)
+	}
 	p.learnCopies(c, took, now)
 	if c.plan.copied > 0 {
 		return
 	}
 	p.learnRetention(c, took, now)
-	kind, prior := p.kind()
-	p.relay.o.Times.Observe(kind, prior, c.factors, took, now)
-	if c.usual > 0 {
+	p.learnTime(c, took, now)
+}
+
+// learnTime records the time to the first answer of a request that had nothing
+// copied.
+func (p *pass) learnTime(c *choice, took time.Duration, now time.Time) {
+	if !p.relay.o.Without.Times {
+		kind, prior := p.kind()
+		p.relay.o.Times.Observe(kind, prior, c.factors, took, now)
+	}
+	if c.usual > 0 && !p.relay.o.Without.Targets {
 		p.relay.o.Targets.Timed(c.target.ID(), p.service, float64(took)/float64(c.usual), now)
 	}
 }
 
 // silent records that a target gave no answer.
 func (p *pass) silent(c *choice) {
-	now := time.Now()
-	c.target.Silent(now)
-	p.relay.o.Targets.Answered(c.target.ID(), p.service, false, now)
+	c.target.Silent(time.Now())
+	p.learnAnswer(c, false)
+}
+
+// learnAnswer records whether a target answered well.
+func (p *pass) learnAnswer(c *choice, good bool) {
+	if !p.relay.o.Without.Targets {
+		p.relay.o.Targets.Answered(c.target.ID(), p.service, good, time.Now())
+	}
 }
 
 // Shares of the time that reading a part takes: a first event that is later than
@@ -133,6 +150,9 @@
 		}
 		largest += p.ask.Parts[i].Tokens
 	}
+	if p.relay.o.Without.Retention {
+		return
+	}
 	e := p.estimate(now)
 	held := e.Time(c.factors)
 	factors := c.factors
--- a/core/relay/parts.go
+++ b/core/relay/parts.go
@@ -51,7 +51,7 @@
 // find looks the shared parts up as they are under a version of the weights.
 func (p *pass) find(version int64, now time.Time) []sharedPart {
 	// Parts of superseded weights in stores are about to be freed.
-	stores := version >= p.relay.o.Named(p.ask.Model) && p.relay.o.CopyMay()
+	stores := version >= p.relay.o.Named(p.ask.Model) && p.relay.o.CopyMay() && !p.relay.o.Without.StoreCopies
 	salt := p.salt(version).String()
 	var out []sharedPart
 	for _, part := range p.sharedParts() {
@@ -107,7 +107,7 @@
 			out.here, out.depth = h.chance, h.depth
 			continue
 		}
-		if h.target.Health(now).Suspect {
+		if h.target.Health(now).Suspect || p.relay.o.Without.WorkerCopies {
 			continue
 		}
 		took := workerFirst + table.LinkTime(part.Tokens*svc.Engine.TokenBytes, svc.Engine.LinkBits)
@@ -182,7 +182,7 @@
 	if p.route.Aim > 0 {
 		cost += prices.Worth(p.ask.Prompt) * (src.wait + src.time).Seconds() / p.route.Aim.Seconds()
 	}
-	return src.here == 0 || gain > cost
+	return src.here == 0 || (gain > cost && !p.relay.o.Without.SpareCopies)
 }
 
 // weigh adds how a worker gets the shared parts to what a decision knows of it:
@@ -216,9 +216,11 @@
 	copied := c.plan.sources[:c.plan.copied]
 	p.setCopy(&c.sending, copied)
 	for _, src := range copied {
-		p.relay.o.Links.Begin(src.address, o.entry.Address, src.time, now)
+		if !p.relay.o.Without.LinkQueues {
+			p.relay.o.Links.Begin(src.address, o.entry.Address, src.time, now)
+		}
 	}
-	if o.version >= p.relay.o.Named(p.ask.Model) {
+	if o.version >= p.relay.o.Named(p.ask.Model) && !p.relay.o.Without.StoreCopies {
 		p.setKeep(&c.sending, c.plan.sources, o, now)
 	}
 	p.relay.o.Where.Note(p.use(o), now)
@@ -273,7 +275,7 @@
 // links that its parts were copied over. Where the prompt waited as long to be
 // read as for its copies, it says little.
 func (p *pass) learnCopies(c *choice, took time.Duration, now time.Time) {
-	if c.plan.copied == 0 {
+	if c.plan.copied == 0 || p.relay.o.Without.LinkSpeeds {
 		return
 	}
 	queue, reading := p.estimate(now).Parts(c.factors)
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -7,6 +7,7 @@
 
 	"embertally.dev/core/cache"
 	"embertally.dev/core/entry"
+	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
@@ -40,6 +41,8 @@
 	// after is the last event that the caller has.
 	after string
 	first time.Time
+	// forecast is what was expected of the first send; nil before.
+	forecast *event.Forecast
 	// aborted tells that the answer was cut.
 	aborted bool
 	// notes are the decisions, for the log.
@@ -65,6 +68,7 @@
 			return p.giveUp(kept, why)
 		}
 		p.last = c.target
+		p.expect(c)
 		p.tried[c.target.ID()]++
 		out, ans := p.attempt(ctx, c)
 		p.note("%s=%s", c.target.ID(), out)
@@ -98,12 +102,12 @@
 	for {
 		c, why := p.choose()
 		switch {
-		case c != nil && c.judged.Gain > 0:
+		case c != nil && (c.judged.Gain > 0 || p.relay.o.Without.Refusals):
 			c.send()
 			return c, why
 		case c == nil && why != allFull:
 			return nil, why
-		case !p.hopeful():
+		case p.relay.o.Without.Waiting, !p.hopeful():
 			return nil, allFull
 		}
 		if !wait.For(ctx, holdLook) {
@@ -147,7 +151,7 @@
 		return false
 	case p.runs >= p.route.Attempts:
 		return false
-	case p.sends-p.runs > refusedMost:
+	case p.sends-p.runs > refusedMost, p.relay.o.Without.Repeats:
 		return false
 	}
 	if !p.relay.mayRepeat(p.service) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -42,8 +42,10 @@
 	Engines, Calls learn.Prior
 	// Prices say what answers are worth.
 	Prices route.Prices
-	Log    *event.Log
-	Stats  *Stats
+	// Without switches mechanisms off.
+	Without Without
+	Log     *event.Log
+	Stats   *Stats
 	// Placement chooses the workers; the zero value stands for route.Returning.
 	Placement route.Placement
 	// Domain is the failure domain of this daemon.
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -20,7 +20,7 @@
 // attempt sends the request to one target and passes its answer on.
 func (p *pass) attempt(ctx context.Context, c *choice) (outcome, *plainAnswer) {
 	c.target.Begin(c.load)
-	if p.ask.Prompt > 0 {
+	if p.ask.Prompt > 0 && !p.relay.o.Without.Telling {
 		p.relay.o.Placed()
 	}
 	read := false
@@ -75,7 +75,7 @@
 func (p *pass) patience(ctx context.Context, c *choice) (context.Context, context.CancelFunc) {
 	now := time.Now()
 	left := p.route.Aim - now.Sub(p.began)
-	if p.route.Kind != table.Repeatable || p.runs+1 >= p.route.Attempts || left <= 0 || c.alone {
+	if p.route.Kind != table.Repeatable || p.runs+1 >= p.route.Attempts || left <= 0 || c.alone || p.relay.o.Without.Patience {
 		return context.WithCancel(ctx)
 	}
 	wait := p.estimate(now).Patience(left, c.judged.Expected, c.judged.Expected, patienceMargin)
--- /dev/null
+++ b/embctl/internal/ctl/calibrationplot.go
@@ -0,0 +1,59 @@
+package ctl
+
+import (
+	"image/color"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Measures of the plot.
+const (
+	plotWidth  = 14 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// draw writes a plot of the chances that came against those that were said. A
+// sound model lies on the diagonal.
+func (c *calibration) draw(path string) error {
+	pl := plot.New()
+	pl.X.Label.Text, pl.Y.Label.Text = "chance said", "share in time"
+	pl.X.Min, pl.X.Max, pl.Y.Min, pl.Y.Max = 0, 1, 0, 1
+	diagonal, err := plotter.NewLine(plotter.XYs{{X: 0, Y: 0}, {X: 1, Y: 1}})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	diagonal.Color = color.Gray{Y: 160}
+	pl.Add(diagonal)
+	for i, g := range c.groups {
+		if err := g.draw(pl, i); err != nil {
+			return err
+		}
+	}
+	pl.Legend.Left, pl.Legend.Top = true, true
+	return errors.WithStack(pl.Save(plotWidth, plotHeight, path))
+}
+
+// draw adds a group's line to a plot.
+func (g *forecastGroup) draw(pl *plot.Plot, number int) error {
+	var points plotter.XYs
+	for _, b := range g.bins {
+		if b.count > 0 {
+			points = append(points, plotter.XY{X: b.said / float64(b.count), Y: float64(b.came) / float64(b.count)})
+		}
+	}
+	if len(points) == 0 {
+		return nil
+	}
+	line, dots, err := plotter.NewLinePoints(points)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	line.Color, dots.Color = plotutil.Color(number), plotutil.Color(number)
+	pl.Add(line, dots)
+	pl.Legend.Add(g.name, line)
+	return nil
+}
--- a/embctl/internal/ctl/main.go
+++ b/embctl/internal/ctl/main.go
@@ -66,6 +66,7 @@
 	p.resources(app)
 	p.fleet(app)
 	p.local(app)
+	p.calibration(app)
 	selected, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintln(errs, "embctl:", err)
--- a/embctl/internal/ctl/svg.go
+++ b/embctl/internal/ctl/svg.go
@@ -39,14 +39,14 @@
 	for row, ev := range list {
 		x, y := clockWide+slices.Index(lanes, ev.Process)*laneWidth+dotRadius, headHigh+rowHeight*row+rowHeight/2
 		fmt.Fprintf(&b, `<text x="4" y="%d" fill="#666">%s</text>`, y+4, ev.At.Format(clockForm))
-		fmt.Fprintf(&b, `<circle cx="%d" cy="%d" r="%d" fill="%s"><title>%s</title></circle>`, x, y, dotRadius, color(ev.Level), html.EscapeString(about(ev)+" "+ev.Text))
+		fmt.Fprintf(&b, `<circle cx="%d" cy="%d" r="%d" fill="%s"><title>%s</title></circle>`, x, y, dotRadius, levelColor(ev.Level), html.EscapeString(about(ev)+" "+ev.Text))
 		fmt.Fprintf(&b, `<text x="%d" y="%d">%s %s</text>`+"\n", x+2*dotRadius, y+4, html.EscapeString(ev.Name), html.EscapeString(ev.Target))
 	}
 	b.WriteString("</svg>\n")
 	return b.Bytes()
 }
 
-func color(l event.Level) string {
+func levelColor(l event.Level) string {
 	switch l {
 	case event.Error:
 		return "#c0392b"
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -145,7 +145,7 @@
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Links: &h.links, Retention: &h.retention, Times: h.times, Targets: &h.targets,
-		Engines: h.set.Expect.Engines.prior(), Calls: h.set.Expect.Calls.prior(), Prices: h.set.Prices.prices(),
+		Engines: h.set.Expect.Engines.prior(), Calls: h.set.Expect.Calls.prior(), Prices: h.set.Prices.prices(), Without: h.set.Without,
 		Log: h.log, Stats: h.stats,
 		Placement: route.Placement(h.set.Placement), Placed: h.fleet.Kick,
 		Domain: h.set.Domain, Named: h.named.version, Daemons: h.daemons.count,
--- a/embplay/internal/play/main.go
+++ b/embplay/internal/play/main.go
@@ -82,7 +82,10 @@
 	compare := app.Command("compare", "Join the figures of several replays into a table and a plot.")
 	compareDir := compare.Flag("dir", "Folder to write to.").Required().String()
 	compareFiles := compare.Arg("figures", "Files that run wrote.").Required().ExistingFiles()
+	worth := app.Command("worth", "Print what mechanisms are worth, from the lines that scripts/ablate.sh writes.")
+	worthFile := worth.Arg("file", "The lines.").Required().ExistingFile()
 	return []command{
+		{worth, func() error { return printWorth(*worthFile, out) }},
 		{trace, func() error { return writeTrace(*deployment, *seed, *length, *faults, *traceOut) }},
 		{run, func() error { return playTrace(*runDir, *runFile, *runPlacement, *runOut, out) }},
 		{compare, func() error { return runCompare(*compareFiles, *compareDir, out) }},
