Callers come back when the cause of their refusal is expected to end

Ruled out: starting sooner (ready 0.1 s after the store is back). Change: a refused caller is told as long as the cause is expected to last, within a third of its time: a daemon without a configuration as long as it has had none, and a second at least where the store does not answer; one whose configuration may be old as long as it has heard nothing; a request without a place as long as the best target's line. Kept: callers are served late instead of never.

--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -355,6 +355,13 @@
 	return time.Since(m.contact)
 }
 
+// Down reports whether the service was found not to answer.
+func (m *Mirror) Down() bool {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	return m.down
+}
+
 // Contact returns when the service last answered; zero before the first time.
 func (m *Mirror) Contact() time.Time {
 	m.mirrorMu.Lock()
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -13,11 +13,17 @@
 	"embertally.dev/core/table"
 )
 
-// Times of refusals. Callers come back after what they are told, spread so that
-// they do not come together.
+// Times of refusals.
 const (
-	comeBack       = 150 * time.Millisecond
-	comeBackSpread = 250 * time.Millisecond
+	// soonest is the least time after which a refused caller is told to come back,
+	// about the time of a new connection and a decision.
+	soonest = 100 * time.Millisecond
+	// comeBackShare is the part of the time that is left within which callers are
+	// told to come back: the users' callers wait no longer than a third.
+	comeBackShare = 0.33
+	// comeBackSpread is by which part the time is drawn shorter or longer, so that
+	// callers do not come back together.
+	comeBackSpread = 0.25
 	// maxBody bounds a body where the configuration does not.
 	maxBody = 4 << 20
 	// defaultLimit bounds a request that has neither a deadline nor a time
@@ -25,8 +31,20 @@
 	defaultLimit = 30 * time.Second
 )
 
-// afterSome returns when a refused caller is to come back.
-func afterSome() time.Duration { return comeBack + rand.N(comeBackSpread) }
+// comeBack returns when a refused caller is to come back, where what it is refused
+// for is expected to last for some more time.
+func (p *pass) comeBack(lasts time.Duration) time.Duration {
+	spread := 1 + comeBackSpread*(2*rand.Float64()-1)
+	after := time.Duration(float64(max(lasts, soonest)) * spread)
+	if p.until.IsZero() {
+		p.until = p.began.Add(defaultLimit)
+		if p.ask.Deadline > 0 {
+			p.until = p.began.Add(p.ask.Deadline)
+		}
+	}
+	left := time.Duration(comeBackShare * float64(time.Until(p.until)))
+	return max(min(after, left), time.Millisecond)
+}
 
 // admit reads the request and finds its route and organisation.
 func (p *pass) admit() *entry.Refusal {
@@ -37,8 +55,12 @@
 	}
 	t := p.relay.Table()
 	p.table = t
-	if t == nil || p.relay.closed.Load() {
-		return p.notNow(entry.CodeNotReady, "the daemon takes no requests now")
+	if p.relay.closed.Load() {
+		// Other daemons serve.
+		return p.notNow(entry.CodeNotReady, "the daemon is about to stop", soonest)
+	}
+	if t == nil {
+		return p.notNow(entry.CodeNotReady, "the daemon knows no configuration yet", p.relay.unready())
 	}
 	path, _, _ := strings.Cut(p.r.RequestURI, "?")
 	if p.route = t.Match(p.r.Host, path); p.route == nil {
@@ -56,14 +78,16 @@
 // have missed a change does not know that, and says so.
 func (p *pass) unknown(status int, code entry.Code, text string) *entry.Refusal {
 	if !p.relay.o.Current() {
-		return p.notNow(entry.CodeNotReady, "the daemon does not know whether its configuration is current: "+text)
+		return p.notNow(entry.CodeNotReady, "the daemon does not know whether its configuration is current: "+text, p.relay.o.Age())
 	}
 	return entry.NewRefusal(status, code, entry.NotRun, text, 0)
 }
 
-// notNow refuses a request that has not run.
-func (p *pass) notNow(code entry.Code, text string) *entry.Refusal {
-	return entry.NewRefusal(http.StatusServiceUnavailable, code, entry.NotRun, text, afterSome())
+// notNow refuses a request that has not run. lasts is for how long the cause is
+// expected to last: one that has lasted for a while, and of which nothing else is
+// known, for as long again.
+func (p *pass) notNow(code entry.Code, text string, lasts time.Duration) *entry.Refusal {
+	return entry.NewRefusal(http.StatusServiceUnavailable, code, entry.NotRun, text, p.comeBack(lasts))
 }
 
 // limit works out until when the request may be held.
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -41,6 +41,8 @@
 	// after is the last event that the caller has.
 	after string
 	first time.Time
+	// line is how long the best target was last expected to take.
+	line time.Duration
 	// forecast is what was expected of the first send; nil before.
 	forecast *event.Forecast
 	// aborted tells that the answer was cut.
@@ -101,6 +103,9 @@
 func (p *pass) chooseSoon(ctx context.Context) (*choice, string) {
 	for {
 		c, why := p.choose()
+		if c != nil {
+			p.line = c.judged.Expected
+		}
 		switch {
 		case c != nil && (c.judged.Gain > 0 || p.relay.o.Without.Refusals):
 			c.send()
@@ -173,7 +178,7 @@
 		kept.write(p)
 		return nil
 	case p.runs == 0:
-		return p.notNow(entry.CodeNoTarget, "no target takes the request now: "+why)
+		return p.notNow(entry.CodeNoTarget, "no target takes the request now: "+why, p.line)
 	case !time.Now().Before(p.until):
 		return entry.NewRefusal(http.StatusGatewayTimeout, entry.CodeTimeout, entry.Unknown, "no answer came in time", 0)
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -57,6 +57,9 @@
 	Outdated func(model string, version int64) bool
 	// Age returns how old this daemon's knowledge of the platform's store is.
 	Age func() time.Duration
+	// StoreDown reports whether the platform's store is known not to answer; nil
+	// stands for never.
+	StoreDown func() bool
 	// Current reports whether this daemon's configuration is known to be
 	// current, so that it may say that a route or key does not exist.
 	Current func() bool
@@ -123,6 +126,20 @@
 // Refuse makes the relay refuse new requests: the planned stop is about to end.
 func (rl *Relay) Refuse() { rl.closed.Store(true) }
 
+// outageLeast is how much longer an outage of the platform's store is expected to
+// last at least: they last for seconds.
+const outageLeast = time.Second
+
+// unready returns how much longer the daemon is expected to know no configuration:
+// as long as it has known none, and longer where the platform's store is out.
+func (rl *Relay) unready() time.Duration {
+	lasted := time.Since(rl.began)
+	if rl.o.StoreDown != nil && rl.o.StoreDown() {
+		return max(lasted, outageLeast)
+	}
+	return lasted
+}
+
 // ServeHTTP answers one request.
 func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rl.running.Add(1)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -113,6 +113,44 @@
 	}
 }
 
+// Callers are told to come back when the cause is expected to have ended, within
+// a third of their time.
+func TestCallersAreToldWhenToComeBack(t *testing.T) {
+	tests := []struct {
+		name        string
+		make        func(r *rig)
+		deadline    string
+		least, most time.Duration
+	}{
+		{"started just now", func(r *rig) { r.relay.table.Store(nil) }, "6000", soonest / 2, 400 * time.Millisecond},
+		{"the store is out", func(r *rig) {
+			r.relay.table.Store(nil)
+			r.relay.o.StoreDown = func() bool { return true }
+		}, "6000", 700 * time.Millisecond, 1300 * time.Millisecond},
+		{"no configuration for long", func(r *rig) {
+			r.relay.table.Store(nil)
+			r.relay.began = time.Now().Add(-time.Minute)
+		}, "6000", 1900 * time.Millisecond, 2 * time.Second},
+		{"little time is left", func(r *rig) {
+			r.relay.table.Store(nil)
+			r.relay.began = time.Now().Add(-time.Minute)
+		}, "300", time.Millisecond, 100 * time.Millisecond},
+		{"about to stop", func(r *rig) { r.relay.Refuse() }, "6000", soonest / 2, 2 * soonest},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			tc.make(r)
+			a := r.ask(http.MethodPost, "/once/", "x", "Deadline", tc.deadline)
+			r.g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable))
+			after, err := time.ParseDuration(a.header.Get("Come-Back"))
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(after).To(gomega.BeNumerically(">=", tc.least))
+			r.g.Expect(after).To(gomega.BeNumerically("<=", tc.most))
+		})
+	}
+}
+
 func TestTimeLimitOfARoute(t *testing.T) {
 	release := make(chan struct{})
 	r := newRig(t, nil)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -154,6 +154,7 @@
 			return h.named.age(model, version) > h.set.Bounds.Weights-beginMargin
 		},
 		Age:        h.age,
+		StoreDown:  h.mirror.Down,
 		Current:    func() bool { return h.age() < h.set.Bounds.Contact },
 		CopyMay:    func() bool { return h.age() < cache.CopyFresh },
 		RetryShare: h.set.Retries.Share, RetryExtra: h.set.Retries.Extra, RetryWindow: h.set.Retries.Window,
