Questions to peers that fail leave a line, and what peers are told is counted

No logic changes.

New: event peerNotTold (peer, time, reason); the figures knowledge_age_seconds, mirror_bytes_told_total and mirror_questions_failed_total.

--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -4,11 +4,13 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/wait"
@@ -22,6 +24,10 @@
 type Mirrors struct {
 	mirror *plat.Mirror
 	fleet  *fleet.Fleet
+	log    *event.Log
+	// told counts the bytes of values that peers were given, and failed the
+	// questions of this daemon that a peer did not answer.
+	told, failed atomic.Int64
 
 	peersMu sync.Mutex
 	// peers holds when the service last answered each peer. Guarded by peersMu.
@@ -29,14 +35,20 @@
 }
 
 // NewMirrors attaches the mirror to the fleet's heartbeats.
-func NewMirrors(m *plat.Mirror, f *fleet.Fleet) *Mirrors {
-	s := &Mirrors{mirror: m, fleet: f, peers: map[string]time.Time{}}
+func NewMirrors(m *plat.Mirror, f *fleet.Fleet, log *event.Log) *Mirrors {
+	s := &Mirrors{mirror: m, fleet: f, log: log, peers: map[string]time.Time{}}
 	f.Attach("mirror", s)
 	f.Mux().Register(kindMirror, wire.Handle(s.answer))
 	m.Follows, m.Gather = s.Follows, s.Gather
 	return s
 }
 
+// Told returns how many bytes of values peers were given.
+func (s *Mirrors) Told() int64 { return s.told.Load() }
+
+// Failed returns how many questions to peers were not answered.
+func (s *Mirrors) Failed() int64 { return s.failed.Load() }
+
 // mirrorBeat is a part of a heartbeat.
 type mirrorBeat struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
@@ -122,6 +134,7 @@
 	out.Revision = revision
 	for _, c := range changes {
 		out.Changes = append(out.Changes, mirrorChange{Key: c.Key, Value: c.Value, Revision: c.ModRevision, Deleted: c.Deleted})
+		s.told.Add(int64(len(c.Value)))
 	}
 	return out, nil
 }
@@ -208,8 +221,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
+	began := time.Now()
 	var got mirrorAnswer
 	if err := s.fleet.Call(ctx, peer, kindMirror, &mirrorAsk{After: s.mirror.Revision(), WaitMillis: askWait.Milliseconds()}, &got); err != nil {
+		s.failed.Add(1)
+		took := time.Since(began).Round(time.Millisecond)
+		s.log.Emit(event.PeerNotTold, event.Ref{}, peer+" after "+took.String()+": "+err.Error())
 		s.forget(peer)
 		return
 	}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -89,7 +89,7 @@
 		BoxPause: boxPause, Boxes: &boxes{mirror: h.mirror}, Log: h.log,
 	})
 	h.fleet.Attach("roster", roster.Share{Roster: h.roster})
-	h.mirrors = spread.NewMirrors(h.mirror, h.fleet)
+	h.mirrors = spread.NewMirrors(h.mirror, h.fleet, h.log)
 	h.where.Room = h.memory
 	h.fleet.Attach("where", &h.where)
 	h.fleet.Attach("links", &h.links)
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -88,6 +88,9 @@
 		{"daemons", func() float64 { return float64(h.daemons.count()) }},
 		{"kept_tokens", func() float64 { return float64(h.kept.Tokens()) }},
 		{"log_lines_dropped_total", func() float64 { return float64(h.spool.Dropped()) }},
+		{"knowledge_age_seconds", func() float64 { return h.age().Seconds() }},
+		{"mirror_bytes_told_total", func() float64 { return float64(h.mirrors.Told()) }},
+		{"mirror_questions_failed_total", func() float64 { return float64(h.mirrors.Failed()) }},
 		{"peer_bytes_total", func() float64 { return float64(h.fleet.Bytes()) }},
 	} {
 		h.stats.Gauge(g.name, g.f)
