A daemon that knows of a newer configuration without having it says 503, not 404, and after half the bound takes nothing

Cause: a consequence of large values going by themselves. A daemon may know that there is a newer configuration before it has it; then a route or key that it does not find may well be there, and what it finds may lead elsewhere by now.

Change: it counts as not current (503 with a time to come back in place of 401 and 404). Once it has lacked the newer configuration for half of the operators' bound (new setting bounds.configuration) it is not ready and refuses as not run; the other half may have passed before it heard of it.

--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -37,9 +37,9 @@
 
 	mirrorMu sync.Mutex
 	pairs    map[string]Pair // guarded by mirrorMu
-	// late holds the revisions of the values that are known to be there and have
-	// not arrived; pairs holds what the keys were before. Guarded by mirrorMu.
-	late map[string]int64
+	// late holds the values that are known to be there and have not arrived; pairs
+	// holds what the keys were before. Guarded by mirrorMu.
+	late map[string]lateValue
 	// revision is the highest that was seen; 0 before the first copy. Guarded
 	// by mirrorMu.
 	revision int64
@@ -61,6 +61,14 @@
 	base int64
 }
 
+// lateValue is a value that has not arrived.
+type lateValue struct {
+	// revision is the least that it must have.
+	revision int64
+	// since is when it was first known that what is here is replaced.
+	since time.Time
+}
+
 // historyMost bounds the changes kept for peers.
 const historyMost = 1024
 
@@ -76,7 +84,7 @@
 
 // NewMirror returns a mirror of the keys in span.
 func NewMirror(from Reader, span Span, log *event.Log) *Mirror {
-	return &Mirror{from: from, span: span, log: log, pairs: map[string]Pair{}, late: map[string]int64{}}
+	return &Mirror{from: from, span: span, log: log, pairs: map[string]Pair{}, late: map[string]lateValue{}}
 }
 
 // Observe makes f hear of all changes, one call at a time. It must be called
@@ -262,7 +270,7 @@
 func (m *Mirror) put(changes []Change) {
 	for _, c := range changes {
 		if c.Late {
-			m.late[c.Key] = c.ModRevision
+			m.await(c.Key, c.ModRevision)
 			continue
 		}
 		delete(m.late, c.Key)
@@ -274,6 +282,16 @@
 	}
 }
 
+// await records that a value has not arrived. It is called with mirrorMu held.
+func (m *Mirror) await(key string, revision int64) {
+	v, late := m.late[key]
+	if !late {
+		v.since = time.Now()
+	}
+	v.revision = revision
+	m.late[key] = v
+}
+
 // Arrive takes a value that was late. It changes nothing where a newer one is known,
 // or the key is gone.
 func (m *Mirror) Arrive(p Pair) {
@@ -281,7 +299,7 @@
 	defer m.tellMu.Unlock()
 	m.mirrorMu.Lock()
 	wanted, late := m.late[p.Key]
-	if !late || p.ModRevision < wanted {
+	if !late || p.ModRevision < wanted.revision {
 		m.mirrorMu.Unlock()
 		return
 	}
@@ -319,12 +337,25 @@
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
 	var out []Pair
-	for key, revision := range m.late {
-		out = append(out, Pair{Key: key, ModRevision: revision})
+	for key, v := range m.late {
+		out = append(out, Pair{Key: key, ModRevision: v.revision})
 	}
 	return out
 }
 
+// LateSince returns since when a value has been lacking; zero where none is.
+func (m *Mirror) LateSince() time.Time {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	var first time.Time
+	for _, v := range m.late {
+		if first.IsZero() || v.since.Before(first) {
+			first = v.since
+		}
+	}
+	return first
+}
+
 // remember is called with mirrorMu held. It keeps large values out: peers ask for
 // these by themselves.
 func (m *Mirror) remember(changes []Change) {
@@ -381,12 +412,12 @@
 	defer m.mirrorMu.Unlock()
 	var out []Change
 	for key, p := range m.pairs {
-		if m.late[key] == 0 {
+		if _, late := m.late[key]; !late {
 			out = append(out, Change{Pair: p}.slim())
 		}
 	}
-	for key, revision := range m.late {
-		out = append(out, Change{Pair: Pair{Key: key, ModRevision: revision}, Late: true})
+	for key, v := range m.late {
+		out = append(out, Change{Pair: Pair{Key: key, ModRevision: v.revision}, Late: true})
 	}
 	slices.SortFunc(out, func(a, b Change) int { return strings.Compare(a.Key, b.Key) })
 	return out, m.revision
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -62,6 +62,9 @@
 	if t == nil {
 		return p.notNow(entry.CodeNotReady, "the daemon knows no configuration yet", p.relay.unready())
 	}
+	if lasts := p.relay.lacks(); lasts > 0 {
+		return p.notNow(entry.CodeNotReady, "a newer configuration has not arrived", lasts)
+	}
 	path, _, _ := strings.Cut(p.r.RequestURI, "?")
 	if p.route = t.Match(p.r.Host, path); p.route == nil {
 		return p.unknown(http.StatusNotFound, entry.CodeNotFound, "there is no route for this host and path")
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -63,6 +63,10 @@
 	// Current reports whether this daemon's configuration is known to be
 	// current, so that it may say that a route or key does not exist.
 	Current func() bool
+	// Lacks returns for how long a newer configuration has been known to be there
+	// without having arrived, if that is too long to handle anything by the one in
+	// force; nil stands for never.
+	Lacks func() time.Duration
 	// CopyMay reports whether parts may be copied from stores: the daemon has
 	// heard lately which weights are named.
 	CopyMay func() bool
@@ -140,6 +144,15 @@
 	return lasted
 }
 
+// lacks returns for how long a newer configuration has been lacking, if that is too
+// long to handle anything by the one in force.
+func (rl *Relay) lacks() time.Duration {
+	if rl.o.Lacks == nil {
+		return 0
+	}
+	return rl.o.Lacks()
+}
+
 // ServeHTTP answers one request.
 func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rl.running.Add(1)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// A route that is still there may lead elsewhere by now.
+func TestNothingIsSentUnderAConfigurationThatIsReplacedForTooLong(t *testing.T) {
+	r := newRig(t, nil)
+	r.target("t1", "plain", always(answers(200, "ok")))
+	r.lacks = time.Second
+	a := r.ask(http.MethodPost, "/once/", "x")
+	r.g.Expect(a.status).To(gomega.Equal(503))
+	r.g.Expect(a.body).To(gomega.ContainSubstring(`"ran":"notRun"`))
+	r.g.Expect(a.header.Get("Come-Back")).NotTo(gomega.BeEmpty())
+	r.g.Expect(r.sends()).To(gomega.BeEmpty())
+	r.lacks = 0
+	r.g.Expect(r.ask(http.MethodPost, "/once/", "y").status).To(gomega.Equal(200))
+}
+
 // Callers are told to come back when the cause is expected to have ended, within
 // a third of their time.
 func TestCallersAreToldWhenToComeBack(t *testing.T) {
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -143,6 +143,8 @@
 	named  int64
 	least  int64
 	stale  bool
+	// lacks is for how long a newer configuration has been lacking.
+	lacks time.Duration
 
 	mu   sync.Mutex
 	seen []seen
@@ -203,7 +205,7 @@
 	r.kept = cache.NewKept(stores, r.log)
 	r.relay = New(Options{
 		Dialect: plainDialect{}, Roster: r.roster, Pool: &target.Pool{}, Kept: r.kept, Where: &cache.Where{}, Links: &learn.Links{}, Retention: &learn.Retention{}, Log: r.log, Stats: NewStats(),
-		Named: func(string) int64 { return r.named }, Current: func() bool { return !r.stale }, Outdated: func(_ string, v int64) bool { return v < r.least }, CopyMay: func() bool { return true },
+		Named: func(string) int64 { return r.named }, Current: func() bool { return !r.stale }, Lacks: func() time.Duration { return r.lacks }, Outdated: func(_ string, v int64) bool { return v < r.least }, CopyMay: func() bool { return true },
 		Times: learn.NewTimes(), Targets: &learn.Targets{}, Engines: enginePrior, Calls: callPrior, Prices: testPrices,
 		Daemons: func() int { return 1 }, Placed: func() {}, Age: func() time.Duration { return 0 }, Share: func(names []string) []string { return names }, RetryShare: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 	})
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -124,6 +124,28 @@
 // age returns how old the knowledge of the platform's store is.
 func (h *Host) age() time.Duration { return time.Since(h.mirror.Fresh()) }
 
+// current reports whether the configuration in force is known to be the newest.
+func (h *Host) current() bool { return h.age() < h.set.Bounds.Contact && !h.mirror.Behind() }
+
+// lackShare is the part of the bound on a configuration for which a daemon goes on
+// without a newer one that it knows to be there. The rest may have passed before it
+// heard of it: a daemon that tells others reads 1 MB over 10 Mbit/s in 1.1 s.
+const lackShare = 0.5
+
+// lacks returns for how long a newer configuration has been known to be there, if that
+// is too long to handle anything by the former one; else 0.
+func (h *Host) lacks(now time.Time) time.Duration {
+	since := h.mirror.LateSince()
+	if since.IsZero() {
+		return 0
+	}
+	lasts := now.Sub(since)
+	if lasts < time.Duration(lackShare*float64(h.set.Bounds.Configuration)) {
+		return 0
+	}
+	return lasts
+}
+
 // beginMargin is left of the time in which a request may begin on older weights
 // for its wait at the worker.
 const beginMargin = 4 * time.Second
@@ -155,7 +177,8 @@
 		},
 		Age:        h.age,
 		StoreDown:  h.mirror.Down,
-		Current:    func() bool { return h.age() < h.set.Bounds.Contact },
+		Current:    h.current,
+		Lacks:      func() time.Duration { return h.lacks(time.Now()) },
 		CopyMay:    func() bool { return h.age() < cache.CopyFresh },
 		RetryShare: h.set.Retries.Share, RetryExtra: h.set.Retries.Extra, RetryWindow: h.set.Retries.Window,
 	})
--- a/emberd/internal/host/host_test.go
+++ b/emberd/internal/host/host_test.go
@@ -69,13 +69,13 @@
 	filled := strings.NewReplacer(
 		"{{NodeName}}", "edge-1", "{{Zone}}", "z", "{{Listen.Front}}", "10.0.0.1:1", "{{Listen.Readiness}}", "10.0.0.1:2",
 		"{{Ip}}", "10.0.0.1", "{{EphemeralPorts.0}}", "7740", "{{Platform.Address}}", "10.0.0.9:1", "{{Limits.MemoryMb}}", "134",
-		"{{Bounds.GraceS}}", "8", "{{Bounds.LeaseMs}}", "3000", "{{Bounds.ContactMs}}", "3000", "{{Bounds.VersionMs}}", "12000",
+		"{{Bounds.GraceS}}", "8", "{{Bounds.LeaseMs}}", "3000", "{{Bounds.ContactMs}}", "3000", "{{Bounds.ConfigMs}}", "2000", "{{Bounds.VersionMs}}", "12000",
 		"{{Bounds.RetryBudgetRatio}}", "0.2", "{{Bounds.BudgetSlack}}", "56", "{{Bounds.BudgetWindowS}}", "10",
 	).Replace(string(raw))
 	g.Expect(filled).NotTo(gomega.ContainSubstring("{{"))
 	s, err := ParseSettings([]byte(filled))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(s.Bounds).To(gomega.Equal(Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second}))
+	g.Expect(s.Bounds).To(gomega.Equal(Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second, Configuration: 2 * time.Second}))
 	g.Expect(s.Retries).To(gomega.Equal(Retries{Share: 0.2, Extra: 56, Window: 10 * time.Second}))
 	g.Expect(s.Peers).To(gomega.Equal("10.0.0.1:7740"))
 }
--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -16,6 +16,8 @@
 		return "the daemon is stopping"
 	case h.relay.Table() == nil:
 		return "no configuration is known"
+	case h.lacks(time.Now()) > 0:
+		return "a newer configuration has not arrived"
 	}
 	return ""
 }
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -87,6 +87,8 @@
 	OrderApart time.Duration `yaml:"orderApart" doc:"Least time between orders of two holders of the right to give them."`
 	Weights    time.Duration `yaml:"weights" doc:"How long after newer weights were named a request may begin on the older ones."`
 	Contact    time.Duration `yaml:"contact" doc:"Silence of the store after which the configuration may be old."`
+	// Configuration counts from the store's acknowledgement of the newer one.
+	Configuration time.Duration `yaml:"configuration" doc:"How long a request may be handled by a configuration that was replaced."`
 }
 
 // Retries bound repeated sends.
@@ -106,7 +108,7 @@
 func Defaults() Settings {
 	return Settings{
 		Placement: string(route.Returning), LogLevel: "info", LogRate: 40,
-		Bounds:  Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second},
+		Bounds:  Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second, Configuration: 2 * time.Second},
 		Retries: Retries{Share: 0.2, Window: 10 * time.Second},
 		Tuning:  Tuning{Heartbeat: 150 * time.Millisecond, Suspect: 1500 * time.Millisecond},
 		Prices:  Prices{Token: 0.4, Late: 0.25, Again: 0.8, Copied: 0.012, Old: 0.2, Connect: 0.03, Across: 4, Wait: 0.1},
@@ -151,6 +153,7 @@
 		{"bounds.orderApart", s.Bounds.OrderApart},
 		{"bounds.contact", s.Bounds.Contact},
 		{"bounds.weights", s.Bounds.Weights},
+		{"bounds.configuration", s.Bounds.Configuration},
 		{"retries.window", s.Retries.Window},
 		{"tuning.heartbeat", s.Tuning.Heartbeat},
 	} {
