The platform's and the key-value service's answers are bounded by their silence

Change: the patience with slow answers, until now in platform/, is core/wait's; the etcd gateway's client uses it too, and the syncer bounds only the reading of the head.

Before and after: a whole configuration that takes 2.5 s was never there within 20 s and is after 2.5 s; an answer that breaks off or never begins is given up after 2 s, where the client itself waited for ever before.

--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -16,6 +16,8 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/memkv"
+	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 )
 
 // daemon is a store with its writer, as one daemon has them.
@@ -310,6 +312,31 @@
 	g.Expect(s.Confirmed()).NotTo(gomega.BeZero())
 }
 
+// longKV is a service that a whole configuration takes longer from than a small call
+// may take.
+type longKV struct{ *memkv.KV }
+
+func (k longKV) Range(ctx context.Context, span plat.Span) ([]plat.Pair, int64, error) {
+	if span.To == plat.Prefix(keyRes).To && !wait.For(ctx, plat.CallTimeout*5/4) {
+		return nil, 0, errors.WithStack(ctx.Err())
+	}
+	return k.KV.Range(ctx, span)
+}
+
+func TestAWholeConfigurationMayTakeLongerThanASmallCall(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	_, err := newDaemon(t, kv).put(KindDeployment, "d1", modelSpec, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s := NewStore(&event.Log{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { NewSyncer(s, longKV{kv}, lonePeers{make(chan struct{})}, &event.Log{}).Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	g.Eventually(func() uint64 { return s.Snapshot().Seq() }, "20s", "10ms").Should(gomega.Equal(uint64(1)))
+}
+
 // A store that has nothing takes everything from a peer, also where the peer
 // still keeps all changes from the first on.
 func TestEmptyStoreStartsFromPeer(t *testing.T) {
--- a/core/conf/sync.go
+++ b/core/conf/sync.go
@@ -126,10 +126,8 @@
 
 // catchUp reads the head and what is missing up to it.
 func (s *Syncer) catchUp(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, plat.CallTimeout)
-	defer cancel()
 	asked := time.Now()
-	head, err := s.kv.Read(ctx, keyHead)
+	head, err := s.head(ctx)
 	if err != nil {
 		return err
 	}
@@ -148,7 +146,15 @@
 	return nil
 }
 
-// reach puts everything up to seq in force.
+// head reads what the service holds as the latest change, or nil.
+func (s *Syncer) head(ctx context.Context) (*plat.Pair, error) {
+	ctx, cancel := context.WithTimeout(ctx, plat.CallTimeout)
+	defer cancel()
+	return s.kv.Read(ctx, keyHead)
+}
+
+// reach puts everything up to seq in force. What has to be read for that may be large
+// and take long; the service's client gives it up where nothing comes any more.
 func (s *Syncer) reach(ctx context.Context, seq uint64) error {
 	have := s.store.Snapshot().seq
 	if s.store.Loaded() && have >= seq {
--- a/core/plat/kv.go
+++ b/core/plat/kv.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"embertally.dev/core/wait"
 )
 
 // ErrUnknown says that a write was sent and its outcome is not known.
@@ -213,15 +215,17 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	ctx, patience := wait.Patiently(ctx, CallTimeout, CallTimeout)
+	defer patience.Stop()
 	resp, err := k.post(ctx, path, raw)
 	if err != nil {
-		return err
+		return patience.Reason(err)
 	}
 	defer resp.Body.Close()
-	got, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	got, err := io.ReadAll(io.LimitReader(patience.Reader(resp.Body), maxReply))
 	k.bytes.Add(int64(len(got)))
 	if err != nil {
-		return errors.WithStack(err)
+		return patience.Reason(errors.WithStack(err))
 	}
 	return errors.Wrap(json.Unmarshal(got, reply), "reply of the key-value service")
 }
@@ -314,6 +318,6 @@
 	return f(changes, msg.Result.Header.Revision)
 }
 
-// CallTimeout bounds one call of the key-value service, which answers in
-// milliseconds when it is well.
+// CallTimeout bounds one small call of the key-value service, which answers in
+// milliseconds when it is well, and the silence within the answer of a large one.
 const CallTimeout = 2 * time.Second
--- a/core/wait/wait.go
+++ b/core/wait/wait.go
@@ -1,4 +1,5 @@
-// Package wait pauses a goroutine for a time that its context can cut short.
+// Package wait pauses a goroutine for a time that its context can cut short, and ends
+// calls whose answers no longer come.
 //
 // It holds no state, and must not know what is waited for.
 package wait
