--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -61,27 +61,9 @@
 	base int64
 }
 
-// lateValue is a value that has not arrived.
-type lateValue struct {
-	// revision is the least that it must have.
-	revision int64
-	// since is when it was first known that what is here is replaced.
-	since time.Time
-}
-
 // historyMost bounds the changes kept for peers.
 const historyMost = 1024
 
-// largeValue is the size from which a value goes to peers by itself. What is smaller
-// must never wait behind one that is larger: on a link of 10 Mbit/s, the slowest of
-// the users' boxes, this size takes 6 ms and the largest that the users' store holds
-// 840 ms, and a daemon tells up to 19 others. Entries of targets have some 200
-// bytes, configurations 5 KB to 1 MB.
-const largeValue = 8 << 10
-
-// Large reports whether a value goes to peers by itself.
-func Large(value []byte) bool { return len(value) >= largeValue }
-
 // NewMirror returns a mirror of the keys in span.
 func NewMirror(from Reader, span Span, log *event.Log) *Mirror {
 	return &Mirror{from: from, span: span, log: log, pairs: map[string]Pair{}, late: map[string]lateValue{}}
@@ -282,80 +264,6 @@
 	}
 }
 
-// await records that a value has not arrived. It is called with mirrorMu held.
-func (m *Mirror) await(key string, revision int64) {
-	v, late := m.late[key]
-	if !late {
-		v.since = time.Now()
-	}
-	v.revision = revision
-	m.late[key] = v
-}
-
-// Arrive takes a value that was late. It changes nothing where a newer one is known,
-// or the key is gone.
-func (m *Mirror) Arrive(p Pair) {
-	m.tellMu.Lock()
-	defer m.tellMu.Unlock()
-	m.mirrorMu.Lock()
-	wanted, late := m.late[p.Key]
-	if !late || p.ModRevision < wanted.revision {
-		m.mirrorMu.Unlock()
-		return
-	}
-	delete(m.late, p.Key)
-	m.pairs[p.Key] = p
-	m.mirrorMu.Unlock()
-	m.tell([]Change{{Pair: p}})
-}
-
-// Fetch asks the service itself for the value of one key. It returns false where the
-// service has none.
-func (m *Mirror) Fetch(ctx context.Context, key string) (Pair, bool, error) {
-	pairs, _, err := m.from.Range(ctx, Prefix(key))
-	if err != nil {
-		return Pair{}, false, err
-	}
-	for _, p := range pairs {
-		if p.Key == key {
-			return p, true, nil
-		}
-	}
-	return Pair{}, false, nil
-}
-
-// Behind reports whether a value is known to be there that has not arrived.
-func (m *Mirror) Behind() bool {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	return len(m.late) > 0
-}
-
-// Late returns the keys whose values have not arrived, without the values and with
-// the revisions that they have at least.
-func (m *Mirror) Late() []Pair {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	var out []Pair
-	for key, v := range m.late {
-		out = append(out, Pair{Key: key, ModRevision: v.revision})
-	}
-	return out
-}
-
-// LateSince returns since when a value has been lacking; zero where none is.
-func (m *Mirror) LateSince() time.Time {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	var first time.Time
-	for _, v := range m.late {
-		if first.IsZero() || v.since.Before(first) {
-			first = v.since
-		}
-	}
-	return first
-}
-
 // remember is called with mirrorMu held. It keeps large values out: peers ask for
 // these by themselves.
 func (m *Mirror) remember(changes []Change) {
@@ -368,14 +276,6 @@
 	}
 }
 
-// slim returns the change without its value where that is large.
-func (c Change) slim() Change {
-	if !Large(c.Value) {
-		return c
-	}
-	return Change{Pair: Pair{Key: c.Key, ModRevision: c.ModRevision}, Late: true}
-}
-
 // tell is called with tellMu held, so that observers hear of changes in order. Of a
 // late value they hear once it is here.
 func (m *Mirror) tell(changes []Change) {
@@ -435,89 +335,6 @@
 	m.hearVia(heard)
 }
 
-// hearVia records when the service had answered a peer.
-func (m *Mirror) hearVia(heard time.Time) {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	if heard.After(m.via) {
-		m.via = heard
-	}
-}
-
-// Fresh returns when the service last answered this daemon, or a peer whose
-// state this daemon has taken.
-func (m *Mirror) Fresh() time.Time {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	if m.via.After(m.contact) {
-		return m.via
-	}
-	return m.contact
-}
-
-// heard records an answer of the service.
-func (m *Mirror) heard() {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	now := time.Now()
-	if gap := now.Sub(m.contact); !m.contact.IsZero() && (gap > downAfter || m.down) {
-		m.regained, m.silence = now, gap
-		m.log.Emit(event.ServiceUp, event.Ref{}, "silent for "+gap.Round(time.Millisecond).String())
-	}
-	m.down = false
-	m.contact = now
-}
-
-// lost records that the service broke off.
-func (m *Mirror) lost(err error) {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	if m.down || time.Since(m.contact) < downAfter {
-		return
-	}
-	m.down = true
-	text := "nothing was heard"
-	if err != nil {
-		text = err.Error()
-	}
-	m.log.Emit(event.ServiceDown, event.Ref{}, text)
-}
-
-// told reports whether peers tell what the service says.
-func (m *Mirror) told() bool {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	return time.Since(m.via) < toldFresh
-}
-
-// since returns how long the service has been silent.
-func (m *Mirror) since() time.Duration {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	return time.Since(m.contact)
-}
-
-// Down reports whether the service was found not to answer.
-func (m *Mirror) Down() bool {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	return m.down
-}
-
-// Contact returns when the service last answered; zero before the first time.
-func (m *Mirror) Contact() time.Time {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	return m.contact
-}
-
-// Regained returns when the last outage ended, and how long it was.
-func (m *Mirror) Regained() (time.Time, time.Duration) {
-	m.mirrorMu.Lock()
-	defer m.mirrorMu.Unlock()
-	return m.regained, m.silence
-}
-
 // Revision returns the highest revision seen.
 func (m *Mirror) Revision() int64 {
 	m.mirrorMu.Lock()
--- /dev/null
+++ b/core/spread/tell.go
@@ -0,0 +1,130 @@
+package spread
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/plat"
+)
+
+// mirrorAsk asks a peer for the changes after a revision.
+type mirrorAsk struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	After    int64
+	// WaitMillis is how long the answer may wait for a change.
+	WaitMillis int64
+	// Page is the last key of the page before, where a whole copy is read.
+	Page string
+}
+
+// mirrorAnswer holds them.
+type mirrorAnswer struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	// All tells that Changes are a page of everything, not what came after a
+	// revision.
+	All      bool
+	Changes  []mirrorChange
+	Revision int64
+	// AgeMillis is how long before the answer the service answered the sender.
+	AgeMillis int64
+	// More tells that there is more than this answer holds.
+	More bool
+	// WaitedMillis is how long the answer waited for a change.
+	WaitedMillis int64
+}
+
+// mirrorChange is one change as peers send it.
+type mirrorChange struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Key      string
+	Value    []byte
+	Revision int64
+	Deleted  bool
+	// Late tells that the value is to be asked for by itself.
+	Late bool
+}
+
+// answer tells a peer what has changed.
+func (s *Mirrors) answer(ctx context.Context, _ string, ask *mirrorAsk) (*mirrorAnswer, error) {
+	began := time.Now()
+	s.await(ctx, ask)
+	waited := time.Since(began)
+	contact := s.mirror.Contact()
+	if contact.IsZero() {
+		return nil, errors.New("this daemon does not ask the service")
+	}
+	out := s.some(ask)
+	out.AgeMillis, out.WaitedMillis = time.Since(contact).Milliseconds(), waited.Milliseconds()
+	for _, c := range out.Changes {
+		s.told.Add(int64(len(c.Value)))
+	}
+	return out, nil
+}
+
+// some returns as many of the changes that a peer asks for as one answer holds.
+func (s *Mirrors) some(ask *mirrorAsk) *mirrorAnswer {
+	changes, revision, whole := s.mirror.Since(ask.After)
+	if !whole || ask.Page != "" {
+		return s.page(ask.Page)
+	}
+	n := fitting(changes)
+	for n < len(changes) && n > 0 && changes[n].ModRevision == changes[n-1].ModRevision {
+		// What was written together is told together.
+		n++
+	}
+	more := n < len(changes)
+	if more {
+		revision = changes[n-1].ModRevision
+	}
+	return &mirrorAnswer{Changes: told(changes[:n]), Revision: revision, More: more}
+}
+
+// page returns the page of everything that follows a key.
+func (s *Mirrors) page(after string) *mirrorAnswer {
+	all, revision := s.mirror.All()
+	from := sort.Search(len(all), func(i int) bool { return all[i].Key > after })
+	rest := all[from:]
+	n := fitting(rest)
+	return &mirrorAnswer{All: true, Changes: told(rest[:n]), Revision: revision, More: n < len(rest)}
+}
+
+// fitting returns how many of some changes one answer holds; at least one.
+func fitting(changes []plat.Change) int {
+	size := 0
+	for i, c := range changes {
+		size += len(c.Key) + len(c.Value)
+		if size > answerRoom && i > 0 {
+			return i
+		}
+	}
+	return len(changes)
+}
+
+// told returns changes as peers get them.
+func told(changes []plat.Change) []mirrorChange {
+	out := make([]mirrorChange, len(changes))
+	for i, c := range changes {
+		out[i] = mirrorChange{Key: c.Key, Value: c.Value, Revision: c.ModRevision, Deleted: c.Deleted, Late: c.Late}
+	}
+	return out
+}
+
+// await returns when there is something to tell or the wait is over.
+func (s *Mirrors) await(ctx context.Context, ask *mirrorAsk) {
+	end := time.Now().Add(time.Duration(ask.WaitMillis) * time.Millisecond)
+	t := time.NewTicker(awaitLook)
+	defer t.Stop()
+	for time.Now().Before(end) && s.mirror.Revision() <= ask.After {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
