Answers of peers must lead on; values below 32 KB go with other changes

Found by reading the change: an asker follows pages and partial answers for as long as the peer says that there is more, so one that told the same page or revision for ever would be listened to for ever. Each answer must lead on from its question now; the test fails without the check.

Values from 32 KB on go by themselves, not from 8 KB: a configuration of 16 KB takes 13 ms on 10 Mbit/s, and one more question and its packing would only delay it. The window of packing, which its memory follows, fits the value.

--- a/core/plat/late.go
+++ b/core/plat/late.go
@@ -7,10 +7,10 @@
 
 // largeValue is the size from which a value goes to peers by itself. What is smaller
 // must never wait behind one that is larger: on a link of 10 Mbit/s, the slowest of
-// the users' boxes, this size takes 6 ms and the largest that the users' store holds
+// the users' boxes, this size takes 26 ms and the largest that the users' store holds
 // 840 ms, and a daemon tells up to 19 others. Entries of targets have some 200
-// bytes, configurations 5 KB to 1 MB.
-const largeValue = 8 << 10
+// bytes, configurations 5 KB to 1 MB, most of them less than this.
+const largeValue = 32 << 10
 
 // Large reports whether a value goes to peers by itself.
 func Large(value []byte) bool { return len(value) >= largeValue }
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -197,6 +197,9 @@
 		if page, err = s.question(ctx, peer, ask); err != nil {
 			return err
 		}
+		if !page.All {
+			return errors.WithStack(errNonsense)
+		}
 		all = append(all, page.changes()...)
 	}
 	s.mirror.TakeAll(all, first.Revision, heard)
@@ -225,12 +228,21 @@
 	if err := s.fleet.Call(ctx, peer, kindMirror, ask, &got); err != nil {
 		return nil, err
 	}
-	if got.More && len(got.Changes) == 0 {
+	if got.More && !got.follows(ask) {
 		return nil, errors.WithStack(errNonsense)
 	}
 	return &got, nil
 }
 
+// follows reports whether an answer leads on from where its question stood, so that the
+// answers to come end.
+func (a *mirrorAnswer) follows(ask *mirrorAsk) bool {
+	if !a.All {
+		return a.Revision > ask.After
+	}
+	return len(a.Changes) > 0 && a.Changes[len(a.Changes)-1].Key > ask.Page
+}
+
 // changes returns what a peer told.
 func (a *mirrorAnswer) changes() []plat.Change {
 	out := make([]plat.Change, len(a.Changes))
--- a/core/spread/pack.go
+++ b/core/spread/pack.go
@@ -13,16 +13,29 @@
 // packDictionary is the number of the dictionary in the packed form.
 const packDictionary = 1
 
-// packWindow is how far back a packed form may refer; it holds a value of 1 MB, the
-// largest that the users' store takes, and the one before.
-const packWindow = 2 << 20
+// leastWindow and mostWindow bound how far back a packed form may refer, which is what
+// packing takes memory for. The largest holds a value of 1 MB, the largest that the
+// users' store takes, and the one before.
+const (
+	leastWindow = 64 << 10
+	mostWindow  = 2 << 20
+)
+
+// window returns how far back the packed form of a value needs to refer.
+func window(value, base []byte) int {
+	size := leastWindow
+	for size < len(value)+len(base) && size < mostWindow {
+		size *= 2
+	}
+	return size
+}
 
 // pack returns a value in packed form. base is the version that the receiver holds;
 // nil where it holds none.
 func pack(value, base []byte) ([]byte, error) {
 	options := []zstd.EOption{
 		zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithLowerEncoderMem(true),
-		zstd.WithWindowSize(packWindow), zstd.WithEncoderCRC(true),
+		zstd.WithWindowSize(window(value, base)), zstd.WithEncoderCRC(true),
 	}
 	if base != nil {
 		options = append(options, zstd.WithEncoderDictRaw(packDictionary, base))
--- a/core/spread/values_test.go
+++ b/core/spread/values_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,6 +153,45 @@
 	t.Cleanup(func() { cancel(); wg.Wait() })
 }
 
+// A peer that never ends telling must not be listened to for ever.
+func TestAPeerThatLeadsNowhereIsGivenUp(t *testing.T) {
+	entry := [][]any{{"op/a", []byte("x"), 1, false, false}}
+	tests := []struct {
+		name   string
+		answer mirrorAnswer
+	}{
+		{"the same page again", mirrorAnswer{All: true, Changes: entry, Revision: 1, More: true}},
+		{"an empty page", mirrorAnswer{All: true, Revision: 1, More: true}},
+		{"the same revision again", mirrorAnswer{Changes: entry, Revision: 1, More: true}},
+		{"no changes", mirrorAnswer{More: true}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			seeds, listeners := addresses(t, 2)
+			var asked atomic.Int64
+			name := seeds[0].Name
+			f := fleet.New(fleet.Options{
+				Name: name, Incarnation: name + "-1", Seeds: seeds, Heartbeat: 50 * time.Millisecond, Suspect: 2 * time.Second, Log: &event.Log{},
+			})
+			f.Attach("mirror", fresh{})
+			f.Mux().Register("spread.mirror", func(context.Context, string, []byte) (any, error) {
+				asked.Add(1)
+				return &tc.answer, nil
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			wg.Go(func() { f.Run(ctx, listeners[0]) })
+			t.Cleanup(func() { cancel(); wg.Wait() })
+			away := &memkv.KV{}
+			away.SetDown(true)
+			asker := run(t, seeds[1].Name, listeners[1], away, seeds)
+			g.Eventually(asker.mirrors.Failed, soon, look).Should(gomega.BeNumerically(">=", 3))
+			g.Expect(asked.Load()).To(gomega.BeNumerically("<", 100))
+		})
+	}
+}
+
 // fresh is the part of a heartbeat that tells that the store has just answered.
 type fresh struct{}
 
