--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -102,6 +102,9 @@
 	answerRoom = 48 << 10
 	// mostAgeMillis bounds the ages that peers tell: older is as good as never.
 	mostAgeMillis = 3600 * 1000
+	// sameAnswer is by how much the times of one answer of the service may differ as
+	// heartbeats and answers between daemons tell them: by the ways of these.
+	sameAnswer = 100 * time.Millisecond
 	// awaitLook is the pause between looks for a change.
 	awaitLook = 50 * time.Millisecond
 	// followers is how many daemons of a large cell ask the service themselves;
@@ -253,12 +256,12 @@
 	return out
 }
 
-// best returns the peer that the service answered last, if that is later than
-// what this daemon knows.
+// best returns the peer that the service answered last, if that is no earlier than
+// what this daemon knows: who is as fresh will hear of the next change.
 func (s *Mirrors) best() string {
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
-	name, latest := "", s.mirror.Fresh()
+	name, latest := "", s.mirror.Fresh().Add(-sameAnswer)
 	for peer, at := range s.peers {
 		if at.After(latest) {
 			name, latest = peer, at
