A daemon without a configuration decides nothing

A daemon counted as warm, for good, if it knew the loads of all workers that its configuration names. Before the configuration has come it names none, so a peer that asked right after the first heartbeat made it warm, and it answered that there are no workers until their loads came.

Change: without a configuration a daemon is not warm, and its time to hear of the workers counts from the configuration. The test fails without it.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -50,10 +50,12 @@
 	// exports are the contexts that wait to be exported.
 	exports chan export
 	turn    atomic.Uint64
-	began   time.Time
-	planned atomic.Pointer[plan]
-	warm    atomic.Bool // Warm was true once
-	stats   Stats
+	// configured sets began, when this daemon was first seen to have a configuration.
+	configured sync.Once
+	began      time.Time
+	planned    atomic.Pointer[plan]
+	warm       atomic.Bool // Warm was true once
+	stats      Stats
 	// storeMu guards storeDown.
 	storeMu   sync.Mutex
 	storeDown map[string]time.Time // until when a store is not asked
@@ -73,7 +75,7 @@
 
 // New returns a home and registers its messages with the fleet.
 func New(o Options) *Home {
-	h := &Home{o: o, exports: make(chan export, maxExports), storeDown: map[string]time.Time{}, began: time.Now()}
+	h := &Home{o: o, exports: make(chan export, maxExports), storeDown: map[string]time.Time{}}
 	h.duties.home = h
 	m := o.Fleet.Mux()
 	m.Register(kindPlace, wire.Handle(h.place))
@@ -380,7 +382,8 @@
 	}
 }
 
-// warmLimit is how long a new daemon waits to hear of the workers.
+// warmLimit is how long a new daemon that has a configuration waits to hear of the
+// workers.
 const warmLimit = 5 * time.Second
 
 // Warm reports whether enough is known of the workers to place requests: of
@@ -389,7 +392,12 @@
 	if h.warm.Load() {
 		return true
 	}
+	if !h.o.Conf.Loaded() {
+		// No worker is named yet, which is not the same as none being there.
+		return false
+	}
 	snap, view, now := h.o.Conf.Snapshot(), h.o.Fleet.View(), time.Now()
+	h.configured.Do(func() { h.began = now })
 	if now.Sub(h.began) < warmLimit {
 		for _, name := range h.plan(snap, view).workers {
 			if _, ok := h.loads.load(name, 0, now); !ok && view.Usable(name, snap.Target(name)) {
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -204,3 +204,14 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(ans.Worker).To(gomega.Equal("w"))
 }
+
+// Peers ask a daemon that is just heard of, also before its configuration has come.
+func TestADaemonWithoutAConfigurationDecidesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := New(Options{
+		Placement: route.Returning, Conf: conf.NewStore(&event.Log{}), Fleet: fleet.New(fleet.Options{Name: "me", Log: &event.Log{}}), Log: &event.Log{},
+	})
+	_, err := h.place(context.Background(), "peer", &Ask{Chain: []cache.Hash{{1}}})
+	g.Expect(err).To(gomega.MatchError(errNotWarm))
+	g.Expect(h.Warm()).To(gomega.BeFalse())
+}
