A question for a place that names no root blocks no longer ends the daemon

Cause: met while a test was written: with no roots the index of the context's name is below zero. Only a peer that has proven its name can ask so.

Change: at least one block names a context. The test panicked before.

--- a/core/cache/cache_test.go
+++ b/core/cache/cache_test.go
@@ -281,3 +281,20 @@
 		}
 	}
 }
+
+// A peer may say any number.
+func TestRootOfAnyNumberOfBlocks(t *testing.T) {
+	seed, chain := Hash{9}, []Hash{{1}, {2}, {3}}
+	tests := []struct {
+		roots int
+		chain []Hash
+		want  Hash
+	}{
+		{-1, chain, Hash{1}}, {0, chain, Hash{1}}, {1, chain, Hash{1}}, {3, chain, Hash{3}}, {7, chain, Hash{3}}, {0, nil, seed}, {2, nil, seed},
+	}
+	for _, tc := range tests {
+		if got := Root(seed, tc.chain, tc.roots); got != tc.want {
+			t.Errorf("Root of %d blocks with %d roots = %x, want %x", len(tc.chain), tc.roots, got[:1], tc.want[:1])
+		}
+	}
+}
--- a/core/cache/chain.go
+++ b/core/cache/chain.go
@@ -95,13 +95,13 @@
 }
 
 // Root returns the hash that names the context of a chain: that of its first
-// roots blocks, or of all blocks where there are fewer, or seed where there
-// are none.
+// roots blocks, at least one, or of all blocks where there are fewer, or seed where
+// there are none.
 func Root(seed Hash, chain []Hash, roots int) Hash {
 	if len(chain) == 0 {
 		return seed
 	}
-	return chain[min(roots, len(chain))-1]
+	return chain[max(1, min(roots, len(chain)))-1]
 }
 
 // Packed is a list of short hashes, written as one base64 text: cache events
