Sight: the line of a request names what it asks

Change: a fingerprint of organisation, method, host, path, query and body stands in each request's line (asks ...). No change of what is decided. Ruled out: the try's id (each try has its own) and headers (deadlines and ids differ). Figures: 1.0 us for a request of 800 bytes (BenchmarkOf); before: nothing.

--- /dev/null
+++ b/core/poison/print_test.go
@@ -0,0 +1,55 @@
+package poison
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func TestFingerprintsTellRequestsApart(t *testing.T) {
+	base := Request{Organisation: "org", Method: "POST", Host: "h", URI: "/ask/a", Body: []byte("body")}
+	for _, c := range []struct {
+		name   string
+		change func(*Request)
+		same   bool
+	}{
+		{"nothing", func(*Request) {}, true},
+		{"the host in capitals", func(r *Request) { r.Host = "H" }, true},
+		{"another organisation", func(r *Request) { r.Organisation = "other" }, false},
+		{"another method", func(r *Request) { r.Method = "PUT" }, false},
+		{"another host", func(r *Request) { r.Host = "h2" }, false},
+		{"another path", func(r *Request) { r.URI = "/ask/b" }, false},
+		{"a query", func(r *Request) { r.URI = "/ask/a?x=1" }, false},
+		{"another body", func(r *Request) { r.Body = []byte("body2") }, false},
+		{"no body", func(r *Request) { r.Body = nil }, false},
+		{"a sign that moves from one field to the next", func(r *Request) { r.Organisation, r.Method = "orgP", "OST" }, false},
+		{"a path that moves into the body", func(r *Request) { r.URI, r.Body = "/ask/", []byte("abody") }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			changed := base
+			c.change(&changed)
+			g.Expect(Of(&changed) == Of(&base)).To(gomega.Equal(c.same))
+		})
+	}
+}
+
+func TestAFingerprintIsReadAsItIsWritten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := Of(&Request{URI: "/"})
+	got, ok := Parse(f.String())
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(got).To(gomega.Equal(f))
+	for _, s := range []string{"", "00", f.String() + "00", "zz" + f.String()[2:]} {
+		_, ok := Parse(s)
+		g.Expect(ok).To(gomega.BeFalse(), s)
+	}
+}
+
+// What a fingerprint costs: 1.0 us for 800 bytes.
+func BenchmarkOf(b *testing.B) {
+	r := Request{Organisation: "org", Method: "POST", Host: "site.example", URI: "/ask/a", Body: make([]byte, 800)}
+	for b.Loop() {
+		Of(&r)
+	}
+}
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/entry"
+	"embertally.dev/core/poison"
 	"embertally.dev/core/table"
 )
 
@@ -129,9 +130,19 @@
 		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, "the body broke off: "+err.Error(), 0)
 	}
 	p.body, p.size = body, len(body)
+	p.asks = p.fingerprint()
 	return nil
 }
 
+// fingerprint names what the request asks.
+func (p *pass) fingerprint() poison.Fingerprint {
+	asked := poison.Request{Method: p.r.Method, Host: p.r.Host, URI: p.r.RequestURI, Body: p.body}
+	if p.organisation != nil {
+		asked.Organisation = p.organisation.Name
+	}
+	return poison.Of(&asked)
+}
+
 // readAll appends what r gives to b, whose room is used first.
 func readAll(b []byte, r io.Reader) ([]byte, error) {
 	for {
--- a/core/relay/end.go
+++ b/core/relay/end.go
@@ -72,8 +72,8 @@
 	if p.table != nil {
 		version = p.table.Version()
 	}
-	text := fmt.Sprintf("took %s%s, configuration %d known %s ago, sends %d, runs %d; %s",
-		took.Round(time.Millisecond), first, version, p.relay.o.Age().Round(10*time.Millisecond), p.sends, p.runs, strings.Join(p.notes, "; "))
+	text := fmt.Sprintf("took %s%s, asks %s, configuration %d known %s ago, sends %d, runs %d; %s",
+		took.Round(time.Millisecond), first, p.asks, version, p.relay.o.Age().Round(10*time.Millisecond), p.sends, p.runs, strings.Join(p.notes, "; "))
 	if p.forecast != nil {
 		p.forecast.Sends = p.sends
 	}
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -9,6 +9,7 @@
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
+	"embertally.dev/core/poison"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
 	"embertally.dev/core/wait"
@@ -28,7 +29,9 @@
 	table        *table.Table
 	regions      regions
 	body         []byte
-	service      string
+	// asks is the fingerprint of the request; zero until its body is read.
+	asks    poison.Fingerprint
+	service string
 	// size is that of the body, and domain where it comes from.
 	size   int
 	domain string
