Requests under which three runs of targets ended are sent to no more

Cause: what a request did to the target that ran it was forgotten with the request. Class: a harm that comes with the work itself is laid to the place where it struck, and counted nowhere over the lives of what it struck, so that each repeat finds a place that is still whole. Ruled out: repeats by the daemons themselves (one send each in the lines of failed prompts); load (one request alone ends as many workers as it is brought, in the test). Change: package poison. A request is known again by organisation, method, host, path, query and body. A daemon whose connection ends under a request finds out whether the target's run ended (a new connection is refused, or the list says so) and tells two daemons of the fleet that count for this request. At the third run the request is blocked for an hour, twice as long each time it goes on: two daemons of each cell are told, heartbeats tell the others, and the platform's store keeps it for daemons that start. What ran well elsewhere lately is not at fault. A blocked request is refused at once, as not run, with the time left. After two ends the daemons repeat it no more of themselves. Fleets of 1, 3 and 40 daemons, store there and away: TestTheThirdEndBlocksARequestEverywhere.

--- a/core/entry/refuse.go
+++ b/core/entry/refuse.go
@@ -49,6 +49,7 @@
 	CodeAlreadyRan     Code = "alreadyRan"
 	CodeAnswerTooLarge Code = "answerTooLarge"
 	CodeTimeout        Code = "timeLimitReached"
+	CodeEndsTargets    Code = "requestEndsTargets"
 )
 
 // Refusal is the typed answer to a request that gets no other.
--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -30,6 +30,7 @@
 	TargetHealthy   Code = 2017
 	DomainEvacuated Code = 2018
 	DomainReturned  Code = 2019
+	TargetEnded     Code = 2020
 
 	ConfApplied   Code = 3001
 	ConfWritten   Code = 3002
@@ -44,15 +45,18 @@
 	PeerNotTold   Code = 3011
 	ValueFetched  Code = 3012
 
-	RequestAccepted Code = 4001
-	RequestPlaced   Code = 4002
-	RequestDone     Code = 4003
-	RequestRefused  Code = 4004
-	RequestRetried  Code = 4005
-	StreamResumed   Code = 4006
-	StreamBroken    Code = 4007
-	CallerGone      Code = 4008
-	AnswerRejected  Code = 4009
+	RequestAccepted  Code = 4001
+	RequestPlaced    Code = 4002
+	RequestDone      Code = 4003
+	RequestRefused   Code = 4004
+	RequestRetried   Code = 4005
+	StreamResumed    Code = 4006
+	StreamBroken     Code = 4007
+	CallerGone       Code = 4008
+	AnswerRejected   Code = 4009
+	RequestSuspected Code = 4010
+	RequestBlocked   Code = 4011
+	RequestReleased  Code = 4012
 
 	ContextImported Code = 5001
 	ImportRejected  Code = 5002
@@ -123,6 +127,7 @@
 	{TargetHealthy, "targetHealthy", Info, "A suspected target answers again."},
 	{DomainEvacuated, "domainEvacuated", Warning, "Operators ask to send nothing to the targets of a failure domain; the resource names it."},
 	{DomainReturned, "domainReturned", Info, "An evacuation was taken back; the domain's targets get few requests until they count as warm."},
+	{TargetEnded, "targetEnded", Warning, "A run of a target ended under requests of this daemon, not as planned; the text counts them."},
 
 	{ConfApplied, "confApplied", Debug, "A configuration change is in force in this daemon."},
 	{ConfWritten, "confWritten", Info, "A configuration change was committed through this daemon."},
@@ -146,6 +151,9 @@
 	{StreamBroken, "streamBroken", Warning, "A stream could not be resumed and was ended with an explicit error."},
 	{CallerGone, "callerGone", Info, "The caller closed its connection; the target was told to stop."},
 	{AnswerRejected, "answerRejected", Error, "A target's answer belongs to another request or weight version and was thrown away."},
+	{RequestSuspected, "requestSuspected", Warning, "Two runs of targets ended while the same request was there; the text has its fingerprint and the runs."},
+	{RequestBlocked, "requestBlocked", Error, "A request is not sent any more, since runs of targets end under it; the text has its fingerprint, for how long, how often before, and who told or what ended."},
+	{RequestReleased, "requestReleased", Info, "A blocked request may be sent again; the text says why."},
 
 	{ContextImported, "contextImported", Info, "Kept blocks were read from a store into a worker and passed their checks."},
 	{ImportRejected, "importRejected", Warning, "Blocks read from a store failed their checks; they are computed again."},
--- /dev/null
+++ b/core/poison/guard.go
@@ -0,0 +1,178 @@
+package poison
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/plat"
+	"embertally.dev/core/wire"
+)
+
+const (
+	kindEnd   wire.Kind = "poison.end"
+	kindBlock wire.Kind = "poison.block"
+)
+
+// Options of a guard.
+type Options struct {
+	Fleet *fleet.Fleet
+	// Try opens a connection to the address of a run of a target, and keeps it for use.
+	Try func(ctx context.Context, address string) error
+	Log *event.Log
+	// Store and Mirror are the platform's store and what is known of it: it keeps the
+	// blocks for daemons that start when no other one is there.
+	Store  plat.Writer
+	Mirror *plat.Mirror
+}
+
+// Guard keeps requests from targets that end of them.
+//
+// A daemon whose connection to a target ends under a request finds out whether the target's
+// run ended: a new connection is refused, or the platform's list says so. If so it tells the
+// keepers of the request: two daemons of the whole fleet, by rendezvous of the fingerprint,
+// so that the ends are counted in one place whichever daemons saw them. At the third run a
+// keeper blocks the request: it tells two daemons of each cell, whose heartbeats tell the
+// others, and writes it to the platform's store. So it takes a few messages in a row until
+// all daemons know, however many there are, and none of them needs the store.
+type Guard struct {
+	o      Options
+	sends  sends
+	keeper *keeper
+	blocks *blocks
+
+	knownMu sync.Mutex
+	// known holds how many runs ended under requests that this daemon told of, by what
+	// keepers answered. Guarded by knownMu.
+	known map[Fingerprint]int
+	// runs counts the runs of targets that ended under requests of this daemon. Guarded by
+	// knownMu.
+	runs int64
+}
+
+// New returns a guard. It must be called before the fleet runs.
+func New(o Options) *Guard {
+	b := newBlocks(o.Log, o.Fleet.Kick)
+	g := &Guard{o: o, blocks: b, keeper: newKeeper(o.Log, b), known: map[Fingerprint]int{}}
+	o.Fleet.Attach("blocks", b)
+	o.Fleet.Mux().Register(kindEnd, wire.Handle(g.hearEnd))
+	o.Fleet.Mux().Register(kindBlock, wire.Handle(g.hearBlocks))
+	return g
+}
+
+// Blocked returns for how much longer a request must not be sent, if it must not.
+func (g *Guard) Blocked(f Fingerprint) (time.Duration, bool) {
+	if g == nil {
+		return 0, false
+	}
+	return g.blocks.left(f)
+}
+
+// Ends returns how many runs of targets ended under a request as far as this daemon heard.
+func (g *Guard) Ends(f Fingerprint) int {
+	if g == nil {
+		return 0
+	}
+	g.knownMu.Lock()
+	defer g.knownMu.Unlock()
+	return g.known[f]
+}
+
+// Good records that a request ended well at a run of a target.
+func (g *Guard) Good(f Fingerprint, organisation, run string) {
+	if g != nil {
+		g.sends.good(run, sent{f, organisation})
+	}
+}
+
+// Lost records that the connection to a run of a target ended while a request was there,
+// and finds out whether the run did.
+func (g *Guard) Lost(f Fingerprint, organisation, run, address string) {
+	if g == nil {
+		return
+	}
+	who := sent{f, organisation}
+	ended, first := g.sends.lost(run, who)
+	switch {
+	case ended:
+		go teller{g, run, []sent{who}}.run()
+	case first:
+		go prober{g, run, address}.run()
+	}
+}
+
+// Refused records that a run of a target takes no connections.
+func (g *Guard) Refused(run string, err error) {
+	if g != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		g.ended(run, true)
+	}
+}
+
+// Ended records that the platform's list says that a run of a target ended, not as planned.
+func (g *Guard) Ended(run string) {
+	if g != nil {
+		g.ended(run, false)
+	}
+}
+
+// ended tells the keepers what was there when a run ended. seen tells that it refused a
+// connection.
+func (g *Guard) ended(run string, seen bool) {
+	if list := g.sends.end(run, seen); len(list) > 0 {
+		g.knownMu.Lock()
+		g.runs++
+		g.knownMu.Unlock()
+		g.o.Log.Emit(event.TargetEnded, event.Ref{Target: run}, "under "+strconv.Itoa(len(list))+" requests of this daemon")
+		go teller{g, run, list}.run()
+	}
+}
+
+// Blocks returns how many requests are blocked.
+func (g *Guard) Blocks() int { return g.blocks.count() }
+
+// Suspects returns how many requests this daemon keeps a count for.
+func (g *Guard) Suspects() int { return g.keeper.size() }
+
+// EndedRuns returns how many runs of targets ended under requests of this daemon.
+func (g *Guard) EndedRuns() int64 {
+	g.knownMu.Lock()
+	defer g.knownMu.Unlock()
+	return g.runs
+}
+
+// prober finds out whether a run of a target ended whose connection did.
+type prober struct {
+	guard         *Guard
+	name, address string
+}
+
+// Times of finding out.
+const (
+	// tryLimit bounds one try to connect: one that hangs tells nothing.
+	tryLimit = time.Second
+	// tryAgain is the pause before the second try: a process that ends closes its
+	// connections and its listener in any order.
+	tryAgain = 100 * time.Millisecond
+)
+
+func (p prober) run() {
+	for n := range 2 {
+		if n > 0 {
+			time.Sleep(tryAgain)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), tryLimit)
+		err := p.guard.o.Try(ctx, p.address)
+		cancel()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.guard.ended(p.name, true)
+			return
+		}
+	}
+	// The list will say whether it ended.
+}
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -131,16 +131,26 @@
 	}
 	p.body, p.size = body, len(body)
 	p.asks = p.fingerprint()
-	return nil
+	return p.blocked()
+}
+
+// blocked refuses a request under which too many runs of targets ended, and returns nil for
+// others. A caller that comes
+// back before its time is refused again at once, which costs nothing but the answer; each
+// time that such a request is sent costs a target and all that runs there. The status is
+// that of a refusal that may be repeated, since nothing is wrong with what was asked.
+func (p *pass) blocked() *entry.Refusal {
+	left, on := p.relay.o.Poison.Blocked(p.asks)
+	if !on {
+		return nil
+	}
+	p.relay.o.Stats.Blocked.Inc()
+	return entry.NewRefusal(http.StatusServiceUnavailable, entry.CodeEndsTargets, entry.NotRun, endsTargets, left)
 }
 
 // fingerprint names what the request asks.
 func (p *pass) fingerprint() poison.Fingerprint {
-	asked := poison.Request{Method: p.r.Method, Host: p.r.Host, URI: p.r.RequestURI, Body: p.body}
-	if p.organisation != nil {
-		asked.Organisation = p.organisation.Name
-	}
-	return poison.Of(&asked)
+	return poison.Of(&poison.Request{Organisation: p.organisationName(), Method: p.r.Method, Host: p.r.Host, URI: p.r.RequestURI, Body: p.body})
 }
 
 // readAll appends what r gives to b, whose room is used first.
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -106,6 +106,9 @@
 	}
 }
 
+// endsTargets says that targets end of a request.
+const endsTargets = "targets end of it"
+
 // holdLook is the pause between looks for a place.
 const holdLook = 15 * time.Millisecond
 
@@ -113,6 +116,10 @@
 // as long as it could still be answered in time.
 func (p *pass) chooseSoon(ctx context.Context) (*choice, string) {
 	for {
+		if _, blocked := p.relay.o.Poison.Blocked(p.asks); blocked {
+			// It has waited, or has just ended one more target.
+			return nil, endsTargets
+		}
 		c, why := p.choose(ctx)
 		if c != nil {
 			p.line = c.judged.Expected
@@ -158,6 +165,9 @@
 	// shortest is the time below which a send is not worth while: a target
 	// would only throw the request away.
 	shortest = 20 * time.Millisecond
+	// endsMost is how many runs of targets may have ended under a request before the
+	// daemons repeat it no more of themselves: its caller may, once.
+	endsMost = 2
 )
 
 // again reports whether the request may be sent once more, and takes the send
@@ -172,6 +182,9 @@
 		return false
 	case p.sends-p.runs > refusedMost, p.relay.o.Without.Repeats:
 		return false
+	case out == broken && p.relay.o.Poison.Ends(p.asks) >= endsMost:
+		p.note("it may be what targets end of")
+		return false
 	}
 	if !p.relay.mayRepeat(p.service) {
 		p.note("retries are used up")
@@ -191,6 +204,8 @@
 	case kept != nil:
 		kept.write(p)
 		return nil
+	case p.runs == 0 && why == endsTargets:
+		return p.blocked()
 	case p.runs == 0:
 		return p.notNow(entry.CodeNoTarget, "no target takes the request now: "+why, p.line)
 	case !time.Now().Before(p.until):
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -39,6 +39,9 @@
 		return broken, nil
 	}
 	p.answered(c, good)
+	if good {
+		p.ranWell(c)
+	}
 	p.firstAnswer(c, sent)
 	if !good && p.route.MayRepeat() && len(body) < plainMost {
 		return bad, ans
@@ -75,6 +78,7 @@
 	case !now.Before(p.until):
 		return late
 	}
+	p.lost(c)
 	return broken
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -19,6 +19,7 @@
 	"embertally.dev/core/cache"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
+	"embertally.dev/core/poison"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
 	"embertally.dev/core/table"
@@ -46,6 +47,8 @@
 	Without Without
 	Log     *event.Log
 	Stats   *Stats
+	// Poison keeps requests from targets that end of them; nil stands for none.
+	Poison *poison.Guard
 	// Placement chooses the workers; the zero value stands for route.Returning.
 	Placement route.Placement
 	// Domain is the failure domain of this daemon.
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -111,11 +111,35 @@
 	}
 	p.silent(c)
 	if !sent {
+		p.relay.o.Poison.Refused(c.target.ID(), err)
 		return notSent
 	}
+	p.lost(c)
 	return broken
 }
 
+// lost records that the connection to a target ended under the request. It may have been the
+// request that ended the target: at one worker of 14 after the other 21 ended of one request
+// in 15 s, each with some ten others that ran there.
+func (p *pass) lost(c *choice) {
+	if e := c.target.Entry(); !e.Leaving {
+		p.relay.o.Poison.Lost(p.asks, p.organisationName(), c.target.ID(), e.Address)
+	}
+}
+
+// ranWell records that the request ended well at a target.
+func (p *pass) ranWell(c *choice) {
+	p.relay.o.Poison.Good(p.asks, p.organisationName(), c.target.ID())
+}
+
+// organisationName returns the name of the caller's organisation, or "".
+func (p *pass) organisationName() string {
+	if p.organisation == nil {
+		return ""
+	}
+	return p.organisation.Name
+}
+
 // check decides whether an answer is the target's answer to this request.
 func (p *pass) check(c *choice, in *target.Incoming, reply *Reply) (outcome, bool) {
 	moved := in.Status == http.StatusMisdirectedRequest
@@ -181,9 +205,7 @@
 	s := c.sending
 	s.Deadline = time.Until(p.until)
 	s.After = p.after
-	if p.organisation != nil {
-		s.Organisation = p.organisation.Name
-	}
+	s.Organisation = p.organisationName()
 	p.relay.o.Dialect.Sending(h, &s)
 	out := &target.Outgoing{Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body}
 	if !p.route.MayRepeat() {
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -19,6 +19,8 @@
 	Read, Copied, Kept *metrics.Counter
 	// Opened counts connections to targets.
 	Opened *metrics.Counter
+	// Blocked counts refusals of requests that targets end of.
+	Blocked *metrics.Counter
 }
 
 // NewStats returns counts that are 0.
@@ -32,7 +34,7 @@
 		Foreign: c("answers_foreign_total"), NotRun: c("targets_refused_total"), Moved: c("targets_moved_total"),
 		First: set.NewHistogram("embertally_first_seconds"), Whole: set.NewHistogram("embertally_whole_seconds"),
 		Read: c("prompt_tokens_total"), Copied: c("prompt_tokens_copied_total"), Kept: c("prompt_tokens_kept_total"),
-		Opened: c("target_connections_opened_total"),
+		Opened: c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
 	}
 }
 
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -121,6 +121,7 @@
 
 // finished ends a stream that the worker ended.
 func (p *pass) finished(c *choice, in *target.Incoming) outcome {
+	p.ranWell(c)
 	if p.begun {
 		return done
 	}
@@ -141,6 +142,7 @@
 	if !now.Before(p.until) {
 		return late
 	}
+	p.lost(c)
 	if p.begun && p.route.Resumable {
 		p.relay.o.Stats.Resumed.Inc()
 		p.relay.o.Log.Emit(event.StreamResumed, p.ref(), "after event "+p.after+": "+err.Error())
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -75,6 +75,10 @@
 
 	busy busyTargets
 
+	// Removed, if set, hears of each run that is taken off, and whether it was leaving. It is
+	// set before use, and called with rosterMu held.
+	Removed func(id string, leaving bool)
+
 	rosterMu sync.Mutex
 	targets  map[string]*Target // by ID; guarded by rosterMu
 	// runs holds the run that each name stands for. Guarded by rosterMu.
@@ -256,6 +260,9 @@
 		delete(r.runs, name)
 	}
 	t.retire()
+	if r.Removed != nil {
+		r.Removed(t.id, t.Entry().Leaving)
+	}
 	r.log.Emit(event.BoxGone, event.Ref{Target: t.id}, t.Entry().Service+" at "+t.Entry().Address)
 	r.publish()
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -145,6 +145,26 @@
 	return in, nil
 }
 
+// Try opens a connection to an address and keeps it for the next request.
+func (p *Pool) Try(ctx context.Context, address string) error {
+	p.poolMu.Lock()
+	known := p.peer(address)
+	full := known.most > 0 && known.open >= known.most
+	if !full {
+		known.open++
+	}
+	p.poolMu.Unlock()
+	if full {
+		return errors.WithStack(ErrFull)
+	}
+	l, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.put(l, "")
+	return nil
+}
+
 // get returns a connection to an address, waiting a little where all are used.
 func (p *Pool) get(ctx context.Context, address string, fresh time.Duration) (*line, error) {
 	for {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -24,6 +24,7 @@
 	"embertally.dev/core/lease"
 	"embertally.dev/core/order"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/poison"
 	"embertally.dev/core/relay"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
@@ -61,6 +62,7 @@
 	pool      *target.Pool
 	relay     *relay.Relay
 	homes     *relay.Homes
+	poison    *poison.Guard
 	rights    []*lease.Timed
 	swapper   *order.Swapper
 	swaps     *spread.Swaps
@@ -107,6 +109,8 @@
 	h.shelves.Serve(h.kept)
 	h.pool = &target.Pool{Opened: h.stats.Opened}
 	h.daemons.view = h.fleet.View
+	h.poison = poison.New(poison.Options{Fleet: h.fleet, Try: h.pool.Try, Log: h.log, Store: h.store, Mirror: h.mirror})
+	h.roster.Removed = h.removed
 	h.buildRelay()
 	h.homes = relay.NewHomes(h.relay, h.fleet)
 	h.swaps = spread.NewSwaps(h.fleet, h.roster)
@@ -176,7 +180,7 @@
 	h.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Links: &h.links, Retention: &h.retention, Times: h.times, Targets: &h.targets,
 		Engines: h.set.Expect.Engines.prior(), Calls: h.set.Expect.Calls.prior(), Prices: h.set.Prices.prices(), Without: h.set.Without,
-		Log: h.log, Stats: h.stats,
+		Log: h.log, Stats: h.stats, Poison: h.poison,
 		Placement: route.Placement(h.set.Placement), Placed: h.fleet.Kick,
 		Domain: h.set.Domain, Regions: h.set.Regions, Named: h.named.version, Daemons: h.daemons.count,
 		Share:    func(names []string) []string { return h.fleet.View().Share(names) },
@@ -229,7 +233,7 @@
 // start runs the slices: those that only some daemons do end with duties, at
 // the beginning of a planned stop, the others with work.
 func (h *Host) start(work, duties context.Context, wg *sync.WaitGroup) {
-	for _, run := range []func(context.Context){h.mirror.Run, h.mirrors.Run, h.homes.Run, h.presence.Run, h.loop} {
+	for _, run := range []func(context.Context){h.mirror.Run, h.mirrors.Run, h.homes.Run, h.presence.Run, h.poison.Run, h.loop} {
 		wg.Go(func() { run(work) })
 	}
 	for _, run := range []func(context.Context){h.swapper.Run, h.sweeper.Run} {
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -13,6 +13,7 @@
 func (h *Host) observe(changes []plat.Change) {
 	var newest *table.Table
 	for _, c := range changes {
+		h.poison.Observe(c)
 		news, err := h.decoder.Read(c)
 		h.complain(c.Key, err)
 		switch {
@@ -74,6 +75,13 @@
 	}
 }
 
+// removed hears that a run of a target is over. One that was leaving ended as planned.
+func (h *Host) removed(run string, leaving bool) {
+	if !leaving {
+		h.poison.Ended(run)
+	}
+}
+
 // apply puts a configuration in force, unless a newer one is.
 func (h *Host) apply(t *table.Table) {
 	if old := h.relay.Table(); old != nil && old.Version() > t.Version() {
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -91,6 +91,9 @@
 		{"knowledge_age_seconds", func() float64 { return h.age().Seconds() }},
 		{"mirror_bytes_told_total", func() float64 { return float64(h.mirrors.Told()) }},
 		{"mirror_questions_failed_total", func() float64 { return float64(h.mirrors.Failed()) }},
+		{"blocked_requests", func() float64 { return float64(h.poison.Blocks()) }},
+		{"suspected_requests", func() float64 { return float64(h.poison.Suspects()) }},
+		{"targets_ended_total", func() float64 { return float64(h.poison.EndedRuns()) }},
 		{"peer_bytes_total", func() float64 { return float64(h.fleet.Bytes()) }},
 	} {
 		h.stats.Gauge(g.name, g.f)
