--- a/core/admin/status.go
+++ b/core/admin/status.go
@@ -11,6 +11,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/fleet"
 )
@@ -103,7 +104,7 @@
 		Status: statusFor(missing), Cells: view.Cells(), Daemons: s.daemons(snap, view),
 	}
 	if at := s.o.Conf.Confirmed(); !at.IsZero() {
-		body.Confirmed = time.Since(at).Round(time.Millisecond).String()
+		body.Confirmed = clock.Since(at).Round(time.Millisecond).String()
 	}
 	for _, r := range snap.List(conf.KindTarget) {
 		t := r.Spec().(*conf.Target)
--- a/core/cache/kept.go
+++ b/core/cache/kept.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 )
 
@@ -69,7 +70,7 @@
 // Told returns what a store told after a point, for a peer that does not ask
 // the store itself, or everything where all is set. It fails where this daemon
 // does not know the store's state.
-func (k *Kept) Told(address string, since int64, all bool, now time.Time) (PartEvents, bool) {
+func (k *Kept) Told(address string, since int64, all bool, now clock.Time) (PartEvents, bool) {
 	k.keptMu.Lock()
 	defer k.keptMu.Unlock()
 	sh := k.shelves[address]
@@ -91,13 +92,13 @@
 }
 
 // Age returns how old what is known of a store is.
-func (k *Kept) Age(address string, now time.Time) time.Duration {
+func (k *Kept) Age(address string, now clock.Time) time.Duration {
 	k.keptMu.Lock()
 	defer k.keptMu.Unlock()
 	if sh := k.shelves[address]; sh != nil {
 		return now.Sub(sh.heard)
 	}
-	return now.Sub(time.Time{})
+	return now.Sub(clock.Time{})
 }
 
 // Watchers returns how many daemons may follow a store at a time; 0 where that is not
@@ -128,7 +129,7 @@
 func (p Place) Time(domain string) time.Duration { return p.info.transfer(p.Tokens, domain) }
 
 // Find returns the stores that hold a part.
-func (k *Kept) Find(name PartName, now time.Time) []Place {
+func (k *Kept) Find(name PartName, now clock.Time) []Place {
 	k.keptMu.Lock()
 	defer k.keptMu.Unlock()
 	var out []Place
@@ -146,7 +147,7 @@
 // Room returns the store where a part that no store holds is to be kept, in a failure
 // domain that allowed reports to be one for it, or "". Daemons that know the same choose
 // the same.
-func (k *Kept) Room(name PartName, tokens int, allowed func(domain string) bool, now time.Time) string {
+func (k *Kept) Room(name PartName, tokens int, allowed func(domain string) bool, now clock.Time) string {
 	k.keptMu.Lock()
 	defer k.keptMu.Unlock()
 	best, high := "", 0.0
--- a/core/cache/kept_test.go
+++ b/core/cache/kept_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 )
 
@@ -94,7 +95,7 @@
 
 func found(k *Kept, id string) func() bool {
 	return func() bool {
-		return len(k.Find(PartName{"v1/m/", id}, time.Now())) > 0
+		return len(k.Find(PartName{"v1/m/", id}, clock.Now())) > 0
 	}
 }
 
@@ -108,7 +109,7 @@
 	g.Eventually(found(k, "2"), "10s", "5ms").Should(gomega.BeTrue())
 	g.Expect(found(k, "1")()).To(gomega.BeFalse())
 	g.Expect(k.Tokens()).To(gomega.Equal(50))
-	places := k.Find(PartName{"v1/m/", "2"}, time.Now())
+	places := k.Find(PartName{"v1/m/", "2"}, clock.Now())
 	g.Expect(places).To(gomega.HaveLen(1))
 	place := places[0]
 	g.Expect(place.Time("elsewhere")).To(gomega.Equal(100 * time.Microsecond))
@@ -149,7 +150,7 @@
 	g.Eventually(found(k, "1"), "10s", "5ms").Should(gomega.BeTrue())
 	s.setDown(true)
 	g.Eventually(found(k, "1"), "10s", "5ms").Should(gomega.BeFalse())
-	g.Expect(k.Room(PartName{"v1/m/", "9"}, 10, anywhere, time.Now())).To(gomega.BeEmpty())
+	g.Expect(k.Room(PartName{"v1/m/", "9"}, 10, anywhere, clock.Now())).To(gomega.BeEmpty())
 	s.setDown(false)
 	g.Eventually(found(k, "1"), "10s", "5ms").Should(gomega.BeTrue())
 }
@@ -159,13 +160,13 @@
 	s := newFakeStore()
 	k := followed(t, s, 100, 1000)
 	room := func(tokens int) func() string {
-		return func() string { return k.Room(PartName{"v1/m/", "9"}, tokens, anywhere, time.Now()) }
+		return func() string { return k.Room(PartName{"v1/m/", "9"}, tokens, anywhere, clock.Now()) }
 	}
 	g.Eventually(room(500), "10s", "5ms").Should(gomega.Equal("b"))
 	g.Expect(room(5000)()).To(gomega.BeEmpty())
 	g.Expect(room(10)()).To(gomega.Equal(room(10)()))
 	none := func(string) bool { return false }
-	g.Expect(k.Room(PartName{"v1/m/", "9"}, 10, none, time.Now())).To(gomega.BeEmpty(), "no store is where it may be kept")
+	g.Expect(k.Room(PartName{"v1/m/", "9"}, 10, none, clock.Now())).To(gomega.BeEmpty(), "no store is where it may be kept")
 	k.Set(context.Background(), nil)
 	g.Expect(room(10)()).To(gomega.BeEmpty())
 }
@@ -187,10 +188,10 @@
 	s.list = []PartChange{part("1", 100), {PartName: PartName{"v2/m/", "1"}, Tokens: 7}}
 	k := followed(t, s, 1000)
 	g.Eventually(found(k, "1"), "10s", "5ms").Should(gomega.BeTrue())
-	since := time.Now()
+	since := clock.Now()
 	w := NewSweeper(SweepOptions{
 		Kept: k, Log: &event.Log{}, Rank: func(string) int { return 1 },
-		Superseded: func(salt string) (time.Time, bool) { return since, salt == "v1/m/" },
+		Superseded: func(salt string) (clock.Time, bool) { return since, salt == "v1/m/" },
 	})
 	w.sweep(context.Background(), "a")
 	g.Expect(s.freed).To(gomega.BeEmpty())
@@ -208,3 +209,14 @@
 
 // anywhere allows all failure domains.
 func anywhere(string) bool { return true }
+
+// What a store held before the machine was suspended may have been freed since.
+func TestPartsAreNotNamedAfterASuspension(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newFakeStore()
+	s.list = []PartChange{part("1", 100)}
+	k := followed(t, s, 1000)
+	g.Eventually(found(k, "1"), "10s", "5ms").Should(gomega.BeTrue())
+	clock.Suspend(heardLimit)
+	g.Expect(found(k, "1")()).To(gomega.BeFalse())
+}
--- a/core/cache/shelf.go
+++ b/core/cache/shelf.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"embertally.dev/core/clock"
 )
 
 // shelf is one store. All of it is guarded by Kept.keptMu.
@@ -23,7 +25,7 @@
 	salts map[string]int
 	// heard is when the store last told its clock, to this daemon or to one that told
 	// it on, and clock what it said.
-	heard time.Time
+	heard clock.Time
 	clock time.Duration
 	// news is closed and replaced when the store was heard or lost.
 	news chan struct{}
@@ -47,7 +49,7 @@
 const heardLimit = 2500 * time.Millisecond
 
 // fresh reports whether what is known of the store may be acted on.
-func (sh *shelf) fresh(now time.Time) bool {
+func (sh *shelf) fresh(now clock.Time) bool {
 	return sh.known && !sh.down && now.Sub(sh.heard) < heardLimit
 }
 
@@ -58,7 +60,7 @@
 	}
 	sh.down = false
 	if ev.Clock > 0 {
-		sh.heard, sh.clock = time.Now().Add(-ev.Age), ev.Clock-ev.Age
+		sh.heard, sh.clock = clock.Now().Add(-ev.Age), ev.Clock-ev.Age
 	}
 	sh.wake()
 }
@@ -103,7 +105,7 @@
 
 // told returns what the store told after a point, or everything where all is
 // set.
-func (sh *shelf) told(since int64, all bool, now time.Time) PartEvents {
+func (sh *shelf) told(since int64, all bool, now clock.Time) PartEvents {
 	age := now.Sub(sh.heard)
 	out := PartEvents{Epoch: sh.epoch, Next: sh.next, Clock: sh.clock + age, Age: age}
 	switch {
--- a/core/cache/sweep.go
+++ b/core/cache/sweep.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/wait"
 )
@@ -16,7 +17,7 @@
 	Rank func(address string) int
 	// Superseded returns since when this daemon knows that newer weights than
 	// those of a salt are named; false where there are none.
-	Superseded func(salt string) (time.Time, bool)
+	Superseded func(salt string) (clock.Time, bool)
 	Log        *event.Log
 }
 
@@ -63,7 +64,7 @@
 
 // sweep frees what may be freed in one store, a call's worth of it.
 func (s *Sweeper) sweep(ctx context.Context, address string) {
-	now := time.Now()
+	now := clock.Now()
 	after := sweepAfter + time.Duration(s.o.Rank(address))*sweepRank
 	parts, epoch := s.o.Kept.Outdated(address, sweepMost, func(salt string) bool {
 		since, superseded := s.o.Superseded(salt)
--- a/core/conf/store.go
+++ b/core/conf/store.go
@@ -11,9 +11,9 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"embertally.dev/core/bugs"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 )
 
@@ -37,7 +37,7 @@
 	changed chan struct{}
 	// confirmed is when the snapshot was last known to be the latest that the
 	// service holds. Guarded by storeMu.
-	confirmed time.Time
+	confirmed clock.Time
 	// loaded tells that a whole configuration was read. Guarded by storeMu.
 	loaded bool
 }
@@ -71,7 +71,7 @@
 }
 
 // Confirm records that at time t the snapshot with sequence seq was the latest.
-func (s *Store) Confirm(seq uint64, t time.Time) {
+func (s *Store) Confirm(seq uint64, t clock.Time) {
 	s.storeMu.Lock()
 	defer s.storeMu.Unlock()
 	if s.Snapshot().seq >= seq && t.After(s.confirmed) {
@@ -80,7 +80,7 @@
 }
 
 // Confirmed returns when the snapshot was last known to be the latest.
-func (s *Store) Confirmed() time.Time {
+func (s *Store) Confirmed() clock.Time {
 	s.storeMu.Lock()
 	defer s.storeMu.Unlock()
 	return s.confirmed
--- a/core/conf/sync.go
+++ b/core/conf/sync.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/wait"
@@ -126,7 +127,7 @@
 
 // catchUp reads the head and what is missing up to it.
 func (s *Syncer) catchUp(ctx context.Context) error {
-	asked := time.Now()
+	asked := clock.Now()
 	head, err := s.head(ctx)
 	if err != nil {
 		return err
@@ -223,7 +224,7 @@
 	if !s.store.Apply(got) {
 		return errors.New("the watch left out a change")
 	}
-	s.store.Confirm(s.store.Snapshot().seq, time.Now())
+	s.store.Confirm(s.store.Snapshot().seq, clock.Now())
 	if !s.peers.WatchHolder() {
 		return errNotHolder
 	}
--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/wire"
 )
@@ -53,7 +54,7 @@
 
 // heard is what is known of a peer from its heartbeats.
 type heard struct {
-	at          time.Time
+	at          clock.Time
 	incarnation string
 	draining    bool
 	alive       bool
@@ -77,7 +78,7 @@
 
 // loop sends heartbeats and notices lost peers.
 func (f *Fleet) loop(ctx context.Context) {
-	last := time.Now()
+	last := clock.Now()
 	t := time.NewTimer(f.o.Heartbeat)
 	defer t.Stop()
 	for {
@@ -89,10 +90,10 @@
 			time.Sleep(kickPause)
 		}
 		t.Reset(f.pause())
-		if gap := time.Since(last); gap > f.o.Suspect {
+		if gap := clock.Since(last); gap > f.o.Suspect {
 			f.wake(gap)
 		}
-		last = time.Now()
+		last = clock.Now()
 		f.notice(last)
 		f.send(ctx)
 	}
@@ -122,7 +123,7 @@
 // wake gives the peers time to be heard again after this process was stopped.
 func (f *Fleet) wake(gap time.Duration) {
 	f.fleetMu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	for _, h := range f.heard {
 		if h.alive {
 			h.at = now
@@ -138,7 +139,7 @@
 const forgetAfter = 10 * time.Minute
 
 // notice marks peers that were silent for too long.
-func (f *Fleet) notice(now time.Time) {
+func (f *Fleet) notice(now clock.Time) {
 	f.fleetMu.Lock()
 	var lost []string
 	for name, h := range f.heard {
@@ -264,7 +265,7 @@
 func (f *Fleet) hear(from string, b *beat) bool {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	f.contact = now
 	h := f.heard[from]
 	if h == nil {
--- a/core/fleet/boxes.go
+++ b/core/fleet/boxes.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
 )
@@ -43,7 +44,7 @@
 		return err
 	}
 	r.fleetMu.Lock()
-	r.contact = time.Now()
+	r.contact = clock.Now()
 	r.fleetMu.Unlock()
 	if changed {
 		r.set(list)
--- a/core/fleet/call.go
+++ b/core/fleet/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/wire"
 )
 
@@ -40,7 +41,7 @@
 	err := f.link(p).Call(ctx, kind, req, resp)
 	if err != nil && !errors.Is(err, wire.ErrRemote) {
 		f.fleetMu.Lock()
-		f.failed[peer] = time.Now().Add(failPause)
+		f.failed[peer] = clock.Now().Add(failPause)
 		f.fleetMu.Unlock()
 	}
 	return err
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/wire"
@@ -73,17 +74,17 @@
 	draining   bool                // guarded by fleetMu
 	// failed is until when a peer of another cell counts as lost. Guarded by
 	// fleetMu.
-	failed map[string]time.Time
+	failed map[string]clock.Time
 	// contact is when anything of the fleet or platform was last heard.
 	// Guarded by fleetMu.
-	contact time.Time
+	contact clock.Time
 }
 
 // New returns a fleet that knows only this daemon.
 func New(o Options) *Fleet {
 	f := &Fleet{
 		o: o, kick: make(chan struct{}, 1), heard: map[string]*heard{}, links: map[string]*wire.Link{},
-		marks: map[string]Mark{}, failed: map[string]time.Time{},
+		marks: map[string]Mark{}, failed: map[string]clock.Time{},
 	}
 	f.mux.Register(kindBeat, wire.Handle(f.receive))
 	f.Attach("marks", (*markPart)(f))
@@ -122,7 +123,7 @@
 }
 
 // Contact returns when anything of the fleet or the platform was last heard.
-func (f *Fleet) Contact() time.Time {
+func (f *Fleet) Contact() clock.Time {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
 	return f.contact
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
@@ -194,3 +195,31 @@
 		}
 	})
 }
+
+// A daemon whose machine was suspended hears that it was away, as one that was stopped does.
+func TestADaemonThatWasSuspendedWakes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := New(Options{Name: "a", Incarnation: "a-1", Heartbeat: 10 * time.Millisecond, Suspect: 10 * time.Second, Log: &event.Log{}})
+	woke := make(chan time.Duration, 1)
+	f.OnWake(func(gap time.Duration) {
+		select {
+		case woke <- gap:
+		default:
+		}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Run(ctx, l)
+	// The first suspensions may come before its loop runs.
+	g.Eventually(func() time.Duration {
+		clock.Suspend(time.Minute)
+		select {
+		case gap := <-woke:
+			return gap
+		case <-time.After(100 * time.Millisecond):
+			return 0
+		}
+	}, "20s", "1ms").Should(gomega.BeNumerically(">", 50*time.Second))
+}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -5,8 +5,8 @@
 	"slices"
 	"sort"
 	"sync"
-	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/plat"
 )
 
@@ -16,7 +16,7 @@
 	defer f.fleetMu.Unlock()
 	v := &View{
 		self: f.o.Name, boxes: f.boxes, boxesKnown: f.boxesKnown, marks: maps.Clone(f.marks),
-		draining: f.draining, at: time.Now(),
+		draining: f.draining, at: clock.Now(),
 	}
 	known := f.knownPeers()
 	v.cells = cellCount(len(known) + 1)
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -4,8 +4,8 @@
 	"math"
 	"slices"
 	"strconv"
-	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/plat"
 )
@@ -53,7 +53,7 @@
 	// name.
 	expected []string
 	draining bool
-	at       time.Time
+	at       clock.Time
 }
 
 // Self returns this daemon's name.
--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/wait"
@@ -15,8 +16,8 @@
 // holder can no longer have acted within Apart. The fence is the revision at
 // which the key was made, so it rises with each holder.
 //
-// Nothing rests on wall clocks. A holder that was paused finds its last renewal
-// too old by the steady clock and does not act.
+// Nothing rests on wall clocks. A holder that was paused, alone or with its machine, finds
+// its last renewal too old and does not act.
 type Timed struct {
 	o TimedOptions
 
@@ -24,15 +25,15 @@
 	session int64 // guarded by timedMu
 	// renewed is when the last renewal that succeeded was sent. Guarded by
 	// timedMu.
-	renewed time.Time
+	renewed clock.Time
 	// asked is when a renewal was last tried. Guarded by timedMu.
-	asked time.Time
+	asked clock.Time
 	// fence is 0 while the key is not held. Guarded by timedMu.
 	fence uint64
 	// from is when this holder may act first. Guarded by timedMu.
-	from time.Time
+	from clock.Time
 	// acted is when the holder last acted. Guarded by timedMu.
-	acted time.Time
+	acted clock.Time
 	// refused is the fence that a target refused as too old. Guarded by timedMu.
 	refused uint64
 }
@@ -87,7 +88,7 @@
 
 // Run takes and keeps the lease until ctx ends, and then gives it back.
 func (t *Timed) Run(ctx context.Context) {
-	var free time.Time
+	var free clock.Time
 	for wait.For(ctx, t.pause()) {
 		free = t.step(ctx, free)
 	}
@@ -106,27 +107,27 @@
 
 // step keeps, takes or gives back the lease. It gets and returns since when
 // the key is seen to be free; zero where it is not.
-func (t *Timed) step(ctx context.Context, free time.Time) time.Time {
+func (t *Timed) step(ctx context.Context, free clock.Time) clock.Time {
 	if t.o.Idle() {
 		t.giveBack("another daemon is to hold it")
 		return free
 	}
 	if t.keep(ctx) {
-		return time.Time{}
+		return clock.Time{}
 	}
 	// A daemon that the service does not answer could not take it.
 	_, taken := t.o.Mirror.Pair(t.o.Key)
-	if taken || time.Since(t.o.Mirror.Contact()) > answered {
-		return time.Time{}
+	if taken || clock.Since(t.o.Mirror.Contact()) > answered {
+		return clock.Time{}
 	}
 	if free.IsZero() {
-		free = time.Now()
+		free = clock.Now()
 	}
-	if time.Since(free) < time.Duration(t.o.Rank())*rankPause {
+	if clock.Since(free) < time.Duration(t.o.Rank())*rankPause {
 		return free
 	}
 	t.take(ctx)
-	return time.Now()
+	return clock.Now()
 }
 
 // held reports what the mirror says of the key: whether this holder has it.
@@ -165,7 +166,7 @@
 	if t.o.Urgent() {
 		pause = t.o.Apart / urgentShare
 	}
-	if time.Since(asked) >= pause && !t.renew(ctx, session) {
+	if clock.Since(asked) >= pause && !t.renew(ctx, session) {
 		return false
 	}
 	t.timedMu.Lock()
@@ -181,7 +182,7 @@
 func (t *Timed) renew(ctx context.Context, session int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	err := t.o.Store.Renew(ctx, session)
 	if isOver(err) {
 		t.drop(err.Error())
@@ -200,7 +201,7 @@
 func (t *Timed) hold(revision int64) {
 	t.fence = uint64(revision)
 	delay := t.o.Apart/actShare + transit
-	t.from = time.Now().Add(delay)
+	t.from = clock.Now().Add(delay)
 	t.o.Log.Emit(event.LeaseTaken, event.Ref{Resource: t.o.Key}, "acts "+delay.String()+" from now")
 }
 
@@ -219,7 +220,7 @@
 		}
 		session = got
 	}
-	sent := time.Now()
+	sent := clock.Now()
 	out, err := t.o.Store.Commit(ctx, plat.Txn{
 		Compares: []plat.Compare{{Key: t.o.Key}},
 		Puts:     []plat.Put{{Key: t.o.Key, Value: []byte(t.o.Owner), Session: session}},
@@ -252,7 +253,7 @@
 func (t *Timed) giveBack(why string) {
 	t.timedMu.Lock()
 	session, held := t.session, t.fence != 0
-	recent := time.Since(t.acted) < t.o.Apart
+	recent := clock.Since(t.acted) < t.o.Apart
 	t.session, t.fence = 0, 0
 	t.timedMu.Unlock()
 	if held {
@@ -284,11 +285,11 @@
 func (t *Timed) Held() bool {
 	t.timedMu.Lock()
 	defer t.timedMu.Unlock()
-	return t.mayHold(time.Now())
+	return t.mayHold(clock.Now())
 }
 
 // mayHold is called with timedMu held.
-func (t *Timed) mayHold(now time.Time) bool {
+func (t *Timed) mayHold(now clock.Time) bool {
 	return t.fence != 0 && t.fence != t.refused && !now.Before(t.from)
 }
 
@@ -296,7 +297,7 @@
 func (t *Timed) Act() (uint64, bool) {
 	t.timedMu.Lock()
 	defer t.timedMu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if !t.mayHold(now) || now.Sub(t.renewed) >= t.o.Apart/actShare {
 		return 0, false
 	}
--- a/core/lease/timed_test.go
+++ b/core/lease/timed_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/memkv"
 	"embertally.dev/core/plat"
@@ -169,3 +170,17 @@
 	pause, retry = p.pauses(nil, 3*time.Second)
 	g.Expect([]time.Duration{pause, retry}).To(gomega.Equal([]time.Duration{3 * time.Second, presenceRetry}))
 }
+
+// A machine is suspended, and its steady clock stands still: the renewal seems young. Who
+// takes the lease meanwhile may have acted.
+func TestAHolderThatWasSuspendedDoesNotAct(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	h := newHolder(t, kv, "a", 0)
+	g.Eventually(h.may, "10s", "5ms").Should(gomega.BeTrue())
+	kv.SetDown(true)
+	clock.Suspend(apart)
+	g.Expect(h.may()).To(gomega.BeFalse())
+	kv.SetDown(false)
+	g.Eventually(h.may, "10s", "5ms").Should(gomega.BeTrue())
+}
--- a/core/plat/contact.go
+++ b/core/plat/contact.go
@@ -3,11 +3,12 @@
 import (
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 )
 
 // hearVia records when the service had answered a peer.
-func (m *Mirror) hearVia(heard time.Time) {
+func (m *Mirror) hearVia(heard clock.Time) {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
 	if heard.After(m.via) {
@@ -18,7 +19,7 @@
 
 // Fresh returns when the service last answered this daemon, or a peer whose
 // state this daemon has taken.
-func (m *Mirror) Fresh() time.Time {
+func (m *Mirror) Fresh() clock.Time {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
 	if m.via.After(m.contact) {
@@ -31,7 +32,7 @@
 func (m *Mirror) heard() {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if gap := now.Sub(m.contact); !m.contact.IsZero() && (gap > downAfter || m.down) {
 		m.regained, m.silence = now, gap
 		m.log.Emit(event.ServiceUp, event.Ref{}, "silent for "+gap.Round(time.Millisecond).String())
@@ -45,7 +46,7 @@
 func (m *Mirror) lost(err error) {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
-	if m.down || time.Since(m.contact) < downAfter {
+	if m.down || clock.Since(m.contact) < downAfter {
 		return
 	}
 	m.down = true
@@ -60,14 +61,14 @@
 func (m *Mirror) told() bool {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
-	return time.Since(m.via) < toldFresh
+	return clock.Since(m.via) < toldFresh
 }
 
 // since returns how long the service has been silent.
 func (m *Mirror) since() time.Duration {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
-	return time.Since(m.contact)
+	return clock.Since(m.contact)
 }
 
 // Down reports whether the service was found not to answer.
@@ -78,14 +79,14 @@
 }
 
 // Contact returns when the service last answered; zero before the first time.
-func (m *Mirror) Contact() time.Time {
+func (m *Mirror) Contact() clock.Time {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
 	return m.contact
 }
 
 // Regained returns when the last outage ended, and how long it was.
-func (m *Mirror) Regained() (time.Time, time.Duration) {
+func (m *Mirror) Regained() (clock.Time, time.Duration) {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
 	return m.regained, m.silence
--- a/core/plat/late.go
+++ b/core/plat/late.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"time"
+
+	"embertally.dev/core/clock"
 )
 
 // largeValue is the size from which a value goes to peers by itself. What is smaller
@@ -20,7 +21,7 @@
 	// revision is the least that it must have.
 	revision int64
 	// since is when it was first known that what is here is replaced.
-	since time.Time
+	since clock.Time
 }
 
 // slim returns the change without its value where that is large.
@@ -35,7 +36,7 @@
 func (m *Mirror) await(key string, revision int64) {
 	v, late := m.late[key]
 	if !late {
-		v.since = time.Now()
+		v.since = clock.Now()
 	}
 	v.revision = revision
 	m.late[key] = v
@@ -93,10 +94,10 @@
 }
 
 // LateSince returns since when a value has been lacking; zero where none is.
-func (m *Mirror) LateSince() time.Time {
+func (m *Mirror) LateSince() clock.Time {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
-	var first time.Time
+	var first clock.Time
 	for _, v := range m.late {
 		if first.IsZero() || v.since.Before(first) {
 			first = v.since
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/wait"
 )
@@ -47,16 +48,16 @@
 	// by mirrorMu.
 	revision int64
 	// contact is when the service last answered. Guarded by mirrorMu.
-	contact time.Time
+	contact clock.Time
 	// regained is when the service answered again after a silence. Guarded by
 	// mirrorMu.
-	regained time.Time
+	regained clock.Time
 	// silence is how long that silence was. Guarded by mirrorMu.
 	silence time.Duration
 	down    bool // guarded by mirrorMu
 	// via is when the service had answered a peer that told of it. Guarded by
 	// mirrorMu.
-	via time.Time
+	via clock.Time
 	// history holds the latest changes, in order, for peers that the service
 	// does not answer. Guarded by mirrorMu.
 	history []Change
@@ -153,7 +154,7 @@
 	if m.contact.After(m.via) {
 		m.via = m.contact
 	}
-	m.contact, m.down = time.Time{}, false
+	m.contact, m.down = clock.Time{}, false
 }
 
 func (m *Mirror) gather() time.Duration {
@@ -359,13 +360,13 @@
 }
 
 // Take takes changes from a peer, and when the service had answered it.
-func (m *Mirror) Take(changes []Change, revision int64, heard time.Time) {
+func (m *Mirror) Take(changes []Change, revision int64, heard clock.Time) {
 	m.apply(changes, revision)
 	m.hearVia(heard)
 }
 
 // TakeAll takes a peer's whole copy, and when the service had answered it.
-func (m *Mirror) TakeAll(all []Change, revision int64, heard time.Time) {
+func (m *Mirror) TakeAll(all []Change, revision int64, heard clock.Time) {
 	m.reset(all, revision)
 	m.hearVia(heard)
 }
--- a/core/plat/mirror_test.go
+++ b/core/plat/mirror_test.go
@@ -5,11 +5,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/memkv"
 	"embertally.dev/core/plat"
@@ -131,7 +131,7 @@
 
 	cut := watch(kv) // never started: the service does not answer it
 	all, revision := peer.All()
-	now := time.Now()
+	now := clock.Now()
 	cut.TakeAll(all, revision, now)
 	g.Expect(cut.value("a/1")()).To(gomega.Equal("x"))
 	g.Expect(cut.Fresh()).To(gomega.Equal(now))
@@ -181,31 +181,31 @@
 		}, "new", false, 2},
 		{"what arrived is told as late again", func(m *watched) {
 			m.Arrive(change("a/1", "newer", 7).Pair)
-			m.Take([]plat.Change{late("a/1", 7)}, 7, time.Now())
+			m.Take([]plat.Change{late("a/1", 7)}, 7, clock.Now())
 		}, "newer", false, 2},
 		{"it is deleted", func(m *watched) {
-			m.Take([]plat.Change{{Pair: plat.Pair{Key: "a/1", ModRevision: 6}, Deleted: true}}, 6, time.Now())
+			m.Take([]plat.Change{{Pair: plat.Pair{Key: "a/1", ModRevision: 6}, Deleted: true}}, 6, clock.Now())
 			m.Arrive(change("a/1", "new", 5).Pair)
 		}, "", false, 2},
 		{"it comes with the others after all", func(m *watched) {
-			m.Take([]plat.Change{change("a/1", "new", 6)}, 6, time.Now())
+			m.Take([]plat.Change{change("a/1", "new", 6)}, 6, clock.Now())
 		}, "new", false, 2},
 		{"a whole copy names a later one", func(m *watched) {
-			m.TakeAll([]plat.Change{late("a/1", 8)}, 8, time.Now())
+			m.TakeAll([]plat.Change{late("a/1", 8)}, 8, clock.Now())
 			m.Arrive(change("a/1", "new", 5).Pair)
 		}, "former", true, 1},
-		{"a whole copy lacks it", func(m *watched) { m.TakeAll(nil, 8, time.Now()) }, "", false, 2},
+		{"a whole copy lacks it", func(m *watched) { m.TakeAll(nil, 8, clock.Now()) }, "", false, 2},
 		{"a whole copy of before it arrived lacks it", func(m *watched) {
 			m.Arrive(change("a/1", "newer", 9).Pair)
-			m.TakeAll(nil, 8, time.Now())
+			m.TakeAll(nil, 8, clock.Now())
 		}, "newer", false, 2},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			m := watch(&memkv.KV{})
-			m.Take([]plat.Change{change("a/1", "former", 2)}, 2, time.Now())
-			m.Take([]plat.Change{late("a/1", 5)}, 5, time.Now())
+			m.Take([]plat.Change{change("a/1", "former", 2)}, 2, clock.Now())
+			m.Take([]plat.Change{late("a/1", 5)}, 5, clock.Now())
 			tc.then(m)
 			g.Expect(m.value("a/1")()).To(gomega.Equal(tc.value))
 			g.Expect(m.Behind()).To(gomega.Equal(tc.behind))
@@ -219,7 +219,7 @@
 	g := gomega.NewWithT(t)
 	m := watch(&memkv.KV{})
 	large := strings.Repeat("x", 32<<10)
-	m.Take([]plat.Change{change("a/1", "small", 2), change("a/2", large, 3), late("a/3", 4)}, 4, time.Now())
+	m.Take([]plat.Change{change("a/1", "small", 2), change("a/2", large, 3), late("a/3", 4)}, 4, clock.Now())
 	want := []plat.Change{change("a/1", "small", 2), late("a/2", 3), late("a/3", 4)}
 	changes, revision, whole := m.Since(1)
 	g.Expect(whole).To(gomega.BeTrue())
--- a/core/poison/store.go
+++ b/core/poison/store.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
@@ -71,7 +72,7 @@
 
 // store makes the store hold what it must.
 func (g *Guard) store(ctx context.Context) {
-	if g.o.Mirror.Down() || time.Since(g.o.Mirror.Fresh()) > storeFresh {
+	if g.o.Mirror.Down() || clock.Since(g.o.Mirror.Fresh()) > storeFresh {
 		return
 	}
 	g.blocks.blocksMu.Lock()
--- /dev/null
+++ b/core/relay/awake_test.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/clock"
+)
+
+// The machine is suspended while a target runs a request, which then breaks off: the second
+// target is handed what is left of the caller's time.
+func TestATargetIsHandedTheTimeThatIsLeftAfterASuspension(t *testing.T) {
+	const slept = time.Second
+	r := newRig(t, nil)
+	suspended := func(*bufio.Writer, *http.Request) error {
+		clock.Suspend(slept)
+		return hangsUp(nil, nil)
+	}
+	for _, id := range []string{"a", "b"} {
+		r.target(id, "plain", func(int) handler {
+			if len(r.sends()) == 1 {
+				return suspended
+			}
+			return answers(200, "ok")
+		})
+	}
+	g := r.ask(http.MethodPost, "/again/", "x", "Deadline", "1800")
+	r.g.Expect(g.status).To(gomega.Equal(200))
+	sends := r.sends()
+	r.g.Expect(sends).To(gomega.HaveLen(2))
+	first, _ := strconv.Atoi(sends[0].header.Get("Deadline"))
+	second, _ := strconv.Atoi(sends[1].header.Get("Deadline"))
+	r.g.Expect(second).To(gomega.BeNumerically("<=", first-int(slept.Milliseconds())))
+}
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/learn"
 	"embertally.dev/core/roster"
@@ -72,7 +73,7 @@
 	out := &choice{target: w.option.target, plan: w.plan, option: w.option, candidate: w.candidate, alone: len(options) == 1, judged: judged}
 	out.factors = w.candidate.Factors(&asked)
 	out.usual = estimate.Time(out.factors)
-	p.address(svc, out, now)
+	p.address(svc, out)
 	return out, ""
 }
 
@@ -163,7 +164,7 @@
 }
 
 // address works out what is said to the chosen target.
-func (p *pass) address(svc *table.Service, c *choice, now time.Time) {
+func (p *pass) address(svc *table.Service, c *choice) {
 	c.sending.Target = c.target.ID()
 	c.load = roster.Load{Running: 1}
 	if svc.Engine == nil {
@@ -178,7 +179,7 @@
 	}
 	p.setCopy(&c.sending, c.plan.sources[:c.plan.copied])
 	if version >= p.relay.o.Named(p.ask.Model) && !p.relay.o.Without.StoreCopies {
-		p.setKeep(&c.sending, c.plan.sources, version, now)
+		p.setKeep(&c.sending, c.plan.sources, version, clock.Now())
 	}
 }
 
--- a/core/relay/parts.go
+++ b/core/relay/parts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/learn"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
@@ -53,10 +54,11 @@
 	stores := version >= p.relay.o.Named(p.ask.Model) && p.relay.o.CopyMay() && !p.relay.o.Without.StoreCopies
 	salt := p.salt(version).String()
 	var out []sharedPart
+	aged := clock.Now()
 	for _, part := range p.sharedParts() {
 		known := sharedPart{Part: part, name: cache.PartName{Salt: salt, ID: part.ID}}
 		if stores {
-			known.stores = p.relay.o.Kept.Find(known.name, now)
+			known.stores = p.relay.o.Kept.Find(known.name, aged)
 		}
 		found, read := p.relay.o.Where.Find(known.name, now)
 		known.read = read
@@ -246,7 +248,7 @@
 
 // setKeep names the stores that parts are sent to: those parts that no store has
 // and that one has room for.
-func (p *pass) setKeep(to *Sending, list []source, version int64, now time.Time) {
+func (p *pass) setKeep(to *Sending, list []source, version int64, now clock.Time) {
 	stores := make([]string, len(p.ask.Parts))
 	keeps := false
 	salt := p.salt(version).String()
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -22,6 +22,7 @@
 	r     *http.Request
 	began time.Time
 	until time.Time
+	awake awake
 
 	ask          Ask
 	route        *table.Route
@@ -116,6 +117,7 @@
 // as long as it could still be answered in time.
 func (p *pass) chooseSoon(ctx context.Context) (*choice, string) {
 	for {
+		p.wake()
 		if _, blocked := p.relay.o.Poison.Blocked(p.asks); blocked {
 			// It has waited, or has just ended one more target.
 			return nil, endsTargets
@@ -173,6 +175,7 @@
 // again reports whether the request may be sent once more, and takes the send
 // out of what is allowed.
 func (p *pass) again(out outcome) bool {
+	p.wake()
 	switch {
 	case time.Until(p.until) < shortest:
 		return false
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -180,7 +180,7 @@
 	if rl.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	p := &pass{relay: rl, w: w, r: r, began: time.Now(), domain: rl.o.Domain, tried: map[string]int{}}
+	p := &pass{relay: rl, w: w, r: r, began: time.Now(), awake: watchSleep(), domain: rl.o.Domain, tried: map[string]int{}}
 	refusal := p.admit()
 	if refusal == nil {
 		refusal = p.run()
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/roster"
 )
 
@@ -274,7 +275,7 @@
 	r.kept.Set(t0(r.t), []cache.StoreInfo{{Address: "store:1", Room: 1 << 20}})
 	name := cache.PartName{Salt: salt, ID: id}
 	r.g.Eventually(func() bool {
-		return len(r.kept.Find(name, time.Now())) > 0
+		return len(r.kept.Find(name, clock.Now())) > 0
 	}, "10s", "5ms").Should(gomega.BeTrue())
 }
 
@@ -377,7 +378,7 @@
 			r.kept.Set(t0(r.t), []cache.StoreInfo{
 				{Address: "near:1", Room: 1 << 20, TokenTime: 10 * time.Microsecond}, {Address: "far:1", Room: 1 << 20, TokenTime: 20 * time.Microsecond},
 			})
-			r.g.Eventually(func() int { return len(r.kept.Find(name, time.Now())) }, "10s", "5ms").Should(gomega.Equal(2))
+			r.g.Eventually(func() int { return len(r.kept.Find(name, clock.Now())) }, "10s", "5ms").Should(gomega.Equal(2))
 			t2 := r.target("t2", "llm", always(streams(true)))
 			r.roster.Target("t2").Begin(roster.Load{Running: 100})
 			tc.make(r)
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -202,6 +202,7 @@
 			h[name] = values
 		}
 	}
+	p.wake()
 	s := c.sending
 	s.Deadline = time.Until(p.until)
 	s.After = p.after
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 )
 
@@ -66,7 +67,7 @@
 type Roster struct {
 	log *event.Log
 	// regained tells when the list's last outage ended and how long it was.
-	regained func() (time.Time, time.Duration)
+	regained func() (clock.Time, time.Duration)
 	// byName holds the targets by service, or nil where they have changed since.
 	byName atomic.Pointer[map[string][]*Target]
 	// evacuations holds what operators asked, by failure domain. A map that was stored
@@ -114,9 +115,9 @@
 }
 
 // New returns an empty roster. regained may be nil.
-func New(log *event.Log, regained func() (time.Time, time.Duration)) *Roster {
+func New(log *event.Log, regained func() (clock.Time, time.Duration)) *Roster {
 	if regained == nil {
-		regained = func() (time.Time, time.Duration) { return time.Time{}, 0 }
+		regained = func() (clock.Time, time.Duration) { return clock.Time{}, 0 }
 	}
 	r := &Roster{
 		log: log, regained: regained, targets: map[string]*Target{}, runs: map[string]string{}, ended: map[string]string{}, early: map[string]Entry{}, peers: map[string]peerLoads{}, loaded: map[string]bool{},
@@ -212,7 +213,7 @@
 // Remove records that the list no longer names a target. After an outage of
 // the list the entry may have lapsed while its target lives; it is kept for as
 // long as such entries take to come back.
-func (r *Roster) Remove(name string, now time.Time) {
+func (r *Roster) Remove(name string, now clock.Time) {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
 	delete(r.ended, name)
@@ -223,7 +224,7 @@
 	}
 	back, silence := r.regained()
 	if until := back.Add(returnTime); silence >= lapseFrom && now.Before(until) && !t.Entry().Leaving {
-		t.lapse(until)
+		t.lapse(time.Now().Add(until.Sub(now)))
 		r.log.Emit(event.TargetSuspect, event.Ref{Target: t.id}, "its entry lapsed in an outage of the list")
 		time.AfterFunc(until.Sub(now), func() { r.expire(t.id) })
 		return
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 )
 
@@ -33,10 +34,10 @@
 	r.Put(leaving)
 	g.Expect(r.Target("a").Entry().Leaving).To(gomega.BeTrue())
 	kept := r.Target("a")
-	r.Remove("a", time.Now())
+	r.Remove("a", clock.Now())
 	g.Expect(ids(r.Of("s"))).To(gomega.Equal([]string{"b"}))
 	g.Expect(kept.Health(time.Now()).Gone).To(gomega.BeTrue())
-	r.Remove("none", time.Now())
+	r.Remove("none", clock.Now())
 }
 
 func TestEntriesThatLapseInAnOutageMayComeBack(t *testing.T) {
@@ -53,12 +54,12 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			now := time.Now()
-			r := New(&event.Log{}, func() (time.Time, time.Duration) { return now, tc.silence })
+			now, aged := time.Now(), clock.Now()
+			r := New(&event.Log{}, func() (clock.Time, time.Duration) { return aged, tc.silence })
 			e := entry("a")
 			e.Leaving = tc.leaving
 			r.Put(e)
-			r.Remove("a", now)
+			r.Remove("a", aged)
 			g.Expect(r.Target("a") != nil).To(gomega.Equal(tc.stays))
 			if !tc.stays {
 				return
@@ -67,7 +68,7 @@
 			r.Put(e)
 			r.expire("a")
 			g.Expect(r.Target("a").Health(now).Lapsed).To(gomega.BeFalse())
-			r.Remove("a", now)
+			r.Remove("a", aged)
 			r.expire("a")
 			g.Expect(r.Target("a")).To(gomega.BeNil())
 		})
--- a/core/roster/runs_test.go
+++ b/core/roster/runs_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 )
 
@@ -36,7 +37,7 @@
 		{"another run answers, the list lags", func(r *Roster) { r.Ended("a@1000"); r.Put(run("a@1000", 1000)) }, ""},
 		{"another run answers, the list follows", func(r *Roster) { r.Ended("a@1000"); r.Put(run("a@2000", 2000)) }, "a@2000"},
 		{"its clock went back", func(r *Roster) { r.Put(run("a@500", 500)); r.Ended("a@1000") }, "a@500"},
-		{"taken off the list and back", func(r *Roster) { r.Remove("a", time.Now()); r.Put(run("a@500", 500)) }, "a@500"},
+		{"taken off the list and back", func(r *Roster) { r.Remove("a", clock.Now()); r.Put(run("a@500", 500)) }, "a@500"},
 		{"another writer's entry", func(r *Roster) { r.Unlist("a") }, ""},
 		{"a good entry after another writer's", func(r *Roster) { r.Unlist("a"); r.Put(run("a@2000", 2000)) }, "a@2000"},
 	}
--- a/core/spread/best_test.go
+++ b/core/spread/best_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
@@ -16,19 +17,19 @@
 // that it does not hear of it by a heartbeat first.
 func TestTheNextChangeIsWaitedForAtThePeer(t *testing.T) {
 	const step = 5 * time.Millisecond
-	answered := time.Now()
+	answered := clock.Now()
 	tests := []struct {
 		name string
 		// told is when the store had answered each peer, by its heartbeats.
-		told map[string]time.Time
+		told map[string]clock.Time
 		want string
 	}{
 		{"nobody", nil, ""},
-		{"as fresh", map[string]time.Time{"a": answered}, "a"},
-		{"as fresh, its answer came on a shorter way", map[string]time.Time{"a": answered.Add(-step)}, "a"},
-		{"fresher", map[string]time.Time{"a": answered.Add(step)}, "a"},
-		{"the freshest", map[string]time.Time{"a": answered, "b": answered.Add(time.Second)}, "b"},
-		{"older", map[string]time.Time{"a": answered.Add(-time.Second)}, ""},
+		{"as fresh", map[string]clock.Time{"a": answered}, "a"},
+		{"as fresh, its answer came on a shorter way", map[string]clock.Time{"a": answered.Add(-step)}, "a"},
+		{"fresher", map[string]clock.Time{"a": answered.Add(step)}, "a"},
+		{"the freshest", map[string]clock.Time{"a": answered, "b": answered.Add(time.Second)}, "b"},
+		{"older", map[string]clock.Time{"a": answered.Add(-time.Second)}, ""},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
--- a/core/spread/calls_test.go
+++ b/core/spread/calls_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/memkv"
 	"embertally.dev/core/plat"
 )
@@ -23,7 +24,7 @@
 	// answering counts the questions whose answers daemons have not taken yet, and
 	// taken is when one last did. Guarded by countMu.
 	answering int
-	taken     time.Time
+	taken     clock.Time
 	down      bool // guarded by countMu
 }
 
@@ -72,12 +73,12 @@
 	s.countMu.Lock()
 	defer s.countMu.Unlock()
 	s.answering--
-	s.taken = time.Now()
+	s.taken = clock.Now()
 	return err
 }
 
 // quiet returns when the last answer was taken, and whether none is on its way.
-func (s *pricedStore) quiet() (time.Time, bool) {
+func (s *pricedStore) quiet() (clock.Time, bool) {
 	s.countMu.Lock()
 	defer s.countMu.Unlock()
 	return s.taken, s.answering == 0
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
@@ -22,7 +23,7 @@
 // not answer: they take the changes from a peer that it does answer.
 type Mirrors struct {
 	// began is when this daemon started.
-	began  time.Time
+	began  clock.Time
 	mirror *plat.Mirror
 	fleet  *fleet.Fleet
 	log    *event.Log
@@ -37,12 +38,12 @@
 
 	peersMu sync.Mutex
 	// peers holds how fresh each peer's copy is. Guarded by peersMu.
-	peers map[string]time.Time
+	peers map[string]clock.Time
 }
 
 // NewMirrors attaches the mirror to the fleet's heartbeats.
 func NewMirrors(m *plat.Mirror, f *fleet.Fleet, log *event.Log) *Mirrors {
-	s := &Mirrors{began: time.Now(), mirror: m, fleet: f, log: log, peers: map[string]time.Time{}}
+	s := &Mirrors{began: clock.Now(), mirror: m, fleet: f, log: log, peers: map[string]clock.Time{}}
 	s.silent.First, s.silent.Most = silentTime, silentMost
 	s.values = newValues(m, f, newParcels(f, func(bytes int) { s.told.Add(int64(bytes)) }), log)
 	f.Attach("mirror", s)
@@ -72,7 +73,7 @@
 	if s.mirror.Contact().IsZero() && !s.leads() || fresh.IsZero() {
 		return nil
 	}
-	return &mirrorBeat{AgeMillis: ageMillis(time.Since(fresh))}
+	return &mirrorBeat{AgeMillis: ageMillis(clock.Since(fresh))}
 }
 
 // Receive takes a peer's part of a heartbeat.
@@ -84,7 +85,7 @@
 	}
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
-	s.peers[peer] = time.Now().Add(-toldAge(b.AgeMillis))
+	s.peers[peer] = clock.Now().Add(-toldAge(b.AgeMillis))
 }
 
 // ageMillis returns an age as it is told, rounded up: nobody may believe that what it
@@ -133,7 +134,7 @@
 	switch {
 	case len(s.fleet.View().Peers()) >= smallFleet:
 		return gatherLarge
-	case time.Since(s.began) < startTime:
+	case clock.Since(s.began) < startTime:
 		return startGather
 	}
 	return gatherSmall
@@ -145,7 +146,7 @@
 	defer wg.Wait()
 	wg.Go(func() { s.values.run(ctx) })
 	wait.Every(ctx, askPause, func() {
-		if time.Since(s.mirror.Contact()) > silentAfter || !s.Follows() {
+		if clock.Since(s.mirror.Contact()) > silentAfter || !s.Follows() {
 			s.ask(ctx)
 		}
 	})
@@ -162,7 +163,7 @@
 	if peer == "" {
 		return
 	}
-	began := time.Now()
+	began := clock.Now()
 	err := s.askPeer(ctx, peer)
 	if err != nil {
 		s.failed.Add(1)
@@ -171,7 +172,7 @@
 	}
 	switch {
 	case root == "":
-	case err != nil, time.Since(s.mirror.Fresh()) > staleAfter:
+	case err != nil, clock.Since(s.mirror.Fresh()) > staleAfter:
 		s.silent.Failed(root, time.Now())
 	default:
 		s.silent.Worked(root)
@@ -180,9 +181,9 @@
 
 // askPeer takes what one peer knows more, answer by answer.
 func (s *Mirrors) askPeer(ctx context.Context, peer string) error {
-	ask := &mirrorAsk{After: s.mirror.Revision(), WaitMillis: askWait.Milliseconds(), AgeMillis: ageMillis(time.Since(s.mirror.Fresh()))}
+	ask := &mirrorAsk{After: s.mirror.Revision(), WaitMillis: askWait.Milliseconds(), AgeMillis: ageMillis(clock.Since(s.mirror.Fresh()))}
 	for {
-		began := time.Now()
+		began := clock.Now()
 		got, err := s.question(ctx, peer, ask)
 		if err != nil {
 			return err
@@ -191,7 +192,7 @@
 			return s.takeAll(ctx, peer, got, got.heard(began))
 		}
 		if got.More {
-			s.mirror.Take(got.changes(), got.Revision, time.Time{})
+			s.mirror.Take(got.changes(), got.Revision, clock.Time{})
 			ask = &mirrorAsk{After: got.Revision}
 			continue
 		}
@@ -203,7 +204,7 @@
 
 // takeAll takes a peer's whole copy, of which the first page is here. The pages are
 // not of one moment: what changes meanwhile follows the revision of the first.
-func (s *Mirrors) takeAll(ctx context.Context, peer string, first *mirrorAnswer, heard time.Time) error {
+func (s *Mirrors) takeAll(ctx context.Context, peer string, first *mirrorAnswer, heard clock.Time) error {
 	all := first.changes()
 	for page := first; page.More; {
 		var err error
@@ -230,7 +231,7 @@
 
 // heard returns when the service had answered the peer, at the latest that is sure: the
 // answer to a question that began at some time may have been on its way for long.
-func (a *mirrorAnswer) heard(began time.Time) time.Time {
+func (a *mirrorAnswer) heard(began clock.Time) clock.Time {
 	return began.Add(toldAge(a.WaitedMillis) - toldAge(a.AgeMillis))
 }
 
--- a/core/spread/roots.go
+++ b/core/spread/roots.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/fleet"
 )
 
@@ -83,7 +84,7 @@
 		}
 		first = 0
 	}
-	return place >= first && place < first+reserves*int(time.Since(fresh)/staleAfter)
+	return place >= first && place < first+reserves*int(clock.Since(fresh)/staleAfter)
 }
 
 // place returns how many of the cell come before this daemon in asking the service.
--- a/core/spread/roots_test.go
+++ b/core/spread/roots_test.go
@@ -109,7 +109,7 @@
 	last, _ := store.quiet()
 	for began := time.Now(); time.Since(began) < outage; {
 		for _, m := range members {
-			g.Expect(m.mirror.Fresh()).To(gomega.BeTemporally("<=", last))
+			g.Expect(m.mirror.Fresh().After(last)).To(gomega.BeFalse())
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/core/spread/shelftell.go
+++ b/core/spread/shelftell.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 )
 
 const (
@@ -24,7 +25,7 @@
 // shelfPoint is how far peers were told of a store.
 type shelfPoint struct {
 	epoch, next int64
-	heard       time.Time
+	heard       clock.Time
 }
 
 // shelfNews is what a heartbeat tells of one store.
@@ -44,7 +45,7 @@
 // Collect returns what this daemon's heartbeat tells of the stores that it asks for its
 // cell, of those that told something since.
 func (s *Shelves) Collect(bool) any {
-	now := time.Now()
+	now := clock.Now()
 	s.toldMu.Lock()
 	defer s.toldMu.Unlock()
 	clear(s.telling)
@@ -93,7 +94,7 @@
 		// A peer of another version is asked instead.
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	for i := range told {
 		if from, err := s.source(told[i].Address); err == nil && from.tells && from.peer == peer {
 			s.inbox.put(&told[i], now)
@@ -118,11 +119,11 @@
 	from   int64
 	events cache.PartEvents
 	// at is when the latest of it arrived.
-	at time.Time
+	at clock.Time
 }
 
 // put adds what a heartbeat told.
-func (b *shelfInbox) put(n *shelfNews, now time.Time) {
+func (b *shelfInbox) put(n *shelfNews, now clock.Time) {
 	b.inboxMu.Lock()
 	defer b.inboxMu.Unlock()
 	if b.news == nil {
@@ -177,7 +178,7 @@
 		case a != nil && (a.from > since || a.events.Next < since):
 			return cache.PartEvents{}, false
 		case a != nil:
-			stayed := time.Since(a.at)
+			stayed := clock.Since(a.at)
 			a.events.Age += stayed
 			a.events.Clock += stayed
 			return a.events, true
--- a/core/spread/shelves.go
+++ b/core/spread/shelves.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/wait"
 	"embertally.dev/core/wire"
@@ -124,7 +125,7 @@
 			}
 			hold = 0
 		}
-		ask := &shelfAsk{Address: address, Since: since, WaitMillis: hold.Milliseconds(), AgeMillis: ageMillis(s.kept.Age(address, time.Now()))}
+		ask := &shelfAsk{Address: address, Since: since, WaitMillis: hold.Milliseconds(), AgeMillis: ageMillis(s.kept.Age(address, clock.Now()))}
 		got, err := s.ask(ctx, from.peer, ask)
 		if err != nil {
 			return cache.PartEvents{}, err
@@ -225,13 +226,13 @@
 
 // answer tells a peer what this daemon knows of a store, waiting for news.
 func (s *Shelves) answer(ctx context.Context, _ string, ask *shelfAsk) (*shelfAnswer, error) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	newer := arrived.Add(sameAnswer - toldAge(ask.AgeMillis))
 	end := time.NewTimer(time.Duration(ask.WaitMillis) * time.Millisecond)
 	defer end.Stop()
 	for last := ask.WaitMillis <= 0; ; {
 		news := s.kept.News(ask.Address)
-		now := time.Now()
+		now := clock.Now()
 		got, ok := s.kept.Told(ask.Address, ask.Since, ask.All, now)
 		switch {
 		case !ok:
--- a/core/spread/shelves_fleet_test.go
+++ b/core/spread/shelves_fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/spread"
@@ -114,7 +115,7 @@
 	return func() int {
 		n := 0
 		for _, m := range members {
-			if _, ok := m.kept.Told(address, 0, false, time.Now()); ok && m.kept.Tokens() == parts {
+			if _, ok := m.kept.Told(address, 0, false, clock.Now()); ok && m.kept.Tokens() == parts {
 				n++
 			}
 		}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
@@ -67,7 +68,7 @@
 	states map[string]state
 	// current is when this daemon was last seen to be behind no peer. Guarded
 	// by statesMu.
-	current time.Time
+	current clock.Time
 	// moved is closed and replaced when a state changes. Guarded by statesMu.
 	moved chan struct{}
 }
@@ -174,7 +175,7 @@
 func (s *Spread) Collect(bool) any {
 	st := state{Seq: s.store.Snapshot().Seq(), Loaded: s.store.Loaded(), AgeMillis: -1}
 	if at := s.store.Confirmed(); !at.IsZero() {
-		st.AgeMillis = int(time.Since(at).Milliseconds())
+		st.AgeMillis = int(clock.Since(at).Milliseconds())
 	}
 	return st
 }
@@ -194,7 +195,7 @@
 	}
 	s.statesMu.Unlock()
 	if st.Loaded && st.AgeMillis >= 0 {
-		s.store.Confirm(st.Seq, time.Now().Add(-time.Duration(st.AgeMillis)*time.Millisecond))
+		s.store.Confirm(st.Seq, clock.Now().Add(-time.Duration(st.AgeMillis)*time.Millisecond))
 	}
 	if st.Loaded && (st.Seq > s.store.Snapshot().Seq() || !s.store.Loaded()) {
 		s.wakeUp()
@@ -277,7 +278,7 @@
 	behind := s.Ahead(s.store.Snapshot().Seq()) != ""
 	s.statesMu.Lock()
 	defer s.statesMu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if !behind {
 		s.current = now
 		return true
--- a/core/spread/tell.go
+++ b/core/spread/tell.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/plat"
 )
 
@@ -55,15 +56,15 @@
 
 // answer tells a peer what has changed.
 func (s *Mirrors) answer(ctx context.Context, _ string, ask *mirrorAsk) (*mirrorAnswer, error) {
-	began := time.Now()
+	began := clock.Now()
 	s.await(ctx, ask)
-	waited := time.Since(began)
+	waited := clock.Since(began)
 	fresh := s.mirror.Fresh()
 	if fresh.IsZero() {
 		return nil, errors.New("this daemon knows nothing yet")
 	}
 	out := s.some(ask)
-	out.AgeMillis, out.WaitedMillis = ageMillis(time.Since(fresh)), waited.Milliseconds()
+	out.AgeMillis, out.WaitedMillis = ageMillis(clock.Since(fresh)), waited.Milliseconds()
 	for _, c := range out.Changes {
 		s.told.Add(int64(len(c.Value)))
 	}
@@ -120,10 +121,10 @@
 
 // await returns when there is something to tell or the wait is over.
 func (s *Mirrors) await(ctx context.Context, ask *mirrorAsk) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	end := arrived.Add(time.Duration(ask.WaitMillis) * time.Millisecond)
 	fresher := arrived.Add(sameAnswer - toldAge(ask.AgeMillis))
-	over := time.NewTimer(time.Until(end))
+	over := time.NewTimer(clock.Until(end))
 	defer over.Stop()
 	for {
 		news := s.mirror.News()
--- a/core/spread/values.go
+++ b/core/spread/values.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
@@ -226,7 +227,7 @@
 // peers.
 func (v *values) fromPeers(ctx context.Context, peers []string, want plat.Pair, most int) bool {
 	for _, peer := range peers {
-		began := time.Now()
+		began := clock.Now()
 		p, size, err := v.pull(ctx, peer, want, most)
 		if err != nil {
 			v.log.Emit(event.PeerNotTold, event.Ref{Resource: want.Key}, peer+" after "+elapsed(began)+": "+err.Error())
@@ -242,10 +243,10 @@
 }
 
 // elapsed writes how long ago something began.
-func elapsed(began time.Time) string { return time.Since(began).Round(time.Millisecond).String() }
+func elapsed(began clock.Time) string { return clock.Since(began).Round(time.Millisecond).String() }
 
 // arrived hands a value to the mirror.
-func (v *values) arrived(p plat.Pair, source string, began time.Time) {
+func (v *values) arrived(p plat.Pair, source string, began clock.Time) {
 	v.mirror.Arrive(p)
 	text := "revision " + strconv.FormatInt(p.ModRevision, 10) + ", " + strconv.Itoa(len(p.Value)) + " bytes, took " + elapsed(began) + " and " + source
 	v.log.Emit(event.ValueFetched, event.Ref{Resource: p.Key}, text)
@@ -286,7 +287,7 @@
 func (v *values) fromStore(ctx context.Context, want plat.Pair) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeLimit)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	p, there, err := v.mirror.Fetch(ctx, want.Key)
 	if err != nil || !there || p.ModRevision < want.ModRevision {
 		text := "the service after " + elapsed(began) + ": "
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 
 	"embertally.dev/core/admin"
 	"embertally.dev/core/bugs"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
@@ -60,9 +61,9 @@
 	draining atomic.Bool
 	// ready tells that the daemon was ready at the last look.
 	ready atomic.Bool
-	// wokeAt is when the process found that it had been stopped, in
-	// nanoseconds; 0 once it knows again that it is current.
-	wokeAt atomic.Int64
+	// wokeAt is when the process found that it had been stopped; nil once it knows
+	// again that it is current.
+	wokeAt atomic.Pointer[clock.Time]
 }
 
 // New puts a daemon together.
@@ -83,7 +84,10 @@
 	d.fleet.Mux().Refused = func(address string, err error) {
 		d.log.Emit(event.PeerRefused, event.Ref{}, address+": "+err.Error())
 	}
-	d.fleet.OnWake(func(time.Duration) { d.wokeAt.Store(time.Now().UnixNano()) })
+	d.fleet.OnWake(func(time.Duration) {
+		now := clock.Now()
+		d.wokeAt.Store(&now)
+	})
 	d.spread = spread.New(d.store, d.fleet, d.kv)
 	d.sync = conf.NewSyncer(d.store, d.kv, d.spread, d.log)
 	d.build(incarnation)
@@ -186,7 +190,7 @@
 	if at := d.store.Confirmed(); at.After(last) {
 		last = at
 	}
-	return !last.IsZero() && time.Since(last) > d.set.Limits.IsolatedStop
+	return !last.IsZero() && clock.Since(last) > d.set.Limits.IsolatedStop
 }
 
 // knowsAfterWake reports whether the configuration was confirmed since the
@@ -194,12 +198,11 @@
 // peers for as long as they may be silent is enough: none was ahead.
 func (d *Daemon) knowsAfterWake() bool {
 	at := d.wokeAt.Load()
-	if at == 0 {
+	if at == nil {
 		return true
 	}
-	woke := time.Unix(0, at)
-	if d.store.Confirmed().After(woke) || (d.spread.Heard() && time.Since(woke) > d.set.Peers.Suspect) {
-		d.wokeAt.CompareAndSwap(at, 0)
+	if d.store.Confirmed().After(*at) || (d.spread.Heard() && clock.Since(*at) > d.set.Peers.Suspect) {
+		d.wokeAt.CompareAndSwap(at, nil)
 		return true
 	}
 	return false
--- a/emberd/internal/host/current_test.go
+++ b/emberd/internal/host/current_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/plat"
 )
 
@@ -16,7 +16,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	h := New(set)
 	t.Cleanup(h.spool.Close)
-	h.mirror.Take([]plat.Change{{Pair: plat.Pair{Key: "a", ModRevision: 1}}}, 1, time.Now())
+	h.mirror.Take([]plat.Change{{Pair: plat.Pair{Key: "a", ModRevision: 1}}}, 1, clock.Now())
 	return g, h
 }
 
@@ -29,7 +29,7 @@
 func TestADaemonThatLacksANewerConfigurationIsNotCurrent(t *testing.T) {
 	g, h := known(t)
 	g.Expect(h.current()).To(gomega.BeTrue())
-	h.mirror.Take([]plat.Change{late("a", 2)}, 2, time.Now())
+	h.mirror.Take([]plat.Change{late("a", 2)}, 2, clock.Now())
 	g.Expect(h.current()).To(gomega.BeFalse())
 	h.mirror.Arrive(plat.Pair{Key: "a", ModRevision: 2})
 	g.Expect(h.current()).To(gomega.BeTrue())
@@ -38,13 +38,29 @@
 // Nothing is handled by a configuration that is known to be replaced for too long.
 func TestADaemonThatLacksANewerConfigurationForLongTakesNothing(t *testing.T) {
 	g, h := known(t)
-	h.mirror.Take([]plat.Change{late("a", 2)}, 2, time.Now())
+	h.mirror.Take([]plat.Change{late("a", 2)}, 2, clock.Now())
 	since := h.mirror.LateSince()
 	bound := h.set.Bounds.Configuration
 	g.Expect(h.lacks(since.Add(bound / 4))).To(gomega.BeZero())
 	g.Expect(h.lacks(since.Add(bound))).To(gomega.Equal(bound))
-	h.mirror.Take([]plat.Change{late("a", 3)}, 3, time.Now())
+	h.mirror.Take([]plat.Change{late("a", 3)}, 3, clock.Now())
 	g.Expect(h.lacks(since.Add(bound))).To(gomega.Equal(bound), "a still newer one is no news")
 	h.mirror.Arrive(plat.Pair{Key: "a", ModRevision: 3})
 	g.Expect(h.lacks(since.Add(bound))).To(gomega.BeZero())
 }
+
+// What a daemon knew before its machine was suspended is as old as the suspension was long:
+// it says neither that a key does not exist, nor that parts may be copied, before it has heard
+// again. Weights that were replaced are older, too.
+func TestKnowledgeAgesWhileTheMachineIsSuspended(t *testing.T) {
+	g, h := known(t)
+	h.named.set("m", 1)
+	h.named.set("m", 2)
+	g.Expect(h.current()).To(gomega.BeTrue())
+	clock.Suspend(h.set.Bounds.Contact)
+	g.Expect(h.current()).To(gomega.BeFalse())
+	g.Expect(h.age()).To(gomega.BeNumerically(">=", h.set.Bounds.Contact))
+	g.Expect(h.named.age("m", 1)).To(gomega.BeNumerically(">=", h.set.Bounds.Contact))
+	h.mirror.Take(nil, 1, clock.Now())
+	g.Expect(h.current()).To(gomega.BeTrue())
+}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/learn"
@@ -134,7 +135,7 @@
 }
 
 // age returns how old the knowledge of the platform's store is.
-func (h *Host) age() time.Duration { return time.Since(h.mirror.Fresh()) }
+func (h *Host) age() time.Duration { return clock.Since(h.mirror.Fresh()) }
 
 // current reports whether the configuration in force is known to be the newest.
 func (h *Host) current() bool { return h.age() < h.set.Bounds.Contact && !h.mirror.Behind() }
@@ -146,7 +147,7 @@
 
 // lacks returns for how long a newer configuration has been known to be there, if that
 // is too long to handle anything by the former one; else 0.
-func (h *Host) lacks(now time.Time) time.Duration {
+func (h *Host) lacks(now clock.Time) time.Duration {
 	since := h.mirror.LateSince()
 	if since.IsZero() {
 		return 0
@@ -193,7 +194,7 @@
 		Age:        h.age,
 		StoreDown:  h.mirror.Down,
 		Current:    h.current,
-		Lacks:      func() time.Duration { return h.lacks(time.Now()) },
+		Lacks:      func() time.Duration { return h.lacks(clock.Now()) },
 		CopyMay:    func() bool { return h.age() < cache.CopyFresh },
 		RetryShare: h.set.Retries.Share, RetryExtra: h.set.Retries.Extra, RetryWindow: h.set.Retries.Window,
 	})
--- a/emberd/internal/host/host_test.go
+++ b/emberd/internal/host/host_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"embertally.dev/core/clock"
 )
 
 const good = `
@@ -113,7 +115,7 @@
 	g.Expect(replaced).To(gomega.BeFalse())
 	since, replaced := n.superseded("v1/m/org")
 	g.Expect(replaced).To(gomega.BeTrue())
-	g.Expect(time.Since(since)).To(gomega.BeNumerically("<", time.Minute))
+	g.Expect(clock.Since(since)).To(gomega.BeNumerically("<", time.Minute))
 	g.Expect(n.age("m", 3)).To(gomega.BeZero())
 	g.Expect(n.age("m", 1)).To(gomega.BeNumerically(">", 0))
 	_, replaced = n.superseded("no salt")
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/table"
@@ -69,7 +70,7 @@
 // gone removes a target and its idle connections.
 func (h *Host) gone(name string) {
 	t := h.roster.Named(name)
-	h.roster.Remove(name, time.Now())
+	h.roster.Remove(name, clock.Now())
 	if t != nil && h.roster.Named(name) == nil {
 		h.pool.Forget(t.Entry().Address)
 	}
--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/wait"
 )
@@ -16,7 +17,7 @@
 		return "the daemon is stopping"
 	case h.relay.Table() == nil:
 		return "no configuration is known"
-	case h.lacks(time.Now()) > 0:
+	case h.lacks(clock.Now()) > 0:
 		return "a newer configuration has not arrived"
 	}
 	return ""
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/platform"
 )
@@ -84,7 +85,7 @@
 		f    func() float64
 	}{
 		{"requests_running", func() float64 { return float64(h.relay.Running()) }},
-		{"store_contact_seconds", func() float64 { return time.Since(h.mirror.Contact()).Seconds() }},
+		{"store_contact_seconds", func() float64 { return clock.Since(h.mirror.Contact()).Seconds() }},
 		{"daemons", func() float64 { return float64(h.daemons.count()) }},
 		{"kept_tokens", func() float64 { return float64(h.kept.Tokens()) }},
 		{"log_lines_dropped_total", func() float64 { return float64(h.spool.Dropped()) }},
--- a/emberd/internal/host/state.go
+++ b/emberd/internal/host/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
 )
@@ -30,7 +31,7 @@
 type namedVersion struct {
 	version int64
 	// since is when this daemon learned of it.
-	since time.Time
+	since clock.Time
 }
 
 // set records that a version of a model was named; an older one changes nothing.
@@ -44,7 +45,7 @@
 	if len(list) > 0 && list[len(list)-1].version >= version {
 		return
 	}
-	list = append(list, namedVersion{version, time.Now()})
+	list = append(list, namedVersion{version, clock.Now()})
 	n.versions[model] = list[max(0, len(list)-namedMost):]
 }
 
@@ -61,7 +62,7 @@
 
 // replaced returns since when this daemon knows of newer weights than a
 // version; false where there are none.
-func (n *named) replaced(model string, version int64) (time.Time, bool) {
+func (n *named) replaced(model string, version int64) (clock.Time, bool) {
 	n.namedMu.Lock()
 	defer n.namedMu.Unlock()
 	for _, v := range n.versions[model] {
@@ -69,7 +70,7 @@
 			return v.since, true
 		}
 	}
-	return time.Time{}, false
+	return clock.Time{}, false
 }
 
 // age returns how long a version has been replaced; 0 where it is the newest.
@@ -78,14 +79,14 @@
 	if !replaced {
 		return 0
 	}
-	return time.Since(since)
+	return clock.Since(since)
 }
 
 // superseded returns since when newer weights than those of a salt are named.
-func (n *named) superseded(salt string) (time.Time, bool) {
+func (n *named) superseded(salt string) (clock.Time, bool) {
 	model, version, ok := cache.SaltVersion(salt)
 	if !ok {
-		return time.Time{}, false
+		return clock.Time{}, false
 	}
 	return n.replaced(model, version)
 }
@@ -140,8 +141,8 @@
 	view func() *fleet.View
 
 	countMu sync.Mutex
-	most    int       // guarded by countMu
-	at      time.Time // when most was counted; guarded by countMu
+	most    int        // guarded by countMu
+	at      clock.Time // when most was counted; guarded by countMu
 }
 
 // countLife is how long the highest count holds: a daemon that is not heard
@@ -153,8 +154,8 @@
 	now := len(d.view().Peers()) + 1
 	d.countMu.Lock()
 	defer d.countMu.Unlock()
-	if now >= d.most || time.Since(d.at) > countLife {
-		d.most, d.at = now, time.Now()
+	if now >= d.most || clock.Since(d.at) > countLife {
+		d.most, d.at = now, clock.Now()
 	}
 	return d.most
 }
