Ends of targets that others shared weigh half, and what ends well is let go

Ruled out: counting less where a request comes to a second target just after the first (a request that ends targets at once would end up to five before it is known); waiting 50 ms for other ends before telling (a caller that repeats at once ended four more in that time, in TestARequestThatEndsWorkersIsKnownWhileTheStoreIsAway). Change: an end counts half where other runs ended within 50 ms that the request was not at; this is told as a correction, which takes back a block that rests on it. A kept connection that ends within a round trip was closed before the request came, and lays nothing to it. A blocked request that ends well is let go. A run that answers again has not ended.

--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -125,16 +125,16 @@
 	return b
 }
 
-// release takes a block back.
-func (l *blocks) release(f Fingerprint, why string) {
+// release takes a block back, and returns what others are to be told where there was one.
+func (l *blocks) release(f Fingerprint, why string) (told block, done bool) {
 	l.blocksMu.Lock()
 	b, found := l.known[f]
 	l.blocksMu.Unlock()
 	if !found || b.Released || clock.Until(b.until) <= 0 {
-		return
+		return block{}, false
 	}
 	b.Released, b.Stamp, b.Left = true, b.Stamp+1, clock.Until(b.until)
-	l.merge([]block{b}, why)
+	return b, l.merge([]block{b}, why)
 }
 
 // merge takes blocks that are newer than those known, and reports whether there were any.
--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -84,10 +84,22 @@
 	return g.known[f]
 }
 
-// Good records that a request ended well at a run of a target.
+// Good records that a request ended well at a run of a target. Where it is blocked it was not
+// what the others ended of, unless this run ends as well.
 func (g *Guard) Good(f Fingerprint, organisation, run string) {
+	if g == nil {
+		return
+	}
+	g.sends.good(run, sent{f, organisation})
+	if _, blocked := g.blocks.left(f); blocked {
+		go prover{g, f, run}.run()
+	}
+}
+
+// Answers records that a run of a target answers.
+func (g *Guard) Answers(run string) {
 	if g != nil {
-		g.sends.good(run, sent{f, organisation})
+		g.sends.answers(run)
 	}
 }
 
@@ -146,6 +158,22 @@
 	return g.runs
 }
 
+// prover takes a block back where the run that the request ended well at lives on.
+type prover struct {
+	guard   *Guard
+	request Fingerprint
+	name    string
+}
+
+func (p prover) run() {
+	time.Sleep(tailTime + togetherTime)
+	if !p.guard.sends.wasGood(p.request) || !p.guard.sends.lives(p.name) {
+		return
+	}
+	p.guard.keeper.clear(p.request)
+	p.guard.release(p.request, "it ended well at "+p.name)
+}
+
 // prober finds out whether a run of a target ended whose connection did.
 type prober struct {
 	guard         *Guard
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -293,3 +293,52 @@
 	g.Expect(blocked).To(gomega.BeFalse())
 	g.Expect(none.Ends(asks("a"))).To(gomega.BeZero())
 }
+
+// Runs that end together end of something else than a request that was at one of them; three
+// such ends do not block it, and what ended well is let go where it was blocked.
+func TestEndsTogetherCountHalf(t *testing.T) {
+	r := newRig(t, 2)
+	f := asks("long")
+	wave := func(i int) {
+		r.ends(0, f, fmt.Sprintf("run-%d", i))
+		r.ends(0, asks(fmt.Sprint("beside", i)), fmt.Sprintf("other-%d", i))
+		r.counted(f, i+1)
+		clock.Suspend(togetherTime)
+	}
+	for i := range 3 {
+		wave(i)
+	}
+	// Until it shows that others ended as well it may be blocked, for a moment.
+	r.g.Eventually(func() int { return r.members[0].guard.keeper.weightOf(f) }, most, "5ms").Should(gomega.Equal(3 * half))
+	r.g.Eventually(r.blocked(f), most, "5ms").Should(gomega.BeZero())
+	r.g.Consistently(r.blocked(f), 5*beat, "5ms").Should(gomega.BeZero())
+	for i := 3; i < 6; i++ {
+		wave(i)
+	}
+	r.g.Eventually(r.blocked(f), most, "5ms").Should(gomega.Equal(2))
+	r.members[1].guard.Good(f, "org", "well")
+	r.g.Eventually(r.blocked(f), most, "5ms").Should(gomega.BeZero())
+}
+
+// A run that refused connections for a while and answers again has not ended: what breaks off
+// there later is found out anew.
+func TestARunThatAnswersAgainHasNotEnded(t *testing.T) {
+	r := newRig(t, 1)
+	g := r.members[0].guard
+	r.ends(0, asks("a"), "run")
+	r.counted(asks("a"), 1)
+	g.Answers("run")
+	r.alive.Store(true)
+	r.ends(0, asks("b"), "run")
+	r.g.Consistently(g.Suspects, 3*tryAgain, "10ms").Should(gomega.Equal(1))
+}
+
+// weightOf returns how much the ends under a request weigh.
+func (k *keeper) weightOf(f Fingerprint) int {
+	k.keeperMu.Lock()
+	defer k.keeperMu.Unlock()
+	if s := k.suspects[f]; s != nil {
+		return s.weight()
+	}
+	return 0
+}
--- a/core/poison/keep.go
+++ b/core/poison/keep.go
@@ -15,7 +15,15 @@
 	// proper request meets ends of others': with 12 workers of which one ends each second,
 	// 2 in 100 requests of 0.25 s do, and 1 in 100,000 three times in a row; the users' rule
 	// counts from the third as well.
+	//
+	// An end counts half where other runs ended together with it. On a day on which two or
+	// three of 18 workers end at a time, every two seconds, two proper prompts that run for
+	// seconds were blocked with all ends counted alike.
 	runsMost = 3
+	// whole and half are the weights of ends, and weightMost that at which a request is
+	// blocked.
+	whole, half = 2, 1
+	weightMost  = runsMost * whole
 	// suspectsMost bounds the requests under suspicion that a daemon keeps the count for:
 	// some 0.5 MB. What has the fewest ends gives way, the oldest first; who wants to push
 	// out another's must end as many targets.
@@ -26,11 +34,37 @@
 
 // suspect is what is known of a request that was there when targets ended.
 type suspect struct {
-	// runs holds when each of the ends became known, by the name of the run.
-	runs map[string]clock.Time
+	// runs holds the ends, by the name of the run.
+	runs map[string]counted
 	last clock.Time
 }
 
+// counted is one end that counts: when it became known, and how much it weighs.
+type counted struct {
+	at     clock.Time
+	weight int
+}
+
+// weight returns how much all ends weigh.
+func (s *suspect) weight() int {
+	sum := 0
+	for _, c := range s.runs {
+		sum += c.weight
+	}
+	return sum
+}
+
+// add counts the end of a run, and reports whether it is a new one.
+func (s *suspect) add(run string, weight int, now clock.Time) bool {
+	if c, known := s.runs[run]; known {
+		c.weight = min(c.weight, weight)
+		s.runs[run] = c
+		return false
+	}
+	s.runs[run], s.last = counted{now, weight}, now
+	return true
+}
+
 // keeper counts, for the requests that fall to this daemon, under how many runs of targets
 // each was there when they ended.
 type keeper struct {
@@ -47,28 +81,38 @@
 
 // count takes one daemon's word that a run ended under a request, and returns how many have,
 // and whether that makes it a request to block. A run counts once, whoever saw its end.
-func (k *keeper) count(f Fingerprint, organisation, run string) (runs int, over bool) {
+func (k *keeper) count(f Fingerprint, organisation, run string, weight int) (runs int, over bool) {
 	k.keeperMu.Lock()
 	defer k.keeperMu.Unlock()
 	now := clock.Now()
 	s := k.suspects[f]
 	if s == nil {
 		k.makeRoom()
-		s = &suspect{runs: map[string]clock.Time{}}
+		s = &suspect{runs: map[string]counted{}}
 		k.suspects[f] = s
 	}
-	for name, at := range s.runs {
-		if now.Sub(at) > suspectTime {
+	for name, c := range s.runs {
+		if now.Sub(c.at) > suspectTime {
 			delete(s.runs, name)
 		}
 	}
-	if _, known := s.runs[run]; !known {
-		s.runs[run], s.last = now, now
-	}
-	if len(s.runs) == runsMost-1 {
+	if s.add(run, weight, now) && len(s.runs) == runsMost-1 {
 		k.log.Emit(event.RequestSuspected, event.Ref{Organisation: organisation}, "asks "+f.String()+"; ended under it: "+s.names())
 	}
-	return len(s.runs), len(s.runs) >= runsMost
+	return len(s.runs), s.weight() >= weightMost
+}
+
+// lower makes the end of a run count half, where others ended together with it, and reports
+// whether the request is no longer one to block by that.
+func (k *keeper) lower(f Fingerprint, run string) bool {
+	k.keeperMu.Lock()
+	defer k.keeperMu.Unlock()
+	s := k.suspects[f]
+	if s == nil || s.weight() < weightMost {
+		return false
+	}
+	s.add(run, half, clock.Now())
+	return s.weight() < weightMost
 }
 
 // clear forgets the ends that were laid to a request.
--- a/core/poison/tell.go
+++ b/core/poison/tell.go
@@ -33,8 +33,9 @@
 	Request      Fingerprint
 	Organisation string
 	Run          string
-	// Good tells that the same request ended well lately at another run.
-	Good bool
+	// Good tells that the same request ended well lately at another run, and Alone that no
+	// other run ended together with this one.
+	Good, Alone bool
 }
 
 // endCount is a keeper's answer.
@@ -53,10 +54,31 @@
 }
 
 func (t teller) run() {
+	var alone []sent
 	for _, who := range t.sent {
-		n := &endNews{Request: who.request, Organisation: who.organisation, Run: t.name, Good: t.guard.sends.wasGood(who.request)}
-		t.guard.tellKeepers(n)
+		if t.tell(who) {
+			alone = append(alone, who)
+		}
+	}
+	// Whether other runs ended together with it shows a moment later. Waiting for that would
+	// cost targets: a caller that repeats at once ended four more in this time.
+	time.Sleep(togetherTime)
+	for _, who := range alone {
+		if !t.guard.sends.alone(t.name, who.request) {
+			t.tell(who)
+		}
+	}
+}
+
+// tell tells the keepers of one request, and reports whether the run ended alone as far as is
+// known.
+func (t teller) tell(who sent) bool {
+	n := &endNews{
+		Request: who.request, Organisation: who.organisation, Run: t.name,
+		Good: t.guard.sends.wasGood(who.request), Alone: t.guard.sends.alone(t.name, who.request),
 	}
+	t.guard.tellKeepers(n)
+	return n.Alone
 }
 
 // tellKeepers tells the keepers of a request, the first that answer.
@@ -103,6 +125,9 @@
 // hearEnd counts what a daemon tells this one, a keeper.
 func (g *Guard) hearEnd(_ context.Context, from string, n *endNews) (*endCount, error) {
 	if _, blocked := g.blocks.left(n.Request); blocked {
+		if !n.Alone && g.keeper.lower(n.Request, n.Run) {
+			g.release(n.Request, "runs of others ended together with "+n.Run)
+		}
 		return &endCount{Runs: runsMost}, nil
 	}
 	if n.Good || g.sends.wasGood(n.Request) {
@@ -110,7 +135,11 @@
 		g.keeper.clear(n.Request)
 		return &endCount{}, nil
 	}
-	runs, over := g.keeper.count(n.Request, n.Organisation, n.Run)
+	weight := half
+	if n.Alone {
+		weight = whole
+	}
+	runs, over := g.keeper.count(n.Request, n.Organisation, n.Run, weight)
 	if over || g.blocks.former(n.Request) > 0 {
 		b := g.blocks.add(n.Request, n.Organisation, "ended under it: "+g.keeper.names(n.Request)+"; last told by "+from)
 		g.tellCells(b)
@@ -118,6 +147,13 @@
 	return &endCount{Runs: runs}, nil
 }
 
+// release takes a block back and tells the other cells.
+func (g *Guard) release(f Fingerprint, why string) {
+	if b, done := g.blocks.release(f, why); done {
+		g.tellCells(b)
+	}
+}
+
 // tellCells tells the other cells of a block; heartbeats tell this one.
 func (g *Guard) tellCells(b block) {
 	view := g.o.Fleet.View()
--- a/core/poison/watch.go
+++ b/core/poison/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,10 @@
 	goodMost = 2048
 	// endedTime is for how long a run is known to have ended.
 	endedTime = time.Minute
+	// togetherTime is the time within which runs that end are taken to have ended of the same
+	// thing: a power supply, a rack, a change of many. Ends of runs that one request brought
+	// down in turn lie as far apart as it takes to run it.
+	togetherTime = 50 * time.Millisecond
 )
 
 // sent names a request that was sent, for whoever counts.
@@ -36,6 +41,13 @@
 	at clock.Time
 }
 
+// end is one end of a run, and what was there.
+type end struct {
+	run  string
+	at   clock.Time
+	sent []sent
+}
+
 // good is the last good end of a request.
 type good struct {
 	run string
@@ -50,6 +62,7 @@
 	sendsMu sync.Mutex
 	losses  map[string][]loss     // by run; guarded by sendsMu
 	ended   map[string]clock.Time // runs that ended; guarded by sendsMu
+	ends    []end                 // the latest ends; guarded by sendsMu
 	// young and old are two generations of good ends. Guarded by sendsMu.
 	young, old map[uint64]good
 }
@@ -86,6 +99,42 @@
 			delete(s.ended, run)
 		}
 	}
+	s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return now.Sub(e.at) > lossTime })
+}
+
+// answers records that a run answers, so that it has not ended: a target may refuse
+// connections for a while.
+func (s *sends) answers(run string) {
+	s.sendsMu.Lock()
+	defer s.sendsMu.Unlock()
+	delete(s.ended, run)
+}
+
+// lives reports whether a run is not known to have ended.
+func (s *sends) lives(run string) bool {
+	s.sendsMu.Lock()
+	defer s.sendsMu.Unlock()
+	_, known := s.ended[run]
+	return !known
+}
+
+// alone reports whether no other run ended together with one, but of those where the request
+// was too.
+func (s *sends) alone(run string, f Fingerprint) bool {
+	s.sendsMu.Lock()
+	defer s.sendsMu.Unlock()
+	at := slices.IndexFunc(s.ends, func(e end) bool { return e.run == run })
+	if at < 0 {
+		return true
+	}
+	for _, e := range s.ends {
+		apart := e.at.Sub(s.ends[at].at).Abs()
+		there := slices.ContainsFunc(e.sent, func(who sent) bool { return who.request == f })
+		if apart < togetherTime && !there {
+			return false
+		}
+	}
+	return true
 }
 
 // end records that a run ended, and returns what was under way there or ended well just
@@ -108,12 +157,17 @@
 	for _, l := range list {
 		out = append(out, l.sent)
 	}
+	at := now
 	switch {
 	case len(list) > 0:
-		out = append(out, s.tail(run, list[0].at)...)
+		at = list[0].at
+		out = append(out, s.tail(run, at)...)
 	case seen:
 		out = s.tail(run, now)
 	}
+	if len(out) > 0 {
+		s.ends = append(s.ends, end{run, at, out})
+	}
 	return out
 }
 
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -55,6 +55,7 @@
 	}
 	p.sends++
 	p.runs++
+	p.relay.o.Poison.Answers(c.target.ID())
 	if reply.Weights > 0 {
 		p.relay.o.Roster.Learn(c.target.ID(), p.ask.Model, reply.Weights)
 	}
@@ -114,7 +115,9 @@
 		p.relay.o.Poison.Refused(c.target.ID(), err)
 		return notSent
 	}
-	p.lost(c)
+	if !target.WasEarly(err) {
+		p.lost(c)
+	}
 	return broken
 }
 
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -27,7 +27,10 @@
 // SendError is a failure to get an answer.
 type SendError struct {
 	// Sent tells that any byte of the request may have reached the target.
-	Sent  bool
+	Sent bool
+	// Early tells that a kept connection ended sooner than an answer could have come over
+	// it: it was closed before the request arrived.
+	Early bool
 	cause error
 }
 
@@ -48,6 +51,12 @@
 	return errors.As(err, &s) && s.Sent
 }
 
+// WasEarly reports whether a request failed on a connection that its target had closed before.
+func WasEarly(err error) bool {
+	var s *SendError
+	return errors.As(err, &s) && s.Early
+}
+
 // Incoming is the answer of a target, whose body is still to be read.
 type Incoming struct {
 	Status int
--- a/core/target/line.go
+++ b/core/target/line.go
@@ -47,11 +47,10 @@
 		},
 		Control: func(_, _ string, c syscall.RawConn) error { return c.Control(setUnacked) },
 	}
+	began := time.Now()
 	conn, err := d.DialContext(ctx, "tcp", address)
+	p.opened(address, time.Since(began), err)
 	if err != nil {
-		p.poolMu.Lock()
-		p.peer(address).open--
-		p.poolMu.Unlock()
 		return nil, errors.WithStack(err)
 	}
 	if p.Opened != nil {
@@ -60,6 +59,19 @@
 	return &line{pool: p, address: address, conn: conn.(*net.TCPConn), r: bufio.NewReaderSize(conn, readSize)}, nil
 }
 
+// opened records how the opening of a connection went.
+func (p *Pool) opened(address string, took time.Duration, err error) {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	known := p.peer(address)
+	switch {
+	case err != nil:
+		known.open--
+	case known.trip == 0 || took < known.trip:
+		known.trip = took
+	}
+}
+
 // setUnacked sets unackedLimit on a connection.
 func setUnacked(fd uintptr) {
 	// Without the option a dead target is noticed later, by the probes.
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -34,6 +34,8 @@
 	most int
 	// keep is how long the target keeps an idle connection.
 	keep time.Duration
+	// trip is the least time that a connection took to open: a round trip.
+	trip time.Duration
 }
 
 // Bounds of kept connections.
@@ -127,6 +129,7 @@
 		return nil, &SendError{cause: err}
 	}
 	in := &Incoming{line: l, wrote: make(chan error, 1)}
+	began, kept := time.Now(), !l.used.IsZero()
 	in.stop = context.AfterFunc(ctx, func() { l.conn.SetDeadline(time.Unix(1, 0)) })
 	w := writer{l, out, in.wrote}
 	if len(out.Body) <= directWrite {
@@ -140,7 +143,7 @@
 		if c := context.Cause(ctx); c != nil {
 			err = c
 		}
-		return nil, &SendError{Sent: true, cause: err}
+		return nil, &SendError{Sent: true, Early: kept && p.early(address, time.Since(began)), cause: err}
 	}
 	return in, nil
 }
@@ -165,6 +168,16 @@
 	return nil
 }
 
+// early reports whether an end came too soon after a request for the target to have read it:
+// within a round trip. A request that was sent to a second worker while that one was ending as
+// well, of something else, was taken for what it ended of.
+func (p *Pool) early(address string, took time.Duration) bool {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	known := p.peers[address]
+	return known != nil && took < known.trip
+}
+
 // get returns a connection to an address, waiting a little where all are used.
 func (p *Pool) get(ctx context.Context, address string, fresh time.Duration) (*line, error) {
 	for {
--- a/core/target/pool_test.go
+++ b/core/target/pool_test.go
@@ -196,3 +196,18 @@
 	g.Expect(<-done).NotTo(gomega.HaveOccurred())
 	g.Expect(p.Room(s.address)).To(gomega.Equal(1))
 }
+
+// A connection that the target closed while a request was on its way to it ends within a round
+// trip; one that it closes when it has the request takes longer.
+func TestAnEndWithinARoundTripWasThereBefore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p Pool
+	p.peer("a:1").trip = 10 * time.Millisecond
+	g.Expect(p.early("a:1", 9*time.Millisecond)).To(gomega.BeTrue())
+	g.Expect(p.early("a:1", 11*time.Millisecond)).To(gomega.BeFalse())
+	g.Expect(p.early("b:1", 0)).To(gomega.BeFalse())
+	p.opened("a:1", 4*time.Millisecond, nil)
+	g.Expect(p.early("a:1", 5*time.Millisecond)).To(gomega.BeFalse())
+	p.opened("a:1", 20*time.Millisecond, nil)
+	g.Expect(p.early("a:1", 3*time.Millisecond)).To(gomega.BeTrue())
+}
