Failing test: a prompt that ends engines, brought to emberd run

The same cause elsewhere: emberd run gives each try of a prompt to up to four engines, whatever becomes of them. Six tries of one prompt, a tenth of a second apart, end all eight engines of a site (at most four may end).

--- a/embfake/fake/engine.go
+++ b/embfake/fake/engine.go
@@ -61,6 +61,8 @@
 	report   target.Load        // the latest report, which lags; guarded by engineMu
 	runs     []EngineRun        // guarded by engineMu
 	busy     time.Duration      // prefill time; guarded by engineMu
+	fatal    string             // text whose prompts end the engine; guarded by engineMu
+	over     bool               // guarded by engineMu
 	close    context.CancelFunc
 }
 
@@ -138,6 +140,20 @@
 	e.Server.Close()
 }
 
+// EndOf makes the engine end for good when it begins to run a prompt that contains a text.
+func (e *Engine) EndOf(text string) {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	e.fatal = text
+}
+
+// Over reports whether a prompt has ended the engine.
+func (e *Engine) Over() bool {
+	e.engineMu.Lock()
+	defer e.engineMu.Unlock()
+	return e.over
+}
+
 // Runs returns every prompt that was answered.
 func (e *Engine) Runs() []EngineRun {
 	e.engineMu.Lock()
@@ -273,6 +289,12 @@
 		e.engineMu.Unlock()
 		return c.String(http.StatusConflict, "these weights are not loaded\n")
 	}
+	if e.fatal != "" && strings.Contains(p.Prompt, e.fatal) {
+		e.over = true
+		e.engineMu.Unlock()
+		e.Close()
+		return hangUp(c)
+	}
 	e.streams[s.id] = s
 	e.queue = append(e.queue, s)
 	if !e.working {
