What would end a daemon that reads it is passed over, not read by the next one

The same cause elsewhere: a message between daemons, or a key of the platform's store, that meets a state which the program rules out ended the process that read it. The sender then asked other daemons, up to six; the store's reader met the key again at each start, and all daemons read it. Ruled out: decoders (fuzzed: FuzzStoreValues; frames are bounded and typed); requests of callers (net/http survives them, emberd run reports them). Change: both are reported (invariantBroken, with the stack) and answered with an error, or passed over with the former state in force. emberd host writes such reports to its log. Figures: TestAMessageThatWouldEndTheProcessIsAnswered and TestAChangeThatWouldEndItsReaderIsPassedOver end the test process on the code before.

--- a/core/wire/mux.go
+++ b/core/wire/mux.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"embertally.dev/core/bugs"
 )
 
 // Handler answers one kind of message. from is the proven name of the sender.
@@ -205,12 +207,27 @@
 
 const kindHello Kind = "hello"
 
+// errBroken is what a peer is told whose message met a state that the program rules out.
+var errBroken = errors.New("the daemon met a state that it rules out")
+
+// guarded handles a message. One that would end the process is answered with an error: who
+// sent it asks other daemons next, which would end in their turn.
+func guarded(ctx context.Context, h Handler, from string, e *envelope) (reply any, err error) {
+	defer func() {
+		if why := recover(); why != nil {
+			bugs.Report("message %s of %s: %v", e.Kind, from, why)
+			reply, err = nil, errors.WithStack(errBroken)
+		}
+	}()
+	return h(ctx, from, e.Body)
+}
+
 func (s *served) answer(ctx context.Context, e *envelope) {
 	h := s.mux.handlers[e.Kind]
 	reply := &envelope{ID: e.ID}
 	if h == nil {
 		reply.Err = "no handler for " + string(e.Kind)
-	} else if v, err := h(ctx, s.from, e.Body); err != nil {
+	} else if v, err := guarded(ctx, h, s.from, e); err != nil {
 		reply.Err = err.Error()
 	} else if reply.Body, err = msgpack.Marshal(v); err != nil {
 		reply.Err = err.Error()
--- a/core/wire/wire_test.go
+++ b/core/wire/wire_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
+
+	"embertally.dev/core/bugs"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -150,3 +153,25 @@
 		}
 	})
 }
+
+// A message that meets a state which the program rules out is answered with an error, and the
+// daemon goes on: its sender asks others next, which would end one after the other.
+func TestAMessageThatWouldEndTheProcessIsAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var reported atomic.Int64
+	t.Cleanup(bugs.Handle(func(string, []byte) { reported.Add(1) }))
+	var m Mux
+	m.Register("fatal", Handle(func(context.Context, string, *hello) (*hello, error) {
+		var none map[string]int
+		none["a"] = 1
+		return nil, nil
+	}))
+	m.Register("echo", Handle(func(_ context.Context, _ string, h *hello) (*hello, error) { return h, nil }))
+	link := NewLink("me", "peer", serve(t, &m), nil)
+	defer link.Close()
+	var got hello
+	g.Expect(link.Call(context.Background(), "fatal", &hello{"x"}, &got)).To(gomega.MatchError(ErrRemote))
+	g.Expect(link.Call(context.Background(), "echo", &hello{"still there"}, &got)).To(gomega.Succeed())
+	g.Expect(got.Text).To(gomega.Equal("still there"))
+	g.Expect(reported.Load()).To(gomega.Equal(int64(1)))
+}
--- a/emberd/internal/host/current_test.go
+++ b/emberd/internal/host/current_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/bugs"
 	"embertally.dev/core/clock"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/poison"
 )
 
 // known returns a daemon that has just heard from a peer what the store holds.
@@ -64,3 +67,18 @@
 	h.mirror.Take(nil, 1, clock.Now())
 	g.Expect(h.current()).To(gomega.BeTrue())
 }
+
+// A change that meets a state which the program rules out is passed over, and the daemon goes
+// on: else all daemons end of it, and again at each start.
+func TestAChangeThatWouldEndItsReaderIsPassedOver(t *testing.T) {
+	g, h := known(t)
+	reported := 0
+	t.Cleanup(bugs.Handle(func(string, []byte) { reported++ }))
+	guard := h.poison
+	h.poison = nil // what a change meets that nobody thought of
+	h.observe([]plat.Change{{Pair: plat.Pair{Key: poison.KeyBlocks + "00"}}, {Pair: plat.Pair{Key: "op/evacuate/z1"}}})
+	h.poison = guard
+	g.Expect(reported).To(gomega.Equal(1))
+	_, evacuated := h.roster.Evacuated("z1", time.Now())
+	g.Expect(evacuated).To(gomega.BeTrue(), "the changes after it are taken")
+}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -17,6 +17,7 @@
 
 	"github.com/google/uuid"
 
+	"embertally.dev/core/bugs"
 	"embertally.dev/core/cache"
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
@@ -86,6 +87,9 @@
 	h := &Host{set: set, began: time.Now(), stats: relay.NewStats(), times: learn.NewTimes(), spool: event.NewSpool(os.Stdout)}
 	h.log = event.NewLog(set.Name, h.spool, event.FormatJSON, event.Level(set.LogLevel))
 	h.log.SetPace(&event.Pace{PerSecond: set.LogRate})
+	bugs.Handle(func(text string, stack []byte) {
+		h.log.Emit(event.InvariantBroken, event.Ref{}, text+"\n"+string(stack))
+	})
 	incarnation := uuid.NewString()
 	h.store = platform.NewStore("http://"+set.Store, newClient())
 	h.mirror = plat.NewMirror(h.store, plat.Prefix(""), h.log)
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"embertally.dev/core/bugs"
 	"embertally.dev/core/cache"
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
@@ -14,32 +15,50 @@
 func (h *Host) observe(changes []plat.Change) {
 	var newest *table.Table
 	for _, c := range changes {
-		h.poison.Observe(c)
-		news, err := h.decoder.Read(c)
-		h.complain(c.Key, err)
-		switch {
-		case news.Unusable != "":
-			h.unlist(news.Unusable)
-		case err != nil:
-			continue
-		case news.Table != nil:
-			newest = news.Table
-		case news.Target != nil:
-			if former := h.roster.Put(*news.Target); former != nil {
-				h.pool.Forget(former.Entry().Address)
+		survive(c.Key, func() {
+			if t := h.take(c); t != nil {
+				newest = t
 			}
-		case news.Gone != "":
-			h.gone(news.Gone)
-		case news.Evacuation != nil:
-			h.roster.Evacuate(news.Evacuation.Domain, news.Evacuation.On, time.Now())
-		case news.Named != nil:
-			h.named.set(news.Named.Model, news.Named.Version)
-			h.log.Emit(event.ConfApplied, event.Ref{Resource: c.Key}, "weights named, version "+itoa(news.Named.Version))
-		}
+		})
 	}
 	if newest != nil {
-		h.apply(newest)
+		survive("the configuration", func() { h.apply(newest) })
+	}
+}
+
+// survive runs what takes a change of the store. One that would end the process is passed
+// over: all daemons read the same, and would end of it at each start.
+func survive(what string, f func()) {
+	defer func() {
+		if why := recover(); why != nil {
+			bugs.Report("%s, from the store: %v", what, why)
+		}
+	}()
+	f()
+}
+
+// take takes one change, and returns the configuration that it holds, if any.
+func (h *Host) take(c plat.Change) *table.Table {
+	h.poison.Observe(c)
+	news, err := h.decoder.Read(c)
+	h.complain(c.Key, err)
+	switch {
+	case news.Unusable != "":
+		h.unlist(news.Unusable)
+	case err != nil:
+	case news.Target != nil:
+		if former := h.roster.Put(*news.Target); former != nil {
+			h.pool.Forget(former.Entry().Address)
+		}
+	case news.Gone != "":
+		h.gone(news.Gone)
+	case news.Evacuation != nil:
+		h.roster.Evacuate(news.Evacuation.Domain, news.Evacuation.On, time.Now())
+	case news.Named != nil:
+		h.named.set(news.Named.Model, news.Named.Version)
+		h.log.Emit(event.ConfApplied, event.Ref{Resource: c.Key}, "weights named, version "+itoa(news.Named.Version))
 	}
+	return news.Table
 }
 
 // complain logs why a key cannot be read, once until it can be read again: targets write
