--- a/core/wire/wire_test.go
+++ b/core/wire/wire_test.go
@@ -162,9 +162,7 @@
 	t.Cleanup(bugs.Handle(func(string, []byte) { reported.Add(1) }))
 	var m Mux
 	m.Register("fatal", Handle(func(context.Context, string, *hello) (*hello, error) {
-		var none map[string]int
-		none["a"] = 1
-		return nil, nil
+		panic("what nobody thought of")
 	}))
 	m.Register("echo", Handle(func(_ context.Context, _ string, h *hello) (*hello, error) { return h, nil }))
 	link := NewLink("me", "peer", serve(t, &m), nil)
