Keepers are told of all requests at once, and lost daemons are not asked

Cause: read again, not seen: a run that ends has some ten requests, told one after the other to two daemons each, with half a second for each that is frozen; the one request at fault could be the last, seconds later. The correction was lost where the other keeper had blocked the request. Ruled out: only daemons that are heard (those that start together would each count for themselves: tests of fleets that have just started failed with it). Change: all requests of a run are told at once; daemons known to be lost are passed over (fleet.View.Living); corrections are always kept. Figures: TestSilentKeepersDoNotHoldUpTheWord, 60 proper requests beside the one at fault and two of six daemons silent: known everywhere within 3 s. It was not run on the code before.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -121,6 +121,23 @@
 	return names
 }
 
+// Living returns the daemons of the whole fleet that do not drain and are not known to be lost,
+// this one included. Those of this cell that have not been heard since this daemon started
+// count: daemons that start together agree on it before they hear each other.
+func (v *View) Living() []string {
+	names := make([]string, 0, len(v.peers)+1)
+	for _, p := range v.peers {
+		unheard := p.Cell == v.cell && p.Incarnation == ""
+		if (p.Alive || unheard) && !p.Draining {
+			names = append(names, p.Name)
+		}
+	}
+	if !v.draining {
+		names = append(names, v.self)
+	}
+	return names
+}
+
 // Place returns how many of the daemons of this cell, or of the whole fleet, come before
 // this one for key, and how many daemons these are. All that are known count, heard or
 // not: who is cut off must not take itself for the first. Until the list of boxes is known
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -223,6 +223,29 @@
 	r.g.Eventually(r.blocked(f), most, "5ms").Should(gomega.BeNumerically(">=", 4))
 }
 
+// Daemons that are silent do not hold up the word: two of the fleet are frozen, and many proper
+// requests were there beside the one at fault.
+func TestSilentKeepersDoNotHoldUpTheWord(t *testing.T) {
+	r := newRig(t, 6)
+	for i := range 2 {
+		r.members[i].stop()
+		l, err := net.Listen("tcp", r.seeds[i].Address)
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(func() { l.Close() })
+	}
+	r.members = r.members[2:]
+	f := asks("fatal")
+	for run := range 3 {
+		for i := range 20 {
+			r.ends(run, asks(fmt.Sprintf("beside %d, %d", run, i)), fmt.Sprintf("run-%d", run))
+		}
+		r.ends(run, f, fmt.Sprintf("run-%d", run))
+		r.counted(f, run+1)
+		clock.Suspend(togetherTime)
+	}
+	r.g.Eventually(r.blocked(f), "3s", "5ms").Should(gomega.Equal(4))
+}
+
 // A daemon that starts hears of blocks from its peers, where the store is away.
 func TestADaemonThatStartsHearsOfBlocks(t *testing.T) {
 	r := newRig(t, 3)
--- a/core/poison/keep.go
+++ b/core/poison/keep.go
@@ -108,11 +108,12 @@
 	k.keeperMu.Lock()
 	defer k.keeperMu.Unlock()
 	s := k.suspects[f]
-	if s == nil || s.weight() < weightMost {
+	if s == nil {
 		return false
 	}
+	over := s.weight() >= weightMost
 	s.add(run, half, clock.Now())
-	return s.weight() < weightMost
+	return over && s.weight() < weightMost
 }
 
 // clear forgets the ends that were laid to a request.
--- a/core/poison/tell.go
+++ b/core/poison/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,26 +54,32 @@
 	sent  []sent
 }
 
+// run tells of all at once: a keeper that does not answer must not hold up the word of the
+// one request that is at fault.
 func (t teller) run() {
-	var alone []sent
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for _, who := range t.sent {
-		if t.tell(who) {
-			alone = append(alone, who)
-		}
+		wg.Go(func() { t.tell(who) })
+	}
+}
+
+// tell tells the keepers of one request. Whether other runs ended together with this one shows
+// a moment later and is told then. Waiting for it would cost targets: a caller that repeats
+// at once ended four more in this time.
+func (t teller) tell(who sent) {
+	if !t.say(who) {
+		return
 	}
-	// Whether other runs ended together with it shows a moment later. Waiting for that would
-	// cost targets: a caller that repeats at once ended four more in this time.
 	time.Sleep(togetherTime)
-	for _, who := range alone {
-		if !t.guard.sends.alone(t.name, who.request) {
-			t.tell(who)
-		}
+	if !t.guard.sends.alone(t.name, who.request) {
+		t.say(who)
 	}
 }
 
-// tell tells the keepers of one request, and reports whether the run ended alone as far as is
-// known.
-func (t teller) tell(who sent) bool {
+// say tells the keepers of one request what is known now, and reports whether the run ended
+// alone.
+func (t teller) say(who sent) bool {
 	n := &endNews{
 		Request: who.request, Organisation: who.organisation, Run: t.name,
 		Good: t.guard.sends.wasGood(who.request), Alone: t.guard.sends.alone(t.name, who.request),
@@ -84,7 +91,7 @@
 // tellKeepers tells the keepers of a request, the first that answer.
 func (g *Guard) tellKeepers(n *endNews) {
 	view := g.o.Fleet.View()
-	ranked := fleet.Rank(key(n.Request), view.Listed())
+	ranked := fleet.Rank(key(n.Request), view.Living())
 	told, most := 0, 0
 	for _, name := range ranked[:min(len(ranked), keepersTried)] {
 		got, err := g.tellKeeper(view.Self(), name, n)
--- a/core/poison/watch.go
+++ b/core/poison/watch.go
@@ -118,8 +118,8 @@
 	return !known
 }
 
-// alone reports whether no other run ended together with one, but of those where the request
-// was too.
+// alone reports whether no other run ended together with one. Those where the request was too
+// don't count: it may have ended them in turn.
 func (s *sends) alone(run string, f Fingerprint) bool {
 	s.sendsMu.Lock()
 	defer s.sendsMu.Unlock()
@@ -129,7 +129,7 @@
 	}
 	for _, e := range s.ends {
 		apart := e.at.Sub(s.ends[at].at).Abs()
-		there := slices.ContainsFunc(e.sent, func(who sent) bool { return who.request == f })
+		there := e.run == run || slices.ContainsFunc(e.sent, func(who sent) bool { return who.request == f })
 		if apart < togetherTime && !there {
 			return false
 		}
