--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -200,6 +200,13 @@
 	return out.Request
 }
 
+// list returns the blocks as they are told, those that were taken back or ended included.
+func (l *blocks) list() []block {
+	l.blocksMu.Lock()
+	defer l.blocksMu.Unlock()
+	return l.all()
+}
+
 // all returns the blocks as they are told. It is called with blocksMu held.
 func (l *blocks) all() []block {
 	out := make([]block, 0, len(l.known))
--- a/core/poison/store.go
+++ b/core/poison/store.go
@@ -78,9 +78,7 @@
 	if g.o.Mirror.Down() || clock.Since(g.o.Mirror.Fresh()) > storeFresh {
 		return
 	}
-	g.blocks.blocksMu.Lock()
-	list := g.blocks.all()
-	g.blocks.blocksMu.Unlock()
+	list := g.blocks.list()
 	view := g.o.Fleet.View()
 	for i := range list {
 		b := &list[i]
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -207,9 +207,11 @@
 	case kept != nil:
 		kept.write(p)
 		return nil
-	case p.runs == 0 && why == endsTargets:
-		return p.blocked()
 	case p.runs == 0:
+		if refusal := p.blocked(); refusal != nil {
+			return refusal
+		}
+		// Where it was blocked, that was taken back just now.
 		return p.notNow(entry.CodeNoTarget, "no target takes the request now: "+why, p.line)
 	case !time.Now().Before(p.until):
 		return entry.NewRefusal(http.StatusGatewayTimeout, entry.CodeTimeout, entry.Unknown, "no answer came in time", 0)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -633,3 +634,14 @@
 		})
 	}
 }
+
+// A request that was given up since it was blocked gets an answer also where the block is taken
+// back at that moment.
+func TestARequestThatIsNoLongerBlockedIsRefused(t *testing.T) {
+	r := newRig(t, nil)
+	req := httptest.NewRequest(http.MethodPost, "/once/", nil)
+	p := &pass{relay: r.relay, r: req, w: httptest.NewRecorder(), began: time.Now(), until: time.Now().Add(time.Second)}
+	refusal := p.giveUp(nil, endsTargets)
+	r.g.Expect(refusal).NotTo(gomega.BeNil())
+	r.g.Expect(refusal.Status).To(gomega.Equal(http.StatusServiceUnavailable))
+}
