--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -27,7 +27,7 @@
 	Table func() *table.Table
 	// Named returns the newest version named of a model's weights.
 	Named func(model string) int64
-	// Changed makes other daemons hear at once that a swap has begun or ended.
+	// Changed makes other daemons hear at once that a swap has begun or ended. It must be set.
 	Changed func()
 	// Audience hears of swaps beside, or nil.
 	Audience Audience
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -76,7 +76,7 @@
 	// heard lately which weights are named.
 	CopyMay func() bool
 	// Placed hears of each long prompt that is sent, so that other daemons learn
-	// of it at once.
+	// of it at once. It must be set.
 	Placed func()
 	// Share returns the workers that this daemon's requests go to, where a large
 	// fleet shares them out so that daemons know the load of theirs.
