--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -122,8 +122,8 @@
 }
 
 // lost records that the connection to a target ended under the request. It may have been the
-// request that ended the target: at one worker of 14 after the other 21 ended of one request
-// in 15 s, each with some ten others that ran there.
+// request that ended the target: of one request that its caller repeated 21 workers ended one
+// after the other, in 15 s, with all that ran on them.
 func (p *pass) lost(c *choice) {
 	if e := c.target.Entry(); !e.Leaving {
 		p.relay.o.Poison.Lost(p.asks, p.organisationName(), c.target.ID(), e.Address)
