The keeper of counts holds no list of blocks that it never used

Found on reading the whole change again: keeper.blocks was set and never read, and a comment was broken over its lines. Behaviour is as it was. Looked at and left: the pairs that duplicates lists (two locked look-ups of different maps, wire types, tests), and the clone of the dial's limit in emberd run, which its context bounds as well.

--- a/core/poison/blocks_test.go
+++ b/core/poison/blocks_test.go
@@ -109,7 +109,7 @@
 // Suspects with the fewest ends give way first.
 func TestSuspectsGiveWayByTheirEnds(t *testing.T) {
 	g := gomega.NewWithT(t)
-	k := newKeeper(&event.Log{}, newTestBlocks())
+	k := newKeeper(&event.Log{})
 	f := asks("twice")
 	k.count(f, "org", "run-1", whole)
 	k.count(f, "org", "run-2", whole)
@@ -124,7 +124,7 @@
 // An end counts for an hour.
 func TestEndsAreForgotten(t *testing.T) {
 	g := gomega.NewWithT(t)
-	k := newKeeper(&event.Log{}, newTestBlocks())
+	k := newKeeper(&event.Log{})
 	f := asks("seldom")
 	k.count(f, "org", "run-1", whole)
 	k.count(f, "org", "run-2", whole)
--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -59,7 +59,7 @@
 // New returns a guard. It must be called before the fleet runs.
 func New(o Options) *Guard {
 	b := newBlocks(o.Log, o.Fleet.Kick)
-	g := &Guard{o: o, blocks: b, keeper: newKeeper(o.Log, b), known: map[Fingerprint]int{}}
+	g := &Guard{o: o, blocks: b, keeper: newKeeper(o.Log), known: map[Fingerprint]int{}}
 	o.Fleet.Attach("blocks", b)
 	o.Fleet.Mux().Register(kindEnd, wire.Handle(g.hearEnd))
 	o.Fleet.Mux().Register(kindBlock, wire.Handle(g.hearBlocks))
--- a/core/poison/keep.go
+++ b/core/poison/keep.go
@@ -68,15 +68,14 @@
 // keeper counts, for the requests that fall to this daemon, under how many runs of targets
 // each was there when they ended.
 type keeper struct {
-	log    *event.Log
-	blocks *blocks
+	log *event.Log
 
 	keeperMu sync.Mutex
 	suspects map[Fingerprint]*suspect // guarded by keeperMu
 }
 
-func newKeeper(log *event.Log, b *blocks) *keeper {
-	return &keeper{log: log, blocks: b, suspects: map[Fingerprint]*suspect{}}
+func newKeeper(log *event.Log) *keeper {
+	return &keeper{log: log, suspects: map[Fingerprint]*suspect{}}
 }
 
 // count takes one daemon's word that a run ended under a request, and returns how many have,
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -135,10 +135,10 @@
 }
 
 // blocked refuses a request under which too many runs of targets ended, and returns nil for
-// others. A caller that comes
-// back before its time is refused again at once, which costs nothing but the answer; each
-// time that such a request is sent costs a target and all that runs there. The status is
-// that of a refusal that may be repeated, since nothing is wrong with what was asked.
+// others. A caller that comes back before its time is refused again at once, which costs
+// nothing but the answer; each time that such a request is sent costs a target and all that
+// runs there. The status is that of a refusal that may be repeated, since nothing is wrong
+// with what was asked.
 func (p *pass) blocked() *entry.Refusal {
 	left, on := p.relay.o.Poison.Blocked(p.asks)
 	if !on {
