Sight: what targets say of themselves in their answers is read, counted and noted

No choice changes.

Read: Server-Leaving on any answer; Retry-After on 503 and 429 only, seconds with fractions or a date by the answer's own date, the longest of several. Not taken: an answer that names another request, and a 421 that does not name the target that was asked. Tests of core/relay and platform pass.

--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -63,6 +63,12 @@
 	Weights int64
 	// Encoded tells that the body is not as the target made it.
 	Encoded bool
+	// Leaves tells that the target says that it leaves.
+	Leaves bool
+	// Rest is how long the target wants nothing, where it turns the request away and says so, and
+	// Odd what it says of that and can't be read, or "".
+	Rest time.Duration
+	Odd  string
 }
 
 // Dialect names the headers between callers, the system and targets.
--- /dev/null
+++ b/core/relay/hear.go
@@ -0,0 +1,27 @@
+package relay
+
+// hear takes what a target says of itself in the head of an answer. Each answer to a request of a
+// caller comes by here before any of it is passed on.
+func (p *pass) hear(c *choice, moved bool, reply *Reply) {
+	if !p.saidBy(c, moved, reply) {
+		return
+	}
+	if reply.Leaves {
+		p.relay.o.Stats.SaidLeaving.Inc()
+		p.note("%s says that it leaves", c.target.ID())
+	}
+	if reply.Rest > 0 || reply.Odd != "" {
+		p.relay.o.Stats.AskedRest.Inc()
+		p.note("%s asks for %s of rest%s", c.target.ID(), reply.Rest, reply.Odd)
+	}
+}
+
+// saidBy reports whether an answer is the word of the target that was asked. One that names
+// another request may be anybody's, and one that the address has passed on comes from another
+// target unless it names this one.
+func (p *pass) saidBy(c *choice, moved bool, reply *Reply) bool {
+	if moved {
+		return reply.Target == c.target.Entry().Name
+	}
+	return reply.ID == p.ask.ID || (reply.ID == "" && reply.NotRun)
+}
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -146,6 +146,7 @@
 // check decides whether an answer is the target's answer to this request.
 func (p *pass) check(c *choice, in *target.Incoming, reply *Reply) (outcome, bool) {
 	moved := in.Status == http.StatusMisdirectedRequest
+	p.hear(c, moved, reply)
 	switch {
 	case reply.ID != "" && reply.ID != p.ask.ID, reply.ID == "" && !reply.NotRun && !moved:
 		p.relay.o.Stats.Foreign.Inc()
