A target that says in an answer that it leaves gets no more, by one gate of all ways of sending

What callers saw: nothing yet; prompts went on for six seconds to a worker that had said in each answer that it leaves, and would have been cut at its end.

Cause: what a target says of itself beside its answer was not read. Its entry in the platform's list was the only source, and that is behind or away just when it matters. Class: word of mouth of the one concerned is thrown away for that of a third party. Beside it each way of sending (own choice, home in another cell, swaps) had a list of reasons of its own why a target gets nothing.

Change: roster keeps what each run said, by run and beyond its entry; one gate (Gate, Enter) says whether a target may get a send now, is asked at the choice and once more when a connection is there and no byte has gone out. Heard from heads of all answers to callers' requests, of orders and of questions for a worker's state. Told to the cell by heartbeats, at once; to homes in other cells with the question and the news. Swaps, the guard against requests that end targets, and the lapse of entries go by the same word.

Why it holds: the mark is of the run and never ends, so no later entry, stale read or peer takes it back; a next run begins without it.

Ruled out: marking by address (another target may get it), by a 421 without a name, by an answer to another request.

--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -32,6 +32,8 @@
 	DomainReturned  Code = 2019
 	TargetEnded     Code = 2020
 
+	TargetSaysLeaving Code = 2021
+
 	ConfApplied   Code = 3001
 	ConfWritten   Code = 3002
 	ConfRejected  Code = 3003
@@ -128,6 +130,7 @@
 	{DomainEvacuated, "domainEvacuated", Warning, "Operators ask to send nothing to the targets of a failure domain; the resource names it."},
 	{DomainReturned, "domainReturned", Info, "An evacuation was taken back; the domain's targets get few requests until they count as warm."},
 	{TargetEnded, "targetEnded", Warning, "A run of a target ended under requests of this daemon, not as planned; the text counts them."},
+	{TargetSaysLeaving, "targetSaysLeaving", Info, "A run of a target said in an answer that it leaves, and gets no new work whatever its entry says; the text has whose answer: this daemon's or a peer's."},
 
 	{ConfApplied, "confApplied", Debug, "A configuration change is in force in this daemon."},
 	{ConfWritten, "confWritten", Info, "A configuration change was committed through this daemon."},
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -163,13 +163,19 @@
 			pr.total++
 		case ordered[t.ID()]:
 			pr.total++
-		case t.Entry().Weights[model] < version && !t.Entry().Leaving && now.After(s.rest[t.ID()]) && right.Held():
+		case t.Entry().Weights[model] < version && !s.leaves(t) && now.After(s.rest[t.ID()]) && right.Held():
 			pr.behind[right] = append(pr.behind[right], t)
 		}
 	}
 	return pr
 }
 
+// leaves reports whether a worker leaves: the load of weights would end with it.
+func (s *Swapper) leaves(t *roster.Target) bool {
+	_, leaves := s.o.Roster.Leaving(t)
+	return leaves
+}
+
 // nextOf returns the swaps of one model to begin now. It is called with swapMu
 // held.
 func (s *Swapper) nextOf(service, model string) []*job {
--- a/core/relay/hear.go
+++ b/core/relay/hear.go
@@ -1,5 +1,7 @@
 package relay
 
+import "embertally.dev/core/roster"
+
 // hear takes what a target says of itself in the head of an answer. Each answer to a request of a
 // caller comes by here before any of it is passed on.
 func (p *pass) hear(c *choice, moved bool, reply *Reply) {
@@ -9,6 +11,11 @@
 	if reply.Leaves {
 		p.relay.o.Stats.SaidLeaving.Inc()
 		p.note("%s says that it leaves", c.target.ID())
+		c.order.left()
+		if p.relay.o.Roster.Leaves(c.target.ID(), roster.ByAnswer) {
+			// Other daemons hear of it at once: a heartbeat may be a second away.
+			p.relay.o.Placed()
+		}
 	}
 	if reply.Rest > 0 || reply.Odd != "" {
 		p.relay.o.Stats.AskedRest.Inc()
--- /dev/null
+++ b/core/relay/hear_test.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/roster"
+)
+
+// says answers with a head of its own and no body.
+func says(status int, head string) handler {
+	return func(w *bufio.Writer, r *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 %d X\r\nSeal: s\r\nContent-Length: 0\r\n%s\r\n", status, head)
+		return nil
+	}
+}
+
+// leaves reports whether a target is taken to leave.
+func (r *rig) leaves(id string) bool {
+	_, leaves := r.roster.Leaving(r.roster.Target(id))
+	return leaves
+}
+
+// Which heads are the word of the target that was asked.
+func TestWhoseWordAnAnswerIs(t *testing.T) {
+	tests := []struct {
+		name, path string
+		answer     handler
+		want       bool
+	}{
+		{"a whole answer", "/once/", says(200, "Id: try-1\r\nLeaves: 1\r\n"), true},
+		{"a failure", "/once/", says(500, "Id: try-1\r\nLeaves: 1\r\n"), true},
+		{"a refusal", "/once/", says(503, "Id: try-1\r\nNot-Run: 1\r\nLeaves: 1\r\n"), true},
+		{"a refusal without ID", "/once/", says(503, "Not-Run: 1\r\nLeaves: 1\r\n"), true},
+		{"an answer without a signature", "/again/", func(w *bufio.Writer, _ *http.Request) error {
+			fmt.Fprint(w, "HTTP/1.1 200 X\r\nId: try-1\r\nLeaves: 1\r\nContent-Length: 0\r\n\r\n")
+			return nil
+		}, true},
+		{"a stream's head", "/stream/", func(w *bufio.Writer, _ *http.Request) error {
+			fmt.Fprint(w, "HTTP/1.1 200 X\r\nId: try-1\r\nSeal: s\r\nLeaves: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+			return nil
+		}, true},
+		{"an answer to another request", "/once/", says(200, "Id: try-9\r\nLeaves: 1\r\n"), false},
+		{"an answer without ID", "/once/", says(200, "Leaves: 1\r\n"), false},
+		{"another target at the address", "/once/", says(421, "Run: other\r\nLeaves: 1\r\n"), false},
+		{"some target at the address", "/once/", says(421, "Leaves: 1\r\n"), false},
+		{"the target itself, of other weights", "/stream/", says(421, "Run: a\r\nLeaves: 1\r\n"), true},
+		{"no answer in the protocol", "/once/", func(w *bufio.Writer, _ *http.Request) error {
+			fmt.Fprint(w, "Leaves: 1\r\n\r\n")
+			return http.ErrAbortHandler
+		}, false},
+		{"one that says nothing", "/once/", says(200, "Id: try-1\r\n"), false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			service := "plain"
+			if tc.path == "/stream/" {
+				service = "llm"
+			}
+			r.target("a", service, always(tc.answer))
+			r.ask(http.MethodPost, tc.path, "x", "Model", "m", "Parts", "p:100")
+			r.g.Expect(r.leaves("a")).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
+// A request that waits for a connection while another answer says that the target leaves is not
+// sent there.
+func TestARequestInLineForAConnectionIsNotSentToATargetThatLeaves(t *testing.T) {
+	r := newRig(t, nil)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	r.target("a", "plain", always(func(w *bufio.Writer, req *http.Request) error {
+		arrived <- struct{}{}
+		<-release
+		return says(200, "Id: try-1\r\nLeaves: 1\r\n")(w, req)
+	}))
+	r.relay.o.Pool.SetMost(r.roster.Target("a").Entry().Address, 1)
+	first := make(chan got)
+	go func() { first <- r.ask(http.MethodPost, "/once/", "x") }()
+	<-arrived
+	// It is chosen before the word comes, as by a race for the last connection.
+	p := &pass{relay: r.relay, began: time.Now(), until: time.Now().Add(time.Second), tried: map[string]int{}}
+	p.r, _ = http.NewRequest(http.MethodPost, "/once/", http.NoBody)
+	p.r.RequestURI = "/once/"
+	p.route = r.relay.Table().Match("h", "/once/")
+	c := &choice{target: r.roster.Target("a"), load: roster.Load{Running: 1}}
+	second := make(chan outcome)
+	go func() { out, _ := p.attempt(p.r.Context(), c); second <- out }()
+	r.g.Eventually(func() int { return r.roster.Target("a").Load().Running }, soon, "1ms").Should(gomega.Equal(2))
+	close(release)
+	r.g.Expect((<-first).status).To(gomega.Equal(200))
+	r.g.Expect(<-second).To(gomega.Equal(stopped))
+	r.g.Expect(r.sends()).To(gomega.HaveLen(1))
+	r.g.Expect(r.roster.Target("a").Load()).To(gomega.Equal(roster.Load{}))
+}
+
+// A home in another cell that does not know that workers leave is told so with the question, and
+// chooses the one that stays.
+func TestAHomeIsToldWhatAWorkerSaidToTheAsker(t *testing.T) {
+	const daemons = 24
+	h := newHomesRig(t, daemons, 8, always(streams(true, "id: 1\ndata: a\n\n")))
+	cell, workers := h.cell("context")
+	asker := -1
+	for i, f := range h.fleet {
+		if f.View().Cell() != cell {
+			asker = i
+			break
+		}
+	}
+	h.g.Expect(asker).To(gomega.BeNumerically(">=", 0))
+	// The asker alone knows that all workers of the home's cell but one leave.
+	for _, id := range workers[1:] {
+		h.rigs[asker].roster.Leaves(id, roster.ByAnswer)
+	}
+	before := len(h.rigs[0].sends())
+	for range 4 {
+		h.g.Expect(h.ask(asker, "context").status).To(gomega.Equal(200))
+	}
+	for _, s := range h.rigs[0].sends()[before:] {
+		h.g.Expect(s.target).To(gomega.Equal(workers[0]))
+	}
+}
--- a/core/relay/homes.go
+++ b/core/relay/homes.go
@@ -93,7 +93,8 @@
 	Prompt, Size int
 	Domain       string
 	Spent, Left  time.Duration
-	// Tried are the workers that were sent to before.
+	// Tried are the workers that were sent to before, and those that may get no send from this
+	// daemon by their own word: the home may not know of it, and would choose them again.
 	Tried []string
 	// Regions bind where it may run.
 	Regions regions
@@ -164,6 +165,8 @@
 	// Silent that there was none, and Rests that the worker refused it while it seemed to
 	// change its weights.
 	Ended, Bad, Silent, Rests bool
+	// Leaves tells that the worker said that it leaves.
+	Leaves bool
 }
 
 // chooseAtHome returns the choice of the home of the request's context, where another
@@ -229,6 +232,7 @@
 	for id := range p.tried {
 		ask.Tried = append(ask.Tried, id)
 	}
+	ask.Tried = append(ask.Tried, p.relay.o.Roster.Stopped(p.service)...)
 	return ask
 }
 
@@ -236,14 +240,10 @@
 // daemon may send to.
 func (p *pass) orderOf(h *Homes, peer string, ask *placeAsk, got *placeAnswer) *choice {
 	t := p.relay.o.Roster.Target(got.Target)
-	if t == nil || t.Entry().Leaving || p.relay.o.Outdated(p.ask.Model, got.Weights) {
+	if t == nil || p.relay.o.Outdated(p.ask.Model, got.Weights) || !p.allowed(t.Entry().Domain) {
 		return nil
 	}
-	now := time.Now()
-	if health := t.Health(now); health.Gone || health.Suspect {
-		return nil
-	}
-	if _, on := p.relay.o.Roster.Evacuated(t.Entry().Domain, now); on || !p.allowed(t.Entry().Domain) {
+	if stop, _ := p.relay.o.Roster.Gate(time.Now()).Stop(t); stop != roster.Open {
 		return nil
 	}
 	address := t.Entry().Address
@@ -304,7 +304,7 @@
 	ask        *placeAsk
 	answer     *placeAnswer
 	// bad, silent and rests are what is told with the end.
-	bad, silent, rests bool
+	bad, silent, rests, leaves bool
 }
 
 // tell sends news in the background: what is lost runs out at the home.
@@ -340,10 +340,17 @@
 	}
 }
 
+// left records that the worker said that it leaves.
+func (o *homeOrder) left() {
+	if o != nil {
+		o.leaves = true
+	}
+}
+
 // ended tells that the send has ended.
 func (o *homeOrder) ended() {
 	if o != nil {
-		o.tell(&placeNews{Ended: true, Bad: o.bad, Silent: o.silent, Rests: o.rests})
+		o.tell(&placeNews{Ended: true, Bad: o.bad, Silent: o.silent, Rests: o.rests, Leaves: o.leaves})
 	}
 }
 
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -53,24 +53,19 @@
 // shared tells that this daemon is one of those who share the targets.
 func (p *pass) options(svc *table.Service, list []*roster.Target, shared bool, now time.Time) ([]option, string) {
 	var out []option
-	ordered, resting := p.relay.o.Roster.Ordered(now), p.relay.o.Roster.Resting(now)
+	gate, reloading := p.relay.o.Roster.Gate(now), p.relay.o.Roster.Reloading(now)
 	var none shortage
 	for _, t := range list {
-		o := option{target: t, entry: t.Entry(), health: t.Health(now), load: t.Load()}
-		switch {
-		case o.entry.Leaving, o.health.Gone, p.tried[t.ID()] > 0, ordered[t.ID()]:
-			continue
-		case o.health.Suspect:
-			none.suspects++
+		if p.tried[t.ID()] > 0 {
 			continue
 		}
+		o := option{target: t, entry: t.Entry(), health: t.Health(now), load: t.Load()}
 		if !p.allowed(o.entry.Domain) {
 			none.elsewhere++
 			continue
 		}
-		if lasts, on := p.relay.o.Roster.Evacuated(o.entry.Domain, now); on {
-			none.evacuated++
-			none.lasts = max(none.lasts, lasts)
+		if stop, lasts := gate.Stop(t); stop != roster.Open {
+			none.stopped(stop, lasts)
 			continue
 		}
 		p.bound(svc, o.entry.Address)
@@ -79,7 +74,7 @@
 			continue
 		}
 		o.version = o.entry.Weights[p.ask.Model]
-		if svc.Engine != nil && resting[t.ID()] && o.version < p.relay.o.Named(p.ask.Model) {
+		if svc.Engine != nil && reloading[t.ID()] && o.version < p.relay.o.Named(p.ask.Model) {
 			none.full++
 			continue
 		}
@@ -105,11 +100,25 @@
 
 // shortage counts the targets that may not get a request, by reason.
 type shortage struct {
-	full, suspects, outdated, evacuated, elsewhere int
+	full, suspects, outdated, evacuated, elsewhere, leaving int
 	// lasts is the longest time that an evacuation has lasted.
 	lasts time.Duration
 }
 
+// stopped counts a target that may get no send from anybody here.
+func (l *shortage) stopped(why roster.Stop, lasts time.Duration) {
+	switch why {
+	case roster.Suspect:
+		l.suspects++
+	case roster.Evacuated:
+		l.evacuated++
+		l.lasts = max(l.lasts, lasts)
+	case roster.Leaves:
+		l.leaving++
+	default:
+	}
+}
+
 // why says why no target may get a request.
 func (l *shortage) why() string {
 	switch {
@@ -123,6 +132,8 @@
 		return allEvacuated
 	case l.elsewhere > 0:
 		return "no target is in a region where the request may run"
+	case l.leaving > 0:
+		return "all targets leave"
 	}
 	return "no target is listed"
 }
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -8,6 +8,8 @@
 	done outcome = iota
 	// notSent: no byte reached the target.
 	notSent
+	// stopped: no byte went out, since the target may get nothing any more.
+	stopped
 	// refused: the target says that it did not run the request.
 	refused
 	// broken: there is no answer, or not a whole one; it may have run.
@@ -23,7 +25,7 @@
 	cut
 )
 
-var outcomeNames = [...]string{"done", "notSent", "refused", "broken", "bad", "left", "late", "cut"}
+var outcomeNames = [...]string{"done", "notSent", "stopped", "refused", "broken", "bad", "left", "late", "cut"}
 
 // String returns the outcome as it stands in log lines.
 func (o outcome) String() string { return outcomeNames[o] }
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -94,6 +94,9 @@
 			return nil
 		case late:
 			return p.giveUp(kept, "the time is up")
+		case stopped:
+			// It is chosen no more as long as that holds.
+			p.untry(c.target.ID())
 		case notSent:
 			// The target got nothing; another one may get the request.
 			if unsent++; unsent >= unsentMost {
@@ -107,6 +110,13 @@
 	}
 }
 
+// untry takes back that a target was sent to.
+func (p *pass) untry(id string) {
+	if p.tried[id]--; p.tried[id] <= 0 {
+		delete(p.tried, id)
+	}
+}
+
 // endsTargets says that targets end of a request.
 const endsTargets = "targets end of it"
 
--- a/core/relay/placed.go
+++ b/core/relay/placed.go
@@ -115,6 +115,9 @@
 // learn takes what came of the choice, and ends what is counted of it.
 func (pl *placement) learn(n *placeNews, now time.Time) {
 	c := pl.choice
+	if n.Leaves {
+		pl.pass.relay.o.Roster.Leaves(c.target.ID(), roster.ByPeer)
+	}
 	switch {
 	case n.Rests:
 		pl.pass.rest(c)
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -60,7 +60,7 @@
 	version, _ := strconv.ParseInt(h.Get("Weights"), 10, 64)
 	return Reply{
 		ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Target: h.Get("Run"),
-		Weights: version, Encoded: h.Get("Content-Encoding") != "",
+		Weights: version, Encoded: h.Get("Content-Encoding") != "", Leaves: h.Get("Leaves") != "",
 	}
 }
 
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -96,7 +96,10 @@
 		p.sends++
 		p.runs++
 	}
+	var stop *stopError
 	switch {
+	case errors.As(err, &stop):
+		return stopped
 	case gone(p.r.Context()):
 		return left
 	case errors.Is(err, target.ErrFull):
@@ -125,8 +128,8 @@
 // request that ended the target: of one request that its caller repeated 21 workers ended one
 // after the other, in 15 s, with all that ran on them.
 func (p *pass) lost(c *choice) {
-	if e := c.target.Entry(); !e.Leaving {
-		p.relay.o.Poison.Lost(p.asks, p.organisationName(), c.target.ID(), e.Address)
+	if _, leaves := p.relay.o.Roster.Leaving(c.target); !leaves {
+		p.relay.o.Poison.Lost(p.asks, p.organisationName(), c.target.ID(), c.target.Entry().Address)
 	}
 }
 
@@ -189,7 +192,7 @@
 		return
 	}
 	c.order.refused()
-	p.relay.o.Roster.Rest(c.target.ID(), time.Now().Add(restTime))
+	p.relay.o.Roster.Reloads(c.target.ID(), time.Now().Add(restTime))
 	p.relay.o.Placed()
 }
 
@@ -212,13 +215,29 @@
 	s.After = p.after
 	s.Organisation = p.organisationName()
 	p.relay.o.Dialect.Sending(h, &s)
-	out := &target.Outgoing{Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body}
+	out := &target.Outgoing{Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body, May: p.mayGo(c)}
 	if !p.route.MayRepeat() {
 		out.Fresh = freshLimit
 	}
 	return out
 }
 
+// stopError says why a send did not go out.
+type stopError struct{ why roster.Stop }
+
+// Error describes the reason.
+func (e *stopError) Error() string { return "the target " + e.why.String() }
+
+// mayGo returns what is asked before the bytes of a choice go out.
+func (p *pass) mayGo(c *choice) func() error {
+	return func() error {
+		if stop := p.relay.o.Roster.Enter(c.target); stop != roster.Open {
+			return &stopError{stop}
+		}
+		return nil
+	}
+}
+
 // freshLimit is the idle time after which a connection is not used for what
 // may run only once: targets may close idle connections without notice.
 const freshLimit = 1500 * time.Millisecond
--- a/core/roster/domains.go
+++ b/core/roster/domains.go
@@ -37,7 +37,12 @@
 // Evacuated reports whether nothing may be sent to the targets of a failure domain, and
 // for how long this daemon has known so.
 func (r *Roster) Evacuated(domain string, now time.Time) (time.Duration, bool) {
-	e, known := (*r.evacuations.Load())[domain]
+	return evacuated(*r.evacuations.Load(), domain, now)
+}
+
+// evacuated is Evacuated by what operators had asked at some moment.
+func evacuated(asked map[string]evacuation, domain string, now time.Time) (time.Duration, bool) {
+	e, known := asked[domain]
 	if !known || !e.ended.IsZero() {
 		return 0, false
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -100,9 +100,12 @@
 	// peerOrdered is the same for each peer, from its last heartbeat; it is not
 	// passed on. Guarded by rosterMu.
 	peerOrdered map[string]map[string]time.Time
-	// resting says until when a target that refused work is passed over, and peerResting
-	// the same as peers told. Guarded by rosterMu.
-	resting, peerResting map[string]time.Time
+	// reloading says until when a target that refused work while its weights were older than
+	// named is passed over, and peerReloading the same as peers told. Guarded by rosterMu.
+	reloading, peerReloading map[string]time.Time
+	// said holds what runs said of themselves in their answers, by ID. It outlives their entries,
+	// which may go and come back. Guarded by rosterMu.
+	said map[string]*said
 	// learnedAt says when a target was last seen to hold newer weights than were
 	// known. Guarded by rosterMu.
 	learnedAt map[string]time.Time
@@ -121,7 +124,7 @@
 	}
 	r := &Roster{
 		log: log, regained: regained, targets: map[string]*Target{}, runs: map[string]string{}, ended: map[string]string{}, early: map[string]Entry{}, peers: map[string]peerLoads{}, loaded: map[string]bool{},
-		resting: map[string]time.Time{}, peerResting: map[string]time.Time{},
+		reloading: map[string]time.Time{}, peerReloading: map[string]time.Time{}, said: map[string]*said{},
 		ordered: map[string]time.Time{}, peerOrdered: map[string]map[string]time.Time{}, learnedAt: map[string]time.Time{},
 	}
 	r.evacuations.Store(&map[string]evacuation{})
@@ -181,7 +184,7 @@
 
 // renew takes what the list says anew of a run. It is called with rosterMu held.
 func (r *Roster) renew(t *Target, e Entry) {
-	if e.Leaving && !t.Entry().Leaving {
+	if _, known := r.leaving(t); e.Leaving && !known {
 		r.log.Emit(event.BoxLeaving, event.Ref{Target: e.ID}, e.Service+" at "+e.Address)
 	}
 	moved := e.Service != t.Entry().Service
@@ -223,7 +226,8 @@
 		return
 	}
 	back, silence := r.regained()
-	if until := back.Add(returnTime); silence >= lapseFrom && now.Before(until) && !t.Entry().Leaving {
+	_, leaving := r.leaving(t)
+	if until := back.Add(returnTime); silence >= lapseFrom && now.Before(until) && !leaving {
 		t.lapse(time.Now().Add(until.Sub(now)))
 		r.log.Emit(event.TargetSuspect, event.Ref{Target: t.id}, "its entry lapsed in an outage of the list")
 		time.AfterFunc(until.Sub(now), func() { r.expire(t.id) })
@@ -262,7 +266,8 @@
 	}
 	t.retire()
 	if r.Removed != nil {
-		r.Removed(t.id, t.Entry().Leaving)
+		_, leaving := r.leaving(t)
+		r.Removed(t.id, leaving)
 	}
 	r.log.Emit(event.BoxGone, event.Ref{Target: t.id}, t.Entry().Service+" at "+t.Entry().Address)
 	r.publish()
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -166,12 +166,12 @@
 	one, other := New(&event.Log{}, nil), New(&event.Log{}, nil)
 	one.Put(Entry{ID: "w"})
 	now := time.Now()
-	one.Rest("w", now.Add(time.Hour))
+	one.Reloads("w", now.Add(time.Hour))
 	raw, err := msgpack.Marshal(Share{one}.Collect(false))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	Share{other}.Receive("peer", raw)
-	g.Expect(other.Resting(now)).To(gomega.HaveKey("w"))
-	g.Expect(other.Resting(now.Add(time.Minute))).To(gomega.BeEmpty(), "what a peer tells is bounded")
+	g.Expect(other.Reloading(now)).To(gomega.HaveKey("w"))
+	g.Expect(other.Reloading(now.Add(time.Minute))).To(gomega.BeEmpty(), "what a peer tells is bounded")
 	g.Expect(other.Ordered(now)).To(gomega.BeEmpty())
 }
 
--- a/core/roster/share.go
+++ b/core/roster/share.go
@@ -22,13 +22,15 @@
 	// Learned holds the versions of models that the sender saw targets to hold
 	// lately, by target and model.
 	Learned map[string]map[string]int64
-	// Resting says for how many more milliseconds the sender passes over a target that
-	// refused work.
-	Resting map[string]int64
+	// Reloading says for how many more milliseconds the sender passes over a target that
+	// refused work while its weights were older than named.
+	Reloading map[string]int64
+	// Leaving are the runs that lately said in their answers that they leave.
+	Leaving []string
 }
 
-// mostRest bounds the milliseconds of rest that a peer may tell.
-const mostRest = 2000
+// mostReloading bounds the milliseconds that a peer may tell of a target that reloads.
+const mostReloading = 2000
 
 // Collect returns this daemon's part of a heartbeat.
 func (s Share) Collect(bool) any {
@@ -37,7 +39,8 @@
 	defer s.rosterMu.Unlock()
 	now := time.Now()
 	body.Ordered = millisLeft(s.ordered, now)
-	body.Resting = millisLeft(s.resting, now)
+	body.Reloading = millisLeft(s.reloading, now)
+	body.Leaving = s.leavingLately()
 	body.Learned = s.learnedLately(now)
 	return &body
 }
@@ -69,9 +72,15 @@
 	now := time.Now()
 	s.peers[peer] = peerLoads{now, body.Loads}
 	s.setPeerOrdered(peer, body.Ordered, now)
-	for id, millis := range body.Resting {
-		if until := now.Add(time.Duration(min(max(0, millis), mostRest)) * time.Millisecond); until.After(s.peerResting[id]) {
-			s.peerResting[id] = until
+	for id, millis := range body.Reloading {
+		if until := now.Add(time.Duration(min(max(0, millis), mostReloading)) * time.Millisecond); until.After(s.peerReloading[id]) {
+			s.peerReloading[id] = until
+		}
+	}
+	for _, id := range body.Leaving {
+		// What is not listed here yet is not taken from a peer: its first answer will say so.
+		if s.targets[id] != nil {
+			s.leaves(id, ByPeer)
 		}
 	}
 	for id, weights := range body.Learned {
--- a/core/roster/swaps.go
+++ b/core/roster/swaps.go
@@ -45,6 +45,11 @@
 func (r *Roster) Ordered(now time.Time) map[string]bool {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
+	return r.orderedNow(now)
+}
+
+// orderedNow is called with rosterMu held.
+func (r *Roster) orderedNow(now time.Time) map[string]bool {
 	out := map[string]bool{}
 	addOrdered(out, r.ordered, now)
 	for _, ordered := range r.peerOrdered {
@@ -65,23 +70,24 @@
 	}
 }
 
-// Rest records that a target refuses work while it changes its weights. Other daemons
+// Reloads records that a target refuses work while it changes its weights. Other daemons
 // hear of it; unlike Order it does not count as a change that this daemon knows of.
-func (r *Roster) Rest(id string, until time.Time) {
+func (r *Roster) Reloads(id string, until time.Time) {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	if until.After(r.resting[id]) {
-		r.resting[id] = until
+	if until.After(r.reloading[id]) {
+		r.reloading[id] = until
 	}
 }
 
-// Resting returns the targets that refused work lately, as this daemon or a peer says.
-func (r *Roster) Resting(now time.Time) map[string]bool {
+// Reloading returns the targets that lately refused work while their weights were older than
+// named, as this daemon or a peer says.
+func (r *Roster) Reloading(now time.Time) map[string]bool {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
 	out := map[string]bool{}
-	addOrdered(out, r.resting, now)
-	addOrdered(out, r.peerResting, now)
+	addOrdered(out, r.reloading, now)
+	addOrdered(out, r.peerReloading, now)
 	return out
 }
 
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -22,6 +22,9 @@
 	// Fresh asks for a connection that was used a moment ago or a new one, so
 	// that the request does not meet one that the target is just closing.
 	Fresh time.Duration
+	// May, if set, is asked when a connection is there and nothing was written yet. Where it
+	// returns an error nothing is, and the error is the cause of Send's.
+	May func() error
 }
 
 // SendError is a failure to get an answer.
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -128,6 +128,12 @@
 	if err != nil {
 		return nil, &SendError{cause: err}
 	}
+	if out.May != nil {
+		if err := out.May(); err != nil {
+			p.giveBack(l)
+			return nil, &SendError{cause: err}
+		}
+	}
 	in := &Incoming{line: l, wrote: make(chan error, 1)}
 	began := time.Now()
 	in.stop = context.AfterFunc(ctx, func() { l.conn.SetDeadline(time.Unix(1, 0)) })
@@ -243,6 +249,19 @@
 // put keeps a connection for the next request.
 func (p *Pool) put(l *line, keepAlive string) {
 	l.used = time.Now()
+	p.keepIdle(l, keepAlive)
+}
+
+// giveBack keeps a connection that was not used after all; it is as old as before to the target.
+func (p *Pool) giveBack(l *line) {
+	if l.used.IsZero() {
+		l.used = time.Now()
+	}
+	p.keepIdle(l, "")
+}
+
+// keepIdle puts a connection to the idle ones.
+func (p *Pool) keepIdle(l *line, keepAlive string) {
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	known := p.peer(l.address)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -109,6 +109,7 @@
 	h.fleet.Attach("targets", &h.targets)
 	h.fleet.Attach("retention", &h.retention)
 	engines := platform.NewEngines(newClient())
+	engines.Leaves = func(run string) { h.roster.Leaves(run, roster.ByAnswer) }
 	h.shelves = spread.NewShelves(engines, h.fleet)
 	h.kept = cache.NewKept(h.shelves, h.log)
 	h.shelves.Serve(h.kept)
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -94,6 +94,7 @@
 		{"mirror_questions_failed_total", func() float64 { return float64(h.mirrors.Failed()) }},
 		{"blocked_requests", func() float64 { return float64(h.poison.Blocks()) }},
 		{"suspected_requests", func() float64 { return float64(h.poison.Suspects()) }},
+		{"targets_leaving_by_answer", func() float64 { return float64(h.roster.LeavingCount()) }},
 		{"targets_ended_total", func() float64 { return float64(h.poison.EndedRuns()) }},
 		{"peer_bytes_total", func() float64 { return float64(h.fleet.Bytes()) }},
 	} {
