A target that asks for rest gets nothing meanwhile, and little just after it

Cause: what a refusal says beside the refusal was not read, and the refusal was forgotten with the request. A target that turns all away has nothing on its way, so it seemed the quickest and got 35 to 135 sends a second where sound ones got 7 to 31. Class: as with targets that leave, the word of the one concerned is thrown away; and a refusal makes its sender look better.

Change: roster keeps the rest by run; the gate says Rests until it is over, by the clock that counts suspensions. Of several the one that ends last holds. After it one send goes, then one more each 0.1 s, until one is taken. At most ten minutes are believed; what can't be read is one line a run. Where all rest a request waits only if the first rest ends soon enough, else it is refused at once and told the time, uncapped. A rest is not told to peers: it was asked of one daemon. The mark for workers whose weights are old, until now Rest and Resting, is named Reloads.

Why it holds: asked last when a connection is there, by the gate of all ways of sending, and our end is never before the target's: it counts from the arrival of the answer.

Ruled out: that requests chosen before ran on (they were evenly spread). Tests: platform, core/relay, core/roster; lint clean.

--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -33,6 +33,9 @@
 	TargetEnded     Code = 2020
 
 	TargetSaysLeaving Code = 2021
+	TargetRests       Code = 2022
+	TargetRested      Code = 2023
+	TargetUnreadable  Code = 2024
 
 	ConfApplied   Code = 3001
 	ConfWritten   Code = 3002
@@ -131,6 +134,9 @@
 	{DomainReturned, "domainReturned", Info, "An evacuation was taken back; the domain's targets get few requests until they count as warm."},
 	{TargetEnded, "targetEnded", Warning, "A run of a target ended under requests of this daemon, not as planned; the text counts them."},
 	{TargetSaysLeaving, "targetSaysLeaving", Info, "A run of a target said in an answer that it leaves, and gets no new work whatever its entry says; the text has whose answer: this daemon's or a peer's."},
+	{TargetRests, "targetRests", Info, "A target turned a request of this daemon away and asked for rest; it gets nothing for the time in the text. At most one line a second and target."},
+	{TargetRested, "targetRested", Info, "A target that rested has taken a request of this daemon again."},
+	{TargetUnreadable, "targetUnreadable", Warning, "A target asked for rest in a way that can't be read, which is passed over; one line for each run."},
 
 	{ConfApplied, "confApplied", Debug, "A configuration change is in force in this daemon."},
 	{ConfWritten, "confWritten", Info, "A configuration change was committed through this daemon."},
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -95,6 +95,14 @@
 	return entry.NewRefusal(http.StatusServiceUnavailable, code, entry.NotRun, text, p.comeBack(lasts))
 }
 
+// notBefore refuses a request that has not run and will be refused until a time that is known. That time
+// is told whole, also where the caller may not have it: one that comes back sooner is refused again. Callers
+// are spread over the time after it, not around it.
+func (p *pass) notBefore(code entry.Code, text string, ends time.Duration) *entry.Refusal {
+	after := time.Duration(float64(max(ends, soonest)) * (1 + comeBackSpread*rand.Float64()))
+	return entry.NewRefusal(http.StatusServiceUnavailable, code, entry.NotRun, text, after)
+}
+
 // limit works out until when the request may be held.
 func (p *pass) limit() {
 	left := defaultLimit
--- a/core/relay/hear.go
+++ b/core/relay/hear.go
@@ -20,6 +20,10 @@
 	if reply.Rest > 0 || reply.Odd != "" {
 		p.relay.o.Stats.AskedRest.Inc()
 		p.note("%s asks for %s of rest%s", c.target.ID(), reply.Rest, reply.Odd)
+		p.relay.o.Roster.Turned(c.target.ID(), roster.Asked{Rest: reply.Rest, Odd: reply.Odd})
+	}
+	if !moved && !reply.NotRun {
+		p.relay.o.Roster.Took(c.target.ID())
 	}
 }
 
--- a/core/relay/hear_test.go
+++ b/core/relay/hear_test.go
@@ -14,7 +14,7 @@
 
 // says answers with a head of its own and no body.
 func says(status int, head string) handler {
-	return func(w *bufio.Writer, r *http.Request) error {
+	return func(w *bufio.Writer, _ *http.Request) error {
 		fmt.Fprintf(w, "HTTP/1.1 %d X\r\nSeal: s\r\nContent-Length: 0\r\n%s\r\n", status, head)
 		return nil
 	}
@@ -126,3 +126,41 @@
 		h.g.Expect(s.target).To(gomega.Equal(workers[0]))
 	}
 }
+
+// Where all targets rest a request waits if the first rest ends soon enough for an answer in time;
+// else it is refused at once and told when that is.
+func TestWhereAllTargetsRest(t *testing.T) {
+	tests := []struct {
+		name  string
+		rests []time.Duration
+		// status is that of the first request that meets nothing but rests, and from when it is told
+		// to come back.
+		status int
+		from   time.Duration
+	}{
+		{"one of them for a moment", []time.Duration{time.Minute, 200 * time.Millisecond}, 200, 0},
+		{"all for long", []time.Duration{40 * time.Second, 20 * time.Second}, 503, 19 * time.Second},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			for i, d := range tc.rests {
+				id := fmt.Sprintf("t-%d", i)
+				r.target(id, "plain", always(answers(200, id)))
+				r.roster.Turned(id, roster.Asked{Rest: d})
+			}
+			began := time.Now()
+			got := r.ask(http.MethodPost, "/once/", "x")
+			r.g.Expect(got.status).To(gomega.Equal(tc.status))
+			if tc.status == 200 {
+				return
+			}
+			r.g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second), "half of what its caller has")
+			back, err := time.ParseDuration(got.header.Get("Come-Back"))
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(back).To(gomega.BeNumerically(">=", tc.from))
+			r.g.Expect(back).To(gomega.BeNumerically("<=", tc.from*2))
+			r.g.Expect(r.sends()).To(gomega.BeEmpty())
+		})
+	}
+}
--- a/core/relay/homes.go
+++ b/core/relay/homes.go
@@ -162,9 +162,9 @@
 	// First is how long after the send the first event came; 0 where none has yet.
 	First time.Duration
 	// Ended tells that the send has ended, Bad that its answer was bad or broke off,
-	// Silent that there was none, and Rests that the worker refused it while it seemed to
+	// Silent that there was none, and Reloads that the worker refused it while it seemed to
 	// change its weights.
-	Ended, Bad, Silent, Rests bool
+	Ended, Bad, Silent, Reloads bool
 	// Leaves tells that the worker said that it leaves.
 	Leaves bool
 }
@@ -303,8 +303,8 @@
 	peer, name string
 	ask        *placeAsk
 	answer     *placeAnswer
-	// bad, silent and rests are what is told with the end.
-	bad, silent, rests, leaves bool
+	// bad, silent, reloads and leaves are what is told with the end.
+	bad, silent, reloads, leaves bool
 }
 
 // tell sends news in the background: what is lost runs out at the home.
@@ -333,10 +333,10 @@
 	}
 }
 
-// refused records that the worker rests.
+// refused records that the worker seems to change its weights.
 func (o *homeOrder) refused() {
 	if o != nil {
-		o.rests = true
+		o.reloads = true
 	}
 }
 
@@ -350,7 +350,7 @@
 // ended tells that the send has ended.
 func (o *homeOrder) ended() {
 	if o != nil {
-		o.tell(&placeNews{Ended: true, Bad: o.bad, Silent: o.silent, Rests: o.rests, Leaves: o.leaves})
+		o.tell(&placeNews{Ended: true, Bad: o.bad, Silent: o.silent, Reloads: o.reloads, Leaves: o.leaves})
 	}
 }
 
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -42,7 +42,8 @@
 	}
 	mine := p.relay.shares.of(p.service, all, &p.relay.o)
 	own, why = p.options(svc, mine.own, true, now)
-	if len(own) > 0 || why == allFull {
+	if len(own) > 0 || why == allFull || why == allRest {
+		// Where all of its own rest, the others would be overrun by what these turned away.
 		return own, mine.part, why
 	}
 	own, why = p.options(svc, all, false, now)
@@ -85,10 +86,15 @@
 		}
 		out = append(out, o)
 	}
-	if len(out) == 0 && none.why() == allEvacuated {
+	why := none.why()
+	switch {
+	case len(out) > 0:
+	case why == allEvacuated:
 		p.line = none.lasts
+	case why == allRest:
+		p.line = none.rest
 	}
-	return out, none.why()
+	return out, why
 }
 
 // Reasons why no target may get a request.
@@ -96,13 +102,17 @@
 	// allFull says that targets are there but take nothing more now.
 	allFull      = "all targets are full"
 	allEvacuated = "all failure domains of the service are evacuated"
+	// allRest says that targets are there and each asked this daemon for rest; the first
+	// of these ends at a time that is known.
+	allRest = "all targets rest"
 )
 
 // shortage counts the targets that may not get a request, by reason.
 type shortage struct {
-	full, suspects, outdated, evacuated, elsewhere, leaving int
-	// lasts is the longest time that an evacuation has lasted.
-	lasts time.Duration
+	full, suspects, outdated, evacuated, elsewhere, leaving, resting int
+	// lasts is the longest time that an evacuation has lasted, rest the time until the first rest
+	// ends.
+	lasts, rest time.Duration
 }
 
 // stopped counts a target that may get no send from anybody here.
@@ -115,6 +125,11 @@
 		l.lasts = max(l.lasts, lasts)
 	case roster.Leaves:
 		l.leaving++
+	case roster.Rests:
+		if l.resting == 0 || lasts < l.rest {
+			l.rest = lasts
+		}
+		l.resting++
 	default:
 	}
 }
@@ -124,6 +139,8 @@
 	switch {
 	case l.full > 0:
 		return allFull
+	case l.resting > 0:
+		return allRest
 	case l.outdated > 0:
 		return "all targets hold weights that were replaced too long ago"
 	case l.suspects > 0:
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -143,9 +143,11 @@
 			}
 			p.take(c, time.Now())
 			return c, why
+		case c == nil && why == allRest && p.hopeful(p.line):
+			// The first rest ends soon enough.
 		case c == nil && why != allFull:
 			return nil, why
-		case p.relay.o.Without.Waiting, !p.hopeful():
+		case p.relay.o.Without.Waiting, !p.hopeful(0):
 			return nil, allFull
 		}
 		if !wait.For(ctx, holdLook) {
@@ -159,9 +161,9 @@
 const hopefulChance = 0.5
 
 // hopeful reports whether an answer is likely to come in time if a target takes
-// the request now.
-func (p *pass) hopeful() bool {
-	now := time.Now()
+// the request some time from now.
+func (p *pass) hopeful(in time.Duration) bool {
+	now := time.Now().Add(in)
 	e := p.estimate(now)
 	expected := e.Time(learn.Factors{Own: p.ask.Prompt - p.shared()})
 	return e.Chance((p.route.Aim-now.Sub(p.began)).Seconds()/expected.Seconds()) >= hopefulChance
@@ -222,6 +224,9 @@
 			return refusal
 		}
 		// Where it was blocked, that was taken back just now.
+		if why == allRest {
+			return p.notBefore(entry.CodeNoTarget, "no target takes the request now: "+why, p.line)
+		}
 		return p.notNow(entry.CodeNoTarget, "no target takes the request now: "+why, p.line)
 	case !time.Now().Before(p.until):
 		return entry.NewRefusal(http.StatusGatewayTimeout, entry.CodeTimeout, entry.Unknown, "no answer came in time", 0)
--- a/core/relay/placed.go
+++ b/core/relay/placed.go
@@ -119,8 +119,8 @@
 		pl.pass.relay.o.Roster.Leaves(c.target.ID(), roster.ByPeer)
 	}
 	switch {
-	case n.Rests:
-		pl.pass.rest(c)
+	case n.Reloads:
+		pl.pass.reloads(c)
 	case n.Silent:
 		pl.pass.silent(c)
 	case n.Bad:
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -170,7 +170,7 @@
 		}
 	case reply.NotRun:
 		p.relay.o.Stats.NotRun.Inc()
-		p.rest(c)
+		p.reloads(c)
 	default:
 		return done, true
 	}
@@ -180,19 +180,19 @@
 	return refused, false
 }
 
-// restTime is how long a worker that refused a request while older weights than named are
+// reloadTime is how long a worker that refused a request while older weights than named are
 // on it is passed over by all daemons of the cell. Orders are told in the cell of the
 // daemon that gives them, one of 25 on the large site: workers refused 21,320 of 73,943
 // sends on a day with two new versions, and 12,656 tries of callers ended with 503.
-const restTime = 700 * time.Millisecond
+const reloadTime = 700 * time.Millisecond
 
-// rest passes over a worker that seems to change its weights.
-func (p *pass) rest(c *choice) {
+// reloads passes over a worker that seems to change its weights.
+func (p *pass) reloads(c *choice) {
 	if c.sending.Weights == 0 || c.sending.Weights >= p.relay.o.Named(p.ask.Model) {
 		return
 	}
 	c.order.refused()
-	p.relay.o.Roster.Reloads(c.target.ID(), time.Now().Add(restTime))
+	p.relay.o.Roster.Reloads(c.target.ID(), time.Now().Add(reloadTime))
 	p.relay.o.Placed()
 }
 
--- a/core/roster/gate.go
+++ b/core/roster/gate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"embertally.dev/core/clock"
 )
 
 // Stop says why a target may get no send now.
@@ -17,13 +19,15 @@
 	Leaves
 	// Swaps: it is about to change its weights.
 	Swaps
+	// Rests: it asked this daemon for nothing for a while, or bears little just after that.
+	Rests
 	// Suspect: it did not answer lately.
 	Suspect
 	// Evacuated: operators ask to send nothing to its failure domain.
 	Evacuated
 )
 
-var stopNames = [...]string{"open", "gone", "leaves", "changes its weights", "does not answer", "evacuated"}
+var stopNames = [...]string{"open", "gone", "leaves", "changes its weights", "rests", "does not answer", "evacuated"}
 
 // String returns the reason as it stands in log lines.
 func (s Stop) String() string { return stopNames[s] }
@@ -34,10 +38,17 @@
 type Gate struct {
 	at          time.Time
 	ordered     map[string]bool
-	leaving     map[string]bool
+	words       map[string]word
 	evacuations map[string]evacuation
 }
 
+// word is what a target said of itself, as it counts at one moment.
+type word struct {
+	leaves bool
+	// rests is for how much longer it gets nothing.
+	rests time.Duration
+}
+
 // Gate returns the gate of a moment.
 func (r *Roster) Gate(now time.Time) *Gate {
 	r.rosterMu.Lock()
@@ -46,24 +57,26 @@
 	if len(r.said) == 0 {
 		return g
 	}
-	g.leaving = make(map[string]bool, len(r.said))
-	for id := range r.said {
-		g.leaving[id] = true
+	g.words = make(map[string]word, len(r.said))
+	for id, s := range r.said {
+		g.words[id] = word{s.leaves, s.rest.left(clock.Now())}
 	}
 	return g
 }
 
-// Stop returns why a target may get no send, and how long that holds where it is known: as long
-// again as an evacuation has lasted.
+// Stop returns why a target may get no send, and how long that holds where it is known: what is
+// left of a rest, or as long again as an evacuation has lasted.
 func (g *Gate) Stop(t *Target) (Stop, time.Duration) {
-	health := t.Health(g.at)
+	health, w := t.Health(g.at), g.words[t.id]
 	switch {
 	case health.Gone:
 		return Gone, 0
-	case g.leaving[t.id] || t.Entry().Leaving:
+	case w.leaves || t.Entry().Leaving:
 		return Leaves, 0
 	case g.ordered[t.id]:
 		return Swaps, 0
+	case w.rests > 0:
+		return Rests, w.rests
 	case health.Suspect:
 		return Suspect, 0
 	}
@@ -73,12 +86,19 @@
 	return Open, 0
 }
 
-// Enter reports by Open that a send may go out to a target now. It is asked last, when a connection
-// is there: between the choice and that time the target may have said to another request that it
-// leaves.
+// Enter reports by Open that a send may go out to a target now, and counts it. It is asked last,
+// when a connection is there: between the choice and that time the target may have said to another
+// request that it leaves or rests.
 func (r *Roster) Enter(t *Target) Stop {
-	stop, _ := r.Gate(time.Now()).Stop(t)
-	return stop
+	if stop, _ := r.Gate(time.Now()).Stop(t); stop != Open {
+		return stop
+	}
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	if s := r.said[t.id]; s != nil && !s.rest.take(clock.Now()) {
+		return Rests
+	}
+	return Open
 }
 
 // Leaving reports whether a run leaves, and by what that is known.
@@ -90,7 +110,7 @@
 
 // leaving is called with rosterMu held.
 func (r *Roster) leaving(t *Target) (Source, bool) {
-	if s := r.said[t.id]; s != nil {
+	if s := r.said[t.id]; s != nil && s.leaves {
 		return s.source, true
 	}
 	return ByList, t.Entry().Leaving
@@ -101,8 +121,9 @@
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
 	var out []string
-	for id := range r.said {
-		if t := r.targets[id]; t != nil && t.Entry().Service == service {
+	now := clock.Now()
+	for id, s := range r.said {
+		if t := r.targets[id]; t != nil && t.Entry().Service == service && (s.leaves || s.rest.left(now) > 0) {
 			out = append(out, id)
 		}
 	}
--- a/core/roster/gate_test.go
+++ b/core/roster/gate_test.go
@@ -84,5 +84,6 @@
 	r.Put(entry("c"))
 	r.Leaves("c", ByAnswer)
 	g.Expect(r.said).To(gomega.HaveLen(1))
-	g.Expect(r.LeavingCount()).To(gomega.Equal(1))
+	leaving, _ := r.WordCounts()
+	g.Expect(leaving).To(gomega.Equal(1))
 }
--- /dev/null
+++ b/core/roster/rest_test.go
@@ -0,0 +1,115 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
+)
+
+// ask is that a target asks for rest at a time.
+type ask struct{ at, rest time.Duration }
+
+func TestHowLongARestLasts(t *testing.T) {
+	tests := []struct {
+		name string
+		asks []ask
+		at   time.Duration
+		want time.Duration
+	}{
+		{"not asked", nil, 0, 0},
+		{"asked", []ask{{0, 3 * time.Second}}, time.Second, 2 * time.Second},
+		{"over", []ask{{0, 3 * time.Second}}, 3 * time.Second, 0},
+		{"two at once", []ask{{0, 3 * time.Second}, {0, 3 * time.Second}}, time.Second, 2 * time.Second},
+		{"a shorter one later", []ask{{0, 3 * time.Second}, {time.Second, time.Second}}, time.Second, 2 * time.Second},
+		{"a longer one later", []ask{{0, time.Second}, {500 * time.Millisecond, 3 * time.Second}}, time.Second, 2500 * time.Millisecond},
+		{"one after the other", []ask{{0, time.Second}, {2 * time.Second, time.Second}}, 2500 * time.Millisecond, 500 * time.Millisecond},
+		{"the longest that is believed", []ask{{0, RestMost}}, 0, RestMost},
+		{"a longer one", []ask{{0, 1e9 * time.Second}}, 0, RestMost},
+		{"a tenth of a millisecond", []ask{{0, 100 * time.Microsecond}}, 0, 100 * time.Microsecond},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			start := clock.Now()
+			var r rest
+			for _, a := range tc.asks {
+				r.ask(a.rest, start.Add(a.at))
+			}
+			g.Expect(r.left(start.Add(tc.at))).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
+// After a rest one send goes out, then one more each rampStep, until one is taken or the
+// target counts as any other. One that is turned away again begins the next rest.
+func TestFewSendsFollowARest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := clock.Now()
+	end := start.Add(time.Second)
+	var r rest
+	g.Expect(r.ask(time.Second, start)).To(gomega.BeTrue())
+	g.Expect(r.take(start.Add(999 * time.Millisecond))).To(gomega.BeFalse())
+	g.Expect(r.take(end)).To(gomega.BeTrue())
+	g.Expect(r.take(end)).To(gomega.BeFalse())
+	g.Expect(r.left(end)).To(gomega.Equal(rampStep))
+	sent := 1
+	for at := time.Duration(0); at < rampSteps*rampStep; at += rampStep / 10 {
+		if r.take(end.Add(at)) {
+			sent++
+		}
+	}
+	g.Expect(sent).To(gomega.Equal(rampSteps))
+	g.Expect(r.left(end.Add(rampSteps * rampStep))).To(gomega.BeZero())
+
+	g.Expect(r.ask(time.Second, end)).To(gomega.BeTrue())
+	g.Expect(r.left(end)).To(gomega.Equal(time.Second))
+	g.Expect(r.end(end)).To(gomega.BeFalse(), "an answer to what was under way ends no rest")
+	g.Expect(r.take(end.Add(time.Second))).To(gomega.BeTrue())
+	g.Expect(r.end(end.Add(time.Second))).To(gomega.BeTrue())
+	g.Expect(r.take(end.Add(time.Second))).To(gomega.BeTrue())
+	g.Expect(r.take(end.Add(time.Second))).To(gomega.BeTrue())
+}
+
+// A rest is of the run that asked, and counts the time that the machine was suspended.
+func TestARestIsOfOneRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New(&event.Log{}, nil)
+	r.Put(run("a@1000", 1000))
+	target := r.Target("a@1000")
+	g.Expect(r.Turned("a@1000", Asked{})).To(gomega.BeFalse(), "it asks for nothing")
+	g.Expect(r.Turned("a@1000", Asked{Odd: "x"})).To(gomega.BeFalse(), "it asks for what can't be read")
+	g.Expect(r.Enter(target)).To(gomega.Equal(Open))
+	g.Expect(r.Turned("a@1000", Asked{Rest: time.Minute})).To(gomega.BeTrue())
+	g.Expect(r.Turned("a@1000", Asked{Rest: time.Minute})).To(gomega.BeFalse(), "it rests already")
+	g.Expect(r.Enter(target)).To(gomega.Equal(Rests))
+	g.Expect(r.Stopped(target.Entry().Service)).To(gomega.Equal([]string{"a@1000"}))
+	stop, left := r.Gate(time.Now()).Stop(target)
+	g.Expect(stop).To(gomega.Equal(Rests))
+	g.Expect(left).To(gomega.BeNumerically("~", time.Minute, 5*time.Second))
+	r.Put(run("a@1000", 1000))
+	g.Expect(r.Enter(r.Target("a@1000"))).To(gomega.Equal(Rests), "its entry says that it is ready")
+	r.Put(run("a@2000", 2000))
+	g.Expect(r.Enter(r.Target("a@2000"))).To(gomega.Equal(Open), "the next run asked for nothing")
+
+	r.Turned("a@2000", Asked{Rest: time.Minute})
+	clock.Suspend(time.Minute)
+	g.Expect(r.Enter(r.Target("a@2000"))).To(gomega.Equal(Open))
+	g.Expect(r.Enter(r.Target("a@2000"))).To(gomega.Equal(Rests), "few at first")
+	r.Took("a@2000")
+	g.Expect(r.Enter(r.Target("a@2000"))).To(gomega.Equal(Open))
+}
+
+// Peers are not told of a rest: it was asked of one daemon.
+func TestPeersDoNotHearOfARest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New(&event.Log{}, nil)
+	r.Put(entry("a"))
+	r.Turned("a", Asked{Rest: time.Minute})
+	body := Share{r}.Collect(true).(*shareBody)
+	g.Expect(body.Leaving).To(gomega.BeEmpty())
+	g.Expect(body.Reloading).To(gomega.BeEmpty())
+}
--- a/core/roster/said.go
+++ b/core/roster/said.go
@@ -20,12 +20,19 @@
 // said is what one run of a target said of itself in its answers. The list may be seconds behind
 // or away and says nothing else then: in 13 s of such an outage 12 prompts went to a target that had
 // said in each answer that it leaves.
-//
-// That it leaves never ends: a run that leaves is not ready again, whatever its entry says later.
 type said struct {
-	// source is by what it is known that the run leaves, and at since when.
+	// leaves never ends: a run that leaves is not ready again, whatever its entry says later.
+	leaves bool
 	source Source
-	at     clock.Time
+	// at is when it was first heard that the run leaves, or else when anything was.
+	at clock.Time
+	// rest is what the run asked this daemon for. It is not told to others: how much a target bears
+	// of one of them says little of what it bears of the next.
+	rest rest
+	// told is when a line was last written of its rests, and odd tells that one was written of
+	// what can't be read.
+	told clock.Time
+	odd  bool
 }
 
 // saidLife is how long what a run said is kept after its entry went, in case the entry is back:
@@ -33,6 +40,23 @@
 // has left.
 const saidLife = time.Hour
 
+// saidOf returns what a run said, to be changed. It is called with rosterMu held.
+func (r *Roster) saidOf(id string) *said {
+	s := r.said[id]
+	if s != nil {
+		return s
+	}
+	now := clock.Now()
+	for other, old := range r.said {
+		if r.targets[other] == nil && now.Sub(old.at) > saidLife {
+			delete(r.said, other)
+		}
+	}
+	s = &said{at: now}
+	r.said[id] = s
+	return s
+}
+
 // Leaves records that a run of a target said that it leaves, and by what that is known.
 // It reports whether this is new.
 func (r *Roster) Leaves(id string, by Source) bool {
@@ -43,16 +67,11 @@
 
 // leaves is called with rosterMu held.
 func (r *Roster) leaves(id string, by Source) bool {
-	if r.said[id] != nil {
+	if s := r.said[id]; s != nil && s.leaves {
 		return false
 	}
-	now := clock.Now()
-	for other, old := range r.said {
-		if r.targets[other] == nil && now.Sub(old.at) > saidLife {
-			delete(r.said, other)
-		}
-	}
-	r.said[id] = &said{by, now}
+	s := r.saidOf(id)
+	s.leaves, s.source, s.at = true, by, clock.Now()
 	r.log.Emit(event.TargetSaysLeaving, event.Ref{Target: id}, "known by "+string(by))
 	return true
 }
@@ -66,22 +85,78 @@
 	var out []string
 	now := clock.Now()
 	for id, s := range r.said {
-		if r.targets[id] != nil && now.Sub(s.at) <= leavingTold {
+		if s.leaves && r.targets[id] != nil && now.Sub(s.at) <= leavingTold {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
-// LeavingCount returns how many listed targets said in their answers that they leave.
-func (r *Roster) LeavingCount() int {
+// Asked is what a refusal of a target asked this daemon for.
+type Asked struct {
+	// Rest is how long the target wants nothing; 0 where it says nothing of that.
+	Rest time.Duration
+	// Odd is what it said of that and can't be read, or "".
+	Odd string
+}
+
+// Turned records that a run of a target turned a request of this daemon away. It reports
+// whether a rest has begun by that.
+func (r *Roster) Turned(id string, asked Asked) bool {
+	if asked == (Asked{}) {
+		return false
+	}
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	n := 0
-	for id := range r.said {
-		if r.targets[id] != nil {
-			n++
+	s, now := r.saidOf(id), clock.Now()
+	if asked.Odd != "" && !s.odd {
+		s.odd = true
+		r.log.Emit(event.TargetUnreadable, event.Ref{Target: id}, "a rest of "+asked.Odd)
+	}
+	if asked.Rest <= 0 || !s.rest.ask(asked.Rest, now) {
+		return false
+	}
+	if now.Sub(s.told) >= restLine || s.told.IsZero() {
+		s.told = now
+		r.log.Emit(event.TargetRests, event.Ref{Target: id}, "asked for "+asked.Rest.String())
+	}
+	return true
+}
+
+// restLine is the least time between lines of the rests of one target: one that turns away all
+// that it gets would otherwise write one for each request.
+const restLine = time.Second
+
+// Took records that a run of a target has taken a request, which ends what is left of its rest
+// once the time that it asked for is over.
+func (r *Roster) Took(id string) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	s := r.said[id]
+	if s == nil || !s.rest.end(clock.Now()) {
+		return
+	}
+	r.log.Emit(event.TargetRested, event.Ref{Target: id}, "takes requests again")
+	if !s.leaves && !s.odd {
+		delete(r.said, id)
+	}
+}
+
+// WordCounts returns how many listed targets said that they leave, and how many rest.
+func (r *Roster) WordCounts() (leaving, resting int) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	now := clock.Now()
+	for id, s := range r.said {
+		if r.targets[id] == nil {
+			continue
+		}
+		if s.leaves {
+			leaving++
+		}
+		if s.rest.left(now) > 0 {
+			resting++
 		}
 	}
-	return n
+	return leaving, resting
 }
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -94,7 +94,8 @@
 		{"mirror_questions_failed_total", func() float64 { return float64(h.mirrors.Failed()) }},
 		{"blocked_requests", func() float64 { return float64(h.poison.Blocks()) }},
 		{"suspected_requests", func() float64 { return float64(h.poison.Suspects()) }},
-		{"targets_leaving_by_answer", func() float64 { return float64(h.roster.LeavingCount()) }},
+		{"targets_leaving_by_answer", func() float64 { leaving, _ := h.roster.WordCounts(); return float64(leaving) }},
+		{"targets_resting", func() float64 { _, resting := h.roster.WordCounts(); return float64(resting) }},
 		{"targets_ended_total", func() float64 { return float64(h.poison.EndedRuns()) }},
 		{"peer_bytes_total", func() float64 { return float64(h.fleet.Bytes()) }},
 	} {
