Failing test: an engine that asks for rest, before emberd run

The same cause elsewhere: emberd run sends 10 of 20 prompts first to the engine that turned the first one away and asked for ten minutes of rest. Listed in KNOWN-RED.txt until the mend.

--- /dev/null
+++ b/embplay/prove/story_rest_test.go
@@ -0,0 +1,50 @@
+package prove
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"embertally.dev/embfake/fake"
+	"embertally.dev/embplay/internal/play"
+)
+
+// An engine turns prompts away with 503 and asks for rest; the others have room. Each prompt that
+// was placed there was sent there, and told another engine's work took longer.
+var _ = Describe("An engine that asks for rest", func() {
+	It("gets nothing from a daemon that it told so", func() {
+		if os.Getenv("KNOWN_RED") != "" {
+			Skip("listed in KNOWN-RED.txt")
+		}
+		const rest = 10 * time.Minute
+		r := site(func(o *fake.SiteOptions) { o.Engines = 3 })
+		prompt := longText(1)
+		expectWhole(r.ask(0, orgOne, prompt, 5), "v1", prompt, 5)
+		// The one that holds the context is the first choice for it.
+		for _, e := range r.site.Engines {
+			if len(e.Runs()) > 0 {
+				e.AskRest(rest)
+			}
+		}
+		for range 20 {
+			expectWhole(r.ask(0, orgOne, prompt, 5), "v1", prompt, 5)
+		}
+		for _, e := range r.site.Engines {
+			Expect(e.TurnedAway()).To(BeNumerically("<=", 1))
+		}
+		// Where all rest, callers are told until when.
+		for _, e := range r.site.Engines {
+			e.AskRest(rest)
+		}
+		var last play.Reply
+		for range 6 {
+			last = r.ask(0, orgOne, prompt, 5)
+		}
+		Expect(last.Refused).NotTo(BeNil())
+		Expect(last.Refused.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(last.Refused.RetryAfterMillis).To(BeNumerically(">", time.Minute.Milliseconds()))
+	})
+})
