--- a/core/relay/end.go
+++ b/core/relay/end.go
@@ -47,6 +47,14 @@
 	p.notes = append(p.notes, fmt.Sprintf(format, args...))
 }
 
+// noteWords records which targets a choice passed over by what they said.
+func (p *pass) noteWords() {
+	if len(p.words) > 0 {
+		p.note("passed over: %s", strings.Join(p.words, ", "))
+		p.words = nil
+	}
+}
+
 // ref returns what the log lines of the request refer to.
 func (p *pass) ref() event.Ref {
 	ref := event.Ref{Request: p.ask.ID}
--- a/core/relay/hear_test.go
+++ b/core/relay/hear_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/event"
 	"embertally.dev/core/roster"
 )
 
@@ -164,3 +166,53 @@
 		})
 	}
 }
+
+// A burst meets four targets of which one rests: the others get no more at a time than before, so that
+// they are not driven to ask for rest in their turn, and the one that rests gets nothing.
+func TestOthersAreNotOverrunWhileOneRests(t *testing.T) {
+	const slots, callers = 4, 150
+	r := newRig(t, nil)
+	var mu sync.Mutex
+	now, most := map[string]int{}, map[string]int{}
+	count := func(id string, d int) {
+		mu.Lock()
+		defer mu.Unlock()
+		now[id] += d
+		most[id] = max(most[id], now[id])
+	}
+	for n := range 4 {
+		id := fmt.Sprintf("t-%d", n)
+		r.target(id, "plain", always(func(w *bufio.Writer, req *http.Request) error {
+			count(id, 1)
+			defer count(id, -1)
+			time.Sleep(30 * time.Millisecond)
+			return answers(200, "x")(w, req)
+		}))
+	}
+	r.roster.Turned("t-0", roster.Asked{Rest: time.Minute})
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() { r.ask(http.MethodPost, "/once/", "x") })
+	}
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	r.g.Expect(most).NotTo(gomega.HaveKey("t-0"))
+	r.g.Expect(most).To(gomega.HaveLen(3))
+	for id, n := range most {
+		// Choices at one moment do not see each other's sends yet.
+		r.g.Expect(n).To(gomega.BeNumerically("<=", 2*plainFull*slots), id)
+	}
+}
+
+// The line of a request names which targets were passed over by their own word.
+func TestALineNamesWhoWasPassedOver(t *testing.T) {
+	r := newRig(t, nil)
+	r.target("a", "plain", always(answers(200, "x")))
+	r.target("b", "plain", always(answers(200, "x")))
+	r.target("c", "plain", always(answers(200, "x")))
+	r.roster.Leaves("a", roster.ByAnswer)
+	r.roster.Turned("b", roster.Asked{Rest: time.Minute})
+	r.g.Expect(r.ask(http.MethodPost, "/once/", "x").status).To(gomega.Equal(200))
+	r.g.Eventually(func() string { return r.line(event.RequestDone) }, soon, look).Should(gomega.ContainSubstring("passed over: a leaves, b rests"))
+}
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		if stop, lasts := gate.Stop(t); stop != roster.Open {
-			none.stopped(stop, lasts)
+			none.stopped(t.ID(), stop, lasts)
 			continue
 		}
 		p.bound(svc, o.entry.Address)
@@ -87,6 +87,7 @@
 		out = append(out, o)
 	}
 	why := none.why()
+	p.words = none.words
 	switch {
 	case len(out) > 0:
 	case why == allEvacuated:
@@ -110,13 +111,21 @@
 // shortage counts the targets that may not get a request, by reason.
 type shortage struct {
 	full, suspects, outdated, evacuated, elsewhere, leaving, resting int
+	// words names the first few of the targets that are passed over by what they said, for the log.
+	words []string
 	// lasts is the longest time that an evacuation has lasted, rest the time until the first rest
 	// ends.
 	lasts, rest time.Duration
 }
 
+// wordsMost bounds how many targets a line names that are passed over by what they said.
+const wordsMost = 4
+
 // stopped counts a target that may get no send from anybody here.
-func (l *shortage) stopped(why roster.Stop, lasts time.Duration) {
+func (l *shortage) stopped(id string, why roster.Stop, lasts time.Duration) {
+	if (why == roster.Leaves || why == roster.Rests) && len(l.words) < wordsMost {
+		l.words = append(l.words, id+" "+why.String())
+	}
 	switch why {
 	case roster.Suspect:
 		l.suspects++
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -53,6 +53,8 @@
 	// after is the last event that the caller has.
 	after string
 	first time.Time
+	// words are targets that the last choice passed over by what they said, and why.
+	words []string
 	// line is how long the best target was last expected to take.
 	line time.Duration
 	// forecast is what was expected of the first send; nil before.
@@ -141,6 +143,7 @@
 			if !p.spend(c, time.Now()) {
 				continue
 			}
+			p.noteWords()
 			p.take(c, time.Now())
 			return c, why
 		case c == nil && why == allRest && p.hopeful(p.line):
@@ -211,6 +214,7 @@
 
 // giveUp is the final answer of a request that got none from a target.
 func (p *pass) giveUp(kept *plainAnswer, why string) *entry.Refusal {
+	p.noteWords()
 	p.note("given up: %s", why)
 	switch {
 	case p.begun:
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -302,3 +302,14 @@
 	raw, err := io.ReadAll(resp.Body)
 	return got{resp.StatusCode, resp.Header, string(raw), err}
 }
+
+// line returns the text of the newest line of a kind, or "".
+func (r *rig) line(code event.Code) string {
+	text := ""
+	for _, ev := range r.log.Since(0, 1<<20) {
+		if ev.Code == code {
+			text = ev.Text
+		}
+	}
+	return text
+}
--- a/core/roster/bench_test.go
+++ b/core/roster/bench_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
+	"time"
 
 	"embertally.dev/core/event"
 )
@@ -37,3 +39,34 @@
 		}
 	}
 }
+
+// BenchmarkGate asks of 110 targets, those of a cell, for one choice; 10 of them said that they leave or
+// rest. Before, where ten left by the list and what targets say did not count, this took 3.7 to 5.3 us;
+// now 5.7 to 8.5 us beside the same load, of a choice that takes about 30.
+func BenchmarkGate(b *testing.B) {
+	r := New(&event.Log{}, nil)
+	for i := range 110 {
+		id := strconv.Itoa(i)
+		r.Put(Entry{ID: id, Service: "s"})
+		switch {
+		case i < 5:
+			r.Leaves(id, ByAnswer)
+		case i < 10:
+			r.Turned(id, Asked{Rest: time.Minute})
+		}
+	}
+	list := r.Of("s")
+	b.ReportAllocs()
+	for b.Loop() {
+		gate := r.Gate(time.Now())
+		open := 0
+		for _, t := range list {
+			if stop, _ := gate.Stop(t); stop == Open {
+				open++
+			}
+		}
+		if open != 100 {
+			b.Fatal(open)
+		}
+	}
+}
--- a/core/roster/gate.go
+++ b/core/roster/gate.go
@@ -58,8 +58,11 @@
 		return g
 	}
 	g.words = make(map[string]word, len(r.said))
+	steady := clock.Now()
 	for id, s := range r.said {
-		g.words[id] = word{s.leaves, s.rest.left(clock.Now())}
+		if w := s.word(steady); w != (word{}) {
+			g.words[id] = w
+		}
 	}
 	return g
 }
@@ -67,11 +70,11 @@
 // Stop returns why a target may get no send, and how long that holds where it is known: what is
 // left of a rest, or as long again as an evacuation has lasted.
 func (g *Gate) Stop(t *Target) (Stop, time.Duration) {
-	health, w := t.Health(g.at), g.words[t.id]
+	health, entry, w := t.Health(g.at), t.Entry(), g.words[t.id]
 	switch {
 	case health.Gone:
 		return Gone, 0
-	case w.leaves || t.Entry().Leaving:
+	case w.leaves || entry.Leaving:
 		return Leaves, 0
 	case g.ordered[t.id]:
 		return Swaps, 0
@@ -80,7 +83,7 @@
 	case health.Suspect:
 		return Suspect, 0
 	}
-	if lasts, on := evacuated(g.evacuations, t.Entry().Domain, g.at); on {
+	if lasts, on := evacuated(g.evacuations, entry.Domain, g.at); on {
 		return Evacuated, lasts
 	}
 	return Open, 0
@@ -101,6 +104,9 @@
 	return Open
 }
 
+// word returns what a run said, as it counts now.
+func (s *said) word(now clock.Time) word { return word{s.leaves, s.rest.left(now)} }
+
 // Leaving reports whether a run leaves, and by what that is known.
 func (r *Roster) Leaving(t *Target) (Source, bool) {
 	r.rosterMu.Lock()
