--- a/core/relay/hear_test.go
+++ b/core/relay/hear_test.go
@@ -216,3 +216,23 @@
 	r.g.Expect(r.ask(http.MethodPost, "/once/", "x").status).To(gomega.Equal(200))
 	r.g.Eventually(func() string { return r.line(event.RequestDone) }, soon, look).Should(gomega.ContainSubstring("passed over: a leaves, b rests"))
 }
+
+// One daemon's answer tells its whole cell, within heartbeats.
+func TestACellHearsThatAWorkerLeaves(t *testing.T) {
+	const daemons = 24
+	h := newHomesRig(t, daemons, 8, always(says(200, "Id: try-1\r\nLeaves: 1\r\n")))
+	// Of no context, so that no home is asked.
+	h.rigs[0].ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", "own:100")
+	sends := h.rigs[0].sends()
+	h.g.Expect(sends).NotTo(gomega.BeEmpty())
+	cell := h.fleet[0].View().Cell()
+	heard := 0
+	for i, f := range h.fleet {
+		if f.View().Cell() != cell {
+			continue
+		}
+		heard++
+		h.g.Eventually(func() bool { return h.rigs[i].leaves(sends[0].target) }, soon, look).Should(gomega.BeTrue())
+	}
+	h.g.Expect(heard).To(gomega.BeNumerically(">", 1))
+}
