A refusal of emberd run names only the rests of targets that the request could go to

Read again: with any target at rest, also one of a plain service, a prompt without a worker was told that its workers rest, and until when. Now only targets of the deployment or service count. Stories 'asks for rest' and 'ends engines' pass.

--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -402,7 +402,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline+placeSlack)
 	defer cancel()
-	resting, first := p.s.resting()
+	resting, first := p.s.resting(p.q.snap, func(t *conf.Target) bool { return t.Serves(p.name) })
 	ask := p.ask
 	ask.Exclude = append(resting, p.ask.Exclude...)
 	ans, err := p.s.o.Home.Place(ctx, p.s.o.Fleet.View(), &ask)
--- a/core/entry/rest.go
+++ b/core/entry/rest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"embertally.dev/core/conf"
 	"embertally.dev/core/event"
 )
 
@@ -21,10 +22,13 @@
 	}
 }
 
-// resting returns the targets that may get nothing from this daemon now, and when the first of
-// them may again.
-func (s *Server) resting() (names []string, first time.Duration) {
+// resting returns the targets of one purpose that may get nothing from this daemon now, and when the
+// first of them may again.
+func (s *Server) resting(snap *conf.Snapshot, serves func(*conf.Target) bool) (names []string, first time.Duration) {
 	for name, left := range s.rests.Left(s.o.Home.RunOf) {
+		if t := snap.Target(name); t == nil || !serves(t) {
+			continue
+		}
 		if names == nil || left < first {
 			first = left
 		}
--- a/core/entry/service.go
+++ b/core/entry/service.go
@@ -329,14 +329,19 @@
 	return d.Sum64()
 }
 
+// serves reports whether a target is one of the service.
+func (k *call) serves(t *conf.Target) bool {
+	return t.Type == conf.TypeService && t.Service == k.service
+}
+
 // targets returns the service's targets that may get new work now.
 func (k *call) targets(exclude []string) []string {
 	view := k.s.o.Fleet.View()
-	resting, _ := k.s.resting()
+	resting, _ := k.s.resting(k.q.snap, k.serves)
 	var out []string
 	for _, r := range k.q.snap.List(conf.KindTarget) {
 		t := r.Spec().(*conf.Target)
-		if t.Type == conf.TypeService && t.Service == k.service && k.policy.Allows(r.Name()) &&
+		if k.serves(t) && k.policy.Allows(r.Name()) &&
 			view.Usable(r.Name(), t) && !slices.Contains(exclude, r.Name()) && !slices.Contains(resting, r.Name()) {
 			out = append(out, r.Name())
 		}
@@ -356,7 +361,7 @@
 
 // noTarget refuses a call that no target may get, until the first of those that rest may again.
 func (k *call) noTarget() *Refusal {
-	_, first := k.s.resting()
+	_, first := k.s.resting(k.q.snap, k.serves)
 	return refuse(http.StatusServiceUnavailable, CodeNoTarget, NotRun, "no target of the service can be used now").after(max(first, queuePause))
 }
 
