A story of a plain service's target that asks emberd run for rest

The stand-ins of engines and plain services share their wish for rest. 20 calls: one reaches the target that rests, the others the other one; where both rest, refused as not run, with the time.

--- a/embfake/fake/engine.go
+++ b/embfake/fake/engine.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -64,10 +63,8 @@
 	busy     time.Duration      // prefill time; guarded by engineMu
 	fatal    string             // text whose prompts end the engine; guarded by engineMu
 	over     bool               // guarded by engineMu
-	// rest is what prompts that are turned away are told, 0 for none; guarded by engineMu.
-	rest       time.Duration
-	turnedAway int // guarded by engineMu
-	close      context.CancelFunc
+	resting
+	close context.CancelFunc
 }
 
 type staging struct {
@@ -151,32 +148,6 @@
 	e.fatal = text
 }
 
-// AskRest makes the engine turn prompts away and ask for rest; 0 ends that.
-func (e *Engine) AskRest(d time.Duration) {
-	e.engineMu.Lock()
-	defer e.engineMu.Unlock()
-	e.rest = d
-}
-
-// TurnedAway returns how many prompts the engine turned away to rest.
-func (e *Engine) TurnedAway() int {
-	e.engineMu.Lock()
-	defer e.engineMu.Unlock()
-	return e.turnedAway
-}
-
-// rests turns a prompt away where the engine rests, and reports whether it does.
-func (e *Engine) rests(h http.Header) bool {
-	e.engineMu.Lock()
-	defer e.engineMu.Unlock()
-	if e.rest == 0 {
-		return false
-	}
-	e.turnedAway++
-	h.Set("Retry-After", strconv.FormatFloat(e.rest.Seconds(), 'f', -1, 64))
-	return true
-}
-
 // Over reports whether a prompt has ended the engine.
 func (e *Engine) Over() bool {
 	e.engineMu.Lock()
@@ -307,7 +278,7 @@
 	if err := salt.UnmarshalText([]byte(p.CacheSalt)); err != nil {
 		return c.String(http.StatusBadRequest, "cache_salt: "+err.Error())
 	}
-	if e.rests(c.Response().Header()) {
+	if e.turnsAway(c.Response().Header()) {
 		return c.String(http.StatusServiceUnavailable, "the engine rests\n")
 	}
 	model, adapter, _ := strings.Cut(p.Model, ":")
--- a/embfake/fake/service.go
+++ b/embfake/fake/service.go
@@ -13,6 +13,7 @@
 // Service stands in for one instance of a plain service. It records every run.
 type Service struct {
 	Server
+	resting
 	name string
 
 	runMu sync.Mutex
@@ -56,6 +57,9 @@
 	if s.Take(CutBefore) {
 		return hangUp(c)
 	}
+	if s.turnsAway(c.Response().Header()) {
+		return c.String(http.StatusServiceUnavailable, "the service rests\n")
+	}
 	h := c.Request().Header
 	r := ServiceRun{
 		At: time.Now(), Method: c.Request().Method, Path: c.Request().URL.Path, Key: h.Get("Idempotency-Key"),
--- a/embplay/prove/story_rest_test.go
+++ b/embplay/prove/story_rest_test.go
@@ -1,6 +1,7 @@
 package prove
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -46,3 +47,24 @@
 		Expect(last.Refused.RetryAfterMillis).To(BeNumerically(">", time.Minute.Milliseconds()))
 	})
 })
+
+// The same for calls of plain services.
+var _ = Describe("A target of a plain service that asks for rest", func() {
+	It("gets nothing from a daemon that it told so", func() {
+		const rest = 10 * time.Minute
+		r := site(func(o *fake.SiteOptions) { o.Services = 2 })
+		resting, other := r.site.Services[0], r.site.Services[1]
+		resting.AskRest(rest)
+		for n := range 20 {
+			r.pay(0, orgOne, "", fmt.Sprintf("m%d", n))
+		}
+		Expect(resting.TurnedAway()).To(Equal(1))
+		Expect(len(other.Runs())).To(BeNumerically(">=", 19))
+		other.AskRest(rest)
+		r.pay(0, orgOne, "", "last but one")
+		last := r.pay(0, orgOne, "", "last")
+		Expect(last.Refused).NotTo(BeNil())
+		Expect(last.Refused.Ran).To(Equal("notRun"))
+		Expect(last.Refused.RetryAfterMillis).To(BeNumerically(">", time.Minute.Milliseconds()))
+	})
+})
