Lines of rests are bounded for both programs by the rest itself

Read again: a target that turned away and took in turn, asking for a moment each time, wrote two lines for each request, since the record of the last line went with the rest; emberd run had no bound. Now a line of its begin and one of its end a second and target.

--- a/core/roster/gate.go
+++ b/core/roster/gate.go
@@ -33,8 +33,8 @@
 func (s Stop) String() string { return stopNames[s] }
 
 // Gate answers for one moment whether targets may get a send. All ways of sending ask it, when
-// they choose and again by Enter when a connection is there: each had its own list of reasons before,
-// and what was new to one was not known to the others.
+// they choose and again by Enter when a connection is there, so that a reason that one of them meets
+// holds for all. It never changes.
 type Gate struct {
 	at          time.Time
 	ordered     map[string]bool
--- a/core/roster/rest.go
+++ b/core/roster/rest.go
@@ -14,6 +14,9 @@
 	until clock.Time
 	// sent counts the sends after until; it is not used while the rest lasts.
 	sent int
+	// told is when a line was last due for a rest, and noted tells that one was for this rest.
+	told  clock.Time
+	noted bool
 }
 
 const (
@@ -27,18 +30,25 @@
 	rampStep = 100 * time.Millisecond
 	// rampSteps is how many such sends there are before the target counts as any other.
 	rampSteps = 10
+	// restLine is the least time between lines of the rests of one target: one that turns away all
+	// that it gets would otherwise write one for each request.
+	restLine = time.Second
 )
 
-// ask prolongs the rest, and reports whether it had been over. Of two the one that ends later
-// holds: a target that asked for three seconds does not want requests after one because it told
-// another request so.
+// ask prolongs the rest, and reports whether it begins and a line is due for it. Of two the one that
+// ends later holds: a target that asked for three seconds does not want requests after one because
+// it told another request so.
 func (r *rest) ask(d time.Duration, now clock.Time) bool {
 	begins := !now.Before(r.until)
 	if until := now.Add(min(d, RestMost)); until.After(r.until) {
 		r.until = until
 	}
 	r.sent = 0
-	return begins
+	if !begins || (!r.told.IsZero() && now.Sub(r.told) < restLine) {
+		return false
+	}
+	r.told, r.noted = now, true
+	return true
 }
 
 // left returns for how much longer the target gets nothing; 0 where it may get a send.
@@ -66,13 +76,14 @@
 	return true
 }
 
-// end ends the while after the rest, and reports whether it was going on.
+// end ends the while after the rest, and reports whether a line is due: one was for its begin.
 func (r *rest) end(now clock.Time) bool {
 	if r.until.IsZero() || now.Before(r.until) {
 		return false
 	}
-	*r = rest{}
-	return true
+	noted := r.noted
+	*r = rest{told: r.told}
+	return noted
 }
 
 // RestList keeps the rests that targets asked this daemon for, by name, for those who keep no Roster.
@@ -89,7 +100,7 @@
 }
 
 // Turned records that a run of a target turned a request away and asked for rest. It reports
-// whether a rest has begun by that.
+// whether a line is due for that.
 func (r *RestList) Turned(name, run string, d time.Duration) bool {
 	if d <= 0 {
 		return false
@@ -108,16 +119,12 @@
 }
 
 // Took records that a target has taken a request. It reports whether that ended the while after
-// a rest.
+// a rest and a line is due for it.
 func (r *RestList) Took(name string) bool {
 	r.restsMu.Lock()
 	defer r.restsMu.Unlock()
 	known := r.byName[name]
-	if known == nil || !known.end(clock.Now()) {
-		return false
-	}
-	delete(r.byName, name)
-	return true
+	return known != nil && known.end(clock.Now())
 }
 
 // Take counts a send to a target, and reports whether it may go out.
@@ -147,7 +154,7 @@
 			out = map[string]time.Duration{name: left}
 		case left > 0:
 			out[name] = left
-		case known.over(now):
+		case known.over(now) && now.Sub(known.told) >= restLine:
 			delete(r.byName, name)
 		}
 	}
--- a/core/roster/said.go
+++ b/core/roster/said.go
@@ -29,10 +29,8 @@
 	// rest is what the run asked this daemon for. It is not told to others: how much a target bears
 	// of one of them says little of what it bears of the next.
 	rest rest
-	// told is when a line was last written of its rests, and odd tells that one was written of
-	// what can't be read.
-	told clock.Time
-	odd  bool
+	// odd tells that a line was written of what can't be read.
+	odd bool
 }
 
 // saidLife is how long what a run said is kept after its entry went, in case the entry is back:
@@ -100,11 +98,10 @@
 	Odd string
 }
 
-// Turned records that a run of a target turned a request of this daemon away. It reports
-// whether a rest has begun by that.
-func (r *Roster) Turned(id string, asked Asked) bool {
+// Turned records that a run of a target turned a request of this daemon away.
+func (r *Roster) Turned(id string, asked Asked) {
 	if asked == (Asked{}) {
-		return false
+		return
 	}
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
@@ -113,32 +110,18 @@
 		s.odd = true
 		r.log.Emit(event.TargetUnreadable, event.Ref{Target: id}, "a rest of "+asked.Odd)
 	}
-	if asked.Rest <= 0 || !s.rest.ask(asked.Rest, now) {
-		return false
-	}
-	if now.Sub(s.told) >= restLine || s.told.IsZero() {
-		s.told = now
+	if asked.Rest > 0 && s.rest.ask(asked.Rest, now) {
 		r.log.Emit(event.TargetRests, event.Ref{Target: id}, "asked for "+asked.Rest.String())
 	}
-	return true
 }
 
-// restLine is the least time between lines of the rests of one target: one that turns away all
-// that it gets would otherwise write one for each request.
-const restLine = time.Second
-
 // Took records that a run of a target has taken a request, which ends what is left of its rest
 // once the time that it asked for is over.
 func (r *Roster) Took(id string) {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	s := r.said[id]
-	if s == nil || !s.rest.end(clock.Now()) {
-		return
-	}
-	r.log.Emit(event.TargetRested, event.Ref{Target: id}, "takes requests again")
-	if !s.leaves && !s.odd {
-		delete(r.said, id)
+	if s := r.said[id]; s != nil && s.rest.end(clock.Now()) {
+		r.log.Emit(event.TargetRested, event.Ref{Target: id}, "takes requests again")
 	}
 }
 
