--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -479,6 +479,7 @@
 	}
 	a := &attempt{run: p, target: t, engine: target.NewEngine(t.URL, p.s.o.Engines), id: fmt.Sprintf("%s-%d", p.q.id, len(p.ask.Exclude))}
 	if !p.s.rests.Take(p.last.Worker) {
+		p.tell(false, false)
 		return errors.New("the worker rests")
 	}
 	err := a.relay(ctx)
