A send is checked by what is known of its own target; an answer's head is read once

Read again: Enter made a gate of all targets (two maps, two locks) before each send, and the head of each answer was read twice, with its Retry-After. Enter now looks at one target under one lock by the same reasons (Gate.stop), and plain and stream take the head that attempt has read. No behaviour is meant to change.

--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -24,14 +24,13 @@
 }
 
 // plain passes on an answer that is not a stream.
-func (p *pass) plain(c *choice, in *target.Incoming, sent time.Time) (outcome, *plainAnswer) {
+func (p *pass) plain(c *choice, in *target.Incoming, reply *Reply, sent time.Time) (outcome, *plainAnswer) {
 	body, err := readAll(nil, io.LimitReader(in, plainMost))
 	if err != nil {
 		return p.brokenOff(c, err), nil
 	}
 	ans := &plainAnswer{in.Status, in.Header, body}
 	good := in.Status < http.StatusInternalServerError
-	reply := p.relay.o.Dialect.Reply(in.Status, in.Header)
 	if (in.Status/100 == 2 && !reply.Sealed) || reply.Encoded {
 		in.Spoil()
 		p.answered(c, false)
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -60,10 +60,10 @@
 		p.relay.o.Roster.Learn(c.target.ID(), p.ask.Model, reply.Weights)
 	}
 	if p.route.Kind == table.Stream && in.Status == http.StatusOK {
-		out := p.stream(c, in, sent, onFirst)
+		out := p.stream(c, in, &reply, sent, onFirst)
 		return out, nil
 	}
-	return p.plain(c, in, sent)
+	return p.plain(c, in, &reply, sent)
 }
 
 // errSlow ends the wait for a target that another one may be quicker than.
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -55,8 +55,7 @@
 
 // stream passes on the events of an answer. Where it breaks, the request may
 // be taken up by another worker after the last event that the caller has.
-func (p *pass) stream(c *choice, in *target.Incoming, sent time.Time, onFirst func()) outcome {
-	reply := p.relay.o.Dialect.Reply(in.Status, in.Header)
+func (p *pass) stream(c *choice, in *target.Incoming, reply *Reply, sent time.Time, onFirst func()) outcome {
 	if !reply.Sealed || reply.Encoded {
 		in.Spoil()
 		p.answered(c, false)
--- a/core/roster/gate.go
+++ b/core/roster/gate.go
@@ -70,13 +70,18 @@
 // Stop returns why a target may get no send, and how long that holds where it is known: what is
 // left of a rest, or as long again as an evacuation has lasted.
 func (g *Gate) Stop(t *Target) (Stop, time.Duration) {
-	health, entry, w := t.Health(g.at), t.Entry(), g.words[t.id]
+	return g.stop(t, g.ordered[t.id], g.words[t.id])
+}
+
+// stop is Stop by what is known of one target.
+func (g *Gate) stop(t *Target, ordered bool, w word) (Stop, time.Duration) {
+	health, entry := t.Health(g.at), t.Entry()
 	switch {
 	case health.Gone:
 		return Gone, 0
 	case w.leaves || entry.Leaving:
 		return Leaves, 0
-	case g.ordered[t.id]:
+	case ordered:
 		return Swaps, 0
 	case w.rests > 0:
 		return Rests, w.rests
@@ -92,16 +97,23 @@
 // Enter reports by Open that a send may go out to a target now, and counts it. It is asked last,
 // when a connection is there: between the choice and that time the target may have said to another
 // request that it leaves or rests.
+//
+// It looks at one target only: a gate of all that is known takes two maps, for each send.
 func (r *Roster) Enter(t *Target) Stop {
-	if stop, _ := r.Gate(time.Now()).Stop(t); stop != Open {
-		return stop
-	}
+	now := time.Now()
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	if s := r.said[t.id]; s != nil && !s.rest.take(clock.Now()) {
-		return Rests
+	s, w, steady := r.said[t.id], word{}, clock.Time{}
+	if s != nil {
+		steady = clock.Now()
+		w = s.word(steady)
+	}
+	g := Gate{at: now, evacuations: *r.evacuations.Load()}
+	stop, _ := g.stop(t, r.isOrdered(t.id, now), w)
+	if stop == Open && s != nil {
+		s.rest.take(steady)
 	}
-	return Open
+	return stop
 }
 
 // word returns what a run said, as it counts now.
--- a/core/roster/swaps.go
+++ b/core/roster/swaps.go
@@ -58,6 +58,20 @@
 	return out
 }
 
+// isOrdered reports whether one target is about to change its weights. It is called with rosterMu
+// held.
+func (r *Roster) isOrdered(id string, now time.Time) bool {
+	if now.Before(r.ordered[id]) {
+		return true
+	}
+	for _, ordered := range r.peerOrdered {
+		if now.Before(ordered[id]) {
+			return true
+		}
+	}
+	return false
+}
+
 // addOrdered adds the targets whose time has not come to out, and deletes the
 // others from times.
 func addOrdered(out map[string]bool, times map[string]time.Time, now time.Time) {
