--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -182,7 +182,7 @@
 func TestHomeCellsBeginWithTheCellOfTheKey(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		key, count := rapid.Uint64().Draw(t, "key"), rapid.IntRange(1, 30).Draw(t, "cells")
-		got := rankCells(key, count, cellsTried)
+		got := sharedCells(count).rank(key, cellsTried)
 		if len(got) != min(count, cellsTried) || got[0] != cellOf(key, count) {
 			t.Fatalf("cells %v of %d, first is %d", got, count, cellOf(key, count))
 		}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -16,11 +16,14 @@
 	defer f.fleetMu.Unlock()
 	v := &View{
 		self: f.o.Name, boxes: f.boxes, boxesKnown: f.boxesKnown, marks: maps.Clone(f.marks),
-		draining: f.draining, at: clock.Now(),
+		domain: f.o.Domain, draining: f.draining, at: clock.Now(),
 	}
 	known := f.knownPeers()
-	v.cells = cellCount(len(known) + 1)
-	v.cell = f.cells.of(f.o.Name, v.cells)
+	f.cells.set(planCells(f.domainSizes(known)))
+	v.plan = f.cells.plan
+	v.cells = v.plan.count()
+	v.cell = f.cells.of(f.o.Name, f.o.Domain)
+	v.shard = v.newShard()
 	for _, p := range known {
 		f.fill(&p, v)
 		v.peers = append(v.peers, p)
@@ -45,25 +48,13 @@
 	f.closeLinks(v)
 }
 
-// cellCache remembers the cells of daemons. The view is made anew with each heartbeat of
-// a daemon that was not heard before; to work out the cells of 299 peers each time took 6
-// of 100 of the processor time of a fleet that starts. The zero value remembers none.
-type cellCache struct {
-	count int
-	byKey map[string]int
-}
-
-// of returns the cell of a daemon among count cells.
-func (c *cellCache) of(name string, count int) int {
-	if c.count != count || c.byKey == nil {
-		c.count, c.byKey = count, map[string]int{}
-	}
-	cell, known := c.byKey[name]
-	if !known {
-		cell = cellOf(Key(name), count)
-		c.byKey[name] = cell
+// domainSizes returns how many daemons each failure domain has, this one included.
+func (f *Fleet) domainSizes(known []Peer) map[string]int {
+	sizes := map[string]int{f.o.Domain: 1}
+	for _, p := range known {
+		sizes[p.Domain]++
 	}
-	return cell
+	return sizes
 }
 
 // closeLinks closes the links to peers that a view no longer names. It is called
@@ -80,7 +71,7 @@
 // fill completes a peer from its heartbeats and the box list. It is called with
 // fleetMu held.
 func (f *Fleet) fill(p *Peer, v *View) {
-	p.Cell = f.cells.of(p.Name, v.cells)
+	p.Cell = f.cells.of(p.Name, p.Domain)
 	if h := f.heard[p.Name]; h != nil {
 		p.Alive, p.Incarnation, p.Draining = h.alive, h.incarnation, h.draining
 	}
--- a/core/fleet/place_test.go
+++ b/core/fleet/place_test.go
@@ -37,13 +37,14 @@
 	g.Expect(cellPlaces[1]).To(gomega.HaveLen(2))
 }
 
-func TestCellsAreRememberedForOneCount(t *testing.T) {
+func TestCellsAreRememberedForOnePlan(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var c cellCache
 	for _, count := range []int{1, 5, 25, 5} {
+		c.set(sharedCells(count))
 		for range 2 {
 			for _, name := range []string{"a", "b", "box-17"} {
-				g.Expect(c.of(name, count)).To(gomega.Equal(rankCells(Key(name), count, 1)[0]))
+				g.Expect(c.of(name, "")).To(gomega.Equal(sharedCells(count).rank(Key(name), 1)[0]))
 			}
 		}
 	}
--- a/core/fleet/rank.go
+++ b/core/fleet/rank.go
@@ -37,6 +37,30 @@
 	return out
 }
 
+// RankFirst returns the first n names of Rank.
+func RankFirst(key uint64, names []string, n int) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	best := make([]scored, 0, n+1)
+	for _, name := range names {
+		s := scored{name, score(key, name)}
+		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+		})
+		if at < n {
+			best = slices.Insert(best, at, s)
+			best = best[:min(len(best), n)]
+		}
+	}
+	out := make([]string, len(best))
+	for i, s := range best {
+		out[i] = s.name
+	}
+	return out
+}
+
 // Place returns how many of names come before one for key, or all where it is not among
 // them.
 func Place(key uint64, names []string, name string) int {
@@ -82,9 +106,12 @@
 	if n <= oneCell {
 		return 1
 	}
-	return (n + cellSize - 1) / cellSize
+	return cellsOf(n)
 }
 
+// cellsOf returns how many cells of cellSize some daemons make.
+func cellsOf(n int) int { return (n + cellSize - 1) / cellSize }
+
 // cellOf returns the cell of a name or key among count cells.
 func cellOf(key uint64, count int) int {
 	best, high := 0, uint64(0)
@@ -95,28 +122,3 @@
 	}
 	return best
 }
-
-// rankCells returns the first n of count cells for a key, best first.
-func rankCells(key uint64, count, n int) []int {
-	if count <= 1 {
-		return []int{0}
-	}
-	type scored struct {
-		cell  int
-		score uint64
-	}
-	best := make([]scored, 0, n+1)
-	for c := range count {
-		s := scored{c, score(key, strconv.Itoa(c))}
-		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-		if at < n {
-			best = slices.Insert(best, at, s)
-			best = best[:min(len(best), n)]
-		}
-	}
-	out := make([]int, len(best))
-	for i, s := range best {
-		out[i] = s.cell
-	}
-	return out
-}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -39,8 +39,13 @@
 	// boxesKnown tells that the list was read at least once.
 	boxesKnown bool
 	marks      map[string]Mark
-	// cells is how many cells the fleet has.
+	// domain is the failure domain of this daemon.
+	domain string
+	// cells is how many cells the fleet has, and plan how it falls into them.
 	cells int
+	plan  *cellPlan
+	// shard is that of this daemon's cell.
+	shard *Shard
 	// cell is the cell of this daemon.
 	cell int
 	// duty are the daemons of this cell that take duties, this one included
@@ -68,8 +73,19 @@
 // Cell returns the cell of this daemon.
 func (v *View) Cell() int { return v.cell }
 
-// CellOf returns the cell that a target or daemon falls into.
-func (v *View) CellOf(name string) int { return cellOf(Key(name), v.cells) }
+// Domain returns the failure domain of this daemon.
+func (v *View) Domain() string { return v.domain }
+
+// CellOf returns the cell that a key or the name of a target falls into, whatever its domain.
+func (v *View) CellOf(name string) int { return v.rank(Key(name), 1)[0] }
+
+// rank returns the first n cells for a key, best first.
+func (v *View) rank(key uint64, n int) []int {
+	if v.plan == nil {
+		return sharedCells(v.cells).rank(key, n)
+	}
+	return v.plan.rank(key, n)
+}
 
 // Draining reports whether this daemon takes no new duties.
 func (v *View) Draining() bool { return v.draining }
@@ -80,7 +96,7 @@
 // DutyOf returns who of the whole fleet has the duty that key names, as far as
 // this daemon knows.
 func (v *View) DutyOf(key uint64) string {
-	return First(key, v.cellDuty(cellOf(key, v.cells)))
+	return First(key, v.cellDuty(v.rank(key, 1)[0]))
 }
 
 // cellDuty returns the daemons of a cell that take duties.
@@ -183,7 +199,7 @@
 
 // HomeCells returns the cells where a context may be at home, best first. The
 // second counts where the first has no worker for the request.
-func (v *View) HomeCells(root uint64) []int { return rankCells(root, v.cells, cellsTried) }
+func (v *View) HomeCells(root uint64) []int { return v.rank(root, cellsTried) }
 
 // WeighedCell returns the cell of a key, where a cell gets as many keys as it has daemons:
 // by a weighted draw, so that a cell that grows or shrinks takes or gives up only what it
@@ -191,7 +207,7 @@
 func (v *View) WeighedCell(key uint64) int {
 	best, most := 0, math.Inf(-1)
 	for c, size := range v.sizes() {
-		draw := (float64(score(key, strconv.Itoa(c))>>drawShift) + 1) / (drawSteps + 1)
+		draw := (float64(score(key, v.label(c))>>drawShift) + 1) / (drawSteps + 1)
 		if weighed := -float64(size) / math.Log(draw); weighed > most {
 			best, most = c, weighed
 		}
@@ -199,6 +215,14 @@
 	return best
 }
 
+// label names a cell.
+func (v *View) label(cell int) string {
+	if v.plan == nil {
+		return strconv.Itoa(cell)
+	}
+	return v.plan.labels[cell]
+}
+
 // Draws have as many bits as a float64 holds.
 const (
 	drawShift = 12
