Roll-outs: what decides them, as a package of its own

Operators may ask that a service's requests move to targets of another version, started beside the old ones. Nothing knew of it: targets of a new version got requests as any others did as soon as they were listed, so that a bad version would have had as large a share as it had targets.

Failures and times are compared for each kind of request with those of the old version at the same time. One daemon with the right decides from the sums that all daemons report; the state lies in the platform's store and is written under a compare. Three quarters of the time pass on trial, then all new requests move, and the roll-out is completed when nothing runs at old targets any more.

Ruled out: evidence of one daemon alone (91 daemons with one bad answer each are past the bound) and a fixed number of bad answers (one plain service fails in one of seven answers by itself).

Not wired to requests in this commit.

--- /dev/null
+++ b/core/canary/control_test.go
@@ -0,0 +1,192 @@
+package canary
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/memkv"
+	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Bounds of waits on a busy machine.
+const (
+	soon  = "30s"
+	pause = "10ms"
+)
+
+// heldBy is a right that one daemon of a test holds at a time.
+type heldBy struct {
+	holder *atomic.Pointer[string]
+	name   string
+}
+
+func (h heldBy) Held() bool          { return *h.holder.Load() == h.name }
+func (h heldBy) Act() (uint64, bool) { return 1, h.Held() }
+
+// daemon is one daemon of a test.
+type daemon struct {
+	guard *Guard
+	stop  context.CancelFunc
+}
+
+// trial runs daemons that keep to a roll-out of a service.
+type trial struct {
+	g       *gomega.WithT
+	store   *memkv.KV
+	holder  atomic.Pointer[string]
+	daemons []*daemon
+}
+
+const orderKey = "op/rollout/s"
+
+func newTrial(t *testing.T, daemons int) *trial {
+	tr := &trial{g: gomega.NewWithT(t), store: &memkv.KV{}}
+	var seeds []fleet.Peer
+	var listeners []net.Listener
+	for i := range daemons {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		tr.g.Expect(err).NotTo(gomega.HaveOccurred())
+		listeners = append(listeners, l)
+		seeds = append(seeds, fleet.Peer{Name: fmt.Sprintf("entry-%d", i), Address: l.Addr().String()})
+	}
+	tr.hold(0)
+	var wg sync.WaitGroup
+	t.Cleanup(wg.Wait)
+	for i, seed := range seeds {
+		log := &event.Log{}
+		f := fleet.New(fleet.Options{Name: seed.Name, Incarnation: "1", Seeds: seeds, Heartbeat: 100 * time.Millisecond, Suspect: 10 * time.Second, Log: log})
+		guard := &Guard{Share: 0.1}
+		m := plat.NewMirror(tr.store, plat.Prefix(""), log)
+		c := NewController(Options{
+			Guard: guard, Fleet: f, Run: seed.Name + "/1", Right: heldBy{&tr.holder, seed.Name}, Store: tr.store, Mirror: m,
+			Holder: func() string { return *tr.holder.Load() },
+			Status: func(service string, st State) plat.Put {
+				return plat.Put{Key: "status/" + service, Value: []byte(string(st.Phase) + " " + st.Version)}
+			},
+			Log: log,
+		})
+		m.Observe(func(changes []plat.Change) {
+			for _, change := range changes {
+				c.Observe(change)
+				if change.Key == orderKey {
+					guard.SetOrder(Order{Service: "s", Version: string(change.Value), Lasts: 4 * time.Second, Revision: change.ModRevision})
+				}
+			}
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		wg.Go(func() { f.Run(ctx, listeners[i]) })
+		wg.Go(func() { m.Run(ctx) })
+		wg.Go(func() { c.Run(ctx) })
+		tr.daemons = append(tr.daemons, &daemon{guard, cancel})
+	}
+	return tr
+}
+
+// hold gives a daemon the right to decide.
+func (tr *trial) hold(daemon int) {
+	name := fmt.Sprintf("entry-%d", daemon)
+	tr.holder.Store(&name)
+}
+
+// ask asks for a version.
+func (tr *trial) ask(version string) {
+	_, err := tr.store.Commit(context.Background(), plat.Txn{Puts: []plat.Put{{Key: orderKey, Value: []byte(version)}}})
+	tr.g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// status returns what operators read.
+func (tr *trial) status() string {
+	p, err := tr.store.Read(context.Background(), "status/s")
+	if err != nil || p == nil {
+		return ""
+	}
+	return string(p.Value)
+}
+
+// serve sends requests through all daemons until ctx ends; bad answers come from the new version.
+func (tr *trial) serve(ctx context.Context, version string, bad bool) {
+	for ctx.Err() == nil {
+		for _, d := range tr.daemons {
+			side := d.guard.Choose("s")
+			to := "v1"
+			if side.Prefer != "" {
+				to = side.Prefer
+			}
+			d.guard.Begin("s", to)
+			d.guard.Answered("s", "r", to, !(bad && to == version))
+			d.guard.End("s", to)
+		}
+		wait.For(ctx, time.Millisecond)
+	}
+}
+
+// A roll-out ends by what the version is worth, whoever decides, and is never taken up again.
+func TestARolloutIsDecidedByItsAnswers(t *testing.T) {
+	tests := []struct {
+		name string
+		bad  bool
+		// lost tells that the daemon that decides is lost after its first step.
+		lost bool
+		want string
+	}{
+		{"good", false, false, "completed v2"},
+		{"bad", true, false, "rolledBack v2"},
+		{"good, who decides is lost", false, true, "completed v2"},
+		{"bad, who decides is lost", true, true, "rolledBack v2"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			tr := newTrial(t, 3)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			tr.ask("v2")
+			tr.g.Eventually(tr.status, soon, pause).Should(gomega.Equal("trying v2"))
+			if tc.lost {
+				tr.daemons[0].stop()
+				tr.hold(1)
+			}
+			go func() { defer close(done); tr.serve(ctx, "v2", tc.bad) }()
+			tr.g.Eventually(tr.status, soon, pause).Should(gomega.Equal(tc.want))
+			cancel()
+			<-done
+			for _, d := range tr.daemons[1:] {
+				tr.g.Eventually(d.guard.Over, soon, pause).Should(gomega.BeTrue())
+				tr.g.Expect(d.guard.Choose("s").Prefer == "v2").To(gomega.Equal(!tc.bad))
+			}
+		})
+	}
+}
+
+// An order that replaces another one in its middle is decided by its own answers, and the version of
+// the former one gets nothing more.
+func TestAnOrderReplacesAnother(t *testing.T) {
+	tr := newTrial(t, 2)
+	tr.ask("v2")
+	tr.g.Eventually(tr.status, soon, pause).Should(gomega.Equal("trying v2"))
+	tr.ask("v3")
+	tr.g.Eventually(tr.status, soon, pause).Should(gomega.Equal("trying v3"))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); tr.serve(ctx, "v3", false) }()
+	tr.g.Eventually(tr.status, soon, pause).Should(gomega.Equal("completed v3"))
+	cancel()
+	<-done
+	for _, d := range tr.daemons {
+		side := d.guard.Choose("s")
+		tr.g.Expect(side.Allows("v2")).To(gomega.BeFalse())
+	}
+}
--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -49,6 +49,7 @@
 	ConfUnderived Code = 3010
 	PeerNotTold   Code = 3011
 	ValueFetched  Code = 3012
+	RolloutStep   Code = 3013
 
 	RequestAccepted  Code = 4001
 	RequestPlaced    Code = 4002
@@ -150,6 +151,7 @@
 	{ConfUnderived, "confUnderived", Error, "A stored resource cannot be read; the former state of it stays in force."},
 	{PeerNotTold, "peerNotTold", Info, "A peer did not tell what has changed in the key-value service; the text names it, the time that this took and the reason."},
 	{ValueFetched, "valueFetched", Info, "A large value was fetched by itself; the text names its revision and sizes, where it came from and the time that this took."},
+	{RolloutStep, "rolloutStep", Info, "A roll-out has gone on, by decision of this daemon; the resource is the service, the text names phase, version and what decided it."},
 
 	{RequestAccepted, "requestAccepted", Debug, "A caller's request was authenticated and read."},
 	{RequestPlaced, "requestPlaced", Info, "A target was chosen; the text gives the reasons and the candidates weighed."},
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -31,6 +31,8 @@
 	// Address is IP and port; it may pass to a target of another service.
 	Address string
 	Domain  string
+	// Version is that of the target's software; "" where the list does not say.
+	Version string
 	Slots   int
 	// Leaving tells that the target takes no new work.
 	Leaving bool
