--- a/core/plat/kv.go
+++ b/core/plat/kv.go
@@ -91,6 +91,9 @@
 type Change struct {
 	Pair
 	Deleted bool
+	// Dropped tells of a deleted key that it may still be there: the copy does not hold it any
+	// more.
+	Dropped bool
 	// Late tells that the value is not here: it is so large that it goes by itself.
 	Late bool
 }
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +35,9 @@
 	// Gather, if set, is how long changes that follow each other are gathered.
 	// It is set before Run.
 	Gather func() time.Duration
+	// Outline, if set, is the prefix of the keys that are read first where all do not fit one
+	// page: Follows may go by them. It is set before Run.
+	Outline string
 
 	// tellMu keeps the observers' calls apart: the service and a peer may tell
 	// of changes at the same time.
@@ -44,6 +48,13 @@
 	// late holds the values that are known to be there and have not arrived; pairs
 	// holds what the keys were before. Guarded by mirrorMu.
 	late map[string]lateValue
+	// edits counts the changes of pairs. Guarded by mirrorMu.
+	edits int64
+	// shard names what the copy holds of the keys; "" stands for all. Guarded by mirrorMu.
+	shard string
+	// current tells that a watch may go on from revision: this daemon has read all keys, holds
+	// them, and the service has not given up their history. Guarded by mirrorMu.
+	current bool
 	// revision is the highest that was seen; 0 before the first copy. Guarded
 	// by mirrorMu.
 	revision int64
@@ -68,8 +79,9 @@
 	news chan struct{}
 }
 
-// historyMost bounds the changes kept for peers.
-const historyMost = 1024
+// historyLeast is how many changes are kept for peers at least. Where there are more keys as many
+// changes are kept: all of them may be written anew in one go.
+const historyLeast = 1024
 
 // NewMirror returns a mirror of the keys in span.
 func NewMirror(from Reader, span Span, log *event.Log) *Mirror {
@@ -117,14 +129,13 @@
 // Run keeps the copy current until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	pause := retryPause
-	whole := false
 	for ctx.Err() == nil {
 		if m.Follows != nil && !m.Follows() {
 			m.rest()
 			wait.For(ctx, restPause)
 			continue
 		}
-		err := m.follow(ctx, &whole)
+		err := m.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -168,14 +179,13 @@
 var errRests = errors.New("peers follow the service")
 
 // follow copies everything where needed, then watches.
-func (m *Mirror) follow(ctx context.Context, whole *bool) error {
-	if !*whole {
+func (m *Mirror) follow(ctx context.Context) error {
+	if !m.isCurrent() {
 		if err := m.copy(ctx); err != nil {
 			return err
 		}
-		*whole = true
 		// Others may be known now that watch.
-		if wait.For(ctx, m.gather()); m.Follows != nil && !m.Follows() {
+		if wait.For(ctx, m.gather()); m.rests() {
 			return errors.WithStack(errRests)
 		}
 	}
@@ -186,29 +196,53 @@
 			// Changes come in series; each answer is a priced call.
 			wait.For(ctx, m.gather())
 		}
-		if m.Follows != nil && !m.Follows() {
+		if m.rests() {
 			return errors.WithStack(errRests)
 		}
 		return nil
 	})
 	if errors.Is(err, ErrCompacted) {
-		*whole = false
+		m.mirrorMu.Lock()
+		m.current = false
+		m.mirrorMu.Unlock()
 		m.log.Emit(event.ConfResynced, event.Ref{}, "the service has given up the history; everything is read anew")
 	}
 	return err
 }
 
-// copy reads everything and tells the observers what differs.
+// rests reports whether this daemon takes changes from peers now.
+func (m *Mirror) rests() bool { return m.Follows != nil && !m.Follows() }
+
+// isCurrent reports whether a watch may go on from the revision of the copy.
+func (m *Mirror) isCurrent() bool {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	return m.current
+}
+
+// copy reads everything and tells the observers what differs. It ends early where the outline
+// shows that this daemon takes changes from peers.
 func (m *Mirror) copy(ctx context.Context) error {
+	if done, err := m.sketch(ctx); done || err != nil {
+		return err
+	}
 	pairs, revision, err := m.from.Range(ctx, m.span)
 	if err != nil {
 		return err
 	}
-	m.heard()
-	m.reset(changesOf(pairs), revision)
+	m.read(pairs, revision)
 	return nil
 }
 
+// read takes a whole copy of what the service says.
+func (m *Mirror) read(pairs []Pair, revision int64) {
+	m.heard()
+	m.reset(changesOf(pairs), revision, "")
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	m.current = m.shard == ""
+}
+
 // changesOf returns a whole copy as the changes that lead to it.
 func changesOf(pairs []Pair) []Change {
 	out := make([]Change, len(pairs))
@@ -218,25 +252,28 @@
 	return out
 }
 
-// reset takes a whole copy, unless a newer state is known.
-func (m *Mirror) reset(all []Change, revision int64) {
+// reset takes a whole copy of a shard, unless a newer state of the same one is known.
+func (m *Mirror) reset(all []Change, revision int64, shard string) {
 	m.tellMu.Lock()
 	defer m.tellMu.Unlock()
 	m.mirrorMu.Lock()
-	if revision < m.revision {
+	moved := shard != m.shard
+	if revision < m.revision && !moved {
 		m.mirrorMu.Unlock()
 		return
 	}
-	changes := m.differences(all, revision)
+	changes := m.differences(all, revision, moved)
 	m.put(changes)
+	m.shard, m.current = shard, m.current && shard == ""
 	m.revision, m.base, m.history = revision, revision, nil
 	m.wake()
 	m.mirrorMu.Unlock()
 	m.tell(changes)
 }
 
-// differences is called with mirrorMu held.
-func (m *Mirror) differences(all []Change, revision int64) []Change {
+// differences returns how a whole copy differs from this one. Where it is one of another shard,
+// what it lacks may still be there. It is called with mirrorMu held.
+func (m *Mirror) differences(all []Change, revision int64, moved bool) []Change {
 	gone := map[string]bool{}
 	for key, p := range m.pairs {
 		// One that arrived late may be newer than the copy.
@@ -256,7 +293,7 @@
 		if !is {
 			continue
 		}
-		changes = append(changes, Change{Pair: Pair{Key: key, ModRevision: revision}, Deleted: true})
+		changes = append(changes, Change{Pair: Pair{Key: key, ModRevision: revision}, Deleted: true, Dropped: moved})
 	}
 	return changes
 }
@@ -286,6 +323,7 @@
 
 // put is called with mirrorMu held.
 func (m *Mirror) put(changes []Change) {
+	m.edits += int64(len(changes))
 	for _, c := range changes {
 		if c.Late {
 			m.await(c.Key, c.ModRevision)
@@ -306,7 +344,7 @@
 	for _, c := range changes {
 		m.history = append(m.history, c.slim())
 	}
-	if over := len(m.history) - historyMost; over > 0 {
+	if over := len(m.history) - max(historyLeast, len(m.pairs)); over > 0 {
 		m.base = m.history[over-1].ModRevision
 		m.history = append([]Change(nil), m.history[over:]...)
 	}
@@ -333,27 +371,25 @@
 	if after < m.base || m.revision == 0 {
 		return nil, m.revision, false
 	}
-	for _, c := range m.history {
-		if c.ModRevision > after {
-			changes = append(changes, c)
-		}
-	}
-	return changes, m.revision, true
+	from := sort.Search(len(m.history), func(i int) bool { return m.history[i].ModRevision > after })
+	return slices.Clone(m.history[from:]), m.revision, true
 }
 
-// All returns the whole copy, ordered by key, and its revision, for a peer. Large
-// values are late.
-func (m *Mirror) All() ([]Change, int64) {
+// All returns the keys after one whose pairs are to be told, all where keep is nil, ordered, and the revision of the copy,
+// for a peer. Large values are late.
+func (m *Mirror) All(after string, keep func(Pair) bool) ([]Change, int64) {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
 	var out []Change
 	for key, p := range m.pairs {
-		if _, late := m.late[key]; !late {
+		if _, late := m.late[key]; !late && key > after && (keep == nil || keep(p)) {
 			out = append(out, Change{Pair: p}.slim())
 		}
 	}
 	for key, v := range m.late {
-		out = append(out, Change{Pair: Pair{Key: key, ModRevision: v.revision}, Late: true})
+		if key > after {
+			out = append(out, Change{Pair: Pair{Key: key, ModRevision: v.revision}, Late: true})
+		}
 	}
 	slices.SortFunc(out, func(a, b Change) int { return strings.Compare(a.Key, b.Key) })
 	return out, m.revision
@@ -365,9 +401,14 @@
 	m.hearVia(heard)
 }
 
-// TakeAll takes a peer's whole copy, and when the service had answered it.
-func (m *Mirror) TakeAll(all []Change, revision int64, heard clock.Time) {
-	m.reset(all, revision)
+// TakeAll takes a peer's whole copy of a shard, "" for all keys, and when the service had answered
+// it. held is the shard that this copy was of when the peer was asked: where it is of another one by
+// now, what was asked for is wanted no longer.
+func (m *Mirror) TakeAll(all []Change, revision int64, held, shard string, heard clock.Time) {
+	if m.Shard() != held {
+		return
+	}
+	m.reset(all, revision, shard)
 	m.hearVia(heard)
 }
 
@@ -378,6 +419,55 @@
 	return m.revision
 }
 
+// TakeMoved takes from a peer what this copy lacks of another shard that it holds from now on, and
+// when the service had answered the peer. What drops names is held no longer; held is as in TakeAll.
+func (m *Mirror) TakeMoved(changes []Change, revision int64, held, shard string, drops func(Pair) bool, heard clock.Time) {
+	if m.Shard() != held {
+		return
+	}
+	m.move(changes, revision, shard, drops)
+	m.hearVia(heard)
+}
+
+// move takes another shard.
+func (m *Mirror) move(changes []Change, revision int64, shard string, drops func(Pair) bool) {
+	m.tellMu.Lock()
+	defer m.tellMu.Unlock()
+	m.mirrorMu.Lock()
+	var news []Change
+	for _, c := range changes {
+		if c.ModRevision > m.pairs[c.Key].ModRevision {
+			news = append(news, c)
+		}
+	}
+	for key, p := range m.pairs {
+		if drops(p) {
+			news = append(news, Change{Pair: Pair{Key: key, ModRevision: revision}, Deleted: true, Dropped: true})
+		}
+	}
+	m.put(news)
+	// Peers that hold the former shard read everything anew.
+	m.base, m.history = revision, nil
+	m.shard, m.current, m.revision = shard, false, max(m.revision, revision)
+	m.wake()
+	m.mirrorMu.Unlock()
+	m.tell(news)
+}
+
+// Shard names what the copy holds of the keys; "" stands for all of them.
+func (m *Mirror) Shard() string {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	return m.shard
+}
+
+// Edits counts the changes of the copy.
+func (m *Mirror) Edits() int64 {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	return m.edits
+}
+
 // Pair returns the copy of a key.
 func (m *Mirror) Pair(key string) (Pair, bool) {
 	m.mirrorMu.Lock()
--- a/core/plat/mirror_test.go
+++ b/core/plat/mirror_test.go
@@ -130,9 +130,9 @@
 	g.Eventually(peer.value("a/1"), "10s", "5ms").Should(gomega.Equal("x"))
 
 	cut := watch(kv) // never started: the service does not answer it
-	all, revision := peer.All()
+	all, revision := peer.All("", nil)
 	now := clock.Now()
-	cut.TakeAll(all, revision, now)
+	cut.TakeAll(all, revision, "", "", now)
 	g.Expect(cut.value("a/1")()).To(gomega.Equal("x"))
 	g.Expect(cut.Fresh()).To(gomega.Equal(now))
 	g.Expect(cut.Contact().IsZero()).To(gomega.BeTrue())
@@ -146,7 +146,7 @@
 	g.Expect(cut.heard).To(gomega.HaveLen(2))
 
 	// An older state changes nothing.
-	cut.TakeAll(all, all[0].ModRevision, now)
+	cut.TakeAll(all, all[0].ModRevision, "", "", now)
 	g.Expect(cut.value("a/1")()).To(gomega.Equal("y"))
 	_, _, whole = peer.Since(-1)
 	g.Expect(whole).To(gomega.BeFalse())
@@ -191,13 +191,13 @@
 			m.Take([]plat.Change{change("a/1", "new", 6)}, 6, clock.Now())
 		}, "new", false, 2},
 		{"a whole copy names a later one", func(m *watched) {
-			m.TakeAll([]plat.Change{late("a/1", 8)}, 8, clock.Now())
+			m.TakeAll([]plat.Change{late("a/1", 8)}, 8, "", "", clock.Now())
 			m.Arrive(change("a/1", "new", 5).Pair)
 		}, "former", true, 1},
-		{"a whole copy lacks it", func(m *watched) { m.TakeAll(nil, 8, clock.Now()) }, "", false, 2},
+		{"a whole copy lacks it", func(m *watched) { m.TakeAll(nil, 8, "", "", clock.Now()) }, "", false, 2},
 		{"a whole copy of before it arrived lacks it", func(m *watched) {
 			m.Arrive(change("a/1", "newer", 9).Pair)
-			m.TakeAll(nil, 8, clock.Now())
+			m.TakeAll(nil, 8, "", "", clock.Now())
 		}, "newer", false, 2},
 	}
 	for _, tc := range tests {
@@ -225,7 +225,7 @@
 	g.Expect(whole).To(gomega.BeTrue())
 	g.Expect(revision).To(gomega.Equal(int64(4)))
 	g.Expect(changes).To(gomega.Equal(want))
-	all, revision := m.All()
+	all, revision := m.All("", nil)
 	g.Expect(revision).To(gomega.Equal(int64(4)))
 	g.Expect(all).To(gomega.Equal(want))
 	g.Expect(m.value("a/2")()).To(gomega.Equal(large))
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -52,6 +52,11 @@
 	if far := p.chooseAtHome(ctx, svc, own); far != nil {
 		return far, ""
 	}
+	if own == nil && p.relay.divided(p.service) {
+		if far := p.chooseElsewhere(ctx, svc); far != nil {
+			return far, ""
+		}
+	}
 	return own, why
 }
 
--- /dev/null
+++ b/core/relay/divided_test.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/fleet"
+)
+
+// divide makes each daemon hold the workers of its own cell only, all but those that gone names.
+func (h *homesRig) divide(gone func(cell int) bool) {
+	for i, f := range h.fleet {
+		r, view := h.rigs[i], f.View()
+		r.relay.o.Divided = func(string) bool { return true }
+		r.relay.o.Uses = func(string, string) bool { return true }
+		r.relay.o.CellDaemons = func() int { return f.View().CellSize() }
+		for _, id := range h.ids {
+			if cell := view.TargetCell(id, ""); cell != view.Cell() || gone(cell) {
+				r.roster.Drop(id)
+			}
+		}
+	}
+}
+
+// Daemons that hold their cell's workers only serve each prompt, and its returns where its context
+// is kept.
+func TestPromptsOfDividedWorkersAreServedAtHome(t *testing.T) {
+	const daemons = 24
+	h := newHomesRig(t, daemons, 12, always(streams(true, "id: 1\ndata: a\n\n")))
+	h.divide(func(int) bool { return false })
+	const context = "c1"
+	home := h.fleet[0].View().WeighedCell(fleet.Key(context))
+	for i := range daemons {
+		got := h.ask(i, context)
+		h.g.Expect(got.status).To(gomega.Equal(http.StatusOK), "daemon %d: %s", i, got.body)
+		h.settle()
+	}
+	for _, s := range h.rigs[0].sends() {
+		h.g.Expect(h.fleet[0].View().TargetCell(s.target, "")).To(gomega.Equal(home))
+	}
+}
+
+// A cell that has none of a service's targets left uses others.
+func TestACellWithoutTargetsAsksOthers(t *testing.T) {
+	const daemons = 24
+	h := newHomesRig(t, daemons, 12, always(streams(true, "id: 1\ndata: a\n\n")))
+	lost := h.fleet[0].View().Cell()
+	h.divide(func(cell int) bool { return cell == lost })
+	for i, f := range h.fleet {
+		if f.View().Cell() != lost {
+			continue
+		}
+		got := h.rigs[i].ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", "own:100")
+		h.g.Expect(got.status).To(gomega.Equal(http.StatusOK), "daemon %d: %s", i, got.body)
+	}
+}
--- a/core/relay/homes.go
+++ b/core/relay/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,9 @@
 	// silentTime and silentMost are how long a daemon that did not answer is not asked.
 	silentTime = 300 * time.Millisecond
 	silentMost = 5 * time.Second
+	// guestAge is how old another cell's list may be where this daemon sends by it: targets that
+	// leave get nothing more after a few seconds, two on the strictest of the users' sites.
+	guestAge = 1500 * time.Millisecond
 	// newsLimit bounds the sending of news to a home.
 	newsLimit = 500 * time.Millisecond
 	// placedSweep is the pause between removals of choices whose end was not told.
@@ -125,16 +129,38 @@
 	Expected, Usual             time.Duration
 	InTime, Served, Gain, Worth float64
 	Alone                       bool
+	// Entry is what the home's list says of the worker, and Age how old that list is.
+	Entry placeEntry
+	Age   time.Duration
+}
+
+// placeEntry is an entry of the list of targets.
+type placeEntry struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack              struct{} `msgpack:",as_array"`
+	Name, Address, Domain string
+	Born                  time.Time
+	Slots                 int
+}
+
+// entry returns it as the roster takes it.
+func (a *placeAnswer) entry(service, model string) roster.Entry {
+	e := &a.Entry
+	return roster.Entry{
+		ID: a.Target, Name: e.Name, Born: e.Born, Service: service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
+		Weights: map[string]int64{model: a.Weights},
+	}
 }
 
 // answerOf writes a choice as daemons send it.
-func answerOf(c *choice) *placeAnswer {
-	f, known, j := &c.factors, &c.candidate, &c.judged
+func answerOf(c *choice, age time.Duration) *placeAnswer {
+	f, known, j, e := &c.factors, &c.candidate, &c.judged, c.target.Entry()
 	return &placeAnswer{
 		Target: c.sending.Target, Weights: c.sending.Weights, Copy: c.sending.Copy, CopyUntil: c.sending.CopyUntil, Keep: c.sending.Keep,
 		Own: f.Own, Before: f.Before, Beside: f.Beside, Waiting: f.Waiting, Crowd: f.Crowd,
 		Kept: known.Kept, Copied: known.Copied, Running: known.Running, Held: known.Held,
 		Expected: j.Expected, Usual: c.usual, InTime: j.InTime, Served: j.Served, Gain: j.Gain, Worth: j.Worth, Alone: c.alone,
+		Entry: placeEntry{Name: e.Name, Address: e.Address, Domain: e.Domain, Born: e.Born, Slots: e.Slots}, Age: age,
 	}
 }
 
@@ -181,23 +207,49 @@
 	if len(peers) == 0 {
 		return nil
 	}
+	c := p.chooseAt(ctx, svc, peers, now)
+	if c == nil || (own != nil && own.judged.Gain > 0 && own.judged.Worth > c.judged.Worth+p.apart()) {
+		return nil
+	}
+	return c
+}
+
+// chooseElsewhere returns the choice of another cell for a request to a divided service of which
+// this cell has no target to use, or nil.
+func (p *pass) chooseElsewhere(ctx context.Context, svc *table.Service) *choice {
+	now := time.Now()
+	h := p.relay.homes
+	if h == nil || now.Sub(p.elsewhereAsked) < homePause {
+		return nil
+	}
+	p.elsewhereAsked = now
+	view := h.fleet.View()
+	for _, cell := range view.NextCells() {
+		peers := h.open(view.Homes(cell, fleet.Key("home/"+view.Self()), homeDaemons), now)
+		if c := p.chooseAt(ctx, svc, peers, now); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// chooseAt returns the choice of the first of some daemons of one cell that answers, or nil where
+// that has none.
+func (p *pass) chooseAt(ctx context.Context, svc *table.Service, peers []string, now time.Time) *choice {
+	h := p.relay.homes
 	p.homeAsked = now
 	ask := p.placeAsk(now)
 	for _, peer := range peers {
 		got, err := h.ask(ctx, peer, ask)
 		switch {
 		case errors.Is(err, wire.ErrRemote):
-			// The home has no place for it now.
+			// It has no place for the request now.
 			return nil
 		case err != nil:
 			p.note("home %s: %v", peer, errors.Cause(err))
 			continue
 		}
-		c := p.orderOf(h, peer, ask, got)
-		if c == nil || (own != nil && own.judged.Gain > 0 && own.judged.Worth > c.judged.Worth+p.apart()) {
-			return nil
-		}
-		return c
+		return p.orderOf(svc, peer, ask, got)
 	}
 	return nil
 }
@@ -238,20 +290,28 @@
 
 // orderOf returns a home's answer as a choice, or nil where it names no worker that this
 // daemon may send to.
-func (p *pass) orderOf(h *Homes, peer string, ask *placeAsk, got *placeAnswer) *choice {
-	t := p.relay.o.Roster.Target(got.Target)
-	if t == nil || p.relay.o.Outdated(p.ask.Model, got.Weights) || !p.allowed(t.Entry().Domain) {
+func (p *pass) orderOf(svc *table.Service, peer string, ask *placeAsk, got *placeAnswer) *choice {
+	h, t := p.relay.homes, p.relay.o.Roster.Target(got.Target)
+	if p.relay.divided(p.service) && got.Age <= guestAge {
+		t = p.relay.o.Roster.Guest(got.entry(p.service, p.ask.Model))
+	}
+	if t == nil || !p.allowed(t.Entry().Domain) || (svc.Engine != nil && p.relay.o.Outdated(p.ask.Model, got.Weights)) {
 		return nil
 	}
 	if stop, _ := p.relay.o.Roster.Gate(time.Now()).Stop(t); stop != roster.Open {
 		return nil
 	}
 	address := t.Entry().Address
-	p.bound(p.table.Service(p.service), address)
+	p.bound(svc, address, true)
 	if p.relay.o.Pool.Room(address) <= 0 {
 		return nil
 	}
 	c := got.choice(t, p.ask.Prompt)
+	if svc.Engine == nil {
+		// Nothing is counted at the other cell, which hears nothing more of it.
+		c.load = roster.Load{Running: 1}
+		return c
+	}
 	c.order = &homeOrder{homes: h, peer: peer, name: h.name(), ask: ask, answer: got}
 	return c
 }
@@ -268,13 +328,12 @@
 	if cell == view.Cell() {
 		return nil
 	}
-	var out []string
-	for _, name := range view.Homes(cell, fleet.Key("home/"+view.Self()), homeDaemons) {
-		if h.silent.Open(name, now) {
-			out = append(out, name)
-		}
-	}
-	return out
+	return h.open(view.Homes(cell, fleet.Key("home/"+view.Self()), homeDaemons), now)
+}
+
+// open returns those of some daemons that did not fail to answer lately.
+func (h *Homes) open(names []string, now time.Time) []string {
+	return slices.DeleteFunc(names, func(name string) bool { return !h.silent.Open(name, now) })
 }
 
 // ask asks one daemon.
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -36,14 +36,16 @@
 // where none of its own answers does it use all.
 func (p *pass) ownOptions(svc *table.Service, now time.Time) (own []option, share float64, why string) {
 	all := p.relay.o.Roster.Of(p.service)
-	if svc.Engine == nil {
+	divided := p.relay.divided(p.service)
+	if svc.Engine == nil && !divided {
 		own, why = p.options(svc, all, true, now)
 		return own, 1, why
 	}
 	mine := p.relay.shares.of(p.service, all, &p.relay.o)
 	own, why = p.options(svc, mine.own, true, now)
-	if len(own) > 0 || why == allFull || why == allRest {
-		// Where all of its own rest, the others would be overrun by what these turned away.
+	if divided || len(own) > 0 || why == allFull || why == allRest {
+		// Where all of its own rest, the others would be overrun by what these turned away. Of
+		// divided targets other cells decide.
 		return own, mine.part, why
 	}
 	own, why = p.options(svc, all, false, now)
@@ -69,7 +71,7 @@
 			none.stopped(t.ID(), stop, lasts)
 			continue
 		}
-		p.bound(svc, o.entry.Address)
+		p.bound(svc, o.entry.Address, false)
 		if o.load.Running >= p.most(svc, o.entry) || p.relay.o.Pool.Room(o.entry.Address) <= 0 || !p.relay.coldMay(svc, t, shared, false, now) {
 			none.full++
 			continue
@@ -173,10 +175,24 @@
 	return plainFull * slots
 }
 
-// bound shares the connections to a target out among the daemons.
-func (p *pass) bound(svc *table.Service, address string) {
-	if svc.MaxConns > 0 {
-		share := connShare * float64(svc.MaxConns) / float64(max(1, p.relay.o.Daemons()))
-		p.relay.o.Pool.SetMost(address, max(1, int(share)))
+// cellConns is the part of a divided target's connections that the daemons of its cell share; the
+// rest is for the other daemons, which other cells' answers lead there.
+const cellConns = 0.5
+
+// bound shares the connections to a target out among the daemons. guest tells that the target falls
+// to another cell.
+func (p *pass) bound(svc *table.Service, address string, guest bool) {
+	if svc.MaxConns <= 0 {
+		return
+	}
+	conns, daemons := connShare*float64(svc.MaxConns), p.relay.o.Daemons()
+	switch {
+	case !p.relay.divided(p.service):
+	case guest:
+		conns *= 1 - cellConns
+	default:
+		conns *= cellConns
+		daemons = p.relay.o.CellDaemons()
 	}
+	p.relay.o.Pool.SetMost(address, max(1, int(conns/float64(max(1, daemons)))))
 }
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -40,6 +40,8 @@
 	far bool
 	// homeAsked is when the home of the request's context was asked last.
 	homeAsked time.Time
+	// elsewhereAsked is when other cells were asked for a target last.
+	elsewhereAsked time.Time
 
 	// tried counts the sends to each target.
 	tried map[string]int
--- a/core/relay/placed.go
+++ b/core/relay/placed.go
@@ -27,7 +27,7 @@
 // place answers what to do with a prompt that another daemon has.
 func (h *Homes) place(_ context.Context, _ string, ask *placeAsk) (*placeAnswer, error) {
 	p, svc := h.passOf(ask)
-	if svc == nil || svc.Engine == nil {
+	if svc == nil || (svc.Engine == nil && !h.relay.divided(ask.Service)) {
 		return nil, errors.WithStack(errNotHome)
 	}
 	for {
@@ -36,7 +36,7 @@
 			return nil, errors.Wrap(errNotHome, why)
 		}
 		if p.spend(c, time.Now()) {
-			return answerOf(c), nil
+			return answerOf(c, h.relay.o.Age()), nil
 		}
 	}
 }
--- a/core/relay/regions_test.go
+++ b/core/relay/regions_test.go
@@ -70,8 +70,9 @@
 	e.Domain = "d2"
 	r.roster.Put(e)
 	p := &pass{relay: r.relay, table: r.relay.Table(), service: "llm", route: &testRoutes[2], tried: map[string]int{}, regions: regions{{"north"}}}
+	r.relay.homes = &Homes{}
 	answer := &placeAnswer{Target: "w1", Weights: 1}
-	r.g.Expect(p.orderOf(&Homes{}, "peer", &placeAsk{}, answer)).To(gomega.BeNil())
+	r.g.Expect(p.orderOf(r.relay.Table().Service("llm"), "peer", &placeAsk{}, answer)).To(gomega.BeNil())
 	ask := p.placeAsk(p.began)
 	r.g.Expect(ask.Regions).To(gomega.Equal(regions{{"north"}}))
 	far, _ := (&Homes{relay: r.relay}).passOf(ask)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -84,6 +84,13 @@
 	// Basis returns what Share goes by: as long as it is the same, so are shares. nil
 	// stands for not known.
 	Basis func() any
+	// Divided reports whether the cells of a large fleet divide the targets of a service, so that
+	// this daemon may hold only those of its cell; nil stands for never.
+	Divided func(service string) bool
+	// Uses reports whether a target of a divided service falls to this daemon's cell.
+	Uses func(name, domain string) bool
+	// CellDaemons returns how many daemons this one's cell has.
+	CellDaemons func() int
 	// Daemons returns how many daemons share the connections to targets.
 	Daemons func() int
 	// Place returns how many daemons come before this one for a target, of how many that
@@ -163,6 +170,9 @@
 	return lasted
 }
 
+// divided reports whether the cells divide the targets of a service.
+func (rl *Relay) divided(service string) bool { return rl.o.Divided != nil && rl.o.Divided(service) }
+
 // lacks returns for how long a newer configuration has been lacking, if that is too
 // long to handle anything by the one in force.
 func (rl *Relay) lacks() time.Duration {
--- a/core/relay/share.go
+++ b/core/relay/share.go
@@ -36,7 +36,12 @@
 	if was := s.services[service]; was != nil && basis != nil && was.basis == basis && sameList(was.of, all) {
 		return was
 	}
-	out := shareOf(all, o)
+	var out *share
+	if o.Divided != nil && o.Divided(service) {
+		out = dividedShare(all, o)
+	} else {
+		out = shareOf(all, o)
+	}
 	out.basis = basis
 	if s.services == nil {
 		s.services = map[string]*share{}
@@ -64,6 +69,18 @@
 	return out
 }
 
+// dividedShare returns the targets that fall to this daemon's cell, which serve as large a part of
+// the requests as the cell has of the daemons.
+func dividedShare(all []*roster.Target, o *Options) *share {
+	out := &share{of: all, part: float64(o.CellDaemons()) / float64(max(1, o.Daemons()))}
+	for _, t := range all {
+		if e := t.Entry(); o.Uses(e.Name, e.Domain) {
+			out.own = append(out.own, t)
+		}
+	}
+	return out
+}
+
 // sameList reports whether two lists are one and the same.
 func sameList(a, b []*roster.Target) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
--- a/core/roster/gate.go
+++ b/core/roster/gate.go
@@ -141,7 +141,11 @@
 	var out []string
 	now := clock.Now()
 	for id, s := range r.said {
-		if t := r.targets[id]; t != nil && t.Entry().Service == service && (s.leaves || s.rest.left(now) > 0) {
+		t := r.targets[id]
+		if t == nil {
+			t = r.guests.find(id)
+		}
+		if t != nil && t.Entry().Service == service && (s.leaves || s.rest.left(now) > 0) {
 			out = append(out, id)
 		}
 	}
--- /dev/null
+++ b/core/roster/guest_test.go
@@ -0,0 +1,74 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/event"
+)
+
+// What becomes of a target that this daemon's list does not hold.
+func TestTargetsThatTheListDoesNotHold(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps func(r *Roster) *Target
+		// listed tells that it is among the targets of its service.
+		listed bool
+		stop   Stop
+	}{
+		{"named by another daemon", func(r *Roster) *Target { return r.Guest(run("a@1000", 1000)) }, false, Open},
+		{"named twice", func(r *Roster) *Target {
+			r.Guest(run("a@1000", 1000))
+			return r.Guest(run("a@1000", 1000))
+		}, false, Open},
+		{"said that it leaves", func(r *Roster) *Target {
+			guest := r.Guest(run("a@1000", 1000))
+			r.Leaves("a@1000", ByAnswer)
+			return guest
+		}, false, Leaves},
+		{"the list holds it from now on", func(r *Roster) *Target {
+			guest := r.Guest(run("a@1000", 1000))
+			r.Put(run("a@1000", 1000))
+			return guest
+		}, true, Open},
+		{"the list holds it no more", func(r *Roster) *Target {
+			r.Put(run("a@1000", 1000))
+			listed := r.Target("a@1000")
+			r.Drop("a")
+			return listed
+		}, false, Open},
+		{"dropped and held again", func(r *Roster) *Target {
+			r.Put(run("a@1000", 1000))
+			listed := r.Target("a@1000")
+			r.Drop("a")
+			r.Put(run("a@1000", 1000))
+			return listed
+		}, true, Open},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := New(&event.Log{}, nil)
+			ended := 0
+			r.Removed = func(string, bool) { ended++ }
+			target := tc.steps(r)
+			g.Expect(r.Target("a@1000")).To(gomega.BeIdenticalTo(target), "its running work goes on")
+			g.Expect(len(r.Of("s")) == 1).To(gomega.Equal(tc.listed))
+			g.Expect(r.Enter(target)).To(gomega.Equal(tc.stop))
+			g.Expect(ended).To(gomega.BeZero(), "no run has ended")
+		})
+	}
+}
+
+func TestGuestsAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, now := New(&event.Log{}, nil), time.Now()
+	r.Guest(run("a@1000", 1000))
+	busy := r.Guest(run("b@1000", 1000))
+	busy.Begin(Load{Running: 1})
+	r.guests.put(&Target{id: "c", busy: &r.busy}, now.Add(guestLife+guestSweep))
+	g.Expect(r.Target("a@1000")).To(gomega.BeNil())
+	g.Expect(r.Target("b@1000")).To(gomega.BeIdenticalTo(busy), "its request has not ended")
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -84,6 +84,8 @@
 
 	rosterMu sync.Mutex
 	targets  map[string]*Target // by ID; guarded by rosterMu
+	// guests are targets that this daemon's list does not hold. Guarded by rosterMu.
+	guests guests
 	// runs holds the run that each name stands for. Guarded by rosterMu.
 	runs map[string]string
 	// ended holds, by name, the run that was seen to be over before the list said so.
@@ -175,7 +177,10 @@
 
 // begin takes a new run. It is called with rosterMu held.
 func (r *Roster) begin(e Entry) {
-	t := &Target{id: e.ID, busy: &r.busy}
+	t := r.guests.take(e.ID)
+	if t == nil {
+		t = &Target{id: e.ID, busy: &r.busy}
+	}
 	t.set(e)
 	r.targets[e.ID], r.runs[e.Name] = t, e.ID
 	delete(r.early, e.Name)
@@ -249,6 +254,21 @@
 	}
 }
 
+// Drop records that the list of this daemon does not hold a target any more, which may still be
+// there for others.
+func (r *Roster) Drop(name string) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	delete(r.ended, name)
+	delete(r.early, name)
+	t := r.targets[r.runs[name]]
+	if t == nil {
+		return
+	}
+	r.unuse(t)
+	r.keepGuest(t)
+}
+
 // expire removes a target whose lapsed entry has not come back.
 func (r *Roster) expire(id string) {
 	r.rosterMu.Lock()
@@ -258,21 +278,26 @@
 	}
 }
 
-// remove is called with rosterMu held.
-func (r *Roster) remove(t *Target) {
+// unuse takes a target off the lists. It is called with rosterMu held.
+func (r *Roster) unuse(t *Target) {
 	name := t.Entry().Name
 	delete(r.targets, t.id)
 	delete(r.ordered, t.id)
 	if r.runs[name] == t.id {
 		delete(r.runs, name)
 	}
+	r.publish()
+}
+
+// remove is called with rosterMu held.
+func (r *Roster) remove(t *Target) {
+	r.unuse(t)
 	t.retire()
 	if r.Removed != nil {
 		_, leaving := r.leaving(t)
 		r.Removed(t.id, leaving)
 	}
 	r.log.Emit(event.BoxGone, event.Ref{Target: t.id}, t.Entry().Service+" at "+t.Entry().Address)
-	r.publish()
 }
 
 // publish makes the lists by service be made anew when they are next asked for. Made anew
@@ -315,9 +340,12 @@
 	return r.targets[r.runs[name]]
 }
 
-// Target returns a run of a target by ID, or nil.
+// Target returns a run of a target by ID, listed or guest, or nil.
 func (r *Roster) Target(id string) *Target {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	return r.targets[id]
+	if t := r.targets[id]; t != nil {
+		return t
+	}
+	return r.guests.find(id)
 }
--- /dev/null
+++ b/core/spread/divide_test.go
@@ -0,0 +1,187 @@
+package spread_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/memkv"
+	"embertally.dev/core/plat"
+	"embertally.dev/core/spread"
+)
+
+// pagedStore gives keys in pages, each of them a priced call.
+type pagedStore struct {
+	*pricedStore
+	page int
+}
+
+func (s *pagedStore) Pages(ctx context.Context, span plat.Span, f func([]plat.Pair, int64, bool) bool) error {
+	all, revision, err := s.KV.Range(ctx, span)
+	if err != nil {
+		return err
+	}
+	for from := 0; ; from += s.page {
+		if !s.call() {
+			return errRefused
+		}
+		to := min(from+s.page, len(all))
+		if !f(all[from:to], revision, to < len(all)) || to == len(all) {
+			return nil
+		}
+	}
+}
+
+// Keys of the tests' entries are op/t/SERVICE/DOMAIN/NAME.
+func entryOf(p plat.Pair) (spread.Entry, bool) {
+	f := strings.Split(p.Key, "/")
+	if len(f) != 5 {
+		return spread.Entry{}, false
+	}
+	return spread.Entry{Service: f[2], Domain: f[3], Name: f[4]}, true
+}
+
+// held returns the keys of the entries of a service that a daemon's mirror holds.
+func (m *rooted) held(service string) []string {
+	var out []string
+	for _, p := range m.mirror.Under("op/t/" + service + "/") {
+		out = append(out, p.Key)
+	}
+	return out
+}
+
+// entryKeys puts entries of a service in the store.
+func entryKeys(t *testing.T, store *pagedStore, service string, from, to, domains int) []string {
+	var keys []string
+	for i := from; i < to; i++ {
+		key := fmt.Sprintf("op/t/%s/domain-%d/w-%04d", service, i%domains, i)
+		put(t, store.KV, key, []byte("here"))
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+// A daemon holds the targets of its own cell, and all of a service that has too few to be divided;
+// a change of one reaches who holds it.
+func TestDaemonsHoldTheTargetsOfTheirCell(t *testing.T) {
+	const daemons, domains, large, small = 48, 3, 480, 12
+	g := gomega.NewWithT(t)
+	store := &pagedStore{pricedStore: &pricedStore{KV: &memkv.KV{}}, page: 100}
+	put(t, store.KV, "op/config", []byte("first"))
+	keys := entryKeys(t, store, "large", 0, large, domains)
+	entryKeys(t, store, "small", 0, small, domains)
+	members := rootedFleet(t, store, daemons, domains)
+	converged := func() bool {
+		holders, whole := map[string]int{}, 0
+		for _, m := range members {
+			held := m.held("large")
+			if len(held) == len(keys) {
+				whole++
+				continue
+			}
+			if len(m.held("small")) != small || !m.mirrors.Divided("large") || m.mirrors.Divided("small") {
+				return false
+			}
+			for _, key := range held {
+				holders[key]++
+			}
+		}
+		// The daemons that ask the store hold all, the others of a cell the same.
+		return whole <= domains && len(holders) == len(keys)
+	}
+	g.Eventually(converged, soon, look).Should(gomega.BeTrue())
+	for _, m := range members {
+		g.Eventually(m.holds("op/config", []byte("first")), soon, look).Should(gomega.BeTrue())
+		if held := m.held("large"); len(held) < len(keys) {
+			g.Expect(len(held)).To(gomega.BeNumerically("<", large/2), "four cells")
+		}
+	}
+	key := keys[7]
+	put(t, store.KV, key, []byte("changed"))
+	put(t, store.KV, "op/config", []byte("second"))
+	for _, m := range members {
+		g.Eventually(m.holds("op/config", []byte("second")), soon, look).Should(gomega.BeTrue())
+		if slices.Contains(m.held("large"), key) {
+			g.Eventually(m.holds(key, []byte("changed")), soon, look).Should(gomega.BeTrue())
+		}
+	}
+	if _, err := store.Commit(context.Background(), plat.Txn{Deletes: []string{key}}); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range members {
+		g.Eventually(func() bool { return slices.Contains(m.held("large"), key) }, soon, look).Should(gomega.BeFalse())
+	}
+}
+
+// Each page is a priced call: a daemon that finds that others follow the store reads no more than
+// says who these are.
+func TestDaemonsThatStartReadTheOutlineOnly(t *testing.T) {
+	const daemons, domains, large, page = 48, 3, 3000, 100
+	g := gomega.NewWithT(t)
+	store := &pagedStore{pricedStore: &pricedStore{KV: &memkv.KV{}}, page: page}
+	put(t, store.KV, "op/a/outline", []byte("here"))
+	put(t, store.KV, "op/config", []byte("first"))
+	entryKeys(t, store, "large", 0, large, domains)
+	members := rootedFleet(t, store, daemons, domains)
+	allHold(g, members, "first")
+	calls, _ := store.figures()
+	// Each reads one page, those who follow all of them, some for the time until they hear others.
+	g.Expect(calls).To(gomega.BeNumerically("<", 2*daemons+3*domains*large/page))
+}
+
+// A box more or less changes which targets fall to a cell; a daemon takes those that it lacks and lets
+// the others go, without reading everything anew.
+func TestACellThatChangesTakesWhatItLacks(t *testing.T) {
+	const daemons, domains, large = 49, 3, 700
+	g := gomega.NewWithT(t)
+	store := &pagedStore{pricedStore: &pricedStore{KV: &memkv.KV{}}, page: 100}
+	put(t, store.KV, "op/config", []byte("first"))
+	keys := entryKeys(t, store, "large", 0, large, domains)
+	list := &boxList{}
+	members := listedFleet(t, store, daemons, domains, list)
+	allHold(g, members, "first")
+	inShard := func(m *rooted) func() bool {
+		return func() bool {
+			held, shard := m.held("large"), m.fleet.View().Shard()
+			if len(held) == len(keys) {
+				return true
+			}
+			for _, key := range keys {
+				e, _ := entryOf(plat.Pair{Key: key})
+				if slices.Contains(held, key) != shard.Holds(e.Name, e.Domain) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	for _, m := range members {
+		g.Eventually(inShard(m), soon, look).Should(gomega.BeTrue())
+	}
+	cells := members[0].fleet.View().Cells()
+	told := func() (sum int64) {
+		for _, m := range members {
+			sum += m.mirrors.Told()
+		}
+		return sum
+	}
+	before := told()
+	// One box less is one cell less.
+	var boxes []plat.Box
+	for _, p := range members[daemons-1].fleet.View().Peers() {
+		boxes = append(boxes, plat.Box{Name: p.Name, Role: plat.RoleEntry, Address: p.Address, Domain: p.Domain, State: plat.BoxLive})
+	}
+	members[daemons-1].stop()
+	list.set(boxes)
+	for _, m := range members[:daemons-1] {
+		g.Eventually(func() int { return m.fleet.View().Cells() }, soon, look).Should(gomega.Equal(cells - 1))
+		g.Eventually(inShard(m), soon, look).Should(gomega.BeTrue())
+	}
+	put(t, store.KV, "op/config", []byte("second"))
+	allHold(g, members[:daemons-1], "second")
+	g.Expect(told() - before).To(gomega.BeNumerically("<", 10*daemons*len("second")+daemons*large*len("here")/4))
+}
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,10 +29,18 @@
 	fleet  *fleet.Fleet
 	log    *event.Log
 	values *values
+	// others counts the questions in a row to peers of the cell that hold another shard than this
+	// daemon asks for.
+	others atomic.Int64
 	// told counts the bytes of values that peers were given, and failed the
 	// questions of this daemon that a peer did not answer.
 	told, failed atomic.Int64
 
+	// Entry, if set, reads what a key says of a target; false where it is no entry of one. It is
+	// set before Run.
+	Entry   func(plat.Pair) (Entry, bool)
+	entries entries
+
 	roots atomic.Pointer[mirrorRoots]
 	// silent are the roots that did not answer, or knew nothing fresh.
 	silent wait.Backoff[string]
@@ -46,6 +55,7 @@
 	s := &Mirrors{began: clock.Now(), mirror: m, fleet: f, log: log, peers: map[string]clock.Time{}}
 	s.silent.First, s.silent.Most = silentTime, silentMost
 	s.values = newValues(m, f, newParcels(f, func(bytes int) { s.told.Add(int64(bytes)) }), log)
+	m.Observe(s.observe)
 	f.Attach("mirror", s)
 	f.Mux().Register(kindMirror, wire.Handle(s.answer))
 	m.Follows, m.Reserve, m.Gather = s.Follows, s.Reserve, s.Gather
@@ -109,6 +119,9 @@
 	// askLimit bounds one question.
 	askWait  = 500 * time.Millisecond
 	askLimit = askWait + 600*time.Millisecond
+	// othersMost is how many questions in a row may meet another shard at peers of the cell, which
+	// are about to change it as well, before a root is asked.
+	othersMost = 5
 	// answerRoom bounds the keys and values of one answer, so that its time limit
 	// fits its size: 38 ms on a link of 10 Mbit/s, 0.5 s where 11 peers ask at once.
 	answerRoom = 48 << 10
@@ -155,7 +168,7 @@
 // ask takes what a peer knows more.
 func (s *Mirrors) ask(ctx context.Context) {
 	peer, root := s.best(), ""
-	if s.leads() {
+	if s.leads() || s.isAlone(peer) {
 		if root = s.root(); root != "" {
 			peer = root
 		}
@@ -168,20 +181,54 @@
 	if err != nil {
 		s.failed.Add(1)
 		s.log.Emit(event.PeerNotTold, event.Ref{}, peer+" after "+elapsed(began)+": "+err.Error())
+	}
+	if err != nil && !errors.Is(err, errOtherShard) {
 		s.forget(peer)
 	}
 	switch {
 	case root == "":
+		if errors.Is(err, errOtherShard) {
+			s.others.Add(1)
+		} else {
+			s.others.Store(0)
+		}
 	case err != nil, clock.Since(s.mirror.Fresh()) > staleAfter:
 		s.silent.Failed(root, time.Now())
 	default:
 		s.silent.Worked(root)
+		s.others.Store(0)
+	}
+}
+
+// isAlone reports whether nobody in the cell can tell this daemon what the service says: the
+// freshest peer holds another shard, or there is none and what is known is old.
+func (s *Mirrors) isAlone(peer string) bool {
+	if s.fleet.View().Cells() < rootedCells {
+		return false
 	}
+	return s.others.Load() > othersMost || (peer == "" && s.silence() > staleAfter)
+}
+
+// silence returns how old this daemon's copy is, or how long it has known nothing.
+func (s *Mirrors) silence() time.Duration {
+	if fresh := s.mirror.Fresh(); !fresh.IsZero() {
+		return clock.Since(fresh)
+	}
+	return clock.Since(s.began)
 }
 
 // askPeer takes what one peer knows more, answer by answer.
 func (s *Mirrors) askPeer(ctx context.Context, peer string) error {
-	ask := &mirrorAsk{After: s.mirror.Revision(), WaitMillis: askWait.Milliseconds(), AgeMillis: ageMillis(clock.Since(s.mirror.Fresh()))}
+	view := s.fleet.View()
+	shard := view.Shard()
+	if view.Cells() >= rootedCells && slices.Contains(s.rootsOf(view), view.Self()) {
+		// Others ask it for all shards.
+		shard = nil
+	}
+	ask := &mirrorAsk{
+		After: s.mirror.Revision(), WaitMillis: askWait.Milliseconds(), AgeMillis: ageMillis(clock.Since(s.mirror.Fresh())),
+		Shard: shard, Held: s.mirror.Shard(),
+	}
 	for {
 		began := clock.Now()
 		got, err := s.question(ctx, peer, ask)
@@ -189,11 +236,19 @@
 			return err
 		}
 		if got.All {
-			return s.takeAll(ctx, peer, got, got.heard(began))
+			return s.takeAll(ctx, peer, ask, got, got.heard(began))
+		}
+		if got.Moved && shard != nil {
+			s.mirror.TakeMoved(got.changes(), got.Revision, ask.Held, got.Holds, s.drops(shard, got.Holds), got.heard(began))
+			s.expectLate(peer)
+			return nil
+		}
+		if got.Holds != ask.Held {
+			return errors.WithStack(errNonsense)
 		}
 		if got.More {
 			s.mirror.Take(got.changes(), got.Revision, clock.Time{})
-			ask = &mirrorAsk{After: got.Revision}
+			ask = &mirrorAsk{After: got.Revision, Shard: shard, Held: ask.Held}
 			continue
 		}
 		s.mirror.Take(got.changes(), got.Revision, got.heard(began))
@@ -204,20 +259,20 @@
 
 // takeAll takes a peer's whole copy, of which the first page is here. The pages are
 // not of one moment: what changes meanwhile follows the revision of the first.
-func (s *Mirrors) takeAll(ctx context.Context, peer string, first *mirrorAnswer, heard clock.Time) error {
+func (s *Mirrors) takeAll(ctx context.Context, peer string, asked *mirrorAsk, first *mirrorAnswer, heard clock.Time) error {
 	all := first.changes()
 	for page := first; page.More; {
 		var err error
-		ask := &mirrorAsk{Page: all[len(all)-1].Key}
+		ask := &mirrorAsk{Page: all[len(all)-1].Key, Shard: asked.Shard}
 		if page, err = s.question(ctx, peer, ask); err != nil {
 			return err
 		}
-		if !page.All {
+		if !page.All || page.Holds != first.Holds {
 			return errors.WithStack(errNonsense)
 		}
 		all = append(all, page.changes()...)
 	}
-	s.mirror.TakeAll(all, first.Revision, heard)
+	s.mirror.TakeAll(all, first.Revision, asked.Held, first.Holds, heard)
 	s.expectLate(peer)
 	return nil
 }
@@ -243,6 +298,9 @@
 	if err := s.fleet.Call(ctx, peer, kindMirror, ask, &got); err != nil {
 		return nil, err
 	}
+	if got.Other {
+		return nil, errors.WithStack(errOtherShard)
+	}
 	if got.More && !got.follows(ask) {
 		return nil, errors.WithStack(errNonsense)
 	}
--- a/core/spread/roots.go
+++ b/core/spread/roots.go
@@ -1,10 +1,10 @@
 package spread
 
 import (
+	"maps"
 	"slices"
 	"time"
 
-	"embertally.dev/core/clock"
 	"embertally.dev/core/fleet"
 )
 
@@ -13,8 +13,9 @@
 	// smallFleet is the size up to which all daemons ask the service.
 	smallFleet = 16
 	// staleAfter is the age of what peers told from which the next daemons in rank
-	// ask the service themselves: reserves of them, and as many again with each
-	// staleAfter more. What is kept may not be copied from 2.2 s on.
+	// ask the service themselves: reserves of a cell, or where there are roots one of
+	// each failure domain, and as many again with each staleAfter more. What is kept
+	// may not be copied from 2.2 s on.
 	staleAfter = 1800 * time.Millisecond
 	reserves   = 2
 	// followers is how many daemons of a cell in a large fleet ask the service, or where
@@ -47,7 +48,7 @@
 func (s *Mirrors) Follows() bool {
 	view := s.fleet.View()
 	switch {
-	case len(view.Peers()) < smallFleet, s.mirror.Fresh().IsZero():
+	case len(view.Peers()) < smallFleet, !s.mirror.Known():
 		return true
 	case view.Cells() < rootedCells:
 		return s.place(view) < followers || s.Reserve()
@@ -73,18 +74,17 @@
 // do not tell what it says. All daemons asking at once would add nothing where the
 // service is down, at the price of each call.
 func (s *Mirrors) Reserve() bool {
-	view, fresh := s.fleet.View(), s.mirror.Fresh()
-	if len(view.Peers()) < smallFleet || fresh.IsZero() {
+	view := s.fleet.View()
+	if len(view.Peers()) < smallFleet || !s.mirror.Known() {
 		return false
 	}
-	place, first := s.place(view), followers
+	rounds := int(s.silence() / staleAfter)
 	if view.Cells() >= rootedCells {
-		if slices.Contains(s.rootsOf(view), view.Self()) {
-			return false
-		}
-		first = 0
+		place := fleet.Place(rootKey, view.Domains()[view.Domain()], view.Self())
+		return place > 0 && place <= rounds
 	}
-	return place >= first && place < first+reserves*int(clock.Since(fresh)/staleAfter)
+	place := s.place(view)
+	return place >= followers && place < followers+reserves*rounds
 }
 
 // place returns how many of the cell come before this daemon in asking the service.
@@ -92,27 +92,57 @@
 	return fleet.Place(fleet.Key("mirror"), view.Expected(), view.Self())
 }
 
+// rootKey ranks the daemons of a failure domain for asking the service.
+var rootKey = fleet.Key("root")
+
+// rootsTried is how many daemons of each failure domain are asked for what the service says: the
+// root, and those who take its place where it is lost.
+const rootsTried = 3
+
 // mirrorRoots are the daemons of one view that ask the service for the whole fleet.
 type mirrorRoots struct {
 	view  *fleet.View
 	names []string
+	// ranked are those to ask for what it says, in the order of this daemon.
+	ranked []string
 }
 
-// rootsOf returns them: one of each failure domain.
-func (s *Mirrors) rootsOf(view *fleet.View) []string {
+// rootsOf returns the daemons that ask the service: one of each failure domain.
+func (s *Mirrors) rootsOf(view *fleet.View) []string { return s.ranksOf(view).names }
+
+// ranksOf returns who asks the service in a view.
+func (s *Mirrors) ranksOf(view *fleet.View) *mirrorRoots {
 	if r := s.roots.Load(); r != nil && r.view == view {
-		return r.names
+		return r
 	}
-	r, key := &mirrorRoots{view: view}, fleet.Key("root")
+	r := &mirrorRoots{view: view}
 	domains := view.Domains()
-	for _, names := range domains {
-		r.names = append(r.names, fleet.First(key, names))
-	}
 	if len(domains) < leastRoots {
-		r.names = firstOf(fleet.Rank(key, view.Listed()), leastRoots)
+		r.names = fleet.RankFirst(rootKey, view.Listed(), leastRoots)
+		r.ranked = fleet.RankFirst(rootKey, view.Listed(), leastRoots*rootsTried)
+		s.roots.Store(r)
+		return r
+	}
+	// Its own domain comes first: what is told there crosses no other. The order of the others
+	// is each daemon's own, so that their work is even.
+	order := slices.Collect(maps.Keys(domains))
+	order = fleet.Rank(fleet.Key(view.Self()), order)
+	if at := slices.Index(order, view.Domain()); at > 0 {
+		order = slices.Insert(slices.Delete(order, at, at+1), 0, view.Domain())
+	}
+	for place := range rootsTried {
+		for _, domain := range order {
+			first := fleet.RankFirst(rootKey, domains[domain], rootsTried)
+			if place < len(first) {
+				r.ranked = append(r.ranked, first[place])
+			}
+			if place == 0 {
+				r.names = append(r.names, first[0])
+			}
+		}
 	}
 	s.roots.Store(r)
-	return r.names
+	return r
 }
 
 // Asks returns who asks the service by rank, for this daemon's cell or, where there are
@@ -125,11 +155,10 @@
 	return s.rootsOf(view)
 }
 
-// root returns the root that this daemon asks, or "": each daemon has its own order of
-// them, so that their work is even.
+// root returns the first daemon that this one may ask for what the service says, or "".
 func (s *Mirrors) root() string {
 	view, now := s.fleet.View(), time.Now()
-	for _, name := range fleet.Rank(fleet.Key(view.Self()), s.rootsOf(view)) {
+	for _, name := range s.ranksOf(view).ranked {
 		if name != view.Self() && s.silent.Open(name, now) {
 			return name
 		}
--- a/core/spread/roots_test.go
+++ b/core/spread/roots_test.go
@@ -23,8 +23,42 @@
 	stop   context.CancelFunc
 }
 
+// boxList is the platform's list of boxes; the zero value lists none.
+type boxList struct {
+	listMu sync.Mutex
+	boxes  []plat.Box // guarded by listMu
+	turn   int        // counts the changes; guarded by listMu
+}
+
+// set changes the list.
+func (l *boxList) set(boxes []plat.Box) {
+	l.listMu.Lock()
+	defer l.listMu.Unlock()
+	l.boxes = boxes
+	l.turn++
+}
+
+// reader reads a list for one daemon.
+type reader struct {
+	list *boxList
+	turn int
+}
+
+func (r *reader) Read(context.Context) ([]plat.Box, bool, error) {
+	r.list.listMu.Lock()
+	defer r.list.listMu.Unlock()
+	changed := r.turn != r.list.turn
+	r.turn = r.list.turn
+	return r.list.boxes, changed, nil
+}
+
 // rootedFleet runs daemons of several failure domains before one store.
 func rootedFleet(t *testing.T, store plat.Reader, daemons, domains int) []*rooted {
+	return listedFleet(t, store, daemons, domains, &boxList{})
+}
+
+// listedFleet is rootedFleet with a list of boxes that changes.
+func listedFleet(t *testing.T, store plat.Reader, daemons, domains int, list *boxList) []*rooted {
 	seeds, listeners := addresses(t, daemons)
 	for i := range seeds {
 		seeds[i].Domain = fmt.Sprintf("domain-%d", i%domains)
@@ -35,10 +69,13 @@
 	for i, seed := range seeds {
 		f := fleet.New(fleet.Options{
 			Name: seed.Name, Incarnation: seed.Name + "-1", Domain: seed.Domain, Seeds: seeds, Heartbeat: beat, Suspect: suspect, Log: &event.Log{},
+			Boxes: &reader{list: list}, BoxPause: 50 * time.Millisecond,
 		})
 		m := &rooted{member: &member{fleet: f}, domain: seed.Domain}
 		m.mirror = plat.NewMirror(store, plat.Prefix("op/"), &event.Log{})
+		m.mirror.Outline = "op/a/"
 		m.mirrors = spread.NewMirrors(m.mirror, f, &event.Log{})
+		m.mirrors.Entry = entryOf
 		ctx, cancel := context.WithCancel(context.Background())
 		m.stop = cancel
 		t.Cleanup(cancel)
--- a/core/spread/shelfrank.go
+++ b/core/spread/shelfrank.go
@@ -59,14 +59,14 @@
 	}
 	key := fleet.Key("shelf/" + address)
 	names := view.Listed()
-	r := &shelfRank{fleet: firstOf(fleet.Rank(key, names), max(1, int(rankedShare*float64(s.watchers(address)))))}
+	r := &shelfRank{fleet: fleet.RankFirst(key, names, max(1, int(rankedShare*float64(s.watchers(address)))))}
 	// One of the cell that asks the store itself comes first.
 	for _, name := range r.fleet {
 		if slices.Contains(view.OnDuty(), name) {
 			r.cell = append(r.cell, name)
 		}
 	}
-	for _, name := range firstOf(fleet.Rank(key, view.OnDuty()), cellAskers) {
+	for _, name := range fleet.RankFirst(key, view.OnDuty(), cellAskers) {
 		if !slices.Contains(r.cell, name) {
 			r.cell = append(r.cell, name)
 		}
--- a/core/spread/swaps.go
+++ b/core/spread/swaps.go
@@ -30,6 +30,9 @@
 type Swaps struct {
 	fleet  *fleet.Fleet
 	roster *roster.Roster
+	// Divided, if set, reports whether the cells divide the targets of a service. It is set
+	// before use.
+	Divided func(service string) bool
 }
 
 // NewSwaps returns what tells of swaps. It must be called before the fleet runs.
@@ -64,11 +67,7 @@
 // tell sends news to the worker's cell, where that is another one.
 func (s *Swaps) tell(t *roster.Target, n *swapNews) {
 	view := s.fleet.View()
-	var names []string
-	for _, other := range s.roster.Of(t.Entry().Service) {
-		names = append(names, other.ID())
-	}
-	cell := view.SharedBy(names, t.ID())
+	cell := s.user(view, t)
 	if cell == view.Cell() {
 		return
 	}
@@ -77,6 +76,19 @@
 	}
 }
 
+// user returns the cell that uses a worker.
+func (s *Swaps) user(view *fleet.View, t *roster.Target) int {
+	e := t.Entry()
+	if s.Divided != nil && s.Divided(e.Service) {
+		return view.TargetCell(e.Name, e.Domain)
+	}
+	var names []string
+	for _, other := range s.roster.Of(e.Service) {
+		names = append(names, other.ID())
+	}
+	return view.SharedBy(names, t.ID())
+}
+
 // swapTeller sends news of one swap to one peer.
 type swapTeller struct {
 	fleet *fleet.Fleet
--- a/core/spread/tell.go
+++ b/core/spread/tell.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/clock"
+	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
 )
 
@@ -23,6 +23,9 @@
 	// AgeMillis is how old the asker's copy is: the answer comes as soon as the peer's
 	// is fresher, also without a change.
 	AgeMillis int64
+	// Shard is that of the asker's cell, and Held names what its copy holds.
+	Shard *fleet.Shard
+	Held  string
 }
 
 // mirrorAnswer holds them.
@@ -40,6 +43,13 @@
 	More bool
 	// WaitedMillis is how long the answer waited for a change.
 	WaitedMillis int64
+	// Holds names the shard that the answer is of; "" stands for all keys.
+	Holds string
+	// Other tells that the sender holds another shard than was asked for, and says nothing else.
+	Other bool
+	// Moved tells that Changes hold beside what is new what the asker's former shard lacked, and
+	// that it may drop what its new one lacks.
+	Moved bool
 }
 
 // mirrorChange is one change as peers send it.
@@ -57,13 +67,21 @@
 // answer tells a peer what has changed.
 func (s *Mirrors) answer(ctx context.Context, _ string, ask *mirrorAsk) (*mirrorAnswer, error) {
 	began := clock.Now()
+	if s.viewFor(ask) == nil {
+		return &mirrorAnswer{Other: true}, nil
+	}
 	s.await(ctx, ask)
 	waited := clock.Since(began)
 	fresh := s.mirror.Fresh()
 	if fresh.IsZero() {
 		return nil, errors.New("this daemon knows nothing yet")
 	}
-	out := s.some(ask)
+	// What is held may have changed meanwhile.
+	v := s.viewFor(ask)
+	if v == nil {
+		return &mirrorAnswer{Other: true}, nil
+	}
+	out := s.some(ask, v)
 	out.AgeMillis, out.WaitedMillis = ageMillis(clock.Since(fresh)), waited.Milliseconds()
 	for _, c := range out.Changes {
 		s.told.Add(int64(len(c.Value)))
@@ -72,11 +90,15 @@
 }
 
 // some returns as many of the changes that a peer asks for as one answer holds.
-func (s *Mirrors) some(ask *mirrorAsk) *mirrorAnswer {
+func (s *Mirrors) some(ask *mirrorAsk, v *shardView) *mirrorAnswer {
 	changes, revision, whole := s.mirror.Since(ask.After)
 	if !whole || ask.Page != "" {
-		return s.page(ask.Page)
+		return s.page(ask.Page, v)
+	}
+	if ask.Held != v.holds {
+		return s.moved(ask, v, changes)
 	}
+	changes = v.filter(changes)
 	n := fitting(changes)
 	for n < len(changes) && n > 0 && changes[n].ModRevision == changes[n-1].ModRevision {
 		// What was written together is told together.
@@ -86,16 +108,29 @@
 	if more {
 		revision = changes[n-1].ModRevision
 	}
-	return &mirrorAnswer{Changes: told(changes[:n]), Revision: revision, More: more}
+	return &mirrorAnswer{Changes: told(changes[:n]), Revision: revision, More: more, Holds: v.holds}
+}
+
+// moved returns what a peer lacks whose cell has another shard now: cells change with each few boxes
+// that come or go. Where that does not fit one answer, everything is told page by page.
+func (s *Mirrors) moved(ask *mirrorAsk, v *shardView, changes []plat.Change) *mirrorAnswer {
+	former, ok := v.former(ask.Held)
+	if !ok {
+		return s.page("", v)
+	}
+	lacked, revision := s.mirror.All("", func(p plat.Pair) bool { return v.keeps(p) && !former.keeps(p) })
+	changes = append(v.filter(changes), lacked...)
+	if fitting(changes) < len(changes) {
+		return s.page("", v)
+	}
+	return &mirrorAnswer{Changes: told(changes), Revision: revision, Holds: v.holds, Moved: true}
 }
 
 // page returns the page of everything that follows a key.
-func (s *Mirrors) page(after string) *mirrorAnswer {
-	all, revision := s.mirror.All()
-	from := sort.Search(len(all), func(i int) bool { return all[i].Key > after })
-	rest := all[from:]
+func (s *Mirrors) page(after string, v *shardView) *mirrorAnswer {
+	rest, revision := s.mirror.All(after, v.keeps)
 	n := fitting(rest)
-	return &mirrorAnswer{All: true, Changes: told(rest[:n]), Revision: revision, More: n < len(rest)}
+	return &mirrorAnswer{All: true, Changes: told(rest[:n]), Revision: revision, More: n < len(rest), Holds: v.holds}
 }
 
 // fitting returns how many of some changes one answer holds; at least one.
@@ -126,9 +161,10 @@
 	fresher := arrived.Add(sameAnswer - toldAge(ask.AgeMillis))
 	over := time.NewTimer(clock.Until(end))
 	defer over.Stop()
-	for {
+	for seen := ask.After; ; {
 		news := s.mirror.News()
-		if s.mirror.Revision() > ask.After || !s.mirror.Fresh().Before(fresher) {
+		var told bool
+		if told, seen = s.tells(ask, seen); told || !s.mirror.Fresh().Before(fresher) {
 			return
 		}
 		select {
@@ -140,3 +176,18 @@
 		}
 	}
 }
+
+// tells reports whether there are changes after a revision that a peer is to hear of, and the
+// revision up to which it looked.
+func (s *Mirrors) tells(ask *mirrorAsk, after int64) (bool, int64) {
+	revision := s.mirror.Revision()
+	if revision <= after {
+		return false, after
+	}
+	v := s.viewFor(ask)
+	if v == nil || ask.Held != v.holds {
+		return true, after
+	}
+	changes, revision, whole := s.mirror.Since(after)
+	return !whole || v.tells(changes), revision
+}
--- a/core/spread/values_test.go
+++ b/core/spread/values_test.go
@@ -87,6 +87,9 @@
 		AgeMillis    int64
 		More         bool
 		WaitedMillis int64
+		Holds        string
+		Other        bool
+		Moved        bool
 	}
 )
 
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -102,6 +102,7 @@
 	})
 	h.fleet.Attach("roster", roster.Share{Roster: h.roster})
 	h.mirrors = spread.NewMirrors(h.mirror, h.fleet, h.log)
+	h.mirror.Outline, h.mirrors.Entry = keyBoxes, h.entryOf
 	h.store.Hold = h.mirrors.Hold
 	h.where.Room = h.memory
 	h.fleet.Attach("where", &h.where)
@@ -120,6 +121,7 @@
 	h.buildRelay()
 	h.homes = relay.NewHomes(h.relay, h.fleet)
 	h.swaps = spread.NewSwaps(h.fleet, h.roster)
+	h.swaps.Divided = h.mirrors.Divided
 	h.buildDuties(incarnation, engines)
 	h.gauges()
 	return h
@@ -189,8 +191,9 @@
 		Log: h.log, Stats: h.stats, Poison: h.poison,
 		Placement: route.Placement(h.set.Placement), Placed: h.fleet.Kick,
 		Domain: h.set.Domain, Regions: h.set.Regions, Named: h.named.version, Daemons: h.daemons.count,
-		Share:    func(names []string) []string { return h.fleet.View().Share(names) },
-		Basis:    func() any { return h.fleet.View() },
+		Share:   func(names []string) []string { return h.fleet.View().Share(names) },
+		Basis:   h.mirrors.Basis,
+		Divided: h.mirrors.Divided, Uses: h.mirrors.Uses, CellDaemons: func() int { return h.fleet.View().CellSize() },
 		Place:    func(target string, cell bool) (int, int) { return h.fleet.View().Place(fleet.Key(target), cell) },
 		ColdOver: h.set.Bounds.ColdOver, ColdExtra: h.set.Bounds.ColdExtra,
 		Outdated: func(model string, version int64) bool {
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -8,6 +8,7 @@
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/spread"
 	"embertally.dev/core/table"
 )
 
@@ -50,6 +51,8 @@
 		if former := h.roster.Put(*news.Target); former != nil {
 			h.pool.Forget(former.Entry().Address)
 		}
+	case news.Gone != "" && c.Dropped:
+		h.roster.Drop(news.Gone)
 	case news.Gone != "":
 		h.gone(news.Gone)
 	case news.Evacuation != nil:
@@ -61,6 +64,15 @@
 	return news.Table
 }
 
+// entryOf reads what a key of the store says of a target.
+func (h *Host) entryOf(p plat.Pair) (spread.Entry, bool) {
+	e, ok := h.decoder.Entry(p)
+	if !ok {
+		return spread.Entry{}, false
+	}
+	return spread.Entry{Name: e.Name, Service: e.Service, Domain: e.Domain}, true
+}
+
 // complain logs why a key cannot be read, once until it can be read again: targets write
 // their entries with each heartbeat. Only the observer calls it.
 func (h *Host) complain(key string, err error) {
--- a/emberd/internal/host/state.go
+++ b/emberd/internal/host/state.go
@@ -94,10 +94,10 @@
 // boxes reads the list of daemons from the mirror of the platform's store.
 type boxes struct {
 	mirror *plat.Mirror
-	// revision of the mirror at the last reading, and state of the boxes' keys then; only
-	// the reader uses them.
-	revision int64
-	state    boxesState
+	// edits of the mirror at the last reading, and state of the boxes' keys then; only the
+	// reader uses them.
+	edits int64
+	state boxesState
 }
 
 // boxesState tells whether the boxes' keys are as they were: a new or changed one raises
@@ -111,11 +111,11 @@
 // Read returns the list. Most changes of the mirror are of targets: reading 295 boxes anew
 // at each of them cost more than the change.
 func (b *boxes) Read(context.Context) ([]plat.Box, bool, error) {
-	revision := b.mirror.Revision()
-	if revision == b.revision {
+	edits := b.mirror.Edits()
+	if edits == b.edits {
 		return nil, false, nil
 	}
-	b.revision = revision
+	b.edits = edits
 	pairs := b.mirror.Under(keyBoxes)
 	state := boxesState{read: true, count: len(pairs)}
 	for _, p := range pairs {
