Requests keep to roll-outs; one daemon of the fleet decides them

A request goes to the version on trial only within the share, to a few of its targets, so that each of them gets as many requests as if all had moved; one that failed there is tried at the old version. A home decides within what the asker's roll-out allows. A daemon whose knowledge of the store is older than 2 s sends nothing to a version on trial.

Before, targets of a new version got requests like any others from their first entry on.

--- a/core/relay/homes.go
+++ b/core/relay/homes.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/canary"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/learn"
 	"embertally.dev/core/roster"
@@ -102,6 +103,8 @@
 	Tried []string
 	// Regions bind where it may run.
 	Regions regions
+	// Side says which versions of the service it may go to.
+	Side canary.Side
 }
 
 // placePart is one part of a prompt.
@@ -139,6 +142,7 @@
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack              struct{} `msgpack:",as_array"`
 	Name, Address, Domain string
+	Version               string
 	Born                  time.Time
 	Slots                 int
 }
@@ -147,7 +151,7 @@
 func (a *placeAnswer) entry(service, model string) roster.Entry {
 	e := &a.Entry
 	return roster.Entry{
-		ID: a.Target, Name: e.Name, Born: e.Born, Service: service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
+		ID: a.Target, Name: e.Name, Born: e.Born, Service: service, Address: e.Address, Domain: e.Domain, Version: e.Version, Slots: e.Slots,
 		Weights: map[string]int64{model: a.Weights},
 	}
 }
@@ -160,7 +164,7 @@
 		Own: f.Own, Before: f.Before, Beside: f.Beside, Waiting: f.Waiting, Crowd: f.Crowd,
 		Kept: known.Kept, Copied: known.Copied, Running: known.Running, Held: known.Held,
 		Expected: j.Expected, Usual: c.usual, InTime: j.InTime, Served: j.Served, Gain: j.Gain, Worth: j.Worth, Alone: c.alone,
-		Entry: placeEntry{Name: e.Name, Address: e.Address, Domain: e.Domain, Born: e.Born, Slots: e.Slots}, Age: age,
+		Entry: placeEntry{Name: e.Name, Address: e.Address, Domain: e.Domain, Version: e.Version, Born: e.Born, Slots: e.Slots}, Age: age,
 	}
 }
 
@@ -276,7 +280,7 @@
 	ask := &placeAsk{
 		Service: p.service, Route: p.route.Name, Aim: p.route.Aim, Model: p.ask.Model, Wall: p.salt(0).Wall, Prompt: p.ask.Prompt,
 		Size: p.size, Domain: p.relay.o.Domain, Spent: now.Sub(p.began), Left: p.until.Sub(now),
-		Regions: p.regions,
+		Regions: p.regions, Side: p.side,
 	}
 	for _, part := range p.ask.Parts {
 		ask.Parts = append(ask.Parts, placePart{ID: part.ID, Tokens: part.Tokens})
@@ -295,7 +299,7 @@
 	if p.relay.divided(p.service) && got.Age <= guestAge {
 		t = p.relay.o.Roster.Guest(got.entry(p.service, p.ask.Model))
 	}
-	if t == nil || !p.allowed(t.Entry().Domain) || (svc.Engine != nil && p.relay.o.Outdated(p.ask.Model, got.Weights)) {
+	if t == nil || !p.allowed(t.Entry().Domain) || !p.side.Allows(t.Entry().Version) || (svc.Engine != nil && p.relay.o.Outdated(p.ask.Model, got.Weights)) {
 		return nil
 	}
 	if stop, _ := p.relay.o.Roster.Gate(time.Now()).Stop(t); stop != roster.Open {
--- a/core/relay/learned.go
+++ b/core/relay/learned.go
@@ -73,6 +73,9 @@
 
 // answered records an answer of a target, and whether it was good.
 func (p *pass) answered(c *choice, good bool) {
+	if !p.far {
+		p.relay.o.Canary.Answered(p.service, p.route.Name, c.target.Entry().Version, good)
+	}
 	c.target.Answered()
 	c.order.answered(good)
 	p.learnAnswer(c, good)
@@ -82,6 +85,9 @@
 func (p *pass) firstAnswer(c *choice, sent time.Time) {
 	now := time.Now()
 	took := now.Sub(sent)
+	if c.usual > 0 {
+		p.relay.o.Canary.Timed(p.service, p.route.Name, c.target.Entry().Version, float64(took)/float64(c.usual))
+	}
 	if p.forecast != nil && p.forecast.FirstMillis == 0 && p.sends <= 1 {
 		p.forecast.FirstMillis = event.Millis(took)
 	}
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -58,6 +58,7 @@
 	var out []option
 	gate, reloading := p.relay.o.Roster.Gate(now), p.relay.o.Roster.Reloading(now)
 	var none shortage
+	list = p.versions(list)
 	for _, t := range list {
 		if p.tried[t.ID()] > 0 {
 			continue
@@ -67,6 +68,10 @@
 			none.elsewhere++
 			continue
 		}
+		if !p.side.Allows(o.entry.Version) {
+			none.versions++
+			continue
+		}
 		if stop, lasts := gate.Stop(t); stop != roster.Open {
 			none.stopped(t.ID(), stop, lasts)
 			continue
@@ -88,6 +93,7 @@
 		}
 		out = append(out, o)
 	}
+	out = p.preferred(out)
 	why := none.why()
 	p.words = none.words
 	switch {
@@ -112,7 +118,7 @@
 
 // shortage counts the targets that may not get a request, by reason.
 type shortage struct {
-	full, suspects, outdated, evacuated, elsewhere, leaving, resting int
+	full, suspects, outdated, evacuated, elsewhere, leaving, resting, versions int
 	// words names the first few of the targets that are passed over by what they said, for the log.
 	words []string
 	// lasts is the longest time that an evacuation has lasted, rest the time until the first rest
@@ -162,6 +168,8 @@
 		return "no target is in a region where the request may run"
 	case l.leaving > 0:
 		return "all targets leave"
+	case l.versions > 0:
+		return "all targets are of versions that a roll-out keeps back"
 	}
 	return "no target is listed"
 }
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/canary"
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
@@ -36,6 +37,8 @@
 	// size is that of the body, and domain where it comes from.
 	size   int
 	domain string
+	// side says which versions of the service it may go to.
+	side canary.Side
 	// far tells that another daemon sends the request: this one only decides.
 	far bool
 	// homeAsked is when the home of the request's context was asked last.
@@ -74,6 +77,7 @@
 // run sends the request until it is answered, or says why not.
 func (p *pass) run() *entry.Refusal {
 	p.service = p.route.Service(draw())
+	p.side = p.relay.o.Canary.Choose(p.service)
 	p.relay.earn(p.service, p.relay.o.Prices.Worth(p.ask.Prompt), p.began)
 	p.after = p.ask.After
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.until.Add(lateMargin))
@@ -110,6 +114,7 @@
 			if !p.again(out) {
 				return p.giveUp(kept, "it may not be sent again")
 			}
+			p.side = p.relay.o.Canary.Aside(p.service, p.side)
 		}
 	}
 }
--- a/core/relay/placed.go
+++ b/core/relay/placed.go
@@ -49,7 +49,7 @@
 	}
 	p := &pass{
 		relay: h.relay, began: now.Add(-ask.Spent), until: now.Add(ask.Left), table: t, service: ask.Service, tried: map[string]int{},
-		ask: Ask{Model: ask.Model, Prompt: ask.Prompt}, route: &table.Route{Name: ask.Route, Aim: ask.Aim}, size: ask.Size, domain: ask.Domain, far: true, regions: ask.Regions,
+		ask: Ask{Model: ask.Model, Prompt: ask.Prompt}, route: &table.Route{Name: ask.Route, Aim: ask.Aim}, size: ask.Size, domain: ask.Domain, far: true, regions: ask.Regions, side: ask.Side,
 	}
 	if ask.Wall != "" {
 		p.organisation = &table.Organisation{Name: ask.Wall, Isolated: true}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/canary"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
 	"embertally.dev/core/poison"
@@ -49,6 +50,8 @@
 	Stats   *Stats
 	// Poison keeps requests from targets that end of them; nil stands for none.
 	Poison *poison.Guard
+	// Canary keeps requests to what roll-outs allow; nil stands for none.
+	Canary *canary.Guard
 	// Placement chooses the workers; the zero value stands for route.Returning.
 	Placement route.Placement
 	// Domain is the failure domain of this daemon.
@@ -137,6 +140,9 @@
 	if o.Placement == "" {
 		o.Placement = route.Returning
 	}
+	if o.Canary == nil {
+		o.Canary = &canary.Guard{}
+	}
 	return &Relay{o: o, began: time.Now(), allowances: map[string]*route.Allowance{}, rates: map[string]*learn.Rate{}}
 }
 
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -20,6 +20,8 @@
 // attempt sends the request to one target and passes its answer on.
 func (p *pass) attempt(ctx context.Context, c *choice) (outcome, *plainAnswer) {
 	c.target.Begin(c.load)
+	version := c.target.Entry().Version
+	p.relay.o.Canary.Begin(p.service, version)
 	// Of a choice of another cell its home tells; nobody here sends to its workers.
 	if p.ask.Prompt > 0 && c.order == nil && !p.relay.o.Without.Telling {
 		p.relay.o.Placed()
@@ -31,6 +33,7 @@
 			l.Unread = 0
 		}
 		c.target.End(l)
+		p.relay.o.Canary.End(p.service, version)
 		c.order.ended()
 	}()
 	// The prompt counts as unread until the first event or answer.
--- a/emberd/internal/host/duties.go
+++ b/emberd/internal/host/duties.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/canary"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/lease"
 	"embertally.dev/core/order"
@@ -30,6 +32,30 @@
 		Rank: h.shelves.Rank,
 	})
 	h.presence = h.newPresence()
+	h.buildRollouts(incarnation)
+}
+
+// buildRollouts makes what decides about roll-outs.
+func (h *Host) buildRollouts(incarnation string) {
+	owner := h.set.Name + ownerSeparator + incarnation
+	right := lease.NewTimed(lease.TimedOptions{
+		Key: keyRollouts, Owner: owner, Apart: h.set.Bounds.OrderApart, Store: h.store, Mirror: h.mirror, Log: h.log,
+		Rank:   func() int { return h.rank(keyRollouts) },
+		Urgent: func() bool { return !h.canary.Over() },
+		Idle:   func() bool { return h.idle() || h.canary.Over() },
+	})
+	h.rights = append(h.rights, right)
+	h.rollouts = canary.NewController(canary.Options{
+		Guard: &h.canary, Fleet: h.fleet, Run: owner, Right: right, Store: h.store, Mirror: h.mirror,
+		Holder: h.rolloutHolder, Status: platform.RolloutSays, Log: h.log,
+	})
+}
+
+// rolloutHolder returns the daemon that decides about roll-outs, or "".
+func (h *Host) rolloutHolder() string {
+	pair, _ := h.mirror.Pair(keyRollouts)
+	name, _, _ := strings.Cut(string(pair.Value), ownerSeparator)
+	return name
 }
 
 // newPresence returns the key that others find this daemon by.
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -19,6 +19,7 @@
 
 	"embertally.dev/core/bugs"
 	"embertally.dev/core/cache"
+	"embertally.dev/core/canary"
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
@@ -39,6 +40,8 @@
 const (
 	keyBoxes = "embertally/boxes/"
 	keySwap  = "embertally/duty/weights/"
+	// keyRollouts is held by the daemon that decides about roll-outs.
+	keyRollouts = "embertally/duty/rollouts"
 )
 
 // Host is one running daemon.
@@ -65,6 +68,8 @@
 	relay     *relay.Relay
 	homes     *relay.Homes
 	poison    *poison.Guard
+	canary    canary.Guard
+	rollouts  *canary.Controller
 	rights    []*lease.Timed
 	swapper   *order.Swapper
 	swaps     *spread.Swaps
@@ -118,6 +123,8 @@
 	h.daemons.view = h.fleet.View
 	h.poison = poison.New(poison.Options{Fleet: h.fleet, Try: h.pool.Try, Log: h.log, Store: h.store, Mirror: h.mirror})
 	h.roster.Removed = h.removed
+	h.canary.Share = set.Bounds.ExposeShare
+	h.canary.Fresh = func() bool { return h.age() < rolloutFresh }
 	h.buildRelay()
 	h.homes = relay.NewHomes(h.relay, h.fleet)
 	h.swaps = spread.NewSwaps(h.fleet, h.roster)
@@ -127,6 +134,10 @@
 	return h
 }
 
+// rolloutFresh is how old what is known of the store may be where requests go to a version on trial:
+// it may have been taken back since.
+const rolloutFresh = 2 * time.Second
+
 // boxPause is the pause between looks at the mirror's copy of the list.
 const boxPause = 200 * time.Millisecond
 
@@ -188,7 +199,7 @@
 	h.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, Kept: h.kept, Where: &h.where, Links: &h.links, Retention: &h.retention, Times: h.times, Targets: &h.targets,
 		Engines: h.set.Expect.Engines.prior(), Calls: h.set.Expect.Calls.prior(), Prices: h.set.Prices.prices(), Without: h.set.Without,
-		Log: h.log, Stats: h.stats, Poison: h.poison,
+		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary,
 		Placement: route.Placement(h.set.Placement), Placed: h.fleet.Kick,
 		Domain: h.set.Domain, Regions: h.set.Regions, Named: h.named.version, Daemons: h.daemons.count,
 		Share:   func(names []string) []string { return h.fleet.View().Share(names) },
@@ -242,7 +253,7 @@
 // start runs the slices: those that only some daemons do end with duties, at
 // the beginning of a planned stop, the others with work.
 func (h *Host) start(work, duties context.Context, wg *sync.WaitGroup) {
-	for _, run := range []func(context.Context){h.mirror.Run, h.mirrors.Run, h.homes.Run, h.presence.Run, h.poison.Run, h.loop} {
+	for _, run := range []func(context.Context){h.mirror.Run, h.mirrors.Run, h.homes.Run, h.presence.Run, h.poison.Run, h.rollouts.Run, h.loop} {
 		wg.Go(func() { run(work) })
 	}
 	for _, run := range []func(context.Context){h.swapper.Run, h.sweeper.Run} {
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -41,6 +41,7 @@
 // take takes one change, and returns the configuration that it holds, if any.
 func (h *Host) take(c plat.Change) *table.Table {
 	h.poison.Observe(c)
+	h.rollouts.Observe(c)
 	news, err := h.decoder.Read(c)
 	h.complain(c.Key, err)
 	switch {
@@ -57,6 +58,9 @@
 		h.gone(news.Gone)
 	case news.Evacuation != nil:
 		h.roster.Evacuate(news.Evacuation.Domain, news.Evacuation.On, time.Now())
+	case news.Rollout != nil:
+		h.canary.SetOrder(*news.Rollout)
+		h.log.Emit(event.ConfApplied, event.Ref{Resource: c.Key}, "roll-out of version "+news.Rollout.Version+" in "+news.Rollout.Lasts.String())
 	case news.Named != nil:
 		h.named.set(news.Named.Model, news.Named.Version)
 		h.log.Emit(event.ConfApplied, event.Ref{Resource: c.Key}, "weights named, version "+itoa(news.Named.Version))
--- a/emberd/internal/host/rights.go
+++ b/emberd/internal/host/rights.go
@@ -13,12 +13,15 @@
 // workers that load at a time (2 to 12 on the users' sites) would load too many.
 const swapParts = 4
 
+// ownerSeparator stands between the name of the daemon that holds a right and its run.
+const ownerSeparator = "/"
+
 // newRight returns the right to give orders to one part of the workers. A
 // daemon that holds others comes later for it, so that they spread.
 func (h *Host) newRight(part int, incarnation string) *lease.Timed {
 	key := keySwap + strconv.Itoa(part)
 	return lease.NewTimed(lease.TimedOptions{
-		Key: key, Owner: h.set.Name + "/" + incarnation, Apart: h.set.Bounds.OrderApart,
+		Key: key, Owner: h.set.Name + ownerSeparator + incarnation, Apart: h.set.Bounds.OrderApart,
 		Store: h.store, Mirror: h.mirror, Log: h.log,
 		Rank:   func() int { return h.rank(key) + holderRanks*h.held() },
 		Urgent: func() bool { return h.swapper.Wanted(part) },
@@ -42,7 +45,7 @@
 func (h *Host) held() int {
 	n := 0
 	for _, p := range h.mirror.Under(keySwap) {
-		if strings.HasPrefix(string(p.Value), h.set.Name+"/") {
+		if strings.HasPrefix(string(p.Value), h.set.Name+ownerSeparator) {
 			n++
 		}
 	}
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -93,6 +93,7 @@
 	Configuration time.Duration `yaml:"configuration" doc:"How long a request may be handled by a configuration that was replaced."`
 	ColdOver      float64       `yaml:"coldOver" doc:"How many times what a service says that its cold targets bear in a second they may get from all daemons together."`
 	ColdExtra     float64       `yaml:"coldExtra" doc:"How many requests a second they may get beside."`
+	ExposeShare   float64       `yaml:"exposeShare" doc:"Part of a service's requests that a version may get before its roll-out is decided."`
 }
 
 // Retries bound repeated sends.
@@ -112,7 +113,7 @@
 func Defaults() Settings {
 	return Settings{
 		Placement: string(route.Returning), LogLevel: "info", LogRate: 40,
-		Bounds:  Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second, Configuration: 2 * time.Second, ColdOver: 1},
+		Bounds:  Bounds{Stop: 8 * time.Second, OrderApart: 3 * time.Second, Weights: 12 * time.Second, Contact: 3 * time.Second, Configuration: 2 * time.Second, ColdOver: 1, ExposeShare: 0.1},
 		Retries: Retries{Share: 0.2, Window: 10 * time.Second},
 		Tuning:  Tuning{Heartbeat: 150 * time.Millisecond, Suspect: 1500 * time.Millisecond},
 		Prices:  Prices{Token: 0.4, Late: 0.25, Again: 0.8, Copied: 0.012, Old: 0.2, Connect: 0.03, Across: 4, Wait: 0.1},
@@ -164,6 +165,7 @@
 		c.Positive(d.field, d.value)
 	}
 	c.Need(s.Bounds.ColdOver >= 0 && s.Bounds.ColdExtra >= 0, "bounds", "coldOver and coldExtra must not be negative")
+	c.Need(s.Bounds.ExposeShare > 0 && s.Bounds.ExposeShare <= 1, "bounds.exposeShare", "must be more than 0 and at most 1")
 	c.Need(s.Retries.Share >= 0 && s.Retries.Extra >= 0, "retries", "must not be negative")
 	c.Need(s.Tuning.Suspect >= 3*s.Tuning.Heartbeat, "tuning.suspect", "must be at least three heartbeats")
 	return c.Faults()
