A choice is counted at its target before the next look

Of requests that came together each found the same target idle.

Look and count are one step now, under one lock; what is not made use of is taken back. Ruled out: a second look before the send, which only makes the gap smaller.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -37,6 +37,24 @@
 	alone bool
 	// order is where the choice came from, where another daemon made it.
 	order *homeOrder
+	// taken tells that its load is counted at the target.
+	taken bool
+}
+
+// take counts the load of a choice at its target.
+func (c *choice) take() {
+	if !c.taken {
+		c.target.Begin(c.load)
+		c.taken = true
+	}
+}
+
+// release takes back what take counted, where the choice is not made use of.
+func (c *choice) release() {
+	if c != nil && c.taken {
+		c.target.End(c.load)
+		c.taken = false
+	}
 }
 
 // choose returns the target for the next send, or why there is none.
@@ -50,6 +68,7 @@
 	}
 	own, why := p.chooseOwn(svc, time.Now())
 	if far := p.chooseAtHome(ctx, svc, own); far != nil {
+		own.release()
 		return far, ""
 	}
 	if own == nil && p.relay.divided(p.service) {
@@ -60,8 +79,21 @@
 	return own, why
 }
 
-// chooseOwn chooses among the targets that this daemon knows the load of.
+// chooseOwn chooses among the targets that this daemon knows the load of, and counts the request
+// there before another one is chosen for: of requests that come together each would find the same
+// target idle.
 func (p *pass) chooseOwn(svc *table.Service, now time.Time) (*choice, string) {
+	p.relay.chooseMu.Lock()
+	defer p.relay.chooseMu.Unlock()
+	c, why := p.pickOwn(svc, now)
+	if c != nil {
+		c.take()
+	}
+	return c, why
+}
+
+// pickOwn is chooseOwn without counting. It is called with chooseMu held.
+func (p *pass) pickOwn(svc *table.Service, now time.Time) (*choice, string) {
 	options, share, why := p.ownOptions(svc, now)
 	ways := p.ways(svc, options, now)
 	list := make([]route.Candidate, len(ways))
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -145,14 +145,17 @@
 		if c != nil {
 			p.line = c.judged.Expected
 		}
-		switch {
-		case c != nil && (c.judged.Gain > 0 || p.relay.o.Without.Refusals):
+		if c != nil && (c.judged.Gain > 0 || p.relay.o.Without.Refusals) {
 			if !p.spend(c, time.Now()) {
+				c.release()
 				continue
 			}
 			p.noteWords()
 			p.take(c, time.Now())
 			return c, why
+		}
+		c.release()
+		switch {
 		case c == nil && why == allRest && p.hopeful(p.line):
 			// The first rest ends soon enough.
 		case c == nil && why != allFull:
--- a/core/relay/placed.go
+++ b/core/relay/placed.go
@@ -32,6 +32,8 @@
 	}
 	for {
 		c, why := p.chooseOwn(svc, time.Now())
+		// The asker tells when it makes use of it.
+		c.release()
 		if c == nil || c.judged.Gain <= 0 {
 			return nil, errors.Wrap(errNotHome, why)
 		}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -127,6 +127,9 @@
 	colds  colds
 	shares shares
 
+	// chooseMu is held from a look at the targets until the choice is counted at one.
+	chooseMu sync.Mutex
+
 	allowMu sync.Mutex
 	// allowances bound repeated sends by service. Guarded by allowMu.
 	allowances map[string]*route.Allowance
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -19,7 +19,7 @@
 
 // attempt sends the request to one target and passes its answer on.
 func (p *pass) attempt(ctx context.Context, c *choice) (outcome, *plainAnswer) {
-	c.target.Begin(c.load)
+	c.take()
 	version := c.target.Entry().Version
 	p.relay.o.Canary.Begin(p.service, version)
 	// Of a choice of another cell its home tells; nobody here sends to its workers.
