--- a/core/spread/divide_test.go
+++ b/core/spread/divide_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/spread"
@@ -185,3 +187,35 @@
 	allHold(g, members[:daemons-1], "second")
 	g.Expect(told() - before).To(gomega.BeNumerically("<", 10*daemons*len("second")+daemons*large*len("here")/4))
 }
+
+// As many targets for each daemon as the users' whole fleet has: what a daemon holds stays the same as
+// the fleet grows, and so do its peers.
+func TestWhatADaemonHoldsDoesNotGrowWithTheFleet(t *testing.T) {
+	const domains, each = 6, 10
+	for _, daemons := range []int{300, 986, 1972} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var seeds []fleet.Peer
+			for i := range daemons {
+				seeds = append(seeds, fleet.Peer{Name: fmt.Sprintf("box-%04d", i), Address: "10.0.0.1:1", Domain: fmt.Sprint("domain-", i%domains)})
+			}
+			for _, at := range []int{0, daemons / 2, daemons - 1} {
+				view := fleet.New(fleet.Options{Name: seeds[at].Name, Domain: seeds[at].Domain, Seeds: seeds, Log: &event.Log{}}).View()
+				held, peers := 0, 0
+				for i := range daemons * each {
+					if view.Shard().Holds(fmt.Sprintf("w-%05d", i), fmt.Sprint("domain-", i%domains)) {
+						held++
+					}
+				}
+				for _, p := range view.Peers() {
+					if p.Cell == view.Cell() {
+						peers++
+					}
+				}
+				t.Logf("%d of %d targets, %d peers in %d cells", held, daemons*each, peers, view.Cells())
+				g.Expect(held).To(gomega.BeNumerically("<", 200))
+				g.Expect(peers).To(gomega.BeNumerically("<", 30))
+			}
+		})
+	}
+}
