Daemons of a large fleet wake less often for nothing

Per second: 25 looks at five rights that only those who ask the store can take (now 5), 10 looks for swaps without a right (2), 3.3 at roll-outs without one (1), and 36 heartbeats either way to 11 peers (22 where cells lie within domains: three fall into the suspicion time of 1.5 s, the least that settings allow, where four did).

--- a/core/canary/control.go
+++ b/core/canary/control.go
@@ -66,6 +66,8 @@
 	// look is the pause between reports, and between decisions: a version that is found to be bad
 	// must get nothing a few seconds after its first answers.
 	look = 300 * time.Millisecond
+	// idleLook is the pause while there is no roll-out.
+	idleLook = time.Second
 	// reportLimit bounds the sending of a report, and writeLimit a write of the store.
 	reportLimit = 500 * time.Millisecond
 	writeLimit  = time.Second
@@ -90,23 +92,36 @@
 
 // Run reports and decides until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	wait.Every(ctx, look, func() {
-		reports := c.o.Guard.Reports()
-		if len(reports) == 0 {
-			return
-		}
-		self := c.o.Fleet.View().Self()
-		switch holder := c.o.Holder(); holder {
-		case "":
-		case self:
-			c.take(c.o.Run, reports)
-		default:
-			c.tell(ctx, holder, &message{Run: c.o.Run, Reports: reports})
-		}
-		if c.o.Right.Held() {
-			c.decide(ctx)
-		}
-	})
+	for wait.For(ctx, c.pause()) {
+		c.step(ctx)
+	}
+}
+
+// pause returns how long the next look may wait.
+func (c *Controller) pause() time.Duration {
+	if c.o.Guard.Over() {
+		return idleLook
+	}
+	return look
+}
+
+// step reports, and decides where this daemon has the right to.
+func (c *Controller) step(ctx context.Context) {
+	reports := c.o.Guard.Reports()
+	if len(reports) == 0 {
+		return
+	}
+	self := c.o.Fleet.View().Self()
+	switch holder := c.o.Holder(); holder {
+	case "":
+	case self:
+		c.take(c.o.Run, reports)
+	default:
+		c.tell(ctx, holder, &message{Run: c.o.Run, Reports: reports})
+	}
+	if c.o.Right.Held() {
+		c.decide(ctx)
+	}
 }
 
 // tell sends what this daemon knows. What is lost is sent again with the next report.
--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -108,14 +108,20 @@
 	calmCells = 3
 	calmShare = 2
 	// leastBeats is how many heartbeats fall into the silence after which a peer counts as
-	// lost.
+	// lost, and farBeats the same where cells lie within domains: there they are what most
+	// of a daemon's wakes are for.
 	leastBeats = 4
+	farBeats   = 3
 )
 
 // pause returns how long after one heartbeat the next comes at the latest.
 func (f *Fleet) pause() time.Duration {
-	if f.View().cells < calmCells {
+	view := f.View()
+	switch {
+	case view.cells < calmCells:
 		return f.o.Heartbeat
+	case view.plan != nil && len(view.plan.domains) > 0:
+		return max(f.o.Heartbeat, f.o.Suspect/farBeats)
 	}
 	return max(f.o.Heartbeat, min(calmShare*f.o.Heartbeat, f.o.Suspect/leastBeats))
 }
--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -80,7 +80,7 @@
 	// the service and so cannot take the lease: nearly all of a large fleet, where four
 	// leases made 80 looks a second in each of 295 daemons.
 	timedLook = 50 * time.Millisecond
-	awayLook  = 200 * time.Millisecond
+	awayLook  = time.Second
 )
 
 // NewTimed returns a lease that is not held.
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -66,6 +66,8 @@
 	// swapLook is the pause between looks; without a difference between what
 	// is named and held a look costs nothing outside.
 	swapLook = 100 * time.Millisecond
+	// awayLook is the same for a daemon that holds no right: nearly all of a large fleet.
+	awayLook = 500 * time.Millisecond
 	// restTime is the pause after a swap that failed.
 	restTime = time.Second
 	// swapDivisor sets how many workers change at a time. On the users' sites
@@ -107,11 +109,19 @@
 func (s *Swapper) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wait.Every(ctx, swapLook, func() {
+	for wait.For(ctx, s.pause()) {
 		for _, j := range s.next() {
 			wg.Go(func() { j.run(ctx) })
 		}
-	})
+	}
+}
+
+// pause returns how long the next look may wait.
+func (s *Swapper) pause() time.Duration {
+	if s.holds() {
+		return swapLook
+	}
+	return awayLook
 }
 
 // next returns the swaps to begin now.
