Short lists are not divided; contexts of divided services spread evenly over cells

A whole list of under 500 targets is one page of the store: dividing it saves nothing, and hashing would make the shares of a cell less even than exact ranks do. Where a service is divided, cells have as many of its targets as each other, whatever the number of their daemons, so contexts fall to them in the same way; they went by the number of daemons.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -77,7 +77,10 @@
 func (v *View) Domain() string { return v.domain }
 
 // CellOf returns the cell that a key or the name of a target falls into, whatever its domain.
-func (v *View) CellOf(name string) int { return v.rank(Key(name), 1)[0] }
+func (v *View) CellOf(name string) int { return v.KeyCell(Key(name)) }
+
+// KeyCell returns the cell of a key, where each cell gets as many keys as the others.
+func (v *View) KeyCell(key uint64) int { return v.rank(key, 1)[0] }
 
 // rank returns the first n cells for a key, best first.
 func (v *View) rank(key uint64, n int) []int {
@@ -96,7 +99,7 @@
 // DutyOf returns who of the whole fleet has the duty that key names, as far as
 // this daemon knows.
 func (v *View) DutyOf(key uint64) string {
-	return First(key, v.cellDuty(v.rank(key, 1)[0]))
+	return First(key, v.cellDuty(v.KeyCell(key)))
 }
 
 // cellDuty returns the daemons of a cell that take duties.
--- a/core/relay/divided_test.go
+++ b/core/relay/divided_test.go
@@ -31,7 +31,7 @@
 	h := newHomesRig(t, daemons, 12, always(streams(true, "id: 1\ndata: a\n\n")))
 	h.divide(func(int) bool { return false })
 	const context = "c1"
-	home := h.fleet[0].View().WeighedCell(fleet.Key(context))
+	home := h.fleet[0].View().KeyCell(fleet.Key(context))
 	for i := range daemons {
 		got := h.ask(i, context)
 		h.g.Expect(got.status).To(gomega.Equal(http.StatusOK), "daemon %d: %s", i, got.body)
--- a/core/relay/homes.go
+++ b/core/relay/homes.go
@@ -207,7 +207,7 @@
 	if h == nil || svc.Engine == nil || p.relay.o.Without.Homes || now.Sub(p.homeAsked) < homePause || !p.worthAsking(now) {
 		return nil
 	}
-	peers := h.peers(p.context(), now)
+	peers := h.peers(p.service, p.context(), now)
 	if len(peers) == 0 {
 		return nil
 	}
@@ -323,18 +323,27 @@
 // peers returns the daemons to ask about a context, best first; none where this daemon's
 // own cell is its home. A daemon asks the same ones of a cell each time, so that its
 // links are as many as there are cells.
-func (h *Homes) peers(root uint64, now time.Time) []string {
+func (h *Homes) peers(service string, root uint64, now time.Time) []string {
 	view := h.fleet.View()
 	if view.Cells() <= 1 {
 		return nil
 	}
-	cell := view.WeighedCell(root)
+	cell := h.cell(view, service, root)
 	if cell == view.Cell() {
 		return nil
 	}
 	return h.open(view.Homes(cell, fleet.Key("home/"+view.Self()), homeDaemons), now)
 }
 
+// cell returns the cell that a context is at home in. Cells have as many targets of a divided service
+// as each other, and of others as many as they have daemons.
+func (h *Homes) cell(view *fleet.View, service string, root uint64) int {
+	if h.relay.divided(service) {
+		return view.KeyCell(root)
+	}
+	return view.WeighedCell(root)
+}
+
 // open returns those of some daemons that did not fail to answer lately.
 func (h *Homes) open(names []string, now time.Time) []string {
 	return slices.DeleteFunc(names, func(name string) bool { return !h.silent.Open(name, now) })
--- a/core/spread/divide.go
+++ b/core/spread/divide.go
@@ -14,9 +14,15 @@
 // Entry is what the list of targets says of one target as far as dividing it goes.
 type Entry struct{ Name, Service, Domain string }
 
-// leastDivided is how many targets of a service there are for each cell at least where the cells
-// divide them. Names fall to cells by hash, so that of this mean a cell gets a fifth more or less.
-const leastDivided = 24
+const (
+	// leastDivided is how many targets of a service there are for each cell at least where the
+	// cells divide them. Names fall to cells by hash, so that of this mean a cell gets a fifth more
+	// or less.
+	leastDivided = 24
+	// leastEntries is how many there are at least: below that a whole list is one page of the
+	// store.
+	leastEntries = 500
+)
 
 // entries knows which keys of the mirror are entries of targets, and how many each service has.
 // The zero value knows none.
@@ -62,7 +68,7 @@
 	}
 	var out []string
 	for service, n := range e.counts {
-		if n >= leastDivided*cells {
+		if n >= max(leastEntries, leastDivided*cells) {
 			out = append(out, service)
 		}
 	}
--- a/core/spread/divide_test.go
+++ b/core/spread/divide_test.go
@@ -70,7 +70,7 @@
 // A daemon holds the targets of its own cell, and all of a service that has too few to be divided;
 // a change of one reaches who holds it.
 func TestDaemonsHoldTheTargetsOfTheirCell(t *testing.T) {
-	const daemons, domains, large, small = 48, 3, 480, 12
+	const daemons, domains, large, small = 48, 3, 600, 12
 	g := gomega.NewWithT(t)
 	store := &pagedStore{pricedStore: &pricedStore{KV: &memkv.KV{}}, page: 100}
 	put(t, store.KV, "op/config", []byte("first"))
