--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -70,6 +70,14 @@
 // Allows reports whether a request may go to a version at all.
 func (s *Side) Allows(version string) bool { return !slices.Contains(s.Not, version) }
 
+// Aside returns which versions a request may go to that failed at a version on trial.
+func (s Side) Aside() Side {
+	if s.Few == 0 {
+		return s
+	}
+	return Side{Not: append(slices.Clone(s.Not), s.Prefer)}
+}
+
 // Sum is what is known of the answers to one kind of request by one version.
 type Sum struct {
 	// Answers is how many came, and Bad how many of these were failures of the target.
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -123,14 +123,6 @@
 	return side
 }
 
-// Aside returns which versions a request may go to that failed at a version on trial.
-func (g *Guard) Aside(name string, side Side) Side {
-	if side.Few == 0 {
-		return side
-	}
-	return Side{Not: append(slices.Clone(side.Not), side.Prefer)}
-}
-
 // Begin counts a request that is sent to a version, and End that it has ended.
 func (g *Guard) Begin(name, version string) { g.running(name, version, 1) }
 
--- a/core/canary/guard_test.go
+++ b/core/canary/guard_test.go
@@ -111,10 +111,9 @@
 
 func TestARequestThatFailedAtAVersionOnTrialGoesToAnother(t *testing.T) {
 	g := gomega.NewWithT(t)
-	guard := &Guard{}
-	side := guard.Aside("s", Side{Prefer: "v2", Few: 0.06})
+	side := Side{Prefer: "v2", Few: 0.06}.Aside()
 	g.Expect(side.Prefer).To(gomega.BeEmpty())
 	g.Expect(side.Allows("v2")).To(gomega.BeFalse())
 	moving := Side{Prefer: "v2"}
-	g.Expect(guard.Aside("s", moving)).To(gomega.Equal(moving))
+	g.Expect(moving.Aside()).To(gomega.Equal(moving))
 }
--- a/core/relay/divided_test.go
+++ b/core/relay/divided_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -56,3 +57,29 @@
 		h.g.Expect(got.status).To(gomega.Equal(http.StatusOK), "daemon %d: %s", i, got.body)
 	}
 }
+
+// A target that only another cell's list holds is used by that list while it is fresh.
+func TestAHomeWithAnOldListIsNotObeyed(t *testing.T) {
+	tests := []struct {
+		name    string
+		age     time.Duration
+		divided bool
+		want    bool
+	}{
+		{"fresh", 100 * time.Millisecond, true, true},
+		{"old", guestAge + time.Millisecond, true, false},
+		{"of a service that is not divided", 0, false, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.homes = &Homes{relay: r.relay, fleet: fleet.New(fleet.Options{Name: "me", Log: r.log})}
+			r.relay.o.Divided = func(string) bool { return tc.divided }
+			r.relay.o.CellDaemons = func() int { return 1 }
+			p := &pass{relay: r.relay, table: r.relay.Table(), service: "llm", route: &testRoutes[2], tried: map[string]int{}}
+			answer := &placeAnswer{Target: "w9@1", Weights: 1, Age: tc.age, Entry: placeEntry{Name: "w9", Address: "127.0.0.1:1", Slots: 4}}
+			c := p.orderOf(r.relay.Table().Service("llm"), "peer", &placeAsk{}, answer)
+			r.g.Expect(c != nil).To(gomega.Equal(tc.want))
+		})
+	}
+}
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -114,7 +114,7 @@
 			if !p.again(out) {
 				return p.giveUp(kept, "it may not be sent again")
 			}
-			p.side = p.relay.o.Canary.Aside(p.service, p.side)
+			p.side = p.side.Aside()
 		}
 	}
 }
