--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -102,9 +102,7 @@
 // Heartbeats of a large fleet.
 const (
 	// calmCells is the number of cells from which on heartbeats that tell nothing new come
-	// calmShare times as seldom. What is new is told at once, in 5 to 6 heartbeats a
-	// second for each daemon of a large site; with 6.7 more in between heartbeats were
-	// the most frequent message of its fleet by far, 40,000 a second.
+	// calmShare times as seldom. What is new is told at once.
 	calmCells = 3
 	calmShare = 2
 	// leastBeats is how many heartbeats fall into the silence after which a peer counts as
--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -77,8 +77,7 @@
 	// tries: watches answer every 1.5 s.
 	answered = 2500 * time.Millisecond
 	// timedLook is the pause between looks, and awayLook that of a daemon that does not ask
-	// the service and so cannot take the lease: nearly all of a large fleet, where four
-	// leases made 80 looks a second in each of 295 daemons.
+	// the service and so cannot take the lease: nearly all of a large fleet.
 	timedLook = 50 * time.Millisecond
 	awayLook  = time.Second
 )
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -141,9 +141,7 @@
 	return out
 }
 
-// holds reports whether this daemon holds any right. All but a few of a fleet hold none:
-// to look at all workers ten times a second took 4 of 100 of the processor time of 300
-// daemons at rest.
+// holds reports whether this daemon holds any right. All but a few of a fleet hold none.
 func (s *Swapper) holds() bool {
 	return slices.ContainsFunc(s.o.Rights, Right.Held)
 }
--- a/core/relay/homes.go
+++ b/core/relay/homes.go
@@ -28,9 +28,8 @@
 // Homes asks the cells where contexts are at home, and answers for this daemon's own.
 //
 // In a large fleet each cell has a share of the workers and knows what these hold. A
-// prompt that is decided in the cell that its caller happened to reach finds its context
-// in a worker once in as many returns as there are cells: in 1 of 100 with five cells (59
-// boxes). So the daemons of one cell decide for all returns of a context, and the daemon
+// prompt that is decided in the cell that its caller happened to reach would find its context
+// in a worker once in as many returns as there are cells. So the daemons of one cell decide for all returns of a context, and the daemon
 // that has the prompt sends it.
 type Homes struct {
 	relay *Relay
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -128,8 +128,7 @@
 }
 
 // lost records that the connection to a target ended under the request. It may have been the
-// request that ended the target: of one request that its caller repeated 21 workers ended one
-// after the other, in 15 s, with all that ran on them.
+// request that ended the target, and its caller may repeat it.
 func (p *pass) lost(c *choice) {
 	if _, leaves := p.relay.o.Roster.Leaving(c.target); !leaves {
 		p.relay.o.Poison.Lost(p.asks, p.organisationName(), c.target.ID(), c.target.Entry().Address)
@@ -185,8 +184,7 @@
 
 // reloadTime is how long a worker that refused a request while older weights than named are
 // on it is passed over by all daemons of the cell. Orders are told in the cell of the
-// daemon that gives them, one of 25 on the large site: workers refused 21,320 of 73,943
-// sends on a day with two new versions, and 12,656 tries of callers ended with 503.
+// daemon that gives them, which may be another one.
 const reloadTime = 700 * time.Millisecond
 
 // reloads passes over a worker that seems to change its weights.
--- a/core/relay/share.go
+++ b/core/relay/share.go
@@ -16,9 +16,8 @@
 	part float64
 }
 
-// shares remembers the shares of services. To rank 3,000 targets anew for each request
-// took 0.73 ms, the remembered share takes 56 ns (BenchmarkShare). The zero value remembers
-// none.
+// shares remembers the shares of services, so that targets are not ranked anew for each request. The
+// zero value remembers none.
 type shares struct {
 	sharesMu sync.Mutex
 	services map[string]*share // guarded by sharesMu
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -300,9 +300,8 @@
 	r.log.Emit(event.BoxGone, event.Ref{Target: t.id}, t.Entry().Service+" at "+t.Entry().Address)
 }
 
-// publish makes the lists by service be made anew when they are next asked for. Made anew
-// with each entry they took a daemon that starts before 3,000 targets 1.2 s; so it takes 7
-// ms (BenchmarkStart). It is called with rosterMu held.
+// publish makes the lists by service be made anew when they are next asked for: entries come in
+// series. It is called with rosterMu held.
 func (r *Roster) publish() { r.byName.Store(nil) }
 
 // Of returns the targets of a service, leaving ones included, ordered by name.
--- a/core/spread/roots.go
+++ b/core/spread/roots.go
@@ -23,8 +23,7 @@
 	// lost the others ask it as well.
 	followers = 2
 	// rootedCells is the number of cells from which on only roots ask the service, one
-	// for each failure domain. With two daemons of each of 25 cells a fleet made 8,000
-	// calls in a day, with one of each of six domains, and fewer calls at starts, 2,451.
+	// for each failure domain.
 	rootedCells = 3
 	// leastRoots is how many there are where the fleet has fewer domains.
 	leastRoots = 2
@@ -43,8 +42,7 @@
 // Follows reports whether this daemon asks the service itself.
 //
 // Peers that are listed and were not heard yet count in the rank: without them all
-// daemons that started together watched, seven calls each, of 12 to 14 that each made
-// in the 14 s after its start (plays of 18 and 59 boxes).
+// daemons that start together would watch until they have heard each other.
 func (s *Mirrors) Follows() bool {
 	view := s.fleet.View()
 	switch {
--- a/core/spread/shelves.go
+++ b/core/spread/shelves.go
@@ -24,10 +24,6 @@
 // question is priced. In a fleet of more daemons than that a few daemons of the whole
 // fleet may ask a store, one of each cell asks the first of these, and in its cell tells
 // the others in heartbeats.
-//
-// Where 25 cells each asked 47 stores that answer 12 followers, 295 daemons put 197,584
-// questions in a day, half of them refused, and read 51.8 million tokens that stores
-// held.
 type Shelves struct {
 	direct cache.Watcher
 	fleet  *fleet.Fleet
--- a/core/spread/swaps.go
+++ b/core/spread/swaps.go
@@ -24,9 +24,7 @@
 // and when it has.
 //
 // Heartbeats tell only the cell of the daemon that gives the order. The daemons of the
-// worker's own cell found out by being refused, each for itself, and again with each new
-// request: 2,568 sends of a day with two new versions of the weights before 112 workers in
-// seven cells, and 21,320 before 163 workers in 25.
+// worker's own cell would find out by being refused, each for itself.
 type Swaps struct {
 	fleet  *fleet.Fleet
 	roster *roster.Roster
--- a/emberd/internal/host/state.go
+++ b/emberd/internal/host/state.go
@@ -108,8 +108,8 @@
 	count  int
 }
 
-// Read returns the list. Most changes of the mirror are of targets: reading 295 boxes anew
-// at each of them cost more than the change.
+// Read returns the list. Most changes of the mirror are of targets, at which the boxes are not read
+// anew.
 func (b *boxes) Read(context.Context) ([]plat.Box, bool, error) {
 	edits := b.mirror.Edits()
 	if edits == b.edits {
