--- a/core/fleet/cells.go
+++ b/core/fleet/cells.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -24,6 +23,8 @@
 	first []int
 	// labels name the cells; keys are ranked by them.
 	labels []string
+	// byLabel holds the number of each cell.
+	byLabel map[string]int
 }
 
 // planCells returns the cells of a fleet with some daemons in each failure domain.
@@ -36,10 +37,10 @@
 	if len(sizes) < 2 || count < domainCells*len(sizes) {
 		return sharedCells(count)
 	}
-	p := &cellPlan{domains: slices.Sorted(maps.Keys(sizes)), first: []int{0}}
+	p := &cellPlan{domains: slices.Sorted(maps.Keys(sizes)), first: []int{0}, byLabel: map[string]int{}}
 	for _, domain := range p.domains {
 		for i := range cellsOf(sizes[domain]) {
-			p.labels = append(p.labels, domain+"/"+strconv.Itoa(i))
+			p.add(domain + "/" + strconv.Itoa(i))
 		}
 		p.first = append(p.first, len(p.labels))
 	}
@@ -48,13 +49,19 @@
 
 // sharedCells returns cells that daemons of all domains share.
 func sharedCells(count int) *cellPlan {
-	p := &cellPlan{first: []int{0, count}}
+	p := &cellPlan{first: []int{0, count}, byLabel: map[string]int{}}
 	for c := range count {
-		p.labels = append(p.labels, strconv.Itoa(c))
+		p.add(strconv.Itoa(c))
 	}
 	return p
 }
 
+// add adds a cell.
+func (p *cellPlan) add(label string) {
+	p.byLabel[label] = len(p.labels)
+	p.labels = append(p.labels, label)
+}
+
 // count returns how many cells there are.
 func (p *cellPlan) count() int { return len(p.labels) }
 
@@ -79,22 +86,9 @@
 
 // rank returns the first n cells for a key, best first.
 func (p *cellPlan) rank(key uint64, n int) []int {
-	type scored struct {
-		cell  int
-		score uint64
-	}
-	best := make([]scored, 0, n+1)
-	for c, label := range p.labels {
-		s := scored{c, score(key, label)}
-		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-		if at < n {
-			best = slices.Insert(best, at, s)
-			best = best[:min(len(best), n)]
-		}
-	}
-	out := make([]int, len(best))
-	for i, s := range best {
-		out[i] = s.cell
+	var out []int
+	for _, label := range RankFirst(key, p.labels, n) {
+		out = append(out, p.byLabel[label])
 	}
 	return out
 }
--- a/core/roster/guest.go
+++ b/core/roster/guest.go
@@ -79,6 +79,3 @@
 	r.guests.put(t, time.Now())
 	return t
 }
-
-// keepGuest keeps a target that the list does not hold any more. It is called with rosterMu held.
-func (r *Roster) keepGuest(t *Target) { r.guests.put(t, time.Now()) }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -226,9 +226,7 @@
 func (r *Roster) Remove(name string, now clock.Time) {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	delete(r.ended, name)
-	delete(r.early, name)
-	t := r.targets[r.runs[name]]
+	t := r.clear(name)
 	if t == nil {
 		return
 	}
@@ -259,14 +257,18 @@
 func (r *Roster) Drop(name string) {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
+	if t := r.clear(name); t != nil {
+		r.unuse(t)
+		r.guests.put(t, time.Now())
+	}
+}
+
+// clear forgets what the list said of a name beside the run in use, which it returns, or nil. It is
+// called with rosterMu held.
+func (r *Roster) clear(name string) *Target {
 	delete(r.ended, name)
 	delete(r.early, name)
-	t := r.targets[r.runs[name]]
-	if t == nil {
-		return
-	}
-	r.unuse(t)
-	r.keepGuest(t)
+	return r.targets[r.runs[name]]
 }
 
 // expire removes a target whose lapsed entry has not come back.
