--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -220,5 +220,8 @@
 	return out
 }
 
+// Undecided returns how many roll-outs are not decided.
+func (g *Guard) Undecided() int { return len(g.open()) }
+
 // Over reports whether every roll-out is decided.
-func (g *Guard) Over() bool { return len(g.open()) == 0 }
+func (g *Guard) Over() bool { return g.Undecided() == 0 }
--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -37,19 +37,20 @@
 	TargetRested      Code = 2023
 	TargetUnreadable  Code = 2024
 
-	ConfApplied   Code = 3001
-	ConfWritten   Code = 3002
-	ConfRejected  Code = 3003
-	ConfUnknown   Code = 3004
-	ConfResynced  Code = 3005
-	ConfStale     Code = 3006
-	ServiceDown   Code = 3007
-	ServiceUp     Code = 3008
-	ConfPending   Code = 3009
-	ConfUnderived Code = 3010
-	PeerNotTold   Code = 3011
-	ValueFetched  Code = 3012
-	RolloutStep   Code = 3013
+	ConfApplied    Code = 3001
+	ConfWritten    Code = 3002
+	ConfRejected   Code = 3003
+	ConfUnknown    Code = 3004
+	ConfResynced   Code = 3005
+	ConfStale      Code = 3006
+	ServiceDown    Code = 3007
+	ServiceUp      Code = 3008
+	ConfPending    Code = 3009
+	ConfUnderived  Code = 3010
+	PeerNotTold    Code = 3011
+	ValueFetched   Code = 3012
+	RolloutStep    Code = 3013
+	ListShardTaken Code = 3014
 
 	RequestAccepted  Code = 4001
 	RequestPlaced    Code = 4002
@@ -152,6 +153,7 @@
 	{PeerNotTold, "peerNotTold", Info, "A peer did not tell what has changed in the key-value service; the text names it, the time that this took and the reason."},
 	{ValueFetched, "valueFetched", Info, "A large value was fetched by itself; the text names its revision and sizes, where it came from and the time that this took."},
 	{RolloutStep, "rolloutStep", Info, "A roll-out has gone on, by decision of this daemon; the resource is the service, the text names phase, version and what decided it."},
+	{ListShardTaken, "listShardTaken", Info, "This daemon holds another shard of the list of targets than before; the text has the peer that told it, the cell and the number of entries that it took."},
 
 	{RequestAccepted, "requestAccepted", Debug, "A caller's request was authenticated and read."},
 	{RequestPlaced, "requestPlaced", Info, "A target was chosen; the text gives the reasons and the candidates weighed."},
--- a/core/roster/guest.go
+++ b/core/roster/guest.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// Sizes returns how many targets the list holds, and how many guests there are.
+func (r *Roster) Sizes() (listed, guests int) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	return len(r.targets), len(r.guests.byID)
+}
+
 // Guest returns the target of an entry that another daemon named. Where the list holds that run,
 // it goes by the list.
 func (r *Roster) Guest(e Entry) *Target {
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -239,6 +240,7 @@
 			return s.takeAll(ctx, peer, ask, got, got.heard(began))
 		}
 		if got.Moved && shard != nil {
+			s.noteShard(ask.Held, got.Holds, peer, len(got.Changes))
 			s.mirror.TakeMoved(got.changes(), got.Revision, ask.Held, got.Holds, s.drops(shard, got.Holds), got.heard(began))
 			s.expectLate(peer)
 			return nil
@@ -272,11 +274,22 @@
 		}
 		all = append(all, page.changes()...)
 	}
+	s.noteShard(asked.Held, first.Holds, peer, len(all))
 	s.mirror.TakeAll(all, first.Revision, asked.Held, first.Holds, heard)
 	s.expectLate(peer)
 	return nil
 }
 
+// noteShard logs that another shard is taken.
+func (s *Mirrors) noteShard(held, holds, peer string, entries int) {
+	if held == holds {
+		return
+	}
+	view := s.fleet.View()
+	text := strconv.Itoa(entries) + " entries from " + peer + ", cell " + strconv.Itoa(view.Cell()) + " of " + strconv.Itoa(view.Cells())
+	s.log.Emit(event.ListShardTaken, event.Ref{}, text)
+}
+
 // expectLate makes the values that a peer named without giving them be fetched.
 func (s *Mirrors) expectLate(peer string) {
 	if s.mirror.Behind() {
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -97,6 +97,10 @@
 		{"targets_leaving_by_answer", func() float64 { leaving, _ := h.roster.WordCounts(); return float64(leaving) }},
 		{"targets_resting", func() float64 { _, resting := h.roster.WordCounts(); return float64(resting) }},
 		{"targets_ended_total", func() float64 { return float64(h.poison.EndedRuns()) }},
+		{"targets_listed", func() float64 { listed, _ := h.roster.Sizes(); return float64(listed) }},
+		{"targets_guests", func() float64 { _, guests := h.roster.Sizes(); return float64(guests) }},
+		{"cell_daemons", func() float64 { return float64(h.fleet.View().CellSize()) }},
+		{"rollouts_undecided", func() float64 { return float64(h.canary.Undecided()) }},
 		{"peer_bytes_total", func() float64 { return float64(h.fleet.Bytes()) }},
 	} {
 		h.stats.Gauge(g.name, g.f)
