--- a/emberd/internal/host/host_test.go
+++ b/emberd/internal/host/host_test.go
@@ -66,24 +66,25 @@
 
 func TestTheTemplateGivesGoodSettings(t *testing.T) {
 	tests := []struct {
-		name, over, extra string
-		want              Bounds
+		name, over, extra, share string
+		want                     Bounds
 	}{
-		{"with cold targets", "1.5", "5", Bounds{ColdOver: 1.5, ColdExtra: 5}},
-		{"without", "", "", Bounds{ColdOver: 1}},
+		{"with cold targets", "1.5", "5", "", Bounds{ColdOver: 1.5, ColdExtra: 5, ExposeShare: 0.1}},
+		{"with roll-outs", "", "", "0.05", Bounds{ColdOver: 1, ExposeShare: 0.05}},
+		{"without", "", "", "", Bounds{ColdOver: 1, ExposeShare: 0.1}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			want := tc.want
 			want.Stop, want.OrderApart, want.Weights, want.Contact, want.Configuration = 8*time.Second, 3*time.Second, 12*time.Second, 3*time.Second, 2*time.Second
-			checkTemplate(gomega.NewWithT(t), tc.over, tc.extra, want)
+			checkTemplate(gomega.NewWithT(t), tc.over, tc.extra, tc.share, want)
 		})
 	}
 }
 
-// checkTemplate fills the template with figures for cold targets, or nothing, and checks
-// the settings.
-func checkTemplate(g *gomega.WithT, coldOver, coldExtra string, want Bounds) {
+// checkTemplate fills the template with figures for cold targets and roll-outs, or nothing, and
+// checks the settings.
+func checkTemplate(g *gomega.WithT, coldOver, coldExtra, exposeShare string, want Bounds) {
 	raw, err := os.ReadFile(filepath.Join("..", "..", "..", "deploy", "settings.yaml"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	// As the platform fills it.
@@ -92,7 +93,7 @@
 		"{{Ip}}", "10.0.0.1", "{{EphemeralPorts.0}}", "7740", "{{Platform.Address}}", "10.0.0.9:1", "{{Limits.MemoryMb}}", "134",
 		"{{Bounds.GraceS}}", "8", "{{Bounds.LeaseMs}}", "3000", "{{Bounds.ContactMs}}", "3000", "{{Bounds.ConfigMs}}", "2000", "{{Bounds.VersionMs}}", "12000",
 		"{{Bounds.RetryBudgetRatio}}", "0.2", "{{Bounds.BudgetSlack}}", "56", "{{Bounds.BudgetWindowS}}", "10",
-		"{{Bounds.ColdOver}}", coldOver, "{{Bounds.ColdSlack}}", coldExtra,
+		"{{Bounds.ColdOver}}", coldOver, "{{Bounds.ColdSlack}}", coldExtra, "{{Bounds.ExposeShare}}", exposeShare,
 	).Replace(string(raw))
 	g.Expect(filled).NotTo(gomega.ContainSubstring("{{"))
 	s, err := ParseSettings([]byte(filled))
