An order for the version that all targets have refuses nobody; requests of a relay keep to roll-outs, by table

A version on trial may be used beyond its share only where the list names no target of another one: with an order for the version that all have, every request beyond the share would have been refused.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -62,6 +62,9 @@
 	Prefer string
 	// Not are the versions that must not be used.
 	Not []string
+	// Trial is the version on trial where it is one of Not: it is used all the same where no target
+	// of another version is listed, as when operators ask for the version that all have.
+	Trial string
 	// Few is the part of the preferred version's targets that is used, so that each gets as many
 	// requests as if it had all of its share; 0 stands for all.
 	Few float64
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -116,7 +116,7 @@
 			side.Prefer, side.Few = s.order.Version, share
 			return side
 		}
-		side.Not = append(side.Not, s.order.Version)
+		side.Not, side.Trial = append(side.Not, s.order.Version), s.order.Version
 	case RolledBack:
 		side.Not = append(side.Not, s.order.Version)
 	}
--- a/core/relay/versions.go
+++ b/core/relay/versions.go
@@ -2,7 +2,9 @@
 
 import (
 	"math"
+	"slices"
 
+	"embertally.dev/core/canary"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/roster"
 )
@@ -10,6 +12,10 @@
 // versions returns the targets of a list that a request may go to where a version is on trial: of
 // that version only a few, so that each of them gets as many requests as if all did.
 func (p *pass) versions(list []*roster.Target) []*roster.Target {
+	trial := p.side.Trial
+	if trial != "" && !slices.ContainsFunc(list, func(t *roster.Target) bool { return t.Entry().Version != trial }) {
+		p.side = canary.Side{Not: slices.DeleteFunc(p.side.Not, func(v string) bool { return v == trial })}
+	}
 	if p.side.Few <= 0 {
 		return list
 	}
--- /dev/null
+++ b/core/relay/versions_test.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/canary"
+)
+
+// Which versions requests reach while a roll-out is on trial, moves, or was taken back.
+func TestRequestsKeepToARollout(t *testing.T) {
+	const asked = 200
+	tests := []struct {
+		name  string
+		phase canary.Phase
+		// targets are the versions of the listed targets.
+		targets []string
+		// least and most bound the requests that reach v2; the others reach v1, or are refused
+		// where refused is set.
+		least, most int
+		refused     bool
+	}{
+		{"on trial", canary.Trying, []string{"v1", "v2", "v2"}, 5, asked / 10, false},
+		{"on trial, no target of the version yet", canary.Trying, []string{"v1"}, 0, 0, false},
+		{"on trial, all targets have the version", canary.Trying, []string{"v2"}, asked, asked, false},
+		{"moving", canary.Moving, []string{"v1", "v2"}, asked, asked, false},
+		{"moving, no target of the version left", canary.Moving, []string{"v1"}, 0, 0, false},
+		{"taken back", canary.RolledBack, []string{"v1", "v2"}, 0, 0, false},
+		{"taken back, no other target left", canary.RolledBack, []string{"v2"}, 0, 0, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.o.Canary.Share = 0.1
+			r.relay.o.Canary.SetOrder(canary.Order{Service: "plain", Version: "v2", Lasts: time.Minute, Revision: 5})
+			r.relay.o.Canary.SetState("plain", canary.State{Order: 5, Version: "v2", Phase: tc.phase})
+			for i, version := range tc.targets {
+				id := fmt.Sprintf("%s-%d", version, i)
+				r.target(id, "plain", always(answers(http.StatusOK, "done")))
+				e := *r.roster.Target(id).Entry()
+				e.Version = version
+				r.roster.Put(e)
+			}
+			refused := 0
+			for range asked {
+				if r.ask(http.MethodPost, "/once/x", "x").status != http.StatusOK {
+					refused++
+				}
+			}
+			reached := map[string]int{}
+			for _, s := range r.sends() {
+				reached[s.target[:2]]++
+			}
+			r.g.Expect(reached["v2"]).To(gomega.And(gomega.BeNumerically(">=", tc.least), gomega.BeNumerically("<=", tc.most)))
+			if tc.refused {
+				r.g.Expect(refused).To(gomega.Equal(asked))
+				return
+			}
+			r.g.Expect(refused).To(gomega.BeZero())
+			r.g.Expect(reached["v1"]).To(gomega.Equal(asked - reached["v2"]))
+		})
+	}
+}
