Orders for weights by cell, where the cells divide the workers

Where a service's workers are divided, the right belongs to the cell that uses them: 112 workers, some 240 calls a second while a swap runs. It is taken only while weights are behind. A daemon that does not ask the store itself takes it by what its peers tell, if that is fresh. Other services keep the four rights.

Tests: TestACellOrdersItsOwnWorkers, TestNoOrdersWithoutTheRightOfTheCell, TestADaemonThatPeersTellTakesALease.

--- a/core/fleet/cells.go
+++ b/core/fleet/cells.go
@@ -177,6 +177,9 @@
 	return v.plan.of(name, domain)
 }
 
+// Label names this daemon's cell; it stays the same while other cells come and go.
+func (v *View) Label() string { return v.label(v.cell) }
+
 // nextKey ranks the other cells for a cell that has nothing to use.
 const nextKey = "next/"
 
--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -48,6 +48,9 @@
 	Store  plat.Store
 	Mirror *plat.Mirror
 	Log    *event.Log
+	// Known returns when the service last said what the mirror holds, to this daemon or a peer;
+	// nil stands for what it said to this daemon.
+	Known func() clock.Time
 	// Rank says how many others try before this one.
 	Rank func() int
 	// Idle reports that this daemon must not hold the lease.
@@ -98,12 +101,20 @@
 func (t *Timed) pause() time.Duration {
 	t.timedMu.Lock()
 	defer t.timedMu.Unlock()
-	if t.session == 0 && t.o.Mirror.Contact().IsZero() {
+	if t.session == 0 && t.known().IsZero() {
 		return awayLook
 	}
 	return timedLook
 }
 
+// known returns when the service last said what the mirror holds.
+func (t *Timed) known() clock.Time {
+	if t.o.Known == nil {
+		return t.o.Mirror.Contact()
+	}
+	return t.o.Known()
+}
+
 // step keeps, takes or gives back the lease. It gets and returns since when
 // the key is seen to be free; zero where it is not.
 func (t *Timed) step(ctx context.Context, free clock.Time) clock.Time {
@@ -116,7 +127,7 @@
 	}
 	// A daemon that the service does not answer could not take it.
 	_, taken := t.o.Mirror.Pair(t.o.Key)
-	if taken || clock.Since(t.o.Mirror.Contact()) > answered {
+	if taken || clock.Since(t.known()) > answered {
 		return clock.Time{}
 	}
 	if free.IsZero() {
--- a/core/lease/timed_test.go
+++ b/core/lease/timed_test.go
@@ -184,3 +184,38 @@
 	kv.SetDown(false)
 	g.Eventually(h.may, "10s", "5ms").Should(gomega.BeTrue())
 }
+
+// A daemon that does not ask the service itself takes a lease by what its peers tell it.
+func TestADaemonThatPeersTellTakesALease(t *testing.T) {
+	tests := []struct {
+		name string
+		// age is how old what peers told is.
+		age  time.Duration
+		want bool
+	}{
+		{"fresh", 0, true},
+		{"old", time.Minute, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			kv, log := &memkv.KV{}, &event.Log{}
+			lease := NewTimed(TimedOptions{
+				Key: "duty", Owner: "a", Apart: apart, Store: kv, Mirror: plat.NewMirror(kv, plat.Prefix(""), log), Log: log,
+				Known: func() clock.Time { return clock.Now().Add(-tc.age) },
+				Rank:  func() int { return 0 }, Idle: func() bool { return false }, Urgent: func() bool { return true },
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			wg.Go(func() { lease.Run(ctx) })
+			defer wg.Wait()
+			defer cancel()
+			may := func() bool { _, may := lease.Act(); return may }
+			if tc.want {
+				g.Eventually(may, "10s", "5ms").Should(gomega.BeTrue())
+				return
+			}
+			g.Consistently(may, "700ms", "50ms").Should(gomega.BeFalse())
+		})
+	}
+}
--- a/core/order/job.go
+++ b/core/order/job.go
@@ -155,7 +155,10 @@
 
 // give gives the order once.
 func (j *job) give(ctx context.Context) error {
-	right := j.s.right(j.target.ID())
+	right := j.s.right(j.target)
+	if right == nil {
+		return errNoRight
+	}
 	fence, may := right.Act()
 	for n := 0; !may && right.Held() && n < rightTries; n++ {
 		wait.For(ctx, rightPause)
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -20,7 +20,13 @@
 	// Rights are the rights to give orders to parts of the workers; the hash of
 	// a worker's run says which part it belongs to. Where the holder of one is
 	// lost, the other parts go on.
-	Rights    []Right
+	Rights []Right
+	// Divided, if set, reports whether the cells divide the workers of a service: then each cell
+	// gives the orders to its own. Uses reports whether a worker falls to this daemon's cell, and
+	// Cell returns the right to its workers, or nil.
+	Divided   func(service string) bool
+	Uses      func(name, domain string) bool
+	Cell      func() Right
 	Commander Commander
 	Roster    *roster.Roster
 	// Table returns the configuration in force, or nil.
@@ -80,14 +86,45 @@
 	extraPause = 100 * time.Millisecond
 )
 
-// right returns the right to give orders to a worker.
-func (s *Swapper) right(id string) Right {
-	return s.o.Rights[fleet.Key(id)%uint64(len(s.o.Rights))]
+// right returns the right to give orders to a worker, or nil where this daemon cannot have it.
+func (s *Swapper) right(t *roster.Target) Right {
+	if !s.divided(t.Entry().Service) {
+		return s.o.Rights[fleet.Key(t.ID())%uint64(len(s.o.Rights))]
+	}
+	if e := t.Entry(); !s.o.Uses(e.Name, e.Domain) {
+		return nil
+	}
+	return s.o.Cell()
+}
+
+// divided reports whether the cells divide the workers of a service.
+func (s *Swapper) divided(service string) bool { return s.o.Divided != nil && s.o.Divided(service) }
+
+// parts returns how many rights the workers fall to that this daemon knows of a service.
+func (s *Swapper) parts(service string) int {
+	if s.divided(service) {
+		return 1
+	}
+	return len(s.o.Rights)
+}
+
+// CellWanted reports whether a worker that falls to this daemon's cell holds older weights than are
+// named.
+func (s *Swapper) CellWanted() bool {
+	return s.wanted(func(t *roster.Target) bool {
+		e := t.Entry()
+		return s.divided(e.Service) && s.o.Uses(e.Name, e.Domain)
+	})
 }
 
 // Wanted reports whether a worker of a part holds older weights than are
 // named.
 func (s *Swapper) Wanted(part int) bool {
+	return s.wanted(func(t *roster.Target) bool { return s.right(t) == s.o.Rights[part] })
+}
+
+// wanted reports whether a worker that is meant holds older weights than are named.
+func (s *Swapper) wanted(meant func(*roster.Target) bool) bool {
 	t := s.o.Table()
 	if t == nil {
 		return false
@@ -96,7 +133,7 @@
 		for _, model := range svc.Engine.Models {
 			version := s.o.Named(model)
 			for _, w := range s.o.Roster.Of(svc.Name) {
-				if s.right(w.ID()) == s.o.Rights[part] && w.Entry().Weights[model] < version {
+				if w.Entry().Weights[model] < version && meant(w) {
 					return true
 				}
 			}
@@ -143,7 +180,14 @@
 
 // holds reports whether this daemon holds any right. All but a few of a fleet hold none.
 func (s *Swapper) holds() bool {
-	return slices.ContainsFunc(s.o.Rights, Right.Held)
+	if slices.ContainsFunc(s.o.Rights, Right.Held) {
+		return true
+	}
+	if s.o.Cell == nil {
+		return false
+	}
+	cell := s.o.Cell()
+	return cell != nil && cell.Held()
 }
 
 // progress is how far the swaps of one model are.
@@ -160,11 +204,15 @@
 // with swapMu held.
 func (s *Swapper) progress(service, model string, version int64, now time.Time) progress {
 	workers := s.o.Roster.Of(service)
-	pr := progress{workers: len(workers), behind: map[Right][]*roster.Target{}, running: map[Right]int{}}
+	pr := progress{behind: map[Right][]*roster.Target{}, running: map[Right]int{}}
 	// Other daemons' swaps are told in heartbeats.
 	ordered := s.o.Roster.Ordered(now)
 	for _, t := range workers {
-		right := s.right(t.ID())
+		right := s.right(t)
+		if right == nil {
+			continue
+		}
+		pr.workers++
 		switch {
 		case s.jobs[t.ID()] != nil:
 			pr.running[right]++
@@ -194,7 +242,7 @@
 	for right, list := range pr.behind {
 		sortBehind(list, model)
 		for _, t := range list {
-			if pr.running[right] >= own(pr.workers, len(s.o.Rights)) && !s.extra(pr.total, pr.workers, now) {
+			if pr.running[right] >= own(pr.workers, s.parts(service)) && !s.extra(pr.total, pr.workers, now) {
 				break
 			}
 			pr.running[right]++
--- a/core/order/swap_test.go
+++ b/core/order/swap_test.go
@@ -127,7 +127,10 @@
 	changes  atomic.Int64
 }
 
-func newSwapRig(t *testing.T, n int) *swapRig {
+func newSwapRig(t *testing.T, n int) *swapRig { return newSwapRigWith(t, n, func(*SwapOptions) {}) }
+
+// newSwapRigWith is newSwapRig with options changed.
+func newSwapRigWith(t *testing.T, n int, change func(*SwapOptions)) *swapRig {
 	r := &swapRig{g: gomega.NewWithT(t), workers: &fakeWorkers{states: map[string]WorkerState{}}, right: &fakeRight{fence: 7}, audience: &fakeAudience{}}
 	r.named.Store(2)
 	r.roster = roster.New(&event.Log{}, nil)
@@ -137,11 +140,13 @@
 		r.workers.states[id] = WorkerState{Weights: map[string]int64{"m": 1}}
 	}
 	tbl := table.New(table.Spec{Services: []table.Service{{Name: "llm", Engine: &table.Engine{Models: []string{"m"}}}}})
-	r.swapper = NewSwapper(SwapOptions{
+	o := SwapOptions{
 		Name: "me", Rights: []Right{r.right}, Commander: r.workers, Roster: r.roster,
 		Table: func() *table.Table { return tbl }, Named: func(string) int64 { return r.named.Load() },
 		Changed: func() { r.changes.Add(1) }, Audience: r.audience, Log: &event.Log{},
-	})
+	}
+	change(&o)
+	r.swapper = NewSwapper(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { r.swapper.Run(ctx) })
@@ -241,6 +246,49 @@
 	r.g.Expect(len(r.workers.given())).To(gomega.BeNumerically("<=", 3))
 }
 
+// Where the cells divide the workers, the holder of a cell's right gives orders to those of the cell
+// only, under that right.
+func TestACellOrdersItsOwnWorkers(t *testing.T) {
+	own := func(name, _ string) bool { return name < "w04" }
+	cell := &fakeRight{fence: 9}
+	r := newSwapRigWith(t, 9, func(o *SwapOptions) {
+		o.Divided, o.Uses = func(string) bool { return true }, own
+		o.Cell = func() Right { return cell }
+	})
+	behind := func() (mine, others int) {
+		for _, t := range r.roster.Of("llm") {
+			switch {
+			case t.Entry().Weights["m"] >= r.named.Load():
+			case own(t.ID(), ""):
+				mine++
+			default:
+				others++
+			}
+		}
+		return mine, others
+	}
+	r.g.Expect(r.swapper.CellWanted()).To(gomega.BeTrue())
+	r.g.Expect(r.swapper.Wanted(0)).To(gomega.BeFalse(), "the parts are for workers that are not divided")
+	r.g.Eventually(func() int { mine, _ := behind(); return mine }, "30s", "10ms").Should(gomega.BeZero())
+	r.g.Expect(r.swapper.CellWanted()).To(gomega.BeFalse())
+	_, others := behind()
+	r.g.Expect(others).To(gomega.Equal(5))
+	for _, o := range r.workers.given() {
+		r.g.Expect(own(o.Target, "")).To(gomega.BeTrue())
+		r.g.Expect(o.Fence).To(gomega.Equal(uint64(9)))
+	}
+}
+
+// A daemon that is not in the cell of any right gives no orders.
+func TestNoOrdersWithoutTheRightOfTheCell(t *testing.T) {
+	r := newSwapRigWith(t, 3, func(o *SwapOptions) {
+		o.Divided, o.Uses = func(string) bool { return true }, func(string, string) bool { return true }
+		o.Cell = func() Right { return nil }
+	})
+	r.g.Expect(r.swapper.CellWanted()).To(gomega.BeTrue())
+	r.g.Consistently(r.workers.given, "700ms", "50ms").Should(gomega.BeEmpty())
+}
+
 func TestTheOldestWeightsComeFirst(t *testing.T) {
 	g := gomega.NewWithT(t)
 	ros := roster.New(&event.Log{}, nil)
--- a/emberd/internal/host/duties.go
+++ b/emberd/internal/host/duties.go
@@ -23,7 +23,9 @@
 		h.rights = append(h.rights, t)
 		rights = append(rights, t)
 	}
+	h.cellRight = &cellRight{host: h, owner: h.set.Name + ownerSeparator + incarnation}
 	h.swapper = order.NewSwapper(order.SwapOptions{
+		Divided: h.mirrors.Divided, Uses: h.mirrors.Uses, Cell: h.cellRight.Right,
 		Name: h.set.Name, Rights: rights, Commander: engines, Roster: h.roster,
 		Table: h.relay.Table, Named: h.named.version, Changed: h.fleet.Kick, Audience: h.swaps, Log: h.log,
 	})
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -40,6 +40,7 @@
 const (
 	keyBoxes = "embertally/boxes/"
 	keySwap  = "embertally/duty/weights/"
+	keyCells = "embertally/duty/cells/"
 	// keyRollouts is held by the daemon that decides about roll-outs.
 	keyRollouts = "embertally/duty/rollouts"
 )
@@ -71,6 +72,7 @@
 	canary    canary.Guard
 	rollouts  *canary.Controller
 	rights    []*lease.Timed
+	cellRight *cellRight
 	swapper   *order.Swapper
 	swaps     *spread.Swaps
 	sweeper   *cache.Sweeper
@@ -259,6 +261,7 @@
 	for _, run := range []func(context.Context){h.swapper.Run, h.sweeper.Run} {
 		wg.Go(func() { run(duties) })
 	}
+	wg.Go(func() { h.cellRight.run(duties) })
 	for _, t := range h.rights {
 		wg.Go(func() { t.Run(duties) })
 	}
--- a/emberd/internal/host/rights.go
+++ b/emberd/internal/host/rights.go
@@ -1,11 +1,17 @@
 package host
 
 import (
+	"context"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"embertally.dev/core/fleet"
 	"embertally.dev/core/lease"
+	"embertally.dev/core/order"
+	"embertally.dev/core/wait"
 )
 
 // swapParts is how many parts the workers fall into for orders. The loss of a
@@ -29,6 +35,56 @@
 	})
 }
 
+// cellRight is the right to give orders to the workers of this daemon's cell, where the cells divide
+// them. The cell may change.
+type cellRight struct {
+	host  *Host
+	owner string
+	right atomic.Pointer[lease.Timed]
+}
+
+// cellLook is the pause between looks at which cell this daemon is in.
+const cellLook = 500 * time.Millisecond
+
+// Right returns the right to the workers of the cell, or nil.
+func (c *cellRight) Right() order.Right {
+	if t := c.right.Load(); t != nil {
+		return t
+	}
+	return nil
+}
+
+// run keeps the right to that of the cell that this daemon is in, until ctx ends.
+func (c *cellRight) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	label, stop := "", context.CancelFunc(func() {})
+	defer func() { stop() }()
+	for wait.For(ctx, cellLook) {
+		if now := c.host.fleet.View().Label(); now != label {
+			stop()
+			label = now
+			t := c.timed(label)
+			own, cancel := context.WithCancel(ctx)
+			stop = cancel
+			c.right.Store(t)
+			wg.Go(func() { t.Run(own) })
+		}
+	}
+}
+
+// timed returns the right to the workers of a cell. It is taken only while there is something to
+// order.
+func (c *cellRight) timed(label string) *lease.Timed {
+	h, key := c.host, keyCells+label
+	return lease.NewTimed(lease.TimedOptions{
+		Key: key, Owner: c.owner, Apart: h.set.Bounds.OrderApart, Store: h.store, Mirror: h.mirror, Log: h.log, Known: h.mirror.Fresh,
+		Rank:   func() int { return fleet.Place(fleet.Key(key), h.fleet.View().Expected(), h.set.Name) },
+		Urgent: h.swapper.CellWanted,
+		Idle:   func() bool { return h.idle() || !h.swapper.CellWanted() },
+	})
+}
+
 // idle reports whether this daemon tries to take no right.
 func (h *Host) idle() bool { return h.draining.Load() || time.Since(h.began) < settleTime }
 
