--- a/emberd/internal/host/rights.go
+++ b/emberd/internal/host/rights.go
@@ -48,10 +48,12 @@
 
 // Right returns the right to the workers of the cell, or nil.
 func (c *cellRight) Right() order.Right {
-	if t := c.right.Load(); t != nil {
-		return t
+	t := c.right.Load()
+	if t == nil {
+		// As an interface a nil pointer would be a right.
+		return nil
 	}
-	return nil
+	return t
 }
 
 // run keeps the right to that of the cell that this daemon is in, until ctx ends.
