Looks for orders do not grow with the workers of the fleet

Where the cells divide the workers the four rights are not for them, and each cell's right is looked at once a second while nothing is to be ordered. Whether a service is divided is asked once for a look, not for each worker.

Test: TestLooksForOrdersDoNotGrowWithTheWorkers.

--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -79,8 +79,8 @@
 	// answered is the age of the service's last answer up to which a daemon
 	// tries: watches answer every 1.5 s.
 	answered = 2500 * time.Millisecond
-	// timedLook is the pause between looks, and awayLook that of a daemon that does not ask
-	// the service and so cannot take the lease: nearly all of a large fleet.
+	// timedLook is the pause between looks, and awayLook that of a daemon that cannot or must
+	// not take the lease: nearly all of a large fleet.
 	timedLook = 50 * time.Millisecond
 	awayLook  = time.Second
 )
@@ -100,8 +100,9 @@
 // pause returns how long the next look may wait.
 func (t *Timed) pause() time.Duration {
 	t.timedMu.Lock()
-	defer t.timedMu.Unlock()
-	if t.session == 0 && t.known().IsZero() {
+	open := t.session != 0
+	t.timedMu.Unlock()
+	if !open && (t.known().IsZero() || t.o.Idle()) {
 		return awayLook
 	}
 	return timedLook
--- a/core/order/job.go
+++ b/core/order/job.go
@@ -155,7 +155,7 @@
 
 // give gives the order once.
 func (j *job) give(ctx context.Context) error {
-	right := j.s.right(j.target)
+	right := j.s.right(j.target, j.s.divided(j.target.Entry().Service))
 	if right == nil {
 		return errNoRight
 	}
--- a/core/order/swap.go
+++ b/core/order/swap.go
@@ -86,9 +86,10 @@
 	extraPause = 100 * time.Millisecond
 )
 
-// right returns the right to give orders to a worker, or nil where this daemon cannot have it.
-func (s *Swapper) right(t *roster.Target) Right {
-	if !s.divided(t.Entry().Service) {
+// right returns the right to give orders to a worker, or nil where this daemon cannot have it. divided
+// is that of the worker's service.
+func (s *Swapper) right(t *roster.Target, divided bool) Right {
+	if !divided {
 		return s.o.Rights[fleet.Key(t.ID())%uint64(len(s.o.Rights))]
 	}
 	if e := t.Entry(); !s.o.Uses(e.Name, e.Domain) {
@@ -111,25 +112,29 @@
 // CellWanted reports whether a worker that falls to this daemon's cell holds older weights than are
 // named.
 func (s *Swapper) CellWanted() bool {
-	return s.wanted(func(t *roster.Target) bool {
+	return s.wanted(true, func(t *roster.Target) bool {
 		e := t.Entry()
-		return s.divided(e.Service) && s.o.Uses(e.Name, e.Domain)
+		return s.o.Uses(e.Name, e.Domain)
 	})
 }
 
 // Wanted reports whether a worker of a part holds older weights than are
 // named.
 func (s *Swapper) Wanted(part int) bool {
-	return s.wanted(func(t *roster.Target) bool { return s.right(t) == s.o.Rights[part] })
+	return s.wanted(false, func(t *roster.Target) bool { return s.right(t, false) == s.o.Rights[part] })
 }
 
-// wanted reports whether a worker that is meant holds older weights than are named.
-func (s *Swapper) wanted(meant func(*roster.Target) bool) bool {
+// wanted reports whether a worker that is meant holds older weights than are named. It looks at the
+// services that the cells divide, or at the others.
+func (s *Swapper) wanted(divided bool, meant func(*roster.Target) bool) bool {
 	t := s.o.Table()
 	if t == nil {
 		return false
 	}
 	for _, svc := range t.Engines() {
+		if s.divided(svc.Name) != divided {
+			continue
+		}
 		for _, model := range svc.Engine.Models {
 			version := s.o.Named(model)
 			for _, w := range s.o.Roster.Of(svc.Name) {
@@ -206,9 +211,9 @@
 	workers := s.o.Roster.Of(service)
 	pr := progress{behind: map[Right][]*roster.Target{}, running: map[Right]int{}}
 	// Other daemons' swaps are told in heartbeats.
-	ordered := s.o.Roster.Ordered(now)
+	ordered, divided := s.o.Roster.Ordered(now), s.divided(service)
 	for _, t := range workers {
-		right := s.right(t)
+		right := s.right(t, divided)
 		if right == nil {
 			continue
 		}
--- a/core/order/swap_test.go
+++ b/core/order/swap_test.go
@@ -279,6 +279,27 @@
 	}
 }
 
+// Looks for work come many times a second: they ask once for each service whether it is divided, and
+// do not look at the workers of services that are not meant.
+func TestLooksForOrdersDoNotGrowWithTheWorkers(t *testing.T) {
+	const workers = 500
+	asked, used := 0, 0
+	r := newSwapRigWith(t, workers, func(o *SwapOptions) {
+		o.Divided = func(string) bool { asked++; return true }
+		o.Uses = func(string, string) bool { used++; return true }
+		o.Cell = func() Right { return nil }
+		// Its loop is not to count.
+		o.Rights = []Right{&fakeRight{}}
+	})
+	r.g.Expect(r.swapper.Wanted(0)).To(gomega.BeFalse())
+	r.g.Expect([]int{asked, used}).To(gomega.Equal([]int{1, 0}))
+	r.swapper.swapMu.Lock()
+	defer r.swapper.swapMu.Unlock()
+	asked = 0
+	r.swapper.progress("llm", "m", 2, time.Now())
+	r.g.Expect(asked).To(gomega.Equal(1))
+}
+
 // A daemon that is not in the cell of any right gives no orders.
 func TestNoOrdersWithoutTheRightOfTheCell(t *testing.T) {
 	r := newSwapRigWith(t, 3, func(o *SwapOptions) {
