--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -41,6 +41,7 @@
 		v.duty = append(v.duty, f.o.Name)
 		v.expected = append(v.expected, f.o.Name)
 	}
+	v.listed = sync.OnceValue(v.allListed)
 	v.domains = sync.OnceValue(func() map[string][]string { return v.byDomain(f.o.Domain) })
 	sort.Strings(v.duty)
 	sort.Strings(v.expected)
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -54,6 +54,8 @@
 	// domains holds the daemons that Listed returns by failure domain; worked out when it
 	// is first asked for.
 	domains func() map[string][]string
+	// listed are the daemons that Listed returns; worked out when it is first asked for.
+	listed func() []string
 	// expected are those on duty and those listed that were not heard yet, ordered by
 	// name.
 	expected []string
@@ -126,8 +128,12 @@
 
 // Listed returns the daemons of the whole fleet that do not drain as far as this one
 // knows, this one included, ordered by name but for itself. Others agree on it as far as
-// they know the same list of boxes; whether a daemon of another cell lives is not known.
-func (v *View) Listed() []string {
+// they know the same list of boxes; whether a daemon of another cell lives is not known. It must
+// not be changed.
+func (v *View) Listed() []string { return v.listed() }
+
+// allListed works them out.
+func (v *View) allListed() []string {
 	names := make([]string, 0, len(v.peers)+1)
 	for _, p := range v.peers {
 		if !p.Draining {
