A large value of the store is read by few, and by the others from these

Read, not measured: who tells that there is a new configuration has not got it yet; a peer that heard asks at once, gets nothing and reads the value from the store. In a fleet with roots a daemon tries its peers for 0.8 s first; a value that is too large for links between daemons is read from the store as before.

TestALargeValueIsReadFromTheStoreByFew holds the bound for 48 daemons in one process. It passes without the change, too: there the peers have the value before they are asked.

--- a/core/spread/calls_test.go
+++ b/core/spread/calls_test.go
@@ -26,6 +26,14 @@
 	answering int
 	taken     clock.Time
 	down      bool // guarded by countMu
+	ranges    int  // calls of Range; guarded by countMu
+}
+
+// ranged returns how many times keys were read beside watches.
+func (s *pricedStore) ranged() int {
+	s.countMu.Lock()
+	defer s.countMu.Unlock()
+	return s.ranges
 }
 
 // watchTime is how long the store holds a question for changes.
@@ -43,6 +51,9 @@
 	if !s.call() {
 		return nil, 0, errRefused
 	}
+	s.countMu.Lock()
+	s.ranges++
+	s.countMu.Unlock()
 	return s.KV.Range(ctx, span)
 }
 
--- a/core/spread/divide_test.go
+++ b/core/spread/divide_test.go
@@ -219,3 +219,19 @@
 		})
 	}
 }
+
+// Where all read a large value from the store, each of them pays for a call at each change.
+func TestALargeValueIsReadFromTheStoreByFew(t *testing.T) {
+	const daemons, domains = 48, 3
+	g := gomega.NewWithT(t)
+	store := &pricedStore{KV: &memkv.KV{}}
+	put(t, store.KV, "op/config", configuration(1, 200))
+	members := rootedFleet(t, store, daemons, domains)
+	allHold(g, members, string(configuration(1, 200)))
+	ranges := store.ranged()
+	second := configuration(2, 200)
+	g.Expect(plat.Large(second)).To(gomega.BeTrue())
+	put(t, store.KV, "op/config", second)
+	allHold(g, members, string(second))
+	g.Expect(store.ranged() - ranges).To(gomega.BeNumerically("<", daemons/4))
+}
--- a/core/spread/values.go
+++ b/core/spread/values.go
@@ -54,6 +54,9 @@
 	mostFromPeer = 128 << 10
 	// peersTried is how many peers are asked before the store.
 	peersTried = 3
+	// storePatience is how long a daemon of a large fleet tries peers for a value before it asks
+	// the store: a fifth of the users' least bound on a configuration there, 4 s.
+	storePatience = 800 * time.Millisecond
 	// valuePause spaces the rounds of tries for a value.
 	valuePause = 100 * time.Millisecond
 	// storeLimit bounds the reading of a value from the store as a whole; how long
@@ -200,7 +203,21 @@
 // where that does not answer from a peer after all.
 func (v *values) fetch(ctx context.Context, want plat.Pair) bool {
 	peers := v.peersFor()
-	return v.fromPeers(ctx, peers, want, mostFromPeer) || v.fromStore(ctx, want) || v.fromPeers(ctx, peers, want, mostValue)
+	got, tooLarge := v.fromPeers(ctx, peers, want, mostFromPeer)
+	if got || (!tooLarge && v.patient()) {
+		return got
+	}
+	if v.fromStore(ctx, want) {
+		return true
+	}
+	got, _ = v.fromPeers(ctx, peers, want, mostValue)
+	return got
+}
+
+// patient reports whether peers are about to have a value: who tells of it fetches it at the same
+// time. Else each daemon of a large fleet would read each large value from the store.
+func (v *values) patient() bool {
+	return v.fleet.View().Cells() >= rootedCells && clock.Since(v.mirror.LateSince()) < storePatience
 }
 
 // peersFor returns the peers to ask for a value: the one that told of it and some
@@ -224,22 +241,22 @@
 }
 
 // fromPeers gets a value whose packed form is at most most bytes long from one of some
-// peers.
-func (v *values) fromPeers(ctx context.Context, peers []string, want plat.Pair, most int) bool {
+// peers. It reports whether it got one, or else found it to be larger.
+func (v *values) fromPeers(ctx context.Context, peers []string, want plat.Pair, most int) (got, tooLarge bool) {
 	for _, peer := range peers {
 		began := clock.Now()
 		p, size, err := v.pull(ctx, peer, want, most)
 		if err != nil {
 			v.log.Emit(event.PeerNotTold, event.Ref{Resource: want.Key}, peer+" after "+elapsed(began)+": "+err.Error())
 			if errors.Is(err, errTooLarge) {
-				return false
+				return false, true
 			}
 			continue
 		}
 		v.arrived(p, strconv.Itoa(size)+" bytes from "+peer, began)
-		return true
+		return true, false
 	}
-	return false
+	return false, false
 }
 
 // elapsed writes how long ago something began.
