A service that is divided while the fleet starts is not read anew; fewer ask a root that is slow

The list fills at some 350 targets a second while the fleet starts; when it is long enough to be divided every daemon was told its shard from the beginning, all at once, and a daemon that found no fresh peer for 1.8 s asked a root by itself, with the 163 others of its domain.

Who holds all keys lacks nothing of a shard: it is told what is new and lets the rest go. Only those who ask for their cells ask a root at once; the others after 5.4 s.

TestAServiceThatIsDividedIsNotReadAnew.

--- a/core/spread/divide.go
+++ b/core/spread/divide.go
@@ -154,9 +154,13 @@
 	return &shardView{mirrors: s, holds: name.name(), shard: ask.Shard, divided: divided}
 }
 
-// former returns what an asker was told that holds another shard of the same services; false where
-// it holds something else.
+// former returns what an asker was told that holds all keys, or another shard of the same services;
+// false where it holds something else.
 func (v *shardView) former(held string) (*shardView, bool) {
+	if held == "" {
+		// It lacks nothing: what is left to it is to let go.
+		return &shardView{mirrors: v.mirrors}, true
+	}
 	n := readShardName(held)
 	if v.shard == nil || n.Shard == "" || !slices.Equal(n.Divided, v.divided) {
 		return nil, false
--- a/core/spread/divide_test.go
+++ b/core/spread/divide_test.go
@@ -235,3 +235,32 @@
 	allHold(g, members, string(second))
 	g.Expect(store.ranged() - ranges).To(gomega.BeNumerically("<", daemons/4))
 }
+
+// The list of a fleet that starts fills while its daemons run: when a service is divided they let go of
+// what falls to other cells, and read nothing anew.
+func TestAServiceThatIsDividedIsNotReadAnew(t *testing.T) {
+	const daemons, domains, few, large = 48, 3, 400, 600
+	g := gomega.NewWithT(t)
+	store := &pagedStore{pricedStore: &pricedStore{KV: &memkv.KV{}}, page: 100}
+	put(t, store.KV, "op/config", []byte("first"))
+	keys := entryKeys(t, store, "large", 0, few, domains)
+	members := rootedFleet(t, store, daemons, domains)
+	for _, m := range members {
+		g.Eventually(func() int { return len(m.held("large")) }, soon, look).Should(gomega.Equal(few))
+	}
+	before := int64(0)
+	for _, m := range members {
+		before += m.mirrors.Told()
+	}
+	keys = append(keys, entryKeys(t, store, "large", few, large, domains)...)
+	for _, m := range members {
+		g.Eventually(func() bool { return m.mirrors.Divided("large") }, soon, look).Should(gomega.BeTrue())
+		g.Eventually(func() bool { n := len(m.held("large")); return n == len(keys) || n < large/2 }, soon, look).Should(gomega.BeTrue())
+	}
+	after := int64(0)
+	for _, m := range members {
+		after += m.mirrors.Told()
+	}
+	// At most each new entry once to each daemon, and nothing of what they had.
+	g.Expect(after - before).To(gomega.BeNumerically("<=", daemons*(large-few)*len("here")))
+}
--- a/core/spread/mirror.go
+++ b/core/spread/mirror.go
@@ -122,7 +122,11 @@
 	askLimit = askWait + 600*time.Millisecond
 	// othersMost is how many questions in a row may meet another shard at peers of the cell, which
 	// are about to change it as well, before a root is asked.
-	othersMost = 5
+	othersMost = 20
+	// aloneAfter is the age of what is known from which a daemon that finds no fresher peer in its
+	// cell asks a root. Those who ask roots for their cells do at once: where all did, each root
+	// would have twelve times as many askers just when it is slow.
+	aloneAfter = 3 * staleAfter
 	// answerRoom bounds the keys and values of one answer, so that its time limit
 	// fits its size: 38 ms on a link of 10 Mbit/s, 0.5 s where 11 peers ask at once.
 	answerRoom = 48 << 10
@@ -207,7 +211,7 @@
 	if s.fleet.View().Cells() < rootedCells {
 		return false
 	}
-	return s.others.Load() > othersMost || (peer == "" && s.silence() > staleAfter)
+	return s.others.Load() > othersMost || (peer == "" && s.silence() > aloneAfter)
 }
 
 // silence returns how old this daemon's copy is, or how long it has known nothing.
