An answer about another shard names the revision up to which it tells all changes

Found by reading the change again: the changes were read first and what the asker lacks a moment later, and the answer named the later revision. A change in between would never have been told to that asker. TestAnAnswerAboutAnotherShardNamesWhatItTells does not compile against the code before, where the later revision was taken (read).

--- a/core/spread/tell.go
+++ b/core/spread/tell.go
@@ -96,7 +96,7 @@
 		return s.page(ask.Page, v)
 	}
 	if ask.Held != v.holds {
-		return s.moved(ask, v, changes)
+		return s.moved(ask, v, changes, revision)
 	}
 	changes = v.filter(changes)
 	n := fitting(changes)
@@ -113,12 +113,15 @@
 
 // moved returns what a peer lacks whose cell has another shard now: cells change with each few boxes
 // that come or go. Where that does not fit one answer, everything is told page by page.
-func (s *Mirrors) moved(ask *mirrorAsk, v *shardView, changes []plat.Change) *mirrorAnswer {
+//
+// changes are those up to a revision, which the answer names: what it lacked is read a moment later,
+// and of changes in between the peer hears next.
+func (s *Mirrors) moved(ask *mirrorAsk, v *shardView, changes []plat.Change, revision int64) *mirrorAnswer {
 	former, ok := v.former(ask.Held)
 	if !ok {
 		return s.page("", v)
 	}
-	lacked, revision := s.mirror.All("", func(p plat.Pair) bool { return v.keeps(p) && !former.keeps(p) })
+	lacked, _ := s.mirror.All("", func(p plat.Pair) bool { return v.keeps(p) && !former.keeps(p) })
 	changes = append(v.filter(changes), lacked...)
 	if fitting(changes) < len(changes) {
 		return s.page("", v)
