What a peer told of a shard is taken only if the copy is still of the shard that was asked with

The check and the taking were two steps: a copy of all keys that came between them would have been cut down to the shard again, and a root would have gone on with it.

--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -256,6 +256,11 @@
 func (m *Mirror) reset(all []Change, revision int64, shard string) {
 	m.tellMu.Lock()
 	defer m.tellMu.Unlock()
+	m.resetNow(all, revision, shard)
+}
+
+// resetNow is reset with tellMu held.
+func (m *Mirror) resetNow(all []Change, revision int64, shard string) {
 	m.mirrorMu.Lock()
 	moved := shard != m.shard
 	if revision < m.revision && !moved {
@@ -405,10 +410,11 @@
 // it. held is the shard that this copy was of when the peer was asked: where it is of another one by
 // now, what was asked for is wanted no longer.
 func (m *Mirror) TakeAll(all []Change, revision int64, held, shard string, heard clock.Time) {
-	if m.Shard() != held {
-		return
+	m.tellMu.Lock()
+	if m.Shard() == held {
+		m.resetNow(all, revision, shard)
 	}
-	m.reset(all, revision, shard)
+	m.tellMu.Unlock()
 	m.hearVia(heard)
 }
 
@@ -422,17 +428,16 @@
 // TakeMoved takes from a peer what this copy lacks of another shard that it holds from now on, and
 // when the service had answered the peer. What drops names is held no longer; held is as in TakeAll.
 func (m *Mirror) TakeMoved(changes []Change, revision int64, held, shard string, drops func(Pair) bool, heard clock.Time) {
-	if m.Shard() != held {
-		return
+	m.tellMu.Lock()
+	if m.Shard() == held {
+		m.moveNow(changes, revision, shard, drops)
 	}
-	m.move(changes, revision, shard, drops)
+	m.tellMu.Unlock()
 	m.hearVia(heard)
 }
 
-// move takes another shard.
-func (m *Mirror) move(changes []Change, revision int64, shard string, drops func(Pair) bool) {
-	m.tellMu.Lock()
-	defer m.tellMu.Unlock()
+// moveNow takes another shard. It is called with tellMu held.
+func (m *Mirror) moveNow(changes []Change, revision int64, shard string, drops func(Pair) bool) {
 	m.mirrorMu.Lock()
 	var news []Change
 	for _, c := range changes {
