What is not taken of a peer's answer does not make the copy younger

The commit before heard the peer's age also where its answer was of a former shard and passed over. TestWhatIsOfAFormerShardIsNotTaken fails before.

--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -411,10 +411,11 @@
 // now, what was asked for is wanted no longer.
 func (m *Mirror) TakeAll(all []Change, revision int64, held, shard string, heard clock.Time) {
 	m.tellMu.Lock()
-	if m.Shard() == held {
-		m.resetNow(all, revision, shard)
+	defer m.tellMu.Unlock()
+	if m.Shard() != held {
+		return
 	}
-	m.tellMu.Unlock()
+	m.resetNow(all, revision, shard)
 	m.hearVia(heard)
 }
 
@@ -429,10 +430,11 @@
 // when the service had answered the peer. What drops names is held no longer; held is as in TakeAll.
 func (m *Mirror) TakeMoved(changes []Change, revision int64, held, shard string, drops func(Pair) bool, heard clock.Time) {
 	m.tellMu.Lock()
-	if m.Shard() == held {
-		m.moveNow(changes, revision, shard, drops)
+	defer m.tellMu.Unlock()
+	if m.Shard() != held {
+		return
 	}
-	m.tellMu.Unlock()
+	m.moveNow(changes, revision, shard, drops)
 	m.hearVia(heard)
 }
 
--- a/core/plat/mirror_test.go
+++ b/core/plat/mirror_test.go
@@ -248,3 +248,26 @@
 	_, _, err = m.Fetch(context.Background(), "a/1")
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// What a peer told of a shard that is held no longer changes nothing, nor what is known of its age.
+func TestWhatIsOfAFormerShardIsNotTaken(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := plat.NewMirror(&memkv.KV{}, plat.Prefix(""), &event.Log{})
+	pair := func(key string, revision int64) plat.Change {
+		return plat.Change{Pair: plat.Pair{Key: key, Value: []byte("x"), ModRevision: revision}}
+	}
+	all := func(plat.Pair) bool { return true }
+	first := clock.Now()
+	m.TakeAll([]plat.Change{pair("a", 3)}, 3, "", "one", first)
+	later := first.Add(time.Second)
+	m.TakeAll([]plat.Change{pair("b", 5)}, 5, "other", "two", later)
+	m.TakeMoved([]plat.Change{pair("c", 6)}, 6, "other", "two", all, later)
+	g.Expect(m.Shard()).To(gomega.Equal("one"))
+	g.Expect(m.Revision()).To(gomega.Equal(int64(3)))
+	g.Expect(m.Fresh()).To(gomega.Equal(first))
+	m.TakeMoved([]plat.Change{pair("c", 6)}, 6, "one", "two", func(p plat.Pair) bool { return p.Key == "a" }, later)
+	g.Expect(m.Shard()).To(gomega.Equal("two"))
+	g.Expect(m.Fresh()).To(gomega.Equal(later))
+	_, holds := m.Pair("a")
+	g.Expect(holds).To(gomega.BeFalse())
+}
