--- a/core/plat/mirror_test.go
+++ b/core/plat/mirror_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
