--- a/core/relay/hear_test.go
+++ b/core/relay/hear_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"net/http"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -172,9 +171,6 @@
 // A burst meets four targets of which one rests: the others get no more at a time than before, so that
 // they are not driven to ask for rest in their turn, and the one that rests gets nothing.
 func TestOthersAreNotOverrunWhileOneRests(t *testing.T) {
-	if os.Getenv("KNOWN_RED") != "" {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
 	const slots, callers = 4, 150
 	r := newRig(t, nil)
 	var mu sync.Mutex
