--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -380,8 +380,8 @@
 	return slices.Clone(m.history[from:]), m.revision, true
 }
 
-// All returns the keys after one whose pairs are to be told, all where keep is nil, ordered, and the revision of the copy,
-// for a peer. Large values are late.
+// All returns what a peer is to be told of the keys after one, ordered, and the revision of the copy: the
+// pairs that keep wants, or all where it is nil. Large values are late.
 func (m *Mirror) All(after string, keep func(Pair) bool) ([]Change, int64) {
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
