--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/roster"
 )
 
 // Ask is what a caller says beside the request itself.
@@ -69,6 +70,8 @@
 	// Odd what it says of that and can't be read, or "".
 	Rest time.Duration
 	Odd  string
+	// Limit is the request rate that the target names for all daemons together.
+	Limit roster.Limit
 }
 
 // Dialect names the headers between callers, the system and targets.
--- a/core/relay/hear.go
+++ b/core/relay/hear.go
@@ -22,6 +22,10 @@
 		p.note("%s asks for %s of rest%s", c.target.ID(), reply.Rest, reply.Odd)
 		p.relay.o.Roster.Turned(c.target.ID(), roster.Asked{Rest: reply.Rest, Odd: reply.Odd})
 	}
+	if l := reply.Limit; l.Named || l.Odd != "" {
+		p.relay.o.Stats.NamedLimit.Inc()
+		p.note("%s names a limit of %g a second%s", c.target.ID(), l.PerSecond, l.Odd)
+	}
 	if !moved && !reply.NotRun {
 		p.relay.o.Roster.Took(c.target.ID())
 	}
