A target that names a request rate gets no more than that from all daemons together

What callers saw: nothing yet; the target did, which asked for 4.9 requests a second and got 24 from machines that it had told. Class: a figure that a target says of itself for all daemons together, of which each daemon knows nothing or would take all for itself. Ruled out: taken as each daemon's own (one daemon alone sent 7.1 a second), passed over on some way of sending (the rates at the target did not change when it was named). Change: the rate is kept by run, told to other daemons by heartbeats and to homes with the question. At most 4 + rate daemons use the target, by rendezvous, each with a token bucket of one request that starts empty: in 4 s at most 4 + 5 times the rate, whatever the size of the fleet; 5 + 6 times are allowed. The token is taken with the choice by whoever chooses, and is given back where nothing was sent.

--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -36,6 +36,8 @@
 	TargetRests       Code = 2022
 	TargetRested      Code = 2023
 	TargetUnreadable  Code = 2024
+	TargetLimits      Code = 2025
+	TargetUnlimited   Code = 2026
 
 	ConfApplied    Code = 3001
 	ConfWritten    Code = 3002
@@ -138,7 +140,9 @@
 	{TargetSaysLeaving, "targetSaysLeaving", Info, "A run of a target said in an answer that it leaves, and gets no new work whatever its entry says; the text has whose answer: this daemon's or a peer's."},
 	{TargetRests, "targetRests", Info, "A target turned a request of this daemon away and asked for rest; it gets nothing for the time in the text. At most one line a second and target."},
 	{TargetRested, "targetRested", Info, "A target that rested has taken a request of this daemon again."},
-	{TargetUnreadable, "targetUnreadable", Warning, "A target asked for rest in a way that can't be read, which is passed over; one line for each run."},
+	{TargetUnreadable, "targetUnreadable", Warning, "A target asked for rest or named a limit in a way that can't be read, which is passed over; one line for each run."},
+	{TargetLimits, "targetLimits", Info, "A run of a target named the request rate that it takes from all daemons together, or another one than before; the text has the rate and whose answer: this daemon's or a peer's. At most one line a second and target."},
+	{TargetUnlimited, "targetUnlimited", Info, "A run of a target no longer names a request rate. Lines of limits are at most one a second and target."},
 
 	{ConfApplied, "confApplied", Debug, "A configuration change is in force in this daemon."},
 	{ConfWritten, "confWritten", Info, "A configuration change was committed through this daemon."},
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -39,6 +39,9 @@
 	order *homeOrder
 	// taken tells that its load is counted at the target.
 	taken bool
+	// token is the right to send to a target with a limit, and sent when the request was sent.
+	token roster.Token
+	sent  clock.Time
 }
 
 // take counts the load of a choice at its target.
--- a/core/relay/cold.go
+++ b/core/relay/cold.go
@@ -64,12 +64,20 @@
 	return rl.colds.may(t.ID(), route.ColdShare(most, of, place), take, now)
 }
 
-// spend takes a choice out of what a cold target may get. It reports whether it may be
-// sent: another request may have taken the last place meanwhile.
+// spend takes a choice out of what a cold target and one with a limit may get. It reports whether it
+// may be sent: another request may have taken the last place meanwhile.
 func (p *pass) spend(c *choice, now time.Time) bool {
 	if c.order != nil {
 		// The daemon that chose has done so.
 		return true
 	}
-	return p.relay.coldMay(p.table.Service(p.service), c.target, true, true, now)
+	if !p.relay.coldMay(p.table.Service(p.service), c.target, true, true, now) {
+		return false
+	}
+	if c.token.Far {
+		return true
+	}
+	token, may := p.relay.o.Roster.Take(c.target)
+	c.token = token
+	return may
 }
--- a/core/relay/hear.go
+++ b/core/relay/hear.go
@@ -26,6 +26,10 @@
 		p.relay.o.Stats.NamedLimit.Inc()
 		p.note("%s names a limit of %g a second%s", c.target.ID(), l.PerSecond, l.Odd)
 	}
+	if p.relay.o.Roster.Names(c.target.ID(), reply.Limit, c.sent, !reply.NotRun) {
+		// Until other daemons hear of it they send at the former rate.
+		p.relay.o.Placed()
+	}
 	if !moved && !reply.NotRun {
 		p.relay.o.Roster.Took(c.target.ID())
 	}
--- a/core/relay/homes.go
+++ b/core/relay/homes.go
@@ -100,6 +100,8 @@
 	// Tried are the workers that were sent to before, and those that may get no send from this
 	// daemon by their own word: the home may not know of it, and would choose them again.
 	Tried []string
+	// Limits are the request rates that the service's targets named, as the asker knows them.
+	Limits map[string]roster.LimitNews
 	// Regions bind where it may run.
 	Regions regions
 	// Side says which versions of the service it may go to.
@@ -131,6 +133,9 @@
 	Expected, Usual             time.Duration
 	InTime, Served, Gain, Worth float64
 	Alone                       bool
+	// Granted tells that the home took a token for the request, where the worker named a request
+	// rate.
+	Granted bool
 	// Entry is what the home's list says of the worker, and Age how old that list is.
 	Entry placeEntry
 	Age   time.Duration
@@ -162,7 +167,7 @@
 		Target: c.sending.Target, Weights: c.sending.Weights, Copy: c.sending.Copy, CopyUntil: c.sending.CopyUntil, Keep: c.sending.Keep,
 		Own: f.Own, Before: f.Before, Beside: f.Beside, Waiting: f.Waiting, Crowd: f.Crowd,
 		Kept: known.Kept, Copied: known.Copied, Running: known.Running, Held: known.Held,
-		Expected: j.Expected, Usual: c.usual, InTime: j.InTime, Served: j.Served, Gain: j.Gain, Worth: j.Worth, Alone: c.alone,
+		Expected: j.Expected, Usual: c.usual, InTime: j.InTime, Served: j.Served, Gain: j.Gain, Worth: j.Worth, Alone: c.alone, Granted: c.token.Held,
 		Entry: placeEntry{Name: e.Name, Address: e.Address, Domain: e.Domain, Version: e.Version, Born: e.Born, Slots: e.Slots}, Age: age,
 	}
 }
@@ -170,7 +175,7 @@
 // choice reads it for a prompt of some tokens.
 func (a *placeAnswer) choice(t *roster.Target, tokens int) *choice {
 	return &choice{
-		target: t, usual: a.Usual, alone: a.Alone,
+		target: t, usual: a.Usual, alone: a.Alone, token: roster.Token{Held: a.Granted, Far: true},
 		sending:   Sending{Target: a.Target, Weights: a.Weights, Copy: a.Copy, CopyUntil: a.CopyUntil, Keep: a.Keep},
 		load:      roster.Load{Running: 1, Unread: a.Own, Held: tokens},
 		judged:    route.Judgement{Expected: a.Expected, InTime: a.InTime, Served: a.Served, Gain: a.Gain, Worth: a.Worth},
@@ -279,7 +284,7 @@
 	ask := &placeAsk{
 		Service: p.service, Route: p.route.Name, Aim: p.route.Aim, Model: p.ask.Model, Wall: p.salt(0).Wall, Prompt: p.ask.Prompt,
 		Size: p.size, Domain: p.relay.o.Domain, Spent: now.Sub(p.began), Left: p.until.Sub(now),
-		Regions: p.regions, Side: p.side,
+		Regions: p.regions, Side: p.side, Limits: p.relay.o.Roster.Limits(p.service),
 	}
 	for _, part := range p.ask.Parts {
 		ask.Parts = append(ask.Parts, placePart{ID: part.ID, Tokens: part.Tokens})
@@ -301,7 +306,9 @@
 	if t == nil || !p.allowed(t.Entry().Domain) || !p.side.Allows(t.Entry().Version) || (svc.Engine != nil && p.relay.o.Outdated(p.ask.Model, got.Weights)) {
 		return nil
 	}
-	if stop, _ := p.relay.o.Roster.Gate(time.Now()).Stop(t); stop != roster.Open {
+	gate := p.relay.o.Roster.Gate(time.Now())
+	stop, _ := gate.Stop(t)
+	if (stop != roster.Open && stop != roster.Limited) || (gate.Limits(t) && !got.Granted) {
 		return nil
 	}
 	address := t.Entry().Address
--- /dev/null
+++ b/core/relay/limit_test.go
@@ -0,0 +1,166 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/roster"
+)
+
+// limits is the head of an answer that names a request rate.
+func limits(perSecond float64) string {
+	return "Limit: " + strconv.FormatFloat(perSecond, 'g', -1, 64) + "\r\n"
+}
+
+func TestOthersTakeWhatALimitedTargetDoesNot(t *testing.T) {
+	for _, path := range []string{"/once/", "/again/"} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("a", "plain", always(answers(200, "x", limits(0.1))))
+			r.target("b", "plain", always(answers(200, "x")))
+			for range 40 {
+				r.g.Expect(r.ask(http.MethodPost, path, "x").status).To(gomega.Equal(200))
+			}
+			limited := 0
+			for _, s := range r.sends() {
+				if s.target == "a" {
+					limited++
+				}
+			}
+			r.g.Expect(limited).To(gomega.BeNumerically("<=", 1))
+		})
+	}
+}
+
+// Where all targets are over their limits the time of the next token is told. One request waits for it
+// where that is soon enough; the others are refused at once.
+func TestWhereAllTargetsAreOverTheirLimits(t *testing.T) {
+	tests := []struct {
+		name      string
+		perSecond float64
+		status    int
+	}{
+		{"soon", 2, 200},
+		{"after its time", 0.1, 503},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("a", "plain", always(answers(200, "x", limits(tc.perSecond))))
+			r.g.Expect(r.ask(http.MethodPost, "/again/", "x").status).To(gomega.Equal(200))
+			began := time.Now()
+			got := r.ask(http.MethodPost, "/again/", "x")
+			r.g.Expect(got.status).To(gomega.Equal(tc.status))
+			if tc.status == 200 {
+				r.g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", 100*time.Millisecond), "it waited for the token")
+				return
+			}
+			r.g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second), "of two until its time limit")
+			back, err := time.ParseDuration(got.header.Get("Come-Back"))
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(back).To(gomega.BeNumerically("~", 11*time.Second, 2*time.Second))
+			r.g.Expect(got.body).To(gomega.ContainSubstring(allLimited))
+			r.g.Expect(r.sends()).To(gomega.HaveLen(1))
+		})
+	}
+}
+
+func TestOneRequestOfAServiceWaitsForAToken(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var w waiters
+	g.Expect(w.enter("a")).To(gomega.BeTrue())
+	g.Expect(w.enter("a")).To(gomega.BeFalse())
+	g.Expect(w.enter("b")).To(gomega.BeTrue())
+	w.leave("a")
+	g.Expect(w.enter("a")).To(gomega.BeTrue())
+}
+
+// The token of a request that no connection was there for is given back.
+func TestATokenIsGivenBackWhereNothingWasSent(t *testing.T) {
+	r := newRig(t, nil)
+	gone := r.target("a", "plain", always(answers(200, "x", limits(0.1))))
+	r.g.Expect(r.ask(http.MethodPost, "/once/", "x").status).To(gomega.Equal(200))
+	r.relay.o.Pool.Forget(r.roster.Target("a").Entry().Address)
+	gone.l.Close()
+	target := r.roster.Target("a")
+	token := r.waitForToken(target)
+	p := &pass{relay: r.relay, began: time.Now(), until: time.Now().Add(time.Second), tried: map[string]int{}}
+	p.r, _ = http.NewRequest(http.MethodPost, "/once/", http.NoBody)
+	p.r.RequestURI = "/once/"
+	p.route = r.relay.Table().Match("h", "/once/")
+	out, _ := p.attempt(p.r.Context(), &choice{target: target, load: roster.Load{Running: 1}, token: token})
+	r.g.Expect(out).To(gomega.Equal(notSent))
+	_, may := r.roster.Take(target)
+	r.g.Expect(may).To(gomega.BeTrue())
+}
+
+// waitForToken takes the next token of a target once its limit is higher.
+func (r *rig) waitForToken(target *roster.Target) (token roster.Token) {
+	r.roster.HearLimits(map[string]roster.LimitNews{target.ID(): {On: true, PerSecond: 20, Seq: 9}})
+	r.g.Eventually(func() (may bool) { token, may = r.roster.Take(target); return may }, soon, look).Should(gomega.BeTrue())
+	return token
+}
+
+// A home is told of the limits that the asker knows. It takes the tokens of its workers, and without one
+// the asker does not send there.
+func TestAHomeTakesTheTokensOfItsWorkers(t *testing.T) {
+	const daemons = 24
+	h := newHomesRig(t, daemons, 8, always(streams(true, "id: 1\ndata: a\n\n")))
+	cell, workers := h.cell("context")
+	asker := -1
+	for i, f := range h.fleet {
+		if f.View().Cell() != cell {
+			asker = i
+			break
+		}
+	}
+	h.g.Expect(asker).To(gomega.BeNumerically(">=", 0))
+	// The asker alone knows that the workers of the home's cell take one request in 10 s.
+	told := map[string]roster.LimitNews{}
+	for _, id := range workers {
+		told[id] = roster.LimitNews{On: true, PerSecond: 0.1, Seq: 1}
+	}
+	h.rigs[asker].roster.HearLimits(told)
+	h.g.Expect(h.ask(asker, "context").status).To(gomega.Equal(http.StatusOK))
+	known := 0
+	for i, f := range h.fleet {
+		if f.View().Cell() == cell && len(h.rigs[i].roster.Limited()) == len(workers) {
+			known++
+		}
+	}
+	h.g.Expect(known).To(gomega.BeNumerically(">", 0), "homes that were told")
+	for _, s := range h.rigs[0].sends() {
+		h.g.Expect(strings.Join(workers, " ")).NotTo(gomega.ContainSubstring(s.target), "the home had no token")
+	}
+	// With tokens the home's choice is sent.
+	for i, f := range h.fleet {
+		if f.View().Cell() == cell {
+			h.rigs[i].roster.HearLimits(higher(told))
+		}
+	}
+	h.g.Eventually(func() int {
+		h.ask(asker, "context")
+		n := 0
+		for _, s := range h.rigs[0].sends() {
+			if strings.Contains(strings.Join(workers, " "), s.target) {
+				n++
+			}
+		}
+		return n
+	}, soon, look).Should(gomega.BeNumerically(">", 0))
+}
+
+// higher returns limits that leave something soon.
+func higher(told map[string]roster.LimitNews) map[string]roster.LimitNews {
+	out := map[string]roster.LimitNews{}
+	for id, n := range told {
+		n.PerSecond, n.Seq = 100, n.Seq+1
+		out[id] = n
+	}
+	return out
+}
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -43,7 +43,7 @@
 	}
 	mine := p.relay.shares.of(p.service, all, &p.relay.o)
 	own, why = p.options(svc, mine.own, true, now)
-	if divided || len(own) > 0 || why == allFull || why == allRest {
+	if divided || len(own) > 0 || why == allFull || later(why) {
 		// Where all of its own rest, the others would be overrun by what these turned away. Of
 		// divided targets other cells decide.
 		return own, mine.part, why
@@ -72,7 +72,12 @@
 			none.versions++
 			continue
 		}
-		if stop, lasts := gate.Stop(t); stop != roster.Open {
+		stop, lasts := gate.Stop(t)
+		if stop == roster.Open && !shared && gate.Limits(t) {
+			// Other daemons share its limit.
+			stop = roster.Limited
+		}
+		if stop != roster.Open {
 			none.stopped(t.ID(), stop, lasts)
 			continue
 		}
@@ -100,7 +105,7 @@
 	case len(out) > 0:
 	case why == allEvacuated:
 		p.line = none.lasts
-	case why == allRest:
+	case later(why):
 		p.line = none.rest
 	}
 	return out, why
@@ -114,15 +119,20 @@
 	// allRest says that targets are there and each asked this daemon for rest; the first
 	// of these ends at a time that is known.
 	allRest = "all targets rest"
+	// allLimited says the same of targets of which some named a request rate that leaves nothing now.
+	allLimited = "all targets rest or are over the limits that they named"
 )
 
+// later reports whether a reason ends at a time that is known.
+func later(why string) bool { return why == allRest || why == allLimited }
+
 // shortage counts the targets that may not get a request, by reason.
 type shortage struct {
-	full, suspects, outdated, evacuated, elsewhere, leaving, resting, versions int
+	full, suspects, outdated, evacuated, elsewhere, leaving, resting, limited, versions int
 	// words names the first few of the targets that are passed over by what they said, for the log.
 	words []string
 	// lasts is the longest time that an evacuation has lasted, rest the time until the first rest
-	// ends.
+	// ends or the first limit leaves something.
 	lasts, rest time.Duration
 }
 
@@ -131,7 +141,7 @@
 
 // stopped counts a target that may get no send from anybody here.
 func (l *shortage) stopped(id string, why roster.Stop, lasts time.Duration) {
-	if (why == roster.Leaves || why == roster.Rests) && len(l.words) < wordsMost {
+	if (why == roster.Leaves || why == roster.Rests || why == roster.Limited) && len(l.words) < wordsMost {
 		l.words = append(l.words, id+" "+why.String())
 	}
 	switch why {
@@ -142,11 +152,15 @@
 		l.lasts = max(l.lasts, lasts)
 	case roster.Leaves:
 		l.leaving++
-	case roster.Rests:
-		if l.resting == 0 || lasts < l.rest {
+	case roster.Rests, roster.Limited:
+		if l.resting+l.limited == 0 || lasts < l.rest {
 			l.rest = lasts
 		}
-		l.resting++
+		if why == roster.Rests {
+			l.resting++
+		} else {
+			l.limited++
+		}
 	default:
 	}
 }
@@ -156,6 +170,8 @@
 	switch {
 	case l.full > 0:
 		return allFull
+	case l.limited > 0:
+		return allLimited
 	case l.resting > 0:
 		return allRest
 	case l.outdated > 0:
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"embertally.dev/core/cache"
@@ -135,6 +136,12 @@
 // chooseSoon chooses a target. Where none is worth taking now the request waits,
 // as long as it could still be answered in time.
 func (p *pass) chooseSoon(ctx context.Context) (*choice, string) {
+	alone := false
+	defer func() {
+		if alone {
+			p.relay.waiters.leave(p.service)
+		}
+	}()
 	for {
 		p.wake()
 		if _, blocked := p.relay.o.Poison.Blocked(p.asks); blocked {
@@ -158,6 +165,8 @@
 		switch {
 		case c == nil && why == allRest && p.hopeful(p.line):
 			// The first rest ends soon enough.
+		case c == nil && why == allLimited && p.hopeful(p.line) && p.waitAlone(&alone):
+			// The first token comes soon enough, and no other request waits for it.
 		case c == nil && why != allFull:
 			return nil, why
 		case p.relay.o.Without.Waiting, !p.hopeful(0):
@@ -169,6 +178,41 @@
 	}
 }
 
+// waitAlone makes the request the one of this daemon that waits for a token of its service's targets,
+// and reports whether it is.
+func (p *pass) waitAlone(alone *bool) bool {
+	*alone = *alone || p.relay.waiters.enter(p.service)
+	return *alone
+}
+
+// waiters knows the services of which a request waits for a token. Of several that wait at one
+// daemon all but the first would wait for a time that none of them knows. The zero value knows none.
+type waiters struct {
+	waitersMu sync.Mutex
+	services  map[string]bool // guarded by waitersMu
+}
+
+// enter reports whether no other request waits, and makes this one wait.
+func (w *waiters) enter(service string) bool {
+	w.waitersMu.Lock()
+	defer w.waitersMu.Unlock()
+	if w.services[service] {
+		return false
+	}
+	if w.services == nil {
+		w.services = map[string]bool{}
+	}
+	w.services[service] = true
+	return true
+}
+
+// leave ends the wait.
+func (w *waiters) leave(service string) {
+	w.waitersMu.Lock()
+	defer w.waitersMu.Unlock()
+	delete(w.services, service)
+}
+
 // hopefulChance is the chance of an answer in time below which a request waits no
 // longer for a place.
 const hopefulChance = 0.5
@@ -238,7 +282,7 @@
 			return refusal
 		}
 		// Where it was blocked, that was taken back just now.
-		if why == allRest {
+		if later(why) {
 			return p.notBefore(entry.CodeNoTarget, "no target takes the request now: "+why, p.line)
 		}
 		return p.notNow(entry.CodeNoTarget, "no target takes the request now: "+why, p.line)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -126,6 +126,8 @@
 	homes  *Homes
 	colds  colds
 	shares shares
+	// waiters are the requests that wait for a token of a limited target.
+	waiters waiters
 
 	// chooseMu is held from a look at the targets until the choice is counted at one.
 	chooseMu sync.Mutex
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -59,7 +59,10 @@
 func (plainDialect) Reply(_ int, h http.Header) Reply {
 	version, _ := strconv.ParseInt(h.Get("Weights"), 10, 64)
 	rest, _ := time.ParseDuration(h.Get("Rest"))
+	rate, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	return Reply{
+		Limit: roster.Limit{Named: err == nil, PerSecond: rate},
+
 		ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Target: h.Get("Run"),
 		Weights: version, Encoded: h.Get("Content-Encoding") != "", Leaves: h.Get("Leaves") != "", Rest: rest,
 	}
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
 	"embertally.dev/core/roster"
@@ -44,7 +45,11 @@
 		}
 	}
 	sent := time.Now()
+	c.sent = clock.Now()
 	p.relay.o.Stats.Sent.Inc()
+	if c.token.Held {
+		p.relay.o.Stats.SentLimited.Inc()
+	}
 	ctx, cancel := p.patience(ctx, c)
 	defer cancel()
 	in, err := p.relay.o.Pool.Send(ctx, c.target.Entry().Address, p.outgoing(c))
@@ -98,6 +103,8 @@
 	if sent {
 		p.sends++
 		p.runs++
+	} else {
+		p.relay.o.Roster.Return(c.target, c.token)
 	}
 	var stop *stopError
 	switch {
@@ -232,7 +239,7 @@
 // mayGo returns what is asked before the bytes of a choice go out.
 func (p *pass) mayGo(c *choice) func() error {
 	return func() error {
-		if stop := p.relay.o.Roster.Enter(c.target); stop != roster.Open {
+		if stop := p.relay.o.Roster.Enter(c.target, c.token); stop != roster.Open {
 			return &stopError{stop}
 		}
 		return nil
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -24,8 +24,9 @@
 	// SaidLeaving counts answers in which a target says that it leaves, AskedRest refusals in which
 	// one asks for rest.
 	SaidLeaving, AskedRest *metrics.Counter
-	// NamedLimit counts answers in which a target names a request rate.
-	NamedLimit *metrics.Counter
+	// NamedLimit counts answers in which a target names a request rate, SentLimited sends to targets
+	// that did.
+	NamedLimit, SentLimited *metrics.Counter
 }
 
 // NewStats returns counts that are 0.
@@ -40,7 +41,7 @@
 		First: set.NewHistogram("embertally_first_seconds"), Whole: set.NewHistogram("embertally_whole_seconds"),
 		Read: c("prompt_tokens_total"), Copied: c("prompt_tokens_copied_total"), Kept: c("prompt_tokens_kept_total"),
 		Opened: c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
-		SaidLeaving: c("targets_said_leaving_total"), AskedRest: c("targets_asked_rest_total"), NamedLimit: c("targets_named_limit_total"),
+		SaidLeaving: c("targets_said_leaving_total"), AskedRest: c("targets_asked_rest_total"), NamedLimit: c("targets_named_limit_total"), SentLimited: c("sends_limited_total"),
 	}
 }
 
--- a/core/roster/gate.go
+++ b/core/roster/gate.go
@@ -21,13 +21,15 @@
 	Swaps
 	// Rests: it asked this daemon for nothing for a while, or bears little just after that.
 	Rests
+	// Limited: it named a request rate, of which this daemon has nothing left now.
+	Limited
 	// Suspect: it did not answer lately.
 	Suspect
 	// Evacuated: operators ask to send nothing to its failure domain.
 	Evacuated
 )
 
-var stopNames = [...]string{"open", "gone", "leaves", "changes its weights", "rests", "does not answer", "evacuated"}
+var stopNames = [...]string{"open", "gone", "leaves", "changes its weights", "rests", "is over the limit that it named", "does not answer", "evacuated"}
 
 // String returns the reason as it stands in log lines.
 func (s Stop) String() string { return stopNames[s] }
@@ -47,6 +49,10 @@
 	leaves bool
 	// rests is for how much longer it gets nothing.
 	rests time.Duration
+	// limited tells that it named a request rate, and over for how much longer that leaves nothing
+	// for this daemon.
+	limited bool
+	over    time.Duration
 }
 
 // Gate returns the gate of a moment.
@@ -60,7 +66,7 @@
 	g.words = make(map[string]word, len(r.said))
 	steady := clock.Now()
 	for id, s := range r.said {
-		if w := s.word(steady); w != (word{}) {
+		if w := r.word(id, s, steady); w != (word{}) {
 			g.words[id] = w
 		}
 	}
@@ -68,7 +74,8 @@
 }
 
 // Stop returns why a target may get no send, and how long that holds where it is known: what is
-// left of a rest, or as long again as an evacuation has lasted.
+// left of a rest or until this daemon has a token under a limit, or as long again as an evacuation
+// has lasted.
 func (g *Gate) Stop(t *Target) (Stop, time.Duration) {
 	return g.stop(t, g.ordered[t.id], g.words[t.id])
 }
@@ -84,7 +91,9 @@
 	case ordered:
 		return Swaps, 0
 	case w.rests > 0:
-		return Rests, w.rests
+		return Rests, max(w.rests, w.over)
+	case w.over > 0:
+		return Limited, w.over
 	case health.Suspect:
 		return Suspect, 0
 	}
@@ -94,30 +103,56 @@
 	return Open, 0
 }
 
+// Limits reports whether a target named a request rate.
+func (g *Gate) Limits(t *Target) bool { return g.words[t.id].limited }
+
 // Enter reports by Open that a send may go out to a target now, and counts it. It is asked last,
 // when a connection is there: between the choice and that time the target may have said to another
-// request that it leaves or rests.
+// request that it leaves, rests or takes few. A request with a token has been counted under the
+// target's limit.
 //
 // It looks at one target only: a gate of all that is known takes two maps, for each send.
-func (r *Roster) Enter(t *Target) Stop {
+func (r *Roster) Enter(t *Target, token Token) Stop {
 	now := time.Now()
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
 	s, w, steady := r.said[t.id], word{}, clock.Time{}
 	if s != nil {
 		steady = clock.Now()
-		w = s.word(steady)
+		w = r.word(t.id, s, steady)
+	}
+	switch {
+	case token.Held:
+		w.over = 0
+	case token.Far && w.limited:
+		w.over = max(w.over, time.Nanosecond)
 	}
 	g := Gate{at: now, evacuations: *r.evacuations.Load()}
 	stop, _ := g.stop(t, r.isOrdered(t.id, now), w)
 	if stop == Open && s != nil {
 		s.rest.take(steady)
+		if s.limit.on && !token.Held {
+			s.limit.take(steady)
+		}
 	}
 	return stop
 }
 
-// word returns what a run said, as it counts now.
-func (s *said) word(now clock.Time) word { return word{s.leaves, s.rest.left(now)} }
+// word returns what a run said, as it counts now. It is called with rosterMu held.
+func (r *Roster) word(id string, s *said, now clock.Time) word {
+	w := word{leaves: s.leaves, rests: s.rest.left(now)}
+	t := r.targets[id]
+	if t == nil {
+		t = r.guests.find(id)
+	}
+	if t == nil {
+		return w
+	}
+	if l := r.limitOf(t, now); l != nil {
+		w.limited, w.over = true, l.left(now)
+	}
+	return w
+}
 
 // Leaving reports whether a run leaves, and by what that is known.
 func (r *Roster) Leaving(t *Target) (Source, bool) {
--- a/core/roster/gate_test.go
+++ b/core/roster/gate_test.go
@@ -44,7 +44,7 @@
 			g.Expect(target).NotTo(gomega.BeNil())
 			stop, _ := r.Gate(time.Now()).Stop(target)
 			g.Expect(stop).To(gomega.Equal(tc.want), stop.String())
-			g.Expect(r.Enter(target)).To(gomega.Equal(tc.want))
+			g.Expect(r.Enter(target, Token{})).To(gomega.Equal(tc.want))
 			by, leaves := r.Leaving(target)
 			g.Expect(leaves).To(gomega.Equal(tc.want == Leaves))
 			if leaves {
@@ -63,7 +63,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	Share{to}.Receive("peer", raw)
 	to.Put(run("a@1000", 1000))
-	g.Expect(to.Enter(to.Target("a@1000"))).To(gomega.Equal(Open), "what is not listed here is not taken from a peer")
+	g.Expect(to.Enter(to.Target("a@1000"), Token{})).To(gomega.Equal(Open), "what is not listed here is not taken from a peer")
 	Share{to}.Receive("peer", raw)
 	by, leaves := to.Leaving(to.Target("a@1000"))
 	g.Expect(leaves).To(gomega.BeTrue())
--- a/core/roster/guest_test.go
+++ b/core/roster/guest_test.go
@@ -56,7 +56,7 @@
 			target := tc.steps(r)
 			g.Expect(r.Target("a@1000")).To(gomega.BeIdenticalTo(target), "its running work goes on")
 			g.Expect(len(r.Of("s")) == 1).To(gomega.Equal(tc.listed))
-			g.Expect(r.Enter(target)).To(gomega.Equal(tc.stop))
+			g.Expect(r.Enter(target, Token{})).To(gomega.Equal(tc.stop))
 			g.Expect(ended).To(gomega.BeZero(), "no run has ended")
 		})
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -78,6 +78,9 @@
 
 	busy busyTargets
 
+	// Place, if set, returns how many daemons come before this one for a target, of how many that may
+	// choose it. It is set before use, and called with rosterMu held.
+	Place func(t *Target) (place, of int)
 	// Removed, if set, hears of each run that is taken off, and whether it was leaving. It is
 	// set before use, and called with rosterMu held.
 	Removed func(id string, leaving bool)
--- a/core/roster/said.go
+++ b/core/roster/said.go
@@ -29,6 +29,8 @@
 	// rest is what the run asked this daemon for. It is not told to others: how much a target bears
 	// of one of them says little of what it bears of the next.
 	rest rest
+	// limit is the request rate that the run named for all daemons together.
+	limit limit
 	// odd tells that a line was written of what can't be read.
 	odd bool
 }
@@ -106,15 +108,24 @@
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
 	s, now := r.saidOf(id), clock.Now()
-	if asked.Odd != "" && !s.odd {
-		s.odd = true
-		r.log.Emit(event.TargetUnreadable, event.Ref{Target: id}, "a rest of "+asked.Odd)
+	if asked.Odd != "" {
+		r.unreadable(id, s, "a rest of "+asked.Odd)
 	}
 	if asked.Rest > 0 && s.rest.ask(asked.Rest, now) {
 		r.log.Emit(event.TargetRests, event.Ref{Target: id}, "asked for "+asked.Rest.String())
 	}
 }
 
+// unreadable writes a line of what a run said and can't be read, once for each run. It is called with
+// rosterMu held.
+func (r *Roster) unreadable(id string, s *said, what string) {
+	if s.odd {
+		return
+	}
+	s.odd = true
+	r.log.Emit(event.TargetUnreadable, event.Ref{Target: id}, what)
+}
+
 // Took records that a run of a target has taken a request, which ends what is left of its rest
 // once the time that it asked for is over.
 func (r *Roster) Took(id string) {
--- a/core/roster/share.go
+++ b/core/roster/share.go
@@ -27,6 +27,8 @@
 	Reloading map[string]int64
 	// Leaving are the runs that lately said in their answers that they leave.
 	Leaving []string
+	// Limits are the request rates that runs named, and those that ended lately.
+	Limits map[string]LimitNews
 }
 
 // mostReloading bounds the milliseconds that a peer may tell of a target that reloads.
@@ -41,6 +43,7 @@
 	body.Ordered = millisLeft(s.ordered, now)
 	body.Reloading = millisLeft(s.reloading, now)
 	body.Leaving = s.leavingLately()
+	body.Limits = s.limitNews()
 	body.Learned = s.learnedLately(now)
 	return &body
 }
@@ -83,6 +86,7 @@
 			s.leaves(id, ByPeer)
 		}
 	}
+	s.hearLimits(body.Limits)
 	for id, weights := range body.Learned {
 		for model, version := range weights {
 			s.learn(id, model, version)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -125,6 +125,7 @@
 	h.daemons.view = h.fleet.View
 	h.poison = poison.New(poison.Options{Fleet: h.fleet, Try: h.pool.Try, Log: h.log, Store: h.store, Mirror: h.mirror})
 	h.roster.Removed = h.removed
+	h.roster.Place = h.place
 	h.canary.Share = set.Bounds.ExposeShare
 	h.canary.Fresh = func() bool { return h.age() < rolloutFresh }
 	h.buildRelay()
@@ -136,6 +137,18 @@
 	return h
 }
 
+// place returns how many daemons come before this one for a target, of how many that may choose it:
+// those of its cell, where the cells share the service's targets out, or of the whole fleet.
+func (h *Host) place(t *roster.Target) (place, of int) {
+	service, table := t.Entry().Service, h.relay.Table()
+	cell := h.mirrors.Divided(service)
+	if table != nil && !cell {
+		svc := table.Service(service)
+		cell = svc != nil && svc.Engine != nil
+	}
+	return h.fleet.View().Place(fleet.Key(t.ID()), cell)
+}
+
 // rolloutFresh is how old what is known of the store may be where requests go to a version on trial:
 // it may have been taken back since.
 const rolloutFresh = 2 * time.Second
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -96,6 +96,7 @@
 		{"suspected_requests", func() float64 { return float64(h.poison.Suspects()) }},
 		{"targets_leaving_by_answer", func() float64 { leaving, _ := h.roster.WordCounts(); return float64(leaving) }},
 		{"targets_resting", func() float64 { _, resting := h.roster.WordCounts(); return float64(resting) }},
+		{"targets_limited", func() float64 { return float64(len(h.roster.Limited())) }},
 		{"targets_ended_total", func() float64 { return float64(h.poison.EndedRuns()) }},
 		{"targets_listed", func() float64 { listed, _ := h.roster.Sizes(); return float64(listed) }},
 		{"targets_guests", func() float64 { _, guests := h.roster.Sizes(); return float64(guests) }},
