Where all targets are over their limits a daemon asks one that may have a token

Cause: with a limit only 4 + rate daemons use a target. Where all targets of a service name one, callers of the other daemons were refused until it ends, though tokens are left. Change: two of those that use the target are asked, with the message that homes of contexts answer; they choose with a token of theirs. Ruled out: using the target from all daemons, which is the fault that was mended.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -185,6 +185,17 @@
 	return place, of
 }
 
+// Ranked returns the first n of the daemons among which Place counts, without this one.
+func (v *View) Ranked(key uint64, cell bool, n int) []string {
+	var names []string
+	for _, p := range v.peers {
+		if !cell || p.Cell == v.cell {
+			names = append(names, p.Name)
+		}
+	}
+	return RankFirst(key, names, n)
+}
+
 // Domains returns the daemons that Listed returns by failure domain. It must not be
 // changed.
 func (v *View) Domains() map[string][]string { return v.domains() }
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -79,6 +79,11 @@
 			return far, ""
 		}
 	}
+	if own == nil && why == allLimited {
+		if far := p.chooseByToken(ctx, svc); far != nil {
+			return far, ""
+		}
+	}
 	return own, why
 }
 
--- a/core/relay/homes.go
+++ b/core/relay/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -102,6 +103,9 @@
 	Tried []string
 	// Limits are the request rates that the service's targets named, as the asker knows them.
 	Limits map[string]roster.LimitNews
+	// ForToken tells that the asker has no token for the service's targets, so that also the choice
+	// of a target that it knows itself is of use.
+	ForToken bool
 	// Regions bind where it may run.
 	Regions regions
 	// Side says which versions of the service it may go to.
@@ -241,6 +245,25 @@
 	return nil
 }
 
+// chooseByToken returns the choice of another daemon that may have a token for a target which is over
+// its limit here, or nil.
+func (p *pass) chooseByToken(ctx context.Context, svc *table.Service) *choice {
+	now := time.Now()
+	h := p.relay.homes
+	if h == nil || p.relay.o.Choosers == nil || p.over == nil || now.Sub(p.tokenAsked) < homePause {
+		return nil
+	}
+	p.tokenAsked = now
+	peers := h.open(p.relay.o.Choosers(p.over, p.relay.o.Roster.Holders(p.over)), now)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(len(peers), homeDaemons)] {
+		if c := p.chooseAt(ctx, svc, []string{peer}, now); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
 // chooseAt returns the choice of the first of some daemons of one cell that answers, or nil where
 // that has none.
 func (p *pass) chooseAt(ctx context.Context, svc *table.Service, peers []string, now time.Time) *choice {
@@ -284,7 +307,7 @@
 	ask := &placeAsk{
 		Service: p.service, Route: p.route.Name, Aim: p.route.Aim, Model: p.ask.Model, Wall: p.salt(0).Wall, Prompt: p.ask.Prompt,
 		Size: p.size, Domain: p.relay.o.Domain, Spent: now.Sub(p.began), Left: p.until.Sub(now),
-		Regions: p.regions, Side: p.side, Limits: p.relay.o.Roster.Limits(p.service),
+		Regions: p.regions, Side: p.side, Limits: p.relay.o.Roster.Limits(p.service), ForToken: p.over != nil,
 	}
 	for _, part := range p.ask.Parts {
 		ask.Parts = append(ask.Parts, placePart{ID: part.ID, Tokens: part.Tokens})
--- a/core/relay/limit_test.go
+++ b/core/relay/limit_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bufio"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -164,3 +166,27 @@
 	}
 	return out
 }
+
+// A daemon that does not use the limited targets has its request sent by the token of one that does.
+func TestADaemonWithoutTokensAsksOneThatHasSome(t *testing.T) {
+	h := newHomesRig(t, 6, 1, always(func(w *bufio.Writer, r *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n%sTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", r.Header.Get("Id"), limits(20))
+		return nil
+	}))
+	told := map[string]roster.LimitNews{h.ids[0]: {On: true, PerSecond: 20, Seq: 1}}
+	for i, r := range h.rigs {
+		view := h.fleet[i].View
+		r.roster.Place = func(*roster.Target) (int, int) {
+			// Of all but the last daemon.
+			if view().Self() == "entry-05" {
+				return 100, 100
+			}
+			return 0, 100
+		}
+		r.relay.o.Choosers = func(*roster.Target, int) []string { return []string{"entry-00", "entry-01"} }
+		r.roster.HearLimits(told)
+	}
+	h.g.Eventually(func() int { return h.ask(5, "context").status }, soon, look).Should(gomega.Equal(http.StatusOK))
+	h.g.Expect(h.rigs[5].roster.Limited()).To(gomega.HaveLen(1))
+	h.g.Expect(h.rigs[5].roster.Limited()[0].Holds).To(gomega.BeFalse())
+}
--- a/core/relay/options.go
+++ b/core/relay/options.go
@@ -79,6 +79,9 @@
 		}
 		if stop != roster.Open {
 			none.stopped(t.ID(), stop, lasts)
+			if stop == roster.Limited {
+				none.over = t
+			}
 			continue
 		}
 		p.bound(svc, o.entry.Address, false)
@@ -100,7 +103,7 @@
 	}
 	out = p.preferred(out)
 	why := none.why()
-	p.words = none.words
+	p.words, p.over = none.words, none.over
 	switch {
 	case len(out) > 0:
 	case why == allEvacuated:
@@ -134,6 +137,8 @@
 	// lasts is the longest time that an evacuation has lasted, rest the time until the first rest
 	// ends or the first limit leaves something.
 	lasts, rest time.Duration
+	// over is a target that is over its limit.
+	over *roster.Target
 }
 
 // wordsMost bounds how many targets a line names that are passed over by what they said.
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -46,6 +46,8 @@
 	homeAsked time.Time
 	// elsewhereAsked is when other cells were asked for a target last.
 	elsewhereAsked time.Time
+	// tokenAsked is when another daemon was last asked for a target that is over its limit here.
+	tokenAsked time.Time
 
 	// tried counts the sends to each target.
 	tried map[string]int
@@ -61,6 +63,8 @@
 	first time.Time
 	// words are targets that the last choice passed over by what they said, and why.
 	words []string
+	// over is a target that the last choice passed over for its limit, or nil.
+	over *roster.Target
 	// line is how long the best target was last expected to take.
 	line time.Duration
 	// forecast is what was expected of the first send; nil before.
--- a/core/relay/placed.go
+++ b/core/relay/placed.go
@@ -27,7 +27,7 @@
 // place answers what to do with a prompt that another daemon has.
 func (h *Homes) place(_ context.Context, _ string, ask *placeAsk) (*placeAnswer, error) {
 	p, svc := h.passOf(ask)
-	if svc == nil || (svc.Engine == nil && !h.relay.divided(ask.Service)) {
+	if svc == nil || (svc.Engine == nil && !h.relay.divided(ask.Service) && !ask.ForToken) {
 		return nil, errors.WithStack(errNotHome)
 	}
 	h.relay.o.Roster.HearLimits(ask.Limits)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -99,6 +99,9 @@
 	// Place returns how many daemons come before this one for a target, of how many that
 	// may send to it: those of its cell, or of the whole fleet.
 	Place func(target string, cell bool) (place, of int)
+	// Choosers returns the first n other daemons of those among which Place counts; nil stands for
+	// none.
+	Choosers func(t *roster.Target, n int) []string
 	// A cold target gets at most ColdOver times what its service says it bears in a second,
 	// and ColdExtra beside, from all daemons together.
 	ColdOver, ColdExtra float64
--- a/core/roster/limit.go
+++ b/core/roster/limit.go
@@ -144,6 +144,17 @@
 	return l
 }
 
+// Holders returns how many daemons use a target that named a request rate; 0 where it did not.
+func (r *Roster) Holders(t *Target) int {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	l := r.limitOf(t, clock.Now())
+	if l == nil {
+		return 0
+	}
+	return holders(l.rate(), l.of)
+}
+
 // Take takes a token for a request to a target that was chosen here, and reports whether it may be
 // sent.
 func (r *Roster) Take(t *Target) (Token, bool) {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -137,16 +137,20 @@
 	return h
 }
 
-// place returns how many daemons come before this one for a target, of how many that may choose it:
-// those of its cell, where the cells share the service's targets out, or of the whole fleet.
+// place returns how many daemons come before this one for a target, of how many that may choose it.
 func (h *Host) place(t *roster.Target) (place, of int) {
+	return h.fleet.View().Place(fleet.Key(t.ID()), h.cellChooses(t))
+}
+
+// cellChooses reports whether only the daemons of one cell choose a target, since the cells share
+// the targets of its service out.
+func (h *Host) cellChooses(t *roster.Target) bool {
 	service, table := t.Entry().Service, h.relay.Table()
-	cell := h.mirrors.Divided(service)
-	if table != nil && !cell {
-		svc := table.Service(service)
-		cell = svc != nil && svc.Engine != nil
+	if table == nil || h.mirrors.Divided(service) {
+		return true
 	}
-	return h.fleet.View().Place(fleet.Key(t.ID()), cell)
+	svc := table.Service(service)
+	return svc != nil && svc.Engine != nil
 }
 
 // rolloutFresh is how old what is known of the store may be where requests go to a version on trial:
@@ -220,7 +224,10 @@
 		Share:   func(names []string) []string { return h.fleet.View().Share(names) },
 		Basis:   h.mirrors.Basis,
 		Divided: h.mirrors.Divided, Uses: h.mirrors.Uses, CellDaemons: func() int { return h.fleet.View().CellSize() },
-		Place:    func(target string, cell bool) (int, int) { return h.fleet.View().Place(fleet.Key(target), cell) },
+		Place: func(target string, cell bool) (int, int) { return h.fleet.View().Place(fleet.Key(target), cell) },
+		Choosers: func(t *roster.Target, n int) []string {
+			return h.fleet.View().Ranked(fleet.Key(t.ID()), h.cellChooses(t), n)
+		},
 		ColdOver: h.set.Bounds.ColdOver, ColdExtra: h.set.Bounds.ColdExtra,
 		Outdated: func(model string, version int64) bool {
 			return h.named.age(model, version) > h.set.Bounds.Weights-beginMargin
