--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -53,6 +53,7 @@
 	ValueFetched   Code = 3012
 	RolloutStep    Code = 3013
 	ListShardTaken Code = 3014
+	ConfDropped    Code = 3015
 
 	RequestAccepted  Code = 4001
 	RequestPlaced    Code = 4002
@@ -158,6 +159,7 @@
 	{ValueFetched, "valueFetched", Info, "A large value was fetched by itself; the text names its revision and sizes, where it came from and the time that this took."},
 	{RolloutStep, "rolloutStep", Info, "A roll-out has gone on, by decision of this daemon; the resource is the service, the text names phase, version and what decided it."},
 	{ListShardTaken, "listShardTaken", Info, "This daemon holds another shard of the list of targets than before; the text has the peer that told it, the cell and the number of entries that it took."},
+	{ConfDropped, "confDropped", Info, "A copy of what the key-value service holds was older than what is known and was dropped; the text has both revisions."},
 
 	{RequestAccepted, "requestAccepted", Debug, "A caller's request was authenticated and read."},
 	{RequestPlaced, "requestPlaced", Info, "A target was chosen; the text gives the reasons and the candidates weighed."},
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -264,7 +265,9 @@
 	m.mirrorMu.Lock()
 	moved := shard != m.shard
 	if revision < m.revision && !moved {
+		known := m.revision
 		m.mirrorMu.Unlock()
+		m.log.Emit(event.ConfDropped, event.Ref{}, "revision "+strconv.FormatInt(revision, 10)+", known up to "+strconv.FormatInt(known, 10))
 		return
 	}
 	changes := m.differences(all, revision, moved)
