A store that comes back from an older copy is followed: revisions are ordered by era first

What callers saw: for as long as the restored store's revisions stood below those of before, nothing that was written to it came into force. Version 91 handled requests 2.2 s after 97 was acknowledged; six of eight daemons never heard that a worker leaves. Cause: a copy or change with a lower revision than the highest that was seen was dropped as known already, and the watch went on from the old revision, got 410, read everything, dropped it, and so on. Class: a position in a history is compared without the name of the history. Ruled out: the restored state taken in place of newer news (no line boxLeaving at six daemons); peers of the old era alone (all daemons read anew themselves). Change: platform/ reads Store-Era from all answers and tells (era, revision) in one number, the era above 40 bits, so that mirror, peers, late values, boxes, fences and compares stay ordered over eras; a session carries its era, and a renewal or a condition answered in another one does not count. A copy or change of another era is taken whole or not at all, also from peers, and makes nothing look fresher where it is not taken. One line serviceRestored tells era and revisions; the figure store_era the daemon's era.

--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -39,21 +39,22 @@
 	TargetLimits      Code = 2025
 	TargetUnlimited   Code = 2026
 
-	ConfApplied    Code = 3001
-	ConfWritten    Code = 3002
-	ConfRejected   Code = 3003
-	ConfUnknown    Code = 3004
-	ConfResynced   Code = 3005
-	ConfStale      Code = 3006
-	ServiceDown    Code = 3007
-	ServiceUp      Code = 3008
-	ConfPending    Code = 3009
-	ConfUnderived  Code = 3010
-	PeerNotTold    Code = 3011
-	ValueFetched   Code = 3012
-	RolloutStep    Code = 3013
-	ListShardTaken Code = 3014
-	ConfDropped    Code = 3015
+	ConfApplied     Code = 3001
+	ConfWritten     Code = 3002
+	ConfRejected    Code = 3003
+	ConfUnknown     Code = 3004
+	ConfResynced    Code = 3005
+	ConfStale       Code = 3006
+	ServiceDown     Code = 3007
+	ServiceUp       Code = 3008
+	ConfPending     Code = 3009
+	ConfUnderived   Code = 3010
+	PeerNotTold     Code = 3011
+	ValueFetched    Code = 3012
+	RolloutStep     Code = 3013
+	ListShardTaken  Code = 3014
+	ConfDropped     Code = 3015
+	ServiceRestored Code = 3016
 
 	RequestAccepted  Code = 4001
 	RequestPlaced    Code = 4002
@@ -160,6 +161,7 @@
 	{RolloutStep, "rolloutStep", Info, "A roll-out has gone on, by decision of this daemon; the resource is the service, the text names phase, version and what decided it."},
 	{ListShardTaken, "listShardTaken", Info, "This daemon holds another shard of the list of targets than before; the text has the peer that told it, the cell and the number of entries that it took."},
 	{ConfDropped, "confDropped", Info, "A copy of what the key-value service holds was older than what is known and was dropped; the text has both revisions."},
+	{ServiceRestored, "serviceRestored", Warning, "The key-value service has come back from an older copy; the text has the era and revision of the copy, and the highest known before: what lies between is lost until its writers write it again."},
 
 	{RequestAccepted, "requestAccepted", Debug, "A caller's request was authenticated and read."},
 	{RequestPlaced, "requestPlaced", Info, "A target was chosen; the text gives the reasons and the candidates weighed."},
--- a/core/lease/presence.go
+++ b/core/lease/presence.go
@@ -18,8 +18,8 @@
 	Store  plat.Store
 	Mirror *plat.Mirror
 	Log    *event.Log
-	// session is 0 while none is open; only run uses it.
-	session int64
+	// session is zero while none is open; only run uses it.
+	session plat.Session
 	// seen tells that the service was reached at the last try.
 	seen bool
 }
@@ -69,7 +69,7 @@
 		return nil
 	}
 	if isOver(err) {
-		p.session = 0
+		p.session = plat.Session{}
 	}
 	if p.seen {
 		p.Log.Emit(event.ServiceDown, event.Ref{Resource: p.Key}, err.Error())
@@ -80,7 +80,7 @@
 
 // renew renews the session, and writes the key where it is not as it must be.
 func (p *Presence) renew(ctx context.Context) error {
-	if p.session != 0 {
+	if p.session != (plat.Session{}) {
 		if err := p.Store.Renew(ctx, p.session); err != nil {
 			return err
 		}
@@ -93,7 +93,7 @@
 
 // write makes the key, whatever a former run of this daemon left there.
 func (p *Presence) write(ctx context.Context) error {
-	if p.session == 0 {
+	if p.session == (plat.Session{}) {
 		session, err := p.Store.Open(ctx, p.Life)
 		if err != nil {
 			return err
@@ -106,7 +106,7 @@
 
 // leave ends the session, with which the key goes.
 func (p *Presence) leave() {
-	if p.session == 0 {
+	if p.session == (plat.Session{}) || p.session.Era != p.Mirror.Era() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -22,7 +22,7 @@
 	o TimedOptions
 
 	timedMu sync.Mutex
-	session int64 // guarded by timedMu
+	session plat.Session // guarded by timedMu
 	// renewed is when the last renewal that succeeded was sent. Guarded by
 	// timedMu.
 	renewed clock.Time
@@ -100,7 +100,7 @@
 // pause returns how long the next look may wait.
 func (t *Timed) pause() time.Duration {
 	t.timedMu.Lock()
-	open := t.session != 0
+	open := t.session != plat.Session{}
 	t.timedMu.Unlock()
 	if !open && (t.known().IsZero() || t.o.Idle()) {
 		return awayLook
@@ -165,7 +165,7 @@
 	t.timedMu.Lock()
 	session, asked := t.session, t.asked
 	t.timedMu.Unlock()
-	if session == 0 {
+	if session == (plat.Session{}) {
 		return false
 	}
 	mine, lost, revision := t.held()
@@ -190,7 +190,7 @@
 }
 
 // renew renews the session and reports whether it may still live.
-func (t *Timed) renew(ctx context.Context, session int64) bool {
+func (t *Timed) renew(ctx context.Context, session plat.Session) bool {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	sent := clock.Now()
@@ -223,7 +223,7 @@
 	t.timedMu.Lock()
 	session := t.session
 	t.timedMu.Unlock()
-	if session == 0 {
+	if session == (plat.Session{}) {
 		got, err := t.o.Store.Open(ctx, t.o.Apart)
 		if err != nil {
 			// The next look tries again; the mirror tells of an outage.
@@ -241,7 +241,7 @@
 	t.session, t.asked = session, sent
 	switch {
 	case isOver(err):
-		t.session = 0
+		t.session = plat.Session{}
 	case err == nil && out.Succeeded:
 		t.renewed = sent
 		t.hold(out.Revision)
@@ -255,7 +255,7 @@
 	if t.fence != 0 {
 		t.o.Log.Emit(event.LeaseLost, event.Ref{Resource: t.o.Key}, why)
 	}
-	t.session, t.fence = 0, 0
+	t.session, t.fence = plat.Session{}, 0
 }
 
 // giveBack ends the session, so that another may take the lease. After a recent
@@ -265,12 +265,12 @@
 	t.timedMu.Lock()
 	session, held := t.session, t.fence != 0
 	recent := clock.Since(t.acted) < t.o.Apart
-	t.session, t.fence = 0, 0
+	t.session, t.fence = plat.Session{}, 0
 	t.timedMu.Unlock()
 	if held {
 		t.o.Log.Emit(event.LeaseLost, event.Ref{Resource: t.o.Key}, "given back: "+why)
 	}
-	if session == 0 || recent {
+	if session == (plat.Session{}) || recent || session.Era != t.o.Mirror.Era() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
--- a/core/memkv/memkv.go
+++ b/core/memkv/memkv.go
@@ -44,6 +44,10 @@
 	// sessions holds the keys of each open session.
 	sessions map[int64][]string
 	opened   int64
+	// era is that of all revisions; it rises with each Restore.
+	era int64
+	// base is the revision after which history is whole.
+	base int64
 }
 
 // SetFate makes f decide about each commit.
@@ -122,7 +126,7 @@
 		return plat.Outcome{}, plat.ErrUnknown
 	}
 	for _, p := range t.Puts {
-		if _, open := k.sessions[p.Session]; p.Session != 0 && !open {
+		if _, open := k.sessions[p.Session.ID]; p.Session.ID != 0 && (!open || p.Session.Era != k.era) {
 			return plat.Outcome{}, plat.ErrSessionOver
 		}
 	}
@@ -145,8 +149,8 @@
 	k.revision++
 	k.writes++
 	for _, p := range t.Puts {
-		if p.Session != 0 {
-			k.sessions[p.Session] = append(k.sessions[p.Session], p.Key)
+		if p.Session.ID != 0 {
+			k.sessions[p.Session.ID] = append(k.sessions[p.Session.ID], p.Key)
 		}
 		pair := plat.Pair{Key: p.Key, Value: p.Value, ModRevision: k.revision}
 		k.data[p.Key] = pair
@@ -175,41 +179,41 @@
 }
 
 // Open begins a session, which lives until it is ended or expired.
-func (k *KV) Open(context.Context, time.Duration) (int64, error) {
+func (k *KV) Open(context.Context, time.Duration) (plat.Session, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.down {
-		return 0, errDown
+		return plat.Session{}, errDown
 	}
 	if k.sessions == nil {
 		k.sessions = map[int64][]string{}
 	}
 	k.opened++
 	k.sessions[k.opened] = nil
-	return k.opened, nil
+	return plat.Session{ID: k.opened, Era: k.era}, nil
 }
 
 // Renew fails where a session was ended or expired.
-func (k *KV) Renew(_ context.Context, session int64) error {
+func (k *KV) Renew(_ context.Context, session plat.Session) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.down {
 		return errDown
 	}
-	if _, open := k.sessions[session]; !open {
+	if _, open := k.sessions[session.ID]; !open || session.Era != k.era {
 		return plat.ErrSessionOver
 	}
 	return nil
 }
 
 // End ends a session with its keys.
-func (k *KV) End(_ context.Context, session int64) error {
+func (k *KV) End(_ context.Context, session plat.Session) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.down {
 		return errDown
 	}
-	k.end(session)
+	k.end(session.ID)
 	return nil
 }
 
@@ -217,14 +221,14 @@
 func (k *KV) Expire() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for session := range k.sessions {
-		k.end(session)
+	for id := range k.sessions {
+		k.end(id)
 	}
 }
 
-func (k *KV) end(session int64) {
-	keys := k.sessions[session]
-	delete(k.sessions, session)
+func (k *KV) end(id int64) {
+	keys := k.sessions[id]
+	delete(k.sessions, id)
 	k.revision++
 	for _, key := range keys {
 		k.remove(plat.Span{From: key, To: key + "\x00"})
@@ -244,6 +248,10 @@
 			k.mu.Unlock()
 			return errDown
 		}
+		if plat.Era(from) != k.era || (k.base > 0 && from <= k.base) {
+			k.mu.Unlock()
+			return plat.ErrCompacted
+		}
 		var list []plat.Change
 		for _, c := range k.history {
 			if c.ModRevision >= from && in(span, c.Key) {
@@ -267,3 +275,10 @@
 		}
 	}
 }
+
+// Under returns the keys that begin with prefix, ordered.
+func (k *KV) Under(prefix string) []plat.Pair {
+	// A Range fails only while the service is down, and then holds nothing to be read.
+	pairs, _, _ := k.Range(context.Background(), plat.Prefix(prefix))
+	return pairs
+}
--- a/core/plat/forms.go
+++ b/core/plat/forms.go
@@ -18,7 +18,8 @@
 	Range(ctx context.Context, span Span) ([]Pair, int64, error)
 	// Watch calls f with the changes from the given revision on until ctx
 	// ends, f fails or the service breaks off. A call of f without changes
-	// reports that there were none up to its revision.
+	// reports that there were none up to its revision. It fails with ErrCompacted where the service
+	// does not have that revision, or is in a later era.
 	Watch(ctx context.Context, span Span, from int64, f func(changes []Change, revision int64) error) error
 }
 
@@ -33,11 +34,11 @@
 // unless it is renewed in time.
 type Sessions interface {
 	// Open begins a session that lives for ttl after each renewal.
-	Open(ctx context.Context, ttl time.Duration) (int64, error)
-	// Renew fails with ErrSessionOver where the session has ended.
-	Renew(ctx context.Context, session int64) error
-	// End ends a session with its keys.
-	End(ctx context.Context, session int64) error
+	Open(ctx context.Context, ttl time.Duration) (Session, error)
+	// Renew fails with ErrSessionOver where the session has ended, or the service is in a later era.
+	Renew(ctx context.Context, session Session) error
+	// End ends a session with its keys. The service must be in the session's era.
+	End(ctx context.Context, session Session) error
 }
 
 // Store is all that the system needs of a key-value service with sessions.
--- a/core/plat/kv.go
+++ b/core/plat/kv.go
@@ -48,8 +48,8 @@
 type Put struct {
 	Key   string
 	Value []byte
-	// Session ends the key with a session of the service; 0 keeps it.
-	Session int64
+	// Session ends the key with a session of the service; the zero value keeps it.
+	Session Session
 }
 
 // Txn writes Puts and removes Deletes if all Compares hold.
@@ -96,6 +96,9 @@
 	Dropped bool
 	// Late tells that the value is not here: it is so large that it goes by itself.
 	Late bool
+	// Restored tells of a deleted key that it was found missing when the service had come back from an
+	// older copy: its writer may be about to write it again.
+	Restored bool
 }
 
 // KV is a client of the key-value service, which speaks etcd's published v3
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -59,6 +59,8 @@
 	// revision is the highest that was seen; 0 before the first copy. Guarded
 	// by mirrorMu.
 	revision int64
+	// eraSince is when the first copy of the era was taken. Guarded by mirrorMu.
+	eraSince clock.Time
 	// contact is when the service last answered. Guarded by mirrorMu.
 	contact clock.Time
 	// regained is when the service answered again after a silence. Guarded by
@@ -237,8 +239,13 @@
 
 // read takes a whole copy of what the service says.
 func (m *Mirror) read(pairs []Pair, revision int64) {
-	m.heard()
-	m.reset(changesOf(pairs), revision, "")
+	if Era(revision) >= m.Era() {
+		// Observers ask for how long the service was silent.
+		m.heard()
+	}
+	if !m.reset(changesOf(pairs), revision, "") {
+		return
+	}
 	m.mirrorMu.Lock()
 	defer m.mirrorMu.Unlock()
 	m.current = m.shard == ""
@@ -253,30 +260,34 @@
 	return out
 }
 
-// reset takes a whole copy of a shard, unless a newer state of the same one is known.
-func (m *Mirror) reset(all []Change, revision int64, shard string) {
+// reset takes a whole copy of a shard, unless a newer state of the same one is known. It reports
+// whether the copy is of the era of this one or a later one.
+func (m *Mirror) reset(all []Change, revision int64, shard string) bool {
 	m.tellMu.Lock()
 	defer m.tellMu.Unlock()
-	m.resetNow(all, revision, shard)
+	return m.resetNow(all, revision, shard)
 }
 
-// resetNow is reset with tellMu held.
-func (m *Mirror) resetNow(all []Change, revision int64, shard string) {
+// resetNow is reset with tellMu held. It reports whether the copy is of the era of this one or a
+// later one.
+func (m *Mirror) resetNow(all []Change, revision int64, shard string) bool {
 	m.mirrorMu.Lock()
 	moved := shard != m.shard
-	if revision < m.revision && !moved {
+	if Era(revision) < Era(m.revision) || (revision < m.revision && !moved) {
 		known := m.revision
 		m.mirrorMu.Unlock()
 		m.log.Emit(event.ConfDropped, event.Ref{}, "revision "+strconv.FormatInt(revision, 10)+", known up to "+strconv.FormatInt(known, 10))
-		return
+		return Era(revision) == Era(known)
 	}
 	changes := m.differences(all, revision, moved)
+	m.enter(revision)
 	m.put(changes)
 	m.shard, m.current = shard, m.current && shard == ""
 	m.revision, m.base, m.history = revision, revision, nil
 	m.wake()
 	m.mirrorMu.Unlock()
 	m.tell(changes)
+	return true
 }
 
 // differences returns how a whole copy differs from this one. Where it is one of another shard,
@@ -290,6 +301,7 @@
 	for key := range m.late {
 		gone[key] = true
 	}
+	restored := m.revision > 0 && Era(revision) > Era(m.revision)
 	var changes []Change
 	for _, c := range all {
 		gone[c.Key] = false
@@ -301,18 +313,46 @@
 		if !is {
 			continue
 		}
-		changes = append(changes, Change{Pair: Pair{Key: key, ModRevision: revision}, Deleted: true, Dropped: moved})
+		changes = append(changes, Change{Pair: Pair{Key: key, ModRevision: revision}, Deleted: true, Dropped: moved, Restored: restored && !moved})
 	}
 	return changes
 }
 
+// enter notes the era of a whole copy. It is called with mirrorMu held.
+func (m *Mirror) enter(revision int64) {
+	if m.revision > 0 && Era(revision) == Era(m.revision) {
+		return
+	}
+	m.eraSince = clock.Now()
+	if m.revision > 0 {
+		text := "era " + strconv.FormatInt(Era(revision), 10) + ", revision " + strconv.FormatInt(Number(revision), 10) +
+			"; known was " + strconv.FormatInt(Number(m.revision), 10) + " of era " + strconv.FormatInt(Era(m.revision), 10)
+		m.log.Emit(event.ServiceRestored, event.Ref{}, text)
+	}
+}
+
+// Era returns the era of the copy; 0 where the service has none, or before the first copy.
+func (m *Mirror) Era() int64 { return Era(m.Revision()) }
+
+// EraSince returns when the first copy of the present era was taken; zero before the first copy.
+func (m *Mirror) EraSince() clock.Time {
+	m.mirrorMu.Lock()
+	defer m.mirrorMu.Unlock()
+	return m.eraSince
+}
+
 // apply takes the changes after a revision that is known up to another one.
 // Changes that are known already are left out: the service and peers may both
-// tell of them.
-func (m *Mirror) apply(changes []Change, revision int64) {
+// tell of them. It reports whether they are of the era of this copy.
+func (m *Mirror) apply(changes []Change, revision int64) bool {
 	m.tellMu.Lock()
 	defer m.tellMu.Unlock()
 	m.mirrorMu.Lock()
+	if Era(revision) != Era(m.revision) && m.revision > 0 {
+		// What another era lacks is told by a whole copy only.
+		m.mirrorMu.Unlock()
+		return false
+	}
 	var news []Change
 	for _, c := range changes {
 		if c.ModRevision > m.revision && c.ModRevision > m.pairs[c.Key].ModRevision {
@@ -327,6 +367,7 @@
 	}
 	m.mirrorMu.Unlock()
 	m.tell(news)
+	return true
 }
 
 // put is called with mirrorMu held.
@@ -405,8 +446,9 @@
 
 // Take takes changes from a peer, and when the service had answered it.
 func (m *Mirror) Take(changes []Change, revision int64, heard clock.Time) {
-	m.apply(changes, revision)
-	m.hearVia(heard)
+	if m.apply(changes, revision) {
+		m.hearVia(heard)
+	}
 }
 
 // TakeAll takes a peer's whole copy of a shard, "" for all keys, and when the service had answered
@@ -418,8 +460,9 @@
 	if m.Shard() != held {
 		return
 	}
-	m.resetNow(all, revision, shard)
-	m.hearVia(heard)
+	if m.resetNow(all, revision, shard) {
+		m.hearVia(heard)
+	}
 }
 
 // Revision returns the highest revision seen.
@@ -437,13 +480,19 @@
 	if m.Shard() != held {
 		return
 	}
-	m.moveNow(changes, revision, shard, drops)
-	m.hearVia(heard)
+	if m.moveNow(changes, revision, shard, drops) {
+		m.hearVia(heard)
+	}
 }
 
-// moveNow takes another shard. It is called with tellMu held.
-func (m *Mirror) moveNow(changes []Change, revision int64, shard string, drops func(Pair) bool) {
+// moveNow takes another shard, unless it is of another era. It is called with tellMu held.
+func (m *Mirror) moveNow(changes []Change, revision int64, shard string, drops func(Pair) bool) bool {
 	m.mirrorMu.Lock()
+	if Era(revision) != Era(m.revision) {
+		// The next question is answered with everything.
+		m.mirrorMu.Unlock()
+		return false
+	}
 	var news []Change
 	for _, c := range changes {
 		if c.ModRevision > m.pairs[c.Key].ModRevision {
@@ -462,6 +511,7 @@
 	m.wake()
 	m.mirrorMu.Unlock()
 	m.tell(news)
+	return true
 }
 
 // Shard names what the copy holds of the keys; "" stands for all of them.
--- /dev/null
+++ b/core/plat/restore_test.go
@@ -0,0 +1,158 @@
+package plat_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
+	"embertally.dev/core/memkv"
+	"embertally.dev/core/plat"
+)
+
+func TestRevisionsAreOrderedByEraFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(plat.Revision(0, 17)).To(gomega.Equal(int64(17)), "of a service without eras")
+	g.Expect(plat.Revision(2, 1)).To(gomega.BeNumerically(">", plat.Revision(1, 1<<39)))
+	for _, era := range []int64{0, 1, plat.EraMost} {
+		for _, number := range []int64{0, 1, 1<<40 - 1} {
+			r := plat.Revision(era, number)
+			g.Expect(plat.Era(r)).To(gomega.Equal(era))
+			g.Expect(plat.Number(r)).To(gomega.Equal(number))
+			g.Expect(int64(float64(r))).To(gomega.Equal(r), "fences travel as numbers")
+		}
+	}
+	g.Expect(plat.Number(-1)).To(gomega.Equal(int64(-1)))
+	g.Expect(plat.Era(-1)).To(gomega.BeZero())
+}
+
+// A seeded schedule of writes and restores to any former state: the mirror and its observers end up
+// with what the service holds.
+func TestAMirrorFollowsAServiceThatComesBackFromCopies(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			random := rand.New(rand.NewPCG(seed, 47))
+			kv := &memkv.KV{}
+			put(t, kv, "a/0", "first")
+			w := watch(kv)
+			w.start(t)
+			copies := []*memkv.Copy{kv.Copy()}
+			for step := range 60 {
+				switch random.IntN(10) {
+				case 0:
+					kv.Restore(copies[random.IntN(len(copies))])
+				case 1:
+					copies = append(copies, kv.Copy())
+				case 2, 3:
+					remove(t, kv, fmt.Sprintf("a/%d", random.IntN(8)))
+				case 4:
+					g.Eventually(w.agrees(kv), "60s", "1ms").Should(gomega.BeTrue())
+				default:
+					put(t, kv, fmt.Sprintf("a/%d", random.IntN(8)), fmt.Sprint(step))
+				}
+			}
+			g.Eventually(w.agrees(kv), "60s", "1ms").Should(gomega.BeTrue())
+		})
+	}
+}
+
+// agrees reports whether mirror and observer hold what the service does.
+func (w *watched) agrees(kv *memkv.KV) func() bool {
+	return func() bool {
+		want := map[string]string{}
+		for _, p := range kv.Under("a/") {
+			want[p.Key] = string(p.Value)
+		}
+		got := map[string]string{}
+		for _, p := range w.Under("a/") {
+			got[p.Key] = string(p.Value)
+		}
+		return fmt.Sprint(got) == fmt.Sprint(want) && fmt.Sprint(w.model()) == fmt.Sprint(want)
+	}
+}
+
+// model returns what an observer knows.
+func (w *watched) model() map[string]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]string{}
+	for _, c := range w.heard {
+		if c.Deleted {
+			delete(out, c.Key)
+		} else {
+			out[c.Key] = string(c.Value)
+		}
+	}
+	return out
+}
+
+// What the copy lacks is told as restored, what the service deletes later is not.
+func TestWhatARestoredServiceLacksIsToldApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	put(t, kv, "a/old", "1")
+	w := watch(kv)
+	w.start(t)
+	old := kv.Copy()
+	put(t, kv, "a/new", "1")
+	g.Eventually(w.value("a/new"), "60s", "1ms").Should(gomega.Equal("1"))
+	kv.Restore(old)
+	g.Eventually(w.value("a/new"), "60s", "1ms").Should(gomega.BeEmpty())
+	remove(t, kv, "a/old")
+	g.Eventually(w.value("a/old"), "60s", "1ms").Should(gomega.BeEmpty())
+	g.Expect(w.Era()).To(gomega.Equal(int64(1)))
+	restored := map[string]bool{}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.heard {
+		if c.Deleted {
+			restored[c.Key] = c.Restored
+		}
+	}
+	g.Expect(restored).To(gomega.Equal(map[string]bool{"a/new": true, "a/old": false}))
+}
+
+// A peer that still holds the former era is not believed, nor does it make the copy look fresher. One of
+// a later era is believed where it tells everything.
+func TestWhatPeersOfAnotherEraTell(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pair := func(key string, era, number int64) plat.Change {
+		return plat.Change{Pair: plat.Pair{Key: key, Value: []byte("v"), ModRevision: plat.Revision(era, number)}}
+	}
+	m := plat.NewMirror(&memkv.KV{}, plat.Prefix(""), &event.Log{})
+	at := clock.Now()
+	m.TakeAll([]plat.Change{pair("a", 2, 5)}, plat.Revision(2, 9), "", "", at)
+	g.Expect(m.Fresh()).To(gomega.Equal(at))
+	later := at.Add(time.Second)
+
+	m.Take([]plat.Change{pair("b", 1, 90)}, plat.Revision(1, 99), later)
+	m.TakeAll([]plat.Change{pair("b", 1, 90)}, plat.Revision(1, 99), "", "", later)
+	m.TakeAll([]plat.Change{pair("b", 1, 90)}, plat.Revision(1, 99), "", "another shard", later)
+	m.TakeMoved([]plat.Change{pair("b", 1, 90)}, plat.Revision(1, 99), "", "another shard", func(plat.Pair) bool { return false }, later)
+	m.Take([]plat.Change{pair("b", 3, 1)}, plat.Revision(3, 2), later)
+	g.Expect(m.Fresh()).To(gomega.Equal(at), "of another era")
+	g.Expect(m.Shard()).To(gomega.BeEmpty())
+	_, there := m.Pair("b")
+	g.Expect(there).To(gomega.BeFalse())
+	g.Expect(m.Revision()).To(gomega.Equal(plat.Revision(2, 9)))
+
+	m.TakeAll([]plat.Change{pair("b", 3, 1)}, plat.Revision(3, 2), "", "", later)
+	g.Expect(m.Fresh()).To(gomega.Equal(later))
+	_, there = m.Pair("a")
+	g.Expect(there).To(gomega.BeFalse())
+	// Who asks after a revision of the former era is told everything.
+	_, _, whole := m.Since(plat.Revision(2, 9))
+	g.Expect(whole).To(gomega.BeFalse())
+}
+
+func remove(t *testing.T, kv *memkv.KV, key string) {
+	t.Helper()
+	if _, err := kv.Commit(t.Context(), plat.Txn{Deletes: []string{key}}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -86,6 +86,7 @@
 	}{
 		{"requests_running", func() float64 { return float64(h.relay.Running()) }},
 		{"store_contact_seconds", func() float64 { return clock.Since(h.mirror.Contact()).Seconds() }},
+		{"store_era", func() float64 { return float64(h.mirror.Era()) }},
 		{"daemons", func() float64 { return float64(h.daemons.count()) }},
 		{"kept_tokens", func() float64 { return float64(h.kept.Tokens()) }},
 		{"log_lines_dropped_total", func() float64 { return float64(h.spool.Dropped()) }},
