After a restore nobody acts under a right that the copy lacks until its last holder can't have acted within Apart

Cause: the key of a right that was taken after the copy is gone at once, while its holder may have acted a moment ago; the next one took it for a right that ran out. Change: a key that is absent is free only Apart after the first copy of the era was read, also for a daemon that has just started; a holder acts only in the era of its fence. Fences rise over eras, being revisions. Price: after all daemons were killed at once rights are taken up to Apart after the first copy where the store's keys are gone by then. Ruled out: counting the former holder's session as alive (its name may be another's in the new era).

--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -128,7 +128,7 @@
 	}
 	// A daemon that the service does not answer could not take it.
 	_, taken := t.o.Mirror.Pair(t.o.Key)
-	if taken || clock.Since(t.known()) > answered {
+	if taken || clock.Since(t.known()) > answered || t.restored() {
 		return clock.Time{}
 	}
 	if free.IsZero() {
@@ -141,6 +141,13 @@
 	return clock.Now()
 }
 
+// restored reports whether the service came back from an older copy so lately that a holder whose
+// key the copy lacks may have acted within Apart. Who has just started can't tell when that was, and
+// takes it for now.
+func (t *Timed) restored() bool {
+	return t.o.Mirror.Era() > 0 && clock.Since(t.o.Mirror.EraSince()) < t.o.Apart
+}
+
 // held reports what the mirror says of the key: whether this holder has it.
 // A key that was just taken shows there a moment later.
 func (t *Timed) held() (mine, lost bool, revision int64) {
@@ -309,7 +316,7 @@
 	t.timedMu.Lock()
 	defer t.timedMu.Unlock()
 	now := clock.Now()
-	if !t.mayHold(now) || now.Sub(t.renewed) >= t.o.Apart/actShare {
+	if !t.mayHold(now) || now.Sub(t.renewed) >= t.o.Apart/actShare || plat.Era(int64(t.fence)) != t.o.Mirror.Era() {
 		return 0, false
 	}
 	t.acted = now
--- a/core/lease/timed_test.go
+++ b/core/lease/timed_test.go
@@ -14,6 +14,7 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/memkv"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 )
 
 // apart is short, so that tests pass quickly; conditions are waited for.
@@ -21,15 +22,21 @@
 
 // holder is one daemon that wants a lease.
 type holder struct {
-	lease *Timed
-	stop  func()
-	idle  atomic.Bool
+	lease  *Timed
+	mirror *plat.Mirror
+	stop   func()
+	idle   atomic.Bool
 }
 
 func newHolder(t *testing.T, kv *memkv.KV, name string, rank int) *holder {
-	h := &holder{}
+	return newHolderApart(t, kv, name, rank, apart)
+}
+
+// newHolderApart is newHolder with another least time between the acts of two holders.
+func newHolderApart(t *testing.T, kv *memkv.KV, name string, rank int, apart time.Duration) *holder {
 	log := &event.Log{}
 	mirror := plat.NewMirror(kv, plat.Prefix(""), log)
+	h := &holder{mirror: mirror}
 	h.lease = NewTimed(TimedOptions{
 		Key: "duty", Owner: name, Apart: apart, Store: kv, Mirror: mirror, Log: log,
 		Rank: func() int { return rank }, Idle: h.idle.Load, Urgent: func() bool { return true },
@@ -219,3 +226,40 @@
 		})
 	}
 }
+
+// keepAnswering makes watches of a service answer all the time, as those of a real one do.
+func keepAnswering(t *testing.T, kv *memkv.KV) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		wait.Every(ctx, 100*time.Millisecond, func() {
+			// It never fails: the service has no faults here.
+			_, _ = kv.Commit(ctx, plat.Txn{Puts: []plat.Put{{Key: "tick"}}})
+		})
+	})
+	t.Cleanup(func() { cancel(); wg.Wait() })
+}
+
+// A restored service may lack the key of a holder that has acted a moment ago.
+func TestTheNextHolderWaitsAfterTheServiceLostTheKey(t *testing.T) {
+	const apart = 3 * time.Second
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	kv.Restore(kv.Copy())
+	before := kv.Copy()
+	keepAnswering(t, kv)
+	first := newHolderApart(t, kv, "a", 0, apart)
+	g.Eventually(first.may, "20s", "1ms").Should(gomega.BeTrue())
+	fence, _ := first.lease.Act()
+	second := newHolderApart(t, kv, "b", 0, apart)
+	g.Eventually(func() bool { _, there := second.mirror.Pair("duty"); return there }, "20s", "1ms").Should(gomega.BeTrue())
+	var last clock.Time
+	g.Eventually(func() bool { last = clock.Now(); return first.may() }, "20s", "1ms").Should(gomega.BeTrue())
+	kv.Restore(before)
+	first.stop()
+	g.Eventually(second.may, "30s", "1ms").Should(gomega.BeTrue())
+	g.Expect(clock.Since(last)).To(gomega.BeNumerically(">=", apart), "between the acts of two holders")
+	next, _ := second.lease.Act()
+	g.Expect(next).To(gomega.BeNumerically(">", fence), "a target has seen the former fence")
+	g.Expect(first.may()).To(gomega.BeFalse())
+}
