What was known of a worker outlives a list that comes back older

Cause: a restored list says that a leaving worker is ready and names workers that had gone, until they have written again; the list's word replaced what was known. Change: that a run leaves is kept by run also where the list said it. An entry of a run that had gone, from before it went, is not believed until it changes or has stood for 10 s, which is longer than the platform keeps an entry that nobody renews. A worker that the copy lacks is kept for 2 s, as after an outage. An evacuation that the copy lacks stays in force for 10 s. Ruled out: keeping the whole former copy for a while, since the copy's older entries can't be told from newer ones whose revision was given out again.

--- /dev/null
+++ b/core/roster/restored_test.go
@@ -0,0 +1,101 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
+	"embertally.dev/core/plat"
+)
+
+// written is an entry as the list holds it since a revision of an era.
+func written(id string, leaving bool, era, number int64) Entry {
+	e := entry(id)
+	e.Name, e.Leaving, e.Revision = id, leaving, plat.Revision(era, number)
+	return e
+}
+
+// What is believed of a run by a list that came back from an older copy.
+func TestWhatIsKnownOfARunOutlivesAnOlderList(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(r *Roster)
+		want Stop
+	}{
+		{"ready as before", func(r *Roster) { r.Put(written("a", false, 2, 10)) }, Open},
+		{"left, and ready in the copy", func(r *Roster) {
+			r.Put(written("a", true, 1, 20))
+			r.Put(written("a", false, 2, 10))
+		}, Leaves},
+		{"left and gone, and ready in the copy", func(r *Roster) {
+			r.Put(written("a", true, 1, 20))
+			r.Remove("a", clock.Now())
+			r.Put(written("a", false, 2, 30))
+		}, Leaves},
+		{"gone, and ready in the copy", func(r *Roster) {
+			r.Remove("a", clock.Now())
+			r.Put(written("a", false, 2, 10))
+		}, Gone},
+		{"gone, and told twice from the copy", func(r *Roster) {
+			r.Remove("a", clock.Now())
+			r.Put(written("a", false, 2, 10))
+			r.Put(written("a", false, 2, 10))
+		}, Gone},
+		{"gone, in the copy, and written since", func(r *Roster) {
+			r.Remove("a", clock.Now())
+			r.Put(written("a", false, 2, 9))
+			r.Put(written("a", false, 2, 10))
+		}, Open},
+		{"gone, and written after all that was known", func(r *Roster) {
+			r.Remove("a", clock.Now())
+			r.Put(written("a", false, 2, 11))
+		}, Open},
+		{"gone and back within an era", func(r *Roster) {
+			r.Remove("a", clock.Now())
+			r.Put(written("a", false, 1, 12))
+		}, Open},
+		{"gone, in the copy for long", func(r *Roster) {
+			r.Remove("a", clock.Now())
+			r.Put(written("a", false, 2, 10))
+			r.believe(written("a", false, 2, 10))
+		}, Open},
+		{"gone, in the copy, and gone again", func(r *Roster) {
+			r.Remove("a", clock.Now())
+			r.Put(written("a", false, 2, 10))
+			r.Remove("a", clock.Now())
+			r.believe(written("a", false, 2, 10))
+		}, Gone},
+		{"not in the copy", func(r *Roster) { r.Lose("a") }, Open},
+		{"left, and not in the copy", func(r *Roster) {
+			r.Put(written("a", true, 1, 20))
+			r.Lose("a")
+		}, Gone},
+		{"not in the copy, and not written again", func(r *Roster) {
+			r.Lose("a")
+			r.expire("a")
+		}, Gone},
+		{"not in the copy, and written again", func(r *Roster) {
+			r.Lose("a")
+			r.Put(written("a", false, 2, 10))
+			r.expire("a")
+		}, Open},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := New(&event.Log{}, nil)
+			r.Put(written("a", false, 1, 10))
+			tc.do(r)
+			target := r.Target("a")
+			if target == nil {
+				g.Expect(tc.want).To(gomega.Equal(Gone))
+				return
+			}
+			stop, _ := r.Gate(time.Now()).Stop(target)
+			g.Expect(stop).To(gomega.Equal(tc.want))
+		})
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -42,6 +42,8 @@
 	Weights map[string]int64
 	// Orders is how many orders the target has taken.
 	Orders int64
+	// Revision is that of the list at which the entry was written; 0 where it is not known.
+	Revision int64
 }
 
 // Load is the work on its way to a target.
@@ -97,6 +99,11 @@
 	// early holds, by name, the entry of a run that seems older than the one in use: a
 	// late write, or a target whose clock went back. Guarded by rosterMu.
 	early map[string]Entry
+	// removed holds the revision of the last entry of runs that the list no longer names, and ghosts,
+	// by name, entries of such runs in a list that has come back from an older copy. Guarded by
+	// rosterMu.
+	removed map[string]removedRun
+	ghosts  map[string]Entry
 	// peers holds the loads that other daemons told. Guarded by rosterMu.
 	peers map[string]peerLoads
 	// loaded are the targets that peers have work at. Guarded by rosterMu.
@@ -130,7 +137,7 @@
 		regained = func() (clock.Time, time.Duration) { return clock.Time{}, 0 }
 	}
 	r := &Roster{
-		log: log, regained: regained, targets: map[string]*Target{}, runs: map[string]string{}, ended: map[string]string{}, early: map[string]Entry{}, peers: map[string]peerLoads{}, loaded: map[string]bool{},
+		log: log, regained: regained, targets: map[string]*Target{}, runs: map[string]string{}, ended: map[string]string{}, early: map[string]Entry{}, removed: map[string]removedRun{}, ghosts: map[string]Entry{}, peers: map[string]peerLoads{}, loaded: map[string]bool{},
 		reloading: map[string]time.Time{}, peerReloading: map[string]time.Time{}, said: map[string]*said{},
 		ordered: map[string]time.Time{}, peerOrdered: map[string]map[string]time.Time{}, learnedAt: map[string]time.Time{},
 	}
@@ -166,6 +173,9 @@
 		r.renew(former, e)
 		return nil
 	}
+	if former == nil && r.isGhost(e) {
+		return nil
+	}
 	if former != nil && e.Born.Before(former.Entry().Born) {
 		r.early[e.Name] = e
 		r.log.Emit(event.TargetSuspect, event.Ref{Target: e.ID}, "its entry is older than run "+former.id)
@@ -188,6 +198,11 @@
 	r.targets[e.ID], r.runs[e.Name] = t, e.ID
 	delete(r.early, e.Name)
 	delete(r.ended, e.Name)
+	delete(r.ghosts, e.Name)
+	delete(r.removed, e.ID)
+	if e.Leaving {
+		r.listLeaves(e.ID)
+	}
 	r.log.Emit(event.BoxAppeared, event.Ref{Target: e.ID}, e.Service+" at "+e.Address)
 	r.publish()
 }
@@ -196,6 +211,7 @@
 func (r *Roster) renew(t *Target, e Entry) {
 	if _, known := r.leaving(t); e.Leaving && !known {
 		r.log.Emit(event.BoxLeaving, event.Ref{Target: e.ID}, e.Service+" at "+e.Address)
+		r.listLeaves(e.ID)
 	}
 	moved := e.Service != t.Entry().Service
 	t.set(e)
@@ -236,14 +252,19 @@
 	back, silence := r.regained()
 	_, leaving := r.leaving(t)
 	if until := back.Add(returnTime); silence >= lapseFrom && now.Before(until) && !leaving {
-		t.lapse(time.Now().Add(until.Sub(now)))
-		r.log.Emit(event.TargetSuspect, event.Ref{Target: t.id}, "its entry lapsed in an outage of the list")
-		time.AfterFunc(until.Sub(now), func() { r.expire(t.id) })
+		r.lapse(t, until.Sub(now), "its entry lapsed in an outage of the list")
 		return
 	}
 	r.remove(t)
 }
 
+// lapse keeps a target for a while without an entry. It is called with rosterMu held.
+func (r *Roster) lapse(t *Target, lasts time.Duration, why string) {
+	t.lapse(time.Now().Add(lasts))
+	r.log.Emit(event.TargetSuspect, event.Ref{Target: t.id}, why)
+	time.AfterFunc(lasts, func() { r.expire(t.id) })
+}
+
 // Unlist records that a target's entry names nothing that can be used, as another writer
 // may leave it there. Unlike one that is missing it is not waited for.
 func (r *Roster) Unlist(name string) {
@@ -271,6 +292,7 @@
 func (r *Roster) clear(name string) *Target {
 	delete(r.ended, name)
 	delete(r.early, name)
+	delete(r.ghosts, name)
 	return r.targets[r.runs[name]]
 }
 
@@ -298,6 +320,7 @@
 func (r *Roster) remove(t *Target) {
 	r.unuse(t)
 	t.retire()
+	r.keepRemoved(t)
 	if r.Removed != nil {
 		_, leaving := r.leaving(t)
 		r.Removed(t.id, leaving)
--- a/core/roster/said.go
+++ b/core/roster/said.go
@@ -145,7 +145,7 @@
 		if r.targets[id] == nil {
 			continue
 		}
-		if s.leaves {
+		if s.leaves && s.source != ByList {
 			leaving++
 		}
 		if s.rest.left(now) > 0 {
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -54,8 +54,12 @@
 		}
 	case news.Gone != "" && c.Dropped:
 		h.roster.Drop(news.Gone)
+	case news.Gone != "" && c.Restored:
+		h.roster.Lose(news.Gone)
 	case news.Gone != "":
 		h.gone(news.Gone)
+	case news.Evacuation != nil && c.Restored:
+		h.holdEvacuation(news.Evacuation.Domain, c.Key)
 	case news.Evacuation != nil:
 		h.roster.Evacuate(news.Evacuation.Domain, news.Evacuation.On, time.Now())
 	case news.Rollout != nil:
@@ -111,6 +115,19 @@
 	}
 }
 
+// restoredHold is how long an evacuation that a restored store lacks stays in force: operators write
+// again what it has lost.
+const restoredHold = 10 * time.Second
+
+// holdEvacuation takes an evacuation back that a restored store lacks, unless it is written again.
+func (h *Host) holdEvacuation(domain, key string) {
+	time.AfterFunc(restoredHold, func() {
+		if _, there := h.mirror.Pair(key); !there {
+			h.roster.Evacuate(domain, false, time.Now())
+		}
+	})
+}
+
 // removed hears that a run of a target is over. One that was leaving ended as planned.
 func (h *Host) removed(run string, leaving bool) {
 	if !leaving {
