A blocked request that a restored store lacks stays blocked, and is written there again

Cause: a key that is missing in a store that came back from an older copy was taken for one that operators had removed, which takes the block back at all daemons. Class: what a copy lacks is taken for what was deleted. Change: a deletion that comes of a restore is told apart (Change.Restored) and passed over; the keepers' look finds the key missing and writes it. Before and after: TestABlockThatARestoredStoreLacksStays is red on the commit before (the block is gone and not written again in 30 s), now green.

--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -287,6 +287,22 @@
 	r.g.Eventually(stored, most, "5ms").Should(gomega.BeTrue())
 }
 
+// A store that comes back without a block releases nothing, and is told of it again.
+func TestABlockThatARestoredStoreLacksStays(t *testing.T) {
+	r := newRig(t, 3)
+	f := asks("fatal")
+	before := r.store.Copy()
+	for i := range 3 {
+		r.ends(i, f, fmt.Sprintf("run-%d", i))
+	}
+	r.g.Eventually(r.blocked(f), most, "5ms").Should(gomega.Equal(3))
+	stored := func() bool { _, there := r.members[0].mirror.Pair(KeyBlocks + f.String()); return there }
+	r.g.Eventually(stored, most, "5ms").Should(gomega.BeTrue())
+	r.store.Restore(before)
+	r.g.Eventually(func() bool { return r.members[0].mirror.Era() == 1 && stored() }, most, "5ms").Should(gomega.BeTrue())
+	r.g.Expect(r.blocked(f)()).To(gomega.Equal(3))
+}
+
 // A block ends with time, also while the machine is suspended; one more end brings it back
 // for longer.
 func TestABlockEndsAndComesBackForLonger(t *testing.T) {
--- a/core/poison/store.go
+++ b/core/poison/store.go
@@ -48,6 +48,10 @@
 		g.o.Log.Emit(event.ConfUnderived, event.Ref{Resource: c.Key}, "the key names no request")
 		return
 	}
+	if c.Restored {
+		// Nobody removed it: its keepers write it again.
+		return
+	}
 	if c.Deleted {
 		g.keeper.clear(f)
 		g.blocks.release(f, "its key was removed from the platform's store")
