A version that was rolled back stays back when the store comes back from before the decision

Cause: a roll-out is named by the revision of its order, and its state is what the store says. A restored store tells the same order by another revision, and an older state or none, so a version that had been found bad was tried anew. Change: an order of a later era with the version and time of the known one is the same order; a state from before the known one changes nothing, and the daemon that decides writes the known one again. Ruled out: naming orders by their content alone, since operators may ask for the same version twice.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -9,6 +9,8 @@
 import (
 	"slices"
 	"time"
+
+	"embertally.dev/core/plat"
 )
 
 // Order is what operators ask for a service.
@@ -40,6 +42,17 @@
 // Over reports whether the roll-out is decided.
 func (p Phase) Over() bool { return p == Completed || p == RolledBack }
 
+// rank orders the phases of one order.
+func (p Phase) rank() int {
+	switch p {
+	case Completed, RolledBack:
+		return 2
+	case Moving:
+		return 1
+	}
+	return 0
+}
+
 // State is how far the roll-out of a service is, as the platform's store keeps it.
 type State struct {
 	// Order is the revision of the order that it is about.
@@ -56,6 +69,17 @@
 	Why string `json:"why,omitempty"`
 }
 
+// about reports whether the state is that of an order. An order that a store which came back from an
+// older copy tells, or that is written there again, is the same one by another revision.
+func (st *State) about(o *Order) bool {
+	return st.Order == o.Revision || (st.Version == o.Version && plat.Era(st.Order) < plat.Era(o.Revision) && o.Revision != 0)
+}
+
+// older reports whether the state is from before another one.
+func (st *State) older(than *State) bool {
+	return st.Order < than.Order || (st.Order == than.Order && st.Phase.rank() < than.Phase.rank())
+}
+
 // Side says which versions of a service a request may go to. The zero value allows all.
 type Side struct {
 	// Prefer is the version to use if one of its targets can be used; "" stands for none.
--- a/core/canary/control.go
+++ b/core/canary/control.go
@@ -108,7 +108,7 @@
 // step reports, and decides where this daemon has the right to.
 func (c *Controller) step(ctx context.Context) {
 	reports := c.o.Guard.Reports()
-	if len(reports) == 0 {
+	if len(reports) == 0 && len(c.o.Guard.lost()) == 0 {
 		return
 	}
 	self := c.o.Fleet.View().Self()
@@ -171,8 +171,11 @@
 
 // decide takes the next step of each roll-out.
 func (c *Controller) decide(ctx context.Context) {
+	for _, r := range c.o.Guard.lost() {
+		c.write(ctx, &r.order, r.state)
+	}
 	for _, r := range c.o.Guard.open() {
-		if r.state.Order != r.order.Revision {
+		if !r.state.about(&r.order) {
 			c.write(ctx, &r.order, begun(&r))
 			continue
 		}
@@ -252,6 +255,10 @@
 	if !is {
 		return
 	}
+	if change.Restored {
+		c.o.Guard.Lose(service)
+		return
+	}
 	var st State
 	if !change.Deleted {
 		if err := json.Unmarshal(change.Value, &st); err != nil {
--- a/core/canary/control_test.go
+++ b/core/canary/control_test.go
@@ -38,8 +38,9 @@
 
 // daemon is one daemon of a test.
 type daemon struct {
-	guard *Guard
-	stop  context.CancelFunc
+	guard  *Guard
+	mirror *plat.Mirror
+	stop   context.CancelFunc
 }
 
 // trial runs daemons that keep to a roll-out of a service.
@@ -91,7 +92,7 @@
 		wg.Go(func() { f.Run(ctx, listeners[i]) })
 		wg.Go(func() { m.Run(ctx) })
 		wg.Go(func() { c.Run(ctx) })
-		tr.daemons = append(tr.daemons, &daemon{guard, cancel})
+		tr.daemons = append(tr.daemons, &daemon{guard, m, cancel})
 	}
 	return tr
 }
@@ -190,3 +191,55 @@
 		tr.g.Expect(side.Allows("v2")).To(gomega.BeFalse())
 	}
 }
+
+// A store that comes back from before the decision brings no bad version back, at no daemon, and is told
+// the decision again. The order is the same one, told by another revision.
+func TestARolledBackVersionStaysBackAfterTheStoreWasRestored(t *testing.T) {
+	tests := []struct {
+		name string
+		// copied is the status at which the copy is made, "" for before the first state.
+		copied string
+	}{
+		{"before it was begun", ""},
+		{"while it was tried", "trying v2"},
+		{"after the decision", "rolledBack v2"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			tr := newTrial(t, 2)
+			tr.ask("v2")
+			before := tr.store.Copy()
+			tr.g.Eventually(tr.status, soon, pause).Should(gomega.Equal("trying v2"))
+			if tc.copied == "trying v2" {
+				before = tr.store.Copy()
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { defer close(done); tr.serve(ctx, "v2", true) }()
+			tr.g.Eventually(tr.status, soon, pause).Should(gomega.Equal("rolledBack v2"))
+			cancel()
+			<-done
+			if tc.copied == "rolledBack v2" {
+				before = tr.store.Copy()
+			}
+			for _, d := range tr.daemons {
+				tr.g.Eventually(d.guard.Over, soon, pause).Should(gomega.BeTrue())
+			}
+			tr.store.Restore(before)
+			preferred := 0
+			tr.g.Eventually(func() bool {
+				settled := tr.status() == "rolledBack v2"
+				for _, d := range tr.daemons {
+					for range 100 {
+						if d.guard.Choose("s").Prefer == "v2" {
+							preferred++
+						}
+					}
+					settled = settled && d.mirror.Era() == 1 && d.guard.Over()
+				}
+				return settled
+			}, soon, pause).Should(gomega.BeTrue())
+			tr.g.Expect(preferred).To(gomega.BeZero(), "requests that were to go to the version")
+		})
+	}
+}
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"embertally.dev/core/clock"
+	"embertally.dev/core/plat"
 )
 
 // Guard keeps a daemon's requests to what roll-outs allow, and counts the answers. The zero value
@@ -29,6 +30,8 @@
 	// heard is when this daemon heard of the order.
 	heard clock.Time
 	state State
+	// lost tells that the store does not hold the state.
+	lost bool
 	// requests counts the service's requests since then, and tried those that were to go to the
 	// version on trial.
 	requests, tried int
@@ -48,15 +51,50 @@
 	if s.order.Revision == o.Revision {
 		return
 	}
+	if plat.Era(o.Revision) > plat.Era(s.order.Revision) && s.order.Revision != 0 && o.Version == s.order.Version && o.Lasts == s.order.Lasts {
+		// It is told anew by a store that came back from an older copy.
+		s.order.Revision = o.Revision
+		return
+	}
 	s.order, s.heard = o, clock.Now()
 	s.requests, s.tried, s.routes = 0, 0, map[string]*Pair{}
 }
 
-// SetState takes how far the roll-out of a service is.
+// SetState takes how far the roll-out of a service is; the zero value tells that this was removed. A
+// state from before the known one, as a store tells that came back from an older copy, changes nothing
+// and is to be written again.
 func (g *Guard) SetState(name string, st State) {
 	g.guardMu.Lock()
 	defer g.guardMu.Unlock()
-	g.of(name).state = st
+	s := g.of(name)
+	if st.Order != 0 && st.older(&s.state) {
+		s.lost = true
+		return
+	}
+	s.state, s.lost = st, false
+}
+
+// Lose records that a store which came back from an older copy lacks the state of a service.
+func (g *Guard) Lose(name string) {
+	g.guardMu.Lock()
+	defer g.guardMu.Unlock()
+	s := g.of(name)
+	s.lost = s.state.Order != 0
+}
+
+// lost returns the states that the store lacks.
+func (g *Guard) lost() []open {
+	g.guardMu.Lock()
+	defer g.guardMu.Unlock()
+	var out []open
+	for name, s := range g.services {
+		if s.lost {
+			o := s.order
+			o.Service = name
+			out = append(out, open{o, s.state, clock.Since(s.heard)})
+		}
+	}
+	return out
 }
 
 // of is called with guardMu held.
@@ -77,7 +115,7 @@
 	switch {
 	case s.order.Revision == 0:
 		return RolledBack
-	case s.state.Order != s.order.Revision:
+	case !s.state.about(&s.order):
 		return Trying
 	}
 	return s.state.Phase
@@ -87,7 +125,7 @@
 // withdrawn before it was decided is one of them.
 func (s *service) blocked() []string {
 	out := slices.Clone(s.state.Blocked)
-	if s.state.Order != 0 && s.state.Order != s.order.Revision && !s.state.Phase.Over() {
+	if s.state.Order != 0 && !s.state.about(&s.order) && !s.state.Phase.Over() {
 		out = append(out, s.state.Version)
 	}
 	return slices.DeleteFunc(out, func(v string) bool { return v == s.order.Version })
@@ -223,5 +261,5 @@
 // Undecided returns how many roll-outs are not decided.
 func (g *Guard) Undecided() int { return len(g.open()) }
 
-// Over reports whether every roll-out is decided.
-func (g *Guard) Over() bool { return g.Undecided() == 0 }
+// Over reports whether every roll-out is decided, and the store holds that.
+func (g *Guard) Over() bool { return g.Undecided() == 0 && len(g.lost()) == 0 }
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -62,6 +62,8 @@
 		h.holdEvacuation(news.Evacuation.Domain, c.Key)
 	case news.Evacuation != nil:
 		h.roster.Evacuate(news.Evacuation.Domain, news.Evacuation.On, time.Now())
+	case news.Rollout != nil && c.Restored:
+		// Operators did not take it back, and write it again.
 	case news.Rollout != nil:
 		h.canary.SetOrder(*news.Rollout)
 		h.log.Emit(event.ConfApplied, event.Ref{Resource: c.Key}, "roll-out of version "+news.Rollout.Version+" in "+news.Rollout.Lasts.String())
