--- a/core/relay/hear.go
+++ b/core/relay/hear.go
@@ -26,7 +26,7 @@
 		p.relay.o.Stats.NamedLimit.Inc()
 		p.note("%s names a limit of %g a second%s", c.target.ID(), l.PerSecond, l.Odd)
 	}
-	if p.relay.o.Roster.Names(c.target.ID(), reply.Limit, c.sent, !reply.NotRun) {
+	if p.relay.o.Roster.HearLimit(c.target.ID(), reply.Limit, c.sent, reply.Sealed && !reply.NotRun) {
 		// Until other daemons hear of it they send at the former rate.
 		p.relay.o.Placed()
 	}
--- a/core/relay/hear_test.go
+++ b/core/relay/hear_test.go
@@ -108,14 +108,7 @@
 	const daemons = 24
 	h := newHomesRig(t, daemons, 8, always(streams(true, "id: 1\ndata: a\n\n")))
 	cell, workers := h.cell("context")
-	asker := -1
-	for i, f := range h.fleet {
-		if f.View().Cell() != cell {
-			asker = i
-			break
-		}
-	}
-	h.g.Expect(asker).To(gomega.BeNumerically(">=", 0))
+	asker := h.outside(cell)
 	// The asker alone knows that all workers of the home's cell but one leave.
 	for _, id := range workers[1:] {
 		h.rigs[asker].roster.Leaves(id, roster.ByAnswer)
--- a/core/relay/homes_test.go
+++ b/core/relay/homes_test.go
@@ -95,6 +95,17 @@
 	return cell, nil
 }
 
+// outside returns a daemon of another cell.
+func (h *homesRig) outside(cell int) int {
+	for i, f := range h.fleet {
+		if f.View().Cell() != cell {
+			return i
+		}
+	}
+	h.g.Expect(true).To(gomega.BeFalse(), "all daemons are in one cell")
+	return -1
+}
+
 // ask asks a daemon about a context of 6,000 tokens.
 func (h *homesRig) ask(daemon int, context string) got {
 	return h.rigs[daemon].ask(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", context+":6000 own:100")
--- a/core/relay/limit_test.go
+++ b/core/relay/limit_test.go
@@ -103,7 +103,7 @@
 
 // waitForToken takes the next token of a target once its limit is higher.
 func (r *rig) waitForToken(target *roster.Target) (token roster.Token) {
-	r.roster.HearLimits(map[string]roster.LimitNews{target.ID(): {On: true, PerSecond: 20, Seq: 9}})
+	r.roster.MergeLimits(map[string]roster.LimitNews{target.ID(): {On: true, PerSecond: 20, Seq: 9}})
 	r.g.Eventually(func() (may bool) { token, may = r.roster.Take(target); return may }, soon, look).Should(gomega.BeTrue())
 	return token
 }
@@ -114,20 +114,13 @@
 	const daemons = 24
 	h := newHomesRig(t, daemons, 8, always(streams(true, "id: 1\ndata: a\n\n")))
 	cell, workers := h.cell("context")
-	asker := -1
-	for i, f := range h.fleet {
-		if f.View().Cell() != cell {
-			asker = i
-			break
-		}
-	}
-	h.g.Expect(asker).To(gomega.BeNumerically(">=", 0))
+	asker := h.outside(cell)
 	// The asker alone knows that the workers of the home's cell take one request in 10 s.
 	told := map[string]roster.LimitNews{}
 	for _, id := range workers {
 		told[id] = roster.LimitNews{On: true, PerSecond: 0.1, Seq: 1}
 	}
-	h.rigs[asker].roster.HearLimits(told)
+	h.rigs[asker].roster.MergeLimits(told)
 	h.g.Expect(h.ask(asker, "context").status).To(gomega.Equal(http.StatusOK))
 	known := 0
 	for i, f := range h.fleet {
@@ -142,7 +135,7 @@
 	// With tokens the home's choice is sent.
 	for i, f := range h.fleet {
 		if f.View().Cell() == cell {
-			h.rigs[i].roster.HearLimits(higher(told))
+			h.rigs[i].roster.MergeLimits(higher(told))
 		}
 	}
 	h.g.Eventually(func() int {
@@ -184,9 +177,23 @@
 			return 0, 100
 		}
 		r.relay.o.Choosers = func(*roster.Target, int) []string { return []string{"entry-00", "entry-01"} }
-		r.roster.HearLimits(told)
+		r.roster.MergeLimits(told)
 	}
 	h.g.Eventually(func() int { return h.ask(5, "context").status }, soon, look).Should(gomega.Equal(http.StatusOK))
 	h.g.Expect(h.rigs[5].roster.Limited()).To(gomega.HaveLen(1))
 	h.g.Expect(h.rigs[5].roster.Limited()[0].Holds).To(gomega.BeFalse())
 }
+
+// An answer that the target did not sign may be anybody's: it ends no limit.
+func TestAnUnsignedAnswerEndsNoLimit(t *testing.T) {
+	r := newRig(t, nil)
+	unsigned := func(w *bufio.Writer, req *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Id"))
+		return nil
+	}
+	r.target("a", "plain", inTurn(answers(200, "x", limits(20)), unsigned, answers(200, "x")))
+	for _, want := range []int{1, 1, 0} {
+		r.ask(http.MethodPost, "/once/", "x")
+		r.g.Expect(r.roster.Limited()).To(gomega.HaveLen(want))
+	}
+}
--- a/core/relay/pass.go
+++ b/core/relay/pass.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"embertally.dev/core/cache"
@@ -182,41 +181,6 @@
 	}
 }
 
-// waitAlone makes the request the one of this daemon that waits for a token of its service's targets,
-// and reports whether it is.
-func (p *pass) waitAlone(alone *bool) bool {
-	*alone = *alone || p.relay.waiters.enter(p.service)
-	return *alone
-}
-
-// waiters knows the services of which a request waits for a token. Of several that wait at one
-// daemon all but the first would wait for a time that none of them knows. The zero value knows none.
-type waiters struct {
-	waitersMu sync.Mutex
-	services  map[string]bool // guarded by waitersMu
-}
-
-// enter reports whether no other request waits, and makes this one wait.
-func (w *waiters) enter(service string) bool {
-	w.waitersMu.Lock()
-	defer w.waitersMu.Unlock()
-	if w.services[service] {
-		return false
-	}
-	if w.services == nil {
-		w.services = map[string]bool{}
-	}
-	w.services[service] = true
-	return true
-}
-
-// leave ends the wait.
-func (w *waiters) leave(service string) {
-	w.waitersMu.Lock()
-	defer w.waitersMu.Unlock()
-	delete(w.services, service)
-}
-
 // hopefulChance is the chance of an answer in time below which a request waits no
 // longer for a place.
 const hopefulChance = 0.5
--- a/core/relay/placed.go
+++ b/core/relay/placed.go
@@ -30,7 +30,7 @@
 	if svc == nil || (svc.Engine == nil && !h.relay.divided(ask.Service) && !ask.ForToken) {
 		return nil, errors.WithStack(errNotHome)
 	}
-	h.relay.o.Roster.HearLimits(ask.Limits)
+	h.relay.o.Roster.MergeLimits(ask.Limits)
 	for {
 		c, why := p.chooseOwn(svc, time.Now())
 		// The asker tells when it makes use of it.
--- a/core/roster/limit.go
+++ b/core/roster/limit.go
@@ -85,8 +85,8 @@
 	return true
 }
 
-// stand takes the place of this daemon among those that may use the target.
-func (l *limit) stand(place, of int, now clock.Time) {
+// setPlace takes the place of this daemon among those that may use the target.
+func (l *limit) setPlace(place, of int, now clock.Time) {
 	l.place, l.of, l.placed = place, of, now
 	holds := place < holders(l.rate(), of)
 	if holds && !l.holds {
@@ -139,7 +139,7 @@
 		if r.Place != nil {
 			place, of = r.Place(t)
 		}
-		l.stand(place, of, now)
+		l.setPlace(place, of, now)
 	}
 	return l
 }
@@ -183,10 +183,10 @@
 	s.limit.next = clock.Now()
 }
 
-// Names takes the rate that an answer of a run names, or that it names none. sent is when the
-// request was sent, and ran tells that the run took it: a refusal without a rate ends no limit. It
+// HearLimit takes the rate that an answer of a run names, or that it names none. sent is when the
+// request was sent, and ran tells that the run took and signed it: any other answer without a rate ends no limit. It
 // reports whether that is news for other daemons.
-func (r *Roster) Names(id string, named Limit, sent clock.Time, ran bool) bool {
+func (r *Roster) HearLimit(id string, named Limit, sent clock.Time, ran bool) bool {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
 	s := r.said[id]
@@ -263,8 +263,8 @@
 	return out
 }
 
-// hearLimits takes what another daemon told of limits. It is called with rosterMu held.
-func (r *Roster) hearLimits(told map[string]LimitNews) {
+// mergeLimits takes what another daemon told of limits. It is called with rosterMu held.
+func (r *Roster) mergeLimits(told map[string]LimitNews) {
 	for id, n := range told {
 		if r.targets[id] == nil && r.guests.find(id) == nil {
 			// The first answer of what is not known here says so itself.
@@ -306,11 +306,11 @@
 	return out
 }
 
-// HearLimits takes what another daemon told of limits.
-func (r *Roster) HearLimits(told map[string]LimitNews) {
+// MergeLimits takes what another daemon told of limits.
+func (r *Roster) MergeLimits(told map[string]LimitNews) {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	r.hearLimits(told)
+	r.mergeLimits(told)
 }
 
 // LimitedTarget is a target with a limit in force.
--- a/core/roster/limit_test.go
+++ b/core/roster/limit_test.go
@@ -32,7 +32,7 @@
 func (s *limitSim) run(began clock.Time, perSecond, demand float64, lasts, transit time.Duration) {
 	for i := range s.buckets {
 		s.buckets[i].set(true, perSecond, began)
-		s.buckets[i].stand(s.places[i], s.of, began)
+		s.buckets[i].setPlace(s.places[i], s.of, began)
 		for at := time.Duration(0); at < lasts; {
 			at += time.Duration(s.random.ExpFloat64() / demand * float64(time.Second))
 			if now := began.Add(at); s.buckets[i].left(now) == 0 {
@@ -145,7 +145,7 @@
 					sent = clock.Now()
 				}
 				clock.Suspend(time.Millisecond)
-				r.Names("a@1000", a.limit, sent, !a.refused)
+				r.HearLimit("a@1000", a.limit, sent, !a.refused)
 			}
 			if tc.want < 0 {
 				g.Expect(r.Limited()).To(gomega.BeEmpty())
@@ -164,7 +164,7 @@
 	token, may := r.Take(target)
 	g.Expect(may).To(gomega.BeTrue())
 	g.Expect(token).To(gomega.Equal(Token{}), "there is no limit")
-	g.Expect(r.Names("a@1000", names(2), clock.Now(), true)).To(gomega.BeTrue())
+	g.Expect(r.HearLimit("a@1000", names(2), clock.Now(), true)).To(gomega.BeTrue())
 	g.Expect(r.Enter(target, token)).To(gomega.Equal(Limited), "it was named after the choice")
 	stop, left := r.Gate(time.Now()).Stop(target)
 	g.Expect(stop).To(gomega.Equal(Limited))
@@ -179,7 +179,7 @@
 	r.Return(target, token)
 	token, may = r.Take(target)
 	g.Expect(may).To(gomega.BeTrue(), "it was given back")
-	g.Expect(r.Names("a@1000", names(1), clock.Now(), true)).To(gomega.BeTrue())
+	g.Expect(r.HearLimit("a@1000", names(1), clock.Now(), true)).To(gomega.BeTrue())
 	r.Return(target, token)
 	_, may = r.Take(target)
 	g.Expect(may).To(gomega.BeFalse(), "the limit has changed since")
@@ -201,16 +201,16 @@
 	to, target := newLimited(&event.Log{})
 	to.Place = func(*Target) (int, int) { return limitHolders + 2, 100 }
 	tell := func() { told(g, from, to) }
-	from.Names("a@1000", names(2), clock.Now(), true)
+	from.HearLimit("a@1000", names(2), clock.Now(), true)
 	tell()
 	g.Expect(to.Enter(target, Token{})).To(gomega.Equal(Limited))
 	clock.Suspend(time.Hour)
 	g.Expect(to.Enter(target, Token{})).To(gomega.Equal(Limited))
-	from.Names("a@1000", names(50), clock.Now(), true)
+	from.HearLimit("a@1000", names(50), clock.Now(), true)
 	tell()
 	g.Expect(to.Limited()[0].PerSecond).To(gomega.Equal(50.0))
 	clock.Suspend(time.Second)
-	from.Names("a@1000", Limit{}, clock.Now(), true)
+	from.HearLimit("a@1000", Limit{}, clock.Now(), true)
 	clock.Suspend(2 * limitTold)
 	tell()
 	g.Expect(to.Limited()).NotTo(gomega.BeEmpty(), "it missed the end")
@@ -227,7 +227,7 @@
 	r, _ := newLimited(log)
 	for i := range 50 {
 		clock.Suspend(time.Millisecond)
-		r.Names("a@1000", Limit{Named: true, PerSecond: float64(i), Odd: "x"}, clock.Now(), true)
+		r.HearLimit("a@1000", Limit{Named: true, PerSecond: float64(i), Odd: "x"}, clock.Now(), true)
 	}
 	lines := map[event.Code]int{}
 	for _, ev := range log.Since(0, 1000) {
@@ -236,7 +236,7 @@
 	g.Expect(lines[event.TargetLimits]).To(gomega.Equal(1))
 	g.Expect(lines[event.TargetUnreadable]).To(gomega.Equal(1))
 	clock.Suspend(limitLine)
-	r.Names("a@1000", Limit{}, clock.Now(), true)
+	r.HearLimit("a@1000", Limit{}, clock.Now(), true)
 	g.Expect(log.Since(0, 1000)[len(log.Since(0, 1000))-1].Code).To(gomega.Equal(event.TargetUnlimited))
 }
 
@@ -246,7 +246,7 @@
 	var l limit
 	now := clock.Now()
 	l.set(true, 2, now)
-	l.stand(3, 4, now)
+	l.setPlace(3, 4, now)
 	for range 30 {
 		now = now.Add(100 * time.Millisecond)
 		l.set(true, 1.9, now)
--- a/core/roster/restored.go
+++ b/core/roster/restored.go
@@ -10,11 +10,11 @@
 
 // A list that comes back from an older copy names targets that had gone, says that leaving ones are
 // ready, and lacks new ones. What was known of a run stays: one that leaves is not ready again, one
-// that had gone is believed only once its entry changes or has stood for ghostTime.
+// that had gone is believed only once its entry changes or has stood for staleTime.
 
-// ghostTime is how long an entry of a run that had gone is not believed. It is longer than a target
+// staleTime is how long an entry of a run that had gone is not believed. It is longer than a target
 // serves on after it has left, and than the platform keeps an entry that nobody renews.
-const ghostTime = 10 * time.Second
+const staleTime = 10 * time.Second
 
 // removedRun is a run that the list no longer names.
 type removedRun struct {
@@ -33,28 +33,28 @@
 	r.removed[t.id] = removedRun{t.Entry().Revision, now}
 }
 
-// isGhost reports whether an entry may be from before its run was taken off the list, and keeps it
+// isStale reports whether an entry may be from before its run was taken off the list, and keeps it
 // if so. It is called with rosterMu held.
-func (r *Roster) isGhost(e Entry) bool {
+func (r *Roster) isStale(e Entry) bool {
 	gone, known := r.removed[e.ID]
 	if !known || plat.Era(e.Revision) <= plat.Era(gone.revision) || plat.Number(e.Revision) > plat.Number(gone.revision) {
 		return false
 	}
-	if old, there := r.ghosts[e.Name]; there && old.ID == e.ID && plat.Era(old.Revision) == plat.Era(e.Revision) {
+	if old, there := r.stale[e.Name]; there && old.ID == e.ID && plat.Era(old.Revision) == plat.Era(e.Revision) {
 		// It has changed since the list came back, unless it is told again.
 		return old.Revision == e.Revision
 	}
-	r.ghosts[e.Name] = e
+	r.stale[e.Name] = e
 	r.log.Emit(event.TargetSuspect, event.Ref{Target: e.ID}, "it had gone before the list came back from an older copy")
-	time.AfterFunc(ghostTime, func() { r.believe(e) })
+	time.AfterFunc(staleTime, func() { r.acceptStale(e) })
 	return true
 }
 
-// believe takes an entry that has stood for ghostTime.
-func (r *Roster) believe(e Entry) {
+// acceptStale takes an entry that has stood for staleTime.
+func (r *Roster) acceptStale(e Entry) {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	if old, there := r.ghosts[e.Name]; there && old.ID == e.ID && old.Revision == e.Revision && r.targets[r.runs[e.Name]] == nil {
+	if old, there := r.stale[e.Name]; there && old.ID == e.ID && old.Revision == e.Revision && r.targets[r.runs[e.Name]] == nil {
 		r.begin(e)
 	}
 }
--- a/core/roster/restored_test.go
+++ b/core/roster/restored_test.go
@@ -60,13 +60,13 @@
 		{"gone, in the copy for long", func(r *Roster) {
 			r.Remove("a", clock.Now())
 			r.Put(written("a", false, 2, 10))
-			r.believe(written("a", false, 2, 10))
+			r.acceptStale(written("a", false, 2, 10))
 		}, Open},
 		{"gone, in the copy, and gone again", func(r *Roster) {
 			r.Remove("a", clock.Now())
 			r.Put(written("a", false, 2, 10))
 			r.Remove("a", clock.Now())
-			r.believe(written("a", false, 2, 10))
+			r.acceptStale(written("a", false, 2, 10))
 		}, Gone},
 		{"not in the copy", func(r *Roster) { r.Lose("a") }, Open},
 		{"left, and not in the copy", func(r *Roster) {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -99,11 +99,11 @@
 	// early holds, by name, the entry of a run that seems older than the one in use: a
 	// late write, or a target whose clock went back. Guarded by rosterMu.
 	early map[string]Entry
-	// removed holds the revision of the last entry of runs that the list no longer names, and ghosts,
+	// removed holds the revision of the last entry of runs that the list no longer names, and stale,
 	// by name, entries of such runs in a list that has come back from an older copy. Guarded by
 	// rosterMu.
 	removed map[string]removedRun
-	ghosts  map[string]Entry
+	stale   map[string]Entry
 	// peers holds the loads that other daemons told. Guarded by rosterMu.
 	peers map[string]peerLoads
 	// loaded are the targets that peers have work at. Guarded by rosterMu.
@@ -137,7 +137,7 @@
 		regained = func() (clock.Time, time.Duration) { return clock.Time{}, 0 }
 	}
 	r := &Roster{
-		log: log, regained: regained, targets: map[string]*Target{}, runs: map[string]string{}, ended: map[string]string{}, early: map[string]Entry{}, removed: map[string]removedRun{}, ghosts: map[string]Entry{}, peers: map[string]peerLoads{}, loaded: map[string]bool{},
+		log: log, regained: regained, targets: map[string]*Target{}, runs: map[string]string{}, ended: map[string]string{}, early: map[string]Entry{}, removed: map[string]removedRun{}, stale: map[string]Entry{}, peers: map[string]peerLoads{}, loaded: map[string]bool{},
 		reloading: map[string]time.Time{}, peerReloading: map[string]time.Time{}, said: map[string]*said{},
 		ordered: map[string]time.Time{}, peerOrdered: map[string]map[string]time.Time{}, learnedAt: map[string]time.Time{},
 	}
@@ -173,7 +173,7 @@
 		r.renew(former, e)
 		return nil
 	}
-	if former == nil && r.isGhost(e) {
+	if former == nil && r.isStale(e) {
 		return nil
 	}
 	if former != nil && e.Born.Before(former.Entry().Born) {
@@ -198,7 +198,7 @@
 	r.targets[e.ID], r.runs[e.Name] = t, e.ID
 	delete(r.early, e.Name)
 	delete(r.ended, e.Name)
-	delete(r.ghosts, e.Name)
+	delete(r.stale, e.Name)
 	delete(r.removed, e.ID)
 	if e.Leaving {
 		r.listLeaves(e.ID)
@@ -292,7 +292,7 @@
 func (r *Roster) clear(name string) *Target {
 	delete(r.ended, name)
 	delete(r.early, name)
-	delete(r.ghosts, name)
+	delete(r.stale, name)
 	return r.targets[r.runs[name]]
 }
 
--- a/core/roster/share.go
+++ b/core/roster/share.go
@@ -86,7 +86,7 @@
 			s.leaves(id, ByPeer)
 		}
 	}
-	s.hearLimits(body.Limits)
+	s.mergeLimits(body.Limits)
 	for id, weights := range body.Learned {
 		for model, version := range weights {
 			s.learn(id, model, version)
