--- a/core/poison/watch.go
+++ b/core/poison/watch.go
@@ -18,6 +18,9 @@
 	// tailTime is how long before the end of a run a request may have ended well and still be
 	// what ended it: some faults strike as a target cleans up after an answer.
 	tailTime = 150 * time.Millisecond
+	// goodProof is how often in a row a request must have ended well at a run to be no reason for the
+	// run's end soon after: as often as it takes ends to block one.
+	goodProof = runsMost
 	// goodMost bounds the requests that are remembered to have ended well, in each of two
 	// generations; 2,048 are the last 35 s at least of a daemon with 60 requests a second.
 	goodMost = 2048
@@ -53,6 +56,8 @@
 	run string
 	at  clock.Time
 	sent
+	// times is how often in a row it ended well at the run.
+	times int
 }
 
 // sends remembers what became of this daemon's own sends: those whose connection ended, by
@@ -176,7 +181,7 @@
 	var out []sent
 	for _, generation := range []map[uint64]good{s.young, s.old} {
 		for k, g := range generation {
-			if g.run == run && at.Sub(g.at) < tailTime {
+			if g.run == run && at.Sub(g.at) < tailTime && g.times < goodProof {
 				out = append(out, g.sent)
 				delete(generation, k)
 			}
@@ -192,7 +197,16 @@
 	if len(s.young) >= goodMost || s.young == nil {
 		s.young, s.old = map[uint64]good{}, s.young
 	}
-	s.young[key(who.request)] = good{run: run, at: clock.Now(), sent: who}
+	k := key(who.request)
+	last, found := s.young[k]
+	if !found {
+		last = s.old[k]
+	}
+	times := 1
+	if last.run == run && last.request == who.request {
+		times = min(last.times+1, goodProof)
+	}
+	s.young[k] = good{run: run, at: clock.Now(), sent: who, times: times}
 }
 
 // wasGood reports whether a request ended well lately, at a run that did not end just after.
