--- a/core/roster/bench_test.go
+++ b/core/roster/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 )
 
@@ -41,8 +42,7 @@
 }
 
 // BenchmarkGate asks of 110 targets, those of a cell, for one choice; 10 of them said that they leave or
-// rest. Before, where ten left by the list and what targets say did not count, this took 3.7 to 5.3 us;
-// now 5.7 to 8.5 us beside the same load, of a choice that takes about 30.
+// rest.
 func BenchmarkGate(b *testing.B) {
 	r := New(&event.Log{}, nil)
 	for i := range 110 {
@@ -70,3 +70,24 @@
 		}
 	}
 }
+
+// BenchmarkGateLimits does the same where 10 of the targets named a request rate.
+func BenchmarkGateLimits(b *testing.B) {
+	r := New(&event.Log{}, nil)
+	r.Place = func(*Target) (int, int) { return 3, 12 }
+	for i := range 110 {
+		id := strconv.Itoa(i)
+		r.Put(Entry{ID: id, Service: "s"})
+		if i < 10 {
+			r.HearLimit(id, Limit{Named: true, PerSecond: 0.5}, clock.Now(), true)
+		}
+	}
+	list := r.Of("s")
+	b.ReportAllocs()
+	for b.Loop() {
+		gate := r.Gate(time.Now())
+		for _, t := range list {
+			gate.Stop(t)
+		}
+	}
+}
