Boxes that a restored store lacks stay in the list until they can have written their keys again

Cause: what a copy lacks was taken for what had gone. The keys of boxes hang on sessions; where those of the copy have run out all boxes vanish from the list at once, and cells and homes are worked out anew, until each daemon has renewed, which takes up to a quarter of a key's life (3 s). Change: for half of a key's life (6 s) after the era rose the list is what it was and what is there. Price: a box that really goes within these 6 s stays listed for their rest; heartbeats tell that it is lost.

--- a/core/memkv/restore.go
+++ b/core/memkv/restore.go
@@ -41,3 +41,10 @@
 		k.moved = nil
 	}
 }
+
+// Era returns how often the service has come back from a copy.
+func (k *KV) Era() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.era
+}
--- a/emberd/internal/host/state.go
+++ b/emberd/internal/host/state.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -98,8 +100,20 @@
 	// reader uses them.
 	edits int64
 	state boxesState
+	// last holds the boxes of the last reading by key, and era is that of the mirror then. Only the
+	// reader uses them.
+	last map[string]plat.Box
+	era  int64
+	// missing holds, until held, the boxes that the mirror lacked when its era rose. Only the reader
+	// uses them.
+	missing map[string]plat.Box
+	held    clock.Time
 }
 
+// boxHold is how long a box that a restored store lacks stays in the list: each daemon writes its key
+// again within a quarter of boxLife.
+const boxHold = boxLife / 2
+
 // boxesState tells whether the boxes' keys are as they were: a new or changed one raises
 // the latest revision, and one that goes changes the count.
 type boxesState struct {
@@ -111,8 +125,12 @@
 // Read returns the list. Most changes of the mirror are of targets, at which the boxes are not read
 // anew.
 func (b *boxes) Read(context.Context) ([]plat.Box, bool, error) {
-	edits := b.mirror.Edits()
-	if edits == b.edits {
+	over := b.missing != nil && !clock.Now().Before(b.held)
+	if over {
+		b.missing = nil
+	}
+	edits, era := b.mirror.Edits(), b.mirror.Era()
+	if edits == b.edits && !over {
 		return nil, false, nil
 	}
 	b.edits = edits
@@ -121,19 +139,27 @@
 	for _, p := range pairs {
 		state.latest = max(state.latest, p.ModRevision)
 	}
-	if state == b.state {
+	if state == b.state && !over {
 		return nil, false, nil
 	}
 	b.state = state
-	var out []plat.Box
+	if b.last != nil && era > b.era {
+		b.missing, b.held = b.last, clock.Now().Add(boxHold)
+	}
+	b.last, b.era = map[string]plat.Box{}, era
 	for _, p := range pairs {
 		var box plat.Box
 		if err := json.Unmarshal(p.Value, &box); err == nil {
-			out = append(out, box)
+			b.last[p.Key] = box
 		}
 		// A key that no daemon wrote so names none; the others still count.
 	}
-	return out, true, nil
+	for key, box := range b.missing {
+		if _, there := b.last[key]; !there {
+			b.last[key] = box
+		}
+	}
+	return slices.Collect(maps.Values(b.last)), true, nil
 }
 
 // daemons counts the daemons that share the connections to targets.
