A warm worker is not taken for cold by its older entry in a restored list

Cause: an entry's time of cold start counts from when it is told; a list that came back from a copy tells all anew, so workers were given few requests for as long again. Found by reading. Change: an entry of a later era with a number that is not above the known one's leaves what is known of the start. TestAWarmTargetIsNotColdByAnOlderEntry is red on the commit before, now green.

--- a/core/roster/restored_test.go
+++ b/core/roster/restored_test.go
@@ -99,3 +99,21 @@
 		})
 	}
 }
+
+// A worker that was cold when its entry was written is not so again when a restored list tells it.
+func TestAWarmTargetIsNotColdByAnOlderEntry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New(&event.Log{}, nil)
+	cold := written("a", false, 1, 10)
+	cold.Cold = time.Hour
+	r.Put(cold)
+	g.Expect(r.Target("a").cold(time.Now())).To(gomega.BeTrue())
+	r.Put(written("a", false, 1, 12))
+	g.Expect(r.Target("a").cold(time.Now())).To(gomega.BeFalse())
+	cold.Revision = plat.Revision(2, 10)
+	r.Put(cold)
+	g.Expect(r.Target("a").cold(time.Now())).To(gomega.BeFalse())
+	cold.Revision = plat.Revision(2, 13)
+	r.Put(cold)
+	g.Expect(r.Target("a").cold(time.Now())).To(gomega.BeTrue(), "it was written since")
+}
--- a/core/roster/target.go
+++ b/core/roster/target.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"embertally.dev/core/plat"
 )
 
 // itoa writes a number as it stands in log lines.
@@ -46,7 +48,8 @@
 // set takes what the list says, which ends a lapse. It is called with rosterMu
 // held.
 func (t *Target) set(e Entry) {
-	if old := t.entry.Load(); old != nil {
+	old := t.entry.Load()
+	if old != nil {
 		// Entries are written seldom; what was seen since may be newer.
 		weights := maps.Clone(e.Weights)
 		for model, v := range old.Weights {
@@ -61,6 +64,10 @@
 	t.targetMu.Lock()
 	defer t.targetMu.Unlock()
 	t.until = time.Time{}
+	if old != nil && plat.Era(e.Revision) > plat.Era(old.Revision) && plat.Number(e.Revision) <= plat.Number(old.Revision) {
+		// It is told again by a list that came back from an older copy.
+		return
+	}
 	t.coldUntil = time.Time{}
 	if e.Cold > 0 {
 		// Counted from now, which is later than the target wrote it.
