--- a/core/relay/limit_test.go
+++ b/core/relay/limit_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/fleet"
 	"embertally.dev/core/roster"
 )
 
@@ -162,10 +164,7 @@
 
 // A daemon that does not use the limited targets has its request sent by the token of one that does.
 func TestADaemonWithoutTokensAsksOneThatHasSome(t *testing.T) {
-	h := newHomesRig(t, 6, 1, always(func(w *bufio.Writer, r *http.Request) error {
-		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n%sTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", r.Header.Get("Id"), limits(20))
-		return nil
-	}))
+	h := newHomesRig(t, 6, 1, always(limitedStream(20)))
 	told := map[string]roster.LimitNews{h.ids[0]: {On: true, PerSecond: 20, Seq: 1}}
 	for i, r := range h.rigs {
 		view := h.fleet[i].View
@@ -197,3 +196,55 @@
 		r.g.Expect(r.roster.Limited()).To(gomega.HaveLen(want))
 	}
 }
+
+// limitedStream is a stream whose head names a request rate.
+func limitedStream(perSecond float64) handler {
+	return func(w *bufio.Writer, r *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n%sTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", r.Header.Get("Id"), limits(perSecond))
+		return nil
+	}
+}
+
+// Contexts have homes in either of two cells, and all workers name a limit: no way of choosing exceeds it.
+func TestLimitsHoldOverCellsAndHomes(t *testing.T) {
+	const perSecond, told, lasts, window = 3, time.Second, 6 * time.Second, 4 * time.Second
+	h := newHomesRig(t, 24, 4, always(limitedStream(perSecond)))
+	for i, r := range h.rigs {
+		f := h.fleet[i]
+		// As View.Place, which goes by a list of boxes that these daemons do not have.
+		r.roster.Place = func(t *roster.Target) (int, int) {
+			cell := f.View().OnDuty()
+			return fleet.Place(fleet.Key(t.ID()), cell, f.View().Self()), len(cell)
+		}
+		r.relay.o.Choosers = func(t *roster.Target, n int) []string { return f.View().Ranked(fleet.Key(t.ID()), true, n) }
+	}
+	h.g.Expect(h.fleet[0].View().Cells()).To(gomega.BeNumerically(">", 1))
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i := range h.rigs {
+		wg.Go(func() {
+			for n := 0; time.Since(began) < lasts; n++ {
+				h.ask(i, fmt.Sprintf("c%d", n%7))
+			}
+		})
+	}
+	wg.Wait()
+	arrivals := map[string][]time.Time{}
+	for _, s := range h.rigs[0].sends() {
+		if s.at.Sub(began) > told {
+			arrivals[s.target] = append(arrivals[s.target], s.at)
+		}
+	}
+	for id, list := range arrivals {
+		for i, from := range list {
+			n := 0
+			for _, at := range list[i:] {
+				if at.Sub(from) <= window {
+					n++
+				}
+			}
+			h.g.Expect(n).To(gomega.BeNumerically("<=", 1.5*perSecond*window.Seconds()+5), id)
+		}
+	}
+	h.g.Expect(arrivals).NotTo(gomega.BeEmpty())
+}
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -82,6 +82,7 @@
 	uri    string
 	header http.Header
 	body   string
+	at     time.Time
 }
 
 // handler answers one request on a connection of a target; an error closes
@@ -125,7 +126,7 @@
 		n := t.count
 		t.count++
 		t.mu.Unlock()
-		t.rig.record(seen{t.id, req.Method, req.RequestURI, req.Header, string(body)})
+		t.rig.record(seen{target: t.id, method: req.Method, uri: req.RequestURI, header: req.Header, body: string(body)})
 		w := bufio.NewWriter(c)
 		err = t.handle(n)(w, req)
 		w.Flush()
@@ -157,6 +158,7 @@
 func (r *rig) record(s seen) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	s.at = time.Now()
 	r.seen = append(r.seen, s)
 }
 
