--- a/core/roster/gate.go
+++ b/core/roster/gate.go
@@ -141,10 +141,7 @@
 // word returns what a run said, as it counts now. It is called with rosterMu held.
 func (r *Roster) word(id string, s *said, now clock.Time) word {
 	w := word{leaves: s.leaves, rests: s.rest.left(now)}
-	t := r.targets[id]
-	if t == nil {
-		t = r.guests.find(id)
-	}
+	t := r.find(id)
 	if t == nil {
 		return w
 	}
@@ -176,10 +173,7 @@
 	var out []string
 	now := clock.Now()
 	for id, s := range r.said {
-		t := r.targets[id]
-		if t == nil {
-			t = r.guests.find(id)
-		}
+		t := r.find(id)
 		if t != nil && t.Entry().Service == service && (s.leaves || s.rest.left(now) > 0) {
 			out = append(out, id)
 		}
--- a/core/roster/limit.go
+++ b/core/roster/limit.go
@@ -266,7 +266,7 @@
 // mergeLimits takes what another daemon told of limits. It is called with rosterMu held.
 func (r *Roster) mergeLimits(told map[string]LimitNews) {
 	for id, n := range told {
-		if r.targets[id] == nil && r.guests.find(id) == nil {
+		if r.find(id) == nil {
 			// The first answer of what is not known here says so itself.
 			continue
 		}
@@ -295,10 +295,7 @@
 	defer r.rosterMu.Unlock()
 	out := r.limitNews()
 	for id, n := range out {
-		t := r.targets[id]
-		if t == nil {
-			t = r.guests.find(id)
-		}
+		t := r.find(id)
 		if !n.On || t == nil || t.Entry().Service != service {
 			delete(out, id)
 		}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -371,6 +371,11 @@
 func (r *Roster) Target(id string) *Target {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
+	return r.find(id)
+}
+
+// find is Target with rosterMu held.
+func (r *Roster) find(id string) *Target {
 	if t := r.targets[id]; t != nil {
 		return t
 	}
