A daemon that knows only an older copy of the store gets the configuration in force from peers

Seen: after a restore, before the operators have written again, a daemon that starts or was suspended reads the older configuration and serves by it, while its peers go on with the newer one. It was open in the postmortem of the restored store.

Cause: what is in force over a restore was kept only by who had it in force. Ruled out: telling it with heartbeats (a daemon that starts is not known to its peers yet and serves until it is); telling all that is in force (each start would cost five times the configuration). Change: at the first copy of each era a daemon asks five peers for values whose versions only rise, the configuration and named weights, that the store does not hold; the first configuration is put in force when they have answered or after half a second.

--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -55,6 +55,7 @@
 	ListShardTaken  Code = 3014
 	ConfDropped     Code = 3015
 	ServiceRestored Code = 3016
+	ValueInForce    Code = 3017
 
 	RequestAccepted  Code = 4001
 	RequestPlaced    Code = 4002
@@ -162,6 +163,7 @@
 	{ListShardTaken, "listShardTaken", Info, "This daemon holds another shard of the list of targets than before; the text has the peer that told it, the cell and the number of entries that it took."},
 	{ConfDropped, "confDropped", Info, "A copy of what the key-value service holds was older than what is known and was dropped; the text has both revisions."},
 	{ServiceRestored, "serviceRestored", Warning, "The key-value service has come back from an older copy; the text has the era and revision of the copy, and the highest known before: what lies between is lost until its writers write it again."},
+	{ValueInForce, "valueInForce", Warning, "The key-value service holds an older value than the one that a peer has in force; the text has the version taken from the peer."},
 
 	{RequestAccepted, "requestAccepted", Debug, "A caller's request was authenticated and read."},
 	{RequestPlaced, "requestPlaced", Info, "A target was chosen; the text gives the reasons and the candidates weighed."},
--- a/core/spread/mirror_test.go
+++ b/core/spread/mirror_test.go
@@ -43,6 +43,7 @@
 	fleet   *fleet.Fleet
 	mirror  *plat.Mirror
 	mirrors *spread.Mirrors
+	inForce *spread.InForce
 	// seen holds the keys of the changes that the mirror told, in their order.
 	seenMu sync.Mutex
 	seen   []string // guarded by seenMu
@@ -111,6 +112,7 @@
 	m.mirror = plat.NewMirror(store, plat.Prefix("op/"), &event.Log{})
 	m.mirror.Observe(m.observe)
 	m.mirrors = spread.NewMirrors(m.mirror, m.fleet, &event.Log{})
+	m.inForce = spread.NewInForce(m.mirrors)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { m.fleet.Run(ctx, l) })
--- /dev/null
+++ b/emberd/internal/host/force.go
@@ -0,0 +1,157 @@
+package host
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"embertally.dev/core/cache"
+	"embertally.dev/core/event"
+	"embertally.dev/core/plat"
+	"embertally.dev/core/table"
+	"embertally.dev/core/wait"
+	"embertally.dev/platform"
+)
+
+// inForce decides which configuration is in force: the newest one, also where the store came back
+// from an older copy.
+type inForce struct {
+	forceMu sync.Mutex
+	// asked tells that peers were asked for a newer configuration than the first copy holds. Guarded
+	// by forceMu.
+	asked bool
+	// held is the first configuration, until then. Guarded by forceMu.
+	held *table.Table
+
+	putMu sync.Mutex // held while a configuration is put in force
+}
+
+const (
+	// restoreLook is the pause between looks at the store's era.
+	restoreLook = 50 * time.Millisecond
+	// peersLimit bounds the wait for the list of boxes to reach the fleet.
+	peersLimit = 500 * time.Millisecond
+	// askAgain is the pause before peers are asked again where none has answered.
+	askAgain = time.Second
+)
+
+// watchEras asks peers at the first copy of each era of the store, until ctx ends.
+func (h *Host) watchEras(ctx context.Context) {
+	var era int64
+	var next, until time.Time
+	wait.Every(ctx, restoreLook, func() {
+		now := time.Now()
+		if e := h.mirror.Era(); e > era {
+			era, next, until = e, now, now.Add(restoredHold)
+		}
+		if now.Before(next) || !now.Before(until) {
+			return
+		}
+		next = now.Add(askAgain)
+		if h.askInForce(ctx) {
+			until = now
+		}
+	})
+}
+
+// askInForce asks peers for what is newer than the store's copy, and ends the wait of the first
+// configuration. It returns false where there are peers and none has answered.
+func (h *Host) askInForce(ctx context.Context) bool {
+	there := h.awaitPeers(ctx)
+	answered := 0
+	if there {
+		answered = h.newest.Ask(ctx, h.takeInForce)
+	}
+	h.newest.Settle()
+	h.force.forceMu.Lock()
+	held := h.force.held
+	h.force.asked, h.force.held = true, nil
+	h.force.forceMu.Unlock()
+	if held != nil {
+		h.put(held)
+	}
+	return answered > 0 || !there
+}
+
+// awaitPeers waits until the fleet knows of peers, and reports whether there are any.
+func (h *Host) awaitPeers(ctx context.Context) bool {
+	for end := time.Now().Add(peersLimit); ; {
+		if len(h.fleet.View().Peers()) > 0 {
+			return true
+		}
+		if h.isAlone() || !time.Now().Before(end) || !wait.For(ctx, restoreLook) {
+			return false
+		}
+	}
+}
+
+// isAlone reports whether the store lists no other box.
+func (h *Host) isAlone() bool {
+	for _, p := range h.mirror.Under(keyBoxes) {
+		if strings.TrimPrefix(p.Key, keyBoxes) != h.set.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// takeInForce takes a newer value from a peer.
+func (h *Host) takeInForce(p plat.Pair) {
+	news, err := h.decoder.Read(plat.Change{Pair: p})
+	if err != nil {
+		h.log.Emit(event.ConfUnderived, event.Ref{Resource: p.Key}, err.Error())
+		return
+	}
+	h.takeVersions(p, news)
+	if news.Table != nil {
+		h.put(news.Table)
+	}
+}
+
+// takeVersions takes the values of operators whose versions only rise.
+func (h *Host) takeVersions(p plat.Pair, news platform.News) {
+	switch {
+	case news.Table != nil:
+		h.newest.Set(p.Key, news.Table.Version(), p.Value)
+	case news.Named != nil:
+		h.newest.Set(p.Key, news.Named.Version, p.Value)
+		h.named.set(news.Named.Model, news.Named.Version)
+		h.log.Emit(event.ConfApplied, event.Ref{Resource: p.Key}, "weights named, version "+itoa(news.Named.Version))
+	}
+}
+
+// apply takes a configuration of the store. The first one waits until peers were asked, where the
+// store may have come back from a copy.
+func (h *Host) apply(t *table.Table) {
+	h.force.forceMu.Lock()
+	holds := !h.force.asked && h.mirror.Era() > 0
+	if holds {
+		h.force.held = t
+	}
+	h.force.forceMu.Unlock()
+	if !holds {
+		h.put(t)
+	}
+}
+
+// put puts a configuration in force, unless a newer one is.
+func (h *Host) put(t *table.Table) {
+	h.force.putMu.Lock()
+	defer h.force.putMu.Unlock()
+	if old := h.relay.Table(); old != nil && old.Version() > t.Version() {
+		h.log.Emit(event.ConfRejected, event.Ref{}, "version "+itoa(t.Version())+" is older than "+itoa(old.Version()))
+		return
+	}
+	h.relay.SetTable(t)
+	h.log.Emit(event.ConfApplied, event.Ref{}, "version "+itoa(t.Version()))
+	tokenBytes := 0
+	for _, svc := range t.Engines() {
+		tokenBytes = max(tokenBytes, svc.Engine.TokenBytes)
+	}
+	var stores []cache.StoreInfo
+	for _, s := range t.Stores() {
+		stores = append(stores, storeInfo(s, tokenBytes))
+	}
+	h.kept.Set(h.work, stores)
+}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -78,6 +78,8 @@
 	sweeper   *cache.Sweeper
 	presence  *lease.Presence
 	named     named
+	newest    *spread.InForce
+	force     inForce
 	daemons   daemons
 
 	// unread holds the keys that could not be read; only the observer uses it.
@@ -109,6 +111,7 @@
 	})
 	h.fleet.Attach("roster", roster.Share{Roster: h.roster})
 	h.mirrors = spread.NewMirrors(h.mirror, h.fleet, h.log)
+	h.newest = spread.NewInForce(h.mirrors)
 	h.mirror.Outline, h.mirrors.Entry = keyBoxes, h.entryOf
 	h.store.Hold = h.mirrors.Hold
 	h.where.Room = h.memory
@@ -275,7 +278,7 @@
 // start runs the slices: those that only some daemons do end with duties, at
 // the beginning of a planned stop, the others with work.
 func (h *Host) start(work, duties context.Context, wg *sync.WaitGroup) {
-	for _, run := range []func(context.Context){h.mirror.Run, h.mirrors.Run, h.homes.Run, h.presence.Run, h.poison.Run, h.rollouts.Run, h.loop} {
+	for _, run := range []func(context.Context){h.mirror.Run, h.mirrors.Run, h.homes.Run, h.presence.Run, h.poison.Run, h.rollouts.Run, h.watchEras, h.loop} {
 		wg.Go(func() { run(work) })
 	}
 	for _, run := range []func(context.Context){h.swapper.Run, h.sweeper.Run} {
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -67,9 +67,8 @@
 	case news.Rollout != nil:
 		h.canary.SetOrder(*news.Rollout)
 		h.log.Emit(event.ConfApplied, event.Ref{Resource: c.Key}, "roll-out of version "+news.Rollout.Version+" in "+news.Rollout.Lasts.String())
-	case news.Named != nil:
-		h.named.set(news.Named.Model, news.Named.Version)
-		h.log.Emit(event.ConfApplied, event.Ref{Resource: c.Key}, "weights named, version "+itoa(news.Named.Version))
+	default:
+		h.takeVersions(c.Pair, news)
 	}
 	return news.Table
 }
@@ -137,25 +136,6 @@
 	}
 }
 
-// apply puts a configuration in force, unless a newer one is.
-func (h *Host) apply(t *table.Table) {
-	if old := h.relay.Table(); old != nil && old.Version() > t.Version() {
-		h.log.Emit(event.ConfRejected, event.Ref{}, "version "+itoa(t.Version())+" is older than "+itoa(old.Version()))
-		return
-	}
-	h.relay.SetTable(t)
-	h.log.Emit(event.ConfApplied, event.Ref{}, "version "+itoa(t.Version()))
-	tokenBytes := 0
-	for _, svc := range t.Engines() {
-		tokenBytes = max(tokenBytes, svc.Engine.TokenBytes)
-	}
-	var stores []cache.StoreInfo
-	for _, s := range t.Stores() {
-		stores = append(stores, storeInfo(s, tokenBytes))
-	}
-	h.kept.Set(h.work, stores)
-}
-
 // storeInfo is what the cache needs to know of a store.
 func storeInfo(s *table.Store, tokenBytes int) cache.StoreInfo {
 	return cache.StoreInfo{
