A daemon that knows only an older copy of the store gets evacuations and roll-outs from peers

Seen with a test: after a restore that lost an evacuation, a daemon that starts before it is written again sends 41 of 41 requests to the evacuated domain, which its peers leave alone for 10 s. Read: the same for a roll-out's order.

Cause: as with the configuration, what is kept over a restore was known only to who had it. Change: peers are asked for these keys as well. They have no versions: one that the asker has none of is told while the store lacks it, and an evacuation ends 10 s after it was taken, as at the others. A peer tells only what it had from the store itself, so that an evacuation is not passed on for ever.

--- a/core/spread/inforce.go
+++ b/core/spread/inforce.go
@@ -30,9 +30,8 @@
 	inForceRest = 5 * time.Second
 )
 
-// InForce holds values whose versions only rise, by their keys in the key-value service. After the
-// service came back from an older copy, daemons that know only the copy get the newer values from
-// peers.
+// InForce holds what operators have written, by keys of the key-value service. After the service came
+// back from an older copy, daemons that know only the copy get from peers what it lacks.
 type InForce struct {
 	mirror  *plat.Mirror
 	fleet   *fleet.Fleet
@@ -50,8 +49,9 @@
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
 	Key      string
-	Version  int64
 	Value    []byte
+	Revision int64
+	Version  int64
 }
 
 // inForceAsk asks for the values that are newer than the asker's, or that it lacks, and that the
@@ -81,15 +81,22 @@
 	return n
 }
 
-// Set holds a value, unless a newer one of its key is held.
-func (n *InForce) Set(key string, version int64, value []byte) {
+// Set holds a value, unless a newer version of it is held. The version is 0 for values that have none.
+func (n *InForce) Set(p plat.Pair, version int64) {
 	n.inForceMu.Lock()
 	defer n.inForceMu.Unlock()
-	if held, ok := n.values[key]; !ok || held.Version <= version {
-		n.values[key] = inForceValue{Key: key, Version: version, Value: value}
+	if held, ok := n.values[p.Key]; !ok || held.Version <= version {
+		n.values[p.Key] = inForceValue{Key: p.Key, Value: p.Value, Revision: p.ModRevision, Version: version}
 	}
 }
 
+// Drop holds a value no longer.
+func (n *InForce) Drop(key string) {
+	n.inForceMu.Lock()
+	defer n.inForceMu.Unlock()
+	delete(n.values, key)
+}
+
 // Settle makes this daemon answer peers.
 func (n *InForce) Settle() {
 	n.inForceMu.Lock()
@@ -204,7 +211,7 @@
 	for _, v := range values {
 		if held, ok := a.versions()[v.Key]; !ok || held < v.Version {
 			a.log.Emit(event.ValueInForce, event.Ref{Resource: v.Key}, "version "+strconv.FormatInt(v.Version, 10)+" from "+a.peer)
-			a.take(plat.Pair{Key: v.Key, Value: v.Value})
+			a.take(plat.Pair{Key: v.Key, Value: v.Value, ModRevision: v.Revision})
 		}
 	}
 	a.taking.Unlock()
--- a/core/spread/inforce_test.go
+++ b/core/spread/inforce_test.go
@@ -31,14 +31,14 @@
 	seeds, listeners := addresses(t, 2)
 	teller = run(t, seeds[0].Name, listeners[0], store, seeds)
 	g.Eventually(teller.holds("op/config", []byte("two")), soon, look).Should(gomega.BeTrue())
-	teller.inForce.Set("op/config", 2, []byte("two"))
+	teller.inForce.Set(plat.Pair{Key: "op/config", Value: []byte("two")}, 2)
 	teller.inForce.Settle()
 	store.Restore(before)
 	asker = run(t, seeds[1].Name, listeners[1], store, seeds)
 	for _, m := range []*member{teller, asker} {
 		g.Eventually(m.holds("op/config", []byte("one")), soon, look).Should(gomega.BeTrue())
 	}
-	asker.inForce.Set("op/config", 1, []byte("one"))
+	asker.inForce.Set(plat.Pair{Key: "op/config", Value: []byte("one")}, 1)
 	return g, store, teller, asker
 }
 
@@ -55,15 +55,27 @@
 
 func TestAnOlderValueReplacesNoNewerOne(t *testing.T) {
 	g, _, teller, asker := pair(t)
-	teller.inForce.Set("op/config", 1, []byte("one"))
+	teller.inForce.Set(plat.Pair{Key: "op/config", Value: []byte("one")}, 1)
 	got, _ := asker.asked()
 	g.Expect(got).To(gomega.Equal(map[string]string{"op/config": "two"}))
-	asker.inForce.Set("op/config", 3, []byte("three"))
+	asker.inForce.Set(plat.Pair{Key: "op/config", Value: []byte("three")}, 3)
 	got, n := asker.asked()
 	g.Expect(n).To(gomega.Equal(1))
 	g.Expect(got).To(gomega.BeEmpty())
 }
 
+// What has no version is told where the asker has none, until it is dropped.
+func TestAValueWithoutAVersionIsToldUntilItIsDropped(t *testing.T) {
+	g, _, teller, asker := pair(t)
+	p := plat.Pair{Key: "op/evacuate/z1", Value: []byte("{}"), ModRevision: 7}
+	teller.inForce.Set(p, 0)
+	got, _ := asker.asked()
+	g.Expect(got).To(gomega.HaveKeyWithValue(p.Key, "{}"))
+	teller.inForce.Drop(p.Key)
+	got, _ = asker.asked()
+	g.Expect(got).NotTo(gomega.HaveKey(p.Key))
+}
+
 // What the service holds reaches everyone through the mirror.
 func TestAValueInForceThatTheServiceHoldsIsNotTold(t *testing.T) {
 	g, store, teller, asker := pair(t)
@@ -84,7 +96,7 @@
 	seeds, listeners := addresses(t, 2)
 	teller := run(t, seeds[0].Name, listeners[0], store, seeds)
 	g.Eventually(teller.holds("op/config", []byte("two")), soon, look).Should(gomega.BeTrue())
-	teller.inForce.Set("op/config", 2, []byte("two"))
+	teller.inForce.Set(plat.Pair{Key: "op/config", Value: []byte("two")}, 2)
 	teller.inForce.Settle()
 	asker := run(t, seeds[1].Name, listeners[1], before, seeds)
 	g.Eventually(asker.holds("op/config", []byte("one")), soon, look).Should(gomega.BeTrue())
@@ -97,7 +109,7 @@
 func TestALargeValueInForceIsTold(t *testing.T) {
 	g, _, teller, asker := pair(t)
 	large := string(noise(200 << 10))
-	teller.inForce.Set("op/large", 1, []byte(large))
+	teller.inForce.Set(plat.Pair{Key: "op/large", Value: []byte(large)}, 1)
 	got, _ := asker.asked()
 	g.Expect(got).To(gomega.Equal(map[string]string{"op/config": "two", "op/large": large}))
 }
--- a/emberd/internal/host/force.go
+++ b/emberd/internal/host/force.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/canary"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/table"
@@ -96,14 +97,26 @@
 	return true
 }
 
-// takeInForce takes a newer value from a peer.
+// takeInForce takes a value from a peer that the store lacks.
 func (h *Host) takeInForce(p plat.Pair) {
+	survive(p.Key, func() { h.takeFromPeer(p) })
+}
+
+func (h *Host) takeFromPeer(p plat.Pair) {
 	news, err := h.decoder.Read(plat.Change{Pair: p})
 	if err != nil {
 		h.log.Emit(event.ConfUnderived, event.Ref{Resource: p.Key}, err.Error())
 		return
 	}
-	h.takeVersions(p, news)
+	switch {
+	case news.Evacuation != nil:
+		h.roster.Evacuate(news.Evacuation.Domain, true, time.Now())
+		h.holdEvacuation(news.Evacuation.Domain, p.Key)
+	case news.Rollout != nil:
+		h.takeRollout(p, news.Rollout)
+	default:
+		h.takeVersions(p, news)
+	}
 	if news.Table != nil {
 		h.put(news.Table)
 	}
@@ -113,14 +126,49 @@
 func (h *Host) takeVersions(p plat.Pair, news platform.News) {
 	switch {
 	case news.Table != nil:
-		h.newest.Set(p.Key, news.Table.Version(), p.Value)
+		h.newest.Set(p, news.Table.Version())
 	case news.Named != nil:
-		h.newest.Set(p.Key, news.Named.Version, p.Value)
+		h.newest.Set(p, news.Named.Version)
 		h.named.set(news.Named.Model, news.Named.Version)
 		h.log.Emit(event.ConfApplied, event.Ref{Resource: p.Key}, "weights named, version "+itoa(news.Named.Version))
 	}
 }
 
+// takeRollout takes what operators ask for a service; the order's revision is 0 where they took it back.
+func (h *Host) takeRollout(p plat.Pair, o *canary.Order) {
+	if o.Revision == 0 {
+		h.newest.Drop(p.Key)
+	} else {
+		h.newest.Set(p, 0)
+	}
+	h.canary.SetOrder(*o)
+	h.log.Emit(event.ConfApplied, event.Ref{Resource: p.Key}, "roll-out of version "+o.Version+" in "+o.Lasts.String())
+}
+
+// takeEvacuation takes what operators ask for a failure domain.
+func (h *Host) takeEvacuation(p plat.Pair, e *platform.Evacuation) {
+	if e.On {
+		h.newest.Set(p, 0)
+	} else {
+		h.newest.Drop(p.Key)
+	}
+	h.roster.Evacuate(e.Domain, e.On, time.Now())
+}
+
+// restoredHold is how long an evacuation that a restored store lacks stays in force: operators write
+// again what it has lost.
+const restoredHold = 10 * time.Second
+
+// holdEvacuation takes an evacuation back that a restored store lacks, unless it is written again.
+func (h *Host) holdEvacuation(domain, key string) {
+	time.AfterFunc(restoredHold, func() {
+		if _, there := h.mirror.Pair(key); !there {
+			h.newest.Drop(key)
+			h.roster.Evacuate(domain, false, time.Now())
+		}
+	})
+}
+
 // apply takes a configuration of the store. The first one waits until peers were asked, where the
 // store may have come back from a copy.
 func (h *Host) apply(t *table.Table) {
--- a/emberd/internal/host/observe.go
+++ b/emberd/internal/host/observe.go
@@ -1,8 +1,6 @@
 package host
 
 import (
-	"time"
-
 	"embertally.dev/core/bugs"
 	"embertally.dev/core/cache"
 	"embertally.dev/core/clock"
@@ -27,12 +25,12 @@
 	}
 }
 
-// survive runs what takes a change of the store. One that would end the process is passed
-// over: all daemons read the same, and would end of it at each start.
+// survive runs what takes a change of the store, or what a peer tells of it. One that would end the
+// process is passed over: all daemons read the same, and would end of it at each start.
 func survive(what string, f func()) {
 	defer func() {
 		if why := recover(); why != nil {
-			bugs.Report("%s, from the store: %v", what, why)
+			bugs.Report("%s, as the store or a peer tells it: %v", what, why)
 		}
 	}()
 	f()
@@ -61,12 +59,11 @@
 	case news.Evacuation != nil && c.Restored:
 		h.holdEvacuation(news.Evacuation.Domain, c.Key)
 	case news.Evacuation != nil:
-		h.roster.Evacuate(news.Evacuation.Domain, news.Evacuation.On, time.Now())
+		h.takeEvacuation(c.Pair, news.Evacuation)
 	case news.Rollout != nil && c.Restored:
 		// Operators did not take it back, and write it again.
 	case news.Rollout != nil:
-		h.canary.SetOrder(*news.Rollout)
-		h.log.Emit(event.ConfApplied, event.Ref{Resource: c.Key}, "roll-out of version "+news.Rollout.Version+" in "+news.Rollout.Lasts.String())
+		h.takeRollout(c.Pair, news.Rollout)
 	default:
 		h.takeVersions(c.Pair, news)
 	}
@@ -116,19 +113,6 @@
 	}
 }
 
-// restoredHold is how long an evacuation that a restored store lacks stays in force: operators write
-// again what it has lost.
-const restoredHold = 10 * time.Second
-
-// holdEvacuation takes an evacuation back that a restored store lacks, unless it is written again.
-func (h *Host) holdEvacuation(domain, key string) {
-	time.AfterFunc(restoredHold, func() {
-		if _, there := h.mirror.Pair(key); !there {
-			h.roster.Evacuate(domain, false, time.Now())
-		}
-	})
-}
-
 // removed hears that a run of a target is over. One that was leaving ended as planned.
 func (h *Host) removed(run string, leaving bool) {
 	if !leaving {
