A daemon that knows only an older copy of the store is told by peers which targets leave

Seen with a test: a worker says in its entry that it leaves, the store comes back from a copy of before, and a daemon that starts before the entry is written again sends 41 of 41 requests to it. Heartbeats tell of a leaving run for two seconds only.

Cause: what a run said outlives its entry at those who heard it, and nobody tells a daemon that starts. Ruled out: telling it longer with heartbeats, which costs all daemons for each run that left. Change: the answer that names what the store lacks also names the runs that left or said so within the last minute, at most 1,024.

--- a/core/roster/gate_test.go
+++ b/core/roster/gate_test.go
@@ -70,6 +70,21 @@
 	g.Expect(by).To(gomega.Equal(ByPeer))
 }
 
+// Daemons that start on an older list are told of runs that it names again.
+func TestRunsThatLeftLatelyAreNamedAlsoAfterTheirEntriesWent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New(&event.Log{}, nil)
+	for _, id := range []string{"a", "b", "c"} {
+		r.Put(entry(id))
+	}
+	r.Leaves("a", ByAnswer)
+	r.Leaves("b", ByAnswer)
+	r.Remove("b", clock.Now())
+	g.Expect(r.LeavingRuns()).To(gomega.ConsistOf("a", "b"))
+	clock.Suspend(leavingRecalled + time.Second)
+	g.Expect(r.LeavingRuns()).To(gomega.BeEmpty())
+}
+
 // What runs said is kept for entries that come back, and not for ever.
 func TestWhatRunsSaidIsForgotten(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/core/roster/said.go
+++ b/core/roster/said.go
@@ -91,6 +91,23 @@
 	return out
 }
 
+// leavingRecalled is how far back LeavingRuns reaches: longer than a store that comes back from a copy loses.
+const leavingRecalled = time.Minute
+
+// LeavingRuns returns the runs that lately said that they leave, whether the list still names them or not.
+func (r *Roster) LeavingRuns() []string {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	var out []string
+	now := clock.Now()
+	for id, s := range r.said {
+		if s.leaves && now.Sub(s.at) <= leavingRecalled {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Asked is what a refusal of a target asked this daemon for.
 type Asked struct {
 	// Rest is how long the target wants nothing; 0 where it says nothing of that.
--- a/core/spread/inforce.go
+++ b/core/spread/inforce.go
@@ -28,15 +28,22 @@
 	inForceLimit = 500 * time.Millisecond
 	// inForceRest bounds the time for the other pieces of one answer.
 	inForceRest = 5 * time.Second
+	// leavingMost bounds the runs that one answer names.
+	leavingMost = 1024
 )
 
 // InForce holds what operators have written, by keys of the key-value service. After the service came
-// back from an older copy, daemons that know only the copy get from peers what it lacks.
+// back from an older copy, daemons that know only the copy get from peers what it lacks, and which targets
+// leave.
 type InForce struct {
 	mirror  *plat.Mirror
 	fleet   *fleet.Fleet
 	parcels *parcels
 	log     *event.Log
+	// Leaving, if set, returns the runs of targets that lately said that they leave, and Leaves hears of
+	// those that a peer names. Both are set before the fleet runs.
+	Leaving func() []string
+	Leaves  func(run string)
 
 	inForceMu sync.Mutex
 	values    map[string]inForceValue // guarded by inForceMu
@@ -64,11 +71,13 @@
 	Era int64
 }
 
-// inForceAnswer holds them in packed form; it is empty where there are none.
+// inForceAnswer holds them in packed form; Packed is empty where there are none.
 type inForceAnswer struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
 	Packed   parcel
+	// Leaving are the runs of targets that lately said that they leave.
+	Leaving []string
 }
 
 // errUnsettled says that a peer knows no more than its own copy.
@@ -118,8 +127,16 @@
 // answer tells a peer what is newer here.
 func (n *InForce) answer(_ context.Context, _ string, ask *inForceAsk) (*inForceAnswer, error) {
 	newer, id, err := n.newerThan(ask)
-	if err != nil || len(newer) == 0 {
-		return &inForceAnswer{}, err
+	if err != nil {
+		return nil, err
+	}
+	out := &inForceAnswer{}
+	if n.Leaving != nil {
+		out.Leaving = n.Leaving()
+		out.Leaving = out.Leaving[:min(len(out.Leaving), leavingMost)]
+	}
+	if len(newer) == 0 {
+		return out, nil
 	}
 	packed, there := n.parcels.find(id)
 	if !there {
@@ -131,7 +148,8 @@
 			return nil, err
 		}
 	}
-	return &inForceAnswer{Packed: n.parcels.first(id, packed)}, nil
+	out.Packed = n.parcels.first(id, packed)
+	return out, nil
 }
 
 // newerThan returns the values that a peer asks for, ordered by key, and a name for them together.
@@ -158,8 +176,8 @@
 	return there && n.mirror.Era() >= era && bytes.Equal(p.Value, v.Value)
 }
 
-// Ask asks some peers for newer values, and calls take with those that are newer than what is held
-// then. Peers that live come first. It returns how many answered.
+// Ask asks some peers for newer values, and calls take, once at a time, with those that are newer than
+// what is held then. Peers that live come first. It returns how many answered.
 func (n *InForce) Ask(ctx context.Context, take func(plat.Pair)) int {
 	peers := n.peers()
 	answers := make(chan bool, len(peers))
@@ -218,15 +236,23 @@
 	a.done <- err == nil
 }
 
-// ask gets the peer's newer values.
+// ask gets the peer's newer values, and takes the runs that leave.
 func (a inForceAsker) ask(ctx context.Context) ([]inForceValue, error) {
 	first, cancel := context.WithTimeout(ctx, inForceLimit)
 	defer cancel()
 	question := &inForceAsk{Versions: a.versions(), Era: a.mirror.Era()}
 	var got inForceAnswer
-	if err := a.fleet.Call(first, a.peer, kindInForce, question, &got); err != nil || got.Packed.Size == 0 {
+	if err := a.fleet.Call(first, a.peer, kindInForce, question, &got); err != nil {
 		return nil, err
 	}
+	if a.Leaves != nil {
+		for _, run := range got.Leaving[:min(len(got.Leaving), leavingMost)] {
+			a.Leaves(run)
+		}
+	}
+	if got.Packed.Size == 0 {
+		return nil, nil
+	}
 	ctx, stop := context.WithTimeout(ctx, inForceRest)
 	defer stop()
 	packed, err := a.parcels.rest(ctx, a.peer, &got.Packed, mostValue)
--- a/core/spread/inforce_test.go
+++ b/core/spread/inforce_test.go
@@ -114,11 +114,26 @@
 	g.Expect(got).To(gomega.Equal(map[string]string{"op/config": "two", "op/large": large}))
 }
 
+func TestTargetsThatLeaveAreTold(t *testing.T) {
+	g, _, teller, asker := pair(t)
+	var told []string
+	teller.leaving.Store(&[]string{"i-1@1", "i-2@1"})
+	asker.inForce.Leaves = func(run string) { told = append(told, run) }
+	asker.asked()
+	g.Expect(told).To(gomega.Equal([]string{"i-1@1", "i-2@1"}))
+	// Also where no value is newer.
+	told = nil
+	asker.inForce.Set(plat.Pair{Key: "op/config", Value: []byte("three")}, 3)
+	asker.asked()
+	g.Expect(told).To(gomega.HaveLen(2))
+}
+
 func TestAPeersNonsenseIsNoValueInForce(t *testing.T) {
 	type inForceAnswer struct {
 		//lint:ignore U1000 read by the codec: frames are arrays
 		_msgpack struct{} `msgpack:",as_array"`
 		Packed   parcel
+		Leaving  []string
 	}
 	junk := []byte("junk that is no packed value")
 	tests := []struct {
--- a/core/spread/mirror_test.go
+++ b/core/spread/mirror_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,8 @@
 	mirror  *plat.Mirror
 	mirrors *spread.Mirrors
 	inForce *spread.InForce
+	// leaving are the runs that the member tells peers of.
+	leaving atomic.Pointer[[]string]
 	// seen holds the keys of the changes that the mirror told, in their order.
 	seenMu sync.Mutex
 	seen   []string // guarded by seenMu
@@ -113,6 +116,8 @@
 	m.mirror.Observe(m.observe)
 	m.mirrors = spread.NewMirrors(m.mirror, m.fleet, &event.Log{})
 	m.inForce = spread.NewInForce(m.mirrors)
+	m.leaving.Store(&[]string{})
+	m.inForce.Leaving = func() []string { return *m.leaving.Load() }
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { m.fleet.Run(ctx, l) })
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -112,6 +112,8 @@
 	h.fleet.Attach("roster", roster.Share{Roster: h.roster})
 	h.mirrors = spread.NewMirrors(h.mirror, h.fleet, h.log)
 	h.newest = spread.NewInForce(h.mirrors)
+	h.newest.Leaving = h.roster.LeavingRuns
+	h.newest.Leaves = func(run string) { h.roster.Leaves(run, roster.ByPeer) }
 	h.mirror.Outline, h.mirrors.Entry = keyBoxes, h.entryOf
 	h.store.Hold = h.mirrors.Hold
 	h.where.Room = h.memory
