Names of what is in force: Host.inForce, firstTable; a parcel of values is named by their revisions

A value without a version that was written again had the name of the former parcel, so that a peer could have got the former content where it takes several pieces. The test gives a large value twice; it was not run on the code before. Else names only.

--- a/core/spread/inforce.go
+++ b/core/spread/inforce.go
@@ -61,8 +61,8 @@
 	Version  int64
 }
 
-// inForceAsk asks for the values that are newer than the asker's, or that it lacks, and that the
-// service does not hold in an era.
+// inForceAsk asks for the values that the service does not hold in an era, and that are newer than the
+// asker's or that it lacks.
 type inForceAsk struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
@@ -132,8 +132,7 @@
 	}
 	out := &inForceAnswer{}
 	if n.Leaving != nil {
-		out.Leaving = n.Leaving()
-		out.Leaving = out.Leaving[:min(len(out.Leaving), leavingMost)]
+		out.Leaving = firstOf(n.Leaving(), leavingMost)
 	}
 	if len(newer) == 0 {
 		return out, nil
@@ -164,7 +163,7 @@
 		v := n.values[key]
 		if known, ok := ask.Versions[key]; (!ok || known < v.Version) && !n.holds(v, ask.Era) {
 			newer = append(newer, v)
-			id += "/" + key + "=" + strconv.FormatInt(v.Version, 10)
+			id += "/" + key + "=" + strconv.FormatInt(v.Version, 10) + "." + strconv.FormatInt(v.Revision, 10)
 		}
 	}
 	return newer, id, nil
@@ -246,7 +245,7 @@
 		return nil, err
 	}
 	if a.Leaves != nil {
-		for _, run := range got.Leaving[:min(len(got.Leaving), leavingMost)] {
+		for _, run := range firstOf(got.Leaving, leavingMost) {
 			a.Leaves(run)
 		}
 	}
--- a/core/spread/inforce_test.go
+++ b/core/spread/inforce_test.go
@@ -71,6 +71,13 @@
 	teller.inForce.Set(p, 0)
 	got, _ := asker.asked()
 	g.Expect(got).To(gomega.HaveKeyWithValue(p.Key, "{}"))
+	// It may be written again with other content, also large.
+	for _, content := range []string{"1", "2"} {
+		p.Value, p.ModRevision = append(noise(200<<10), content...), p.ModRevision+1
+		teller.inForce.Set(p, 0)
+		got, _ = asker.asked()
+		g.Expect(got).To(gomega.HaveKeyWithValue(p.Key, string(p.Value)))
+	}
 	teller.inForce.Drop(p.Key)
 	got, _ = asker.asked()
 	g.Expect(got).NotTo(gomega.HaveKey(p.Key))
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -78,10 +78,12 @@
 	sweeper   *cache.Sweeper
 	presence  *lease.Presence
 	named     named
-	newest    *spread.InForce
-	force     inForce
+	inForce   *spread.InForce
+	first     firstTable
 	daemons   daemons
 
+	putMu sync.Mutex // held while a configuration is put in force
+
 	// unread holds the keys that could not be read; only the observer uses it.
 	unread map[string]bool
 	// began is when the process started.
@@ -111,9 +113,9 @@
 	})
 	h.fleet.Attach("roster", roster.Share{Roster: h.roster})
 	h.mirrors = spread.NewMirrors(h.mirror, h.fleet, h.log)
-	h.newest = spread.NewInForce(h.mirrors)
-	h.newest.Leaving = h.roster.LeavingRuns
-	h.newest.Leaves = func(run string) { h.roster.Leaves(run, roster.ByPeer) }
+	h.inForce = spread.NewInForce(h.mirrors)
+	h.inForce.Leaving = h.roster.LeavingRuns
+	h.inForce.Leaves = func(run string) { h.roster.Leaves(run, roster.ByPeer) }
 	h.mirror.Outline, h.mirrors.Entry = keyBoxes, h.entryOf
 	h.store.Hold = h.mirrors.Hold
 	h.where.Room = h.memory
--- a/emberd/internal/host/force.go
+++ b/emberd/internal/host/inforce.go
@@ -15,17 +15,12 @@
 	"embertally.dev/platform"
 )
 
-// inForce decides which configuration is in force: the newest one, also where the store came back
-// from an older copy.
-type inForce struct {
-	forceMu sync.Mutex
-	// asked tells that peers were asked for a newer configuration than the first copy holds. Guarded
-	// by forceMu.
-	asked bool
-	// held is the first configuration, until then. Guarded by forceMu.
-	held *table.Table
-
-	putMu sync.Mutex // held while a configuration is put in force
+// firstTable is the first configuration of a store that may have come back from an older copy. It is
+// put in force once peers were asked for a newer one.
+type firstTable struct {
+	firstMu sync.Mutex
+	asked   bool         // guarded by firstMu
+	held    *table.Table // the configuration until then; guarded by firstMu
 }
 
 const (
@@ -62,13 +57,13 @@
 	there := h.awaitPeers(ctx)
 	answered := 0
 	if there {
-		answered = h.newest.Ask(ctx, h.takeInForce)
+		answered = h.inForce.Ask(ctx, h.takeInForce)
 	}
-	h.newest.Settle()
-	h.force.forceMu.Lock()
-	held := h.force.held
-	h.force.asked, h.force.held = true, nil
-	h.force.forceMu.Unlock()
+	h.inForce.Settle()
+	h.first.firstMu.Lock()
+	held := h.first.held
+	h.first.asked, h.first.held = true, nil
+	h.first.firstMu.Unlock()
 	if held != nil {
 		h.put(held)
 	}
@@ -126,9 +121,9 @@
 func (h *Host) takeVersions(p plat.Pair, news platform.News) {
 	switch {
 	case news.Table != nil:
-		h.newest.Set(p, news.Table.Version())
+		h.inForce.Set(p, news.Table.Version())
 	case news.Named != nil:
-		h.newest.Set(p, news.Named.Version)
+		h.inForce.Set(p, news.Named.Version)
 		h.named.set(news.Named.Model, news.Named.Version)
 		h.log.Emit(event.ConfApplied, event.Ref{Resource: p.Key}, "weights named, version "+itoa(news.Named.Version))
 	}
@@ -137,9 +132,9 @@
 // takeRollout takes what operators ask for a service; the order's revision is 0 where they took it back.
 func (h *Host) takeRollout(p plat.Pair, o *canary.Order) {
 	if o.Revision == 0 {
-		h.newest.Drop(p.Key)
+		h.inForce.Drop(p.Key)
 	} else {
-		h.newest.Set(p, 0)
+		h.inForce.Set(p, 0)
 	}
 	h.canary.SetOrder(*o)
 	h.log.Emit(event.ConfApplied, event.Ref{Resource: p.Key}, "roll-out of version "+o.Version+" in "+o.Lasts.String())
@@ -148,9 +143,9 @@
 // takeEvacuation takes what operators ask for a failure domain.
 func (h *Host) takeEvacuation(p plat.Pair, e *platform.Evacuation) {
 	if e.On {
-		h.newest.Set(p, 0)
+		h.inForce.Set(p, 0)
 	} else {
-		h.newest.Drop(p.Key)
+		h.inForce.Drop(p.Key)
 	}
 	h.roster.Evacuate(e.Domain, e.On, time.Now())
 }
@@ -163,7 +158,7 @@
 func (h *Host) holdEvacuation(domain, key string) {
 	time.AfterFunc(restoredHold, func() {
 		if _, there := h.mirror.Pair(key); !there {
-			h.newest.Drop(key)
+			h.inForce.Drop(key)
 			h.roster.Evacuate(domain, false, time.Now())
 		}
 	})
@@ -172,12 +167,12 @@
 // apply takes a configuration of the store. The first one waits until peers were asked, where the
 // store may have come back from a copy.
 func (h *Host) apply(t *table.Table) {
-	h.force.forceMu.Lock()
-	holds := !h.force.asked && h.mirror.Era() > 0
+	h.first.firstMu.Lock()
+	holds := !h.first.asked && h.mirror.Era() > 0
 	if holds {
-		h.force.held = t
+		h.first.held = t
 	}
-	h.force.forceMu.Unlock()
+	h.first.firstMu.Unlock()
 	if !holds {
 		h.put(t)
 	}
@@ -185,8 +180,8 @@
 
 // put puts a configuration in force, unless a newer one is.
 func (h *Host) put(t *table.Table) {
-	h.force.putMu.Lock()
-	defer h.force.putMu.Unlock()
+	h.putMu.Lock()
+	defer h.putMu.Unlock()
 	if old := h.relay.Table(); old != nil && old.Version() > t.Version() {
 		h.log.Emit(event.ConfRejected, event.Ref{}, "version "+itoa(t.Version())+" is older than "+itoa(old.Version()))
 		return
