--- a/emberd/internal/host/current_test.go
+++ b/emberd/internal/host/current_test.go
@@ -12,13 +12,20 @@
 	"embertally.dev/core/poison"
 )
 
-// known returns a daemon that has just heard from a peer what the store holds.
-func known(t *testing.T) (*gomega.WithT, *Host) {
+// newHost returns a daemon that does not run.
+func newHost(t *testing.T) (*gomega.WithT, *Host) {
 	g := gomega.NewWithT(t)
 	set, err := ParseSettings([]byte(good))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	h := New(set)
+	h.work = t.Context()
 	t.Cleanup(h.spool.Close)
+	return g, h
+}
+
+// known returns a daemon that has just heard from a peer what the store holds.
+func known(t *testing.T) (*gomega.WithT, *Host) {
+	g, h := newHost(t)
 	h.mirror.Take([]plat.Change{{Pair: plat.Pair{Key: "a", ModRevision: 1}}}, 1, clock.Now())
 	return g, h
 }
--- a/emberd/internal/host/inforce_test.go
+++ b/emberd/internal/host/inforce_test.go
@@ -26,16 +26,6 @@
 	h.mirror.TakeAll(changes, revision, "", "", clock.Now())
 }
 
-func newHost(t *testing.T) (*gomega.WithT, *Host) {
-	g := gomega.NewWithT(t)
-	set, err := ParseSettings([]byte(good))
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	h := New(set)
-	t.Cleanup(h.spool.Close)
-	h.work = t.Context()
-	return g, h
-}
-
 func TestTheFirstConfigurationIsInForceAtOnceWhereTheStoreNamesNoEra(t *testing.T) {
 	g, h := newHost(t)
 	take(h, 1, configured("3", 1))
