One loop for the runs that said that they leave

LeavingRuns had copied that of leavingLately. Both take from leftWithin now; the latter leaves out what the list does not name, as before. Tests of roster under the race detector: green.

--- a/core/roster/said.go
+++ b/core/roster/said.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"embertally.dev/core/clock"
@@ -81,10 +82,16 @@
 
 // leavingLately returns the runs that other daemons are to hear of. It is called with rosterMu held.
 func (r *Roster) leavingLately() []string {
+	out := r.leftWithin(leavingTold)
+	return slices.DeleteFunc(out, func(id string) bool { return r.targets[id] == nil })
+}
+
+// leftWithin returns the runs that said within a time that they leave. It is called with rosterMu held.
+func (r *Roster) leftWithin(age time.Duration) []string {
 	var out []string
 	now := clock.Now()
 	for id, s := range r.said {
-		if s.leaves && r.targets[id] != nil && now.Sub(s.at) <= leavingTold {
+		if s.leaves && now.Sub(s.at) <= age {
 			out = append(out, id)
 		}
 	}
@@ -98,14 +105,7 @@
 func (r *Roster) LeavingRuns() []string {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	var out []string
-	now := clock.Now()
-	for id, s := range r.said {
-		if s.leaves && now.Sub(s.at) <= leavingRecalled {
-			out = append(out, id)
-		}
-	}
-	return out
+	return r.leftWithin(leavingRecalled)
 }
 
 // Asked is what a refusal of a target asked this daemon for.
