Packing an answer once is the business of parcels

InForce.answer had written again what large values and the configuration's answer did: look for a kept parcel, pack, take the first piece; and it let peers that ask at once pack the same values each for itself. parcels.prepare does it for all three, under one lock, and packMessage packs a message for two of them. The versions that are held are read once for an answer in place of once for each value. Behaviour is as before, but that values in force are packed once.

--- a/core/spread/inforce.go
+++ b/core/spread/inforce.go
@@ -61,6 +61,12 @@
 	Version  int64
 }
 
+// newerThan reports whether a value is newer than what some versions, by key, tell of, or not among them.
+func (v inForceValue) newerThan(versions map[string]int64) bool {
+	known, ok := versions[v.Key]
+	return !ok || known < v.Version
+}
+
 // inForceAsk asks for the values that the service does not hold in an era, and that are newer than the
 // asker's or that it lacks.
 type inForceAsk struct {
@@ -113,6 +119,13 @@
 	n.settled = true
 }
 
+// Settled reports whether this daemon answers peers.
+func (n *InForce) Settled() bool {
+	n.inForceMu.Lock()
+	defer n.inForceMu.Unlock()
+	return n.settled
+}
+
 // versions returns the versions of the values that are held.
 func (n *InForce) versions() map[string]int64 {
 	n.inForceMu.Lock()
@@ -137,18 +150,8 @@
 	if len(newer) == 0 {
 		return out, nil
 	}
-	packed, there := n.parcels.find(id)
-	if !there {
-		raw, err := msgpack.Marshal(newer)
-		if err != nil {
-			return nil, errors.WithStack(err)
-		}
-		if packed, err = pack(raw, nil); err != nil {
-			return nil, err
-		}
-	}
-	out.Packed = n.parcels.first(id, packed)
-	return out, nil
+	out.Packed, err = n.parcels.prepare(id, func() ([]byte, error) { return packMessage(newer) })
+	return out, err
 }
 
 // newerThan returns the values that a peer asks for, ordered by key, and a name for them together.
@@ -161,7 +164,7 @@
 	id = "inforce"
 	for _, key := range slices.Sorted(maps.Keys(n.values)) {
 		v := n.values[key]
-		if known, ok := ask.Versions[key]; (!ok || known < v.Version) && !n.holds(v, ask.Era) {
+		if v.newerThan(ask.Versions) && !n.holds(v, ask.Era) {
 			newer = append(newer, v)
 			id += "/" + key + "=" + strconv.FormatInt(v.Version, 10) + "." + strconv.FormatInt(v.Revision, 10)
 		}
@@ -204,8 +207,7 @@
 			others = append(others, all[i].Name)
 		}
 	}
-	names := append(living, others...)
-	return names[:min(len(names), inForcePeers)]
+	return firstOf(append(living, others...), inForcePeers)
 }
 
 // inForceAsker asks one peer.
@@ -225,8 +227,9 @@
 		a.log.Emit(event.PeerNotTold, event.Ref{}, a.peer+", values in force: "+err.Error())
 	}
 	a.taking.Lock()
+	held := a.versions()
 	for _, v := range values {
-		if held, ok := a.versions()[v.Key]; !ok || held < v.Version {
+		if v.newerThan(held) {
 			a.log.Emit(event.ValueInForce, event.Ref{Resource: v.Key}, "version "+strconv.FormatInt(v.Version, 10)+" from "+a.peer)
 			a.take(plat.Pair{Key: v.Key, Value: v.Value, ModRevision: v.Revision})
 		}
--- a/core/spread/pack.go
+++ b/core/spread/pack.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // A new version of a large value mostly repeats the one before. Packed with that as
@@ -48,6 +49,15 @@
 	return e.EncodeAll(value, nil), nil
 }
 
+// packMessage returns a message in packed form.
+func packMessage(m any) ([]byte, error) {
+	raw, err := msgpack.Marshal(m)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return pack(raw, nil)
+}
+
 // mostValue bounds a packed form and what it may unpack to, so that a peer's nonsense
 // costs no more. The largest is the whole configuration at the size to design for: 7 MB
 // at 23,000 organisations.
--- a/core/spread/parcels.go
+++ b/core/spread/parcels.go
@@ -16,11 +16,15 @@
 // parcels give answers that may be large to peers in pieces of a bounded size: each
 // piece has a time limit that its size fits, and nothing small waits behind more than
 // one. The first piece goes with the answer itself, the others are asked for.
+//
+// Lock order: packMu before parcelsMu.
 type parcels struct {
 	fleet *fleet.Fleet
 	// sent, if not nil, hears of the bytes of each piece that is given to a peer.
 	sent func(bytes int)
 
+	packMu sync.Mutex // held while an answer is packed; the first packing serves all who ask
+
 	parcelsMu sync.Mutex
 	// kept holds the latest parcels of several pieces, the oldest first. Guarded by
 	// parcelsMu.
@@ -88,6 +92,20 @@
 	return nil, false
 }
 
+// prepare returns the first piece of an answer, which is packed unless it is kept.
+func (p *parcels) prepare(id string, packed func() ([]byte, error)) (parcel, error) {
+	p.packMu.Lock()
+	defer p.packMu.Unlock()
+	bytes, kept := p.find(id)
+	if !kept {
+		var err error
+		if bytes, err = packed(); err != nil {
+			return parcel{}, err
+		}
+	}
+	return p.first(id, bytes), nil
+}
+
 // first returns the first piece of an answer, and keeps the answer where there are
 // more.
 func (p *parcels) first(id string, bytes []byte) parcel {
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -61,8 +61,6 @@
 	parcels *parcels
 	wake    chan struct{}
 
-	packMu sync.Mutex // held while an answer is packed; the first packing serves all who ask
-
 	statesMu sync.Mutex
 	// states is what each peer has in force. Guarded by statesMu.
 	states map[string]state
@@ -86,18 +84,9 @@
 
 // answer tells a peer what follows a sequence.
 func (s *Spread) answer(_ context.Context, _ string, ask *since) (*parcel, error) {
-	s.packMu.Lock()
-	defer s.packMu.Unlock()
 	id := fmt.Sprintf("conf/%d/%d", ask.Seq, s.store.Snapshot().Seq())
-	bytes, ok := s.parcels.find(id)
-	if !ok {
-		var err error
-		if bytes, err = s.packed(ask.Seq); err != nil {
-			return nil, err
-		}
-	}
-	out := s.parcels.first(id, bytes)
-	return &out, nil
+	out, err := s.parcels.prepare(id, func() ([]byte, error) { return s.packed(ask.Seq) })
+	return &out, err
 }
 
 // packed returns what follows a sequence in packed form.
@@ -106,11 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := msgpack.Marshal(delta)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	return pack(raw, nil)
+	return packMessage(delta)
 }
 
 // Run sends a heartbeat at each change, and tells the service what this cell
--- a/core/spread/values.go
+++ b/core/spread/values.go
@@ -22,8 +22,6 @@
 
 // values carries the large values of the mirror. A daemon that hears from a peer that
 // there is one fetches it by itself, packed and in pieces.
-//
-// Lock order: packMu before valuesMu.
 type values struct {
 	mirror  *plat.Mirror
 	fleet   *fleet.Fleet
@@ -32,8 +30,6 @@
 	// wake receives when a value may be late.
 	wake chan struct{}
 
-	packMu sync.Mutex // held while a value is packed; the first packing serves all who ask
-
 	valuesMu sync.Mutex
 	// versions holds the latest versions of each large value, the newest last.
 	// Guarded by valuesMu.
@@ -150,17 +146,8 @@
 
 // packed returns a value packed with a base.
 func (v *values) packed(value, base plat.Pair) (parcel, error) {
-	v.packMu.Lock()
-	defer v.packMu.Unlock()
 	id := fmt.Sprintf("%s/%d/%d", value.Key, value.ModRevision, base.ModRevision)
-	if bytes, ok := v.parcels.find(id); ok {
-		return v.parcels.first(id, bytes), nil
-	}
-	bytes, err := pack(value.Value, base.Value)
-	if err != nil {
-		return parcel{}, err
-	}
-	return v.parcels.first(id, bytes), nil
+	return v.parcels.prepare(id, func() ([]byte, error) { return pack(value.Value, base.Value) })
 }
 
 // expect makes the late values be fetched, first from the peer that told of them.
