The mirror tells of a new era; the daemon looked for one twenty times a second

Change: the mirror calls Entered where it notes the first copy of an era; the watcher waits for that. Whether peers were asked is held in one place, InForce, in place of two that changed together. Peers are asked again a second after a round without an answer has ended, not after it began. Test: TestTheFirstCopyOfEachEraIsTold.

--- a/core/plat/era.go
+++ b/core/plat/era.go
@@ -13,6 +13,9 @@
 		return
 	}
 	m.eraSince = clock.Now()
+	if m.Entered != nil {
+		m.Entered()
+	}
 	if m.revision > 0 {
 		text := "era " + strconv.FormatInt(Era(revision), 10) + ", revision " + strconv.FormatInt(Number(revision), 10) +
 			"; known was " + strconv.FormatInt(Number(m.revision), 10) + " of era " + strconv.FormatInt(Era(m.revision), 10)
--- a/core/plat/mirror.go
+++ b/core/plat/mirror.go
@@ -39,6 +39,9 @@
 	// Outline, if set, is the prefix of the keys that are read first where all do not fit one
 	// page: Follows may go by them. It is set before Run.
 	Outline string
+	// Entered, if set, hears of the first copy of each era. It is called with mirrorMu held and
+	// must not wait. It is set before Run.
+	Entered func()
 
 	// tellMu keeps the observers' calls apart: the service and a peer may tell
 	// of changes at the same time.
--- a/core/plat/restore_test.go
+++ b/core/plat/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,6 +92,27 @@
 	return out
 }
 
+func TestTheFirstCopyOfEachEraIsTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	put(t, kv, "a/old", "1")
+	old := kv.Copy()
+	w := watch(kv)
+	var entered atomic.Int64
+	w.Entered = func() { entered.Add(1) }
+	w.start(t)
+	g.Eventually(entered.Load, "60s", "1ms").Should(gomega.Equal(int64(1)))
+	put(t, kv, "a/new", "1")
+	g.Eventually(w.value("a/new"), "60s", "1ms").Should(gomega.Equal("1"))
+	g.Expect(entered.Load()).To(gomega.Equal(int64(1)))
+	// Also where the copy holds the same.
+	for era := int64(1); era <= 2; era++ {
+		kv.Restore(old)
+		g.Eventually(entered.Load, "60s", "1ms").Should(gomega.Equal(era + 1))
+		g.Expect(w.Era()).To(gomega.Equal(era))
+	}
+}
+
 // What the copy lacks is told as restored, what the service deletes later is not.
 func TestWhatARestoredServiceLacksIsToldApart(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -80,7 +80,9 @@
 	named     named
 	inForce   *spread.InForce
 	first     firstTable
-	daemons   daemons
+	// entered receives when the store may be in another era.
+	entered chan struct{}
+	daemons daemons
 
 	putMu sync.Mutex // held while a configuration is put in force
 
@@ -105,6 +107,8 @@
 	h.store = platform.NewStore("http://"+set.Store, newClient())
 	h.mirror = plat.NewMirror(h.store, plat.Prefix(""), h.log)
 	h.mirror.Observe(h.observe)
+	h.entered = make(chan struct{}, 1)
+	h.mirror.Entered = h.noteEra
 	h.roster = roster.New(h.log, h.mirror.Regained)
 	h.fleet = fleet.New(fleet.Options{
 		Name: set.Name, Incarnation: incarnation, Address: set.Peers, Domain: set.Domain,
--- a/emberd/internal/host/inforce.go
+++ b/emberd/internal/host/inforce.go
@@ -19,14 +19,13 @@
 // put in force once peers were asked for a newer one.
 type firstTable struct {
 	firstMu sync.Mutex
-	asked   bool         // guarded by firstMu
 	held    *table.Table // the configuration until then; guarded by firstMu
 }
 
 const (
-	// restoreLook is the pause between looks at the store's era.
-	restoreLook = 50 * time.Millisecond
-	// peersLimit bounds the wait for the list of boxes to reach the fleet.
+	// peersLook is the pause between looks for peers, and peersLimit bounds the wait for the list of
+	// boxes to reach the fleet.
+	peersLook  = 50 * time.Millisecond
 	peersLimit = 500 * time.Millisecond
 	// askAgain is the pause before peers are asked again where none has answered.
 	askAgain = time.Second
@@ -34,40 +33,45 @@
 
 // watchEras asks peers at the first copy of each era of the store, until ctx ends.
 func (h *Host) watchEras(ctx context.Context) {
-	var era int64
-	var next, until time.Time
-	wait.Every(ctx, restoreLook, func() {
-		now := time.Now()
-		if e := h.mirror.Era(); e > era {
-			era, next, until = e, now, now.Add(restoredHold)
-		}
-		if now.Before(next) || !now.Before(until) {
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-h.entered:
 		}
-		next = now.Add(askAgain)
-		if h.askInForce(ctx) {
-			until = now
+		if h.mirror.Era() == 0 {
+			continue
 		}
-	})
+		for end := time.Now().Add(restoredHold); !h.askInForce(ctx) && time.Now().Before(end); {
+			if !wait.For(ctx, askAgain) {
+				return
+			}
+		}
+	}
+}
+
+// noteEra wakes watchEras.
+func (h *Host) noteEra() {
+	select {
+	case h.entered <- struct{}{}:
+	default:
+		// It is about to look.
+	}
 }
 
 // askInForce asks peers for what is newer than the store's copy, and ends the wait of the first
 // configuration. It returns false where there are peers and none has answered.
 func (h *Host) askInForce(ctx context.Context) bool {
-	there := h.awaitPeers(ctx)
-	answered := 0
-	if there {
-		answered = h.inForce.Ask(ctx, h.takeInForce)
-	}
-	h.inForce.Settle()
+	done := !h.awaitPeers(ctx) || h.inForce.Ask(ctx, h.takeInForce) > 0
 	h.first.firstMu.Lock()
+	h.inForce.Settle()
 	held := h.first.held
-	h.first.asked, h.first.held = true, nil
+	h.first.held = nil
 	h.first.firstMu.Unlock()
 	if held != nil {
 		h.put(held)
 	}
-	return answered > 0 || !there
+	return done
 }
 
 // awaitPeers waits until the fleet knows of peers, and reports whether there are any.
@@ -76,7 +80,7 @@
 		if len(h.fleet.View().Peers()) > 0 {
 			return true
 		}
-		if h.isAlone() || !time.Now().Before(end) || !wait.For(ctx, restoreLook) {
+		if h.isAlone() || !time.Now().Before(end) || !wait.For(ctx, peersLook) {
 			return false
 		}
 	}
@@ -168,7 +172,7 @@
 // store may have come back from a copy.
 func (h *Host) apply(t *table.Table) {
 	h.first.firstMu.Lock()
-	holds := !h.first.asked && h.mirror.Era() > 0
+	holds := !h.inForce.Settled() && h.mirror.Era() > 0
 	if holds {
 		h.first.held = t
 	}
