Copies have a time limit of their own, and links whose copies were late are avoided

Cause: a worker waited for a copy as long as its store may keep the segment, 1.2 s, whatever the prompt. While the links of a store are four times slower, short prompts whose prefill takes 19 ms missed their objective of 400 ms. Ruled out: a shorter constant, which loses with long prompts. Switch without.copyLimits. Tests of core and emberd pass.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -233,7 +233,7 @@
 	if version == 0 || !p.relay.options.Placement.Exports() {
 		return
 	}
-	p.setCopySources(&c.attemptMeta, c.plan.sources[:c.plan.copyCount])
+	p.setCopySources(&c.attemptMeta, &c.plan)
 	if version >= p.relay.options.DesiredWeights(p.meta.Model) && !p.relay.options.Disabled.StoreCopies {
 		p.setStoreTargets(&c.attemptMeta, c.plan.sources, version, clock.Now())
 	}
--- a/core/relay/disabled.go
+++ b/core/relay/disabled.go
@@ -7,6 +7,7 @@
 	Targets         bool `yaml:"targets" doc:"Learning which targets are slow or fail."`
 	LinkSpeeds      bool `yaml:"linkSpeeds" doc:"Learning how slow the links of stores and workers are."`
 	LinkQueues      bool `yaml:"linkQueues" doc:"Counting the copies that wait for a link."`
+	CopyLimits      bool `yaml:"copyLimits" doc:"Limiting the time of copies by the latency objective, and avoiding links whose copies were late."`
 	Retention       bool `yaml:"retention" doc:"Learning how long workers hold parts: the chance stays as expected."`
 	StoreCopies     bool `yaml:"storeCopies" doc:"Keeping parts in stores and copying them from there."`
 	WorkerCopies    bool `yaml:"workerCopies" doc:"Copying parts from other workers."`
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -36,6 +36,8 @@
 	WorkerCaches *cache.WorkerCaches
 	// Links is the learned speed and load of the links of stores and workers.
 	Links *learn.Links
+	// LateCopies is the learned probability that copies arrive after their time limit.
+	LateCopies *learn.LateCopies
 	// Retention is the learned probability that a segment is still in a worker's KV cache.
 	Retention *learn.Retention
 	// FirstAnswerTimes and TargetStats are statistics of the targets' responses. EnginePrior and
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -71,6 +71,8 @@
 	// expectedWait is the expected time to an answer from the last choice. Without a choice it is
 	// the time until a target becomes available.
 	expectedWait time.Duration
+	// copying is the policy for the copies of the choice that is being made.
+	copying copyPolicy
 	// forecast is the expectation recorded for the first attempt; nil before it.
 	forecast *event.Forecast
 	// aborted is set if the answer was cut off after its header was sent.
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -56,6 +56,7 @@
 	h.Set("Salt", meta.CacheSalt)
 	h.Set("After", meta.LastEventID)
 	h.Set("Copy", strings.Join(meta.CopyFrom, ","))
+	h.Set("Copy-Until", strconv.FormatInt(meta.CopyDeadline.Milliseconds(), 10))
 	h.Set("Keep", strings.Join(meta.StoreTo, ","))
 }
 
@@ -229,7 +230,7 @@
 	r.storeIndex = cache.NewStoreIndexes(stores, r.log)
 	r.relay = New(Options{
 		Dialect: testDialect{}, Roster: r.roster, Pool: &target.Pool{}, StoreIndex: r.storeIndex,
-		WorkerCaches: &cache.WorkerCaches{}, Links: &learn.Links{}, Retention: &learn.Retention{},
+		WorkerCaches: &cache.WorkerCaches{}, Links: &learn.Links{}, LateCopies: &learn.LateCopies{}, Retention: &learn.Retention{},
 		Log: r.log, Stats: NewStats(),
 		DesiredWeights: func(string) int64 { return r.desired }, ConfigCurrent: func() bool { return !r.stale }, ConfigOverdue: func() time.Duration { return r.configOverdue }, WeightsOutdated: func(_ string, v int64) bool { return v < r.minWeights }, MayCopy: func() bool { return true },
 		FirstAnswerTimes: learn.NewTimes(), TargetStats: &learn.Targets{}, EnginePrior: enginePrior,
--- a/core/relay/segments.go
+++ b/core/relay/segments.go
@@ -56,6 +56,7 @@
 	salt := p.cacheSalt(version).String()
 	var out []sharedSegment
 	storeNow := clock.Now()
+	p.copying = p.newCopyPolicy(now)
 	for _, segment := range p.sharedSegments() {
 		shared := sharedSegment{Segment: segment, name: cache.SegmentName{Salt: salt, ID: segment.ID}}
 		if copyable {
@@ -76,6 +77,37 @@
 	return out
 }
 
+// copyPolicy is what the decisions on copies for one choice have in common.
+type copyPolicy struct {
+	// limit holds the inputs of the time limit of copies, except for their expected time.
+	limit route.CopyLimitRequest
+	// random decides whether sources that were late are probed.
+	random float64
+}
+
+// prefillQuantile is the share of the times to a first answer that a copy's time limit leaves for
+// the prefill.
+const prefillQuantile = 0.9
+
+// newCopyPolicy returns the policy for a choice.
+func (p *proxiedRequest) newCopyPolicy(now time.Time) copyPolicy {
+	out := copyPolicy{limit: route.CopyLimitRequest{Max: cache.TransferTimeout()}, random: randomFraction()}
+	if !p.relay.options.Disabled.CopyLimits {
+		e := p.estimate(now)
+		prefill := e.Time(learn.Factors{OwnTokens: p.meta.PromptTokens})
+		out.limit.Objective, out.limit.Elapsed = p.route.LatencyObjective, now.Sub(p.start)
+		out.limit.Prefill = time.Duration(e.Quantile(prefillQuantile) * float64(prefill))
+	}
+	return out
+}
+
+// limitFor returns the time limit of copies that are expected to take some time.
+func (c *copyPolicy) limitFor(expected time.Duration) time.Duration {
+	request := c.limit
+	request.Expected = expected
+	return route.CopyLimit(request)
+}
+
 // source is where a worker gets a segment from.
 type source struct {
 	// cachedProbability is the probability that the worker has the segment cached, and depth how
@@ -100,7 +132,7 @@
 // bestSource returns the best source of a segment for a worker.
 func (p *proxiedRequest) bestSource(svc *table.Service, t eligibleTarget, segment *sharedSegment, now time.Time) source {
 	best := source{stored: len(segment.stores) > 0}
-	destination := p.relay.options.Links.State(t.entry.Address, now)
+	destination := destinationLink{address: t.entry.Address, state: p.relay.options.Links.State(t.entry.Address, now)}
 	for _, stored := range segment.stores {
 		p.considerSource(&best, destination, segment,
 			source{
@@ -124,12 +156,25 @@
 	return best
 }
 
+// destinationLink is the link of the worker that a segment is copied to.
+type destinationLink struct {
+	address string
+	state   learn.LinkState
+}
+
 // considerSource makes a candidate the best source if the time of its copy and the risk of having
-// to prefill the segment after all cost least. destination is the state of the worker's own link.
-func (p *proxiedRequest) considerSource(best *source, destination learn.LinkState, segment *sharedSegment, candidate source, now time.Time) {
+// to prefill the segment after all cost least.
+func (p *proxiedRequest) considerSource(best *source, destination destinationLink, segment *sharedSegment, candidate source, now time.Time) {
+	if !p.relay.options.Disabled.CopyLimits {
+		late := p.relay.options.LateCopies.Probability(candidate.address, destination.address, now)
+		if !route.UseCopySource(late, p.copying.random) {
+			return
+		}
+		candidate.probability *= 1 - late
+	}
 	origin := p.relay.options.Links.State(candidate.address, now)
-	candidate.copyTime = time.Duration(float64(candidate.copyTime) * origin.Slowdown * destination.Slowdown)
-	candidate.queueTime = max(origin.Wait, destination.Wait)
+	candidate.copyTime = time.Duration(float64(candidate.copyTime) * origin.Slowdown * destination.state.Slowdown)
+	candidate.queueTime = max(origin.Wait, destination.state.Wait)
 	if best.address != "" && p.copyCost(&candidate, segment) >= p.copyCost(best, segment) {
 		return
 	}
@@ -154,8 +199,9 @@
 	// copyCount is how many of the first segments are copied. Engines copy no segment after one
 	// without a source.
 	copyCount int
-	// copyTime is the time until the last copy has arrived.
-	copyTime time.Duration
+	// copyTime is the time until the last copy has arrived, and copyLimit the time after which the
+	// worker discards what has not arrived.
+	copyTime, copyLimit time.Duration
 }
 
 // planSegments plans how a worker gets the shared segments. They are copied as long as each copy
@@ -176,6 +222,7 @@
 			out.copyCount, out.copyTime = i+1, queueTime+copyTime
 		}
 	}
+	out.copyLimit = p.copying.limitFor(out.copyTime)
 	return out
 }
 
@@ -243,15 +290,20 @@
 
 // setCopySources sets the addresses that the first segments are copied from, and the deadline of
 // the copies.
-func (p *proxiedRequest) setCopySources(to *AttemptMeta, sources []source) {
-	if len(sources) == 0 {
+func (p *proxiedRequest) setCopySources(to *AttemptMeta, plan *segmentPlan) {
+	if plan.copyCount == 0 {
 		return
 	}
 	to.CopyFrom = make([]string, len(p.meta.Segments))
-	for i, src := range sources {
+	for i, src := range plan.sources[:plan.copyCount] {
 		to.CopyFrom[i] = src.address
-		if src.deadline > 0 && (to.CopyDeadline == 0 || src.deadline < to.CopyDeadline) {
-			to.CopyDeadline = src.deadline
+		if src.deadline == 0 {
+			continue
+		}
+		// The deadline of a source is that of its store, the longest that a copy may take.
+		deadline := src.deadline - cache.TransferTimeout() + plan.copyLimit
+		if to.CopyDeadline == 0 || deadline < to.CopyDeadline {
+			to.CopyDeadline = deadline
 		}
 	}
 }
@@ -280,14 +332,26 @@
 // first event. Where the prompt waited for its prefill as long as for its copies, that time shows
 // little.
 func (p *proxiedRequest) learnCopies(c *choice, took time.Duration, now time.Time) {
-	if c.plan.copyCount == 0 || p.relay.options.Disabled.LinkSpeeds {
+	if c.plan.copyCount == 0 {
 		return
 	}
 	queue, prefill := p.estimate(now).Components(c.factors)
 	share := float64(c.plan.copyTime) / float64(c.plan.copyTime+queue+copyNoise)
 	ratio := float64(max(took-prefill, copyNoise/10)) / float64(c.plan.copyTime)
-	from := c.plan.sources[c.plan.copyCount-1].address
-	p.relay.options.Links.Sample(from, c.target.Entry().Address, ratio, share, now)
+	from, to := c.plan.sources[c.plan.copyCount-1].address, c.target.Entry().Address
+	late := c.attemptMeta.CopyDeadline > 0 && took-queue-prefill >= c.plan.copyLimit
+	if late {
+		p.relay.options.Stats.LateCopies.Inc()
+		p.note("copies were late: first event after %s, limit of copies %s",
+			took.Round(time.Millisecond), c.plan.copyLimit.Round(time.Millisecond))
+	}
+	if c.attemptMeta.CopyDeadline > 0 && !p.relay.options.Disabled.CopyLimits {
+		weight := float64(c.plan.copyLimit) / float64(c.plan.copyLimit+queue+copyNoise)
+		p.relay.options.LateCopies.Observe(from, to, late, weight, now)
+	}
+	if !p.relay.options.Disabled.LinkSpeeds {
+		p.relay.options.Links.Sample(from, to, ratio, share, now)
+	}
 }
 
 // copyNoise is how much first events vary for other reasons than copies: about one step of an
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -25,6 +25,8 @@
 	// to be copied from a KV-cache store or another worker, and PromptTokensCached to be in the
 	// worker's cache.
 	PromptTokens, PromptTokensCopied, PromptTokensCached *metrics.Counter
+	// LateCopies counts attempts whose copies did not arrive within their time limit.
+	LateCopies *metrics.Counter
 	// Opened counts the connections opened to targets.
 	Opened *metrics.Counter
 	// Blocked counts refusals of requests that crash targets.
@@ -51,6 +53,7 @@
 		TotalSeconds: set.NewHistogram("embertally_whole_seconds"),
 		PromptTokens: c("prompt_tokens_total"), PromptTokensCopied: c("prompt_tokens_copied_total"),
 		PromptTokensCached: c("prompt_tokens_kept_total"),
+		LateCopies:         c("copies_late_total"),
 		Opened:             c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
 		ReportedShutdown: c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
 		ReportedRateLimit: c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
