Waiting requests are tried in the order of their service's queue

Each waiting request chose a target again every 15 ms on its own, so that a freed slot went to whichever request asked next, and the cost grew with the number of requests that wait.

The relay now keeps one core/queue per service. Freed load, heartbeats and list entries begin a pass (at most one per 4 ms, one per 16 ms while nothing is admitted) in which the first request of each kind tries. A request that finds a target when nothing of its kind precedes it is sent at once, as before. One that can no longer be on time waits behind the others while its answer is expected before the deadline, and is rejected with a time to return otherwise. without.queue tries requests in the order of arrival. The wait is in the log line and in embertally_queue_*.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -118,6 +118,9 @@
 	requests, bytes int
 }
 
+// Requests returns the number of waiting requests.
+func (l *Limits) Requests() int { return l.requests }
+
 // exceeded reports whether too much waits.
 func (l *Limits) exceeded() bool { return l.requests > l.MaxRequests || l.bytes > l.MaxBytes }
 
--- a/core/relay/disabled.go
+++ b/core/relay/disabled.go
@@ -14,7 +14,8 @@
 	Prefill         bool `yaml:"reading" doc:"Reading parts that could be copied, where copies take too long."`
 	MemoryPressure  bool `yaml:"crowd" doc:"Weighing how full a worker's memory will be."`
 	QueueCost       bool `yaml:"line" doc:"Weighing what others lose by a request's work."`
-	Waiting         bool `yaml:"waiting" doc:"Waiting for a place while an answer in time is likely: a request without a place is refused at once."`
+	Waiting         bool `yaml:"waiting" doc:"Waiting for a place while an answer is expected: a request without a place is refused at once."`
+	Queue           bool `yaml:"queue" doc:"The order among waiting requests: they are tried in the order of arrival, without times to return."`
 	Refusals        bool `yaml:"refusals" doc:"Refusing what callers gain nothing by: every request is sent somewhere."`
 	Publishing      bool `yaml:"telling" doc:"Telling other daemons of each prompt at once: they hear with the next heartbeat."`
 	WaitBudget      bool `yaml:"patience" doc:"Leaving a slow call for another target."`
--- /dev/null
+++ b/core/relay/queue.go
@@ -0,0 +1,420 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"embertally.dev/core/learn"
+	"embertally.dev/core/queue"
+)
+
+// Bounds on what waits in a daemon: a request holds a goroutine, a connection and its body.
+const (
+	maxWaitingRequests = 2048
+	maxWaitingBytes    = 64 << 20
+)
+
+// Intervals of admission.
+const (
+	// minPassInterval is the least time between two passes over the waiting requests of a service:
+	// loads change up to a thousand times per second. Passes that admit nothing double it up to
+	// maxPassInterval, since a choice costs processor time.
+	minPassInterval = 4 * time.Millisecond
+	maxPassInterval = 16 * time.Millisecond
+	// tickInterval is the interval for rejecting requests that can no longer be served, and for a
+	// pass without a known cause: not everything that frees capacity is reported.
+	tickInterval = 50 * time.Millisecond
+	// maxTurn is how long the others wait for a request whose turn it is: the query to another
+	// daemon takes longer.
+	maxTurn = 20 * time.Millisecond
+)
+
+// admission lets requests without a target wait, in one queue per service, and gives them turns to
+// try again when capacity may have become available. Use newAdmission.
+type admission struct {
+	options *Options
+	// waiting is the number of waiting requests, for a check without a lock.
+	waiting atomic.Int64
+
+	queuesMu sync.Mutex
+	limits   queue.Limits             // guarded by queuesMu
+	queues   map[string]*serviceQueue // by service; guarded by queuesMu
+	suspends suspendDetector          // guarded by queuesMu
+}
+
+// newAdmission returns an admission without requests.
+func newAdmission(o *Options) *admission {
+	return &admission{
+		options: o, queues: map[string]*serviceQueue{}, suspends: newSuspendDetector(),
+		limits: queue.Limits{MaxRequests: maxWaitingRequests, MaxBytes: maxWaitingBytes},
+	}
+}
+
+// serviceQueue is the queue of one service. Its fields are guarded by queuesMu.
+//
+// Only one request at a time has its turn. In a pass, the first request of each kind tries, in
+// order, and after each that succeeds the next one.
+type serviceQueue struct {
+	admission *admission
+	queue     *queue.Queue
+	waiters   map[*queue.Request]*waiter
+	// turn is the waiter that is trying since turnAt; nil if there is no pass.
+	turn   *waiter
+	turnAt time.Time
+	// failedKinds are the kinds that found no capacity in this pass, and admitted is set if the pass
+	// admitted a request.
+	failedKinds map[string]bool
+	admitted    bool
+	// pending is set if capacity may have become available since the last pass began. The next pass
+	// begins at nextPass at the earliest.
+	pending  bool
+	nextPass time.Time
+	interval time.Duration
+	// passTimer and tickTimer are set while a timer runs that begins a pass or a tick.
+	passTimer, tickTimer bool
+}
+
+// waiter is a request as the admission knows it.
+type waiter struct {
+	service *serviceQueue
+	request queue.Request
+	// notify receives after each change of the fields below; its capacity is 1.
+	notify chan struct{}
+	// hasTurn is set when the request may try. Guarded by queuesMu.
+	hasTurn bool
+	// rejection is set when the request may wait no longer. Guarded by queuesMu.
+	rejection *queue.Rejection
+}
+
+// signal wakes the request's goroutine.
+func (w *waiter) signal() {
+	select {
+	case w.notify <- struct{}{}:
+	default:
+	}
+}
+
+// register records the arrival of a request.
+func (a *admission) register(service string, r queue.Request, now time.Time) *waiter {
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	s := a.queues[service]
+	if s == nil {
+		s = &serviceQueue{
+			admission: a, queue: queue.New(&a.limits, a.options.Disabled.Queue), waiters: map[*queue.Request]*waiter{},
+			failedKinds: map[string]bool{}, interval: minPassInterval,
+		}
+		a.queues[service] = s
+	}
+	w := &waiter{service: s, request: r, notify: make(chan struct{}, 1)}
+	s.queue.Register(&w.request, now)
+	return w
+}
+
+// mayTry reports whether a request that does not wait may try before those that do.
+func (a *admission) mayTry(w *waiter) bool {
+	if a.waiting.Load() == 0 {
+		return true
+	}
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	s := w.service
+	return s.queue.MayTry(&w.request, s.turn != nil || s.passTimer)
+}
+
+// admit records that a request got a target.
+func (a *admission) admit(w *waiter, now time.Time) {
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	s := w.service
+	s.queue.Admit(&w.request, now)
+	s.admitted = s.admitted || s.turn == w
+	s.remove(w, now)
+}
+
+// leave ends the wait of a request. It does nothing for one that does not wait.
+func (a *admission) leave(w *waiter) {
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	now := time.Now()
+	w.service.queue.Leave(&w.request, now)
+	w.service.remove(w, now)
+}
+
+// enqueue makes a request wait that found no target, or ends its turn if it already waits. prepare
+// updates the request before it is added. The verdict tells whether it waits.
+func (a *admission) enqueue(w *waiter, prepare func(*queue.Request)) queue.Verdict {
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	now, s := time.Now(), w.service
+	w.hasTurn = false
+	if w.request.Waiting() {
+		if s.turn == w {
+			s.failedKinds[w.request.Kind] = true
+			s.endTurn(now)
+		}
+		return queue.Verdict{Waits: true}
+	}
+	if w.rejection != nil {
+		return queue.Verdict{ReturnAt: w.rejection.ReturnAt}
+	}
+	prepare(&w.request)
+	verdict, rejected := s.queue.Wait(&w.request, now)
+	for _, r := range rejected {
+		s.reject(r, now)
+	}
+	if !verdict.Waits {
+		return verdict
+	}
+	s.waiters[&w.request] = w
+	a.countWaiting()
+	s.startTick()
+	return verdict
+}
+
+// await waits until a request has its turn, and reports whether it does. Otherwise ctx has ended or
+// the request is rejected. If recheck is not 0, capacity is expected after that time.
+func (a *admission) await(ctx context.Context, w *waiter, recheck time.Duration) (*queue.Rejection, bool) {
+	var due <-chan time.Time
+	if recheck > 0 && recheck < tickInterval {
+		timer := time.NewTimer(recheck)
+		defer timer.Stop()
+		due = timer.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-due:
+			a.capacityChanged()
+		case <-w.notify:
+			if rejection, hasTurn := a.outcome(w); hasTurn || rejection != nil {
+				return rejection, hasTurn
+			}
+		}
+	}
+}
+
+// outcome returns how a wait ended.
+func (a *admission) outcome(w *waiter) (*queue.Rejection, bool) {
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	return w.rejection, w.hasTurn
+}
+
+// capacityChanged begins passes over the waiting requests, because a target may have capacity.
+func (a *admission) capacityChanged() {
+	if a.waiting.Load() == 0 {
+		return
+	}
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	now := time.Now()
+	for _, s := range a.queues {
+		s.wake(now)
+	}
+}
+
+// countWaiting updates the number of waiting requests. It is called with queuesMu held.
+func (a *admission) countWaiting() { a.waiting.Store(int64(a.limits.Requests())) }
+
+// remove forgets a request that no longer waits.
+func (s *serviceQueue) remove(w *waiter, now time.Time) {
+	if s.waiters[&w.request] == nil {
+		return
+	}
+	delete(s.waiters, &w.request)
+	s.admission.countWaiting()
+	if s.turn == w {
+		s.endTurn(now)
+	}
+}
+
+// reject tells a request that it no longer waits.
+func (s *serviceQueue) reject(r queue.Rejection, now time.Time) {
+	w := s.waiters[r.Request]
+	if w == nil {
+		return
+	}
+	w.rejection = &r
+	w.signal()
+	s.remove(w, now)
+}
+
+// wake begins a pass as soon as one may begin.
+func (s *serviceQueue) wake(now time.Time) {
+	if s.queue.Len() == 0 {
+		return
+	}
+	s.pending = true
+	switch {
+	case s.turn != nil && now.Sub(s.turnAt) < maxTurn:
+		// The end of the pass begins the next one.
+	case s.turn != nil:
+		s.failedKinds[s.turn.request.Kind] = true
+		s.endTurn(now)
+	case now.Before(s.nextPass):
+		if !s.passTimer {
+			s.passTimer = true
+			time.AfterFunc(s.nextPass.Sub(now), s.runPass)
+		}
+	default:
+		s.begin(now)
+	}
+}
+
+// runPass begins a pass if one is due.
+func (s *serviceQueue) runPass() {
+	s.admission.queuesMu.Lock()
+	defer s.admission.queuesMu.Unlock()
+	s.passTimer = false
+	if s.pending {
+		s.wake(time.Now())
+	}
+}
+
+// begin begins a pass.
+func (s *serviceQueue) begin(now time.Time) {
+	s.pending, s.admitted = false, false
+	clear(s.failedKinds)
+	s.endTurn(now)
+}
+
+// endTurn gives the turn to the next request of the pass, or ends the pass.
+func (s *serviceQueue) endTurn(now time.Time) {
+	s.turn = nil
+	if next := s.queue.Next(now, func(kind string) bool { return s.failedKinds[kind] }); next != nil {
+		s.turn, s.turnAt = s.waiters[next], now
+		s.turn.hasTurn = true
+		s.turn.signal()
+		return
+	}
+	if s.admitted {
+		s.interval = minPassInterval
+	} else {
+		s.interval = min(2*s.interval, maxPassInterval)
+	}
+	s.nextPass = now.Add(s.interval)
+	if s.pending {
+		s.wake(now)
+	}
+}
+
+// startTick makes sure that ticks run.
+func (s *serviceQueue) startTick() {
+	if !s.tickTimer {
+		s.tickTimer = true
+		time.AfterFunc(tickInterval, s.runTick)
+	}
+}
+
+// runTick rejects the requests that can no longer be served, and begins a pass.
+func (s *serviceQueue) runTick() {
+	s.admission.queuesMu.Lock()
+	defer s.admission.queuesMu.Unlock()
+	now := time.Now()
+	s.tickTimer = false
+	if s.admission.suspends.sinceLast() > 0 {
+		s.admission.releaseAll(now)
+	}
+	for _, r := range s.queue.Expire(now) {
+		s.reject(r, now)
+	}
+	if s.queue.Len() > 0 {
+		s.startTick()
+		s.wake(now)
+	}
+}
+
+// releaseAll lets all requests try after a suspension of the box, in which their times have passed
+// without the queue's clock. Those that find no target wait again.
+func (a *admission) releaseAll(now time.Time) {
+	for _, s := range a.queues {
+		for r, w := range s.waiters {
+			s.queue.Leave(r, now)
+			w.hasTurn = true
+			w.signal()
+		}
+		clear(s.waiters)
+		s.turn = nil
+	}
+	a.countWaiting()
+}
+
+// awaitTurn waits until the request may try again, and reports whether it may. recheck is the time
+// after which capacity is known to return, or 0.
+func (p *proxiedRequest) awaitTurn(ctx context.Context, recheck time.Duration) bool {
+	if p.relay.options.Disabled.Waiting {
+		return false
+	}
+	queues, stats := p.relay.admission, p.relay.options.Stats
+	if p.queued.IsZero() {
+		p.queued = time.Now()
+	}
+	verdict := queues.enqueue(p.waiter, p.prepareWait)
+	if !verdict.Waits {
+		p.returnAt = verdict.ReturnAt
+		p.note("rejected by the queue: expected wait %s", verdict.Expected.Round(time.Millisecond))
+		stats.QueueRejected.Inc()
+		return false
+	}
+	rejection, hasTurn := queues.await(ctx, p.waiter, recheck)
+	if rejection != nil {
+		p.returnAt = rejection.ReturnAt
+		p.note("rejected by the queue while it waited")
+		stats.QueueRejected.Inc()
+	}
+	return hasTurn
+}
+
+// noteWait records how long the request has waited, once.
+func (p *proxiedRequest) noteWait() {
+	if p.queued.IsZero() {
+		return
+	}
+	took, r := time.Since(p.queued), &p.waiter.request
+	p.queued = time.Time{}
+	p.relay.options.Stats.QueueSeconds.Update(took.Seconds())
+	p.note("waited %s, rank %d%s%s", took.Round(time.Millisecond), r.Rank,
+		map[bool]string{true: ", late"}[r.Late()], map[bool]string{true: ", returned as promised"}[r.Returning()])
+}
+
+// newWaiter registers the request with the admission.
+func (p *proxiedRequest) newWaiter() *waiter {
+	r := queue.Request{
+		Rank: p.priority(), Organisation: p.organisationName(), Bytes: p.bodyBytes,
+		Digest: queue.Digest(p.digest),
+	}
+	p.prepareWait(&r)
+	return p.relay.admission.register(p.service, r, time.Now())
+}
+
+// prepareWait sets what the queue needs to know of the request now.
+func (p *proxiedRequest) prepareWait(r *queue.Request) {
+	now := time.Now()
+	e := p.estimate(now)
+	expected := e.Time(learn.Factors{OwnTokens: p.meta.PromptTokens - p.sharedTokens()})
+	typical := time.Duration(e.Quantile(minOnTimeProbability) * float64(expected))
+	r.Work = expected.Seconds()
+	r.LatestStart = p.deadline.Add(-max(typical, minAttemptTime))
+	r.StartBy = p.start.Add(p.route.LatencyObjective - typical)
+	if p.route.LatencyObjective == 0 || r.StartBy.After(r.LatestStart) {
+		r.StartBy = r.LatestStart
+	}
+	r.Kind = p.capacityKind()
+}
+
+// capacityKind names the requests that may go to the same targets and need the same capacity.
+func (p *proxiedRequest) capacityKind() string {
+	kind := p.route.Name + "\x00" + p.meta.Model
+	if len(p.regions) > 0 {
+		kind += "\x00" + p.organisationName()
+	}
+	if len(p.tried) > 0 {
+		// It is excluded from targets that others may use.
+		kind += "\x00" + p.meta.AttemptID
+	}
+	return kind
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -132,6 +132,8 @@
 	shares shareCache
 	// permitWaiters holds the services with a request that waits for a permit.
 	permitWaiters permitWaiters
+	// admission holds the requests that wait for a target.
+	admission *admission
 
 	// chooseMu is held from reading the targets' load until the chosen target's load is updated.
 	chooseMu sync.Mutex
@@ -151,12 +153,18 @@
 	if o.Canary == nil {
 		o.Canary = &canary.Guard{}
 	}
-	return &Relay{
+	rl := &Relay{
 		options: o, start: time.Now(), retryBudgets: map[string]*route.RetryBudget{},
 		arrivalRates: map[string]*learn.Rate{},
 	}
+	rl.admission = newAdmission(&rl.options)
+	return rl
 }
 
+// CapacityChanged is called when a target may have become able to take a request: its load has
+// decreased, or it became available.
+func (rl *Relay) CapacityChanged() { rl.admission.capacityChanged() }
+
 // SetTable applies a configuration. Running requests keep the one they started with.
 func (rl *Relay) SetTable(t *table.Table) { rl.table.Store(t) }
 
@@ -166,6 +174,9 @@
 // Running returns the number of unfinished requests.
 func (rl *Relay) Running() int64 { return rl.running.Load() }
 
+// Waiting returns the number of requests that wait for a target.
+func (rl *Relay) Waiting() int64 { return rl.admission.waiting.Load() }
+
 // CloseConnections starts a graceful shutdown: from now on each answer closes its connection.
 func (rl *Relay) CloseConnections() { rl.closeConnections.Store(true) }
 
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -13,7 +13,6 @@
 	"embertally.dev/core/poison"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
-	"embertally.dev/core/wait"
 )
 
 // proxiedRequest is the state of one request while it is relayed. It is used by one goroutine.
@@ -71,6 +70,12 @@
 	// expectedWait is the expected time to an answer from the last choice. Without a choice it is
 	// the time until a target becomes available.
 	expectedWait time.Duration
+	// waiter is the request as its service's queue knows it; nil before the first choice.
+	waiter *waiter
+	// queued is when the request began to wait for its next choice; zero if it has not waited.
+	queued time.Time
+	// returnAt is when a request that the queue rejected may return; zero if that is not known.
+	returnAt time.Time
 	// forecast is the expectation recorded for the first attempt; nil before it.
 	forecast *event.Forecast
 	// aborted is set if the answer was cut off after its header was sent.
@@ -138,11 +143,8 @@
 // crashesTargets is the reason for refusing a request that crashes targets.
 const crashesTargets = "targets end of it"
 
-// choiceInterval is the time between two choices of a waiting request.
-const choiceInterval = 15 * time.Millisecond
-
-// waitForChoice chooses a target. If none is worth using now, the request waits as long as it may
-// still be answered on time.
+// waitForChoice chooses a target. If none is worth using now, the request waits in the queue of its
+// service as long as it may still be answered.
 func (p *proxiedRequest) waitForChoice(ctx context.Context) (*choice, string) {
 	isPermitWaiter := false
 	defer func() {
@@ -150,44 +152,58 @@
 			p.relay.permitWaiters.leave(p.service)
 		}
 	}()
+	queues := p.relay.admission
+	if p.waiter == nil {
+		p.waiter = p.newWaiter()
+	}
+	defer queues.leave(p.waiter)
+	mayTry := queues.mayTry(p.waiter)
 	for {
 		p.adjustForSuspend()
 		if _, blocked := p.relay.options.Poison.Blocked(p.digest); blocked {
 			// It became blocked while it waited, or by the crash that it has just caused.
 			return nil, crashesTargets
 		}
-		c, reason := p.choose(ctx)
-		if c != nil {
-			p.expectedWait = c.evaluation.Expected
-		}
-		if c != nil && (c.evaluation.CallerUtility > 0 || p.relay.options.Disabled.Refusals) {
-			if !p.acquire(c, time.Now()) {
-				c.releaseLoad()
-				continue
+		reason, recheck := allFull, time.Duration(0)
+		if mayTry {
+			var c *choice
+			c, reason = p.choose(ctx)
+			if c != nil {
+				p.expectedWait = c.evaluation.Expected
+			}
+			if c != nil && (c.evaluation.CallerUtility > 0 || p.relay.options.Disabled.Refusals) {
+				if !p.acquire(c, time.Now()) {
+					c.releaseLoad()
+					continue
+				}
+				queues.admit(p.waiter, time.Now())
+				p.noteWait()
+				p.noteSkipped()
+				p.recordChoice(c, time.Now())
+				return c, reason
+			}
+			c.releaseLoad()
+			switch {
+			case c == nil && reason == allUnderPushback && p.likelyOnTime(p.expectedWait):
+				// The first pushback ends soon enough.
+				recheck = p.expectedWait
+			case c == nil && reason == allRateLimited && p.likelyOnTime(p.expectedWait) && p.becomePermitWaiter(&isPermitWaiter):
+				// The first permit comes soon enough, and no other request waits for it.
+				recheck = p.expectedWait
+			case c == nil && reason != allFull:
+				return nil, reason
 			}
-			p.noteSkipped()
-			p.recordChoice(c, time.Now())
-			return c, reason
 		}
-		c.releaseLoad()
-		switch {
-		case c == nil && reason == allUnderPushback && p.likelyOnTime(p.expectedWait):
-			// The first pushback ends soon enough.
-		case c == nil && reason == allRateLimited && p.likelyOnTime(p.expectedWait) && p.becomePermitWaiter(&isPermitWaiter):
-			// The first permit comes soon enough, and no other request waits for it.
-		case c == nil && reason != allFull:
-			return nil, reason
-		case p.relay.options.Disabled.Waiting, !p.likelyOnTime(0):
+		if !p.awaitTurn(ctx, recheck) {
+			p.noteWait()
 			return nil, allFull
 		}
-		if !wait.For(ctx, choiceInterval) {
-			return nil, reason
-		}
+		mayTry = true
 	}
 }
 
 // minOnTimeProbability is the probability of an answer within the latency objective below which a
-// request stops waiting for a target.
+// request is not expected to be on time.
 const minOnTimeProbability = 0.5
 
 // likelyOnTime reports whether the answer is likely to meet the latency objective if a target takes
@@ -256,6 +272,10 @@
 			return refusal
 		}
 		// A block that has been lifted since the choice causes no refusal.
+		if !p.returnAt.IsZero() {
+			return entry.NewRefusal(http.StatusServiceUnavailable, entry.CodeNoTarget, entry.NotRun,
+				"no target takes the request now: "+reason, time.Until(p.returnAt))
+		}
 		if endsAtKnownTime(reason) {
 			return p.refuseUntil(entry.CodeNoTarget, "no target takes the request now: "+reason, p.expectedWait)
 		}
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -35,6 +35,10 @@
 	// ReportedRateLimit counts responses in which a target states a rate limit, RateLimitedAttempts
 	// the attempts at targets that have one.
 	ReportedRateLimit, RateLimitedAttempts *metrics.Counter
+	// QueueSeconds is the time that requests waited for a target, whether or not they got one.
+	// QueueRejected counts the requests that their queue rejected.
+	QueueSeconds  *metrics.Histogram
+	QueueRejected *metrics.Counter
 }
 
 // NewStats returns counters at 0.
@@ -53,6 +57,7 @@
 		PromptTokensCached: c("prompt_tokens_kept_total"),
 		Opened:             c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
 		ReportedShutdown: c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
+		QueueSeconds: set.NewHistogram("embertally_queue_seconds"), QueueRejected: c("queue_rejected_total"),
 		ReportedRateLimit: c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
 	}
 }
--- a/core/roster/heartbeat.go
+++ b/core/roster/heartbeat.go
@@ -68,6 +68,7 @@
 		// A peer of another version; its loads are not counted.
 		return
 	}
+	defer s.notifyCapacity()
 	s.rosterMu.Lock()
 	defer s.rosterMu.Unlock()
 	now := time.Now()
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -85,6 +85,9 @@
 	// Removed, if set, is called for each incarnation that is removed, and is passed whether it was
 	// shutting down. It is set before use, and called with rosterMu held.
 	Removed func(id string, shuttingDown bool)
+	// CapacityChanged, if set, is called when a target may have capacity by the list or by the loads of
+	// peers. It is set before use.
+	CapacityChanged func()
 
 	rosterMu sync.Mutex
 	targets  map[string]*Target // by ID; guarded by rosterMu
@@ -164,6 +167,7 @@
 // Put records an entry of the list. If it is another incarnation than the current one of its name,
 // Put returns the previous one, whose state is discarded.
 func (r *Roster) Put(e Entry) (previous *Target) {
+	defer r.notifyCapacity()
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
 	if e.Name == "" {
@@ -192,6 +196,13 @@
 	return previous
 }
 
+// notifyCapacity calls CapacityChanged. It must not be called with rosterMu held.
+func (r *Roster) notifyCapacity() {
+	if r.CapacityChanged != nil {
+		r.CapacityChanged()
+	}
+}
+
 // add makes an incarnation the current one of its name. It is called with rosterMu held.
 func (r *Roster) add(e Entry) {
 	t := r.external.remove(e.ID)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -148,6 +148,7 @@
 	h.canary.CanaryShare = settings.Bounds.CanaryShare
 	h.canary.OrdersCurrent = func() bool { return h.viewAge() < rolloutMaxViewAge }
 	h.buildRelay()
+	h.roster.CapacityChanged = h.relay.CapacityChanged
 	h.contextOwners = relay.NewContextOwners(h.relay, h.fleet)
 	h.updateNotifier = spread.NewWeightUpdateNotifier(h.fleet, h.roster)
 	h.updateNotifier.Sharded = h.watchCacheSync.Sharded
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -85,6 +85,7 @@
 		f    func() float64
 	}{
 		{"requests_running", func() float64 { return float64(h.relay.Running()) }},
+		{"queue_waiting", func() float64 { return float64(h.relay.Waiting()) }},
 		{"store_contact_seconds", func() float64 { return clock.Since(h.watchCache.LastContact()).Seconds() }},
 		{"store_era", func() float64 { return float64(h.watchCache.StoreIncarnation()) }},
 		{"daemons", func() float64 { return float64(h.daemonCounter.count()) }},
