Daemons share what waits and what they promised

Each daemon ordered only its own few waiting requests, so that among many daemons a less urgent one got the freed slot by chance, and a caller that returned at another daemon was a new one there.

Heartbeats carry a part "queue" while a service has a shortage and for 5 s after: capacity and arrivals, the waiting work by rank and class with the first due time, and new promises. A request, also a new one, yields to what precedes it at other daemons for the time in which that is expected to be admitted, at most 1 s; reports count for 0.5 s for this, and for 1.2 s in estimates, which now cover all daemons. Requests are tried again if capacity changed between their attempt and their wait. Ticks come every 25 ms.

--- a/core/queue/calendar.go
+++ b/core/queue/calendar.go
@@ -22,6 +22,7 @@
 	// at is when capacity is expected for it.
 	at   time.Time
 	rank int
+	// work is the work of the request. It is 0 for promises of other daemons, since returns are spread over all daemons.
 	work float64
 }
 
@@ -31,6 +32,10 @@
 	// work is the sum of the work of the promises, by rank.
 	work    map[int]float64
 	sweptAt time.Time
+	// unshared holds own promises that were not reported to other daemons; the first sharing of
+	// them are in the report being sent.
+	unshared []Digest
+	sharing  int
 }
 
 func newCalendar() calendar {
@@ -98,6 +103,18 @@
 	return higher, c.work[rank]
 }
 
+// reports returns the promises for a report to other daemons.
+func (c *calendar) reports(now time.Time) []PromiseReport {
+	c.sharing = min(len(c.unshared), maxShared)
+	var out []PromiseReport
+	for _, d := range c.unshared[:c.sharing] {
+		if p, exists := c.promises[d]; exists {
+			out = append(out, PromiseReport{Digest: d, Rank: p.rank, ReturnMillis: p.at.Sub(now).Milliseconds()})
+		}
+	}
+	return out
+}
+
 // book promises a rejected request the time at which capacity is expected for it, after everything
 // that waits and all promises. It returns zero if that is not known.
 func (q *Queue) book(r *Request, now time.Time) time.Time {
@@ -106,7 +123,7 @@
 	}
 	r.class = newLate
 	q.calendar.sweep(now)
-	ahead := q.precedingWork(r, true)
+	ahead := q.precedingWork(r, true, now)
 	higher, own := q.calendar.workBefore(r.Rank)
 	ahead.higher, ahead.own = ahead.higher+higher, ahead.own+own
 	wait, known := q.waitBehind(r, ahead, now)
@@ -116,6 +133,9 @@
 	p := promise{at: now.Add(max(wait, minReturn)), rank: r.Rank, work: r.Work}
 	if r.Digest != (Digest{}) {
 		q.calendar.add(r.Digest, p, now)
+		if len(q.calendar.unshared) < maxUnshared {
+			q.calendar.unshared = append(q.calendar.unshared, r.Digest)
+		}
 	}
 	return p.at
 }
--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -149,17 +149,17 @@
 // expectedWait returns the expected wait of a request that is not in the queue, and whether enough
 // is known to reject it for that.
 func (q *Queue) expectedWait(r *Request, now time.Time) (time.Duration, bool) {
-	return q.waitBehind(r, q.precedingWork(r, true), now)
+	return q.waitBehind(r, q.precedingWork(r, true, now), now)
 }
 
 // workAhead is the work that is done before a request: that of higher ranks, that of earlier classes
 // of its own rank, and that of its own class.
 type workAhead struct{ higher, earlier, own float64 }
 
-// precedingWork returns the work that waits before a request, without that of its own class unless
-// sameClass is set.
-func (q *Queue) precedingWork(r *Request, sameClass bool) workAhead {
-	var ahead workAhead
+// precedingWork returns the work that waits before a request at all daemons. That of its own class is
+// what precedes it if sameClass is set, and otherwise all of that at other daemons.
+func (q *Queue) precedingWork(r *Request, sameClass bool, now time.Time) workAhead {
+	ahead := q.peersWork(r, now)
 	inClass, ofOrganisation := 0.0, 0.0
 	organisations := map[string]bool{r.Organisation: true}
 	for key, g := range q.groups {
@@ -179,9 +179,10 @@
 			}
 		}
 	}
-	if sameClass {
+	if sameClass && inClass > 0 {
 		// The organisations take turns, so each of them does as much work meanwhile as this one.
-		ahead.own += min(inClass, (ofOrganisation+r.Work)*float64(len(organisations))-r.Work)
+		before := min(inClass, (ofOrganisation+r.Work)*float64(len(organisations))-r.Work)
+		ahead.own = (ahead.own + inClass) * before / inClass
 	}
 	return ahead
 }
@@ -191,7 +192,7 @@
 	if q.byArrival {
 		return 0, false
 	}
-	capacity, known := q.flow.capacity(now)
+	capacity, known := q.capacity(now)
 	if capacity <= 0 {
 		return maxWait, known
 	}
@@ -201,7 +202,7 @@
 		share = lateDrainShare
 	}
 	seconds := ahead.own/(share*capacity) + ahead.earlier/capacity
-	if drain := capacity - q.flow.arrivalRate(r.Rank, r.class.late(), now); drain > 0 {
+	if drain := q.drain(r, capacity, now); drain > 0 {
 		seconds = min(seconds, (ahead.higher+ahead.earlier+ahead.own)/drain)
 	}
 	return min(time.Duration(seconds*float64(time.Second)), maxWait), known
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -37,6 +37,8 @@
 	sequence uint64
 	// group is where the request waits; nil if it doesn't.
 	group *group
+	// heldSince is when the request began to yield to requests of other daemons; zero if it doesn't.
+	heldSince time.Time
 }
 
 // Waiting reports whether the request is in a queue.
@@ -138,13 +140,18 @@
 	ranks    map[int]*rankState
 	flow     flow
 	calendar calendar
+	// peers holds the last report of each peer, and fleet their sums. shortAt is when requests last
+	// waited here or at a peer.
+	peers   map[string]peerReport
+	fleet   fleetView
+	shortAt time.Time
 }
 
 // New returns an empty queue. With byArrival it serves in the order of arrival only.
 func New(limits *Limits, byArrival bool) *Queue {
 	return &Queue{
 		limits: limits, byArrival: byArrival, groups: map[groupKey]*group{}, ranks: map[int]*rankState{},
-		calendar: newCalendar(),
+		calendar: newCalendar(), peers: map[string]peerReport{},
 	}
 }
 
@@ -190,8 +197,11 @@
 
 // MayTry reports whether a request that has not waited may be tried although others wait: none of its
 // kind comes before it. With busy set, no other one may come before it either, since those are
-// about to be tried.
-func (q *Queue) MayTry(r *Request, busy bool) bool {
+// about to be tried. It may also have to yield to requests of other daemons.
+func (q *Queue) MayTry(r *Request, busy bool, now time.Time) bool {
+	if q.held(r, now) {
+		return false
+	}
 	if q.count == 0 {
 		return true
 	}
@@ -212,20 +222,33 @@
 }
 
 // Next returns the request to be tried next, or nil. Kinds for which skip returns true are left
-// out.
+// out, and so are requests that yield to those of other daemons.
 func (q *Queue) Next(now time.Time, skip func(kind string) bool) *Request {
 	q.expireOnTime(now)
-	return q.next(skip)
+	r := q.nextUnless(skip, func(r *Request) bool { return q.held(r, now) })
+	if r != nil {
+		// If it finds no capacity, it yields again.
+		r.heldSince = time.Time{}
+	}
+	return r
 }
 
-// next is Next without changes.
+// next is Next for this daemon alone, without changes.
 func (q *Queue) next(skip func(kind string) bool) *Request {
+	return q.nextUnless(skip, func(*Request) bool { return false })
+}
+
+// nextUnless returns the first request of those that are neither skipped nor held.
+func (q *Queue) nextUnless(skip func(kind string) bool, held func(*Request) bool) *Request {
 	firstOfRank := map[int]*Request{}
 	for key, g := range q.groups {
 		if skip(key.kind) {
 			continue
 		}
 		r := g.first()
+		if held(r) {
+			continue
+		}
 		if best := firstOfRank[key.rank]; best == nil || q.precedes(r, best) {
 			firstOfRank[key.rank] = r
 		}
@@ -324,7 +347,7 @@
 		return
 	}
 	g.take(r)
-	r.group = nil
+	r.group, r.heldSince = nil, time.Time{}
 	q.count--
 	q.limits.requests--
 	q.limits.bytes -= r.Bytes
@@ -427,9 +450,10 @@
 	for _, list := range late {
 		slices.SortFunc(list, func(a, b *Request) int { return a.LatestStart.Compare(b.LatestStart) })
 		before := 0.0
-		for _, r := range list {
-			ahead := q.precedingWork(r, false)
-			ahead.own += before
+		for i, r := range list {
+			ahead := q.precedingWork(r, false, now)
+			// What waits at other daemons is spread over the same time.
+			ahead.own = before + ahead.own*float64(i)/float64(len(list))
 			wait, known := q.waitBehind(r, ahead, now)
 			if known && float64(wait) > rejectMargin*float64(r.LatestStart.Sub(now)) {
 				out = append(out, r)
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -3,11 +3,14 @@
 import (
 	"container/heap"
 	"encoding/binary"
+	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 )
 
@@ -41,23 +44,31 @@
 // caller is a request of the simulation.
 type caller struct {
 	request Request
-	demand  int
-	first   time.Time
-	digest  Digest
+	// queue is that of the daemon that has the request.
+	queue  *Queue
+	demand int
+	first  time.Time
+	digest Digest
 	// returning is set once a rejection named a time.
 	returning bool
 }
 
-// simulation is one service with some slots, driven by events in the order of their time.
+// simulation is one service with some slots behind some daemons, driven by events in the order of
+// their time.
 type simulation struct {
-	queue    *Queue
-	slots    int
-	demands  []demand
-	results  []result
-	events   events
-	random   *rand.Rand
-	count    int
-	now, end time.Time
+	queues []*Queue
+	// heartbeat is the interval at which daemons report to each other, and delay how long a report
+	// takes. No reports are sent if heartbeat is 0.
+	heartbeat, delay time.Duration
+	slots            int
+	demands          []demand
+	results          []result
+	events           events
+	random           *rand.Rand
+	count            int
+	now, end         time.Time
+	// dead is the number of daemons that were killed, the first ones.
+	dead int
 	// overdue counts the requests that waited on when they could no longer be served.
 	overdue int
 	live    map[*Request]*caller
@@ -85,10 +96,19 @@
 // simulate runs a service under some demands.
 func simulate(seed uint64, maxWaiting int, duration time.Duration, demands ...demand) *simulation {
 	s := &simulation{
-		queue: New(&Limits{MaxRequests: maxWaiting, MaxBytes: 1 << 30}, false), slots: slots, demands: demands,
+		slots: slots, demands: demands,
 		results: make([]result, len(demands)), random: rand.New(rand.NewPCG(seed, 1)),
 		now: origin, end: origin.Add(duration), live: map[*Request]*caller{},
 	}
+	return s.withDaemons(1, maxWaiting)
+}
+
+// withDaemons sets the number of daemons and the bound of their queues.
+func (s *simulation) withDaemons(n, maxWaiting int) *simulation {
+	s.queues = nil
+	for range n {
+		s.queues = append(s.queues, New(&Limits{MaxRequests: maxWaiting, MaxBytes: 1 << 30}, false))
+	}
 	return s
 }
 
@@ -101,6 +121,9 @@
 		s.after(0, func() { s.arrive(i) })
 	}
 	s.after(tick, s.tick)
+	for i := range s.queues {
+		s.after(time.Duration(i)*time.Millisecond, func() { s.report(i) })
+	}
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(simEvent)
 		s.now = e.at
@@ -109,22 +132,57 @@
 	return s
 }
 
-const tick = 50 * time.Millisecond
+const tick = 5 * time.Millisecond
 
 func (s *simulation) tick() {
-	for _, r := range s.queue.Expire(s.now) {
-		s.reject(s.live[r.Request], r.ReturnAt)
+	waiting := 0
+	for _, q := range s.queues {
+		for _, r := range q.Expire(s.now) {
+			s.reject(s.live[r.Request], r.ReturnAt)
+		}
+		waiting += q.Len()
 	}
+	s.fill()
 	for r := range s.live {
 		if r.Waiting() && r.LatestStart.Before(s.now) {
 			s.overdue++
 		}
 	}
-	if s.now.Before(s.end) || s.queue.Len() > 0 {
+	if s.now.Before(s.end) || waiting > 0 {
 		s.after(tick, s.tick)
 	}
 }
 
+// report sends the report of a daemon to the others.
+func (s *simulation) report(i int) {
+	if s.heartbeat == 0 || s.now.After(s.end) {
+		return
+	}
+	if r := s.queues[i].Report(s.now); r != nil && i >= s.dead {
+		s.queues[i].Reported()
+		s.after(s.delay, func() {
+			for j, q := range s.queues {
+				if own := *r; j != i {
+					q.Receive(strconv.Itoa(i), &own, s.now)
+				}
+			}
+		})
+	}
+	s.after(s.heartbeat, func() { s.report(i) })
+}
+
+// kill ends a daemon. The callers of the requests that wait there try again.
+func (s *simulation) kill(i int) {
+	for r, c := range s.live {
+		if c.queue == s.queues[i] {
+			delete(s.live, r)
+			s.after(10*time.Millisecond, func() { s.offer(c) })
+		}
+	}
+	s.dead++
+	s.queues[i] = New(&Limits{}, false)
+}
+
 // arrive adds a new request of a demand and schedules the next one.
 func (s *simulation) arrive(i int) {
 	d := &s.demands[i]
@@ -149,15 +207,16 @@
 	}
 	r := &c.request
 	s.live[r] = c
-	s.queue.Register(r, s.now)
+	c.queue = s.queues[s.dead+s.random.IntN(len(s.queues)-s.dead)]
+	c.queue.Register(r, s.now)
 	if r.Returning() {
 		s.results[c.demand].returned++
 	}
-	if s.slots > 0 && s.queue.MayTry(r, false) {
+	if s.slots > 0 && c.queue.MayTry(r, false, s.now) {
 		s.start(c)
 		return
 	}
-	v, rejected := s.queue.Wait(r, s.now)
+	v, rejected := c.queue.Wait(r, s.now)
 	if !v.Waits {
 		s.reject(c, v.ReturnAt)
 	}
@@ -185,7 +244,7 @@
 func (s *simulation) start(c *caller) {
 	d := &s.demands[c.demand]
 	s.slots--
-	s.queue.Admit(&c.request, s.now)
+	c.queue.Admit(&c.request, s.now)
 	delete(s.live, &c.request)
 	if c.request.Returning() {
 		s.results[c.demand].admitted++
@@ -204,19 +263,27 @@
 // release frees a slot and fills it.
 func (s *simulation) release() {
 	s.slots++
-	for s.slots > 0 {
-		r := s.queue.Next(s.now, func(string) bool { return false })
-		if r == nil {
-			return
+	s.fill()
+}
+
+// fill gives the free slots to waiting requests. The daemons try in any order.
+func (s *simulation) fill() {
+	for _, i := range s.random.Perm(len(s.queues)) {
+		for s.slots > 0 {
+			r := s.queues[i].Next(s.now, func(string) bool { return false })
+			if r == nil {
+				break
+			}
+			s.start(s.live[r])
 		}
-		s.start(s.live[r])
 	}
 }
 
 // ten slots of 50 ms serve 200 requests per second.
 const (
-	slots = 10
-	work  = 50 * time.Millisecond
+	slots     = 10
+	simulated = 10 * time.Second
+	work      = 50 * time.Millisecond
 )
 
 func ordinary(organisation string, rank int, perSecond float64) demand {
@@ -239,7 +306,7 @@
 	burst.burst, burst.deadline = 3*time.Second, 20*time.Second
 	keeps := func(g *gomega.WithT, s *simulation) {
 		g.Expect(s.results[0].shareOnTime()).To(gomega.BeNumerically(">", 0.98))
-		g.Expect(s.results[1].onTime + s.results[1].late).To(gomega.BeNumerically(">", 70*20))
+		g.Expect(s.results[1].onTime + s.results[1].late).To(gomega.BeNumerically(">", 70*simulated.Seconds()))
 	}
 	tests := []struct {
 		name string
@@ -252,14 +319,14 @@
 		{"work that is estimated three times too high", 4000, []demand{ordinary("a", 0, 120), overestimated}, keeps},
 		{"work that is estimated three times too low", 4000, []demand{ordinary("a", 0, 120), underestimated}, keeps},
 		{"a low rank is not starved by a high one above capacity", 4000, []demand{ordinary("a", 0, 400), ordinary("b", 1, 100)}, func(g *gomega.WithT, s *simulation) {
-			g.Expect(float64(s.results[1].onTime)/20).To(gomega.BeNumerically("~", 20, 2), "a tenth of 200 per second")
+			g.Expect(float64(s.results[1].onTime)/simulated.Seconds()).To(gomega.BeNumerically("~", 20, 2), "a tenth of 200 per second")
 			g.Expect(s.results[0].shareServed()).To(gomega.BeNumerically(">", 0.4))
 		}},
 		{"ten times the demand leaves the others their share", 4000, []demand{greedy, ordinary("b", 1, 40), ordinary("c", 1, 40)}, func(g *gomega.WithT, s *simulation) {
 			for _, r := range s.results[1:] {
 				g.Expect(r.shareOnTime()).To(gomega.BeNumerically(">", 0.95))
 			}
-			g.Expect(s.results[0].onTime+s.results[0].late).To(gomega.BeNumerically(">", 100*20), "the rest of the capacity")
+			g.Expect(s.results[0].onTime+s.results[0].late).To(gomega.BeNumerically(">", 100*simulated.Seconds()), "the rest of the capacity")
 		}},
 		{"callers that return at once gain nothing", 4000, []demand{abusive, ordinary("b", 1, 100)}, func(g *gomega.WithT, s *simulation) {
 			g.Expect(s.results[0].returned).To(gomega.BeNumerically("<", s.results[0].arrived/10))
@@ -278,7 +345,7 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			s := simulate(7, tc.maxWaiting, 20*time.Second, tc.demands...).run()
+			s := simulate(7, tc.maxWaiting, simulated, tc.demands...).run()
 			t.Logf("%+v", s.results)
 			g.Expect(s.overdue).To(gomega.BeZero(), "requests that wait although they can no longer be served")
 			tc.check(g, s)
@@ -286,6 +353,41 @@
 	}
 }
 
+// Of many daemons with few requests each, those with urgent requests must get the capacity, whatever
+// becomes of single reports.
+func TestDaemonsShareTheOrder(t *testing.T) {
+	tests := []struct {
+		name             string
+		heartbeat, delay time.Duration
+		killed           int
+		onTime, served   float64
+	}{
+		{"reports in time", 50 * time.Millisecond, 2 * time.Millisecond, 0, 0.98, 190},
+		{"half of the daemons are killed with full queues", 50 * time.Millisecond, 2 * time.Millisecond, 10, 0.98, 190},
+		{"reports late by a second", 50 * time.Millisecond, time.Second, 0, 0.9, 180},
+		{"no reports", 0, 0, 0, 0.8, 190},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := simulate(5, 1000, simulated, ordinary("a", 0, 120), ordinary("b", 1, 280)).withDaemons(20, 1000)
+			s.heartbeat, s.delay = tc.heartbeat, tc.delay
+			for i := range tc.killed {
+				s.after(simulated/4, func() { s.kill(i) })
+			}
+			s.run()
+			t.Logf("%+v", s.results)
+			g.Expect(s.overdue).To(gomega.BeZero())
+			g.Expect(s.results[0].shareOnTime()).To(gomega.BeNumerically(">=", tc.onTime))
+			served := 0
+			for _, r := range s.results {
+				served += r.onTime + r.late
+			}
+			g.Expect(float64(served)/simulated.Seconds()).To(gomega.BeNumerically(">", tc.served), "of 200 per second")
+		})
+	}
+}
+
 // Rejected callers must be spread over the time in which capacity frees, and be served when they
 // return.
 func TestReturnsAreSpreadAndAdmitted(t *testing.T) {
@@ -326,6 +428,73 @@
 	g.Expect(q.Next(returns[2], func(string) bool { return false })).To(gomega.BeIdenticalTo(returning))
 }
 
+// A caller that returns at another daemon must find its promise, and the order must hold there.
+func TestReportsReachPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	from, to := New(&Limits{MaxRequests: 1}, false), New(&Limits{MaxRequests: 10}, false)
+	now := origin
+	deadline := now.Add(time.Minute)
+	admitted := func(q *Queue) {
+		for i := range 20 {
+			r := &Request{Work: 0.05, StartBy: deadline, LatestStart: deadline}
+			q.Register(r, now.Add(time.Duration(i)*100*time.Millisecond))
+			q.Admit(r, now.Add(time.Duration(i)*100*time.Millisecond))
+		}
+	}
+	admitted(from)
+	admitted(to)
+	now = now.Add(2 * time.Second)
+	var waiting [2]*Request
+	for i := range waiting {
+		waiting[i] = &Request{Digest: Digest{1, byte(i)}, Rank: i, Work: 1, StartBy: deadline, LatestStart: deadline}
+		from.Register(waiting[i], now)
+		from.Wait(waiting[i], now)
+	}
+	g.Expect(waiting[1].Waiting()).To(gomega.BeFalse(), "the queue holds one request")
+	// Capacity is known after a second of shortage.
+	now = now.Add(2 * time.Second)
+	rejected := &Request{Digest: Digest{2}, Rank: 1, Work: 1, StartBy: deadline, LatestStart: deadline}
+	from.Register(rejected, now)
+	v, _ := from.Wait(rejected, now)
+	g.Expect(v.ReturnAt.IsZero()).To(gomega.BeFalse())
+
+	raw, err := msgpack.Marshal(from.Report(now))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var report Report
+	g.Expect(msgpack.Unmarshal(raw, &report)).To(gomega.Succeed())
+	from.Reported()
+	g.Expect(from.Report(now).Promises).To(gomega.BeEmpty(), "a promise is reported once")
+	to.Receive("from", &report, now)
+	low, high := &Request{Rank: 1, Work: 0.05, StartBy: deadline, LatestStart: deadline}, &Request{Work: 0.05, StartBy: now.Add(time.Second), LatestStart: deadline}
+	to.Register(low, now)
+	to.Register(high, now)
+	g.Expect(to.MayTry(low, false, now)).To(gomega.BeFalse(), "an urgent request waits elsewhere")
+	g.Expect(to.MayTry(high, false, now)).To(gomega.BeTrue(), "it is due before that")
+	g.Expect(to.MayTry(low, false, now.Add(maxHold))).To(gomega.BeTrue(), "the peer stopped reporting")
+	again := &Request{Digest: rejected.Digest, Rank: 1, Work: 1, StartBy: deadline, LatestStart: deadline}
+	to.Register(again, v.ReturnAt)
+	g.Expect(again.Returning()).To(gomega.BeTrue())
+	report.Capacity = math.NaN()
+	to.Receive("other", &report, now)
+	g.Expect(to.peers).NotTo(gomega.HaveKey("other"), "an invalid report")
+}
+
+// BenchmarkArrival is the cost of a request that finds capacity while 59 peers report waiting
+// requests.
+func BenchmarkArrival(b *testing.B) {
+	q, now := New(&Limits{MaxRequests: 100}, false), origin
+	for i := range 59 {
+		q.Receive(strconv.Itoa(i), &Report{Capacity: 1, Classes: []ClassReport{{Work: 1, FirstWork: 1, Class: 2}, {Rank: 1, Work: 1, FirstWork: 1, Class: 2}}}, now)
+	}
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		r := &Request{Kind: "k", Work: 0.05, StartBy: now.Add(-time.Second), LatestStart: now.Add(time.Second)}
+		q.Register(r, now)
+		q.MayTry(r, false, now)
+		q.Admit(r, now)
+	}
+}
+
 // Whatever happens, the queue keeps its bounds and counts, and gives out each request once.
 func TestQueueInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/relay/queue.go
+++ b/core/relay/queue.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"embertally.dev/core/learn"
 	"embertally.dev/core/queue"
 )
@@ -25,7 +27,7 @@
 	maxPassInterval = 16 * time.Millisecond
 	// tickInterval is the interval for rejecting requests that can no longer be served, and for a
 	// pass without a known cause: not everything that frees capacity is reported.
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 25 * time.Millisecond
 	// maxTurn is how long the others wait for a request whose turn it is: the query to another
 	// daemon takes longer.
 	maxTurn = 20 * time.Millisecond
@@ -37,6 +39,11 @@
 	options *Options
 	// waiting is the number of waiting requests, for a check without a lock.
 	waiting atomic.Int64
+	// peersWait is set while other daemons report waiting requests.
+	peersWait atomic.Bool
+	// changes counts the calls of capacityChanged, so that none is missed between an attempt to find
+	// capacity and the wait for it.
+	changes atomic.Uint64
 
 	queuesMu sync.Mutex
 	limits   queue.Limits             // guarded by queuesMu
@@ -100,6 +107,13 @@
 func (a *admission) register(service string, r queue.Request, now time.Time) *waiter {
 	a.queuesMu.Lock()
 	defer a.queuesMu.Unlock()
+	w := &waiter{service: a.queueOf(service), request: r, notify: make(chan struct{}, 1)}
+	w.service.queue.Register(&w.request, now)
+	return w
+}
+
+// queueOf returns the queue of a service. It is called with queuesMu held.
+func (a *admission) queueOf(service string) *serviceQueue {
 	s := a.queues[service]
 	if s == nil {
 		s = &serviceQueue{
@@ -108,20 +122,18 @@
 		}
 		a.queues[service] = s
 	}
-	w := &waiter{service: s, request: r, notify: make(chan struct{}, 1)}
-	s.queue.Register(&w.request, now)
-	return w
+	return s
 }
 
 // mayTry reports whether a request that does not wait may try before those that do.
 func (a *admission) mayTry(w *waiter) bool {
-	if a.waiting.Load() == 0 {
+	if a.waiting.Load() == 0 && !a.peersWait.Load() {
 		return true
 	}
 	a.queuesMu.Lock()
 	defer a.queuesMu.Unlock()
 	s := w.service
-	return s.queue.MayTry(&w.request, s.turn != nil || s.passTimer)
+	return s.queue.MayTry(&w.request, s.turn != nil || s.passTimer, time.Now())
 }
 
 // admit records that a request got a target.
@@ -143,9 +155,10 @@
 	w.service.remove(w, now)
 }
 
-// enqueue makes a request wait that found no target, or ends its turn if it already waits. prepare
-// updates the request before it is added. The verdict tells whether it waits.
-func (a *admission) enqueue(w *waiter, prepare func(*queue.Request)) queue.Verdict {
+// enqueue makes a request wait that found no target, or ends its turn if it already waits. changes is
+// the value of a.changes before it tried. prepare updates the request before it is added. The
+// verdict tells whether it waits.
+func (a *admission) enqueue(w *waiter, changes uint64, prepare func(*queue.Request)) queue.Verdict {
 	a.queuesMu.Lock()
 	defer a.queuesMu.Unlock()
 	now, s := time.Now(), w.service
@@ -171,6 +184,9 @@
 	s.waiters[&w.request] = w
 	a.countWaiting()
 	s.startTick()
+	if changes != a.changes.Load() {
+		s.wake(now)
+	}
 	return verdict
 }
 
@@ -206,6 +222,7 @@
 
 // capacityChanged begins passes over the waiting requests, because a target may have capacity.
 func (a *admission) capacityChanged() {
+	a.changes.Add(1)
 	if a.waiting.Load() == 0 {
 		return
 	}
@@ -217,6 +234,66 @@
 	}
 }
 
+// QueuePart is the part of heartbeats in which daemons report what waits.
+type QueuePart struct{ Relay *Relay }
+
+// Collect returns this daemon's reports by service, or nil.
+func (part QueuePart) Collect(bool) any {
+	a := part.Relay.admission
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	now := time.Now()
+	var out map[string]*queue.Report
+	waits := false
+	for service, s := range a.queues {
+		if r := s.queue.Report(now); r != nil {
+			if out == nil {
+				out = map[string]*queue.Report{}
+			}
+			out[service] = r
+		}
+		waits = waits || s.queue.PeersWait(now)
+	}
+	a.peersWait.Store(waits)
+	if out == nil {
+		return nil
+	}
+	return out
+}
+
+// Told is called after the result of Collect was sent.
+func (part QueuePart) Told() {
+	a := part.Relay.admission
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	for _, s := range a.queues {
+		s.queue.Reported()
+	}
+}
+
+// Receive records a peer's reports.
+func (part QueuePart) Receive(peer string, raw []byte) {
+	var reports map[string]*queue.Report
+	t := part.Relay.Table()
+	if err := msgpack.Unmarshal(raw, &reports); err != nil || t == nil {
+		// A peer of another version; its requests are served without regard to order.
+		return
+	}
+	a := part.Relay.admission
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	for service, r := range reports {
+		if r == nil || t.Service(service) == nil {
+			continue
+		}
+		s, now := a.queueOf(service), time.Now()
+		s.queue.Receive(peer, r, now)
+		if s.queue.PeersWait(now) {
+			a.peersWait.Store(true)
+		}
+	}
+}
+
 // countWaiting updates the number of waiting requests. It is called with queuesMu held.
 func (a *admission) countWaiting() { a.waiting.Store(int64(a.limits.Requests())) }
 
@@ -344,8 +421,8 @@
 }
 
 // awaitTurn waits until the request may try again, and reports whether it may. recheck is the time
-// after which capacity is known to return, or 0.
-func (p *proxiedRequest) awaitTurn(ctx context.Context, recheck time.Duration) bool {
+// after which capacity is known to return, or 0, and changes is admission.changes before it tried.
+func (p *proxiedRequest) awaitTurn(ctx context.Context, recheck time.Duration, changes uint64) bool {
 	if p.relay.options.Disabled.Waiting {
 		return false
 	}
@@ -353,7 +430,7 @@
 	if p.queued.IsZero() {
 		p.queued = time.Now()
 	}
-	verdict := queues.enqueue(p.waiter, p.prepareWait)
+	verdict := queues.enqueue(p.waiter, changes, p.prepareWait)
 	if !verdict.Waits {
 		p.returnAt = verdict.ReturnAt
 		p.note("rejected by the queue: expected wait %s", verdict.Expected.Round(time.Millisecond))
--- a/core/relay/queue_test.go
+++ b/core/relay/queue_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"embertally.dev/core/clock"
 	"embertally.dev/core/roster"
@@ -76,6 +77,24 @@
 	}
 }
 
+// Without reports, a daemon gives a free slot to a request although a more urgent one waits at another.
+func TestRequestYieldsToUrgentOneAtAnotherDaemon(t *testing.T) {
+	from, to := newQueueRig(t), newQueueRig(t)
+	from.sendWaiting("/repeatable/", "urgent", "Deadline", "60000")
+	raw, err := msgpack.Marshal(QueuePart{from.relay}.Collect(false))
+	from.g.Expect(err).NotTo(gomega.HaveOccurred())
+	QueuePart{from.relay}.Told()
+	QueuePart{to.relay}.Receive("from", raw)
+	to.roster.Target("t").RemoveLoad(fullLoad)
+	to.sendWaiting("/repeatable/", "other", "Deadline", "60000")
+	// The report counts for some time only.
+	to.g.Expect(to.order()).To(gomega.Equal("other"))
+	to.g.Expect(QueuePart{to.relay}.Collect(false)).NotTo(gomega.BeNil(), "a shortage is reported for some seconds")
+	from.roster.Target("t").RemoveLoad(fullLoad)
+	from.relay.CapacityChanged()
+	from.g.Expect(from.order()).To(gomega.Equal("urgent"))
+}
+
 // A caller that has disconnected must not hold a place in the queue.
 func TestDisconnectedCallerLeavesQueue(t *testing.T) {
 	q := newQueueRig(t)
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -164,8 +164,9 @@
 			// It became blocked while it waited, or by the crash that it has just caused.
 			return nil, crashesTargets
 		}
-		reason, recheck := allFull, time.Duration(0)
+		reason, recheck, changes := allFull, time.Duration(0), uint64(0)
 		if mayTry {
+			changes = queues.changes.Load()
 			var c *choice
 			c, reason = p.choose(ctx)
 			if c != nil {
@@ -194,7 +195,7 @@
 				return nil, reason
 			}
 		}
-		if !p.awaitTurn(ctx, recheck) {
+		if !p.awaitTurn(ctx, recheck, changes) {
 			p.noteWait()
 			return nil, allFull
 		}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -149,6 +149,7 @@
 	h.canary.OrdersCurrent = func() bool { return h.viewAge() < rolloutMaxViewAge }
 	h.buildRelay()
 	h.roster.CapacityChanged = h.relay.CapacityChanged
+	h.fleet.Attach("queue", relay.QueuePart{Relay: h.relay})
 	h.contextOwners = relay.NewContextOwners(h.relay, h.fleet)
 	h.updateNotifier = spread.NewWeightUpdateNotifier(h.fleet, h.roster)
 	h.updateNotifier.Sharded = h.watchCacheSync.Sharded
