Requests on time do not yield to late ones of higher ranks elsewhere; kinds by size

A late request is often not worth the capacity that others find. Reported by other daemons, many of them would hold back less urgent requests that are on time without taking the capacity, and make these look late. They no longer count for requests on time. The kind of a request now has the power of two of its tokens, so that a long prompt without room does not block short ones of its route.

--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -171,7 +171,9 @@
 			switch {
 			case key.rank > r.Rank:
 			case key.rank < r.Rank:
-				ahead.higher += work
+				if r.yieldsTo(class(c)) {
+					ahead.higher += work
+				}
 			case class(c) < r.class:
 				ahead.earlier += work
 			case class(c) == r.class && len(g.byClass[c]) > 0:
@@ -191,6 +193,11 @@
 	return ahead
 }
 
+// yieldsTo reports whether work of a class of a higher rank counts as being done before a request.
+// Late requests are often not worth the capacity that others find, so that they would hold back
+// requests that are on time without taking it.
+func (r *Request) yieldsTo(c class) bool { return r.class.late() || !c.late() }
+
 // waitBehind returns the expected wait of a request behind some work.
 func (q *Queue) waitBehind(r *Request, ahead workAhead, now time.Time) (time.Duration, bool) {
 	if q.byArrival {
--- a/core/queue/report.go
+++ b/core/queue/report.go
@@ -236,7 +236,9 @@
 	for c, work := range q.view(now).classes {
 		switch {
 		case c.rank < r.Rank:
-			sum.higher += work
+			if r.yieldsTo(c.class) {
+				sum.higher += work
+			}
 		case c.rank == r.Rank && c.class < r.class:
 			sum.earlier += work
 		case c.rank == r.Rank && c.class == r.class:
@@ -256,7 +258,8 @@
 	work := 0.0
 	for _, c := range q.view(now).fresh {
 		switch {
-		case c.rank > r.Rank || c.due.Before(now):
+		case c.rank > r.Rank || c.rank < r.Rank && !r.yieldsTo(c.class):
+		case c.due.Before(now):
 			// What was due is no longer in this class.
 		case c.rank < r.Rank || c.class < r.class:
 			work += c.work
--- a/core/relay/queue.go
+++ b/core/relay/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/bits"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -503,7 +505,8 @@
 
 // capacityKind names the requests that may go to the same targets and need the same capacity.
 func (p *proxiedRequest) capacityKind() string {
-	kind := p.route.Name + "\x00" + p.meta.Model
+	// Prompts of similar length need about as much room.
+	kind := p.route.Name + "\x00" + p.meta.Model + "\x00" + strconv.Itoa(bits.Len(uint(max(0, p.meta.PromptTokens))))
 	if len(p.regions) > 0 {
 		kind += "\x00" + p.organisationName()
 	}
