--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -134,6 +134,8 @@
 	shares shareCache
 	// permitWaiters holds the services with a request that waits for a permit.
 	permitWaiters permitWaiters
+	// admission holds the requests that wait for a target.
+	admission *admission
 
 	// chooseMu is held from reading the targets' load until the chosen target's load is updated.
 	chooseMu sync.Mutex
@@ -153,12 +155,21 @@
 	if o.Canary == nil {
 		o.Canary = &canary.Guard{}
 	}
-	return &Relay{
+	rl := &Relay{
 		options: o, start: time.Now(), retryBudgets: map[string]*route.RetryBudget{},
 		arrivalRates: map[string]*learn.Rate{},
 	}
+	rl.admission = newAdmission(&rl.options)
+	return rl
 }
 
+// CapacityChanged is called when a target may have become able to take a request by what others
+// report.
+func (rl *Relay) CapacityChanged() { rl.admission.capacityChanged(false) }
+
+// loadRemoved is called after this daemon removed load from a target.
+func (rl *Relay) loadRemoved() { rl.admission.capacityChanged(true) }
+
 // SetTable applies a configuration. Running requests keep the one they started with.
 func (rl *Relay) SetTable(t *table.Table) { rl.table.Store(t) }
 
@@ -168,6 +179,9 @@
 // Running returns the number of unfinished requests.
 func (rl *Relay) Running() int64 { return rl.running.Load() }
 
+// Waiting returns the number of requests that wait for a target.
+func (rl *Relay) Waiting() int64 { return rl.admission.waiting.Load() }
+
 // CloseConnections starts a graceful shutdown: from now on each answer closes its connection.
 func (rl *Relay) CloseConnections() { rl.closeConnections.Store(true) }
 
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -37,6 +37,10 @@
 	// ReportedRateLimit counts responses in which a target states a rate limit, RateLimitedAttempts
 	// the attempts at targets that have one.
 	ReportedRateLimit, RateLimitedAttempts *metrics.Counter
+	// QueueSeconds is the time that requests waited for a target, whether or not they got one.
+	// QueueRejected counts the requests that their queue rejected.
+	QueueSeconds  *metrics.Histogram
+	QueueRejected *metrics.Counter
 }
 
 // NewStats returns counters at 0.
@@ -56,6 +60,7 @@
 		LateCopies:         c("copies_late_total"),
 		Opened:             c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
 		ReportedShutdown: c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
+		QueueSeconds: set.NewHistogram("embertally_queue_seconds"), QueueRejected: c("queue_rejected_total"),
 		ReportedRateLimit: c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
 	}
 }
