Learn pauses of streams and prefer a share of the workers for streams that suffer from prefill

Streams beside long prefills miss their gap objective, and nothing predicted or weighed that: short prompts with long streams and long prompts ran on all workers alike.

Each daemon observes the longest pause of each complete stream, learns by kind of request how likely the gap objective is kept at a prefill load, and shares this and the demand in the heartbeat part "pauses". route.Divide computes from it which kinds suffer and which share of the workers serves them. A candidate counts with the probability that the kind keeps its objective on the candidate's side, and a prefill on a reserved worker with what the streams there lose by it.

Metrics: streams_judged_total, streams_paused_total.

go test ./... in core passes.

--- /dev/null
+++ b/core/learn/pauses.go
@@ -0,0 +1,438 @@
+package learn
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Pauses estimates, by kind of request, how likely a stream keeps its gap objective beside a given
+// prefill load of its worker, and what work the kind's requests cause. It also holds the prefill load
+// of each target: the share of time that it spends on prefill. The zero value has no observations.
+//
+// Lock order: pausesMu is taken alone.
+type Pauses struct {
+	pausesMu sync.Mutex
+	services map[string]map[string]*pauseModel // by service and route; guarded by pausesMu
+	// prefill holds the prefill seconds sent to each target. Guarded by pausesMu.
+	prefill map[string]*decayingSum
+	// unreported holds the observations that no Collect has returned, and reporting those that are
+	// in the heartbeats being sent. Guarded by pausesMu.
+	unreported, reporting *pauseReport
+	sweptAt               time.Time // last removal of idle targets; guarded by pausesMu
+	// rejected counts the invalid observations and reports. Guarded by pausesMu.
+	rejected int
+}
+
+// pauseModel holds the observations of one kind of request.
+type pauseModel struct {
+	// kept is the share of streams that kept their gap objective, by node of loadNodes.
+	kept [loadNodeCount]Mean
+	// duration and events are the means of the streams' durations, in seconds, and events.
+	duration, events Mean
+	// requests, prefill and tokens are the requests sent, their prefill seconds and their prompt tokens.
+	requests, prefill, tokens decayingSum
+}
+
+// decayingSum is a sum of amounts whose weights decay exponentially with age. The zero value is
+// empty.
+type decayingSum struct {
+	sum                  float64
+	updatedAt, startedAt time.Time
+}
+
+// add adds an amount.
+func (s *decayingSum) add(amount float64, now time.Time, halfLife time.Duration) {
+	if s.startedAt.IsZero() {
+		s.startedAt, s.updatedAt = now, now
+	}
+	s.sum = s.sum*decay(now.Sub(s.updatedAt), halfLife) + amount
+	if now.After(s.updatedAt) {
+		s.updatedAt = now
+	}
+}
+
+// perSecond returns the amount per second. Only the time since the first amount counts, so that the
+// rate of a new sum is not underestimated; it counts as at least a half-life divided by minRateShare.
+func (s *decayingSum) perSecond(now time.Time, halfLife time.Duration) float64 {
+	if s.startedAt.IsZero() {
+		return 0
+	}
+	covered := 1 - decay(max(now.Sub(s.startedAt), halfLife/minRateShare), halfLife)
+	return s.sum * decay(now.Sub(s.updatedAt), halfLife) * math.Ln2 / halfLife.Seconds() / covered
+}
+
+const (
+	// keptHalfLife is the half-life of the weight of a stream in the probability that the gap
+	// objective is kept, and demandHalfLife that of a request in the demand: long enough that bursts
+	// of seconds hardly change the mix of kinds.
+	keptHalfLife   = 10 * time.Second
+	demandHalfLife = 10 * time.Second
+	// prefillHalfLife is the half-life of prefill sent to a target; the mean age of what counts is
+	// then one second, about the duration of a stream.
+	prefillHalfLife = 700 * time.Millisecond
+	// keptPriorWeight is the number of streams that the prior of each node counts for, and
+	// maxKeptWeight bounds the weight of the observations of a node.
+	keptPriorWeight = 2
+	maxKeptWeight   = 200
+	// minRateShare is the number of parts of a half-life of which one is the least time that a rate
+	// is taken over.
+	minRateShare = 10
+	// maxStreamTime bounds the duration of a stream in reports: no caller waits longer.
+	maxStreamTime = 10 * time.Minute
+	// maxPromptTokens bounds the mean prompt of a kind in reports.
+	maxPromptTokens = 1 << 24
+	// maxReportPrefill bounds the prefill seconds in a report.
+	maxReportPrefill = 10000
+	// idlePrefill is the prefill load below which a target is forgotten.
+	idlePrefill = 1e-4
+)
+
+// loadNodes are the prefill loads at which the probability of keeping the gap objective is learned.
+var loadNodes = [loadNodeCount]float64{0, 0.05, 0.1, 0.2, 0.3, 0.45, 0.65, 0.9}
+
+const loadNodeCount = 8
+
+// loadNode returns the index of the node closest to a load.
+func loadNode(load float64) int {
+	i := 0
+	for i+1 < loadNodeCount && load > (loadNodes[i]+loadNodes[i+1])/2 {
+		i++
+	}
+	return i
+}
+
+// KeptCurve is the probability that a stream keeps its gap objective at each node of the prefill
+// load, in non-increasing order. The zero value means unknown.
+type KeptCurve [loadNodeCount]float64
+
+// At returns the probability at a prefill load, or 0 if it is unknown.
+func (c *KeptCurve) At(load float64) float64 {
+	i := 1
+	for i < loadNodeCount-1 && load > loadNodes[i] {
+		i++
+	}
+	position := (load - loadNodes[i-1]) / (loadNodes[i] - loadNodes[i-1])
+	return c[i-1] + (c[i]-c[i-1])*min(max(position, 0), 1)
+}
+
+// StreamDemand is what is known of one kind of request of a service.
+type StreamDemand struct {
+	// Route is the route of the requests.
+	Route string
+	// Requests is the number of requests per second that all daemons of the cell send, Prefill the
+	// seconds of prefill per second that they cause, and Streams the number of their streams that run
+	// at a time.
+	Requests, Prefill, Streams float64
+	// Tokens is the mean length of the prompts.
+	Tokens float64
+	// Kept is the probability that a stream keeps its gap objective, and Observations the decayed
+	// number of streams behind it; 0 if the route has no gap objective.
+	Kept         KeptCurve
+	Observations float64
+}
+
+// StreamSample is the observation of one complete stream.
+type StreamSample struct {
+	Service, Route string
+	// Events is the number of events, and Duration the time from the first event to the end.
+	Events   int
+	Duration time.Duration
+	// Judged is set if the stream has a gap objective and its pauses were caused by its target. Load is
+	// the prefill load beside which it ran, and Kept reports whether it kept the objective.
+	Judged bool
+	Load   float64
+	Kept   bool
+}
+
+// pauseReport sums up the observations of one daemon between two heartbeats.
+type pauseReport struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Kinds    []kindReport
+	// Prefill holds the prefill seconds sent to each target.
+	Prefill map[string]float32
+}
+
+// kindReport is the part of a report on one kind of request.
+type kindReport struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack       struct{} `msgpack:",as_array"`
+	Service, Route string
+	// Requests is the number of requests sent, Prefill the sum of their prefill seconds and Tokens that
+	// of their prompt tokens.
+	Requests        int32
+	Prefill, Tokens float32
+	// Streams is the number of complete streams, Seconds and Events the sums of their durations and
+	// events.
+	Streams         int32
+	Seconds, Events float32
+	// Judged and Kept count the streams with a gap objective and those of them that kept it, by node
+	// of the prefill load.
+	Judged, Kept [loadNodeCount]int32
+}
+
+// valid reports whether a report is within the possible ranges.
+func (r *kindReport) valid() bool {
+	within := func(sum float32, count int32, limit float64) bool {
+		return sum >= 0 && float64(sum) <= limit*float64(count)
+	}
+	if r.Requests < 0 || r.Requests > maxReportCount || r.Streams < 0 || r.Streams > maxReportCount ||
+		!(r.Prefill >= 0 && r.Prefill <= maxReportPrefill) || !within(r.Tokens, r.Requests, maxPromptTokens) ||
+		!within(r.Seconds, r.Streams, maxStreamTime.Seconds()) || !within(r.Events, r.Streams, maxPromptTokens) {
+		return false
+	}
+	for i, judged := range r.Judged {
+		if judged < 0 || judged > r.Streams || r.Kept[i] < 0 || r.Kept[i] > judged {
+			return false
+		}
+	}
+	return true
+}
+
+// RecordSend records that a prompt of some tokens is sent to a target, which prefills for some time.
+func (p *Pauses) RecordSend(service, route, target string, tokens int, prefill time.Duration, now time.Time) {
+	r := kindReport{Service: service, Route: route, Requests: 1, Prefill: float32(prefill.Seconds()), Tokens: float32(tokens)}
+	p.pausesMu.Lock()
+	defer p.pausesMu.Unlock()
+	if !r.valid() {
+		p.rejected++
+		return
+	}
+	p.observe(&r, now)
+	p.addPrefill(target, float64(r.Prefill), now)
+	if p.unreported.Prefill == nil {
+		p.unreported.Prefill = map[string]float32{}
+	}
+	p.unreported.Prefill[target] += r.Prefill
+}
+
+// ObserveStream records a complete stream.
+func (p *Pauses) ObserveStream(s StreamSample, now time.Time) {
+	r := kindReport{Service: s.Service, Route: s.Route, Streams: 1, Seconds: float32(s.Duration.Seconds()), Events: float32(s.Events)}
+	if s.Judged {
+		node := loadNode(s.Load)
+		r.Judged[node] = 1
+		if s.Kept {
+			r.Kept[node] = 1
+		}
+	}
+	p.pausesMu.Lock()
+	defer p.pausesMu.Unlock()
+	if !r.valid() || !finite(s.Load) {
+		p.rejected++
+		return
+	}
+	p.observe(&r, now)
+}
+
+// observe adds an observation of this daemon, also to the next report. It is called with pausesMu held.
+func (p *Pauses) observe(r *kindReport, now time.Time) {
+	p.add(r, now)
+	if p.unreported == nil {
+		p.unreported = &pauseReport{}
+	}
+	at := slices.IndexFunc(p.unreported.Kinds, func(k kindReport) bool { return k.Service == r.Service && k.Route == r.Route })
+	if at < 0 {
+		p.unreported.Kinds = append(p.unreported.Kinds, *r)
+		return
+	}
+	sum := &p.unreported.Kinds[at]
+	sum.Requests += r.Requests
+	sum.Prefill += r.Prefill
+	sum.Tokens += r.Tokens
+	sum.Streams += r.Streams
+	sum.Seconds += r.Seconds
+	sum.Events += r.Events
+	for i := range sum.Judged {
+		sum.Judged[i] += r.Judged[i]
+		sum.Kept[i] += r.Kept[i]
+	}
+}
+
+// add adds observations of this daemon or a peer. It is called with pausesMu held.
+func (p *Pauses) add(r *kindReport, now time.Time) {
+	routes := p.services[r.Service]
+	if routes == nil {
+		if p.services == nil {
+			p.services = map[string]map[string]*pauseModel{}
+		}
+		routes = map[string]*pauseModel{}
+		p.services[r.Service] = routes
+	}
+	m := routes[r.Route]
+	if m == nil {
+		m = &pauseModel{}
+		routes[r.Route] = m
+	}
+	if r.Requests > 0 {
+		m.requests.add(float64(r.Requests), now, demandHalfLife)
+		m.prefill.add(float64(r.Prefill), now, demandHalfLife)
+		m.tokens.add(float64(r.Tokens), now, demandHalfLife)
+	}
+	if r.Streams > 0 {
+		count := float64(r.Streams)
+		m.duration.Add(float64(r.Seconds)/count, count, now, keptHalfLife)
+		m.events.Add(float64(r.Events)/count, count, now, keptHalfLife)
+	}
+	for i, judged := range r.Judged {
+		if judged > 0 {
+			m.kept[i].Add(float64(r.Kept[i])/float64(judged), float64(judged), now, keptHalfLife)
+			m.kept[i].capWeight(maxKeptWeight)
+		}
+	}
+}
+
+// addPrefill adds prefill seconds sent to a target. It is called with pausesMu held.
+func (p *Pauses) addPrefill(target string, amount float64, now time.Time) {
+	s := p.prefill[target]
+	if s == nil {
+		if p.prefill == nil {
+			p.prefill = map[string]*decayingSum{}
+		}
+		s = &decayingSum{}
+		p.prefill[target] = s
+	}
+	s.add(amount, now, prefillHalfLife)
+	if now.Sub(p.sweptAt) < targetExpiry {
+		return
+	}
+	p.sweptAt = now
+	for id, s := range p.prefill {
+		if s.load(now) < idlePrefill {
+			delete(p.prefill, id)
+		}
+	}
+}
+
+// load returns the share of time that a target spends on prefill.
+func (s *decayingSum) load(now time.Time) float64 {
+	return s.sum * decay(now.Sub(s.updatedAt), prefillHalfLife) * math.Ln2 / prefillHalfLife.Seconds()
+}
+
+// PrefillLoad returns the prefill load of a target: the share of time that it spends on prefill. It
+// exceeds 1 if the target gets more prompts than it can prefill.
+func (p *Pauses) PrefillLoad(target string, now time.Time) float64 {
+	p.pausesMu.Lock()
+	defer p.pausesMu.Unlock()
+	if s := p.prefill[target]; s != nil {
+		return s.load(now)
+	}
+	return 0
+}
+
+// Demand returns what is known of the kinds of requests of a service, ordered by route.
+func (p *Pauses) Demand(service string, now time.Time) []StreamDemand {
+	p.pausesMu.Lock()
+	defer p.pausesMu.Unlock()
+	var out []StreamDemand
+	for route, m := range p.services[service] {
+		d := StreamDemand{
+			Route: route, Requests: m.requests.perSecond(now, demandHalfLife),
+			Prefill: m.prefill.perSecond(now, demandHalfLife),
+		}
+		d.Streams = d.Requests * m.duration.Value(0, 0.01, now, keptHalfLife)
+		if m.requests.sum > 0 {
+			d.Tokens = m.tokens.sum / m.requests.sum
+		}
+		d.Kept, d.Observations = m.curve(now)
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b StreamDemand) int {
+		if a.Route < b.Route {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// curve returns the probability of keeping the gap objective, and the number of observations. The
+// prior is that the objective is kept. Nodes out of order are pooled: more prefill beside a stream
+// does not shorten its pauses.
+func (m *pauseModel) curve(now time.Time) (KeptCurve, float64) {
+	type block struct {
+		value, weight float64
+		nodes         int
+	}
+	var blocks []block
+	observations := 0.0
+	for i := range m.kept {
+		weight := m.kept[i].weight * decay(now.Sub(m.kept[i].decayedAt), keptHalfLife)
+		observations += weight
+		b := block{m.kept[i].Value(1, keptPriorWeight, now, keptHalfLife), keptPriorWeight + weight, 1}
+		for len(blocks) > 0 && blocks[len(blocks)-1].value < b.value {
+			last := blocks[len(blocks)-1]
+			blocks = blocks[:len(blocks)-1]
+			total := last.weight + b.weight
+			b = block{(last.value*last.weight + b.value*b.weight) / total, total, last.nodes + b.nodes}
+		}
+		blocks = append(blocks, b)
+	}
+	var out KeptCurve
+	i := 0
+	for _, b := range blocks {
+		for range b.nodes {
+			out[i] = b.value
+			i++
+		}
+	}
+	return out, observations
+}
+
+// Collect returns the unreported observations for a heartbeat, or nil. It returns the same ones until
+// Told is called.
+func (p *Pauses) Collect(bool) any {
+	p.pausesMu.Lock()
+	defer p.pausesMu.Unlock()
+	if p.reporting == nil {
+		p.reporting, p.unreported = p.unreported, nil
+	}
+	if p.reporting == nil {
+		return nil
+	}
+	return p.reporting
+}
+
+// Told discards what the last Collect returned, once the heartbeats have been sent.
+func (p *Pauses) Told() {
+	p.pausesMu.Lock()
+	defer p.pausesMu.Unlock()
+	p.reporting = nil
+}
+
+// Receive adds the observations that a peer reported.
+func (p *Pauses) Receive(_ string, raw []byte) {
+	var report pauseReport
+	if err := msgpack.Unmarshal(raw, &report); err != nil {
+		// A peer of another version sent it.
+		return
+	}
+	now := time.Now()
+	p.pausesMu.Lock()
+	defer p.pausesMu.Unlock()
+	for i := range report.Kinds {
+		if !report.Kinds[i].valid() {
+			p.rejected++
+			continue
+		}
+		p.add(&report.Kinds[i], now)
+	}
+	for target, amount := range report.Prefill {
+		if !(amount >= 0 && amount <= maxReportPrefill) {
+			p.rejected++
+			continue
+		}
+		p.addPrefill(target, float64(amount), now)
+	}
+}
+
+// Rejected returns the number of invalid observations and reports.
+func (p *Pauses) Rejected() int {
+	p.pausesMu.Lock()
+	defer p.pausesMu.Unlock()
+	return p.rejected
+}
--- a/core/learn/times.go
+++ b/core/learn/times.go
@@ -109,6 +109,11 @@
 	return e.Time(f) - service, service
 }
 
+// PrefillTime returns the time to prefill some tokens of the request.
+func (e *Estimate) PrefillTime(tokens int) time.Duration {
+	return seconds(e.coefficients[1] * float64(tokens) / tokenUnit)
+}
+
 // Probability returns the probability that a time is at most ratio times the expected one.
 func (e *Estimate) Probability(ratio float64) float64 {
 	i, found := slices.BinarySearch(e.ratios[:], ratio)
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -108,6 +108,8 @@
 	for i := range alternatives {
 		candidates[i] = alternatives[i].candidate
 	}
+	division := p.relay.division(svc, now)
+	p.applyDivision(division, candidates, alternatives)
 	input, estimate := p.routeInput(len(targets), share, now), p.estimate(now)
 	placementInput := route.PlacementInput{
 		ContextHash: p.contextHash(), Turn: p.relay.choiceCount.Add(1), Random: randomFraction(),
@@ -120,7 +122,7 @@
 	best := &alternatives[index]
 	out := &choice{
 		target: best.eligible.target, plan: best.plan, eligible: best.eligible,
-		candidate: best.candidate, onlyCandidate: len(targets) == 1, evaluation: evaluation,
+		candidate: candidates[index], onlyCandidate: len(targets) == 1, evaluation: evaluation,
 	}
 	out.factors = best.candidate.Factors(&input)
 	out.baseline = estimate.Time(out.factors)
@@ -253,6 +255,7 @@
 		c.report.reportSent()
 	} else {
 		p.recordUse(c, now)
+		p.recordPrefill(c, now)
 	}
 	p.noteChoice(c)
 }
@@ -274,6 +277,10 @@
 		candidate.QueuedTokens, candidate.Running, candidate.OccupiedTokens,
 		c.evaluation.Expected.Round(time.Millisecond),
 		c.evaluation.WithinObjective, c.evaluation.NetUtility, c.attemptMeta.WeightVersion)
+	if candidate.KeptGap > 0 {
+		p.note("probability that pauses stay within the gap objective %.2f, utility lost to other streams %.2f per second of prefill",
+			candidate.KeptGap, candidate.PauseLoss)
+	}
 }
 
 // Priorities of requests at model workers; 0 is the most urgent.
--- a/core/relay/placements.go
+++ b/core/relay/placements.go
@@ -114,6 +114,7 @@
 		c.plan.copyCount, c.plan.copyTime = 0, 0
 	}
 	p.recordUse(c, now)
+	p.recordPrefill(c, now)
 	t.AddLoad(c.load)
 	co.placements[update.Name] = &ownedPlacement{request: p, choice: c, load: c.load, deadline: p.deadline}
 	co.relay.options.PublishState()
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -38,6 +38,9 @@
 	Links *learn.Links
 	// Retention is the learned probability that a segment is still in a worker's KV cache.
 	Retention *learn.Retention
+	// Pauses is the learned probability that streams keep their gap objective, and the demand by kind
+	// of request. Nil learns nothing.
+	Pauses *learn.Pauses
 	// FirstAnswerTimes and TargetStats are statistics of the targets' responses. EnginePrior and
 	// CallPrior are the priors of the time to a first answer, for model workers and for plain
 	// calls.
@@ -135,6 +138,8 @@
 
 	// chooseMu is held from reading the targets' load until the chosen target's load is updated.
 	chooseMu sync.Mutex
+	// divisions holds the divisions of workers, by service. Guarded by chooseMu.
+	divisions map[string]*serviceDivision
 
 	budgetMu sync.Mutex
 	// retryBudgets bounds the retries, by service. Guarded by budgetMu.
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -25,6 +25,9 @@
 	// to be copied from a KV-cache store or another worker, and PromptTokensCached to be in the
 	// worker's cache.
 	PromptTokens, PromptTokensCopied, PromptTokensCached *metrics.Counter
+	// StreamsJudged counts the complete streams whose pauses were compared with the gap objective, and
+	// StreamsPaused those of them that exceeded it.
+	StreamsJudged, StreamsPaused *metrics.Counter
 	// Opened counts the connections opened to targets.
 	Opened *metrics.Counter
 	// Blocked counts refusals of requests that crash targets.
@@ -51,7 +54,8 @@
 		TotalSeconds: set.NewHistogram("embertally_whole_seconds"),
 		PromptTokens: c("prompt_tokens_total"), PromptTokensCopied: c("prompt_tokens_copied_total"),
 		PromptTokensCached: c("prompt_tokens_kept_total"),
-		Opened:             c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
+		StreamsJudged:      c("streams_judged_total"), StreamsPaused: c("streams_paused_total"),
+		Opened: c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
 		ReportedShutdown: c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
 		ReportedRateLimit: c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
 	}
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -62,9 +62,11 @@
 		return outcomeIncomplete
 	}
 	r := bufio.NewReaderSize(resp, 2<<10)
+	gaps := p.newGapObserver(c)
 	for n := 0; ; n++ {
 		ev, err := nextEvent(r)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			gaps.finished()
 			return p.finishStream(c, resp)
 		}
 		if err != nil {
@@ -75,6 +77,7 @@
 			p.recordResponse(c, true)
 			p.recordFirstAnswer(c, sent)
 		}
+		gaps.received()
 		if !isNewerEvent(ev.id, p.lastEventID) {
 			// The caller received this event from the previous worker.
 			continue
@@ -83,6 +86,7 @@
 			resp.Discard()
 			return outcomeCallerDisconnected
 		}
+		gaps.passedOn()
 	}
 }
 
--- a/core/route/utility.go
+++ b/core/route/utility.go
@@ -89,6 +89,11 @@
 	// Slowdown is the target's time to the first answer divided by that
 	// expected of its service. Above 1 the target is slower.
 	Slowdown float64
+	// KeptGap is the probability that the pauses of the request's stream stay within its gap
+	// objective at the target; 0 means unknown.
+	KeptGap float64
+	// PauseLoss is the utility that other streams lose by each second of prefill at the target.
+	PauseLoss float64
 }
 
 // Factors returns the inputs of the time to the first answer at a candidate.
@@ -133,8 +138,8 @@
 type Evaluation struct {
 	// Expected is the expected time to the first answer.
 	Expected time.Duration
-	// WithinObjective is the probability of an answer within the latency objective, and
-	// BeforeDeadline that of an answer before the deadline. Both ignore the target's failures.
+	// WithinObjective is the probability of an answer within the latency objective whose pauses stay
+	// within the gap objective, and BeforeDeadline that of an answer before the deadline. Both ignore the target's failures.
 	WithinObjective, BeforeDeadline float64
 	// CallerUtility is the utility to callers: that of this request's answer, less what other
 	// requests lose by waiting for it and by the eviction of their cached segments. The
@@ -160,10 +165,16 @@
 		ev.WithinObjective = e.Probability((req.Objective - req.Elapsed).Seconds() / expected)
 	}
 	ev.BeforeDeadline = max(ev.WithinObjective, e.Probability(req.Remaining.Seconds()/expected))
+	if c.KeptGap > 0 {
+		ev.WithinObjective *= c.KeptGap
+	}
 	utility := m.Utility(req.Tokens)
 	ev.CallerUtility = utility * (1 - c.FailureShare) * (m.PastObjectiveShare*ev.BeforeDeadline + (1-m.PastObjectiveShare)*ev.WithinObjective)
 	// Tokens that do not fit into memory evict cached segments of later requests.
 	ev.CallerUtility -= m.RecomputePerToken * f.MemoryPressure * float64(req.Tokens)
+	if c.PauseLoss > 0 {
+		ev.CallerUtility -= c.PauseLoss * slowdown * e.PrefillTime(f.OwnTokens).Seconds()
+	}
 	if req.Objective > 0 {
 		// Other requests wait for its work as well, as long as there is a queue.
 		ev.CallerUtility -= req.UtilityRate * (1 - m.PastObjectiveShare) * work.Seconds() * wait.Seconds() / req.Objective.Seconds()
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -69,6 +69,7 @@
 	workerCaches     cache.WorkerCaches
 	links            learn.Links
 	retention        learn.Retention
+	pauses           learn.Pauses
 	firstAnswerTimes *learn.Times
 	targetStats      learn.Targets
 	pool             *target.Pool
@@ -135,6 +136,7 @@
 	h.fleet.Attach("links", &h.links)
 	h.fleet.Attach("targets", &h.targetStats)
 	h.fleet.Attach("retention", &h.retention)
+	h.fleet.Attach("pauses", &h.pauses)
 	engines := platform.NewEngines(newClient())
 	engines.OnShuttingDown = func(targetIncarnation string) { h.roster.RecordShutdown(targetIncarnation, roster.ByResponse) }
 	h.storeIndexSync = spread.NewStoreIndexes(engines, h.fleet)
@@ -238,7 +240,7 @@
 // buildRelay creates the relay that serves callers' requests.
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, Retention: &h.retention, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats,
+		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, Retention: &h.retention, Pauses: &h.pauses, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats,
 		EnginePrior: h.settings.Expected.Engines.prior(), CallPrior: h.settings.Expected.Calls.prior(), Costs: h.settings.Costs.model(), Disabled: h.settings.Disabled,
 		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary,
 		Placement: route.Placement(h.settings.Placement), PublishState: h.fleet.TriggerHeartbeat,
