Weigh pauses by load and running requests, without a division too

A stream counts with the probability at the candidate's expected prefill load: half of its own load, as all daemons of the cell send it prompts, and half of its side's mean. A prefill is charged for the requests that run at the worker, with the learned slope of the probability. route.Predict gives both without a division, so that without.division switches only that off. Pauses are weighed from 3 % of streams that miss the gap objective, so that a service without them is decided as before.

The half-life of the observations is 30 s: with 10 s a division forgot its reason and ended each minute in a model of 30 workers. Kinds and targets without observations are removed after a minute. Metrics: streams_reserved_total, streams_overflowed_total, prompts_on_reserved_total, workers_reserved, pause_reports_rejected_total.

--- a/core/learn/pauses.go
+++ b/core/learn/pauses.go
@@ -1,6 +1,8 @@
 package learn
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -22,7 +24,9 @@
 	// unreported holds the observations that no Collect has returned, and reporting those that are
 	// in the heartbeats being sent. Guarded by pausesMu.
 	unreported, reporting *pauseReport
-	sweptAt               time.Time // last removal of idle targets; guarded by pausesMu
+	// unreportedSince is the time of the first observation in unreported. Guarded by pausesMu.
+	unreportedSince time.Time
+	sweptAt         time.Time // last removal of idle targets and kinds; guarded by pausesMu
 	// rejected counts the invalid observations and reports. Guarded by pausesMu.
 	rejected int
 }
@@ -35,6 +39,8 @@
 	duration, events Mean
 	// requests, prefill and tokens are the requests sent, their prefill seconds and their prompt tokens.
 	requests, prefill, tokens decayingSum
+	// updatedAt is the time of the last observation.
+	updatedAt time.Time
 }
 
 // decayingSum is a sum of amounts whose weights decay exponentially with age. The zero value is
@@ -67,9 +73,11 @@
 
 const (
 	// keptHalfLife is the half-life of the weight of a stream in the probability that the gap
-	// objective is kept, and demandHalfLife that of a request in the demand: long enough that bursts
+	// objective is kept. Where workers are divided, few streams run beside much prefill: with 10 s, the
+	// reason for a division was forgotten within a minute.
+	keptHalfLife = 30 * time.Second
+	// demandHalfLife is the half-life of the weight of a request in the demand: long enough that bursts
 	// of seconds hardly change the mix of kinds.
-	keptHalfLife   = 10 * time.Second
 	demandHalfLife = 10 * time.Second
 	// prefillHalfLife is the half-life of prefill sent to a target; the mean age of what counts is
 	// then one second, about the duration of a stream.
@@ -78,6 +86,9 @@
 	// maxKeptWeight bounds the weight of the observations of a node.
 	keptPriorWeight = 2
 	maxKeptWeight   = 200
+	// missedPriorWeight is the number of streams that kept their objective which are assumed in the share
+	// of missed ones, so that single streams do not matter.
+	missedPriorWeight = 20
 	// minRateShare is the number of parts of a half-life of which one is the least time that a rate
 	// is taken over.
 	minRateShare = 10
@@ -87,6 +98,9 @@
 	maxPromptTokens = 1 << 24
 	// maxReportPrefill bounds the prefill seconds in a report.
 	maxReportPrefill = 10000
+	// maxUnreportedAge is the age at which observations are no longer reported: a daemon without peers
+	// would otherwise collect them without bound.
+	maxUnreportedAge = 5 * time.Second
 	// idlePrefill is the prefill load below which a target is forgotten.
 	idlePrefill = 1e-4
 )
@@ -119,6 +133,9 @@
 	return c[i-1] + (c[i]-c[i-1])*min(max(position, 0), 1)
 }
 
+// Drop returns by how much the probability is lower at the highest prefill load than without prefill.
+func (c *KeptCurve) Drop() float64 { return c[0] - c[loadNodeCount-1] }
+
 // StreamDemand is what is known of one kind of request of a service.
 type StreamDemand struct {
 	// Route is the route of the requests.
@@ -133,6 +150,8 @@
 	// number of streams behind it; 0 if the route has no gap objective.
 	Kept         KeptCurve
 	Observations float64
+	// Missed is the share of the streams that did not keep it.
+	Missed float64
 }
 
 // StreamSample is the observation of one complete stream.
@@ -232,8 +251,8 @@
 // observe adds an observation of this daemon, also to the next report. It is called with pausesMu held.
 func (p *Pauses) observe(r *kindReport, now time.Time) {
 	p.add(r, now)
-	if p.unreported == nil {
-		p.unreported = &pauseReport{}
+	if p.unreported == nil || now.Sub(p.unreportedSince) > maxUnreportedAge {
+		p.unreported, p.unreportedSince = &pauseReport{}, now
 	}
 	at := slices.IndexFunc(p.unreported.Kinds, func(k kindReport) bool { return k.Service == r.Service && k.Route == r.Route })
 	if at < 0 {
@@ -268,6 +287,7 @@
 		m = &pauseModel{}
 		routes[r.Route] = m
 	}
+	m.updatedAt = now
 	if r.Requests > 0 {
 		m.requests.add(float64(r.Requests), now, demandHalfLife)
 		m.prefill.add(float64(r.Prefill), now, demandHalfLife)
@@ -297,13 +317,21 @@
 		p.prefill[target] = s
 	}
 	s.add(amount, now, prefillHalfLife)
+	p.sweep(now)
+}
+
+// sweep removes targets without prefill and kinds without observations for targetExpiry. It is called
+// with pausesMu held.
+func (p *Pauses) sweep(now time.Time) {
 	if now.Sub(p.sweptAt) < targetExpiry {
 		return
 	}
 	p.sweptAt = now
-	for id, s := range p.prefill {
-		if s.load(now) < idlePrefill {
-			delete(p.prefill, id)
+	maps.DeleteFunc(p.prefill, func(_ string, s *decayingSum) bool { return s.load(now) < idlePrefill })
+	for service, routes := range p.services {
+		maps.DeleteFunc(routes, func(_ string, m *pauseModel) bool { return now.Sub(m.updatedAt) > targetExpiry })
+		if len(routes) == 0 {
+			delete(p.services, service)
 		}
 	}
 }
@@ -338,31 +366,27 @@
 		if m.requests.sum > 0 {
 			d.Tokens = m.tokens.sum / m.requests.sum
 		}
-		d.Kept, d.Observations = m.curve(now)
+		d.Kept, d.Observations, d.Missed = m.curve(now)
 		out = append(out, d)
 	}
-	slices.SortFunc(out, func(a, b StreamDemand) int {
-		if a.Route < b.Route {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b StreamDemand) int { return cmp.Compare(a.Route, b.Route) })
 	return out
 }
 
-// curve returns the probability of keeping the gap objective, and the number of observations. The
-// prior is that the objective is kept. Nodes out of order are pooled: more prefill beside a stream
+// curve returns the probability of keeping the gap objective, the number of observations and the share
+// of them that did not keep it. The prior is that the objective is kept. Nodes out of order are pooled: more prefill beside a stream
 // does not shorten its pauses.
-func (m *pauseModel) curve(now time.Time) (KeptCurve, float64) {
+func (m *pauseModel) curve(now time.Time) (out KeptCurve, observations, missed float64) {
 	type block struct {
 		value, weight float64
 		nodes         int
 	}
 	var blocks []block
-	observations := 0.0
 	for i := range m.kept {
-		weight := m.kept[i].weight * decay(now.Sub(m.kept[i].decayedAt), keptHalfLife)
+		factor := decay(now.Sub(m.kept[i].decayedAt), keptHalfLife)
+		weight := m.kept[i].weight * factor
 		observations += weight
+		missed += weight - m.kept[i].sum*factor
 		b := block{m.kept[i].Value(1, keptPriorWeight, now, keptHalfLife), keptPriorWeight + weight, 1}
 		for len(blocks) > 0 && blocks[len(blocks)-1].value < b.value {
 			last := blocks[len(blocks)-1]
@@ -372,7 +396,6 @@
 		}
 		blocks = append(blocks, b)
 	}
-	var out KeptCurve
 	i := 0
 	for _, b := range blocks {
 		for range b.nodes {
@@ -380,7 +403,7 @@
 			i++
 		}
 	}
-	return out, observations
+	return out, observations, missed / (observations + missedPriorWeight)
 }
 
 // Collect returns the unreported observations for a heartbeat, or nil. It returns the same ones until
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -33,6 +33,9 @@
 	plan      segmentPlan
 	eligible  eligibleTarget
 	candidate route.Candidate
+	// side is where the request runs in relation to the division of the workers; empty if they are not
+	// divided or another daemon chose.
+	side divisionSide
 	// onlyCandidate is set if there was no other eligible target.
 	onlyCandidate bool
 	// report sends updates to the daemon that made the choice; nil if this one did.
@@ -109,7 +112,7 @@
 		candidates[i] = alternatives[i].candidate
 	}
 	division := p.relay.division(svc, now)
-	p.applyDivision(division, candidates, alternatives)
+	p.applyDivision(division, candidates, alternatives, now)
 	input, estimate := p.routeInput(len(targets), share, now), p.estimate(now)
 	placementInput := route.PlacementInput{
 		ContextHash: p.contextHash(), Turn: p.relay.choiceCount.Add(1), Random: randomFraction(),
@@ -126,6 +129,7 @@
 	}
 	out.factors = best.candidate.Factors(&input)
 	out.baseline = estimate.Time(out.factors)
+	p.recordSide(division, out)
 	p.fillMetadata(svc, out)
 	return out, ""
 }
@@ -277,10 +281,7 @@
 		candidate.QueuedTokens, candidate.Running, candidate.OccupiedTokens,
 		c.evaluation.Expected.Round(time.Millisecond),
 		c.evaluation.WithinObjective, c.evaluation.NetUtility, c.attemptMeta.WeightVersion)
-	if candidate.KeptGap > 0 {
-		p.note("probability that pauses stay within the gap objective %.2f, utility lost to other streams %.2f per second of prefill",
-			candidate.KeptGap, candidate.PauseLoss)
-	}
+	p.notePauses(c)
 }
 
 // Priorities of requests at model workers; 0 is the most urgent.
--- a/core/relay/pauses.go
+++ b/core/relay/pauses.go
@@ -19,32 +19,42 @@
 // serviceDivision is the division of a service's workers.
 type serviceDivision struct {
 	route.Division
-	// reserved holds the workers that are reserved for the suffering kinds.
+	// workers are those that this daemon uses, and reserved those of them that are reserved for the
+	// suffering kinds.
+	workers  []*roster.Target
 	reserved map[*roster.Target]bool
 	// updatedAt is when the division was computed.
 	updatedAt time.Time
 }
 
-// division returns the division of a service's workers. It is called with chooseMu held.
+// division returns what is expected of the pauses at a service's workers, and how these are divided, or
+// nil if that is switched off. It is called with chooseMu held.
 func (rl *Relay) division(svc *table.Service, now time.Time) *serviceDivision {
-	d := rl.divisions[svc.Name]
-	if d != nil && now.Sub(d.updatedAt) < divisionInterval {
-		return d
-	}
-	if svc.Engine == nil || rl.options.Pauses == nil || rl.options.Disabled.Pauses || rl.options.Disabled.Division {
+	if svc.Engine == nil || rl.options.Pauses == nil || rl.options.Disabled.Pauses {
 		return nil
 	}
-	previous := d
+	previous := rl.divisions[svc.Name]
 	if previous == nil {
 		previous = &serviceDivision{updatedAt: now}
+	} else if now.Sub(previous.updatedAt) < divisionInterval {
+		return previous
 	}
-	workers := rl.shares.get(svc.Name, rl.options.Roster.ByService(svc.Name), &rl.options).own
-	d = &serviceDivision{
-		Division:  route.Divide(rl.streamKinds(svc, now), len(workers), &previous.Division, now.Sub(previous.updatedAt)),
+	d := &serviceDivision{
+		workers:   rl.shares.get(svc.Name, rl.options.Roster.ByService(svc.Name), &rl.options).own,
 		updatedAt: now,
 	}
-	if d.Share > 0 {
-		d.reserved = reservedTargets(workers, d.Share)
+	kinds := rl.streamKinds(svc, now)
+	if rl.options.Disabled.Division {
+		d.Division = route.Predict(kinds, len(d.workers), &previous.Division)
+	} else {
+		d.Division = route.Divide(kinds, len(d.workers), &previous.Division, now.Sub(previous.updatedAt))
+	}
+	switch {
+	case d.Share == 0:
+	case d.Share == previous.Share && sameList(d.workers, previous.workers):
+		d.reserved = previous.reserved
+	default:
+		d.reserved = reservedTargets(d.workers, d.Share)
 	}
 	if rl.divisions == nil {
 		rl.divisions = map[string]*serviceDivision{}
@@ -53,6 +63,17 @@
 	return d
 }
 
+// ReservedWorkers returns the number of workers that are reserved for streams that suffer from prefill.
+func (rl *Relay) ReservedWorkers() int {
+	rl.chooseMu.Lock()
+	defer rl.chooseMu.Unlock()
+	count := 0
+	for _, d := range rl.divisions {
+		count += len(d.reserved)
+	}
+	return count
+}
+
 // streamKinds returns the kinds of requests of a service.
 func (rl *Relay) streamKinds(svc *table.Service, now time.Time) []route.StreamKind {
 	demand := rl.options.Pauses.Demand(svc.Name, now)
@@ -87,19 +108,65 @@
 }
 
 // applyDivision sets what the division expects of pauses at the candidates.
-func (p *proxiedRequest) applyDivision(d *serviceDivision, candidates []route.Candidate, alternatives []alternative) {
-	if d == nil || d.Share == 0 {
+func (p *proxiedRequest) applyDivision(d *serviceDivision, candidates []route.Candidate, alternatives []alternative, now time.Time) {
+	if d == nil || !d.Weighs() {
 		return
 	}
-	suffers := d.Reserved[p.route.Name]
-	kept := map[bool]float64{true: d.Kept(p.route.Name, true), false: d.Kept(p.route.Name, false)}
 	for i := range candidates {
-		reserved := d.reserved[alternatives[i].eligible.target]
-		candidates[i].KeptGap = kept[reserved]
-		if reserved && !suffers {
-			candidates[i].PauseLoss = d.PauseLoss
-		}
+		t := alternatives[i].eligible.target
+		d.Weigh(&candidates[i], p.route.Name, d.reserved[t], p.relay.options.Pauses.PrefillLoad(t.ID(), now))
+	}
+}
+
+// recordSide sets on which side of the division a choice is.
+func (p *proxiedRequest) recordSide(d *serviceDivision, c *choice) {
+	if d == nil || d.Share == 0 {
+		return
+	}
+	c.side = sideOther
+	switch reserved := d.reserved[c.target]; {
+	case d.Reserved[p.route.Name] && reserved:
+		c.side = sideReserved
+	case d.Reserved[p.route.Name]:
+		c.side = sideOverflow
+	case reserved:
+		c.side = sideIntrusion
+	}
+}
+
+// divisionSide is where a request runs in relation to the division of the workers.
+type divisionSide string
+
+const (
+	// sideOther: another request on a worker that is not reserved.
+	sideOther divisionSide = "other worker"
+	// sideReserved: a suffering kind on a reserved worker, sideOverflow: on another one.
+	sideReserved divisionSide = "reserved worker"
+	sideOverflow divisionSide = "overflow to other worker"
+	// sideIntrusion: another kind on a reserved worker.
+	sideIntrusion divisionSide = "other request on reserved worker"
+)
+
+// notePauses records what was expected of pauses, for the log line and the metrics.
+func (p *proxiedRequest) notePauses(c *choice) {
+	stats := p.relay.options.Stats
+	switch c.side {
+	case sideReserved:
+		stats.StreamsReserved.Inc()
+	case sideOverflow:
+		stats.StreamsOverflowed.Inc()
+	case sideIntrusion:
+		stats.PromptsOnReserved.Inc()
+	}
+	if c.candidate.KeptGap == 0 && c.candidate.PauseLoss == 0 {
+		return
+	}
+	side := c.side
+	if side == "" {
+		side = "workers not divided"
 	}
+	p.note("%s, probability that pauses stay within the gap objective %.2f, utility lost by other streams %.2f per second of prefill",
+		side, c.candidate.KeptGap, c.candidate.PauseLoss)
 }
 
 // recordPrefill records that a choice is used, for the prefill load of its target.
@@ -127,6 +194,7 @@
 	longest time.Duration
 	// loadAtStart is the prefill load of the target at the first event.
 	loadAtStart float64
+	suspends    suspendDetector
 	// excluded is set if pauses may have been caused by something other than the target.
 	excluded bool
 }
@@ -137,7 +205,10 @@
 		return nil
 	}
 	// The load of a worker that another cell's daemons chose is not recorded here.
-	return &gapObserver{request: p, choice: c, excluded: p.headerSent || p.lastEventID != "" || c.report != nil}
+	return &gapObserver{
+		request: p, choice: c, suspends: newSuspendDetector(),
+		excluded: p.headerSent || p.lastEventID != "" || c.report != nil,
+	}
 }
 
 // received records the arrival of an event.
@@ -182,7 +253,7 @@
 	objective := p.route.GapObjective
 	s := learn.StreamSample{
 		Service: p.service, Route: p.route.Name, Events: o.events, Duration: now.Sub(o.firstAt),
-		Judged: objective > 0 && !o.excluded, Load: (o.loadAtStart + o.load(now)) / 2, Kept: o.longest <= objective,
+		Judged: objective > 0 && !o.excluded && o.suspends.sinceLast() == 0, Load: (o.loadAtStart + o.load(now)) / 2, Kept: o.longest <= objective,
 	}
 	if s.Judged {
 		p.relay.options.Stats.StreamsJudged.Inc()
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -197,6 +197,7 @@
 	{Name: "repeatable", Host: "h", Prefix: "/repeatable/", Kind: table.Repeatable, Timeout: 2 * time.Second, LatencyObjective: 10 * time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "single", Host: "h", Prefix: "/single/", Kind: table.Stream, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 1, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+	{Name: "gap", Host: "h", Prefix: "/gap/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, LatencyObjective: time.Second, GapObjective: 40 * time.Millisecond, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "public", Host: "h", Prefix: "/public/", Kind: table.Once, Timeout: time.Second, MaxAttempts: 1, Public: true, Splits: []table.Split{{Service: "plain", Weight: 1}}},
 	{Name: "short", Host: "h", Prefix: "/short/", Kind: table.Once, Timeout: 150 * time.Millisecond, MaxAttempts: 1, Splits: []table.Split{{Service: "plain", Weight: 1}}},
 }
@@ -229,7 +230,7 @@
 	r.storeIndex = cache.NewStoreIndexes(stores, r.log)
 	r.relay = New(Options{
 		Dialect: testDialect{}, Roster: r.roster, Pool: &target.Pool{}, StoreIndex: r.storeIndex,
-		WorkerCaches: &cache.WorkerCaches{}, Links: &learn.Links{}, Retention: &learn.Retention{},
+		WorkerCaches: &cache.WorkerCaches{}, Links: &learn.Links{}, Retention: &learn.Retention{}, Pauses: &learn.Pauses{},
 		Log: r.log, Stats: NewStats(),
 		DesiredWeights: func(string) int64 { return r.desired }, ConfigCurrent: func() bool { return !r.stale }, ConfigOverdue: func() time.Duration { return r.configOverdue }, WeightsOutdated: func(_ string, v int64) bool { return v < r.minWeights }, MayCopy: func() bool { return true },
 		FirstAnswerTimes: learn.NewTimes(), TargetStats: &learn.Targets{}, EnginePrior: enginePrior,
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -28,6 +28,10 @@
 	// StreamsJudged counts the complete streams whose pauses were compared with the gap objective, and
 	// StreamsPaused those of them that exceeded it.
 	StreamsJudged, StreamsPaused *metrics.Counter
+	// StreamsReserved counts the requests of suffering kinds that went to workers reserved for them,
+	// StreamsOverflowed those that went to other workers, and PromptsOnReserved the other requests that
+	// went to reserved workers.
+	StreamsReserved, StreamsOverflowed, PromptsOnReserved *metrics.Counter
 	// Opened counts the connections opened to targets.
 	Opened *metrics.Counter
 	// Blocked counts refusals of requests that crash targets.
@@ -55,7 +59,9 @@
 		PromptTokens: c("prompt_tokens_total"), PromptTokensCopied: c("prompt_tokens_copied_total"),
 		PromptTokensCached: c("prompt_tokens_kept_total"),
 		StreamsJudged:      c("streams_judged_total"), StreamsPaused: c("streams_paused_total"),
-		Opened: c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
+		StreamsReserved: c("streams_reserved_total"), StreamsOverflowed: c("streams_overflowed_total"),
+		PromptsOnReserved: c("prompts_on_reserved_total"),
+		Opened:            c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
 		ReportedShutdown: c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
 		ReportedRateLimit: c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
 	}
--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -16,27 +16,40 @@
 	Stake float64
 }
 
-// Division divides the workers of a service between the kinds of requests whose streams suffer from
-// prefill beside them and the others. The zero value divides nothing.
+// Division holds what is expected of the pauses of a service's streams, and divides its workers between
+// the kinds of requests whose streams suffer from prefill beside them and the others. The zero value
+// expects nothing and divides nothing.
 type Division struct {
 	// Share is the share of the workers that is reserved for the suffering kinds; 0 means none.
 	Share float64
 	// Reserved holds the routes of the suffering kinds.
 	Reserved map[string]bool
-	// ReservedLoad and OtherLoad are the prefill loads that are expected on the two sides.
-	ReservedLoad, OtherLoad float64
-	// PauseLoss is the utility that the streams of the suffering kinds at a reserved worker lose by
-	// each second of prefill there.
-	PauseLoss float64
-	// curves holds the probability of keeping the gap objective, by route.
-	curves map[string]learn.KeptCurve
+	// pausing holds the probability of keeping the gap objective, by route, for the kinds that do not
+	// nearly always keep it.
+	pausing map[string]learn.KeptCurve
+	// reserved and other are what is expected of the reserved workers and the others. Without reserved
+	// workers, other covers all.
+	reserved, other divisionSide
+	// mixedLoad is the prefill load of all workers without a division.
+	mixedLoad float64
 	// doubtful is how long the division has seemed to be of no use.
 	doubtful time.Duration
 }
 
+// divisionSide is what is expected of one side of a division.
+type divisionSide struct {
+	// load is the mean prefill load.
+	load float64
+	// loss is the utility that each request running at a worker loses, on average, by a second of
+	// prefill there.
+	loss float64
+}
+
 const (
 	// minDivisionSamples is the number of observed streams from which a kind may count as suffering.
 	minDivisionSamples = 20
+	// minMissed is the share of the streams that miss their gap objective from which pauses are weighed.
+	minMissed = 0.03
 	// minKeptGain is the gain in the probability of keeping the gap objective for which a division
 	// begins, and keepGain that for which it remains.
 	minKeptGain = 0.05
@@ -60,82 +73,123 @@
 	maxShareRate   = 0.01
 	// maxDoubt is how long a division without gain remains: bursts end within seconds.
 	maxDoubt = 5 * time.Second
-	// prefillWindow is the time, in seconds, over which prefill counts in the prefill load.
-	prefillWindow = 1.0
+
+	// slopeStep is the increase of the prefill load over which the loss by prefill is taken: that of a
+	// long prompt beside a stream of half a second.
+	slopeStep = 0.4
+	// minStreamSeconds is the least duration of streams, in seconds, for which a loss is computed: shorter
+	// ones have hardly any pause.
+	minStreamSeconds = 0.1
+	// ownLoadWeight is the weight of a worker's own prefill load in the expected one; the rest is the
+	// mean of its side. Part of the difference is due to single prompts that are already prefilled when
+	// the stream begins.
+	ownLoadWeight = 0.5
 )
 
-// Divide returns the division of a number of workers for the observed kinds. previous is the last
-// result, and elapsed the time since.
-func Divide(kinds []StreamKind, workers int, previous *Division, elapsed time.Duration) Division {
-	out := wantedDivision(kinds, workers, previous, elapsed)
-	if out.Share > 0 || previous.Share == 0 {
-		return out
+// Predict returns what is expected of the pauses of the observed kinds at a number of workers, without a
+// division. previous is the last result.
+func Predict(kinds []StreamKind, workers int, previous *Division) Division {
+	out := Division{}
+	for i := range kinds {
+		if k := &kinds[i]; k.pauses(previous) {
+			if out.pausing == nil {
+				out.pausing = map[string]learn.KeptCurve{}
+			}
+			out.pausing[k.Route] = k.Kept
+		}
 	}
-	kept := *previous
-	kept.doubtful += elapsed
-	if kept.doubtful > maxDoubt {
+	if out.pausing == nil || workers == 0 {
 		return Division{}
 	}
-	return kept
+	out.setSides(kinds, workers, 0, nil)
+	return out
 }
 
-// wantedDivision returns the division that the kinds call for, or the zero value.
-func wantedDivision(kinds []StreamKind, workers int, previous *Division, elapsed time.Duration) Division {
-	var prefill, streams float64
-	for i := range kinds {
-		prefill += kinds[i].Prefill
-		streams += kinds[i].Streams
+// Divide is Predict with a division of the workers. elapsed is the time since the last result.
+func Divide(kinds []StreamKind, workers int, previous *Division, elapsed time.Duration) Division {
+	out := Predict(kinds, workers, previous)
+	if out.pausing != nil {
+		out.setShare(kinds, workers, previous, elapsed)
 	}
-	if workers < 2 || prefill <= 0 || streams <= 0 {
-		return Division{}
+	return out
+}
+
+// pauses reports whether a kind's streams miss their gap objective often enough to be weighed.
+func (k *StreamKind) pauses(previous *Division) bool {
+	if _, known := previous.pausing[k.Route]; known {
+		return k.Observations >= 1 && k.Kept.Drop() >= keepGain
+	}
+	return k.Observations >= minDivisionSamples && k.Missed >= minMissed && k.Kept.Drop() >= minKeptGain
+}
+
+// setShare sets the share of the workers that is reserved for suffering kinds and what is expected of
+// both sides.
+func (d *Division) setShare(kinds []StreamKind, workers int, previous *Division, elapsed time.Duration) {
+	reserved := d.suffering(kinds, previous)
+	share := 0.0
+	if len(reserved) > 0 && workers > 1 {
+		share = nextShare(wantedShare(kinds, reserved, workers), previous.Share, elapsed)
+	}
+	if share > 0 {
+		d.setSides(kinds, workers, share, reserved)
+		if d.useful(kinds, previous) {
+			return
+		}
 	}
-	out := Division{Reserved: map[string]bool{}, curves: map[string]learn.KeptCurve{}}
-	var need, otherNeed, reservedPrefill float64
+	if d.doubtful = previous.doubtful + elapsed; previous.Share == 0 || d.doubtful > maxDoubt {
+		d.doubtful = 0
+		d.setSides(kinds, workers, 0, nil)
+		return
+	}
+	d.setSides(kinds, workers, previous.Share, previous.Reserved)
+}
+
+// suffering returns the routes of the kinds that a division would reserve workers for.
+func (d *Division) suffering(kinds []StreamKind, previous *Division) map[string]bool {
+	all := total(kinds, func(*StreamKind) bool { return true })
+	out := map[string]bool{}
 	for i := range kinds {
 		k := &kinds[i]
-		if k.Observations > 0 {
-			out.curves[k.Route] = k.Kept
+		limit := maxIntensity
+		if previous.Reserved[k.Route] {
+			limit = keepIntensity
 		}
-		work := k.Prefill + k.Streams/max(k.Slots, 1)
-		if k.suffers(prefill/streams, previous.Reserved[k.Route]) {
-			out.Reserved[k.Route] = true
-			need += work
-			reservedPrefill += k.Prefill
-		} else {
-			otherNeed += work
+		_, pauses := d.pausing[k.Route]
+		if pauses && k.Prefill*all.streams < limit*all.prefill*k.Streams {
+			out[k.Route] = true
 		}
 	}
-	if need <= 0 || otherNeed <= 0 {
-		return Division{}
-	}
-	n := float64(workers)
-	wanted := max(divisionHeadroom*need/(divisionHeadroom*need+otherNeed), need/(maxReservedUse*n))
-	out.Share = nextShare(min(wanted, maxShare), previous.Share, elapsed)
-	out.ReservedLoad = reservedPrefill / (out.Share * n)
-	out.OtherLoad = (prefill - reservedPrefill) / ((1 - out.Share) * n)
-	if !out.useful(kinds, prefill/n, previous) {
-		return Division{}
-	}
+	return out
+}
+
+// sum is the demand of several kinds together.
+type sum struct {
+	// need is the number of workers that the demand occupies.
+	prefill, streams, need float64
+}
+
+// total returns the demand of the selected kinds.
+func total(kinds []StreamKind, selected func(*StreamKind) bool) sum {
+	var out sum
 	for i := range kinds {
-		if k := &kinds[i]; out.Reserved[k.Route] {
-			slope := (k.Kept.At(out.ReservedLoad) - k.Kept.At(out.OtherLoad)) / (out.OtherLoad - out.ReservedLoad)
-			out.PauseLoss += k.Streams / (out.Share * n) * k.Stake * slope / prefillWindow
+		if k := &kinds[i]; selected(k) {
+			out.prefill += k.Prefill
+			out.streams += k.Streams
+			out.need += k.Prefill + k.Streams/max(k.Slots, 1)
 		}
 	}
 	return out
 }
 
-// suffers reports whether a kind's streams may suffer from the prefill of others. meanIntensity is the
-// prefill of the whole service for each running stream.
-func (k *StreamKind) suffers(meanIntensity float64, reserved bool) bool {
-	if k.Streams <= 0 {
-		return false
-	}
-	intensity := k.Prefill / k.Streams
-	if reserved {
-		return k.Observations > 0 && intensity < keepIntensity*meanIntensity
+// wantedShare returns the share of the workers that the reserved kinds need.
+func wantedShare(kinds []StreamKind, reserved map[string]bool, workers int) float64 {
+	own := total(kinds, func(k *StreamKind) bool { return reserved[k.Route] })
+	others := total(kinds, func(k *StreamKind) bool { return !reserved[k.Route] })
+	if own.need <= 0 || others.need <= 0 {
+		return 0
 	}
-	return k.Observations >= minDivisionSamples && intensity < maxIntensity*meanIntensity
+	share := divisionHeadroom * own.need / (divisionHeadroom*own.need + others.need)
+	return min(max(share, own.need/(maxReservedUse*float64(workers))), maxShare)
 }
 
 // nextShare returns the share that follows a previous one.
@@ -150,41 +204,75 @@
 	return previous + min(max(wanted-previous, -step), step)
 }
 
-// useful reports whether more streams keep their gap objective by the division, and those of each
-// suffering kind clearly more, compared with the load mixed that all workers have without it.
-func (d *Division) useful(kinds []StreamKind, mixed float64, previous *Division) bool {
-	if d.OtherLoad <= d.ReservedLoad {
-		return false
+// setSides sets the division and what is expected of its sides.
+func (d *Division) setSides(kinds []StreamKind, workers int, share float64, reserved map[string]bool) {
+	d.Share, d.Reserved = share, reserved
+	n := float64(workers)
+	d.mixedLoad = total(kinds, func(*StreamKind) bool { return true }).prefill / n
+	d.reserved = divisionSide{}
+	if share > 0 {
+		d.reserved = d.side(kinds, share*n, func(k *StreamKind) bool { return reserved[k.Route] })
+	}
+	d.other = d.side(kinds, (1-share)*n, func(k *StreamKind) bool { return !reserved[k.Route] })
+}
+
+// side returns what is expected of a number of workers that serve the selected kinds.
+func (d *Division) side(kinds []StreamKind, workers float64, selected func(*StreamKind) bool) divisionSide {
+	demand := total(kinds, selected)
+	out := divisionSide{load: demand.prefill / workers}
+	for i := range kinds {
+		k := &kinds[i]
+		curve, pauses := d.pausing[k.Route]
+		if !pauses || k.Streams <= 0 || !selected(k) {
+			continue
+		}
+		slope := (curve.At(out.load) - curve.At(out.load+slopeStep)) / slopeStep
+		// A second of prefill adds its share of a stream's duration to the load beside that stream.
+		duration := max(k.Streams/k.Requests, minStreamSeconds)
+		out.loss += k.Streams / demand.streams * k.Stake * slope / duration
 	}
-	total := 0.0
+	return out
+}
+
+// useful reports whether more streams keep their gap objective by the division, and those of each
+// reserved kind clearly more.
+func (d *Division) useful(kinds []StreamKind, previous *Division) bool {
+	gained := 0.0
 	for i := range kinds {
 		k := &kinds[i]
-		if k.Observations <= 0 {
+		curve, pauses := d.pausing[k.Route]
+		if !pauses {
 			continue
 		}
-		load := d.OtherLoad
-		if d.Reserved[k.Route] {
-			load = d.ReservedLoad
+		reserved := d.Reserved[k.Route]
+		load, least := d.other.load, minKeptGain
+		if reserved {
+			load = d.reserved.load
 		}
-		gain := k.Kept.At(load) - k.Kept.At(mixed)
-		total += k.Requests * gain
-		limit := minKeptGain
 		if previous.Reserved[k.Route] {
-			limit = keepGain
+			least = keepGain
 		}
-		if d.Reserved[k.Route] && gain < limit {
+		gain := curve.At(load) - curve.At(d.mixedLoad)
+		if reserved && gain < least {
 			return false
 		}
+		gained += k.Requests * gain
 	}
-	return total > 0
+	return gained > 0
 }
 
-// Kept returns the probability that a stream of a route keeps its gap objective on one side, or 0 if
-// it is unknown.
-func (d *Division) Kept(route string, reserved bool) float64 {
-	curve := d.curves[route]
-	if reserved {
-		return curve.At(d.ReservedLoad)
+// Weighs reports whether pauses are weighed at all.
+func (d *Division) Weighs() bool { return d.pausing != nil }
+
+// Weigh sets what is expected of pauses at a candidate for a request of a route. reserved reports
+// whether the candidate is reserved for the suffering kinds, and load is its prefill load.
+func (d *Division) Weigh(c *Candidate, route string, reserved bool, load float64) {
+	side := &d.other
+	if reserved && d.Share > 0 {
+		side = &d.reserved
+	}
+	if curve, pauses := d.pausing[route]; pauses {
+		c.KeptGap = curve.At((1-ownLoadWeight)*side.load + ownLoadWeight*load)
 	}
-	return curve.At(d.OtherLoad)
+	c.PauseLoss = side.loss * float64(c.Running)
 }
--- a/core/route/utility.go
+++ b/core/route/utility.go
@@ -149,6 +149,10 @@
 	NetUtility float64
 }
 
+// maxPausing is the prefill time, in seconds, that is charged for the pauses of other streams at most: a
+// longer prefill does not pause a stream of half a second more.
+const maxPausing = 0.4
+
 // Evaluate estimates the time and the utility of serving a request at a candidate.
 func Evaluate(req *PickRequest, c *Candidate, e *learn.Estimate, m *CostModel) Evaluation {
 	f := c.Factors(req)
@@ -173,7 +177,7 @@
 	// Tokens that do not fit into memory evict cached segments of later requests.
 	ev.CallerUtility -= m.RecomputePerToken * f.MemoryPressure * float64(req.Tokens)
 	if c.PauseLoss > 0 {
-		ev.CallerUtility -= c.PauseLoss * slowdown * e.PrefillTime(f.OwnTokens).Seconds()
+		ev.CallerUtility -= c.PauseLoss * min(slowdown*e.PrefillTime(f.OwnTokens).Seconds(), maxPausing)
 	}
 	if req.Objective > 0 {
 		// Other requests wait for its work as well, as long as there is a queue.
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -103,6 +103,8 @@
 		{"targets_guests", func() float64 { _, external := h.roster.Sizes(); return float64(external) }},
 		{"cell_daemons", func() float64 { return float64(h.fleet.View().CellSize()) }},
 		{"rollouts_undecided", func() float64 { return float64(h.canary.Undecided()) }},
+		{"workers_reserved", func() float64 { return float64(h.relay.ReservedWorkers()) }},
+		{"pause_reports_rejected_total", func() float64 { return float64(h.pauses.Rejected()) }},
 		{"peer_bytes_total", func() float64 { return float64(h.fleet.Bytes()) }},
 	} {
 		h.stats.Gauge(g.name, g.f)
