Charge pauses to the choice of a worker, not to admission; let the shares of daemons converge

WithinObjective stays the probability of the first answer alone, since forecasts report it; the probability of keeping the gap objective enters the utility.

Daemons that began with different shares kept them as long as the wanted share was near. The share now moves by 0.001 per second within the tolerance.

go test ./route ./learn ./relay in core passes; make lint is clean.

--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -66,11 +66,14 @@
 	maxReservedUse   = 0.6
 	// maxShare bounds the share, so that the prompts of the others always have workers of their own.
 	maxShare = 0.6
-	// minShareChange is the relative change of the wanted share up to which the share remains, and
-	// maxShareRate the change of the share per second: workers that change sides lose their cached
-	// contexts to the other kind.
+	// minShareChange is the relative change of the wanted share up to which the share hardly changes, and
+	// maxShareRate the change of the share per second beyond it: workers that change sides lose their
+	// cached contexts to the other kind.
 	minShareChange = 0.2
 	maxShareRate   = 0.01
+	// driftRate is the change of the share per second within minShareChange. Daemons that began with
+	// different shares come to the same one.
+	driftRate = 0.001
 	// maxDoubt is how long a division without gain remains: bursts end within seconds.
 	maxDoubt = 5 * time.Second
 
@@ -197,10 +200,11 @@
 	if previous == 0 {
 		return wanted
 	}
+	rate := maxShareRate
 	if math.Abs(wanted-previous) <= minShareChange*previous {
-		return previous
+		rate = driftRate
 	}
-	step := maxShareRate * elapsed.Seconds()
+	step := rate * elapsed.Seconds()
 	return previous + min(max(wanted-previous, -step), step)
 }
 
--- a/core/route/utility.go
+++ b/core/route/utility.go
@@ -92,7 +92,8 @@
 	// KeptGap is the probability that the pauses of the request's stream stay within its gap
 	// objective at the target; 0 means unknown.
 	KeptGap float64
-	// PauseLoss is the utility that other streams lose by each second of prefill at the target.
+	// PauseLoss is the utility that other streams lose by each second of prefill at the target, since it
+	// pauses them. It decides where the request is served, not whether.
 	PauseLoss float64
 }
 
@@ -138,14 +139,15 @@
 type Evaluation struct {
 	// Expected is the expected time to the first answer.
 	Expected time.Duration
-	// WithinObjective is the probability of an answer within the latency objective whose pauses stay
-	// within the gap objective, and BeforeDeadline that of an answer before the deadline. Both ignore the target's failures.
+	// WithinObjective is the probability of an answer within the latency objective, and
+	// BeforeDeadline that of an answer before the deadline. Both ignore the target's failures.
 	WithinObjective, BeforeDeadline float64
 	// CallerUtility is the utility to callers: that of this request's answer, less what other
 	// requests lose by waiting for it and by the eviction of their cached segments. The
 	// request is worth serving at the candidate only if CallerUtility is above 0.
 	CallerUtility float64
-	// NetUtility is CallerUtility less the cost of serving the request at the candidate.
+	// NetUtility is CallerUtility less the cost of serving the request at the candidate and what the
+	// streams that run there lose by its prefill.
 	NetUtility float64
 }
 
@@ -169,21 +171,22 @@
 		ev.WithinObjective = e.Probability((req.Objective - req.Elapsed).Seconds() / expected)
 	}
 	ev.BeforeDeadline = max(ev.WithinObjective, e.Probability(req.Remaining.Seconds()/expected))
+	onTime := ev.WithinObjective
 	if c.KeptGap > 0 {
-		ev.WithinObjective *= c.KeptGap
+		onTime *= c.KeptGap
 	}
 	utility := m.Utility(req.Tokens)
-	ev.CallerUtility = utility * (1 - c.FailureShare) * (m.PastObjectiveShare*ev.BeforeDeadline + (1-m.PastObjectiveShare)*ev.WithinObjective)
+	ev.CallerUtility = utility * (1 - c.FailureShare) * (m.PastObjectiveShare*ev.BeforeDeadline + (1-m.PastObjectiveShare)*onTime)
 	// Tokens that do not fit into memory evict cached segments of later requests.
 	ev.CallerUtility -= m.RecomputePerToken * f.MemoryPressure * float64(req.Tokens)
-	if c.PauseLoss > 0 {
-		ev.CallerUtility -= c.PauseLoss * min(slowdown*e.PrefillTime(f.OwnTokens).Seconds(), maxPausing)
-	}
 	if req.Objective > 0 {
 		// Other requests wait for its work as well, as long as there is a queue.
 		ev.CallerUtility -= req.UtilityRate * (1 - m.PastObjectiveShare) * work.Seconds() * wait.Seconds() / req.Objective.Seconds()
 	}
 	ev.NetUtility = ev.CallerUtility - servingCost(req, c, m, utility)
+	if c.PauseLoss > 0 {
+		ev.NetUtility -= c.PauseLoss * min(slowdown*e.PrefillTime(f.OwnTokens).Seconds(), maxPausing)
+	}
 	if req.Objective > 0 {
 		ev.NetUtility -= utility * m.DelayPenalty * expected / req.Objective.Seconds()
 	}
