Learn the gap objective by the load that was expected at the choice

The load during a stream is a poor label: one prompt raises the load of a reserved worker to that of a busy one for a second, and the streams there, which keep their objective, counted as kept beside much prefill. The curve flattened within ten seconds and a division ended for no reason (seen in the model). The label is now the prediction itself: half the worker's own load and half its side's mean.

go test ./route ./learn ./relay in core passes; make lint is clean.

--- a/core/learn/pauses.go
+++ b/core/learn/pauses.go
@@ -11,8 +11,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// Pauses estimates, by kind of request, how likely a stream keeps its gap objective beside a given
-// prefill load of its worker, and what work the kind's requests cause. It also holds the prefill load
+// Pauses estimates, by kind of request, how likely a stream keeps its gap objective at a given prefill
+// load that was expected of its worker, and what work the kind's requests cause. It also holds the prefill load
 // of each target: the share of time that it spends on prefill. The zero value has no observations.
 //
 // Lock order: pausesMu is taken alone.
@@ -161,7 +161,9 @@
 	Events   int
 	Duration time.Duration
 	// Judged is set if the stream has a gap objective and its pauses were caused by its target. Load is
-	// the prefill load beside which it ran, and Kept reports whether it kept the objective.
+	// the prefill load that was expected when the target was chosen, and Kept reports whether the stream
+	// kept the objective. The load during the stream would be a poor label: a single prompt raises it, so
+	// that streams of hardly loaded targets would count as kept beside much prefill.
 	Judged bool
 	Load   float64
 	Kept   bool
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -33,6 +33,8 @@
 	plan      segmentPlan
 	eligible  eligibleTarget
 	candidate route.Candidate
+	// expectedLoad is the prefill load that is expected at the target.
+	expectedLoad float64
 	// side is where the request runs in relation to the division of the workers; empty if they are not
 	// divided or another daemon chose.
 	side divisionSide
@@ -129,7 +131,7 @@
 	}
 	out.factors = best.candidate.Factors(&input)
 	out.baseline = estimate.Time(out.factors)
-	p.recordSide(division, out)
+	p.recordDivision(division, out, now)
 	p.fillMetadata(svc, out)
 	return out, ""
 }
--- a/core/relay/pauses.go
+++ b/core/relay/pauses.go
@@ -118,9 +118,14 @@
 	}
 }
 
-// recordSide sets on which side of the division a choice is.
-func (p *proxiedRequest) recordSide(d *serviceDivision, c *choice) {
-	if d == nil || d.Share == 0 {
+// recordDivision sets the prefill load that is expected at a choice, and on which side of the division it
+// is.
+func (p *proxiedRequest) recordDivision(d *serviceDivision, c *choice, now time.Time) {
+	if d == nil {
+		return
+	}
+	c.expectedLoad = d.ExpectedLoad(d.reserved[c.target], p.relay.options.Pauses.PrefillLoad(c.target.ID(), now))
+	if d.Share == 0 {
 		return
 	}
 	c.side = sideOther
@@ -191,10 +196,8 @@
 	firstAt, readAt time.Time
 	events          int
 	// longest is the longest pause so far.
-	longest time.Duration
-	// loadAtStart is the prefill load of the target at the first event.
-	loadAtStart float64
-	suspends    suspendDetector
+	longest  time.Duration
+	suspends suspendDetector
 	// excluded is set if pauses may have been caused by something other than the target.
 	excluded bool
 }
@@ -204,7 +207,7 @@
 	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Pauses || c.load.OccupiedTokens == 0 {
 		return nil
 	}
-	// The load of a worker that another cell's daemons chose is not recorded here.
+	// What is expected at a worker is not known here if another cell's daemons chose it.
 	return &gapObserver{
 		request: p, choice: c, suspends: newSuspendDetector(),
 		excluded: p.headerSent || p.lastEventID != "" || c.report != nil,
@@ -219,7 +222,6 @@
 	now := time.Now()
 	if o.events == 0 {
 		o.firstAt = now
-		o.loadAtStart = o.load(now)
 	} else {
 		o.longest = max(o.longest, now.Sub(o.readAt))
 	}
@@ -239,11 +241,6 @@
 	}
 }
 
-// load returns the prefill load of the target.
-func (o *gapObserver) load(now time.Time) float64 {
-	return o.request.relay.options.Pauses.PrefillLoad(o.choice.target.ID(), now)
-}
-
 // finished records the complete stream.
 func (o *gapObserver) finished() {
 	if o == nil || o.events == 0 {
@@ -253,7 +250,7 @@
 	objective := p.route.GapObjective
 	s := learn.StreamSample{
 		Service: p.service, Route: p.route.Name, Events: o.events, Duration: now.Sub(o.firstAt),
-		Judged: objective > 0 && !o.excluded && o.suspends.sinceLast() == 0, Load: (o.loadAtStart + o.load(now)) / 2, Kept: o.longest <= objective,
+		Judged: objective > 0 && !o.excluded && o.suspends.sinceLast() == 0, Load: o.choice.expectedLoad, Kept: o.longest <= objective,
 	}
 	if s.Judged {
 		p.relay.options.Stats.StreamsJudged.Inc()
--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -62,7 +62,7 @@
 	// divisionHeadroom is the capacity reserved for the suffering kinds as a multiple of their need, so
 	// that bursts fit while a fifth of the workers loads weights. maxReservedUse is the part of the
 	// reserved workers' capacity that they use at most, as long as maxShare allows.
-	divisionHeadroom = 2.0
+	divisionHeadroom = 1.5
 	maxReservedUse   = 0.6
 	// maxShare bounds the share, so that the prompts of the others always have workers of their own.
 	maxShare = 0.6
@@ -80,12 +80,15 @@
 	// slopeStep is the increase of the prefill load over which the loss by prefill is taken: that of a
 	// long prompt beside a stream of half a second.
 	slopeStep = 0.4
+	// singlePromptLoss is the part of that loss which a single prompt causes: a prompt pauses streams once,
+	// a steady load again and again.
+	singlePromptLoss = 0.5
 	// minStreamSeconds is the least duration of streams, in seconds, for which a loss is computed: shorter
 	// ones have hardly any pause.
 	minStreamSeconds = 0.1
 	// ownLoadWeight is the weight of a worker's own prefill load in the expected one; the rest is the
-	// mean of its side. Part of the difference is due to single prompts that are already prefilled when
-	// the stream begins.
+	// mean of its side. A single long prompt raises the own load of a worker to that of a busy one for a
+	// second, although it pauses few streams.
 	ownLoadWeight = 0.5
 )
 
@@ -101,17 +104,16 @@
 			out.pausing[k.Route] = k.Kept
 		}
 	}
-	if out.pausing == nil || workers == 0 {
-		return Division{}
+	if workers > 0 {
+		out.setSides(kinds, workers, 0, nil)
 	}
-	out.setSides(kinds, workers, 0, nil)
 	return out
 }
 
 // Divide is Predict with a division of the workers. elapsed is the time since the last result.
 func Divide(kinds []StreamKind, workers int, previous *Division, elapsed time.Duration) Division {
 	out := Predict(kinds, workers, previous)
-	if out.pausing != nil {
+	if out.pausing != nil && workers > 0 {
 		out.setShare(kinds, workers, previous, elapsed)
 	}
 	return out
@@ -215,13 +217,13 @@
 	d.mixedLoad = total(kinds, func(*StreamKind) bool { return true }).prefill / n
 	d.reserved = divisionSide{}
 	if share > 0 {
-		d.reserved = d.side(kinds, share*n, func(k *StreamKind) bool { return reserved[k.Route] })
+		d.reserved = d.newSide(kinds, share*n, func(k *StreamKind) bool { return reserved[k.Route] })
 	}
-	d.other = d.side(kinds, (1-share)*n, func(k *StreamKind) bool { return !reserved[k.Route] })
+	d.other = d.newSide(kinds, (1-share)*n, func(k *StreamKind) bool { return !reserved[k.Route] })
 }
 
-// side returns what is expected of a number of workers that serve the selected kinds.
-func (d *Division) side(kinds []StreamKind, workers float64, selected func(*StreamKind) bool) divisionSide {
+// newSide returns what is expected of a number of workers that serve the selected kinds.
+func (d *Division) newSide(kinds []StreamKind, workers float64, selected func(*StreamKind) bool) divisionSide {
 	demand := total(kinds, selected)
 	out := divisionSide{load: demand.prefill / workers}
 	for i := range kinds {
@@ -233,7 +235,7 @@
 		slope := (curve.At(out.load) - curve.At(out.load+slopeStep)) / slopeStep
 		// A second of prefill adds its share of a stream's duration to the load beside that stream.
 		duration := max(k.Streams/k.Requests, minStreamSeconds)
-		out.loss += k.Streams / demand.streams * k.Stake * slope / duration
+		out.loss += singlePromptLoss * k.Streams / demand.streams * k.Stake * slope / duration
 	}
 	return out
 }
@@ -268,15 +270,25 @@
 // Weighs reports whether pauses are weighed at all.
 func (d *Division) Weighs() bool { return d.pausing != nil }
 
+// ExpectedLoad returns the prefill load that is expected beside a stream at a worker. reserved reports
+// whether the worker is reserved for the suffering kinds, and load is its own prefill load.
+func (d *Division) ExpectedLoad(reserved bool, load float64) float64 {
+	return (1-ownLoadWeight)*d.side(reserved).load + ownLoadWeight*load
+}
+
+// side returns what is expected of a worker.
+func (d *Division) side(reserved bool) *divisionSide {
+	if reserved && d.Share > 0 {
+		return &d.reserved
+	}
+	return &d.other
+}
+
 // Weigh sets what is expected of pauses at a candidate for a request of a route. reserved reports
 // whether the candidate is reserved for the suffering kinds, and load is its prefill load.
 func (d *Division) Weigh(c *Candidate, route string, reserved bool, load float64) {
-	side := &d.other
-	if reserved && d.Share > 0 {
-		side = &d.reserved
-	}
 	if curve, pauses := d.pausing[route]; pauses {
-		c.KeptGap = curve.At((1-ownLoadWeight)*side.load + ownLoadWeight*load)
+		c.KeptGap = curve.At(d.ExpectedLoad(reserved, load))
 	}
-	c.PauseLoss = side.loss * float64(c.Running)
+	c.PauseLoss = d.side(reserved).loss * float64(c.Running)
 }
