--- a/core/learn/pauses.go
+++ b/core/learn/pauses.go
@@ -12,21 +12,20 @@
 )
 
 // Pauses estimates, by kind of request, how likely a stream keeps its gap objective at a given prefill
-// load that was expected of its worker, and what work the kind's requests cause. It also holds the prefill load
-// of each target: the share of time that it spends on prefill. The zero value has no observations.
+// load that was expected of its worker, and what work the kind's requests cause. It also holds the
+// prefill load of each target. The zero value has no observations.
 //
 // Lock order: pausesMu is taken alone.
 type Pauses struct {
 	pausesMu sync.Mutex
 	services map[string]map[string]*pauseModel // by service and route; guarded by pausesMu
-	// prefill holds the prefill seconds sent to each target. Guarded by pausesMu.
-	prefill map[string]*decayingSum
+	prefill  prefillSums                       // guarded by pausesMu
 	// unreported holds the observations that no Collect has returned, and reporting those that are
 	// in the heartbeats being sent. Guarded by pausesMu.
 	unreported, reporting *pauseReport
 	// unreportedSince is the time of the first observation in unreported. Guarded by pausesMu.
 	unreportedSince time.Time
-	sweptAt         time.Time // last removal of idle targets and kinds; guarded by pausesMu
+	sweptAt         time.Time // last removal of kinds; guarded by pausesMu
 	// rejected counts the invalid observations and reports. Guarded by pausesMu.
 	rejected int
 }
@@ -101,8 +100,10 @@
 	// maxUnreportedAge is the age at which observations are no longer reported: a daemon without peers
 	// would otherwise collect them without bound.
 	maxUnreportedAge = 5 * time.Second
-	// idlePrefill is the prefill load below which a target is forgotten.
-	idlePrefill = 1e-4
+	// maxPrefillAge is the age at which the sums of prefill are scaled down and targets whose sum is below
+	// idlePrefill are forgotten. Until then, weights rise by 2^60 at most.
+	maxPrefillAge = 60 * prefillHalfLife
+	idlePrefill   = 1e-4
 )
 
 // loadNodes are the prefill loads at which the probability of keeping the gap objective is learned.
@@ -224,7 +225,7 @@
 		return
 	}
 	p.observe(&r, now)
-	p.addPrefill(target, float64(r.Prefill), now)
+	p.prefill.add(target, float64(r.Prefill), now)
 	if p.unreported.Prefill == nil {
 		p.unreported.Prefill = map[string]float32{}
 	}
@@ -306,30 +307,15 @@
 			m.kept[i].capWeight(maxKeptWeight)
 		}
 	}
-}
-
-// addPrefill adds prefill seconds sent to a target. It is called with pausesMu held.
-func (p *Pauses) addPrefill(target string, amount float64, now time.Time) {
-	s := p.prefill[target]
-	if s == nil {
-		if p.prefill == nil {
-			p.prefill = map[string]*decayingSum{}
-		}
-		s = &decayingSum{}
-		p.prefill[target] = s
-	}
-	s.add(amount, now, prefillHalfLife)
 	p.sweep(now)
 }
 
-// sweep removes targets without prefill and kinds without observations for targetExpiry. It is called
-// with pausesMu held.
+// sweep removes kinds without observations for targetExpiry. It is called with pausesMu held.
 func (p *Pauses) sweep(now time.Time) {
 	if now.Sub(p.sweptAt) < targetExpiry {
 		return
 	}
 	p.sweptAt = now
-	maps.DeleteFunc(p.prefill, func(_ string, s *decayingSum) bool { return s.load(now) < idlePrefill })
 	for service, routes := range p.services {
 		maps.DeleteFunc(routes, func(_ string, m *pauseModel) bool { return now.Sub(m.updatedAt) > targetExpiry })
 		if len(routes) == 0 {
@@ -338,20 +324,52 @@
 	}
 }
 
-// load returns the share of time that a target spends on prefill.
-func (s *decayingSum) load(now time.Time) float64 {
-	return s.sum * decay(now.Sub(s.updatedAt), prefillHalfLife) * math.Ln2 / prefillHalfLife.Seconds()
+// prefillSums holds the prefill seconds sent to each target. Instead of decaying each sum, later amounts
+// get a larger weight, so that one exponential is enough for the loads of all targets.
+type prefillSums struct {
+	// weighted holds the sums by target, and reference is the time at which the weight is 1.
+	weighted  map[string]float64
+	reference time.Time
 }
 
-// PrefillLoad returns the prefill load of a target: the share of time that it spends on prefill. It
-// exceeds 1 if the target gets more prompts than it can prefill.
-func (p *Pauses) PrefillLoad(target string, now time.Time) float64 {
+// add adds an amount.
+func (s *prefillSums) add(target string, amount float64, now time.Time) {
+	if s.weighted == nil {
+		s.weighted, s.reference = map[string]float64{}, now
+	}
+	if now.Sub(s.reference) > maxPrefillAge {
+		weight := s.weight(now)
+		s.reference = now
+		for id := range s.weighted {
+			if s.weighted[id] /= weight; s.weighted[id] < idlePrefill {
+				delete(s.weighted, id)
+			}
+		}
+	}
+	s.weighted[target] += amount * s.weight(now)
+}
+
+// weight returns the weight of an amount.
+func (s *prefillSums) weight(now time.Time) float64 {
+	return 1 / decay(now.Sub(s.reference), prefillHalfLife)
+}
+
+// PrefillLoads sets the prefill loads of targets, whose IDs are returned by target: the share of time that
+// each spends on prefill. It exceeds 1 if the target gets more prompts than it can prefill.
+func (p *Pauses) PrefillLoads(loads []float64, target func(i int) string, now time.Time) {
 	p.pausesMu.Lock()
 	defer p.pausesMu.Unlock()
-	if s := p.prefill[target]; s != nil {
-		return s.load(now)
+	unit := math.Ln2 / prefillHalfLife.Seconds() / p.prefill.weight(now)
+	for i := range loads {
+		loads[i] = p.prefill.weighted[target(i)] * unit
 	}
-	return 0
+}
+
+// PrefillLoad returns the prefill load of a target.
+func (p *Pauses) PrefillLoad(target string, now time.Time) float64 {
+	var load [1]float64
+	p.PrefillLoads(load[:], func(int) string { return target }, now)
+	return load[0]
 }
 
 // Demand returns what is known of the kinds of requests of a service, ordered by route.
@@ -376,8 +394,8 @@
 }
 
 // curve returns the probability of keeping the gap objective, the number of observations and the share
-// of them that did not keep it. The prior is that the objective is kept. Nodes out of order are pooled: more prefill beside a stream
-// does not shorten its pauses.
+// of them that did not keep it. The prior is that the objective is kept. Nodes out of order are pooled:
+// more prefill beside a stream does not shorten its pauses.
 func (m *pauseModel) curve(now time.Time) (out KeptCurve, observations, missed float64) {
 	type block struct {
 		value, weight float64
@@ -451,7 +469,7 @@
 			p.rejected++
 			continue
 		}
-		p.addPrefill(target, float64(amount), now)
+		p.prefill.add(target, float64(amount), now)
 	}
 }
 
--- a/core/relay/pauses.go
+++ b/core/relay/pauses.go
@@ -112,9 +112,10 @@
 	if d == nil || !d.Weighs() {
 		return
 	}
+	loads := make([]float64, len(candidates))
+	p.relay.options.Pauses.PrefillLoads(loads, func(i int) string { return alternatives[i].eligible.target.ID() }, now)
 	for i := range candidates {
-		t := alternatives[i].eligible.target
-		d.Weigh(&candidates[i], p.route.Name, d.reserved[t], p.relay.options.Pauses.PrefillLoad(t.ID(), now))
+		d.Weigh(&candidates[i], p.route.Name, d.reserved[alternatives[i].eligible.target], loads[i])
 	}
 }
 
