--- a/core/route/stream_test.go
+++ b/core/route/stream_test.go
@@ -102,3 +102,16 @@
 		}
 	})
 }
+
+// Daemons that began with different shares come to the same one, or they would reserve different workers.
+func TestSharesConverge(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kinds := twoKinds(keptUnloaded, 0.2)
+	a := Divide(kinds, 30, &Division{}, 0)
+	b := a
+	b.Share *= 1.19
+	for range 120 {
+		a, b = Divide(kinds, 30, &a, time.Second), Divide(kinds, 30, &b, time.Second)
+	}
+	g.Expect(b.Share).To(gomega.BeNumerically("~", a.Share, 0.001))
+}
