--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -33,6 +33,11 @@
 	plan      segmentPlan
 	eligible  eligibleTarget
 	candidate route.Candidate
+	// expectedLoad is the prefill load that is expected at the target.
+	expectedLoad float64
+	// side is where the request runs in relation to the division of the workers; empty if they are not
+	// divided or another daemon chose.
+	side divisionSide
 	// onlyCandidate is set if there was no other eligible target.
 	onlyCandidate bool
 	// report sends updates to the daemon that made the choice; nil if this one did.
@@ -108,6 +113,8 @@
 	for i := range alternatives {
 		candidates[i] = alternatives[i].candidate
 	}
+	division := p.relay.division(svc, now)
+	p.applyDivision(division, candidates, alternatives, now)
 	input, estimate := p.routeInput(len(targets), share, now), p.estimate(now)
 	placementInput := route.PlacementInput{
 		ContextHash: p.contextHash(), Turn: p.relay.choiceCount.Add(1), Random: randomFraction(),
@@ -120,10 +127,11 @@
 	best := &alternatives[index]
 	out := &choice{
 		target: best.eligible.target, plan: best.plan, eligible: best.eligible,
-		candidate: best.candidate, onlyCandidate: len(targets) == 1, evaluation: evaluation,
+		candidate: candidates[index], onlyCandidate: len(targets) == 1, evaluation: evaluation,
 	}
 	out.factors = best.candidate.Factors(&input)
 	out.baseline = estimate.Time(out.factors)
+	p.recordDivision(division, out, now)
 	p.fillMetadata(svc, out)
 	return out, ""
 }
@@ -253,6 +261,7 @@
 		c.report.reportSent()
 	} else {
 		p.recordUse(c, now)
+		p.recordPrefill(c, now)
 	}
 	p.noteChoice(c)
 }
@@ -274,6 +283,7 @@
 		candidate.QueuedTokens, candidate.Running, candidate.OccupiedTokens,
 		c.evaluation.Expected.Round(time.Millisecond),
 		c.evaluation.WithinObjective, c.evaluation.NetUtility, c.attemptMeta.WeightVersion)
+	p.notePauses(c)
 }
 
 // Priorities of requests at model workers; 0 is the most urgent.
--- a/core/route/utility.go
+++ b/core/route/utility.go
@@ -89,6 +89,12 @@
 	// Slowdown is the target's time to the first answer divided by that
 	// expected of its service. Above 1 the target is slower.
 	Slowdown float64
+	// KeptGap is the probability that the pauses of the request's stream stay within its gap
+	// objective at the target; 0 means unknown.
+	KeptGap float64
+	// PauseLoss is the utility that other streams lose by each second of prefill at the target, since it
+	// pauses them. It decides where the request is served, not whether.
+	PauseLoss float64
 }
 
 // Factors returns the inputs of the time to the first answer at a candidate.
@@ -140,10 +146,15 @@
 	// requests lose by waiting for it and by the eviction of their cached segments. The
 	// request is worth serving at the candidate only if CallerUtility is above 0.
 	CallerUtility float64
-	// NetUtility is CallerUtility less the cost of serving the request at the candidate.
+	// NetUtility is CallerUtility less the cost of serving the request at the candidate and what the
+	// streams that run there lose by its prefill.
 	NetUtility float64
 }
 
+// maxPausing is the prefill time, in seconds, that is charged for the pauses of other streams at most: a
+// longer prefill does not pause a stream of half a second more.
+const maxPausing = 0.4
+
 // Evaluate estimates the time and the utility of serving a request at a candidate.
 func Evaluate(req *PickRequest, c *Candidate, e *learn.Estimate, m *CostModel) Evaluation {
 	f := c.Factors(req)
@@ -160,8 +171,12 @@
 		ev.WithinObjective = e.Probability((req.Objective - req.Elapsed).Seconds() / expected)
 	}
 	ev.BeforeDeadline = max(ev.WithinObjective, e.Probability(req.Remaining.Seconds()/expected))
+	onTime := ev.WithinObjective
+	if c.KeptGap > 0 {
+		onTime *= c.KeptGap
+	}
 	utility := m.Utility(req.Tokens)
-	ev.CallerUtility = utility * (1 - c.FailureShare) * (m.PastObjectiveShare*ev.BeforeDeadline + (1-m.PastObjectiveShare)*ev.WithinObjective)
+	ev.CallerUtility = utility * (1 - c.FailureShare) * (m.PastObjectiveShare*ev.BeforeDeadline + (1-m.PastObjectiveShare)*onTime)
 	// Tokens that do not fit into memory evict cached segments of later requests.
 	ev.CallerUtility -= m.RecomputePerToken * f.MemoryPressure * float64(req.Tokens)
 	if req.Objective > 0 {
@@ -169,6 +184,9 @@
 		ev.CallerUtility -= req.UtilityRate * (1 - m.PastObjectiveShare) * work.Seconds() * wait.Seconds() / req.Objective.Seconds()
 	}
 	ev.NetUtility = ev.CallerUtility - servingCost(req, c, m, utility)
+	if c.PauseLoss > 0 {
+		ev.NetUtility -= c.PauseLoss * min(slowdown*e.PrefillTime(f.OwnTokens).Seconds(), maxPausing)
+	}
 	if req.Objective > 0 {
 		ev.NetUtility -= utility * m.DelayPenalty * expected / req.Objective.Seconds()
 	}
