--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -33,8 +33,6 @@
 	plan      segmentPlan
 	eligible  eligibleTarget
 	candidate route.Candidate
-	// expectedLoad is the prefill load that is expected at the target.
-	expectedLoad float64
 	// side is where the request runs in relation to the division of the workers; empty if they are not
 	// divided or another daemon chose.
 	side divisionSide
@@ -114,7 +112,7 @@
 		candidates[i] = alternatives[i].candidate
 	}
 	division := p.relay.division(svc, now)
-	p.applyDivision(division, candidates, alternatives, now)
+	p.applyDivision(division, candidates, alternatives)
 	input, estimate := p.routeInput(len(targets), share, now), p.estimate(now)
 	placementInput := route.PlacementInput{
 		ContextHash: p.contextHash(), Turn: p.relay.choiceCount.Add(1), Random: randomFraction(),
@@ -131,7 +129,7 @@
 	}
 	out.factors = best.candidate.Factors(&input)
 	out.baseline = estimate.Time(out.factors)
-	p.recordDivision(division, out, now)
+	p.recordDivision(division, out)
 	p.fillMetadata(svc, out)
 	return out, ""
 }
--- a/core/relay/disabled.go
+++ b/core/relay/disabled.go
@@ -23,7 +23,6 @@
 	Retries         bool `yaml:"repeats" doc:"Sending a request again after a failure."`
 	ContextOwners   bool `yaml:"homes" doc:"Asking the cell where a context is at home: prompts are decided in the cell that their callers reached."`
 	OpenConnections bool `yaml:"warm" doc:"Preferring targets that a connection is open to."`
-	Pauses          bool `yaml:"pauses" doc:"Predicting pauses in streams and weighing them. Off switches the division of workers off as well."`
-	Division        bool `yaml:"division" doc:"Dividing workers between streams that suffer from the reading of prompts and other requests."`
+	Division        bool `yaml:"division" doc:"Learning pauses in streams, and preferring a share of the workers for streams that suffer from prefill."`
 	LocalDomain     bool `yaml:"near" doc:"Preferring targets in the daemon's own failure domain."`
 }
--- a/core/relay/pauses.go
+++ b/core/relay/pauses.go
@@ -1,79 +1,13 @@
 package relay
 
 import (
-	"cmp"
-	"math"
-	"slices"
 	"time"
 
-	"embertally.dev/core/fleet"
 	"embertally.dev/core/learn"
-	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
 	"embertally.dev/core/table"
 )
 
-// divisionInterval is the time between two computations of a service's division.
-const divisionInterval = 250 * time.Millisecond
-
-// serviceDivision is the division of a service's workers.
-type serviceDivision struct {
-	route.Division
-	// workers are those that this daemon uses, and reserved those of them that are reserved for the
-	// suffering kinds.
-	workers  []*roster.Target
-	reserved map[*roster.Target]bool
-	// updatedAt is when the division was computed.
-	updatedAt time.Time
-}
-
-// division returns what is expected of the pauses at a service's workers, and how these are divided, or
-// nil if that is switched off. It is called with chooseMu held.
-func (rl *Relay) division(svc *table.Service, now time.Time) *serviceDivision {
-	if svc.Engine == nil || rl.options.Pauses == nil || rl.options.Disabled.Pauses {
-		return nil
-	}
-	previous := rl.divisions[svc.Name]
-	if previous == nil {
-		previous = &serviceDivision{updatedAt: now}
-	} else if now.Sub(previous.updatedAt) < divisionInterval {
-		return previous
-	}
-	d := &serviceDivision{
-		workers:   rl.shares.get(svc.Name, rl.options.Roster.ByService(svc.Name), &rl.options).own,
-		updatedAt: now,
-	}
-	kinds := rl.streamKinds(svc, now)
-	if rl.options.Disabled.Division {
-		d.Division = route.Predict(kinds, len(d.workers), &previous.Division)
-	} else {
-		d.Division = route.Divide(kinds, len(d.workers), &previous.Division, now.Sub(previous.updatedAt))
-	}
-	switch {
-	case d.Share == 0:
-	case d.Share == previous.Share && sameList(d.workers, previous.workers):
-		d.reserved = previous.reserved
-	default:
-		d.reserved = reservedTargets(d.workers, d.Share)
-	}
-	if rl.divisions == nil {
-		rl.divisions = map[string]*serviceDivision{}
-	}
-	rl.divisions[svc.Name] = d
-	return d
-}
-
-// ReservedWorkers returns the number of workers that are reserved for streams that suffer from prefill.
-func (rl *Relay) ReservedWorkers() int {
-	rl.chooseMu.Lock()
-	defer rl.chooseMu.Unlock()
-	count := 0
-	for _, d := range rl.divisions {
-		count += len(d.reserved)
-	}
-	return count
-}
-
 // streamKinds returns the kinds of requests of a service.
 func (rl *Relay) streamKinds(svc *table.Service, now time.Time) []route.StreamKind {
 	demand := rl.options.Pauses.Demand(svc.Name, now)
@@ -91,55 +25,6 @@
 	return out
 }
 
-// reservedTargets returns the given share of the workers: those whose IDs have the lowest hashes, so
-// that all daemons with the same list and share return the same, and a worker that appears or
-// disappears moves at most one other.
-func reservedTargets(workers []*roster.Target, share float64) map[*roster.Target]bool {
-	count := min(max(int(math.Round(share*float64(len(workers)))), 1), len(workers))
-	ordered := slices.Clone(workers)
-	slices.SortFunc(ordered, func(a, b *roster.Target) int {
-		return cmp.Or(cmp.Compare(fleet.Key(a.ID()), fleet.Key(b.ID())), cmp.Compare(a.ID(), b.ID()))
-	})
-	out := make(map[*roster.Target]bool, count)
-	for _, t := range ordered[:count] {
-		out[t] = true
-	}
-	return out
-}
-
-// applyDivision sets what the division expects of pauses at the candidates.
-func (p *proxiedRequest) applyDivision(d *serviceDivision, candidates []route.Candidate, alternatives []alternative, now time.Time) {
-	if d == nil || !d.Weighs() {
-		return
-	}
-	loads := make([]float64, len(candidates))
-	p.relay.options.Pauses.PrefillLoads(loads, func(i int) string { return alternatives[i].eligible.target.ID() }, now)
-	for i := range candidates {
-		d.Weigh(&candidates[i], p.route.Name, d.reserved[alternatives[i].eligible.target], loads[i])
-	}
-}
-
-// recordDivision sets the prefill load that is expected at a choice, and on which side of the division it
-// is.
-func (p *proxiedRequest) recordDivision(d *serviceDivision, c *choice, now time.Time) {
-	if d == nil {
-		return
-	}
-	c.expectedLoad = d.ExpectedLoad(d.reserved[c.target], p.relay.options.Pauses.PrefillLoad(c.target.ID(), now))
-	if d.Share == 0 {
-		return
-	}
-	c.side = sideOther
-	switch reserved := d.reserved[c.target]; {
-	case d.Reserved[p.route.Name] && reserved:
-		c.side = sideReserved
-	case d.Reserved[p.route.Name]:
-		c.side = sideOverflow
-	case reserved:
-		c.side = sideIntrusion
-	}
-}
-
 // divisionSide is where a request runs in relation to the division of the workers.
 type divisionSide string
 
@@ -177,10 +62,10 @@
 
 // recordPrefill records that a choice is used, for the prefill load of its target.
 func (p *proxiedRequest) recordPrefill(c *choice, now time.Time) {
-	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Pauses || c.load.OccupiedTokens == 0 {
+	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Division || c.load.OccupiedTokens == 0 {
 		return
 	}
-	p.relay.options.Pauses.RecordSend(p.service, p.route.Name, c.target.ID(), p.meta.PromptTokens,
+	p.relay.options.Pauses.RecordSend(p.service, p.route.Name, p.meta.PromptTokens,
 		p.estimate(now).PrefillTime(c.load.QueuedTokens), now)
 }
 
@@ -205,7 +90,7 @@
 
 // newGapObserver returns an observer of the stream of a choice, or nil if pauses are not learned.
 func (p *proxiedRequest) newGapObserver(c *choice) *gapObserver {
-	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Pauses || c.load.OccupiedTokens == 0 {
+	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Division || c.load.OccupiedTokens == 0 {
 		return nil
 	}
 	// What is expected at a worker is not known here if another cell's daemons chose it.
@@ -250,8 +135,9 @@
 	now, p := time.Now(), o.request
 	objective := p.route.GapObjective
 	s := learn.StreamSample{
-		Service: p.service, Route: p.route.Name, Events: o.events, Duration: now.Sub(o.firstAt),
-		Judged: objective > 0 && !o.excluded && o.suspends.sinceLast() == 0, Load: o.choice.expectedLoad, Kept: o.longest <= objective,
+		Service: p.service, Route: p.route.Name, Duration: now.Sub(o.firstAt),
+		Judged: objective > 0 && !o.excluded && o.suspends.sinceLast() == 0, Kept: o.longest <= objective,
+		Reserved: o.choice.side == sideReserved,
 	}
 	if s.Judged {
 		p.relay.options.Stats.StreamsJudged.Inc()
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -27,6 +27,8 @@
 
 // Options configures a Relay.
 type Options struct {
+	// Name is the name of this daemon.
+	Name    string
 	Dialect Dialect
 	Roster  *roster.Roster
 	Pool    *target.Pool
@@ -40,7 +42,7 @@
 	LateCopies *learn.LateCopies
 	// Retention is the learned probability that a segment is still in a worker's KV cache.
 	Retention *learn.Retention
-	// Pauses is the learned probability that streams keep their gap objective, and the demand by kind
+	// Pauses is the learned share of streams that miss their gap objective, and the demand by kind
 	// of request. Nil learns nothing.
 	Pauses *learn.Pauses
 	// FirstAnswerTimes and TargetStats are statistics of the targets' responses. EnginePrior and
@@ -142,6 +144,8 @@
 
 	// chooseMu is held from reading the targets' load until the chosen target's load is updated.
 	chooseMu sync.Mutex
+	// divisionPeers exchanges the divisions with peers.
+	divisionPeers divisionPeers
 	// divisions holds the divisions of workers, by service. Guarded by chooseMu.
 	divisions map[string]*serviceDivision
 
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -153,6 +153,7 @@
 	h.canary.OrdersCurrent = func() bool { return h.viewAge() < rolloutMaxViewAge }
 	h.buildRelay()
 	h.roster.CapacityChanged = h.relay.CapacityChanged
+	h.fleet.Attach("division", h.relay.DivisionPart())
 	h.fleet.Attach("queue", relay.QueuePart{Relay: h.relay})
 	h.contextOwners = relay.NewContextOwners(h.relay, h.fleet)
 	h.updateNotifier = spread.NewWeightUpdateNotifier(h.fleet, h.roster)
@@ -244,7 +245,7 @@
 // buildRelay creates the relay that serves callers' requests.
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, LateCopies: &h.lateCopies, Retention: &h.retention, Pauses: &h.pauses, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats,
+		Name: h.settings.Name, Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, LateCopies: &h.lateCopies, Retention: &h.retention, Pauses: &h.pauses, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats,
 		EnginePrior: h.settings.Expected.Engines.prior(), CallPrior: h.settings.Expected.Calls.prior(), Costs: h.settings.Costs.model(), Disabled: h.settings.Disabled,
 		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary,
 		Placement: route.Placement(h.settings.Placement), PublishState: h.fleet.TriggerHeartbeat,
