--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -27,6 +27,8 @@
 	Reserved map[string]float64
 	// Pause is how much longer no division begins, since the last one was of no use.
 	Pause time.Duration
+	// Doubt is how long the division has seemed to be of no use.
+	Doubt time.Duration
 
 	// kept holds what is expected of the streams of the suffering kinds, by route.
 	kept map[string]keptSides
@@ -39,15 +41,15 @@
 type keptSides struct{ reserved, other float64 }
 
 const (
-	// minDivisionSamples is the number of observed streams from which a kind may count as suffering, and
-	// from which a division is judged.
+	// minDivisionSamples is the number of observed streams from which a kind may count as suffering.
 	minDivisionSamples = 20
 	// minMissed is the share of the streams that miss their gap objective from which a division begins:
 	// callers are to get 95 of 100 answers on time.
 	minMissed = 0.05
-	// maxStillMissed is the share of the streams that missed their objective before which may still do so
-	// on reserved workers. Beyond it the division costs cached contexts without a clear gain.
-	maxStillMissed = 0.7
+	// minJudgedSamples is the number of streams on reserved workers from which a division is judged. It
+	// ends if for maxDoubt, longer than a burst, no fewer of them miss their objective than of the others.
+	minJudgedSamples = 100
+	maxDoubt         = 10 * time.Second
 	// divisionPause is the time without a division after one that was of no use.
 	divisionPause = time.Minute
 	// minPrefillLoad is the share of time that the workers spend on prefill below which a division ends:
@@ -83,7 +85,7 @@
 	switch {
 	case workers < 2 || total(kinds, everyKind).prefill < minPrefillLoad*float64(workers):
 		return out
-	case previous.Share > 0 && !previous.useful(kinds):
+	case previous.Doubt+elapsed > maxDoubt && !previous.useful(kinds):
 		out.Pause = divisionPause
 		return out
 	case previous.Share == 0 && out.Pause > 0:
@@ -95,17 +97,20 @@
 		return out
 	}
 	out.Share, out.Reserved = nextShare(share, previous.Share, elapsed), reserved
+	if !previous.useful(kinds) {
+		out.Doubt = previous.Doubt + elapsed
+	}
 	out.Expect(kinds, workers)
 	return out
 }
 
-// useful reports whether the streams of the reserved kinds keep their gap objective clearly more often
-// than before the division, or whether that cannot be told yet.
+// useful reports whether the streams of the reserved kinds keep their gap objective more often than
+// without the division, or whether that cannot be told yet.
 func (d *Division) useful(kinds []StreamKind) bool {
 	for i := range kinds {
 		k := &kinds[i]
 		before, reserved := d.Reserved[k.Route]
-		if reserved && k.Reserved.Observations >= minDivisionSamples && k.Reserved.Missed > maxStillMissed*before {
+		if reserved && k.Reserved.Observations >= minJudgedSamples && k.Reserved.Missed >= max(before, k.Other.Missed) {
 			return false
 		}
 	}
@@ -207,9 +212,9 @@
 		if !reserved {
 			continue
 		}
-		sides := keptSides{reserved: 1 - k.Reserved.Missed, other: 1 - before}
+		sides := keptSides{reserved: 1 - k.Reserved.Missed, other: 1 - max(before, k.Other.Missed)}
 		// While a division stands, it is taken to be of use: useful ends it otherwise.
-		sides.reserved = max(sides.reserved, 1-maxStillMissed*before)
+		sides.reserved = max(sides.reserved, sides.other+minMissed)
 		d.kept[k.Route] = sides
 		// A prefill pauses the streams that run at the worker and those that start during it.
 		paused := k.Streams/prefill + k.Requests
