--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -22,8 +22,9 @@
 type Division struct {
 	// Share is the share of the workers that is reserved for the suffering kinds; 0 means none.
 	Share float64
-	// Reserved holds, by the route of each suffering kind, the share of its streams that missed their
-	// gap objective before the workers were divided. It is not empty if Share is above 0.
+	// Reserved holds, by the route of each suffering kind, the probability that one of its streams misses
+	// its gap objective at a worker that prefills all the time, 0 to 1. It was taken before the workers
+	// were divided. It is not empty if Share is above 0.
 	Reserved map[string]float64
 	// Pause is how much longer no division begins, since the last one was of no use.
 	Pause time.Duration
@@ -44,7 +45,7 @@
 	// minDivisionSamples is the number of observed streams from which a kind may count as suffering.
 	minDivisionSamples = 20
 	// minMissed is the share of the streams that miss their gap objective from which a division begins:
-	// callers are to get 95 of 100 answers on time.
+	// callers are to get 95 of 100 answers on time. It is also the least gain that is expected of one.
 	minMissed = 0.05
 	// minJudgedSamples is the number of streams on reserved workers from which a division is judged. It
 	// ends if for maxDoubt, longer than a burst, no fewer of them miss their objective than of the others.
@@ -85,19 +86,19 @@
 	switch {
 	case workers < 2 || total(kinds, everyKind).prefill < minPrefillLoad*float64(workers):
 		return out
-	case previous.Doubt+elapsed > maxDoubt && !previous.useful(kinds):
+	case previous.Doubt+elapsed > maxDoubt && !previous.useful(kinds, workers):
 		out.Pause = divisionPause
 		return out
 	case previous.Share == 0 && out.Pause > 0:
 		return out
 	}
-	reserved := suffering(kinds, previous)
+	reserved := suffering(kinds, workers, previous)
 	share := wantedShare(kinds, reserved, workers)
 	if share <= 0 {
 		return out
 	}
 	out.Share, out.Reserved = nextShare(share, previous.Share, elapsed), reserved
-	if !previous.useful(kinds) {
+	if !previous.useful(kinds, workers) {
 		out.Doubt = previous.Doubt + elapsed
 	}
 	out.Expect(kinds, workers)
@@ -106,34 +107,36 @@
 
 // useful reports whether the streams of the reserved kinds keep their gap objective more often than
 // without the division, or whether that cannot be told yet.
-func (d *Division) useful(kinds []StreamKind) bool {
+func (d *Division) useful(kinds []StreamKind, workers int) bool {
+	load := total(kinds, everyKind).prefill / float64(workers)
 	for i := range kinds {
 		k := &kinds[i]
-		before, reserved := d.Reserved[k.Route]
-		if reserved && k.Reserved.Observations >= minJudgedSamples && k.Reserved.Missed >= max(before, k.Other.Missed) {
+		risk, reserved := d.Reserved[k.Route]
+		if reserved && k.Reserved.Observations >= minJudgedSamples && k.Reserved.Missed >= max(risk*load, k.Other.Missed) {
 			return false
 		}
 	}
 	return true
 }
 
-// suffering returns the routes of the kinds that a division would reserve workers for, with the share of
-// their streams that missed the gap objective.
-func suffering(kinds []StreamKind, previous *Division) map[string]float64 {
+// suffering returns the routes of the kinds that a division would reserve workers for; see
+// Division.Reserved.
+func suffering(kinds []StreamKind, workers int, previous *Division) map[string]float64 {
 	all := total(kinds, everyKind)
+	load := all.prefill / float64(workers)
 	out := map[string]float64{}
 	for i := range kinds {
 		k := &kinds[i]
-		missed, was := previous.Reserved[k.Route]
+		risk, was := previous.Reserved[k.Route]
 		limit := keepIntensity
 		if !was {
 			if k.Other.Observations < minDivisionSamples || k.Other.Missed < minMissed {
 				continue
 			}
-			missed, limit = k.Other.Missed, maxIntensity
+			risk, limit = min(1, k.Other.Missed/load), maxIntensity
 		}
 		if k.Streams > 0 && k.Prefill*all.streams < limit*all.prefill*k.Streams {
-			out[k.Route] = missed
+			out[k.Route] = risk
 		}
 	}
 	return out
@@ -206,19 +209,20 @@
 	}
 	prefill := max(others.prefill/max(requests, 1), minPrefill)
 	own := d.Share * float64(workers)
+	otherLoad := min(1, others.prefill/(float64(workers)-own))
 	for i := range kinds {
 		k := &kinds[i]
-		before, reserved := d.Reserved[k.Route]
+		risk, reserved := d.Reserved[k.Route]
 		if !reserved {
 			continue
 		}
-		sides := keptSides{reserved: 1 - k.Reserved.Missed, other: 1 - max(before, k.Other.Missed)}
+		sides := keptSides{reserved: 1 - k.Reserved.Missed, other: 1 - max(risk*otherLoad, k.Other.Missed)}
 		// While a division stands, it is taken to be of use: useful ends it otherwise.
-		sides.reserved = max(sides.reserved, sides.other+minMissed)
+		sides.reserved = max(sides.reserved, min(1, sides.other+minMissed))
 		d.kept[k.Route] = sides
 		// A prefill pauses the streams that run at the worker and those that start during it.
 		paused := k.Streams/prefill + k.Requests
-		d.loss += (sides.reserved - sides.other) * k.Stake * paused / own
+		d.loss += risk * k.Stake * paused / own
 	}
 }
 
