--- a/core/route/utility.go
+++ b/core/route/utility.go
@@ -183,10 +183,10 @@
 		// Other requests wait for its work as well, as long as there is a queue.
 		ev.CallerUtility -= req.UtilityRate * (1 - m.PastObjectiveShare) * work.Seconds() * wait.Seconds() / req.Objective.Seconds()
 	}
+	ev.NetUtility = ev.CallerUtility - servingCost(req, c, m, utility)
 	if c.PauseLoss > 0 {
-		ev.CallerUtility -= c.PauseLoss * min(slowdown*e.PrefillTime(f.OwnTokens).Seconds(), maxPausing)
+		ev.NetUtility -= c.PauseLoss * min(slowdown*e.PrefillTime(f.OwnTokens).Seconds(), maxPausing)
 	}
-	ev.NetUtility = ev.CallerUtility - servingCost(req, c, m, utility)
 	if req.Objective > 0 {
 		ev.NetUtility -= utility * m.DelayPenalty * expected / req.Objective.Seconds()
 	}
