--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -195,7 +195,7 @@
 func (p *proxiedRequest) routeInput(targets int, share float64, now time.Time) route.PickRequest {
 	out := route.PickRequest{
 		Tokens: p.meta.PromptTokens, Bytes: p.bodyBytes, Objective: p.route.LatencyObjective,
-		Elapsed: now.Sub(p.start), Remaining: p.deadline.Sub(now),
+		Elapsed: now.Sub(p.start), Remaining: p.answerDeadline().Sub(now),
 		UtilityRate: share * p.relay.utilityRate(p.service, targets, now),
 	}
 	if p.relay.options.Disabled.QueueCost {
--- a/core/relay/queue.go
+++ b/core/relay/queue.go
@@ -495,7 +495,7 @@
 	expected := e.Time(learn.Factors{OwnTokens: p.meta.PromptTokens - p.sharedTokens()})
 	typical := time.Duration(e.Quantile(minOnTimeProbability) * float64(expected))
 	r.Work = expected.Seconds()
-	r.LatestStart = p.deadline.Add(-max(typical, minAttemptTime))
+	r.LatestStart = p.answerDeadline().Add(-max(typical, minAttemptTime))
 	r.StartBy = p.start.Add(p.route.LatencyObjective - typical)
 	if p.route.LatencyObjective == 0 || r.StartBy.After(r.LatestStart) {
 		r.StartBy = r.LatestStart
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -86,6 +86,17 @@
 	notes []string
 }
 
+// answerDeadline returns the time by which the caller must have the answer or, of a stream, its first
+// event.
+func (p *proxiedRequest) answerDeadline() time.Time {
+	if t := p.route.FirstEventTimeout; t > 0 && !p.headerSent {
+		if limit := p.start.Add(t); limit.Before(p.deadline) {
+			return limit
+		}
+	}
+	return p.deadline
+}
+
 // deadlineMargin is how long after the deadline a target's own final response is still accepted.
 // The caller contract allows half a second.
 const deadlineMargin = 60 * time.Millisecond
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -50,6 +50,9 @@
 	LatencyObjective time.Duration
 	// GapObjective is the objective for the pause between two events of a stream.
 	GapObjective time.Duration
+	// FirstEventTimeout is how long callers wait for the first event of a stream, if they give it up
+	// before their deadline; 0 means that they do not.
+	FirstEventTimeout time.Duration
 	Priority     int
 	// MaxAttempts bounds the attempts of one request that may have run at a target, at least 1.
 	MaxAttempts int
