Leave targets that are slow to accept a connection

Cause: while a quarter of the workers is dark, one request after the other waits 1.2 s for a connection, although opening one takes a millisecond, and is given up after four such tries.

Change: opening a connection is abandoned after a learned multiple of the usual time, before anything is sent, and goes on in the background. All daemons avoid the target for a moment (heartbeat part "slow"), at most a third of a service's targets, and then probe it with one request at a time. Abandoned connections do not count against maxUnreachable; a request abandons at most eight. Switch without.openRace.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -44,6 +44,10 @@
 			c.target.RemoveLoad(roster.Load{QueuedTokens: c.load.QueuedTokens})
 		}
 	}
+	if !p.startProbe(c) {
+		p.relay.options.Roster.ReturnPermit(c.target, c.permit)
+		return outcomeUnavailable, nil
+	}
 	sent := time.Now()
 	c.sentAt = clock.Now()
 	p.relay.options.Stats.Attempts.Inc()
@@ -53,10 +57,12 @@
 	ctx, cancel := p.waitBudget(ctx, c)
 	defer cancel()
 	resp, err := p.relay.options.Pool.Send(ctx, c.target.Entry().Address, p.targetRequest(c))
+	p.endProbe(c)
 	if err != nil {
 		return p.classifyNoResponse(ctx, c, err), nil
 	}
 	defer resp.Close()
+	p.relay.recordResponsive(c.target)
 	respMeta := p.relay.options.Dialect.ParseResponse(resp.Status, resp.Header)
 	if out, ok := p.checkResponse(c, resp, &respMeta); !ok {
 		return out, nil
@@ -114,6 +120,9 @@
 		return outcomeCallerDisconnected
 	case errors.Is(err, target.ErrFull):
 		return outcomeNotSent
+	case errors.Is(err, target.ErrSlowOpen):
+		p.recordSlowOpen(c)
+		return outcomeSlowOpen
 	case !time.Now().Before(p.deadline):
 		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			p.recordResponse(c, false)
@@ -232,6 +241,7 @@
 	if !p.route.MayRepeat() {
 		out.MaxIdle = maxIdleForOnce
 	}
+	p.setOpenRace(out, c)
 	return out
 }
 
--- a/core/relay/disabled.go
+++ b/core/relay/disabled.go
@@ -22,4 +22,5 @@
 	ContextOwners   bool `yaml:"homes" doc:"Asking the cell where a context is at home: prompts are decided in the cell that their callers reached."`
 	OpenConnections bool `yaml:"warm" doc:"Preferring targets that a connection is open to."`
 	LocalDomain     bool `yaml:"near" doc:"Preferring targets in the daemon's own failure domain."`
+	OpenRace        bool `yaml:"openRace" doc:"Leaving a target that takes long to accept a connection for another one, and avoiding it for a moment."`
 }
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -28,6 +28,8 @@
 	load          roster.Load
 	weightVersion int64
 	state         learn.TargetState
+	// probe is set if the request probes the target, whose connections were slow to open.
+	probe bool
 }
 
 // ownEligibleTargets returns the eligible targets among those that this daemon uses, and the
@@ -55,7 +57,8 @@
 // eligibleTargets returns the targets of a list that may get the request, or why there are none.
 // shared is set if this daemon is one of those that use these targets.
 func (p *proxiedRequest) eligibleTargets(svc *table.Service, list []*roster.Target, shared bool, now time.Time) ([]eligibleTarget, string) {
-	var out []eligibleTarget
+	// avoided are those whose connections were slow to open: the last resort.
+	var out, avoided []eligibleTarget
 	availability, reloading := p.relay.options.Roster.Availability(now), p.relay.options.Roster.Reloading(now)
 	var unavailable unavailability
 	list = p.applyRollout(list)
@@ -101,8 +104,19 @@
 			unavailable.outdated++
 			continue
 		}
+		switch p.slowStatus(svc, candidate.target, now) {
+		case roster.SlowAvoided:
+			avoided = append(avoided, candidate)
+			continue
+		case roster.SlowProbation:
+			candidate.probe = true
+		default:
+		}
 		out = append(out, candidate)
 	}
+	if len(out) == 0 && unavailable.full == 0 {
+		out = avoided
+	}
 	out = p.preferVersion(out)
 	reason := unavailable.reason()
 	p.skipped, p.rateLimited = unavailable.skipped, unavailable.rateLimitedTarget
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -25,9 +25,11 @@
 	outcomeTimedOut
 	// outcomeTruncated: part of the response was passed on, and the rest cannot be.
 	outcomeTruncated
+	// outcomeSlowOpen: no byte was sent, since the connection took longer to open than usual.
+	outcomeSlowOpen
 )
 
-var outcomeNames = [...]string{"done", "notSent", "stopped", "refused", "broken", "bad", "left", "late", "cut"}
+var outcomeNames = [...]string{"done", "notSent", "stopped", "refused", "broken", "bad", "left", "late", "cut", "slowOpen"}
 
 // String returns the outcome as written in log lines.
 func (o outcome) String() string { return outcomeNames[o] }
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -55,6 +55,8 @@
 	// attempts counts the attempts that reached a target or may have, executions those of them that
 	// the target may have executed.
 	attempts, executions int
+	// slowOpens counts the attempts that were abandoned because the connection was slow to open.
+	slowOpens int
 	// lastTarget is the target of the last attempt.
 	lastTarget *roster.Target
 	// headerSent is set once the header of a response has been passed on.
@@ -114,6 +116,8 @@
 		case outcomeUnavailable:
 			// While the target is unavailable it is not eligible anyway.
 			p.uncountAttempt(c.target.ID())
+		case outcomeSlowOpen:
+			// maxSlowOpens bounds their number.
 		case outcomeNotSent:
 			// The target received nothing, so another one may serve the request.
 			if unreachable++; unreachable >= maxUnreachable {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -78,6 +78,7 @@
 	evacuations atomic.Pointer[map[string]evacuation]
 
 	busy busyTargets
+	slow slowReports
 
 	// Rank, if set, returns this daemon's rank for a target, from 0, and the number of daemons that
 	// may choose the target. It is set before use, and called with rosterMu held.
--- a/core/roster/target.go
+++ b/core/roster/target.go
@@ -30,6 +30,7 @@
 	failures int
 	// lastFailure is the time of the last of them. Guarded by targetMu.
 	lastFailure time.Time
+	slow        slowState // guarded by targetMu
 	// lapsedUntil is when a lapsed entry counts as removed; zero while the target is listed.
 	// Guarded by targetMu.
 	lapsedUntil time.Time
--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -14,7 +14,8 @@
 // Timeouts for opening connections and for detecting dead ones.
 const (
 	// openTimeout bounds the opening of a connection. Targets respond within a few milliseconds,
-	// and a lost packet is retransmitted after a second.
+	// and a lost packet is retransmitted after a second. A request usually waits less; see
+	// openTimes.
 	openTimeout = 1200 * time.Millisecond
 	// unackedTimeout breaks a connection with unacknowledged bytes, so that a target that lost
 	// power is detected.
@@ -42,8 +43,13 @@
 	lastUsed time.Time
 }
 
-// open opens a connection, which reserve has counted.
+// open opens a connection, which reserve has counted, without learning how long it takes.
 func (p *Pool) open(ctx context.Context, address string) (*poolConn, error) {
+	return p.openInGroup(ctx, address, "")
+}
+
+// openInGroup opens a connection, which reserve has counted.
+func (p *Pool) openInGroup(ctx context.Context, address, group string) (*poolConn, error) {
 	d := net.Dialer{
 		Timeout: openTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -53,7 +59,11 @@
 	}
 	start := time.Now()
 	conn, err := d.DialContext(ctx, "tcp", address)
-	p.recordOpen(address, time.Since(start), err)
+	elapsed := time.Since(start)
+	p.recordOpen(address, elapsed, err)
+	if err == nil && group != "" {
+		p.learnOpenTime(group, elapsed)
+	}
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -25,6 +25,18 @@
 	// BeforeWrite, if set, is called when a connection is open and nothing has been written yet. If
 	// it returns an error, nothing is written and the error is the cause of Send's.
 	BeforeWrite func() error
+	// NewConnection means that no idle connection is used, since the target may no longer respond
+	// on it.
+	NewConnection bool
+	// Group names the targets whose connections are expected to take equally long to open.
+	Group string
+	// ReplaceSlowOpen means that Send fails with ErrSlowOpen if the connection takes longer to open
+	// than usual in the group. Opening then continues, and the connection is kept for the next
+	// request.
+	ReplaceSlowOpen bool
+	// OnOpen, if set, is called when the opening of a new connection has ended. late means that Send
+	// has returned without it; the call is then made by another goroutine.
+	OnOpen func(late bool, err error)
 }
 
 // SendError is a failure to get a response.
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -24,6 +24,7 @@
 
 	poolMu    sync.Mutex
 	addresses map[string]*addressState // guarded by poolMu
+	openTimes map[string]*openTimes    // by Request.Group; guarded by poolMu
 }
 
 // addressState is the state of the connections to one address.
@@ -124,7 +125,7 @@
 // Send sends a request and returns the response with its header read. The caller must Close the
 // response. An error is a *SendError.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
-	conn, err := p.get(ctx, address, req.MaxIdle)
+	conn, err := p.get(ctx, address, req)
 	if err != nil {
 		return nil, &SendError{cause: err}
 	}
@@ -197,14 +198,14 @@
 
 // get returns a connection to an address. If all are in use, it waits until one is free or ctx
 // ends.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*poolConn, error) {
+func (p *Pool) get(ctx context.Context, address string, req *Request) (*poolConn, error) {
 	for {
-		conn, canOpen := p.reserve(address, maxIdle)
+		conn, canOpen := p.reserve(address, req.MaxIdle, req.NewConnection)
 		if conn != nil {
 			return conn, nil
 		}
 		if canOpen {
-			return p.open(ctx, address)
+			return p.openFor(ctx, address, req)
 		}
 		if !wait.For(ctx, pollInterval) {
 			return nil, errors.WithStack(ErrFull)
@@ -213,8 +214,9 @@
 }
 
 // reserve returns an idle connection that is still alive, or whether a new one may be opened. In
-// that case the new one is counted already.
-func (p *Pool) reserve(address string, maxIdle time.Duration) (*poolConn, bool) {
+// that case the new one is counted already. With onlyNew no idle connection is returned, and one is
+// closed if that makes room for a new one.
+func (p *Pool) reserve(address string, maxIdle time.Duration, onlyNew bool) (*poolConn, bool) {
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	state := p.state(address)
@@ -222,10 +224,10 @@
 	if maxIdle > 0 {
 		maxIdleTime = min(maxIdleTime, maxIdle)
 	}
-	for len(state.idle) > 0 {
+	for len(state.idle) > 0 && (!onlyNew || (state.maxOpen > 0 && state.open >= state.maxOpen)) {
 		conn := state.idle[len(state.idle)-1]
 		state.idle = state.idle[:len(state.idle)-1]
-		if time.Since(conn.lastUsed) < maxIdleTime && !conn.isDead() {
+		if !onlyNew && time.Since(conn.lastUsed) < maxIdleTime && !conn.isDead() {
 			return conn, false
 		}
 		conn.tcp.Close()
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -124,6 +124,7 @@
 		BoxPollInterval: boxPollInterval, Boxes: &boxList{watchCache: h.watchCache}, Log: h.log,
 	})
 	h.fleet.Attach("roster", roster.HeartbeatPart{Roster: h.roster})
+	h.fleet.Attach("slow", roster.SlowPart{Roster: h.roster})
 	h.watchCacheSync = spread.NewWatchCacheSync(h.watchCache, h.fleet, h.log)
 	h.applied = spread.NewAppliedValues(h.watchCacheSync)
 	h.applied.ShuttingDown = h.roster.RecentShutdowns
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -98,6 +98,7 @@
 		{"targets_leaving_by_answer", func() float64 { shuttingDown, _ := h.roster.SelfReportCounts(); return float64(shuttingDown) }},
 		{"targets_resting", func() float64 { _, underPushback := h.roster.SelfReportCounts(); return float64(underPushback) }},
 		{"targets_limited", func() float64 { return float64(len(h.roster.RateLimitedTargets())) }},
+		{"targets_slow_to_connect", func() float64 { return float64(h.roster.SlowCount(time.Now())) }},
 		{"targets_ended_total", func() float64 { return float64(h.poison.CrashCount()) }},
 		{"targets_listed", func() float64 { listed, _ := h.roster.Sizes(); return float64(listed) }},
 		{"targets_guests", func() float64 { _, external := h.roster.Sizes(); return float64(external) }},
