Hedge streams and plain calls that may be repeated

Cause: a stream whose first event does not come waits until its deadline, although its route allows two attempts. A slow plain call was abandoned for a second target, and its worker went on for nobody.

Change: after the time from which another target would more probably answer in time, the request is sent to a second target. The first usable response wins; the other attempt's connection is closed, and it counts neither as a failure of its target nor as a success. Hedges use at most half of the retry budget, count against MaxAttempts, and stop while requests of the service wait for capacity. Switch without.hedges.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -18,51 +18,106 @@
 	"embertally.dev/core/target"
 )
 
-// attempt sends the request to one target and passes its response on.
+// attempt sends the request to one target and passes its response on. If the target takes too long,
+// the request may go to a second target meanwhile.
 func (p *proxiedRequest) attempt(ctx context.Context, c *choice) (outcome, *bufferedResponse) {
+	f := p.newFlight(c)
+	if !p.startProbe(c) {
+		f.end()
+		p.relay.options.Roster.ReturnPermit(c.target, c.permit)
+		return outcomeUnavailable, nil
+	}
+	if delay, ok := p.hedgeDelay(c, time.Now()); ok {
+		return p.race(ctx, f, delay)
+	}
+	defer f.end()
+	ctx, cancel := p.waitBudget(ctx, c)
+	defer cancel()
+	f.send(ctx, p.targetRequest(c))
+	return p.conclude(f)
+}
+
+// flight is one attempt from its start to the end of its response.
+type flight struct {
+	relay   *Relay
+	service string
+	version string
+	c       *choice
+	sent    time.Time
+	// ctx ends the attempt.
+	ctx context.Context
+	// resp and err are the result of sending. bodyErr is set if the body broke off before its first
+	// byte.
+	resp         *target.Response
+	err, bodyErr error
+	// prefilled is set once the prompt no longer counts as queued: at the first event or response.
+	prefilled bool
+}
+
+// newFlight counts an attempt that is about to be sent.
+func (p *proxiedRequest) newFlight(c *choice) *flight {
+	f := &flight{relay: p.relay, service: p.service, version: c.target.Entry().Version, c: c}
 	c.addLoad()
-	version := c.target.Entry().Version
-	p.relay.options.Canary.RequestStarted(p.service, version)
+	p.relay.options.Canary.RequestStarted(f.service, f.version)
 	// If another cell made the choice, the context owner there publishes the load.
 	if p.meta.PromptTokens > 0 && c.report == nil && !p.relay.options.Disabled.Publishing {
 		p.relay.options.PublishState()
 	}
-	prefilled := false
-	defer func() {
-		load := c.load
-		if prefilled {
-			load.QueuedTokens = 0
-		}
-		c.target.RemoveLoad(load)
-		p.relay.options.Canary.RequestEnded(p.service, version)
-		c.report.reportEnd()
-	}()
-	// The prompt counts as not yet prefilled until the first event or response.
-	onFirst := func() {
-		if !prefilled {
-			prefilled = true
-			c.target.RemoveLoad(roster.Load{QueuedTokens: c.load.QueuedTokens})
-		}
+	return f
+}
+
+// end takes back what newFlight counted.
+func (f *flight) end() {
+	load := f.c.load
+	if f.prefilled {
+		load.QueuedTokens = 0
 	}
-	if !p.startProbe(c) {
-		p.relay.options.Roster.ReturnPermit(c.target, c.permit)
-		return outcomeUnavailable, nil
+	f.c.target.RemoveLoad(load)
+	f.relay.options.Canary.RequestEnded(f.service, f.version)
+	f.c.report.reportEnd()
+}
+
+// recordFirst records that the prompt is prefilled.
+func (f *flight) recordFirst() {
+	if !f.prefilled {
+		f.prefilled = true
+		f.c.target.RemoveLoad(roster.Load{QueuedTokens: f.c.load.QueuedTokens})
 	}
-	sent := time.Now()
-	c.sentAt = clock.Now()
-	p.relay.options.Stats.Attempts.Inc()
-	if c.permit.Taken {
-		p.relay.options.Stats.RateLimitedAttempts.Inc()
+}
+
+// start counts the sending of the attempt and sets its context.
+func (f *flight) start(ctx context.Context) {
+	f.ctx, f.sent = ctx, time.Now()
+	f.c.sentAt = clock.Now()
+	f.relay.options.Stats.Attempts.Inc()
+	if f.c.permit.Taken {
+		f.relay.options.Stats.RateLimitedAttempts.Inc()
 	}
-	ctx, cancel := p.waitBudget(ctx, c)
-	defer cancel()
-	resp, err := p.relay.options.Pool.Send(ctx, c.target.Entry().Address, p.targetRequest(c))
+}
+
+// send sends the request and reads the header of the response.
+func (f *flight) send(ctx context.Context, req *target.Request) {
+	f.start(ctx)
+	f.exchange(req)
+}
+
+// exchange is send after start.
+func (f *flight) exchange(req *target.Request) {
+	f.resp, f.err = f.relay.options.Pool.Send(f.ctx, f.c.target.Entry().Address, req)
+	if f.err == nil {
+		f.relay.recordResponsive(f.c.target)
+	}
+}
+
+// conclude records the result of sending and passes the response on.
+func (p *proxiedRequest) conclude(f *flight) (outcome, *bufferedResponse) {
+	c, resp := f.c, f.resp
+	p.lastTarget = c.target
 	p.endProbe(c)
-	if err != nil {
-		return p.classifyNoResponse(ctx, c, err), nil
+	if f.err != nil {
+		return p.classifyNoResponse(f.ctx, c, f.err), nil
 	}
 	defer resp.Close()
-	p.relay.recordResponsive(c.target)
 	respMeta := p.relay.options.Dialect.ParseResponse(resp.Status, resp.Header)
 	if out, ok := p.checkResponse(c, resp, &respMeta); !ok {
 		return out, nil
@@ -74,10 +129,10 @@
 		p.relay.options.Roster.RecordVersion(c.target.ID(), p.meta.Model, respMeta.WeightVersion)
 	}
 	if p.route.Kind == table.Stream && resp.Status == http.StatusOK {
-		out := p.passOnStream(c, resp, &respMeta, sent, onFirst)
+		out := p.passOnStream(c, resp, &respMeta, f.sent, f.recordFirst)
 		return out, nil
 	}
-	return p.passOnPlain(c, resp, &respMeta, sent)
+	return p.passOnPlain(c, resp, &respMeta, f.sent)
 }
 
 // errSlow ends the wait for a slow target if another one may be faster.
@@ -92,7 +147,7 @@
 	now := time.Now()
 	remaining := p.route.LatencyObjective - now.Sub(p.start)
 	if p.route.Kind != table.Repeatable || p.executions+1 >= p.route.MaxAttempts || remaining <= 0 ||
-		c.onlyCandidate || p.relay.options.Disabled.WaitBudget {
+		c.onlyCandidate || p.relay.options.Disabled.WaitBudget || !p.relay.options.Disabled.Hedges {
 		return context.WithCancel(ctx)
 	}
 	budget := p.estimate(now).WaitBudget(remaining, c.evaluation.Expected, c.evaluation.Expected, retryAdvantage)
--- a/core/relay/feedback.go
+++ b/core/relay/feedback.go
@@ -15,6 +15,13 @@
 	return rl.retryBudget(service).TryRetry(time.Since(rl.start))
 }
 
+// spendHedge takes one hedge from the retry budget of a service and reports whether it may be made.
+func (rl *Relay) spendHedge(service string) bool {
+	rl.budgetMu.Lock()
+	defer rl.budgetMu.Unlock()
+	return rl.retryBudget(service).TryRetryWithin(hedgeBudgetShare, time.Since(rl.start))
+}
+
 // recordArrival records a request for a service and its utility.
 func (rl *Relay) recordArrival(service string, utility float64, now time.Time) {
 	rl.budgetMu.Lock()
@@ -92,7 +99,8 @@
 		p.relay.options.Canary.RecordTime(p.service, p.route.Name, c.target.Entry().Version,
 			float64(took)/float64(c.baseline))
 	}
-	if p.forecast != nil && p.forecast.FirstMillis == 0 && p.attempts <= 1 {
+	if p.forecast != nil && p.forecast.FirstMillis == 0 && p.attempts <= 1 &&
+		p.forecast.Target == c.target.ID() {
 		p.forecast.FirstMillis = event.Millis(took)
 	}
 	if c.report != nil {
--- /dev/null
+++ b/core/relay/hedge_test.go
@@ -0,0 +1,193 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/event"
+	"embertally.dev/core/roster"
+)
+
+// silentTarget adds a target that reads requests and does not respond. The channel receives the time
+// between each request and the end of its connection.
+func (r *rig) silentTarget(id, service string) <-chan time.Duration {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.t.Cleanup(func() { l.Close() })
+	closed := make(chan time.Duration, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				req, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				start := time.Now()
+				io.Copy(io.Discard, req.Body)
+				r.record(receivedRequest{target: id, uri: req.RequestURI})
+				io.Copy(io.Discard, reader)
+				closed <- time.Since(start)
+			}()
+		}
+	}()
+	r.roster.Put(roster.Entry{ID: id, Service: service, Address: l.Addr().String(), Slots: 4, Weights: map[string]int64{"m": 1}})
+	return closed
+}
+
+// hedgeRigLoad is the load of the targets that respond, by service: enough to be chosen second.
+var hedgeRigLoad = map[string]int{"llm": 6, "plain": 15}
+
+// hedgeRig is a rig whose first choice is a silent target and whose other ones respond.
+func hedgeRig(t *testing.T, service string, respond handler) (*rig, <-chan time.Duration) {
+	r := newRig(t, nil)
+	closed := r.silentTarget("a-silent", service)
+	for i := range 3 {
+		r.target(fmt.Sprintf("b%d", i), service, always(respond))
+	}
+	for _, other := range r.roster.ByService(service)[1:] {
+		other.AddLoad(roster.Load{Running: hedgeRigLoad[service]})
+	}
+	return r, closed
+}
+
+// A stream whose first event does not come waited until its deadline, although another worker could
+// have answered. The worker must not go on for nobody, and its record stays as it was.
+func TestSilentTargetIsHedged(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, service, want string
+		respond                   handler
+	}{
+		{"stream", "/stream/x", "llm", "id: 1\ndata: a\n\n", stream(true, "id: 1\ndata: a\n\n")},
+		{"plain", "/read/x", "plain", "yes", respond(200, "yes")},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, closed := hedgeRig(t, tc.service, tc.respond)
+			start := time.Now()
+			got := r.send("POST", tc.path, "body", "Model", "m")
+			took := time.Since(start)
+			r.g.Expect(got.status).To(gomega.Equal(200))
+			r.g.Expect(got.body).To(gomega.Equal(tc.want))
+			r.g.Expect(took).To(gomega.BeNumerically("<", time.Second))
+			var open time.Duration
+			r.g.Eventually(closed, "500ms").Should(gomega.Receive(&open))
+			r.g.Expect(open).To(gomega.BeNumerically("<", took+500*time.Millisecond))
+			stats := r.relay.options.Stats
+			r.g.Expect([]uint64{stats.Attempts.Get(), stats.Hedges.Get(), stats.HedgesWon.Get()}).To(gomega.Equal([]uint64{2, 1, 1}))
+			silent := r.roster.Target("a-silent")
+			r.g.Expect(silent.Health(time.Now()).Suspect).To(gomega.BeFalse())
+			r.g.Expect(r.relay.options.TargetStats.State("a-silent", tc.service, time.Now()).FailureShare).To(gomega.BeNumerically("<", 0.03))
+			r.g.Expect(r.lastLogLine(event.RequestDone)).To(gomega.And(
+				gomega.ContainSubstring("hedge to b"), gomega.ContainSubstring("a-silent=cancelled"),
+				gomega.ContainSubstring("attempts 2, executions 2")))
+			for i, t := range r.roster.ByService(tc.service) {
+				r.g.Expect(t.LocalLoad().Running).To(gomega.Equal(min(i, 1)*hedgeRigLoad[tc.service]), t.ID())
+			}
+		})
+	}
+}
+
+// Hedges must not run a request twice that may run once, nor add to an overload or to what retries
+// after failures may use.
+func TestNoHedges(t *testing.T) {
+	for _, tc := range []struct {
+		name, path string
+		prepare    func(r *rig)
+	}{
+		{"at most once", "/once/x", func(*rig) {}},
+		{"one attempt", "/single/x", func(*rig) {}},
+		{"switched off", "/stream/x", func(r *rig) { r.relay.options.Disabled.Hedges = true }},
+		{"without retries", "/stream/x", func(r *rig) { r.relay.options.Disabled.Retries = true }},
+		{"requests wait", "/stream/x", func(r *rig) { r.relay.hedgeGate.recordWait("llm", time.Now().Add(time.Minute)) }},
+		{"half of the budget is used", "/stream/x", func(r *rig) {
+			for r.relay.spendHedge("llm") {
+			}
+			r.g.Expect(r.relay.spendRetry("llm")).To(gomega.BeTrue())
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			service := "llm"
+			if tc.path == "/once/x" {
+				service = "plain"
+			}
+			r, _ := hedgeRig(t, service, respond(200, "yes"))
+			tc.prepare(r)
+			got := r.send("POST", tc.path, "body", "Model", "m", "Deadline", "900")
+			r.g.Expect(got.status).To(gomega.BeNumerically(">=", 500))
+			r.g.Expect(r.received()).To(gomega.HaveLen(1))
+			r.g.Expect(r.relay.options.Stats.Hedges.Get()).To(gomega.BeZero())
+		})
+	}
+}
+
+// The first attempt may still be answered first, and a hedge that fails must not end it.
+func TestFirstAttemptMayWin(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		second handler
+		slow   time.Duration
+	}{
+		{"the hedge is slower", func(*bufio.Writer, *http.Request) error {
+			time.Sleep(2 * time.Second)
+			return nil
+		}, 600 * time.Millisecond},
+		{"the hedge breaks", hangUp, 600 * time.Millisecond},
+		{"the hedge is rejected", reject, 600 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("a", "llm", always(func(w *bufio.Writer, req *http.Request) error {
+				time.Sleep(tc.slow)
+				return stream(true, "id: 1\ndata: first\n\n")(w, req)
+			}))
+			r.target("b", "llm", always(tc.second))
+			r.roster.Target("b").AddLoad(roster.Load{Running: 3})
+			got := r.send("POST", "/stream/x", "body", "Model", "m")
+			r.g.Expect(got.body).To(gomega.Equal("id: 1\ndata: first\n\n"))
+			r.g.Expect(r.relay.options.Stats.Hedges.Get()).To(gomega.Equal(uint64(1)))
+			r.g.Expect(r.relay.options.Stats.HedgesWon.Get()).To(gomega.BeZero())
+			r.g.Eventually(func() int { return r.roster.Target("b").LocalLoad().Running }).Should(gomega.Equal(3))
+		})
+	}
+}
+
+// If both attempts fail, the request ends as after a retry.
+func TestBothAttemptsFail(t *testing.T) {
+	r := newRig(t, nil)
+	failing := func(delay time.Duration) func(int) handler {
+		return always(func(w *bufio.Writer, req *http.Request) error {
+			time.Sleep(delay)
+			return respond(500, "no")(w, req)
+		})
+	}
+	r.target("a", "plain", failing(400*time.Millisecond))
+	r.target("b", "plain", failing(50*time.Millisecond))
+	r.roster.Target("b").AddLoad(roster.Load{Running: 15})
+	got := r.send("POST", "/read/x", "body")
+	r.g.Expect([]any{got.status, got.body}).To(gomega.Equal([]any{500, "no"}))
+	r.g.Expect(r.received()).To(gomega.HaveLen(2))
+}
+
+func TestPendingProbability(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, nil)
+	e := r.relay.options.FirstAnswerTimes.Estimate("k", &enginePrior, time.Now())
+	ms, expected := time.Millisecond, 100*time.Millisecond
+	start := pendingProbability(e, 0, 200*ms, expected)
+	g.Expect(start).To(gomega.BeNumerically("~", e.Probability(2), 0.01))
+	g.Expect(pendingProbability(e, 150*ms, 200*ms, expected)).To(gomega.BeNumerically("<", start))
+	g.Expect(pendingProbability(e, 200*ms, 200*ms, expected)).To(gomega.BeZero())
+	g.Expect(pendingProbability(e, 10*time.Second, time.Minute, expected)).To(gomega.BeZero())
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -132,6 +132,7 @@
 	shares shareCache
 	// permitWaiters holds the services with a request that waits for a permit.
 	permitWaiters permitWaiters
+	hedgeGate     hedgeGate
 
 	// chooseMu is held from reading the targets' load until the chosen target's load is updated.
 	chooseMu sync.Mutex
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -104,7 +104,7 @@
 		p.recordForecast(c)
 		p.tried[c.target.ID()]++
 		out, answer := p.attempt(ctx, c)
-		p.note("%s=%s", c.target.ID(), out)
+		p.note("%s=%s", p.lastTarget.ID(), out)
 		if answer != nil {
 			failed = answer
 		}
@@ -184,6 +184,7 @@
 		case p.relay.options.Disabled.Waiting, !p.likelyOnTime(0):
 			return nil, allFull
 		}
+		p.relay.hedgeGate.recordWait(p.service, time.Now())
 		if !wait.For(ctx, choiceInterval) {
 			return nil, reason
 		}
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -30,6 +30,9 @@
 	// SlowOpens counts the attempts that were abandoned because the connection took longer to open
 	// than usual, Probes those at a target at which that happened recently.
 	SlowOpens, Probes *metrics.Counter
+	// Hedges counts the attempts that were made while another one had not been answered, and
+	// HedgesWon those that were answered first.
+	Hedges, HedgesWon *metrics.Counter
 	// Blocked counts refusals of requests that crash targets.
 	Blocked *metrics.Counter
 	// ReportedShutdown counts responses in which a target reports that it is shutting down,
@@ -56,6 +59,7 @@
 		PromptTokensCached: c("prompt_tokens_kept_total"),
 		Opened:             c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
 		SlowOpens: c("target_connections_slow_total"), Probes: c("targets_probed_total"),
+		Hedges: c("hedges_total"), HedgesWon: c("hedges_won_total"),
 		ReportedShutdown: c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
 		ReportedRateLimit: c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
 	}
--- a/core/route/retry_budget.go
+++ b/core/route/retry_budget.go
@@ -52,7 +52,11 @@
 }
 
 // TryRetry reports whether a retry is allowed, and records it if so.
-func (r *RetryBudget) TryRetry(now time.Duration) bool {
+func (r *RetryBudget) TryRetry(now time.Duration) bool { return r.TryRetryWithin(1, now) }
+
+// TryRetryWithin is TryRetry for a retry that may use only the given share of the budget, so that
+// the rest is left to others.
+func (r *RetryBudget) TryRetryWithin(share float64, now time.Duration) bool {
 	if r.Window <= 0 {
 		return false
 	}
@@ -62,7 +66,7 @@
 		requests += b.requests
 		retries += b.retries
 	}
-	if float64(retries+1) > r.RetriesPerRequest*float64(requests)+r.ExtraRetries {
+	if float64(retries+1) > share*(r.RetriesPerRequest*float64(requests)+r.ExtraRetries) {
 		return false
 	}
 	r.currentBucket().retries++
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -103,6 +104,22 @@
 	return n, err
 }
 
+// awaitBodyBuffer is the size of the buffer for the start of a body: reads of larger buffers bypass
+// it afterwards.
+const awaitBodyBuffer = 512
+
+// AwaitBody returns once the first byte of the body has arrived, or its end, without consuming it. It
+// returns an error if the body broke off before; Read returns that again.
+func (resp *Response) AwaitBody() error {
+	r := bufio.NewReaderSize(resp.body, awaitBodyBuffer)
+	_, err := r.Peek(1)
+	resp.body = r
+	if err != nil && !errors.Is(err, io.EOF) {
+		return errors.WithStack(err)
+	}
+	return nil
+}
+
 // Close ends the exchange. The connection is kept only if the response and the request are complete
 // and nothing else has arrived.
 func (resp *Response) Close() {
