Avoid silent targets; weigh what a hedge costs

Cause: a dark target to which connections are open gets requests until these are closed, since no connection to it is opened. A hedge could prefill a context again for a small advantage, and a daemon without a processor for a while hedged requests whose responses had arrived.

Change: a target whose kernel has not acknowledged a request 0.3 s after it was sent, although it was sent again, is avoided like one that is slow to accept connections. A hedge needs an advantage that exceeds its cost, and is put off if its timer is late.

Tests: core/learn, relay, roster, target, route pass under the race detector. That an unresponsive box raises TCP's counters was not tested, as loopback always acknowledges.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -19,6 +19,9 @@
 	// maxHedgeChecks how often it is considered.
 	hedgeRecheck   = 40 * time.Millisecond
 	maxHedgeChecks = 4
+	// maxTimerDelay is how late a timer may be for a hedge: if it is later, this process had no
+	// processor, and the response may have arrived unnoticed.
+	maxTimerDelay = 20 * time.Millisecond
 	// waitMemory is how long after a request waited for capacity a service gets no hedges.
 	waitMemory = 500 * time.Millisecond
 )
@@ -120,17 +123,21 @@
 }
 
 // hedgeAdvantage reports whether a second attempt is more likely to be answered in time than the
-// first one, and worth its cost to others.
+// first one, by more than it costs.
 func (p *proxiedRequest) hedgeAdvantage(first *flight, c *choice, now time.Time) bool {
-	if c.evaluation.CallerUtility <= 0 {
+	ev, costs := &c.evaluation, &p.relay.options.Costs
+	if ev.CallerUtility <= 0 {
 		return false
 	}
 	e, waited, expected := p.estimate(now), now.Sub(first.sent), first.c.evaluation.Expected
-	limit, probability := p.route.LatencyObjective-now.Sub(p.start), c.evaluation.WithinObjective
+	limit, probability := p.route.LatencyObjective-now.Sub(p.start), ev.WithinObjective
+	utility := costs.Utility(p.meta.PromptTokens)
 	if probability <= retryAdvantage {
-		limit, probability = p.deadline.Sub(now), c.evaluation.BeforeDeadline
+		limit, probability = p.deadline.Sub(now), ev.BeforeDeadline
+		utility *= costs.PastObjectiveShare
 	}
-	return probability > pendingProbability(e, waited, waited+limit, expected)+retryAdvantage
+	advantage := probability - pendingProbability(e, waited, waited+limit, expected)
+	return advantage > retryAdvantage && advantage*utility > ev.CallerUtility-ev.NetUtility
 }
 
 // runner performs a flight's exchange in the background.
@@ -189,15 +196,20 @@
 	defer a.cancel()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
+	due := time.Now().Add(delay)
 	for range maxHedgeChecks {
 		select {
 		case <-a.done:
 			return p.finishFlight(a)
 		case <-timer.C:
 		}
-		if c := p.chooseHedge(first, time.Now()); c != nil {
-			return p.raceTwo(a, p.startHedge(ctx, a, c))
+		now := time.Now()
+		if now.Sub(due) <= maxTimerDelay {
+			if c := p.chooseHedge(first, now); c != nil {
+				return p.raceTwo(a, p.startHedge(ctx, a, c))
+			}
 		}
+		due = now.Add(hedgeRecheck)
 		timer.Reset(hedgeRecheck)
 	}
 	<-a.done
--- a/core/relay/openrace.go
+++ b/core/relay/openrace.go
@@ -34,7 +34,13 @@
 	req.Group = p.openGroup(t)
 	req.NewConnection = c.eligible.probe
 	req.ReplaceSlowOpen = !c.onlyCandidate && p.slowOpens < maxSlowOpens
-	// OnOpen may be called after the request has ended, so it must not use p.
+	// OnSilent and OnOpen may be called after the request has ended, so it must not use p.
+	req.OnSilent = func() {
+		rl.options.Stats.SilentConnections.Inc()
+		if rl.options.Roster.RecordSlowOpen(t, time.Now()) {
+			rl.options.PublishState()
+		}
+	}
 	req.OnOpen = func(late bool, err error) {
 		switch {
 		case err == nil:
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -28,8 +28,9 @@
 	// Opened counts the connections opened to targets.
 	Opened *metrics.Counter
 	// SlowOpens counts the attempts that were abandoned because the connection took longer to open
-	// than usual, Probes those at a target at which that happened recently.
-	SlowOpens, Probes *metrics.Counter
+	// than usual, Probes those at a target at which that happened recently. SilentConnections counts
+	// the requests that their target did not acknowledge for some time.
+	SlowOpens, Probes, SilentConnections *metrics.Counter
 	// Hedges counts the attempts that were made while another one had not been answered, and
 	// HedgesWon those that were answered first.
 	Hedges, HedgesWon *metrics.Counter
@@ -59,7 +60,8 @@
 		PromptTokensCached: c("prompt_tokens_kept_total"),
 		Opened:             c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
 		SlowOpens: c("target_connections_slow_total"), Probes: c("targets_probed_total"),
-		Hedges: c("hedges_total"), HedgesWon: c("hedges_won_total"),
+		SilentConnections: c("target_connections_silent_total"),
+		Hedges:            c("hedges_total"), HedgesWon: c("hedges_won_total"),
 		ReportedShutdown: c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
 		ReportedRateLimit: c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
 	}
--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -97,21 +97,50 @@
 
 // minRoundTrip returns the shortest round trip that the kernel measured on the connection, or 0.
 func (c *poolConn) minRoundTrip() time.Duration {
+	info := c.info()
+	if info == nil || info.Min_rtt == ^uint32(0) {
+		// There is no measurement.
+		return 0
+	}
+	return time.Duration(info.Min_rtt) * time.Microsecond
+}
+
+// info returns the kernel's state of the connection, or nil.
+func (c *poolConn) info() *unix.TCPInfo {
 	raw, err := c.tcp.SyscallConn()
 	if err != nil {
-		return 0
+		return nil
 	}
 	var info *unix.TCPInfo
 	controlErr := raw.Control(func(fd uintptr) {
 		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if controlErr != nil || err != nil || info.Min_rtt == ^uint32(0) {
-		// There is no measurement.
-		return 0
+	if controlErr != nil || err != nil {
+		return nil
 	}
-	return time.Duration(info.Min_rtt) * time.Microsecond
+	return info
+}
+
+// silentTime is the time after which a request that is not acknowledged is noticed: the kernel sends
+// unacknowledged bytes again after at least 200 ms, and a single lost packet is acknowledged then.
+const silentTime = 300 * time.Millisecond
+
+// silenceCheck checks whether the target acknowledges a request.
+type silenceCheck struct {
+	conn     *poolConn
+	onSilent func()
 }
 
+// run calls onSilent if the target does not acknowledge.
+func (s silenceCheck) run() {
+	if info := s.conn.info(); info != nil && unacknowledged(info) {
+		s.onSilent()
+	}
+}
+
+// unacknowledged reports whether bytes were sent again and are still not acknowledged.
+func unacknowledged(info *unix.TCPInfo) bool { return info.Unacked > 0 && info.Retransmits > 0 }
+
 // isDead reports whether the target closed the connection or sent bytes that belong to no request.
 func (c *poolConn) isDead() bool {
 	raw, err := c.tcp.SyscallConn()
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -38,6 +38,9 @@
 	// OnOpen, if set, is called when the opening of a new connection has ended. late means that Send
 	// has returned without it; the call is then made by another goroutine.
 	OnOpen func(late bool, err error)
+	// OnSilent, if set, is called by another goroutine if the target has acknowledged nothing of the
+	// request for some time, so that it seems to be gone.
+	OnSilent func()
 }
 
 // SendError is a failure to get a response.
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -144,6 +144,9 @@
 	} else {
 		go w.run()
 	}
+	if req.OnSilent != nil {
+		defer time.AfterFunc(silentTime, silenceCheck{conn, req.OnSilent}.run).Stop()
+	}
 	if err := resp.readHead(req.Method); err != nil {
 		early := !conn.lastUsed.IsZero() && time.Since(start) < p.roundTrip(conn)
 		resp.failed = true
