Weigh how slow workers are at this moment

Cause: a worker that is 2.5 times slower for 600 ms, or for seconds, keeps getting requests: its estimate has a half-life of 2 s and follows only the times to first events.

Change: learn.Pace observes the pauses of streams, also while they last, and times to first events, relative to the median of the workers that each daemon observed; heartbeats carry it (part "pace").

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -44,6 +44,8 @@
 	FirstAnswerTimes       *learn.Times
 	TargetStats            *learn.Targets
 	EnginePrior, CallPrior learn.Prior
+	// Pace is how slow the workers are at this moment. Nil means not observed.
+	Pace *learn.Pace
 	// Costs is the cost model: the utility of answers and the cost of serving them.
 	Costs route.CostModel
 	// Disabled disables single mechanisms.
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -63,6 +63,7 @@
 	}
 	r := bufio.NewReaderSize(resp, 2<<10)
 	for n := 0; ; n++ {
+		c.pace.BeforeRead(time.Now())
 		ev, err := nextEvent(r)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			return p.finishStream(c, resp)
@@ -70,6 +71,7 @@
 		if err != nil {
 			return p.classifyBrokenStream(c, err)
 		}
+		c.pace.RecordEvent(time.Now())
 		if n == 0 {
 			onFirst()
 			p.recordResponse(c, true)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -71,6 +71,7 @@
 	retention        learn.Retention
 	firstAnswerTimes *learn.Times
 	targetStats      learn.Targets
+	pace             learn.Pace
 	pool             *target.Pool
 	relay            *relay.Relay
 	contextOwners    *relay.ContextOwners
@@ -135,6 +136,7 @@
 	h.fleet.Attach("where", &h.workerCaches)
 	h.fleet.Attach("links", &h.links)
 	h.fleet.Attach("targets", &h.targetStats)
+	h.fleet.Attach("pace", &h.pace)
 	h.fleet.Attach("retention", &h.retention)
 	engines := platform.NewEngines(newClient())
 	engines.OnShuttingDown = func(targetIncarnation string) { h.roster.RecordShutdown(targetIncarnation, roster.ByResponse) }
@@ -239,7 +241,7 @@
 // buildRelay creates the relay that serves callers' requests.
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, Retention: &h.retention, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats,
+		Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, Retention: &h.retention, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats, Pace: &h.pace,
 		EnginePrior: h.settings.Expected.Engines.prior(), CallPrior: h.settings.Expected.Calls.prior(), Costs: h.settings.Costs.model(), Disabled: h.settings.Disabled,
 		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary,
 		Placement: route.Placement(h.settings.Placement), PublishState: h.fleet.TriggerHeartbeat,
