No hedges while a rollout is evaluated

Cause: an attempt that a hedge replaces is counted neither as a failure nor as an answer of its version, so that the statistics of a version under evaluation would lack its slowest answers. The tests of requests that may not be repeated passed without the check of the route, since these routes allow one attempt; the one for probes rarely noticed a missing check of time.

Change: requests of a service whose rollout is being evaluated are not hedged. The tests use routes that allow two attempts and may not be repeated, and fail without the checks.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -53,11 +53,13 @@
 
 // hedgeDelay returns how long to wait for the first attempt's response before a second target is
 // considered, and whether it is at all. While an answer within the latency objective is possible,
-// that counts, and the deadline afterwards.
+// that counts, and the deadline afterwards. While a rollout is being evaluated there are no hedges: the
+// statistics of its versions would lack the slowest answers.
 func (p *proxiedRequest) hedgeDelay(c *choice, now time.Time) (time.Duration, bool) {
 	disabled := &p.relay.options.Disabled
 	if disabled.Hedges || disabled.Retries || !p.route.MayRepeat() || p.headerSent || c.onlyCandidate ||
-		p.route.LatencyObjective <= 0 || p.executions+2 > p.route.MaxAttempts {
+		p.route.LatencyObjective <= 0 || p.executions+2 > p.route.MaxAttempts ||
+		p.versions.TargetShare > 0 || p.versions.Canary != "" {
 		return 0, false
 	}
 	expected, remaining := c.evaluation.Expected, p.deadline.Sub(now)
@@ -105,7 +107,6 @@
 		p.relay.options.Poison.Crashes(p.digest) > 0 {
 		return nil
 	}
-	p.versions = p.versions.WithoutCanary()
 	c, _ := p.chooseLocal(svc, now)
 	if c == nil {
 		return nil
--- a/core/relay/hedge_test.go
+++ b/core/relay/hedge_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/canary"
 	"embertally.dev/core/event"
 	"embertally.dev/core/roster"
 )
@@ -106,11 +107,16 @@
 		name, path string
 		prepare    func(r *rig)
 	}{
-		{"at most once", "/once/x", func(*rig) {}},
+		{"at most once", "/attempted/x", func(*rig) {}},
+		{"stream that is not resumable", "/unresumed/x", func(*rig) {}},
 		{"one attempt", "/single/x", func(*rig) {}},
 		{"switched off", "/stream/x", func(r *rig) { r.relay.options.Disabled.Hedges = true }},
 		{"without retries", "/stream/x", func(r *rig) { r.relay.options.Disabled.Retries = true }},
 		{"requests wait", "/stream/x", func(r *rig) { r.relay.hedgeGate.recordWait("llm", time.Now().Add(time.Minute)) }},
+		{"a rollout is evaluated", "/stream/x", func(r *rig) {
+			r.relay.options.Canary.SetOrder(canary.Order{Service: "llm", Version: "v2", Lasts: time.Minute, Revision: 5})
+			r.relay.options.Canary.SetState("llm", canary.State{Order: 5, Version: "v2", Phase: canary.Trying})
+		}},
 		{"half of the budget is used", "/stream/x", func(r *rig) {
 			for r.relay.spendHedge("llm") {
 			}
@@ -119,7 +125,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			service := "llm"
-			if tc.path == "/once/x" {
+			if tc.path == "/attempted/x" {
 				service = "plain"
 			}
 			r, _ := hedgeRig(t, service, respond(200, "yes"))
--- a/core/relay/openrace_test.go
+++ b/core/relay/openrace_test.go
@@ -94,7 +94,9 @@
 		other.AddLoad(roster.Load{Running: 8})
 	}
 	before := r.relay.options.Stats.Probes.Get()
-	r.g.Expect(r.send("POST", "/short/x", "").status).To(gomega.Equal(200))
+	for range 30 {
+		r.g.Expect(r.send("POST", "/short/x", "").status).To(gomega.Equal(200))
+	}
 	r.g.Expect(r.relay.options.Stats.Probes.Get()).To(gomega.Equal(before), "it cannot afford a failed probe")
 	// Without idle connections the dark target looks best, since the others have work.
 	for _, other := range r.roster.ByService("plain")[1:] {
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -196,6 +196,8 @@
 	{Name: "once", Host: "h", Prefix: "/once/", Kind: table.Once, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 1, Splits: []table.Split{{Service: "plain", Weight: 1}}},
 	{Name: "repeatable", Host: "h", Prefix: "/repeatable/", Kind: table.Repeatable, Timeout: 2 * time.Second, LatencyObjective: 10 * time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
 	{Name: "read", Host: "h", Prefix: "/read/", Kind: table.Repeatable, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+	{Name: "attempted", Host: "h", Prefix: "/attempted/", Kind: table.Once, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+	{Name: "unresumed", Host: "h", Prefix: "/unresumed/", Kind: table.Stream, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "single", Host: "h", Prefix: "/single/", Kind: table.Stream, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 1, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "public", Host: "h", Prefix: "/public/", Kind: table.Once, Timeout: time.Second, MaxAttempts: 1, Public: true, Splits: []table.Split{{Service: "plain", Weight: 1}}},
