--- a/core/relay/disabled.go
+++ b/core/relay/disabled.go
@@ -25,4 +25,7 @@
 	OpenConnections bool `yaml:"warm" doc:"Preferring targets that a connection is open to."`
 	Division        bool `yaml:"division" doc:"Learning pauses in streams, and preferring a share of the workers for streams that suffer from prefill."`
 	LocalDomain     bool `yaml:"near" doc:"Preferring targets in the daemon's own failure domain."`
+	OpenRace        bool `yaml:"openRace" doc:"Leaving a target that takes long to accept a connection for another one, and avoiding it for a moment."`
+	Hedges          bool `yaml:"hedges" doc:"Sending a request that may be repeated to a second target while the first one takes too long. Without it, patience applies."`
+	Pace            bool `yaml:"pace" doc:"Weighing how slow a worker is at this moment, from the pauses of its streams."`
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -51,6 +51,8 @@
 	FirstAnswerTimes       *learn.Times
 	TargetStats            *learn.Targets
 	EnginePrior, CallPrior learn.Prior
+	// Pace is how slow the workers are at this moment. Nil means not observed.
+	Pace *learn.Pace
 	// Costs is the cost model: the utility of answers and the cost of serving them.
 	Costs route.CostModel
 	// Disabled disables single mechanisms.
@@ -141,6 +143,7 @@
 	permitWaiters permitWaiters
 	// admission holds the requests that wait for a target.
 	admission *admission
+	hedgeGate     hedgeGate
 
 	// chooseMu is held from reading the targets' load until the chosen target's load is updated.
 	chooseMu sync.Mutex
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -36,6 +36,13 @@
 	StreamsReserved, StreamsOverflowed, PromptsOnReserved *metrics.Counter
 	// Opened counts the connections opened to targets.
 	Opened *metrics.Counter
+	// SlowOpens counts the attempts that were abandoned because the connection took longer to open
+	// than usual, Probes those at a target at which that happened recently. SilentConnections counts
+	// the requests that their target did not acknowledge for some time.
+	SlowOpens, Probes, SilentConnections *metrics.Counter
+	// Hedges counts the attempts that were made while another one had not been answered, and
+	// HedgesWon those that were answered first.
+	Hedges, HedgesWon *metrics.Counter
 	// Blocked counts refusals of requests that crash targets.
 	Blocked *metrics.Counter
 	// ReportedShutdown counts responses in which a target reports that it is shutting down,
@@ -71,6 +78,9 @@
 		PromptsOnReserved: c("prompts_on_reserved_total"),
 		ReportedShutdown:  c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
 		QueueSeconds: set.NewHistogram("embertally_queue_seconds"), QueueRejected: c("queue_rejected_total"),
+		SlowOpens: c("target_connections_slow_total"), Probes: c("targets_probed_total"),
+		SilentConnections: c("target_connections_silent_total"),
+		Hedges:            c("hedges_total"), HedgesWon: c("hedges_won_total"),
 		ReportedRateLimit: c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
 	}
 }
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -25,6 +26,21 @@
 	// BeforeWrite, if set, is called when a connection is open and nothing has been written yet. If
 	// it returns an error, nothing is written and the error is the cause of Send's.
 	BeforeWrite func() error
+	// NewConnection means that no idle connection is used, since the target may no longer respond
+	// on it.
+	NewConnection bool
+	// Group names the targets whose connections are expected to take equally long to open.
+	Group string
+	// ReplaceSlowOpen means that Send fails with ErrSlowOpen if the connection takes longer to open
+	// than usual in the group. Opening then continues, and the connection is kept for the next
+	// request.
+	ReplaceSlowOpen bool
+	// OnOpen, if set, is called when the opening of a new connection has ended. late means that Send
+	// has returned without it; the call is then made by another goroutine.
+	OnOpen func(late bool, err error)
+	// OnSilent, if set, is called by another goroutine if the target has acknowledged nothing of the
+	// request for some time, so that it seems to be gone.
+	OnSilent func()
 }
 
 // SendError is a failure to get a response.
@@ -91,6 +107,22 @@
 	return n, err
 }
 
+// awaitBodyBuffer is the size of the buffer for the start of a body: reads of larger buffers bypass
+// it afterwards.
+const awaitBodyBuffer = 512
+
+// AwaitBody returns once the first byte of the body has arrived, or its end, without consuming it. It
+// returns an error if the body broke off before; Read returns that again.
+func (resp *Response) AwaitBody() error {
+	r := bufio.NewReaderSize(resp.body, awaitBodyBuffer)
+	_, err := r.Peek(1)
+	resp.body = r
+	if err != nil && !errors.Is(err, io.EOF) {
+		return errors.WithStack(err)
+	}
+	return nil
+}
+
 // Close ends the exchange. The connection is kept only if the response and the request are complete
 // and nothing else has arrived.
 func (resp *Response) Close() {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -73,6 +73,7 @@
 	pauses           learn.Pauses
 	firstAnswerTimes *learn.Times
 	targetStats      learn.Targets
+	pace             learn.Pace
 	pool             *target.Pool
 	relay            *relay.Relay
 	contextOwners    *relay.ContextOwners
@@ -126,6 +127,7 @@
 		BoxPollInterval: boxPollInterval, Boxes: &boxList{watchCache: h.watchCache}, Log: h.log,
 	})
 	h.fleet.Attach("roster", roster.HeartbeatPart{Roster: h.roster})
+	h.fleet.Attach("slow", roster.SlowPart{Roster: h.roster})
 	h.watchCacheSync = spread.NewWatchCacheSync(h.watchCache, h.fleet, h.log)
 	h.applied = spread.NewAppliedValues(h.watchCacheSync)
 	h.applied.ShuttingDown = h.roster.RecentShutdowns
@@ -137,6 +139,7 @@
 	h.fleet.Attach("links", &h.links)
 	h.fleet.Attach("targets", &h.targetStats)
 	h.fleet.Attach("lateCopies", &h.lateCopies)
+	h.fleet.Attach("pace", &h.pace)
 	h.fleet.Attach("retention", &h.retention)
 	h.fleet.Attach("pauses", &h.pauses)
 	engines := platform.NewEngines(newClient())
@@ -245,7 +248,7 @@
 // buildRelay creates the relay that serves callers' requests.
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Name: h.settings.Name, Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, LateCopies: &h.lateCopies, Retention: &h.retention, Pauses: &h.pauses, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats,
+		Name: h.settings.Name, Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, LateCopies: &h.lateCopies, Retention: &h.retention, Pauses: &h.pauses, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats, Pace: &h.pace,
 		EnginePrior: h.settings.Expected.Engines.prior(), CallPrior: h.settings.Expected.Calls.prior(), Costs: h.settings.Costs.model(), Disabled: h.settings.Disabled,
 		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary,
 		Placement: route.Placement(h.settings.Placement), PublishState: h.fleet.TriggerHeartbeat,
