--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -143,7 +143,7 @@
 	permitWaiters permitWaiters
 	// admission holds the requests that wait for a target.
 	admission *admission
-	hedgeGate     hedgeGate
+	hedgeGate hedgeGate
 
 	// chooseMu is held from reading the targets' load until the chosen target's load is updated.
 	chooseMu sync.Mutex
--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -208,7 +208,7 @@
 		}
 	}
 	prefill := max(others.prefill/max(requests, 1), minPrefill)
-	own := d.Share * float64(workers)
+	own := max(1, d.Share*float64(workers))
 	otherLoad := min(1, others.prefill/(float64(workers)-own))
 	for i := range kinds {
 		k := &kinds[i]
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -53,7 +53,7 @@
 	// FirstEventTimeout is how long callers wait for the first event of a stream, if they give it up
 	// before their deadline; 0 means that they do not.
 	FirstEventTimeout time.Duration
-	Priority     int
+	Priority          int
 	// MaxAttempts bounds the attempts of one request that may have run at a target, at least 1.
 	MaxAttempts int
 	// Public reports whether requests need no key.
