Make the test of late copies deterministic

Cause: 6 % of the requests probe a doubted link (probeShare), so that the second request of TestLateCopiesAreLimitedByTheObjective copied from it in that share of the runs. Change: relay.Options.Random supplies the random numbers; the test sets it. It expects the same as before.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -15,7 +15,12 @@
 )
 
 // randomFraction returns a random number in [0, 1).
-func randomFraction() float64 { return rand.Float64() }
+func (rl *Relay) randomFraction() float64 {
+	if rl.options.Random != nil {
+		return rl.options.Random()
+	}
+	return rand.Float64()
+}
 
 // choice is the target of one attempt and what was expected of it.
 type choice struct {
@@ -117,7 +122,7 @@
 	p.applyDivision(division, candidates, alternatives)
 	input, estimate := p.routeInput(len(targets), share, now), p.estimate(now)
 	placementInput := route.PlacementInput{
-		ContextHash: p.contextHash(), Turn: p.relay.choiceCount.Add(1), Random: randomFraction(),
+		ContextHash: p.contextHash(), Turn: p.relay.choiceCount.Add(1), Random: p.relay.randomFraction(),
 	}
 	index, evaluation := route.PickWith(p.placement(svc), &input, candidates, estimate,
 		&p.relay.options.Costs, placementInput)
--- a/core/relay/copies_test.go
+++ b/core/relay/copies_test.go
@@ -46,6 +46,8 @@
 			r.relay.options.Disabled.CopyLimits = tc.disabled
 			// A link that is known to be slow is avoided as well.
 			r.relay.options.Disabled.LinkSpeeds = true
+			// The second request is not among the few that probe a doubted link.
+			r.relay.options.Random = func() float64 { return 0.5 }
 			r.target("t1", "llm", always(lateCopy(tc.longestCopy)))
 			storeSegment(r, salt, "text")
 			for _, segment := range []string{"text", "other"} {
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -105,7 +105,7 @@
 
 // run sends the request until it is answered, or returns the refusal.
 func (p *proxiedRequest) run() *entry.Refusal {
-	p.service = p.route.Service(randomFraction())
+	p.service = p.route.Service(p.relay.randomFraction())
 	p.versions = p.relay.options.Canary.Choose(p.service)
 	p.relay.recordArrival(p.service, p.relay.options.Costs.Utility(p.meta.PromptTokens), p.start)
 	p.lastEventID = p.meta.LastEventID
--- a/core/relay/segments.go
+++ b/core/relay/segments.go
@@ -91,7 +91,7 @@
 
 // newCopyPolicy returns the policy for a choice.
 func (p *proxiedRequest) newCopyPolicy(now time.Time) copyPolicy {
-	out := copyPolicy{limit: route.CopyLimitRequest{Max: cache.TransferTimeout()}, random: randomFraction()}
+	out := copyPolicy{limit: route.CopyLimitRequest{Max: cache.TransferTimeout()}, random: p.relay.randomFraction()}
 	if !p.relay.options.Disabled.CopyLimits {
 		e := p.estimate(now)
 		prefill := e.Time(learn.Factors{OwnTokens: p.meta.PromptTokens})
