Division: mend failures after pauses, in overload and by faulty peers

Causes and changes, each with a test that failed before: - A worker that prefills all the time and a risk of 1 gave a probability of 0, which Evaluate takes for unknown, so that suffering streams preferred the worst workers. It is at least 0.001 now. - A step after an idle time or a pause counted in full: one bad observation ended the division at once. A step counts as 2.5 s at most. - The first daemon by name that gets no requests of a service any more sent its last division for ever and all others used it. It is sent for 10 s. A daemon that goes on after that takes its peers' division first. - Peers' reports were accepted with any pause and with a share up to 1. They must be what Divide can return. - A single worker led to 0/0. Reports of peers that were lost were kept for ever.

--- a/core/relay/division.go
+++ b/core/relay/division.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -25,7 +26,8 @@
 	// suffering kinds.
 	workers  []*roster.Target
 	reserved map[*roster.Target]bool
-	// updatedAt is when the division was computed, and startedAt when the first one of the service was.
+	// updatedAt is when the division was computed, and startedAt when the first one of the service was,
+	// or the first one after a pause of divisionExpiry.
 	updatedAt, startedAt time.Time
 }
 
@@ -45,9 +47,12 @@
 		workers:   rl.shares.get(svc.Name, rl.options.Roster.ByService(svc.Name), &rl.options).own,
 		updatedAt: now, startedAt: previous.startedAt,
 	}
+	if now.Sub(previous.updatedAt) > divisionExpiry {
+		d.startedAt = now
+	}
 	kinds := rl.streamKinds(svc, now)
-	// A daemon that has just started takes any peer's division, so that the cell's does not end when the
-	// daemon whose name comes first restarts.
+	// A daemon that has just started, or goes on after a pause, takes any peer's division, so that the
+	// cell's does not end when the daemon whose name comes first restarts.
 	settled := now.Sub(d.startedAt) >= divisionTTL
 	if agreed, found := rl.divisionPeers.agreed(svc.Name, rl.options.Name, settled, now); found {
 		d.Division = agreed
@@ -130,11 +135,17 @@
 type divisionPeers struct {
 	mu sync.Mutex
 	// own holds the divisions that this daemon uses, by service. Guarded by mu.
-	own map[string]divisionReport
-	// peers holds the last report of each peer, by name. Guarded by mu.
+	own map[string]ownDivision
+	// peers holds the last report of each peer whose report is used, by name. Guarded by mu.
 	peers map[string]receivedDivisions
 }
 
+// ownDivision is a division of this daemon, and when it was computed.
+type ownDivision struct {
+	at     time.Time
+	report divisionReport
+}
+
 // receivedDivisions is a peer's report, by service.
 type receivedDivisions struct {
 	at       time.Time
@@ -153,17 +164,14 @@
 // divisionTTL is how long a peer's report is used: several heartbeats may be lost.
 const divisionTTL = 1500 * time.Millisecond
 
-// valid reports whether a report is within the possible ranges.
-func (r *divisionReport) valid() bool {
-	if !(r.Share >= 0 && r.Share <= 1) || (r.Share > 0) != (len(r.Reserved) > 0) || r.Pause < 0 {
-		return false
-	}
-	for _, missed := range r.Reserved {
-		if !(missed >= 0 && missed <= 1) {
-			return false
-		}
-	}
-	return true
+// divisionExpiry is how long this daemon's division is sent after it was computed. A division is
+// computed when a request of the service is served: a daemon that gets none any more must not decide
+// for the others. It is longer than the usual time between two requests of a small service.
+const divisionExpiry = 10 * time.Second
+
+// division returns the division that a report describes.
+func (r *divisionReport) division() route.Division {
+	return route.Division{Share: r.Share, Reserved: r.Reserved, Pause: r.Pause}
 }
 
 // publish sets the division of a service for the next heartbeats. A daemon that has just started or
@@ -176,9 +184,11 @@
 		return
 	}
 	if d.own == nil {
-		d.own = map[string]divisionReport{}
+		d.own = map[string]ownDivision{}
+	}
+	d.own[service] = ownDivision{
+		time.Now(), divisionReport{Share: division.Share, Reserved: division.Reserved, Pause: division.Pause},
 	}
-	d.own[service] = divisionReport{Share: division.Share, Reserved: division.Reserved, Pause: division.Pause}
 }
 
 // agreed returns the division of the peer whose name comes first, or false if there is none. A daemon
@@ -194,19 +204,28 @@
 		}
 	}
 	r := d.peers[first].services[service]
-	return route.Division{Share: r.Share, Reserved: r.Reserved, Pause: r.Pause}, found
+	return r.division(), found
 }
 
 // Collect returns this daemon's divisions for a heartbeat, or nil.
 func (d *divisionPeers) Collect(bool) any {
+	if out := d.collect(time.Now()); len(out) > 0 {
+		return out
+	}
+	return nil
+}
+
+// collect is Collect at a given time.
+func (d *divisionPeers) collect(now time.Time) map[string]divisionReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.own) == 0 {
-		return nil
-	}
 	out := make(map[string]divisionReport, len(d.own))
-	for service, report := range d.own {
-		out[service] = report
+	for service, own := range d.own {
+		if now.Sub(own.at) > divisionExpiry {
+			delete(d.own, service)
+			continue
+		}
+		out[service] = own.report
 	}
 	return out
 }
@@ -219,16 +238,18 @@
 		return
 	}
 	for service, report := range services {
-		if !report.valid() {
+		if division := report.division(); !division.Valid() {
 			delete(services, service)
 		}
 	}
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.peers == nil {
 		d.peers = map[string]receivedDivisions{}
 	}
-	d.peers[peer] = receivedDivisions{time.Now(), services}
+	maps.DeleteFunc(d.peers, func(_ string, r receivedDivisions) bool { return now.Sub(r.at) >= divisionTTL })
+	d.peers[peer] = receivedDivisions{now, services}
 }
 
 // DivisionPart returns the part of heartbeats that exchanges divisions.
--- a/core/relay/division_test.go
+++ b/core/relay/division_test.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
 )
 
@@ -67,10 +69,12 @@
 		report divisionReport
 	}{
 		{"share above 1", divisionReport{Share: 3, Reserved: map[string]float64{"short": 0.3}}},
+		{"share that leaves the others hardly a worker", divisionReport{Share: 0.95, Reserved: map[string]float64{"short": 0.3}}},
 		{"share without kinds", divisionReport{Share: 0.3}},
 		{"kinds without share", divisionReport{Reserved: map[string]float64{"short": 0.3}}},
 		{"no probability", divisionReport{Share: 0.3, Reserved: map[string]float64{"short": 7}}},
 		{"negative pause", divisionReport{Pause: -time.Second}},
+		{"pause longer than any daemon decides", divisionReport{Pause: time.Hour}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -85,3 +89,43 @@
 		})
 	}
 }
+
+// A daemon that no longer chooses for a service, since its callers left or its table changed, would
+// decide for the cell for ever with its last division.
+func TestOldDivisionIsNotSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var d divisionPeers
+	d.publish("s", route.Division{Share: 0.2, Reserved: map[string]float64{"short": 0.3}}, true)
+	g.Expect(d.collect(time.Now())).To(gomega.HaveLen(1))
+	g.Expect(d.collect(time.Now().Add(2 * divisionExpiry))).To(gomega.BeEmpty())
+}
+
+// Daemons that restart under new names must not fill the memory.
+func TestLostPeersAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var a, b divisionPeers
+	a.publish("s", route.Division{}, true)
+	a.send(g, "a-1", &b)
+	b.peers["a-1"] = receivedDivisions{time.Now().Add(-2 * divisionTTL), nil}
+	a.send(g, "a-2", &b)
+	g.Expect(b.peers).To(gomega.HaveLen(1))
+}
+
+// The first daemon by name goes on after a pause: the division that the others came to meanwhile must
+// not be replaced by what it knew before.
+func TestPausedDaemonTakesTheDivisionOfOthers(t *testing.T) {
+	r := newRig(t, nil)
+	rl, now := r.relay, time.Now()
+	rl.options.Name = "a"
+	svc := rl.Table().Service("llm")
+	for i := range 10 {
+		r.roster.Put(roster.Entry{ID: fmt.Sprint("w-", i), Service: "llm", Address: fmt.Sprint("127.0.0.1:", i+1), Slots: 4})
+	}
+	rl.division(svc, now)
+	now = now.Add(2 * divisionTTL)
+	r.g.Expect(rl.division(svc, now).Share).To(gomega.BeZero())
+	now = now.Add(time.Minute)
+	report := divisionReport{Share: 0.3, Reserved: map[string]float64{"gap": 0.3}}
+	rl.divisionPeers.peers = map[string]receivedDivisions{"b": {now, map[string]divisionReport{"llm": report}}}
+	r.g.Expect(rl.division(svc, now).Share).To(gomega.Equal(0.3))
+}
--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -78,11 +78,32 @@
 	driftRate = 0.001
 	// minPrefill is the least mean prefill time, in seconds, that losses are related to.
 	minPrefill = 0.05
+	// maxDivisionStep bounds the time of one step of a division. A daemon that was paused or had no
+	// requests for longer observed nothing meanwhile.
+	maxDivisionStep = maxDoubt / 4
+	// minKept is the least probability that is expected of a worker, since 0 means unknown
+	// (Candidate.KeptGap).
+	minKept = 0.001
 )
 
+// Valid reports whether a division is one that Divide can return.
+func (d *Division) Valid() bool {
+	if !(d.Share >= 0 && d.Share <= maxShare) || (d.Share > 0) != (len(d.Reserved) > 0) ||
+		d.Pause < 0 || d.Pause > divisionPause {
+		return false
+	}
+	for _, missed := range d.Reserved {
+		if !(missed >= 0 && missed <= 1) {
+			return false
+		}
+	}
+	return true
+}
+
 // Divide returns the division that follows a previous one after some time.
 func Divide(kinds []StreamKind, workers int, previous *Division, elapsed time.Duration) Division {
 	out := Division{Pause: max(0, previous.Pause-elapsed)}
+	elapsed = min(elapsed, maxDivisionStep)
 	switch {
 	case workers < 2 || total(kinds, everyKind).prefill < minPrefillLoad*float64(workers):
 		return out
@@ -127,9 +148,9 @@
 	out := map[string]float64{}
 	for i := range kinds {
 		k := &kinds[i]
-		risk, was := previous.Reserved[k.Route]
+		risk, wasReserved := previous.Reserved[k.Route]
 		limit := keepIntensity
-		if !was {
+		if !wasReserved {
 			if k.Other.Observations < minDivisionSamples || k.Other.Missed < minMissed {
 				continue
 			}
@@ -190,7 +211,7 @@
 		rate = driftRate
 	}
 	step := rate * elapsed.Seconds()
-	return previous + min(max(wanted-previous, -step), step)
+	return min(previous+min(max(wanted-previous, -step), step), maxShare)
 }
 
 // Expect computes what is expected of the two sides from what is known of the kinds.
@@ -209,14 +230,14 @@
 	}
 	prefill := max(others.prefill/max(requests, 1), minPrefill)
 	own := max(1, d.Share*float64(workers))
-	otherLoad := min(1, others.prefill/(float64(workers)-own))
+	otherLoad := min(1, others.prefill/max(1, float64(workers)-own))
 	for i := range kinds {
 		k := &kinds[i]
 		risk, reserved := d.Reserved[k.Route]
 		if !reserved {
 			continue
 		}
-		sides := keptSides{reserved: 1 - k.Reserved.Missed, other: 1 - max(risk*otherLoad, k.Other.Missed)}
+		sides := keptSides{reserved: 1 - k.Reserved.Missed, other: max(minKept, 1-max(risk*otherLoad, k.Other.Missed))}
 		// While a division stands, it is taken to be of use: useful ends it otherwise.
 		sides.reserved = max(sides.reserved, min(1, sides.other+minMissed))
 		d.kept[k.Route] = sides
--- a/core/route/stream_test.go
+++ b/core/route/stream_test.go
@@ -137,3 +137,39 @@
 	}
 	g.Expect(b.Share).To(gomega.BeNumerically("~", a.Share, 0.001))
 }
+
+// A probability of 0 means "unknown" to Evaluate: workers on which every stream misses its objective
+// would look better than reserved ones.
+func TestCertainMissIsNotUnknown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kinds := twoKinds(0.4, 0.4)
+	kinds[0].Prefill = 60
+	d := Division{Share: 0.3, Reserved: map[string]float64{"short": 1}}
+	d.Expect(kinds, 30)
+	reserved, other := Candidate{}, Candidate{}
+	d.Weigh(&reserved, "short", true)
+	d.Weigh(&other, "short", false)
+	g.Expect(other.KeptGap).To(gomega.BeNumerically(">", 0))
+	g.Expect(reserved.KeptGap).To(gomega.BeNumerically(">", other.KeptGap))
+}
+
+// A peer's division applied to a single worker divided by the number of the others, 0.
+func TestDivisionOfOneWorkerIsSound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kinds := twoKinds(0, 0.2)
+	kinds[0].Prefill = 0
+	d := Division{Share: 0.5, Reserved: map[string]float64{"short": 0.5}}
+	d.Expect(kinds, 1)
+	c := Candidate{}
+	d.Weigh(&c, "short", false)
+	g.Expect(c.KeptGap).To(gomega.BeNumerically("~", 0.8, 0.01))
+}
+
+// A daemon that was paused or had no requests for a while observed nothing meanwhile: a burst when it
+// goes on must not end the division at once, nor move many workers.
+func TestDivisionSurvivesIdleTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := Division{Share: 0.5, Reserved: map[string]float64{"short": 0.5}}
+	next := Divide(twoKinds(0.9, 0.2), 30, &d, time.Minute)
+	g.Expect(next.Share).To(gomega.BeNumerically("~", 0.5, 0.03))
+}
