Pauses: report all observations

Cause: the age of the unsent observations was not reset when they were sent, so that every 5 s those since the last heartbeat were discarded. Change: reset it. Comments of relay/pauses.go say what is recorded.

--- a/core/learn/pauses.go
+++ b/core/learn/pauses.go
@@ -22,7 +22,8 @@
 	// unreported holds the observations that no Collect has returned, and reporting those that are
 	// in the heartbeats being sent. Guarded by pausesMu.
 	unreported, reporting []kindReport
-	// unreportedSince is the time of the first observation in unreported. Guarded by pausesMu.
+	// unreportedSince is the time of the first observation in unreported, zero if there is none.
+	// Guarded by pausesMu.
 	unreportedSince time.Time
 	sweptAt         time.Time // last removal of kinds; guarded by pausesMu
 	// rejected counts the invalid observations and reports. Guarded by pausesMu.
@@ -306,7 +307,7 @@
 	p.pausesMu.Lock()
 	defer p.pausesMu.Unlock()
 	if len(p.reporting) == 0 {
-		p.reporting, p.unreported = p.unreported, nil
+		p.reporting, p.unreported, p.unreportedSince = p.unreported, nil, time.Time{}
 	}
 	if len(p.reporting) == 0 {
 		return nil
--- a/core/learn/pauses_test.go
+++ b/core/learn/pauses_test.go
@@ -76,3 +76,22 @@
 		g.Expect(p.Demand("s", time.Now())[0].Requests).To(gomega.BeNumerically("~", 1, 0.1))
 	}
 }
+
+// Every five seconds, what was observed since the last heartbeat was discarded unsent.
+func TestNoPausesAreLostBetweenHeartbeats(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p Pauses
+	now, sent := time.Now(), int32(0)
+	for i := range 100 {
+		at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+		p.RecordSend("s", "short", 800, time.Millisecond, at)
+		if i%5 < 4 {
+			continue
+		}
+		for _, r := range p.Collect(false).([]kindReport) {
+			sent += r.Requests
+		}
+		p.Told()
+	}
+	g.Expect(sent).To(gomega.BeEquivalentTo(100))
+}
--- a/core/relay/pauses.go
+++ b/core/relay/pauses.go
@@ -60,8 +60,9 @@
 		side, c.candidate.KeptGap, c.candidate.PauseLoss)
 }
 
-// recordPrefill records that a choice is used, for the prefill load of its target.
+// recordPrefill records that a choice is used, for the demand of the request's kind.
 func (p *proxiedRequest) recordPrefill(c *choice, now time.Time) {
+	// Calls of plain services occupy no tokens.
 	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Division || c.load.OccupiedTokens == 0 {
 		return
 	}
@@ -90,6 +91,7 @@
 
 // newGapObserver returns an observer of the stream of a choice, or nil if pauses are not learned.
 func (p *proxiedRequest) newGapObserver(c *choice) *gapObserver {
+	// Calls of plain services occupy no tokens.
 	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Division || c.load.OccupiedTokens == 0 {
 		return nil
 	}
