Late copies: forget unused links and old observations

Causes: links of workers that are gone were kept for ever; a daemon without peers kept its first 200 observations and later reported them as new. Changes: links are removed after a minute without observations; observations are discarded if they can't be sent for 5 s.

--- a/core/learn/late.go
+++ b/core/learn/late.go
@@ -1,6 +1,7 @@
 package learn
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	// collected is the number of leading observations of unreported that are in the
 	// heartbeats being sent. Guarded by lateMu.
 	collected int
+	// unreportedSince is the time of the first observation in unreported. Guarded by lateMu.
+	unreportedSince time.Time
+	sweptAt         time.Time // last removal of links; guarded by lateMu
 	// rejected counts the invalid observations of peers. Guarded by lateMu.
 	rejected int
 }
@@ -78,7 +82,16 @@
 	s := lateSample{From: from, To: to, Late: late, Weight: float32(weight)}
 	l.lateMu.Lock()
 	defer l.lateMu.Unlock()
-	if l.add(s, now) && len(l.unreported) < maxReported {
+	if !l.add(s, now) {
+		return
+	}
+	if len(l.unreported) == 0 {
+		l.unreportedSince = now
+	} else if now.Sub(l.unreportedSince) > maxUnreportedAge {
+		// Without peers nothing is sent. Peers would take old observations for new ones.
+		l.unreported, l.collected, l.unreportedSince = nil, 0, now
+	}
+	if len(l.unreported) < maxReported {
 		l.unreported = append(l.unreported, s)
 	}
 }
@@ -96,6 +109,7 @@
 	}
 	l.addTo(s.From, late, sourceWeight, now)
 	l.addTo(s.To, late, destinationWeight, now)
+	l.sweep(now)
 	return true
 }
 
@@ -113,6 +127,15 @@
 	m.capWeight(maxLateWeight)
 }
 
+// sweep removes links without observations for targetExpiry. It is called with lateMu held.
+func (l *LateCopies) sweep(now time.Time) {
+	if now.Sub(l.sweptAt) < targetExpiry {
+		return
+	}
+	l.sweptAt = now
+	maps.DeleteFunc(l.links, func(_ string, m *Mean) bool { return now.Sub(m.decayedAt) > targetExpiry })
+}
+
 // Rejected returns the number of invalid observations.
 func (l *LateCopies) Rejected() int {
 	l.lateMu.Lock()
@@ -135,8 +158,11 @@
 func (l *LateCopies) Told() {
 	l.lateMu.Lock()
 	defer l.lateMu.Unlock()
+	if l.collected == 0 {
+		return
+	}
 	l.unreported = l.unreported[l.collected:]
-	l.collected = 0
+	l.collected, l.unreportedSince = 0, time.Now()
 }
 
 // Receive adds the observations that a peer reported.
--- a/core/learn/late_test.go
+++ b/core/learn/late_test.go
@@ -1,6 +1,7 @@
 package learn
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -58,3 +59,31 @@
 		})
 	}
 }
+
+// Workers come and go under new addresses: those no longer in use must not fill the memory.
+func TestUnusedLinksAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l LateCopies
+	now := time.Now()
+	for i := range 1000 {
+		l.Observe("store", fmt.Sprint("w", i), false, 1, now.Add(time.Duration(i)*time.Second))
+	}
+	g.Expect(len(l.links)).To(gomega.BeNumerically("<", 150))
+}
+
+// A daemon that was isolated would report what it observed long ago as if it were new.
+func TestOldLateCopiesAreNotReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l LateCopies
+	now := time.Now()
+	l.Observe("store", "w1", true, 1, now)
+	l.Told()
+	l.Observe("store", "w2", false, 1, now.Add(time.Minute))
+	reported := l.Collect(false).([]lateSample)
+	g.Expect(reported).To(gomega.HaveLen(1))
+	g.Expect(reported[0].To).To(gomega.Equal("w2"))
+	// What is discarded while heartbeats are sent must not be discarded a second time.
+	l.Observe("store", "w3", false, 1, now.Add(2*time.Minute))
+	l.Told()
+	g.Expect(l.Collect(false).([]lateSample)).To(gomega.HaveLen(1))
+}
