Pace: mend what slow callers and wrong services change

Causes: events that arrived while a write to the caller blocked, or while the daemon had no processor, follow each other at once and counted as pauses of a millisecond: the usual pause became too short and all workers looked slow. The first report of a peer fixed the service of a worker, whatever this daemon knew. Changes: events do not count until one has to be waited for; this daemon's own service prevails. Tests that invalid reports and pauses of slow callers are ignored.

--- a/core/learn/pace.go
+++ b/core/learn/pace.go
@@ -20,7 +20,9 @@
 type Pace struct {
 	paceMu  sync.Mutex
 	workers map[string]*paceWorker // by ID; guarded by paceMu
-	kinds   map[string]*Mean       // usual logarithm, by kind; guarded by paceMu
+	// kinds holds the means of the logarithms of pauses in seconds, by kind, and, under "first " and the
+	// kind, those of times to first events over expected ones. Guarded by paceMu.
+	kinds map[string]*Mean
 	// reporting holds what is in the heartbeats being sent. Guarded by paceMu.
 	reporting map[string]paceReport
 	// rejected counts the invalid reports of peers. Guarded by paceMu.
@@ -38,6 +40,7 @@
 
 // paceWorker holds the observations of one worker: logarithms of observed over usual times.
 type paceWorker struct {
+	// service is the one that this daemon knows, or else a peer. Guarded by Pace.paceMu.
 	service string
 
 	workerMu sync.Mutex
@@ -102,8 +105,8 @@
 	maxPaceCount = 10
 )
 
-// PaceStream records the pauses of one stream. It is used by one goroutine, except for its atomic
-// fields. A nil one records nothing.
+// PaceStream records the pauses of one stream. It is used by one goroutine, except for reported and the
+// atomic fields, which the worker's record reads. A nil one records nothing.
 type PaceStream struct {
 	pace   *Pace
 	worker *paceWorker
@@ -113,6 +116,9 @@
 	usual float64
 	// last is the time of the last event, and readAt when reading the next one began.
 	last, readAt time.Time
+	// behind is set after a pause that the caller caused, until an event has to be waited for: the
+	// events before it arrived at unknown times.
+	behind bool
 	// waiting is the time after start at which the current pause began, in nanoseconds, if it can
 	// count; 0 otherwise. usualPause is the usual pause in nanoseconds, 0 if unknown.
 	waiting, usualPause atomic.Int64
@@ -128,7 +134,7 @@
 func (p *Pace) Stream(id, service, kind string, now time.Time) *PaceStream {
 	p.paceMu.Lock()
 	defer p.paceMu.Unlock()
-	s := &PaceStream{pace: p, worker: p.worker(id, service, now), kind: kind, start: now}
+	s := &PaceStream{pace: p, worker: p.ownWorker(id, service, now), kind: kind, start: now}
 	s.setUsual(p.usual(kind, now))
 	s.worker.add(s)
 	return s
@@ -186,6 +192,14 @@
 	return w
 }
 
+// ownWorker returns the record of a worker that this daemon uses for a service, whatever peers
+// reported. It is called with paceMu held.
+func (p *Pace) ownWorker(id, service string, now time.Time) *paceWorker {
+	w := p.worker(id, service, now)
+	w.service = service
+	return w
+}
+
 // usual returns the usual logarithm for a kind, or NaN. It is called with paceMu held.
 func (p *Pace) usual(kind string, now time.Time) float64 {
 	m := p.kinds[kind]
@@ -228,7 +242,7 @@
 	}
 	kind, logRatio := "first "+kind, math.Log(ratio)
 	p.paceMu.Lock()
-	usual, w := p.usual(kind, now), p.worker(id, service, now)
+	usual, w := p.usual(kind, now), p.ownWorker(id, service, now)
 	p.addUsual(kind, logRatio, 1, now)
 	p.paceMu.Unlock()
 	w.observe(logRatio-usual, now)
@@ -252,6 +266,10 @@
 // maxCallerPause is the time that passing on an event may take for the next pause to count.
 const maxCallerPause = 10 * time.Millisecond
 
+// minReadWait is the time of reading an event from which on it had to be waited for. Others were
+// received before.
+const minReadWait = time.Millisecond
+
 // RecordEvent records that an event has been read.
 func (s *PaceStream) RecordEvent(now time.Time) {
 	if s == nil {
@@ -260,7 +278,11 @@
 	last := s.last
 	s.last = now
 	s.waiting.Store(0)
-	if last.IsZero() || s.readAt.Sub(last) > maxCallerPause {
+	if last.IsZero() {
+		return
+	}
+	if s.behind = s.behind || s.readAt.Sub(last) > maxCallerPause; s.behind {
+		s.behind = now.Sub(s.readAt) < minReadWait
 		return
 	}
 	logPause := math.Log(max(now.Sub(last), time.Millisecond).Seconds())
--- a/core/learn/pace_test.go
+++ b/core/learn/pace_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 )
 
@@ -145,3 +146,71 @@
 		}
 	})
 }
+
+// A peer that names another service for a worker must not take it out of the medians of its own.
+func TestOwnServiceOfAWorkerPrevails(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p Pace
+	now := time.Now()
+	p.receive(map[string]paceReport{"w": {Service: "other", Count: 1}}, now)
+	p.Stream("w", "s", "k", now)
+	g.Expect(p.samples(now)[0].service).To(gomega.Equal("s"))
+	p.receive(map[string]paceReport{"w": {Service: "other", Count: 1}}, now)
+	g.Expect(p.samples(now)[0].service).To(gomega.Equal("s"))
+}
+
+// A faulty peer must not make workers look slow.
+func TestPaceRejectsInvalidReports(t *testing.T) {
+	nan := float32(math.NaN())
+	for _, r := range []paceReport{
+		{Service: "s", Count: 0, LogRatio: 1},
+		{Service: "s", Count: -1, LogRatio: 1},
+		{Service: "s", Count: maxPaceCount + 1, LogRatio: 1},
+		{Service: "s", Count: 10, LogRatio: 5},
+		{Service: "s", Count: 10, LogRatio: -5},
+		{Service: "s", Count: 10, LogRatio: nan},
+	} {
+		g := gomega.NewWithT(t)
+		var p Pace
+		raw, err := msgpack.Marshal(map[string]paceReport{"w": r})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		p.Receive("faulty", raw)
+		p.Receive("faulty", []byte("no msgpack"))
+		g.Expect(p.Rejected()).To(gomega.Equal(1), "%+v", r)
+		g.Expect(p.workers).To(gomega.BeEmpty(), "%+v", r)
+	}
+}
+
+// Neither a pause that the caller causes nor the events that arrived during it tell anything about the
+// worker: the latter follow each other at once and made all usual pauses look long.
+func TestPacesOfSlowCallersDoNotCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p Pace
+	now := time.Now()
+	s := p.Stream("w", "s", "k", now)
+	event := func(wait time.Duration) {
+		s.BeforeRead(now)
+		now = now.Add(wait)
+		s.RecordEvent(now)
+	}
+	for range 3 * flushPauses {
+		event(100 * time.Millisecond)
+	}
+	usual := p.usual("k", now)
+	g.Expect(usual).To(gomega.BeNumerically("~", math.Log(0.1), 0.001))
+	for range 3 {
+		// The caller blocks for half a second, in which four events arrive.
+		now = now.Add(500 * time.Millisecond)
+		_, _, waiting := s.pending(now)
+		g.Expect(waiting).To(gomega.BeFalse())
+		for range 4 {
+			event(20 * time.Microsecond)
+		}
+		event(50 * time.Millisecond)
+		for range 8 {
+			event(100 * time.Millisecond)
+		}
+	}
+	s.End(now)
+	g.Expect(p.usual("k", now)).To(gomega.BeNumerically("~", usual, 0.01))
+}
