Test that the only target is waited for

A single target whose connection opens slowly must not be abandoned. The test fails if openrace.go ignores onlyCandidate.

--- a/core/relay/openrace_test.go
+++ b/core/relay/openrace_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,14 +18,22 @@
 // darkTarget adds a target that accepts no connections: the queue of its listener is full, so that
 // the kernel drops the first packets, as a box without power does.
 func (r *rig) darkTarget(id, service string) *roster.Target {
+	_, address := r.fullListener()
+	r.roster.Put(roster.Entry{ID: id, Service: service, Address: address, Slots: 4, Weights: map[string]int64{"m": 1}})
+	return r.roster.Target(id)
+}
+
+// fullListener returns the socket and the address of a listener whose queue is full.
+func (r *rig) fullListener() (file *os.File, address string) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
-	r.t.Cleanup(func() { syscall.Close(fd) })
+	file = os.NewFile(uintptr(fd), "listener")
+	r.t.Cleanup(func() { file.Close() })
 	r.g.Expect(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(gomega.Succeed())
 	r.g.Expect(syscall.Listen(fd, 0)).To(gomega.Succeed())
 	name, err := syscall.Getsockname(fd)
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
-	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	address = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 	for range 4 {
 		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
 		if err != nil {
@@ -32,8 +41,25 @@
 		}
 		r.t.Cleanup(func() { c.Close() })
 	}
-	r.roster.Put(roster.Entry{ID: id, Service: service, Address: address, Slots: 4, Weights: map[string]int64{"m": 1}})
-	return r.roster.Target(id)
+	return file, address
+}
+
+// A request that abandons the only target has no other one to go to, although the connection opens
+// when the lost first packet is sent again, after a second.
+func TestOnlyTargetIsWaitedFor(t *testing.T) {
+	r := newRig(t, nil)
+	file, address := r.fullListener()
+	l, err := net.FileListener(file)
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { l.Close() })
+	f := &fakeTarget{id: "a", rig: r, l: l, handle: always(respond(200, "yes"))}
+	r.roster.Put(roster.Entry{ID: "a", Service: "plain", Address: address, Slots: 4})
+	time.AfterFunc(600*time.Millisecond, f.loop)
+	start := time.Now()
+	r.g.Expect(r.send("POST", "/once/x", "body").status).To(gomega.Equal(200))
+	r.g.Expect(time.Since(start)).To(gomega.BeNumerically(">", 600*time.Millisecond), "the connection opened slowly")
+	r.g.Expect(r.relay.options.Stats.SlowOpens.Get()).To(gomega.BeZero())
+	r.g.Expect(r.roster.Target("a").HasSlowConnections(time.Now())).To(gomega.BeFalse())
 }
 
 // Requests waited 1.2 s for a connection, one after the other, also those that may not be repeated.
