Bound the expected wait before it becomes a duration

Cause: after about 70 s without an admission the observed capacity is so small that the expected wait exceeds the range of a duration. The conversion gave a negative one on amd64, so that late requests waited until their deadline in a service without any capacity, and rejected callers were told to return after 100 ms instead of a minute. Change: the seconds are bounded by maxWait before they are converted. Tests: TestLongOutageLeavesNoHope failed for outages of 2 and 10 minutes before, passes now; go test -race ./queue passes.

--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -216,7 +216,8 @@
 	if drain := q.drain(r, capacity, now); drain > 0 {
 		seconds = min(seconds, (ahead.higher+ahead.earlier+ahead.own)/drain)
 	}
-	return min(time.Duration(seconds*float64(time.Second)), maxWait), known
+	// Bounded before the conversion: after a long outage the seconds exceed the range of a duration.
+	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second)), known
 }
 
 // maxWait bounds estimated waits.
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -526,3 +526,28 @@
 		}
 	})
 }
+
+// During a long outage the observed capacity decays towards zero. The expected wait exceeded the range
+// of a duration and became negative: hopeless requests waited until their deadline, and rejected
+// callers were told to return at once.
+func TestLongOutageLeavesNoHope(t *testing.T) {
+	for _, outage := range []time.Duration{10 * time.Second, time.Minute, 2 * time.Minute, 10 * time.Minute, time.Hour} {
+		t.Run(outage.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			q, now := New(&Limits{MaxRequests: 10, MaxBytes: 10}, false), time.Now()
+			patient := &Request{Kind: "k", Work: 0.1, StartBy: now.Add(2 * time.Hour), LatestStart: now.Add(2 * time.Hour)}
+			admitted := &Request{Kind: "k", Work: 0.1, StartBy: now.Add(time.Minute), LatestStart: now.Add(time.Minute)}
+			for _, r := range []*Request{patient, admitted} {
+				q.Register(r, now)
+				v, _ := q.Wait(r, now)
+				g.Expect(v.Waits).To(gomega.BeTrue())
+			}
+			q.Admit(admitted, now)
+			now = now.Add(outage)
+			late := &Request{Kind: "k", Work: 0.1, StartBy: now.Add(-time.Second), LatestStart: now.Add(time.Second)}
+			q.Register(late, now)
+			v, _ := q.Wait(late, now)
+			g.Expect(v).To(gomega.Equal(Verdict{ReturnAt: now.Add(maxWait), Expected: maxWait}))
+		})
+	}
+}
