Without the queue, requests wait only while they can be on time

Cause: Register set the latest start to that for the objective if the queue is switched off, but the relay updates the times before the request is added. Requests waited until their deadline, unlike before the queue. Change: Wait sets it, after the update. Tests: TestQueueSwitchedOffEndsWaitAtObjective took 1.97 s before (limit 1.3 s), passes now; go test -race ./queue ./relay passes.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -167,8 +167,6 @@
 	r.sequence, r.class = q.sequence, newOnTime
 	if q.byArrival {
 		r.Rank, r.Organisation = 0, ""
-		// Without an estimate of the wait, only requests that can be on time wait.
-		r.LatestStart = r.StartBy
 		return
 	}
 	if q.calendar.redeem(r.Digest, now) {
@@ -271,6 +269,10 @@
 // Wait decides whether a request that found no capacity waits, and adds it to the queue if so.
 // rejected are others that no longer wait because of it.
 func (q *Queue) Wait(r *Request, now time.Time) (v Verdict, rejected []Rejection) {
+	if q.byArrival {
+		// Without an estimate of the wait, only requests that can be on time wait.
+		r.LatestStart = r.StartBy
+	}
 	v = q.verdict(r, now)
 	if !v.Waits {
 		v.ReturnAt = q.book(r, now)
--- a/core/relay/queue_test.go
+++ b/core/relay/queue_test.go
@@ -119,6 +119,17 @@
 }
 
 // The clock of timers stops while the box is suspended, so that requests would wait on after their
+// Without the queue's estimates, a request waits only as long as it can be on time; it waited until its
+// deadline.
+func TestQueueSwitchedOffEndsWaitAtObjective(t *testing.T) {
+	q := newQueueRig(t)
+	q.relay.options.Disabled.Queue = true
+	start := time.Now()
+	got := q.send(http.MethodPost, "/once/", "x", "Key", "other", "Deadline", "60000")
+	q.g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	q.g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 1300*time.Millisecond), "the objective is 1 s")
+}
+
 // deadline.
 func TestQueueChecksDeadlinesAfterSuspend(t *testing.T) {
 	q := newQueueRig(t)
