Send nothing for a caller that has disconnected

Cause: an idle connection is handed out whether or not the context has ended, and the end of the context races with the write. A target could run a request for nobody, and an attempt cancelled in time counted as possibly executed. Change: Send checks the context before the availability check, which takes a permit, and keeps the connection. Tests: TestNothingIsSentForEndedContext failed before, passes now; go test -race ./target ./relay passes.

--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -129,11 +129,14 @@
 	if err != nil {
 		return nil, &SendError{cause: err}
 	}
-	if req.BeforeWrite != nil {
-		if err := req.BeforeWrite(); err != nil {
-			p.putUnused(conn)
-			return nil, &SendError{cause: err}
-		}
+	// An idle connection is returned also if the context has ended.
+	err = context.Cause(ctx)
+	if err == nil && req.BeforeWrite != nil {
+		err = req.BeforeWrite()
+	}
+	if err != nil {
+		p.putUnused(conn)
+		return nil, &SendError{cause: err}
 	}
 	resp := &Response{conn: conn, written: make(chan error, 1)}
 	start := time.Now()
--- a/core/target/pool_test.go
+++ b/core/target/pool_test.go
@@ -221,3 +221,25 @@
 	p.recordOpen(address, 2*openTime, nil)
 	g.Expect(p.roundTrip(conn)).To(gomega.Equal(openTime / 2))
 }
+
+// A caller that disconnects while its request gets a connection must not make a target run it.
+func TestNothingIsSentForEndedContext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := serve(t, func(c net.Conn, _ int64, _ *http.Request) bool { return writeResponse(c, "yes", "") })
+	p := &Pool{}
+	_, err := get(p, s.address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	admitted := 0
+	_, err = p.Send(ctx, s.address, &Request{
+		Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{},
+		BeforeWrite: func() error { admitted++; return nil },
+	})
+	g.Expect(err).To(gomega.MatchError(context.Canceled))
+	g.Expect(MayHaveArrived(err)).To(gomega.BeFalse())
+	g.Expect(admitted).To(gomega.BeZero())
+	_, err = get(p, s.address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect([]int64{s.conns.Load(), s.requests.Load()}).To(gomega.Equal([]int64{1, 2}), "the connection is kept")
+}
