Queue: displaced turns, rejections during a turn, hedges while requests wait

Causes: a request that displaced one with its turn from a full queue could get that turn before the admission knew it (nil dereference in endTurn). A rejection during a turn that succeeded was kept, so that the request was rejected when it had to wait again after a failed attempt; it was also counted twice. Hedges were stopped only by requests that got a turn, so they went on while a request yielded to other daemons for up to a second. Tests: TestArrivalDisplacesRequestThatHasItsTurn (panicked), TestRejectionConcernsOneWait and TestNoHedgesWhileRequestYields failed before, pass now; go test -race ./queue ./relay passes.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -33,7 +33,7 @@
 	waited map[string]time.Time
 }
 
-// recordWait records that a request of a service waits for capacity.
+// recordWait records that a request of a service has waited for capacity until now.
 func (h *hedgeGate) recordWait(service string, now time.Time) {
 	h.gateMu.Lock()
 	defer h.gateMu.Unlock()
@@ -99,12 +99,18 @@
 	return (e.Probability(limit.Seconds()/expected.Seconds()) - answered) / (1 - answered)
 }
 
+// mayHedge reports whether a second attempt is allowed now: no request of the service waits or waited
+// lately, and the request has crashed no target.
+func (p *proxiedRequest) mayHedge(now time.Time) bool {
+	return !p.relay.admission.requestsWait(p.service) && p.relay.hedgeGate.open(p.service, now) &&
+		p.relay.options.Poison.Crashes(p.digest) == 0
+}
+
 // chooseHedge returns the target of a second attempt if that is worthwhile, or nil. It asks no other
 // daemon, so that a response to the first attempt is not delayed.
 func (p *proxiedRequest) chooseHedge(first *flight, now time.Time) *choice {
 	svc := p.table.Service(p.service)
-	if svc == nil || !p.relay.hedgeGate.open(p.service, now) ||
-		p.relay.options.Poison.Crashes(p.digest) > 0 {
+	if svc == nil || !p.mayHedge(now) {
 		return nil
 	}
 	c, _ := p.chooseLocal(svc, now)
--- a/core/relay/queue.go
+++ b/core/relay/queue.go
@@ -99,7 +99,8 @@
 	notify chan struct{}
 	// hasTurn is set when the request may try. Guarded by queuesMu.
 	hasTurn bool
-	// rejection is set when the request may wait no longer. Guarded by queuesMu.
+	// rejection is set when the request may wait no longer. If it has its turn at that time and finds a
+	// target, that counts. Guarded by queuesMu.
 	rejection *queue.Rejection
 }
 
@@ -149,11 +150,23 @@
 	a.queuesMu.Lock()
 	defer a.queuesMu.Unlock()
 	s := w.service
+	w.rejection = nil
 	s.queue.Admit(&w.request, now)
 	s.admitted = s.admitted || s.turn == w
 	s.remove(w, now)
 }
 
+// requestsWait reports whether requests of a service wait.
+func (a *admission) requestsWait(service string) bool {
+	if a.waiting.Load() == 0 {
+		return false
+	}
+	a.queuesMu.Lock()
+	defer a.queuesMu.Unlock()
+	s := a.queues[service]
+	return s != nil && s.queue.Len() > 0
+}
+
 // leave ends the wait of a request. It does nothing for one that does not wait.
 func (a *admission) leave(w *waiter) {
 	a.queuesMu.Lock()
@@ -183,14 +196,17 @@
 	}
 	prepare(&w.request)
 	verdict, rejected := s.queue.Wait(&w.request, now)
+	if verdict.Waits {
+		// If one of the rejected has its turn, the turn may go to this request.
+		s.waiters[&w.request] = w
+	}
 	for _, r := range rejected {
 		s.reject(r, now)
 	}
+	a.countWaiting()
 	if !verdict.Waits {
 		return verdict
 	}
-	s.waiters[&w.request] = w
-	a.countWaiting()
 	s.startTick()
 	if changes != a.changes.Load() {
 		s.wake(now)
@@ -458,7 +474,8 @@
 		return false
 	}
 	rejection, hasTurn := queues.await(ctx, p.waiter, recheck)
-	if rejection != nil {
+	p.relay.hedgeGate.recordWait(p.service, time.Now())
+	if rejection != nil && !hasTurn {
 		p.returnAt = rejection.ReturnAt
 		p.note("rejected by the queue while it waited")
 		stats.QueueRejected.Inc()
--- a/core/relay/queue_test.go
+++ b/core/relay/queue_test.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"embertally.dev/core/clock"
+	"embertally.dev/core/queue"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
 )
@@ -118,7 +119,6 @@
 	q.g.Expect(q.received()).To(gomega.BeEmpty())
 }
 
-// The clock of timers stops while the box is suspended, so that requests would wait on after their
 // Without the queue's estimates, a request waits only as long as it can be on time; it waited until its
 // deadline.
 func TestQueueSwitchedOffEndsWaitAtObjective(t *testing.T) {
@@ -130,6 +130,7 @@
 	q.g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 1300*time.Millisecond), "the objective is 1 s")
 }
 
+// The clock of timers stops while the box is suspended, so that requests would wait on after their
 // deadline.
 func TestQueueChecksDeadlinesAfterSuspend(t *testing.T) {
 	q := newQueueRig(t)
@@ -140,3 +141,61 @@
 	q.g.Expect(time.Since(start)).To(gomega.BeNumerically("<", time.Second), "the route's timeout is 2 s")
 	q.g.Expect(q.relay.admission.waiting.Load()).To(gomega.BeZero())
 }
+
+// A daemon at its limits rejects the last request in order, which may have its turn. The turn then went
+// to the arriving request before the admission knew it, and the relay panicked.
+func TestArrivalDisplacesRequestThatHasItsTurn(t *testing.T) {
+	g, now := gomega.NewWithT(t), time.Now()
+	a := newAdmission(&Options{})
+	a.limits.MaxRequests = 1
+	request := queue.Request{Kind: "a", Rank: 1, Work: 1, StartBy: now.Add(time.Minute), LatestStart: now.Add(time.Minute)}
+	unchanged := func(*queue.Request) {}
+	last := a.register("s", request, now)
+	g.Expect(a.enqueue(last, 0, unchanged).Waits).To(gomega.BeTrue())
+	a.capacityChanged(true)
+	_, hasTurn := a.outcome(last)
+	g.Expect(hasTurn).To(gomega.BeTrue())
+	request.Kind, request.Rank = "b", 0
+	first := a.register("s", request, now)
+	g.Expect(a.enqueue(first, a.changes.Load(), unchanged).Waits).To(gomega.BeTrue())
+	rejection, _ := a.outcome(last)
+	g.Expect(rejection).NotTo(gomega.BeNil())
+	_, hasTurn = a.outcome(first)
+	g.Expect(hasTurn).To(gomega.BeTrue())
+	a.leave(first)
+	g.Expect(a.waiting.Load()).To(gomega.BeZero())
+}
+
+// A request that was rejected during its turn and found a target all the same may have to wait again
+// after a failed attempt. The rejection of its first wait then ended the second one.
+func TestRejectionConcernsOneWait(t *testing.T) {
+	g, now := gomega.NewWithT(t), time.Now()
+	a := newAdmission(&Options{})
+	w := a.register("s", queue.Request{Kind: "a", Work: 1, StartBy: now.Add(time.Minute), LatestStart: now.Add(time.Minute)}, now)
+	unchanged := func(*queue.Request) {}
+	g.Expect(a.enqueue(w, 0, unchanged).Waits).To(gomega.BeTrue())
+	a.capacityChanged(true)
+	a.queuesMu.Lock()
+	w.service.queue.Leave(&w.request, now)
+	w.service.reject(queue.Rejection{Request: &w.request, ReturnAt: now}, now)
+	a.queuesMu.Unlock()
+	a.admit(w, now)
+	a.leave(w)
+	g.Expect(a.enqueue(w, a.changes.Load(), unchanged).Waits).To(gomega.BeTrue())
+	a.leave(w)
+}
+
+// Hedges are the first thing to stop in a shortage, but they went on while a request waited without a
+// turn because it yielded to those of other daemons.
+func TestNoHedgesWhileRequestYields(t *testing.T) {
+	q := newQueueRig(t)
+	report := queue.Report{Classes: []queue.ClassReport{{Work: 100, FirstWork: 100, DueMillis: 60000}}}
+	raw, err := msgpack.Marshal(map[string]*queue.Report{"plain": &report})
+	q.g.Expect(err).NotTo(gomega.HaveOccurred())
+	QueuePart{q.relay}.Receive("peer", raw)
+	q.sendWaiting("/repeatable/", "other", "Deadline", "60000")
+	p := &proxiedRequest{relay: q.relay, service: "plain", table: q.relay.Table()}
+	q.g.Expect(p.mayHedge(time.Now())).To(gomega.BeFalse())
+	q.front.CloseClientConnections()
+	q.callers.Wait()
+}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -216,7 +216,6 @@
 			p.noteWait()
 			return nil, allFull
 		}
-		p.relay.hedgeGate.recordWait(p.service, time.Now())
 		mayTry = true
 	}
 }
