Hedges: responses without an ID, callers that give up, simultaneous answers

Causes: a response without the ID of the attempt counted as usable, so that the other attempt was cancelled before the response was discarded as another request's; the caller got 502. Hedges were timed and weighed by the deadline also where callers give up before it if no event has come (FirstEventTimeout), while the alternative's probability was not. If the response, the caller's disconnection and the timer came at once, a hedge could still be sent. Change: only the ID of the attempt makes a response usable; hedges use answerDeadline; the state is checked again after the timer. Tests: "the hedge is answered without an ID" of TestFirstAttemptMayWin and TestNoHedgeAfterCallerGaveUp failed before, pass now; the third cause is shown by reading only. go test -race ./relay passes.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -53,8 +53,8 @@
 
 // hedgeDelay returns how long to wait for the first attempt's response before a second target is
 // considered, and whether it is at all. While an answer within the latency objective is possible,
-// that counts, and the deadline afterwards. While a rollout is being evaluated there are no hedges: the
-// statistics of its versions would lack the slowest answers.
+// that counts, and the time for which the caller waits afterwards. While a rollout is being evaluated
+// there are no hedges: the statistics of its versions would lack the slowest answers.
 func (p *proxiedRequest) hedgeDelay(c *choice, now time.Time) (time.Duration, bool) {
 	disabled := &p.relay.options.Disabled
 	if disabled.Hedges || disabled.Retries || !p.route.MayRepeat() || p.headerSent || c.onlyCandidate ||
@@ -62,7 +62,7 @@
 		p.versions.TargetShare > 0 || p.versions.Canary != "" {
 		return 0, false
 	}
-	expected, remaining := c.evaluation.Expected, p.deadline.Sub(now)
+	expected, remaining := c.evaluation.Expected, p.answerDeadline().Sub(now)
 	if expected <= 0 {
 		return 0, false
 	}
@@ -140,7 +140,7 @@
 	limit, probability := p.route.LatencyObjective-now.Sub(p.start), ev.WithinObjective
 	utility := costs.Utility(p.meta.PromptTokens)
 	if probability <= retryAdvantage {
-		limit, probability = p.deadline.Sub(now), ev.BeforeDeadline
+		limit, probability = p.answerDeadline().Sub(now), ev.BeforeDeadline
 		utility *= costs.PastObjectiveShare
 	}
 	advantage := probability - pendingProbability(e, waited, waited+limit, expected)
@@ -174,6 +174,16 @@
 	settled chan struct{}
 }
 
+// isDone reports whether the response has begun or the attempt has failed.
+func (r *racer) isDone() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // launch starts a flight in the background.
 func (p *proxiedRequest) launch(ctx context.Context, f *flight) *racer {
 	ctx, cancel := context.WithCancel(ctx)
@@ -211,7 +221,8 @@
 		case <-timer.C:
 		}
 		now := time.Now()
-		if now.Sub(due) <= maxTimerDelay {
+		// If the timer and another channel are ready at once, the select may have taken the timer.
+		if now.Sub(due) <= maxTimerDelay && !a.isDone() && ctx.Err() == nil {
 			if c := p.chooseHedge(first, now); c != nil {
 				return p.raceTwo(a, p.startHedge(ctx, a, c))
 			}
@@ -311,7 +322,7 @@
 	}
 	meta := p.relay.options.Dialect.ParseResponse(f.resp.Status, f.resp.Header)
 	signed := meta.Signed || f.resp.Status/100 != 2
-	return signed && !meta.Encoded && !meta.NotExecuted && (meta.AttemptID == "" || meta.AttemptID == p.meta.AttemptID)
+	return signed && !meta.Encoded && !meta.NotExecuted && meta.AttemptID != "" && meta.AttemptID == p.meta.AttemptID
 }
 
 // outcomeRanks orders the outcomes of attempts that were not answered: of two, the higher one
--- a/core/relay/hedge_test.go
+++ b/core/relay/hedge_test.go
@@ -151,6 +151,10 @@
 		}, 600 * time.Millisecond},
 		{"the hedge breaks", hangUp, 600 * time.Millisecond},
 		{"the hedge is rejected", reject, 600 * time.Millisecond},
+		{"the hedge is answered without an ID", func(w *bufio.Writer, _ *http.Request) error {
+			fmt.Fprint(w, "HTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\nno")
+			return nil
+		}, 600 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t, nil)
@@ -182,3 +186,29 @@
 	got := r.send("POST", "/read/x", "body")
 	r.g.Expect([]any{got.status, got.body, len(r.received())}).To(gomega.Equal([]any{500, "no", 2}))
 }
+
+// Callers that give up before the deadline if no event has come cannot use a hedge after that.
+func TestNoHedgeAfterCallerGaveUp(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		patience time.Duration
+		want     bool
+	}{
+		{"until the deadline", 0, true},
+		{"gives up", 1200 * time.Millisecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, now := newRig(t, nil), time.Now()
+			route := *r.relay.Table().Match("h", "/stream/")
+			route.FirstEventTimeout = tc.patience
+			p := &proxiedRequest{
+				relay: r.relay, route: &route, table: r.relay.Table(), service: "llm", meta: RequestMeta{Model: "m"},
+				start: now.Add(-time.Second), deadline: now.Add(4 * time.Second), tried: map[string]int{},
+			}
+			c := &choice{}
+			c.evaluation.Expected = 300 * time.Millisecond
+			_, got := p.hedgeDelay(c, now)
+			r.g.Expect(got).To(gomega.Equal(tc.want))
+		})
+	}
+}
