Name outcomes in log lines like the code does

The list of names depended on the order of the constants. Tests: go test ./... in core passes, scripts/lint.sh is clean.

--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -29,7 +29,11 @@
 	outcomeSlowOpen
 )
 
-var outcomeNames = [...]string{"done", "notSent", "stopped", "refused", "broken", "bad", "left", "late", "cut", "slowOpen"}
+var outcomeNames = [...]string{
+	outcomeDone: "done", outcomeNotSent: "notSent", outcomeUnavailable: "unavailable", outcomeRejected: "rejected",
+	outcomeIncomplete: "incomplete", outcomeFailed: "failed", outcomeCallerDisconnected: "callerDisconnected",
+	outcomeTimedOut: "timedOut", outcomeTruncated: "truncated", outcomeSlowOpen: "slowOpen",
+}
 
 // String returns the outcome as written in log lines.
 func (o outcome) String() string { return outcomeNames[o] }
