Keep no connections to removed targets

Cause: a request or a slow opening that ended after CloseIdle put its connection among the idle ones of the address, where nothing used or closed it: a descriptor and a map entry for each such target, as long as the daemon ran. Change: from CloseIdle until the next request to the address, connections are closed when they become idle, and the state of the address is removed with the last one. Tests: TestNoConnectionIsKeptToRemovedAddress failed before, passes now; go test -race ./target and go test ./... in core pass; scripts/lint.sh is clean.

--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -84,6 +84,7 @@
 	switch {
 	case err != nil:
 		state.open--
+		p.forget(address, state)
 	case state.roundTrip == 0 || elapsed < state.roundTrip:
 		state.roundTrip = elapsed
 	}
--- a/core/target/open_test.go
+++ b/core/target/open_test.go
@@ -82,3 +82,24 @@
 	}
 	g.Expect(s.conns.Load()).To(gomega.Equal(int64(2)))
 }
+
+// A connection that opens, or a request that ends, after its target was removed left an idle connection
+// that nothing would use or close.
+func TestNoConnectionIsKeptToRemovedAddress(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := serve(t, func(c net.Conn, _ int64, _ *http.Request) bool { return writeResponse(c, "yes", "") })
+	p := &Pool{}
+	in, err := p.Send(context.Background(), s.address, &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.ReadAll(in)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	p.CloseIdle(s.address)
+	in.Close()
+	g.Expect(p.HasIdle(s.address)).To(gomega.BeFalse())
+	g.Expect(p.addresses).To(gomega.BeEmpty())
+	for range 2 {
+		_, err = get(p, s.address)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(s.conns.Load()).To(gomega.Equal(int64(2)), "an address that is used again keeps its connections")
+}
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -38,6 +38,8 @@
 	keepAlive time.Duration
 	// roundTrip is the shortest time that a connection took to open.
 	roundTrip time.Duration
+	// removed is set from CloseIdle until the next request: no connection is kept.
+	removed bool
 }
 
 // Bounds of idle connections and of writing.
@@ -82,7 +84,8 @@
 	return state
 }
 
-// CloseIdle closes the idle connections to an address that was removed.
+// CloseIdle closes the idle connections to an address that was removed. Those in use are closed when
+// their requests end, unless the address is used again.
 func (p *Pool) CloseIdle(address string) {
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
@@ -94,8 +97,14 @@
 		conn.tcp.Close()
 		state.open--
 	}
-	state.idle = nil
-	if state.open <= 0 {
+	state.idle, state.removed = nil, true
+	p.forget(address, state)
+}
+
+// forget removes the state of a removed address once no connection is open. It is called with poolMu
+// held.
+func (p *Pool) forget(address string, state *addressState) {
+	if state.removed && state.open <= 0 {
 		delete(p.addresses, address)
 	}
 }
@@ -166,6 +175,7 @@
 func (p *Pool) Connect(ctx context.Context, address string) error {
 	p.poolMu.Lock()
 	state := p.state(address)
+	state.removed = false
 	full := state.maxOpen > 0 && state.open >= state.maxOpen
 	if !full {
 		state.open++
@@ -226,6 +236,7 @@
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	state := p.state(address)
+	state.removed = false
 	maxIdleTime := state.keepAlive
 	if maxIdle > 0 {
 		maxIdleTime = min(maxIdleTime, maxIdle)
@@ -253,6 +264,7 @@
 	defer p.poolMu.Unlock()
 	if state := p.addresses[conn.address]; state != nil {
 		state.open--
+		p.forget(conn.address, state)
 	}
 }
 
@@ -279,9 +291,10 @@
 	if d, ok := parseKeepAlive(keepAlive); ok {
 		state.keepAlive = d
 	}
-	if len(state.idle) >= maxIdle {
+	if state.removed || len(state.idle) >= maxIdle {
 		conn.tcp.Close()
 		state.open--
+		p.forget(conn.address, state)
 		return
 	}
 	state.idle = append(state.idle, conn)
