--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -167,8 +167,6 @@
 	r.sequence, r.class = q.sequence, newOnTime
 	if q.byArrival {
 		r.Rank, r.Organisation = 0, ""
-		// Without an estimate of the wait, only requests that can be on time wait.
-		r.LatestStart = r.StartBy
 		return
 	}
 	if q.calendar.redeem(r.Digest, now) {
@@ -271,6 +269,10 @@
 // Wait decides whether a request that found no capacity waits, and adds it to the queue if so.
 // rejected are others that no longer wait because of it.
 func (q *Queue) Wait(r *Request, now time.Time) (v Verdict, rejected []Rejection) {
+	if q.byArrival {
+		// Without an estimate of the wait, only requests that can be on time wait.
+		r.LatestStart = r.StartBy
+	}
 	v = q.verdict(r, now)
 	if !v.Waits {
 		v.ReturnAt = q.book(r, now)
@@ -454,8 +456,15 @@
 	for _, list := range late {
 		slices.SortFunc(list, func(a, b *Request) int { return a.LatestStart.Compare(b.LatestStart) })
 		before := 0.0
+		// The work that precedes them is the same for all requests of a class; summing it up for each of
+		// 2,048 requests took 5 ms per tick.
+		preceding := map[class]workAhead{}
 		for i, r := range list {
-			ahead := q.precedingWork(r, false, now)
+			ahead, found := preceding[r.class]
+			if !found {
+				ahead = q.precedingWork(r, false, now)
+				preceding[r.class] = ahead
+			}
 			// What waits at other daemons is spread over the same time.
 			ahead.own = before + ahead.own*float64(i)/float64(len(list))
 			wait, known := q.waitBehind(r, ahead, now)
