--- a/core/queue/report.go
+++ b/core/queue/report.go
@@ -229,8 +229,8 @@
 	return left
 }
 
-// peersWork returns the work that waits at other daemons before a request: that of higher ranks, of
-// earlier classes of its rank and of its class.
+// peersWork returns the work that waits at other daemons before a request, by what it precedes the
+// request.
 func (q *Queue) peersWork(r *Request, now time.Time) workAhead {
 	var sum workAhead
 	for c, work := range q.view(now).classes {
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -29,11 +29,7 @@
 	outcomeSlowOpen
 )
 
-var outcomeNames = [...]string{
-	outcomeDone: "done", outcomeNotSent: "notSent", outcomeUnavailable: "unavailable", outcomeRejected: "rejected",
-	outcomeIncomplete: "incomplete", outcomeFailed: "failed", outcomeCallerDisconnected: "callerDisconnected",
-	outcomeTimedOut: "timedOut", outcomeTruncated: "truncated", outcomeSlowOpen: "slowOpen",
-}
+var outcomeNames = [...]string{"done", "notSent", "stopped", "refused", "broken", "bad", "left", "late", "cut", "slowOpen"}
 
 // String returns the outcome as written in log lines.
 func (o outcome) String() string { return outcomeNames[o] }
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -158,7 +158,7 @@
 }
 
 // crashesTargets is the reason for refusing a request that crashes targets.
-const crashesTargets = "targets crash when they run it"
+const crashesTargets = "targets end of it"
 
 // waitForChoice chooses a target. If none is worth using now, the request waits in the queue of its
 // service as long as it may still be answered.
@@ -178,7 +178,7 @@
 	for {
 		p.adjustForSuspend()
 		if _, blocked := p.relay.options.Poison.Blocked(p.digest); blocked {
-			// The digest was blocked while the request waited, or because of the crash of its last attempt.
+			// It became blocked while it waited, or by the crash that it has just caused.
 			return nil, crashesTargets
 		}
 		reason, recheck, changes := allFull, time.Duration(0), uint64(0)
