--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -27,9 +27,6 @@
 		p.relay.options.Roster.ReturnPermit(c.target, c.permit)
 		return outcomeUnavailable, nil
 	}
-	if c.eligible.pace > 1 {
-		p.note("%s is %.1f times slower now", c.target.ID(), c.eligible.pace)
-	}
 	if delay, ok := p.hedgeDelay(c, time.Now()); ok {
 		return p.race(ctx, f, delay)
 	}
@@ -134,10 +131,7 @@
 		p.relay.options.Roster.RecordVersion(c.target.ID(), p.meta.Model, respMeta.WeightVersion)
 	}
 	if p.route.Kind == table.Stream && resp.Status == http.StatusOK {
-		c.pace = p.startPace(c)
-		out := p.passOnStream(c, resp, &respMeta, f.sent, f.recordFirst)
-		c.pace.End(time.Now())
-		return out, nil
+		return p.passOnStream(c, resp, &respMeta, f.sent, f.recordFirst), nil
 	}
 	return p.passOnPlain(c, resp, &respMeta, f.sent)
 }
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -47,8 +47,6 @@
 	report *ownerReport
 	// loadCounted is set while load is counted at the target.
 	loadCounted bool
-	// pace records the pauses of the stream; nil if they are not recorded.
-	pace *learn.PaceStream
 	// permit is the permit for a target with a rate limit, and sentAt when the request was sent.
 	permit roster.Permit
 	sentAt clock.Time
--- a/core/relay/disabled.go
+++ b/core/relay/disabled.go
@@ -27,5 +27,4 @@
 	LocalDomain     bool `yaml:"near" doc:"Preferring targets in the daemon's own failure domain."`
 	OpenRace        bool `yaml:"openRace" doc:"Leaving a target that takes long to accept a connection for another one, and avoiding it for a moment."`
 	Hedges          bool `yaml:"hedges" doc:"Sending a request that may be repeated to a second target while the first one takes too long. Without it, patience applies."`
-	Pace            bool `yaml:"pace" doc:"Weighing how slow a worker is at this moment, from the pauses of its streams."`
 }
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -30,8 +30,6 @@
 	state         learn.TargetState
 	// probe is set if the request probes the target, whose connections were slow to open.
 	probe bool
-	// pace is how many times longer than usual the target takes at this moment.
-	pace float64
 }
 
 // ownEligibleTargets returns the eligible targets among those that this daemon uses, and the
@@ -102,8 +100,6 @@
 			continue
 		}
 		candidate.state = p.relay.options.TargetStats.State(t.ID(), p.service, now)
-		candidate.pace = p.relay.paceFactor(svc, t, now)
-		candidate.state.Slowdown *= candidate.pace
 		if svc.Engine != nil && p.relay.options.WeightsOutdated(p.meta.Model, candidate.weightVersion) {
 			unavailable.outdated++
 			continue
--- a/core/relay/feedback.go
+++ b/core/relay/feedback.go
@@ -133,10 +133,6 @@
 	if c.baseline > 0 && !p.relay.options.Disabled.Targets {
 		p.relay.options.TargetStats.ObserveTime(c.target.ID(), p.service, float64(took)/float64(c.baseline), now)
 	}
-	if c.baseline > 0 && p.paceKnown() {
-		key, _ := p.timingKey()
-		p.relay.options.Pace.ObserveFirst(c.target.ID(), p.service, key, float64(took)/float64(c.baseline), now)
-	}
 }
 
 // recordNoResponse records that a target did not respond.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -51,8 +51,6 @@
 	FirstAnswerTimes       *learn.Times
 	TargetStats            *learn.Targets
 	EnginePrior, CallPrior learn.Prior
-	// Pace is how slow the workers are at this moment. Nil means not observed.
-	Pace *learn.Pace
 	// Random returns random numbers in [0, 1). Nil means those of math/rand.
 	Random func() float64
 	// Costs is the cost model: the utility of answers and the cost of serving them.
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -64,7 +64,6 @@
 	r := bufio.NewReaderSize(resp, 2<<10)
 	gaps := p.newGapObserver(c)
 	for n := 0; ; n++ {
-		c.pace.BeforeRead(time.Now())
 		ev, err := nextEvent(r)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			gaps.finished()
@@ -73,7 +72,6 @@
 		if err != nil {
 			return p.classifyBrokenStream(c, err)
 		}
-		c.pace.RecordEvent(time.Now())
 		if n == 0 {
 			onFirst()
 			p.recordResponse(c, true)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -73,7 +73,6 @@
 	pauses           learn.Pauses
 	firstAnswerTimes *learn.Times
 	targetStats      learn.Targets
-	pace             learn.Pace
 	pool             *target.Pool
 	relay            *relay.Relay
 	contextOwners    *relay.ContextOwners
@@ -139,7 +138,6 @@
 	h.fleet.Attach("links", &h.links)
 	h.fleet.Attach("targets", &h.targetStats)
 	h.fleet.Attach("lateCopies", &h.lateCopies)
-	h.fleet.Attach("pace", &h.pace)
 	h.fleet.Attach("retention", &h.retention)
 	h.fleet.Attach("pauses", &h.pauses)
 	engines := platform.NewEngines(newClient())
@@ -248,7 +246,7 @@
 // buildRelay creates the relay that serves callers' requests.
 func (h *Host) buildRelay() {
 	h.relay = relay.New(relay.Options{
-		Name: h.settings.Name, Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, LateCopies: &h.lateCopies, Retention: &h.retention, Pauses: &h.pauses, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats, Pace: &h.pace,
+		Name: h.settings.Name, Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, LateCopies: &h.lateCopies, Retention: &h.retention, Pauses: &h.pauses, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats,
 		EnginePrior: h.settings.Expected.Engines.prior(), CallPrior: h.settings.Expected.Calls.prior(), Costs: h.settings.Costs.model(), Disabled: h.settings.Disabled,
 		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary,
 		Placement: route.Placement(h.settings.Placement), PublishState: h.fleet.TriggerHeartbeat,
