Count calls that nothing is heard after, and a process's part of the retry budget

The store's and the workers' clients become plat.Client, which owns what is known of their connections. No logic changes.

--- a/core/fleet/call.go
+++ b/core/fleet/call.go
@@ -18,7 +18,7 @@
 	l := f.links[p.Name]
 	if l == nil || l.Address() != p.Address {
 		if l != nil {
-			l.Close()
+			f.closeLink(l)
 		}
 		l = wire.NewLink(f.opts.Name, p.Name, p.Address, f.opts.TLS)
 		f.links[p.Name] = l
@@ -26,6 +26,12 @@
 	return l
 }
 
+// closeLink closes a link that is no longer used and keeps its counts. It is called with fleetMu held.
+func (f *Fleet) closeLink(l *wire.Link) {
+	l.Close()
+	f.closedUnheard += l.UnheardCalls()
+}
+
 // ErrNoPeer means that the view does not contain the daemon, or has no address for it.
 var ErrNoPeer = errors.New("unknown daemon")
 
@@ -66,3 +72,15 @@
 	}
 	return n
 }
+
+// UnheardCalls returns the number of calls to peers that ended without a response while nothing else
+// was received on their connection either.
+func (f *Fleet) UnheardCalls() int64 {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	n := f.closedUnheard
+	for _, l := range f.links {
+		n += l.UnheardCalls()
+	}
+	return n
+}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -62,7 +62,7 @@
 func (f *Fleet) closeLinks(v *View) {
 	for name, l := range f.links {
 		if _, ok := v.peer(name); !ok {
-			l.Close()
+			f.closeLink(l)
 			delete(f.links, name)
 		}
 	}
--- a/core/relay/feedback.go
+++ b/core/relay/feedback.go
@@ -61,10 +61,16 @@
 		}
 		rl.retryBudgets[service] = a
 	}
-	a.ExtraRetries = rl.options.RetryExtra * retryBudgetUse / float64(max(1, rl.options.DaemonCount()))
+	a.ExtraRetries = rl.RetryExtra()
 	return a
 }
 
+// RetryExtra returns this daemon's part of the retries that are allowed in a window beside those for
+// each request.
+func (rl *Relay) RetryExtra() float64 {
+	return rl.options.RetryExtra * retryBudgetUse / float64(max(1, rl.options.DaemonCount()))
+}
+
 // timingKey returns the key under which the times to first answers are learned, and their prior. It
 // contains the route, since the work of calls and the urgency of prompts depend on it.
 func (p *proxiedRequest) timingKey() (string, *learn.Prior) {
--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -30,6 +30,9 @@
 	// tls returns the TLS configuration; nil for connections without TLS.
 	tls   func() *tls.Config
 	bytes atomic.Int64
+	// unheardCalls counts the calls that ended without a response although nothing else was received
+	// on their connection either.
+	unheardCalls atomic.Int64
 
 	linkMu sync.Mutex
 	// conn is the current connection, or nil. Guarded by linkMu.
@@ -51,6 +54,10 @@
 // Bytes returns the number of bytes of frames read and written.
 func (l *Link) Bytes() int64 { return l.bytes.Load() }
 
+// UnheardCalls returns the number of calls that ended without a response while nothing else was
+// received on their connection either.
+func (l *Link) UnheardCalls() int64 { return l.unheardCalls.Load() }
+
 // Close closes the connection; running calls fail.
 func (l *Link) Close() {
 	l.linkMu.Lock()
@@ -68,6 +75,7 @@
 		return errors.Wrapf(ErrNotSent, "%s: %v", kind, err)
 	}
 	c := &call{done: make(chan struct{})}
+	sent := time.Now()
 	id, err := d.add(c)
 	if err != nil {
 		return err
@@ -78,6 +86,9 @@
 	}
 	select {
 	case <-ctx.Done():
+		if !d.heardSince(sent) {
+			l.unheardCalls.Add(1)
+		}
 		return errors.Wrapf(ctx.Err(), "%s to %s", kind, l.address)
 	case <-d.broken:
 		return errors.Errorf("%s to %s: connection lost", kind, l.address)
@@ -182,6 +193,8 @@
 type clientConn struct {
 	conn   net.Conn
 	broken chan struct{} // closed when the connection is closed
+	// heardAt is when bytes were last received, as the time since epoch.
+	heardAt atomic.Int64
 
 	writeMu sync.Mutex // held while a frame is written
 
@@ -211,6 +224,23 @@
 	delete(d.calls, id)
 }
 
+// epoch is the origin of the times that clientConn stores as atomic integers.
+var epoch = time.Now()
+
+// Read reads from the connection and records when bytes were received.
+func (d *clientConn) Read(b []byte) (int, error) {
+	n, err := d.conn.Read(b)
+	if n > 0 {
+		d.heardAt.Store(int64(time.Since(epoch)))
+	}
+	return n, err
+}
+
+// heardSince reports whether any bytes were received after t.
+func (d *clientConn) heardSince(t time.Time) bool {
+	return d.heardAt.Load() > int64(t.Sub(epoch))
+}
+
 func (d *clientConn) alive() bool {
 	d.callsMu.Lock()
 	defer d.callsMu.Unlock()
@@ -241,7 +271,7 @@
 // run delivers responses to their calls until the connection breaks.
 func (d *clientConn) run(bytes *atomic.Int64) {
 	defer d.fail()
-	r := bufio.NewReaderSize(d.conn, readBuffer)
+	r := bufio.NewReaderSize(d, readBuffer)
 	for {
 		e, n, err := decode(r)
 		if err != nil {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -57,7 +57,8 @@
 	spool    *event.Spool
 	stats    *relay.Stats
 
-	store *platform.Store
+	storeClient, engineClient *plat.Client
+	store                     *platform.Store
 	// decoder parses the values of the coordination store.
 	decoder          platform.Decoder
 	watchCache       *plat.WatchCache
@@ -114,7 +115,8 @@
 		h.log.Emit(event.InvariantBroken, event.Ref{}, text+"\n"+string(stack))
 	})
 	incarnation := uuid.NewString()
-	h.store = platform.NewStore("http://"+settings.Store, newClient())
+	h.storeClient, h.engineClient = newClient(), newClient()
+	h.store = platform.NewStore("http://"+settings.Store, h.storeClient)
 	h.watchCache = plat.NewWatchCache(h.store, plat.Prefix(""), h.log)
 	h.watchCache.Observe(h.applyChanges)
 	h.incarnationCheck = make(chan struct{}, 1)
@@ -140,7 +142,7 @@
 	h.fleet.Attach("lateCopies", &h.lateCopies)
 	h.fleet.Attach("retention", &h.retention)
 	h.fleet.Attach("pauses", &h.pauses)
-	engines := platform.NewEngines(newClient())
+	engines := platform.NewEngines(h.engineClient)
 	engines.OnShuttingDown = func(targetIncarnation string) { h.roster.RecordShutdown(targetIncarnation, roster.ByResponse) }
 	h.storeIndexSync = spread.NewStoreIndexes(engines, h.fleet)
 	h.storeIndexes = cache.NewStoreIndexes(h.storeIndexSync, h.log)
@@ -192,8 +194,8 @@
 const clientIdleTimeout = 10 * time.Second
 
 // newClient returns an HTTP client for control calls to the store or to workers.
-func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+func newClient() *plat.Client {
+	return &plat.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: clientIdleTimeout, DisableCompression: true,
 	}}
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -107,6 +107,10 @@
 		{"rollouts_undecided", func() float64 { return float64(h.canary.Undecided()) }},
 		{"workers_reserved", func() float64 { return float64(h.relay.ReservedWorkers()) }},
 		{"pause_reports_rejected_total", func() float64 { return float64(h.pauses.Rejected()) }},
+		{"peer_calls_unheard_total", func() float64 { return float64(h.fleet.UnheardCalls()) }},
+		{"store_calls_unheard_total", func() float64 { return float64(h.storeClient.UnheardCalls()) }},
+		{"target_calls_unheard_total", func() float64 { return float64(h.engineClient.UnheardCalls()) }},
+		{"retry_extra", h.relay.RetryExtra},
 		{"peer_bytes_total", func() float64 { return float64(h.fleet.Bytes()) }},
 	} {
 		h.stats.Gauge(g.name, g.f)
