Replace connections between daemons that carry nothing any more

Cause: a call that ended by its time limit left its connection in use, and nothing but an error closed one; notifications have no response at all, so nobody could tell. Class: an operation's time limit taken for the connection's health. Change: each connection owns what its traffic shows. If nothing is received for 0.2 s while a response is expected, a probe is sent; after 0.25 s more another connection is opened, and only a response on that one condemns the first. So a peer that is down or slow on all connections loses none. A notification requests a response every 0.5 s; unused connections are probed every 30 s, and the accepting side closes those that carry nothing for 120 s. Query sends a request that may be handled twice once more when its connection is lost: changes, values, chunks, indexes. Cost, by reading: per active connection one response of about 20 bytes every 0.5 s; a probe for each request that is held.

--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -40,6 +40,8 @@
 	TargetLimits      Code = 2025
 	TargetUnlimited   Code = 2026
 
+	ConnectionReplaced Code = 2027
+
 	ConfApplied     Code = 3001
 	ConfWritten     Code = 3002
 	ConfRejected    Code = 3003
@@ -147,6 +149,7 @@
 	{TargetUnreadable, "targetUnreadable", Warning, "A target sent pushback or a rate limit that cannot be parsed, which is ignored; one line for each incarnation."},
 	{TargetLimits, "targetLimits", Info, "An incarnation of a target reported a rate limit, shared by all daemons, or changed it; the text has the rate and says whether this daemon or a peer received the response. At most one line per second and target."},
 	{TargetUnlimited, "targetUnlimited", Info, "An incarnation of a target no longer reports a rate limit. At most one line about rate limits per second and target."},
+	{ConnectionReplaced, "connectionReplaced", Info, "A connection carried nothing any more although nobody had closed it, and another one has replaced it; the text has the other end and the time without a response."},
 
 	{ConfApplied, "confApplied", Debug, "A configuration change was applied by this daemon."},
 	{ConfWritten, "confWritten", Info, "A configuration change was committed through this daemon."},
--- a/core/fleet/call.go
+++ b/core/fleet/call.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
 	"embertally.dev/core/wire"
 )
 
@@ -21,6 +22,7 @@
 			f.closeLink(l)
 		}
 		l = wire.NewLink(f.opts.Name, p.Name, p.Address, f.opts.TLS)
+		l.OnReplaced = func(silence time.Duration) { f.connectionReplaced(p.Name, silence) }
 		f.links[p.Name] = l
 	}
 	return l
@@ -30,6 +32,7 @@
 func (f *Fleet) closeLink(l *wire.Link) {
 	l.Close()
 	f.closedUnheard += l.UnheardCalls()
+	f.closedReplaced += l.Replaced()
 }
 
 // ErrNoPeer means that the view does not contain the daemon, or has no address for it.
@@ -38,13 +41,31 @@
 // holdDown is how long a peer of another cell counts as lost after a failed call.
 const holdDown = 2 * time.Second
 
+// connectionReplaced records that a connection to a peer had gone silent. The peer has missed the
+// heartbeats sent on it.
+func (f *Fleet) connectionReplaced(peer string, silence time.Duration) {
+	f.opts.Log.Emit(event.ConnectionReplaced, event.Ref{}, peer+", silent for "+silence.Round(time.Millisecond).String())
+	f.TriggerHeartbeat()
+}
+
 // Call sends a request to a peer and waits for its response.
 func (f *Fleet) Call(ctx context.Context, peer string, kind wire.Kind, req, resp any) error {
+	return f.callPeer(peer, func(l *wire.Link) error { return l.Call(ctx, kind, req, resp) })
+}
+
+// Query is Call for a request that the peer may handle twice: it is sent once more if its connection
+// is lost.
+func (f *Fleet) Query(ctx context.Context, peer string, kind wire.Kind, req, resp any) error {
+	return f.callPeer(peer, func(l *wire.Link) error { return l.Query(ctx, kind, req, resp) })
+}
+
+// callPeer makes a call on the link to a peer, and records a failure.
+func (f *Fleet) callPeer(peer string, call func(*wire.Link) error) error {
 	p, ok := f.View().peer(peer)
 	if !ok || p.Address == "" {
 		return errors.Wrapf(wire.ErrNotSent, "%s: %v", peer, ErrNoPeer)
 	}
-	err := f.link(p).Call(ctx, kind, req, resp)
+	err := call(f.link(p))
 	if err != nil && !errors.Is(err, wire.ErrRemote) {
 		f.fleetMu.Lock()
 		f.lostUntil[peer] = clock.Now().Add(holdDown)
@@ -84,3 +105,14 @@
 	}
 	return n
 }
+
+// Replaced returns the number of connections to peers that had gone silent and were replaced.
+func (f *Fleet) Replaced() int64 {
+	f.fleetMu.Lock()
+	defer f.fleetMu.Unlock()
+	n := f.closedReplaced
+	for _, l := range f.links {
+		n += l.Replaced()
+	}
+	return n
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -70,13 +70,14 @@
 	peerStates map[string]*peerState
 	// links holds the links to peers by name. Guarded by fleetMu.
 	links map[string]*wire.Link
-	// closedUnheard counts the unheard calls of closed links. Guarded by fleetMu.
-	closedUnheard int64
-	boxes         map[string]plat.Box   // the box list, by name; guarded by fleetMu
-	boxesLoaded   bool                  // true once the box list was read; guarded by fleetMu
-	cells         cellCache             // guarded by fleetMu
-	drainOrders   map[string]DrainOrder // by target; guarded by fleetMu
-	draining      bool                  // guarded by fleetMu
+	// closedUnheard and closedReplaced count the unheard calls and the replaced connections of closed
+	// links. Guarded by fleetMu.
+	closedUnheard, closedReplaced int64
+	boxes                         map[string]plat.Box   // the box list, by name; guarded by fleetMu
+	boxesLoaded                   bool                  // true once the box list was read; guarded by fleetMu
+	cells                         cellCache             // guarded by fleetMu
+	drainOrders                   map[string]DrainOrder // by target; guarded by fleetMu
+	draining                      bool                  // guarded by fleetMu
 	// lostUntil is until when a peer of another cell counts as lost, by name. Guarded by
 	// fleetMu.
 	lostUntil map[string]clock.Time
--- a/core/spread/applied.go
+++ b/core/spread/applied.go
@@ -257,7 +257,7 @@
 	defer cancel()
 	req := &appliedRequest{Versions: p.versions(), StoreIncarnation: p.watchCache.StoreIncarnation()}
 	var got appliedResponse
-	if err := p.fleet.Call(firstCtx, p.peer, kindApplied, req, &got); err != nil {
+	if err := p.fleet.Query(firstCtx, p.peer, kindApplied, req, &got); err != nil {
 		return nil, err
 	}
 	if p.OnShuttingDown != nil {
--- a/core/spread/storeindex.go
+++ b/core/spread/storeindex.go
@@ -209,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMillis)*time.Millisecond+peerTimeout)
 	defer cancel()
 	var got indexResponse
-	if err := s.fleet.Call(ctx, peer, kindStoreIndex, req, &got); err != nil {
+	if err := s.fleet.Query(ctx, peer, kindStoreIndex, req, &got); err != nil {
 		return nil, err
 	}
 	return &got, nil
--- a/core/spread/transfers.go
+++ b/core/spread/transfers.go
@@ -165,5 +165,5 @@
 func (t *transfers) call(ctx context.Context, peer string, kind wire.Kind, req, resp any) error {
 	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
 	defer cancel()
-	return t.fleet.Call(ctx, peer, kind, req, resp)
+	return t.fleet.Query(ctx, peer, kind, req, resp)
 }
--- a/core/spread/watchcache.go
+++ b/core/spread/watchcache.go
@@ -317,7 +317,7 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	var got changesResponse
-	if err := s.fleet.Call(ctx, peer, kindChanges, req, &got); err != nil {
+	if err := s.fleet.Query(ctx, peer, kindChanges, req, &got); err != nil {
 		return nil, err
 	}
 	if got.ShardMismatch {
--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -34,6 +34,12 @@
 	// on their connection either.
 	unheardCalls atomic.Int64
 
+	// OnReplaced, if set, is called when another connection has replaced one that had gone silent. It
+	// is set before the first call.
+	OnReplaced func(silence time.Duration)
+	// opened counts the connections used so far, replaced those that had gone silent and were replaced.
+	opened, replaced atomic.Int64
+
 	linkMu sync.Mutex
 	// conn is the current connection, or nil. Guarded by linkMu.
 	conn *clientConn
@@ -58,6 +64,13 @@
 // received on their connection either.
 func (l *Link) UnheardCalls() int64 { return l.unheardCalls.Load() }
 
+// Replaced returns the number of connections that had gone silent and were replaced.
+func (l *Link) Replaced() int64 { return l.replaced.Load() }
+
+// Opened returns the number of connections used so far. If it has risen, messages sent before without
+// a response may be lost.
+func (l *Link) Opened() int64 { return l.opened.Load() }
+
 // Close closes the connection; running calls fail.
 func (l *Link) Close() {
 	l.linkMu.Lock()
@@ -70,47 +83,63 @@
 
 // Call sends req and decodes the response into resp, unless that is nil.
 func (l *Link) Call(ctx context.Context, kind Kind, req, resp any) error {
+	_, err := l.call(ctx, kind, req, resp)
+	return err
+}
+
+// Query is Call for a request that the peer may handle twice: if the connection is lost before the
+// response, the request is sent once more on another one.
+func (l *Link) Query(ctx context.Context, kind Kind, req, resp any) error {
+	lost, err := l.call(ctx, kind, req, resp)
+	if lost && ctx.Err() == nil {
+		_, err = l.call(ctx, kind, req, resp)
+	}
+	return err
+}
+
+// call makes a call and reports whether it failed because the connection was lost.
+func (l *Link) call(ctx context.Context, kind Kind, req, resp any) (lost bool, err error) {
 	d, err := l.open(ctx)
 	if err != nil {
-		return errors.Wrapf(ErrNotSent, "%s: %v", kind, err)
+		return false, errors.Wrapf(ErrNotSent, "%s: %v", kind, err)
 	}
 	c := &call{done: make(chan struct{})}
 	sent := time.Now()
 	id, err := d.add(c)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer d.remove(id)
 	if err := l.send(d, &envelope{ID: id, Kind: kind}, req); err != nil {
-		return err
+		return true, err
 	}
 	select {
 	case <-ctx.Done():
 		if !d.heardSince(sent) {
 			l.unheardCalls.Add(1)
 		}
-		return errors.Wrapf(ctx.Err(), "%s to %s", kind, l.address)
+		return false, errors.Wrapf(ctx.Err(), "%s to %s", kind, l.address)
 	case <-d.broken:
-		return errors.Errorf("%s to %s: connection lost", kind, l.address)
+		return true, errors.Errorf("%s to %s: connection lost", kind, l.address)
 	case <-c.done:
 	}
 	if c.response.Err != "" {
-		return errors.Wrap(ErrRemote, c.response.Err)
+		return false, errors.Wrap(ErrRemote, c.response.Err)
 	}
 	if resp == nil || len(c.response.Body) == 0 {
 		// A nil response has no body.
-		return nil
+		return false, nil
 	}
-	return errors.Wrap(msgpack.Unmarshal(c.response.Body, resp), "decode response")
+	return false, errors.Wrap(msgpack.Unmarshal(c.response.Body, resp), "decode response")
 }
 
-// Notify sends a message that gets no response.
+// Notify sends a message whose response does not matter.
 func (l *Link) Notify(ctx context.Context, kind Kind, msg any) error {
 	d, err := l.open(ctx)
 	if err != nil {
 		return errors.Wrapf(ErrNotSent, "%s: %v", kind, err)
 	}
-	return l.send(d, &envelope{Kind: kind}, msg)
+	return l.send(d, &envelope{ID: d.acknowledgementID(), Kind: kind}, msg)
 }
 
 func (l *Link) send(d *clientConn, e *envelope, msg any) error {
@@ -148,10 +177,17 @@
 		l.lastFailure = time.Now()
 		return nil, err
 	}
-	l.conn = d
+	l.use(d)
 	return d, nil
 }
 
+// use makes d the current connection. It is called with linkMu held.
+func (l *Link) use(d *clientConn) {
+	l.conn = d
+	l.opened.Add(1)
+	go d.run()
+}
+
 const dialTimeout = time.Second
 
 func (l *Link) dial(ctx context.Context) (*clientConn, error) {
@@ -174,12 +210,11 @@
 		}
 		conn = tc
 	}
-	d := &clientConn{conn: conn, broken: make(chan struct{}), calls: map[uint64]*call{}}
+	d := newClientConn(l, conn)
 	if err := l.send(d, &envelope{Kind: kindHello}, l.name); err != nil {
 		conn.Close()
 		return nil, err
 	}
-	go d.run(&l.bytes)
 	return d, nil
 }
 
@@ -191,6 +226,7 @@
 
 // clientConn is a connection that a Link has opened.
 type clientConn struct {
+	link   *Link
 	conn   net.Conn
 	broken chan struct{} // closed when the connection is closed
 	// heardAt is when bytes were last received, as the time since epoch.
@@ -202,6 +238,13 @@
 	calls   map[uint64]*call // guarded by callsMu
 	lastID  uint64           // ID of the last call; guarded by callsMu
 	closed  bool             // true once broken is closed; guarded by callsMu
+	health  health           // guarded by callsMu
+}
+
+func newClientConn(l *Link, conn net.Conn) *clientConn {
+	d := &clientConn{link: l, conn: conn, broken: make(chan struct{}), calls: map[uint64]*call{}}
+	d.heardAt.Store(int64(time.Since(epoch)))
+	return d
 }
 
 // maxCalls bounds the calls that wait for a response on one connection.
@@ -215,6 +258,7 @@
 	}
 	d.lastID++
 	d.calls[d.lastID] = c
+	d.expectResponse(time.Now())
 	return d.lastID, nil
 }
 
@@ -254,6 +298,9 @@
 		d.closed = true
 		close(d.broken)
 		d.conn.Close()
+		if d.health.timer != nil {
+			d.health.timer.Stop()
+		}
 	}
 }
 
@@ -269,22 +316,29 @@
 }
 
 // run delivers responses to their calls until the connection breaks.
-func (d *clientConn) run(bytes *atomic.Int64) {
+func (d *clientConn) run() {
 	defer d.fail()
+	d.watchHealth()
 	r := bufio.NewReaderSize(d, readBuffer)
 	for {
 		e, n, err := decode(r)
 		if err != nil {
 			return
 		}
-		bytes.Add(int64(n))
-		d.callsMu.Lock()
-		c := d.calls[e.ID]
-		delete(d.calls, e.ID)
-		d.callsMu.Unlock()
-		if c != nil {
+		d.link.bytes.Add(int64(n))
+		if c := d.take(e.ID); c != nil {
 			c.response = e
 			close(c.done)
 		}
 	}
 }
+
+// take returns the call that a response belongs to, or nil, and removes it.
+func (d *clientConn) take(id uint64) *call {
+	d.callsMu.Lock()
+	defer d.callsMu.Unlock()
+	c := d.calls[id]
+	delete(d.calls, id)
+	d.responseReceived(time.Now())
+	return c
+}
--- a/core/wire/mux.go
+++ b/core/wire/mux.go
@@ -55,6 +55,14 @@
 	m.handlers[kind] = h
 }
 
+// handler returns the handler of kind, or nil.
+func (m *Mux) handler(kind Kind) Handler {
+	if kind == kindPing {
+		return func(context.Context, string, []byte) (any, error) { return nil, nil }
+	}
+	return m.handlers[kind]
+}
+
 // Bytes returns the number of bytes of frames read and written.
 func (m *Mux) Bytes() int64 { return m.bytes.Load() }
 
@@ -65,6 +73,8 @@
 	maxRunning = 512
 	// maxConns bounds the connections of all peers together.
 	maxConns = 1024
+	// idleLimit is how long a connection may carry nothing from the peer, which probes unused ones.
+	idleLimit = 4 * idleProbeInterval
 )
 
 // Serve accepts connections from l and handles their messages until ctx ends.
@@ -158,6 +168,7 @@
 	defer cancel()
 	r := bufio.NewReaderSize(s.conn, readBuffer)
 	for {
+		s.conn.SetReadDeadline(time.Now().Add(idleLimit))
 		e, n, err := decode(r)
 		if err != nil {
 			return
@@ -227,7 +238,7 @@
 }
 
 func (s *serverConn) respond(ctx context.Context, e *envelope) {
-	h := s.mux.handlers[e.Kind]
+	h := s.mux.handler(e.Kind)
 	response := &envelope{ID: e.ID}
 	if h == nil {
 		response.Err = "no handler for " + string(e.Kind)
