Refuse requests by a configuration that peers know to be old

What callers could see: requests handled by a configuration replaced long before, at a daemon whose own knowledge is old while its peers' is not; it knew of nothing newer and took that for nothing being newer. Cause: only a newer version that had been heard of made a daemon refuse; the age of its knowledge was looked at for denials alone. Class: no news taken for good news. Change: a daemon whose copy is older than the operators' bound, while a peer reports one within it, refuses as not run and says that it is not ready. If no peer knows more, the store is out of reach for all, and they go on as before. Before and after: with the new check left out, TestDaemonBehindItsPeersServesByNoOldConfiguration fails in the case of a fresh peer; passes with it.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -61,7 +61,7 @@
 		return p.refuseFor(entry.CodeNotReady, "the daemon knows no configuration yet", p.relay.notReadyFor())
 	}
 	if overdue := p.relay.configOverdue(); overdue > 0 {
-		return p.refuseFor(entry.CodeNotReady, "a newer configuration has not arrived", overdue)
+		return p.refuseFor(entry.CodeNotReady, "a newer configuration may not have arrived", overdue)
 	}
 	path, _, _ := strings.Cut(p.r.RequestURI, "?")
 	if p.route = t.Match(p.r.Host, path); p.route == nil {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -81,7 +81,7 @@
 	// ConfigCurrent reports whether this daemon's configuration is known to be current. Only then
 	// may it answer that a route or key does not exist.
 	ConfigCurrent func() bool
-	// ConfigOverdue returns how long a newer configuration has been known to exist without having
+	// ConfigOverdue returns how long a newer configuration, or what may be one, has existed without having
 	// arrived. It is 0 while the applied one may still be used. Nil means always 0.
 	ConfigOverdue func() time.Duration
 	// MayCopy reports whether segments may be copied from KV-cache stores: the daemon's view of the
--- a/core/spread/watchcache.go
+++ b/core/spread/watchcache.go
@@ -362,6 +362,20 @@
 	return name
 }
 
+// FresherPeer reports whether a peer's cache is known to be fresher than this daemon's and younger
+// than maxAge.
+func (s *WatchCacheSync) FresherPeer(now clock.Time, maxAge time.Duration) bool {
+	latest := s.watchCache.FreshAsOf().Add(freshnessSlack)
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	for _, at := range s.peerFresh {
+		if at.After(latest) && now.Sub(at) < maxAge {
+			return true
+		}
+	}
+	return false
+}
+
 // forgetPeer excludes a peer that did not respond until its next heartbeat.
 func (s *WatchCacheSync) forgetPeer(peer string) {
 	s.peersMu.Lock()
--- a/emberd/internal/host/config_current_test.go
+++ b/emberd/internal/host/config_current_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"embertally.dev/core/bugs"
 	"embertally.dev/core/clock"
@@ -60,6 +61,37 @@
 	g.Expect(h.configOverdue(since.Add(maxAge))).To(gomega.BeZero())
 }
 
+func TestDaemonBehindItsPeersServesByNoOldConfiguration(t *testing.T) {
+	_, h := newHost(t)
+	maxAge := h.settings.Bounds.OldConfiguration
+	tests := []struct {
+		name string
+		// own and peer are the ages of the watch caches; a negative one stands for a peer that reports none.
+		own, peer time.Duration
+		overdue   bool
+	}{
+		{"fresh", maxAge / 2, 0, false},
+		{"old, no peer known", 2 * maxAge, -1, false},
+		{"old, the peer as well", 2 * maxAge, 2 * maxAge, false},
+		{"old, the peer over the bound as well", 2 * maxAge, maxAge + time.Second, false},
+		{"old, the peer fresh", 2 * maxAge, 0, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g, h := newHost(t)
+			now := clock.Now()
+			h.watchCache.ApplyChanges([]plat.Change{{Pair: plat.Pair{Key: "a", ModRevision: 1}}}, 1, now.Add(-tc.own))
+			if tc.peer >= 0 {
+				age, err := msgpack.Marshal([]int64{tc.peer.Milliseconds()})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				h.watchCacheSync.Receive("peer", age)
+			}
+			g.Expect(h.configOverdue(now) > 0).To(gomega.Equal(tc.overdue))
+			g.Expect(h.behindPeers(now) > 0).To(gomega.Equal(tc.overdue))
+		})
+	}
+}
+
 // The time of a system suspend counts towards the age of the watch cache and of replaced weights.
 // Without that, a resumed daemon would claim that a key does not exist, or let prompt segments be
 // copied, on the basis of an old view.
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -216,9 +216,12 @@
 // that: a watch relay reads 1 MB over 10 Mbit/s in 1.1 s.
 const overdueShare = 0.5
 
-// configOverdue returns how long a newer configuration has been known to exist without being
-// received, if that is too long to handle requests by the applied one; else 0.
+// configOverdue returns for how long this daemon has missed a newer configuration, or what may be one,
+// if that is too long to handle requests by the applied one; else 0.
 func (h *Host) configOverdue(now clock.Time) time.Duration {
+	if overdue := h.behindPeers(now); overdue > 0 {
+		return overdue
+	}
 	since := h.watchCache.UnfetchedSince()
 	if since.IsZero() {
 		return 0
@@ -230,6 +233,17 @@
 	return overdue
 }
 
+// behindPeers returns the age of the watch cache if that is over Bounds.OldConfiguration while a peer's
+// is not; else 0. If no peer knows more, the store is out of reach for all, and they go on together.
+func (h *Host) behindPeers(now clock.Time) time.Duration {
+	fresh, maxAge := h.watchCache.FreshAsOf(), h.settings.Bounds.OldConfiguration
+	age := now.Sub(fresh)
+	if fresh.IsZero() || age <= maxAge || !h.watchCacheSync.FresherPeer(now, maxAge) {
+		return 0
+	}
+	return age
+}
+
 // oldWeightsMargin is the part of Bounds.OldWeights that is reserved for a request's wait at the worker:
 // during it no request is sent to a worker with replaced weights.
 const oldWeightsMargin = 4 * time.Second
--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -17,6 +17,8 @@
 		return "the daemon is stopping"
 	case h.relay.Table() == nil:
 		return "no configuration is known"
+	case h.behindPeers(clock.Now()) > 0:
+		return "peers know a newer state of the coordination store"
 	case h.configOverdue(clock.Now()) > 0:
 		return "a newer configuration has not arrived"
 	}
