Send a full heartbeat after a connection to a peer was lost

What operators could see: a peer that misses for up to 20 heartbeats (3 to 10 s) what changed while its connection was silent or broken: drain orders, loads, targets that leave. Cause: a heartbeat carries what changed since the last one, and what was written into a lost connection counted as sent. Class: a write that succeeds taken for a message that arrived. Found by looking for the same cause elsewhere. Change: the first heartbeat on another connection is a full one.

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -72,6 +72,8 @@
 	ackedIncarnation string
 	// sinceFull counts the heartbeats sent to the peer since the last full one.
 	sinceFull int
+	// linkOpened is Opened of the peer's link when the last heartbeat was sent.
+	linkOpened int64
 }
 
 // batchDelay is the delay of heartbeats after TriggerHeartbeat, so that changes made
@@ -213,7 +215,13 @@
 		return true, ""
 	}
 	state.sinceFull++
-	if state.ackedIncarnation == f.opts.Incarnation && state.sinceFull < fullEvery {
+	reopened := false
+	if l := f.links[p.Name]; l != nil {
+		// Heartbeats sent on the former connection may be lost.
+		opened := l.Opened()
+		reopened, state.linkOpened = opened != state.linkOpened, opened
+	}
+	if state.ackedIncarnation == f.opts.Incarnation && state.sinceFull < fullEvery && !reopened {
 		return false, state.fullIncarnation
 	}
 	state.sinceFull = 0
