A process earns its part of the extra retries by the time that it has run

Class: a limit over all processes whose state lives in one of them. Why it holds: a life that spends the whole extra part has run for a window, so no other life of that daemon did in the same window; all others together have at most one window's time and with it 0.3 of the part. Ruled out by reading: sends that ask no budget (all go through mayRetry or a hedge; what is not sent does not count). Not shown: repeats that arrive late together; the connection's limit of 2.5 s for unacknowledged bytes bounds them. Price: a process that has just started makes few retries for 10 s.

--- a/core/relay/feedback.go
+++ b/core/relay/feedback.go
@@ -65,10 +65,11 @@
 	return a
 }
 
-// RetryExtra returns this daemon's part of the retries that are allowed in a window beside those for
-// each request.
+// RetryExtra returns how many retries this daemon may make now in a window beside those for each
+// request.
 func (rl *Relay) RetryExtra() float64 {
-	return rl.options.RetryExtra * retryBudgetUse / float64(max(1, rl.options.DaemonCount()))
+	extra := rl.options.RetryExtra * retryBudgetUse / float64(max(1, rl.options.DaemonCount()))
+	return route.ExtraSinceStart(extra, time.Since(rl.start), rl.options.RetryWindow)
 }
 
 // timingKey returns the key under which the times to first answers are learned, and their prior. It
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -157,6 +157,7 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t, nil)
+			r.relay.start = time.Now()
 			tc.make(r)
 			a := r.send(http.MethodPost, "/once/", "x", "Deadline", tc.deadline)
 			r.g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable))
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -241,6 +241,8 @@
 		CallPrior: callPrior, Costs: testCosts,
 		DaemonCount: func() int { return 1 }, Rank: func(string, bool) (int, int) { return 0, 1 }, WarmUpFactor: 1, PublishState: func() {}, ViewAge: func() time.Duration { return 0 }, OwnTargets: func(names []string) []string { return names }, RetryShare: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 	})
+	// A process has its whole retry budget once it has run for a window.
+	r.relay.start = r.relay.start.Add(-r.relay.options.RetryWindow)
 	r.relay.SetTable(table.New(table.Spec{
 		Version: 1, Routes: testRoutes,
 		Services: []table.Service{
--- a/core/route/retry_budget.go
+++ b/core/route/retry_budget.go
@@ -19,6 +19,20 @@
 	current int64
 }
 
+// startupShare is the part of the extra retries that a process may make within its first window.
+const startupShare = 0.3
+
+// ExtraSinceStart returns how many of extra retries per window a process may make that started a given
+// time ago. It cannot know what its predecessors in the window have spent: one of them may have used
+// all of extra, and the others together startupShare of it, since their times add up to one window at
+// most.
+func ExtraSinceStart(extra float64, sinceStart, window time.Duration) float64 {
+	if sinceStart >= window {
+		return extra
+	}
+	return extra * startupShare * sinceStart.Seconds() / window.Seconds()
+}
+
 // windowBuckets is the number of buckets that a window is divided into.
 const windowBuckets = 20
 
