Close a target's idle connections when a request finds one silent

What callers saw: after connections to a target fell silent, each request that took one of the pool was lost for its whole time, one after the other. Cause: a request that was not answered closed its own connection only; the idle ones, as old, stayed in use. Found by looking for the same cause elsewhere. Change: when a request's time is over, or its bytes are not acknowledged, and no other connection to the target has been answered since it was sent, the idle connections from before it are closed.

--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -128,13 +128,16 @@
 
 // silenceCheck checks whether the target acknowledges a request.
 type silenceCheck struct {
-	conn     *poolConn
+	conn *poolConn
+	// sent is when the request was sent.
+	sent     time.Time
 	onSilent func()
 }
 
 // run calls onSilent if the target does not acknowledge.
 func (s silenceCheck) run() {
 	if info := s.conn.info(); info != nil && unacknowledged(info) {
+		s.conn.pool.closeSilent(s.conn.address, s.sent)
 		s.onSilent()
 	}
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,6 +39,8 @@
 	keepAlive time.Duration
 	// roundTrip is the shortest time that a connection took to open.
 	roundTrip time.Duration
+	// respondedAt is when a response last began on any connection.
+	respondedAt time.Time
 	// removed is set from CloseIdle until the next request: no connection is kept.
 	removed bool
 }
@@ -157,20 +160,54 @@
 		go w.run()
 	}
 	if req.OnSilent != nil {
-		defer time.AfterFunc(silentTime, silenceCheck{conn, req.OnSilent}.run).Stop()
+		defer time.AfterFunc(silentTime, silenceCheck{conn, start, req.OnSilent}.run).Stop()
 	}
 	if err := resp.readHead(req.Method); err != nil {
 		early := !conn.lastUsed.IsZero() && time.Since(start) < p.roundTrip(conn)
 		resp.failed = true
 		resp.Close()
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			p.closeSilent(address, start)
+		}
 		if c := context.Cause(ctx); c != nil {
 			err = c
 		}
 		return nil, &SendError{MayHaveArrived: true, ClosedEarly: early, cause: err}
 	}
+	p.recordResponse(address)
 	return resp, nil
 }
 
+// recordResponse records that a response has begun.
+func (p *Pool) recordResponse(address string) {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	if state := p.addresses[address]; state != nil {
+		state.respondedAt = time.Now()
+	}
+}
+
+// closeSilent closes the idle connections to an address that have been unused since before a request
+// that was not answered, unless another one was answered meanwhile: the connections may carry nothing
+// any more, and each would cost a request.
+func (p *Pool) closeSilent(address string, since time.Time) {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	state := p.addresses[address]
+	if state == nil || state.respondedAt.After(since) {
+		return
+	}
+	used := func(conn *poolConn) bool { return conn.lastUsed.After(since) }
+	for _, conn := range state.idle {
+		if !used(conn) {
+			conn.tcp.Close()
+			state.open--
+		}
+	}
+	state.idle = slices.DeleteFunc(state.idle, func(conn *poolConn) bool { return !used(conn) })
+	p.forget(address, state)
+}
+
 // Connect opens a connection to an address and keeps it for the next request.
 func (p *Pool) Connect(ctx context.Context, address string) error {
 	p.poolMu.Lock()
