Find silent connections to the key-value service and the box list; metric of the applied version

They use plat.Client now: reads are sent again on a new connection after 0.4 s, a transaction fails as unknown once a probe there is answered. Tests of core/plat, embfake and emberd pass.

--- a/core/plat/boxes.go
+++ b/core/plat/boxes.go
@@ -41,13 +41,13 @@
 // BoxList reads the platform's list of boxes, live and leaving.
 type BoxList struct {
 	url    string
-	client *http.Client
+	client *Client
 	// tag is the ETag of the last list read.
 	tag string
 }
 
 // NewBoxList returns a reader of the list at url, for use by one goroutine.
-func NewBoxList(url string, client *http.Client) *BoxList {
+func NewBoxList(url string, client *Client) *BoxList {
 	return &BoxList{url: url, client: client}
 }
 
@@ -60,7 +60,7 @@
 	if b.tag != "" {
 		req.Header.Set("If-None-Match", b.tag)
 	}
-	resp, err := b.client.Do(req)
+	resp, err := b.client.DoProbed(req, Probe{After: silentAfter, Request: req.Clone(ctx), Answers: true})
 	if err != nil {
 		return nil, false, errors.Wrap(err, "box list")
 	}
--- a/core/plat/kv.go
+++ b/core/plat/kv.go
@@ -107,7 +107,7 @@
 // safe for concurrent use.
 type KV struct {
 	urls   []string
-	client *http.Client
+	client *Client
 	calls  atomic.Int64
 	bytes  atomic.Int64
 	// urlIndex, modulo the number of URLs, selects the URL in use; a failed call advances it.
@@ -115,7 +115,7 @@
 }
 
 // NewKV returns a client that uses one of the given base URLs, and the next one after a failure.
-func NewKV(urls []string, client *http.Client) *KV {
+func NewKV(urls []string, client *Client) *KV {
 	return &KV{urls: urls, client: client}
 }
 
@@ -163,7 +163,7 @@
 		Header wireHeader `json:"header"`
 		Kvs    []wireKV   `json:"kvs"`
 	}
-	err := k.call(ctx, "/v3/kv/range", wireSpan{Key: []byte(span.From), RangeEnd: []byte(span.To)}, &response)
+	err := k.call(ctx, k.repeated, rangePath, wireSpan{Key: []byte(span.From), RangeEnd: []byte(span.To)}, &response)
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "range")
 	}
@@ -209,7 +209,7 @@
 		Header    wireHeader `json:"header"`
 		Succeeded bool       `json:"succeeded"`
 	}
-	if err := k.call(ctx, "/v3/kv/txn", body, &response); err != nil {
+	if err := k.call(ctx, k.once, "/v3/kv/txn", body, &response); err != nil {
 		return Outcome{}, errors.Wrapf(ErrOutcomeUnknown, "txn: %v", err)
 	}
 	return Outcome{Succeeded: response.Succeeded, Revision: response.Header.Revision}, nil
@@ -218,14 +218,47 @@
 // maxResponseBytes bounds the body of one response.
 const maxResponseBytes = 64 << 20
 
-func (k *KV) call(ctx context.Context, path string, body, response any) error {
+const rangePath = "/v3/kv/range"
+
+// silentAfter is how long nothing may be received for a call before its connection is probed.
+const silentAfter = 400 * time.Millisecond
+
+// repeated sends a request, and once more if its connection carries nothing any more.
+func (k *KV) repeated(req *http.Request, raw []byte) (*http.Response, error) {
+	return k.client.DoProbed(req, Probe{After: silentAfter, Request: withBody(req, raw), Answers: true})
+}
+
+// once sends a request that must not be sent twice. It fails early if its connection carries nothing
+// any more.
+func (k *KV) once(req *http.Request, _ []byte) (*http.Response, error) {
+	raw, err := json.Marshal(wireSpan{Key: []byte{0}})
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	probe := withBody(req, raw)
+	probe.URL.Path = rangePath
+	return k.client.DoProbed(req, Probe{After: silentAfter, Request: probe})
+}
+
+// withBody returns a copy of a request with another body.
+func withBody(req *http.Request, raw []byte) *http.Request {
+	out := req.Clone(req.Context())
+	out.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(raw)), nil }
+	out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(raw)), int64(len(raw))
+	return out
+}
+
+// kvSender sends a request with a body.
+type kvSender func(req *http.Request, raw []byte) (*http.Response, error)
+
+func (k *KV) call(ctx context.Context, send kvSender, path string, body, response any) error {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	ctx, idle := wait.WithIdleTimeout(ctx, CallTimeout, CallTimeout)
 	defer idle.Stop()
-	resp, err := k.post(ctx, path, raw)
+	resp, err := k.post(ctx, send, path, raw)
 	if err != nil {
 		return idle.Cause(err)
 	}
@@ -238,7 +271,7 @@
 	return errors.Wrap(json.Unmarshal(got, response), "decode response of coordination store")
 }
 
-func (k *KV) post(ctx context.Context, path string, raw []byte) (*http.Response, error) {
+func (k *KV) post(ctx context.Context, send kvSender, path string, raw []byte) (*http.Response, error) {
 	index := k.urlIndex.Load()
 	url := k.urls[int(index)%len(k.urls)] + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
@@ -248,7 +281,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	k.calls.Add(1)
 	k.bytes.Add(int64(len(raw)))
-	resp, err := k.client.Do(req)
+	resp, err := send(req, raw)
 	if err == nil && resp.StatusCode != http.StatusOK {
 		resp.Body.Close()
 		err = errors.Errorf("coordination store: status %s", resp.Status)
@@ -279,7 +312,10 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	resp, err := k.post(ctx, "/v3/watch", raw)
+	// A watch that carries nothing any more ends with its connection. Until then the readers of the
+	// store find out by reading it from time to time.
+	stream := func(req *http.Request, _ []byte) (*http.Response, error) { return k.client.Do(req) }
+	resp, err := k.post(ctx, stream, "/v3/watch", raw)
 	if err != nil {
 		return err
 	}
--- a/core/plat/kv_test.go
+++ b/core/plat/kv_test.go
@@ -48,7 +48,7 @@
 			}))
 			defer srv.Close()
 			defer close(done)
-			pairs, revision, err := plat.NewKV([]string{srv.URL}, srv.Client()).Range(context.Background(), plat.Prefix("a"))
+			pairs, revision, err := plat.NewKV([]string{srv.URL}, &plat.Client{}).Range(context.Background(), plat.Prefix("a"))
 			g.Expect(errors.Is(err, tc.err)).To(gomega.BeTrue(), "%v", err)
 			if tc.err == nil {
 				g.Expect(revision).To(gomega.Equal(int64(7)))
--- a/core/plat/meter.go
+++ b/core/plat/meter.go
@@ -53,9 +53,9 @@
 // platformIdle is how long an idle connection to the platform stays open.
 const platformIdle = 30 * time.Second
 
-// NewClient returns an HTTP client for the platform's services whose bytes m counts.
-func NewClient(m *Meter) *http.Client {
+// NewClient returns a client for the platform's services whose bytes m counts.
+func NewClient(m *Meter) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: platformIdle, DisableCompression: true}
 	m.Measure(t)
-	return &http.Client{Transport: t}
+	return &Client{Transport: t}
 }
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -124,7 +124,7 @@
 }
 
 // fleetOptions returns the options of the fleet. platform is the client for the box list.
-func (d *Daemon) fleetOptions(incarnation string, platform *http.Client) fleet.Options {
+func (d *Daemon) fleetOptions(incarnation string, platform *plat.Client) fleet.Options {
 	o := fleet.Options{
 		Name: d.settings.Name, Incarnation: incarnation, HeartbeatInterval: d.settings.Peers.Heartbeat,
 		SuspectAfter: d.settings.Peers.Suspect, BoxPollInterval: d.settings.Platform.BoxListInterval, Log: d.log,
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -78,6 +78,15 @@
 	return mux
 }
 
+// configurationVersion returns the version of the applied configuration; 0 if there is none.
+func (h *Host) configurationVersion() float64 {
+	t := h.relay.Table()
+	if t == nil {
+		return 0
+	}
+	return float64(t.Version())
+}
+
 // registerGauges registers the metrics that are computed when they are read.
 func (h *Host) registerGauges() {
 	for _, g := range []struct {
@@ -91,6 +100,7 @@
 		{"daemons", func() float64 { return float64(h.daemonCounter.count()) }},
 		{"kept_tokens", func() float64 { return float64(h.storeIndexes.Tokens()) }},
 		{"log_lines_dropped_total", func() float64 { return float64(h.spool.Dropped()) }},
+		{"configuration_version", h.configurationVersion},
 		{"knowledge_age_seconds", func() float64 { return h.viewAge().Seconds() }},
 		{"mirror_bytes_told_total", func() float64 { return float64(h.watchCacheSync.BytesSent()) }},
 		{"mirror_questions_failed_total", func() float64 { return float64(h.watchCacheSync.RequestsFailed()) }},
--- a/embfake/fake/fake_test.go
+++ b/embfake/fake/fake_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(k.Close)
-	return k, plat.NewKV([]string{k.URL()}, &http.Client{})
+	return k, plat.NewKV([]string{k.URL()}, &plat.Client{})
 }
 
 func TestKeyValueProtocol(t *testing.T) {
@@ -95,7 +95,7 @@
 	b, err := NewBoxes(anyPort)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer b.Close()
-	list := plat.NewBoxList(b.URL()+"/v1/boxes", &http.Client{})
+	list := plat.NewBoxList(b.URL()+"/v1/boxes", &plat.Client{})
 	read := func() (n int, changed bool) {
 		boxes, changed, err := list.Read(context.Background())
 		g.Expect(err).NotTo(gomega.HaveOccurred())
