--- a/embplay/prove/chaos_test.go
+++ b/embplay/prove/chaos_test.go
@@ -88,6 +88,7 @@
 		c.loseStoreResponses, c.stallWatch, c.compactStore, c.engineDown, c.cutStreams, c.swapAnswers, c.truncateStream,
 		c.repeatTokens, c.dropEvents, c.storeDown, c.storeReset, c.storeFreed, c.corruptBlocks, c.writePartially, c.slowLink,
 		c.cutCalls, c.drainTarget, c.markShuttingDown, c.updateWeights, c.rewrite, c.rewrite, c.rewrite, c.evictBlocks,
+		c.silenceConnections, c.silenceConnections,
 	}
 	stop := make(chan struct{})
 	c.work.Go(func() { configWatcher{c}.run(stop) })
@@ -173,6 +174,23 @@
 	p.storeProxy.set(forward)
 }
 
+// silenceConnections makes open connections silent for good, in one direction or both: those between
+// daemons, those to the coordination store, or all.
+func (c *chaos) silenceConnections() {
+	direction, scope := c.intn(3), c.intn(3)
+	requests, responses := direction != 1, direction != 0
+	for _, d := range c.r.daemons {
+		if scope != 0 {
+			d.storeProxy.silence(requests, responses)
+		}
+		if scope != 1 {
+			for _, p := range d.peerProxies {
+				p.silence(requests, responses)
+			}
+		}
+	}
+}
+
 func (c *chaos) coordinationStoreDown() {
 	c.r.site.KeyValue.Set(fake.Down, float64(1+c.intn(2)))
 	time.Sleep(c.randomDuration(time.Second, 6*time.Second))
--- a/embplay/prove/proxy_test.go
+++ b/embplay/prove/proxy_test.go
@@ -30,6 +30,8 @@
 
 	connsMu sync.Mutex
 	conns   map[net.Conn]bool // guarded by connsMu
+	// proxied are the open connections. Guarded by connsMu.
+	proxied map[*proxiedConn]bool
 }
 
 func newProxy(to string) (*proxy, error) {
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &proxy{l: l, to: to, conns: map[net.Conn]bool{}}
+	r := &proxy{l: l, to: to, conns: map[net.Conn]bool{}, proxied: map[*proxiedConn]bool{}}
 	go r.run()
 	return r, nil
 }
@@ -52,6 +54,21 @@
 	}
 }
 
+// silence makes the open connections silent for good, in one direction or both: what is sent on them is
+// discarded, and their ends do not learn that the other one has closed. New connections work.
+func (r *proxy) silence(requests, responses bool) {
+	r.connsMu.Lock()
+	defer r.connsMu.Unlock()
+	for c := range r.proxied {
+		if requests {
+			c.silentRequests.Store(true)
+		}
+		if responses {
+			c.silentResponses.Store(true)
+		}
+	}
+}
+
 func (r *proxy) closeAll() {
 	r.connsMu.Lock()
 	defer r.connsMu.Unlock()
@@ -75,7 +92,7 @@
 			c.Close()
 			continue
 		}
-		go (&proxiedConn{r, c}).run()
+		go (&proxiedConn{r: r, in: c}).run()
 	}
 }
 
@@ -83,6 +100,8 @@
 type proxiedConn struct {
 	r  *proxy
 	in net.Conn
+	// silentRequests and silentResponses mean that the direction carries nothing any more.
+	silentRequests, silentResponses atomic.Bool
 }
 
 func (c *proxiedConn) run() {
@@ -91,11 +110,9 @@
 		c.in.Close()
 		return
 	}
-	for _, conn := range []net.Conn{c.in, out} {
-		c.r.connsMu.Lock()
-		c.r.conns[conn] = true
-		c.r.connsMu.Unlock()
-	}
+	c.r.connsMu.Lock()
+	c.r.conns[c.in], c.r.conns[out], c.r.proxied[c] = true, true, true
+	c.r.connsMu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { c.copy(out, c.in, false) })
 	wg.Go(func() { c.copy(c.in, out, true) })
@@ -103,6 +120,7 @@
 	c.r.connsMu.Lock()
 	delete(c.r.conns, c.in)
 	delete(c.r.conns, out)
+	delete(c.r.proxied, c)
 	c.r.connsMu.Unlock()
 }
 
@@ -111,10 +129,19 @@
 	stallPollInterval = 20 * time.Millisecond
 )
 
-// copy forwards one direction, and closes both connections when it ends.
+// copy forwards one direction. It closes both connections when it ends, unless the direction is silent by
+// then: the receiver must not learn of it.
 func (c *proxiedConn) copy(to io.WriteCloser, from net.Conn, responses bool) {
-	defer to.Close()
-	defer from.Close()
+	silent, reverse := &c.silentRequests, &c.silentResponses
+	if responses {
+		silent, reverse = reverse, silent
+	}
+	defer func() {
+		from.Close()
+		if !silent.Load() {
+			to.Close()
+		}
+	}()
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := from.Read(buf)
@@ -127,8 +154,14 @@
 		if d := c.r.delay.Load(); d > 0 {
 			time.Sleep(time.Duration(d))
 		}
+		if silent.Load() {
+			continue
+		}
 		if _, err := to.Write(buf[:n]); err != nil {
-			return
+			if !reverse.Load() {
+				return
+			}
+			silent.Store(true)
 		}
 	}
 }
