Decide before its first use whether a probing transport keeps its connection

Read again: the field was set while the transport was in use, a data race that no test met (control calls to targets only). The counts of links share one sum.

--- a/core/fleet/call.go
+++ b/core/fleet/call.go
@@ -97,22 +97,20 @@
 // UnheardCalls returns the number of calls to peers that ended without a response while nothing else
 // was received on their connection either.
 func (f *Fleet) UnheardCalls() int64 {
-	f.fleetMu.Lock()
-	defer f.fleetMu.Unlock()
-	n := f.closedUnheard
-	for _, l := range f.links {
-		n += l.UnheardCalls()
-	}
-	return n
+	return f.sumLinks(&f.closedUnheard, (*wire.Link).UnheardCalls)
 }
 
 // Replaced returns the number of connections to peers that had gone silent and were replaced.
-func (f *Fleet) Replaced() int64 {
+func (f *Fleet) Replaced() int64 { return f.sumLinks(&f.closedReplaced, (*wire.Link).Replaced) }
+
+// sumLinks returns the sum of a count over all links. closed is that of the closed ones; it is guarded
+// by fleetMu.
+func (f *Fleet) sumLinks(closed *int64, count func(*wire.Link) int64) int64 {
 	f.fleetMu.Lock()
 	defer f.fleetMu.Unlock()
-	n := f.closedReplaced
+	n := *closed
 	for _, l := range f.links {
-		n += l.Replaced()
+		n += count(l)
 	}
 	return n
 }
--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -61,8 +61,8 @@
 }
 
 // DoProbed sends a request. If nothing is received on its connection and the service responds to the
-// probe on a new one, the former is given up, and with it all connections that were idle: they are as
-// old. The result is then the probe's response, if that answers the request, and else ErrSilent.
+// probe on a new one, the former is given up. Unless ManyServices is set, all idle connections are
+// given up with it: they are as old. The result is then the probe's response, if that answers the request, and else ErrSilent.
 func (c *Client) DoProbed(req *http.Request, p Probe) (*http.Response, error) {
 	t := c.transport()
 	first := newExchange(c, t, req)
@@ -80,6 +80,8 @@
 		return first.resp, first.err
 	}
 	fresh := t.Clone()
+	// Where the transport does not stay in use, its connection must not stay open.
+	fresh.DisableKeepAlives = c.ManyServices
 	second := newExchange(c, fresh, p.Request)
 	go second.run()
 	select {
@@ -101,9 +103,7 @@
 func (c *Client) giveUp(silent, working *exchange, fresh *http.Transport, answers bool) (*http.Response, error) {
 	c.replaced.Add(1)
 	silent.abandon()
-	if c.ManyServices {
-		fresh.DisableKeepAlives = true
-	} else {
+	if !c.ManyServices {
 		c.use(fresh, silent.transport)
 	}
 	if c.OnReplaced != nil {
