Count connections to targets that are refused or not answered, and those being opened

New: target_connections_refused_total, _unanswered_total and _opening, and in a refused request's line how many of the full targets have no open connection. No decision is changed; tests of target and relay pass.

--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -91,6 +91,9 @@
 		if candidate.load.Running >= p.maxRunning(svc, candidate.entry) ||
 			p.relay.options.Pool.FreeCapacity(candidate.entry.Address) <= 0 || !p.relay.warmUpAllows(svc, t, shared, false, now) {
 			unavailable.full++
+			if p.relay.options.Pool.OnlyOpening(candidate.entry.Address) {
+				unavailable.opening++
+			}
 			continue
 		}
 		candidate.weightVersion = candidate.entry.Weights[p.meta.Model]
@@ -120,6 +123,7 @@
 	out = p.preferVersion(out)
 	reason := unavailable.reason()
 	p.skipped, p.rateLimited = unavailable.skipped, unavailable.rateLimitedTarget
+	p.unopened, p.full = unavailable.opening, unavailable.full
 	switch {
 	case len(out) > 0:
 	case reason == allEvacuated:
@@ -151,6 +155,8 @@
 type unavailability struct {
 	full, suspects, outdated, evacuated, outsideRegions, shuttingDown, underPushback, rateLimited,
 	excludedVersions int
+	// opening counts those of full to which this daemon has no connection, only some being opened.
+	opening int
 	// skipped lists the first few targets that are skipped for their self-reported state, for the
 	// log.
 	skipped []string
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -67,6 +67,9 @@
 	// skipped lists targets that the last choice skipped for their self-reported state, with the
 	// reasons.
 	skipped []string
+	// full is the number of targets that the last choice found full, unopened that of those to which
+	// connections are only being opened.
+	full, unopened int
 	// rateLimited is a target that the last choice skipped for its rate limit, or nil.
 	rateLimited *roster.Target
 	// expectedWait is the expected time to an answer from the last choice. Without a choice it is
@@ -278,6 +281,9 @@
 func (p *proxiedRequest) giveUp(failed *bufferedResponse, reason string) *entry.Refusal {
 	p.noteSkipped()
 	p.note("given up: %s", reason)
+	if p.unopened > 0 {
+		p.note("to %d of %d full targets no connection is open yet", p.unopened, p.full)
+	}
 	switch {
 	case p.headerSent:
 		p.aborted = true
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -34,8 +34,9 @@
 	// StreamsOverflowed those that went to other workers, and PromptsOnReserved the other requests that
 	// went to reserved workers.
 	StreamsReserved, StreamsOverflowed, PromptsOnReserved *metrics.Counter
-	// Opened counts the connections opened to targets.
-	Opened *metrics.Counter
+	// Opened counts the connections opened to targets, OpensRefused the attempts to open one that were
+	// refused, and OpensUnanswered those that got no answer.
+	Opened, OpensRefused, OpensUnanswered *metrics.Counter
 	// SlowOpens counts the attempts that were abandoned because the connection took longer to open
 	// than usual, Probes those at a target at which that happened recently. SilentConnections counts
 	// the requests that their target did not acknowledge for some time.
@@ -72,7 +73,9 @@
 		PromptTokens: c("prompt_tokens_total"), PromptTokensCopied: c("prompt_tokens_copied_total"),
 		PromptTokensCached: c("prompt_tokens_kept_total"),
 		LateCopies:         c("copies_late_total"),
-		Opened:             c("target_connections_opened_total"), Blocked: c("requests_blocked_total"),
+		Opened:             c("target_connections_opened_total"),
+		OpensRefused:       c("target_connections_refused_total"),
+		OpensUnanswered:    c("target_connections_unanswered_total"), Blocked: c("requests_blocked_total"),
 		StreamsJudged: c("streams_judged_total"), StreamsPaused: c("streams_paused_total"),
 		StreamsReserved: c("streams_reserved_total"), StreamsOverflowed: c("streams_overflowed_total"),
 		PromptsOnReserved: c("prompts_on_reserved_total"),
--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -81,8 +81,10 @@
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	state := p.state(address)
+	state.opening--
 	switch {
 	case err != nil:
+		p.countFailure(err)
 		state.open--
 		p.forget(address, state)
 	case state.roundTrip == 0 || elapsed < state.roundTrip:
@@ -90,6 +92,21 @@
 	}
 }
 
+// countFailure counts a failed attempt to open a connection.
+func (p *Pool) countFailure(err error) {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		if p.Refused != nil {
+			p.Refused.Inc()
+		}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		if p.Unanswered != nil {
+			p.Unanswered.Inc()
+		}
+	}
+}
+
 // setUserTimeout sets unackedTimeout on a connection.
 func setUserTimeout(fd uintptr) {
 	// Without the option a dead target is detected later, by the probes.
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -20,8 +20,9 @@
 //
 // Lock order: poolMu is taken alone.
 type Pool struct {
-	// Opened, if set, counts the connections that were opened.
-	Opened interface{ Inc() }
+	// Opened, if set, counts the connections that were opened. Refused counts attempts to open one that
+	// were refused, and Unanswered those that got no answer at all.
+	Opened, Refused, Unanswered interface{ Inc() }
 
 	poolMu    sync.Mutex
 	addresses map[string]*addressState // guarded by poolMu
@@ -33,6 +34,8 @@
 	idle []*poolConn
 	// open is the number of connections, including idle ones and those being opened.
 	open int
+	// opening is the number of those that are being opened.
+	opening int
 	// maxOpen bounds open; 0 means no bound.
 	maxOpen int
 	// keepAlive is how long the target keeps an idle connection.
@@ -123,6 +126,26 @@
 	return state.maxOpen - state.open + len(state.idle)
 }
 
+// Opening returns the number of connections that are being opened, to all addresses.
+func (p *Pool) Opening() int {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	n := 0
+	for _, state := range p.addresses {
+		n += state.opening
+	}
+	return n
+}
+
+// OnlyOpening reports whether all connections to an address that is full are still being opened, so
+// that the target may have room for requests.
+func (p *Pool) OnlyOpening(address string) bool {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	state := p.addresses[address]
+	return state != nil && state.opening > 0 && state.opening == state.open
+}
+
 // HasIdle reports whether an idle connection to an address is open.
 func (p *Pool) HasIdle(address string) bool {
 	p.poolMu.Lock()
@@ -216,6 +239,7 @@
 	full := state.maxOpen > 0 && state.open >= state.maxOpen
 	if !full {
 		state.open++
+		state.opening++
 	}
 	p.poolMu.Unlock()
 	if full {
@@ -291,6 +315,7 @@
 		return nil, false
 	}
 	state.open++
+	state.opening++
 	return nil, true
 }
 
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -149,7 +149,7 @@
 	h.storeIndexSync = spread.NewStoreIndexes(engines, h.fleet)
 	h.storeIndexes = cache.NewStoreIndexes(h.storeIndexSync, h.log)
 	h.storeIndexSync.Serve(h.storeIndexes)
-	h.pool = &target.Pool{Opened: h.stats.Opened}
+	h.pool = &target.Pool{Opened: h.stats.Opened, Refused: h.stats.OpensRefused, Unanswered: h.stats.OpensUnanswered}
 	h.daemonCounter.view = h.fleet.View
 	h.poison = poison.New(poison.Options{Fleet: h.fleet, Dial: h.pool.Connect, Log: h.log, Store: h.store, WatchCache: h.watchCache})
 	h.roster.Removed = h.incarnationRemoved
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -110,6 +110,7 @@
 		{"targets_resting", func() float64 { _, underPushback := h.roster.SelfReportCounts(); return float64(underPushback) }},
 		{"targets_limited", func() float64 { return float64(len(h.roster.RateLimitedTargets())) }},
 		{"targets_slow_to_connect", func() float64 { return float64(h.roster.SlowCount(time.Now())) }},
+		{"target_connections_opening", func() float64 { return float64(h.pool.Opening()) }},
 		{"targets_ended_total", func() float64 { return float64(h.poison.CrashCount()) }},
 		{"targets_listed", func() float64 { listed, _ := h.roster.Sizes(); return float64(listed) }},
 		{"targets_guests", func() float64 { _, external := h.roster.Sizes(); return float64(external) }},
