Open connections to targets by way of another box where the own path is broken

Cause: what a box sees of a target was kept as the target's state, and a request could leave a box only on that box's own connections. With all paths cut no target was left, while peers sent to the same ones; abandoned attempts to open took up the shares of connections, so that requests waited in the queue for room ("all targets are full").

Where a path fails, the connection is opened through a peer that reaches the target (package detour): it forwards bytes, so that attempts, deadlines, load, permits, claims and cancellation stay with the daemon that read the request. The end of the target's connection is told apart from that of the hop, so that an answer cut by the box in between never looks whole. A peer whose network works is asked before a target counts as refusing connections, so a cut box reports no crashes. The pool itself searches for paths that work again, a few at a time. Of connections that no request waits for, one goes on per target.

--- /dev/null
+++ b/core/detour/forward.go
@@ -0,0 +1,97 @@
+package detour
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/target"
+)
+
+// Close makes this daemon forward no further connections; open ones go on.
+func (b *Boxes) Close() {
+	b.boxesMu.Lock()
+	defer b.boxesMu.Unlock()
+	b.closed = true
+}
+
+// acquire counts a connection to forward and reports whether this daemon forwards it.
+func (b *Boxes) acquire() bool {
+	b.boxesMu.Lock()
+	defer b.boxesMu.Unlock()
+	if b.closed || b.forwarded >= maxForwarded {
+		return false
+	}
+	b.forwarded++
+	return true
+}
+
+// release ends what acquire began.
+func (b *Boxes) release() {
+	b.boxesMu.Lock()
+	defer b.boxesMu.Unlock()
+	b.forwarded--
+}
+
+// handleOpen opens a connection to a target for another daemon.
+func (b *Boxes) handleOpen(ctx context.Context, _ string, request *openRequest) (openResponse, func(net.Conn)) {
+	address, _, listed := b.o.Locate(request.Target)
+	if !listed || !b.acquire() {
+		return openResponse{Verdict: cannotTell}, nil
+	}
+	conn, err := b.o.Pool.Dial(ctx, address)
+	if err != nil {
+		b.release()
+		return openResponse{Verdict: verdictOf(err)}, nil
+	}
+	b.o.Forwarded.Inc()
+	return openResponse{Verdict: opened}, (&forwarding{boxes: b, target: conn}).serve
+}
+
+// verdictOf returns what a failure to connect to a target shows.
+func verdictOf(err error) verdict {
+	switch {
+	case errors.Is(err, target.ErrTargetRefused):
+		return refused
+	case errors.Is(err, target.ErrTargetSilent):
+		return silent
+	}
+	return cannotTell
+}
+
+// forwarding forwards one connection.
+type forwarding struct {
+	boxes *Boxes
+	// target is the connection to the target, and box that to the other daemon.
+	target, box net.Conn
+}
+
+// closeTimeout is how long the other daemon may take to close its connection after the target has
+// closed its own. What it still sends is discarded: closing with unread bytes would reset the
+// connection, and what the target sent last might be lost.
+const closeTimeout = 2 * time.Second
+
+// serve forwards until either end closes its connection.
+func (f *forwarding) serve(box net.Conn) {
+	f.box = box
+	defer f.boxes.release()
+	defer f.target.Close()
+	done := make(chan struct{})
+	go f.run(done)
+	target.ForwardResponses(box, f.target)
+	box.SetReadDeadline(time.Now().Add(closeTimeout))
+	<-done
+}
+
+// run forwards what the other daemon sends. When that closes its connection, the target learns of it at
+// once, so that it ends its work.
+func (f *forwarding) run(done chan<- struct{}) {
+	defer close(done)
+	if _, err := io.Copy(f.target, f.box); err != nil {
+		_, _ = io.Copy(io.Discard, f.box)
+	}
+	f.target.Close()
+}
--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -41,6 +41,8 @@
 	TargetUnlimited   Code = 2026
 
 	ConnectionReplaced Code = 2027
+	TargetsUnreachable Code = 2028
+	TargetsReachable   Code = 2029
 
 	ConfApplied     Code = 3001
 	ConfWritten     Code = 3002
@@ -150,6 +152,8 @@
 	{TargetLimits, "targetLimits", Info, "An incarnation of a target reported a rate limit, shared by all daemons, or changed it; the text has the rate and says whether this daemon or a peer received the response. At most one line per second and target."},
 	{TargetUnlimited, "targetUnlimited", Info, "An incarnation of a target no longer reports a rate limit. At most one line about rate limits per second and target."},
 	{ConnectionReplaced, "connectionReplaced", Info, "A connection carried nothing any more although nobody had closed it, and another one has replaced it; the text has the other end and the time without a response."},
+	{TargetsUnreachable, "targetsUnreachable", Warning, "Nothing arrives at this daemon from any target; connections are opened through other boxes."},
+	{TargetsReachable, "targetsReachable", Info, "A direct connection to a target works again."},
 
 	{ConfApplied, "confApplied", Debug, "A configuration change was applied by this daemon."},
 	{ConfWritten, "confWritten", Info, "A configuration change was committed through this daemon."},
--- a/core/fleet/call.go
+++ b/core/fleet/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,7 +62,7 @@
 
 // callPeer makes a call on the link to a peer, and records a failure.
 func (f *Fleet) callPeer(peer string, call func(*wire.Link) error) error {
-	p, ok := f.View().peer(peer)
+	p, ok := f.View().Peer(peer)
 	if !ok || p.Address == "" {
 		return errors.Wrapf(wire.ErrNotSent, "%s: %v", peer, ErrNoPeer)
 	}
@@ -74,9 +75,18 @@
 	return err
 }
 
+// OpenStream opens a connection to a peer and requests a stream on it; see wire.OpenStream.
+func (f *Fleet) OpenStream(ctx context.Context, peer string, kind wire.Kind, req, resp any) (net.Conn, error) {
+	p, ok := f.View().Peer(peer)
+	if !ok || p.Address == "" {
+		return nil, errors.Wrapf(wire.ErrNotSent, "%s: %v", peer, ErrNoPeer)
+	}
+	return wire.OpenStream(ctx, f.opts.Name, p.Name, p.Address, f.opts.TLS, kind, req, resp)
+}
+
 // Notify sends a message that gets no response.
 func (f *Fleet) Notify(ctx context.Context, peer string, kind wire.Kind, msg any) error {
-	p, ok := f.View().peer(peer)
+	p, ok := f.View().Peer(peer)
 	if !ok || p.Address == "" {
 		return errors.Wrapf(wire.ErrNotSent, "%s: %v", peer, ErrNoPeer)
 	}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -61,7 +61,7 @@
 // closeLinks closes the links to peers that are not in v. It is called with fleetMu held.
 func (f *Fleet) closeLinks(v *View) {
 	for name, l := range f.links {
-		if _, ok := v.peer(name); !ok {
+		if _, ok := v.Peer(name); !ok {
 			f.closeLink(l)
 			delete(f.links, name)
 		}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -346,8 +346,8 @@
 	Stamp int64 `msgpack:"s" json:"stamp"`
 }
 
-// peer returns a peer by name.
-func (v *View) peer(name string) (Peer, bool) {
+// Peer returns a peer by name.
+func (v *View) Peer(name string) (Peer, bool) {
 	i, ok := slices.BinarySearchFunc(v.peers, name, func(p Peer, n string) int {
 		if p.Name < n {
 			return -1
--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -23,8 +23,9 @@
 // Options configure a Guard.
 type Options struct {
 	Fleet *fleet.Fleet
-	// Dial opens a connection to the address of an incarnation of a target and keeps it for use.
-	Dial func(ctx context.Context, address string) error
+	// Dial opens a connection to the address of an incarnation of a target and keeps it for use. It
+	// returns an error that wraps ECONNREFUSED only if the target itself refuses connections.
+	Dial func(ctx context.Context, address, incarnation string) error
 	Log  *event.Log
 	// Store is the coordination store and WatchCache its copy here. The store keeps the blocks for
 	// daemons that start while no other one is up. Both may be nil.
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -86,7 +86,7 @@
 }
 
 // dial connects to a target.
-func (r *testFleet) dial(context.Context, string) error {
+func (r *testFleet) dial(context.Context, string, string) error {
 	if r.alive.Load() {
 		return nil
 	}
--- a/core/poison/probe.go
+++ b/core/poison/probe.go
@@ -45,7 +45,7 @@
 			time.Sleep(redialDelay)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		err := p.guard.o.Dial(ctx, p.address)
+		err := p.guard.o.Dial(ctx, p.address, p.incarnation)
 		cancel()
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.guard.recordCrash(p.incarnation, true)
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -120,6 +120,10 @@
 		return p.classifyNoResponse(f.ctx, c, f.err), nil
 	}
 	defer resp.Close()
+	if box := resp.Box(); box != "" {
+		p.note("by way of %s", box)
+		p.relay.options.Stats.DetouredAttempts.Inc()
+	}
 	respMeta := p.relay.options.Dialect.ParseResponse(resp.Status, resp.Header)
 	if out, ok := p.checkResponse(c, resp, &respMeta); !ok {
 		return out, nil
@@ -188,20 +192,33 @@
 		p.recordResponse(c, false)
 		return outcomeIncomplete
 	}
-	p.recordNoResponse(c)
+	verified, partitioned := !target.Unverified(err), p.relay.options.Pool.Partitioned()
 	if !sent {
-		p.relay.options.Poison.RecordDialError(c.target.ID(), err)
+		switch {
+		case verified:
+			p.recordNoResponse(c)
+			p.relay.options.Poison.RecordDialError(c.target.ID(), err)
+		case !partitioned:
+			// Only this box passes the target over, until it is known whether another one reaches it.
+			c.target.RecordNoResponse(time.Now())
+		}
 		return outcomeNotSent
 	}
+	if verified && !partitioned {
+		p.recordNoResponse(c)
+	}
 	if !target.ClosedEarly(err) {
-		p.recordDisconnect(c)
+		p.recordDisconnect(c, err)
 	}
 	return outcomeIncomplete
 }
 
 // recordDisconnect records that the connection to a target closed under the request. The request
 // may have crashed the target, and its caller may repeat it.
-func (p *proxiedRequest) recordDisconnect(c *choice) {
+func (p *proxiedRequest) recordDisconnect(c *choice, err error) {
+	if errors.Is(err, target.ErrDetourLost) {
+		return
+	}
 	if _, shuttingDown := p.relay.options.Roster.ShuttingDown(c.target); !shuttingDown {
 		p.relay.options.Poison.RecordLostConnection(p.digest, p.organisationName(), c.target.ID(),
 			c.target.Entry().Address)
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -123,7 +123,7 @@
 	out = p.preferVersion(out)
 	reason := unavailable.reason()
 	p.skipped, p.rateLimited = unavailable.skipped, unavailable.rateLimitedTarget
-	p.unopened, p.full = unavailable.opening, unavailable.full
+	p.notOpen, p.full = unavailable.opening, unavailable.full
 	switch {
 	case len(out) > 0:
 	case reason == allEvacuated:
--- a/core/relay/openrace.go
+++ b/core/relay/openrace.go
@@ -28,12 +28,16 @@
 // setOpenRace sets how an attempt's connection is opened.
 func (p *proxiedRequest) setOpenRace(req *target.Request, c *choice) {
 	rl, t, service := p.relay, c.target, p.service
+	req.Target = t.ID()
+	req.SecondOpen = c.onlyCandidate || p.slowOpens+p.unopened > 0
+	req.OnVerdict = func(err error) { rl.recordVerdict(t, service, err) }
 	if rl.options.Disabled.OpenRace {
 		return
 	}
+	hasDetour := rl.options.Pool.Detour != nil
 	req.Group = p.openGroup(t)
 	req.NewConnection = c.eligible.probe
-	req.ReplaceSlowOpen = !c.onlyCandidate && p.slowOpens < maxSlowOpens
+	req.ReplaceSlowOpen = hasDetour || (!c.onlyCandidate && p.slowOpens < maxSlowOpens)
 	// OnSilent and OnOpen may be called after the request has ended, so it must not use p.
 	req.OnSilent = func() {
 		rl.options.Stats.SilentConnections.Inc()
@@ -46,15 +50,25 @@
 		case err == nil:
 			rl.recordResponsive(t)
 		case late:
-			t.RecordNoResponse(time.Now())
-			rl.options.Poison.RecordDialError(t.ID(), err)
-			if !rl.options.Disabled.Targets {
-				rl.options.TargetStats.ObserveResponse(t.ID(), service, false, time.Now())
-			}
+			rl.recordVerdict(t, service, err)
 		}
 	}
 }
 
+// recordVerdict records whether a target to which a connection could not be opened is reachable at all.
+// err is nil if it is by way of another box.
+func (rl *Relay) recordVerdict(t *roster.Target, service string, err error) {
+	if err == nil {
+		t.RecordResponse()
+		return
+	}
+	t.RecordNoResponse(time.Now())
+	rl.options.Poison.RecordDialError(t.ID(), err)
+	if !rl.options.Disabled.Targets {
+		rl.options.TargetStats.ObserveResponse(t.ID(), service, false, time.Now())
+	}
+}
+
 // recordResponsive records that a target responded, if only by accepting a connection.
 func (rl *Relay) recordResponsive(t *roster.Target) {
 	if rl.options.Roster.RecordResponsive(t, time.Now()) {
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -70,14 +70,16 @@
 func (p *proxiedRequest) classifyReadError(c *choice, err error) outcome {
 	p.note("%v", errors.Cause(err))
 	now := time.Now()
-	p.recordResponse(c, false)
+	if !errors.Is(err, target.ErrDetourLost) {
+		p.recordResponse(c, false)
+	}
 	switch {
 	case callerDisconnected(p.r.Context()):
 		return outcomeCallerDisconnected
 	case !now.Before(p.deadline):
 		return outcomeTimedOut
 	}
-	p.recordDisconnect(c)
+	p.recordDisconnect(c, err)
 	return outcomeIncomplete
 }
 
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -54,8 +54,9 @@
 	// attempts counts the attempts that reached a target or may have, executions those of them that
 	// the target may have executed.
 	attempts, executions int
-	// slowOpens counts the attempts that were abandoned because the connection was slow to open.
-	slowOpens int
+	// slowOpens counts the attempts that were abandoned because the connection was slow to open, and
+	// unopened those whose connection failed to open.
+	slowOpens, unopened int
 	// lastTarget is the target of the last attempt.
 	lastTarget *roster.Target
 	// headerSent is set once the header of a response has been passed on.
@@ -67,9 +68,9 @@
 	// skipped lists targets that the last choice skipped for their self-reported state, with the
 	// reasons.
 	skipped []string
-	// full is the number of targets that the last choice found full, unopened that of those to which
+	// full is the number of targets that the last choice found full, notOpen that of those to which
 	// connections are only being opened.
-	full, unopened int
+	full, notOpen int
 	// rateLimited is a target that the last choice skipped for its rate limit, or nil.
 	rateLimited *roster.Target
 	// expectedWait is the expected time to an answer from the last choice. Without a choice it is
@@ -115,7 +116,6 @@
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.deadline.Add(deadlineMargin))
 	defer cancel()
 	var failed *bufferedResponse
-	unreachable := 0
 	for {
 		c, reason := p.waitForChoice(ctx)
 		if c == nil {
@@ -141,7 +141,8 @@
 			// maxSlowOpens bounds their number.
 		case outcomeNotSent:
 			// The target received nothing, so another one may serve the request.
-			if unreachable++; unreachable >= maxUnreachable {
+			if p.unopened++; p.unopened >= maxUnreachable {
+				p.expectPartition()
 				return p.giveUp(failed, "no target can be reached")
 			}
 		case outcomeRejected, outcomeIncomplete, outcomeFailed:
@@ -153,6 +154,14 @@
 	}
 }
 
+// expectPartition expects that this box remains without a path to any target for as long as it has been,
+// if it is partitioned and no other box opens connections for it.
+func (p *proxiedRequest) expectPartition() {
+	if pool := p.relay.options.Pool; pool.Partitioned() {
+		p.expectedWait = pool.SinceArrival()
+	}
+}
+
 // uncountAttempt takes back one attempt at a target.
 func (p *proxiedRequest) uncountAttempt(id string) {
 	if p.tried[id]--; p.tried[id] <= 0 {
@@ -281,8 +290,8 @@
 func (p *proxiedRequest) giveUp(failed *bufferedResponse, reason string) *entry.Refusal {
 	p.noteSkipped()
 	p.note("given up: %s", reason)
-	if p.unopened > 0 {
-		p.note("to %d of %d full targets no connection is open yet", p.unopened, p.full)
+	if p.notOpen > 0 {
+		p.note("to %d of %d full targets no connection is open yet", p.notOpen, p.full)
 	}
 	switch {
 	case p.headerSent:
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -37,6 +37,10 @@
 	// Opened counts the connections opened to targets, OpensRefused the attempts to open one that were
 	// refused, and OpensUnanswered those that got no answer.
 	Opened, OpensRefused, OpensUnanswered *metrics.Counter
+	// DetoursOpened counts the connections to targets that were opened through another box, DetoursFailed
+	// those that none opened, and DetoursForwarded those opened for other boxes. DetouredAttempts counts
+	// the attempts that were answered by way of another box.
+	DetoursOpened, DetoursFailed, DetoursForwarded, DetouredAttempts *metrics.Counter
 	// SlowOpens counts the attempts that were abandoned because the connection took longer to open
 	// than usual, Probes those at a target at which that happened recently. SilentConnections counts
 	// the requests that their target did not acknowledge for some time.
@@ -81,6 +85,8 @@
 		PromptsOnReserved: c("prompts_on_reserved_total"),
 		ReportedShutdown:  c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
 		QueueSeconds: set.NewHistogram("embertally_queue_seconds"), QueueRejected: c("queue_rejected_total"),
+		DetoursOpened: c("detours_opened_total"), DetoursFailed: c("detours_failed_total"),
+		DetoursForwarded: c("detours_forwarded_total"), DetouredAttempts: c("sends_detoured_total"),
 		SlowOpens: c("target_connections_slow_total"), Probes: c("targets_probed_total"),
 		SilentConnections: c("target_connections_silent_total"),
 		Hedges:            c("hedges_total"), HedgesWon: c("hedges_won_total"),
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -141,11 +141,13 @@
 		return outcomeCallerDisconnected
 	}
 	now := time.Now()
-	p.recordResponse(c, false)
+	if !errors.Is(err, target.ErrDetourLost) {
+		p.recordResponse(c, false)
+	}
 	if !now.Before(p.deadline) {
 		return outcomeTimedOut
 	}
-	p.recordDisconnect(c)
+	p.recordDisconnect(c, err)
 	if p.headerSent && p.route.Resumable {
 		p.relay.options.Stats.StreamsResumed.Inc()
 		p.relay.options.Log.Emit(event.StreamResumed, p.ref(), "after event "+p.lastEventID+": "+err.Error())
--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -36,8 +36,14 @@
 type poolConn struct {
 	pool    *Pool
 	address string
-	tcp     *net.TCPConn
-	r       *bufio.Reader
+	// stream carries requests; tcp is the connection under it.
+	stream net.Conn
+	tcp    *net.TCPConn
+	r      *bufio.Reader
+	// box is the box that the connection leads through, and detour reads what arrives by way of it;
+	// empty and nil for a direct connection.
+	box    string
+	detour *DetourReader
 	// lastUsed is when the last request on it ended, or when it was first kept without one; zero if
 	// it was never kept.
 	lastUsed time.Time
@@ -50,16 +56,16 @@
 
 // openInGroup opens a connection, which reserve has counted.
 func (p *Pool) openInGroup(ctx context.Context, address, group string) (*poolConn, error) {
-	d := net.Dialer{
-		Timeout: openTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error { return c.Control(setUserTimeout) },
-	}
 	start := time.Now()
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := dialer().DialContext(ctx, "tcp", address)
 	elapsed := time.Since(start)
+	switch {
+	case err == nil:
+		p.pathWorks(address)
+	case ctx.Err() == nil:
+		p.countFailure(err)
+		p.pathFailed(address, true)
+	}
 	p.recordOpen(address, elapsed, err)
 	if err == nil && group != "" {
 		p.learnOpenTime(group, elapsed)
@@ -71,11 +77,37 @@
 		p.Opened.Inc()
 	}
 	return &poolConn{
-		pool: p, address: address, tcp: conn.(*net.TCPConn),
-		r: bufio.NewReaderSize(conn, readBufferSize),
+		pool: p, address: address, stream: conn, tcp: conn.(*net.TCPConn),
+		r: bufio.NewReaderSize(arrivalConn{conn, &p.arrivals}, readBufferSize),
 	}, nil
 }
 
+// dialer returns the dialer for connections to targets.
+func dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: openTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error { return c.Control(setUserTimeout) },
+	}
+}
+
+// arrivalConn is a direct connection that records when something arrives.
+type arrivalConn struct {
+	net.Conn
+	arrivals *arrivals
+}
+
+// Read implements net.Conn.
+func (c arrivalConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.arrivals.record()
+	}
+	return n, err
+}
+
 // recordOpen records the result of opening a connection.
 func (p *Pool) recordOpen(address string, elapsed time.Duration, err error) {
 	p.poolMu.Lock()
@@ -84,7 +116,6 @@
 	state.opening--
 	switch {
 	case err != nil:
-		p.countFailure(err)
 		state.open--
 		p.forget(address, state)
 	case state.roundTrip == 0 || elapsed < state.roundTrip:
@@ -153,10 +184,17 @@
 
 // run calls onSilent if the target does not acknowledge.
 func (s silenceCheck) run() {
-	if info := s.conn.info(); info != nil && unacknowledged(info) {
-		s.conn.pool.closeSilent(s.conn.address, s.sent)
-		s.onSilent()
+	info, p := s.conn.info(), s.conn.pool
+	if info == nil || !unacknowledged(info) {
+		return
 	}
+	if s.conn.box != "" {
+		p.Detour.RecordLost(s.conn.box)
+		return
+	}
+	p.pathFailed(s.conn.address, false)
+	p.closeSilent(s.conn.address, s.sent)
+	s.onSilent()
 }
 
 // unacknowledged reports whether bytes were sent again and are still not acknowledged.
@@ -164,6 +202,9 @@
 
 // isDead reports whether the target closed the connection or sent bytes that belong to no request.
 func (c *poolConn) isDead() bool {
+	if c.detour != nil && c.detour.Buffered() > 0 {
+		return true
+	}
 	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return true
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -29,6 +29,15 @@
 	// NewConnection means that no idle connection is used, since the target may no longer respond
 	// on it.
 	NewConnection bool
+	// Target is the ID of the target, by which another box knows it. Empty means that the request goes
+	// to its address only.
+	Target string
+	// SecondOpen means that another connection for the same request did not open before, so that a
+	// connection through another box is tried as soon as this one does not open either.
+	SecondOpen bool
+	// OnVerdict, if set, is called by another goroutine when another box has found out whether a target
+	// that this one could not connect to is reachable: err is nil if it is, and else tells how it failed.
+	OnVerdict func(err error)
 	// Group names the targets whose connections are expected to take equally long to open.
 	Group string
 	// ReplaceSlowOpen means that Send fails with ErrSlowOpen if the connection takes longer to open
@@ -64,6 +73,19 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.cause }
 
+// unverifiedError is a failure to open a connection that may be due to this box's own path.
+type unverifiedError struct{ error }
+
+// Unwrap returns the failure.
+func (e unverifiedError) Unwrap() error { return e.error }
+
+// Unverified reports whether an error tells about this box's path to a target rather than about the
+// target.
+func Unverified(err error) bool {
+	var u unverifiedError
+	return errors.As(err, &u) || errors.Is(err, ErrDetourLost)
+}
+
 // MayHaveArrived reports whether a failed request may have reached its target.
 func MayHaveArrived(err error) bool {
 	var s *SendError
@@ -85,6 +107,8 @@
 	body   io.Reader
 	// conn is nil once the exchange has been closed.
 	conn *poolConn
+	// box is the box that the connection leads through, or "".
+	box string
 	// stopCancel detaches the connection from the context, and reports false if the context had
 	// ended before.
 	stopCancel func() bool
@@ -103,10 +127,17 @@
 		resp.complete = true
 	default:
 		resp.failed = true
+		var timeout net.Error
+		if resp.conn != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+			resp.conn.pool.connectionFailed(resp.conn, err)
+		}
 	}
 	return n, err
 }
 
+// Box returns the box that the response came by way of, or "".
+func (resp *Response) Box() string { return resp.box }
+
 // awaitBodyBuffer is the size of the buffer for the start of a body: reads of larger buffers bypass
 // it afterwards.
 const awaitBodyBuffer = 512
@@ -210,6 +241,6 @@
 	if len(w.req.Body) > 0 {
 		parts = append(parts, w.req.Body)
 	}
-	_, err := parts.WriteTo(w.conn.tcp)
+	_, err := parts.WriteTo(w.conn.stream)
 	return errors.WithStack(err)
 }
--- a/core/target/open.go
+++ b/core/target/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,50 @@
 
 // openFor opens a connection for a request, which reserve has counted.
 func (p *Pool) openFor(ctx context.Context, address string, req *Request) (*poolConn, error) {
+	if !p.hasDetour(req) {
+		return p.openDirect(ctx, address, req)
+	}
+	if p.needsDetour(address) {
+		conn, err := p.openDetour(ctx, address, req.Target)
+		if !errors.Is(err, ErrNoDetour) {
+			return conn, p.detourOpened(req, err)
+		}
+		p.reserveExtra(address)
+	}
+	conn, err := p.openDirect(ctx, address, req)
+	if err == nil || ctx.Err() != nil {
+		return conn, err
+	}
+	if req.SecondOpen || p.Partitioned() {
+		p.reserveExtra(address)
+		conn, detourErr := p.openDetour(ctx, address, req.Target)
+		if detourErr != nil {
+			detourErr = joinErrors(err, detourErr)
+		}
+		return conn, p.detourOpened(req, detourErr)
+	}
+	if !errors.Is(err, ErrSlowOpen) {
+		p.verify(address, req, err)
+	}
+	return nil, unverifiedError{err}
+}
+
+// detourOpened reports the result of opening a connection through another box for a request.
+func (p *Pool) detourOpened(req *Request, err error) error {
+	switch {
+	case err == nil:
+		if req.OnOpen != nil {
+			req.OnOpen(false, nil)
+		}
+		return nil
+	case aboutTarget(err), errors.Is(err, ErrNoDetour), errors.Is(err, syscall.ECONNREFUSED):
+		return err
+	}
+	return unverifiedError{err}
+}
+
+// openDirect opens a direct connection for a request.
+func (p *Pool) openDirect(ctx context.Context, address string, req *Request) (*poolConn, error) {
 	if !req.ReplaceSlowOpen {
 		conn, err := p.openInGroup(ctx, address, req.Group)
 		if req.OnOpen != nil {
@@ -50,19 +95,22 @@
 		}
 		return conn, err
 	}
+	dialCtx, cancel := context.WithCancel(context.Background())
 	o := opener{
-		pool: p, address: address, group: req.Group, onOpen: req.OnOpen,
+		pool: p, address: address, req: req, cancel: cancel,
 		result: make(chan openResult), abandoned: make(chan struct{}),
 	}
-	go o.run()
+	go o.run(dialCtx)
 	return o.wait(ctx, p.OpenLimit(address, req.Group))
 }
 
 // opener opens one connection, also beyond the time that its request waits.
 type opener struct {
-	pool           *Pool
-	address, group string
-	onOpen         func(late bool, err error)
+	pool    *Pool
+	address string
+	req     *Request
+	// cancel ends the opening.
+	cancel context.CancelFunc
 	// result is received by the request, unless abandoned is closed.
 	result    chan openResult
 	abandoned chan struct{}
@@ -76,8 +124,9 @@
 
 // run opens the connection. It does not end with the request's context: that the target responds
 // after all is worth knowing for other requests, and openTimeout bounds it.
-func (o *opener) run() {
-	conn, err := o.pool.openInGroup(context.Background(), o.address, o.group)
+func (o *opener) run(ctx context.Context) {
+	defer o.cancel()
+	conn, err := o.pool.openInGroup(ctx, o.address, o.req.Group)
 	select {
 	case o.result <- openResult{conn, err}:
 		return
@@ -86,8 +135,39 @@
 	if err == nil {
 		o.pool.putUnused(conn)
 	}
-	if o.onOpen != nil {
-		o.onOpen(true, err)
+	if ctx.Err() != nil {
+		// Another one goes on.
+		return
+	}
+	o.pool.endAbandoned(o.address)
+	switch {
+	case err != nil && o.pool.hasDetour(o.req):
+		o.pool.verify(o.address, o.req, err)
+	case o.req.OnOpen != nil:
+		o.req.OnOpen(true, err)
+	}
+}
+
+// abandonOpening lets the connection open in the background. One that does so is enough to learn whether
+// the target responds; further ones would take up the target's connections.
+func (o *opener) abandonOpening() {
+	o.pool.poolMu.Lock()
+	defer o.pool.poolMu.Unlock()
+	defer close(o.abandoned)
+	state := o.pool.state(o.address)
+	if state.abandoned > 0 {
+		o.cancel()
+		return
+	}
+	state.abandoned++
+}
+
+// endAbandoned records that a connection that was abandoned has opened or failed.
+func (p *Pool) endAbandoned(address string) {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	if state := p.addresses[address]; state != nil {
+		state.abandoned--
 	}
 }
 
@@ -100,12 +180,12 @@
 		start := time.Now()
 		select {
 		case r := <-o.result:
-			if o.onOpen != nil {
-				o.onOpen(false, r.err)
+			if o.req.OnOpen != nil {
+				o.req.OnOpen(false, r.err)
 			}
 			return r.conn, r.err
 		case <-ctx.Done():
-			close(o.abandoned)
+			o.abandonOpening()
 			return nil, errors.WithStack(ctx.Err())
 		case <-timer.C:
 		}
@@ -120,12 +200,13 @@
 func (o *opener) abandon() (*poolConn, error) {
 	select {
 	case r := <-o.result:
-		if o.onOpen != nil {
-			o.onOpen(false, r.err)
+		if o.req.OnOpen != nil {
+			o.req.OnOpen(false, r.err)
 		}
 		return r.conn, r.err
 	default:
-		close(o.abandoned)
+		o.abandonOpening()
+		o.pool.pathFailed(o.address, false)
 		return nil, errors.WithStack(ErrSlowOpen)
 	}
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -23,10 +23,18 @@
 	// Opened, if set, counts the connections that were opened. Refused counts attempts to open one that
 	// were refused, and Unanswered those that got no answer at all.
 	Opened, Refused, Unanswered interface{ Inc() }
+	// Detour, if set, opens connections where this box's own path to a target is broken.
+	Detour Detour
+	// OnPartitioned, if set, is called at intervals with the result of Partitioned while paths are
+	// failing, by one goroutine at a time.
+	OnPartitioned func(partitioned bool)
+
+	arrivals arrivals
 
 	poolMu    sync.Mutex
 	addresses map[string]*addressState // guarded by poolMu
 	openTimes map[string]*openTimes    // by Request.Group; guarded by poolMu
+	searching bool                     // a pathSearch runs; guarded by poolMu
 }
 
 // addressState is the state of the connections to one address.
@@ -44,6 +52,11 @@
 	roundTrip time.Duration
 	// respondedAt is when a response last began on any connection.
 	respondedAt time.Time
+	path        path
+	// abandoned is the number of connections being opened that no request waits for.
+	abandoned int
+	// verifying is set while a verifier runs.
+	verifying bool
 	// removed is set from CloseIdle until the next request: no connection is kept.
 	removed bool
 }
@@ -175,6 +188,7 @@
 	}
 	resp := &Response{conn: conn, written: make(chan error, 1)}
 	start := time.Now()
+	resp.box = conn.box
 	resp.stopCancel = context.AfterFunc(ctx, func() { conn.tcp.SetDeadline(time.Unix(1, 0)) })
 	w := writer{conn, req, resp.written}
 	if len(req.Body) <= maxDirectWrite {
@@ -189,8 +203,11 @@
 		early := !conn.lastUsed.IsZero() && time.Since(start) < p.roundTrip(conn)
 		resp.failed = true
 		resp.Close()
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		switch {
+		case errors.Is(ctx.Err(), context.DeadlineExceeded):
 			p.closeSilent(address, start)
+		case ctx.Err() == nil:
+			p.connectionFailed(conn, err)
 		}
 		if c := context.Cause(ctx); c != nil {
 			err = c
@@ -210,6 +227,16 @@
 	}
 }
 
+// connectionFailed records that a connection broke under a request.
+func (p *Pool) connectionFailed(conn *poolConn, err error) {
+	switch {
+	case conn.box == "":
+		p.pathFailed(conn.address, false)
+	case errors.Is(err, ErrDetourLost):
+		p.Detour.RecordLost(conn.box)
+	}
+}
+
 // closeSilent closes the idle connections to an address that have been unused since before a request
 // that was not answered, unless another one was answered meanwhile: the connections may carry nothing
 // any more, and each would cost a request.
@@ -231,8 +258,9 @@
 	p.forget(address, state)
 }
 
-// Connect opens a connection to an address and keeps it for the next request.
-func (p *Pool) Connect(ctx context.Context, address string) error {
+// Connect opens a connection to a target at an address and keeps it for the next request. If that
+// fails, it tries to open one through another box; the error is that of Send.
+func (p *Pool) Connect(ctx context.Context, address, target string) error {
 	p.poolMu.Lock()
 	state := p.state(address)
 	state.removed = false
@@ -246,6 +274,15 @@
 		return errors.WithStack(ErrFull)
 	}
 	conn, err := p.open(ctx, address)
+	if err != nil && p.Detour != nil {
+		var detourErr error
+		p.reserveExtra(address)
+		if conn, detourErr = p.openDetour(ctx, address, target); detourErr != nil {
+			err = joinErrors(err, detourErr)
+		} else {
+			err = nil
+		}
+	}
 	if err != nil {
 		return err
 	}
@@ -302,10 +339,15 @@
 	if maxIdle > 0 {
 		maxIdleTime = min(maxIdleTime, maxIdle)
 	}
-	for len(state.idle) > 0 && (!onlyNew || (state.maxOpen > 0 && state.open >= state.maxOpen)) {
-		conn := state.idle[len(state.idle)-1]
-		state.idle = state.idle[:len(state.idle)-1]
-		if !onlyNew && time.Since(conn.lastUsed) < maxIdleTime && !conn.isDead() {
+	partitioned := p.partitioned()
+	for i := len(state.idle) - 1; i >= 0 && (!onlyNew || (state.maxOpen > 0 && state.open >= state.maxOpen)); i-- {
+		conn := state.idle[i]
+		if partitioned && conn.box == "" && !onlyNew {
+			// It may carry requests again once the box has its paths back.
+			continue
+		}
+		state.idle = slices.Delete(state.idle, i, i+1)
+		if !onlyNew && time.Since(conn.lastUsed) < maxIdleTime && !conn.isDead() && p.fits(conn, state, partitioned) {
 			return conn, false
 		}
 		conn.tcp.Close()
@@ -319,6 +361,15 @@
 	return nil, true
 }
 
+// fits reports whether a connection leads to the target the way that is to be used: through another box
+// only while this box's own path is failing, and that box still works. It is called with poolMu held.
+func (p *Pool) fits(conn *poolConn, state *addressState, partitioned bool) bool {
+	if conn.box == "" {
+		return true
+	}
+	return (partitioned || !state.path.failedAt.IsZero()) && p.Detour.Usable(conn.box)
+}
+
 // closeConn closes a connection and no longer counts it as open.
 func (p *Pool) closeConn(conn *poolConn) {
 	conn.tcp.Close()
--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -193,22 +192,9 @@
 func (l *Link) dial(ctx context.Context) (*clientConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var nd net.Dialer
-	conn, err := nd.DialContext(ctx, "tcp", l.address)
+	conn, err := connect(ctx, l.peer, l.address, l.tls)
 	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	if l.tls != nil {
-		tc := tls.Client(conn, l.tls())
-		if err := tc.HandshakeContext(ctx); err != nil {
-			conn.Close()
-			return nil, errors.Wrap(err, "handshake")
-		}
-		if !slices.Contains(certNames(tc), l.peer) {
-			conn.Close()
-			return nil, errors.Errorf("certificate of %s does not contain the name %q", l.address, l.peer)
-		}
-		conn = tc
+		return nil, err
 	}
 	d := newClientConn(l, conn)
 	if err := l.send(d, &envelope{Kind: kindHello}, l.name); err != nil {
--- a/core/wire/mux.go
+++ b/core/wire/mux.go
@@ -35,6 +35,8 @@
 type Mux struct {
 	// handlers are the handlers by kind; filled before Serve and only read afterwards.
 	handlers map[Kind]Handler
+	// streams are the handlers of requests to open streams, by kind; as handlers.
+	streams map[Kind]StreamHandler
 	// OnReject, if set, is called for each connection that is rejected because the peer did not
 	// prove its name.
 	OnReject func(address string, err error)
@@ -174,6 +176,11 @@
 			return
 		}
 		s.mux.bytes.Add(int64(n))
+		if h := s.mux.streams[e.Kind]; h != nil {
+			// Nothing follows the request until it is accepted, so that r is empty.
+			s.serveStream(ctx, h, e)
+			return
+		}
 		s.slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-s.slots }()
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -179,8 +179,8 @@
 // dialTimeout bounds the opening of a connection to a target whose last connection broke.
 const dialTimeout = time.Second
 
-// tryDial opens a connection to an address and closes it.
-func tryDial(ctx context.Context, address string) error {
+// tryDial opens a connection to the address of a target and closes it.
+func tryDial(ctx context.Context, address, _ string) error {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return errors.WithStack(err)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -21,6 +21,7 @@
 	"embertally.dev/core/cache"
 	"embertally.dev/core/canary"
 	"embertally.dev/core/clock"
+	"embertally.dev/core/detour"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/learn"
@@ -75,20 +76,23 @@
 	firstAnswerTimes *learn.Times
 	targetStats      learn.Targets
 	pool             *target.Pool
-	relay            *relay.Relay
-	contextOwners    *relay.ContextOwners
-	poison           *poison.Guard
-	canary           canary.Guard
-	rollouts         *canary.Controller
-	leaderships      []*lease.Timed
-	cellLeadership   *cellLeadership
-	weightUpdater    *order.WeightUpdater
-	updateNotifier   *spread.WeightUpdateNotifier
-	sweeper          *cache.Sweeper
-	presence         *lease.Presence
-	desired          desiredWeights
-	applied          *spread.AppliedValues
-	firstTable       firstTable
+	detours          *detour.Boxes
+	// partitioned is the last result of recordPartition.
+	partitioned    atomic.Bool
+	relay          *relay.Relay
+	contextOwners  *relay.ContextOwners
+	poison         *poison.Guard
+	canary         canary.Guard
+	rollouts       *canary.Controller
+	leaderships    []*lease.Timed
+	cellLeadership *cellLeadership
+	weightUpdater  *order.WeightUpdater
+	updateNotifier *spread.WeightUpdateNotifier
+	sweeper        *cache.Sweeper
+	presence       *lease.Presence
+	desired        desiredWeights
+	applied        *spread.AppliedValues
+	firstTable     firstTable
 	// incarnationCheck receives when the first snapshot of a store incarnation has been read; its
 	// capacity is 1.
 	incarnationCheck chan struct{}
@@ -150,6 +154,11 @@
 	h.storeIndexes = cache.NewStoreIndexes(h.storeIndexSync, h.log)
 	h.storeIndexSync.Serve(h.storeIndexes)
 	h.pool = &target.Pool{Opened: h.stats.Opened, Refused: h.stats.OpensRefused, Unanswered: h.stats.OpensUnanswered}
+	h.detours = detour.New(detour.Options{
+		Domain: settings.Domain, Fleet: h.fleet, Pool: h.pool, Locate: h.locateTarget,
+		Opened: h.stats.DetoursOpened, Failed: h.stats.DetoursFailed, Forwarded: h.stats.DetoursForwarded,
+	})
+	h.pool.OnPartitioned = h.recordPartition
 	h.daemonCounter.view = h.fleet.View
 	h.poison = poison.New(poison.Options{Fleet: h.fleet, Dial: h.pool.Connect, Log: h.log, Store: h.store, WatchCache: h.watchCache})
 	h.roster.Removed = h.incarnationRemoved
@@ -168,6 +177,29 @@
 	return h
 }
 
+// locateTarget returns the address and the failure domain of a listed target.
+func (h *Host) locateTarget(id string) (address, domain string, listed bool) {
+	t := h.roster.Target(id)
+	if t == nil {
+		return "", "", false
+	}
+	e := t.Entry()
+	return e.Address, e.Domain, true
+}
+
+// recordPartition records whether this box seems to have lost its paths to all targets.
+func (h *Host) recordPartition(partitioned bool) {
+	if h.partitioned.Swap(partitioned) == partitioned {
+		return
+	}
+	if partitioned {
+		h.log.Emit(event.TargetsUnreachable, event.Ref{}, "connections are opened through other boxes")
+	} else {
+		h.log.Emit(event.TargetsReachable, event.Ref{}, "")
+	}
+	h.fleet.TriggerHeartbeat()
+}
+
 // targetRank returns this daemon's rank, from 0, among the daemons that may choose a target, and the
 // number of these daemons.
 func (h *Host) targetRank(t *roster.Target) (rank, daemons int) {
--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -63,6 +63,7 @@
 	h.draining.Store(true)
 	h.relay.CloseConnections()
 	h.fleet.Drain()
+	h.detours.Close()
 	h.log.Emit(event.DaemonDraining, event.Ref{}, "")
 	deadline := started.Add(h.settings.Bounds.Stop - stopMargin)
 	for time.Now().Before(deadline) {
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -87,6 +87,14 @@
 	return float64(t.Version())
 }
 
+// boolValue returns 1 for true and 0 for false.
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // registerGauges registers the metrics that are computed when they are read.
 func (h *Host) registerGauges() {
 	for _, g := range []struct {
@@ -111,6 +119,11 @@
 		{"targets_limited", func() float64 { return float64(len(h.roster.RateLimitedTargets())) }},
 		{"targets_slow_to_connect", func() float64 { return float64(h.roster.SlowCount(time.Now())) }},
 		{"target_connections_opening", func() float64 { return float64(h.pool.Opening()) }},
+		{"target_paths_broken", func() float64 { return float64(h.pool.BrokenPaths()) }},
+		{"targets_unreachable", func() float64 { return boolValue(h.partitioned.Load()) }},
+		{"peers_without_targets", func() float64 { return float64(h.detours.PartitionedPeers()) }},
+		{"detours_open", func() float64 { return float64(h.detours.OpenConnections()) }},
+		{"detours_forwarded", func() float64 { return float64(h.detours.Forwarded()) }},
 		{"targets_ended_total", func() float64 { return float64(h.poison.CrashCount()) }},
 		{"targets_listed", func() float64 { listed, _ := h.roster.Sizes(); return float64(listed) }},
 		{"targets_guests", func() float64 { _, external := h.roster.Sizes(); return float64(external) }},
