--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -182,6 +182,19 @@
 	return &countedConn{Conn: conn, onClose: sync.OnceFunc(func() { b.addOpen(box, -1) })}, opened
 }
 
+// closeInterval is the interval at which idle connections through other boxes are checked.
+const closeInterval = 200 * time.Millisecond
+
+// Run closes idle connections that are not needed any more, or whose box shuts down or is lost, until
+// ctx ends.
+func (b *Boxes) Run(ctx context.Context) {
+	wait.Every(ctx, closeInterval, func() {
+		if b.OpenConnections() > 0 {
+			b.o.Pool.CloseDetours()
+		}
+	})
+}
+
 // countedConn is a connection that is counted until it is closed.
 type countedConn struct {
 	net.Conn
--- /dev/null
+++ b/core/detour/detour_test.go
@@ -0,0 +1,199 @@
+package detour
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/target"
+)
+
+// counter is a counter that nobody reads.
+type counter struct{}
+
+func (counter) Inc() {}
+
+// boxesRig is a fleet of boxes that forward connections for each other.
+type boxesRig struct {
+	t      *testing.T
+	g      *gomega.WithT
+	boxes  []*Boxes
+	fleets []*fleet.Fleet
+	stop   []context.CancelFunc
+
+	mu sync.Mutex // guards targets
+	// targets holds, for each box, the addresses at which it reaches the targets.
+	targets []map[string]string
+}
+
+// newBoxesRig starts a box in each of some domains.
+func newBoxesRig(t *testing.T, domains ...string) *boxesRig {
+	r := &boxesRig{t: t, g: gomega.NewWithT(t)}
+	var seeds []fleet.Peer
+	var listeners []net.Listener
+	for i, domain := range domains {
+		l := r.listen()
+		listeners = append(listeners, l)
+		seeds = append(seeds, fleet.Peer{Name: fmt.Sprintf("box-%d", i), Address: l.Addr().String(), Domain: domain})
+	}
+	var wg sync.WaitGroup
+	t.Cleanup(wg.Wait)
+	for i, seed := range seeds {
+		f := fleet.New(fleet.Options{
+			Name: seed.Name, Incarnation: seed.Name, Domain: seed.Domain, Address: seed.Address, Seeds: seeds,
+			HeartbeatInterval: 50 * time.Millisecond, SuspectAfter: 10 * time.Second, Log: &event.Log{},
+		})
+		addresses := map[string]string{}
+		b := New(Options{
+			Domain: seed.Domain, Fleet: f, Pool: &target.Pool{}, Opened: counter{}, Failed: counter{}, Forwarded: counter{},
+			Locate: func(id string) (string, string, bool) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				address, listed := addresses[id]
+				return address, "", listed
+			},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		wg.Go(func() { f.Run(ctx, listeners[i]) })
+		r.boxes, r.fleets, r.stop, r.targets = append(r.boxes, b), append(r.fleets, f), append(r.stop, cancel), append(r.targets, addresses)
+	}
+	for _, f := range r.fleets {
+		r.g.Eventually(func() int { return len(f.View().Eligible()) }, "30s", "10ms").Should(gomega.Equal(len(domains)))
+	}
+	return r
+}
+
+func (r *boxesRig) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	return l
+}
+
+// locate sets the address at which a box reaches a target; "" removes it from the box's list.
+func (r *boxesRig) locate(box int, id, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if address == "" {
+		delete(r.targets[box], id)
+		return
+	}
+	r.targets[box][id] = address
+}
+
+// echo starts a target that sends back what it receives, and returns its address. closed receives when a
+// connection to it ends.
+func (r *boxesRig) echo(closed chan<- struct{}) string {
+	l := r.listen()
+	r.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				// An error ends the connection as its end does.
+				_, _ = io.Copy(c, c)
+				c.Close()
+				closed <- struct{}{}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// closedAddress returns an address that refuses connections.
+func (r *boxesRig) closedAddress() string {
+	l := r.listen()
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func TestBytesPassThroughTheNearestBoxThatReachesTheTarget(t *testing.T) {
+	const id = "t-1"
+	for _, tc := range []struct {
+		name string
+		// prepare sets how boxes 1 and 2 reach the target; box 1 is in the domain of box 0.
+		prepare func(r *boxesRig, address string)
+		box     string
+		err     error
+	}{
+		{"same domain", func(r *boxesRig, a string) { r.locate(1, id, a); r.locate(2, id, a) }, "box-1", nil},
+		{"not listed there", func(r *boxesRig, a string) { r.locate(2, id, a) }, "box-2", nil},
+		{"stops", func(r *boxesRig, a string) { r.locate(1, id, a); r.locate(2, id, a); r.boxes[1].Close() }, "box-2", nil},
+		{"partitioned", func(r *boxesRig, a string) { r.locate(1, id, a); r.locate(2, id, a); r.boxes[0].Receive("box-1", nil) }, "box-2", nil},
+		{"refused in one domain only", func(r *boxesRig, a string) { r.locate(1, id, r.closedAddress()); r.locate(2, id, a) }, "box-2", nil},
+		{"refused everywhere", func(r *boxesRig, _ string) { r.locate(1, id, r.closedAddress()); r.locate(2, id, r.closedAddress()) }, "", target.ErrTargetRefused},
+		{"listed nowhere", func(*boxesRig, string) {}, "", errNoBox},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newBoxesRig(t, "a", "a", "b")
+			closed := make(chan struct{}, 1)
+			tc.prepare(r, r.echo(closed))
+			conn, box, err := r.boxes[0].Open(context.Background(), id)
+			r.g.Expect(box).To(gomega.Equal(tc.box))
+			if tc.err != nil {
+				r.g.Expect(errors.Is(err, tc.err)).To(gomega.BeTrue(), "%v", err)
+				return
+			}
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = conn.Write([]byte("hello"))
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			got := make([]byte, 5)
+			_, err = io.ReadFull(target.NewDetourReader(conn), got)
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(string(got)).To(gomega.Equal("hello"))
+			// A caller that leaves ends the work of the target.
+			r.g.Expect(conn.Close()).To(gomega.Succeed())
+			r.g.Eventually(closed, "30s").Should(gomega.Receive())
+			r.g.Eventually(func() int { return r.boxes[1].Forwarded() + r.boxes[2].Forwarded() }, "30s", "10ms").Should(gomega.BeZero())
+			r.g.Expect(r.boxes[0].OpenConnections()).To(gomega.BeZero())
+		})
+	}
+}
+
+func TestLossOfTheBoxInBetweenIsNotTheEndOfTheTarget(t *testing.T) {
+	r := newBoxesRig(t, "a", "b")
+	r.locate(1, "t-1", r.echo(make(chan struct{}, 1)))
+	conn, _, err := r.boxes[0].Open(context.Background(), "t-1")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	r.stop[1]()
+	_, err = io.ReadAll(target.NewDetourReader(conn))
+	r.g.Expect(errors.Is(err, target.ErrDetourLost)).To(gomega.BeTrue(), "%v", err)
+}
+
+func TestNoDetourWithoutPeers(t *testing.T) {
+	r := newBoxesRig(t, "a")
+	_, _, err := r.boxes[0].Open(context.Background(), "t-1")
+	r.g.Expect(errors.Is(err, target.ErrNoDetour)).To(gomega.BeTrue())
+}
+
+// A box forwards for others up to a bound, so that its own callers keep their share.
+func TestForwardedConnectionsAreBounded(t *testing.T) {
+	r := newBoxesRig(t, "a", "b")
+	server := &http.Server{}
+	l := r.listen()
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	r.locate(1, "t-1", l.Addr().String())
+	for range maxForwarded {
+		conn, verdict := r.boxes[0].openThrough(context.Background(), "box-1", "t-1")
+		r.g.Expect(verdict).To(gomega.Equal(opened))
+		t.Cleanup(func() { conn.Close() })
+	}
+	_, verdict := r.boxes[0].openThrough(context.Background(), "box-1", "t-1")
+	r.g.Expect(verdict).To(gomega.Equal(cannotTell))
+	r.g.Expect(r.boxes[1].Forwarded()).To(gomega.Equal(maxForwarded))
+}
--- /dev/null
+++ b/core/target/detour_test.go
@@ -0,0 +1,214 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+)
+
+// An answer without a length that the box in between cut off must not look whole.
+func TestEndOfDetourIsNotTheEndOfTheAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		sent []byte
+		want error
+	}{
+		{"closed by the target", []byte{0, 2, 'o', 'k', 0, 0}, nil},
+		{"reset by the target", []byte{0, 2, 'o', 'k', 0xff, 0xff}, syscall.ECONNRESET},
+		{"cut after a chunk", []byte{0, 2, 'o', 'k'}, ErrDetourLost},
+		{"cut in a chunk", []byte{0, 5, 'o', 'k'}, ErrDetourLost},
+		{"cut in a header", []byte{0, 2, 'o', 'k', 0}, ErrDetourLost},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			got, err := io.ReadAll(NewDetourReader(bytes.NewReader(tc.sent)))
+			g.Expect(string(got)).To(gomega.Equal("ok"))
+			g.Expect(errors.Is(err, tc.want)).To(gomega.BeTrue(), "%v", err)
+		})
+	}
+}
+
+// fakeDetour is another box that reaches targets by their addresses, which are their names too.
+type fakeDetour struct {
+	// err is the result if no connection is opened.
+	err    error
+	opened atomic.Int32
+}
+
+func (d *fakeDetour) Open(_ context.Context, address string) (net.Conn, string, error) {
+	if d.err != nil {
+		return nil, "", d.err
+	}
+	d.opened.Add(1)
+	to, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, "", errors.WithStack(ErrTargetRefused)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		return nil, "", err
+	}
+	box, err := l.Accept()
+	if err != nil {
+		return nil, "", err
+	}
+	go func() {
+		ForwardResponses(box, to)
+		box.Close()
+	}()
+	go func() {
+		// An error means that the connection has ended.
+		_, _ = io.Copy(to, box)
+		to.Close()
+	}()
+	return conn, "box", nil
+}
+
+func (*fakeDetour) Usable(string) bool { return true }
+
+func (*fakeDetour) RecordLost(string) {}
+
+// pathRig is a pool with targets whose direct paths a test breaks: the pool knows each target by the
+// address of its path.
+type pathRig struct {
+	g      *gomega.WithT
+	pool   *Pool
+	detour *fakeDetour
+	// paths are the addresses of the paths, and targets those behind them.
+	paths, targets []string
+	listeners      []net.Listener
+}
+
+func newPathRig(t *testing.T, targets int) *pathRig {
+	r := &pathRig{g: gomega.NewWithT(t), detour: &fakeDetour{}}
+	r.pool = &Pool{Detour: r.detour}
+	for range targets {
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") })}
+		for _, addresses := range []*[]string{&r.paths, &r.targets} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			*addresses = append(*addresses, l.Addr().String())
+			if addresses == &r.paths {
+				r.listeners = append(r.listeners, l)
+			}
+			go server.Serve(l)
+		}
+		t.Cleanup(func() { server.Close() })
+	}
+	return r
+}
+
+// send sends a request to a target and returns the box by way of which it was answered.
+func (r *pathRig) send(i int) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := r.pool.Send(ctx, r.paths[i], &Request{
+		Method: "GET", URI: "/", Host: "h", Header: http.Header{}, Target: r.targets[i], ReplaceSlowOpen: true,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(resp)
+	r.g.Expect(string(body)).To(gomega.Equal("yes"))
+	return resp.Box(), err
+}
+
+func TestRequestsReturnToTheDirectPath(t *testing.T) {
+	r := newPathRig(t, 3)
+	for i := range r.paths {
+		box, err := r.send(i)
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+		r.g.Expect(box).To(gomega.BeEmpty())
+	}
+	for i := range r.paths {
+		r.listeners[i].Close()
+		r.pool.CloseIdle(r.paths[i])
+	}
+	failed := 0
+	for n := range 12 {
+		box, err := r.send(n % 3)
+		if err != nil {
+			r.g.Expect(Unverified(err)).To(gomega.BeTrue())
+			failed++
+			continue
+		}
+		r.g.Expect(box).To(gomega.Equal("box"))
+	}
+	r.g.Expect(failed).To(gomega.BeNumerically("<=", 1), "the first failure is not evidence of a partition")
+	r.g.Expect(r.pool.Partitioned()).To(gomega.BeTrue())
+	for i, address := range r.paths {
+		l, err := net.Listen("tcp", address)
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(func() { l.Close() })
+		go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") }))
+		r.g.Eventually(func() (string, error) { return r.send(i) }, "10s", "20ms").Should(gomega.BeEmpty())
+	}
+	r.g.Eventually(r.pool.BrokenPaths, "10s").Should(gomega.BeZero())
+	r.g.Expect(r.pool.Partitioned()).To(gomega.BeFalse())
+}
+
+// A refused connection at a partitioned box was taken for a crash of the target.
+func TestConnectionRefusedHereIsNotRefusedByTheTarget(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		detour  error
+		refused bool
+	}{
+		{"another box connects", nil, false},
+		{"another box is refused", ErrTargetRefused, true},
+		{"no other box can tell", errors.New("none reaches it"), false},
+		{"there is no other box", ErrNoDetour, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newPathRig(t, 1)
+			r.listeners[0].Close()
+			r.detour.err = tc.detour
+			err := r.pool.Connect(context.Background(), r.paths[0], r.targets[0])
+			r.g.Expect(errors.Is(err, syscall.ECONNREFUSED)).To(gomega.Equal(tc.refused), "%v", err)
+			r.g.Expect(err == nil).To(gomega.Equal(tc.detour == nil))
+		})
+	}
+}
+
+func TestVerdictOnATargetThatRefusesHere(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		detour error
+		want   error
+	}{
+		{"reachable", nil, nil},
+		{"refused", ErrTargetRefused, syscall.ECONNREFUSED},
+		{"silent", ErrTargetSilent, ErrTargetSilent},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newPathRig(t, 2)
+			_, err := r.send(0)
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.listeners[1].Close()
+			r.detour.err = tc.detour
+			verdict := make(chan error, 1)
+			_, err = r.pool.Send(context.Background(), r.paths[1], &Request{
+				Method: "GET", URI: "/", Header: http.Header{}, Target: r.targets[1], OnVerdict: func(err error) { verdict <- err },
+			})
+			r.g.Expect(Unverified(err)).To(gomega.BeTrue())
+			var got error
+			r.g.Eventually(verdict, "10s").Should(gomega.Receive(&got))
+			r.g.Expect(errors.Is(got, tc.want)).To(gomega.BeTrue(), "%v", got)
+		})
+	}
+}
--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -60,7 +60,8 @@
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	state := p.state(address)
-	state.path.failedAt = time.Now()
+	p.lastFailedAt = time.Now()
+	state.path.failedAt = p.lastFailedAt
 	state.path.broken = state.path.broken || broken
 	if state.path.broken || p.partitioned() {
 		p.search()
@@ -90,10 +91,10 @@
 
 // partitioned is Partitioned with poolMu held.
 func (p *Pool) partitioned() bool {
-	if p.Detour == nil {
+	last, failed, used := p.arrivals.last(), 0, 0
+	if p.Detour == nil || !p.lastFailedAt.After(last) {
 		return false
 	}
-	last, failed, used := p.arrivals.last(), 0, 0
 	for _, state := range p.addresses {
 		if state.path.failedAt.After(last) {
 			failed++
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -35,6 +35,8 @@
 	addresses map[string]*addressState // guarded by poolMu
 	openTimes map[string]*openTimes    // by Request.Group; guarded by poolMu
 	searching bool                     // a pathSearch runs; guarded by poolMu
+	// lastFailedAt is when a path last failed. Guarded by poolMu.
+	lastFailedAt time.Time
 }
 
 // addressState is the state of the connections to one address.
@@ -113,7 +115,7 @@
 		return
 	}
 	for _, conn := range state.idle {
-		conn.tcp.Close()
+		conn.stream.Close()
 		state.open--
 	}
 	state.idle, state.removed = nil, true
@@ -250,7 +252,7 @@
 	used := func(conn *poolConn) bool { return conn.lastUsed.After(since) }
 	for _, conn := range state.idle {
 		if !used(conn) {
-			conn.tcp.Close()
+			conn.stream.Close()
 			state.open--
 		}
 	}
@@ -350,7 +352,7 @@
 		if !onlyNew && time.Since(conn.lastUsed) < maxIdleTime && !conn.isDead() && p.fits(conn, state, partitioned) {
 			return conn, false
 		}
-		conn.tcp.Close()
+		conn.stream.Close()
 		state.open--
 	}
 	if state.maxOpen > 0 && state.open >= state.maxOpen {
@@ -370,9 +372,28 @@
 	return (partitioned || !state.path.failedAt.IsZero()) && p.Detour.Usable(conn.box)
 }
 
+// CloseDetours closes the idle connections through other boxes that are not needed any more, or whose
+// box is not usable.
+func (p *Pool) CloseDetours() {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	partitioned := p.partitioned()
+	for address, state := range p.addresses {
+		state.idle = slices.DeleteFunc(state.idle, func(conn *poolConn) bool {
+			if p.fits(conn, state, partitioned) && (conn.box == "" || time.Since(conn.lastUsed) < state.keepAlive) {
+				return false
+			}
+			conn.stream.Close()
+			state.open--
+			return true
+		})
+		p.forget(address, state)
+	}
+}
+
 // closeConn closes a connection and no longer counts it as open.
 func (p *Pool) closeConn(conn *poolConn) {
-	conn.tcp.Close()
+	conn.stream.Close()
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	if state := p.addresses[conn.address]; state != nil {
@@ -405,7 +426,7 @@
 		state.keepAlive = d
 	}
 	if state.removed || len(state.idle) >= maxIdle {
-		conn.tcp.Close()
+		conn.stream.Close()
 		state.open--
 		p.forget(conn.address, state)
 		return
--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -69,7 +69,7 @@
 	for time.Now().Before(deadline) {
 		if time.Since(started) > noticeTime {
 			h.relay.RefuseRequests()
-			if h.relay.Running() == 0 {
+			if h.relay.Running() == 0 && h.detours.Forwarded() == 0 {
 				break
 			}
 		}
