A daemon without a path to any target gives up the leases for weight updates

Callers got old weights: of six workers, three stayed on the old version for as long as the daemons that held the leases of their partitions were partitioned from all targets (30 s in the test, without end otherwise). Orders can't go by way of other boxes, since for a target orders from two boxes are orders of two holders. Cause: a lease depended on contact with the coordination store only. A daemon that has had no path to any target for a second, while a peer has one, now releases them; the next holder waits as after any other. TestWeightUpdatesReachWorkersFromWhichTheirDaemonIsPartitioned failed before (3 of 6 workers) and passes.

--- a/emberd/internal/host/leaderships.go
+++ b/emberd/internal/host/leaderships.go
@@ -31,7 +31,7 @@
 		Store: h.store, WatchCache: h.watchCache, Log: h.log,
 		Rank:       func() int { return h.assignmentRank(key) + ranksPerLeadership*h.heldLeaderships() },
 		HasWork:    func() bool { return h.weightUpdater.HasOutdated(partition) },
-		Ineligible: h.ineligible,
+		Ineligible: func() bool { return h.ineligible() || h.reachesNoTarget() },
 	})
 }
 
@@ -84,13 +84,27 @@
 		Key: key, Holder: c.owner, MinGap: h.settings.Bounds.OrderGap, Store: h.store, WatchCache: h.watchCache, Log: h.log, LastContact: h.watchCache.FreshAsOf,
 		Rank:       func() int { return fleet.RankOf(fleet.Key(key), h.fleet.View().ExpectedEligible(), h.settings.Name) },
 		HasWork:    h.weightUpdater.CellHasOutdated,
-		Ineligible: func() bool { return h.ineligible() || !h.weightUpdater.CellHasOutdated() },
+		Ineligible: func() bool {
+			return h.ineligible() || h.reachesNoTarget() || !h.weightUpdater.CellHasOutdated()
+		},
 	})
 }
 
 // ineligible reports whether this daemon must not acquire a lease.
 func (h *Host) ineligible() bool { return h.draining.Load() || time.Since(h.started) < startupDelay }
 
+// leaseReleaseDelay is how long a daemon without a path to any target keeps its leases: their next holder
+// waits, so that a short loss is no reason to pass them on.
+const leaseReleaseDelay = time.Second
+
+// reachesNoTarget reports whether this daemon has been partitioned from all targets for some time while
+// another one is not. Orders are given by a daemon's own connections only: for a target, orders from two
+// boxes are those of two holders.
+func (h *Host) reachesNoTarget() bool {
+	return h.pool.Partitioned() && h.pool.SinceArrival() >= leaseReleaseDelay &&
+		h.detours.PartitionedPeers() < len(h.fleet.View().Eligible())-1
+}
+
 // startupDelay is how long after its start a daemon acquires no lease. Until daemons that start
 // together have found each other, each ranks first for all leases and tries to acquire them, which
 // costs about fifteen billed calls per daemon. The users' boxes start within 0.3 s; a
