Divide the slots of targets that state a limit on rejections among the daemons

While a target of a service states the limit, the daemons divide each target's slots by rank and let no request wait there, so that no message is needed for a send and the sum holds for any number of daemons. A daemon without slots has another one choose, which counts the request until its end. What is known of a stated rate (whose word counts, order, end, peers) is one type for both kinds of rates.

--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -43,6 +43,8 @@
 	ConnectionReplaced Code = 2027
 	TargetsUnreachable Code = 2028
 	TargetsReachable   Code = 2029
+	TargetBrittle      Code = 2030
+	TargetNotBrittle   Code = 2031
 
 	ConfApplied     Code = 3001
 	ConfWritten     Code = 3002
@@ -154,6 +156,8 @@
 	{ConnectionReplaced, "connectionReplaced", Info, "A connection carried nothing any more although nobody had closed it, and another one has replaced it; the text has the other end and the time without a response."},
 	{TargetsUnreachable, "targetsUnreachable", Warning, "Nothing arrives at this daemon from any target; connections are opened through other boxes."},
 	{TargetsReachable, "targetsReachable", Info, "A direct connection to a target works again."},
+	{TargetBrittle, "targetBrittle", Info, "An incarnation of a target reported how many requests a second it may reject for want of room before it fails, whichever daemons sent them; the text has the number and says whether this daemon or a peer received the response. At most one line per second and target."},
+	{TargetNotBrittle, "targetNotBrittle", Info, "An incarnation of a target no longer reports a limit on rejections. At most one line about it per second and target."},
 
 	{ConfApplied, "confApplied", Debug, "A configuration change was applied by this daemon."},
 	{ConfWritten, "confWritten", Info, "A configuration change was committed through this daemon."},
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -92,6 +92,11 @@
 			return remote, ""
 		}
 	}
+	if own == nil && p.sharedTarget != nil {
+		if remote := p.chooseByShare(ctx, svc); remote != nil {
+			return remote, ""
+		}
+	}
 	return own, reason
 }
 
--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -74,6 +74,9 @@
 	BadPushback string
 	// RateLimit is the rate limit that the target states, for all daemons together.
 	RateLimit roster.RateLimit
+	// RejectionLimit is the rate of rejections for want of room, of requests of all daemons together,
+	// over which the target states that it fails.
+	RejectionLimit roster.RateLimit
 }
 
 // Dialect reads and writes the headers used with callers and targets.
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -88,6 +88,14 @@
 			continue
 		}
 		p.limitConnections(svc, candidate.entry.Address, false)
+		if room, limited := availability.Room(t); limited && t.LocalLoad().Running >= room {
+			unavailable.full++
+			if room == 0 {
+				unavailable.withoutShare++
+				unavailable.sharedTarget = t
+			}
+			continue
+		}
 		if candidate.load.Running >= p.maxRunning(svc, candidate.entry) ||
 			p.relay.options.Pool.FreeCapacity(candidate.entry.Address) <= 0 || !p.relay.warmUpAllows(svc, t, shared, false, now) {
 			unavailable.full++
@@ -124,6 +132,10 @@
 	reason := unavailable.reason()
 	p.skipped, p.rateLimited = unavailable.skipped, unavailable.rateLimitedTarget
 	p.notOpen, p.full = unavailable.opening, unavailable.full
+	p.sharedTarget = nil
+	if unavailable.withoutShare == unavailable.full {
+		p.sharedTarget = unavailable.sharedTarget
+	}
 	switch {
 	case len(out) > 0:
 	case reason == allEvacuated:
@@ -155,6 +167,10 @@
 type unavailability struct {
 	full, suspects, outdated, evacuated, outsideRegions, shuttingDown, underPushback, rateLimited,
 	excludedVersions int
+	// withoutShare counts those of full none of whose slots are this daemon's, and sharedTarget is one of
+	// them.
+	withoutShare int
+	sharedTarget *roster.Target
 	// opening counts those of full to which this daemon has no connection, only some being opened.
 	opening int
 	// skipped lists the first few targets that are skipped for their self-reported state, for the
--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -114,6 +114,9 @@
 	// NeedsPermit is set if the sender has no permit for the service's targets. Then a choice is
 	// useful even among targets that the sender uses itself.
 	NeedsPermit bool
+	// CountAs is the name under which the responder counts the choice until its end is reported, because
+	// the sender has no slots of the service's targets; otherwise "".
+	CountAs string
 	// Regions restrict where the request may run.
 	Regions regions
 	// Versions restricts the target versions that the request may go to.
@@ -299,6 +302,25 @@
 	return nil
 }
 
+// chooseByShare returns the choice of another daemon that has slots of a target of which this one has
+// none, or nil. That daemon counts the request among its own.
+func (p *proxiedRequest) chooseByShare(ctx context.Context, svc *table.Service) *choice {
+	now := time.Now()
+	co := p.relay.owners
+	if co == nil || p.relay.options.RankedDaemons == nil || now.Sub(p.permitQueried) < ownerQueryInterval {
+		return nil
+	}
+	p.permitQueried = now
+	peers := co.responsive(p.relay.options.RankedDaemons(p.sharedTarget, max(1, p.sharedTarget.Entry().Slots)), now)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(len(peers), maxOwnerQueries)] {
+		if c := p.chooseByPeers(ctx, svc, []string{peer}, now); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
 // chooseByPeers returns the choice of the first of some daemons that responds, or nil if that has
 // none. The daemons belong to one cell.
 func (p *proxiedRequest) chooseByPeers(ctx context.Context, svc *table.Service, peers []string, now time.Time) *choice {
@@ -350,6 +372,9 @@
 		Regions:   p.regions, Versions: p.versions,
 		RateLimits: p.relay.options.Roster.RateLimits(p.service), NeedsPermit: p.rateLimited != nil,
 	}
+	if p.sharedTarget != nil {
+		request.CountAs = p.relay.owners.newPlacementName()
+	}
 	for _, segment := range p.meta.Segments {
 		request.Segments = append(request.Segments, placementSegment{ID: segment.ID, Tokens: segment.Tokens})
 	}
@@ -383,6 +408,11 @@
 		return nil
 	}
 	c := response.choice(t, p.meta.PromptTokens)
+	if request.CountAs != "" {
+		c.load = roster.Load{Running: 1}
+		c.report = &ownerReport{owners: co, peer: peer, name: request.CountAs, counted: true}
+		return c
+	}
 	if svc.Engine == nil {
 		// The other cell counts no load and gets no updates for it.
 		c.load = roster.Load{Running: 1}
@@ -451,6 +481,8 @@
 	peer, name string
 	request    *placementRequest
 	response   *placementResponse
+	// counted is set if the peer counts the choice already.
+	counted bool
 	// bad, noResponse, reloading and shuttingDown are sent with the final update.
 	bad, noResponse, reloading, shuttingDown bool
 }
@@ -463,6 +495,9 @@
 
 // reportSent reports that the choice is used.
 func (o *ownerReport) reportSent() {
+	if o.counted {
+		return
+	}
 	o.send(&placementUpdate{Request: o.request, Response: o.response})
 }
 
--- a/core/relay/placements.go
+++ b/core/relay/placements.go
@@ -27,23 +27,39 @@
 // handlePlacementRequest chooses a target for another daemon's request.
 func (co *ContextOwners) handlePlacementRequest(_ context.Context, _ string, request *placementRequest) (*placementResponse, error) {
 	p, svc := co.requestOf(request)
-	if svc == nil || (svc.Engine == nil && !co.relay.sharded(request.Service) && !request.NeedsPermit) {
+	if svc == nil || (svc.Engine == nil && !co.relay.sharded(request.Service) && !request.NeedsPermit && request.CountAs == "") {
 		return nil, errors.WithStack(errCannotPlace)
 	}
 	co.relay.options.Roster.MergeRateLimits(request.RateLimits)
 	for {
 		c, reason := p.chooseLocal(svc, time.Now())
-		// The other daemon reports if it uses the choice.
-		c.releaseLoad()
 		if c == nil || c.evaluation.CallerUtility <= 0 {
+			c.releaseLoad()
 			return nil, errors.Wrap(errCannotPlace, reason)
 		}
+		if request.CountAs == "" {
+			// The other daemon reports if it uses the choice.
+			c.releaseLoad()
+		}
 		if p.acquire(c, time.Now()) {
+			co.count(request.CountAs, p, c)
 			return newPlacementResponse(c, co.relay.options.ViewAge()), nil
 		}
+		c.releaseLoad()
 	}
 }
 
+// count counts a choice that another daemon uses, under a name, until its end is reported. Its load was
+// added when it was chosen.
+func (co *ContextOwners) count(name string, p *proxiedRequest, c *choice) {
+	if name == "" {
+		return
+	}
+	co.placementsMu.Lock()
+	defer co.placementsMu.Unlock()
+	co.placements[name] = &ownedPlacement{request: p, choice: c, load: c.load, deadline: p.deadline}
+}
+
 // requestOf returns another daemon's request in the form that decisions use.
 func (co *ContextOwners) requestOf(request *placementRequest) (*proxiedRequest, *table.Service) {
 	now, t := time.Now(), co.relay.Table()
--- a/core/relay/selfreport.go
+++ b/core/relay/selfreport.go
@@ -31,11 +31,24 @@
 		// Until other daemons receive this they send at the previous rate.
 		p.relay.options.PublishState()
 	}
+	p.recordRejectionLimit(c, respMeta)
 	if !misdirected && !respMeta.NotExecuted {
 		p.relay.options.Roster.RecordAccepted(c.target.ID())
 	}
 }
 
+// recordRejectionLimit records the rejection limit that a target's response states.
+func (p *proxiedRequest) recordRejectionLimit(c *choice, respMeta *ResponseMeta) {
+	r, id := p.relay.options.Roster, c.target.ID()
+	if l := respMeta.RejectionLimit; l.Stated || l.Invalid != "" {
+		p.relay.options.Stats.ReportedRejectionLimit.Inc()
+		p.note("%s states a limit of %g rejections per second%s", id, l.PerSecond, l.Invalid)
+	}
+	if r.RecordRejectionLimit(id, respMeta.RejectionLimit, c.sentAt, respMeta.Signed && !respMeta.NotExecuted) {
+		p.relay.options.PublishState()
+	}
+}
+
 // isFromTarget reports whether a response comes from the target that the request was sent to.
 // A response to another request may come from any target. One that reports a misdirected request
 // comes from the target that has the address now, unless it names this one.
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -56,6 +56,8 @@
 	// ReportedRateLimit counts responses in which a target states a rate limit, RateLimitedAttempts
 	// the attempts at targets that have one.
 	ReportedRateLimit, RateLimitedAttempts *metrics.Counter
+	// ReportedRejectionLimit counts responses in which a target states a limit on rejections.
+	ReportedRejectionLimit *metrics.Counter
 	// QueueSeconds is the time that requests waited for a target, whether or not they got one.
 	// QueueRejected counts the requests that their queue rejected.
 	QueueSeconds  *metrics.Histogram
@@ -90,7 +92,8 @@
 		SlowOpens: c("target_connections_slow_total"), Probes: c("targets_probed_total"),
 		SilentConnections: c("target_connections_silent_total"),
 		Hedges:            c("hedges_total"), HedgesWon: c("hedges_won_total"),
-		ReportedRateLimit: c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
+		ReportedRejectionLimit: c("targets_said_brittle_total"),
+		ReportedRateLimit:      c("targets_named_limit_total"), RateLimitedAttempts: c("sends_limited_total"),
 	}
 }
 
--- a/core/roster/availability.go
+++ b/core/roster/availability.go
@@ -45,6 +45,9 @@
 	updating     map[string]bool
 	selfStatuses map[string]selfStatus
 	evacuations  map[string]evacuation
+	// roster is the roster that it is a snapshot of, and brittle holds the services with rejection limits.
+	roster  *Roster
+	brittle map[string]bool
 }
 
 // selfStatus is what a target reported about itself, evaluated at one moment.
@@ -62,7 +65,7 @@
 func (r *Roster) Availability(now time.Time) *Availability {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	a := &Availability{at: now, updating: r.updatingNow(now), evacuations: *r.evacuations.Load()}
+	a := &Availability{at: now, updating: r.updatingNow(now), evacuations: *r.evacuations.Load(), roster: r, brittle: r.brittleServices()}
 	if len(r.selfReports) == 0 {
 		return a
 	}
--- a/core/roster/heartbeat.go
+++ b/core/roster/heartbeat.go
@@ -28,6 +28,8 @@
 	ShuttingDown []string
 	// RateLimits holds the rate limits of incarnations, including those that ended recently.
 	RateLimits map[string]RateLimitUpdate
+	// RejectionLimits holds the rejection limits of incarnations, including those that ended recently.
+	RejectionLimits map[string]RateLimitUpdate
 }
 
 // maxReloadingMillis bounds the milliseconds that a peer may report for a reloading target.
@@ -43,6 +45,7 @@
 	body.Reloading = millisRemaining(s.reloading, now)
 	body.ShuttingDown = s.recentShutdowns()
 	body.RateLimits = s.limitUpdates()
+	body.RejectionLimits = s.brittleUpdates()
 	body.Versions = s.recentVersions(now)
 	return &body
 }
@@ -87,6 +90,7 @@
 		}
 	}
 	s.mergeLimits(body.RateLimits)
+	s.mergeBrittle(body.RejectionLimits)
 	for id, weights := range body.Versions {
 		for model, version := range weights {
 			s.recordVersion(id, model, version)
--- a/core/roster/ratelimit.go
+++ b/core/roster/ratelimit.go
@@ -43,17 +43,7 @@
 // limitState is the rate limit of one incarnation of a target and this daemon's bucket. The zero
 // value limits nothing.
 type limitState struct {
-	active    bool
-	perSecond float64
-	// seq orders the changes of all daemons: each change gets the highest number that its daemon
-	// has seen, plus 1.
-	seq uint64
-	// changed is when this daemon received the last change, or a peer last sent it a limit that has
-	// ended. lastStated is when it last received a response that states the rate. A response to a
-	// request that was sent before either of them does not supersede the limit.
-	changed, lastStated clock.Time
-	// lastLogged is when the last log line about the limit was written.
-	lastLogged clock.Time
+	sharedRate
 
 	// rank is this daemon's rank among the daemons that may use the target, and daemons is their
 	// number, both computed at rankedAt.
@@ -202,19 +192,8 @@
 	if stated.Invalid != "" {
 		r.logInvalid(id, report, "invalid rate limit "+stated.Invalid)
 	}
-	state := &report.limit
-	switch {
-	case stated.Stated && state.active && stated.PerSecond > state.perSecond && sent.Before(state.changed):
-		// The response may be older than the one that stated the lower rate.
-	case stated.Stated:
-		state.lastStated = now
-		return r.setLimit(id, state, RateLimitUpdate{
-			Active: true, PerSecond: stated.PerSecond, Seq: state.seq + 1,
-		}, ByResponse)
-	case executed && stated.Invalid == "" && state.active && sent.After(state.lastStated) && sent.After(state.changed):
-		return r.setLimit(id, state, RateLimitUpdate{Seq: state.seq + 1}, ByResponse)
-	}
-	return false
+	update, found := report.limit.observe(stated, sent, now, executed)
+	return found && r.setLimit(id, &report.limit, update, ByResponse)
 }
 
 // setLimit applies an update and reports whether it is a change. It is called with rosterMu held.
@@ -224,10 +203,9 @@
 		return false
 	}
 	state.seq, state.rankedAt = update.Seq, clock.Time{}
-	if !state.lastLogged.IsZero() && now.Sub(state.lastLogged) < limitLogInterval {
+	if !state.mayLog(now) {
 		return true
 	}
-	state.lastLogged = now
 	if update.Active {
 		r.log.Emit(event.TargetLimits, event.Ref{Target: id}, state.text()+", reported by "+string(source))
 	} else {
@@ -236,9 +214,6 @@
 	return true
 }
 
-// limitLogInterval is the minimum time between log lines about the rate limit of one target.
-const limitLogInterval = time.Second
-
 // RateLimitUpdate is the update about an incarnation's rate limit that daemons send each other.
 type RateLimitUpdate struct {
 	//lint:ignore U1000 read by the codec: frames are arrays
@@ -250,48 +225,21 @@
 	Seq uint64
 }
 
-// limitEndNotifyTime is how long other daemons are notified that a limit has ended. A daemon that
-// missed this keeps sending the old limit and is then notified again.
-const limitEndNotifyTime = 2 * time.Second
-
 // limitUpdates returns the rate limit updates for other daemons. It is called with rosterMu held.
 func (r *Roster) limitUpdates() map[string]RateLimitUpdate {
-	var out map[string]RateLimitUpdate
-	now := clock.Now()
-	for id, report := range r.selfReports {
-		state := &report.limit
-		if state.seq == 0 || (!state.active && now.Sub(state.changed) > limitEndNotifyTime) {
-			continue
-		}
-		if out == nil {
-			out = map[string]RateLimitUpdate{}
-		}
-		out[id] = RateLimitUpdate{Active: state.active, PerSecond: state.perSecond, Seq: state.seq}
-	}
-	return out
+	return r.sharedUpdates(func(report *selfReport) *sharedRate { return &report.limit.sharedRate })
 }
 
 // mergeLimits applies the updates of another daemon. It is called with rosterMu held.
 func (r *Roster) mergeLimits(updates map[string]RateLimitUpdate) {
 	for id, update := range updates {
-		if r.find(id) == nil {
-			// An unknown target's first response will state its limit.
-			continue
-		}
-		if update.Seq == 0 || math.IsNaN(update.PerSecond) || update.PerSecond < 0 {
+		if !r.usable(id, update) {
 			continue
 		}
 		state := &r.selfReportOf(id).limit
-		newer := update.Seq > state.seq
-		if update.Seq == state.seq {
-			// Two daemons received two changes at the same time: the lower rate is the safer one.
-			newer = update.Active && (!state.active || update.PerSecond < state.perSecond)
-		}
-		if newer {
+		if state.accepts(update) {
 			r.setLimit(id, state, update, ByPeer)
 			state.seq = update.Seq
-		} else if update.Seq < state.seq && !state.active {
-			state.changed = clock.Now()
 		}
 	}
 }
--- a/core/roster/selfreport.go
+++ b/core/roster/selfreport.go
@@ -33,6 +33,8 @@
 	pushback pushback
 	// limit is the rate limit for all daemons together.
 	limit limitState
+	// brittle is the limit on rejections, for all daemons together.
+	brittle brittleState
 	// invalidLogged means that an unreadable value has been logged.
 	invalidLogged bool
 }
--- a/emberd/internal/host/leaderships.go
+++ b/emberd/internal/host/leaderships.go
@@ -82,8 +82,8 @@
 	h, key := c.host, keyCells+label
 	return lease.NewTimed(lease.TimedOptions{
 		Key: key, Holder: c.owner, MinGap: h.settings.Bounds.OrderGap, Store: h.store, WatchCache: h.watchCache, Log: h.log, LastContact: h.watchCache.FreshAsOf,
-		Rank:       func() int { return fleet.RankOf(fleet.Key(key), h.fleet.View().ExpectedEligible(), h.settings.Name) },
-		HasWork:    h.weightUpdater.CellHasOutdated,
+		Rank:    func() int { return fleet.RankOf(fleet.Key(key), h.fleet.View().ExpectedEligible(), h.settings.Name) },
+		HasWork: h.weightUpdater.CellHasOutdated,
 		Ineligible: func() bool {
 			return h.ineligible() || h.reachesNoTarget() || !h.weightUpdater.CellHasOutdated()
 		},
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -117,6 +117,7 @@
 		{"targets_leaving_by_answer", func() float64 { shuttingDown, _ := h.roster.SelfReportCounts(); return float64(shuttingDown) }},
 		{"targets_resting", func() float64 { _, underPushback := h.roster.SelfReportCounts(); return float64(underPushback) }},
 		{"targets_limited", func() float64 { return float64(len(h.roster.RateLimitedTargets())) }},
+		{"targets_brittle", func() float64 { return float64(h.roster.BrittleTargets()) }},
 		{"targets_slow_to_connect", func() float64 { return float64(h.roster.SlowCount(time.Now())) }},
 		{"target_connections_opening", func() float64 { return float64(h.pool.Opening()) }},
 		{"target_paths_broken", func() float64 { return float64(h.pool.BrokenPaths()) }},
