Wait for the only target where other boxes find it silent too; options that outlast a silent second

Since connections can lead through other boxes, a request to the only target was given up after 0.3 to 0.6 s if those found it silent as well; it waits for its own connection again, as TestOnlyTargetIsWaitedFor demands with and without other boxes. The options of connections to targets are read back from the kernel by a test. Buffers of forwarded connections are 12 KB instead of 48.

--- a/core/detour/forward.go
+++ b/core/detour/forward.go
@@ -90,8 +90,22 @@
 // once, so that it ends its work.
 func (f *forwarding) run(done chan<- struct{}) {
 	defer close(done)
-	if _, err := io.Copy(f.target, f.box); err != nil {
-		_, _ = io.Copy(io.Discard, f.box)
+	buffer := make([]byte, copyBuffer)
+	if _, err := io.CopyBuffer(f.target, reader{f.box}, buffer); err != nil {
+		// What the target does not take is discarded; see closeTimeout.
+		_, _ = io.CopyBuffer(writer{}, reader{f.box}, buffer)
 	}
 	f.target.Close()
 }
+
+// copyBuffer is the size of the buffer for requests; most fit.
+const copyBuffer = 4 << 10
+
+// reader hides the other methods of a connection, with which io.CopyBuffer would not use its buffer.
+type reader struct{ io.Reader }
+
+// writer discards what is written.
+type writer struct{}
+
+// Write implements io.Writer.
+func (writer) Write(b []byte) (int, error) { return len(b), nil }
--- a/core/relay/openrace.go
+++ b/core/relay/openrace.go
@@ -29,6 +29,7 @@
 func (p *proxiedRequest) setOpenRace(req *target.Request, c *choice) {
 	rl, t, service := p.relay, c.target, p.service
 	req.Target = t.ID()
+	req.OnlyTarget = c.onlyCandidate
 	req.SecondOpen = c.onlyCandidate || p.slowOpens+p.unopened > 0
 	req.OnVerdict = func(err error) { rl.recordVerdict(t, service, err) }
 	if rl.options.Disabled.OpenRace {
--- a/core/relay/openrace_test.go
+++ b/core/relay/openrace_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -13,6 +14,7 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/target"
 )
 
 // darkTarget adds a target that accepts no connections: the queue of its listener is full, so that
@@ -47,7 +49,23 @@
 // A request that abandons the only target has no other one to go to, although the connection opens
 // when the lost first packet is sent again, after a second.
 func TestOnlyTargetIsWaitedFor(t *testing.T) {
+	for _, detour := range []target.Detour{nil, detourWithout(target.ErrTargetSilent), detourWithout(target.ErrNoDetour)} {
+		t.Run(fmt.Sprint(detour), func(t *testing.T) { testOnlyTargetIsWaitedFor(t, detour) })
+	}
+}
+
+// detourWithout returns a detour that opens no connection.
+func detourWithout(err error) target.Detour { return noDetour{err} }
+
+type noDetour struct{ err error }
+
+func (d noDetour) Open(context.Context, string) (net.Conn, string, error) { return nil, "", d.err }
+func (noDetour) Usable(string) bool                                       { return false }
+func (noDetour) RecordLost(string)                                        {}
+
+func testOnlyTargetIsWaitedFor(t *testing.T, detour target.Detour) {
 	r := newRig(t, nil)
+	r.relay.options.Pool.Detour = detour
 	file, address := r.fullListener()
 	l, err := net.FileListener(file)
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/core/target/detour.go
+++ b/core/target/detour.go
@@ -43,7 +43,7 @@
 	chunkHeader = 2
 	// maxChunk is the largest chunk. chunkEnd and chunkReset take the place of a length: the target
 	// closed or reset the connection.
-	maxChunk   = 16 << 10
+	maxChunk   = 8 << 10
 	chunkEnd   = 0
 	chunkReset = 0xffff
 )
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -35,6 +35,9 @@
 	// SecondOpen means that another connection for the same request did not open before, so that a
 	// connection through another box is tried as soon as this one does not open either.
 	SecondOpen bool
+	// OnlyTarget means that no other target can serve the request: if this one seems to be silent to other
+	// boxes too, its connection is waited for, since it may go on.
+	OnlyTarget bool
 	// OnVerdict, if set, is called by another goroutine when another box has found out whether a target
 	// that this one could not connect to is reachable: err is nil if it is, and else tells how it failed.
 	OnVerdict func(err error)
--- a/core/target/open.go
+++ b/core/target/open.go
@@ -61,6 +61,10 @@
 	if req.SecondOpen || p.Partitioned() {
 		p.reserveExtra(address)
 		conn, detourErr := p.openDetour(ctx, address, req.Target)
+		if req.OnlyTarget && errors.Is(err, ErrSlowOpen) && !errors.Is(detourErr, ErrTargetRefused) && detourErr != nil {
+			p.reserveExtra(address)
+			return p.openInGroup(ctx, address, req.Group)
+		}
 		if detourErr != nil {
 			detourErr = joinErrors(err, detourErr)
 		}
--- a/core/target/pool_test.go
+++ b/core/target/pool_test.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 )
 
 // server responds to each request on each connection by a function.
@@ -243,3 +245,29 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect([]int64{s.conns.Load(), s.requests.Load()}).To(gomega.Equal([]int64{1, 2}), "the connection is kept")
 }
+
+// A target that is silent for a second goes on; one that is silent for good is found within seconds. Where
+// TCP_USER_TIMEOUT is set it decides when keep-alive probes give up, whatever their number.
+func TestSocketOptionsOutlastASilentSecond(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer l.Close()
+	conn, err := dialer().Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	option := func(name int) (value int) {
+		controlErr := raw.Control(func(fd uintptr) { value, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, name) })
+		g.Expect(controlErr).NotTo(gomega.HaveOccurred())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return value
+	}
+	const longestSilence, longestSearch = 1500 * time.Millisecond, 4 * time.Second
+	userTimeout := time.Duration(option(unix.TCP_USER_TIMEOUT)) * time.Millisecond
+	firstProbe := time.Duration(option(unix.TCP_KEEPIDLE)) * time.Second
+	g.Expect(userTimeout).To(gomega.BeNumerically(">", longestSilence))
+	g.Expect(firstProbe + userTimeout).To(gomega.BeNumerically("<=", longestSearch))
+	g.Expect(time.Duration(option(unix.TCP_KEEPINTVL)) * time.Second).To(gomega.BeNumerically("<=", userTimeout))
+}
