Search for a broken path also while open connections to the target suffice

Trace: the search for working paths asks whether a request wanted a connection lately, and only requests that open one said so; where connections that were open lived on, none did, the search ended and the path stayed marked as broken, so that the next connection would have led through another box. Each request for the target counts now. TestBrokenPathIsFoundToWorkWhileOpenConnectionsAreUsed fails without the change (10 s) and passes with it.

--- a/core/target/detour_test.go
+++ b/core/target/detour_test.go
@@ -212,3 +212,34 @@
 		})
 	}
 }
+
+// A path that was broken while open connections lived on stayed broken for as long as these sufficed.
+func TestBrokenPathIsFoundToWorkWhileOpenConnectionsAreUsed(t *testing.T) {
+	r := newPathRig(t, 2)
+	sendOwn := func(i int) {
+		box, err := r.send(i)
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+		r.g.Expect(box).To(gomega.BeEmpty())
+	}
+	sendOwn(0)
+	sendOwn(1)
+	r.listeners[0].Close()
+	r.pool.pathFailed(r.paths[0], true)
+	// The box is not partitioned.
+	sendOwn(1)
+	searching := func() bool {
+		r.pool.poolMu.Lock()
+		defer r.pool.poolMu.Unlock()
+		r.pool.addresses[r.paths[0]].path.wantedAt = time.Time{}
+		return r.pool.searching
+	}
+	r.g.Eventually(searching, "10s").Should(gomega.BeFalse())
+	l, err := net.Listen("tcp", r.paths[0])
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { l.Close() })
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") }))
+	r.g.Eventually(func() int {
+		sendOwn(0)
+		return r.pool.BrokenPaths()
+	}, "10s").Should(gomega.BeZero())
+}
--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -61,7 +61,7 @@
 	defer p.poolMu.Unlock()
 	state := p.state(address)
 	p.lastFailedAt = time.Now()
-	state.path.failedAt = p.lastFailedAt
+	state.path.failedAt, state.path.wantedAt = p.lastFailedAt, p.lastFailedAt
 	state.path.broken = state.path.broken || broken
 	if state.path.broken || p.partitioned() {
 		p.search()
@@ -123,11 +123,16 @@
 func (p *Pool) needsDetour(address string) bool {
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
-	state := p.state(address)
-	state.path.wantedAt = time.Now()
+	return p.want(p.state(address))
+}
+
+// want records that a request needs a connection to an address, and reports whether this box's own path
+// is failing; then the search for a working one goes on. It is called with poolMu held.
+func (p *Pool) want(state *addressState) bool {
 	if !state.path.broken && !p.partitioned() {
 		return false
 	}
+	state.path.wantedAt = time.Now()
 	p.search()
 	return true
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -337,6 +337,7 @@
 	defer p.poolMu.Unlock()
 	state := p.state(address)
 	state.removed = false
+	p.want(state)
 	maxIdleTime := state.keepAlive
 	if maxIdle > 0 {
 		maxIdleTime = min(maxIdleTime, maxIdle)
