--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -95,7 +95,7 @@
 // Boxes opens connections to targets through other boxes, and forwards for them. It implements
 // target.Detour.
 //
-// Lock order: boxesMu is taken alone.
+// Lock order: nothing is called with boxesMu held; the pool calls with its own lock held.
 type Boxes struct {
 	o       Options
 	backoff wait.Backoff[string]
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -18,7 +18,7 @@
 // arrived, bounds the connections to each target, and discards a connection on which unrequested
 // bytes arrive. The zero value is ready to use.
 //
-// Lock order: poolMu is taken alone.
+// Lock order: locks of the Detour are taken under poolMu.
 type Pool struct {
 	// Opened, if set, counts the connections that were opened. Refused counts attempts to open one that
 	// were refused, and Unanswered those that got no answer at all.
@@ -208,7 +208,7 @@
 		switch {
 		case errors.Is(ctx.Err(), context.DeadlineExceeded):
 			p.closeSilent(address, start)
-		case ctx.Err() == nil:
+		case ctx.Err() == nil && !early:
 			p.connectionFailed(conn, err)
 		}
 		if c := context.Cause(ctx); c != nil {
