--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -284,34 +284,27 @@
 // chooseByPermit returns the choice of another daemon that may have a permit for a target that is
 // rate-limited here, or nil.
 func (p *proxiedRequest) chooseByPermit(ctx context.Context, svc *table.Service) *choice {
-	now := time.Now()
-	co := p.relay.owners
-	if co == nil || p.relay.options.RankedDaemons == nil || p.rateLimited == nil ||
-		now.Sub(p.permitQueried) < ownerQueryInterval {
+	if p.rateLimited == nil {
 		return nil
 	}
-	p.permitQueried = now
-	peers := co.responsive(p.relay.options.RankedDaemons(p.rateLimited,
-		p.relay.options.Roster.Senders(p.rateLimited)), now)
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, peer := range peers[:min(len(peers), maxOwnerQueries)] {
-		if c := p.chooseByPeers(ctx, svc, []string{peer}, now); c != nil {
-			return c
-		}
-	}
-	return nil
+	return p.chooseByRanked(ctx, svc, p.rateLimited, p.relay.options.Roster.Senders(p.rateLimited))
 }
 
 // chooseByShare returns the choice of another daemon that has slots of a target of which this one has
 // none, or nil. That daemon counts the request among its own.
 func (p *proxiedRequest) chooseByShare(ctx context.Context, svc *table.Service) *choice {
+	return p.chooseByRanked(ctx, svc, p.sharedTarget, max(1, p.sharedTarget.Entry().Slots))
+}
+
+// chooseByRanked returns the choice of one of the n daemons that rank first for a target, or nil.
+func (p *proxiedRequest) chooseByRanked(ctx context.Context, svc *table.Service, t *roster.Target, n int) *choice {
 	now := time.Now()
 	co := p.relay.owners
 	if co == nil || p.relay.options.RankedDaemons == nil || now.Sub(p.permitQueried) < ownerQueryInterval {
 		return nil
 	}
 	p.permitQueried = now
-	peers := co.responsive(p.relay.options.RankedDaemons(p.sharedTarget, max(1, p.sharedTarget.Entry().Slots)), now)
+	peers := co.responsive(p.relay.options.RankedDaemons(t, n), now)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(len(peers), maxOwnerQueries)] {
 		if c := p.chooseByPeers(ctx, svc, []string{peer}, now); c != nil {
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -46,7 +46,7 @@
 	ownerQueried time.Time
 	// cellsQueried is when other cells were last queried for a target.
 	cellsQueried time.Time
-	// permitQueried is when other daemons were last queried for a permit.
+	// permitQueried is when other daemons were last queried for a permit or a slot.
 	permitQueried time.Time
 
 	// tried counts the attempts at each target, by ID.
