--- a/core/target/pool_test.go
+++ b/core/target/pool_test.go
@@ -246,8 +246,7 @@
 	g.Expect([]int64{s.conns.Load(), s.requests.Load()}).To(gomega.Equal([]int64{1, 2}), "the connection is kept")
 }
 
-// A target that is silent for a second goes on; one that is silent for good is found within seconds. Where
-// TCP_USER_TIMEOUT is set it decides when keep-alive probes give up, whatever their number.
+// TCP_USER_TIMEOUT, where it is set, decides when keep-alive probes give up, whatever their number.
 func TestSocketOptionsOutlastASilentSecond(t *testing.T) {
 	g := gomega.NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
