Release a slot that was counted for another daemon and is not used

Read: a daemon that counts a request for one without slots of a brittle target kept the slot until that request's deadline and a second more if the other one did not wait for the choice, could not use it or dropped it. The end is reported in each of these cases now; a report that arrives before the choice is counted ends it too.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// discard ends a choice that is not used.
+func (c *choice) discard() {
+	c.releaseLoad()
+	if c != nil && c.report != nil && c.report.counted {
+		c.report.reportEnd()
+	}
+}
+
 // choose returns the target of the next attempt, or why there is none.
 func (p *proxiedRequest) choose(ctx context.Context) (*choice, string) {
 	if time.Until(p.deadline) < minAttemptTime {
--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -328,13 +328,26 @@
 			return nil
 		case err != nil:
 			p.note("query to %s: %v", peer, errors.Cause(err))
+			co.countedReport(peer, request).reportEnd()
 			continue
 		}
-		return p.choiceFromResponse(svc, peer, request, response)
+		c := p.choiceFromResponse(svc, peer, request, response)
+		if c == nil {
+			co.countedReport(peer, request).reportEnd()
+		}
+		return c
 	}
 	return nil
 }
 
+// countedReport returns the report on a choice that a peer counts, or nil if it counts none.
+func (co *ContextOwners) countedReport(peer string, request *placementRequest) *ownerReport {
+	if request.CountAs == "" {
+		return nil
+	}
+	return &ownerReport{owners: co, peer: peer, name: request.CountAs, counted: true}
+}
+
 // splitCost returns the cost of caching a context in two cells: for its next request it is copied,
 // over a connection that is not yet open.
 func (p *proxiedRequest) splitCost() float64 {
@@ -401,9 +414,8 @@
 		return nil
 	}
 	c := response.choice(t, p.meta.PromptTokens)
-	if request.CountAs != "" {
+	if c.report = co.countedReport(peer, request); c.report != nil {
 		c.load = roster.Load{Running: 1}
-		c.report = &ownerReport{owners: co, peer: peer, name: request.CountAs, counted: true}
 		return c
 	}
 	if svc.Engine == nil {
--- a/core/relay/owners_test.go
+++ b/core/relay/owners_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/roster"
@@ -227,3 +228,44 @@
 		h.g.Expect(slices.Contains(workers, s.target)).To(gomega.BeTrue(), "%s is none of %v", s.target, workers)
 	}
 }
+
+// A slot that was counted for another daemon and never used would be missing until that request's deadline.
+func TestSlotsCountedForOtherDaemonsAreReleased(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// timeout is how long the other daemon waits for a choice; 0 leaves it as it is.
+		timeout time.Duration
+		served  bool
+	}{
+		{"the choice is used", 0, true},
+		{"the other daemon did not wait for it", time.Nanosecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			const daemons, asker = 6, 5
+			h := newFleetRig(t, daemons, 1, always(stream(true, "id: 1\ndata: a\n\n")))
+			worker := h.workers[0]
+			for i, r := range h.rigs {
+				r.roster.Rank = func(*roster.Target) (int, int) {
+					if i == asker {
+						return daemons, daemons + 1
+					}
+					return i, daemons + 1
+				}
+				r.relay.options.RankedDaemons = func(*roster.Target, int) []string { return []string{"entry-00", "entry-01"} }
+				r.roster.RecordRejectionLimit(worker, roster.RateLimit{Stated: true, PerSecond: 3}, clock.Now(), true)
+			}
+			if tc.timeout > 0 {
+				h.owners[asker].timeout = tc.timeout
+			}
+			if tc.served {
+				h.g.Eventually(func() int { return h.send(asker, "context").status }, waitTimeout, pollInterval).Should(gomega.Equal(http.StatusOK))
+			} else {
+				h.g.Expect(h.rigs[asker].send("POST", "/stream/x", "", "Model", "m", "Parts", "context:6000 own:10", "Deadline", "1000").status).
+					To(gomega.Equal(http.StatusServiceUnavailable))
+			}
+			for _, owner := range h.rigs[:2] {
+				h.g.Eventually(func() int { return owner.roster.Target(worker).LocalLoad().Running }, "800ms", pollInterval).Should(gomega.BeZero())
+			}
+		})
+	}
+}
--- a/core/relay/placements.go
+++ b/core/relay/placements.go
@@ -57,6 +57,12 @@
 	}
 	co.placementsMu.Lock()
 	defer co.placementsMu.Unlock()
+	if co.placements[name] != nil {
+		// The report of its end arrived first: the other daemon did not wait.
+		delete(co.placements, name)
+		c.releaseLoad()
+		return
+	}
 	co.placements[name] = &ownedPlacement{request: p, choice: c, load: c.load, deadline: p.deadline}
 }
 
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -206,7 +206,7 @@
 			}
 			if c != nil && (c.evaluation.CallerUtility > 0 || p.relay.options.Disabled.Refusals) {
 				if !p.acquire(c, time.Now()) {
-					c.releaseLoad()
+					c.discard()
 					continue
 				}
 				queues.admit(p.waiter, time.Now())
@@ -215,7 +215,7 @@
 				p.recordChoice(c, time.Now())
 				return c, reason
 			}
-			c.releaseLoad()
+			c.discard()
 			switch {
 			case c == nil && reason == allUnderPushback && p.likelyOnTime(p.expectedWait):
 				// The first pushback ends soon enough.
