A box that wrongly counts as partitioned reaches sound targets and says what it knows of dead ones

Trace: at a quiet box two targets that crash at once are two paths that failed since anything arrived, so that it counts as partitioned; the search for working paths tried only the failed ones, idle peers counted as partitioned as well and said nothing, and requests for the four sound targets were refused until one that had crashed was back.

The search tries all targets that requests want; a path on which nothing failed is used if no peer can tell; and a peer whose own path to a target is failing finds out whether it reaches others before it keeps silent, so that a crash is still confirmed while the store is away.

--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -64,7 +64,7 @@
 		p.pathWorks(address)
 	case ctx.Err() == nil:
 		p.countFailure(err)
-		p.pathFailed(address, true)
+		p.pathFailed(address, err)
 	}
 	p.recordOpen(address, elapsed, err)
 	if err == nil && group != "" {
@@ -192,7 +192,7 @@
 		p.Detour.RecordLost(s.conn.box)
 		return
 	}
-	p.pathFailed(s.conn.address, false)
+	p.pathFailed(s.conn.address, nil)
 	p.closeSilent(s.conn.address, s.sent)
 	s.onSilent()
 }
--- a/core/target/detour_test.go
+++ b/core/target/detour_test.go
@@ -224,7 +224,7 @@
 	sendOwn(0)
 	sendOwn(1)
 	r.listeners[0].Close()
-	r.pool.pathFailed(r.paths[0], true)
+	r.pool.pathFailed(r.paths[0], syscall.ECONNREFUSED)
 	// The box is not partitioned.
 	sendOwn(1)
 	searching := func() bool {
@@ -243,3 +243,23 @@
 		return r.pool.BrokenPaths()
 	}, "10s").Should(gomega.BeZero())
 }
+
+// At a quiet box two targets that crash at once look like a partition, which peers at rest can't deny.
+func TestSoundTargetIsReachedWhileABoxWronglyCountsAsPartitioned(t *testing.T) {
+	r := newPathRig(t, 3)
+	for i := range r.paths {
+		_, err := r.send(i)
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	r.detour.err = errors.New("none can tell")
+	for i := range 2 {
+		r.listeners[i].Close()
+		r.pool.CloseIdle(r.paths[i])
+		r.pool.pathFailed(r.paths[i], syscall.ECONNREFUSED)
+	}
+	r.g.Expect(r.pool.Partitioned()).To(gomega.BeTrue())
+	box, err := r.send(2)
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(box).To(gomega.BeEmpty())
+	r.g.Expect(r.pool.Partitioned()).To(gomega.BeFalse())
+}
--- a/core/target/open.go
+++ b/core/target/open.go
@@ -49,7 +49,8 @@
 	}
 	if p.needsDetour(address) {
 		conn, err := p.openDetour(ctx, address, req.Target)
-		if !errors.Is(err, ErrNoDetour) {
+		noneCanTell := err != nil && !aboutTarget(err)
+		if !errors.Is(err, ErrNoDetour) && !(noneCanTell && p.pathUnknown(address)) {
 			return conn, p.detourOpened(req, err)
 		}
 		p.reserveExtra(address)
@@ -210,7 +211,7 @@
 		return r.conn, r.err
 	default:
 		o.abandonOpening()
-		o.pool.pathFailed(o.address, false)
+		o.pool.pathFailed(o.address, nil)
 		return nil, errors.WithStack(ErrSlowOpen)
 	}
 }
--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -35,8 +35,9 @@
 	// failedAt is when a direct connection failed or gave no sign of life for longer than usual; zero if
 	// none did since something last arrived on one.
 	failedAt time.Time
-	// broken is set by a definite failure, until a direct connection opens.
-	broken bool
+	// broken is set by a definite failure, until a direct connection opens. refused is set if that was a
+	// refused connection.
+	broken, refused bool
 	// wantedAt is when a request last needed a connection, and probedAt when the path was last tried.
 	wantedAt, probedAt time.Time
 }
@@ -54,15 +55,17 @@
 // last returns the time of the last arrival, or one before any failure.
 func (a *arrivals) last() time.Time { return start.Add(time.Duration(a.nanos.Load())) }
 
-// pathFailed records that a direct connection failed, or with broken unset that it gave no sign of life
-// for longer than usual.
-func (p *Pool) pathFailed(address string, broken bool) {
+// pathFailed records that a direct connection could not be opened, or without a cause that one gave no
+// sign of life for longer than usual.
+func (p *Pool) pathFailed(address string, cause error) {
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	state := p.state(address)
 	p.lastFailedAt = time.Now()
 	state.path.failedAt, state.path.wantedAt = p.lastFailedAt, p.lastFailedAt
-	state.path.broken = state.path.broken || broken
+	if cause != nil {
+		state.path.broken, state.path.refused = true, errors.Is(cause, syscall.ECONNREFUSED)
+	}
 	if state.path.broken || p.partitioned() {
 		p.search()
 	}
@@ -119,6 +122,15 @@
 	return n
 }
 
+// pathUnknown reports whether nothing has failed on the path to an address since something last arrived
+// from any target, so that only other paths' failures speak against it.
+func (p *Pool) pathUnknown(address string) bool {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	path := p.state(address).path
+	return !path.broken && !path.failedAt.After(p.arrivals.last())
+}
+
 // needsDetour reports whether a connection to an address is opened through another box at once.
 func (p *Pool) needsDetour(address string) bool {
 	p.poolMu.Lock()
@@ -187,7 +199,8 @@
 	for range probesAtOnce {
 		next := ""
 		for address, state := range p.addresses {
-			failing := state.path.broken || (partitioned && !state.path.failedAt.IsZero())
+			// A box that wrongly counts as partitioned finds out at the targets that have not failed.
+			failing := state.path.broken || partitioned
 			wanted := failing && !state.removed && now.Sub(state.path.wantedAt) < pathWanted
 			found = found || wanted
 			if wanted && state.path.probedAt != now && (next == "" || state.path.probedAt.Before(p.addresses[next].path.probedAt)) {
@@ -233,8 +246,8 @@
 // connections. The error is ErrTargetRefused or ErrTargetSilent if this box's network works, and else
 // tells nothing about the target.
 func (p *Pool) Dial(ctx context.Context, address string) (net.Conn, error) {
-	if p.needsDetour(address) {
-		return nil, errors.WithStack(errPathFailing)
+	if failing, refused := p.failing(address); failing {
+		return nil, p.verdict(ctx, address, refused, errPathFailing)
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, p.OpenLimit(address, ""))
 	defer cancel()
@@ -244,20 +257,40 @@
 		return arrivalConn{conn, &p.arrivals}, nil
 	}
 	refused := errors.Is(err, syscall.ECONNREFUSED)
-	p.pathFailed(address, refused)
+	if refused {
+		p.pathFailed(address, err)
+	} else {
+		p.pathFailed(address, nil)
+	}
+	return nil, p.verdict(ctx, address, refused, err)
+}
+
+// failing records that another box needs a connection to an address, and reports whether this box's own
+// path there is failing, and by refused connections.
+func (p *Pool) failing(address string) (failing, refused bool) {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	state := p.state(address)
+	p.want(state)
+	return state.path.broken || state.path.failedAt.After(p.arrivals.last()), state.path.refused
+}
+
+// verdict returns what a failure to reach a target shows: something about the target only if this box
+// reaches others.
+func (p *Pool) verdict(ctx context.Context, address string, refused bool, err error) error {
 	switch {
 	case ctx.Err() != nil, !p.networkWorks(ctx, address):
-		return nil, errors.WithStack(err)
+		return errors.WithStack(err)
 	case refused:
-		return nil, errors.WithStack(ErrTargetRefused)
+		return errors.WithStack(ErrTargetRefused)
 	}
-	return nil, errors.WithStack(ErrTargetSilent)
+	return errors.WithStack(ErrTargetSilent)
 }
 
 // networkWorks reports whether this box reaches targets other than the one at an address: something
 // arrived from one just now, or another connection opens. If no other target is known, it says so too.
 func (p *Pool) networkWorks(ctx context.Context, except string) bool {
-	if time.Since(p.arrivals.last()) < evidenceAge {
+	if time.Since(p.arrivals.last()) < evidenceAge && !p.Partitioned() {
 		return true
 	}
 	other := p.otherAddress(except)
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -233,7 +233,7 @@
 func (p *Pool) connectionFailed(conn *poolConn, err error) {
 	switch {
 	case conn.box == "":
-		p.pathFailed(conn.address, false)
+		p.pathFailed(conn.address, nil)
 	case errors.Is(err, ErrDetourLost):
 		p.Detour.RecordLost(conn.box)
 	}
