--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -56,15 +56,22 @@
 
 // openInGroup opens a connection, which reserve has counted.
 func (p *Pool) openInGroup(ctx context.Context, address, group string) (*poolConn, error) {
+	conn, err := p.connect(ctx, address, group)
+	if err != nil && ctx.Err() == nil {
+		p.countFailure(err)
+		p.pathFailed(address, err)
+	}
+	return conn, err
+}
+
+// connect is openInGroup without recording a failure: that of a search for working paths is no new
+// evidence.
+func (p *Pool) connect(ctx context.Context, address, group string) (*poolConn, error) {
 	start := time.Now()
 	conn, err := dialer().DialContext(ctx, "tcp", address)
 	elapsed := time.Since(start)
-	switch {
-	case err == nil:
+	if err == nil {
 		p.pathWorks(address)
-	case ctx.Err() == nil:
-		p.countFailure(err)
-		p.pathFailed(address, err)
 	}
 	p.recordOpen(address, elapsed, err)
 	if err == nil && group != "" {
--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -229,7 +229,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), b.pool.OpenLimit(b.address, ""))
 	defer cancel()
 	b.pool.reserveExtra(b.address)
-	conn, err := b.pool.open(ctx, b.address)
+	conn, err := b.pool.connect(ctx, b.address, "")
 	if err == nil {
 		b.pool.putUnused(conn)
 	}
@@ -300,7 +300,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.OpenLimit(other, ""))
 	defer cancel()
 	p.reserveExtra(other)
-	conn, err := p.open(ctx, other)
+	conn, err := p.connect(ctx, other, "")
 	if err != nil {
 		return false
 	}
