Try broken paths also when no request asks for them

Trace (a copy that prints the state): last wanted 35 s ago, no connection open, no search running. A target without a connection costs a new one, so requests pass it over while others have some, and the search tried only paths that a request had wanted within 5 s. A box that had healed kept leaving out such a target, and its first request there went by another box. The search now tries other broken paths too, every 3 s.

--- a/core/target/detour_test.go
+++ b/core/target/detour_test.go
@@ -85,6 +85,7 @@
 // pathRig is a pool with targets whose direct paths a test breaks: the pool knows each target by the
 // address of its path.
 type pathRig struct {
+	t      *testing.T
 	g      *gomega.WithT
 	pool   *Pool
 	detour *fakeDetour
@@ -94,12 +95,13 @@
 }
 
 func newPathRig(t *testing.T, targets int) *pathRig {
-	r := &pathRig{g: gomega.NewWithT(t), detour: &fakeDetour{}}
+	r := &pathRig{t: t, g: gomega.NewWithT(t), detour: &fakeDetour{}}
 	r.pool = &Pool{Detour: r.detour}
 	for range targets {
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") })}
 		for _, addresses := range []*[]string{&r.paths, &r.targets} {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			// No outgoing connection uses this address, so that a port may be listened on again.
+			l, err := net.Listen("tcp", "127.0.0.2:0")
 			r.g.Expect(err).NotTo(gomega.HaveOccurred())
 			*addresses = append(*addresses, l.Addr().String())
 			if addresses == &r.paths {
@@ -112,6 +114,15 @@
 	return r
 }
 
+// listen restores the path at an address.
+func (r *pathRig) listen(address string) {
+	l, err := net.Listen("tcp", address)
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") })}
+	go server.Serve(l)
+	r.t.Cleanup(func() { server.Close() })
+}
+
 // send sends a request to a target and returns the box by way of which it was answered.
 func (r *pathRig) send(i int) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -152,10 +163,7 @@
 	r.g.Expect(failed).To(gomega.BeNumerically("<=", 1), "the first failure is not evidence of a partition")
 	r.g.Expect(r.pool.Partitioned()).To(gomega.BeTrue())
 	for i, address := range r.paths {
-		l, err := net.Listen("tcp", address)
-		r.g.Expect(err).NotTo(gomega.HaveOccurred())
-		t.Cleanup(func() { l.Close() })
-		go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") }))
+		r.listen(address)
 		r.g.Eventually(func() (string, error) { return r.send(i) }, "10s", "20ms").Should(gomega.BeEmpty())
 	}
 	r.g.Eventually(r.pool.BrokenPaths, "10s").Should(gomega.BeZero())
@@ -213,35 +221,25 @@
 	}
 }
 
-// A path that was broken while open connections lived on stayed broken for as long as these sufficed.
-func TestBrokenPathIsFoundToWorkWhileOpenConnectionsAreUsed(t *testing.T) {
+// A path that requests had no need of, as open connections sufficed or other targets did, stayed broken.
+func TestBrokenPathIsFoundToWorkWithoutARequestThatNeedsIt(t *testing.T) {
 	r := newPathRig(t, 2)
-	sendOwn := func(i int) {
-		box, err := r.send(i)
+	for i := range r.paths {
+		_, err := r.send(i)
 		r.g.Expect(err).NotTo(gomega.HaveOccurred())
-		r.g.Expect(box).To(gomega.BeEmpty())
 	}
-	sendOwn(0)
-	sendOwn(1)
 	r.listeners[0].Close()
 	r.pool.pathFailed(r.paths[0], syscall.ECONNREFUSED)
 	// The box is not partitioned.
-	sendOwn(1)
-	searching := func() bool {
-		r.pool.poolMu.Lock()
-		defer r.pool.poolMu.Unlock()
-		r.pool.addresses[r.paths[0]].path.wantedAt = time.Time{}
-		return r.pool.searching
-	}
-	r.g.Eventually(searching, "10s").Should(gomega.BeFalse())
-	l, err := net.Listen("tcp", r.paths[0])
+	_, err := r.send(1)
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Cleanup(func() { l.Close() })
-	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") }))
-	r.g.Eventually(func() int {
-		sendOwn(0)
-		return r.pool.BrokenPaths()
-	}, "10s").Should(gomega.BeZero())
+	r.pool.poolMu.Lock()
+	r.pool.addresses[r.paths[0]].path.wantedAt = time.Time{}
+	r.pool.poolMu.Unlock()
+	time.Sleep(4 * probeEvery)
+	r.g.Expect(r.pool.BrokenPaths()).To(gomega.Equal(1))
+	r.listen(r.paths[0])
+	r.g.Eventually(r.pool.BrokenPaths, "30s").Should(gomega.BeZero())
 }
 
 // At a quiet box two targets that crash at once look like a partition, which peers at rest can't deny.
--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -23,8 +23,11 @@
 	maxProbeEvery = 800 * time.Millisecond
 	// probesAtOnce is the number of addresses that are tried at once.
 	probesAtOnce = 3
-	// pathWanted is how long after the last request for an address its broken path is still tried.
-	pathWanted = 5 * time.Second
+	// pathWanted is how long after the last request for an address its broken path is tried in each search,
+	// and unwantedEvery the time between attempts after that: requests may pass the target over because
+	// they would need a new connection.
+	pathWanted    = 5 * time.Second
+	unwantedEvery = 3 * time.Second
 	// minFailedPaths is the number of paths without any sign of life since the last one of any target
 	// from which on this box counts as partitioned.
 	minFailedPaths = 2
@@ -161,7 +164,7 @@
 // pathSearch opens direct connections to addresses whose paths failed, so that no request has to try.
 type pathSearch struct{ pool *Pool }
 
-// run searches until no path that requests want is failing.
+// run searches until no path is failing.
 func (s pathSearch) run() {
 	pause := probeEvery
 	for {
@@ -200,10 +203,10 @@
 		next := ""
 		for address, state := range p.addresses {
 			// A box that wrongly counts as partitioned finds out at the targets that have not failed.
-			failing := state.path.broken || partitioned
-			wanted := failing && !state.removed && now.Sub(state.path.wantedAt) < pathWanted
-			found = found || wanted
-			if wanted && state.path.probedAt != now && (next == "" || state.path.probedAt.Before(p.addresses[next].path.probedAt)) {
+			failing := (state.path.broken || partitioned) && !state.removed
+			found = found || failing
+			wanted := now.Sub(state.path.wantedAt) < pathWanted || now.Sub(state.path.probedAt) >= unwantedEvery
+			if failing && wanted && state.path.probedAt != now && (next == "" || state.path.probedAt.Before(p.addresses[next].path.probedAt)) {
 				next = address
 			}
 		}
