Probe connections between boxes that carry forwarded ones

Read: a box that lost power left the connections that another one forwards for it, and the work of their targets, to the default keep-alive probes, up to 150 s, and to the deadline. Both ends probe after a second now and give up after three probes without an answer, so that a box that is silent for a second keeps them. No test: on one machine the kernel answers probes for a stopped process.

--- a/core/wire/stream.go
+++ b/core/wire/stream.go
@@ -55,9 +55,24 @@
 		conn.Close()
 		return nil, err
 	}
+	probeStream(conn)
 	return conn, nil
 }
 
+// streamKeepAlive finds a peer that is gone within seconds, as streams may carry nothing for long.
+var streamKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
+// probeStream makes the kernel probe the other end of a stream.
+func probeStream(conn net.Conn) {
+	if c, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = c.NetConn()
+	}
+	if c, ok := conn.(*net.TCPConn); ok {
+		// Without the probes a peer that is gone is found later.
+		_ = c.SetKeepAliveConfig(streamKeepAlive)
+	}
+}
+
 // requestStream sends the request for a stream and waits for the response.
 func requestStream(conn net.Conn, name string, kind Kind, req, resp any) error {
 	var request []byte
@@ -127,6 +142,7 @@
 		// serve still has to release what the handler acquired.
 		s.conn.Close()
 	}
+	probeStream(s.conn)
 	serve(s.conn)
 }
 
