--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -145,8 +145,7 @@
 		case outcomeNotSent:
 			// The target received nothing, so another one may serve the request.
 			if p.unopened++; p.unopened >= maxUnreachable {
-				p.expectPartition()
-				return p.giveUp(failed, "no target can be reached")
+				return p.giveUp(failed, p.unreachableReason())
 			}
 		case outcomeRejected, outcomeIncomplete, outcomeFailed:
 			if !p.mayRetry(out) {
@@ -157,12 +156,15 @@
 	}
 }
 
-// expectPartition expects that this box remains without a path to any target for as long as it has been,
-// if it is partitioned and no other box opens connections for it.
-func (p *proxiedRequest) expectPartition() {
-	if pool := p.relay.options.Pool; pool.Partitioned() {
-		p.expectedWait = pool.SinceArrival()
+// unreachableReason returns why no connection opens. A box that is partitioned, and for which no other one
+// opens connections, expects to remain so for as long as it has been.
+func (p *proxiedRequest) unreachableReason() string {
+	pool := p.relay.options.Pool
+	if !pool.Partitioned() {
+		return "no target can be reached"
 	}
+	p.expectedWait = pool.SinceArrival()
+	return "this box reaches no target, nor does another for it"
 }
 
 // uncountAttempt takes back one attempt at a target.
