Log and count what told the end of each response

No log line or metric said whether an answer ended by its length, its last chunk or its connection, nor that a stream had ended without an event, nor that an error had been seen before the first byte of an answer that was passed on all the same. No change of what is answered.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -120,6 +120,9 @@
 		return p.classifyNoResponse(f.ctx, c, f.err), nil
 	}
 	defer resp.Close()
+	if f.bodyErr != nil {
+		p.note("broke off before the first byte of its body: %v", errors.Cause(f.bodyErr))
+	}
 	if box := resp.Box(); box != "" {
 		p.note("by way of %s", box)
 		p.relay.options.Stats.DetouredAttempts.Inc()
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -37,6 +37,9 @@
 		p.note("the response is not signed")
 		return outcomeIncomplete, nil
 	}
+	if len(body) < maxBufferedBytes {
+		p.recordEnd(resp)
+	}
 	p.recordResponse(c, good)
 	if good {
 		p.recordSuccess(c)
@@ -60,12 +63,23 @@
 		return outcomeCallerDisconnected
 	}
 	if _, err := io.Copy(p.w, resp); err != nil {
+		p.note("%v", errors.Cause(err))
 		p.aborted = true
 		return outcomeTruncated
 	}
+	p.recordEnd(resp)
 	return outcomeDone
 }
 
+// recordEnd records what told the end of a response that was read without an error.
+func (p *proxiedRequest) recordEnd(resp *target.Response) {
+	framing := resp.Framing()
+	p.relay.options.Stats.AnswersByFraming[framing].Inc()
+	if framing == target.FramingConnection {
+		p.note("ended with its connection")
+	}
+}
+
 // classifyReadError records a response that ended early and returns the outcome.
 func (p *proxiedRequest) classifyReadError(c *choice, err error) outcome {
 	p.note("%v", errors.Cause(err))
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -4,6 +4,8 @@
 	"io"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"embertally.dev/core/target"
 )
 
 // Stats holds the counters of a relay.
@@ -18,6 +20,10 @@
 	// another request, NotExecuted those that report that the request was not executed, and
 	// Misdirected those with the status for misdirected requests.
 	Attempts, Retries, StreamsResumed, MismatchedResponses, NotExecuted, Misdirected *metrics.Counter
+	// AnswersByFraming counts the responses that ended without an error, by what told their end.
+	// StreamsWithoutEvents counts those of them that were streams and had no event.
+	AnswersByFraming     map[target.Framing]*metrics.Counter
+	StreamsWithoutEvents *metrics.Counter
 	// FirstSeconds is the time to the first event of a stream, TotalSeconds the time to the end of
 	// a complete answer.
 	FirstSeconds, TotalSeconds *metrics.Histogram
@@ -68,15 +74,21 @@
 func NewStats() *Stats {
 	set := metrics.NewSet()
 	c := func(name string) *metrics.Counter { return set.NewCounter("embertally_" + name) }
+	ended := func(f target.Framing) *metrics.Counter { return c(`answers_ended_total{by="` + f.String() + `"}`) }
 	return &Stats{
 		set: set, Requests: c("requests_total"), Completed: c("requests_done_total"), Refused: c("requests_refused_total"),
 		Failed: c("requests_failed_total"), AnswersTruncated: c("answers_cut_total"), CallersDisconnected: c("callers_gone_total"),
 		Attempts: c("sends_total"), Retries: c("sends_repeated_total"), StreamsResumed: c("streams_resumed_total"),
 		MismatchedResponses: c("answers_foreign_total"), NotExecuted: c("targets_refused_total"),
-		Misdirected:  c("targets_moved_total"),
-		FirstSeconds: set.NewHistogram("embertally_first_seconds"),
-		TotalSeconds: set.NewHistogram("embertally_whole_seconds"),
-		PromptTokens: c("prompt_tokens_total"), PromptTokensCopied: c("prompt_tokens_copied_total"),
+		Misdirected: c("targets_moved_total"),
+		AnswersByFraming: map[target.Framing]*metrics.Counter{
+			target.FramingNone: ended(target.FramingNone), target.FramingLength: ended(target.FramingLength),
+			target.FramingChunks: ended(target.FramingChunks), target.FramingConnection: ended(target.FramingConnection),
+		},
+		StreamsWithoutEvents: c("streams_without_events_total"),
+		FirstSeconds:         set.NewHistogram("embertally_first_seconds"),
+		TotalSeconds:         set.NewHistogram("embertally_whole_seconds"),
+		PromptTokens:         c("prompt_tokens_total"), PromptTokensCopied: c("prompt_tokens_copied_total"),
 		PromptTokensCached: c("prompt_tokens_kept_total"),
 		LateCopies:         c("copies_late_total"),
 		Opened:             c("target_connections_opened_total"),
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -67,6 +67,11 @@
 		ev, err := nextEvent(r)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			gaps.finished()
+			p.recordEnd(resp)
+			if n == 0 {
+				p.note("no event")
+				p.relay.options.Stats.StreamsWithoutEvents.Inc()
+			}
 			return p.finishStream(c, resp)
 		}
 		if err != nil {
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -101,13 +101,47 @@
 	return errors.As(err, &s) && s.ClosedEarly
 }
 
+// Framing is what tells where the body of a response ends.
+type Framing int
+
+const (
+	// FramingNone: the response has no body.
+	FramingNone Framing = iota
+	// FramingLength: the header states the length of the body.
+	FramingLength
+	// FramingChunks: the last chunk is marked.
+	FramingChunks
+	// FramingConnection: the body ends where the target closes the connection. A target that breaks off
+	// may close it in the same way.
+	FramingConnection
+)
+
+var framingNames = [...]string{"none", "length", "chunks", "connection"}
+
+// String returns the framing as written in log lines and metrics.
+func (f Framing) String() string { return framingNames[f] }
+
+// framingOf returns the framing of a parsed response.
+func framingOf(parsed *http.Response) Framing {
+	switch {
+	case parsed.Body == http.NoBody:
+		return FramingNone
+	case parsed.ContentLength >= 0:
+		return FramingLength
+	case len(parsed.TransferEncoding) > 0:
+		return FramingChunks
+	}
+	return FramingConnection
+}
+
 // Response is the response of a target, whose body is still to be read.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length is the length of the body; -1 if the response does not state it.
-	Length int64
-	body   io.Reader
+	Length  int64
+	framing Framing
+	body    io.Reader
 	// conn is nil once the exchange has been closed.
 	conn *poolConn
 	// box is the box that the connection leads through, or "".
@@ -138,6 +172,9 @@
 	return n, err
 }
 
+// Framing returns what tells where the body ends.
+func (resp *Response) Framing() Framing { return resp.framing }
+
 // Box returns the box that the response came by way of, or "".
 func (resp *Response) Box() string { return resp.box }
 
@@ -204,6 +241,7 @@
 		}
 		resp.Status, resp.Header, resp.Length, resp.body = parsed.StatusCode, parsed.Header,
 			parsed.ContentLength, parsed.Body
+		resp.framing = framingOf(parsed)
 		if parsed.Close {
 			resp.Header.Set("Connection", "close")
 		}
