Response.Read returns each error again

Callers of plain and streamed requests whose attempt was watched for its first byte got an empty 200 when the worker reset the connection, or closed it with a length outstanding, before the first byte of the body.

Cause: AwaitBody peeked through a buffered reader, which returns an error once; the connection under it then reports an ordinary end, so that the next read found the end of the answer. Each end of a body now goes through recordRead, which keeps the first error. Ruled out: the body of net/http keeps no error either, so reading resp.body again would not do.

--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -142,6 +142,9 @@
 	Length  int64
 	framing Framing
 	body    io.Reader
+	// readErr is the first error of body, which ends reading: after a reset, the connection under it reports
+	// an ordinary end.
+	readErr error
 	// conn is nil once the exchange has been closed.
 	conn *poolConn
 	// box is the box that the connection leads through, or "".
@@ -155,9 +158,18 @@
 	failed   bool // the connection must not be reused
 }
 
-// Read reads the body. It returns io.EOF only when the response is complete.
+// Read reads the body. It returns io.EOF only when the response is complete, and each error again.
 func (resp *Response) Read(b []byte) (int, error) {
+	if resp.readErr != nil {
+		return 0, resp.readErr
+	}
 	n, err := resp.body.Read(b)
+	return n, resp.recordRead(err)
+}
+
+// recordRead records the result of a read of the body and returns it.
+func (resp *Response) recordRead(err error) error {
+	resp.readErr = err
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
@@ -169,7 +181,7 @@
 			resp.conn.pool.connectionFailed(resp.conn, err)
 		}
 	}
-	return n, err
+	return err
 }
 
 // Framing returns what tells where the body ends.
@@ -188,6 +200,10 @@
 	r := bufio.NewReaderSize(resp.body, awaitBodyBuffer)
 	_, err := r.Peek(1)
 	resp.body = r
+	if err != nil {
+		// The reader forgets an error that it has returned.
+		err = resp.recordRead(err)
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		return errors.WithStack(err)
 	}
