Reset the connection of a cut answer whose caller gets no chunks

Callers of HTTP/1.0 saw a stream that was cut off end as a whole one does: they get neither a length nor chunks, and the server closes their connection in either case. The connection is reset there now. With HTTP/1.1 the last chunk is missing, also where the caller asks to close.

TestCutAnswerLooksBrokenToCallersWithoutChunks fails without the change for both callers of HTTP/1.0, and passes 30 times with it.

--- a/core/relay/finish.go
+++ b/core/relay/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -33,8 +34,7 @@
 	case p.aborted:
 		stats.AnswersTruncated.Inc()
 		p.writeLog(event.StreamBroken, took)
-		// The connection is reset, so that the answer does not look complete.
-		panic(http.ErrAbortHandler)
+		p.abort()
 	default:
 		stats.Completed.Inc()
 		stats.TotalSeconds.Update(took.Seconds())
@@ -42,6 +42,23 @@
 	}
 }
 
+// abort ends the caller's connection so that the answer does not look complete. With chunks or a length it is
+// enough to close it.
+func (p *proxiedRequest) abort() {
+	if p.r.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(p.w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// An error means that the connection has ended.
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // note records a decision for the log line.
 func (p *proxiedRequest) note(format string, args ...any) {
 	p.notes = append(p.notes, fmt.Sprintf(format, args...))
--- a/core/relay/framing_test.go
+++ b/core/relay/framing_test.go
@@ -241,3 +241,33 @@
 		})
 	}
 }
+
+// The caller of an older protocol version gets no chunks, so that the end of its connection is the end of the
+// answer: a stream that was cut off ended as a whole one does.
+func TestCutAnswerLooksBrokenToCallersWithoutChunks(t *testing.T) {
+	for _, tc := range []struct {
+		name, version, lines string
+		whole                bool
+	}{
+		{"cut, HTTP/1.0", "1.0", "", false},
+		{"cut, HTTP/1.0 kept alive", "1.0", "Connection: keep-alive\r\n", false},
+		{"cut, HTTP/1.1", "1.1", "", false},
+		{"cut, HTTP/1.1 to be closed", "1.1", "Connection: close\r\n", false},
+		{"whole, HTTP/1.0", "1.0", "", true},
+		{"whole, HTTP/1.1 to be closed", "1.1", "Connection: close\r\n", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("a", "llm", always(stream(tc.whole, "id: 1\ndata: word 1\n\n")))
+			c, err := net.Dial("tcp", r.front.Listener.Addr().String())
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer c.Close()
+			fmt.Fprintf(c, "POST /single/x HTTP/%s\r\nHost: h\r\nId: try-1\r\nKey: secret\r\nModel: m\r\n%sContent-Length: 1\r\n\r\nx", tc.version, tc.lines)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			body, err := io.ReadAll(resp.Body)
+			r.g.Expect(string(body)).To(gomega.Equal("id: 1\ndata: word 1\n\n"))
+			r.g.Expect(err == nil).To(gomega.Equal(tc.whole), "%v", err)
+		})
+	}
+}
