The end of a connection does not clear a request that crashes targets

A request under which targets crash was cleared, or never blocked, when one of its answers ended with its connection: the crash guard counted it as completed well, though a target that crashes ends its answers in the same way. Answers over the buffered size were counted before their rest had come.

What nothing marks as whole is kept as an unproven end: it counts for no success and may still have caused a crash just afterwards. TestAnUnprovenEndClearsNoRequest fails if it is recorded as a success (the request is not blocked within 30 s); TestACrashJustAfterAnUnprovenEndCounts passes in both forms.

--- a/core/poison/attempts.go
+++ b/core/poison/attempts.go
@@ -52,12 +52,13 @@
 	requests    []sentRequest
 }
 
-// success is the last time a request completed well.
+// success is the last time a request completed, as far as that is known.
 type success struct {
 	incarnation string
 	at          clock.Time
 	sentRequest
-	// consecutive is how many times in a row it completed well at the incarnation.
+	// consecutive is how many times in a row it is known to have completed well at the incarnation; 0 if
+	// nothing tells that it did.
 	consecutive int
 }
 
@@ -195,8 +196,8 @@
 	return out
 }
 
-// recordSuccess records that a request completed well at an incarnation.
-func (s *attempts) recordSuccess(incarnation string, sent sentRequest) {
+// recordEnd records that a request ended at an incarnation. proven states that it completed well.
+func (s *attempts) recordEnd(incarnation string, sent sentRequest, proven bool) {
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
 	if len(s.current) >= maxSuccesses || s.current == nil {
@@ -207,9 +208,12 @@
 	if !found {
 		last = s.previous[k]
 	}
-	consecutive := 1
+	consecutive := 0
 	if last.incarnation == incarnation && last.request == sent.request {
-		consecutive = min(last.consecutive+1, minSuccesses)
+		consecutive = last.consecutive
+	}
+	if proven {
+		consecutive = min(consecutive+1, minSuccesses)
 	}
 	s.current[k] = success{incarnation: incarnation, at: clock.Now(), sentRequest: sent, consecutive: consecutive}
 }
@@ -220,7 +224,7 @@
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
 	for _, generation := range []map[uint64]success{s.current, s.previous} {
-		if last, found := generation[shortKey(d)]; found && last.request == d {
+		if last, found := generation[shortKey(d)]; found && last.request == d && last.consecutive > 0 {
 			return true
 		}
 	}
--- a/core/poison/attempts_test.go
+++ b/core/poison/attempts_test.go
@@ -26,7 +26,7 @@
 			var s attempts
 			sent := sentRequest{digestOf("the same again"), "org"}
 			for _, incarnation := range tc.incarnations {
-				s.recordSuccess(incarnation, sent)
+				s.recordEnd(incarnation, sent, true)
 			}
 			s.recordLoss("a", sent)
 			g.Expect(s.recordCrash("a", false)).NotTo(gomega.BeEmpty(), "it was in flight")
--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -94,12 +94,21 @@
 	if g == nil {
 		return
 	}
-	g.attempts.recordSuccess(incarnation, sentRequest{d, organisation})
+	g.attempts.recordEnd(incarnation, sentRequest{d, organisation}, true)
 	if _, blocked := g.blocks.remaining(d); blocked {
 		go unblocker{g, d, incarnation}.run()
 	}
 }
 
+// RecordUnprovenEnd records that a request ended at an incarnation of a target, and that nothing tells whether
+// it completed well or the target broke it off. It is no evidence for the request, and may still have caused
+// a crash.
+func (g *Guard) RecordUnprovenEnd(d Digest, organisation, incarnation string) {
+	if g != nil {
+		g.attempts.recordEnd(incarnation, sentRequest{d, organisation}, false)
+	}
+}
+
 // RecordResponsive records that an incarnation of a target responds.
 func (g *Guard) RecordResponsive(incarnation string) {
 	if g != nil {
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -209,6 +209,38 @@
 	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.Equal(2))
 }
 
+// A target that crashes may end its response as one that is done: such an end cleared requests that crash
+// targets.
+func TestAnUnprovenEndClearsNoRequest(t *testing.T) {
+	r := newTestFleet(t, 2)
+	d := digestOf("fatal")
+	for i := range 3 {
+		r.daemons[0].guard.RecordUnprovenEnd(d, "org", fmt.Sprintf("other-%d", i))
+		r.crash(0, d, fmt.Sprintf("inc-%d", i))
+		if i < 2 {
+			r.waitForCrashes(d, i+1)
+		}
+	}
+	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.Equal(2))
+	r.daemons[1].guard.RecordUnprovenEnd(d, "org", "well")
+	r.g.Consistently(r.blockedDaemons(d), 5*heartbeat, "5ms").Should(gomega.Equal(2))
+}
+
+// The target crashed just after it had closed the connection of a response that nothing marks as whole.
+func TestACrashJustAfterAnUnprovenEndCounts(t *testing.T) {
+	r := newTestFleet(t, 2)
+	d := digestOf("fatal")
+	for i := range 3 {
+		incarnation := fmt.Sprintf("inc-%d", i)
+		r.daemons[0].guard.RecordUnprovenEnd(d, "org", incarnation)
+		r.daemons[0].guard.RecordDialError(incarnation, errors.WithStack(syscall.ECONNREFUSED))
+		if i < 2 {
+			r.waitForCrashes(d, i+1)
+		}
+	}
+	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.Equal(2))
+}
+
 // The first crash tracker is stopped before the third crash.
 func TestTheCountSurvivesTheLossOfACrashTracker(t *testing.T) {
 	r := newTestFleet(t, 5)
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -228,9 +228,14 @@
 	}
 }
 
-// recordSuccess records that a target completed the request.
-func (p *proxiedRequest) recordSuccess(c *choice) {
-	p.relay.options.Poison.RecordSuccess(p.digest, p.organisationName(), c.target.ID())
+// recordSuccess records that a target completed the request, as far as its response tells.
+func (p *proxiedRequest) recordSuccess(c *choice, resp *target.Response) {
+	guard := p.relay.options.Poison
+	if resp.Framing() == target.FramingConnection {
+		guard.RecordUnprovenEnd(p.digest, p.organisationName(), c.target.ID())
+		return
+	}
+	guard.RecordSuccess(p.digest, p.organisationName(), c.target.ID())
 }
 
 // organisationName returns the name of the caller's organisation, or "".
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -38,12 +38,9 @@
 		return outcomeIncomplete, nil
 	}
 	if len(body) < maxBufferedBytes {
-		p.recordEnd(resp)
+		p.recordEnd(c, resp, good)
 	}
 	p.recordResponse(c, good)
-	if good {
-		p.recordSuccess(c)
-	}
 	p.recordFirstAnswer(c, sent)
 	if !good && p.route.MayRepeat() && len(body) < maxBufferedBytes {
 		return outcomeFailed, answer
@@ -53,11 +50,11 @@
 		answer.write(p)
 		return outcomeDone, nil
 	}
-	return p.passOnRest(answer, resp), nil
+	return p.passOnRest(c, answer, resp, good), nil
 }
 
 // passOnRest passes on a response that is too large to be buffered completely.
-func (p *proxiedRequest) passOnRest(answer *bufferedResponse, resp *target.Response) outcome {
+func (p *proxiedRequest) passOnRest(c *choice, answer *bufferedResponse, resp *target.Response, good bool) outcome {
 	answer.writeHeader(p, resp.Length)
 	if _, err := p.w.Write(answer.body); err != nil {
 		return outcomeCallerDisconnected
@@ -67,12 +64,16 @@
 		p.aborted = true
 		return outcomeTruncated
 	}
-	p.recordEnd(resp)
+	p.recordEnd(c, resp, good)
 	return outcomeDone
 }
 
-// recordEnd records what told the end of a response that was read without an error.
-func (p *proxiedRequest) recordEnd(resp *target.Response) {
+// recordEnd records the end of a response that was read without an error: what told it and, if the response
+// was good, that the target completed the request.
+func (p *proxiedRequest) recordEnd(c *choice, resp *target.Response, good bool) {
+	if good {
+		p.recordSuccess(c, resp)
+	}
 	framing := resp.Framing()
 	p.relay.options.Stats.AnswersByFraming[framing].Inc()
 	if framing == target.FramingConnection {
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -74,7 +74,7 @@
 		}
 		if errors.Is(err, io.EOF) || (errors.Is(err, target.ErrUnmarkedEnd) && caughtUp) {
 			gaps.finished()
-			p.recordEnd(resp)
+			p.recordEnd(c, resp, true)
 			return p.finishStream(c, resp)
 		}
 		if err != nil {
@@ -133,7 +133,6 @@
 
 // finishStream records the regular end of a stream.
 func (p *proxiedRequest) finishStream(c *choice, resp *target.Response) outcome {
-	p.recordSuccess(c)
 	if p.headerSent {
 		return outcomeDone
 	}
