Comments in a stream are no events

A stream that closed its connection after a comment line, as targets send to keep a connection in use, was passed on as complete, and one that broke after it could not be replaced, since the header had gone out. Comments before the first event are held back until it comes; they are passed on with it, or with a complete answer without events. TestCommentsAreNoEvents fails without the change (an answer of one comment, complete).

--- a/core/relay/framing_test.go
+++ b/core/relay/framing_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/roster"
+	"embertally.dev/core/target"
 )
 
 // ending is how a target ends a response: after some bytes of the body it goes on as if nothing
@@ -197,17 +201,105 @@
 	}
 }
 
+// otherBox is a box that reaches targets whose addresses this one does not reach.
+type otherBox struct{ addresses sync.Map }
+
+func (b *otherBox) Open(_ context.Context, id string) (net.Conn, string, error) {
+	address, _ := b.addresses.Load(id)
+	to, err := net.Dial("tcp", address.(string))
+	if err != nil {
+		return nil, "", err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		return nil, "", err
+	}
+	forwarding, err := l.Accept()
+	if err != nil {
+		return nil, "", err
+	}
+	go func() {
+		target.ForwardResponses(forwarding, to)
+		forwarding.Close()
+	}()
+	go func() {
+		// An error means that the connection has ended.
+		_, _ = io.Copy(to, forwarding)
+		to.Close()
+	}()
+	return conn, "box", nil
+}
+
+func (*otherBox) Usable(string) bool { return true }
+
+func (*otherBox) RecordLost(string) {}
+
+// hide makes a target reachable only by way of the other box.
+func (b *otherBox) hide(r *rig, id string) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	closed.Close()
+	e := *r.roster.Target(id).Entry()
+	b.addresses.Store(id, e.Address)
+	e.Address = closed.Addr().String()
+	r.roster.Put(e)
+}
+
+// The box in between tells how the target's connection ended.
+func TestBrokenResponsesByWayOfAnotherBoxNeverLookComplete(t *testing.T) {
+	for _, tc := range []struct{ name, path, service, body string }{
+		{"stream", "/single/x", "llm", eventsAfter("")},
+		{"plain", "/once/x", "plain", "0123456789"},
+	} {
+		for _, frame := range frames {
+			for _, end := range []ending{endsClosed, endsReset} {
+				t.Run(fmt.Sprintf("%s, %s, %d", tc.name, frame.name, end), func(t *testing.T) {
+					r, box := newRig(t, nil), &otherBox{}
+					r.relay.options.Pool.Detour = box
+					lines, framed := frame.encode(tc.body)
+					var cutAt atomic.Int64
+					cutAt.Store(int64(len(framed)))
+					r.rawTarget("a", tc.service, func(c net.Conn, req *http.Request) ending {
+						cut := int(cutAt.Load())
+						writeHead(c, req, 200, lines)
+						io.WriteString(c, framed[:cut])
+						if cut == len(framed) {
+							return endsClosed
+						}
+						return end
+					})
+					box.hide(r, "a")
+					// The first requests find that the direct path is broken.
+					r.g.Eventually(func() int { return r.send(http.MethodPost, tc.path, "x", "Model", "m").status }, "10s", "20ms").
+						Should(gomega.Equal(http.StatusOK))
+					for cut := range len(framed) {
+						cutAt.Store(int64(cut))
+						got := r.send(http.MethodPost, tc.path, "x", "Model", "m")
+						r.g.Expect(got.err == nil && got.status == http.StatusOK && !canNotTell(tc.service, frame.marked, end, framed[:cut])).To(
+							gomega.BeFalse(), "cut at %d: %q looks complete", cut, got.body)
+					}
+					r.g.Expect(r.relay.options.Stats.DetouredAttempts.Get()).To(gomega.BeNumerically(">", len(framed)/2))
+				})
+			}
+		}
+	}
+}
+
 // A stream with another status than 200 is passed on as a whole, and retried if it broke off.
 func TestCreatedStreamIsPassedOnComplete(t *testing.T) {
 	for _, frame := range frames {
 		t.Run(frame.name, func(t *testing.T) {
 			r := newRig(t, nil)
 			lines, framed := frame.encode(eventsAfter(""))
-			broken := true
+			var answered atomic.Bool
 			respond := func(c net.Conn, req *http.Request) ending {
 				writeHead(c, req, http.StatusCreated, lines)
-				if broken {
-					broken = false
+				if !answered.Swap(true) {
 					io.WriteString(c, framed[:len(framed)/2])
 					return endsReset
 				}
@@ -271,3 +363,26 @@
 		})
 	}
 }
+
+// Comments that keep a connection in use are no events: a stream that closed after one was taken for whole.
+func TestCommentsAreNoEvents(t *testing.T) {
+	const comment = ": still here\n\n"
+	for _, tc := range []struct{ name, first, want string }{
+		{"after the header", comment, eventsAfter("")},
+		{"before an event", comment + "id: 1\ndata: word 1\n\n" + comment, comment + "id: 1\ndata: word 1\n\n" + comment},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.rawTarget("a", "llm", func(c net.Conn, req *http.Request) ending {
+				writeHead(c, req, 200, "")
+				io.WriteString(c, tc.first)
+				return endsClosed
+			})
+			r.target("b", "llm", always(stream(true, eventsAfter(""))))
+			r.roster.Target("b").AddLoad(roster.Load{Running: hedgeRigLoad["llm"]})
+			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m")
+			r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(got.body).To(gomega.Equal(tc.want))
+		})
+	}
+}
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -25,12 +25,14 @@
 type rawEvent struct {
 	raw []byte
 	id  string
+	// comment means that it has no field, as the comments that keep a connection in use.
+	comment bool
 }
 
 // nextEvent reads one event. At the end of the stream it returns io.EOF or target.ErrUnmarkedEnd, and
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func nextEvent(r *bufio.Reader) (rawEvent, error) {
-	var ev rawEvent
+	ev := rawEvent{comment: true}
 	for {
 		line, err := r.ReadBytes('\n')
 		ev.raw = append(ev.raw, line...)
@@ -47,6 +49,7 @@
 		if len(text) == 0 && len(bytes.TrimSpace(ev.raw)) > 0 {
 			return ev, nil
 		}
+		ev.comment = ev.comment && (len(text) == 0 || text[0] == ':')
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(value))
 		}
@@ -62,43 +65,80 @@
 		return outcomeIncomplete
 	}
 	r := bufio.NewReaderSize(resp, 2<<10)
-	gaps := p.newGapObserver(c)
-	// caughtUp is set once an event came that the caller did not have before this attempt, or the last one
-	// that it had.
-	caughtUp := false
-	for n := 0; ; n++ {
+	st := &responseStream{gaps: p.newGapObserver(c)}
+	for {
 		ev, err := nextEvent(r)
-		if err != nil && target.IsEnd(err) && n == 0 {
-			p.note("no event")
-			p.relay.options.Stats.StreamsWithoutEvents.Inc()
-		}
-		if errors.Is(err, io.EOF) || (errors.Is(err, target.ErrUnmarkedEnd) && caughtUp) {
-			gaps.finished()
-			p.recordEnd(c, resp, true)
-			return p.finishStream(c, resp)
+		if target.IsEnd(err) {
+			return p.endStream(c, resp, st, err)
 		}
 		if err != nil {
 			return p.classifyBrokenStream(c, err)
 		}
-		if n == 0 {
-			onFirst()
-			p.recordResponse(c, true)
-			p.recordFirstAnswer(c, sent)
-		}
-		gaps.received()
-		caughtUp = caughtUp || ev.id == p.lastEventID || isNewerEvent(ev.id, p.lastEventID)
-		if !isNewerEvent(ev.id, p.lastEventID) {
-			// The caller received this event from the previous worker.
+		if ev.comment && !p.headerSent {
+			if st.comments = append(st.comments, ev.raw...); len(st.comments) > maxEventBytes {
+				return p.classifyBrokenStream(c, errors.WithStack(errEventTooLong))
+			}
 			continue
 		}
+		if !ev.comment {
+			if st.events++; st.events == 1 {
+				onFirst()
+				p.recordResponse(c, true)
+				p.recordFirstAnswer(c, sent)
+			}
+			st.gaps.received()
+			newer := isNewerEvent(ev.id, p.lastEventID)
+			st.caughtUp = st.caughtUp || newer || ev.id == p.lastEventID
+			if !newer {
+				// The caller received this event from the previous worker.
+				continue
+			}
+		}
+		ev.raw, st.comments = append(st.comments, ev.raw...), nil
 		if err := p.writeEvent(resp, ev); err != nil {
 			resp.Discard()
 			return outcomeCallerDisconnected
 		}
-		gaps.passedOn()
+		st.gaps.passedOn()
 	}
 }
 
+// responseStream is what has been read of one response that is a stream.
+type responseStream struct {
+	gaps *gapObserver
+	// events is the number of events, without comments.
+	events int
+	// caughtUp is set once an event came that the caller did not have before this response, or the last one
+	// that it had.
+	caughtUp bool
+	// comments precede the first event that is passed on. A response that breaks off after them is replaced
+	// like one without any event.
+	comments []byte
+}
+
+// endStream returns the outcome of a stream that ended between two events; err is the kind of its end.
+func (p *proxiedRequest) endStream(c *choice, resp *target.Response, st *responseStream, err error) outcome {
+	if st.events == 0 {
+		p.note("no event")
+		p.relay.options.Stats.StreamsWithoutEvents.Inc()
+	}
+	if errors.Is(err, target.ErrUnmarkedEnd) && !st.caughtUp {
+		return p.classifyBrokenStream(c, err)
+	}
+	st.gaps.finished()
+	p.recordEnd(c, resp, true)
+	if p.headerSent {
+		return outcomeDone
+	}
+	// A complete response without events.
+	(&bufferedResponse{resp.Status, resp.Header, nil}).writeHeader(p, -1)
+	p.recordResponse(c, true)
+	if _, err := p.w.Write(st.comments); err != nil {
+		return outcomeCallerDisconnected
+	}
+	return outcomeDone
+}
+
 // isNewerEvent reports whether an event comes after the last one passed on. IDs are rising decimal
 // numbers and are compared as digits.
 func isNewerEvent(id, last string) bool {
@@ -131,17 +171,6 @@
 	return errors.WithStack(rc.Flush())
 }
 
-// finishStream records the regular end of a stream.
-func (p *proxiedRequest) finishStream(c *choice, resp *target.Response) outcome {
-	if p.headerSent {
-		return outcomeDone
-	}
-	// A complete response without events.
-	(&bufferedResponse{resp.Status, resp.Header, nil}).writeHeader(p, -1)
-	p.recordResponse(c, true)
-	return outcomeDone
-}
-
 // classifyBrokenStream records a stream that broke and returns the outcome.
 func (p *proxiedRequest) classifyBrokenStream(c *choice, err error) outcome {
 	p.note("%v", errors.Cause(err))
