--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -105,14 +105,14 @@
 type Framing int
 
 const (
-	// FramingNone: the response has no body.
+	// FramingNone means that the response has no body.
 	FramingNone Framing = iota
-	// FramingLength: the header states the length of the body.
+	// FramingLength means that the header states the length of the body.
 	FramingLength
-	// FramingChunks: the last chunk is marked.
+	// FramingChunks means that the last chunk is marked.
 	FramingChunks
-	// FramingConnection: the body ends where the target closes the connection. A target that breaks off
-	// may close it in the same way.
+	// FramingConnection means that the body ends where the target closes the connection. A target that
+	// breaks off may close it in the same way.
 	FramingConnection
 )
 
