Log and count resumptions of streams and the versions of their events

Neither logs nor metrics told that a request resumes a stream, which attempt it names, or that the events of one answer came from two versions of the target. No change of what is answered.

--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -24,6 +24,8 @@
 	Segments []cache.Segment
 	// LastEventID is the ID of the last event that the caller received of a broken stream, or "".
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of that stream, or "".
+	Resumes string
 }
 
 // AttemptMeta is the metadata that is sent to a target with a request.
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -63,6 +63,8 @@
 	headerSent bool
 	// lastEventID is the ID of the last stream event that the caller has received.
 	lastEventID string
+	// streamVersion is the version of the target whose event was passed on last; "" before the first one.
+	streamVersion string
 	// firstAt is when the first event or the header of a response was passed on; zero before that.
 	firstAt time.Time
 	// skipped lists targets that the last choice skipped for their self-reported state, with the
@@ -116,6 +118,7 @@
 	p.versions = p.relay.options.Canary.Choose(p.service)
 	p.relay.recordArrival(p.service, p.relay.options.Costs.Utility(p.meta.PromptTokens), p.start)
 	p.lastEventID = p.meta.LastEventID
+	p.noteResumption()
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.deadline.Add(deadlineMargin))
 	defer cancel()
 	var failed *bufferedResponse
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -31,7 +31,7 @@
 func (testDialect) ParseRequest(h http.Header) (RequestMeta, error) {
 	meta := RequestMeta{
 		AttemptID: h.Get("Id"), APIKey: h.Get("Key"), Model: h.Get("Model"),
-		LastEventID: h.Get("After"),
+		LastEventID: h.Get("After"), Resumes: h.Get("Resumes"),
 	}
 	ms, err := strconv.Atoi(h.Get("Deadline"))
 	if h.Get("Deadline") != "" && err != nil {
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -24,6 +24,9 @@
 	// StreamsWithoutEvents counts those of them that were streams and had no event.
 	AnswersByFraming     map[target.Framing]*metrics.Counter
 	StreamsWithoutEvents *metrics.Counter
+	// StreamsTakenUp counts the requests by which callers resume a stream, StreamVersionsMixed the answers
+	// that passed on events of another version of a target than before.
+	StreamsTakenUp, StreamVersionsMixed *metrics.Counter
 	// FirstSeconds is the time to the first event of a stream, TotalSeconds the time to the end of
 	// a complete answer.
 	FirstSeconds, TotalSeconds *metrics.Histogram
@@ -85,6 +88,7 @@
 			target.FramingNone: ended(target.FramingNone), target.FramingLength: ended(target.FramingLength),
 			target.FramingChunks: ended(target.FramingChunks), target.FramingConnection: ended(target.FramingConnection),
 		},
+		StreamsTakenUp: c("streams_taken_up_total"), StreamVersionsMixed: c("stream_versions_mixed_total"),
 		StreamsWithoutEvents: c("streams_without_events_total"),
 		FirstSeconds:         set.NewHistogram("embertally_first_seconds"),
 		TotalSeconds:         set.NewHistogram("embertally_whole_seconds"),
