--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -91,6 +91,10 @@
 	// another version is listed, for example when operators order the version that all targets
 	// have.
 	Canary string `msgpack:"Trial"`
+	// Bound means that a request may go to the version Only and to no other, whatever Preferred and Canary say: it
+	// resumes a stream that this version began.
+	Bound bool
+	Only  string
 	// TargetShare is the share of the preferred version's targets to use; 0 means all. A canary version
 	// gets the same share of the requests, so each of these targets gets as many as it would get
 	// after the rollout.
@@ -98,11 +102,13 @@
 }
 
 // Allows reports whether a request may go to a version.
-func (f *VersionFilter) Allows(version string) bool { return !slices.Contains(f.Excluded, version) }
+func (f *VersionFilter) Allows(version string) bool {
+	return !slices.Contains(f.Excluded, version) && (!f.Bound || version == f.Only)
+}
 
 // WithoutCanary returns the versions allowed to a request that failed on the canary version.
 func (f VersionFilter) WithoutCanary() VersionFilter {
-	if f.TargetShare == 0 {
+	if f.TargetShare == 0 || f.Bound {
 		return f
 	}
 	return VersionFilter{Excluded: append(slices.Clone(f.Excluded), f.Preferred)}
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -165,6 +165,23 @@
 	return filter
 }
 
+// Resume returns the filter of a request that resumes a stream which a version began. It goes on there in each phase
+// but RolledBack: a stream of a version that was rolled back ends, since such a version gets no requests.
+func (g *Guard) Resume(name, version string) VersionFilter {
+	g.guardMu.Lock()
+	defer g.guardMu.Unlock()
+	filter := VersionFilter{Bound: true, Only: version}
+	s := g.services[name]
+	if s == nil {
+		return filter
+	}
+	filter.Excluded = s.blocked()
+	if s.order.Revision != 0 && s.phase() == RolledBack {
+		filter.Excluded = append(filter.Excluded, s.order.Version)
+	}
+	return filter
+}
+
 // RequestStarted counts a request that is sent to a version.
 func (g *Guard) RequestStarted(name, version string) { g.addRunning(name, version, 1) }
 
--- /dev/null
+++ b/core/origin/book.go
@@ -0,0 +1,230 @@
+package origin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"embertally.dev/core/clock"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/wire"
+)
+
+// Proof is what a daemon can say of the versions of a service.
+type Proof int
+
+const (
+	// Several means that streams may have begun at several versions, or that this daemon cannot tell.
+	Several Proof = iota
+	// Unproven means that this daemon has seen a single version, but not for as long as a stream may be resumed.
+	Unproven
+	// Sole means that each stream that may still be resumed began at one version.
+	Sole
+)
+
+// Options configures a Book.
+type Options struct {
+	// Fleet reaches the other daemons. Nil means that there are none.
+	Fleet *fleet.Fleet
+	// Versions returns what this daemon can say of a service's versions: the version unless it is Several. It must
+	// not block.
+	Versions func(service string) (string, Proof)
+	// Inherit records that another daemon has proven that a service has had a single version. Nil does nothing.
+	Inherit func(service string)
+}
+
+// Book holds the records of this daemon and exchanges them with others. Its methods are safe for concurrent use.
+type Book struct {
+	o Options
+	// wake has an element when outbox has records.
+	wake chan struct{}
+
+	bookMu  sync.Mutex
+	records records // guarded by bookMu
+	// held are records of this daemon that are not told, since their services have a single version. Guarded by
+	// bookMu.
+	held []toldRecord
+	// recent are those that heartbeats tell, until fullWindow after they were recorded. Guarded by bookMu.
+	recent []toldRecord
+	// outbox holds the records for other cells. Guarded by bookMu.
+	outbox []toldRecord
+}
+
+// New returns a Book. It must be called before the fleet runs.
+func New(o Options) *Book {
+	b := &Book{o: o, wake: make(chan struct{}, 1)}
+	if o.Fleet != nil {
+		o.Fleet.Attach("origins", b)
+		o.Fleet.Mux().Register(kindFind, wire.Handle(b.handleFind))
+		o.Fleet.Mux().Register(kindRecord, wire.Handle(b.handleRecords))
+	}
+	return b
+}
+
+// Record records that an organisation's attempt brought events of a stream.
+func (b *Book) Record(organisation, attempt string, s Stream) {
+	now := clock.Now()
+	told := toldRecord{key: newKey(organisation, attempt), stream: s, at: now}
+	_, proof := b.o.Versions(s.Service)
+	b.bookMu.Lock()
+	defer b.bookMu.Unlock()
+	b.records.add(told.key, s, now)
+	if b.o.Fleet == nil {
+		return
+	}
+	if proof == Sole {
+		b.hold(told)
+		return
+	}
+	b.tell(told)
+}
+
+// Finding is what is known of where a stream began.
+type Finding struct {
+	Stream
+	// Known means that Stream is where the stream began, and Sole that it follows from the service's having had a
+	// single version.
+	Known, Sole bool
+	// Asked and Unanswered count the other daemons that were asked, and those of them that did not answer.
+	Asked, Unanswered int
+}
+
+// Bounds of the search for a record.
+const (
+	// findTimeout bounds the wait for other daemons.
+	findTimeout = 150 * time.Millisecond
+	// maxAsked is how many daemons are asked: with half of them just started, one of four knows.
+	maxAsked = 4
+)
+
+// Find returns where the stream began of which an organisation's attempt brought the first event; the attempt is
+// empty if the caller does not name it. service is the one that the stream is resumed at.
+func (b *Book) Find(ctx context.Context, organisation, attempt, service string) Finding {
+	k := newKey(organisation, attempt)
+	if s, found := b.findLocal(k, attempt); found {
+		return Finding{Stream: s, Known: true}
+	}
+	version, proof := b.o.Versions(service)
+	if proof == Sole {
+		return Finding{Stream: Stream{Service: service, Version: version}, Known: true, Sole: true}
+	}
+	return b.findElsewhere(ctx, k, attempt, service, version, proof)
+}
+
+// findLocal returns the record of this daemon.
+func (b *Book) findLocal(k key, attempt string) (Stream, bool) {
+	if attempt == "" {
+		return Stream{}, false
+	}
+	b.bookMu.Lock()
+	defer b.bookMu.Unlock()
+	return b.records.find(k, clock.Now())
+}
+
+// findElsewhere asks other daemons for a record. version and proof are what this daemon says of the service.
+func (b *Book) findElsewhere(ctx context.Context, k key, attempt, service, version string, proof Proof) Finding {
+	peers := b.holders(k)
+	out := Finding{Asked: len(peers)}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	answers := make(chan *findResponse, len(peers))
+	for _, peer := range peers {
+		go finder{b.o.Fleet, peer, &findRequest{Key: k, Named: attempt != "", Service: service}, answers}.run(ctx)
+	}
+	sole := false
+	for range peers {
+		answer := <-answers
+		switch {
+		case answer == nil:
+			out.Unanswered++
+		case answer.Found:
+			b.bookMu.Lock()
+			b.records.add(k, answer.Stream, clock.Now())
+			b.bookMu.Unlock()
+			out.Stream, out.Known = answer.Stream, true
+			return out
+		case answer.Proof == Sole && proof == Unproven && answer.Stream.Version == version:
+			sole = true
+		}
+	}
+	if sole {
+		if b.o.Inherit != nil {
+			b.o.Inherit(service)
+		}
+		out.Stream, out.Known, out.Sole = Stream{Service: service, Version: version}, true, true
+	}
+	return out
+}
+
+// holders returns the daemons to ask for a record.
+func (b *Book) holders(k key) []string {
+	if b.o.Fleet == nil {
+		return nil
+	}
+	view := b.o.Fleet.View()
+	cell := view.KeyCell(k.hash())
+	if cell != view.Cell() {
+		return view.Owners(cell, fleet.Key("origin/"+view.Self()), maxAsked/2)
+	}
+	var names []string
+	for _, p := range view.Peers() {
+		if p.Cell == cell && p.Alive {
+			names = append(names, p.Name)
+		}
+	}
+	return fleet.RankFirst(k.hash(), names, maxAsked)
+}
+
+// finder asks one daemon for a record.
+type finder struct {
+	fleet   *fleet.Fleet
+	peer    string
+	request *findRequest
+	answers chan<- *findResponse
+}
+
+// run sends the answer, or nil if there is none.
+func (f finder) run(ctx context.Context) {
+	var response findResponse
+	if err := f.fleet.Query(ctx, f.peer, kindFind, f.request, &response); err != nil {
+		f.answers <- nil
+		return
+	}
+	f.answers <- &response
+}
+
+// kindFind is the kind of the query for a record.
+const kindFind wire.Kind = "origin.find"
+
+// findRequest asks where a stream began.
+type findRequest struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Key      key
+	// Named is set if the caller names the attempt.
+	Named   bool
+	Service string
+}
+
+// findResponse is the record if Found is set, or else the version of the service unless Proof is Several.
+type findResponse struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Found    bool
+	Stream   Stream
+	Proof    Proof
+}
+
+// handleFind answers another daemon's query.
+func (b *Book) handleFind(_ context.Context, _ string, request *findRequest) (*findResponse, error) {
+	if request.Named {
+		b.bookMu.Lock()
+		s, found := b.records.find(request.Key, clock.Now())
+		b.bookMu.Unlock()
+		if found {
+			return &findResponse{Found: true, Stream: s}, nil
+		}
+	}
+	version, proof := b.o.Versions(request.Service)
+	return &findResponse{Stream: Stream{Service: request.Service, Version: version}, Proof: proof}, nil
+}
--- /dev/null
+++ b/core/origin/origin_test.go
@@ -0,0 +1,244 @@
+package origin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/plat"
+)
+
+const maxWait = "10s"
+
+// testDaemon is one daemon with its book.
+type testDaemon struct {
+	name string
+	book *Book
+
+	mu        sync.Mutex
+	version   string
+	proof     Proof
+	inherited []string
+	stop      context.CancelFunc
+}
+
+func (d *testDaemon) versions(string) (string, Proof) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version, d.proof
+}
+
+func (d *testDaemon) set(version string, proof Proof) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version, d.proof = version, proof
+}
+
+// boxes is a fixed box list.
+type boxes []plat.Box
+
+func (b boxes) Read(context.Context) ([]plat.Box, bool, error) { return b, true, nil }
+
+// startDaemons starts daemons that know each other.
+func startDaemons(t *testing.T, n int, proof Proof) []*testDaemon {
+	g := gomega.NewWithT(t)
+	var list boxes
+	var listeners []net.Listener
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		listeners = append(listeners, l)
+		list = append(list, plat.Box{Name: fmt.Sprintf("d%02d", i), Role: plat.RoleEntry, Address: l.Addr().String(), Domain: "z", State: plat.BoxLive})
+	}
+	var out []*testDaemon
+	for i := range n {
+		d := &testDaemon{name: list[i].Name, version: "v1", proof: proof}
+		f := fleet.New(fleet.Options{
+			Name: d.name, Incarnation: "1", Address: list[i].Address, Domain: "z", HeartbeatInterval: 20 * time.Millisecond,
+			SuspectAfter: time.Second, BoxPollInterval: 20 * time.Millisecond, Boxes: list, Log: &event.Log{},
+		})
+		d.book = New(Options{Fleet: f, Versions: d.versions, Inherit: func(s string) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.inherited = append(d.inherited, s)
+		}})
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { f.Run(ctx, listeners[i]) })
+		wg.Go(func() { d.book.Run(ctx) })
+		d.stop = sync.OnceFunc(func() { stop(); wg.Wait() })
+		t.Cleanup(d.stop)
+		out = append(out, d)
+	}
+	for _, d := range out {
+		g.Eventually(func() int {
+			alive := 0
+			for _, p := range d.book.o.Fleet.View().Peers() {
+				if p.Alive {
+					alive++
+				}
+			}
+			return alive
+		}, maxWait, "5ms").Should(gomega.Equal(n - 1))
+	}
+	return out
+}
+
+// has returns whether a daemon has a record of its own.
+func (d *testDaemon) has(organisation, attempt string) bool {
+	_, found := d.book.findLocal(newKey(organisation, attempt), attempt)
+	return found
+}
+
+var begun = Stream{Service: "llm", Version: "v1"}
+
+// A box that is killed takes its memory with it: the others must know what it began.
+func TestRecordsOutliveTheDaemonThatBeganTheStream(t *testing.T) {
+	for _, daemons := range []int{3, 40} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			fleet := startDaemons(t, daemons, Several)
+			const streams = 30
+			for i := range streams {
+				fleet[0].book.Record("org", fmt.Sprint("try-", i), begun)
+			}
+			for i := range streams {
+				id := fmt.Sprint("try-", i)
+				g.Eventually(func() int {
+					holders := 0
+					for _, d := range fleet[1:] {
+						if d.has("org", id) {
+							holders++
+						}
+					}
+					return holders
+				}, maxWait, "5ms").Should(gomega.BeNumerically(">", 1), id)
+			}
+			fleet[0].stop()
+			for i := range streams {
+				found := fleet[1+i%(daemons-1)].book.Find(context.Background(), "org", fmt.Sprint("try-", i), "llm")
+				g.Expect(found.Known).To(gomega.BeTrue())
+				g.Expect(found.Stream).To(gomega.Equal(begun))
+			}
+		})
+	}
+}
+
+// A caller can't learn or use where another organisation's stream began.
+func TestRecordsOfOtherOrganisationsAreNotFound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fleet := startDaemons(t, 2, Several)
+	fleet[0].book.Record("org", "try", begun)
+	g.Expect(fleet[0].book.Find(context.Background(), "org", "try", "llm").Known).To(gomega.BeTrue())
+	for _, d := range fleet {
+		g.Expect(d.book.Find(context.Background(), "other", "try", "llm").Known).To(gomega.BeFalse())
+		g.Expect(d.book.Find(context.Background(), "org", "", "llm").Known).To(gomega.BeFalse())
+	}
+}
+
+// While a service has one version nothing is told; what was begun until a second one appears is told then.
+func TestHeldRecordsAreToldOnceThereIsASecondVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fleet := startDaemons(t, 3, Sole)
+	fleet[0].book.Record("org", "try", begun)
+	g.Consistently(func() bool { return fleet[1].has("org", "try") }, "200ms", "20ms").Should(gomega.BeFalse())
+	g.Expect(fleet[1].book.Find(context.Background(), "org", "try", "llm")).To(gomega.Equal(Finding{Stream: begun, Known: true, Sole: true}))
+	for _, d := range fleet {
+		d.set("", Several)
+	}
+	for _, d := range fleet[1:] {
+		g.Eventually(func() bool { return d.has("org", "try") }, maxWait, "5ms").Should(gomega.BeTrue())
+	}
+}
+
+// A daemon that has just started doesn't know which versions have gone; one that has run for long does.
+func TestSingleVersionIsProvenByAnotherDaemon(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		own, others Proof
+		version     string
+		known       bool
+	}{
+		{"a peer has seen one version for long", Unproven, Sole, "v1", true},
+		{"all have just started", Unproven, Unproven, "v1", false},
+		{"this one has seen two versions", Several, Sole, "v1", false},
+		{"a peer that has not heard of the new version", Unproven, Sole, "v2", false},
+		{"a peer has seen two versions", Unproven, Several, "", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			fleet := startDaemons(t, 3, tc.own)
+			for _, d := range fleet[1:] {
+				d.set(tc.version, tc.others)
+			}
+			found := fleet[0].book.Find(context.Background(), "org", "try", "llm")
+			g.Expect(found.Known).To(gomega.Equal(tc.known))
+			g.Expect(found.Unanswered).To(gomega.BeZero())
+			g.Expect(len(fleet[0].inherited) > 0).To(gomega.Equal(tc.known))
+		})
+	}
+}
+
+// One organisation that sends many requests must not push out the streams of others.
+func TestRecordsAreBoundedByOrganisation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var r records
+	now := clock.Now()
+	r.add(newKey("small", "try"), begun, now)
+	for i := range 2 * maxRecords {
+		r.add(newKey("large", fmt.Sprint(i)), begun, now)
+	}
+	g.Expect(r.size).To(gomega.Equal(maxRecords))
+	g.Expect(len(r.streams)).To(gomega.Equal(maxRecords))
+	_, found := r.find(newKey("small", "try"), now)
+	g.Expect(found).To(gomega.BeTrue())
+	_, found = r.find(newKey("large", "0"), now)
+	g.Expect(found).To(gomega.BeFalse())
+}
+
+// A record that was added again counts from then on, and its former place in the queue takes nothing away.
+func TestRecordsExpire(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var r records
+	start := clock.Now()
+	kept, old := newKey("org", "kept"), newKey("org", "old")
+	r.add(kept, begun, start)
+	r.add(old, begun, start)
+	r.add(kept, Stream{Service: "llm", Version: "v2"}, start.Add(Retention))
+	later := start.Add(Retention + time.Second)
+	r.add(newKey("org", "new"), begun, later)
+	s, found := r.find(kept, later)
+	g.Expect(found).To(gomega.BeTrue())
+	g.Expect(s.Version).To(gomega.Equal("v2"))
+	_, found = r.find(old, later)
+	g.Expect(found).To(gomega.BeFalse())
+	g.Expect(r.size).To(gomega.Equal(2))
+	g.Expect(len(r.streams)).To(gomega.Equal(2))
+}
+
+// FuzzReceive feeds bytes of a heartbeat: whatever a peer sends, nothing panics and the records stay bounded.
+func FuzzReceive(f *testing.F) {
+	good, err := msgpack.Marshal(group([]toldRecord{{key: newKey("org", "try"), stream: begun}}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:len(good)-3])
+	f.Add([]byte{0x91, 0x92, 0x92, 0xa1, 's', 0xa1, 'v', 0xc4, 3, 1, 2, 3})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		b := New(Options{Versions: func(string) (string, Proof) { return "", Several }})
+		b.Receive("peer", body)
+		if b.records.size > maxRecords {
+			t.Fatal("too many records")
+		}
+	})
+}
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -60,7 +60,7 @@
 	// avoided are those whose connections were slow to open: the last resort.
 	var out, avoided []eligibleTarget
 	availability, reloading := p.relay.options.Roster.Availability(now), p.relay.options.Roster.Reloading(now)
-	var unavailable unavailability
+	unavailable := unavailability{bound: p.versions.Bound}
 	list = p.applyRollout(list)
 	for _, t := range list {
 		if p.tried[t.ID()] > 0 {
@@ -151,6 +151,11 @@
 	// allFull: targets are available, but have no free capacity.
 	allFull      = "all targets are full"
 	allEvacuated = "all failure domains of the service are evacuated"
+	// versionGone: the request resumes a stream, and no target of the version that began it is listed, or a rollout
+	// keeps the version back.
+	versionGone = "no target of the version that began the stream may be used"
+	// versionLeaving: as versionGone, but some such targets are shutting down.
+	versionLeaving = "all targets of the version that began the stream leave"
 	// allUnderPushback: each target is under pushback for this daemon. It is known when the first
 	// pushback ends.
 	allUnderPushback = "all targets rest"
@@ -167,6 +172,8 @@
 type unavailability struct {
 	full, suspects, outdated, evacuated, outsideRegions, shuttingDown, underPushback, rateLimited,
 	excludedVersions int
+	// bound is set if the request may go to one version only.
+	bound bool
 	// withoutShare counts those of full none of whose slots are this daemon's, and sharedTarget is one of
 	// them.
 	withoutShare int
@@ -231,8 +238,12 @@
 		return allEvacuated
 	case u.outsideRegions > 0:
 		return "no target is in a region where the request may run"
+	case u.shuttingDown > 0 && u.bound:
+		return versionLeaving
 	case u.shuttingDown > 0:
 		return "all targets leave"
+	case u.excludedVersions > 0 && u.bound:
+		return versionGone
 	case u.excludedVersions > 0:
 		return "all targets are of versions that a roll-out keeps back"
 	}
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/entry"
+	"embertally.dev/core/table"
 	"embertally.dev/core/target"
 )
 
@@ -46,6 +47,9 @@
 		return outcomeFailed, answer
 	}
 	p.firstAt = time.Now()
+	if good && p.route.Kind == table.Stream {
+		p.bindToStream(c)
+	}
 	if len(body) < maxBufferedBytes {
 		answer.write(p)
 		return outcomeDone, nil
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -18,6 +18,7 @@
 	"embertally.dev/core/canary"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
+	"embertally.dev/core/origin"
 	"embertally.dev/core/poison"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
@@ -63,6 +64,9 @@
 	Poison *poison.Guard
 	// Canary restricts requests to the versions that a rollout allows. Nil restricts none.
 	Canary *canary.Guard
+	// Origins knows which version of a service's targets began each stream that callers may resume. Nil knows none,
+	// so that no stream is resumed by another request than the one that began it.
+	Origins StreamOrigins
 	// Placement is the policy that chooses workers. The zero value means route.LowestCost.
 	Placement route.Placement
 	// Domain is the failure domain of this daemon.
@@ -121,6 +125,15 @@
 	RetryWindow time.Duration
 }
 
+// StreamOrigins knows where streams began.
+type StreamOrigins interface {
+	// Record records that an organisation's attempt brought events of a stream.
+	Record(organisation, attempt string, s origin.Stream)
+	// Find returns where the stream began of which an organisation's attempt brought the first event. service is the
+	// one that it is resumed at.
+	Find(ctx context.Context, organisation, attempt, service string) origin.Finding
+}
+
 // Relay is the HTTP handler for callers' requests.
 type Relay struct {
 	options Options
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -63,8 +63,8 @@
 	headerSent bool
 	// lastEventID is the ID of the last stream event that the caller has received.
 	lastEventID string
-	// streamVersion is the version of the target whose event was passed on last; "" before the first one.
-	streamVersion string
+	// originRecorded is set once the version of the targets that the stream is bound to is recorded.
+	originRecorded bool
 	// firstAt is when the first event or the header of a response was passed on; zero before that.
 	firstAt time.Time
 	// skipped lists targets that the last choice skipped for their self-reported state, with the
@@ -115,12 +115,16 @@
 // run sends the request until it is answered, or returns the refusal.
 func (p *proxiedRequest) run() *entry.Refusal {
 	p.service = p.route.Service(p.relay.randomFraction())
-	p.versions = p.relay.options.Canary.Choose(p.service)
-	p.relay.recordArrival(p.service, p.relay.options.Costs.Utility(p.meta.PromptTokens), p.start)
 	p.lastEventID = p.meta.LastEventID
-	p.noteResumption()
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.deadline.Add(deadlineMargin))
 	defer cancel()
+	if refusal := p.bindResumed(ctx); refusal != nil {
+		return refusal
+	}
+	if !p.versions.Bound {
+		p.versions = p.relay.options.Canary.Choose(p.service)
+	}
+	p.relay.recordArrival(p.service, p.relay.options.Costs.Utility(p.meta.PromptTokens), p.start)
 	var failed *bufferedResponse
 	for {
 		c, reason := p.waitForChoice(ctx)
@@ -298,6 +302,9 @@
 func (p *proxiedRequest) giveUp(failed *bufferedResponse, reason string) *entry.Refusal {
 	p.noteSkipped()
 	p.note("given up: %s", reason)
+	if reason == versionGone || reason == versionLeaving {
+		p.relay.options.Stats.StreamsStranded.Inc()
+	}
 	if p.notOpen > 0 {
 		p.note("to %d of %d full targets no connection is open yet", p.notOpen, p.full)
 	}
--- /dev/null
+++ b/core/relay/resume.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"embertally.dev/core/entry"
+	"embertally.dev/core/origin"
+	"embertally.dev/core/table"
+)
+
+// maxResumesBytes bounds the ID of an attempt that a caller resumes.
+const maxResumesBytes = 200
+
+// isAttemptID reports whether a text may be the ID of an attempt.
+func isAttemptID(text string) bool {
+	return len(text) <= maxResumesBytes && !slices.ContainsFunc([]byte(text), func(b byte) bool { return b <= ' ' || b > '~' })
+}
+
+// resumesStream reports whether the caller goes on with a stream that an earlier attempt began.
+func (p *proxiedRequest) resumesStream() bool {
+	return p.route.Kind == table.Stream && p.route.Resumable && (p.meta.LastEventID != "" || p.meta.Resumes != "")
+}
+
+// bindResumed binds a request by which a caller resumes a stream to the version that began it, and refuses the
+// request if that is not known.
+func (p *proxiedRequest) bindResumed(ctx context.Context) *entry.Refusal {
+	if !p.resumesStream() {
+		return nil
+	}
+	stats := p.relay.options.Stats
+	stats.StreamsTakenUp.Inc()
+	p.note("resumes %q after event %q", p.meta.Resumes, p.meta.LastEventID)
+	if !isAttemptID(p.meta.Resumes) {
+		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun,
+			"the attempt that the request resumes is not named by an ID", 0)
+	}
+	var found origin.Finding
+	if p.relay.options.Origins != nil {
+		found = p.relay.options.Origins.Find(ctx, p.organisationName(), p.meta.Resumes, p.service)
+	}
+	switch {
+	case !found.Known:
+		return p.refuseUnknownOrigin(&found)
+	case found.Service != p.service && !p.route.Includes(found.Service):
+		// Operators have moved the route: no target of the former service may get the request.
+		p.note("began at service %s, which the route no longer leads to", found.Service)
+		return nil
+	}
+	p.service = found.Service
+	p.bind(found.Version)
+	stats.StreamsBound.Inc()
+	if found.Sole {
+		p.note("bound to version %q, the only one", found.Version)
+	} else {
+		p.note("bound to version %q, which began it", found.Version)
+	}
+	return nil
+}
+
+// refuseUnknownOrigin refuses to resume a stream of which it is not known where it began. Unless a daemon that may
+// know did not answer, that does not change until the deadline.
+func (p *proxiedRequest) refuseUnknownOrigin(found *origin.Finding) *entry.Refusal {
+	p.relay.options.Stats.StreamsUnknown.Inc()
+	p.note("%d of %d other daemons did not answer", found.Unanswered, found.Asked)
+	const text = "it is not known which version of the target began the stream"
+	if found.Unanswered > 0 {
+		return p.refuseFor(entry.CodeNoTarget, text, minRetryAfter)
+	}
+	return p.refuseUntil(entry.CodeNoTarget, text, time.Until(p.deadline))
+}
+
+// bind restricts the request to a version from now on.
+func (p *proxiedRequest) bind(version string) {
+	p.versions = p.relay.options.Canary.Resume(p.service, version)
+}
+
+// bindToStream binds the request to the version of the target whose event is about to be passed on, and records that
+// version for resumptions by the caller.
+func (p *proxiedRequest) bindToStream(c *choice) {
+	if p.originRecorded || !p.route.Resumable {
+		return
+	}
+	p.originRecorded = true
+	version := c.target.Entry().Version
+	p.bind(version)
+	p.note("events of version %q", version)
+	if p.relay.options.Origins == nil {
+		return
+	}
+	s := origin.Stream{Service: p.service, Version: version}
+	for _, id := range []string{p.meta.AttemptID, p.meta.Resumes} {
+		if id != "" {
+			p.relay.options.Origins.Record(p.organisationName(), id, s)
+		}
+	}
+}
--- /dev/null
+++ b/core/relay/resume_test.go
@@ -0,0 +1,198 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/canary"
+	"embertally.dev/core/origin"
+	"embertally.dev/core/roster"
+)
+
+// worker adds a worker of a version. Of two that may serve a request, the one with less load is chosen.
+func (r *rig) worker(id, version string, load int, handle handler) {
+	r.versionTarget(id, "llm", version, always(handle))
+	r.roster.Target(id).AddLoad(roster.Load{Running: load})
+}
+
+// targetsInOrder returns the targets of the requests that were received, in order.
+func (r *rig) targetsInOrder() string {
+	var out []string
+	for _, req := range r.received() {
+		out = append(out, req.target)
+	}
+	return strings.Join(out, " ")
+}
+
+const (
+	event1 = "id: 1\ndata: word 1\n\n"
+	event2 = "id: 2\ndata: word 2\n\n"
+)
+
+// A stream that breaks within one answer went on at whichever worker was free.
+func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	breaks, goesOn := stream(false, event1), stream(true, event2)
+	for _, tc := range []struct {
+		name    string
+		prepare func(r *rig)
+		path    string
+		want    string
+		// body is what the caller gets, and whole whether it looks complete.
+		body  string
+		whole bool
+	}{
+		{"another worker of the version is busier", func(r *rig) {
+			r.worker("a", "v1", 0, breaks)
+			r.worker("b", "v2", 3, goesOn)
+			r.worker("c", "v1", 6, goesOn)
+		}, "/stream/x", "a c", event1 + event2, true},
+		{"no other worker of the version", func(r *rig) {
+			r.worker("a", "v1", 0, breaks)
+			r.worker("b", "v2", 3, goesOn)
+		}, "/stream/x", "a", event1, false},
+		{"the only other one leaves", func(r *rig) {
+			r.worker("a", "v1", 0, breaks)
+			r.worker("b", "v2", 3, goesOn)
+			r.worker("c", "v1", 6, goesOn)
+			r.roster.RecordShutdown("c", roster.ByResponse)
+		}, "/stream/x", "a", event1, false},
+		{"nothing was passed on yet", func(r *rig) {
+			r.worker("a", "v1", 0, stream(false, "id: 1\nda"))
+			r.worker("b", "v2", 3, stream(true, event1))
+		}, "/stream/x", "a b", event1, true},
+		{"no list gives a version", func(r *rig) {
+			r.worker("a", "", 0, breaks)
+			r.worker("b", "", 3, goesOn)
+		}, "/stream/x", "a b", event1 + event2, true},
+		{"a version on trial", func(r *rig) {
+			r.relay.options.Canary.CanaryShare = 2
+			r.relay.options.Canary.SetOrder(canary.Order{Service: "llm", Version: "v2", Lasts: time.Minute, Revision: 5})
+			r.worker("a", "v2", 0, breaks)
+			r.worker("b", "v2", 3, goesOn)
+			r.worker("c", "v1", 0, goesOn)
+		}, "/stream/x", "a b", event1 + event2, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			tc.prepare(r)
+			got := r.send(http.MethodPost, tc.path, "x", "Model", "m")
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal(tc.want))
+			r.g.Expect(got.body).To(gomega.Equal(tc.body))
+			r.g.Expect(got.err == nil).To(gomega.Equal(tc.whole))
+			stranded := uint64(0)
+			if !tc.whole {
+				stranded = 1
+			}
+			r.g.Expect(r.relay.options.Stats.StreamsStranded.Get()).To(gomega.Equal(stranded))
+		})
+	}
+}
+
+// Two attempts at two versions may race; the one whose event is passed on decides.
+func TestFirstEventOfRacedAttemptsDecidesTheVersion(t *testing.T) {
+	r := newRig(t, nil)
+	r.silentTarget("a-silent", "llm")
+	r.worker("b", "v2", 6, stream(false, event1))
+	r.worker("c", "", 7, stream(true, event2))
+	r.worker("d", "v2", 9, stream(true, event2))
+	got := r.send(http.MethodPost, "/raced/x", "x", "Model", "m")
+	r.g.Expect(r.relay.options.Stats.HedgesWon.Get()).To(gomega.Equal(uint64(1)))
+	r.g.Expect(got.body).To(gomega.Equal(event1 + event2))
+	r.g.Expect(r.targetsInOrder()).To(gomega.Equal("a-silent b d"))
+}
+
+// A caller takes a stream up: it may go on only at the version that began it, also if another one is free.
+func TestCallersResumptionGoesToTheVersionThatBeganTheStream(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(r *rig)
+		headers []string
+		status  int
+		want    string
+		text    string
+	}{
+		{"known", nil, []string{"Resumes", "first", "After", "1"}, 200, "b", ""},
+		{"known, without an event", nil, []string{"Resumes", "first"}, 200, "b", ""},
+		{"unknown", nil, []string{"Resumes", "nobody", "After", "1"}, 503, "", "not known which version"},
+		{"not named", nil, []string{"After", "1"}, 503, "", "not known which version"},
+		{"another organisation's", nil, []string{"Resumes", "foreign", "After", "1"}, 503, "", "not known which version"},
+		{"no ID", nil, []string{"Resumes", "two words", "After", "1"}, 400, "", "not named by an ID"},
+		{"too long", nil, []string{"Resumes", strings.Repeat("x", 201), "After", "1"}, 400, "", "not named by an ID"},
+		{"not named, one version alive", func(r *rig) {
+			r.worker("c", "v1", 9, stream(true, event2))
+		}, []string{"After", "1"}, 503, "", "not known which version"},
+		{"its workers have gone", func(r *rig) { r.roster.RemoveUnusable("b") }, []string{"Resumes", "first", "After", "1"}, 503, "", versionGone},
+		{"its workers leave", func(r *rig) { r.roster.RecordShutdown("b", roster.ByResponse) }, []string{"Resumes", "first", "After", "1"}, 503, "", versionLeaving},
+		{"rolled back", func(r *rig) {
+			r.relay.options.Canary.SetOrder(canary.Order{Service: "llm", Version: "v2", Lasts: time.Minute, Revision: 5})
+			r.relay.options.Canary.SetState("llm", canary.State{Order: 5, Version: "v2", Phase: canary.RolledBack})
+		}, []string{"Resumes", "first", "After", "1"}, 503, "", versionGone},
+		{"on trial, whose share is used up", func(r *rig) {
+			r.relay.options.Canary.SetOrder(canary.Order{Service: "llm", Version: "v2", Lasts: time.Minute, Revision: 5})
+		}, []string{"Resumes", "first", "After", "1"}, 200, "b", ""},
+		{"of a service that the route has left", func(r *rig) {
+			r.relay.options.Origins.Record("org", "first", origin.Stream{Service: "former", Version: "v9"})
+		}, []string{"Resumes", "first", "After", "1"}, 200, "a", ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			r.worker("a", "v1", 0, stream(true, event2))
+			r.worker("b", "v2", 9, stream(true, event2))
+			r.relay.options.Origins.Record("org", "first", origin.Stream{Service: "llm", Version: "v2"})
+			r.relay.options.Origins.Record("other", "foreign", origin.Stream{Service: "llm", Version: "v1"})
+			if tc.prepare != nil {
+				tc.prepare(r)
+			}
+			start := time.Now()
+			got := r.send(http.MethodPost, "/stream/x", "x", append([]string{"Model", "m", "Deadline", "4000"}, tc.headers...)...)
+			r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(got.status).To(gomega.Equal(tc.status))
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal(tc.want))
+			if tc.status != http.StatusOK {
+				r.g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 2*time.Second))
+				r.g.Expect(got.body).To(gomega.ContainSubstring(tc.text))
+				r.g.Expect(got.header.Get("Come-Back") != "").To(gomega.Equal(tc.status == 503))
+			}
+		})
+	}
+}
+
+// What a service has always had a single version of may be resumed by anybody.
+func TestResumptionOfTheOnlyVersion(t *testing.T) {
+	r := newRig(t, nil)
+	r.worker("a", "v1", 0, stream(true, event2))
+	r.worker("b", "v1", 3, stream(true, event2))
+	got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "After", "1", "Resumes", "nobody")
+	r.g.Expect(got.status).To(gomega.Equal(http.StatusOK))
+	// One worker of another version is enough to doubt, also after it has gone.
+	r.worker("c", "v2", 6, stream(true, event2))
+	r.roster.RemoveUnusable("c")
+	got = r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "After", "1", "Resumes", "stranger")
+	r.g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	r.g.Expect(r.relay.options.Stats.StreamsUnknown.Get()).To(gomega.Equal(uint64(1)))
+}
+
+// Each attempt of a chain is recorded, and the first one again, so that callers may name either.
+func TestEachAttemptAtAStreamIsRecorded(t *testing.T) {
+	r := newRig(t, nil)
+	r.relay.options.Disabled.Hedges = true
+	r.worker("a", "v1", 0, stream(true, event1, event2))
+	r.worker("b", "v2", 9, stream(true, event1, event2))
+	r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "Id", "one")
+	r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "Id", "two", "Resumes", "one", "After", "1")
+	// A free worker of the other version must not get what follows.
+	r.roster.Target("a").AddLoad(roster.Load{Running: 10})
+	r.roster.Target("b").RemoveLoad(roster.Load{Running: 9})
+	for _, id := range []string{"one", "two"} {
+		got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "Id", "three", "Resumes", id, "After", "1")
+		r.g.Expect(got.body).To(gomega.Equal(event2))
+	}
+	r.g.Expect(r.targetsInOrder()).To(gomega.Equal("a a a a"))
+	r.g.Expect(r.relay.options.Stats.StreamsBound.Get()).To(gomega.Equal(uint64(3)))
+}
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -19,6 +19,7 @@
 	"embertally.dev/core/cache"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
+	"embertally.dev/core/origin"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
 	"embertally.dev/core/table"
@@ -200,6 +201,7 @@
 	{Name: "attempted", Host: "h", Prefix: "/attempted/", Kind: table.Once, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
 	{Name: "unresumed", Host: "h", Prefix: "/unresumed/", Kind: table.Stream, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+	{Name: "raced", Host: "h", Prefix: "/raced/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 3, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "single", Host: "h", Prefix: "/single/", Kind: table.Stream, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 1, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "gap", Host: "h", Prefix: "/gap/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, LatencyObjective: time.Second, GapObjective: 400 * time.Millisecond, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "public", Host: "h", Prefix: "/public/", Kind: table.Once, Timeout: time.Second, MaxAttempts: 1, Public: true, Splits: []table.Split{{Service: "plain", Weight: 1}}},
@@ -235,7 +237,7 @@
 	r.relay = New(Options{
 		Dialect: testDialect{}, Roster: r.roster, Pool: &target.Pool{}, StoreIndex: r.storeIndex,
 		WorkerCaches: &cache.WorkerCaches{}, Links: &learn.Links{}, LateCopies: &learn.LateCopies{}, Retention: &learn.Retention{}, Pauses: &learn.Pauses{},
-		Log: r.log, Stats: NewStats(),
+		Log: r.log, Stats: NewStats(), Origins: origin.New(origin.Options{Versions: r.versions}),
 		DesiredWeights: func(string) int64 { return r.desired }, ConfigCurrent: func() bool { return !r.stale }, ConfigOverdue: func() time.Duration { return r.configOverdue }, WeightsOutdated: func(_ string, v int64) bool { return v < r.minWeights }, MayCopy: func() bool { return true },
 		FirstAnswerTimes: learn.NewTimes(), TargetStats: &learn.Targets{}, EnginePrior: enginePrior,
 		CallPrior: callPrior, Costs: testCosts,
@@ -255,14 +257,28 @@
 	return r
 }
 
-// target adds a target of a service.
+// versions returns what is known of the versions of a service's targets.
+func (r *rig) versions(service string) (string, origin.Proof) {
+	versions := r.roster.Versions(service, time.Minute)
+	if len(versions) != 1 {
+		return "", origin.Several
+	}
+	return versions[0], origin.Sole
+}
+
+// target adds a target of a service, whose version the list does not give.
 func (r *rig) target(id, service string, handle func(n int) handler) *fakeTarget {
+	return r.versionTarget(id, service, "", handle)
+}
+
+// versionTarget adds a target of a service and version.
+func (r *rig) versionTarget(id, service, version string, handle func(n int) handler) *fakeTarget {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	f := &fakeTarget{id: id, rig: r, l: l, handle: handle}
 	r.t.Cleanup(func() { l.Close() })
 	go f.loop()
-	r.roster.Put(roster.Entry{ID: id, Service: service, Address: l.Addr().String(), Slots: 4, Weights: map[string]int64{"m": 1}})
+	r.roster.Put(roster.Entry{ID: id, Service: service, Version: version, Address: l.Addr().String(), Slots: 4, Weights: map[string]int64{"m": 1}})
 	return f
 }
 
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -24,9 +24,10 @@
 	// StreamsWithoutEvents counts those of them that were streams and had no event.
 	AnswersByFraming     map[target.Framing]*metrics.Counter
 	StreamsWithoutEvents *metrics.Counter
-	// StreamsTakenUp counts the requests by which callers resume a stream, StreamVersionsMixed the answers
-	// that passed on events of another version of a target than before.
-	StreamsTakenUp, StreamVersionsMixed *metrics.Counter
+	// StreamsTakenUp counts the requests by which callers resume a stream, StreamsBound those of them that were bound
+	// to the version that began it, StreamsUnknown those refused since it was not known, and StreamsStranded requests
+	// that were given up since no target of their stream's version may get them.
+	StreamsTakenUp, StreamsBound, StreamsUnknown, StreamsStranded *metrics.Counter
 	// FirstSeconds is the time to the first event of a stream, TotalSeconds the time to the end of
 	// a complete answer.
 	FirstSeconds, TotalSeconds *metrics.Histogram
@@ -88,7 +89,8 @@
 			target.FramingNone: ended(target.FramingNone), target.FramingLength: ended(target.FramingLength),
 			target.FramingChunks: ended(target.FramingChunks), target.FramingConnection: ended(target.FramingConnection),
 		},
-		StreamsTakenUp: c("streams_taken_up_total"), StreamVersionsMixed: c("stream_versions_mixed_total"),
+		StreamsTakenUp: c("streams_taken_up_total"), StreamsBound: c("streams_bound_total"),
+		StreamsUnknown: c("streams_origin_unknown_total"), StreamsStranded: c("streams_stranded_total"),
 		StreamsWithoutEvents: c("streams_without_events_total"),
 		FirstSeconds:         set.NewHistogram("embertally_first_seconds"),
 		TotalSeconds:         set.NewHistogram("embertally_whole_seconds"),
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,7 +97,7 @@
 		}
 		ev.raw, st.comments = append(st.comments, ev.raw...), nil
 		if !ev.comment {
-			p.recordStreamVersion(c)
+			p.bindToStream(c)
 		}
 		if err := p.writeEvent(resp, ev); err != nil {
 			resp.Discard()
@@ -175,28 +175,6 @@
 	return errors.WithStack(rc.Flush())
 }
 
-// noteResumption records that the caller resumes a stream.
-func (p *proxiedRequest) noteResumption() {
-	if p.meta.LastEventID == "" && p.meta.Resumes == "" {
-		return
-	}
-	p.relay.options.Stats.StreamsTakenUp.Inc()
-	p.note("resumes %q after event %q", p.meta.Resumes, p.meta.LastEventID)
-}
-
-// recordStreamVersion records the version of the target whose events are passed on.
-func (p *proxiedRequest) recordStreamVersion(c *choice) {
-	version := c.target.Entry().Version
-	switch {
-	case p.streamVersion == "":
-		p.note("events of version %q", version)
-	case p.streamVersion != version:
-		p.relay.options.Stats.StreamVersionsMixed.Inc()
-		p.note("events of version %q after those of %q", version, p.streamVersion)
-	}
-	p.streamVersion = version
-}
-
 // classifyBrokenStream records a stream that broke and returns the outcome.
 func (p *proxiedRequest) classifyBrokenStream(c *choice, err error) outcome {
 	p.note("%v", errors.Cause(err))
@@ -214,7 +192,7 @@
 	if p.headerSent && p.route.Resumable {
 		p.relay.options.Stats.StreamsResumed.Inc()
 		p.relay.options.Log.Emit(event.StreamResumed, p.ref(),
-			"after event "+p.lastEventID+" of version "+strconv.Quote(p.streamVersion)+": "+err.Error())
+			fmt.Sprintf("after event %s of version %q: %v", p.lastEventID, p.versions.Only, err))
 	}
 	return outcomeIncomplete
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -124,6 +124,9 @@
 	// selfReports holds, by ID, what incarnations reported about themselves in their responses. It
 	// outlives their entries, which may disappear and return. Guarded by rosterMu.
 	selfReports map[string]*selfReport
+	// formerVersions holds, by service and version, when a target of it was last taken off the list or changed its
+	// version. Guarded by rosterMu.
+	formerVersions map[string]map[string]clock.Time
 	// versionsSeen holds, by ID, when a target was last seen to have newer weights than were
 	// recorded. Guarded by rosterMu.
 	versionsSeen map[string]time.Time
@@ -229,7 +232,11 @@
 		r.log.Emit(event.BoxLeaving, event.Ref{Target: e.ID}, e.Service+" at "+e.Address)
 		r.recordListedShutdown(e.ID)
 	}
-	serviceChanged := e.Service != t.Entry().Service
+	old := t.Entry()
+	serviceChanged := e.Service != old.Service
+	if serviceChanged || e.Version != old.Version {
+		r.recordFormerVersion(old)
+	}
 	t.set(e)
 	if serviceChanged {
 		r.invalidateLists()
@@ -324,6 +331,7 @@
 // delist takes a target off the lists. It is called with rosterMu held.
 func (r *Roster) delist(t *Target) {
 	name := t.Entry().Name
+	r.recordFormerVersion(t.Entry())
 	delete(r.targets, t.id)
 	delete(r.updating, t.id)
 	if r.incarnations[name] == t.id {
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -83,6 +83,11 @@
 	return r.Splits[0].Service
 }
 
+// Includes reports whether the route leads to a service.
+func (r *Route) Includes(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service })
+}
+
 // Engine describes the model workers of a service.
 type Engine struct {
 	// Models are the names of the models that the workers serve.
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -27,6 +27,7 @@
 	"embertally.dev/core/learn"
 	"embertally.dev/core/lease"
 	"embertally.dev/core/order"
+	"embertally.dev/core/origin"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/poison"
 	"embertally.dev/core/relay"
@@ -83,6 +84,8 @@
 	contextOwners  *relay.ContextOwners
 	poison         *poison.Guard
 	canary         canary.Guard
+	origins        *origin.Book
+	versionWatch   versionWatch
 	rollouts       *canary.Controller
 	leaderships    []*lease.Timed
 	cellLeadership *cellLeadership
@@ -165,6 +168,10 @@
 	h.roster.Rank = h.targetRank
 	h.canary.CanaryShare = settings.Bounds.CanaryShare
 	h.canary.OrdersCurrent = func() bool { return h.viewAge() < rolloutMaxViewAge }
+	if !settings.FirstStart {
+		h.versionWatch.restart()
+	}
+	h.origins = origin.New(origin.Options{Fleet: h.fleet, Versions: h.serviceVersions, Inherit: h.versionWatch.inherit})
 	h.buildRelay()
 	h.roster.CapacityChanged = h.relay.CapacityChanged
 	h.fleet.Attach("division", h.relay.DivisionPart())
@@ -298,7 +305,7 @@
 	h.relay = relay.New(relay.Options{
 		Name: h.settings.Name, Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, LateCopies: &h.lateCopies, Retention: &h.retention, Pauses: &h.pauses, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats,
 		EnginePrior: h.settings.Expected.Engines.prior(), CallPrior: h.settings.Expected.Calls.prior(), Costs: h.settings.Costs.model(), Disabled: h.settings.Disabled,
-		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary,
+		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary, Origins: h.origins,
 		Placement: route.Placement(h.settings.Placement), PublishState: h.fleet.TriggerHeartbeat,
 		Domain: h.settings.Domain, Regions: h.settings.Regions, DesiredWeights: h.desired.version, DaemonCount: h.daemonCounter.count,
 		OwnTargets:   func(names []string) []string { return h.fleet.View().CellShare(names) },
@@ -355,7 +362,7 @@
 // start runs the background loops. Those that need an assignment stop with assignmentCtx, at the
 // start of the shutdown; the others stop with workCtx.
 func (h *Host) start(workCtx, assignmentCtx context.Context, wg *sync.WaitGroup) {
-	for _, run := range []func(context.Context){h.watchCache.Run, h.watchCacheSync.Run, h.contextOwners.Run, h.detours.Run, h.presence.Run, h.poison.Run, h.rollouts.Run, h.watchStoreIncarnations, h.watchReadiness} {
+	for _, run := range []func(context.Context){h.watchCache.Run, h.watchCacheSync.Run, h.contextOwners.Run, h.origins.Run, h.detours.Run, h.presence.Run, h.poison.Run, h.rollouts.Run, h.watchStoreIncarnations, h.watchReadiness} {
 		wg.Go(func() { run(workCtx) })
 	}
 	for _, run := range []func(context.Context){h.weightUpdater.Run, h.sweeper.Run} {
--- a/emberd/internal/host/host_test.go
+++ b/emberd/internal/host/host_test.go
@@ -91,7 +91,7 @@
 	// The platform replaces these placeholders at deployment.
 	filled := strings.NewReplacer(
 		"{{NodeName}}", "edge-1", "{{Zone}}", "z", "{{Zones|json}}", `{"z":"r"}`, "{{Listen.Front}}", "10.0.0.1:1", "{{Listen.Readiness}}", "10.0.0.1:2",
-		"{{Ip}}", "10.0.0.1", "{{EphemeralPorts.0}}", "7740", "{{Platform.Address}}", "10.0.0.9:1", "{{Limits.MemoryMb}}", "134",
+		"{{Bootstrap}}", "true", "{{Ip}}", "10.0.0.1", "{{EphemeralPorts.0}}", "7740", "{{Platform.Address}}", "10.0.0.9:1", "{{Limits.MemoryMb}}", "134",
 		"{{Bounds.GraceS}}", "8", "{{Bounds.LeaseMs}}", "3000", "{{Bounds.ContactMs}}", "3000", "{{Bounds.ConfigMs}}", "2000", "{{Bounds.VersionMs}}", "12000",
 		"{{Bounds.RetryBudgetRatio}}", "0.2", "{{Bounds.BudgetSlack}}", "56", "{{Bounds.BudgetWindowS}}", "10",
 		"{{Bounds.ColdOver}}", warmUpFactor, "{{Bounds.ColdSlack}}", warmUpExtra, "{{Bounds.ExposeShare}}", canaryShare,
@@ -103,6 +103,7 @@
 	g.Expect(s.Retries).To(gomega.Equal(Retries{PerRequest: 0.2, Extra: 56, Window: 10 * time.Second}))
 	g.Expect(s.Regions).To(gomega.Equal(map[string]string{"z": "r"}))
 	g.Expect(s.Peers).To(gomega.Equal("10.0.0.1:7740"))
+	g.Expect(s.FirstStart).To(gomega.BeTrue())
 }
 
 func TestDesiredWeights(t *testing.T) {
--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -28,10 +28,11 @@
 // readyPollInterval is the interval at which readiness is checked.
 const readyPollInterval = 100 * time.Millisecond
 
-// watchReadiness logs changes of readiness until ctx is cancelled.
+// watchReadiness logs changes of readiness, and keeps versionWatch true, until ctx is cancelled.
 func (h *Host) watchReadiness(ctx context.Context) {
 	ready := false
 	wait.Every(ctx, readyPollInterval, func() {
+		h.checkVersionWatch()
 		reason := h.notReadyReason()
 		if ready == (reason == "") {
 			return
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -24,15 +24,17 @@
 	Metrics   string            `yaml:"metrics" doc:"IP address and port of the figures, GET /metrics. Required."`
 	Store     string            `yaml:"store" doc:"IP address and port of the platform's store. Required."`
 	MemoryMB  int64             `yaml:"memoryMB" doc:"Memory that the process may use. Required."`
-	Placement string            `yaml:"placement" doc:"How model workers are chosen: returning, or roundRobin, leastTokens or stickyHash to measure against; these copy nothing from stores."`
-	LogLevel  string            `yaml:"logLevel" doc:"Least severity of log lines: debug, info, warning or error."`
-	LogRate   int               `yaml:"logRate" doc:"Most lines of one event in a second; warnings and errors get five times as many."`
-	Bounds    Bounds            `yaml:"bounds" doc:"What the deployment promises and asks for."`
-	Retries   Retries           `yaml:"retries" doc:"How often requests may be sent again, over all daemons together."`
-	Tuning    Tuning            `yaml:"tuning" doc:"How often daemons talk."`
-	Costs     Costs             `yaml:"prices" doc:"What answers are worth and what serving them costs, in answers to a plain call. They are the operators' to choose."`
-	Expected  Expected          `yaml:"expect" doc:"What is expected of targets before they were observed."`
-	Disabled  relay.Disabled    `yaml:"without" doc:"Mechanisms that are switched off, to measure what each is worth."`
+	// FirstStart is false again when the daemon starts the next time.
+	FirstStart bool           `yaml:"firstStart" doc:"Whether the whole system starts for the first time, so that no stream was begun before."`
+	Placement  string         `yaml:"placement" doc:"How model workers are chosen: returning, or roundRobin, leastTokens or stickyHash to measure against; these copy nothing from stores."`
+	LogLevel   string         `yaml:"logLevel" doc:"Least severity of log lines: debug, info, warning or error."`
+	LogRate    int            `yaml:"logRate" doc:"Most lines of one event in a second; warnings and errors get five times as many."`
+	Bounds     Bounds         `yaml:"bounds" doc:"What the deployment promises and asks for."`
+	Retries    Retries        `yaml:"retries" doc:"How often requests may be sent again, over all daemons together."`
+	Tuning     Tuning         `yaml:"tuning" doc:"How often daemons talk."`
+	Costs      Costs          `yaml:"prices" doc:"What answers are worth and what serving them costs, in answers to a plain call. They are the operators' to choose."`
+	Expected   Expected       `yaml:"expect" doc:"What is expected of targets before they were observed."`
+	Disabled   relay.Disabled `yaml:"without" doc:"Mechanisms that are switched off, to measure what each is worth."`
 }
 
 // Costs holds the weights of the utility that placement maximises. The unit is the utility of the
