--- a/core/canary/guard_test.go
+++ b/core/canary/guard_test.go
@@ -117,3 +117,34 @@
 	moving := VersionFilter{Preferred: "v2"}
 	g.Expect(moving.WithoutCanary()).To(gomega.Equal(moving))
 }
+
+// A stream goes on at the version that began it in each phase, but not at one that was rolled back: that gets no requests.
+func TestResumedStreamsFollowTheirVersion(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		phase    Phase
+		old, new bool
+	}{
+		{"no rollout", "", true, true},
+		{"trying", Trying, true, true},
+		{"moving", Moving, true, true},
+		{"completed", Completed, true, true},
+		{"rolled back", RolledBack, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var guard Guard
+			if tc.phase != "" {
+				guard.SetOrder(Order{Service: "s", Version: "v2", Lasts: time.Minute, Revision: 5})
+				guard.SetState("s", State{Order: 5, Version: "v2", Phase: tc.phase})
+			}
+			for version, allowed := range map[string]bool{"v1": tc.old, "v2": tc.new} {
+				filter := guard.Resume("s", version).WithoutCanary()
+				g.Expect(filter.Allows(version)).To(gomega.Equal(allowed), version)
+				for _, other := range []string{"v1", "v2", "v3", ""} {
+					g.Expect(other != version && filter.Allows(other)).To(gomega.BeFalse(), "%s for a stream of %s", other, version)
+				}
+			}
+		})
+	}
+}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -197,3 +197,24 @@
 	removed.RemoveLoad(one)
 	g.Expect(loads()).To(gomega.Equal(map[string]Load{"a": one}))
 }
+
+// A stream may be resumed after the targets of its version have gone: such a version must still count.
+func TestVersionsOutliveTheirTargets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New(&event.Log{}, nil)
+	r.Put(Entry{ID: "a", Service: "s", Version: "v1"})
+	r.Put(Entry{ID: "b", Service: "s", Version: "v2"})
+	r.Put(Entry{ID: "c", Service: "other", Version: "v9"})
+	g.Expect(r.Versions("s", time.Minute)).To(gomega.ConsistOf("v1", "v2"))
+	r.RemoveUnusable("b")
+	g.Expect(r.Versions("s", time.Minute)).To(gomega.ConsistOf("v1", "v2"))
+	// The same incarnation may also be listed with another version.
+	r.Put(Entry{ID: "a", Service: "s", Version: "v3"})
+	g.Expect(r.Versions("s", time.Minute)).To(gomega.ConsistOf("v1", "v2", "v3"))
+	clock.Suspend(2 * time.Minute)
+	g.Expect(r.Versions("s", time.Minute)).To(gomega.ConsistOf("v3"))
+	for i := range 3 * maxFormerVersions {
+		r.Put(Entry{ID: "a", Service: "s", Version: "w" + itoa(int64(i))})
+	}
+	g.Expect(len(r.Versions("s", time.Minute))).To(gomega.Equal(maxFormerVersions + 1))
+}
