A box most of whose paths fail gives no verdict on targets

Cause: a cut box reached the targets of another service. Something had just arrived from these, so it took its network to work, and answered boxes that asked it for a connection that the targets behind its own broken paths do not answer. Two such verdicts ended the search for a box. Evidence: a copy that prints verdicts; boxes with 8 to 14 of 17 paths broken gave them, and their number grows as open connections are used up. Ruled out: slots counted for waiting connections (17 refusals for full targets before, 15 after).

A box counts its failing paths now, and says nothing about a target where they are the majority; the next box is asked. TestBoxWithManyFailingPathsGivesNoVerdict fails without the change.

--- a/core/target/detour_test.go
+++ b/core/target/detour_test.go
@@ -261,3 +261,38 @@
 	r.g.Expect(box).To(gomega.BeEmpty())
 	r.g.Expect(r.pool.Partitioned()).To(gomega.BeFalse())
 }
+
+// A box that was cut off from all targets of one service still reached another service's, took its network to work, and
+// told other boxes that the targets it was cut off from were dead.
+func TestBoxWithManyFailingPathsGivesNoVerdict(t *testing.T) {
+	const targets = 6
+	for _, tc := range []struct {
+		name    string
+		failing int
+		// tells reports whether a failure to connect is to be a verdict on the target.
+		tells bool
+	}{
+		{"one", 1, true},
+		{"two", 2, true},
+		{"half", 3, true},
+		{"most", 4, false},
+		{"all but one", 5, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newPathRig(t, targets)
+			for i := range r.paths {
+				_, err := r.send(i)
+				r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			for i := range tc.failing {
+				r.listeners[i].Close()
+				r.pool.CloseIdle(r.paths[i])
+				r.pool.pathFailed(r.paths[i], syscall.ECONNREFUSED)
+			}
+			r.g.Eventually(func() error { _, err := r.send(targets - 1); return err }).Should(gomega.Succeed())
+			_, err := r.pool.Dial(context.Background(), r.paths[0])
+			r.g.Expect(err).To(gomega.HaveOccurred())
+			r.g.Expect(aboutTarget(err)).To(gomega.Equal(tc.tells), "%v", err)
+		})
+	}
+}
--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -279,10 +279,10 @@
 }
 
 // verdict returns what a failure to reach a target shows: something about the target only if this box
-// reaches others.
+// reaches most others.
 func (p *Pool) verdict(ctx context.Context, address string, refused bool, err error) error {
 	switch {
-	case ctx.Err() != nil, !p.networkWorks(ctx, address):
+	case ctx.Err() != nil, p.mostPathsFail(), !p.networkWorks(ctx, address):
 		return errors.WithStack(err)
 	case refused:
 		return errors.WithStack(ErrTargetRefused)
@@ -290,6 +290,24 @@
 	return errors.WithStack(ErrTargetSilent)
 }
 
+// mostPathsFail reports whether more than half of several paths fail. Then this box's network is a likelier cause than
+// the targets, also if what is left works: a box may lose the paths to one service's targets only.
+func (p *Pool) mostPathsFail() bool {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	last, failing, used := p.arrivals.last(), 0, 0
+	for _, state := range p.addresses {
+		if state.removed || (state.roundTrip == 0 && state.path.failedAt.IsZero()) {
+			continue
+		}
+		used++
+		if state.path.broken || state.path.failedAt.After(last) {
+			failing++
+		}
+	}
+	return failing >= minFailedPaths && 2*failing > used
+}
+
 // networkWorks reports whether this box reaches targets other than the one at an address: something
 // arrived from one just now, or another connection opens. If no other target is known, it says so too.
 func (p *Pool) networkWorks(ctx context.Context, except string) bool {
