--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -47,7 +47,7 @@
 		return outcomeFailed, answer
 	}
 	p.firstAt = time.Now()
-	if good && p.route.Kind == table.Stream {
+	if resp.Status/100 == 2 && p.route.Kind == table.Stream {
 		p.bindToStream(c)
 	}
 	if len(body) < maxBufferedBytes {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -171,6 +171,7 @@
 	if !settings.FirstStart {
 		h.versionWatch.restart()
 	}
+	h.fleet.OnResume(func(time.Duration) { h.versionWatch.restart() })
 	h.origins = origin.New(origin.Options{Fleet: h.fleet, Versions: h.serviceVersions, Inherit: h.versionWatch.inherit})
 	h.buildRelay()
 	h.roster.CapacityChanged = h.relay.CapacityChanged
