A refused connection is a verdict also at a box most of whose paths fail

While the store is away targets that crashed stay listed, so that most paths of each box are refused, and no box confirmed a crash any more. A refusal comes from the target's machine, silence may be this box's network: only silence needs most other paths to work.

--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -279,10 +279,10 @@
 }
 
 // verdict returns what a failure to reach a target shows: something about the target only if this box
-// reaches most others.
+// reaches others, and if it is silence, most of them.
 func (p *Pool) verdict(ctx context.Context, address string, refused bool, err error) error {
 	switch {
-	case ctx.Err() != nil, p.mostPathsFail(), !p.networkWorks(ctx, address):
+	case ctx.Err() != nil, !refused && p.mostPathsFail(), !p.networkWorks(ctx, address):
 		return errors.WithStack(err)
 	case refused:
 		return errors.WithStack(ErrTargetRefused)
