--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -509,7 +509,7 @@
 // complete accounts for a complete answer and sends its end to the caller.
 func (p *promptRequest) complete() *Refusal {
 	p.s.recordAccepted(p.q, p.decision.Worker)
-	p.s.o.Poison.RecordSuccess(p.q.digest, p.q.organisation, p.decision.Incarnation())
+	p.s.o.Poison.RecordSuccess(p.q.sent(), p.decision.Incarnation())
 	p.usage.CompletionTokens = p.tokens
 	p.usage.TotalTokens = p.usage.PromptTokens + p.tokens
 	st := &p.s.stats
--- a/core/entry/relay.go
+++ b/core/entry/relay.go
@@ -95,7 +95,7 @@
 		guard.RecordDialError(incarnation, err)
 	case a.q.view.Usable(a.decision.Worker, a.target):
 		if u, parsed := url.Parse(a.target.URL); parsed == nil {
-			guard.RecordLostConnection(a.q.digest, a.q.organisation, incarnation, u.Host)
+			guard.RecordLostConnection(a.q.sent(), incarnation, u.Host)
 		}
 	}
 }
--- a/core/entry/server.go
+++ b/core/entry/server.go
@@ -113,6 +113,12 @@
 	digest poison.Digest
 }
 
+// sent returns the request as crashes are counted for it. Prompts here name no parts: each of their blocks is
+// identified together with everything before it.
+func (q *request) sent() poison.Sent {
+	return poison.Sent{Request: q.digest, Organisation: q.organisation}
+}
+
 func (q *request) ref(target string) event.Ref {
 	return event.Ref{Request: q.id, Organisation: q.organisation, Target: target}
 }
--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -146,7 +146,7 @@
 	{TargetHealthy, "targetHealthy", Info, "A suspected target responds again."},
 	{DomainEvacuated, "domainEvacuated", Warning, "Operators have ordered the evacuation of a failure domain: its targets get no requests; the resource names it."},
 	{DomainReturned, "domainReturned", Info, "An evacuation was withdrawn; the failure domain's targets get few requests until they have warmed up."},
-	{TargetEnded, "targetEnded", Warning, "An incarnation of a target crashed while it processed requests of this daemon; the text has the number of these requests."},
+	{TargetEnded, "targetEnded", Warning, "An incarnation of a target crashed while it processed requests of this daemon; the text has the number of these requests, and what the first of them ask, of which organisation, with the shared parts of their prompts."},
 	{TargetSaysLeaving, "targetSaysLeaving", Info, "An incarnation of a target reported in a response that it is shutting down, and gets no new work whatever its list entry says; the text says whether this daemon or a peer received the response."},
 	{TargetRests, "targetRests", Info, "A target rejected a request of this daemon with Retry-After and is under pushback: it gets no requests for the time in the text. At most one line per second and target."},
 	{TargetRested, "targetRested", Info, "A target that was under pushback has accepted a request of this daemon again."},
--- a/core/poison/attempts.go
+++ b/core/poison/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,21 +28,39 @@
 	maxSuccesses = 2048
 	// crashedTTL is how long an incarnation is recorded as crashed.
 	crashedTTL = time.Minute
+	// maxLoggedParts bounds the parts of one request in a log line.
+	maxLoggedParts = 16
 	// simultaneousWindow is the time within which crashes are attributed to a common cause: a power
 	// supply, a rack, a change of many targets. Crashes that one request causes in turn are at
 	// least as far apart as the request takes to run.
 	simultaneousWindow = 50 * time.Millisecond
 )
 
-// sentRequest identifies a request that was sent, for crash counting.
-type sentRequest struct {
-	request      Digest
-	organisation string
+// Sent describes a request that was sent to a target.
+type Sent struct {
+	// Request is the request digest.
+	Request Digest
+	// Organisation is the caller's, or "" if the service admits any caller.
+	Organisation string
+	// Parts are the IDs of the parts of its prompt that other requests may share, without duplicates.
+	Parts []string
+}
+
+// String returns the text by which log lines name the request.
+func (s Sent) String() string {
+	text := "asks " + s.Request.String()
+	if s.Organisation != "" {
+		text += " of " + s.Organisation
+	}
+	if len(s.Parts) > 0 {
+		text += " parts " + strings.Join(s.Parts[:min(len(s.Parts), maxLoggedParts)], ",")
+	}
+	return text
 }
 
 // connectionLoss is a request that was in flight at an incarnation when its connection broke.
 type connectionLoss struct {
-	sentRequest
+	Sent
 	at clock.Time
 }
 
@@ -49,14 +68,14 @@
 type crash struct {
 	incarnation string
 	at          clock.Time
-	requests    []sentRequest
+	requests    []Sent
 }
 
 // success is the last time a request completed, as far as that is known.
 type success struct {
 	incarnation string
 	at          clock.Time
-	sentRequest
+	Sent
 	// consecutive is how many times in a row it is known to have completed well at the incarnation; 0 if
 	// nothing tells that it did.
 	consecutive int
@@ -80,7 +99,7 @@
 // recordLoss records that a connection broke under a request. crashed reports that the incarnation
 // is recorded as crashed, first that this is its first broken connection, so that it must be
 // probed.
-func (s *attempts) recordLoss(incarnation string, sent sentRequest) (crashed, first bool) {
+func (s *attempts) recordLoss(incarnation string, sent Sent) (crashed, first bool) {
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
 	now := clock.Now()
@@ -138,7 +157,7 @@
 	for _, c := range s.recentCrashes {
 		distance := c.at.Sub(s.recentCrashes[i].at).Abs()
 		sawRequest := c.incarnation == incarnation ||
-			slices.ContainsFunc(c.requests, func(sent sentRequest) bool { return sent.request == d })
+			slices.ContainsFunc(c.requests, func(sent Sent) bool { return sent.Request == d })
 		if distance < simultaneousWindow && !sawRequest {
 			return false
 		}
@@ -149,7 +168,7 @@
 // recordCrash records that an incarnation crashed, and returns the requests that were in flight
 // there or completed well just before. refused states that it refused a connection, so that it
 // crashed a moment ago.
-func (s *attempts) recordCrash(incarnation string, refused bool) []sentRequest {
+func (s *attempts) recordCrash(incarnation string, refused bool) []Sent {
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
 	now := clock.Now()
@@ -163,9 +182,9 @@
 	s.crashed[incarnation] = now
 	list := s.losses[incarnation]
 	delete(s.losses, incarnation)
-	var out []sentRequest
+	var out []Sent
 	for _, l := range list {
-		out = append(out, l.sentRequest)
+		out = append(out, l.Sent)
 	}
 	at := now
 	switch {
@@ -183,12 +202,12 @@
 
 // takeRecentSuccesses removes and returns the requests that completed well at an incarnation just
 // before it crashed. It is called with attemptsMu held.
-func (s *attempts) takeRecentSuccesses(incarnation string, at clock.Time) []sentRequest {
-	var out []sentRequest
+func (s *attempts) takeRecentSuccesses(incarnation string, at clock.Time) []Sent {
+	var out []Sent
 	for _, generation := range []map[uint64]success{s.current, s.previous} {
 		for k, last := range generation {
 			if last.incarnation == incarnation && at.Sub(last.at) < delayedCrashWindow && last.consecutive < minSuccesses {
-				out = append(out, last.sentRequest)
+				out = append(out, last.Sent)
 				delete(generation, k)
 			}
 		}
@@ -197,25 +216,25 @@
 }
 
 // recordEnd records that a request ended at an incarnation. proven states that it completed well.
-func (s *attempts) recordEnd(incarnation string, sent sentRequest, proven bool) {
+func (s *attempts) recordEnd(incarnation string, sent Sent, proven bool) {
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
 	if len(s.current) >= maxSuccesses || s.current == nil {
 		s.current, s.previous = map[uint64]success{}, s.current
 	}
-	k := shortKey(sent.request)
+	k := shortKey(sent.Request)
 	last, found := s.current[k]
 	if !found {
 		last = s.previous[k]
 	}
 	consecutive := 0
-	if last.incarnation == incarnation && last.request == sent.request {
+	if last.incarnation == incarnation && last.Request == sent.Request {
 		consecutive = last.consecutive
 	}
 	if proven {
 		consecutive = min(consecutive+1, minSuccesses)
 	}
-	s.current[k] = success{incarnation: incarnation, at: clock.Now(), sentRequest: sent, consecutive: consecutive}
+	s.current[k] = success{incarnation: incarnation, at: clock.Now(), Sent: sent, consecutive: consecutive}
 }
 
 // recentlySucceeded reports whether a request recently completed well at an incarnation that did
@@ -224,7 +243,7 @@
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
 	for _, generation := range []map[uint64]success{s.current, s.previous} {
-		if last, found := generation[shortKey(d)]; found && last.request == d && last.consecutive > 0 {
+		if last, found := generation[shortKey(d)]; found && last.Request == d && last.consecutive > 0 {
 			return true
 		}
 	}
--- a/core/poison/attempts_test.go
+++ b/core/poison/attempts_test.go
@@ -24,13 +24,13 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var s attempts
-			sent := sentRequest{digestOf("the same again"), "org"}
+			sent := sentOf(digestOf("the same again"))
 			for _, incarnation := range tc.incarnations {
 				s.recordEnd(incarnation, sent, true)
 			}
 			s.recordLoss("a", sent)
 			g.Expect(s.recordCrash("a", false)).NotTo(gomega.BeEmpty(), "it was in flight")
-			g.Expect(s.recentlySucceeded(sent.request)).To(gomega.Equal(tc.want), fmt.Sprint(tc.incarnations))
+			g.Expect(s.recentlySucceeded(sent.Request)).To(gomega.Equal(tc.want), fmt.Sprint(tc.incarnations))
 		})
 	}
 }
--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -90,22 +91,22 @@
 // RecordSuccess records that a request completed well at an incarnation of a target. If the request
 // is blocked, this shows that it did not cause the earlier crashes, unless this incarnation crashes
 // as well.
-func (g *Guard) RecordSuccess(d Digest, organisation, incarnation string) {
+func (g *Guard) RecordSuccess(sent Sent, incarnation string) {
 	if g == nil {
 		return
 	}
-	g.attempts.recordEnd(incarnation, sentRequest{d, organisation}, true)
-	if _, blocked := g.blocks.remaining(d); blocked {
-		go unblocker{g, d, incarnation}.run()
+	g.attempts.recordEnd(incarnation, sent, true)
+	if _, blocked := g.blocks.remaining(sent.Request); blocked {
+		go unblocker{g, sent.Request, incarnation}.run()
 	}
 }
 
 // RecordUnprovenEnd records that a request ended at an incarnation of a target, and that nothing tells whether
 // it completed well or the target broke it off. It is no evidence for the request, and may still have caused
 // a crash.
-func (g *Guard) RecordUnprovenEnd(d Digest, organisation, incarnation string) {
+func (g *Guard) RecordUnprovenEnd(sent Sent, incarnation string) {
 	if g != nil {
-		g.attempts.recordEnd(incarnation, sentRequest{d, organisation}, false)
+		g.attempts.recordEnd(incarnation, sent, false)
 	}
 }
 
@@ -118,15 +119,14 @@
 
 // RecordLostConnection records that the connection to an incarnation of a target broke while a
 // request was in flight there, and finds out whether the incarnation crashed.
-func (g *Guard) RecordLostConnection(d Digest, organisation, incarnation, address string) {
+func (g *Guard) RecordLostConnection(sent Sent, incarnation, address string) {
 	if g == nil {
 		return
 	}
-	sent := sentRequest{d, organisation}
 	crashed, first := g.attempts.recordLoss(incarnation, sent)
 	switch {
 	case crashed:
-		go crashReporter{g, incarnation, []sentRequest{sent}}.run()
+		go crashReporter{g, incarnation, []Sent{sent}}.run()
 	case first:
 		go prober{g, incarnation, address}.run()
 	}
@@ -154,7 +154,19 @@
 		g.countsMu.Lock()
 		g.crashCount++
 		g.countsMu.Unlock()
-		g.o.Log.Emit(event.TargetEnded, event.Ref{Target: incarnation}, "under "+strconv.Itoa(len(list))+" requests of this daemon")
+		g.o.Log.Emit(event.TargetEnded, event.Ref{Target: incarnation}, "under "+strconv.Itoa(len(list))+" requests of this daemon: "+listSent(list))
 		go crashReporter{g, incarnation, list}.run()
 	}
 }
+
+// maxLoggedRequests bounds the requests that a log line names.
+const maxLoggedRequests = 8
+
+// listSent returns the text by which a log line names requests.
+func listSent(list []Sent) string {
+	texts := make([]string, 0, maxLoggedRequests)
+	for _, sent := range list[:min(len(list), maxLoggedRequests)] {
+		texts = append(texts, sent.String())
+	}
+	return strings.Join(texts, "; ")
+}
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -98,9 +98,12 @@
 	return DigestOf(&Request{Organisation: "org", Method: "POST", Body: []byte(text)})
 }
 
+// sentOf returns a request that the test organisation sent.
+func sentOf(d Digest) Sent { return Sent{Request: d, Organisation: "org"} }
+
 // crash makes an incarnation crash under a request at one daemon.
 func (r *testFleet) crash(daemon int, d Digest, incarnation string) {
-	r.daemons[daemon%len(r.daemons)].guard.RecordLostConnection(d, "org", incarnation, "10.0.0.1:1")
+	r.daemons[daemon%len(r.daemons)].guard.RecordLostConnection(sentOf(d), incarnation, "10.0.0.1:1")
 }
 
 // blockedDaemons returns a function that counts the daemons that block a request.
@@ -188,7 +191,7 @@
 	r := newTestFleet(t, 3)
 	d := digestOf("frequent")
 	for i := range 6 {
-		r.daemons[i%3].guard.RecordSuccess(d, "org", fmt.Sprintf("well-%d", i))
+		r.daemons[i%3].guard.RecordSuccess(sentOf(d), fmt.Sprintf("well-%d", i))
 		r.crash(i, d, fmt.Sprintf("inc-%d", i))
 	}
 	r.g.Consistently(r.blockedDaemons(d), 5*heartbeat, "5ms").Should(gomega.BeZero())
@@ -200,7 +203,7 @@
 	d := digestOf("fatal")
 	for i := range 3 {
 		incarnation := fmt.Sprintf("inc-%d", i)
-		r.daemons[0].guard.RecordSuccess(d, "org", incarnation)
+		r.daemons[0].guard.RecordSuccess(sentOf(d), incarnation)
 		r.daemons[0].guard.RecordDialError(incarnation, errors.WithStack(syscall.ECONNREFUSED))
 		if i < 2 {
 			r.waitForCrashes(d, i+1)
@@ -215,14 +218,14 @@
 	r := newTestFleet(t, 2)
 	d := digestOf("fatal")
 	for i := range 3 {
-		r.daemons[0].guard.RecordUnprovenEnd(d, "org", fmt.Sprintf("other-%d", i))
+		r.daemons[0].guard.RecordUnprovenEnd(sentOf(d), fmt.Sprintf("other-%d", i))
 		r.crash(0, d, fmt.Sprintf("inc-%d", i))
 		if i < 2 {
 			r.waitForCrashes(d, i+1)
 		}
 	}
 	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.Equal(2))
-	r.daemons[1].guard.RecordUnprovenEnd(d, "org", "well")
+	r.daemons[1].guard.RecordUnprovenEnd(sentOf(d), "well")
 	r.g.Consistently(r.blockedDaemons(d), 5*heartbeat, "5ms").Should(gomega.Equal(2))
 }
 
@@ -232,7 +235,7 @@
 	d := digestOf("fatal")
 	for i := range 3 {
 		incarnation := fmt.Sprintf("inc-%d", i)
-		r.daemons[0].guard.RecordUnprovenEnd(d, "org", incarnation)
+		r.daemons[0].guard.RecordUnprovenEnd(sentOf(d), incarnation)
 		r.daemons[0].guard.RecordDialError(incarnation, errors.WithStack(syscall.ECONNREFUSED))
 		if i < 2 {
 			r.waitForCrashes(d, i+1)
@@ -365,8 +368,8 @@
 func TestNilGuardBlocksNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var none *Guard
-	none.RecordLostConnection(digestOf("a"), "org", "inc", "10.0.0.1:1")
-	none.RecordSuccess(digestOf("a"), "org", "inc")
+	none.RecordLostConnection(sentOf(digestOf("a")), "inc", "10.0.0.1:1")
+	none.RecordSuccess(sentOf(digestOf("a")), "inc")
 	none.RecordDialError("inc", syscall.ECONNREFUSED)
 	none.RecordListedCrash("inc")
 	_, blocked := none.Blocked(digestOf("a"))
@@ -398,7 +401,7 @@
 		crashTwo(i)
 	}
 	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.Equal(2))
-	r.daemons[1].guard.RecordSuccess(d, "org", "well")
+	r.daemons[1].guard.RecordSuccess(sentOf(d), "well")
 	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.BeZero())
 }
 
--- a/core/poison/report.go
+++ b/core/poison/report.go
@@ -51,7 +51,7 @@
 type crashReporter struct {
 	guard       *Guard
 	incarnation string
-	requests    []sentRequest
+	requests    []Sent
 }
 
 // run reports all requests in parallel: a crash tracker that does not respond must not delay the
@@ -67,22 +67,22 @@
 // report reports one request. Whether other incarnations crashed at the same time only shows a
 // moment later and is reported then. Waiting for it would cost targets: a caller that retried at
 // once crashed four more in this time.
-func (t crashReporter) report(sent sentRequest) {
+func (t crashReporter) report(sent Sent) {
 	if !t.reportNow(sent) {
 		return
 	}
 	time.Sleep(simultaneousWindow)
-	if !t.guard.attempts.crashedAlone(t.incarnation, sent.request) {
+	if !t.guard.attempts.crashedAlone(t.incarnation, sent.Request) {
 		t.reportNow(sent)
 	}
 }
 
 // reportNow reports what is recorded so far of one request, and returns whether the incarnation
 // crashed alone.
-func (t crashReporter) reportNow(sent sentRequest) bool {
+func (t crashReporter) reportNow(sent Sent) bool {
 	r := &crashReport{
-		Request: sent.request, Organisation: sent.organisation, Incarnation: t.incarnation,
-		Succeeded: t.guard.attempts.recentlySucceeded(sent.request), Alone: t.guard.attempts.crashedAlone(t.incarnation, sent.request),
+		Request: sent.Request, Organisation: sent.Organisation, Incarnation: t.incarnation,
+		Succeeded: t.guard.attempts.recentlySucceeded(sent.Request), Alone: t.guard.attempts.crashedAlone(t.incarnation, sent.Request),
 	}
 	t.guard.reportCrash(r)
 	return r.Alone
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -136,7 +136,7 @@
 		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, "the body broke off: "+err.Error(), 0)
 	}
 	p.body, p.bodyBytes = body, len(body)
-	p.digest = p.requestDigest()
+	p.sent = poison.Sent{Request: p.requestDigest(), Organisation: p.organisationName(), Parts: p.meta.Parts}
 	return p.refuseBlocked()
 }
 
@@ -145,7 +145,7 @@
 // target and everything that runs there. The status is that of a refusal that may be repeated,
 // since the request itself is valid.
 func (p *proxiedRequest) refuseBlocked() *entry.Refusal {
-	remaining, isBlocked := p.relay.options.Poison.Blocked(p.digest)
+	remaining, isBlocked := p.relay.options.Poison.Blocked(p.sent.Request)
 	if !isBlocked {
 		return nil
 	}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -211,20 +211,20 @@
 		p.recordNoResponse(c)
 	}
 	if !target.ClosedEarly(err) {
-		p.recordDisconnect(c, err)
+		p.recordDisconnect(c, err, false)
 	}
 	return outcomeIncomplete
 }
 
 // recordDisconnect records that the connection to a target closed under the request. The request
-// may have crashed the target, and its caller may repeat it.
-func (p *proxiedRequest) recordDisconnect(c *choice, err error) {
+// may have crashed the target, and its caller may repeat it. begun states that some of the answer had arrived.
+func (p *proxiedRequest) recordDisconnect(c *choice, err error, begun bool) {
 	if errors.Is(err, target.ErrDetourLost) {
 		return
 	}
+	p.relay.options.Stats.Disconnects[begun].Inc()
 	if _, shuttingDown := p.relay.options.Roster.ShuttingDown(c.target); !shuttingDown {
-		p.relay.options.Poison.RecordLostConnection(p.digest, p.organisationName(), c.target.ID(),
-			c.target.Entry().Address)
+		p.relay.options.Poison.RecordLostConnection(p.sent, c.target.ID(), c.target.Entry().Address)
 	}
 }
 
@@ -232,10 +232,10 @@
 func (p *proxiedRequest) recordSuccess(c *choice, resp *target.Response) {
 	guard := p.relay.options.Poison
 	if resp.Framing() == target.FramingConnection {
-		guard.RecordUnprovenEnd(p.digest, p.organisationName(), c.target.ID())
+		guard.RecordUnprovenEnd(p.sent, c.target.ID())
 		return
 	}
-	guard.RecordSuccess(p.digest, p.organisationName(), c.target.ID())
+	guard.RecordSuccess(p.sent, c.target.ID())
 }
 
 // organisationName returns the name of the caller's organisation, or "".
--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -22,6 +22,9 @@
 	PromptTokens int
 	// Segments are the segments of the prompt, in order.
 	Segments []cache.Segment
+	// Parts are the IDs of the segments that other requests may share, without duplicates and in a form that does not
+	// depend on how callers write them.
+	Parts []string
 	// LastEventID is the ID of the last event that the caller received of a broken stream, or "".
 	LastEventID string
 	// Resumes is the ID of the caller's attempt that brought the first event of that stream, or "".
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -98,7 +98,7 @@
 	case !now.Before(p.deadline):
 		return outcomeTimedOut
 	}
-	p.recordDisconnect(c, err)
+	p.recordDisconnect(c, err, true)
 	return outcomeIncomplete
 }
 
--- a/core/relay/queue.go
+++ b/core/relay/queue.go
@@ -499,7 +499,7 @@
 func (p *proxiedRequest) newWaiter() *waiter {
 	r := queue.Request{
 		Rank: p.priority(), Organisation: p.organisationName(), Bytes: p.bodyBytes,
-		Digest: queue.Digest(p.digest),
+		Digest: queue.Digest(p.sent.Request),
 	}
 	p.prepareWait(&r)
 	return p.relay.admission.register(p.service, r, time.Now())
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -31,8 +31,8 @@
 	table        *table.Table
 	regions      regions
 	body         []byte
-	// digest is the request digest; zero until the body is read.
-	digest  poison.Digest
+	// sent is what crashes of targets are counted for; zero until the body is read.
+	sent    poison.Sent
 	service string
 	// bodyBytes is the size of the body, and originDomain the failure domain of the daemon that
 	// received the request.
@@ -205,7 +205,7 @@
 	mayTry := queues.mayTry(p.waiter)
 	for {
 		p.adjustForSuspend()
-		if _, blocked := p.relay.options.Poison.Blocked(p.digest); blocked {
+		if _, blocked := p.relay.options.Poison.Blocked(p.sent.Request); blocked {
 			// It became blocked while it waited, or by the crash that it has just caused.
 			return nil, crashesTargets
 		}
@@ -289,7 +289,7 @@
 		return false
 	case p.attempts-p.executions > maxRejections, p.relay.options.Disabled.Retries:
 		return false
-	case out == outcomeIncomplete && p.relay.options.Poison.Crashes(p.digest) >= maxCrashes:
+	case out == outcomeIncomplete && p.relay.options.Poison.Crashes(p.sent.Request) >= maxCrashes:
 		p.note("not retried: the request may crash targets")
 		return false
 	}
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -58,6 +58,8 @@
 	// Hedges counts the attempts that were made while another one had not been answered, and
 	// HedgesWon those that were answered first.
 	Hedges, HedgesWon *metrics.Counter
+	// Disconnects counts the attempts whose connection their target closed, by whether some of the answer had arrived.
+	Disconnects map[bool]*metrics.Counter
 	// Blocked counts refusals of requests that crash targets.
 	Blocked *metrics.Counter
 	// ReportedShutdown counts responses in which a target reports that it is shutting down,
@@ -85,6 +87,9 @@
 		Attempts: c("sends_total"), Retries: c("sends_repeated_total"), StreamsResumed: c("streams_resumed_total"),
 		MismatchedResponses: c("answers_foreign_total"), NotExecuted: c("targets_refused_total"),
 		Misdirected: c("targets_moved_total"),
+		Disconnects: map[bool]*metrics.Counter{
+			false: c(`requests_disconnected_total{answer="none"}`), true: c(`requests_disconnected_total{answer="begun"}`),
+		},
 		AnswersByFraming: map[target.Framing]*metrics.Counter{
 			target.FramingNone: ended(target.FramingNone), target.FramingLength: ended(target.FramingLength),
 			target.FramingChunks: ended(target.FramingChunks), target.FramingConnection: ended(target.FramingConnection),
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -73,11 +73,11 @@
 			return p.endStream(c, resp, st, err)
 		}
 		if err != nil {
-			return p.classifyBrokenStream(c, err)
+			return p.classifyBrokenStream(c, st, err)
 		}
 		if ev.comment && !p.headerSent {
 			if st.comments = append(st.comments, ev.raw...); len(st.comments) > maxEventBytes {
-				return p.classifyBrokenStream(c, errors.WithStack(errEventTooLong))
+				return p.classifyBrokenStream(c, st, errors.WithStack(errEventTooLong))
 			}
 			continue
 		}
@@ -127,7 +127,7 @@
 		p.relay.options.Stats.StreamsWithoutEvents.Inc()
 	}
 	if errors.Is(err, target.ErrUnmarkedEnd) && !st.caughtUp {
-		return p.classifyBrokenStream(c, err)
+		return p.classifyBrokenStream(c, st, err)
 	}
 	st.gaps.finished()
 	p.recordEnd(c, resp, true)
@@ -176,7 +176,7 @@
 }
 
 // classifyBrokenStream records a stream that broke and returns the outcome.
-func (p *proxiedRequest) classifyBrokenStream(c *choice, err error) outcome {
+func (p *proxiedRequest) classifyBrokenStream(c *choice, st *responseStream, err error) outcome {
 	p.note("%v", errors.Cause(err))
 	if callerDisconnected(p.r.Context()) {
 		return outcomeCallerDisconnected
@@ -188,7 +188,7 @@
 	if !now.Before(p.deadline) {
 		return outcomeTimedOut
 	}
-	p.recordDisconnect(c, err)
+	p.recordDisconnect(c, err, st.events > 0)
 	if p.headerSent && p.route.Resumable {
 		p.relay.options.Stats.StreamsResumed.Inc()
 		p.relay.options.Log.Emit(event.StreamResumed, p.ref(),
