Prompts that share a part which crashes workers are blocked by that part

Cause: the guard knew a request by the digest of all that it asks, so that each of these prompts was seen for the first time, and a crash laid the same weight on each request that was there. Nothing compared what the crashed targets had at hand.

Mend: all crashes under prompts go to two daemons of the fleet, which compare them. A part that was there in three crashes or more and in no prompt that any daemon has seen answered since is blocked, together with the parts that only came with it, in the prompts that hold all of these. If several explain as many crashes the next ones are waited for, up to the seventh; crashes that a block explains count against nothing else. Successes are recorded where they are seen and asked for only before a block, so that sound traffic costs a look-up. Nothing is blocked unless other prompts were answered meanwhile. The check is made on arrival, while waiting, before a repeat or a hedge, and last when the connection is there. Blocks travel and are kept as those of single requests are; a release now also forgets the crashes at the daemons that count.

--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -338,7 +338,7 @@
 // refusal states notRun even after attempts: a prompt may be repeated, so a partial run has no
 // effect.
 func (s *Server) blocked(q *request) *Refusal {
-	remaining, isBlocked := s.o.Poison.Blocked(q.digest)
+	remaining, isBlocked := s.o.Poison.Blocked(q.sent())
 	if !isBlocked {
 		return nil
 	}
--- a/core/poison/attempts.go
+++ b/core/poison/attempts.go
@@ -166,15 +166,15 @@
 }
 
 // recordCrash records that an incarnation crashed, and returns the requests that were in flight
-// there or completed well just before. refused states that it refused a connection, so that it
-// crashed a moment ago.
-func (s *attempts) recordCrash(incarnation string, refused bool) []Sent {
+// there or completed well just before, and the time of the crash. refused states that it refused a
+// connection, so that it crashed a moment ago.
+func (s *attempts) recordCrash(incarnation string, refused bool) ([]Sent, clock.Time) {
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
 	now := clock.Now()
 	s.expire(now)
-	if _, recorded := s.crashed[incarnation]; recorded {
-		return nil
+	if at, recorded := s.crashed[incarnation]; recorded {
+		return nil, at
 	}
 	if s.crashed == nil {
 		s.crashed = map[string]clock.Time{}
@@ -197,7 +197,7 @@
 	if len(out) > 0 {
 		s.recentCrashes = append(s.recentCrashes, crash{incarnation, at, out})
 	}
-	return out
+	return out, at
 }
 
 // takeRecentSuccesses removes and returns the requests that completed well at an incarnation just
--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -43,10 +43,30 @@
 	Consecutive int
 	// Remaining is the time until the block expires, as of when it was sent.
 	Remaining time.Duration
+	// Parts are the IDs of the parts that a request must hold all of to be blocked. If there are any, Request is their
+	// digest, and Organisation "" means the requests of all.
+	Parts []string
 	// expires is when the block expires by the local clock.
 	expires clock.Time
 }
 
+// combination returns the parts that are blocked, or nil if the block is about one request.
+func (b *block) combination() *combination {
+	if len(b.Parts) == 0 {
+		return nil
+	}
+	return &combination{b.Organisation, b.Parts}
+}
+
+// text returns what is blocked, for log lines.
+func (b *block) text() string {
+	text := "asks " + b.Request.String()
+	if c := b.combination(); c != nil {
+		text += ", parts " + c.text()
+	}
+	return text
+}
+
 // duration returns the total time of a block.
 func (b *block) duration() time.Duration {
 	return min(initialBlockTime<<max(0, min(b.Consecutive-1, 16)), maxBlockTime)
@@ -58,23 +78,66 @@
 	log *event.Log
 	// notify is called when the peers of the cell must receive a change.
 	notify func()
+	// released is called for each block that was revoked.
+	released func(Digest)
 
 	blocksMu sync.Mutex
 	// entries holds active blocks, released ones, and expired ones for as long again as they
 	// lasted, so that the next block is longer. Guarded by blocksMu.
 	entries map[Digest]block
+	// combinations are the digests of the entries that are about parts. Guarded by blocksMu.
+	combinations map[Digest]bool
 	// publishUntil is the time until which heartbeats carry the whole list. Guarded by blocksMu.
 	publishUntil clock.Time
 }
 
-func newBlockList(log *event.Log, notify func()) *blockList {
-	return &blockList{log: log, notify: notify, entries: map[Digest]block{}}
+func newBlockList(log *event.Log, notify func(), released func(Digest)) *blockList {
+	return &blockList{log: log, notify: notify, released: released, entries: map[Digest]block{}, combinations: map[Digest]bool{}}
+}
+
+// match returns the block of a request or of parts that it holds, and how much longer it lasts.
+func (l *blockList) match(sent *Sent) (Digest, time.Duration, bool) {
+	l.blocksMu.Lock()
+	defer l.blocksMu.Unlock()
+	if remaining, blocked := l.remainingLocked(sent.Request); blocked {
+		return sent.Request, remaining, true
+	}
+	for d := range l.combinations {
+		if remaining, blocked := l.remainingLocked(d); blocked && l.matchesLocked(d, sent) {
+			return d, remaining, true
+		}
+	}
+	return Digest{}, 0, false
+}
+
+// matchesLocked reports whether a request holds the parts of a block. It is called with blocksMu held.
+func (l *blockList) matchesLocked(d Digest, sent *Sent) bool {
+	b := l.entries[d]
+	c := b.combination()
+	return c != nil && c.matches(sent)
+}
+
+// combinationIn returns the parts of a request that are blocked or, with expired set, were so until recently.
+func (l *blockList) combinationIn(sent *Sent) (c *combination, expired, found bool) {
+	l.blocksMu.Lock()
+	defer l.blocksMu.Unlock()
+	for d := range l.combinations {
+		if b := l.entries[d]; !b.Released && l.matchesLocked(d, sent) {
+			return b.combination(), clock.Until(b.expires) <= 0, true
+		}
+	}
+	return nil, false, false
 }
 
 // remaining returns how much longer a request is blocked.
 func (l *blockList) remaining(d Digest) (time.Duration, bool) {
 	l.blocksMu.Lock()
 	defer l.blocksMu.Unlock()
+	return l.remainingLocked(d)
+}
+
+// remainingLocked is remaining for callers that hold blocksMu.
+func (l *blockList) remainingLocked(d Digest) (time.Duration, bool) {
 	b, found := l.entries[d]
 	if !found || b.Released {
 		return 0, false
@@ -109,16 +172,24 @@
 
 // add blocks a request.
 func (l *blockList) add(d Digest, organisation, why string) block {
+	return l.addBlock(block{Request: d, Organisation: organisation}, why)
+}
+
+// addCombination blocks the requests that hold a combination of parts.
+func (l *blockList) addCombination(c *combination, why string) block {
+	return l.addBlock(block{Request: c.digest(), Organisation: c.organisation, Parts: c.parts}, why)
+}
+
+// addBlock adds a block of which the caller sets what it is about.
+func (l *blockList) addBlock(b block, why string) block {
 	l.blocksMu.Lock()
-	old := l.entries[d]
+	old := l.entries[b.Request]
 	if !old.Released && clock.Until(old.expires) > 0 {
 		// The other crash tracker was first.
 		l.blocksMu.Unlock()
 		return old
 	}
-	b := block{
-		Request: d, Organisation: organisation, Stamp: max(time.Now().UnixNano(), old.Stamp+1), Consecutive: 1,
-	}
+	b.Stamp, b.Consecutive = max(time.Now().UnixNano(), old.Stamp+1), 1
 	if !old.Released {
 		b.Consecutive += old.Consecutive
 	}
@@ -150,6 +221,9 @@
 		}
 		b.expires = clock.Now().Add(min(max(0, b.Remaining), maxBlockTime))
 		l.entries[b.Request] = b
+		if len(b.Parts) > 0 {
+			l.combinations[b.Request] = true
+		}
 		accepted = append(accepted, b)
 	}
 	l.evict()
@@ -159,6 +233,9 @@
 	l.blocksMu.Unlock()
 	for i := range accepted {
 		l.logChange(&accepted[i], why)
+		if accepted[i].Released {
+			l.released(accepted[i].Request)
+		}
 	}
 	if len(accepted) > 0 {
 		l.notify()
@@ -170,10 +247,10 @@
 func (l *blockList) logChange(b *block, why string) {
 	ref := event.Ref{Organisation: b.Organisation}
 	if b.Released {
-		l.log.Emit(event.RequestReleased, ref, "asks "+b.Request.String()+"; "+why)
+		l.log.Emit(event.RequestReleased, ref, b.text()+"; "+why)
 		return
 	}
-	l.log.Emit(event.RequestBlocked, ref, "asks "+b.Request.String()+" for "+
+	l.log.Emit(event.RequestBlocked, ref, b.text()+" for "+
 		b.Remaining.Round(time.Second).String()+", block "+strconv.Itoa(b.Consecutive)+"; "+why)
 }
 
@@ -182,14 +259,20 @@
 func (l *blockList) evict() {
 	for d, b := range l.entries {
 		if -clock.Until(b.expires) > b.duration() {
-			delete(l.entries, d)
+			l.remove(d)
 		}
 	}
 	for len(l.entries) > maxBlocks {
-		delete(l.entries, l.evictionCandidate())
+		l.remove(l.evictionCandidate())
 	}
 }
 
+// remove removes a block. It is called with blocksMu held.
+func (l *blockList) remove(d Digest) {
+	delete(l.entries, d)
+	delete(l.combinations, d)
+}
+
 // evictionCandidate returns the request to evict first. It is called with blocksMu held.
 func (l *blockList) evictionCandidate() Digest {
 	perOrganisation := map[string]int{}
--- a/core/poison/blocks_test.go
+++ b/core/poison/blocks_test.go
@@ -13,7 +13,7 @@
 	"embertally.dev/core/event"
 )
 
-func newTestBlockList() *blockList { return newBlockList(&event.Log{}, func() {}) }
+func newTestBlockList() *blockList { return newBlockList(&event.Log{}, func() {}, func(Digest) {}) }
 
 // exchange carries a heartbeat section from one list to another.
 func exchange(g *gomega.WithT, from, to *blockList, full bool) {
--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
@@ -44,11 +45,17 @@
 // notifies two daemons of each cell, whose heartbeats notify the others, and writes the block to
 // the coordination store. Each daemon receives it over a chain of a few messages, whatever the size
 // of the fleet, and none of them needs the store.
+//
+// Prompts that crash targets may differ and only share a part. All crashes under prompts are therefore also
+// reported to two daemons of the fleet that compare them (see partTracker). Which parts were answered well is
+// recorded by each daemon and asked for only before a block.
 type Guard struct {
 	o        Options
 	attempts attempts
 	tracker  *crashTracker
 	blocks   *blockList
+	parts    partSuccesses
+	suspects partTracker
 
 	countsMu sync.Mutex
 	// crashCounts holds the number of incarnations that crashed under each request that this daemon
@@ -61,20 +68,29 @@
 
 // New returns a Guard. It must be called before the fleet runs.
 func New(o Options) *Guard {
-	b := newBlockList(o.Log, o.Fleet.TriggerHeartbeat)
-	g := &Guard{o: o, blocks: b, tracker: newCrashTracker(o.Log), crashCounts: map[Digest]int{}}
-	o.Fleet.Attach("blocks", b)
+	g := &Guard{o: o, tracker: newCrashTracker(o.Log), crashCounts: map[Digest]int{}}
+	g.blocks = newBlockList(o.Log, o.Fleet.TriggerHeartbeat, g.forget)
+	o.Fleet.Attach("blocks", g.blocks)
+	o.Fleet.Mux().Register(kindPartCrash, wire.Handle(g.receivePartCrash))
+	o.Fleet.Mux().Register(kindSuccesses, wire.Handle(g.receiveSuccessesQuery))
 	o.Fleet.Mux().Register(kindCrash, wire.Handle(g.receiveCrash))
 	o.Fleet.Mux().Register(kindBlock, wire.Handle(g.receiveBlocks))
 	return g
 }
 
-// Blocked returns how much longer a request is blocked, and whether it is.
-func (g *Guard) Blocked(d Digest) (time.Duration, bool) {
+// forget removes the crashes counted for a block that was revoked.
+func (g *Guard) forget(d Digest) {
+	g.tracker.forget(d)
+	g.suspects.forget(d)
+}
+
+// Blocked returns how much longer a request is blocked, by itself or by parts that it holds, and whether it is.
+func (g *Guard) Blocked(sent Sent) (time.Duration, bool) {
 	if g == nil {
 		return 0, false
 	}
-	return g.blocks.remaining(d)
+	_, remaining, blocked := g.blocks.match(&sent)
+	return remaining, blocked
 }
 
 // Crashes returns the number of incarnations that crashed under a request, as last reported to
@@ -96,8 +112,20 @@
 		return
 	}
 	g.attempts.recordEnd(incarnation, sent, true)
-	if _, blocked := g.blocks.remaining(sent.Request); blocked {
-		go unblocker{g, sent.Request, incarnation}.run()
+	g.parts.record(sent, incarnation)
+	if d, _, blocked := g.blocks.match(&sent); blocked {
+		go unblocker{g, d, sent, incarnation}.run()
+	}
+}
+
+// ProofTime is how long a target must go on after it began an answer to show that the answer does not crash it.
+const ProofTime = delayedCrashWindow
+
+// RecordProgress records that an incarnation of a target has been answering a request for ProofTime. The parts of
+// its prompt don't crash targets that begin to answer.
+func (g *Guard) RecordProgress(sent Sent, incarnation string) {
+	if g != nil {
+		g.parts.record(sent, incarnation)
 	}
 }
 
@@ -127,6 +155,7 @@
 	switch {
 	case crashed:
 		go crashReporter{g, incarnation, []Sent{sent}}.run()
+		g.recordPartCrash(incarnation, clock.Now(), []Sent{sent})
 	case first:
 		go prober{g, incarnation, address}.run()
 	}
@@ -150,7 +179,10 @@
 // recordCrash reports to the crash trackers the requests that were at an incarnation when it
 // crashed. refused states that it refused a connection.
 func (g *Guard) recordCrash(incarnation string, refused bool) {
-	if list := g.attempts.recordCrash(incarnation, refused); len(list) > 0 {
+	list, at := g.attempts.recordCrash(incarnation, refused)
+	g.parts.withdraw(incarnation, at)
+	if len(list) > 0 {
+		g.recordPartCrash(incarnation, at, list)
 		g.countsMu.Lock()
 		g.crashCount++
 		g.countsMu.Unlock()
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -111,7 +111,7 @@
 	return func() int {
 		n := 0
 		for _, m := range r.daemons {
-			if _, blocked := m.guard.Blocked(d); blocked {
+			if _, blocked := m.guard.Blocked(sentOf(d)); blocked {
 				n++
 			}
 		}
@@ -360,7 +360,7 @@
 	r.g.Expect(r.blockedDaemons(d)()).To(gomega.BeZero())
 	r.crash(0, d, "inc-3")
 	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.Equal(1))
-	remaining, _ := r.daemons[0].guard.Blocked(d)
+	remaining, _ := r.daemons[0].guard.Blocked(sentOf(d))
 	r.g.Expect(remaining).To(gomega.BeNumerically("~", 2*initialBlockTime, time.Minute))
 }
 
@@ -372,7 +372,7 @@
 	none.RecordSuccess(sentOf(digestOf("a")), "inc")
 	none.RecordDialError("inc", syscall.ECONNREFUSED)
 	none.RecordListedCrash("inc")
-	_, blocked := none.Blocked(digestOf("a"))
+	_, blocked := none.Blocked(sentOf(digestOf("a")))
 	g.Expect(blocked).To(gomega.BeFalse())
 	g.Expect(none.Crashes(digestOf("a"))).To(gomega.BeZero())
 }
--- a/core/poison/operators.go
+++ b/core/poison/operators.go
@@ -8,6 +8,8 @@
 	Organisation string    `json:"organisation"`
 	Until        time.Time `json:"until"`
 	Consecutive  int       `json:"times"`
+	// Parts are the parts that a prompt must hold all of to be blocked; empty if one request is blocked.
+	Parts []string `json:"parts,omitempty"`
 }
 
 // List returns the blocked requests, ordered by digest.
@@ -16,7 +18,7 @@
 	for _, b := range g.blocks.list() {
 		if !b.Released && b.Remaining > 0 {
 			out = append(out, BlockedRequest{
-				b.Request.String(), b.Organisation, time.Now().Add(b.Remaining).UTC(), b.Consecutive,
+				b.Request.String(), b.Organisation, time.Now().Add(b.Remaining).UTC(), b.Consecutive, b.Parts,
 			})
 		}
 	}
@@ -25,7 +27,7 @@
 
 // Release revokes a block in all daemons, and reports whether there was one.
 func (g *Guard) Release(d Digest, why string) bool {
-	g.tracker.forget(d)
+	g.forget(d)
 	return g.release(d, why)
 }
 
--- a/core/poison/probe.go
+++ b/core/poison/probe.go
@@ -10,18 +10,19 @@
 
 // unblocker releases a block if the incarnation at which the request completed well survives.
 type unblocker struct {
-	guard       *Guard
-	request     Digest
+	guard *Guard
+	// block is the digest of what is blocked.
+	block       Digest
+	sent        Sent
 	incarnation string
 }
 
 func (p unblocker) run() {
 	time.Sleep(delayedCrashWindow + simultaneousWindow)
-	if !p.guard.attempts.recentlySucceeded(p.request) || !p.guard.attempts.isAlive(p.incarnation) {
+	if !p.guard.attempts.recentlySucceeded(p.sent.Request) || !p.guard.attempts.isAlive(p.incarnation) {
 		return
 	}
-	p.guard.tracker.forget(p.request)
-	p.guard.release(p.request, "it completed well at "+p.incarnation)
+	p.guard.release(p.block, "it completed well at "+p.incarnation)
 }
 
 // prober finds out whether an incarnation of a target crashed after its connection broke.
--- a/core/poison/store.go
+++ b/core/poison/store.go
@@ -37,6 +37,8 @@
 	Stamp   int64     `json:"stamp"`
 	// Consecutive is the number of consecutive blocks of the request.
 	Consecutive int `json:"times"`
+	// Parts are the parts that are blocked; empty if one request is.
+	Parts []string `json:"parts,omitempty"`
 }
 
 // Observe processes a change of the coordination store; it ignores keys other than blocks.
@@ -55,7 +57,7 @@
 		return
 	}
 	if c.Deleted {
-		g.tracker.forget(d)
+		g.forget(d)
 		g.blocks.release(d, "its key was removed from the coordination store")
 		return
 	}
@@ -66,7 +68,7 @@
 	}
 	b := block{
 		Request: d, Organisation: s.Organisation, Stamp: s.Stamp,
-		Consecutive: min(max(1, s.Consecutive), 16), Remaining: time.Until(s.Expires),
+		Consecutive: min(max(1, s.Consecutive), 16), Remaining: time.Until(s.Expires), Parts: s.Parts,
 	}
 	if b.Remaining > 0 {
 		g.blocks.merge([]block{b}, "it is in the coordination store")
@@ -120,7 +122,7 @@
 	case found && json.Unmarshal(pair.Value, &s) == nil && s.Stamp >= b.Stamp:
 		return nil
 	default:
-		raw, err := json.Marshal(storedBlock{b.Organisation, time.Now().Add(b.Remaining), b.Stamp, b.Consecutive})
+		raw, err := json.Marshal(storedBlock{b.Organisation, time.Now().Add(b.Remaining), b.Stamp, b.Consecutive, b.Parts})
 		if err != nil {
 			return err
 		}
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -145,7 +145,7 @@
 // target and everything that runs there. The status is that of a refusal that may be repeated,
 // since the request itself is valid.
 func (p *proxiedRequest) refuseBlocked() *entry.Refusal {
-	remaining, isBlocked := p.relay.options.Poison.Blocked(p.sent.Request)
+	remaining, isBlocked := p.relay.options.Poison.Blocked(p.sent)
 	if !isBlocked {
 		return nil
 	}
@@ -154,6 +154,12 @@
 		crashesTargets, remaining)
 }
 
+// blocked reports whether the request is known to crash targets.
+func (p *proxiedRequest) blocked() bool {
+	_, blocked := p.relay.options.Poison.Blocked(p.sent)
+	return blocked
+}
+
 // requestDigest returns the digest that identifies equal requests.
 func (p *proxiedRequest) requestDigest() poison.Digest {
 	return poison.DigestOf(&poison.Request{
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -13,6 +13,7 @@
 	"embertally.dev/core/clock"
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
+	"embertally.dev/core/poison"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
 	"embertally.dev/core/target"
@@ -177,7 +178,7 @@
 	}
 	var unavailable *unavailableError
 	switch {
-	case errors.As(err, &unavailable):
+	case errors.As(err, &unavailable), errors.Is(err, errBlocked):
 		return outcomeUnavailable
 	case callerDisconnected(p.r.Context()):
 		return outcomeCallerDisconnected
@@ -211,20 +212,26 @@
 		p.recordNoResponse(c)
 	}
 	if !target.ClosedEarly(err) {
-		p.recordDisconnect(c, err, false)
+		p.recordDisconnect(c, err, 0)
 	}
 	return outcomeIncomplete
 }
 
 // recordDisconnect records that the connection to a target closed under the request. The request
-// may have crashed the target, and its caller may repeat it. begun states that some of the answer had arrived.
-func (p *proxiedRequest) recordDisconnect(c *choice, err error, begun bool) {
+// may have crashed the target, and its caller may repeat it. begun is how long some of
+// the answer had been there, or 0.
+func (p *proxiedRequest) recordDisconnect(c *choice, err error, begun time.Duration) {
 	if errors.Is(err, target.ErrDetourLost) {
 		return
 	}
-	p.relay.options.Stats.Disconnects[begun].Inc()
+	p.relay.options.Stats.Disconnects[begun > 0].Inc()
+	sent := p.sent
+	if begun >= poison.ProofTime {
+		// The target crashed of something else.
+		sent.Parts = nil
+	}
 	if _, shuttingDown := p.relay.options.Roster.ShuttingDown(c.target); !shuttingDown {
-		p.relay.options.Poison.RecordLostConnection(p.sent, c.target.ID(), c.target.Entry().Address)
+		p.relay.options.Poison.RecordLostConnection(sent, c.target.ID(), c.target.Entry().Address)
 	}
 }
 
@@ -332,10 +339,16 @@
 // Error implements error.
 func (e *unavailableError) Error() string { return "the target " + e.reason.String() }
 
+// errBlocked means that the request became known to crash targets after its target was chosen.
+var errBlocked = errors.New(crashesTargets)
+
 // availabilityCheck returns the check that runs once there is a connection, before the request is
 // written.
 func (p *proxiedRequest) availabilityCheck(c *choice) func() error {
 	return func() error {
+		if p.blocked() {
+			return errors.WithStack(errBlocked)
+		}
 		if reason := p.relay.options.Roster.Admit(c.target, c.permit); reason != roster.Available {
 			return &unavailableError{reason}
 		}
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -103,7 +103,7 @@
 // lately, and the request has crashed no target.
 func (p *proxiedRequest) mayHedge(now time.Time) bool {
 	return !p.relay.admission.requestsWait(p.service) && p.relay.hedgeGate.open(p.service, now) &&
-		p.relay.options.Poison.Crashes(p.sent.Request) == 0
+		p.relay.options.Poison.Crashes(p.sent.Request) == 0 && !p.blocked()
 }
 
 // chooseHedge returns the target of a second attempt if that is worthwhile, or nil. It asks no other
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -26,9 +26,10 @@
 
 // passOnPlain passes on a response that is not a stream.
 func (p *proxiedRequest) passOnPlain(c *choice, resp *target.Response, respMeta *ResponseMeta, sent time.Time) (outcome, *bufferedResponse) {
+	began := time.Now()
 	body, err := readAll(nil, io.LimitReader(resp, maxBufferedBytes))
 	if err != nil {
-		return p.classifyReadError(c, err), nil
+		return p.classifyReadError(c, err, time.Since(began)), nil
 	}
 	answer := &bufferedResponse{resp.Status, resp.Header, body}
 	good := resp.Status < http.StatusInternalServerError
@@ -85,8 +86,8 @@
 	}
 }
 
-// classifyReadError records a response that ended early and returns the outcome.
-func (p *proxiedRequest) classifyReadError(c *choice, err error) outcome {
+// classifyReadError records a response that ended early and returns the outcome. begun is how long ago it began.
+func (p *proxiedRequest) classifyReadError(c *choice, err error, begun time.Duration) outcome {
 	p.note("%v", errors.Cause(err))
 	now := time.Now()
 	if !errors.Is(err, target.ErrDetourLost) {
@@ -98,7 +99,7 @@
 	case !now.Before(p.deadline):
 		return outcomeTimedOut
 	}
-	p.recordDisconnect(c, err, true)
+	p.recordDisconnect(c, err, begun)
 	return outcomeIncomplete
 }
 
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -205,7 +205,7 @@
 	mayTry := queues.mayTry(p.waiter)
 	for {
 		p.adjustForSuspend()
-		if _, blocked := p.relay.options.Poison.Blocked(p.sent.Request); blocked {
+		if p.blocked() {
 			// It became blocked while it waited, or by the crash that it has just caused.
 			return nil, crashesTargets
 		}
@@ -289,6 +289,9 @@
 		return false
 	case p.attempts-p.executions > maxRejections, p.relay.options.Disabled.Retries:
 		return false
+	case p.blocked():
+		p.note("not retried: it crashes targets")
+		return false
 	case out == outcomeIncomplete && p.relay.options.Poison.Crashes(p.sent.Request) >= maxCrashes:
 		p.note("not retried: the request may crash targets")
 		return false
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/poison"
 	"embertally.dev/core/target"
 )
 
@@ -86,6 +87,10 @@
 				onFirst()
 				p.recordResponse(c, true)
 				p.recordFirstAnswer(c, sent)
+				st.firstAt = time.Now()
+			} else if !st.proven && st.begun() >= poison.ProofTime {
+				st.proven = true
+				p.relay.options.Poison.RecordProgress(p.sent, c.target.ID())
 			}
 			st.gaps.received()
 			newer := isNewerEvent(ev.id, p.lastEventID)
@@ -110,8 +115,11 @@
 // responseStream is what has been read of one response that is a stream.
 type responseStream struct {
 	gaps *gapObserver
-	// events is the number of events, without comments.
-	events int
+	// events is the number of events, without comments, and firstAt when the first arrived.
+	events  int
+	firstAt time.Time
+	// proven is set once the stream has gone on for long enough to show that it does not crash its target.
+	proven bool
 	// caughtUp is set once an event came that the caller did not have before this response, or the last one
 	// that it had.
 	caughtUp bool
@@ -120,6 +128,14 @@
 	comments []byte
 }
 
+// begun returns how long ago the first event arrived, or 0 if there is none yet.
+func (st *responseStream) begun() time.Duration {
+	if st.events == 0 {
+		return 0
+	}
+	return time.Since(st.firstAt)
+}
+
 // endStream returns the outcome of a stream that ended between two events; err is the kind of its end.
 func (p *proxiedRequest) endStream(c *choice, resp *target.Response, st *responseStream, err error) outcome {
 	if st.events == 0 {
@@ -188,7 +204,7 @@
 	if !now.Before(p.deadline) {
 		return outcomeTimedOut
 	}
-	p.recordDisconnect(c, err, st.events > 0)
+	p.recordDisconnect(c, err, st.begun())
 	if p.headerSent && p.route.Resumable {
 		p.relay.options.Stats.StreamsResumed.Inc()
 		p.relay.options.Log.Emit(event.StreamResumed, p.ref(),
--- a/embctl/internal/ctl/fleet.go
+++ b/embctl/internal/ctl/fleet.go
@@ -64,15 +64,17 @@
 			Until time.Time `json:"until"`
 			// Times is how often the request was blocked in succession.
 			Times int `json:"times"`
+			// Parts are those that a prompt must hold all of to be blocked.
+			Parts []string `json:"parts"`
 		} `json:"blocked"`
 	}
 	if err := p.client.call(http.MethodGet, "/v1/blocked", nil, &got); err != nil {
 		return err
 	}
 	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "ASKS\tORGANISATION\tUNTIL\tTIMES")
+	fmt.Fprintln(w, "ASKS\tORGANISATION\tUNTIL\tTIMES\tPARTS")
 	for _, b := range got.Blocked {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", b.Digest, b.Organisation, b.Until.Format(time.RFC3339), b.Times)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", b.Digest, b.Organisation, b.Until.Format(time.RFC3339), b.Times, strings.Join(b.Parts, ","))
 	}
 	return errors.WithStack(w.Flush())
 }
