Daemons lend each other the connections to targets that they do not use

What callers would see: while most new connections lead to one daemon, requests there are refused or wait though targets have room.

Cause: each daemon had nine tenths of a target's connections divided by the number of daemons, whatever each needs. Class: a limit of all is a fixed part for each.

Mend: a daemon whose share of a target is used up, with nothing idle, has another one open a connection out of its own share and forward its bytes, as it does already where its path is broken. The connection counts at the lender until it is closed there, so that nothing has to be agreed on while a lender is suspended, cut or restarted. Weighed and left: shares that follow demand with leases, and a reservation for each request (docs/design/limits.md).

--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -26,6 +26,9 @@
 // kindOpen is the kind of requests for connections to targets.
 const kindOpen wire.Kind = "detour.open"
 
+// kindLend is the kind of requests for connections that count against the share of the box that opens them.
+const kindLend wire.Kind = "detour.lend"
+
 // Bounds of opening connections through other boxes.
 const (
 	// openTimeout bounds the wait for one box: a connection to a target usually opens within
@@ -63,6 +66,8 @@
 	silent
 	// cannotTell: the box cannot reach the target, has not listed it, or forwards for too many.
 	cannotTell
+	// full: the box needs its share of the target's connections itself.
+	full
 )
 
 // openRequest requests a connection to a target.
@@ -87,9 +92,13 @@
 	Pool   *target.Pool
 	// Locate returns the address and the failure domain of a listed target.
 	Locate func(target string) (address, domain string, listed bool)
+	// ConnectionShare returns how many connections to a listed target this daemon may have; 0 means no bound.
+	ConnectionShare func(target string) int
 	// Opened counts the connections opened through other boxes, Failed those that none could open, and
 	// Forwarded those opened for others.
 	Opened, Failed, Forwarded interface{ Inc() }
+	// Borrowed counts the connections that other boxes lent, and Lent those lent to them.
+	Borrowed, Lent interface{ Inc() }
 }
 
 // Boxes opens connections to targets through other boxes, and forwards for them. It implements
@@ -99,6 +108,8 @@
 type Boxes struct {
 	o       Options
 	backoff wait.Backoff[string]
+	// lendBackoff is how long boxes are not asked that did not lend a connection.
+	lendBackoff wait.Backoff[string]
 
 	boxesMu sync.Mutex
 	// open is the number of open connections through each box. Guarded by boxesMu.
@@ -115,10 +126,12 @@
 func New(o Options) *Boxes {
 	b := &Boxes{
 		o: o, backoff: wait.Backoff[string]{Initial: backoffFirst, Max: backoffMax},
-		open: map[string]int{}, lostAt: map[string]time.Time{}, partitionedAt: map[string]time.Time{},
+		lendBackoff: wait.Backoff[string]{Initial: lendBackoffFirst, Max: lendBackoffMax},
+		open:        map[string]int{}, lostAt: map[string]time.Time{}, partitionedAt: map[string]time.Time{},
 	}
-	o.Pool.Detour = b
+	o.Pool.Detour, o.Pool.Lender = b, b
 	o.Fleet.Mux().RegisterStream(kindOpen, wire.HandleStream(b.handleOpen))
+	o.Fleet.Mux().RegisterStream(kindLend, wire.HandleStream(b.handleLend))
 	o.Fleet.Attach("paths", b)
 	return b
 }
@@ -129,7 +142,7 @@
 // Open implements target.Detour.
 func (b *Boxes) Open(ctx context.Context, targetID string) (net.Conn, string, error) {
 	_, domain, _ := b.o.Locate(targetID)
-	candidates, alive := b.candidates(domain, time.Now())
+	candidates, alive := b.candidates(domain, &b.backoff, time.Now())
 	if !alive {
 		return nil, "", errors.WithStack(target.ErrNoDetour)
 	}
@@ -162,15 +175,21 @@
 
 // openThrough requests a connection from one box.
 func (b *Boxes) openThrough(ctx context.Context, box, targetID string) (net.Conn, verdict) {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
-	var response openResponse
-	conn, err := b.o.Fleet.OpenStream(ctx, box, kindOpen, &openRequest{Target: targetID}, &response)
-	if err != nil || response.Verdict == cannotTell {
+	conn, verdict := b.request(ctx, box, kindOpen, targetID)
+	if verdict == cannotTell {
 		b.backoff.RecordFailure(box, time.Now())
 	} else {
 		b.backoff.RecordSuccess(box)
 	}
+	return conn, verdict
+}
+
+// request makes one kind of request for a connection to one box.
+func (b *Boxes) request(ctx context.Context, box string, kind wire.Kind, targetID string) (net.Conn, verdict) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	var response openResponse
+	conn, err := b.o.Fleet.OpenStream(ctx, box, kind, &openRequest{Target: targetID}, &response)
 	if err != nil {
 		return nil, cannotTell
 	}
@@ -226,7 +245,7 @@
 
 // candidates returns the boxes to ask for a connection to a target in a domain, best first, and whether
 // any other box is alive.
-func (b *Boxes) candidates(domain string, now time.Time) (boxes []string, alive bool) {
+func (b *Boxes) candidates(domain string, backoff *wait.Backoff[string], now time.Time) (boxes []string, alive bool) {
 	view := b.o.Fleet.View()
 	scores := map[string]int{}
 	b.boxesMu.Lock()
@@ -236,7 +255,7 @@
 			continue
 		}
 		alive = true
-		if now.Sub(b.partitionedAt[p.Name]) < reportTime || !b.backoff.Ready(p.Name, now) {
+		if now.Sub(b.partitionedAt[p.Name]) < reportTime || !backoff.Ready(p.Name, now) {
 			continue
 		}
 		boxes = append(boxes, p.Name)
--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -55,7 +55,7 @@
 		})
 		addresses := map[string]string{}
 		b := New(Options{
-			Domain: seed.Domain, Fleet: f, Pool: &target.Pool{}, Opened: counter{}, Failed: counter{}, Forwarded: counter{},
+			Domain: seed.Domain, Fleet: f, Pool: &target.Pool{}, Opened: counter{}, Failed: counter{}, Forwarded: counter{}, Borrowed: counter{}, Lent: counter{},
 			Locate: func(id string) (string, string, bool) {
 				r.mu.Lock()
 				defer r.mu.Unlock()
--- a/core/detour/forward.go
+++ b/core/detour/forward.go
@@ -51,6 +51,57 @@
 	return openResponse{Verdict: opened}, (&forwarding{boxes: b, target: conn}).serve
 }
 
+// Bounds of borrowing.
+const (
+	// maxLenders is how many boxes are asked for one connection.
+	maxLenders = 4
+	// lendBackoffFirst and lendBackoffMax bound how long a box is not asked that did not lend one.
+	lendBackoffFirst = 50 * time.Millisecond
+	lendBackoffMax   = 400 * time.Millisecond
+)
+
+// Borrow implements target.Lender.
+func (b *Boxes) Borrow(ctx context.Context, targetID string) (net.Conn, string, error) {
+	_, domain, _ := b.o.Locate(targetID)
+	candidates, _ := b.candidates(domain, &b.lendBackoff, time.Now())
+	for _, box := range candidates[:min(len(candidates), maxLenders)] {
+		conn, verdict := b.request(ctx, box, kindLend, targetID)
+		if verdict == opened {
+			b.lendBackoff.RecordSuccess(box)
+			b.o.Borrowed.Inc()
+			return conn, box, nil
+		}
+		b.lendBackoff.RecordFailure(box, time.Now())
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, "", errors.WithStack(target.ErrFull)
+}
+
+// handleLend opens a connection to a target for another daemon out of this one's share.
+func (b *Boxes) handleLend(ctx context.Context, _ string, request *openRequest) (openResponse, func(net.Conn)) {
+	address, _, listed := b.o.Locate(request.Target)
+	if !listed || !b.acquire() {
+		return openResponse{Verdict: cannotTell}, nil
+	}
+	conn, release, err := b.o.Pool.Lend(ctx, address, b.o.ConnectionShare(request.Target))
+	switch {
+	case errors.Is(err, target.ErrFull):
+		b.release()
+		return openResponse{Verdict: full}, nil
+	case err != nil:
+		b.release()
+		return openResponse{Verdict: verdictOf(err)}, nil
+	}
+	b.o.Lent.Inc()
+	f := &forwarding{boxes: b, target: conn}
+	return openResponse{Verdict: opened}, func(box net.Conn) {
+		defer release()
+		f.serve(box)
+	}
+}
+
 // verdictOf returns what a failure to connect to a target shows.
 func verdictOf(err error) verdict {
 	switch {
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -268,17 +268,40 @@
 // limitConnections sets this daemon's share of the connections to a target. external is set if the
 // target belongs to another cell.
 func (p *proxiedRequest) limitConnections(svc *table.Service, address string, external bool) {
+	if svc.MaxConnsPerTarget > 0 {
+		p.relay.options.Pool.SetMaxConns(address, p.relay.connectionShare(p.service, svc, external))
+	}
+}
+
+// connectionShare returns how many connections to a target of a service this daemon may have; 0 means no bound.
+// external is set if the target belongs to another cell.
+func (rl *Relay) connectionShare(service string, svc *table.Service, external bool) int {
 	if svc.MaxConnsPerTarget <= 0 {
-		return
+		return 0
 	}
-	limit, daemons := connectionShare*float64(svc.MaxConnsPerTarget), p.relay.options.DaemonCount()
+	limit, daemons := connectionShare*float64(svc.MaxConnsPerTarget), rl.options.DaemonCount()
 	switch {
-	case !p.relay.sharded(p.service):
+	case !rl.sharded(service):
 	case external:
 		limit *= 1 - cellConnectionShare
 	default:
 		limit *= cellConnectionShare
-		daemons = p.relay.options.CellDaemonCount()
+		daemons = rl.options.CellDaemonCount()
+	}
+	return max(1, int(limit/float64(max(1, daemons))))
+}
+
+// ConnectionShare returns how many connections to a listed target this daemon may have; 0 means no bound.
+func (rl *Relay) ConnectionShare(id string) int {
+	t, table := rl.options.Roster.Target(id), rl.Table()
+	if t == nil || table == nil {
+		return 1
+	}
+	e := t.Entry()
+	svc := table.Service(e.Service)
+	if svc == nil {
+		return 1
 	}
-	p.relay.options.Pool.SetMaxConns(address, max(1, int(limit/float64(max(1, daemons)))))
+	external := rl.options.InOwnCell != nil && !rl.options.InOwnCell(e.Name, e.Domain)
+	return rl.connectionShare(e.Service, svc, external)
 }
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -51,6 +51,9 @@
 	// those that none opened, and DetoursForwarded those opened for other boxes. DetouredAttempts counts
 	// the attempts that were answered by way of another box.
 	DetoursOpened, DetoursFailed, DetoursForwarded, DetouredAttempts *metrics.Counter
+	// ConnectionsBorrowed counts the connections to targets that other boxes lent, and ConnectionsLent those lent to
+	// them.
+	ConnectionsBorrowed, ConnectionsLent *metrics.Counter
 	// SlowOpens counts the attempts that were abandoned because the connection took longer to open
 	// than usual, Probes those at a target at which that happened recently. SilentConnections counts
 	// the requests that their target did not acknowledge for some time.
@@ -112,6 +115,7 @@
 		QueueSeconds: set.NewHistogram("embertally_queue_seconds"), QueueRejected: c("queue_rejected_total"),
 		DetoursOpened: c("detours_opened_total"), DetoursFailed: c("detours_failed_total"),
 		DetoursForwarded: c("detours_forwarded_total"), DetouredAttempts: c("sends_detoured_total"),
+		ConnectionsBorrowed: c("connections_borrowed_total"), ConnectionsLent: c("connections_lent_total"),
 		SlowOpens: c("target_connections_slow_total"), Probes: c("targets_probed_total"),
 		SilentConnections: c("target_connections_silent_total"),
 		Hedges:            c("hedges_total"), HedgesWon: c("hedges_won_total"),
--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -44,6 +44,8 @@
 	// empty and nil for a direct connection.
 	box    string
 	detour *DetourReader
+	// borrowed is set if it counts against the share of the box that it leads through.
+	borrowed bool
 	// lastUsed is when the last request on it ended, or when it was first kept without one; zero if
 	// it was never kept.
 	lastUsed time.Time
--- a/core/target/detour.go
+++ b/core/target/detour.go
@@ -150,10 +150,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.throughBox(address, conn, box), nil
+}
+
+// throughBox returns a connection to a target that leads through another box.
+func (p *Pool) throughBox(address string, conn net.Conn, box string) *poolConn {
 	c := &poolConn{pool: p, address: address, stream: conn, tcp: rawConn(conn), box: box}
 	c.detour = NewDetourReader(conn)
 	c.r = bufio.NewReaderSize(c.detour, readBufferSize)
-	return c, nil
+	return c
 }
 
 // rawConn returns the TCP connection under a connection to another box.
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -25,6 +25,8 @@
 	Opened, Refused, Unanswered interface{ Inc() }
 	// Detour, if set, opens connections where this box's own path to a target is broken.
 	Detour Detour
+	// Lender, if set, opens connections where this box's share of a target's connections is used up.
+	Lender Lender
 	// OnPartitioned, if set, is called at intervals with the result of Partitioned while paths are
 	// failing, by one goroutine at a time.
 	OnPartitioned func(partitioned bool)
@@ -46,7 +48,11 @@
 	open int
 	// opening is the number of those that are being opened.
 	opening int
-	// maxOpen bounds open; 0 means no bound.
+	// borrowed is the number of those that count against the share of another box.
+	borrowed int
+	// noLenderUntil is the time until which no connection is borrowed.
+	noLenderUntil time.Time
+	// maxOpen bounds the open ones that are not borrowed; 0 means no bound.
 	maxOpen int
 	// keepAlive is how long the target keeps an idle connection.
 	keepAlive time.Duration
@@ -116,7 +122,7 @@
 	}
 	for _, conn := range state.idle {
 		conn.stream.Close()
-		state.open--
+		state.remove(conn)
 	}
 	state.idle, state.removed = nil, true
 	p.forget(address, state)
@@ -138,7 +144,11 @@
 	if state == nil || state.maxOpen == 0 {
 		return maxIdle
 	}
-	return state.maxOpen - state.open + len(state.idle)
+	free := state.maxOpen - state.ownOpen() + len(state.idle)
+	if free <= 0 && p.mayBorrow(state) {
+		return 1
+	}
+	return free
 }
 
 // Opening returns the number of connections that are being opened, to all addresses.
@@ -253,7 +263,7 @@
 	for _, conn := range state.idle {
 		if !used(conn) {
 			conn.stream.Close()
-			state.open--
+			state.remove(conn)
 		}
 	}
 	state.idle = slices.DeleteFunc(state.idle, func(conn *poolConn) bool { return !used(conn) })
@@ -266,7 +276,7 @@
 	p.poolMu.Lock()
 	state := p.state(address)
 	state.removed = false
-	full := state.maxOpen > 0 && state.open >= state.maxOpen
+	full := state.full()
 	if !full {
 		state.open++
 		state.opening++
@@ -323,6 +333,9 @@
 		if canOpen {
 			return p.openFor(ctx, address, req)
 		}
+		if conn, err := p.borrow(ctx, address, req.Target); err == nil {
+			return conn, nil
+		}
 		if !wait.For(ctx, pollInterval) {
 			return nil, errors.WithStack(ErrFull)
 		}
@@ -343,7 +356,7 @@
 		maxIdleTime = min(maxIdleTime, maxIdle)
 	}
 	partitioned := p.partitioned()
-	for i := len(state.idle) - 1; i >= 0 && (!onlyNew || (state.maxOpen > 0 && state.open >= state.maxOpen)); i-- {
+	for i := len(state.idle) - 1; i >= 0 && (!onlyNew || state.full()); i-- {
 		conn := state.idle[i]
 		if partitioned && conn.box == "" && !onlyNew {
 			// It may carry requests again once the box has its paths back.
@@ -354,9 +367,9 @@
 			return conn, false
 		}
 		conn.stream.Close()
-		state.open--
+		state.remove(conn)
 	}
-	if state.maxOpen > 0 && state.open >= state.maxOpen {
+	if state.full() {
 		return nil, false
 	}
 	state.open++
@@ -370,6 +383,9 @@
 	if conn.box == "" {
 		return true
 	}
+	if conn.borrowed {
+		return p.Detour.Usable(conn.box)
+	}
 	return (partitioned || !state.path.failedAt.IsZero()) && p.Detour.Usable(conn.box)
 }
 
@@ -381,11 +397,15 @@
 	partitioned := p.partitioned()
 	for address, state := range p.addresses {
 		state.idle = slices.DeleteFunc(state.idle, func(conn *poolConn) bool {
-			if p.fits(conn, state, partitioned) && (conn.box == "" || time.Since(conn.lastUsed) < state.keepAlive) {
+			limit := state.keepAlive
+			if conn.borrowed {
+				limit = borrowedIdleTime
+			}
+			if p.fits(conn, state, partitioned) && (conn.box == "" || time.Since(conn.lastUsed) < limit) {
 				return false
 			}
 			conn.stream.Close()
-			state.open--
+			state.remove(conn)
 			return true
 		})
 		p.forget(address, state)
@@ -398,7 +418,7 @@
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	if state := p.addresses[conn.address]; state != nil {
-		state.open--
+		state.remove(conn)
 		p.forget(conn.address, state)
 	}
 }
@@ -428,7 +448,7 @@
 	}
 	if state.removed || len(state.idle) >= maxIdle {
 		conn.stream.Close()
-		state.open--
+		state.remove(conn)
 		p.forget(conn.address, state)
 		return
 	}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -160,6 +160,7 @@
 	h.detours = detour.New(detour.Options{
 		Domain: settings.Domain, Fleet: h.fleet, Pool: h.pool, Locate: h.locateTarget,
 		Opened: h.stats.DetoursOpened, Failed: h.stats.DetoursFailed, Forwarded: h.stats.DetoursForwarded,
+		Borrowed: h.stats.ConnectionsBorrowed, Lent: h.stats.ConnectionsLent, ConnectionShare: func(target string) int { return h.relay.ConnectionShare(target) },
 	})
 	h.pool.OnPartitioned = h.recordPartition
 	h.daemonCounter.view = h.fleet.View
