Daemons whose slots of a brittle target are taken ask for those that others leave free

Cause: slots are divided by rank, and a daemon that had some never asked. Only one without any did.

Mend: it asks as well while the target's load, as far as heartbeats tell, is below its slots. The daemon that chooses counts the request among its own until its end is reported, so that the sum stays within the slots; the one that asked no longer counts it too, which kept its own slots idle.

--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -90,8 +90,8 @@
 		p.limitConnections(svc, candidate.entry.Address, false)
 		if room, limited := availability.Room(t); limited && t.LocalLoad().Running >= room {
 			unavailable.full++
-			if room == 0 {
-				unavailable.withoutShare++
+			if room == 0 || candidate.load.Running < max(1, candidate.entry.Slots) {
+				// Another daemon has a free slot there, or had one a heartbeat ago.
 				unavailable.sharedTarget = t
 			}
 			continue
@@ -132,10 +132,7 @@
 	reason := unavailable.reason()
 	p.skipped, p.rateLimited = unavailable.skipped, unavailable.rateLimitedTarget
 	p.notOpen, p.full = unavailable.opening, unavailable.full
-	p.sharedTarget = nil
-	if unavailable.withoutShare == unavailable.full {
-		p.sharedTarget = unavailable.sharedTarget
-	}
+	p.sharedTarget = unavailable.sharedTarget
 	switch {
 	case len(out) > 0:
 	case reason == allEvacuated:
@@ -176,9 +173,7 @@
 	excludedVersions int
 	// bound is set if the request may go to one version only.
 	bound bool
-	// withoutShare counts those of full none of whose slots are this daemon's, and sharedTarget is one of
-	// them.
-	withoutShare int
+	// sharedTarget is one of full with slots that are not this daemon's and may be free; nil if there is none.
 	sharedTarget *roster.Target
 	// opening counts those of full to which this daemon has no connection, only some being opened.
 	opening int
--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -415,7 +415,8 @@
 	}
 	c := response.choice(t, p.meta.PromptTokens)
 	if c.report = co.countedReport(peer, request); c.report != nil {
-		c.load = roster.Load{Running: 1}
+		// The peer counts it among its own.
+		c.load = roster.Load{}
 		return c
 	}
 	if svc.Engine == nil {
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -70,8 +70,8 @@
 	// skipped lists targets that the last choice skipped for their self-reported state, with the
 	// reasons.
 	skipped []string
-	// sharedTarget is a target if the last choice found only targets without slots of this daemon, else
-	// nil.
+	// sharedTarget is a target where other daemons may have free slots, as of the last choice; nil if there
+	// is none.
 	sharedTarget *roster.Target
 	// full is the number of targets that the last choice found full, notOpen that of those to which
 	// connections are only being opened.
--- a/core/roster/brittle.go
+++ b/core/roster/brittle.go
@@ -10,8 +10,9 @@
 // A target may state that it fails if it has to reject more than a number of requests a second for want
 // of room, whichever daemons sent them. No daemon can count the rejections of the others in time, so the
 // daemons divide the target's slots among themselves by rank, and none relies on the target letting
-// requests wait. A slot that its daemon leaves free is not used by others: it would be missing when that
-// daemon's next request arrives. Daemons without a slot at any target ask others to choose for them.
+// requests wait. A daemon whose slots are taken asks others to choose for it while the target has free ones.
+// The daemon that chose counts the request among its own until its end is reported, so that no slot is used
+// twice.
 
 // brittleState is the rejection limit of one incarnation of a target and this daemon's share of its
 // slots. The zero value limits nothing.
