A part is suspected by what it explains, and crashes of something else raise the bar

What callers would see: where workers crash of themselves, one after the other, a part of sound prompts could be blocked for an hour: by chance it was at three of twenty crashes and in no answer meanwhile.

Cause: a part was suspected after three crashes, whatever it had not explained.

Mend: four crashes, one more for each crash about that time without the part, up to seven; more without it than with it clear it. While more prompts are lost than answered a part may have had no chance to be answered: ten crashes then, two thirds of all. The answers of an incarnation are taken back once, with its crash, not at each refused connection.

--- a/core/poison/attempts.go
+++ b/core/poison/attempts.go
@@ -166,15 +166,15 @@
 }
 
 // recordCrash records that an incarnation crashed, and returns the requests that were in flight
-// there or completed well just before, and the time of the crash. refused states that it refused a
-// connection, so that it crashed a moment ago.
-func (s *attempts) recordCrash(incarnation string, refused bool) ([]Sent, clock.Time) {
+// there or completed well just before, the time of the crash, and whether it was not recorded yet. refused
+// states that it refused a connection, so that it crashed a moment ago.
+func (s *attempts) recordCrash(incarnation string, refused bool) (requests []Sent, at clock.Time, first bool) {
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
 	now := clock.Now()
 	s.expire(now)
 	if at, recorded := s.crashed[incarnation]; recorded {
-		return nil, at
+		return nil, at, false
 	}
 	if s.crashed == nil {
 		s.crashed = map[string]clock.Time{}
@@ -186,7 +186,7 @@
 	for _, l := range list {
 		out = append(out, l.Sent)
 	}
-	at := now
+	at = now
 	switch {
 	case len(list) > 0:
 		at = list[0].at
@@ -197,7 +197,7 @@
 	if len(out) > 0 {
 		s.recentCrashes = append(s.recentCrashes, crash{incarnation, at, out})
 	}
-	return out, at
+	return out, at, true
 }
 
 // takeRecentSuccesses removes and returns the requests that completed well at an incarnation just
--- a/core/poison/attempts_test.go
+++ b/core/poison/attempts_test.go
@@ -29,7 +29,7 @@
 				s.recordEnd(incarnation, sent, true)
 			}
 			s.recordLoss("a", sent)
-			inFlight, _ := s.recordCrash("a", false)
+			inFlight, _, _ := s.recordCrash("a", false)
 			g.Expect(inFlight).NotTo(gomega.BeEmpty(), "it was in flight")
 			g.Expect(s.recentlySucceeded(sent.Request)).To(gomega.Equal(tc.want), fmt.Sprint(tc.incarnations))
 		})
--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -179,8 +179,10 @@
 // recordCrash reports to the crash trackers the requests that were at an incarnation when it
 // crashed. refused states that it refused a connection.
 func (g *Guard) recordCrash(incarnation string, refused bool) {
-	list, at := g.attempts.recordCrash(incarnation, refused)
-	g.parts.withdraw(incarnation, at)
+	list, at, first := g.attempts.recordCrash(incarnation, refused)
+	if first {
+		g.parts.withdraw(incarnation, at)
+	}
 	if len(list) > 0 {
 		g.recordPartCrash(incarnation, at, list)
 		g.countsMu.Lock()
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -16,7 +16,7 @@
 	// least the last 20 s of a daemon with 60 prompts of three shared parts a second.
 	maxPartSuccesses = 4096
 	// maxRecentPrompts is how many of the last answered prompts are recorded with their time.
-	maxRecentPrompts = 2 * minOtherSuccesses
+	maxRecentPrompts = 128
 )
 
 // partKey names a part in the prompts of one organisation, or with organisation "" in those of all.
--- a/core/poison/suspects.go
+++ b/core/poison/suspects.go
@@ -12,17 +12,25 @@
 // Evidence that blocks a combination of parts.
 const (
 	// minPartCrashes is the number of crashes, without a success in between, at which a combination is
-	// blocked if no other one explains as many. If others do, the next crashes are waited for, up to
-	// certainPartCrashes, which is one less than the users allow however slowly they come. Then the one that
-	// the fewest prompts held is blocked, since it is the least likely to have been there by chance.
-	minPartCrashes     = 3
+	// blocked if it explains all of them and no other one does. Each crash that it does not explain raises the
+	// number: a prompt may be where targets crash by chance. If several combinations explain as many, the next
+	// crashes are waited for. certainPartCrashes, which is one less than the users allow however slowly they
+	// come, is the highest number; there the combination that the fewest prompts held is blocked, since it is
+	// the least likely to have been there by chance.
+	minPartCrashes     = 4
 	certainPartCrashes = 7
+	// unexplainedWindow is how long before the first crash under a part others count as not explained by it.
+	unexplainedWindow = time.Minute
 	// minPartRequests is the least number of different requests among those that held a part. One request
 	// that is repeated is blocked by its own digest.
 	minPartRequests = 2
 	// minOtherSuccesses is the least number of prompts that were answered well since the first of the
 	// crashes. With fewer the targets may crash of something that all prompts have in common.
 	minOtherSuccesses = 3
+	// outagePartCrashes is the number of crashes at which a combination is blocked while more prompts are lost
+	// than answered: a part may have had no chance to be answered. Crashes then follow each other so fast that
+	// there are as many within the time that the users allow.
+	outagePartCrashes = 10
 )
 
 // Limits on the crashes that a tracker records.
@@ -110,13 +118,15 @@
 	first   clock.Time
 	// prompts is the number of different prompts that held the part.
 	prompts int
+	// unexplained is the number of crashes about that time without the part.
+	unexplained int
 }
 
 // tally counts the crashes that count against one part.
 type tally struct {
 	partSuspect
-	// last is the index of the last crash, and group the time of the first one that it coincided with.
-	last  int
+	// hits are the indices of the crashes, and group is the time of the first one that the last coincided with.
+	hits  []int
 	group clock.Time
 	// requests are those that held the part.
 	requests map[Digest]bool
@@ -126,11 +136,15 @@
 func (y *tally) add(i int, at clock.Time, request Digest) {
 	y.requests[request] = true
 	y.prompts = len(y.requests)
-	if y.crashes > 0 && (y.last == i || at.Sub(y.group) < simultaneousWindow) {
-		y.last = i
+	n := len(y.hits)
+	if n > 0 && y.hits[n-1] == i {
 		return
 	}
-	y.last, y.group = i, at
+	y.hits = append(y.hits, i)
+	if n > 0 && at.Sub(y.group) < simultaneousWindow {
+		return
+	}
+	y.group = at
 	if y.crashes++; y.crashes == 1 {
 		y.first = at
 	}
@@ -158,7 +172,7 @@
 	}
 	var out []partSuspect
 	for _, y := range tallies {
-		if y.crashes >= minPartCrashes && y.prompts >= minPartRequests {
+		if y.prompts >= minPartRequests && y.crashes >= minPartCrashes && t.suspected(y) {
 			out = append(out, y.partSuspect)
 		}
 	}
@@ -168,6 +182,20 @@
 	return out
 }
 
+// suspected reports whether a part explains enough crashes for the number of those that it does not explain. It is
+// called with partsMu held.
+func (t *partTracker) suspected(y *tally) bool {
+	y.unexplained = 0
+	for i := range t.crashes {
+		c := &t.crashes[i]
+		near := func(hit int) bool { return c.at.Sub(t.crashes[hit].at).Abs() < simultaneousWindow }
+		if c.cause == nil && y.first.Sub(c.at) < unexplainedWindow && !slices.ContainsFunc(y.hits, near) {
+			y.unexplained++
+		}
+	}
+	return y.unexplained <= y.crashes && y.crashes >= min(minPartCrashes+y.unexplained, certainPartCrashes)
+}
+
 // counts reports whether a crash is evidence against a part that was there. It is called with partsMu held.
 func (t *partTracker) counts(c *partCrash, k partKey) bool {
 	return (c.cause == nil || slices.Contains(c.cause.parts, k.part)) && c.at.After(t.successes[k])
@@ -201,10 +229,28 @@
 	return combination{s.organisation, parts}
 }
 
-// guilty returns the combination to block, if there is one.
-func (t *partTracker) guilty() (*combination, bool) {
+// lostSince returns the number of prompts that crashes without a known cause have cost since a time.
+func (t *partTracker) lostSince(first clock.Time) int {
+	t.partsMu.Lock()
+	defer t.partsMu.Unlock()
+	n := 0
+	for i := range t.crashes {
+		if c := &t.crashes[i]; c.cause == nil && !c.at.Before(first) {
+			n += len(c.requests)
+		}
+	}
+	return n
+}
+
+// guilty returns the combination to block, if there is one. answered is the number of prompts that were answered
+// well since the first crash under a suspect.
+func (t *partTracker) guilty(answered int) (*combination, bool) {
 	suspects := t.suspects()
-	if len(suspects) == 0 {
+	if len(suspects) == 0 || answered < minOtherSuccesses {
+		return nil, false
+	}
+	first := &suspects[0]
+	if answered < t.lostSince(first.first) && (first.crashes < outagePartCrashes || 2*first.unexplained > first.crashes) {
 		return nil, false
 	}
 	var out []combination
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -65,7 +65,7 @@
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
 	Parts    []reportedSuccess
-	// Since is the time since the first crash.
+	// Since is the time since the first crash under the first of the parts.
 	Since time.Duration
 	// Cell makes the receiver ask its cell and answer for all of it.
 	Cell bool
@@ -184,21 +184,17 @@
 // judge asks all daemons about suspects, and blocks the combination that is at fault after that.
 func (v verdict) judge(suspects []partSuspect) {
 	g, tracker := v.guard, &v.guard.suspects
-	query := &successesQuery{Cell: true}
+	query := &successesQuery{Cell: true, Since: age(suspects[0].first)}
 	for i := range suspects[:min(len(suspects), maxPartsInQuestion)] {
 		s := &suspects[i]
 		query.Parts = append(query.Parts, reportedSuccess{Organisation: s.organisation, Part: s.part})
-		query.Since = max(query.Since, age(s.first))
 	}
 	asked := clock.Now()
 	response := g.collectSuccesses(context.Background(), query)
 	for _, s := range response.Parts {
 		tracker.addSuccess(partKey{s.Organisation, s.Part}, asked.Add(-s.Age))
 	}
-	if response.Answered < minOtherSuccesses {
-		return
-	}
-	if c, found := tracker.guilty(); found {
+	if c, found := tracker.guilty(response.Answered); found {
 		g.blockParts(*c, "targets crashed under different prompts that hold these parts")
 	}
 }
