--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -187,7 +187,7 @@
 	{CallerGone, "callerGone", Info, "The caller closed its connection; the request is cancelled at the target."},
 	{AnswerRejected, "answerRejected", Error, "A target's response belongs to another request or weights version and was discarded."},
 	{RequestSuspected, "requestSuspected", Warning, "Two incarnations of targets crashed while they processed the same request; the text has the request digest and the incarnations."},
-	{RequestBlocked, "requestBlocked", Error, "A request is no longer sent, because incarnations of targets crash under it; the text has the request digest, how long it is blocked, how often it was blocked so far, and the crashes or the daemon that reported it."},
+	{RequestBlocked, "requestBlocked", Error, "A request is no longer sent, because incarnations of targets crash under it; the text has the request digest, the parts if all prompts that hold them are blocked, how long, how often so far, and the crashes or the daemon that reported it."},
 	{RequestReleased, "requestReleased", Info, "A blocked request may be sent again; the text has the reason."},
 
 	{ContextImported, "contextImported", Info, "KV-cache blocks were read from a KV-cache store into a worker and passed their checks."},
