A second part at fault is blocked after the first one

What callers would see: after a block, workers would go on ending under another part for as long as the first one's crashes are remembered.

Cause, found by reading: parts of a block kept counting the crashes that it explains, so that they led the list of suspects and stood before all others.

Mend: a part is suspected only if one of its crashes has no known cause; after each block the rest is judged again. Besides, whether there are suspects is found out once for each verdict and not with each report, and a tracker records up to 128 prompts at a crash: workers queue more than 32.

TestCrashesThatABlockExplainsCountAgainstNothingElse has a second part now, and failed before at its first line on suspects.

--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -97,11 +97,17 @@
 	g.Expect(found).To(gomega.BeTrue())
 	g.Expect(c.parts).To(gomega.Equal([]string{"a", "g"}))
 	tracker.explain(*c)
-	_, found = tracker.guilty(maxRecentPrompts)
-	g.Expect(tracker.suspects()).To(gomega.HaveLen(4), "parts of the block still count, so that it can be narrowed")
+	g.Expect(tracker.suspects()).To(gomega.BeEmpty())
+	// Another part crashes targets as well.
+	for i := range minPartCrashes {
+		tracker.add(fmt.Sprint("inc-h", i), clock.Now().Add(time.Second+time.Duration(i)*100*time.Millisecond), []Sent{promptOf(fmt.Sprint(i), "o", "b", "h")}, nil)
+	}
+	c2, found := tracker.guilty(maxRecentPrompts)
 	g.Expect(found).To(gomega.BeTrue())
-	// The part comes with another one now: one more crash is enough.
-	tracker.add("inc-new", clock.Now().Add(time.Second), []Sent{promptOf("new", "o", "x", "g")}, nil)
+	g.Expect(c2.parts).To(gomega.Equal([]string{"b", "h"}))
+	tracker.explain(*c2)
+	// The first part comes with another one now: one more crash is enough.
+	tracker.add("inc-new", clock.Now().Add(2*time.Second), []Sent{promptOf("new", "o", "x", "g")}, nil)
 	c, found = tracker.guilty(maxRecentPrompts)
 	g.Expect(found).To(gomega.BeTrue())
 	g.Expect(c.parts).To(gomega.Equal([]string{"g"}))
--- a/core/poison/suspects.go
+++ b/core/poison/suspects.go
@@ -36,8 +36,8 @@
 // Limits on the crashes that a tracker records.
 const (
 	maxPartCrashRecords  = 64
-	maxRequestsPerCrash  = 32
-	maxReportedParts     = 64
+	maxRequestsPerCrash  = 128
+	maxReportedParts     = 32
 	maxPartsInQuestion   = 64
 	partCrashRecordsTime = crashWindow
 )
@@ -130,6 +130,8 @@
 	group clock.Time
 	// requests are those that held the part.
 	requests map[Digest]bool
+	// news is set if one of the crashes is not explained by a block.
+	news bool
 }
 
 // add counts the crash with an index, under a request that holds the part.
@@ -167,12 +169,13 @@
 					tallies[k] = &tally{partSuspect: partSuspect{partKey: k}, requests: map[Digest]bool{}}
 				}
 				tallies[k].add(i, c.at, c.requests[j].Request)
+				tallies[k].news = tallies[k].news || c.cause == nil
 			})
 		}
 	}
 	var out []partSuspect
 	for _, y := range tallies {
-		if y.prompts >= minPartRequests && y.crashes >= minPartCrashes && t.suspected(y) {
+		if y.news && y.prompts >= minPartRequests && y.crashes >= minPartCrashes && t.suspected(y) {
 			out = append(out, y.partSuspect)
 		}
 	}
@@ -312,13 +315,13 @@
 	t.crashes = slices.DeleteFunc(t.crashes, func(c partCrash) bool { return c.cause != nil && c.cause.digest() == d })
 }
 
-// begin reports whether a verdict is to run: there are suspects, and none runs yet.
+// begin reports whether a verdict is to run: there may be suspects, and none runs yet.
 func (t *partTracker) begin() bool {
-	if len(t.suspects()) == 0 {
-		return false
-	}
 	t.partsMu.Lock()
 	defer t.partsMu.Unlock()
+	if len(t.crashes) < minPartCrashes {
+		return false
+	}
 	if t.judging {
 		t.again = true
 		return false
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -174,16 +174,20 @@
 	tracker := &v.guard.suspects
 	for again := true; again; again = tracker.end() {
 		time.Sleep(reportWait)
-		if suspects := tracker.suspects(); len(suspects) > 0 {
-			v.judge(suspects)
+		for v.judge() {
 		}
 		tracker.prune()
 	}
 }
 
-// judge asks all daemons about suspects, and blocks the combination that is at fault after that.
-func (v verdict) judge(suspects []partSuspect) {
+// judge asks all daemons about suspects, and blocks the combination that is at fault after that. It reports whether
+// there was one, so that crashes that it does not explain may have another.
+func (v verdict) judge() bool {
 	g, tracker := v.guard, &v.guard.suspects
+	suspects := tracker.suspects()
+	if len(suspects) == 0 {
+		return false
+	}
 	query := &successesQuery{Cell: true, Since: age(suspects[0].first)}
 	for i := range suspects[:min(len(suspects), maxPartsInQuestion)] {
 		s := &suspects[i]
@@ -194,9 +198,11 @@
 	for _, s := range response.Parts {
 		tracker.addSuccess(partKey{s.Organisation, s.Part}, asked.Add(-s.Age))
 	}
-	if c, found := tracker.guilty(response.Answered); found {
+	c, found := tracker.guilty(response.Answered)
+	if found {
 		g.blockParts(*c, "targets crashed under different prompts that hold these parts")
 	}
+	return found
 }
 
 // receiveSuccessesQuery answers for this daemon, or for its cell.
