A release for simultaneous crashes keeps the count of crashes

What callers would see: a request that crashes workers and happens to be there when others crash as well is blocked later than after its third crash of full weight.

--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -69,7 +69,7 @@
 // New returns a Guard. It must be called before the fleet runs.
 func New(o Options) *Guard {
 	g := &Guard{o: o, tracker: newCrashTracker(o.Log), crashCounts: map[Digest]int{}}
-	g.blocks = newBlockList(o.Log, o.Fleet.TriggerHeartbeat, g.forget)
+	g.blocks = newBlockList(o.Log, o.Fleet.TriggerHeartbeat, g.suspects.forget)
 	o.Fleet.Attach("blocks", g.blocks)
 	o.Fleet.Mux().Register(kindPartCrash, wire.Handle(g.receivePartCrash))
 	o.Fleet.Mux().Register(kindSuccesses, wire.Handle(g.receiveSuccessesQuery))
@@ -78,7 +78,7 @@
 	return g
 }
 
-// forget removes the crashes counted for a block that was revoked.
+// forget removes the crashes counted here for a block that was revoked.
 func (g *Guard) forget(d Digest) {
 	g.tracker.forget(d)
 	g.suspects.forget(d)
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -427,3 +427,18 @@
 	}
 	return 0
 }
+
+// Where a block is released since other incarnations crashed at the same time, the crashes still count half.
+func TestAReleaseForSimultaneousCrashesKeepsTheCount(t *testing.T) {
+	r := newTestFleet(t, 1)
+	g, d := r.daemons[0].guard, digestOf("long")
+	for i := range maxCrashes {
+		_, err := g.receiveCrash(context.Background(), "", &crashReport{Request: d, Organisation: "org", Incarnation: fmt.Sprint("inc-", i), Alone: true})
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	r.g.Expect(r.blockedDaemons(d)()).To(gomega.Equal(1))
+	_, err := g.receiveCrash(context.Background(), "", &crashReport{Request: d, Organisation: "org", Incarnation: "inc-0"})
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.g.Expect(r.blockedDaemons(d)()).To(gomega.BeZero())
+	r.g.Expect(g.tracker.weightOf(d)).To(gomega.Equal(2*fullWeight + halfWeight))
+}
--- a/core/poison/probe.go
+++ b/core/poison/probe.go
@@ -22,6 +22,7 @@
 	if !p.guard.attempts.recentlySucceeded(p.sent.Request) || !p.guard.attempts.isAlive(p.incarnation) {
 		return
 	}
+	p.guard.forget(p.block)
 	p.guard.release(p.block, "it completed well at "+p.incarnation)
 }
 
