Reports of crashes by parts carry their age as of sending, and are sent again

What callers would see: in a large or slow fleet a part that crashes workers is blocked late or not at all.

Cause: the age of a crash was set when its report was made, so that reports which waited for a processor or a link arrived as crashes at the same time, which count as one; and a report that no tracker received in time was lost.

Mend: the age is set with each sending, and a report that nobody received is sent up to twice more, a second apart.

--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -25,6 +25,10 @@
 	// another cell, which asks its cell.
 	successesTimeout = 250 * time.Millisecond
 	cellTimeout      = 2 * successesTimeout
+	// maxReportRounds is how often a report is sent while no tracker responds, and reportRetryDelay the time
+	// between.
+	maxReportRounds  = 3
+	reportRetryDelay = time.Second
 	// reportWait is how long a verdict waits for the reports of other daemons: some find out about a crash only
 	// when they connect for the second time.
 	reportWait = redialDelay + simultaneousWindow
@@ -35,7 +39,7 @@
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack    struct{} `msgpack:",as_array"`
 	Incarnation string
-	// Age is the time since the crash.
+	// Age is the time since the crash, as of when the report is sent.
 	Age      time.Duration
 	Requests []reportedPrompt
 	// Successes are the successes of their parts that the sender knows of.
@@ -82,7 +86,7 @@
 
 // recordPartCrash reports the prompts that were at an incarnation when it crashed, if there were any.
 func (g *Guard) recordPartCrash(incarnation string, at clock.Time, list []Sent) {
-	r := &partCrashReport{Incarnation: incarnation, Age: age(at)}
+	r := partCrashReport{Incarnation: incarnation}
 	asked := map[partKey]bool{}
 	for _, sent := range list {
 		if len(sent.Parts) == 0 || len(r.Requests) == maxRequestsPerCrash {
@@ -98,40 +102,53 @@
 		})
 	}
 	if len(r.Requests) > 0 {
-		go partCrashReporter{g, r}.run()
+		go partCrashReporter{g, r, at}.run()
 	}
 }
 
 // partCrashReporter sends a report to the trackers: the first two that respond.
 type partCrashReporter struct {
 	guard  *Guard
-	report *partCrashReport
+	report partCrashReport
+	at     clock.Time
 }
 
 func (t partCrashReporter) run() {
+	for range maxReportRounds {
+		if t.sendToTrackers() > 0 {
+			return
+		}
+		time.Sleep(reportRetryDelay)
+	}
+}
+
+// sendToTrackers returns how many daemons received the report.
+func (t partCrashReporter) sendToTrackers() (acknowledged int) {
 	view := t.guard.o.Fleet.View()
 	ranked := fleet.Rank(fleet.Key(partTrackers), view.NotLost())
-	acknowledged := 0
 	for _, name := range ranked[:min(len(ranked), maxTrackersTried)] {
 		if err := t.send(view.Self(), name); err != nil {
 			t.guard.o.Log.Emit(event.PeerNotTold, event.Ref{Target: t.report.Incarnation}, name+": report of a crash by parts: "+err.Error())
 			continue
 		}
 		if acknowledged++; acknowledged == trackersPerRequest {
-			return
+			break
 		}
 	}
+	return acknowledged
 }
 
 // send reports to one daemon, which may be this one.
 func (t partCrashReporter) send(self, name string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	r := t.report
+	r.Age = age(t.at)
 	if name == self {
-		_, err := t.guard.receivePartCrash(ctx, self, t.report)
+		_, err := t.guard.receivePartCrash(ctx, self, &r)
 		return err
 	}
-	return t.guard.o.Fleet.Call(ctx, name, kindPartCrash, t.report, &struct{}{})
+	return t.guard.o.Fleet.Call(ctx, name, kindPartCrash, &r, &struct{}{})
 }
 
 // receivePartCrash records a crash reported to this daemon as a tracker.
