--- a/core/poison/digest.go
+++ b/core/poison/digest.go
@@ -1,6 +1,7 @@
 // Package poison owns the detection of requests that crash the targets running them. It identifies
 // repeated requests by a digest of their contents, counts across all daemons how many incarnations
-// of targets crashed under each, and blocks those that crash too many.
+// of targets crashed under each, and blocks those that crash too many. Requests that differ and share
+// a part of their prompts are identified by what the crashes have in common.
 //
 // It must not know how requests are routed, what a target is beyond the name of an incarnation, or
 // the protocol of the coordination store.
--- a/core/poison/verdict.go
+++ b/core/poison/evaluate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -29,7 +28,7 @@
 	// between.
 	maxReportRounds  = 3
 	reportRetryDelay = time.Second
-	// reportWait is how long a verdict waits for the reports of other daemons: some find out about a crash only
+	// reportWait is how long an evaluation waits for the reports of other daemons: some find out about a crash only
 	// when they connect for the second time.
 	reportWait = redialDelay + simultaneousWindow
 )
@@ -172,7 +171,7 @@
 	}
 	g.suspects.add(r.Incarnation, now.Add(-max(0, r.Age)), requests, cause)
 	if cause == nil && g.suspects.begin() {
-		go verdict{g}.run()
+		go evaluator{g}.run()
 	}
 	return struct{}{}, nil
 }
@@ -183,24 +182,24 @@
 	g.sendToCells(g.blocks.addCombination(&c, why))
 }
 
-// verdict finds out whether parts under which targets crashed have been answered well anywhere, and blocks the
+// evaluator finds out whether parts under which targets crashed have been answered well anywhere, and blocks the
 // combination that is at fault.
-type verdict struct{ guard *Guard }
+type evaluator struct{ guard *Guard }
 
-func (v verdict) run() {
-	tracker := &v.guard.suspects
+func (e evaluator) run() {
+	tracker := &e.guard.suspects
 	for again := true; again; again = tracker.end() {
 		time.Sleep(reportWait)
-		for v.judge() {
+		for e.blockNext() {
 		}
 		tracker.prune()
 	}
 }
 
-// judge asks all daemons about suspects, and blocks the combination that is at fault after that. It reports whether
-// there was one, so that crashes that it does not explain may have another.
-func (v verdict) judge() bool {
-	g, tracker := v.guard, &v.guard.suspects
+// blockNext asks all daemons about suspects, and blocks the combination that is at fault after that. It reports
+// whether there was one: the crashes that it does not explain may have another cause.
+func (e evaluator) blockNext() bool {
+	g, tracker := e.guard, &e.guard.suspects
 	suspects := tracker.suspects()
 	if len(suspects) == 0 {
 		return false
@@ -215,7 +214,7 @@
 	for _, s := range response.Parts {
 		tracker.addSuccess(partKey{s.Organisation, s.Part}, asked.Add(-s.Age))
 	}
-	c, found := tracker.guilty(response.Answered)
+	c, found := tracker.findCause(response.Answered)
 	if found {
 		g.blockParts(*c, "targets crashed under different prompts that hold these parts")
 	}
@@ -325,6 +324,3 @@
 	}
 	c.response.Parts = append(c.response.Parts, s)
 }
-
-// text returns the parts as log lines and operators see them.
-func (c *combination) text() string { return strings.Join(c.parts, ",") }
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -53,6 +54,9 @@
 	return true
 }
 
+// text returns the parts as log lines and operators see them.
+func (c *combination) text() string { return strings.Join(c.parts, ",") }
+
 // digest identifies the combination among blocks.
 func (c *combination) digest() Digest {
 	h := sha256.New()
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -81,7 +81,7 @@
 			var tracker partTracker
 			tc.scene.play(&tracker)
 			got := ""
-			if c, found := tracker.guilty(maxRecentPrompts); found {
+			if c, found := tracker.findCause(maxRecentPrompts); found {
 				got = c.organisation + ":" + c.text()
 			}
 			g.Expect(got).To(gomega.Equal(tc.want))
@@ -93,7 +93,7 @@
 	g := gomega.NewWithT(t)
 	var tracker partTracker
 	scene{"o:a+g o:b", "o:a+g o:b", "o:a+g o:b", "o:a+g", "+o:b"}.play(&tracker)
-	c, found := tracker.guilty(maxRecentPrompts)
+	c, found := tracker.findCause(maxRecentPrompts)
 	g.Expect(found).To(gomega.BeTrue())
 	g.Expect(c.parts).To(gomega.Equal([]string{"a", "g"}))
 	tracker.explain(*c)
@@ -102,13 +102,13 @@
 	for i := range minPartCrashes {
 		tracker.add(fmt.Sprint("inc-h", i), clock.Now().Add(time.Second+time.Duration(i)*100*time.Millisecond), []Sent{promptOf(fmt.Sprint(i), "o", "b", "h")}, nil)
 	}
-	c2, found := tracker.guilty(maxRecentPrompts)
+	c2, found := tracker.findCause(maxRecentPrompts)
 	g.Expect(found).To(gomega.BeTrue())
 	g.Expect(c2.parts).To(gomega.Equal([]string{"b", "h"}))
 	tracker.explain(*c2)
 	// The first part comes with another one now: one more crash is enough.
 	tracker.add("inc-new", clock.Now().Add(2*time.Second), []Sent{promptOf("new", "o", "x", "g")}, nil)
-	c, found = tracker.guilty(maxRecentPrompts)
+	c, found = tracker.findCause(maxRecentPrompts)
 	g.Expect(found).To(gomega.BeTrue())
 	g.Expect(c.parts).To(gomega.Equal([]string{"g"}))
 }
@@ -178,7 +178,7 @@
 		if len(list) == 0 {
 			continue
 		}
-		if c, found := tracker.guilty(answered * int(now.Sub(list[0].first)/interval)); found {
+		if c, found := tracker.findCause(answered * int(now.Sub(list[0].first)/interval)); found {
 			return n, c.organisation + ":" + c.text()
 		}
 	}
--- a/core/poison/suspects.go
+++ b/core/poison/suspects.go
@@ -67,8 +67,8 @@
 	// successes holds when prompts with a part were last answered well anywhere, as far as daemons have
 	// reported it. Guarded by partsMu.
 	successes map[partKey]clock.Time
-	// judging is set while a verdict runs, and again if there is news for it. Guarded by partsMu.
-	judging, again bool
+	// evaluating is set while an evaluator runs, and again if there is news for it. Guarded by partsMu.
+	evaluating, again bool
 }
 
 // add records a daemon's report of a crash, and what it told about successes. A crash that several daemons
@@ -245,9 +245,9 @@
 	return n
 }
 
-// guilty returns the combination to block, if there is one. answered is the number of prompts that were answered
+// findCause returns the combination to block, if there is one. answered is the number of prompts that were answered
 // well since the first crash under a suspect.
-func (t *partTracker) guilty(answered int) (*combination, bool) {
+func (t *partTracker) findCause(answered int) (*combination, bool) {
 	suspects := t.suspects()
 	if len(suspects) == 0 || answered < minOtherSuccesses {
 		return nil, false
@@ -315,27 +315,27 @@
 	t.crashes = slices.DeleteFunc(t.crashes, func(c partCrash) bool { return c.cause != nil && c.cause.digest() == d })
 }
 
-// begin reports whether a verdict is to run: there may be suspects, and none runs yet.
+// begin reports whether an evaluator is to run: there may be suspects, and none runs yet.
 func (t *partTracker) begin() bool {
 	t.partsMu.Lock()
 	defer t.partsMu.Unlock()
 	if len(t.crashes) < minPartCrashes {
 		return false
 	}
-	if t.judging {
+	if t.evaluating {
 		t.again = true
 		return false
 	}
-	t.judging = true
+	t.evaluating = true
 	return true
 }
 
-// end ends a verdict, and reports whether there has been news meanwhile, so that it must be repeated.
+// end ends an evaluation, and reports whether there has been news meanwhile, so that it must be repeated.
 func (t *partTracker) end() (again bool) {
 	t.partsMu.Lock()
 	defer t.partsMu.Unlock()
 	again = t.again
-	t.judging, t.again = again, false
+	t.evaluating, t.again = again, false
 	return again
 }
 
