--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
