Borrowed connections go back when the borrower's own share has room

What callers would see: nothing wrong, but bytes and processor time of a second box for as long as requests come, after the need has passed.

Cause: an idle borrowed connection counted as usable whenever its box was, so that traffic which found it kept it in use.

Mend: it is usable while the borrower's share is used up. TestBorrowedConnectionsCountAtTheLender gets to that case and failed there before.

--- a/core/target/lend_test.go
+++ b/core/target/lend_test.go
@@ -102,6 +102,16 @@
 	for _, lender := range pools[1:] {
 		g.Expect(lender.addresses[address].open).To(gomega.Equal(lendShare - 1))
 	}
+	// A borrowed connection goes back once the borrower's own share has room.
+	last := len(conns) - 1
+	borrower.put(conns[last], "")
+	g.Expect(borrower.get(ctx, address, &Request{Target: address})).To(gomega.BeIdenticalTo(conns[last]))
+	borrower.put(conns[last], "")
+	borrower.closeConn(conns[0])
+	conn, err := borrower.get(context.Background(), address, &Request{Target: address})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.borrowed).To(gomega.BeFalse())
+	conns[0], conns = conn, conns[:last]
 	for _, conn := range conns {
 		borrower.closeConn(conn)
 	}
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -378,13 +378,13 @@
 }
 
 // fits reports whether a connection leads to the target the way that is to be used: through another box
-// only while this box's own path is failing, and that box still works. It is called with poolMu held.
+// only while this box's own path is failing or its share is used up, and that box still works. It is called with poolMu held.
 func (p *Pool) fits(conn *poolConn, state *addressState, partitioned bool) bool {
 	if conn.box == "" {
 		return true
 	}
 	if conn.borrowed {
-		return p.Detour.Usable(conn.box)
+		return state.full() && p.Detour.Usable(conn.box)
 	}
 	return (partitioned || !state.path.failedAt.IsZero()) && p.Detour.Usable(conn.box)
 }
