Crashes count half for requests that were being answered

Cause: the guard of single requests lays a crash with its full weight on whatever is at the target, also on a stream that has run there for long.

Why this works: a request that crashes targets as they begin to answer has no answer by then. One that had been answered for 150 ms needs six crashes in place of three, as where other targets crash at the same time. TestCrashesUnderRequestsBeingAnsweredCountHalf: blocked at the third crash before, at the sixth with it.

--- a/core/poison/attempts.go
+++ b/core/poison/attempts.go
@@ -44,6 +44,8 @@
 	Organisation string
 	// Parts are the IDs of the parts of its prompt that other requests may share, without duplicates.
 	Parts []string
+	// Answering states that its target had been answering it for ProofTime or longer when the connection broke.
+	Answering bool
 }
 
 // String returns the text by which log lines name the request.
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -412,6 +412,21 @@
 	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.BeZero())
 }
 
+// Long streams that met three crashes of other causes were blocked.
+func TestCrashesUnderRequestsBeingAnsweredCountHalf(t *testing.T) {
+	r := newTestFleet(t, 2)
+	stream := sentOf(digestOf("long"))
+	stream.Answering = true
+	for i := range 2*maxCrashes - 1 {
+		r.daemons[0].guard.RecordLostConnection(stream, fmt.Sprint("inc-", i), "10.0.0.1:1")
+		r.waitForCrashes(stream.Request, i+1)
+		clock.Suspend(simultaneousWindow)
+	}
+	r.g.Consistently(r.blockedDaemons(stream.Request), 5*heartbeat, "5ms").Should(gomega.BeZero())
+	r.daemons[0].guard.RecordLostConnection(stream, "inc-last", "10.0.0.1:1")
+	r.g.Eventually(r.blockedDaemons(stream.Request), maxWait, "5ms").Should(gomega.Equal(2))
+}
+
 // An incarnation that refused connections for a while and responds again has not crashed: a
 // connection that breaks there later is probed again.
 func TestAnIncarnationThatRespondsAgainHasNotCrashed(t *testing.T) {
--- a/core/poison/report.go
+++ b/core/poison/report.go
@@ -35,7 +35,8 @@
 	Organisation string
 	Incarnation  string
 	// Succeeded states that the same request recently completed well at another incarnation, and
-	// Alone that no other incarnation crashed at the same time as this one.
+	// Alone that no other incarnation crashed at the same time as this one, and that this one had not been
+	// answering the request for some time.
 	Succeeded, Alone bool
 }
 
@@ -82,7 +83,7 @@
 func (t crashReporter) reportNow(sent Sent) bool {
 	r := &crashReport{
 		Request: sent.Request, Organisation: sent.Organisation, Incarnation: t.incarnation,
-		Succeeded: t.guard.attempts.recentlySucceeded(sent.Request), Alone: t.guard.attempts.crashedAlone(t.incarnation, sent.Request),
+		Succeeded: t.guard.attempts.recentlySucceeded(sent.Request), Alone: !sent.Answering && t.guard.attempts.crashedAlone(t.incarnation, sent.Request),
 	}
 	t.guard.reportCrash(r)
 	return r.Alone
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -227,8 +227,8 @@
 	p.relay.options.Stats.Disconnects[begun > 0].Inc()
 	sent := p.sent
 	if begun >= poison.ProofTime {
-		// The target crashed of something else.
-		sent.Parts = nil
+		// The target probably crashed of something else.
+		sent.Parts, sent.Answering = nil, true
 	}
 	if _, shuttingDown := p.relay.options.Roster.ShuttingDown(c.target); !shuttingDown {
 		p.relay.options.Poison.RecordLostConnection(sent, c.target.ID(), c.target.Entry().Address)
