From a refused request to the crashes: its line names the block, and the block's line the incarnations

What operators saw: the line of a refused prompt did not say which of several blocks refused it, and the line of a block by parts named no crash.

--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -110,6 +110,14 @@
 	return Digest{}, 0, false
 }
 
+// text returns what the block with a digest is about, for log lines.
+func (l *blockList) text(d Digest) string {
+	l.blocksMu.Lock()
+	defer l.blocksMu.Unlock()
+	b := l.entries[d]
+	return b.text()
+}
+
 // matchesLocked reports whether a request holds the parts of a block. It is called with blocksMu held.
 func (l *blockList) matchesLocked(d Digest, sent *Sent) bool {
 	b := l.entries[d]
--- a/core/poison/evaluate.go
+++ b/core/poison/evaluate.go
@@ -167,7 +167,7 @@
 		}
 	}
 	for _, s := range r.Successes {
-		g.suspects.addSuccess(partKey{s.Organisation, s.Part}, now.Add(-s.Age))
+		g.suspects.addSuccess(partKey{s.Organisation, s.Part}, now.Add(-max(0, s.Age)))
 	}
 	g.suspects.add(r.Incarnation, now.Add(-max(0, r.Age)), requests, cause)
 	if cause == nil && g.suspects.begin() {
@@ -212,11 +212,11 @@
 	asked := clock.Now()
 	response := g.collectSuccesses(context.Background(), query)
 	for _, s := range response.Parts {
-		tracker.addSuccess(partKey{s.Organisation, s.Part}, asked.Add(-s.Age))
+		tracker.addSuccess(partKey{s.Organisation, s.Part}, asked.Add(-max(0, s.Age)))
 	}
 	c, found := tracker.findCause(response.Answered)
 	if found {
-		g.blockParts(*c, "targets crashed under different prompts that hold these parts")
+		g.blockParts(*c, "crashed under different prompts that hold these parts: "+tracker.crashedUnder(c))
 	}
 	return found
 }
--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -93,6 +93,18 @@
 	return remaining, blocked
 }
 
+// BlockName returns the text by which log lines name the block of a request, or "" if it is not blocked.
+func (g *Guard) BlockName(sent Sent) string {
+	if g == nil {
+		return ""
+	}
+	d, _, blocked := g.blocks.match(&sent)
+	if !blocked {
+		return ""
+	}
+	return g.blocks.text(d)
+}
+
 // Crashes returns the number of incarnations that crashed under a request, as last reported to
 // this daemon by crash trackers.
 func (g *Guard) Crashes(d Digest) int {
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -282,6 +283,22 @@
 	r.g.Consistently(r.blockingDaemons(prompt), 10*heartbeat, "10ms").Should(gomega.BeZero())
 }
 
+// All daemons lose their memory; only the store has the block.
+func TestABlockedPartOutlivesAllDaemons(t *testing.T) {
+	r := newTestFleet(t, 2)
+	r.crashDistinct(minPartCrashes+1, "first", "bad")
+	r.g.Eventually(func() int { return len(r.daemons[1].guard.List()) }, maxWait, "5ms").Should(gomega.Equal(1))
+	key := BlockPrefix + r.daemons[1].guard.List()[0].Digest
+	r.g.Eventually(func() bool { _, there := r.daemons[0].cache.Pair(key); return there }, maxWait, "5ms").Should(gomega.BeTrue())
+	for _, m := range r.daemons {
+		m.stop()
+	}
+	l, err := net.Listen("tcp", r.seeds[0].Address)
+	r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.daemons = []*testDaemon{r.run(r.seeds[0].Name, l)}
+	r.g.Eventually(r.blockingDaemons(promptOf("new", "org", "other", "bad")), maxWait, "5ms").Should(gomega.Equal(1))
+}
+
 // A prompt that was sent before the block and ends well shows that the part is not at fault.
 func TestABlockedPartThatIsAnsweredIsReleased(t *testing.T) {
 	r := newTestFleet(t, 3)
--- a/core/poison/suspects.go
+++ b/core/poison/suspects.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -296,6 +298,19 @@
 	return out
 }
 
+// crashedUnder returns the names of the incarnations that crashed under a combination, for the log.
+func (t *partTracker) crashedUnder(c *combination) string {
+	t.partsMu.Lock()
+	defer t.partsMu.Unlock()
+	var names []string
+	for i := range t.crashes {
+		if slices.ContainsFunc(t.crashes[i].requests, func(sent Sent) bool { return c.matches(&sent) }) {
+			names = append(names, t.crashes[i].incarnation)
+		}
+	}
+	return strconv.Itoa(len(names)) + " incarnations, " + strings.Join(names, " ")
+}
+
 // explain makes the crashes that a combination explains no evidence against other parts.
 func (t *partTracker) explain(by combination) {
 	t.partsMu.Lock()
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -150,6 +150,7 @@
 		return nil
 	}
 	p.relay.options.Stats.Blocked.Inc()
+	p.note("blocked: %s", p.relay.options.Poison.BlockName(p.sent))
 	return entry.NewRefusal(http.StatusServiceUnavailable, entry.CodeCrashesTargets, entry.NotRun,
 		crashesTargets, remaining)
 }
