What a daemon takes for current is seen in logs and metrics

A request's line names, beside the age of the daemon's own copy, that of the freshest copy which a peer reports and for how long an announced value has been missing; metrics tell the same, the revision that is claimed, and the longest time that a response of the store took to read. No decision changes.

--- a/core/relay/finish.go
+++ b/core/relay/finish.go
@@ -97,9 +97,12 @@
 	if p.table != nil {
 		version = p.table.Version()
 	}
-	text := fmt.Sprintf("took %s%s, %s, configuration %d, view age %s, attempts %d, executions %d; %s",
-		took.Round(time.Millisecond), first, p.sent, version,
-		p.relay.options.ViewAge().Round(10*time.Millisecond), p.attempts, p.executions, strings.Join(p.notes, "; "))
+	knowledge := ""
+	if p.relay.options.Knowledge != nil {
+		knowledge = ", " + p.relay.options.Knowledge()
+	}
+	text := fmt.Sprintf("took %s%s, %s, configuration %d%s, attempts %d, executions %d; %s",
+		took.Round(time.Millisecond), first, p.sent, version, knowledge, p.attempts, p.executions, strings.Join(p.notes, "; "))
 	if p.forecast != nil {
 		p.forecast.Sends = p.attempts
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -80,6 +80,9 @@
 	WeightsOutdated func(model string, version int64) bool
 	// ViewAge returns the age of this daemon's view of the coordination store.
 	ViewAge func() time.Duration
+	// Knowledge, if set, describes for a log line by what this daemon takes its configuration for
+	// current.
+	Knowledge func() string
 	// StoreDown reports whether the coordination store is known to be unreachable. Nil means never.
 	StoreDown func() bool
 	// ConfigCurrent reports whether this daemon's configuration is known to be current. Only then
--- a/core/spread/watchcache.go
+++ b/core/spread/watchcache.go
@@ -376,6 +376,20 @@
 	return false
 }
 
+// FreshestPeerCopy returns the time up to which the freshest copy is current that a peer has reported;
+// zero if none has.
+func (s *WatchCacheSync) FreshestPeerCopy() clock.Time {
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	var latest clock.Time
+	for _, at := range s.peerFresh {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
 // forgetPeer excludes a peer that did not respond until its next heartbeat.
 func (s *WatchCacheSync) forgetPeer(peer string) {
 	s.peersMu.Lock()
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -247,6 +247,18 @@
 // viewAge returns how old the content of the watch cache is.
 func (h *Host) viewAge() time.Duration { return clock.Since(h.watchCache.FreshAsOf()) }
 
+// knowledge describes for a log line by what this daemon takes its configuration for current.
+func (h *Host) knowledge() string {
+	text := "view age " + h.viewAge().Round(10*time.Millisecond).String()
+	if fresh := h.watchCacheSync.FreshestPeerCopy(); !fresh.IsZero() {
+		text += ", peers " + clock.Since(fresh).Round(10*time.Millisecond).String()
+	}
+	if since := h.watchCache.UnfetchedSince(); !since.IsZero() {
+		text += ", a value missing for " + clock.Since(since).Round(10*time.Millisecond).String()
+	}
+	return text
+}
+
 // configCurrent reports whether the applied configuration is known to be the newest.
 func (h *Host) configCurrent() bool {
 	return h.viewAge() < h.settings.Bounds.StoreSilence && !h.watchCache.HasUnfetched()
@@ -322,6 +334,7 @@
 			return h.desired.replacedFor(model, version) > h.settings.Bounds.OldWeights-oldWeightsMargin
 		},
 		ViewAge:       h.viewAge,
+		Knowledge:     h.knowledge,
 		StoreDown:     h.watchCache.Down,
 		ConfigCurrent: h.configCurrent,
 		ConfigOverdue: func() time.Duration { return h.configOverdue(clock.Now()) },
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -10,6 +10,7 @@
 
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
+	"embertally.dev/core/plat"
 	"embertally.dev/platform"
 )
 
@@ -95,6 +96,14 @@
 	return 0
 }
 
+// secondsSince returns the seconds since a point in time; 0 for the zero value.
+func secondsSince(t clock.Time) float64 {
+	if t.IsZero() {
+		return 0
+	}
+	return clock.Since(t).Seconds()
+}
+
 // registerGauges registers the metrics that are computed when they are read.
 func (h *Host) registerGauges() {
 	for _, g := range []struct {
@@ -110,6 +119,10 @@
 		{"log_lines_dropped_total", func() float64 { return float64(h.spool.Dropped()) }},
 		{"configuration_version", h.configurationVersion},
 		{"knowledge_age_seconds", func() float64 { return h.viewAge().Seconds() }},
+		{"knowledge_revision", func() float64 { return float64(plat.StoreRevision(h.watchCache.Revision())) }},
+		{"knowledge_missing_seconds", func() float64 { return secondsSince(h.watchCache.UnfetchedSince()) }},
+		{"peer_knowledge_age_seconds", func() float64 { return secondsSince(h.watchCacheSync.FreshestPeerCopy()) }},
+		{"store_read_seconds_max", func() float64 { return h.store.LongestRead().Seconds() }},
 		{"mirror_bytes_told_total", func() float64 { return float64(h.watchCacheSync.BytesSent()) }},
 		{"mirror_questions_failed_total", func() float64 { return float64(h.watchCacheSync.RequestsFailed()) }},
 		{"blocked_requests", func() float64 { return float64(h.poison.BlockedCount()) }},
