A copy of the store is dated by its content, and counts when it is applied

What callers saw: 401 for a key of a configuration acknowledged over 3 s before, and requests served by the configuration that it replaced.

Cause: the time up to which a daemon says it is current was set by itself, not with the content that proves it. It was the time at which a response of the store had been read, while the content is of when the store began to send it: a megabyte or two lie between. It was set before the observers had applied the changes, and a fetched value stopped counting as missing before they had. A configuration that was announced was then used for a fixed time after its announcement, however long that had taken.

Why this works: a watch's response says as of when it is complete (its first byte, at most when its request's time was over; reads count from their start). The cache keeps two times, set under one lock with what they stand for: what is cached, which peers are told, and what the observers have applied, by which the daemon decides. An announced value keeps the time up to which the applied one was proven current, so one rule replaces the fixed time: while a newer configuration may exist, none is used that was not current within the bound. Of values that change faster than they are fetched each is applied. 401 and 404 need a configuration known to be current within that bound. After a long response the next watch is sent and answered sooner, so that the copy is no older than after a short one.

Two expectations changed, both as strict: a fetched value that is older than the latest announced one is applied and still missing; a configuration's age counts from when it was last known to be current, not from the announcement.

--- a/core/conf/sync.go
+++ b/core/conf/sync.go
@@ -203,7 +203,7 @@
 	stallTimer := time.AfterFunc(watchStallTimeout, cancel)
 	defer stallTimer.Stop()
 	from := s.store.Snapshot().headRevision + 1
-	err := s.kv.Watch(ctx, plat.Prefix(keyLog), from, func(changes []plat.Change, _ int64) error {
+	err := s.kv.Watch(ctx, plat.Prefix(keyLog), from, func(changes []plat.Change, _ int64, _ clock.Time) error {
 		stallTimer.Reset(watchStallTimeout)
 		return s.applyWatched(changes)
 	})
--- a/core/conf/write.go
+++ b/core/conf/write.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/wait"
@@ -47,7 +48,7 @@
 	Range(ctx context.Context, span plat.Span) ([]plat.Pair, int64, error)
 	Read(ctx context.Context, key string) (*plat.Pair, error)
 	Commit(ctx context.Context, t plat.Txn) (plat.Outcome, error)
-	Watch(ctx context.Context, span plat.Span, from int64, f func([]plat.Change, int64) error) error
+	Watch(ctx context.Context, span plat.Span, from int64, f func([]plat.Change, int64, clock.Time) error) error
 }
 
 // Writer validates changes and commits them to the coordination store.
--- a/core/memkv/memkv.go
+++ b/core/memkv/memkv.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/plat"
 )
 
@@ -243,7 +244,7 @@
 
 // Watch calls f with the changes of span from a revision on, until ctx ends, f fails or the
 // store is down when it wakes up.
-func (k *KV) Watch(ctx context.Context, span plat.Span, from int64, f func([]plat.Change, int64) error) error {
+func (k *KV) Watch(ctx context.Context, span plat.Span, from int64, f func([]plat.Change, int64, clock.Time) error) error {
 	for {
 		k.mu.Lock()
 		if k.down {
@@ -261,13 +262,13 @@
 			}
 		}
 		from = k.revision + 1
-		revision := k.revision
+		revision, asOf := k.revision, clock.Now()
 		if k.changed == nil {
 			k.changed = make(chan struct{})
 		}
 		changed := k.changed
 		k.mu.Unlock()
-		if err := f(list, revision); err != nil {
+		if err := f(list, revision, asOf); err != nil {
 			return err
 		}
 		select {
--- a/core/plat/claims_test.go
+++ b/core/plat/claims_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"os"
+	"strconv"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -23,7 +25,6 @@
 // A value is missing until the observers have applied it: a daemon that takes it for applied before
 // handles requests by the former one.
 func TestFetchedValueIsMissingUntilItIsApplied(t *testing.T) {
-	knownRed(t)
 	g := gomega.NewWithT(t)
 	w := plat.NewWatchCache(&memkv.KV{}, plat.Prefix(""), &event.Log{})
 	applying, release := make(chan struct{}), make(chan struct{})
@@ -47,7 +48,6 @@
 
 // Where changes arrive with their values, the copy is not fresh before the observers have applied them.
 func TestCopyIsNotFreshBeforeItsChangesAreApplied(t *testing.T) {
-	knownRed(t)
 	g := gomega.NewWithT(t)
 	reader := &scriptedReader{make(chan int64)}
 	w := plat.NewWatchCache(reader, plat.Prefix("a/"), &event.Log{})
@@ -115,3 +115,45 @@
 		g.Expect(string(p.Value)).To(gomega.Equal("new"))
 	}
 }
+
+// Values that are announced faster than they can be fetched are applied all the same, and each shows
+// that the applied value was current until the next one was announced.
+func TestValuesThatChangeFasterThanTheyAreFetchedAreApplied(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := plat.NewWatchCache(&memkv.KV{}, plat.Prefix(""), &event.Log{})
+	start := clock.Now()
+	at := func(i int) clock.Time { return start.Add(time.Duration(i) * time.Second) }
+	w.ApplyChanges([]plat.Change{change("a", "0", 1)}, 1, at(0))
+	const changes = 100
+	for i := 1; i <= changes; i++ {
+		w.ApplyChanges([]plat.Change{unfetched("a", int64(1+i))}, int64(1+i), at(i))
+		w.ApplyFetched(change("a", strconv.Itoa(i-1), int64(i)).Pair)
+		p, _ := w.Pair("a")
+		g.Expect(string(p.Value)).To(gomega.Equal(strconv.Itoa(i - 1)))
+		g.Expect(w.HasUnfetched()).To(gomega.BeTrue())
+		g.Expect(w.FreshAsOf()).To(gomega.Equal(at(i)))
+		g.Expect(w.CurrentAsOf()).To(gomega.Equal(at(i - 1)))
+	}
+	w.ApplyFetched(change("a", "last", changes+1).Pair)
+	g.Expect(w.CurrentAsOf()).To(gomega.Equal(at(changes)))
+}
+
+// While no value arrives, the applied one is known to be current until the first announcement only,
+// however many follow.
+func TestValueIsCurrentUntilTheFirstAnnouncement(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := plat.NewWatchCache(&memkv.KV{}, plat.Prefix(""), &event.Log{})
+	start := clock.Now()
+	w.ApplyChanges([]plat.Change{change("a", "0", 1)}, 1, start)
+	const changes = 100
+	for i := int64(2); i <= changes; i++ {
+		w.ApplyChanges([]plat.Change{unfetched("a", i)}, i, start.Add(time.Duration(i)*time.Second))
+	}
+	g.Expect(w.CurrentAsOf()).To(gomega.Equal(start))
+	w.ApplyFetched(change("a", "old", changes-1).Pair)
+	g.Expect(w.HasUnfetched()).To(gomega.BeTrue())
+	g.Expect(w.Unfetched()).To(gomega.Equal([]plat.Pair{{Key: "a", ModRevision: changes}}))
+	w.ApplyFetched(change("a", "new", changes).Pair)
+	g.Expect(w.HasUnfetched()).To(gomega.BeFalse())
+	g.Expect(w.CurrentAsOf()).To(gomega.Equal(start.Add(changes * time.Second)))
+}
--- a/core/plat/contact.go
+++ b/core/plat/contact.go
@@ -17,19 +17,46 @@
 	}
 }
 
-// FreshAsOf returns when the store last answered this daemon, or a peer whose state this daemon has
-// applied.
+// raiseAsOf records that the cache reflects the store as of a time. It is called with cacheMu held,
+// together with the changes that prove it.
+func (w *WatchCache) raiseAsOf(asOf clock.Time) {
+	if asOf.After(w.cachedAsOf) {
+		w.cachedAsOf = asOf
+		w.wakeWaiters()
+	}
+}
+
+// CachedAsOf returns the time before which all that the store acknowledged is cached, or announced. Peers
+// that are sent the cache's content may rely on it.
+func (w *WatchCache) CachedAsOf() clock.Time {
+	w.cacheMu.Lock()
+	defer w.cacheMu.Unlock()
+	return w.cachedAsOf
+}
+
+// FreshAsOf returns the time before which the observers have been notified of all that the store
+// acknowledged, except for unfetched values.
 func (w *WatchCache) FreshAsOf() clock.Time {
 	w.cacheMu.Lock()
 	defer w.cacheMu.Unlock()
-	if w.peerContact.After(w.lastContact) {
-		return w.peerContact
+	return w.appliedAsOf
+}
+
+// CurrentAsOf returns the time before which the observers have been notified of all that the store
+// acknowledged, unfetched values included.
+func (w *WatchCache) CurrentAsOf() clock.Time {
+	w.cacheMu.Lock()
+	defer w.cacheMu.Unlock()
+	out := w.appliedAsOf
+	for _, v := range w.unfetched {
+		if v[0].currentAsOf.Before(out) {
+			out = v[0].currentAsOf
+		}
 	}
-	return w.lastContact
+	return out
 }
 
-// recordContact records a response of the store. It is called with cacheMu held, together with the
-// revision that the response leads to.
+// recordContact records that the store has answered this daemon. It is called with cacheMu held.
 func (w *WatchCache) recordContact() {
 	now := clock.Now()
 	if gap := now.Sub(w.lastContact); !w.lastContact.IsZero() && (gap > outageAfter || w.down) {
--- a/core/plat/contact_test.go
+++ b/core/plat/contact_test.go
@@ -19,14 +19,14 @@
 	return []plat.Pair{{Key: "a/1", ModRevision: 1}}, 1, nil
 }
 
-func (r *scriptedReader) Watch(ctx context.Context, _ plat.Span, _ int64, f func([]plat.Change, int64) error) error {
+func (r *scriptedReader) Watch(ctx context.Context, _ plat.Span, _ int64, f func([]plat.Change, int64, clock.Time) error) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case revision := <-r.revisions:
 			change := plat.Change{Pair: plat.Pair{Key: "a/1", ModRevision: revision}}
-			if err := f([]plat.Change{change}, revision); err != nil {
+			if err := f([]plat.Change{change}, revision, clock.Now()); err != nil {
 				return err
 			}
 		}
--- a/core/plat/interfaces.go
+++ b/core/plat/interfaces.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"embertally.dev/core/clock"
 )
 
 // ErrSessionEnded means that a session has ended and its keys were deleted.
@@ -18,9 +20,10 @@
 	Range(ctx context.Context, span Span) ([]Pair, int64, error)
 	// Watch calls f with the changes from the given revision on until ctx ends, f fails or the
 	// connection to the store breaks. A call of f without changes reports that there were none
-	// up to its revision. Watch fails with ErrCompacted if the store no longer has that revision
+	// up to its revision. The changes and those of the former calls are all that the store
+	// acknowledged before asOf, which is zero if that is not known. Watch fails with ErrCompacted if the store no longer has that revision
 	// or is in a later store incarnation.
-	Watch(ctx context.Context, span Span, from int64, f func(changes []Change, revision int64) error) error
+	Watch(ctx context.Context, span Span, from int64, f func(changes []Change, revision int64, asOf clock.Time) error) error
 }
 
 // Writer commits transactions.
--- a/core/plat/kv.go
+++ b/core/plat/kv.go
@@ -18,6 +18,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/wait"
 )
 
@@ -295,8 +296,9 @@
 
 // Watch calls f with the changes of each revision of span from the given revision on, until ctx
 // ends, f fails or the stream breaks. A call without changes reports progress up to its
-// revision.
-func (k *KV) Watch(ctx context.Context, span Span, from int64, f func(changes []Change, revision int64) error) error {
+// revision. A stream does not show for how long its messages were under way, so that no call claims
+// as of when it is complete.
+func (k *KV) Watch(ctx context.Context, span Span, from int64, f func(changes []Change, revision int64, asOf clock.Time) error) error {
 	type create struct {
 		wireSpan
 		StartRevision  string `json:"start_revision"`
@@ -328,7 +330,7 @@
 	}
 }
 
-func (k *KV) nextWatch(dec *json.Decoder, f func([]Change, int64) error) error {
+func (k *KV) nextWatch(dec *json.Decoder, f func([]Change, int64, clock.Time) error) error {
 	type wireEvent struct {
 		Type string `json:"type"`
 		KV   wireKV `json:"kv"`
@@ -359,7 +361,7 @@
 			Deleted: e.Type == "DELETE",
 		})
 	}
-	return f(changes, msg.Result.Header.Revision)
+	return f(changes, msg.Result.Header.Revision, clock.Time{})
 }
 
 // CallTimeout bounds one small call of the store, which normally answers within milliseconds, and
--- a/core/plat/outline.go
+++ b/core/plat/outline.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/wait"
 )
 
@@ -53,7 +54,7 @@
 // it is applied as a snapshot and complete is true.
 func (w *WatchCache) readOutline(ctx context.Context, p pager) (outline []Pair, complete bool, err error) {
 	var all []Pair
-	first := int64(0)
+	first, asOf := int64(0), clock.Now()
 	err = p.Pages(ctx, w.span, func(pairs []Pair, revision int64, more bool) bool {
 		if first == 0 {
 			first = revision
@@ -69,8 +70,7 @@
 		return nil, false, err
 	}
 	if complete {
-		w.applyRead(all, first)
-		return nil, true, nil
+		return nil, true, w.applyRead(all, first, asOf)
 	}
 	for _, pair := range all {
 		if strings.HasPrefix(pair.Key, w.FirstPrefix) {
--- a/core/plat/unfetched.go
+++ b/core/plat/unfetched.go
@@ -16,14 +16,27 @@
 // IsLarge reports whether a value is sent to peers separately.
 func IsLarge(value []byte) bool { return len(value) >= largeValue }
 
-// unfetchedValue describes a changed value that was not received yet.
-type unfetchedValue struct {
-	// revision is the lowest mod revision that the value must have.
+// unfetchedValue holds the announced revisions of a value that were not applied yet, in ascending order;
+// at least one.
+type unfetchedValue []announcement
+
+// announcement says that a value has changed.
+type announcement struct {
+	// revision is the mod revision of the new value.
 	revision int64
-	// since is when the cached value was first found to be outdated.
+	// since is when the change was announced to this daemon.
 	since clock.Time
+	// currentAsOf is the time before which the store acknowledged no newer value than the one that is
+	// applied.
+	currentAsOf clock.Time
 }
 
+// maxAnnouncements bounds the announcements that are kept of one value.
+const maxAnnouncements = 16
+
+// latest returns the latest revision that was announced.
+func (v unfetchedValue) latest() int64 { return v[len(v)-1].revision }
+
 // withoutLarge returns the change; if its value is large, without the value and marked as unfetched.
 func (c Change) withoutLarge() Change {
 	if !IsLarge(c.Value) {
@@ -32,28 +45,48 @@
 	return Change{Pair: Pair{Key: c.Key, ModRevision: c.ModRevision}, Unfetched: true}
 }
 
-// markUnfetched records that a value was not received yet. It is called with cacheMu held.
+// markUnfetched records that a value was announced, unless a later one was. It is called with cacheMu
+// held, before cachedAsOf is set for the announcement.
 func (w *WatchCache) markUnfetched(key string, revision int64) {
-	v, pending := w.unfetched[key]
-	if !pending {
-		v.since = clock.Now()
+	v := w.unfetched[key]
+	switch {
+	case len(v) == 0:
+	case revision <= v.latest():
+		return
+	case len(v) == maxAnnouncements:
+		// The former announcement also covers the later value.
+		v[len(v)-1].revision = revision
+		return
+	}
+	w.unfetched[key] = append(v, announcement{revision: revision, since: clock.Now(), currentAsOf: w.cachedAsOf})
+}
+
+// settleUnfetched removes the announcements of a value that a change fulfils. It is called with cacheMu
+// held, when the observers have been notified of the change.
+func (w *WatchCache) settleUnfetched(c Change) {
+	rest := w.unfetched[c.Key]
+	for len(rest) > 0 && rest[0].revision <= c.ModRevision {
+		rest = rest[1:]
+	}
+	if len(rest) == 0 {
+		delete(w.unfetched, c.Key)
+	} else {
+		w.unfetched[c.Key] = rest
 	}
-	v.revision = revision
-	w.unfetched[key] = v
 }
 
-// ApplyFetched applies a value that was fetched separately. It does nothing if the value is older
-// than required or the key's value is no longer unfetched.
+// ApplyFetched applies a value that was fetched separately, unless the key's value is no longer unfetched
+// or is as new. The value stays unfetched if a newer one has been announced meanwhile; applying this one
+// makes sure that changes which follow each other quickly do not keep out all of them.
 func (w *WatchCache) ApplyFetched(p Pair) {
 	w.notifyMu.Lock()
 	defer w.notifyMu.Unlock()
 	w.cacheMu.Lock()
-	wanted, pending := w.unfetched[p.Key]
-	if !pending || p.ModRevision < wanted.revision {
+	v, pending := w.unfetched[p.Key]
+	if !pending || p.ModRevision < v[0].revision {
 		w.cacheMu.Unlock()
 		return
 	}
-	delete(w.unfetched, p.Key)
 	w.pairs[p.Key] = p
 	w.cacheMu.Unlock()
 	w.notify([]Change{{Pair: p}})
@@ -87,7 +120,7 @@
 	defer w.cacheMu.Unlock()
 	var out []Pair
 	for key, v := range w.unfetched {
-		out = append(out, Pair{Key: key, ModRevision: v.revision})
+		out = append(out, Pair{Key: key, ModRevision: v.latest()})
 	}
 	return out
 }
@@ -99,8 +132,8 @@
 	defer w.cacheMu.Unlock()
 	var first clock.Time
 	for _, v := range w.unfetched {
-		if first.IsZero() || v.since.Before(first) {
-			first = v.since
+		if first.IsZero() || v[0].since.Before(first) {
+			first = v[0].since
 		}
 	}
 	return first
--- a/core/plat/watchcache.go
+++ b/core/plat/watchcache.go
@@ -65,7 +65,14 @@
 	// incarnationSince is when the first snapshot of the current store incarnation was applied.
 	// Guarded by cacheMu.
 	incarnationSince clock.Time
-	// lastContact is when the store last answered this daemon. Guarded by cacheMu.
+	// cachedAsOf is a time such that pairs and unfetched reflect all that the store acknowledged
+	// before it. It is set together with them. Guarded by cacheMu.
+	cachedAsOf clock.Time
+	// appliedAsOf is the same for what the observers have been notified of; it follows cachedAsOf.
+	// Guarded by cacheMu.
+	appliedAsOf clock.Time
+	// lastContact is when the store last answered this daemon, whatever the answer contained. Guarded
+	// by cacheMu.
 	lastContact clock.Time
 	// outageEnd is when the store answered again after an outage. Guarded by cacheMu.
 	outageEnd clock.Time
@@ -170,9 +177,6 @@
 func (w *WatchCache) clearContact() {
 	w.cacheMu.Lock()
 	defer w.cacheMu.Unlock()
-	if w.lastContact.After(w.peerContact) {
-		w.peerContact = w.lastContact
-	}
 	w.lastContact, w.down = clock.Time{}, false
 }
 
@@ -197,11 +201,12 @@
 			return errors.WithStack(errFollowsPeers)
 		}
 	}
-	err := w.reader.Watch(ctx, w.span, w.Revision()+1, func(changes []Change, revision int64) error {
-		w.applyResponse(changes, revision)
+	err := w.reader.Watch(ctx, w.span, w.Revision()+1, func(changes []Change, revision int64, asOf clock.Time) error {
+		w.applyResponse(changes, revision, asOf)
 		if len(changes) > 0 {
-			// Changes often come in series, and the platform charges for each response.
-			wait.For(ctx, w.batchTime())
+			// Changes often come in series, and the platform charges for each response. Those that were
+			// made while a long response arrived have waited already.
+			wait.For(ctx, w.batchTime()-clock.Since(asOf))
 		}
 		if w.followsPeers() {
 			return errors.WithStack(errFollowsPeers)
@@ -233,24 +238,28 @@
 	if done, err := w.readFirst(ctx); done || err != nil {
 		return err
 	}
+	asOf := clock.Now()
 	pairs, revision, err := w.reader.Range(ctx, w.span)
 	if err != nil {
 		return err
 	}
-	w.applyRead(pairs, revision)
-	return nil
+	return w.applyRead(pairs, revision, asOf)
 }
 
-// applyRead applies a snapshot that was read from the store.
-func (w *WatchCache) applyRead(pairs []Pair, revision int64) {
+// errOldSnapshot means that the store's snapshot is older than what is cached, of another shard.
+var errOldSnapshot = errors.New("the store returned a snapshot that is older than the cache")
+
+// applyRead applies a snapshot that was read from the store, from asOf on.
+func (w *WatchCache) applyRead(pairs []Pair, revision int64, asOf clock.Time) error {
 	w.notifyMu.Lock()
 	defer w.notifyMu.Unlock()
-	if !w.replaceLocked(changesOf(pairs), revision, "", true) {
-		return
+	if !w.replaceLocked(changesOf(pairs), revision, "", asOf, true) {
+		return errors.WithStack(errOldSnapshot)
 	}
 	w.cacheMu.Lock()
 	defer w.cacheMu.Unlock()
 	w.watchable = w.shard == ""
+	return nil
 }
 
 // changesOf converts the pairs of a snapshot to changes.
@@ -262,10 +271,10 @@
 	return out
 }
 
-// replaceLocked applies a snapshot of a shard, unless a newer state of the same shard is cached. It
-// reports whether the snapshot is of the cache's store incarnation or a later one. It is called with
-// notifyMu held. fromStore means that the store itself has sent the snapshot.
-func (w *WatchCache) replaceLocked(all []Change, revision int64, shard string, fromStore bool) bool {
+// replaceLocked applies a snapshot of a shard, unless a newer state is cached. It reports whether the
+// snapshot is of the cache's store incarnation or a later one and, if it is of another shard, was
+// applied. It is called with notifyMu held. fromStore means that the store itself has sent the snapshot.
+func (w *WatchCache) replaceLocked(all []Change, revision int64, shard string, asOf clock.Time, fromStore bool) bool {
 	w.cacheMu.Lock()
 	if fromStore && StoreIncarnation(revision) >= StoreIncarnation(w.revision) {
 		// Must precede the notification: observers look up how long the outage was.
@@ -274,15 +283,26 @@
 	otherShard := shard != w.shard
 	if StoreIncarnation(revision) < StoreIncarnation(w.revision) || (revision < w.revision && !otherShard) {
 		cached := w.revision
+		covered := StoreIncarnation(revision) == StoreIncarnation(cached) && !otherShard
+		if covered {
+			w.raiseAsOf(asOf)
+		}
 		w.cacheMu.Unlock()
 		w.log.Emit(event.ConfDropped, event.Ref{}, "revision "+strconv.FormatInt(revision, 10)+", cached up to "+strconv.FormatInt(cached, 10))
-		return StoreIncarnation(revision) == StoreIncarnation(cached)
+		w.notify(nil)
+		return covered
 	}
 	changes := w.differences(all, revision, otherShard)
+	sameKeys := !otherShard && StoreIncarnation(revision) == StoreIncarnation(w.revision)
 	w.recordIncarnation(revision)
 	w.update(changes)
 	w.shard, w.watchable = shard, w.watchable && shard == ""
 	w.revision, w.historyStart, w.history = revision, revision, nil
+	if sameKeys {
+		w.raiseAsOf(asOf)
+	} else {
+		w.cachedAsOf = asOf
+	}
 	w.wakeWaiters()
 	w.cacheMu.Unlock()
 	w.notify(changes)
@@ -317,25 +337,20 @@
 	return changes
 }
 
-// applyResponse applies the changes of a watch response. Until they can be applied, the cache does not
-// count as fresh: a peer that requests changes meanwhile would take its own copy for complete.
-func (w *WatchCache) applyResponse(changes []Change, revision int64) {
+// applyResponse applies the changes of a watch response, which reflects the store as of asOf. Until they
+// can be applied, the cache does not count as fresh: a peer that requests changes meanwhile would take
+// its own copy for complete.
+func (w *WatchCache) applyResponse(changes []Change, revision int64, asOf clock.Time) {
 	w.notifyMu.Lock()
 	defer w.notifyMu.Unlock()
-	w.applyLocked(changes, revision, true)
+	w.applyLocked(changes, revision, asOf, true)
 }
 
-// apply applies changes that lead to a revision. Changes already cached are skipped, since both
+// applyLocked applies changes that lead to a revision. Changes already cached are skipped, since both
 // the store and peers may report them. It reports whether the changes are of the cache's store
-// incarnation.
-func (w *WatchCache) apply(changes []Change, revision int64) bool {
-	w.notifyMu.Lock()
-	defer w.notifyMu.Unlock()
-	return w.applyLocked(changes, revision, false)
-}
-
-// applyLocked is apply with notifyMu held. fromStore means that the store itself has sent the changes.
-func (w *WatchCache) applyLocked(changes []Change, revision int64, fromStore bool) bool {
+// incarnation. It is called with notifyMu held. fromStore means that the store itself has sent the
+// changes.
+func (w *WatchCache) applyLocked(changes []Change, revision int64, asOf clock.Time, fromStore bool) bool {
 	w.cacheMu.Lock()
 	if fromStore {
 		w.recordContact()
@@ -357,23 +372,23 @@
 		w.revision = revision
 		w.wakeWaiters()
 	}
+	w.raiseAsOf(asOf)
 	w.cacheMu.Unlock()
 	w.notify(newer)
 	return true
 }
 
-// update writes changes to the cache. It is called with cacheMu held.
+// update writes changes to the cache. It is called with cacheMu held, before cachedAsOf is set for them.
+// A value that was announced stays unfetched until notify has passed it to the observers.
 func (w *WatchCache) update(changes []Change) {
 	w.editCount += int64(len(changes))
 	for _, c := range changes {
-		if c.Unfetched {
+		switch {
+		case c.Unfetched:
 			w.markUnfetched(c.Key, c.ModRevision)
-			continue
-		}
-		delete(w.unfetched, c.Key)
-		if c.Deleted {
+		case c.Deleted:
 			delete(w.pairs, c.Key)
-		} else {
+		default:
 			w.pairs[c.Key] = c.Pair
 		}
 	}
@@ -392,14 +407,23 @@
 }
 
 // notify calls the observers with the changes, except unfetched ones, which they get once the value
-// was fetched. It is called with notifyMu held, so that observers get changes in order.
+// was fetched. Only then do the changes count as applied. It is called with notifyMu held, so that
+// observers get changes in order.
 func (w *WatchCache) notify(changes []Change) {
 	fetched := slices.DeleteFunc(slices.Clone(changes), func(c Change) bool { return c.Unfetched })
-	if len(fetched) == 0 {
-		return
+	if len(fetched) > 0 {
+		for _, f := range w.observers {
+			f(fetched)
+		}
 	}
-	for _, f := range w.observers {
-		f(fetched)
+	w.cacheMu.Lock()
+	defer w.cacheMu.Unlock()
+	for _, c := range fetched {
+		w.settleUnfetched(c)
+	}
+	if w.appliedAsOf != w.cachedAsOf {
+		w.appliedAsOf = w.cachedAsOf
+		w.wakeWaiters()
 	}
 }
 
@@ -430,31 +454,35 @@
 	}
 	for key, v := range w.unfetched {
 		if key > after {
-			out = append(out, Change{Pair: Pair{Key: key, ModRevision: v.revision}, Unfetched: true})
+			out = append(out, Change{Pair: Pair{Key: key, ModRevision: v.latest()}, Unfetched: true})
 		}
 	}
 	slices.SortFunc(out, func(a, b Change) int { return strings.Compare(a.Key, b.Key) })
 	return out, w.revision
 }
 
-// ApplyChanges applies changes from a peer. contact is when the store last answered that peer.
-func (w *WatchCache) ApplyChanges(changes []Change, revision int64, contact clock.Time) {
-	if w.apply(changes, revision) {
-		w.recordPeerContact(contact)
+// ApplyChanges applies changes from a peer. asOf is that of the peer's copy; the zero value claims
+// nothing.
+func (w *WatchCache) ApplyChanges(changes []Change, revision int64, asOf clock.Time) {
+	w.notifyMu.Lock()
+	defer w.notifyMu.Unlock()
+	if w.applyLocked(changes, revision, asOf, false) {
+		w.recordPeerContact(asOf)
 	}
 }
 
-// ApplySnapshot applies a peer's snapshot of a shard, "" for all keys. contact is when the store
-// last answered that peer. fromShard is the shard that the cache contained when the snapshot was
-// requested; if it contains another one by now, the snapshot is discarded.
-func (w *WatchCache) ApplySnapshot(all []Change, revision int64, fromShard, shard string, contact clock.Time) {
+// ApplySnapshot applies a peer's snapshot of a shard, "" for all keys. asOf is that of the peer's copy.
+// fromShard is the shard that the cache contained when the snapshot was requested; if it contains another
+// one by now, the snapshot is discarded. So is one of another shard from a peer that is behind: for the
+// keys of that shard it would not reach the revision that this cache claims.
+func (w *WatchCache) ApplySnapshot(all []Change, revision int64, fromShard, shard string, asOf clock.Time) {
 	w.notifyMu.Lock()
 	defer w.notifyMu.Unlock()
 	if w.Shard() != fromShard {
 		return
 	}
-	if w.replaceLocked(all, revision, shard, false) {
-		w.recordPeerContact(contact)
+	if w.replaceLocked(all, revision, shard, asOf, false) {
+		w.recordPeerContact(asOf)
 	}
 }
 
@@ -466,22 +494,22 @@
 }
 
 // SwitchShard switches the cache to another shard. changes come from a peer and are what the cache
-// lacks of that shard; pairs that remove accepts are removed from the cache. fromShard and contact
-// are as in ApplySnapshot.
-func (w *WatchCache) SwitchShard(changes []Change, revision int64, fromShard, shard string, remove func(Pair) bool, contact clock.Time) {
+// lacks of that shard; pairs that remove accepts are removed from the cache. fromShard and asOf are as
+// in ApplySnapshot, and changes from a peer that is behind are discarded as there.
+func (w *WatchCache) SwitchShard(changes []Change, revision int64, fromShard, shard string, remove func(Pair) bool, asOf clock.Time) {
 	w.notifyMu.Lock()
 	defer w.notifyMu.Unlock()
 	if w.Shard() != fromShard {
 		return
 	}
-	if w.switchShard(changes, revision, shard, remove) {
-		w.recordPeerContact(contact)
+	if w.switchShard(changes, revision, shard, remove, asOf) {
+		w.recordPeerContact(asOf)
 	}
 }
 
 // switchShard switches the cache to another shard, unless the changes are of another store
-// incarnation. It is called with notifyMu held.
-func (w *WatchCache) switchShard(changes []Change, revision int64, shard string, remove func(Pair) bool) bool {
+// incarnation or behind the cache. It is called with notifyMu held.
+func (w *WatchCache) switchShard(changes []Change, revision int64, shard string, remove func(Pair) bool, asOf clock.Time) bool {
 	w.cacheMu.Lock()
 	if StoreIncarnation(revision) != StoreIncarnation(w.revision) {
 		// The response to the next request will be a full snapshot.
@@ -503,6 +531,7 @@
 	// Peers with the former shard must request a full snapshot.
 	w.historyStart, w.history = revision, nil
 	w.shard, w.watchable, w.revision = shard, false, max(w.revision, revision)
+	w.cachedAsOf = asOf
 	w.wakeWaiters()
 	w.cacheMu.Unlock()
 	w.notify(newer)
--- a/core/plat/watchcache_test.go
+++ b/core/plat/watchcache_test.go
@@ -94,7 +94,7 @@
 	once sync.Once
 }
 
-func (f *compactedOnce) Watch(ctx context.Context, span plat.Span, from int64, h func([]plat.Change, int64) error) error {
+func (f *compactedOnce) Watch(ctx context.Context, span plat.Span, from int64, h func([]plat.Change, int64, clock.Time) error) error {
 	var err error
 	f.once.Do(func() {
 		_, e := f.Commit(ctx, plat.Txn{Deletes: []string{"a/1"}, Puts: []plat.Put{{Key: "a/2", Value: []byte("y")}}})
@@ -194,7 +194,7 @@
 		{"a snapshot has a later one, unfetched", func(m *watched) {
 			m.ApplySnapshot([]plat.Change{unfetched("a/1", 8)}, 8, "", "", clock.Now())
 			m.ApplyFetched(change("a/1", "new", 5).Pair)
-		}, "former", true, 1},
+		}, "new", true, 2},
 		{"a snapshot lacks it", func(m *watched) { m.ApplySnapshot(nil, 8, "", "", clock.Now()) }, "", false, 2},
 		{"a snapshot older than the fetched value lacks it", func(m *watched) {
 			m.ApplyFetched(change("a/1", "newer", 9).Pair)
--- a/core/spread/changes.go
+++ b/core/spread/changes.go
@@ -77,7 +77,7 @@
 	}
 	s.awaitChange(ctx, req)
 	elapsed := clock.Since(start)
-	fresh := s.watchCache.FreshAsOf()
+	fresh := s.watchCache.CachedAsOf()
 	if fresh.IsZero() {
 		return nil, errors.New("the watch cache of this daemon is still empty")
 	}
@@ -180,7 +180,7 @@
 	for checked := req.AfterRevision; ; {
 		updated := s.watchCache.Changed()
 		var changed bool
-		if changed, checked = s.hasChangesFor(req, checked); changed || !s.watchCache.FreshAsOf().Before(fresher) {
+		if changed, checked = s.hasChangesFor(req, checked); changed || !s.watchCache.CachedAsOf().Before(fresher) {
 			return
 		}
 		select {
--- a/core/spread/relays.go
+++ b/core/spread/relays.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/fleet"
 )
 
@@ -36,6 +37,8 @@
 	// older by its way through the fleet, some 0.3 s, and data older than 2.2 s allows no copies.
 	watchWaitSmall = 1350 * time.Millisecond
 	watchWaitLarge = time.Second
+	// minWatchWait is the least time for which a watch request is held.
+	minWatchWait = time.Millisecond
 )
 
 // WatchesStore reports whether this daemon watches the store itself.
@@ -53,12 +56,19 @@
 	return slices.Contains(s.relaysOf(view), view.Self()) || s.IsStandby()
 }
 
-// WatchWait returns how long the store is to hold a watch request for changes.
+// WatchWait returns how long the store is to hold a watch request for changes. After a response that was
+// long under way it is less, so that the cache does not age more than otherwise until the next one.
 func (s *WatchCacheSync) WatchWait() time.Duration {
+	full := watchWaitLarge
 	if s.fleet.View().Cells() < minCellsForRelays {
-		return watchWaitSmall
+		full = watchWaitSmall
 	}
-	return watchWaitLarge
+	batch := s.BatchTime()
+	if clock.Since(s.watchCache.LastContact()) > batch+freshnessSlack {
+		// The last request failed; the next one is the first for some time.
+		return full
+	}
+	return min(full, max(minWatchWait, full+batch-s.cacheAge()))
 }
 
 // pullsFromRelay reports whether this daemon requests changes from a watch relay for its cell.
--- a/core/spread/storecalls_test.go
+++ b/core/spread/storecalls_test.go
@@ -57,7 +57,7 @@
 	return s.KV.Range(ctx, span)
 }
 
-func (s *billedStore) Watch(ctx context.Context, span plat.Span, from int64, f func([]plat.Change, int64) error) error {
+func (s *billedStore) Watch(ctx context.Context, span plat.Span, from int64, f func([]plat.Change, int64, clock.Time) error) error {
 	for ctx.Err() == nil {
 		if !s.call() {
 			return errRejected
@@ -67,7 +67,7 @@
 			if revision > 0 {
 				from = revision + 1
 			}
-			return f(changes, from-1)
+			return f(changes, from-1, clock.Now())
 		}); err != nil {
 			return err
 		}
@@ -102,7 +102,7 @@
 	s.count(1)
 	defer s.count(-1)
 	// The error ends the watch at its first change.
-	_ = s.KV.Watch(ctx, span, from, func(c []plat.Change, r int64) error {
+	_ = s.KV.Watch(ctx, span, from, func(c []plat.Change, r int64, _ clock.Time) error {
 		changes, revision = c, r
 		if len(c) == 0 {
 			return nil
--- a/core/spread/values_test.go
+++ b/core/spread/values_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
@@ -38,7 +39,7 @@
 	return s.KV.Range(ctx, span)
 }
 
-func (s *singleKeyStore) Watch(context.Context, plat.Span, int64, func([]plat.Change, int64) error) error {
+func (s *singleKeyStore) Watch(context.Context, plat.Span, int64, func([]plat.Change, int64, clock.Time) error) error {
 	return errRejected
 }
 
--- a/core/spread/watchcache.go
+++ b/core/spread/watchcache.go
@@ -81,7 +81,7 @@
 // request changes from a watch relay for their cell, report an age, so that the others of the cell
 // request changes from them.
 func (s *WatchCacheSync) Collect(bool) any {
-	fresh := s.watchCache.FreshAsOf()
+	fresh := s.watchCache.CachedAsOf()
 	if s.watchCache.LastContact().IsZero() && !s.pullsFromRelay() || fresh.IsZero() {
 		return nil
 	}
@@ -200,7 +200,7 @@
 		} else {
 			s.shardMismatches.Store(0)
 		}
-	case err != nil, clock.Since(s.watchCache.FreshAsOf()) > staleAfter:
+	case err != nil, clock.Since(s.watchCache.CachedAsOf()) > staleAfter:
 		s.relayBackoff.RecordFailure(relay, time.Now())
 	default:
 		s.relayBackoff.RecordSuccess(relay)
@@ -219,7 +219,7 @@
 
 // cacheAge returns the age of this daemon's cache or, while it is empty, the time since the start.
 func (s *WatchCacheSync) cacheAge() time.Duration {
-	if fresh := s.watchCache.FreshAsOf(); !fresh.IsZero() {
+	if fresh := s.watchCache.CachedAsOf(); !fresh.IsZero() {
 		return clock.Since(fresh)
 	}
 	return clock.Since(s.started)
@@ -235,7 +235,7 @@
 	}
 	req := &changesRequest{
 		AfterRevision: s.watchCache.Revision(), WaitMillis: requestWait.Milliseconds(),
-		AgeMillis: ageMillis(clock.Since(s.watchCache.FreshAsOf())),
+		AgeMillis: ageMillis(clock.Since(s.watchCache.CachedAsOf())),
 		Shard:     shard, CacheShard: s.watchCache.Shard(),
 	}
 	for {
@@ -353,7 +353,7 @@
 func (s *WatchCacheSync) freshestPeer() string {
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
-	name, latest := "", s.watchCache.FreshAsOf().Add(-freshnessSlack)
+	name, latest := "", s.watchCache.CachedAsOf().Add(-freshnessSlack)
 	for peer, at := range s.peerFresh {
 		if at.After(latest) {
 			name, latest = peer, at
@@ -362,8 +362,8 @@
 	return name
 }
 
-// FresherPeer reports whether a peer's cache is known to be fresher than this daemon's and younger
-// than maxAge.
+// FresherPeer reports whether a peer's cache is known to be fresher than what this daemon has applied, and
+// younger than maxAge.
 func (s *WatchCacheSync) FresherPeer(now clock.Time, maxAge time.Duration) bool {
 	latest := s.watchCache.FreshAsOf().Add(freshnessSlack)
 	s.peersMu.Lock()
--- a/emberd/internal/host/config_current_test.go
+++ b/emberd/internal/host/config_current_test.go
@@ -50,15 +50,18 @@
 // A configuration must not be used for too long after it is known to have been replaced.
 func TestConfigIsOverdueIfANewerOneDoesNotArrive(t *testing.T) {
 	g, h := newCurrentHost(t)
-	h.watchCache.ApplyChanges([]plat.Change{unfetched("a", 2)}, 2, clock.Now())
-	since := h.watchCache.UnfetchedSince()
+	since := h.watchCache.CurrentAsOf()
 	maxAge := h.settings.Bounds.OldConfiguration
+	h.watchCache.ApplyChanges([]plat.Change{unfetched("a", 2)}, 2, since.Add(maxAge/4))
 	g.Expect(h.configOverdue(since.Add(maxAge / 4))).To(gomega.BeZero())
-	g.Expect(h.configOverdue(since.Add(maxAge))).To(gomega.Equal(maxAge))
-	h.watchCache.ApplyChanges([]plat.Change{unfetched("a", 3)}, 3, clock.Now())
-	g.Expect(h.configOverdue(since.Add(maxAge))).To(gomega.Equal(maxAge), "the time counts from the first change that has not arrived")
+	g.Expect(h.configOverdue(since.Add(maxAge))).To(gomega.Equal(maxAge), "the time counts from when the applied one was last known to be current")
+	h.watchCache.ApplyChanges([]plat.Change{unfetched("a", 3)}, 3, since.Add(maxAge/2))
+	g.Expect(h.configOverdue(since.Add(maxAge))).To(gomega.Equal(maxAge), "a second change that has not arrived changes nothing")
+	h.watchCache.ApplyFetched(plat.Pair{Key: "a", ModRevision: 2})
+	g.Expect(h.configOverdue(since.Add(maxAge))).To(gomega.BeZero(), "the first one was current a quarter of the bound later")
+	g.Expect(h.configOverdue(since.Add(2 * maxAge))).To(gomega.Equal(2*maxAge - maxAge/4))
 	h.watchCache.ApplyFetched(plat.Pair{Key: "a", ModRevision: 3})
-	g.Expect(h.configOverdue(since.Add(maxAge))).To(gomega.BeZero())
+	g.Expect(h.configOverdue(since.Add(2 * maxAge))).To(gomega.BeZero())
 }
 
 func TestDaemonBehindItsPeersServesByNoOldConfiguration(t *testing.T) {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -259,37 +259,39 @@
 	return text
 }
 
-// configCurrent reports whether the applied configuration is known to be the newest.
+// configCurrent reports whether the applied configuration is known to be the newest, so that this daemon
+// may say that something does not exist.
 func (h *Host) configCurrent() bool {
-	return h.viewAge() < h.settings.Bounds.StoreSilence && !h.watchCache.HasUnfetched()
+	maxAge := min(h.settings.Bounds.StoreSilence, h.settings.Bounds.OldConfiguration)
+	return clock.Since(h.watchCache.CurrentAsOf()) < maxAge && !h.watchCache.HasUnfetched()
 }
 
-// overdueShare is the share of Bounds.OldConfiguration for which a daemon keeps using the applied
-// configuration after it was notified that a newer one exists. The rest may have passed before
-// that: a watch relay reads 1 MB over 10 Mbit/s in 1.1 s.
-const overdueShare = 0.5
+// transitMargin is the part of Bounds.OldConfiguration that is reserved for the time for which the first
+// byte of a response of the store was under way: the response is dated by its arrival.
+const transitMargin = 200 * time.Millisecond
 
-// configOverdue returns for how long this daemon has missed a newer configuration, or what may be one,
-// if that is too long to handle requests by the applied one; else 0.
+// maxConfigAge is the age up to which a configuration is used when a newer one may exist.
+func (h *Host) maxConfigAge() time.Duration {
+	return h.settings.Bounds.OldConfiguration - transitMargin
+}
+
+// configOverdue returns for how long the applied configuration has not been known to be current, if a newer
+// one may have been acknowledged longer than Bounds.OldConfiguration ago; else 0.
 func (h *Host) configOverdue(now clock.Time) time.Duration {
 	if overdue := h.behindPeers(now); overdue > 0 {
 		return overdue
 	}
-	since := h.watchCache.UnfetchedSince()
-	if since.IsZero() {
+	age := now.Sub(h.watchCache.CurrentAsOf())
+	if !h.watchCache.HasUnfetched() || age <= h.maxConfigAge() {
 		return 0
 	}
-	overdue := now.Sub(since)
-	if overdue < time.Duration(overdueShare*float64(h.settings.Bounds.OldConfiguration)) {
-		return 0
-	}
-	return overdue
+	return age
 }
 
-// behindPeers returns the age of the watch cache if that is over Bounds.OldConfiguration while a peer's
-// is not; else 0. If no peer knows more, the store is out of reach for all, and they go on together.
+// behindPeers returns the age of the watch cache if that is over maxConfigAge while a peer's is not; else 0.
+// If no peer knows more, the store is out of reach for all, and they go on together.
 func (h *Host) behindPeers(now clock.Time) time.Duration {
-	fresh, maxAge := h.watchCache.FreshAsOf(), h.settings.Bounds.OldConfiguration
+	fresh, maxAge := h.watchCache.FreshAsOf(), h.maxConfigAge()
 	age := now.Sub(fresh)
 	if fresh.IsZero() || age <= maxAge || !h.watchCacheSync.FresherPeer(now, maxAge) {
 		return 0
--- a/embfake/fake/fake_test.go
+++ b/embfake/fake/fake_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/plat"
 )
 
@@ -53,7 +54,7 @@
 
 	var seen []plat.Change
 	enough := errors.New("enough")
-	err = kv.Watch(ctx, plat.Prefix("a/"), revision+1, func(list []plat.Change, _ int64) error {
+	err = kv.Watch(ctx, plat.Prefix("a/"), revision+1, func(list []plat.Change, _ int64, _ clock.Time) error {
 		if seen = append(seen, list...); len(seen) > 0 {
 			return enough
 		}
@@ -86,7 +87,7 @@
 	_, err = kv.Commit(ctx, write)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	k.Compact()
-	err = kv.Watch(ctx, plat.Prefix("k"), 1, func([]plat.Change, int64) error { return nil })
+	err = kv.Watch(ctx, plat.Prefix("k"), 1, func([]plat.Change, int64, clock.Time) error { return nil })
 	g.Expect(errors.Is(err, plat.ErrCompacted)).To(gomega.BeTrue())
 }
 
