A response of the store that stops on a silent connection is read again at once

What callers saw: a configuration of a megabyte was in force 3.5 and 4.2 s after its acknowledgement where all connections went silent 0.5 and 1 s into its transfer (bound 3 s).

Cause: a connection is probed until the header of its response has come. What goes silent within the response was found by a time limit of 1.5 s, after which the read was begun anew with a delay.

--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -45,6 +45,11 @@
 	Request *http.Request
 	// Answers means that the response to Request is one to the probed request as well.
 	Answers bool
+	// Pause, if not 0, is how long a response that has begun may pause before PauseRequest is sent on a new
+	// connection, to find out whether the response's one is silent; then reading it fails with ErrSilent.
+	// PauseRequest must change nothing.
+	Pause        time.Duration
+	PauseRequest *http.Request
 }
 
 // UnheardCalls returns the number of calls on reused connections that ended without any response.
@@ -60,10 +65,22 @@
 	return e.resp, e.err
 }
 
-// DoProbed sends a request. If nothing is received on its connection and the service responds to the
+// DoProbed sends a request whose response is checked as p says. If nothing is received on its connection and the service responds to the
 // probe on a new one, the former is given up. Unless ManyServices is set, all idle connections are
 // given up with it: they are as old. The result is then the probe's response, if that answers the request, and else ErrSilent.
 func (c *Client) DoProbed(req *http.Request, p Probe) (*http.Response, error) {
+	resp, err := c.doProbed(req, p)
+	if err != nil || p.Pause == 0 {
+		return resp, err
+	}
+	body := newProbedBody(c, resp.Body, p)
+	go body.run()
+	resp.Body = body
+	return resp, nil
+}
+
+// doProbed is DoProbed until the response begins.
+func (c *Client) doProbed(req *http.Request, p Probe) (*http.Response, error) {
 	t := c.transport()
 	first := newExchange(c, t, req)
 	go first.run()
