A daemon whose copy is old goes on only while the store is out of reach for all

What callers saw: requests served by a configuration that had been replaced over 3 s before, from a daemon that said it was ready.

Cause: a daemon whose copy was too old compared it with those of its own cell. In a large fleet two daemons of a cell request its changes; where both got them late, the cell found nobody with a fresher copy and went on, as it should while the store is down, though other cells had the change or the store answered all along.

Why this works: that others know more, or that the store is in reach, is now asked for and told. A daemon whose copy is over 1.8 s old asks a watch relay every 0.5 s for the age of its copy and when it was last in touch with the store; heartbeats tell the latter within the cell. If a copy is fresher, or data of the store arrived 2 s after what this copy reflects, the daemon answers 503 and is not ready. After an outage the store counts as in reach after 1.5 s, in which changes arrive. Two more daemons of a cell request changes from relays for each 1.8 s that its copy is old, four at most, in place of all after 5.4 s. The messages for changes are as they were.

--- a/core/plat/contact.go
+++ b/core/plat/contact.go
@@ -68,6 +68,32 @@
 	w.wakeWaiters()
 }
 
+// RecordReach records that data of the store has arrived at this daemon, whatever it was.
+func (w *WatchCache) RecordReach() {
+	w.cacheMu.Lock()
+	defer w.cacheMu.Unlock()
+	now := clock.Now()
+	if now.Sub(w.reachedAt) > outageAfter {
+		w.reachedSince = now
+	}
+	w.reachedAt = now
+}
+
+// steadyReach is how long the store must have been reachable to count as such: after an outage the changes
+// made meanwhile take some time to arrive.
+const steadyReach = 1500 * time.Millisecond
+
+// SteadyReach returns when data of the store last arrived at this daemon; zero if the store has become
+// reachable less than steadyReach before that.
+func (w *WatchCache) SteadyReach() clock.Time {
+	w.cacheMu.Lock()
+	defer w.cacheMu.Unlock()
+	if w.reachedAt.Sub(w.reachedSince) < steadyReach {
+		return clock.Time{}
+	}
+	return w.reachedAt
+}
+
 // recordFailure records that a read or watch failed, which counts as an outage once the store has
 // not answered for outageAfter.
 func (w *WatchCache) recordFailure(err error) {
--- a/core/plat/watchcache.go
+++ b/core/plat/watchcache.go
@@ -74,6 +74,9 @@
 	// lastContact is when the store last answered this daemon, whatever the answer contained. Guarded
 	// by cacheMu.
 	lastContact clock.Time
+	// reachedAt is when data of the store last arrived, as part of any response; reachedSince is when it
+	// began to, without a gap of outageAfter. Guarded by cacheMu.
+	reachedAt, reachedSince clock.Time
 	// outageEnd is when the store answered again after an outage. Guarded by cacheMu.
 	outageEnd clock.Time
 	// outageLength is how long that outage was. Guarded by cacheMu.
--- /dev/null
+++ b/core/spread/freshness.go
@@ -0,0 +1,171 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
+	"embertally.dev/core/wait"
+	"embertally.dev/core/wire"
+)
+
+const kindFreshness wire.Kind = "spread.freshness"
+
+// Times of what daemons tell each other about the freshness of their copies.
+const (
+	// freshnessInterval is the time between two requests of a daemon whose copy is old.
+	freshnessInterval = 500 * time.Millisecond
+	// freshnessTimeout bounds one of them; the response has a few bytes.
+	freshnessTimeout = 400 * time.Millisecond
+	// notReached stands for a store that was not reached, in messages. Ages in messages are above 0.
+	notReached = 0
+)
+
+// freshness is the response to a request of kindFreshness.
+type freshness struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	// AgeMillis is the age of the sender's copy in milliseconds.
+	AgeMillis int64
+	// ReachedMillis is for how many milliseconds the store has not been known to be reachable; notReached
+	// if it is not, or has only just become so again.
+	ReachedMillis int64
+}
+
+// reachedMillis returns freshness.ReachedMillis.
+func (s *WatchCacheSync) reachedMillis() int64 {
+	at := s.storeReached()
+	if at.IsZero() {
+		return notReached
+	}
+	return ageMillis(clock.Since(at))
+}
+
+// storeReached returns when the store was last known to be reachable, by this daemon or others; zero if it
+// was not.
+func (s *WatchCacheSync) storeReached() clock.Time {
+	at := s.watchCache.SteadyReach()
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	if s.peerReached.After(at) {
+		at = s.peerReached
+	}
+	return at
+}
+
+// RecordReached records that a peer said at a time that the store had been reachable a number of
+// milliseconds before; 0 says that it was not.
+func (s *WatchCacheSync) RecordReached(at clock.Time, millis int64) {
+	if millis <= notReached {
+		return
+	}
+	reached := at.Add(-reportedAge(millis))
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	if reached.After(s.peerReached) {
+		s.peerReached = reached
+	}
+}
+
+// reachPart is the part of a heartbeat that reports when the store was last reachable, as reachedMillis.
+type reachPart struct{ cacheSync *WatchCacheSync }
+
+// Collect returns this daemon's part of a heartbeat.
+func (p reachPart) Collect(bool) any {
+	millis := p.cacheSync.reachedMillis()
+	if millis == notReached {
+		return nil
+	}
+	return millis
+}
+
+// Receive stores what a peer reported.
+func (p reachPart) Receive(_ string, raw []byte) {
+	var millis int64
+	if err := msgpack.Unmarshal(raw, &millis); err != nil {
+		// A peer of another version tells nothing.
+		return
+	}
+	p.cacheSync.RecordReached(clock.Now(), millis)
+}
+
+// handleFreshness answers a daemon of another cell.
+func (s *WatchCacheSync) handleFreshness(context.Context, string, *struct{}) (*freshness, error) {
+	return &freshness{AgeMillis: ageMillis(clock.Since(s.watchCache.CachedAsOf())), ReachedMillis: s.reachedMillis()}, nil
+}
+
+// freshnessLoop asks watch relays how fresh their copies are while this daemon's one is old, until ctx ends.
+// What the daemons of one cell know does not show whether others know more: the cell may get its changes
+// late as a whole.
+func (s *WatchCacheSync) freshnessLoop(ctx context.Context) {
+	next := 0
+	wait.Every(ctx, freshnessInterval, func() {
+		view := s.fleet.View()
+		if view.Cells() < minCellsForRelays || s.cacheAge() < staleAfter {
+			return
+		}
+		// Own failure domain first, then the others in turn.
+		names := s.relaySetOf(view).candidates
+		for range names {
+			name := names[next%len(names)]
+			if next++; name != view.Self() {
+				s.askFreshness(ctx, name)
+				return
+			}
+		}
+	})
+}
+
+// askFreshness asks one peer how fresh its copy is.
+func (s *WatchCacheSync) askFreshness(ctx context.Context, peer string) {
+	ctx, cancel := context.WithTimeout(ctx, freshnessTimeout)
+	defer cancel()
+	start := clock.Now()
+	var got freshness
+	if err := s.fleet.Query(ctx, peer, kindFreshness, &struct{}{}, &got); err != nil {
+		s.requestsFailed.Add(1)
+		s.log.Emit(event.PeerNotTold, event.Ref{}, peer+", freshness after "+elapsedSince(start)+": "+err.Error())
+		return
+	}
+	// Both ages count from the start: the response may have been under way for long.
+	s.RecordReached(start, got.ReachedMillis)
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	if at := start.Add(-reportedAge(got.AgeMillis)); at.After(s.relayFresh) {
+		s.relayFresh = at
+	}
+}
+
+// FreshestPeerCopy returns the time up to which the freshest copy is current that another daemon has
+// reported; zero if none has.
+func (s *WatchCacheSync) FreshestPeerCopy() clock.Time {
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	latest := s.relayFresh
+	for _, at := range s.peerFresh {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
+// maxProofGap is the longest time between two proofs that a copy is current, while the store can be reached:
+// the store holds a watch, its changes are batched, and a peer's request for changes waits.
+const maxProofGap = watchWaitSmall + batchTimeSmall + requestWait
+
+// KnowsNewer reports whether there may be a newer state than the one that this daemon has applied: another
+// daemon has a fresher copy that is younger than maxAge, or the store was reachable so long after this copy
+// that a daemon would have a newer one by now if it had arrived. While the store is out of reach for all,
+// neither holds.
+func (s *WatchCacheSync) KnowsNewer(now clock.Time, maxAge time.Duration) bool {
+	fresh := s.watchCache.FreshAsOf()
+	peer := s.FreshestPeerCopy()
+	if peer.After(fresh.Add(freshnessSlack)) && now.Sub(peer) < maxAge {
+		return true
+	}
+	return s.storeReached().After(fresh.Add(maxProofGap))
+}
--- a/core/spread/relays.go
+++ b/core/spread/relays.go
@@ -19,6 +19,9 @@
 	// data older than 2.2 s.
 	staleAfter       = 1800 * time.Millisecond
 	standbysPerRound = 2
+	// maxStandbyRounds bounds the standbys that request changes from watch relays: in an outage of the
+	// store they would all do so.
+	maxStandbyRounds = 2
 	// watchersPerCell is how many daemons of a cell in a large fleet watch the store or, where
 	// there are watch relays, request changes from one of these; each call of the store is billed.
 	// Where both are lost, the other daemons do so as well.
@@ -71,10 +74,15 @@
 	return min(full, max(minWatchWait, full+batch-s.cacheAge()))
 }
 
-// pullsFromRelay reports whether this daemon requests changes from a watch relay for its cell.
+// pullsFromRelay reports whether this daemon requests changes from a watch relay for its cell. Where those
+// that do so by rank do not provide its changes, the next ones do as well.
 func (s *WatchCacheSync) pullsFromRelay() bool {
 	view := s.fleet.View()
-	return view.Cells() >= minCellsForRelays && s.cellRank(view) < watchersPerCell
+	if view.Cells() < minCellsForRelays {
+		return false
+	}
+	rounds := min(maxStandbyRounds, int(s.cacheAge()/staleAfter))
+	return s.cellRank(view) < watchersPerCell+standbysPerRound*rounds
 }
 
 // IsStandby reports whether this daemon watches the store because those ranked before it do not
--- a/core/spread/watchcache.go
+++ b/core/spread/watchcache.go
@@ -49,6 +49,12 @@
 	peersMu sync.Mutex
 	// peerFresh holds the time up to which each peer's cache is current. Guarded by peersMu.
 	peerFresh map[string]clock.Time
+	// relayFresh is the latest time up to which the copy of a watch relay that was asked is current.
+	// Guarded by peersMu.
+	relayFresh clock.Time
+	// peerReached is the latest time at which the store was reachable according to others. Guarded by
+	// peersMu.
+	peerReached clock.Time
 }
 
 // NewWatchCacheSync returns a WatchCacheSync for m and attaches it to the fleet's heartbeats.
@@ -58,7 +64,9 @@
 	s.values = newLargeValues(watchCache, f, newTransfers(f, func(bytes int) { s.bytesSent.Add(int64(bytes)) }), log)
 	watchCache.Observe(s.observe)
 	f.Attach("mirror", s)
+	f.Attach("reach", reachPart{s})
 	f.Mux().Register(kindChanges, wire.Handle(s.handleChanges))
+	f.Mux().Register(kindFreshness, wire.Handle(s.handleFreshness))
 	watchCache.WatchesStore, watchCache.IsStandby, watchCache.BatchTime = s.WatchesStore, s.IsStandby, s.BatchTime
 	return s
 }
@@ -165,6 +173,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { s.values.run(ctx) })
+	wg.Go(func() { s.freshnessLoop(ctx) })
 	wait.Every(ctx, requestInterval, func() {
 		if clock.Since(s.watchCache.LastContact()) > storeUnreachableAfter || !s.WatchesStore() {
 			s.pull(ctx)
@@ -362,34 +371,6 @@
 	return name
 }
 
-// FresherPeer reports whether a peer's cache is known to be fresher than what this daemon has applied, and
-// younger than maxAge.
-func (s *WatchCacheSync) FresherPeer(now clock.Time, maxAge time.Duration) bool {
-	latest := s.watchCache.FreshAsOf().Add(freshnessSlack)
-	s.peersMu.Lock()
-	defer s.peersMu.Unlock()
-	for _, at := range s.peerFresh {
-		if at.After(latest) && now.Sub(at) < maxAge {
-			return true
-		}
-	}
-	return false
-}
-
-// FreshestPeerCopy returns the time up to which the freshest copy is current that a peer has reported;
-// zero if none has.
-func (s *WatchCacheSync) FreshestPeerCopy() clock.Time {
-	s.peersMu.Lock()
-	defer s.peersMu.Unlock()
-	var latest clock.Time
-	for _, at := range s.peerFresh {
-		if at.After(latest) {
-			latest = at
-		}
-	}
-	return latest
-}
-
 // forgetPeer excludes a peer that did not respond until its next heartbeat.
 func (s *WatchCacheSync) forgetPeer(peer string) {
 	s.peersMu.Lock()
--- a/emberd/internal/host/config_current_test.go
+++ b/emberd/internal/host/config_current_test.go
@@ -71,13 +71,18 @@
 		name string
 		// own and peer are the ages of the watch caches; a negative one stands for a peer that reports none.
 		own, peer time.Duration
-		overdue   bool
+		// reached is for how long the peer has not reached the store; 0 stands for a peer that does not.
+		reached time.Duration
+		overdue bool
 	}{
-		{"fresh", maxAge / 2, 0, false},
-		{"old, no peer known", 2 * maxAge, -1, false},
-		{"old, the peer as well", 2 * maxAge, 2 * maxAge, false},
-		{"old, the peer over the bound as well", 2 * maxAge, maxAge + time.Second, false},
-		{"old, the peer fresh", 2 * maxAge, 0, true},
+		{"fresh", maxAge / 2, 0, 0, false},
+		{"old, no peer known", 2 * maxAge, -1, 0, false},
+		{"old, the peer as well", 2 * maxAge, 2 * maxAge, 0, false},
+		{"old, the peer over the bound as well", 2 * maxAge, maxAge + time.Second, 0, false},
+		{"old, the peer fresh", 2 * maxAge, 0, 0, true},
+		{"old, the peer as well, but it reaches the store", 2 * maxAge, 2 * maxAge, time.Millisecond, true},
+		{"old, the peer reached the store until its copy became old", 2 * maxAge, 2 * maxAge, 2*maxAge - time.Second, false},
+		{"fresh, the peer reaches the store", maxAge / 2, 2 * maxAge, time.Millisecond, false},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -88,6 +93,7 @@
 				age, err := msgpack.Marshal([]int64{tc.peer.Milliseconds()})
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 				h.watchCacheSync.Receive("peer", age)
+				h.watchCacheSync.RecordReached(now, tc.reached.Milliseconds())
 			}
 			g.Expect(h.configOverdue(now) > 0).To(gomega.Equal(tc.overdue))
 			g.Expect(h.behindPeers(now) > 0).To(gomega.Equal(tc.overdue))
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -143,7 +143,7 @@
 	h.applied.ShuttingDown = h.roster.RecentShutdowns
 	h.applied.OnShuttingDown = func(targetIncarnation string) { h.roster.RecordShutdown(targetIncarnation, roster.ByPeer) }
 	h.watchCache.FirstPrefix, h.watchCacheSync.EntryParser = keyBoxes, h.parseEntry
-	h.store.WatchWait = h.watchCacheSync.WatchWait
+	h.store.WatchWait, h.store.OnData = h.watchCacheSync.WatchWait, h.watchCache.RecordReach
 	h.workerCaches.Capacity = h.workerCapacity
 	h.fleet.Attach("where", &h.workerCaches)
 	h.fleet.Attach("links", &h.links)
@@ -288,12 +288,12 @@
 	return age
 }
 
-// behindPeers returns the age of the watch cache if that is over maxConfigAge while a peer's is not; else 0.
-// If no peer knows more, the store is out of reach for all, and they go on together.
+// behindPeers returns the age of the watch cache if that is over maxConfigAge although a newer state may be
+// known; else 0. While the store is out of reach for all daemons, they go on together.
 func (h *Host) behindPeers(now clock.Time) time.Duration {
 	fresh, maxAge := h.watchCache.FreshAsOf(), h.maxConfigAge()
 	age := now.Sub(fresh)
-	if fresh.IsZero() || age <= maxAge || !h.watchCacheSync.FresherPeer(now, maxAge) {
+	if fresh.IsZero() || age <= maxAge || !h.watchCacheSync.KnowsNewer(now, maxAge) {
 		return 0
 	}
 	return age
