A store's index is dated by its content

What callers could see: prompts sent with segments to copy that the store no longer holds, because the index of the store looked fresher than it was.

Cause: an index counted from the arrival of the response that brought it, however long that was under way; the whole contents, read page by page from a peer, from the last page, while they are complete as of the first.

Why this works: as with the coordination store, a response counts from when the time of its request was over, at the latest; contents count from the start of their first page.

Evidence: TestIndexOfAStoreAgesOnItsWay (200 ms under way) failed before with an age of 0.

--- a/core/spread/storeindex.go
+++ b/core/spread/storeindex.go
@@ -118,7 +118,9 @@
 	return s.try(ctx, address, func(source indexSource) (cache.SegmentEvents, error) {
 		switch {
 		case source.peer == "":
-			return s.direct.Events(ctx, address, since, wait)
+			start := clock.Now()
+			ev, err := s.direct.Events(ctx, address, since, wait)
+			return dated(ev, start, wait), err
 		case source.publishes:
 			if ev, ok := s.inbox.await(ctx, address, since, wait+heartbeatSlack); ok {
 				return ev, nil
@@ -129,14 +131,26 @@
 			Address: address, Since: since, WaitMillis: wait.Milliseconds(),
 			AgeMillis: ageMillis(s.indexes.Age(address, clock.Now())),
 		}
+		start := clock.Now()
 		got, err := s.request(ctx, source.peer, req)
 		if err != nil {
 			return cache.SegmentEvents{}, err
 		}
-		return got.events(), nil
+		return dated(got.events(), start, wait), nil
 	})
 }
 
+// dated adds to the age of a response how long it was under way at least: it was sent at the latest when the
+// request's time to wait was over.
+func dated(ev cache.SegmentEvents, start clock.Time, wait time.Duration) cache.SegmentEvents {
+	underWay := max(0, clock.Since(start)-wait)
+	ev.Age += underWay
+	if ev.Clock > 0 {
+		ev.Clock += underWay
+	}
+	return ev
+}
+
 // Contents returns everything that a store holds.
 func (s *StoreIndexes) Contents(ctx context.Context, address string) (cache.SegmentEvents, error) {
 	return s.try(ctx, address, func(source indexSource) (cache.SegmentEvents, error) {
@@ -180,6 +194,7 @@
 // snapshot: changes made meanwhile come after the position of the first page.
 func (s *StoreIndexes) fetchContents(ctx context.Context, peer, address string) (cache.SegmentEvents, error) {
 	req := &indexRequest{Address: address, All: true}
+	start := clock.Now()
 	first, err := s.request(ctx, peer, req)
 	if err != nil {
 		return cache.SegmentEvents{}, err
@@ -193,10 +208,10 @@
 		if page.Epoch != first.Epoch {
 			return cache.SegmentEvents{}, errors.WithStack(errOtherEpoch)
 		}
-		more := page.events()
-		out.Changes, out.Clock, out.Age = append(out.Changes, more.Changes...), more.Clock, more.Age
+		out.Changes = append(out.Changes, page.events().Changes...)
 	}
-	return out, nil
+	// The contents are complete as of the first page.
+	return dated(out, start, 0), nil
 }
 
 // Free frees segments of a store.
