--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -18,7 +18,7 @@
 	case h.relay.Table() == nil:
 		return "no configuration is known"
 	case h.behindPeers(clock.Now()) > 0:
-		return "peers know a newer state of the coordination store"
+		return "the coordination store may hold a newer state"
 	case h.configOverdue(clock.Now()) > 0:
 		return "a newer configuration has not arrived"
 	}
