A daemon with a copy from a peer says so, also if the store never answered it

What callers saw: a daemon that is started again while the store is away stays not ready for as long as that lasts, though its peers have the configuration.

Cause: who may be asked for changes is told by the age that a daemon reports, and one reported it only after the store itself had answered. A daemon that got its first copy from a peer just before the store fell silent reported none. Where all had, one that started found nobody.

Evidence: two logs of TestDaemonThatStartsWithoutTheStoreGetsBlocks: the daemon hears its peers, and sends no request for changes at all; the peers had asked it for changes before, which daemons do that the store has not answered.

Why this works: whoever is to watch the store, or asks a relay for its cell, reports the age of its copy wherever that came from.

--- a/core/spread/freshness_test.go
+++ b/core/spread/freshness_test.go
@@ -93,3 +93,13 @@
 	w.RecordReach()
 	g.Expect(w.SteadyReach().IsZero()).To(gomega.BeTrue(), "an outage has just ended")
 }
+
+// A daemon that has its copy from a peer, since the store never answered it, must tell others that it has one:
+// a daemon that starts while the store is away would find nobody to ask.
+func TestDaemonWithACopyFromAPeerReportsItsAge(t *testing.T) {
+	g := gomega.NewWithT(t)
+	asker, _ := twoDaemons(t)
+	g.Expect(asker.Collect(true)).To(gomega.BeNil(), "without a copy")
+	asker.watchCache.ApplyChanges(nil, 1, clock.Now())
+	g.Expect(asker.Collect(true)).NotTo(gomega.BeNil())
+}
--- a/core/spread/watchcache.go
+++ b/core/spread/watchcache.go
@@ -87,10 +87,11 @@
 
 // Collect returns this daemon's part of a heartbeat. Only daemons that watch the store, or that
 // request changes from a watch relay for their cell, report an age, so that the others of the cell
-// request changes from them.
+// request changes from them. They do so whether or not the store has answered: while it is away, a
+// copy from a peer is what daemons that start can get.
 func (s *WatchCacheSync) Collect(bool) any {
 	fresh := s.watchCache.CachedAsOf()
-	if s.watchCache.LastContact().IsZero() && !s.pullsFromRelay() || fresh.IsZero() {
+	if fresh.IsZero() || (!s.WatchesStore() && !s.pullsFromRelay()) {
 		return nil
 	}
 	return &cacheHeartbeat{AgeMillis: ageMillis(clock.Since(fresh))}
