What shows that the store is in reach expires with the bound

What callers would see: refusals by all daemons for as long as the store is away, where it falls silent within a long response: it had been in reach after what all copies reflect.

Found by reading.

Why this works: contact with the store counts for the bound; after that an outage is one for all, and they go on together. A request's line names when the store was last reached. The margin for the first byte of a response is 0.1 s: a store that answers after 0.24 s lets copies of small fleets age by 1.74 s of 2 s (worked out).

--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -65,9 +65,10 @@
 	return e.resp, e.err
 }
 
-// DoProbed sends a request whose response is checked as p says. If nothing is received on its connection and the service responds to the
-// probe on a new one, the former is given up. Unless ManyServices is set, all idle connections are
-// given up with it: they are as old. The result is then the probe's response, if that answers the request, and else ErrSilent.
+// DoProbed sends a request whose response is checked as p says. If nothing is received on its connection
+// and the service responds to the probe on a new one, the former is given up. Unless ManyServices is set,
+// all idle connections are given up with it: they are as old. The result is then the probe's response, if
+// that answers the request, and else ErrSilent.
 func (c *Client) DoProbed(req *http.Request, p Probe) (*http.Response, error) {
 	resp, err := c.doProbed(req, p)
 	if err != nil || p.Pause == 0 {
--- a/core/plat/interfaces.go
+++ b/core/plat/interfaces.go
@@ -21,8 +21,8 @@
 	// Watch calls f with the changes from the given revision on until ctx ends, f fails or the
 	// connection to the store breaks. A call of f without changes reports that there were none
 	// up to its revision. The changes and those of the former calls are all that the store
-	// acknowledged before asOf, which is zero if that is not known. Watch fails with ErrCompacted if the store no longer has that revision
-	// or is in a later store incarnation.
+	// acknowledged before asOf, which is zero if that is not known. Watch fails with ErrCompacted if
+	// the store no longer has that revision or is in a later store incarnation.
 	Watch(ctx context.Context, span Span, from int64, f func(changes []Change, revision int64, asOf clock.Time) error) error
 }
 
--- a/core/plat/probedbody.go
+++ b/core/plat/probedbody.go
@@ -26,7 +26,7 @@
 	silent atomic.Bool
 	// progress receives when data has arrived; its capacity is 1.
 	progress chan struct{}
-	// ended is closed when nothing more is read.
+	// ended is cancelled when nothing more is read, by finish.
 	ended  context.Context
 	finish context.CancelFunc
 }
--- a/core/spread/freshness.go
+++ b/core/spread/freshness.go
@@ -37,16 +37,16 @@
 
 // reachedMillis returns freshness.ReachedMillis.
 func (s *WatchCacheSync) reachedMillis() int64 {
-	at := s.storeReached()
+	at := s.StoreReached()
 	if at.IsZero() {
 		return notReached
 	}
 	return ageMillis(clock.Since(at))
 }
 
-// storeReached returns when the store was last known to be reachable, by this daemon or others; zero if it
+// StoreReached returns when the store was last known to be reachable, by this daemon or others; zero if it
 // was not.
-func (s *WatchCacheSync) storeReached() clock.Time {
+func (s *WatchCacheSync) StoreReached() clock.Time {
 	at := s.watchCache.SteadyReach()
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
@@ -56,9 +56,9 @@
 	return at
 }
 
-// RecordReached records that a peer said at a time that the store had been reachable a number of
+// RecordPeerReach records that a peer said at a time that the store had been reachable a number of
 // milliseconds before; 0 says that it was not.
-func (s *WatchCacheSync) RecordReached(at clock.Time, millis int64) {
+func (s *WatchCacheSync) RecordPeerReach(at clock.Time, millis int64) {
 	if millis <= notReached {
 		return
 	}
@@ -89,7 +89,7 @@
 		// A peer of another version tells nothing.
 		return
 	}
-	p.cacheSync.RecordReached(clock.Now(), millis)
+	p.cacheSync.RecordPeerReach(clock.Now(), millis)
 }
 
 // handleFreshness answers a daemon of another cell.
@@ -131,7 +131,7 @@
 		return
 	}
 	// Both ages count from the start: the response may have been under way for long.
-	s.RecordReached(start, got.ReachedMillis)
+	s.RecordPeerReach(start, got.ReachedMillis)
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
 	if at := start.Add(-reportedAge(got.AgeMillis)); at.After(s.relayFresh) {
@@ -158,8 +158,8 @@
 const maxProofGap = watchWaitSmall + batchTimeSmall + requestWait
 
 // KnowsNewer reports whether there may be a newer state than the one that this daemon has applied: another
-// daemon has a fresher copy that is younger than maxAge, or the store was reachable so long after this copy
-// that a daemon would have a newer one by now if it had arrived. While the store is out of reach for all,
+// daemon has a fresher copy that is younger than maxAge, or the store was reachable within maxAge and so
+// long after this copy that a newer one should have arrived. While the store is out of reach for all,
 // neither holds.
 func (s *WatchCacheSync) KnowsNewer(now clock.Time, maxAge time.Duration) bool {
 	fresh := s.watchCache.FreshAsOf()
@@ -167,5 +167,6 @@
 	if peer.After(fresh.Add(freshnessSlack)) && now.Sub(peer) < maxAge {
 		return true
 	}
-	return s.storeReached().After(fresh.Add(maxProofGap))
+	reached := s.StoreReached()
+	return reached.After(fresh.Add(maxProofGap)) && now.Sub(reached) < maxAge
 }
--- a/core/spread/freshness_test.go
+++ b/core/spread/freshness_test.go
@@ -32,6 +32,7 @@
 		{"the other copy is fresher, and over the bound as well", maxAge + time.Second, 0, false},
 		{"the other copy is as old, the store was reachable since", 2 * maxAge, time.Second, true},
 		{"the other copy is as old, the store was reachable until then", 2 * maxAge, 2*maxAge - time.Second, false},
+		{"the other copy is as old, the store has been away for longer than the bound", 2 * maxAge, maxAge + time.Millisecond, false},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -41,7 +42,7 @@
 			asker.watchCache.ApplyChanges(nil, 1, now.Add(-2*maxAge))
 			other.watchCache.ApplyChanges(nil, 1, now.Add(-tc.other))
 			if tc.reached > 0 {
-				other.RecordReached(now, tc.reached.Milliseconds())
+				other.RecordPeerReach(now, tc.reached.Milliseconds())
 			}
 			g.Expect(asker.KnowsNewer(now, maxAge)).To(gomega.BeFalse())
 			g.Eventually(func() bool {
--- a/emberd/internal/host/config_current_test.go
+++ b/emberd/internal/host/config_current_test.go
@@ -82,6 +82,7 @@
 		{"old, the peer fresh", 2 * maxAge, 0, 0, true},
 		{"old, the peer as well, but it reaches the store", 2 * maxAge, 2 * maxAge, time.Millisecond, true},
 		{"old, the peer reached the store until its copy became old", 2 * maxAge, 2 * maxAge, 2*maxAge - time.Second, false},
+		{"old, the store has been away for longer than the bound", 4 * maxAge, 4 * maxAge, 2 * maxAge, false},
 		{"fresh, the peer reaches the store", maxAge / 2, 2 * maxAge, time.Millisecond, false},
 	}
 	for _, tc := range tests {
@@ -93,7 +94,7 @@
 				age, err := msgpack.Marshal([]int64{tc.peer.Milliseconds()})
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 				h.watchCacheSync.Receive("peer", age)
-				h.watchCacheSync.RecordReached(now, tc.reached.Milliseconds())
+				h.watchCacheSync.RecordPeerReach(now, tc.reached.Milliseconds())
 			}
 			g.Expect(h.configOverdue(now) > 0).To(gomega.Equal(tc.overdue))
 			g.Expect(h.behindPeers(now) > 0).To(gomega.Equal(tc.overdue))
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -253,6 +253,9 @@
 	if fresh := h.watchCacheSync.FreshestPeerCopy(); !fresh.IsZero() {
 		text += ", peers " + clock.Since(fresh).Round(10*time.Millisecond).String()
 	}
+	if reached := h.watchCacheSync.StoreReached(); !reached.IsZero() {
+		text += ", store reached " + clock.Since(reached).Round(10*time.Millisecond).String()
+	}
 	if since := h.watchCache.UnfetchedSince(); !since.IsZero() {
 		text += ", a value missing for " + clock.Since(since).Round(10*time.Millisecond).String()
 	}
@@ -268,7 +271,7 @@
 
 // transitMargin is the part of Bounds.OldConfiguration that is reserved for the time for which the first
 // byte of a response of the store was under way: the response is dated by its arrival.
-const transitMargin = 200 * time.Millisecond
+const transitMargin = 100 * time.Millisecond
 
 // maxConfigAge is the age up to which a configuration is used when a newer one may exist.
 func (h *Host) maxConfigAge() time.Duration {
