A configuration that is still being applied does not let the former one serve

What callers could see: requests handled by the former configuration for as long as a daemon decodes the newer one, with no peer that knows more: a box with a small share of a core needs long for a megabyte.

Cause: a value that was announced separately counts as missing until it is applied, but one that comes with its change did not: the daemon's own copy was no evidence that there is a newer state, only those of others and contact with the store were.

Evidence: TestConfigIsOverdueWhileANewerOneIsApplied failed before (0 in place of the bound).

Why this works: while the copy reflects more than what has been applied, the applied configuration is used within the bound only.

--- a/core/spread/freshness.go
+++ b/core/spread/freshness.go
@@ -157,12 +157,15 @@
 // the store holds a watch, its changes are batched, and a peer's request for changes waits.
 const maxProofGap = watchWaitSmall + batchTimeSmall + requestWait
 
-// KnowsNewer reports whether there may be a newer state than the one that this daemon has applied: another
-// daemon has a fresher copy that is younger than maxAge, or the store was reachable within maxAge and so
+// KnowsNewer reports whether there may be a newer state than the one that this daemon has applied: its copy
+// has one that is still being applied, another daemon has a fresher copy that is younger than maxAge, or the store was reachable within maxAge and so
 // long after this copy that a newer one should have arrived. While the store is out of reach for all,
-// neither holds.
+// none of these holds.
 func (s *WatchCacheSync) KnowsNewer(now clock.Time, maxAge time.Duration) bool {
 	fresh := s.watchCache.FreshAsOf()
+	if s.watchCache.CachedAsOf().After(fresh) {
+		return true
+	}
 	peer := s.FreshestPeerCopy()
 	if peer.After(fresh.Add(freshnessSlack)) && now.Sub(peer) < maxAge {
 		return true
--- a/emberd/internal/host/config_current_test.go
+++ b/emberd/internal/host/config_current_test.go
@@ -132,3 +132,25 @@
 	_, evacuated := h.roster.Evacuated("z1", time.Now())
 	g.Expect(evacuated).To(gomega.BeTrue(), "later changes are applied")
 }
+
+// A configuration that has arrived and is still being decoded is not applied: a box with a small share of a
+// core needs long for a megabyte, and no peer need know more than this daemon.
+func TestConfigIsOverdueWhileANewerOneIsApplied(t *testing.T) {
+	g, h := newHost(t)
+	maxAge := h.settings.Bounds.OldConfiguration
+	start := clock.Now()
+	var during, later time.Duration
+	h.watchCache.Observe(func(changes []plat.Change) {
+		if changes[0].ModRevision == 2 {
+			during, later = h.configOverdue(start.Add(maxAge/4)), h.configOverdue(start.Add(maxAge))
+		}
+	})
+	change := func(revision int64) []plat.Change {
+		return []plat.Change{{Pair: plat.Pair{Key: "a", ModRevision: revision}}}
+	}
+	h.watchCache.ApplyChanges(change(1), 1, start)
+	h.watchCache.ApplyChanges(change(2), 2, start.Add(maxAge/2))
+	g.Expect(during).To(gomega.BeZero())
+	g.Expect(later).To(gomega.Equal(maxAge))
+	g.Expect(h.configOverdue(start.Add(maxAge))).To(gomega.BeZero())
+}
