Each mend of the outdated configuration has a test that fails without it

Besides, the dating of changes of an index from a peer is a method of its own, so that it can be tested.

--- a/core/plat/claims_test.go
+++ b/core/plat/claims_test.go
@@ -1,8 +1,10 @@
 package plat_test
 
 import (
+	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +149,63 @@
 	g.Expect(w.HasUnfetched()).To(gomega.BeFalse())
 	g.Expect(w.CurrentAsOf()).To(gomega.Equal(start.Add(changes * time.Second)))
 }
+
+// What a copy of one shard was known to reflect proves nothing of the keys that another one adds.
+func TestCopyOfAnotherShardIsNoFresherThanThePeer(t *testing.T) {
+	later := clock.Now()
+	earlier := later.Add(-time.Second)
+	tests := []struct {
+		name   string
+		change func(w *plat.WatchCache)
+	}{
+		{"a change of shards", func(w *plat.WatchCache) {
+			w.SwitchShard([]plat.Change{change("b", "x", 4)}, 5, "one", "two", func(plat.Pair) bool { return false }, earlier)
+		}},
+		{"a snapshot of another shard", func(w *plat.WatchCache) {
+			w.ApplySnapshot([]plat.Change{change("b", "x", 4)}, 5, "one", "two", earlier)
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w := plat.NewWatchCache(&memkv.KV{}, plat.Prefix(""), &event.Log{})
+			w.ApplySnapshot([]plat.Change{change("a", "x", 3)}, 5, "", "one", later)
+			g.Expect(w.FreshAsOf()).To(gomega.Equal(later))
+			tc.change(w)
+			g.Expect(w.Shard()).To(gomega.Equal("two"))
+			g.Expect(w.FreshAsOf()).To(gomega.Equal(earlier))
+		})
+	}
+}
+
+// laggingReader is a store whose first reads are behind what peers have seen of it.
+type laggingReader struct {
+	// revisions are those of the reads, in order.
+	revisions []int64
+	reads     atomic.Int64
+	// watchedAfter receives how many reads there had been when the watch began.
+	watchedAfter chan int64
+}
+
+func (r *laggingReader) Range(context.Context, plat.Span) ([]plat.Pair, int64, error) {
+	return nil, r.revisions[min(int(r.reads.Add(1)), len(r.revisions))-1], nil
+}
+
+func (r *laggingReader) Watch(ctx context.Context, _ plat.Span, _ int64, _ func([]plat.Change, int64, clock.Time) error) error {
+	r.watchedAfter <- r.reads.Load()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// A daemon that holds one shard and begins to watch the store reads it until it has all keys: with a read
+// that is behind it would go on with its shard as if that were everything.
+func TestReadBehindTheCacheIsRepeated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reader := &laggingReader{revisions: []int64{3, 4, 7}, watchedAfter: make(chan int64, 1)}
+	w := &watched{WatchCache: plat.NewWatchCache(reader, plat.Prefix(""), &event.Log{})}
+	w.ApplySnapshot([]plat.Change{change("a", "x", 5)}, 5, "", "one", clock.Now())
+	w.start(t)
+	g.Eventually(reader.watchedAfter, "20s").Should(gomega.Receive(gomega.Equal(int64(3))))
+	g.Expect(w.Shard()).To(gomega.BeEmpty())
+	g.Expect(w.Revision()).To(gomega.Equal(int64(7)))
+}
--- a/core/spread/freshness_test.go
+++ b/core/spread/freshness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -14,36 +15,38 @@
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wire"
 )
 
-// A daemon whose own cell has no fresher copy learns from another cell that there is one, or that the store
-// can be reached: otherwise the cell would go on by an old configuration as if the store were down.
+// A daemon whose own cell has no fresher copy learns from a watch relay that there is one, or that the store
+// can be reached: otherwise the cell would go on by an old configuration as if the store were down. The relay
+// is of another cell, so that no heartbeat tells of it.
 func TestDaemonLearnsFromOtherCellsThatItsCopyIsOld(t *testing.T) {
 	const maxAge = 3 * time.Second
 	tests := []struct {
 		name string
-		// other is the age of the other daemon's copy, and reached for how long it has not reached the store;
-		// 0 stands for never.
-		other, reached time.Duration
+		// relay is the age of the relay's copy, and reached for how long it has not reached the store; 0 stands
+		// for never.
+		relay, reached time.Duration
 		newer          bool
 	}{
-		{"the other copy is fresh", 0, 0, true},
-		{"the other copy is as old", 2 * maxAge, 0, false},
-		{"the other copy is fresher, and over the bound as well", maxAge + time.Second, 0, false},
-		{"the other copy is as old, the store was reachable since", 2 * maxAge, time.Second, true},
-		{"the other copy is as old, the store was reachable until then", 2 * maxAge, 2*maxAge - time.Second, false},
-		{"the other copy is as old, the store has been away for longer than the bound", 2 * maxAge, maxAge + time.Millisecond, false},
+		{"the relay's copy is fresh", 0, 0, true},
+		{"the relay's copy is as old", 2 * maxAge, 0, false},
+		{"the relay's copy is fresher, and over the bound as well", maxAge + time.Second, 0, false},
+		{"the relay's copy is as old, the store was reachable since", 2 * maxAge, time.Second, true},
+		{"the relay's copy is as old, the store was reachable until then", 2 * maxAge, 2*maxAge - time.Second, false},
+		{"the relay's copy is as old, the store has been away for longer than the bound", 2 * maxAge, maxAge + time.Millisecond, false},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			asker, other := twoDaemons(t)
+			asker, relay := twoDaemons(t)
 			now := clock.Now()
 			asker.watchCache.ApplyChanges(nil, 1, now.Add(-2*maxAge))
-			other.watchCache.ApplyChanges(nil, 1, now.Add(-tc.other))
-			if tc.reached > 0 {
-				other.RecordPeerReach(now, tc.reached.Milliseconds())
-			}
+			scripted := freshness{AgeMillis: ageMillis(tc.relay), ReachedMillis: tc.reached.Milliseconds()}
+			relay.fleet.Mux().Register(kindFreshness, wire.Handle(func(context.Context, string, *struct{}) (*freshness, error) {
+				return &scripted, nil
+			}))
 			g.Expect(asker.KnowsNewer(now, maxAge)).To(gomega.BeFalse())
 			g.Eventually(func() bool {
 				asker.askFreshness(t.Context(), "other")
@@ -54,7 +57,110 @@
 	}
 }
 
-// twoDaemons returns two running fleet members, "asker" and "other".
+func TestRelayReportsItsCopyAndWhenItReachedTheStore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, relay := twoDaemons(t)
+	relay.watchCache.ApplyChanges(nil, 1, clock.Now().Add(-time.Minute))
+	got, err := relay.handleFreshness(t.Context(), "asker", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.AgeMillis).To(gomega.BeNumerically("~", 60_000, 5_000))
+	g.Expect(got.ReachedMillis).To(gomega.BeZero(), "never")
+	relay.RecordPeerReach(clock.Now(), 1)
+	got, err = relay.handleFreshness(t.Context(), "asker", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.ReachedMillis).To(gomega.BeNumerically("~", 1, 5_000))
+	g.Expect(got.ReachedMillis).To(gomega.BeNumerically(">", 0))
+}
+
+// Where the daemons of a cell that request its changes from watch relays do not provide them, others do so
+// before the users' bound is over, but not all: each relay would have as many clients as there are daemons.
+func TestStandbysOfACellRequestChangesFromRelays(t *testing.T) {
+	const daemons = 48
+	tests := []struct {
+		name string
+		age  time.Duration
+		want int
+	}{
+		{"fresh", 0, watchersPerCell},
+		{"old", staleAfter + 100*time.Millisecond, watchersPerCell + standbysPerRound},
+		{"very old", 10 * staleAfter, watchersPerCell + maxStandbyRounds*standbysPerRound},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var seeds []fleet.Peer
+			for i := range daemons {
+				seeds = append(seeds, fleet.Peer{Name: fmt.Sprintf("d%02d", i), Address: "127.0.0.1:1", Domain: "z1"})
+			}
+			pulling, cells := map[int]int{}, 0
+			for _, p := range seeds {
+				log := &event.Log{}
+				f := fleet.New(fleet.Options{Name: p.Name, Domain: "z1", Seeds: seeds, Log: log})
+				s := NewWatchCacheSync(plat.NewWatchCache(&memkv.KV{}, plat.Prefix(""), log), f, log)
+				s.watchCache.ApplyChanges(nil, 1, clock.Now().Add(-tc.age))
+				cells = f.View().Cells()
+				if s.pullsFromRelay() {
+					pulling[f.View().Cell()]++
+				}
+			}
+			g.Expect(cells).To(gomega.BeNumerically(">=", minCellsForRelays))
+			g.Expect(pulling).To(gomega.HaveLen(cells))
+			for _, n := range pulling {
+				g.Expect(n).To(gomega.Equal(tc.want))
+			}
+		})
+	}
+}
+
+// After a response that was long under way the copy is already old: the next watch is answered so much sooner,
+// so that the copy does not age beyond what daemons expect while the store is in reach.
+func TestWatchIsHeldForLessAfterALongResponse(t *testing.T) {
+	tests := []struct {
+		name string
+		// age is that of the copy when the response has been applied.
+		age  time.Duration
+		want time.Duration
+	}{
+		{"at once", 0, watchWaitSmall},
+		{"long under way", time.Second, watchWaitSmall + batchTimeStartup - time.Second},
+		{"very long", time.Minute, minWatchWait},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			log := &event.Log{}
+			reader := &oneResponse{age: tc.age}
+			w := plat.NewWatchCache(reader, plat.Prefix(""), log)
+			s := NewWatchCacheSync(w, fleet.New(fleet.Options{Name: "me", Log: log}), log)
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			t.Cleanup(func() { cancel(); wg.Wait() })
+			wg.Go(func() { w.Run(ctx) })
+			g.Eventually(w.Revision, "10s", "1ms").Should(gomega.Equal(int64(2)))
+			g.Expect(s.WatchWait()).To(gomega.BeNumerically("~", tc.want, 100*time.Millisecond))
+		})
+	}
+}
+
+// oneResponse is a store whose watch has one response, which has been under way for age.
+type oneResponse struct{ age time.Duration }
+
+func (r *oneResponse) Range(context.Context, plat.Span) ([]plat.Pair, int64, error) {
+	return nil, 1, nil
+}
+
+func (r *oneResponse) Watch(ctx context.Context, _ plat.Span, _ int64, f func([]plat.Change, int64, clock.Time) error) error {
+	// What was read before is older still.
+	clock.Suspend(r.age)
+	if err := f(nil, 2, clock.Now().Add(-r.age)); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// twoDaemons returns two running fleet members, "asker" and "other". Their heartbeats report no copies while
+// these are empty.
 func twoDaemons(t *testing.T) (asker, other *WatchCacheSync) {
 	var listeners []net.Listener
 	var seeds []fleet.Peer
--- a/core/spread/storeindex.go
+++ b/core/spread/storeindex.go
@@ -131,15 +131,20 @@
 			Address: address, Since: since, WaitMillis: wait.Milliseconds(),
 			AgeMillis: ageMillis(s.indexes.Age(address, clock.Now())),
 		}
-		start := clock.Now()
-		got, err := s.request(ctx, source.peer, req)
-		if err != nil {
-			return cache.SegmentEvents{}, err
-		}
-		return dated(got.events(), start, wait), nil
+		return s.eventsFrom(ctx, source.peer, req)
 	})
 }
 
+// eventsFrom returns the changes of a store's index at a peer.
+func (s *StoreIndexes) eventsFrom(ctx context.Context, peer string, req *indexRequest) (cache.SegmentEvents, error) {
+	start := clock.Now()
+	got, err := s.request(ctx, peer, req)
+	if err != nil {
+		return cache.SegmentEvents{}, err
+	}
+	return dated(got.events(), start, time.Duration(req.WaitMillis)*time.Millisecond), nil
+}
+
 // dated adds to the age of a response how long it was under way at least: it was sent at the latest when the
 // request's time to wait was over.
 func dated(ev cache.SegmentEvents, start clock.Time, wait time.Duration) cache.SegmentEvents {
