Two relays are asked at a time how fresh their copies are; logs say by what a daemon takes itself for current

What callers could see: requests handled by an old configuration for half a second more, where the first two watch relays that are asked do not respond: one at a time, two fit between the age at which a daemon asks and the bound.

TestDaemonWithAnOldCopyAsksRelays fails with one at a time.

--- a/core/spread/freshness.go
+++ b/core/spread/freshness.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -20,6 +22,9 @@
 	freshnessInterval = 500 * time.Millisecond
 	// freshnessTimeout bounds one of them; the response has a few bytes.
 	freshnessTimeout = 400 * time.Millisecond
+	// freshnessRelays is how many watch relays are asked at a time: one that does not respond must not cost
+	// the time that is left of the users' bound.
+	freshnessRelays = 2
 	// notReached stands for a store that was not reached, in messages. Ages in messages are above 0.
 	notReached = 0
 )
@@ -108,14 +113,14 @@
 			return
 		}
 		// Own failure domain first, then the others in turn.
-		names := s.relaySetOf(view).candidates
-		for range names {
-			name := names[next%len(names)]
-			if next++; name != view.Self() {
-				s.askFreshness(ctx, name)
-				return
-			}
+		others := slices.DeleteFunc(slices.Clone(s.relaySetOf(view).candidates), func(name string) bool { return name == view.Self() })
+		var wg sync.WaitGroup
+		for range min(freshnessRelays, len(others)) {
+			name := others[next%len(others)]
+			next++
+			wg.Go(func() { s.askFreshness(ctx, name) })
 		}
+		wg.Wait()
 	})
 }
 
--- a/core/spread/freshness_test.go
+++ b/core/spread/freshness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +58,50 @@
 	}
 }
 
+// A daemon whose copy is old asks several relays at once: the first may not respond, and the users' bound is
+// over a second later. With a fresh copy it asks nobody.
+func TestDaemonWithAnOldCopyAsksRelays(t *testing.T) {
+	tests := []struct {
+		name string
+		age  time.Duration
+		asks bool
+	}{
+		{"old", staleAfter + time.Second, true},
+		{"fresh", 0, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			peer, relay := twoDaemons(t)
+			var asked, atOnce, most atomic.Int64
+			relay.fleet.Mux().Register(kindFreshness, wire.Handle(func(context.Context, string, *struct{}) (*freshness, error) {
+				asked.Add(1)
+				most.Store(max(most.Load(), atOnce.Add(1)))
+				defer atOnce.Add(-1)
+				time.Sleep(freshnessTimeout / 4)
+				return &freshness{AgeMillis: 1}, nil
+			}))
+			var seeds []fleet.Peer
+			for i := range 48 {
+				seeds = append(seeds, fleet.Peer{Name: fmt.Sprintf("d%02d", i), Address: peer.fleet.View().Peers()[0].Address, Domain: fmt.Sprintf("z%d", i%3)})
+			}
+			log := &event.Log{}
+			asker := NewWatchCacheSync(plat.NewWatchCache(&memkv.KV{}, plat.Prefix(""), log), fleet.New(fleet.Options{Name: "d00", Domain: "z0", Seeds: seeds, Log: log}), log)
+			asker.watchCache.ApplyChanges(nil, 1, clock.Now().Add(-tc.age))
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			t.Cleanup(func() { cancel(); wg.Wait() })
+			wg.Go(func() { asker.freshnessLoop(ctx) })
+			if tc.asks {
+				g.Eventually(asker.FreshestPeerCopy, "20s", "10ms").ShouldNot(gomega.Equal(clock.Time{}))
+				g.Eventually(most.Load, "20s", "10ms").Should(gomega.Equal(int64(freshnessRelays)))
+			} else {
+				g.Consistently(asked.Load, 2*freshnessInterval, "10ms").Should(gomega.BeZero())
+			}
+		})
+	}
+}
+
 func TestRelayReportsItsCopyAndWhenItReachedTheStore(t *testing.T) {
 	g := gomega.NewWithT(t)
 	_, relay := twoDaemons(t)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -249,7 +249,7 @@
 
 // knowledge describes for a log line by what this daemon takes its configuration for current.
 func (h *Host) knowledge() string {
-	text := "view age " + h.viewAge().Round(10*time.Millisecond).String()
+	text := "view age " + h.viewAge().Round(10*time.Millisecond).String() + " at revision " + itoa(plat.StoreRevision(h.watchCache.Revision()))
 	if fresh := h.watchCacheSync.FreshestPeerCopy(); !fresh.IsZero() {
 		text += ", peers " + clock.Since(fresh).Round(10*time.Millisecond).String()
 	}
--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -40,7 +40,7 @@
 		if ready = reason == ""; ready {
 			h.log.Emit(event.DaemonReady, event.Ref{}, "configuration "+itoa(h.relay.Table().Version()))
 		} else {
-			h.log.Emit(event.DaemonNotReady, event.Ref{}, reason)
+			h.log.Emit(event.DaemonNotReady, event.Ref{}, reason+"; "+h.knowledge())
 		}
 	})
 }
