--- a/review/rig/earlyreset.go
+++ b/review/rig/earlyreset.go
@@ -122,19 +122,19 @@
 	r.store = newStore(loopback(1) + ":0")
 	route := func(name, kind string, attempts int) map[string]any {
 		return map[string]any{
-			"Name": name, "Host": "club.example", "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutMs": 5000, "TargetLatencyMs": 300,
+			"Name": name, "Host": "ledger.example", "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutMs": 5000, "TargetLatencyMs": 300,
 			"Priority": 1, "MaxAttempts": attempts, "Service": "app", "Public": false, "Sticky": false, "Resumable": false,
 		}
 	}
 	r.store.put("op/config", map[string]any{
 		"Version":  1,
-		"Routes":   []any{route("card-renewal", "non_idempotent", 1), route("door-pass", "idempotent", 2)},
+		"Routes":   []any{route("pay-post", "non_idempotent", 1), route("read-post", "idempotent", 2)},
 		"Services": []any{map[string]any{"Name": "app", "HealthPath": "/healthz", "MaxConns": 110, "Protocol": "h1", "Tls": false}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants":  []any{map[string]any{"Name": "club", "ApiKeys": []string{"key-1"}, "Priority": 1}},
+		"Tenants":  []any{map[string]any{"Name": "utility-1", "ApiKeys": []string{"key-1"}, "Priority": 1}},
 	})
-	garbling := newEarlyWorker(r, "i-1", "brasov-a", true)
-	newEarlyWorker(r, "i-2", "brasov-b", false)
+	garbling := newEarlyWorker(r, "i-1", "tacoma-hall", true)
+	newEarlyWorker(r, "i-2", "salem-hall", false)
 	r.startDaemons(3)
 	r.awaitReady()
 	time.Sleep(time.Second)
@@ -156,7 +156,7 @@
 	for c := range clients {
 		wg.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				r.upload(r.daemons[(c+n)%len(r.daemons)], []string{"card-renewal", "door-pass"}[n%2], fmt.Sprintf("%x-%x", c, n))
+				r.upload(r.daemons[(c+n)%len(r.daemons)], []string{"pay-post", "read-post"}[n%2], fmt.Sprintf("%x-%x", c, n))
 				time.Sleep(150 * time.Millisecond)
 			}
 		})
@@ -174,7 +174,7 @@
 func (r *rig) upload(d *daemon, route, id string) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.callers+"/"+route+"/2f", strings.NewReader(strings.Repeat("x", uploadBytes)))
 	check(err)
-	req.Host = "club.example"
+	req.Host = "ledger.example"
 	req.Header.Set("Embertally-Attempt-Id", id)
 	req.Header.Set("Embertally-Deadline-Ms", "5000")
 	req.Header.Set("Authorization", "Bearer key-1")
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -26,7 +26,7 @@
 )
 
 // cases are the scripted cases by name.
-var cases = map[string]func(*rig) bool{"earlyReset": earlyReset}
+var cases = map[string]func(*rig) bool{"earlyReset": earlyReset, "endlessHead": endlessHead}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
@@ -74,13 +74,16 @@
 	mu      sync.Mutex // guards the fields below
 	record  *os.File
 	tallies map[string]int
+	// runs holds the worker that ran each request last.
+	runs map[string]string
 }
 
 // daemon is one process of the system under test.
 type daemon struct {
-	name, ip, callers, readiness string
-	cmd                          *exec.Cmd
-	exited                       chan struct{}
+	name, zone, ip, callers, readiness, peers, metrics string
+
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // note writes a line to record.txt, with the time since the start.
@@ -121,17 +124,20 @@
 	return l.Addr().String()
 }
 
-// settings are those of deploy/settings.yaml, filled with the bounds of forta-abonamente.
+// memoryMB is the memory of a machine of cmc-ledger.
+const memoryMB = 134
+
+// settings are those of deploy/settings.yaml, filled with the bounds of cmc-ledger.
 const settings = `name: %q
 domain: %q
-regions: {"brasov-a":"ro-centru","brasov-b":"ro-centru"}
+regions: {"tacoma-hall":"pnw-core","salem-hall":"pnw-core"}
 callers: %q
 readiness: %q
 peers: %q
 metrics: %q
 store: %q
-firstStart: true
-memoryMB: 284
+firstStart: %v
+memoryMB: %d
 bounds:
   stop: 8s
   orderApart: 3000ms
@@ -147,23 +153,30 @@
 // startDaemons starts daemons, alternately in two failure domains.
 func (r *rig) startDaemons(n int) {
 	for i := range n {
-		zone := []string{"brasov-a", "brasov-b"}[i%2]
-		d := &daemon{name: fmt.Sprintf("edge-%s-%d", zone, i/2+1), ip: loopback(10 + i), exited: make(chan struct{})}
-		d.callers, d.readiness = freeAddress(d.ip), freeAddress(d.ip)
-		text := fmt.Sprintf(settings, d.name, zone, d.callers, d.readiness, freeAddress(d.ip), freeAddress(d.ip), r.store.address)
-		file := filepath.Join(r.dir, d.name+".yaml")
-		check(os.WriteFile(file, []byte(text), 0o600))
-		log, err := os.Create(filepath.Join(r.dir, d.name+".log"))
-		check(err)
-		d.cmd = exec.Command(r.daemonPath, "host", file)
-		d.cmd.Stdout, d.cmd.Stderr = log, log
-		check(d.cmd.Start())
-		go func() { d.cmd.Wait(); close(d.exited) }()
+		zone := []string{"tacoma-hall", "salem-hall"}[i%2]
+		d := &daemon{name: fmt.Sprintf("edge-%s-%d", zone, i/2+1), zone: zone, ip: loopback(10 + i)}
+		d.callers, d.readiness, d.peers, d.metrics = freeAddress(d.ip), freeAddress(d.ip), freeAddress(d.ip), freeAddress(d.ip)
+		r.run(d, true)
 		r.daemons = append(r.daemons, d)
-		r.note("started daemon %s", d.name)
 	}
 }
 
+// run starts the process of a daemon.
+func (r *rig) run(d *daemon, first bool) {
+	file := filepath.Join(r.dir, d.name+".yaml")
+	text := fmt.Sprintf(settings, d.name, d.zone, d.callers, d.readiness, d.peers, d.metrics, r.store.address, first, memoryMB)
+	check(os.WriteFile(file, []byte(text), 0o600))
+	log, err := os.OpenFile(filepath.Join(r.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	check(err)
+	defer log.Close()
+	cmd, exited := exec.Command(r.daemonPath, "host", file), make(chan struct{})
+	cmd.Stdout, cmd.Stderr = log, log
+	check(cmd.Start())
+	go func() { cmd.Wait(); close(exited) }()
+	d.cmd, d.exited = cmd, exited
+	r.note("started %s", d.name)
+}
+
 // awaitReady waits until all daemons are ready.
 func (r *rig) awaitReady() {
 	deadline := time.Now().Add(20 * time.Second)
