--- a/review/rig/earlyreset.go
+++ b/review/rig/earlyreset.go
@@ -122,7 +122,7 @@
 	r.store = newStore(loopback(1) + ":0")
 	route := func(name, kind string, attempts int) map[string]any {
 		return map[string]any{
-			"Name": name, "Host": "ledger.example", "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutMs": 5000, "TargetLatencyMs": 300,
+			"Name": name, "Host": "ledger.example", "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutMs": 1200, "TargetLatencyMs": 150,
 			"Priority": 1, "MaxAttempts": attempts, "Service": "app", "Public": false, "Sticky": false, "Resumable": false,
 		}
 	}
@@ -176,9 +176,9 @@
 	check(err)
 	req.Host = "ledger.example"
 	req.Header.Set("Embertally-Attempt-Id", id)
-	req.Header.Set("Embertally-Deadline-Ms", "5000")
+	req.Header.Set("Embertally-Deadline-Ms", "2500")
 	req.Header.Set("Authorization", "Bearer key-1")
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 6 * time.Second}).Do(req)
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 4 * time.Second}).Do(req)
 	if err != nil {
 		r.note("%s (%s): no answer: %v", id, route, err)
 		r.count("no answer")
--- a/review/rig/endlesshead.go
+++ b/review/rig/endlesshead.go
@@ -172,7 +172,7 @@
 	r.store.put("op/config", map[string]any{
 		"Version": 1,
 		"Routes": []any{map[string]any{
-			"Name": "pay-post", "Host": "ledger.example", "PathPrefix": "/pay-post/", "Kind": "non_idempotent", "TimeoutMs": 2500, "TargetLatencyMs": 150,
+			"Name": "pay-post", "Host": "ledger.example", "PathPrefix": "/pay-post/", "Kind": "non_idempotent", "TimeoutMs": 1200, "TargetLatencyMs": 150,
 			"Priority": 1, "MaxAttempts": 1, "Service": "app", "Public": false, "Sticky": false, "Resumable": false,
 		}},
 		"Services": []any{map[string]any{"Name": "app", "HealthPath": "/healthz", "MaxConns": 110, "Protocol": "h1", "Tls": false}},
