--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -26,7 +26,7 @@
 )
 
 // cases are the scripted cases by name.
-var cases = map[string]func(*rig) bool{"earlyReset": earlyReset, "endlessHead": endlessHead}
+var cases = map[string]func(*rig) bool{"earlyReset": earlyReset, "endlessHead": endlessHead, "staleVersion": staleVersion}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
@@ -70,6 +70,8 @@
 	dir        string
 	store      *store
 	daemons    []*daemon
+	// links, if set, puts proxies between machines before the daemons start.
+	links func([]*daemon)
 
 	mu      sync.Mutex // guards the fields below
 	record  *os.File
@@ -80,7 +82,7 @@
 
 // daemon is one process of the system under test.
 type daemon struct {
-	name, zone, ip, callers, readiness, peers, metrics string
+	name, zone, ip, callers, readiness, peers, metrics, store string
 
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -156,15 +158,21 @@
 		zone := []string{"tacoma-hall", "salem-hall"}[i%2]
 		d := &daemon{name: fmt.Sprintf("edge-%s-%d", zone, i/2+1), zone: zone, ip: loopback(10 + i)}
 		d.callers, d.readiness, d.peers, d.metrics = freeAddress(d.ip), freeAddress(d.ip), freeAddress(d.ip), freeAddress(d.ip)
-		r.run(d, true)
+		d.store = r.store.address
 		r.daemons = append(r.daemons, d)
 	}
+	if r.links != nil {
+		r.links(r.daemons)
+	}
+	for _, d := range r.daemons {
+		r.run(d, true)
+	}
 }
 
 // run starts the process of a daemon.
 func (r *rig) run(d *daemon, first bool) {
 	file := filepath.Join(r.dir, d.name+".yaml")
-	text := fmt.Sprintf(settings, d.name, d.zone, d.callers, d.readiness, d.peers, d.metrics, r.store.address, first, memoryMB)
+	text := fmt.Sprintf(settings, d.name, d.zone, d.callers, d.readiness, d.peers, d.metrics, d.store, first, memoryMB)
 	check(os.WriteFile(file, []byte(text), 0o600))
 	log, err := os.OpenFile(filepath.Join(r.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -31,6 +32,7 @@
 // disruption.
 type store struct {
 	address string
+	mux     *http.ServeMux
 
 	mu        sync.Mutex // guards the fields below
 	rev       int64
@@ -60,7 +62,7 @@
 	}
 	l, err := net.Listen("tcp", address)
 	check(err)
-	s.address = l.Addr().String()
+	s.address, s.mux = l.Addr().String(), mux
 	go http.Serve(l, mux)
 	go s.expireLoop()
 	return s
@@ -155,7 +157,7 @@
 	}
 	for key, it := range s.items {
 		if strings.HasPrefix(key, q.Get("PathPrefix")) && key > q.Get("after") {
-			page.Items = append(page.Items, it)
+			page.Items = append(page.Items, seenBy(r, it))
 		}
 	}
 	slices.SortFunc(page.Items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
@@ -177,7 +179,7 @@
 		s.mu.Lock()
 		for _, it := range s.history {
 			if it.Rev > after && strings.HasPrefix(it.Key, q.Get("PathPrefix")) {
-				got.Events = append(got.Events, it)
+				got.Events = append(got.Events, seenBy(r, it))
 			}
 		}
 		got.StoreRevision = s.rev
@@ -274,3 +276,26 @@
 	s.end(id)
 	return http.StatusOK, nil
 }
+
+// viewKey is the key of the context of requests to a view, whose value replaces text in the values.
+type viewKey struct{}
+
+// view returns another address of the store, whose callers read other addresses in the values: those of the proxies
+// in front of the machines that they reach.
+func (s *store) view(ip string, replace func() *strings.Replacer) string {
+	l, err := net.Listen("tcp", ip+":0")
+	check(err)
+	server := &http.Server{Handler: s.mux, BaseContext: func(net.Listener) context.Context {
+		return context.WithValue(context.Background(), viewKey{}, replace)
+	}}
+	go server.Serve(l)
+	return l.Addr().String()
+}
+
+// seenBy returns an item as the caller of a request reads it.
+func seenBy(r *http.Request, it item) item {
+	if replace, ok := r.Context().Value(viewKey{}).(func() *strings.Replacer); ok {
+		it.Value = []byte(replace().Replace(string(it.Value)))
+	}
+	return it
+}
