--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -118,12 +118,21 @@
 	return fmt.Sprintf("127.%d.%d.%d", 2+pid%250, pid/250%250, 1+n)
 }
 
-// freeAddress returns an IP address and port that nobody listens on.
+// firstPort is below the ports that the kernel gives to outgoing connections.
+const firstPort = 7001
+
+// lastPort is the port that freeAddress returned last.
+var lastPort = firstPort - 1
+
+// freeAddress returns an IP address and port that nobody listens on, each port once.
 func freeAddress(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	check(err)
-	defer l.Close()
-	return l.Addr().String()
+	for lastPort++; ; lastPort++ {
+		address := fmt.Sprintf("%s:%d", ip, lastPort)
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
+	}
 }
 
 // memoryMB is the memory of a machine of cmc-ledger.
