Log lines say by which list a version was the only one, and since when a version is known

Hypotheses, before any change of logic: the box took its list for complete although it was up to 2 s old (1); the record of the stream was held back or lost with the box that was killed (2); the box had restarted and took a proof over from a peer (3).

The line of a resumed stream now has the age and the revision of the list at the moment at which a version was called the only one, and the line of the first event for how long its version has been known. The roster keeps since when each version of a service is known, and full heartbeats tell it to daemons that start. No decision has changed.

--- a/core/relay/finish.go
+++ b/core/relay/finish.go
@@ -97,18 +97,23 @@
 	if p.table != nil {
 		version = p.table.Version()
 	}
-	knowledge := ""
-	if p.relay.options.Knowledge != nil {
-		knowledge = ", " + p.relay.options.Knowledge()
-	}
 	text := fmt.Sprintf("took %s%s, %s, configuration %d%s, attempts %d, executions %d; %s",
-		took.Round(time.Millisecond), first, p.sent, version, knowledge, p.attempts, p.executions, strings.Join(p.notes, "; "))
+		took.Round(time.Millisecond), first, p.sent, version, p.relay.knowledge(), p.attempts, p.executions, strings.Join(p.notes, "; "))
 	if p.forecast != nil {
 		p.forecast.Sends = p.attempts
 	}
 	p.relay.options.Log.EmitForecast(code, p.ref(), text, p.forecast)
 }
 
+// knowledge returns by what this daemon takes its configuration and its list of targets for current, to be appended to
+// the text of a log line.
+func (rl *Relay) knowledge() string {
+	if rl.options.Knowledge == nil {
+		return ""
+	}
+	return ", " + rl.options.Knowledge()
+}
+
 // recordForecast records what is expected of the first attempt.
 func (p *proxiedRequest) recordForecast(c *choice) {
 	if p.forecast != nil {
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -53,7 +53,7 @@
 	p.bind(found.Version)
 	stats.StreamsBound.Inc()
 	if found.Sole {
-		p.note("bound to version %q, the only one", found.Version)
+		p.note("bound to version %q, the only one known%s", found.Version, p.relay.knowledge())
 	} else {
 		p.note("bound to version %q, which began it", found.Version)
 	}
@@ -86,7 +86,7 @@
 	p.originRecorded = true
 	version := c.target.Entry().Version
 	p.bind(version)
-	p.note("events of version %q", version)
+	p.note("events of version %q, known for %s", version, p.relay.options.Roster.VersionAge(p.service, version).Round(time.Millisecond))
 	if p.relay.options.Origins == nil {
 		return
 	}
--- a/core/roster/heartbeat.go
+++ b/core/roster/heartbeat.go
@@ -30,13 +30,16 @@
 	RateLimits map[string]RateLimitUpdate
 	// RejectionLimits holds the rejection limits of incarnations, including those that ended recently.
 	RejectionLimits map[string]RateLimitUpdate
+	// SoftwareVersions holds the versions of the targets' software that the sender knows; nil unless the heartbeat is
+	// a full one.
+	SoftwareVersions []versionAge
 }
 
 // maxReloadingMillis bounds the milliseconds that a peer may report for a reloading target.
 const maxReloadingMillis = 2000
 
 // Collect returns this daemon's part of a heartbeat.
-func (s HeartbeatPart) Collect(bool) any {
+func (s HeartbeatPart) Collect(full bool) any {
 	body := heartbeatBody{Loads: s.busy.loads()}
 	s.rosterMu.Lock()
 	defer s.rosterMu.Unlock()
@@ -47,6 +50,9 @@
 	body.RateLimits = s.limitUpdates()
 	body.RejectionLimits = s.brittleUpdates()
 	body.Versions = s.recentVersions(now)
+	if full {
+		body.SoftwareVersions = s.versionAges()
+	}
 	return &body
 }
 
@@ -96,6 +102,7 @@
 			s.recordVersion(id, model, version)
 		}
 	}
+	s.mergeVersionAges(body.SoftwareVersions)
 	s.sumPeerLoads(now)
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -89,6 +89,8 @@
 	// CapacityChanged, if set, is called when a target may have capacity by the list or by the loads of
 	// peers. It is set before use.
 	CapacityChanged func()
+	// VersionRetention is how long a version is remembered after its targets have gone. It is set before use.
+	VersionRetention time.Duration
 
 	rosterMu sync.Mutex
 	targets  map[string]*Target // by ID; guarded by rosterMu
@@ -124,9 +126,9 @@
 	// selfReports holds, by ID, what incarnations reported about themselves in their responses. It
 	// outlives their entries, which may disappear and return. Guarded by rosterMu.
 	selfReports map[string]*selfReport
-	// formerVersions holds, by service and version, when a target of it was last taken off the list or changed its
-	// version. Guarded by rosterMu.
-	formerVersions map[string]map[string]clock.Time
+	// versions holds what is known of versions, by service and version, of this daemon's list and those of its peers.
+	// Guarded by rosterMu.
+	versions map[string]map[string]*versionRecord
 	// versionsSeen holds, by ID, when a target was last seen to have newer weights than were
 	// recorded. Guarded by rosterMu.
 	versionsSeen map[string]time.Time
@@ -214,6 +216,7 @@
 		t = &Target{id: e.ID, busy: &r.busy}
 	}
 	t.set(e)
+	r.recordVersionListed(e.Service, e.Version)
 	r.targets[e.ID], r.incarnations[e.Name] = t, e.ID
 	delete(r.outOfOrder, e.Name)
 	delete(r.replaced, e.Name)
@@ -235,7 +238,8 @@
 	old := t.Entry()
 	serviceChanged := e.Service != old.Service
 	if serviceChanged || e.Version != old.Version {
-		r.recordFormerVersion(old)
+		r.recordVersionUnlisted(old)
+		r.recordVersionListed(e.Service, e.Version)
 	}
 	t.set(e)
 	if serviceChanged {
@@ -331,7 +335,7 @@
 // delist takes a target off the lists. It is called with rosterMu held.
 func (r *Roster) delist(t *Target) {
 	name := t.Entry().Name
-	r.recordFormerVersion(t.Entry())
+	r.recordVersionUnlisted(t.Entry())
 	delete(r.targets, t.id)
 	delete(r.updating, t.id)
 	if r.incarnations[name] == t.id {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -213,8 +213,8 @@
 	g.Expect(r.Versions("s", time.Minute)).To(gomega.ConsistOf("v1", "v2", "v3"))
 	clock.Suspend(2 * time.Minute)
 	g.Expect(r.Versions("s", time.Minute)).To(gomega.ConsistOf("v3"))
-	for i := range 3 * maxFormerVersions {
+	for i := range 3 * maxVersionRecords {
 		r.Put(Entry{ID: "a", Service: "s", Version: "w" + itoa(int64(i))})
 	}
-	g.Expect(len(r.Versions("s", time.Minute))).To(gomega.Equal(maxFormerVersions + 1))
+	g.Expect(len(r.Versions("s", time.Minute))).To(gomega.Equal(maxVersionRecords))
 }
--- a/core/roster/versions.go
+++ b/core/roster/versions.go
@@ -7,6 +7,14 @@
 	"embertally.dev/core/clock"
 )
 
+// versionRecord is what is known of one version of a service's targets.
+type versionRecord struct {
+	// since is from when on a daemon has had a target of the version on its list. The list had it before.
+	since clock.Time
+	// unlistedAt is when a target of the version was last taken off a list or changed its version; zero if none was.
+	unlistedAt clock.Time
+}
+
 // Versions returns the versions of a service's targets that are listed or were so within a time.
 func (r *Roster) Versions(service string, within time.Duration) []string {
 	var out []string
@@ -21,36 +29,169 @@
 	now := clock.Now()
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
-	for version, at := range r.formerVersions[service] {
-		if now.Sub(at) <= within {
+	for version, record := range r.versions[service] {
+		if record.recent(now, within) {
 			add(version)
 		}
 	}
 	return out
 }
 
-// maxFormerVersions bounds the versions of a service that are remembered after their targets have gone. The one that
+// recent reports whether a target of the version was taken off a list within a time.
+func (v *versionRecord) recent(now clock.Time, within time.Duration) bool {
+	return !v.unlistedAt.IsZero() && now.Sub(v.unlistedAt) <= within
+}
+
+// VersionAge returns for how long this daemon, or a peer that has reported it, has had targets of a version on its
+// list; 0 if none has.
+func (r *Roster) VersionAge(service, version string) time.Duration {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	record := r.versions[service][version]
+	if record == nil {
+		return 0
+	}
+	return clock.Since(record.since)
+}
+
+// serviceVersion identifies a version of a service's targets.
+type serviceVersion struct{ service, version string }
+
+// ListedVersions returns the versions that are listed, by service.
+func (r *Roster) ListedVersions() map[string][]string {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	out := map[string][]string{}
+	for key := range r.listedVersions() {
+		out[key.service] = append(out[key.service], key.version)
+	}
+	return out
+}
+
+// listedVersions returns the versions of all services that are listed. It is called with rosterMu held.
+func (r *Roster) listedVersions() map[serviceVersion]bool {
+	out := map[serviceVersion]bool{}
+	for _, t := range r.targets {
+		e := t.Entry()
+		out[serviceVersion{e.Service, e.Version}] = true
+	}
+	return out
+}
+
+// maxVersionRecords bounds the versions of a service that are remembered besides those of listed targets. The one that
 // was listed longest ago gives way.
-const maxFormerVersions = 64
-
-// recordFormerVersion records that a target with an entry is no longer listed. It is called with rosterMu held.
-func (r *Roster) recordFormerVersion(e *Entry) {
-	if r.formerVersions == nil {
-		r.formerVersions = map[string]map[string]clock.Time{}
-	}
-	versions := r.formerVersions[e.Service]
-	if versions == nil {
-		versions = map[string]clock.Time{}
-		r.formerVersions[e.Service] = versions
-	}
-	if _, found := versions[e.Version]; !found && len(versions) >= maxFormerVersions {
-		oldest := e.Version
-		for version, at := range versions {
-			if oldest == e.Version || at.Before(versions[oldest]) {
-				oldest = version
+const maxVersionRecords = 64
+
+// versionRecord returns the record of a version, and creates it if needed. It is called with rosterMu held.
+func (r *Roster) versionRecord(service, version string, now clock.Time) *versionRecord {
+	if r.versions == nil {
+		r.versions = map[string]map[string]*versionRecord{}
+	}
+	records := r.versions[service]
+	if records == nil {
+		records = map[string]*versionRecord{}
+		r.versions[service] = records
+	}
+	record := records[version]
+	if record == nil {
+		if len(records) >= maxVersionRecords {
+			r.dropOldestVersion(service)
+		}
+		record = &versionRecord{since: now}
+		records[version] = record
+	}
+	return record
+}
+
+// dropOldestVersion drops the record of the version that was taken off a list longest ago, if there is one. It is
+// called with rosterMu held.
+func (r *Roster) dropOldestVersion(service string) {
+	oldest, found := "", false
+	records := r.versions[service]
+	for version, record := range records {
+		if !record.unlistedAt.IsZero() && (!found || record.unlistedAt.Before(records[oldest].unlistedAt)) {
+			oldest, found = version, true
+		}
+	}
+	if found {
+		delete(records, oldest)
+	}
+}
+
+// recordVersionListed records that a target of a version is listed. It is called with rosterMu held.
+func (r *Roster) recordVersionListed(service, version string) {
+	now := clock.Now()
+	record := r.versionRecord(service, version, now)
+	if record.unlistedAt.IsZero() || record.recent(now, r.VersionRetention) {
+		return
+	}
+	for _, t := range r.targets {
+		if e := t.Entry(); e.Service == service && e.Version == version {
+			return
+		}
+	}
+	// Other daemons may have forgotten it.
+	*record = versionRecord{since: now}
+}
+
+// recordVersionUnlisted records that a target with an entry is no longer listed. It is called with rosterMu held.
+func (r *Roster) recordVersionUnlisted(e *Entry) {
+	now := clock.Now()
+	r.versionRecord(e.Service, e.Version, now).unlistedAt = now
+}
+
+// versionAge is a version in a heartbeat.
+type versionAge struct {
+	//lint:ignore U1000 read by the codec: frames are arrays
+	_msgpack struct{} `msgpack:",as_array"`
+	Service  string
+	Version  string
+	// ListedMillis is how long ago the sender first knew a target of the version, and UnlistedMillis how long ago the
+	// last one was taken off its list; -1 if it still lists one.
+	ListedMillis, UnlistedMillis int64
+}
+
+// versionAges returns the versions that are listed or were so within VersionRetention. It is called with rosterMu held.
+func (r *Roster) versionAges() []versionAge {
+	listed, now := r.listedVersions(), clock.Now()
+	var out []versionAge
+	for service, records := range r.versions {
+		for version, record := range records {
+			age := versionAge{Service: service, Version: version, ListedMillis: now.Sub(record.since).Milliseconds(), UnlistedMillis: -1}
+			switch {
+			case listed[serviceVersion{service, version}]:
+			case record.recent(now, r.VersionRetention):
+				age.UnlistedMillis = now.Sub(record.unlistedAt).Milliseconds()
+			default:
+				continue
 			}
+			out = append(out, age)
+		}
+	}
+	return out
+}
+
+// maxVersionAgeMillis bounds the ages that peers report.
+const maxVersionAgeMillis = 3600 * 1000
+
+// mergeVersionAges records the versions of a peer. Those that it still lists count as taken off a list now, since this
+// daemon may not list them. It is called with rosterMu held.
+func (r *Roster) mergeVersionAges(ages []versionAge) {
+	now := clock.Now()
+	ago := func(millis int64) clock.Time {
+		return now.Add(-time.Duration(min(max(0, millis), maxVersionAgeMillis)) * time.Millisecond)
+	}
+	for _, age := range ages {
+		record := r.versionRecord(age.Service, age.Version, now)
+		if since := ago(age.ListedMillis); since.Before(record.since) {
+			record.since = since
+		}
+		unlistedAt := now
+		if age.UnlistedMillis >= 0 {
+			unlistedAt = ago(age.UnlistedMillis)
+		}
+		if record.unlistedAt.Before(unlistedAt) {
+			record.unlistedAt = unlistedAt
 		}
-		delete(versions, oldest)
 	}
-	versions[e.Version] = clock.Now()
 }
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -131,6 +131,7 @@
 	h.incarnationCheck = make(chan struct{}, 1)
 	h.watchCache.OnStoreIncarnation = h.triggerIncarnationCheck
 	h.roster = roster.New(h.log, h.watchCache.LastOutage)
+	h.roster.VersionRetention = origin.Retention
 	h.fleet = fleet.New(fleet.Options{
 		Name: settings.Name, Incarnation: incarnation, Address: settings.Peers, Domain: settings.Domain,
 		HeartbeatInterval: settings.Tuning.Heartbeat, SuspectAfter: settings.Tuning.Suspect,
