Streams begin at a new version only once every list that may be trusted holds it

Cause: a box calls a version the only one by a list that may be 2 s old, and then asks nobody; other boxes began streams at a new version as soon as they had heard of it. Nothing tied the two times to each other.

Change: a version must have been on some daemon's list for 3.5 s before streams begin at it while the service has others: the 2 s for which a list is trusted, the 1.35 s by which its date may be too late (a watch that the store answers at once, with an answer that arrives late), 0.15 s for clocks. So each list that may prove a single version holds all versions at which streams have begun, without a message, and a resumption still asks nobody. A version that has been the only one is used at once; full heartbeats tell a daemon that starts for how long versions are known. Streams that began at a version, and routes whose streams cannot be resumed, are not held back. If nothing but new versions is left, the request is refused at once, not run, with the time that remains.

Ruled out: a proof at each resumption (an answer of the store or of all peers): one call for each resumed stream where a service has one version for months, and a box that is cut off, or any box in an outage of the store, refuses all. Acknowledgements of the new version by all listed boxes, in place of a time: boxes whose lease has just ended are not listed and may still serve.

--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -45,7 +45,7 @@
 	}
 	share := p.relay.shares.get(p.service, all, &p.relay.options)
 	own, reason = p.eligibleTargets(svc, share.own, true, now)
-	if sharded || len(own) > 0 || reason == allFull || endsAtKnownTime(reason) {
+	if sharded || len(own) > 0 || reason == allFull || (endsAtKnownTime(reason) && reason != allUnsettled) {
 		// If all of its own are under pushback, what they rejected would overload the others.
 		// Sharded targets outside the cell are chosen by other cells.
 		return own, share.fraction, reason
@@ -75,6 +75,10 @@
 			unavailable.excludedVersions++
 			continue
 		}
+		if wait := p.untilSettled(candidate.entry.Version); wait > 0 {
+			unavailable.countUnsettled(wait)
+			continue
+		}
 		reason, duration := availability.Reason(t)
 		if reason == roster.Available && !shared && availability.RateLimited(t) {
 			// Its rate limit is divided among other daemons.
@@ -160,17 +164,19 @@
 	allUnderPushback = "all targets rest"
 	// allRateLimited: as allUnderPushback, but some targets are rate-limited.
 	allRateLimited = "all targets rest or are over the limits that they named"
+	// allUnsettled: the request would begin a stream at a version that some daemon may not know yet.
+	allUnsettled = "all targets are of versions that have just been listed"
 )
 
 // endsAtKnownTime reports whether it is known when a reason ends.
 func endsAtKnownTime(reason string) bool {
-	return reason == allUnderPushback || reason == allRateLimited
+	return reason == allUnderPushback || reason == allRateLimited || reason == allUnsettled
 }
 
 // unavailability counts the targets that may not get a request, by reason.
 type unavailability struct {
 	full, suspects, outdated, evacuated, outsideRegions, shuttingDown, underPushback, rateLimited,
-	excludedVersions int
+	excludedVersions, unsettled int
 	// bound is set if the request may go to one version only.
 	bound bool
 	// sharedTarget is one of full with slots that are not this daemon's and may be free; nil if there is none.
@@ -181,7 +187,7 @@
 	// log.
 	skipped []string
 	// evacuationAge is the age of the oldest evacuation, untilAvailable the time until the first
-	// pushback ends or the first permit is due.
+	// pushback ends, the first permit is due or the first version is settled.
 	evacuationAge, untilAvailable time.Duration
 	// rateLimitedTarget is one of the rate-limited targets.
 	rateLimitedTarget *roster.Target
@@ -206,9 +212,7 @@
 	case roster.ShuttingDown:
 		u.shuttingDown++
 	case roster.UnderPushback, roster.RateLimited:
-		if u.underPushback+u.rateLimited == 0 || duration < u.untilAvailable {
-			u.untilAvailable = duration
-		}
+		u.availableIn(duration)
 		if reason == roster.UnderPushback {
 			u.underPushback++
 		} else {
@@ -218,6 +222,19 @@
 	}
 }
 
+// availableIn records after which time a target becomes available. It is called before the target is counted.
+func (u *unavailability) availableIn(duration time.Duration) {
+	if u.underPushback+u.rateLimited+u.unsettled == 0 || duration < u.untilAvailable {
+		u.untilAvailable = duration
+	}
+}
+
+// countUnsettled counts a target of a version that is not settled.
+func (u *unavailability) countUnsettled(remaining time.Duration) {
+	u.availableIn(remaining)
+	u.unsettled++
+}
+
 // reason returns why no target may get the request.
 func (u *unavailability) reason() string {
 	switch {
@@ -227,6 +244,8 @@
 		return allRateLimited
 	case u.underPushback > 0:
 		return allUnderPushback
+	case u.unsettled > 0:
+		return allUnsettled
 	case u.outdated > 0:
 		return "all targets hold weights that were replaced too long ago"
 	case u.suspects > 0:
--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -121,6 +121,8 @@
 	Regions regions
 	// Versions restricts the target versions that the request may go to.
 	Versions canary.VersionFilter
+	// Resumable means that the request is for a stream that callers may resume.
+	Resumable bool
 }
 
 // placementSegment is one segment of a prompt.
@@ -375,7 +377,7 @@
 		PromptTokens: p.meta.PromptTokens,
 		BodyBytes:    p.bodyBytes, OriginDomain: p.relay.options.Domain, Elapsed: now.Sub(p.start),
 		Remaining: p.deadline.Sub(now),
-		Regions:   p.regions, Versions: p.versions,
+		Regions:   p.regions, Versions: p.versions, Resumable: p.route.Kind == table.Stream && p.route.Resumable,
 		RateLimits: p.relay.options.Roster.RateLimits(p.service), NeedsPermit: p.rateLimited != nil,
 	}
 	if p.sharedTarget != nil {
@@ -398,7 +400,7 @@
 	if p.relay.sharded(p.service) && response.ListAge <= maxExternalListAge {
 		t = p.relay.options.Roster.AddExternal(response.entry(p.service, p.meta.Model))
 	}
-	if t == nil || !p.domainAllowed(t.Entry().Domain) || !p.versions.Allows(t.Entry().Version) ||
+	if t == nil || !p.domainAllowed(t.Entry().Domain) || !p.versions.Allows(t.Entry().Version) || p.untilSettled(t.Entry().Version) > 0 ||
 		(svc.Engine != nil && p.relay.options.WeightsOutdated(p.meta.Model, response.WeightVersion)) {
 		return nil
 	}
--- a/core/relay/placements.go
+++ b/core/relay/placements.go
@@ -80,6 +80,9 @@
 		bodyBytes: request.BodyBytes, originDomain: request.OriginDomain, remote: true,
 		regions: request.Regions, versions: request.Versions,
 	}
+	if request.Resumable {
+		p.route.Kind, p.route.Resumable = table.Stream, true
+	}
 	if request.IsolatedOrganisation != "" {
 		p.organisation = &table.Organisation{Name: request.IsolatedOrganisation, Isolated: true}
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -67,6 +67,9 @@
 	// Origins knows which version of a service's targets began each stream that callers may resume. Nil knows none,
 	// so that no stream is resumed by another request than the one that began it.
 	Origins StreamOrigins
+	// UntilSettled returns for how much longer no stream may begin at a version of a service's targets, since a daemon
+	// may not know yet that the service has it. Nil means that streams begin anywhere.
+	UntilSettled func(service, version string) time.Duration
 	// Placement is the policy that chooses workers. The zero value means route.LowestCost.
 	Placement route.Placement
 	// Domain is the failure domain of this daemon.
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -24,6 +24,20 @@
 	return p.route.Kind == table.Stream && p.route.Resumable && (p.meta.LastEventID != "" || p.meta.Resumes != "")
 }
 
+// untilSettled returns for how much longer the request may not go to targets of a version, because it would begin a
+// stream there.
+func (p *proxiedRequest) untilSettled(version string) time.Duration {
+	if !p.beginsStream() || p.relay.options.UntilSettled == nil {
+		return 0
+	}
+	return p.relay.options.UntilSettled(p.service, version)
+}
+
+// beginsStream reports whether the next answer begins a stream that callers may resume.
+func (p *proxiedRequest) beginsStream() bool {
+	return p.route.Kind == table.Stream && p.route.Resumable && !p.versions.Bound
+}
+
 // bindResumed binds a request by which a caller resumes a stream to the version that began it, and refuses the
 // request if that is not known.
 func (p *proxiedRequest) bindResumed(ctx context.Context) *entry.Refusal {
--- a/core/relay/resume_test.go
+++ b/core/relay/resume_test.go
@@ -196,3 +196,48 @@
 	r.g.Expect(r.targetsInOrder()).To(gomega.Equal("a a a a"))
 	r.g.Expect(r.relay.options.Stats.StreamsBound.Get()).To(gomega.Equal(uint64(3)))
 }
+
+// Guards against a stream that begins at a version which other daemons may not know yet: it goes elsewhere or is refused
+// until they do, while one that began there goes on there.
+func TestStreamsBeginAtSettledVersionsOnly(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(r *rig)
+		headers []string
+		want    string
+		refused bool
+	}{
+		{"the other one is busier", func(r *rig) { r.worker("a", "v1", 6, stream(true, event1)) }, nil, "a", false},
+		{"there is no other one", func(*rig) {}, nil, "", true},
+		{"the other one leaves", func(r *rig) {
+			r.worker("a", "v1", 6, stream(true, event1))
+			r.roster.RecordShutdown("a", roster.ByResponse)
+		}, nil, "", true},
+		{"began there", func(r *rig) {
+			r.worker("a", "v1", 0, stream(true, event2))
+			r.relay.options.Origins.Record("org", "first", origin.Stream{Service: "llm", Version: "v2"})
+		}, []string{"Resumes", "first", "After", "1"}, "b", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			r.relay.options.UntilSettled = func(service, version string) time.Duration {
+				r.g.Expect(service).To(gomega.Equal("llm"))
+				if version == "v2" {
+					return 1500 * time.Millisecond
+				}
+				return 0
+			}
+			r.worker("b", "v2", 0, stream(true, event2))
+			tc.prepare(r)
+			got := r.send(http.MethodPost, "/stream/x", "x", append([]string{"Model", "m"}, tc.headers...)...)
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal(tc.want))
+			r.g.Expect(got.status == http.StatusServiceUnavailable).To(gomega.Equal(tc.refused))
+			if tc.refused {
+				after, err := time.ParseDuration(got.header.Get("Come-Back"))
+				r.g.Expect(err).NotTo(gomega.HaveOccurred())
+				r.g.Expect(after).To(gomega.BeNumerically(">=", 1500*time.Millisecond), "no return is refused again")
+			}
+		})
+	}
+}
--- a/core/roster/heartbeat.go
+++ b/core/roster/heartbeat.go
@@ -30,8 +30,9 @@
 	RateLimits map[string]RateLimitUpdate
 	// RejectionLimits holds the rejection limits of incarnations, including those that ended recently.
 	RejectionLimits map[string]RateLimitUpdate
-	// SoftwareVersions holds the versions of the targets' software that the sender knows; nil unless the heartbeat is
-	// a full one.
+	// Full means that the heartbeat is a full one. Only then SoftwareVersions is set: the versions of the targets'
+	// software that the sender knows.
+	Full             bool
 	SoftwareVersions []versionAge
 }
 
@@ -50,7 +51,7 @@
 	body.RateLimits = s.limitUpdates()
 	body.RejectionLimits = s.brittleUpdates()
 	body.Versions = s.recentVersions(now)
-	if full {
+	if body.Full = full; full {
 		body.SoftwareVersions = s.versionAges()
 	}
 	return &body
@@ -102,7 +103,9 @@
 			s.recordVersion(id, model, version)
 		}
 	}
-	s.mergeVersionAges(body.SoftwareVersions)
+	if body.Full {
+		s.mergeVersionAges(peer, body.SoftwareVersions)
+	}
 	s.sumPeerLoads(now)
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -129,6 +129,8 @@
 	// versions holds what is known of versions, by service and version, of this daemon's list and those of its peers.
 	// Guarded by rosterMu.
 	versions map[string]map[string]*versionRecord
+	// versionPeers holds the daemons that have reported their versions. Guarded by rosterMu.
+	versionPeers map[string]bool
 	// versionsSeen holds, by ID, when a target was last seen to have newer weights than were
 	// recorded. Guarded by rosterMu.
 	versionsSeen map[string]time.Time
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -218,3 +218,29 @@
 	}
 	g.Expect(len(r.Versions("s", time.Minute))).To(gomega.Equal(maxVersionRecords))
 }
+
+// A daemon that starts learns from its peers for how long they have known each version.
+func TestVersionAgesAreToldToPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	old, started := New(&event.Log{}, nil), New(&event.Log{}, nil)
+	old.VersionRetention, started.VersionRetention = time.Minute, time.Minute
+	old.Put(Entry{ID: "a", Service: "s", Version: "v1"})
+	old.Put(Entry{ID: "b", Service: "s", Version: "v2"})
+	old.RemoveUnusable("b")
+	clock.Suspend(10 * time.Second)
+	started.Put(Entry{ID: "a", Service: "s", Version: "v1"})
+	g.Expect(started.VersionAge("s", "v1")).To(gomega.BeNumerically("<", time.Second))
+	tell := func(full bool) {
+		raw, err := msgpack.Marshal(HeartbeatPart{old}.Collect(full))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		HeartbeatPart{started}.Receive("old", raw)
+	}
+	tell(false)
+	g.Expect(started.HeardVersions("old")).To(gomega.BeFalse())
+	tell(true)
+	g.Expect(started.HeardVersions("old")).To(gomega.BeTrue())
+	g.Expect(started.VersionAge("s", "v1")).To(gomega.BeNumerically(">=", 10*time.Second))
+	g.Expect(started.Versions("s", time.Minute)).To(gomega.ConsistOf("v1", "v2"))
+	clock.Suspend(time.Minute)
+	g.Expect(started.Versions("s", time.Minute)).To(gomega.ConsistOf("v1"))
+}
--- a/core/roster/versions.go
+++ b/core/roster/versions.go
@@ -13,6 +13,8 @@
 	since clock.Time
 	// unlistedAt is when a target of the version was last taken off a list or changed its version; zero if none was.
 	unlistedAt clock.Time
+	// settled is set by SettleVersion.
+	settled bool
 }
 
 // Versions returns the versions of a service's targets that are listed or were so within a time.
@@ -57,6 +59,25 @@
 // serviceVersion identifies a version of a service's targets.
 type serviceVersion struct{ service, version string }
 
+// SettleVersion records that a version has been the only one of its service, so that whoever knows a later one knows it
+// as well.
+func (r *Roster) SettleVersion(service, version string) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	if record := r.versions[service][version]; record != nil {
+		record.settled = true
+	}
+}
+
+// VersionSettled reports whether SettleVersion was called for a version since its targets were last away for longer than
+// VersionRetention.
+func (r *Roster) VersionSettled(service, version string) bool {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	record := r.versions[service][version]
+	return record != nil && record.settled
+}
+
 // ListedVersions returns the versions that are listed, by service.
 func (r *Roster) ListedVersions() map[string][]string {
 	r.rosterMu.Lock()
@@ -171,12 +192,23 @@
 	return out
 }
 
+// HeardVersions reports whether a peer has told this daemon which versions it knows.
+func (r *Roster) HeardVersions(peer string) bool {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	return r.versionPeers[peer]
+}
+
 // maxVersionAgeMillis bounds the ages that peers report.
 const maxVersionAgeMillis = 3600 * 1000
 
-// mergeVersionAges records the versions of a peer. Those that it still lists count as taken off a list now, since this
+// mergeVersionAges records all versions that a peer knows. Those that it still lists count as taken off a list now, since this
 // daemon may not list them. It is called with rosterMu held.
-func (r *Roster) mergeVersionAges(ages []versionAge) {
+func (r *Roster) mergeVersionAges(peer string, ages []versionAge) {
+	if r.versionPeers == nil {
+		r.versionPeers = map[string]bool{}
+	}
+	r.versionPeers[peer] = true
 	now := clock.Now()
 	ago := func(millis int64) clock.Time {
 		return now.Add(-time.Duration(min(max(0, millis), maxVersionAgeMillis)) * time.Millisecond)
--- a/core/spread/relays.go
+++ b/core/spread/relays.go
@@ -40,6 +40,10 @@
 	// older by its way through the fleet, some 0.3 s, and data older than 2.2 s allows no copies.
 	watchWaitSmall = 1350 * time.Millisecond
 	watchWaitLarge = time.Second
+	// MaxDatingError is by how much the date of a copy may be later than what it is complete up to: the response to a
+	// watch is dated by its arrival, or by the end of the time for which the store may hold the request, but it may
+	// have been sent as soon as the request arrived.
+	MaxDatingError = watchWaitSmall
 	// minWatchWait is the least time for which a watch request is held.
 	minWatchWait = time.Millisecond
 )
--- a/emberd/internal/host/origins_test.go
+++ b/emberd/internal/host/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -9,6 +10,7 @@
 	"embertally.dev/core/origin"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/spread"
 )
 
 // A daemon that guessed from the versions that it happens to see sent streams to the wrong one: it may conclude only
@@ -55,6 +57,86 @@
 	}
 }
 
+// newTestHost returns a host with one target of version v1, as the system's first start leaves it.
+func newTestHost(t *testing.T) *Host {
+	settings := Defaults()
+	settings.Name, settings.FirstStart = "box", true
+	h := New(settings)
+	t.Cleanup(h.spool.Close)
+	h.roster.Put(roster.Entry{ID: "a", Service: "llm", Version: "v1"})
+	h.refresh(clock.Now())
+	return h
+}
+
+// Guards against streams of two versions: one begins at a new version while another daemon, which nobody reaches, still
+// proves that there is a single one and takes the stream up there.
+func TestNoStreamBeginsAtAVersionWhileADaemonProvesAnother(t *testing.T) {
+	g := gomega.NewWithT(t)
+	begins, proves := newTestHost(t), newTestHost(t)
+	g.Expect(begins.untilSettled("llm", "v1")).To(gomega.BeZero(), "it is the only one")
+	begins.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
+	// What the other daemon reads at this moment lacks the version, and is dated as late as it may be.
+	clock.Suspend(spread.MaxDatingError)
+	proves.refresh(clock.Now())
+	const step = 20 * time.Millisecond
+	proven, begun := 0, false
+	for range 2 * versionSettleTime / step {
+		// The stream begins before the request that resumes it.
+		begun = begins.untilSettled("llm", "v2") == 0
+		_, proof := proves.serviceVersions("llm")
+		if proof == origin.Sole {
+			proven++
+			g.Expect(begun).To(gomega.BeFalse(), "a stream begins at v2 although a daemon proves v1")
+			g.Expect(begins.untilSettled("llm", "v1")).To(gomega.BeZero(), "streams begin at the version that all know")
+		}
+		clock.Suspend(step)
+	}
+	g.Expect(proven).To(gomega.BeNumerically(">", versionMaxViewAge/step/2))
+	g.Expect(begun).To(gomega.BeTrue())
+}
+
+// A version that is the only one is used at once; a daemon that does not know whether it is waits.
+func TestVersionIsUsedAtOnceIfItIsTheOnlyOne(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(h *Host)
+		version string
+		settled bool
+	}{
+		{"the only one", func(*Host) {}, "v1", true},
+		{"new", func(h *Host) { h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"}) }, "v2", false},
+		{"new, known for long", func(h *Host) {
+			h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
+			clock.Suspend(versionSettleTime)
+		}, "v2", true},
+		{"the former one has just gone", func(h *Host) {
+			h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
+			h.roster.RemoveUnusable("a")
+		}, "v2", false},
+		{"the only one, after a start without peers", func(h *Host) { h.versionWatch.restart() }, "v1", true},
+		{"another service's", func(h *Host) { h.roster.Put(roster.Entry{ID: "b", Service: "other", Version: "v2"}) }, "v1", true},
+		{"gone for longer than streams may be resumed", func(h *Host) {
+			h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
+			h.roster.RemoveUnusable("b")
+			clock.Suspend(origin.Retention + time.Second)
+			h.roster.Put(roster.Entry{ID: "b2", Service: "llm", Version: "v2"})
+		}, "v2", false},
+		{"gone for a moment", func(h *Host) {
+			h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
+			clock.Suspend(versionSettleTime)
+			h.roster.RemoveUnusable("b")
+			h.roster.Put(roster.Entry{ID: "b2", Service: "llm", Version: "v2"})
+		}, "v2", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			h := newTestHost(t)
+			tc.prepare(h)
+			g.Expect(h.untilSettled("llm", tc.version) == 0).To(gomega.Equal(tc.settled))
+		})
+	}
+}
+
 // refresh records that the copy of the store's values is current.
 func (h *Host) refresh(now clock.Time) {
 	h.watchCache.ApplyChanges([]plat.Change{{Pair: plat.Pair{Key: "a", ModRevision: h.watchCache.Revision() + 1}}}, h.watchCache.Revision()+1, now)
