Log lines say in which state a connection was that ended an answer

A request's line now says how far its request had been written and in which state the kernel has the connection when an answer without a length ended. The result of the write can be read more than once. No decision has changed.

--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -82,7 +82,7 @@
 	framing := resp.Framing()
 	p.relay.options.Stats.AnswersByFraming[framing].Inc()
 	if framing == target.FramingConnection {
-		p.note("ended with its connection")
+		p.note("ended with its connection: %s", resp.DescribeEnd())
 	}
 }
 
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -152,8 +152,7 @@
 	// stopCancel detaches the connection from the context, and reports false if the context had
 	// ended before.
 	stopCancel func() bool
-	// written receives the result of writing the request.
-	written  chan error
+	written  *writeResult
 	complete bool // the body was read to its end
 	failed   bool // the connection must not be reused
 }
@@ -248,8 +247,8 @@
 	t := time.NewTimer(writeWait)
 	defer t.Stop()
 	select {
-	case err := <-resp.written:
-		return err == nil
+	case <-resp.written.done:
+		return resp.written.err == nil
 	case <-t.C:
 		// The target responded before it had read the request.
 		return false
@@ -276,14 +275,21 @@
 	}
 }
 
+// writeResult is the result of writing a request.
+type writeResult struct {
+	// done is closed once err is set.
+	done chan struct{}
+	err  error
+}
+
 // writer writes one request.
 type writer struct {
-	conn *poolConn
-	req  *Request
-	done chan<- error
+	conn   *poolConn
+	req    *Request
+	result *writeResult
 }
 
-// run writes the request and reports the result to done.
+// run writes the request and reports the result.
 func (w writer) run() {
 	err := w.write()
 	if err != nil {
@@ -291,7 +297,8 @@
 		// connection is closed already.
 		_ = w.conn.tcp.CloseWrite()
 	}
-	w.done <- err
+	w.result.err = err
+	close(w.result.done)
 }
 
 // write writes the request line, the header and the body.
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -198,7 +198,7 @@
 		p.putUnused(conn)
 		return nil, &SendError{cause: err}
 	}
-	resp := &Response{conn: conn, written: make(chan error, 1)}
+	resp := &Response{conn: conn, written: &writeResult{done: make(chan struct{})}}
 	start := time.Now()
 	resp.box = conn.box
 	resp.stopCancel = context.AfterFunc(ctx, func() { conn.tcp.SetDeadline(time.Unix(1, 0)) })
