The end of a connection ends an answer only if it was not reset under the request

Cause: the kernel reports a reset once, to the call that meets it first. Here that was the write of the request, which runs beside the read; its result only decided whether the connection is kept. The read then got an ordinary end.

Change: one function says how an exchange ended whose body ends with its connection (target.VerifyEnd). A failed write or the state CLOSE is a broken answer; while the request is being written, or bytes of it are not acknowledged, the end waits for the outcome, at most until the deadline. The box in between, which writes and reads on one connection to a target as well, uses the same function before it tells the end.

Ruled out: the result of the write alone, since the target's process may end between two reads: a normal end is then followed by a reset. The state alone, for the same reason. What a target sees does not change.

--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -197,3 +198,53 @@
 	r.g.Expect(verdict).To(gomega.Equal(cannotTell))
 	r.g.Expect(r.boxes[1].Forwarded()).To(gomega.Equal(maxForwarded))
 }
+
+// Guards against a target's reset that the other box takes for an end: the box in between writes a request and reads the
+// response at the same time, and its write took the error.
+func TestResetUnderAForwardedRequestIsNoEnd(t *testing.T) {
+	// More than the buffers of all connections on the way.
+	const requestBytes = 32 << 20
+	for _, tc := range []struct {
+		name string
+		end  func(c net.Conn)
+		want error
+	}{
+		{"closed with a part of the request unread", func(c net.Conn) { time.Sleep(5 * time.Millisecond) }, syscall.ECONNRESET},
+		{"closed after reading the request", func(c net.Conn) { _, _ = io.CopyN(io.Discard, c, requestBytes-1) }, io.EOF},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newBoxesRig(t, "a", "b")
+			l := r.listen()
+			t.Cleanup(func() { l.Close() })
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer c.Close()
+						if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+							return
+						}
+						io.WriteString(c, "half")
+						tc.end(c)
+					}()
+				}
+			}()
+			r.locate(1, "t-1", l.Addr().String())
+			for range 20 {
+				conn, _, err := r.boxes[0].Open(context.Background(), "t-1")
+				r.g.Expect(err).NotTo(gomega.HaveOccurred())
+				go conn.Write(make([]byte, requestBytes))
+				in := target.NewDetourReader(conn)
+				got := make([]byte, 4)
+				_, err = io.ReadFull(in, got)
+				r.g.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = in.Read(got)
+				r.g.Expect(errors.Is(err, tc.want)).To(gomega.BeTrue(), "%v", err)
+				conn.Close()
+			}
+		})
+	}
+}
--- a/core/detour/forward.go
+++ b/core/detour/forward.go
@@ -118,6 +118,8 @@
 	boxes *Boxes
 	// target is the connection to the target, and box that to the other daemon.
 	target, box net.Conn
+	// writes is about the requests that are forwarded to the target.
+	writes target.Writes
 }
 
 // closeTimeout is how long the other daemon may take to close its connection after the target has
@@ -132,7 +134,7 @@
 	defer f.target.Close()
 	done := make(chan struct{})
 	go f.run(done)
-	target.ForwardResponses(box, f.target)
+	target.ForwardResponses(box, f.target, &f.writes, done)
 	box.SetReadDeadline(time.Now().Add(closeTimeout))
 	<-done
 }
@@ -142,13 +144,25 @@
 func (f *forwarding) run(done chan<- struct{}) {
 	defer close(done)
 	buffer := make([]byte, copyBuffer)
-	if _, err := io.CopyBuffer(f.target, reader{f.box}, buffer); err != nil {
+	if _, err := io.CopyBuffer(requestWriter{f}, reader{f.box}, buffer); err != nil {
 		// What the target does not take is discarded; see closeTimeout.
 		_, _ = io.CopyBuffer(writer{}, reader{f.box}, buffer)
 	}
 	f.target.Close()
 }
 
+// requestWriter writes to the target.
+type requestWriter struct{ *forwarding }
+
+// Write implements io.Writer.
+func (w requestWriter) Write(b []byte) (int, error) {
+	w.writes.Begin()
+	n, err := w.target.Write(b)
+	w.writes.End(err)
+	// io.CopyBuffer returns the error as it is.
+	return n, err
+}
+
 // copyBuffer is the size of the buffer for requests; most fit.
 const copyBuffer = 4 << 10
 
--- a/core/relay/framing_test.go
+++ b/core/relay/framing_test.go
@@ -228,7 +228,7 @@
 		return nil, "", err
 	}
 	go func() {
-		target.ForwardResponses(forwarding, to)
+		target.ForwardResponses(forwarding, to, &target.Writes{}, nil)
 		forwarding.Close()
 	}()
 	go func() {
--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -117,6 +117,9 @@
 	return n, err
 }
 
+// NetConn returns the connection itself.
+func (c arrivalConn) NetConn() net.Conn { return c.Conn }
+
 // recordOpen records the result of opening a connection.
 func (p *Pool) recordOpen(address string, elapsed time.Duration, err error) {
 	p.poolMu.Lock()
@@ -165,18 +168,7 @@
 
 // info returns the kernel's state of the connection, or nil.
 func (c *poolConn) info() *unix.TCPInfo {
-	raw, err := c.tcp.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	var info *unix.TCPInfo
-	controlErr := raw.Control(func(fd uintptr) {
-		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if controlErr != nil || err != nil {
-		return nil
-	}
-	return info
+	return tcpInfo(c.tcp)
 }
 
 // silentTime is the time after which a request that is not acknowledged is noticed: the kernel sends
--- a/core/target/detour.go
+++ b/core/target/detour.go
@@ -109,8 +109,9 @@
 	return errors.Wrap(ErrDetourLost, err.Error())
 }
 
-// ForwardResponses sends what a target sends on a connection to another box until either closes.
-func ForwardResponses(to io.Writer, from io.Reader) {
+// ForwardResponses sends what a target sends on a connection to another box until either closes. writes are those on the
+// connection to the target, and done is closed when the other box has closed its own.
+func ForwardResponses(to io.Writer, from net.Conn, writes *Writes, done <-chan struct{}) {
 	buffer := make([]byte, chunkHeader+maxChunk)
 	for {
 		n, err := from.Read(buffer[chunkHeader:])
@@ -122,7 +123,7 @@
 		}
 		if err != nil {
 			end := uint16(chunkReset)
-			if errors.Is(err, io.EOF) {
+			if errors.Is(err, io.EOF) && VerifyEnd(from, writes, done) == nil {
 				end = chunkEnd
 			}
 			binary.BigEndian.PutUint16(buffer, end)
--- a/core/target/detour_test.go
+++ b/core/target/detour_test.go
@@ -68,7 +68,7 @@
 		return nil, "", err
 	}
 	go func() {
-		ForwardResponses(box, to)
+		ForwardResponses(box, to, &Writes{}, nil)
 		box.Close()
 	}()
 	go func() {
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -152,13 +152,17 @@
 	// stopCancel detaches the connection from the context, and reports false if the context had
 	// ended before.
 	stopCancel func() bool
-	written  *writeResult
+	// writes is about the request, and written is closed once it has been written or that has failed.
+	writes  Writes
+	written chan struct{}
+	// done is closed when the context of the request ends.
+	done     <-chan struct{}
 	complete bool // the body was read to its end
 	failed   bool // the connection must not be reused
 }
 
-// ErrUnmarkedEnd ends a body of FramingConnection: the target closed the connection, and nothing tells
-// whether the body is complete.
+// ErrUnmarkedEnd ends a body of FramingConnection: the target closed the connection after it had received the whole
+// request, and nothing tells whether the body is complete.
 var ErrUnmarkedEnd = errors.New("the body ended with its connection")
 
 // Read reads the body. It returns io.EOF only when the framing says that the response is complete, else
@@ -174,7 +178,9 @@
 // recordRead records the result of a read of the body and returns the error that Read returns.
 func (resp *Response) recordRead(err error) error {
 	if errors.Is(err, io.EOF) && resp.framing == FramingConnection {
-		err = errors.WithStack(ErrUnmarkedEnd)
+		if err = resp.verifyEnd(); err == nil {
+			err = errors.WithStack(ErrUnmarkedEnd)
+		}
 	}
 	resp.readErr = err
 	switch {
@@ -247,8 +253,9 @@
 	t := time.NewTimer(writeWait)
 	defer t.Stop()
 	select {
-	case <-resp.written.done:
-		return resp.written.err == nil
+	case <-resp.written:
+		_, err := resp.writes.state()
+		return err == nil
 	case <-t.C:
 		// The target responded before it had read the request.
 		return false
@@ -275,21 +282,16 @@
 	}
 }
 
-// writeResult is the result of writing a request.
-type writeResult struct {
-	// done is closed once err is set.
-	done chan struct{}
-	err  error
-}
-
 // writer writes one request.
 type writer struct {
-	conn   *poolConn
-	req    *Request
-	result *writeResult
+	conn *poolConn
+	req  *Request
+	// writes receives the result, and done is closed after that.
+	writes *Writes
+	done   chan<- struct{}
 }
 
-// run writes the request and reports the result.
+// run writes the request and reports the result. The caller has recorded that it begins.
 func (w writer) run() {
 	err := w.write()
 	if err != nil {
@@ -297,8 +299,8 @@
 		// connection is closed already.
 		_ = w.conn.tcp.CloseWrite()
 	}
-	w.result.err = err
-	close(w.result.done)
+	w.writes.End(err)
+	close(w.done)
 }
 
 // write writes the request line, the header and the body.
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -198,11 +198,12 @@
 		p.putUnused(conn)
 		return nil, &SendError{cause: err}
 	}
-	resp := &Response{conn: conn, written: &writeResult{done: make(chan struct{})}}
+	resp := &Response{conn: conn, written: make(chan struct{}), done: ctx.Done()}
 	start := time.Now()
 	resp.box = conn.box
 	resp.stopCancel = context.AfterFunc(ctx, func() { conn.tcp.SetDeadline(time.Unix(1, 0)) })
-	w := writer{conn, req, resp.written}
+	w := writer{conn, req, &resp.writes, resp.written}
+	resp.writes.Begin()
 	if len(req.Body) <= maxDirectWrite {
 		w.run()
 	} else {
