Metrics tell what is held of requests and responses while they are read or sent

Hypotheses, before any change of logic: the head of a response is read without a bound (1); the start of a body, kept for a retry, or an event is (2); the sum of what is bounded for each is not bounded, requests included (3); responses to orders and reports (4).

held_bytes and held_bytes_max count the bytes by kind: requests, heads, bodies, events and calls (package memory, whose budget has no limit yet). Heads are counted where a connection is read, events where their lines are. Reading an event now takes its lines piece by piece, with the same bound after each whole line; a body's buffer doubles. No bound has changed.

--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"embertally.dev/core/memory"
 )
 
 // ErrSilent means that nothing was received on a connection while the service responded on a new one.
@@ -27,6 +29,10 @@
 	ManyServices bool
 	// OnReplaced, if set, is called when a connection was found silent. It is set before use.
 	OnReplaced func()
+	// MaxResponse bounds the body of a response, in bytes; 0 means no bound. What is read of bodies counts in Memory
+	// until they are closed, if it is set. Both are set before use.
+	MaxResponse int64
+	Memory      *memory.Budget
 	// unheardCalls counts the calls on reused connections that ended without any response, replaced
 	// the connections that were found silent.
 	unheardCalls, replaced atomic.Int64
@@ -62,7 +68,42 @@
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	e := newExchange(c, c.transport(), req)
 	e.run()
-	return e.resp, e.err
+	return c.bound(e.resp), e.err
+}
+
+// bound bounds the body of a response, which may be nil.
+func (c *Client) bound(resp *http.Response) *http.Response {
+	if resp == nil || (c.MaxResponse == 0 && c.Memory == nil) {
+		return resp
+	}
+	held := c.Memory.Hold(memory.Calls)
+	resp.Body = &boundBody{ReadCloser: resp.Body, held: held, counted: held.Reader(resp.Body), max: c.MaxResponse}
+	return resp
+}
+
+// boundBody is the body of a response with a bound.
+type boundBody struct {
+	io.ReadCloser
+	held    *memory.Holding
+	counted io.Reader
+	max     int64
+	read    int64
+}
+
+// Read implements io.Reader.
+func (b *boundBody) Read(p []byte) (int, error) {
+	n, err := b.counted.Read(p)
+	if b.read += int64(n); b.max > 0 && b.read > b.max {
+		return 0, errors.Errorf("the response is longer than %d bytes", b.max)
+	}
+	// The error may be io.EOF, which readers compare.
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *boundBody) Close() error {
+	b.held.Release()
+	return errors.WithStack(b.ReadCloser.Close())
 }
 
 // DoProbed sends a request whose response is checked as p says. If nothing is received on its connection
@@ -72,12 +113,12 @@
 func (c *Client) DoProbed(req *http.Request, p Probe) (*http.Response, error) {
 	resp, err := c.doProbed(req, p)
 	if err != nil || p.Pause == 0 {
-		return resp, err
+		return c.bound(resp), err
 	}
 	body := newProbedBody(c, resp.Body, p)
 	go body.run()
 	resp.Body = body
-	return resp, nil
+	return c.bound(resp), nil
 }
 
 // doProbed is DoProbed until the response begins.
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/entry"
+	"embertally.dev/core/memory"
 	"embertally.dev/core/poison"
 	"embertally.dev/core/table"
 	"embertally.dev/core/target"
@@ -123,12 +124,20 @@
 	if p.r.ContentLength > maxBytes {
 		return tooLarge
 	}
+	held, source := p.hold(memory.Requests), io.Reader(http.MaxBytesReader(p.w, p.r.Body, maxBytes))
 	if p.r.ContentLength > 0 {
+		if err := held.Grow(p.r.ContentLength); err != nil {
+			return p.refuseForMemory(err)
+		}
 		p.body = make([]byte, 0, p.r.ContentLength)
+	} else {
+		source = held.Reader(source)
 	}
-	body, err := readAll(p.body, http.MaxBytesReader(p.w, p.r.Body, maxBytes))
+	body, err := readAll(p.body, source)
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, memory.ErrFull):
+		return p.refuseForMemory(err)
 	case errors.As(err, &large):
 		return tooLarge
 	case err != nil:
@@ -140,6 +149,12 @@
 	return p.refuseBlocked()
 }
 
+// refuseForMemory refuses a request whose body finds no room.
+func (p *proxiedRequest) refuseForMemory(err error) *entry.Refusal {
+	p.note("%v", err)
+	return p.refuseFor(entry.CodeQueueFull, "too many long requests are being served", minRetryAfter)
+}
+
 // refuseBlocked refuses a request under which too many target incarnations crashed, and returns nil
 // for others. Refusing an early return costs next to nothing, while each attempt would cost a
 // target and everything that runs there. The status is that of a refusal that may be repeated,
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/entry"
+	"embertally.dev/core/memory"
 	"embertally.dev/core/table"
 	"embertally.dev/core/target"
 )
@@ -17,6 +18,9 @@
 // truncated one can be replaced by a retry.
 const maxBufferedBytes = 256 << 10
 
+// minBufferedBytes is the first size of the buffer.
+const minBufferedBytes = 1 << 10
+
 // bufferedResponse is the buffered start of a response, or all of it.
 type bufferedResponse struct {
 	status int
@@ -27,7 +31,7 @@
 // passOnPlain passes on a response that is not a stream.
 func (p *proxiedRequest) passOnPlain(c *choice, resp *target.Response, respMeta *ResponseMeta, sent time.Time) (outcome, *bufferedResponse) {
 	began := time.Now()
-	body, err := readAll(nil, io.LimitReader(resp, maxBufferedBytes))
+	body, whole, err := p.readStart(resp)
 	if err != nil {
 		return p.classifyReadError(c, err, time.Since(began)), nil
 	}
@@ -39,25 +43,50 @@
 		p.note("the response is not signed")
 		return outcomeIncomplete, nil
 	}
-	if len(body) < maxBufferedBytes {
+	if whole {
 		p.recordEnd(c, resp, good)
 	}
 	p.recordResponse(c, good)
 	p.recordFirstAnswer(c, sent)
-	if !good && p.route.MayRepeat() && len(body) < maxBufferedBytes {
+	if !good && p.route.MayRepeat() && whole {
 		return outcomeFailed, answer
 	}
 	p.firstAt = time.Now()
 	if resp.Status/100 == 2 && p.route.Kind == table.Stream {
 		p.bindToStream(c)
 	}
-	if len(body) < maxBufferedBytes {
+	if whole {
 		answer.write(p)
 		return outcomeDone, nil
 	}
 	return p.passOnRest(c, answer, resp, good), nil
 }
 
+// readStart reads a response until its end, or until it holds maxBufferedBytes or as much as there is room for. whole is
+// set if it was read to its end.
+func (p *proxiedRequest) readStart(resp *target.Response) (body []byte, whole bool, err error) {
+	held := p.hold(memory.Bodies)
+	for len(body) < maxBufferedBytes {
+		if len(body) == cap(body) {
+			size := min(max(2*cap(body), minBufferedBytes), maxBufferedBytes)
+			if full := held.Grow(int64(size - cap(body))); full != nil {
+				p.note("passed on from byte %d on: %v", len(body), full)
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := resp.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case target.IsEnd(err):
+			return body, true, nil
+		case err != nil:
+			return nil, false, errors.WithStack(err)
+		}
+	}
+	return body, false, nil
+}
+
 // passOnRest passes on a response that is too large to be buffered completely.
 func (p *proxiedRequest) passOnRest(c *choice, answer *bufferedResponse, resp *target.Response, good bool) outcome {
 	answer.writeHeader(p, resp.Length)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -259,6 +259,7 @@
 		relay: rl, w: w, r: r, start: time.Now(), suspends: newSuspendDetector(),
 		originDomain: rl.options.Domain, tried: map[string]int{},
 	}
+	defer p.releaseHoldings()
 	refusal := p.admit()
 	if refusal == nil {
 		refusal = p.run()
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -10,6 +10,7 @@
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
+	"embertally.dev/core/memory"
 	"embertally.dev/core/poison"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/table"
@@ -31,6 +32,8 @@
 	table        *table.Table
 	regions      regions
 	body         []byte
+	// holdings are the bytes that are held for the request until it ends.
+	holdings []*memory.Holding
 	// sent is what crashes of targets are counted for; zero until the body is read.
 	sent    poison.Sent
 	service string
@@ -178,6 +181,20 @@
 	return "this box reaches no target, nor does another for it"
 }
 
+// hold returns a holding that is released when the request ends.
+func (p *proxiedRequest) hold(kind memory.Kind) *memory.Holding {
+	h := p.relay.options.Pool.Memory.Hold(kind)
+	p.holdings = append(p.holdings, h)
+	return h
+}
+
+// releaseHoldings gives back what hold returned.
+func (p *proxiedRequest) releaseHoldings() {
+	for _, h := range p.holdings {
+		h.Release()
+	}
+}
+
 // uncountAttempt takes back one attempt at a target.
 func (p *proxiedRequest) uncountAttempt(id string) {
 	if p.tried[id]--; p.tried[id] <= 0 {
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/memory"
 	"embertally.dev/core/poison"
 	"embertally.dev/core/target"
 )
@@ -31,23 +32,30 @@
 	comment bool
 }
 
-// nextEvent reads one event. At the end of the stream it returns io.EOF or target.ErrUnmarkedEnd, and
+// nextEvent reads one event, whose bytes it adds to held. At the end of the stream it returns io.EOF or target.ErrUnmarkedEnd, and
 // io.ErrUnexpectedEOF if the stream ends within an event.
-func nextEvent(r *bufio.Reader) (rawEvent, error) {
+func nextEvent(r *bufio.Reader, held *memory.Holding) (rawEvent, error) {
 	ev := rawEvent{comment: true}
+	line := 0 // where the current line begins
 	for {
-		line, err := r.ReadBytes('\n')
-		ev.raw = append(ev.raw, line...)
-		if err != nil {
+		part, err := r.ReadSlice('\n')
+		if full := held.Grow(int64(len(part))); full != nil {
+			return ev, full
+		}
+		ev.raw = append(ev.raw, part...)
+		switch {
+		case err == nil && len(ev.raw) > maxEventBytes:
+			return ev, errors.Wrapf(errEventTooLong, "%d bytes", len(ev.raw))
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
 			if target.IsEnd(err) && len(bytes.TrimSpace(ev.raw)) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return ev, errors.WithStack(err)
 		}
-		if len(ev.raw) > maxEventBytes {
-			return ev, errors.WithStack(errEventTooLong)
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(ev.raw[line:], "\r\n")
+		line = len(ev.raw)
 		if len(text) == 0 && len(bytes.TrimSpace(ev.raw)) > 0 {
 			return ev, nil
 		}
@@ -67,9 +75,12 @@
 		return outcomeIncomplete
 	}
 	r := bufio.NewReaderSize(resp, 2<<10)
-	st := &responseStream{gaps: p.newGapObserver(c)}
+	st, held := &responseStream{gaps: p.newGapObserver(c)}, p.hold(memory.Events)
 	for {
-		ev, err := nextEvent(r)
+		if len(st.comments) == 0 {
+			held.Release()
+		}
+		ev, err := nextEvent(r, held)
 		if target.IsEnd(err) {
 			return p.endStream(c, resp, st, err)
 		}
--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -39,7 +39,9 @@
 	// stream carries requests; tcp is the connection under it.
 	stream net.Conn
 	tcp    *net.TCPConn
-	r      *bufio.Reader
+	// r reads head, which reads what the target sends.
+	r    *bufio.Reader
+	head *headReader
 	// box is the box that the connection leads through, and detour reads what arrives by way of it;
 	// empty and nil for a direct connection.
 	box    string
@@ -85,9 +87,10 @@
 	if p.Opened != nil {
 		p.Opened.Inc()
 	}
+	head := &headReader{r: arrivalConn{conn, &p.arrivals}}
 	return &poolConn{
 		pool: p, address: address, stream: conn, tcp: conn.(*net.TCPConn),
-		r: bufio.NewReaderSize(arrivalConn{conn, &p.arrivals}, readBufferSize),
+		head: head, r: bufio.NewReaderSize(head, readBufferSize),
 	}, nil
 }
 
--- a/core/target/detour.go
+++ b/core/target/detour.go
@@ -158,7 +158,8 @@
 func (p *Pool) throughBox(address string, conn net.Conn, box string) *poolConn {
 	c := &poolConn{pool: p, address: address, stream: conn, tcp: rawConn(conn), box: box}
 	c.detour = NewDetourReader(conn)
-	c.r = bufio.NewReaderSize(c.detour, readBufferSize)
+	c.head = &headReader{r: c.detour}
+	c.r = bufio.NewReaderSize(c.head, readBufferSize)
 	return c
 }
 
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -262,26 +262,6 @@
 	}
 }
 
-// readHead reads the status and header of the response, and skips interim responses.
-func (resp *Response) readHead(method string) error {
-	for {
-		parsed, err := http.ReadResponse(resp.conn.r, &http.Request{Method: method})
-		if err != nil {
-			return errors.WithStack(err)
-		}
-		if parsed.StatusCode < http.StatusOK {
-			continue
-		}
-		resp.Status, resp.Header, resp.Length, resp.body = parsed.StatusCode, parsed.Header,
-			parsed.ContentLength, parsed.Body
-		resp.framing = framingOf(parsed)
-		if parsed.Close {
-			resp.Header.Set("Connection", "close")
-		}
-		return nil
-	}
-}
-
 // writer writes one request.
 type writer struct {
 	conn *poolConn
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/memory"
 	"embertally.dev/core/wait"
 )
 
@@ -27,6 +28,8 @@
 	Detour Detour
 	// Lender, if set, opens connections where this box's share of a target's connections is used up.
 	Lender Lender
+	// Memory, if set, bounds what is held of responses. It is set before use.
+	Memory *memory.Budget
 	// OnPartitioned, if set, is called at intervals with the result of Partitioned while paths are
 	// failing, by one goroutine at a time.
 	OnPartitioned func(partitioned bool)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -26,6 +26,7 @@
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/learn"
 	"embertally.dev/core/lease"
+	"embertally.dev/core/memory"
 	"embertally.dev/core/order"
 	"embertally.dev/core/origin"
 	"embertally.dev/core/plat"
@@ -76,8 +77,10 @@
 	pauses           learn.Pauses
 	firstAnswerTimes *learn.Times
 	targetStats      learn.Targets
-	pool             *target.Pool
-	detours          *detour.Boxes
+	// memory bounds what is held of requests and responses.
+	memory  memory.Budget
+	pool    *target.Pool
+	detours *detour.Boxes
 	// partitioned is the last result of recordPartition.
 	partitioned    atomic.Bool
 	relay          *relay.Relay
@@ -125,6 +128,7 @@
 	h.storeClient, h.engineClient = newClient(), newClient()
 	h.storeClient.OnReplaced = func() { h.log.Emit(event.ConnectionReplaced, event.Ref{}, "the coordination store") }
 	h.engineClient.ManyServices = true
+	h.engineClient.Memory = &h.memory
 	h.store = platform.NewStore("http://"+settings.Store, h.storeClient)
 	h.watchCache = plat.NewWatchCache(h.store, plat.Prefix(""), h.log)
 	h.watchCache.Observe(h.applyChanges)
@@ -157,7 +161,7 @@
 	h.storeIndexSync = spread.NewStoreIndexes(engines, h.fleet)
 	h.storeIndexes = cache.NewStoreIndexes(h.storeIndexSync, h.log)
 	h.storeIndexSync.Serve(h.storeIndexes)
-	h.pool = &target.Pool{Opened: h.stats.Opened, Refused: h.stats.OpensRefused, Unanswered: h.stats.OpensUnanswered}
+	h.pool = &target.Pool{Memory: &h.memory, Opened: h.stats.Opened, Refused: h.stats.OpensRefused, Unanswered: h.stats.OpensUnanswered}
 	h.detours = detour.New(detour.Options{
 		Domain: settings.Domain, Fleet: h.fleet, Pool: h.pool, Locate: h.locateTarget,
 		Opened: h.stats.DetoursOpened, Failed: h.stats.DetoursFailed, Forwarded: h.stats.DetoursForwarded,
