--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -5,6 +5,7 @@
 package memory
 
 import (
+	"fmt"
 	"io"
 	"sync"
 
@@ -41,6 +42,20 @@
 // ErrFull means that a budget has no room for more bytes.
 var ErrFull = errors.New("the memory for requests and responses is used up")
 
+// fullError is ErrFull with what found no room.
+type fullError struct {
+	kind      Kind
+	has, more int64
+}
+
+// Error returns what found no room.
+func (e *fullError) Error() string {
+	return fmt.Sprintf("%v: %d bytes of %s beside %d", ErrFull, e.more, e.kind, e.has)
+}
+
+// Is reports whether the other error is ErrFull.
+func (*fullError) Is(other error) bool { return other == ErrFull }
+
 const (
 	// smallHolding is what each request or response may hold even if the budget is used up: what is usual is never
 	// refused because of what is large.
@@ -121,7 +136,7 @@
 		return nil
 	}
 	if !h.budget.add(h.kind, h.bytes, n) {
-		return errors.Wrapf(ErrFull, "%d bytes of %s more than the %d held", n, h.kind, h.bytes)
+		return errors.WithStack(&fullError{h.kind, h.bytes, n})
 	}
 	h.bytes += n
 	return nil
