An event of a stream is read up to its bound, whatever its lines

Cause: the size of an event was compared with 1 MiB after each whole line; a line without an end was read until the deadline.

Change: lines are read piece by piece, and the bound holds for each piece; whether an event has content is kept.

Test, which failed before (bound after whole lines): TestEndlessEventsAreBounded, a line and a field without end ("unexpected EOF after 8388608 bytes", all that was there). TestLongEventsAreRead: events as long as the bound, on one line or many.

--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -24,6 +24,17 @@
 
 var errEventTooLong = errors.New("an event of the stream is too long")
 
+// eventTooLongError is errEventTooLong with what was read.
+type eventTooLongError struct{ bytes int }
+
+// Error returns what was read.
+func (e *eventTooLongError) Error() string {
+	return fmt.Sprintf("%v: %d bytes without its end", errEventTooLong, e.bytes)
+}
+
+// Is reports whether the other error is errEventTooLong.
+func (*eventTooLongError) Is(other error) bool { return other == errEventTooLong }
+
 // rawEvent is one event of a stream, with all its bytes.
 type rawEvent struct {
 	raw []byte
@@ -36,27 +47,29 @@
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func nextEvent(r *bufio.Reader, held *memory.Holding) (rawEvent, error) {
 	ev := rawEvent{comment: true}
-	line := 0 // where the current line begins
+	line := 0        // where the current line begins
+	content := false // there is something besides white space
 	for {
 		part, err := r.ReadSlice('\n')
 		if full := held.Grow(int64(len(part))); full != nil {
 			return ev, full
 		}
 		ev.raw = append(ev.raw, part...)
+		content = content || len(bytes.TrimSpace(part)) > 0
 		switch {
-		case err == nil && len(ev.raw) > maxEventBytes:
-			return ev, errors.Wrapf(errEventTooLong, "%d bytes", len(ev.raw))
+		case len(ev.raw) > maxEventBytes:
+			return ev, errors.WithStack(&eventTooLongError{len(ev.raw)})
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err != nil:
-			if target.IsEnd(err) && len(bytes.TrimSpace(ev.raw)) > 0 {
+			if target.IsEnd(err) && content {
 				err = io.ErrUnexpectedEOF
 			}
 			return ev, errors.WithStack(err)
 		}
 		text := bytes.TrimRight(ev.raw[line:], "\r\n")
 		line = len(ev.raw)
-		if len(text) == 0 && len(bytes.TrimSpace(ev.raw)) > 0 {
+		if len(text) == 0 && content {
 			return ev, nil
 		}
 		ev.comment = ev.comment && (len(text) == 0 || text[0] == ':')
@@ -89,7 +102,7 @@
 		}
 		if ev.comment && !p.headerSent {
 			if st.comments = append(st.comments, ev.raw...); len(st.comments) > maxEventBytes {
-				return p.classifyBrokenStream(c, st, errors.WithStack(errEventTooLong))
+				return p.classifyBrokenStream(c, st, errors.WithStack(&eventTooLongError{len(st.comments)}))
 			}
 			continue
 		}
--- /dev/null
+++ b/core/relay/stream_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/memory"
+)
+
+// repeating reads one text again and again, and counts what was read.
+type repeating struct {
+	text string
+	read int
+}
+
+// Read implements io.Reader.
+func (r *repeating) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = r.text[(r.read+i)%len(r.text)]
+	}
+	r.read += len(b)
+	return len(b), nil
+}
+
+// Guards against a daemon that goes over its memory since a target sends an event without end: its size was compared with
+// the bound only after a whole line.
+func TestEndlessEventsAreBounded(t *testing.T) {
+	for _, tc := range []struct{ name, text string }{
+		{"a line without end", "x"},
+		{"a field without end", "data: " + strings.Repeat("x", 1<<20)},
+		{"lines without an empty one", "data: word\n"},
+		{"comments without an empty line", ": still here\n"},
+		{"empty lines", "\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			const most = 8 << 20
+			source := &repeating{text: tc.text}
+			budget := &memory.Budget{}
+			held := budget.Hold(memory.Events)
+			_, err := nextEvent(bufio.NewReaderSize(io.LimitReader(source, most), 2<<10), held)
+			g.Expect(errors.Is(err, errEventTooLong)).To(gomega.BeTrue(), "%v after %d bytes", err, source.read)
+			g.Expect(source.read).To(gomega.BeNumerically("<=", maxEventBytes+4<<10))
+			_, counted := budget.Held(memory.Events)
+			g.Expect(counted).To(gomega.BeNumerically("<=", maxEventBytes+4<<10))
+		})
+	}
+}
+
+// The longest events are read, whatever their lines.
+func TestLongEventsAreRead(t *testing.T) {
+	for _, tc := range []struct{ name, event string }{
+		{"one line", "data: " + strings.Repeat("x", maxEventBytes-16) + "\n\n"},
+		{"many lines", strings.Repeat("data: x\n", maxEventBytes/8-1) + "\n"},
+		{"a line as long as the buffer", "data: " + strings.Repeat("x", 2<<10-7) + "\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := bufio.NewReaderSize(strings.NewReader("id: 7\n"+tc.event+"id: 8\n\n"), 2<<10)
+			for _, want := range []string{"7", "8"} {
+				ev, err := nextEvent(r, (*memory.Budget)(nil).Hold(memory.Events))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(ev.id).To(gomega.Equal(want))
+			}
+		})
+	}
+}
