What is held of requests and answers is bounded as a whole

Cause: each request, answer, event and call has a bound, their sum had none; only what waits in the queue had one, of 64 MiB, which is half of the smallest box.

Change: one budget of a fifth of the memory. The start of an answer is then passed on instead of being kept for a retry; an event or a head counts as broken. Responses to orders, reports and lists of targets are in it as well, with 16 MiB each (32 before) and heads of 64 KiB (10 MB before).

Ruled out: a bound on the number of requests, since nearly all are a few hundred bytes long.

--- /dev/null
+++ b/core/relay/memory_test.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/memory"
+)
+
+// Guards against a daemon that holds more than its memory of what callers send and targets answer: a request that finds no
+// room is refused at once, not run, and an answer is passed on without being kept for a retry.
+func TestNoRoomForRequestsAndAnswers(t *testing.T) {
+	long := strings.Repeat("x", 100<<10)
+	for _, tc := range []struct {
+		name, body string
+		// held is what others hold.
+		held   int64
+		status int
+		ran    int
+	}{
+		{"a usual request", "x", 1 << 20, http.StatusOK, 1},
+		{"a long request", long, 1 << 20, http.StatusServiceUnavailable, 0},
+		{"a long request, room again", long, 0, http.StatusOK, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			budget := &memory.Budget{Limit: 1 << 20}
+			r.relay.options.Pool.Memory = budget
+			r.target("a", "plain", always(respond(200, long)))
+			others := budget.Hold(memory.Events)
+			r.g.Expect(others.Grow(tc.held)).To(gomega.Succeed())
+			got := r.send(http.MethodPost, "/once/", tc.body)
+			r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(got.status).To(gomega.Equal(tc.status))
+			r.g.Expect(r.received()).To(gomega.HaveLen(tc.ran))
+			if tc.ran > 0 {
+				r.g.Expect(got.body).To(gomega.Equal(long))
+			} else {
+				r.g.Expect(got.body).To(gomega.ContainSubstring(`"ran":"notRun"`))
+				r.g.Expect(got.header.Get("Come-Back")).NotTo(gomega.BeEmpty())
+			}
+			for _, kind := range memory.Kinds() {
+				if kind != memory.Events {
+					r.g.Eventually(func() int64 { now, _ := budget.Held(kind); return now }, "5s", "5ms").Should(gomega.BeZero(), kind.String())
+				}
+			}
+		})
+	}
+}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -128,7 +128,8 @@
 	h.storeClient, h.engineClient = newClient(), newClient()
 	h.storeClient.OnReplaced = func() { h.log.Emit(event.ConnectionReplaced, event.Ref{}, "the coordination store") }
 	h.engineClient.ManyServices = true
-	h.engineClient.Memory = &h.memory
+	h.memory.Limit = int64(heldShare * float64(settings.MemoryMB<<20))
+	h.engineClient.Memory, h.engineClient.MaxResponse = &h.memory, maxCallResponse
 	h.store = platform.NewStore("http://"+settings.Store, h.storeClient)
 	h.watchCache = plat.NewWatchCache(h.store, plat.Prefix(""), h.log)
 	h.watchCache.Observe(h.applyChanges)
@@ -241,11 +242,23 @@
 // clientIdleTimeout is how long an idle connection for control calls stays open.
 const clientIdleTimeout = 10 * time.Second
 
+// heldShare is the share of Settings.MemoryMB for requests and responses that are being read or sent. What is allocated for
+// them and not collected yet takes about as much again.
+const heldShare = 0.2
+
+// Bounds of responses to control calls, by which a target that sends bytes without end cannot fill the memory: the heads
+// are a few hundred bytes long, and the longest body lists the segments of a KV-cache store, some 60 bytes each.
+const (
+	maxCallHead     = 64 << 10
+	maxCallResponse = 16 << 20
+)
+
 // newClient returns an HTTP client for control calls to the store or to workers.
 func newClient() *plat.Client {
 	return &plat.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: clientIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxCallHead,
 	}}
 }
 
