--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -209,7 +209,7 @@
 		end  func(c net.Conn)
 		want error
 	}{
-		{"closed with a part of the request unread", func(c net.Conn) { time.Sleep(5 * time.Millisecond) }, syscall.ECONNRESET},
+		{"closed with a part of the request unread", func(net.Conn) { time.Sleep(5 * time.Millisecond) }, syscall.ECONNRESET},
 		{"closed after reading the request", func(c net.Conn) { _, _ = io.CopyN(io.Discard, c, requestBytes-1) }, io.EOF},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
