Tests of spread: handlers are registered before their daemon runs

Cause: twoDaemons ran both daemons before its callers replaced handlers, and a Mux reads its handlers without a lock once it serves. On the race detector failed TestDaemonWithAnOldCopyAsksRelays/fresh in a run of ./spread alone on an idle machine; the whole of make race right after passed. Change: a function that registers handlers is called before the daemon runs, in all three tests that replace one.

--- a/core/spread/freshness_test.go
+++ b/core/spread/freshness_test.go
@@ -41,13 +41,14 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			asker, relay := twoDaemons(t)
+			scripted := freshness{AgeMillis: ageMillis(tc.relay), ReachedMillis: tc.reached.Milliseconds()}
+			asker, _ := twoDaemons(t, func(other *wire.Mux) {
+				other.Register(kindFreshness, wire.Handle(func(context.Context, string, *struct{}) (*freshness, error) {
+					return &scripted, nil
+				}))
+			})
 			now := clock.Now()
 			asker.watchCache.ApplyChanges(nil, 1, now.Add(-2*maxAge))
-			scripted := freshness{AgeMillis: ageMillis(tc.relay), ReachedMillis: tc.reached.Milliseconds()}
-			relay.fleet.Mux().Register(kindFreshness, wire.Handle(func(context.Context, string, *struct{}) (*freshness, error) {
-				return &scripted, nil
-			}))
 			g.Expect(asker.KnowsNewer(now, maxAge)).To(gomega.BeFalse())
 			g.Eventually(func() bool {
 				asker.askFreshness(t.Context(), "other")
@@ -72,15 +73,16 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			peer, relay := twoDaemons(t)
 			var asked, atOnce, most atomic.Int64
-			relay.fleet.Mux().Register(kindFreshness, wire.Handle(func(context.Context, string, *struct{}) (*freshness, error) {
-				asked.Add(1)
-				most.Store(max(most.Load(), atOnce.Add(1)))
-				defer atOnce.Add(-1)
-				time.Sleep(freshnessTimeout / 4)
-				return &freshness{AgeMillis: 1}, nil
-			}))
+			peer, _ := twoDaemons(t, func(other *wire.Mux) {
+				other.Register(kindFreshness, wire.Handle(func(context.Context, string, *struct{}) (*freshness, error) {
+					asked.Add(1)
+					most.Store(max(most.Load(), atOnce.Add(1)))
+					defer atOnce.Add(-1)
+					time.Sleep(freshnessTimeout / 4)
+					return &freshness{AgeMillis: 1}, nil
+				}))
+			})
 			var seeds []fleet.Peer
 			for i := range 48 {
 				seeds = append(seeds, fleet.Peer{Name: fmt.Sprintf("d%02d", i), Address: peer.fleet.View().Peers()[0].Address, Domain: fmt.Sprintf("z%d", i%3)})
@@ -104,7 +106,7 @@
 
 func TestRelayReportsItsCopyAndWhenItReachedTheStore(t *testing.T) {
 	g := gomega.NewWithT(t)
-	_, relay := twoDaemons(t)
+	_, relay := twoDaemons(t, nil)
 	relay.watchCache.ApplyChanges(nil, 1, clock.Now().Add(-time.Minute))
 	got, err := relay.handleFreshness(t.Context(), "asker", nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -205,8 +207,8 @@
 }
 
 // twoDaemons returns two running fleet members, "asker" and "other". Their heartbeats report no copies while
-// these are empty.
-func twoDaemons(t *testing.T) (asker, other *WatchCacheSync) {
+// these are empty. The function register, if not nil, replaces handlers of "other" before it runs.
+func twoDaemons(t *testing.T, register func(other *wire.Mux)) (asker, other *WatchCacheSync) {
 	var listeners []net.Listener
 	var seeds []fleet.Peer
 	for _, name := range []string{"asker", "other"} {
@@ -226,6 +228,9 @@
 			SuspectAfter: 5 * time.Second, Log: log,
 		})
 		out = append(out, NewWatchCacheSync(plat.NewWatchCache(&memkv.KV{}, plat.Prefix(""), log), f, log))
+		if register != nil && p.Name == "other" {
+			register(f.Mux())
+		}
 		wg.Go(func() { f.Run(ctx, listeners[i]) })
 	}
 	return out[0], out[1]
@@ -250,7 +255,7 @@
 // a daemon that starts while the store is away would find nobody to ask.
 func TestDaemonWithACopyFromAPeerReportsItsAge(t *testing.T) {
 	g := gomega.NewWithT(t)
-	asker, _ := twoDaemons(t)
+	asker, _ := twoDaemons(t, nil)
 	g.Expect(asker.Collect(true)).To(gomega.BeNil(), "without a copy")
 	asker.watchCache.ApplyChanges(nil, 1, clock.Now())
 	g.Expect(asker.Collect(true)).NotTo(gomega.BeNil())
--- a/core/spread/storeindex_age_test.go
+++ b/core/spread/storeindex_age_test.go
@@ -57,12 +57,13 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			asker, other := twoDaemons(t)
-			other.fleet.Mux().Register(kindStoreIndex, wire.Handle(func(_ context.Context, _ string, req *indexRequest) (*indexResponse, error) {
-				time.Sleep(time.Duration(req.WaitMillis)*time.Millisecond + underWay)
-				first := req.PageAfter == indexedSegment{}
-				return &indexResponse{Next: 1, Segments: []indexedSegment{{ID: "s", Tokens: 1}}, More: req.All && first, ClockMillis: time.Minute.Milliseconds()}, nil
-			}))
+			asker, _ := twoDaemons(t, func(other *wire.Mux) {
+				other.Register(kindStoreIndex, wire.Handle(func(_ context.Context, _ string, req *indexRequest) (*indexResponse, error) {
+					time.Sleep(time.Duration(req.WaitMillis)*time.Millisecond + underWay)
+					first := req.PageAfter == indexedSegment{}
+					return &indexResponse{Next: 1, Segments: []indexedSegment{{ID: "s", Tokens: 1}}, More: req.All && first, ClockMillis: time.Minute.Milliseconds()}, nil
+				}))
+			})
 			s := NewStoreIndexes(slowStore{}, asker.fleet)
 			var ev cache.SegmentEvents
 			g.Eventually(func() (err error) { ev, err = tc.get(s, t.Context()); return err }, "20s", "10ms").Should(gomega.Succeed())
