A large value is compressed once for all peers, also if it fits one chunk

Callers would see a configuration in force late, and operators busy boxes or a read of the store by every daemon.

Cause: transfers kept only compressed forms of several chunks. A version that compresses to under 32 KiB against the former one was compressed again for each request, one at a time; requests time out after 1 s and are repeated while the daemon still compresses for the ones before.

Change: forms of one chunk are kept too, apart from larger ones so that they displace none in transfer; a form is identified by its contents as well.

TestRequestsOfTheSamePayloadShareOneCompression: 11 compressions for 11 peers before, 1 after.

--- a/core/spread/transfers.go
+++ b/core/spread/transfers.go
@@ -26,11 +26,12 @@
 	compressMu sync.Mutex // held while compressing, so that concurrent requests share the result
 
 	transfersMu sync.Mutex
-	// stored holds the latest payloads of several chunks, the oldest first. Guarded by transfersMu.
-	stored []storedTransfer
+	// stored holds the latest payloads of several chunks, single those of one, each the oldest first:
+	// small payloads must not displace one whose chunks are being requested. Guarded by transfersMu.
+	stored, single []storedTransfer
 }
 
-// storedTransfer is a payload whose chunks peers may still request.
+// storedTransfer is a payload that peers may still request, or a chunk of it.
 type storedTransfer struct {
 	id      string
 	payload []byte
@@ -43,7 +44,8 @@
 	chunkSize = 32 << 10
 	// chunkTimeout bounds the request of one chunk.
 	chunkTimeout = time.Second
-	// maxStored is how many payloads are kept for further chunks.
+	// maxStored is how many payloads of several chunks are kept, and how many of one: most peers
+	// request the same payload at the same time.
 	maxStored = 4
 )
 
@@ -83,16 +85,20 @@
 func (t *transfers) find(id string) ([]byte, bool) {
 	t.transfersMu.Lock()
 	defer t.transfersMu.Unlock()
-	for _, s := range t.stored {
-		if s.id == id {
-			return s.payload, true
+	for _, list := range [][]storedTransfer{t.stored, t.single} {
+		for _, s := range list {
+			if s.id == id {
+				return s.payload, true
+			}
 		}
 	}
 	return nil, false
 }
 
 // begin returns the first chunk of a payload. It calls compressed for the payload unless one is
-// stored under id.
+// stored under id, which identifies the contents. Without storing each payload, peers whose requests
+// time out while others are compressed for would cause the same work again with each retry, and a busy
+// daemon would never catch up.
 func (t *transfers) begin(id string, compressed func() ([]byte, error)) (transfer, error) {
 	t.compressMu.Lock()
 	defer t.compressMu.Unlock()
@@ -102,19 +108,21 @@
 		if payload, err = compressed(); err != nil {
 			return transfer{}, err
 		}
+		t.store(id, payload)
 	}
-	return t.firstChunk(id, payload), nil
+	return transfer{ID: id, Size: len(payload), Chunk: t.chunkAt(payload, 0)}, nil
 }
 
-// firstChunk returns the first chunk of a payload, and stores the payload if there are more.
-func (t *transfers) firstChunk(id string, payload []byte) transfer {
-	if _, found := t.find(id); !found && len(payload) > chunkSize {
-		t.transfersMu.Lock()
-		t.stored = append(t.stored, storedTransfer{id, payload})
-		t.stored = t.stored[max(0, len(t.stored)-maxStored):]
-		t.transfersMu.Unlock()
+// store keeps a payload for further requests.
+func (t *transfers) store(id string, payload []byte) {
+	t.transfersMu.Lock()
+	defer t.transfersMu.Unlock()
+	list := &t.single
+	if len(payload) > chunkSize {
+		list = &t.stored
 	}
-	return transfer{ID: id, Size: len(payload), Chunk: t.chunkAt(payload, 0)}
+	*list = append(*list, storedTransfer{id, payload})
+	*list = (*list)[max(0, len(*list)-maxStored):]
 }
 
 // chunkAt returns the chunk of a payload at an offset.
--- a/core/spread/values.go
+++ b/core/spread/values.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/clock"
@@ -150,7 +151,8 @@
 
 // beginTransfer starts the transfer of a value that is compressed with base as the dictionary.
 func (v *largeValues) beginTransfer(value, base plat.Pair) (transfer, error) {
-	id := fmt.Sprintf("%s/%d/%d", value.Key, value.ModRevision, base.ModRevision)
+	// A restored store may assign a revision again, to other contents.
+	id := fmt.Sprintf("%s/%d/%d/%x/%x", value.Key, value.ModRevision, base.ModRevision, xxhash.Sum64(value.Value), xxhash.Sum64(base.Value))
 	return v.transfers.begin(id, func() ([]byte, error) { return compress(value.Value, base.Value) })
 }
 
