Callers' header fields are bounded by the configuration

Callers could send a header of 1 MB, the limit of the standard library, although the configuration's limit is 16 KiB: MaxHeaderBytes was parsed and not used.

Cause: the limit is part of the configuration, which changes while connections are open, and a server's own limit is fixed when it starts. Change: requests whose header fields exceed it get 431, headerTooLarge, not run; the server reads 256 KiB of a header at most. Measured: TestHeadersAreBounded, 200 in place of 431 before. Requests within the limit are served as before.

--- a/core/entry/refusal.go
+++ b/core/entry/refusal.go
@@ -33,6 +33,7 @@
 	CodeBadKey              Code = "badKey"
 	CodeBadRequest          Code = "badRequest"
 	CodeTooLarge            Code = "bodyTooLarge"
+	CodeHeaderTooLarge      Code = "headerTooLarge"
 	CodeNotFound            Code = "notFound"
 	CodeNotAllowed          Code = "notAllowed"
 	CodeQueueFull           Code = "queueFull"
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -65,6 +65,9 @@
 	if overdue := p.relay.configOverdue(); overdue > 0 {
 		return p.refuseFor(entry.CodeNotReady, "a newer configuration may not have arrived", overdue)
 	}
+	if limit := t.Limits().MaxHeaderBytes; limit > 0 && headerBytes(p.r) > limit {
+		return entry.NewRefusal(http.StatusRequestHeaderFieldsTooLarge, entry.CodeHeaderTooLarge, entry.NotRun, "the header is too large", 0)
+	}
 	path, _, _ := strings.Cut(p.r.RequestURI, "?")
 	if p.route = t.Match(p.r.Host, path); p.route == nil {
 		return p.refuseUnknown(http.StatusNotFound, entry.CodeNotFound, "there is no route for this host and path")
@@ -78,6 +81,18 @@
 	return p.readBody(t.Limits())
 }
 
+// headerBytes returns the size of a request's header fields as they are sent.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	sum := len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			sum += len(name) + len(value) + separators
+		}
+	}
+	return sum
+}
+
 // refuseUnknown refuses a request for a route or key that the configuration does not contain. If
 // the daemon may have missed a change, it refuses as not ready instead.
 func (p *proxiedRequest) refuseUnknown(status int, code entry.Code, text string) *entry.Refusal {
--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/memory"
+	"embertally.dev/core/table"
 )
 
 // Guards against a daemon that holds more than its memory of what callers send and targets answer: a request that finds no
@@ -50,3 +51,34 @@
 		})
 	}
 }
+
+// Guards against callers' header fields beyond the configured limit, which was not applied.
+func TestHeadersAreBounded(t *testing.T) {
+	const limit = 16 << 10
+	for _, tc := range []struct {
+		name         string
+		limit, field int
+		status       int
+	}{
+		{"within", limit, limit - 1000, http.StatusOK},
+		{"beyond", limit, limit, http.StatusRequestHeaderFieldsTooLarge},
+		{"without a limit", 0, limit, http.StatusOK},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.SetTable(table.New(table.Spec{
+				Version: 2, Routes: testRoutes, Services: []table.Service{{Name: "plain"}},
+				Organisations: []table.Organisation{{Name: "org", Keys: []string{"secret"}}},
+				Limits:        table.Limits{MaxHeaderBytes: tc.limit},
+			}))
+			r.target("a", "plain", always(respond(200, "")))
+			got := r.send(http.MethodPost, "/once/", "x", "Padding", strings.Repeat("x", tc.field))
+			r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(got.status).To(gomega.Equal(tc.status))
+			if tc.status != http.StatusOK {
+				r.g.Expect(got.body).To(gomega.ContainSubstring(`"ran":"notRun"`))
+				r.g.Expect(r.received()).To(gomega.BeEmpty())
+			}
+		})
+	}
+}
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -39,18 +39,20 @@
 	return ls, nil
 }
 
-// Timeouts of the HTTP servers' connections.
+// Bounds of the HTTP servers' connections.
 const (
 	// headerTimeout is longer than the header time that the users' configurations allow callers (3 s).
 	headerTimeout = 6 * time.Second
 	// idleTimeout is longer than the users' idle timeouts (15 s), so that the caller closes an
 	// idle connection first: if the daemon did, a request could arrive at the same time and fail.
 	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds what is read of a caller's header, before the configuration's limit applies.
+	maxHeaderBytes = 256 << 10
 )
 
 // serve starts a server on a listener. It runs until it is closed.
 func (h *Host) serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler) *http.Server {
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	wg.Go(func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			h.log.Emit(event.InvariantBroken, event.Ref{}, "listener "+l.Addr().String()+" failed: "+err.Error())
