A request that ends while its connection is opened does not count against the other box

Cause: an opening that was given up because a hedged attempt was answered first was recorded as a failure of the box, which then was not asked for 0.2 s and longer; with two other boxes, two such endings refuse all that follow.

TestEndedRequestsDoNotCountAgainstABox failed in both forms before.

--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -176,10 +176,14 @@
 // openThrough requests a connection from one box.
 func (b *Boxes) openThrough(ctx context.Context, box, targetID string) (net.Conn, verdict) {
 	conn, verdict := b.request(ctx, box, kindOpen, targetID)
-	if verdict == cannotTell {
-		b.backoff.RecordFailure(box, time.Now())
-	} else {
+	switch {
+	case verdict != cannotTell:
 		b.backoff.RecordSuccess(box)
+	case ctx.Err() == nil:
+		b.backoff.RecordFailure(box, time.Now())
+	default:
+		// The request that needed the connection is over, as with the slower one of two attempts. That shows
+		// nothing of the box.
 	}
 	return conn, verdict
 }
--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -57,6 +57,7 @@
 		addresses := map[string]string{}
 		b := New(Options{
 			Domain: seed.Domain, Fleet: f, Pool: &target.Pool{}, Opened: counter{}, Failed: counter{}, Forwarded: counter{}, Borrowed: counter{}, Lent: counter{},
+			ConnectionShare: func(string) int { return 10 },
 			Locate: func(id string) (string, string, bool) {
 				r.mu.Lock()
 				defer r.mu.Unlock()
@@ -259,3 +260,36 @@
 		})
 	}
 }
+
+// Guards against boxes that are passed over because requests ended while their connections were being opened: where the
+// first attempts of a burst lost against hedged ones, the others found no box to ask and were refused.
+func TestEndedRequestsDoNotCountAgainstABox(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		open func(*Boxes, context.Context) error
+	}{
+		{"forwarded", func(b *Boxes, ctx context.Context) error {
+			conn, _, err := b.Open(ctx, "t-1")
+			if err == nil {
+				conn.Close()
+			}
+			return err
+		}},
+		{"lent", func(b *Boxes, ctx context.Context) error {
+			conn, _, err := b.Borrow(ctx, "t-1")
+			if err == nil {
+				conn.Close()
+			}
+			return err
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newBoxesRig(t, "a", "b")
+			r.locate(1, "t-1", r.echo(make(chan struct{}, 2)))
+			ended, end := context.WithCancel(t.Context())
+			end()
+			r.g.Expect(tc.open(r.boxes[0], ended)).NotTo(gomega.Succeed())
+			r.g.Expect(tc.open(r.boxes[0], t.Context())).To(gomega.Succeed())
+		})
+	}
+}
--- a/core/detour/forward.go
+++ b/core/detour/forward.go
@@ -71,10 +71,10 @@
 			b.o.Borrowed.Inc()
 			return conn, box, nil
 		}
-		b.lendBackoff.RecordFailure(box, time.Now())
 		if ctx.Err() != nil {
 			break
 		}
+		b.lendBackoff.RecordFailure(box, time.Now())
 	}
 	return nil, "", errors.WithStack(target.ErrFull)
 }
