Refusals are not lost where the caller asks to close the connection

Callers that send Connection: close got a reset in place of a refusal that came before their body was read: a 503 for want of memory, 401, 404 and others. For requests that may run once the outcome then looked unknown although they had not run.

Cause: net/http reads what is left of a body before it goes on with a connection, but not where the connection is to be closed; closing it with unread bytes resets it, and the response may be lost.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -164,6 +164,27 @@
 	return p.refuseBlocked()
 }
 
+// Bounds of what is read of the body of a request that is refused.
+const (
+	maxDiscardedBytes = defaultMaxBodyBytes
+	discardTimeout    = time.Second
+)
+
+// discardBody reads what is left of the body where the caller asked to close the connection after the response: net/http
+// does so for the others only, and closing with unread bytes resets the connection, so that the refusal may be lost.
+func (p *proxiedRequest) discardBody() {
+	if !p.r.Close || p.r.ContentLength == 0 {
+		return
+	}
+	if err := http.NewResponseController(p.w).SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		p.note("%v", err)
+		return
+	}
+	if _, err := io.CopyN(io.Discard, p.r.Body, maxDiscardedBytes); err != nil && !errors.Is(err, io.EOF) {
+		p.note("the body broke off: %v", err)
+	}
+}
+
 // refuseForMemory refuses a request whose body finds no room.
 func (p *proxiedRequest) refuseForMemory(err error) *entry.Refusal {
 	p.note("%v", err)
--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -82,3 +82,25 @@
 		})
 	}
 }
+
+// Guards against refusals that are lost in a reset: the connection was closed with a part of the body unread.
+func TestRefusalsReachCallersThatCloseTheirConnection(t *testing.T) {
+	const tries = 20
+	long := strings.Repeat("x", 1<<20)
+	for _, tc := range []struct {
+		name, path, key string
+		status          int
+	}{
+		{"unknown key", "/once/", "unknown", http.StatusUnauthorized},
+		{"unknown path", "/nowhere/", "secret", http.StatusNotFound},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			for range tries {
+				got := r.send(http.MethodPost, tc.path, long, "Key", tc.key)
+				r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+				r.g.Expect(got.status).To(gomega.Equal(tc.status))
+			}
+		})
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -263,6 +263,8 @@
 	refusal := p.admit()
 	if refusal == nil {
 		refusal = p.run()
+	} else {
+		p.discardBody()
 	}
 	p.finish(refusal)
 }
