Log the salt, version and priority of each attempt, and count attempts without them

Change: the line of a request has "sent to TARGET with salt S, weights V, priority P" for each attempt, sends_unsalted_total, sends_unversioned_total and prompts_unparsed_total count, and headers about the prompt that cannot be parsed are named. No decision changes.

Measured: tests of core/relay pass.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -53,6 +53,10 @@
 	if err != nil {
 		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, err.Error(), 0)
 	}
+	if len(meta.Unparsed) > 0 {
+		p.relay.options.Stats.UnparsedPrompts.Inc()
+		p.note("cannot parse %s", strings.Join(meta.Unparsed, ", "))
+	}
 	t := p.relay.Table()
 	p.table = t
 	if p.relay.refusing.Load() {
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -322,6 +322,7 @@
 	meta.LastEventID = p.lastEventID
 	meta.Organisation = p.organisationName()
 	p.relay.options.Dialect.WriteAttempt(h, &meta)
+	p.noteProtection(&meta)
 	out := &target.Request{
 		Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body,
 		BeforeWrite: p.availabilityCheck(c),
@@ -333,6 +334,20 @@
 	return out
 }
 
+// noteProtection records for the log line what separates the attempt's cached segments from those of
+// others, and counts attempts that lack it.
+func (p *proxiedRequest) noteProtection(meta *AttemptMeta) {
+	p.note("sent to %s with salt %q, weights %d, priority %d", meta.Target, meta.CacheSalt, meta.WeightVersion, meta.Priority)
+	svc := p.table.Service(p.service)
+	isEngine := svc != nil && svc.Engine != nil
+	if meta.CacheSalt == "" {
+		p.relay.options.Stats.UnsaltedAttempts[isEngine].Inc()
+	}
+	if isEngine && meta.WeightVersion == 0 {
+		p.relay.options.Stats.UnversionedAttempts.Inc()
+	}
+}
+
 // unavailableError reports why an attempt was not sent.
 type unavailableError struct{ reason roster.UnavailabilityReason }
 
--- a/core/relay/ratelimit_test.go
+++ b/core/relay/ratelimit_test.go
@@ -96,7 +96,7 @@
 	permit := r.waitForPermit(target)
 	p := &proxiedRequest{
 		relay: r.relay, start: time.Now(), deadline: time.Now().Add(time.Second),
-		tried: map[string]int{},
+		tried: map[string]int{}, table: r.relay.Table(), service: "plain",
 	}
 	p.r, _ = http.NewRequest(http.MethodPost, "/once/", http.NoBody)
 	p.r.RequestURI = "/once/"
