One place forms what a target is told, and nothing is sent without a salt

Callers of an ordinary organisation were answered from parts that had been made for an isolated one: "word 1 of a part made for rival".

Cause: salt and priority were filled in as a side effect of counting a prompt's load, and version, copies and stores were left out with the salt. The load is 0 where another daemon counts the choice, where a prompt's length is 0 or cannot be parsed, and where the configuration says of a service that it has no engine; such attempts had no salt, which targets take for one text common to all. The zero value of AttemptMeta was valid.

Change: proxiedRequest.attemptMeta forms all of it from the request and its configuration, after the choice, for every way of choosing and sending. Validate refuses an attempt without a salt, whatever the service, and one at an engine without a version; it is not sent, counted (sends_invalid_total) and logged. Engines whose entry has no version of the model are passed over. The line of a request says who chose, also for counted choices.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -22,6 +22,12 @@
 // attempt sends the request to one target and passes its response on. If the target takes too long,
 // the request may go to a second target meanwhile.
 func (p *proxiedRequest) attempt(ctx context.Context, c *choice) (outcome, *bufferedResponse) {
+	req, err := p.targetRequest(c)
+	if err != nil {
+		p.relay.options.Roster.ReturnPermit(c.target, c.permit)
+		c.discard()
+		return outcomeInvalid, nil
+	}
 	f := p.newFlight(c)
 	if !p.startProbe(c) {
 		f.end()
@@ -29,12 +35,12 @@
 		return outcomeUnavailable, nil
 	}
 	if delay, ok := p.hedgeDelay(c, time.Now()); ok {
-		return p.race(ctx, f, delay)
+		return p.race(ctx, f, req, delay)
 	}
 	defer f.end()
 	ctx, cancel := p.waitBudget(ctx, c)
 	defer cancel()
-	f.send(ctx, p.targetRequest(c))
+	f.send(ctx, req)
 	return p.conclude(f)
 }
 
@@ -296,7 +302,7 @@
 
 // recordReload skips a worker that appears to be changing its weights.
 func (p *proxiedRequest) recordReload(c *choice) {
-	if c.attemptMeta.WeightVersion == 0 || c.attemptMeta.WeightVersion >= p.relay.options.DesiredWeights(p.meta.Model) {
+	if c.weightVersion == 0 || c.weightVersion >= p.relay.options.DesiredWeights(p.meta.Model) {
 		return
 	}
 	c.report.recordReload()
@@ -307,8 +313,8 @@
 // maxDrainBytes bounds how much of a rejection's body is read so that its connection can be reused.
 const maxDrainBytes = 16 << 10
 
-// targetRequest returns the request as it is sent to the target.
-func (p *proxiedRequest) targetRequest(c *choice) *target.Request {
+// targetRequest returns the request as it is sent to the target, or an error if it must not be sent.
+func (p *proxiedRequest) targetRequest(c *choice) (*target.Request, error) {
 	h := make(http.Header, len(p.r.Header)+8)
 	hopByHop := strings.Split(p.r.Header.Get("Connection"), ",")
 	for name, values := range p.r.Header {
@@ -317,12 +323,13 @@
 		}
 	}
 	p.adjustForSuspend()
-	meta := c.attemptMeta
-	meta.Timeout = time.Until(p.deadline)
-	meta.LastEventID = p.lastEventID
-	meta.Organisation = p.organisationName()
-	p.relay.options.Dialect.WriteAttempt(h, &meta)
-	p.noteProtection(&meta)
+	meta := p.attemptMeta(c)
+	if err := p.relay.options.Dialect.WriteAttempt(h, &meta); err != nil {
+		p.relay.options.Stats.InvalidAttempts.Inc()
+		p.relay.options.Log.Emit(event.InvariantBroken, p.ref(), err.Error())
+		return nil, err
+	}
+	p.note("%s is told salt %q, weights %d, priority %d", meta.Target, meta.CacheSalt, meta.WeightVersion, meta.Priority)
 	out := &target.Request{
 		Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body,
 		BeforeWrite: p.availabilityCheck(c),
@@ -331,23 +338,27 @@
 		out.MaxIdle = maxIdleForOnce
 	}
 	p.setOpenRace(out, c)
-	return out
+	return out, nil
 }
 
-// noteProtection records for the log line what separates the attempt's cached segments from those of
-// others, and counts attempts that lack it.
-func (p *proxiedRequest) noteProtection(meta *AttemptMeta) {
-	p.note("sent to %s with salt %q, weights %d, priority %d", meta.Target, meta.CacheSalt, meta.WeightVersion, meta.Priority)
-	svc := p.table.Service(p.service)
-	isEngine := svc != nil && svc.Engine != nil
-	if meta.CacheSalt == "" {
-		p.relay.options.Stats.UnsaltedAttempts[isEngine].Inc()
-	}
-	if isEngine && meta.WeightVersion == 0 {
-		p.relay.options.Stats.UnversionedAttempts.Inc()
+// attemptMeta returns what the target of a choice is told, whoever chose it and however the request is sent.
+// What protects organisations and versions of weights comes from the request and its configuration, never
+// from the load that the choice counts.
+func (p *proxiedRequest) attemptMeta(c *choice) AttemptMeta {
+	return AttemptMeta{
+		Timeout: time.Until(p.deadline), Target: c.target.ID(), Organisation: p.organisationName(),
+		CacheSalt: p.cacheSalt(c.weightVersion).String(), Engine: p.isPrompt(), WeightVersion: c.weightVersion,
+		Priority: p.priority(), CopyFrom: c.transfers.copyFrom, CopyDeadline: c.transfers.copyDeadline,
+		StoreTo: c.transfers.storeTo, LastEventID: p.lastEventID,
 	}
 }
 
+// isPrompt reports whether the request is for a service of model workers.
+func (p *proxiedRequest) isPrompt() bool {
+	svc := p.table.Service(p.service)
+	return svc != nil && svc.Engine != nil
+}
+
 // unavailableError reports why an attempt was not sent.
 type unavailableError struct{ reason roster.UnavailabilityReason }
 
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -24,9 +24,11 @@
 
 // choice is the target of one attempt and what was expected of it.
 type choice struct {
-	target      *roster.Target
-	attemptMeta AttemptMeta
-	load        roster.Load
+	target *roster.Target
+	// weightVersion is the version of the target's weights; 0 if it is not known.
+	weightVersion int64
+	transfers     transfers
+	load          roster.Load
 	// evaluation is what was expected of the target, and baseline the expected time to a first
 	// answer of any target of the service with the same load.
 	evaluation route.Evaluation
@@ -52,6 +54,13 @@
 	sentAt clock.Time
 }
 
+// transfers is which segments a target copies from elsewhere and stores. Its fields are those of AttemptMeta.
+type transfers struct {
+	copyFrom     []string
+	copyDeadline time.Duration
+	storeTo      []string
+}
+
 // addLoad counts the load of the choice at its target.
 func (c *choice) addLoad() {
 	if !c.loadCounted {
@@ -142,13 +151,13 @@
 	}
 	best := &alternatives[index]
 	out := &choice{
-		target: best.eligible.target, plan: best.plan, eligible: best.eligible,
+		target: best.eligible.target, weightVersion: best.eligible.weightVersion, plan: best.plan, eligible: best.eligible,
 		candidate: candidates[index], onlyCandidate: len(targets) == 1, evaluation: evaluation,
 	}
 	out.factors = best.candidate.Factors(&input)
 	out.baseline = estimate.Time(out.factors)
 	p.recordDivision(division, out)
-	p.fillMetadata(svc, out)
+	p.fillLoad(svc, out)
 	return out, ""
 }
 
@@ -243,33 +252,31 @@
 	return c
 }
 
-// fillMetadata sets the metadata and the load of a choice.
-func (p *proxiedRequest) fillMetadata(svc *table.Service, c *choice) {
-	c.attemptMeta.Target = c.target.ID()
+// fillLoad sets the load and the transfers of a choice.
+func (p *proxiedRequest) fillLoad(svc *table.Service, c *choice) {
 	c.load = roster.Load{Running: 1}
 	if svc.Engine == nil {
 		return
 	}
-	version := c.eligible.weightVersion
-	c.attemptMeta.WeightVersion = version
 	c.load.QueuedTokens = c.factors.OwnTokens
 	c.load.OccupiedTokens = p.meta.PromptTokens
-	if version == 0 || !p.relay.options.Placement.Exports() {
+	if c.weightVersion == 0 || !p.relay.options.Placement.Exports() {
 		return
 	}
-	p.setCopySources(&c.attemptMeta, &c.plan)
-	if version >= p.relay.options.DesiredWeights(p.meta.Model) && !p.relay.options.Disabled.StoreCopies {
-		p.setStoreTargets(&c.attemptMeta, c.plan.sources, version, clock.Now())
+	p.setCopySources(&c.transfers, &c.plan)
+	if c.weightVersion >= p.relay.options.DesiredWeights(p.meta.Model) && !p.relay.options.Disabled.StoreCopies {
+		p.setStoreTargets(&c.transfers, c.plan.sources, c.weightVersion, clock.Now())
 	}
 }
 
-// recordChoice records that the choice is used, and completes its metadata.
+// recordChoice records that the choice is used.
 func (p *proxiedRequest) recordChoice(c *choice, now time.Time) {
-	if c.load.OccupiedTokens == 0 {
+	if c.report != nil {
+		p.note("chosen by %s", c.report.peer)
+	}
+	if !p.isPrompt() {
 		return
 	}
-	c.attemptMeta.CacheSalt = p.cacheSalt(c.attemptMeta.WeightVersion).String()
-	c.attemptMeta.Priority = p.priority()
 	p.relay.options.Stats.PromptTokens.Add(p.meta.PromptTokens)
 	p.relay.options.Stats.PromptTokensCopied.Add(c.candidate.CopiedTokens)
 	p.relay.options.Stats.PromptTokensCached.Add(c.candidate.CachedTokens)
@@ -284,21 +291,18 @@
 
 // noteChoice records the choice for the log line.
 func (p *proxiedRequest) noteChoice(c *choice) {
-	if c.report != nil {
-		p.note("chosen by %s", c.report.peer)
-	}
-	if len(c.attemptMeta.CopyFrom) > 0 {
-		p.note("copied from %s", strings.Join(c.attemptMeta.CopyFrom, ","))
+	if len(c.transfers.copyFrom) > 0 {
+		p.note("copied from %s", strings.Join(c.transfers.copyFrom, ","))
 	}
-	if len(c.attemptMeta.StoreTo) > 0 {
-		p.note("stored in %s", strings.Join(c.attemptMeta.StoreTo, ","))
+	if len(c.transfers.storeTo) > 0 {
+		p.note("stored in %s", strings.Join(c.transfers.storeTo, ","))
 	}
 	candidate := &c.candidate
 	p.note("cached %d and copied %d of %d shared tokens, prompt %d tokens, queued %d tokens, running %d, occupied %d tokens, expected %s, on-time probability %.2f, utility %.2f, weights %d",
 		candidate.CachedTokens, candidate.CopiedTokens, p.sharedTokens(), p.meta.PromptTokens,
 		candidate.QueuedTokens, candidate.Running, candidate.OccupiedTokens,
 		c.evaluation.Expected.Round(time.Millisecond),
-		c.evaluation.WithinObjective, c.evaluation.NetUtility, c.attemptMeta.WeightVersion)
+		c.evaluation.WithinObjective, c.evaluation.NetUtility, c.weightVersion)
 	p.notePauses(c)
 }
 
--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"embertally.dev/core/cache"
 	"embertally.dev/core/roster"
 )
@@ -33,7 +35,8 @@
 	Resumes string
 }
 
-// AttemptMeta is the metadata that is sent to a target with a request.
+// AttemptMeta is the metadata that is sent to a target with a request. It is valid only with all that keeps
+// organisations and versions of weights apart; see Validate.
 type AttemptMeta struct {
 	// Timeout is the remaining time.
 	Timeout time.Duration
@@ -41,9 +44,13 @@
 	Target string
 	// Organisation is the caller's organisation, or "".
 	Organisation string
-	// CacheSalt is the cache salt of the segments, or "".
+	// CacheSalt is the cache salt of the segments. It must not be empty, whatever the service: what targets keep
+	// without a salt is common to all callers.
 	CacheSalt string
-	// WeightVersion is the version of the weights that the target must have; 0 for any.
+	// Engine is set if the target is a model worker.
+	Engine bool
+	// WeightVersion is the version of the weights that the target must have; 0 for any, which is invalid for
+	// model workers.
 	WeightVersion int64
 	// Priority is the request's priority; 0 is the most urgent.
 	Priority int
@@ -59,6 +66,17 @@
 	LastEventID string
 }
 
+// Validate returns an error if what keeps organisations or versions of weights apart is missing.
+func (m *AttemptMeta) Validate() error {
+	switch {
+	case m.CacheSalt == "":
+		return errors.New("the attempt has no cache salt")
+	case m.Engine && m.WeightVersion <= 0:
+		return errors.New("the attempt has no version of the weights")
+	}
+	return nil
+}
+
 // ResponseMeta is the metadata in the header of a target's response.
 type ResponseMeta struct {
 	// AttemptID identifies the attempt that the target responds to.
@@ -90,8 +108,9 @@
 type Dialect interface {
 	// ParseRequest parses a caller's headers.
 	ParseRequest(h http.Header) (RequestMeta, error)
-	// WriteAttempt removes the headers reserved for the daemon from h, and adds those of meta.
-	WriteAttempt(h http.Header, meta *AttemptMeta)
+	// WriteAttempt removes the headers reserved for the daemon from h, and adds those of meta. It returns an
+	// error if meta is not valid.
+	WriteAttempt(h http.Header, meta *AttemptMeta) error
 	// ParseResponse parses the header of a target's response.
 	ParseResponse(status int, h http.Header) ResponseMeta
 	// WriteRefusal writes the ID of the caller's attempt and the Retry-After.
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -114,6 +114,10 @@
 			unavailable.full++
 			continue
 		}
+		if svc.Engine != nil && candidate.weightVersion <= 0 {
+			unavailable.unversioned++
+			continue
+		}
 		candidate.state = p.relay.options.TargetStats.State(t.ID(), p.service, now)
 		if svc.Engine != nil && p.relay.options.WeightsOutdated(p.meta.Model, candidate.weightVersion) {
 			unavailable.outdated++
@@ -175,7 +179,7 @@
 
 // unavailability counts the targets that may not get a request, by reason.
 type unavailability struct {
-	full, suspects, outdated, evacuated, outsideRegions, shuttingDown, underPushback, rateLimited,
+	full, suspects, unversioned, outdated, evacuated, outsideRegions, shuttingDown, underPushback, rateLimited,
 	excludedVersions, unsettled int
 	// bound is set if the request may go to one version only.
 	bound bool
@@ -246,6 +250,8 @@
 		return allUnderPushback
 	case u.unsettled > 0:
 		return allUnsettled
+	case u.unversioned > 0:
+		return "no target reports a version of the model's weights"
 	case u.outdated > 0:
 		return "all targets hold weights that were replaced too long ago"
 	case u.suspects > 0:
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -185,10 +185,9 @@
 }
 
 // launch starts a flight in the background.
-func (p *proxiedRequest) launch(ctx context.Context, f *flight) *racer {
+func (p *proxiedRequest) launch(ctx context.Context, f *flight, req *target.Request) *racer {
 	ctx, cancel := context.WithCancel(ctx)
 	r := &racer{flight: f, done: make(chan struct{}), cancel: cancel, settled: make(chan struct{})}
-	req := p.targetRequest(f.c)
 	f.start(ctx)
 	go runner{f, req, r.done}.run()
 	return r
@@ -208,8 +207,8 @@
 
 // race waits for the response of an attempt, and sends the request to a second target if it does not
 // come in time. The first usable response is passed on.
-func (p *proxiedRequest) race(ctx context.Context, first *flight, delay time.Duration) (outcome, *bufferedResponse) {
-	a := p.launch(ctx, first)
+func (p *proxiedRequest) race(ctx context.Context, first *flight, req *target.Request, delay time.Duration) (outcome, *bufferedResponse) {
+	a := p.launch(ctx, first, req)
 	defer a.cancel()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -223,8 +222,8 @@
 		now := time.Now()
 		// If the timer and another channel are ready at once, the select may have taken the timer.
 		if now.Sub(due) <= maxTimerDelay && !a.isDone() && ctx.Err() == nil {
-			if c := p.chooseHedge(first, now); c != nil {
-				return p.raceTwo(a, p.startHedge(ctx, a, c))
+			if b := p.startHedge(ctx, a, p.chooseHedge(first, now)); b != nil {
+				return p.raceTwo(a, b)
 			}
 		}
 		due = now.Add(hedgeRecheck)
@@ -234,13 +233,22 @@
 	return p.finishFlight(a)
 }
 
-// startHedge sends the request to a second target.
+// startHedge sends the request to a second target, and returns nil if it does not.
 func (p *proxiedRequest) startHedge(ctx context.Context, a *racer, c *choice) *racer {
+	if c == nil {
+		return nil
+	}
+	req, err := p.targetRequest(c)
+	if err != nil {
+		p.relay.options.Roster.ReturnPermit(c.target, c.permit)
+		c.discard()
+		return nil
+	}
 	p.relay.options.Stats.Hedges.Inc()
 	p.tried[c.target.ID()]++
 	p.note("%s not answered after %s: hedge to %s", a.c.target.ID(), time.Since(a.sent).Round(time.Millisecond), c.target.ID())
 	p.recordChoice(c, time.Now())
-	return p.launch(ctx, p.newFlight(c))
+	return p.launch(ctx, p.newFlight(c), req)
 }
 
 // raceTwo waits for the first usable response of two attempts and passes it on.
--- a/core/relay/hedge_test.go
+++ b/core/relay/hedge_test.go
@@ -38,7 +38,7 @@
 				}
 				start := time.Now()
 				io.Copy(io.Discard, req.Body)
-				r.record(receivedRequest{target: id, uri: req.RequestURI})
+				r.record(receivedRequest{target: id, uri: req.RequestURI, header: req.Header})
 				io.Copy(io.Discard, reader)
 				closed <- time.Since(start)
 			}()
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -27,9 +27,11 @@
 	outcomeTruncated
 	// outcomeSlowOpen: no byte was sent, since the connection took longer to open than usual.
 	outcomeSlowOpen
+	// outcomeInvalid: no byte was sent, since something was missing that every attempt must have.
+	outcomeInvalid
 )
 
-var outcomeNames = [...]string{"done", "notSent", "stopped", "refused", "broken", "bad", "left", "late", "cut", "slowOpen"}
+var outcomeNames = [...]string{"done", "notSent", "stopped", "refused", "broken", "bad", "left", "late", "cut", "slowOpen", "invalid"}
 
 // String returns the outcome as written in log lines.
 func (o outcome) String() string { return outcomeNames[o] }
--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -182,8 +182,8 @@
 func newPlacementResponse(c *choice, age time.Duration) *placementResponse {
 	f, candidate, evaluation, e := &c.factors, &c.candidate, &c.evaluation, c.target.Entry()
 	return &placementResponse{
-		Target: c.attemptMeta.Target, WeightVersion: c.attemptMeta.WeightVersion,
-		CopyFrom: c.attemptMeta.CopyFrom, CopyDeadline: c.attemptMeta.CopyDeadline, StoreTo: c.attemptMeta.StoreTo,
+		Target: c.target.ID(), WeightVersion: c.weightVersion,
+		CopyFrom: c.transfers.copyFrom, CopyDeadline: c.transfers.copyDeadline, StoreTo: c.transfers.storeTo,
 		OwnTokens: f.OwnTokens, QueuedTokens: f.QueuedTokens, Utilisation: f.Utilisation,
 		QueuedPerSlot: f.QueuedPerSlot, MemoryPressure: f.MemoryPressure,
 		CachedTokens: candidate.CachedTokens, CopiedTokens: candidate.CopiedTokens,
@@ -203,12 +203,10 @@
 func (r *placementResponse) choice(t *roster.Target, tokens int) *choice {
 	return &choice{
 		target: t, baseline: r.Baseline, onlyCandidate: r.OnlyCandidate,
-		permit: roster.Permit{Taken: r.PermitHeld, Remote: true},
-		attemptMeta: AttemptMeta{
-			Target: r.Target, WeightVersion: r.WeightVersion, CopyFrom: r.CopyFrom,
-			CopyDeadline: r.CopyDeadline, StoreTo: r.StoreTo,
-		},
-		load: roster.Load{Running: 1, QueuedTokens: r.OwnTokens, OccupiedTokens: tokens},
+		permit:        roster.Permit{Taken: r.PermitHeld, Remote: true},
+		weightVersion: r.WeightVersion,
+		transfers:     transfers{copyFrom: r.CopyFrom, copyDeadline: r.CopyDeadline, storeTo: r.StoreTo},
+		load:          roster.Load{Running: 1, QueuedTokens: r.OwnTokens, OccupiedTokens: tokens},
 		evaluation: route.Evaluation{
 			Expected: r.Expected, WithinObjective: r.WithinObjective,
 			BeforeDeadline: r.BeforeDeadline, CallerUtility: r.CallerUtility,
@@ -401,7 +399,7 @@
 		t = p.relay.options.Roster.AddExternal(response.entry(p.service, p.meta.Model))
 	}
 	if t == nil || !p.domainAllowed(t.Entry().Domain) || !p.versions.Allows(t.Entry().Version) || p.untilSettled(t.Entry().Version) > 0 ||
-		(svc.Engine != nil && p.relay.options.WeightsOutdated(p.meta.Model, response.WeightVersion)) {
+		(svc.Engine != nil && (response.WeightVersion <= 0 || p.relay.options.WeightsOutdated(p.meta.Model, response.WeightVersion))) {
 		return nil
 	}
 	availability := p.relay.options.Roster.Availability(time.Now())
--- a/core/relay/pauses.go
+++ b/core/relay/pauses.go
@@ -62,8 +62,7 @@
 
 // recordPrefill records that a choice is used, for the demand of the request's kind.
 func (p *proxiedRequest) recordPrefill(c *choice, now time.Time) {
-	// Calls of plain services occupy no tokens.
-	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Division || c.load.OccupiedTokens == 0 {
+	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Division || !p.isPrompt() {
 		return
 	}
 	p.relay.options.Pauses.RecordSend(p.service, p.route.Name, p.meta.PromptTokens,
@@ -91,8 +90,7 @@
 
 // newGapObserver returns an observer of the stream of a choice, or nil if pauses are not learned.
 func (p *proxiedRequest) newGapObserver(c *choice) *gapObserver {
-	// Calls of plain services occupy no tokens.
-	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Division || c.load.OccupiedTokens == 0 {
+	if p.relay.options.Pauses == nil || p.relay.options.Disabled.Division || !p.isPrompt() {
 		return nil
 	}
 	// What is expected at a worker is not known here if another cell's daemons chose it.
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -154,6 +154,8 @@
 		case outcomeUnavailable:
 			// While the target is unavailable it is not eligible anyway.
 			p.uncountAttempt(c.target.ID())
+		case outcomeInvalid:
+			return p.giveUp(failed, "it lacks what keeps organisations apart")
 		case outcomeSlowOpen:
 			// maxSlowOpens bounds their number.
 		case outcomeNotSent:
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -48,7 +48,10 @@
 	return meta, nil
 }
 
-func (testDialect) WriteAttempt(h http.Header, meta *AttemptMeta) {
+func (testDialect) WriteAttempt(h http.Header, meta *AttemptMeta) error {
+	if err := meta.Validate(); err != nil {
+		return err
+	}
 	h.Del("Key")
 	h.Set("Organisation", meta.Organisation)
 	h.Set("Deadline", strconv.FormatInt(meta.Timeout.Milliseconds(), 10))
@@ -59,6 +62,7 @@
 	h.Set("Copy", strings.Join(meta.CopyFrom, ","))
 	h.Set("Copy-Until", strconv.FormatInt(meta.CopyDeadline.Milliseconds(), 10))
 	h.Set("Keep", strings.Join(meta.StoreTo, ","))
+	return nil
 }
 
 func (testDialect) ParseResponse(_ int, h http.Header) ResponseMeta {
@@ -253,10 +257,27 @@
 		Organisations: []table.Organisation{{Name: "org", Keys: []string{"secret"}}, {Name: "isolated", Keys: []string{"isolated"}, Isolated: true}},
 	}))
 	r.front = httptest.NewServer(r.relay)
+	t.Cleanup(r.checkProtection)
 	t.Cleanup(r.front.Close)
 	return r
 }
 
+// checkProtection checks that no attempt, in whatever way it was sent, lacked what keeps organisations and
+// versions of weights apart.
+func (r *rig) checkProtection() {
+	salts := map[string]bool{}
+	for _, req := range r.received() {
+		salt, isolated := req.header.Get("Salt"), req.header.Get("Organisation") == "isolated"
+		before, found := salts[salt]
+		gomega.NewWithT(r.t).Expect(!found || before == isolated).To(gomega.BeTrue(), "%s: %q is for others as well", req.uri, salt)
+		salts[salt] = isolated
+		gomega.NewWithT(r.t).Expect(req.header.Get("Salt")).NotTo(gomega.BeEmpty(), "%s at %s", req.uri, req.target)
+		if req.header.Get("Model") != "" {
+			gomega.NewWithT(r.t).Expect(req.header.Get("Weights")).NotTo(gomega.Equal("0"), "%s at %s", req.uri, req.target)
+		}
+	}
+}
+
 // versions returns what is known of the versions of a service's targets.
 func (r *rig) versions(service string) (string, origin.Proof) {
 	versions := r.roster.Versions(service, time.Minute)
--- a/core/relay/segments.go
+++ b/core/relay/segments.go
@@ -264,7 +264,7 @@
 
 // recordUse records the load of a choice on links and its use of the worker's cache.
 func (p *proxiedRequest) recordUse(c *choice, now time.Time) {
-	if c.attemptMeta.WeightVersion == 0 || !p.relay.options.Placement.Exports() {
+	if c.weightVersion == 0 || !p.relay.options.Placement.Exports() {
 		return
 	}
 	if !p.relay.options.Disabled.LinkQueues {
@@ -290,27 +290,27 @@
 
 // setCopySources sets the addresses that the first segments are copied from, and the deadline of
 // the copies.
-func (p *proxiedRequest) setCopySources(to *AttemptMeta, plan *segmentPlan) {
+func (p *proxiedRequest) setCopySources(to *transfers, plan *segmentPlan) {
 	if plan.copyCount == 0 {
 		return
 	}
-	to.CopyFrom = make([]string, len(p.meta.Segments))
+	to.copyFrom = make([]string, len(p.meta.Segments))
 	for i, src := range plan.sources[:plan.copyCount] {
-		to.CopyFrom[i] = src.address
+		to.copyFrom[i] = src.address
 		if src.deadline == 0 {
 			continue
 		}
 		// The deadline of a source is that of its store, the longest that a copy may take.
 		deadline := src.deadline - cache.TransferTimeout() + plan.copyLimit
-		if to.CopyDeadline == 0 || deadline < to.CopyDeadline {
-			to.CopyDeadline = deadline
+		if to.copyDeadline == 0 || deadline < to.copyDeadline {
+			to.copyDeadline = deadline
 		}
 	}
 }
 
 // setStoreTargets sets the KV-cache store that each segment is to be written to: for segments that
 // no store holds, one with free capacity.
-func (p *proxiedRequest) setStoreTargets(to *AttemptMeta, sources []source, version int64, now clock.Time) {
+func (p *proxiedRequest) setStoreTargets(to *transfers, sources []source, version int64, now clock.Time) {
 	stores := make([]string, len(p.meta.Segments))
 	found := false
 	salt := p.cacheSalt(version).String()
@@ -324,7 +324,7 @@
 		found = found || stores[i] != ""
 	}
 	if found {
-		to.StoreTo = stores
+		to.storeTo = stores
 	}
 }
 
@@ -339,13 +339,13 @@
 	share := float64(c.plan.copyTime) / float64(c.plan.copyTime+queue+copyNoise)
 	ratio := float64(max(took-prefill, copyNoise/10)) / float64(c.plan.copyTime)
 	from, to := c.plan.sources[c.plan.copyCount-1].address, c.target.Entry().Address
-	late := c.attemptMeta.CopyDeadline > 0 && took-queue-prefill >= c.plan.copyLimit
+	late := c.transfers.copyDeadline > 0 && took-queue-prefill >= c.plan.copyLimit
 	if late {
 		p.relay.options.Stats.LateCopies.Inc()
 		p.note("copies were late: first event after %s, limit of copies %s",
 			took.Round(time.Millisecond), c.plan.copyLimit.Round(time.Millisecond))
 	}
-	if c.attemptMeta.CopyDeadline > 0 && !p.relay.options.Disabled.CopyLimits {
+	if c.transfers.copyDeadline > 0 && !p.relay.options.Disabled.CopyLimits {
 		weight := float64(c.plan.copyLimit) / float64(c.plan.copyLimit+queue+copyNoise)
 		p.relay.options.LateCopies.Observe(from, to, late, weight, now)
 	}
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -20,11 +20,10 @@
 	// another request, NotExecuted those that report that the request was not executed, and
 	// Misdirected those with the status for misdirected requests.
 	Attempts, Retries, StreamsResumed, MismatchedResponses, NotExecuted, Misdirected *metrics.Counter
-	// UnsaltedAttempts counts the attempts without a cache salt, by whether the service has engines, and
-	// UnversionedAttempts those at engines without a version of the weights. UnparsedPrompts counts requests
-	// with a header about the prompt that cannot be parsed.
-	UnsaltedAttempts                     map[bool]*metrics.Counter
-	UnversionedAttempts, UnparsedPrompts *metrics.Counter
+	// InvalidAttempts counts the attempts that were not sent since they lacked a cache salt or, at engines, a
+	// version of the weights. UnparsedPrompts counts requests with a header about the prompt that cannot be
+	// parsed.
+	InvalidAttempts, UnparsedPrompts *metrics.Counter
 	// AnswersByFraming counts the responses that ended without an error, by what told their end.
 	// StreamsWithoutEvents counts those of them that were streams and had no event.
 	AnswersByFraming     map[target.Framing]*metrics.Counter
@@ -98,10 +97,7 @@
 		Disconnects: map[bool]*metrics.Counter{
 			false: c(`requests_disconnected_total{answer="none"}`), true: c(`requests_disconnected_total{answer="begun"}`),
 		},
-		UnsaltedAttempts: map[bool]*metrics.Counter{
-			false: c(`sends_unsalted_total{to="plain"}`), true: c(`sends_unsalted_total{to="engine"}`),
-		},
-		UnversionedAttempts: c("sends_unversioned_total"), UnparsedPrompts: c("prompts_unparsed_total"),
+		InvalidAttempts: c("sends_invalid_total"), UnparsedPrompts: c("prompts_unparsed_total"),
 		AnswersByFraming: map[target.Framing]*metrics.Counter{
 			target.FramingNone: ended(target.FramingNone), target.FramingLength: ended(target.FramingLength),
 			target.FramingChunks: ended(target.FramingChunks), target.FramingConnection: ended(target.FramingConnection),
