Parts made before an organisation was isolated serve no other; salts are injective

Callers read "word 1 of a part made for rival" after a configuration had isolated rival: what it had made before lay under the common salt.

Cause: the common salt said nothing of who may use it, so parts outlived the configuration that they were made under. Besides, names with slashes could form the same salt for different organisations and models, and with line ends other headers.

Change: table.Scope names the callers that share cached context: an isolated organisation, or all but the isolated ones, with a digest of which these are. The salt is version, model and scope, each escaped. Cells ask each other with the scope in place of the organisation's name; a question without one is refused. Nothing is lost while the set of isolated organisations stays the same; when it changes, parts in the common scope are read once more.

--- a/core/cache/segments.go
+++ b/core/cache/segments.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
+
+	"embertally.dev/core/table"
 )
 
 // Segment is one segment of a prompt, in prompt order. Requests may share their leading
@@ -14,18 +17,21 @@
 	Tokens int
 }
 
-// SegmentSalt forms the cache salt under which segments are stored. Segments of other weights,
-// and those of an isolated organisation, have a different salt.
+// SegmentSalt forms the cache salt under which segments are stored. Segments of other models, weights or scopes
+// have a different salt.
 type SegmentSalt struct {
 	Model   string
 	Version int64
-	// IsolatedOrganisation is the isolated organisation, or "" if the segment may be shared.
-	IsolatedOrganisation string
+	// Scope names the callers that share the segment. Without one there is no salt.
+	Scope table.Scope
 }
 
-// String returns the salt in the form that engines and stores receive.
+// String returns the salt in the form that engines and stores receive, or "" without a scope.
 func (s SegmentSalt) String() string {
-	return "v" + strconv.FormatInt(s.Version, 10) + "/" + s.Model + "/" + s.IsolatedOrganisation
+	if s.Scope == "" {
+		return ""
+	}
+	return "v" + strconv.FormatInt(s.Version, 10) + "/" + url.PathEscape(s.Model) + "/" + string(s.Scope)
 }
 
 // SaltVersion parses the model and weight version from a salt that String returned.
@@ -35,8 +41,12 @@
 		return "", 0, false
 	}
 	version, err := strconv.ParseInt(head[1:], 10, 64)
-	model, _, found = strings.Cut(rest, "/")
-	return model, version, err == nil && found
+	escaped, _, found := strings.Cut(rest, "/")
+	if err != nil || !found {
+		return "", 0, false
+	}
+	model, err = url.PathUnescape(escaped)
+	return model, version, err == nil
 }
 
 // SegmentName identifies a cached segment.
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -80,6 +80,7 @@
 	if p.organisation == nil && t.RequiresKeys() && !p.route.Public {
 		return p.refuseUnknown(http.StatusUnauthorized, entry.CodeBadKey, "the key is not known")
 	}
+	p.scope = t.Scope(p.organisation)
 	p.regions = regionsOf(p.route, p.organisation)
 	p.setDeadline()
 	return p.readBody(t.Limits())
--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -98,8 +98,8 @@
 	Route            string
 	LatencyObjective time.Duration
 	Model            string
-	// IsolatedOrganisation is the caller's organisation if its cache is isolated, or "".
-	IsolatedOrganisation    string
+	// Scope names the callers that share cached segments with the request's.
+	Scope                   table.Scope
 	Segments                []placementSegment
 	PromptTokens, BodyBytes int
 	// OriginDomain is the sender's failure domain.
@@ -371,7 +371,7 @@
 func (p *proxiedRequest) newPlacementRequest(now time.Time) *placementRequest {
 	request := &placementRequest{
 		Service: p.service, Route: p.route.Name, LatencyObjective: p.route.LatencyObjective,
-		Model: p.meta.Model, IsolatedOrganisation: p.cacheSalt(0).IsolatedOrganisation,
+		Model: p.meta.Model, Scope: p.scope,
 		PromptTokens: p.meta.PromptTokens,
 		BodyBytes:    p.bodyBytes, OriginDomain: p.relay.options.Domain, Elapsed: now.Sub(p.start),
 		Remaining: p.deadline.Sub(now),
--- a/core/relay/placements.go
+++ b/core/relay/placements.go
@@ -27,7 +27,7 @@
 // handlePlacementRequest chooses a target for another daemon's request.
 func (co *ContextOwners) handlePlacementRequest(_ context.Context, _ string, request *placementRequest) (*placementResponse, error) {
 	p, svc := co.requestOf(request)
-	if svc == nil || (svc.Engine == nil && !co.relay.sharded(request.Service) && !request.NeedsPermit && request.CountAs == "") {
+	if svc == nil || request.Scope == "" || (svc.Engine == nil && !co.relay.sharded(request.Service) && !request.NeedsPermit && request.CountAs == "") {
 		return nil, errors.WithStack(errCannotPlace)
 	}
 	co.relay.options.Roster.MergeRateLimits(request.RateLimits)
@@ -78,14 +78,11 @@
 		meta:      RequestMeta{Model: request.Model, PromptTokens: request.PromptTokens},
 		route:     &table.Route{Name: request.Route, LatencyObjective: request.LatencyObjective},
 		bodyBytes: request.BodyBytes, originDomain: request.OriginDomain, remote: true,
-		regions: request.Regions, versions: request.Versions,
+		regions: request.Regions, versions: request.Versions, scope: request.Scope,
 	}
 	if request.Resumable {
 		p.route.Kind, p.route.Resumable = table.Stream, true
 	}
-	if request.IsolatedOrganisation != "" {
-		p.organisation = &table.Organisation{Name: request.IsolatedOrganisation, Isolated: true}
-	}
 	for _, segment := range request.Segments {
 		p.meta.Segments = append(p.meta.Segments, cache.Segment{ID: segment.ID, Tokens: segment.Tokens})
 	}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -29,9 +29,11 @@
 	meta         RequestMeta
 	route        *table.Route
 	organisation *table.Organisation
-	table        *table.Table
-	regions      regions
-	body         []byte
+	// scope names the callers that share cached segments with this one.
+	scope   table.Scope
+	table   *table.Table
+	regions regions
+	body    []byte
 	// holdings are the bytes that are held for the request until it ends.
 	holdings []*memory.Holding
 	// sent is what crashes of targets are counted for; zero until the body is read.
@@ -362,9 +364,5 @@
 
 // cacheSalt returns the cache salt of the request's segments for a version of the weights.
 func (p *proxiedRequest) cacheSalt(version int64) cache.SegmentSalt {
-	s := cache.SegmentSalt{Model: p.meta.Model, Version: version}
-	if p.organisation != nil && p.organisation.Isolated {
-		s.IsolatedOrganisation = p.organisation.Name
-	}
-	return s
+	return cache.SegmentSalt{Model: p.meta.Model, Version: version, Scope: p.scope}
 }
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -192,6 +192,8 @@
 	limits   Limits
 	// requiresKeys reports whether the configuration has organisations, so that requests need keys.
 	requiresKeys bool
+	// shared is the scope of the callers that are not isolated.
+	shared Scope
 }
 
 // New returns the table of a spec, which must not be modified afterwards.
@@ -211,11 +213,16 @@
 	for i := range s.Services {
 		t.services[s.Services[i].Name] = &s.Services[i]
 	}
+	var isolated []string
 	for i := range s.Organisations {
+		if s.Organisations[i].Isolated {
+			isolated = append(isolated, s.Organisations[i].Name)
+		}
 		for _, k := range s.Organisations[i].Keys {
 			t.keys[k] = &s.Organisations[i]
 		}
 	}
+	t.shared = sharedScope(isolated)
 	return t
 }
 
