Owners record where a context is cached for choices that they count

Prompts of daemons without slots of their own found less of their context cached: nobody had recorded that the worker has it.

Cause: a choice that another daemon counts was reported with its end only; what the one that uses it would have recorded was skipped with its load of 0.

Change: its use is reported by an update that has only the name, and the owner records use and prefill then.

Evidence: TestSlotsCountedForOtherDaemonsAreReleased, "where the context is cached is known", failed before.

--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -228,7 +228,8 @@
 	//lint:ignore U1000 read by the codec: frames are arrays
 	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
-	// Request and Response are set in the first update, which reports that the choice is used.
+	// Request and Response are set in the first update, which reports that the choice is used. If the owner counts
+	// the choice already, that update has only the name.
 	Request  *placementRequest
 	Response *placementResponse
 	// FirstEvent is the time from sending to the first event; 0 if there has been none yet.
@@ -502,6 +503,7 @@
 // reportSent reports that the choice is used.
 func (o *ownerReport) reportSent() {
 	if o.counted {
+		o.send(&placementUpdate{})
 		return
 	}
 	o.send(&placementUpdate{Request: o.request, Response: o.response})
--- a/core/relay/owners_test.go
+++ b/core/relay/owners_test.go
@@ -268,6 +268,7 @@
 			}
 			if tc.served {
 				h.g.Eventually(func() int { return h.send(asker, "context").status }, waitTimeout, pollInterval).Should(gomega.Equal(http.StatusOK))
+				h.g.Eventually(h.cachedIn(h.fleets[0].View().Cell(), "context"), "5s", pollInterval).Should(gomega.BeTrue(), "where the context is cached is known")
 			} else {
 				// On a busy box a response may arrive all the same.
 				h.rigs[asker].send("POST", "/stream/x", "", "Model", "m", "Parts", "context:6000 own:10", "Deadline", "1000")
--- a/core/relay/placements.go
+++ b/core/relay/placements.go
@@ -20,6 +20,8 @@
 	// load is the load still counted for it, and deadline when it may be removed.
 	load     roster.Load
 	deadline time.Time
+	// isUsed is set once the other daemon has reported that it uses the choice.
+	isUsed bool
 }
 
 var errCannotPlace = errors.New("this daemon cannot place the request")
@@ -113,7 +115,11 @@
 		}
 		return struct{}{}, nil
 	}
-	if pl.choice != nil {
+	switch {
+	case pl.choice == nil:
+	case *update == placementUpdate{Name: update.Name}:
+		pl.recordUse(now)
+	default:
 		pl.apply(update, now)
 	}
 	if update.Ended {
@@ -135,13 +141,23 @@
 	if len(update.Response.CopyFrom) == 0 {
 		c.plan.copyCount, c.plan.copyTime = 0, 0
 	}
-	p.recordUse(c, now)
-	p.recordPrefill(c, now)
+	pl := &ownedPlacement{request: p, choice: c, load: c.load, deadline: p.deadline}
+	pl.recordUse(now)
 	t.AddLoad(c.load)
-	co.placements[update.Name] = &ownedPlacement{request: p, choice: c, load: c.load, deadline: p.deadline}
+	co.placements[update.Name] = pl
 	co.relay.options.PublishState()
 }
 
+// recordUse records that the other daemon uses the choice.
+func (pl *ownedPlacement) recordUse(now time.Time) {
+	if pl.isUsed || !pl.request.isPrompt() {
+		return
+	}
+	pl.isUsed = true
+	pl.request.recordUse(pl.choice, now)
+	pl.request.recordPrefill(pl.choice, now)
+}
+
 // apply records the result of the choice and releases its load.
 func (pl *ownedPlacement) apply(update *placementUpdate, now time.Time) {
 	c := pl.choice
