Prompts whose headers cannot be parsed are refused and not guessed

Callers got 200 for prompts with a length that is no number, parts without lengths, or a header given twice; what could not be read was skipped.

Cause: ParseRequest skipped what it could not parse, so that this daemon decided on another prompt than the target read, and its length could come out as 0.

Change: at engines such prompts, and those that name no model, get 400, not run; the answer names the header and the value. Plain services ignore these headers. A length that is missing or 0 is no error, and nothing that protects depends on it.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -53,10 +53,6 @@
 	if err != nil {
 		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, err.Error(), 0)
 	}
-	if len(meta.Unparsed) > 0 {
-		p.relay.options.Stats.UnparsedPrompts.Inc()
-		p.note("cannot parse %s", strings.Join(meta.Unparsed, ", "))
-	}
 	t := p.relay.Table()
 	p.table = t
 	if p.relay.refusing.Load() {
@@ -190,6 +186,25 @@
 	}
 }
 
+// refuseInvalidPrompt refuses a prompt of which a target would read something else than this daemon: what cannot be
+// parsed would be guessed. It returns nil for other requests.
+func (p *proxiedRequest) refuseInvalidPrompt() *entry.Refusal {
+	if !p.isPrompt() {
+		return nil
+	}
+	text := ""
+	switch {
+	case len(p.meta.Unparsed) > 0:
+		text = "cannot parse " + strings.Join(p.meta.Unparsed, ", ")
+	case p.meta.Model == "":
+		text = "the prompt names no model"
+	default:
+		return nil
+	}
+	p.relay.options.Stats.InvalidPrompts.Inc()
+	return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, text, 0)
+}
+
 // refuseForMemory refuses a request whose body finds no room.
 func (p *proxiedRequest) refuseForMemory(err error) *entry.Refusal {
 	p.note("%v", err)
--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -27,7 +27,7 @@
 	// Parts are the IDs of the segments that other requests may share, without duplicates and in a form that does not
 	// depend on how callers write them.
 	Parts []string
-	// Unparsed names the headers about the prompt whose values cannot be parsed, with the values.
+	// Unparsed names the headers about the prompt whose values cannot be parsed, with the first such values.
 	Unparsed []string
 	// LastEventID is the ID of the last event that the caller received of a broken stream, or "".
 	LastEventID string
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -126,6 +126,9 @@
 	if refusal := p.bindResumed(ctx); refusal != nil {
 		return refusal
 	}
+	if refusal := p.refuseInvalidPrompt(); refusal != nil {
+		return refusal
+	}
 	if !p.versions.Bound {
 		p.versions = p.relay.options.Canary.Choose(p.service)
 	}
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -21,9 +21,9 @@
 	// Misdirected those with the status for misdirected requests.
 	Attempts, Retries, StreamsResumed, MismatchedResponses, NotExecuted, Misdirected *metrics.Counter
 	// InvalidAttempts counts the attempts that were not sent since they lacked a cache salt or, at engines, a
-	// version of the weights. UnparsedPrompts counts requests with a header about the prompt that cannot be
-	// parsed.
-	InvalidAttempts, UnparsedPrompts *metrics.Counter
+	// version of the weights. InvalidPrompts counts requests that were refused since a header about the prompt
+	// cannot be parsed or names no model.
+	InvalidAttempts, InvalidPrompts *metrics.Counter
 	// AnswersByFraming counts the responses that ended without an error, by what told their end.
 	// StreamsWithoutEvents counts those of them that were streams and had no event.
 	AnswersByFraming     map[target.Framing]*metrics.Counter
@@ -97,7 +97,7 @@
 		Disconnects: map[bool]*metrics.Counter{
 			false: c(`requests_disconnected_total{answer="none"}`), true: c(`requests_disconnected_total{answer="begun"}`),
 		},
-		InvalidAttempts: c("sends_invalid_total"), UnparsedPrompts: c("prompts_unparsed_total"),
+		InvalidAttempts: c("sends_invalid_total"), InvalidPrompts: c("prompts_invalid_total"),
 		AnswersByFraming: map[target.Framing]*metrics.Counter{
 			target.FramingNone: ended(target.FramingNone), target.FramingLength: ended(target.FramingLength),
 			target.FramingChunks: ended(target.FramingChunks), target.FramingConnection: ended(target.FramingConnection),
