--- a/core/plat/claims_test.go
+++ b/core/plat/claims_test.go
@@ -209,3 +209,18 @@
 	g.Expect(w.Shard()).To(gomega.BeEmpty())
 	g.Expect(w.Revision()).To(gomega.Equal(int64(7)))
 }
+
+// A snapshot is read in pages, and may hold values that are newer than the revision of its first page. A peer that
+// holds a copy up to that revision must get them with the changes after it.
+func TestPeersGetValuesThatCameWithAnOlderSnapshot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	relay, peer := plat.NewWatchCache(&memkv.KV{}, plat.Prefix(""), &event.Log{}), plat.NewWatchCache(&memkv.KV{}, plat.Prefix(""), &event.Log{})
+	peer.ApplySnapshot([]plat.Change{change("conf", "former", 10)}, 15, "", "", clock.Now())
+	relay.ApplySnapshot([]plat.Change{change("conf", "new", 20)}, 15, "", "", clock.Now())
+	relay.ApplyChanges([]plat.Change{change("box", "x", 17), change("conf", "new", 20)}, 20, clock.Now())
+	changes, revision, complete := relay.ChangesSince(peer.Revision())
+	g.Expect(complete).To(gomega.BeTrue())
+	peer.ApplyChanges(changes, revision, clock.Now())
+	got, _ := peer.Pair("conf")
+	g.Expect(string(got.Value)).To(gomega.Equal("new"), "claimed at revision %d", peer.Revision())
+}
--- a/core/plat/watchcache.go
+++ b/core/plat/watchcache.go
@@ -349,7 +349,7 @@
 	w.applyLocked(changes, revision, asOf, true)
 }
 
-// applyLocked applies changes that lead to a revision. Changes already cached are skipped, since both
+// applyLocked applies changes that lead to a revision. Changes up to the cache's revision are skipped, since both
 // the store and peers may report them. It reports whether the changes are of the cache's store
 // incarnation. It is called with notifyMu held. fromStore means that the store itself has sent the
 // changes.
@@ -363,14 +363,19 @@
 		w.cacheMu.Unlock()
 		return false
 	}
-	var newer []Change
+	// A snapshot may hold values that are newer than its revision; peers get them with the history all the same.
+	var recorded, newer []Change
 	for _, c := range changes {
-		if c.ModRevision > w.revision && c.ModRevision > w.pairs[c.Key].ModRevision {
+		if c.ModRevision <= w.revision {
+			continue
+		}
+		recorded = append(recorded, c)
+		if c.ModRevision > w.pairs[c.Key].ModRevision {
 			newer = append(newer, c)
 		}
 	}
 	w.update(newer)
-	w.appendHistory(newer)
+	w.appendHistory(recorded)
 	if revision > w.revision {
 		w.revision = revision
 		w.wakeWaiters()
