Log how long the weights of an attempt have been replaced, and by what the daemon was current

Neither logs nor metrics told for how long a daemon took the weights of a target for replaced, nor whether the configuration calls the target's service an engine, so hypotheses 1 and 4 could not be told from 2 and 3. No decision is changed.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -330,6 +330,7 @@
 		return nil, err
 	}
 	p.note("%s is told salt %q, weights %d, priority %d", meta.Target, meta.CacheSalt, meta.WeightVersion, meta.Priority)
+	p.noteReplacedWeights(c)
 	out := &target.Request{
 		Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body,
 		BeforeWrite: p.availabilityCheck(c),
@@ -341,6 +342,22 @@
 	return out, nil
 }
 
+// noteReplacedWeights records that the target of a choice has replaced weights.
+func (p *proxiedRequest) noteReplacedWeights(c *choice) {
+	version := c.target.Entry().Weights[p.meta.Model]
+	desired := p.relay.options.DesiredWeights(p.meta.Model)
+	if version == 0 || version >= desired || p.relay.options.ReplacedFor == nil {
+		return
+	}
+	p.relay.options.Stats.ReplacedAttempts.Inc()
+	service := "an engine"
+	if !p.isPrompt() {
+		service = "a plain service"
+	}
+	p.note("weights %d of %s were replaced %s ago as far as known, %d is desired", version, service,
+		p.relay.options.ReplacedFor(p.meta.Model, version).Round(time.Millisecond), desired)
+}
+
 // attemptMeta returns what the target of a choice is told, whoever chose it and however the request is sent.
 // What protects organisations and versions of weights comes from the request and its configuration, never
 // from the load that the choice counts.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -81,6 +81,9 @@
 	// WeightsOutdated reports whether a version of the weights was superseded so long ago that no
 	// request may start on it.
 	WeightsOutdated func(model string, version int64) bool
+	// ReplacedFor, if set, returns for a log line how long a version of the weights has been replaced as far as this
+	// daemon knows; 0 if it is the newest.
+	ReplacedFor func(model string, version int64) time.Duration
 	// ViewAge returns the age of this daemon's view of the coordination store.
 	ViewAge func() time.Duration
 	// Knowledge, if set, describes for a log line by what this daemon takes its configuration for
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -24,6 +24,8 @@
 	// version of the weights. InvalidPrompts counts requests that were refused since a header about the prompt
 	// cannot be parsed or names no model.
 	InvalidAttempts, InvalidPrompts *metrics.Counter
+	// ReplacedAttempts counts the attempts at targets whose weights are older than desired.
+	ReplacedAttempts *metrics.Counter
 	// AnswersByFraming counts the responses that ended without an error, by what told their end.
 	// StreamsWithoutEvents counts those of them that were streams and had no event.
 	AnswersByFraming     map[target.Framing]*metrics.Counter
@@ -97,7 +99,8 @@
 		Disconnects: map[bool]*metrics.Counter{
 			false: c(`requests_disconnected_total{answer="none"}`), true: c(`requests_disconnected_total{answer="begun"}`),
 		},
-		InvalidAttempts: c("sends_invalid_total"), InvalidPrompts: c("prompts_invalid_total"),
+		ReplacedAttempts: c("sends_replaced_weights_total"),
+		InvalidAttempts:  c("sends_invalid_total"), InvalidPrompts: c("prompts_invalid_total"),
 		AnswersByFraming: map[target.Framing]*metrics.Counter{
 			target.FramingNone: ended(target.FramingNone), target.FramingLength: ended(target.FramingLength),
 			target.FramingChunks: ended(target.FramingChunks), target.FramingConnection: ended(target.FramingConnection),
--- a/emberd/internal/host/applied.go
+++ b/emberd/internal/host/applied.go
@@ -8,6 +8,7 @@
 
 	"embertally.dev/core/cache"
 	"embertally.dev/core/canary"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/table"
@@ -133,10 +134,19 @@
 	case update.DesiredWeights != nil:
 		h.applied.Set(p, update.DesiredWeights.Version)
 		h.desired.set(update.DesiredWeights.Model, update.DesiredWeights.Version)
-		h.log.Emit(event.ConfApplied, event.Ref{Resource: p.Key}, "desired weights: version "+itoa(update.DesiredWeights.Version))
+		h.log.Emit(event.ConfApplied, event.Ref{Resource: p.Key}, "desired weights: version "+itoa(update.DesiredWeights.Version)+
+			", until now current as of "+ageText(h.watchCache.FreshAsOf()))
 	}
 }
 
+// ageText formats how long ago something was for a log line; "never" for the zero value.
+func ageText(t clock.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return clock.Since(t).Round(time.Millisecond).String() + " ago"
+}
+
 // applyRollout applies operators' order to roll out a version. Its revision is 0 if they withdrew it.
 func (h *Host) applyRollout(p plat.Pair, o *canary.Order) {
 	if o.Revision == 0 {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -356,6 +356,7 @@
 		WeightsOutdated: func(model string, version int64) bool {
 			return h.desired.replacedFor(model, version) > h.settings.Bounds.OldWeights-oldWeightsMargin
 		},
+		ReplacedFor:   h.desired.replacedFor,
 		ViewAge:       h.viewAge,
 		Knowledge:     h.knowledge,
 		StoreDown:     h.watchCache.Down,
