--- a/emberd/internal/host/applied.go
+++ b/emberd/internal/host/applied.go
@@ -134,7 +134,7 @@
 	case update.DesiredWeights != nil:
 		h.applied.Set(p, update.DesiredWeights.Version)
 		h.desired.set(update.DesiredWeights.Model, update.DesiredWeights.Version)
-		h.log.Emit(event.ConfApplied, event.Ref{Resource: p.Key}, "desired weights: version "+itoa(update.DesiredWeights.Version)+
+		h.log.Emit(event.WeightsNamed, event.Ref{Resource: p.Key}, "version "+itoa(update.DesiredWeights.Version)+
 			", until now current as of "+ageText(h.watchCache.FreshAsOf()))
 	}
 }
