Replaced weights are dated by their earliest possible naming, and checked last before a request is sent

Cause: a daemon counted from when it had itself received the newer version. A start, a suspension or a late watch began the 8 s for which older weights may be used anew, always to the open side. Class: an age that begins at hearing, where the promise began at the act.

Change: order.NamedWeights keeps both ends of what is known of each naming: the last time at which the copy of the store was complete without it, and the reception. What must end after the naming is measured from the former; without one the weights count as replaced for ever. A daemon that received a version late asks live peers, three each 200 ms, and takes the latest of their earliest times, counted from before its question, so that no delay makes an age younger. Segments of replaced weights are freed as before, by the reception, which is the safe end there. Whether the weights may still begin requests is asked once more when the connection is there, before the first byte, for every way of sending. Weighed: ages in heartbeats (a heartbeat that lies in a suspended process makes an age younger); a record beside the desired version in the store (two writes a bump, and a lease that waits in an outage): after all boxes restart, weights that nobody can date are not used, which costs callers refusals until the workers are updated.

The window for older weights is shorter by the time since the copy was last complete, up to 1.35 s where nothing else changes.

--- /dev/null
+++ b/core/order/named_test.go
@@ -0,0 +1,136 @@
+package order
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/clock"
+)
+
+func TestReplacedWeightsAreDatedByTheirEarliestPossibleNaming(t *testing.T) {
+	now := clock.Now()
+	ago := func(age time.Duration) clock.Time { return now.Add(-age) }
+	millis := func(age time.Duration) int64 { return age.Milliseconds() }
+	type naming struct {
+		version   int64
+		notBefore clock.Time
+	}
+	for _, tc := range []struct {
+		name string
+		// named are the versions that the daemon receives now, and told what peers respond.
+		named []naming
+		told  [][]versionAge
+		// version is the one asked for, and want for how long it may have been replaced.
+		version int64
+		want    time.Duration
+	}{
+		{name: "the newest", named: []naming{{2, ago(time.Second)}}, version: 2, want: 0},
+		{name: "received by a daemon that follows the store", named: []naming{{2, ago(time.Second)}}, version: 1, want: time.Second},
+		{name: "received late", named: []naming{{2, ago(9 * time.Second)}}, version: 1, want: 9 * time.Second},
+		{name: "received by a daemon that has started", named: []naming{{2, clock.Time{}}}, version: 1, want: replacedForever},
+		{name: "two since", named: []naming{{2, ago(5 * time.Second)}, {3, ago(time.Second)}}, version: 1, want: 5 * time.Second},
+		{name: "the second of two", named: []naming{{2, ago(5 * time.Second)}, {3, ago(time.Second)}}, version: 2, want: time.Second},
+		{name: "out of order", named: []naming{{3, ago(5 * time.Second)}, {2, ago(time.Second)}}, version: 1, want: 5 * time.Second},
+		{
+			name: "a peer knows", named: []naming{{2, clock.Time{}}}, version: 1, want: 4 * time.Second,
+			told: [][]versionAge{{{Model: "m", Version: 2, NotBeforeMillis: millis(4 * time.Second)}}},
+		},
+		{
+			name: "a peer knows a version between", named: []naming{{3, clock.Time{}}}, version: 1, want: 6 * time.Second,
+			told: [][]versionAge{{{Model: "m", Version: 2, NotBeforeMillis: millis(6 * time.Second)}, {Model: "m", Version: 3, NotBeforeMillis: millis(time.Second)}}},
+		},
+		{
+			name: "one peer knows better", named: []naming{{2, clock.Time{}}}, version: 1, want: 2 * time.Second,
+			told: [][]versionAge{{{Model: "m", Version: 2, NotBeforeMillis: millis(7 * time.Second)}}, {{Model: "m", Version: 2, NotBeforeMillis: millis(2 * time.Second)}}},
+		},
+		{
+			name: "a peer knows less", named: []naming{{2, ago(time.Second)}}, version: 1, want: time.Second,
+			told: [][]versionAge{{{Model: "m", Version: 2, NotBeforeMillis: millis(7 * time.Second)}}},
+		},
+		{name: "a peer knows nothing", named: []naming{{2, clock.Time{}}}, told: [][]versionAge{{}}, version: 1, want: replacedForever},
+		{
+			name: "a peer knows a version that has not come", named: []naming{{2, clock.Time{}}}, version: 1, want: replacedForever,
+			told: [][]versionAge{{{Model: "m", Version: 3, NotBeforeMillis: millis(time.Second)}}},
+		},
+		{
+			name: "a peer's age in the future", named: []naming{{2, clock.Time{}}}, version: 1, want: 0,
+			told: [][]versionAge{{{Model: "m", Version: 2, NotBeforeMillis: -1 << 62}}},
+		},
+		{
+			name: "another model", named: []naming{{2, clock.Time{}}}, version: 1, want: replacedForever,
+			told: [][]versionAge{{{Model: "n", Version: 2, NotBeforeMillis: millis(time.Second)}}},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var n NamedWeights
+			for _, v := range tc.named {
+				n.Name("m", v.version, v.notBefore)
+			}
+			for _, ages := range tc.told {
+				n.merge(ages, now)
+			}
+			got := n.ReplacedFor("m", tc.version)
+			if tc.want == 0 && tc.version >= n.Newest("m") || tc.want == replacedForever {
+				g.Expect(got).To(gomega.Equal(tc.want))
+				return
+			}
+			g.Expect(got).To(gomega.And(gomega.BeNumerically(">=", tc.want), gomega.BeNumerically("<", tc.want+time.Second)))
+		})
+	}
+}
+
+func TestAgesOfNamedWeightsAreNeverReportedTooYoung(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var sender, receiver NamedWeights
+	sender.Name("m", 2, clock.Now().Add(-1500*time.Microsecond))
+	sender.Name("m", 3, clock.Time{})
+	receiver.Name("m", 3, clock.Time{})
+	requested := clock.Now()
+	receiver.merge(sender.ages(), requested)
+	older := receiver.ReplacedFor("m", 1)
+	g.Expect(older).To(gomega.BeNumerically(">=", sender.ReplacedFor("m", 1)-clock.Since(requested)))
+	g.Expect(older).To(gomega.BeNumerically("<", time.Second))
+	g.Expect(receiver.ReplacedFor("m", 2)).To(gomega.Equal(replacedForever), "the sender does not know when 3 was named")
+}
+
+func TestPeersAreAskedWhileTheAgeOfAVersionMatters(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		notBefore clock.Time
+		within    time.Duration
+		want      bool
+	}{
+		{"received at once", clock.Now(), time.Minute, false},
+		{"received late", clock.Now().Add(-5 * time.Second), time.Minute, true},
+		{"not dated", clock.Time{}, time.Minute, true},
+		{"not dated, and too long ago to matter", clock.Time{}, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var n NamedWeights
+			n.Name("m", 2, tc.notBefore)
+			gomega.NewWithT(t).Expect(n.hasUndated(tc.within)).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
+func TestNamedWeights(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var d NamedWeights
+	g.Expect(d.Newest("m")).To(gomega.BeZero())
+	d.Name("m", 1, clock.Now())
+	d.Name("m", 3, clock.Now())
+	d.Name("m", 2, clock.Now()) // arrives out of order
+	g.Expect(d.Newest("m")).To(gomega.Equal(int64(3)))
+	_, replaced := d.SupersededSince("v3/m/")
+	g.Expect(replaced).To(gomega.BeFalse())
+	since, replaced := d.SupersededSince("v1/m/org")
+	g.Expect(replaced).To(gomega.BeTrue())
+	g.Expect(clock.Since(since)).To(gomega.BeNumerically("<", time.Minute))
+	g.Expect(d.ReplacedFor("m", 3)).To(gomega.BeZero())
+	g.Expect(d.ReplacedFor("m", 1)).To(gomega.BeNumerically(">", 0))
+	_, replaced = d.SupersededSince("no salt")
+	g.Expect(replaced).To(gomega.BeFalse())
+}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -184,7 +184,7 @@
 	}
 	var unavailable *unavailableError
 	switch {
-	case errors.As(err, &unavailable), errors.Is(err, errBlocked):
+	case errors.As(err, &unavailable), errors.Is(err, errBlocked), errors.Is(err, errOutdated):
 		return outcomeUnavailable
 	case callerDisconnected(p.r.Context()):
 		return outcomeCallerDisconnected
@@ -382,6 +382,15 @@
 // Error implements error.
 func (e *unavailableError) Error() string { return "the target " + e.reason.String() }
 
+// errOutdated means that the weights of the target became outdated after it was chosen.
+var errOutdated = errors.New("the target's weights were replaced too long ago")
+
+// weightsOutdated reports whether no request may begin on a version of the weights of the request's model. 0 stands for
+// no weights.
+func (p *proxiedRequest) weightsOutdated(version int64) bool {
+	return p.isPrompt() && version > 0 && p.relay.options.WeightsOutdated(p.meta.Model, version)
+}
+
 // errBlocked means that the request became known to crash targets after its target was chosen.
 var errBlocked = errors.New(crashesTargets)
 
@@ -392,6 +401,9 @@
 		if p.blocked() {
 			return errors.WithStack(errBlocked)
 		}
+		if p.weightsOutdated(c.weightVersion) {
+			return errors.WithStack(errOutdated)
+		}
 		if reason := p.relay.options.Roster.Admit(c.target, c.permit); reason != roster.Available {
 			return &unavailableError{reason}
 		}
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -119,7 +119,7 @@
 			continue
 		}
 		candidate.state = p.relay.options.TargetStats.State(t.ID(), p.service, now)
-		if svc.Engine != nil && p.relay.options.WeightsOutdated(p.meta.Model, candidate.weightVersion) {
+		if p.weightsOutdated(candidate.weightVersion) {
 			unavailable.outdated++
 			continue
 		}
--- a/emberd/internal/host/applied.go
+++ b/emberd/internal/host/applied.go
@@ -118,7 +118,7 @@
 	case update.Rollout != nil:
 		h.applyRollout(p, update.Rollout)
 	default:
-		h.applyVersioned(p, update)
+		h.applyVersioned(p, update, clock.Time{})
 	}
 	if update.Table != nil {
 		h.applyTable(update.Table)
@@ -126,16 +126,17 @@
 }
 
 // applyVersioned records a configuration that is being applied, and records and applies desired
-// weights. The versions of both only increase.
-func (h *Host) applyVersioned(p plat.Pair, update platform.Update) {
+// weights. The versions of both only increase. notBefore is a time by which operators had not written them; zero if
+// none is known.
+func (h *Host) applyVersioned(p plat.Pair, update platform.Update, notBefore clock.Time) {
 	switch {
 	case update.Table != nil:
 		h.applied.Set(p, update.Table.Version())
 	case update.DesiredWeights != nil:
 		h.applied.Set(p, update.DesiredWeights.Version)
-		h.desired.set(update.DesiredWeights.Model, update.DesiredWeights.Version)
+		h.desired.Name(update.DesiredWeights.Model, update.DesiredWeights.Version, notBefore)
 		h.log.Emit(event.WeightsNamed, event.Ref{Resource: p.Key}, "version "+itoa(update.DesiredWeights.Version)+
-			", until now current as of "+ageText(h.watchCache.FreshAsOf()))
+			", until now current as of "+ageText(h.watchCache.FreshAsOf())+", not named before "+ageText(notBefore))
 	}
 }
 
--- a/emberd/internal/host/applied_test.go
+++ b/emberd/internal/host/applied_test.go
@@ -64,7 +64,7 @@
 	_, evacuated := h.roster.Evacuated("z1", time.Now())
 	g.Expect(evacuated).To(gomega.BeTrue())
 	h.receivePeerValue(plat.Pair{Key: "op/version/m", Value: []byte(`{"Model":"m","Version":4}`)})
-	g.Expect(h.desired.version("m")).To(gomega.Equal(int64(4)))
+	g.Expect(h.desired.Newest("m")).To(gomega.Equal(int64(4)))
 }
 
 func TestInvalidValuesFromAPeerAreIgnored(t *testing.T) {
@@ -82,5 +82,5 @@
 	}
 	g.Expect(h.relay.Table().Version()).To(gomega.Equal(int64(3)))
 	g.Expect(h.canary.Undecided()).To(gomega.BeZero())
-	g.Expect(h.desired.version("m")).To(gomega.BeZero())
+	g.Expect(h.desired.Newest("m")).To(gomega.BeZero())
 }
--- a/emberd/internal/host/assignments.go
+++ b/emberd/internal/host/assignments.go
@@ -27,10 +27,10 @@
 	h.weightUpdater = order.NewWeightUpdater(order.WeightUpdaterOptions{
 		Sharded: h.watchCacheSync.Sharded, InOwnCell: h.watchCacheSync.InOwnCell, CellLeadership: h.cellLeadership.Current,
 		Name: h.settings.Name, Leaderships: leaderships, Client: engines, Roster: h.roster,
-		Table: h.relay.Table, Desired: h.desired.version, Notify: h.fleet.TriggerHeartbeat, Observer: h.updateNotifier, Log: h.log,
+		Table: h.relay.Table, Desired: h.desired.Newest, Notify: h.fleet.TriggerHeartbeat, Observer: h.updateNotifier, Log: h.log,
 	})
 	h.sweeper = cache.NewSweeper(cache.SweepOptions{
-		Stores: h.storeIndexes, Log: h.log, Superseded: h.desired.supersededSince,
+		Stores: h.storeIndexes, Log: h.log, Superseded: h.desired.SupersededSince,
 		Rank: h.storeIndexSync.AssignmentRank,
 	})
 	h.presence = h.newPresence()
--- a/emberd/internal/host/changes.go
+++ b/emberd/internal/host/changes.go
@@ -14,9 +14,10 @@
 // the last one is applied, after all other changes.
 func (h *Host) applyChanges(changes []plat.Change) {
 	var newest *table.Table
+	notBefore := h.notBefore()
 	for _, c := range changes {
 		recoverPanic(c.Key, func() {
-			if t := h.applyChange(c); t != nil {
+			if t := h.applyChange(c, notBefore); t != nil {
 				newest = t
 			}
 		})
@@ -38,8 +39,9 @@
 	f()
 }
 
-// applyChange applies one change, except for a configuration, which it returns.
-func (h *Host) applyChange(c plat.Change) *table.Table {
+// applyChange applies one change, except for a configuration, which it returns. notBefore is a time by which the change
+// had not been made; zero if none is known.
+func (h *Host) applyChange(c plat.Change, notBefore clock.Time) *table.Table {
 	h.poison.Observe(c)
 	h.rollouts.Observe(c)
 	update, err := h.decoder.Decode(c)
@@ -67,11 +69,27 @@
 	case update.Rollout != nil:
 		h.applyRollout(c.Pair, update.Rollout)
 	default:
-		h.applyVersioned(c.Pair, update)
+		h.applyVersioned(c.Pair, update, notBefore)
 	}
 	return update.Table
 }
 
+// notBefore returns a time by which operators had not written what the observers of the watch cache receive now; zero
+// if none is known. The first snapshot holds values of any age, and so does a store that may have been restored, for as
+// long as operators write again what it has lost. Only applyChanges calls it.
+func (h *Host) notBefore() clock.Time {
+	fresh, incarnation := h.watchCache.FreshAsOf(), h.watchCache.StoreIncarnation()
+	if fresh.IsZero() {
+		h.firstIncarnation = incarnation
+		return clock.Time{}
+	}
+	original := incarnation == 0 || (h.settings.FirstStart && incarnation == h.firstIncarnation)
+	if !original && fresh.Before(h.watchCache.StoreIncarnationSince().Add(restoredGrace)) {
+		return clock.Time{}
+	}
+	return fresh
+}
+
 // parseEntry returns the target's entry in a pair of the store; false if the pair is not one.
 func (h *Host) parseEntry(p plat.Pair) (spread.Entry, bool) {
 	e, ok := h.decoder.DecodeEntry(p)
--- a/emberd/internal/host/config_current_test.go
+++ b/emberd/internal/host/config_current_test.go
@@ -107,13 +107,13 @@
 // copied, on the basis of an old view.
 func TestViewAgesDuringASystemSuspend(t *testing.T) {
 	g, h := newCurrentHost(t)
-	h.desired.set("m", 1)
-	h.desired.set("m", 2)
+	h.desired.Name("m", 1, clock.Now())
+	h.desired.Name("m", 2, clock.Now())
 	g.Expect(h.configCurrent()).To(gomega.BeTrue())
 	clock.Suspend(h.settings.Bounds.StoreSilence)
 	g.Expect(h.configCurrent()).To(gomega.BeFalse())
 	g.Expect(h.viewAge()).To(gomega.BeNumerically(">=", h.settings.Bounds.StoreSilence))
-	g.Expect(h.desired.replacedFor("m", 1)).To(gomega.BeNumerically(">=", h.settings.Bounds.StoreSilence))
+	g.Expect(h.desired.ReplacedFor("m", 1)).To(gomega.BeNumerically(">=", h.settings.Bounds.StoreSilence))
 	h.watchCache.ApplyChanges(nil, 1, clock.Now())
 	g.Expect(h.configCurrent()).To(gomega.BeTrue())
 }
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -96,7 +96,8 @@
 	updateNotifier *spread.WeightUpdateNotifier
 	sweeper        *cache.Sweeper
 	presence       *lease.Presence
-	desired        desiredWeights
+	desired        order.NamedWeights
+	desiredSync    *order.NamedWeightsSync
 	applied        *spread.AppliedValues
 	firstTable     firstTable
 	// incarnationCheck receives when the first snapshot of a store incarnation has been read; its
@@ -108,6 +109,8 @@
 
 	// unreadable holds the keys whose values cannot be parsed. Only logUnreadable uses it.
 	unreadable map[string]bool
+	// firstIncarnation is the store incarnation of the first snapshot. Only applyChanges uses it.
+	firstIncarnation int64
 	// started is when the process started.
 	started time.Time
 	// draining is set when the shutdown begins.
@@ -187,6 +190,7 @@
 	h.contextOwners = relay.NewContextOwners(h.relay, h.fleet)
 	h.updateNotifier = spread.NewWeightUpdateNotifier(h.fleet, h.roster)
 	h.updateNotifier.Sharded = h.watchCacheSync.Sharded
+	h.desiredSync = order.NewNamedWeightsSync(&h.desired, h.fleet, settings.Bounds.OldWeights)
 	h.buildAssignments(incarnation, engines)
 	h.registerGauges()
 	return h
@@ -344,7 +348,7 @@
 		EnginePrior: h.settings.Expected.Engines.prior(), CallPrior: h.settings.Expected.Calls.prior(), Costs: h.settings.Costs.model(), Disabled: h.settings.Disabled,
 		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary, Origins: h.origins, UntilSettled: h.untilSettled,
 		Placement: route.Placement(h.settings.Placement), PublishState: h.fleet.TriggerHeartbeat,
-		Domain: h.settings.Domain, Regions: h.settings.Regions, DesiredWeights: h.desired.version, DaemonCount: h.daemonCounter.count,
+		Domain: h.settings.Domain, Regions: h.settings.Regions, DesiredWeights: h.desired.Newest, DaemonCount: h.daemonCounter.count,
 		OwnTargets:   func(names []string) []string { return h.fleet.View().CellShare(names) },
 		ShardVersion: h.watchCacheSync.ShardVersion,
 		Sharded:      h.watchCacheSync.Sharded, InOwnCell: h.watchCacheSync.InOwnCell, CellDaemonCount: func() int { return h.fleet.View().CellSize() },
@@ -354,9 +358,9 @@
 		},
 		WarmUpFactor: h.settings.Bounds.WarmUpFactor, WarmUpExtra: h.settings.Bounds.WarmUpExtra,
 		WeightsOutdated: func(model string, version int64) bool {
-			return h.desired.replacedFor(model, version) > h.settings.Bounds.OldWeights-oldWeightsMargin
+			return h.desired.ReplacedFor(model, version) > h.settings.Bounds.OldWeights-oldWeightsMargin
 		},
-		ReplacedFor:   h.desired.replacedFor,
+		ReplacedFor:   h.desired.ReplacedFor,
 		ViewAge:       h.viewAge,
 		Knowledge:     h.knowledge,
 		StoreDown:     h.watchCache.Down,
@@ -401,7 +405,7 @@
 // start runs the background loops. Those that need an assignment stop with assignmentCtx, at the
 // start of the shutdown; the others stop with workCtx.
 func (h *Host) start(workCtx, assignmentCtx context.Context, wg *sync.WaitGroup) {
-	for _, run := range []func(context.Context){h.watchCache.Run, h.watchCacheSync.Run, h.contextOwners.Run, h.origins.Run, h.detours.Run, h.presence.Run, h.poison.Run, h.rollouts.Run, h.watchStoreIncarnations, h.watchReadiness} {
+	for _, run := range []func(context.Context){h.watchCache.Run, h.watchCacheSync.Run, h.contextOwners.Run, h.origins.Run, h.detours.Run, h.desiredSync.Run, h.presence.Run, h.poison.Run, h.rollouts.Run, h.watchStoreIncarnations, h.watchReadiness} {
 		wg.Go(func() { run(workCtx) })
 	}
 	for _, run := range []func(context.Context){h.weightUpdater.Run, h.sweeper.Run} {
--- a/emberd/internal/host/host_test.go
+++ b/emberd/internal/host/host_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/onsi/gomega"
-
-	"embertally.dev/core/clock"
 )
 
 // validSettings sets all required keys.
@@ -105,22 +103,3 @@
 	g.Expect(s.Peers).To(gomega.Equal("10.0.0.1:7740"))
 	g.Expect(s.FirstStart).To(gomega.BeTrue())
 }
-
-func TestDesiredWeights(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var d desiredWeights
-	g.Expect(d.version("m")).To(gomega.BeZero())
-	d.set("m", 1)
-	d.set("m", 3)
-	d.set("m", 2) // arrives out of order
-	g.Expect(d.version("m")).To(gomega.Equal(int64(3)))
-	_, replaced := d.supersededSince("v3/m/")
-	g.Expect(replaced).To(gomega.BeFalse())
-	since, replaced := d.supersededSince("v1/m/org")
-	g.Expect(replaced).To(gomega.BeTrue())
-	g.Expect(clock.Since(since)).To(gomega.BeNumerically("<", time.Minute))
-	g.Expect(d.replacedFor("m", 3)).To(gomega.BeZero())
-	g.Expect(d.replacedFor("m", 1)).To(gomega.BeNumerically(">", 0))
-	_, replaced = d.supersededSince("no salt")
-	g.Expect(replaced).To(gomega.BeFalse())
-}
