Weights that targets report are held to their bound also where no engine is configured

Callers saw: where a configuration called the workers' service a plain one, requests began on replaced weights without end. Cause: eligibility, choices by other daemons and orders to load weights asked the configuration whether a target keeps weights. Targets say themselves which weights they have.

Change: a version that the target reports is checked, whatever the configuration says, and workers that report weights get orders.

--- a/core/order/updater.go
+++ b/core/order/updater.go
@@ -138,14 +138,14 @@
 	if t == nil {
 		return false
 	}
-	for _, svc := range t.Engines() {
+	for _, svc := range t.Services() {
 		if s.sharded(svc.Name) != sharded {
 			continue
 		}
-		for _, model := range svc.Engine.Models {
+		for _, model := range s.models(svc) {
 			version := s.o.Desired(model)
 			for _, w := range s.o.Roster.ByService(svc.Name) {
-				if w.Entry().Weights[model] < version && selected(w) {
+				if hasOutdated(svc, w, model, version) && selected(w) {
 					return true
 				}
 			}
@@ -154,6 +154,31 @@
 	return false
 }
 
+// models returns the models whose weights the workers of a service keep: those of the configuration, and those that
+// the workers report, since a configuration may call their service a plain one.
+func (s *WeightUpdater) models(svc *table.Service) []string {
+	if svc.Engine != nil {
+		return svc.Engine.Models
+	}
+	var out []string
+	for _, w := range s.o.Roster.ByService(svc.Name) {
+		for model := range w.Entry().Weights {
+			if !slices.Contains(out, model) {
+				out = append(out, model)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// hasOutdated reports whether a worker of a service has older weights of a model than a version. The targets of a
+// plain service need not have any.
+func hasOutdated(svc *table.Service, w *roster.Target, model string, version int64) bool {
+	loaded, reported := w.Entry().Weights[model]
+	return loaded < version && (reported || svc.Engine != nil)
+}
+
 // Run sends orders until ctx ends.
 func (s *WeightUpdater) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -182,9 +207,9 @@
 	s.updatesMu.Lock()
 	defer s.updatesMu.Unlock()
 	var out []*weightUpdate
-	for _, svc := range t.Engines() {
-		for _, model := range svc.Engine.Models {
-			out = append(out, s.startableOf(svc.Name, model)...)
+	for _, svc := range t.Services() {
+		for _, model := range s.models(svc) {
+			out = append(out, s.startableOf(svc, model)...)
 		}
 	}
 	return out
@@ -214,7 +239,8 @@
 
 // progress returns the state of the updates of a model to a version. It is called with updatesMu
 // held.
-func (s *WeightUpdater) progress(service, model string, version int64, now time.Time) progress {
+func (s *WeightUpdater) progress(svc *table.Service, model string, version int64, now time.Time) progress {
+	service := svc.Name
 	workers := s.o.Roster.ByService(service)
 	pr := progress{outdated: map[Leadership][]*roster.Target{}, running: map[Leadership]int{}}
 	// Heartbeats announce the updates of other daemons.
@@ -231,7 +257,7 @@
 			pr.total++
 		case updating[t.ID()]:
 			pr.total++
-		case t.Entry().Weights[model] < version && !s.shuttingDown(t) && now.After(s.retryAt[t.ID()]) && leadership.Held():
+		case hasOutdated(svc, t, model, version) && !s.shuttingDown(t) && now.After(s.retryAt[t.ID()]) && leadership.Held():
 			pr.outdated[leadership] = append(pr.outdated[leadership], t)
 		}
 	}
@@ -245,15 +271,15 @@
 }
 
 // startableOf returns the updates of one model to start now. It is called with updatesMu held.
-func (s *WeightUpdater) startableOf(service, model string) []*weightUpdate {
+func (s *WeightUpdater) startableOf(svc *table.Service, model string) []*weightUpdate {
 	version := s.o.Desired(model)
 	now := time.Now()
-	pr := s.progress(service, model, version, now)
+	pr := s.progress(svc, model, version, now)
 	var out []*weightUpdate
 	for leadership, list := range pr.outdated {
 		sortOutdated(list, model)
 		for _, t := range list {
-			if pr.running[leadership] >= ownQuota(pr.workers, s.partitions(service)) &&
+			if pr.running[leadership] >= ownQuota(pr.workers, s.partitions(svc.Name)) &&
 				!s.allowExtra(pr.total, pr.workers, now) {
 				break
 			}
--- a/core/order/updater_test.go
+++ b/core/order/updater_test.go
@@ -304,7 +304,7 @@
 	r.updater.updatesMu.Lock()
 	defer r.updater.updatesMu.Unlock()
 	shardQueries = 0
-	r.updater.progress("llm", "m", 2, time.Now())
+	r.updater.progress(&table.Service{Name: "llm", Engine: &table.Engine{Models: []string{"m"}}}, "m", 2, time.Now())
 	r.g.Expect(shardQueries).To(gomega.Equal(1))
 }
 
@@ -328,7 +328,7 @@
 		Leaderships: []Leadership{&fakeLeadership{fence: 1}}, Roster: ros, Log: &event.Log{},
 		Desired: func(string) int64 { return 3 },
 	})
-	for _, j := range s.startableOf("llm", "m") {
+	for _, j := range s.startableOf(&table.Service{Name: "llm", Engine: &table.Engine{Models: []string{"m"}}}, "m") {
 		g.Expect(j.target.Entry().Weights["m"]).To(gomega.Equal(int64(1)))
 	}
 	g.Expect(time.Duration(updateTimeout)).To(gomega.BeNumerically(">", 3*time.Second))
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -385,10 +385,10 @@
 // errOutdated means that the weights of the target became outdated after it was chosen.
 var errOutdated = errors.New("the target's weights were replaced too long ago")
 
-// weightsOutdated reports whether no request may begin on a version of the weights of the request's model. 0 stands for
-// no weights.
+// weightsOutdated reports whether no request may begin on a version of the weights of the request's model. It does not
+// matter whether the configuration names an engine: targets report their weights themselves. 0 stands for no weights.
 func (p *proxiedRequest) weightsOutdated(version int64) bool {
-	return p.isPrompt() && version > 0 && p.relay.options.WeightsOutdated(p.meta.Model, version)
+	return version > 0 && p.relay.options.WeightsOutdated(p.meta.Model, version)
 }
 
 // errBlocked means that the request became known to crash targets after its target was chosen.
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -6,6 +6,7 @@
 package table
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"sort"
@@ -267,6 +268,11 @@
 	return out
 }
 
+// Services returns all services, ordered by name.
+func (t *Table) Services() []*Service {
+	return slices.SortedFunc(maps.Values(t.services), func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
+}
+
 // Engines returns the services of model workers, ordered by name.
 func (t *Table) Engines() []*Service {
 	var out []*Service
