Callers are told when to come back while all weights are outdated

Now they name the time for which the weights have been outdated as far as this daemon knows, at least a second, the least that an update takes, and as ever at most a third of the caller's time.

--- a/core/order/named.go
+++ b/core/order/named.go
@@ -101,6 +101,21 @@
 	return v.notBeforeAge(clock.Now())
 }
 
+// OutdatedFor returns for how long a version may not begin requests any more, as far as this daemon has known of it; 0
+// if it may. It may while no newer version can have been named for longer than usable.
+func (n *NamedWeights) OutdatedFor(model string, version int64, usable time.Duration) time.Duration {
+	v, replaced := n.replacement(model, version)
+	if !replaced {
+		return 0
+	}
+	now := clock.Now()
+	over := v.notBeforeAge(now) - usable
+	if over <= 0 {
+		return 0
+	}
+	return max(1, min(over, now.Sub(v.received)))
+}
+
 // SupersededSince returns when this daemon received the first version that is newer than the one in a cache
 // salt; false if there is none or the salt names no version.
 func (n *NamedWeights) SupersededSince(salt string) (clock.Time, bool) {
--- a/core/order/named_test.go
+++ b/core/order/named_test.go
@@ -134,3 +134,24 @@
 	_, replaced = d.SupersededSince("no salt")
 	g.Expect(replaced).To(gomega.BeFalse())
 }
+
+func TestOutdatedWeightsAreKnownAsSuchSinceTheReception(t *testing.T) {
+	const usable = 4 * time.Second
+	for _, tc := range []struct {
+		name        string
+		notBefore   clock.Time
+		least, most time.Duration
+	}{
+		{"named a moment ago", clock.Now(), 0, 0},
+		{"named long ago, received now", clock.Now().Add(-time.Minute), 1, time.Second},
+		{"not dated", clock.Time{}, 1, time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var n NamedWeights
+			n.Name("m", 2, tc.notBefore)
+			g := gomega.NewWithT(t)
+			g.Expect(n.OutdatedFor("m", 1, usable)).To(gomega.And(gomega.BeNumerically(">=", tc.least), gomega.BeNumerically("<=", tc.most)))
+			g.Expect(n.OutdatedFor("m", 2, usable)).To(gomega.BeZero())
+		})
+	}
+}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -385,10 +385,14 @@
 // errOutdated means that the weights of the target became outdated after it was chosen.
 var errOutdated = errors.New("the target's weights were replaced too long ago")
 
-// weightsOutdated reports whether no request may begin on a version of the weights of the request's model. It does not
-// matter whether the configuration names an engine: targets report their weights themselves. 0 stands for no weights.
-func (p *proxiedRequest) weightsOutdated(version int64) bool {
-	return version > 0 && p.relay.options.WeightsOutdated(p.meta.Model, version)
+// weightsOutdated returns for how long it has been known that no request may begin on a version of the weights of the
+// request's model; 0 if requests may. It does not matter whether the configuration names an engine: targets report their
+// weights themselves. 0 stands for no weights.
+func (p *proxiedRequest) weightsOutdated(version int64) time.Duration {
+	if version <= 0 {
+		return 0
+	}
+	return p.relay.options.WeightsOutdated(p.meta.Model, version)
 }
 
 // errBlocked means that the request became known to crash targets after its target was chosen.
@@ -401,7 +405,7 @@
 		if p.blocked() {
 			return errors.WithStack(errBlocked)
 		}
-		if p.weightsOutdated(c.weightVersion) {
+		if p.weightsOutdated(c.weightVersion) > 0 {
 			return errors.WithStack(errOutdated)
 		}
 		if reason := p.relay.options.Roster.Admit(c.target, c.permit); reason != roster.Available {
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -119,8 +119,8 @@
 			continue
 		}
 		candidate.state = p.relay.options.TargetStats.State(t.ID(), p.service, now)
-		if p.weightsOutdated(candidate.weightVersion) {
-			unavailable.outdated++
+		if outdated := p.weightsOutdated(candidate.weightVersion); outdated > 0 {
+			unavailable.countOutdated(outdated)
 			continue
 		}
 		switch p.slowStatus(svc, candidate.target, now) {
@@ -145,6 +145,8 @@
 	case len(out) > 0:
 	case reason == allEvacuated:
 		p.expectedWait = unavailable.evacuationAge
+	case reason == allOutdated:
+		p.expectedWait = max(minUpdateTime, unavailable.outdatedFor)
 	case endsAtKnownTime(reason):
 		p.expectedWait = unavailable.untilAvailable
 	}
@@ -168,6 +170,8 @@
 	allUnderPushback = "all targets rest"
 	// allRateLimited: as allUnderPushback, but some targets are rate-limited.
 	allRateLimited = "all targets rest or are over the limits that they named"
+	// allOutdated: the targets that may get the request have not loaded newer weights yet.
+	allOutdated = "all targets hold weights that were replaced too long ago"
 	// allUnsettled: the request would begin a stream at a version that some daemon may not know yet.
 	allUnsettled = "all targets are of versions that have just been listed"
 )
@@ -193,6 +197,8 @@
 	// evacuationAge is the age of the oldest evacuation, untilAvailable the time until the first
 	// pushback ends, the first permit is due or the first version is settled.
 	evacuationAge, untilAvailable time.Duration
+	// outdatedFor is how long the weights of a target have been outdated, of the one that became so last.
+	outdatedFor time.Duration
 	// rateLimitedTarget is one of the rate-limited targets.
 	rateLimitedTarget *roster.Target
 }
@@ -239,6 +245,16 @@
 	u.unsettled++
 }
 
+// minUpdateTime is the least time that an update of a worker's weights takes.
+const minUpdateTime = time.Second
+
+// countOutdated counts a target whose weights have been outdated for some time.
+func (u *unavailability) countOutdated(duration time.Duration) {
+	if u.outdated++; u.outdated == 1 || duration < u.outdatedFor {
+		u.outdatedFor = duration
+	}
+}
+
 // reason returns why no target may get the request.
 func (u *unavailability) reason() string {
 	switch {
@@ -253,7 +269,7 @@
 	case u.unversioned > 0:
 		return "no target reports a version of the model's weights"
 	case u.outdated > 0:
-		return "all targets hold weights that were replaced too long ago"
+		return allOutdated
 	case u.suspects > 0:
 		return noneAnswers
 	case u.evacuated > 0:
--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -400,7 +400,7 @@
 		t = p.relay.options.Roster.AddExternal(response.entry(p.service, p.meta.Model))
 	}
 	if t == nil || !p.domainAllowed(t.Entry().Domain) || !p.versions.Allows(t.Entry().Version) || p.untilSettled(t.Entry().Version) > 0 ||
-		(svc.Engine != nil && response.WeightVersion <= 0) || p.weightsOutdated(response.WeightVersion) {
+		(svc.Engine != nil && response.WeightVersion <= 0) || p.weightsOutdated(response.WeightVersion) > 0 {
 		return nil
 	}
 	availability := p.relay.options.Roster.Availability(time.Now())
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -78,9 +78,9 @@
 	Regions map[string]string
 	// DesiredWeights returns the desired version of a model's weights.
 	DesiredWeights func(model string) int64
-	// WeightsOutdated reports whether a version of the weights was superseded so long ago that no
-	// request may start on it.
-	WeightsOutdated func(model string, version int64) bool
+	// WeightsOutdated returns for how long this daemon has known that a version of the weights was superseded so long
+	// ago that no request may start on it; 0 if requests may.
+	WeightsOutdated func(model string, version int64) time.Duration
 	// ReplacedFor, if set, returns for a log line how long a version of the weights has been replaced as far as this
 	// daemon knows; 0 if it is the newest.
 	ReplacedFor func(model string, version int64) time.Duration
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -449,9 +449,42 @@
 }
 
 func TestOutdatedWeightsAreRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name, deadline string
+		outdatedSince  time.Duration
+		// least and most bound the time after which the caller may come back.
+		least, most time.Duration
+	}{
+		{"since just now", "60000", 0, 500 * time.Millisecond, 1500 * time.Millisecond},
+		{"for some time", "60000", 4 * time.Second, 1200 * time.Millisecond, 6 * time.Second},
+		{"for longer than the caller waits", "3000", time.Hour, 0, time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("t1", "llm", always(stream(true, "id: 1\ndata: a\n\n")))
+			r.desired, r.minWeights, r.outdatedSince = 2, 2, tc.outdatedSince
+			a := r.send(http.MethodPost, "/stream/", "x", "Model", "m", "Deadline", tc.deadline)
+			r.g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable))
+			r.g.Expect(a.body).To(gomega.ContainSubstring("notRun"))
+			r.g.Expect(r.received()).To(gomega.BeEmpty())
+			after, err := time.ParseDuration(a.header.Get("Come-Back"))
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(after).To(gomega.And(gomega.BeNumerically(">=", tc.least), gomega.BeNumerically("<=", tc.most)))
+		})
+	}
+}
+
+func TestWeightsThatBecomeOutdatedAfterTheChoiceGetNoRequest(t *testing.T) {
 	r := newRig(t, nil)
 	r.target("t1", "llm", always(stream(true, "id: 1\ndata: a\n\n")))
-	r.desired, r.minWeights = 2, 2
+	r.desired = 2
+	asked := 0
+	r.relay.options.WeightsOutdated = func(string, int64) time.Duration {
+		if asked++; asked == 1 {
+			return 0
+		}
+		return time.Second
+	}
 	a := r.send(http.MethodPost, "/stream/", "x", "Model", "m")
 	r.g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable))
 	r.g.Expect(a.body).To(gomega.ContainSubstring("notRun"))
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -357,8 +357,8 @@
 			return h.fleet.View().TopRanked(fleet.Key(t.ID()), h.chosenWithinCell(t), n)
 		},
 		WarmUpFactor: h.settings.Bounds.WarmUpFactor, WarmUpExtra: h.settings.Bounds.WarmUpExtra,
-		WeightsOutdated: func(model string, version int64) bool {
-			return h.desired.ReplacedFor(model, version) > h.settings.Bounds.OldWeights-oldWeightsMargin
+		WeightsOutdated: func(model string, version int64) time.Duration {
+			return h.desired.OutdatedFor(model, version, h.settings.Bounds.OldWeights-oldWeightsMargin)
 		},
 		ReplacedFor:   h.desired.ReplacedFor,
 		ViewAge:       h.viewAge,
