Peers report also the versions of weights that they cannot date

Callers would have seen: a daemon that restarts, beside a peer that restarted before it, permits weights again that were replaced long ago: the peer left out the version that it could not date, so that its statement about the next version stood for both. Cause: a statement about one version was taken for one about all that it does not name. Now all versions are reported, those without a date as such, and a forgotten version's date passes to the next one.

--- a/core/order/named.go
+++ b/core/order/named.go
@@ -18,7 +18,8 @@
 // the earliest possible time, and what must not begin before it from the reception.
 type NamedWeights struct {
 	namedMu sync.Mutex
-	// versions holds the latest maxNamedVersions versions of each model, in ascending order. Guarded by namedMu.
+	// versions holds the latest maxNamedVersions versions of each model, in ascending order. For any version, the
+	// first one that is newer has a notBefore at which operators had named no newer version at all. Guarded by namedMu.
 	versions map[string][]namedVersion
 }
 
@@ -65,7 +66,14 @@
 	list := n.versions[model]
 	i, _ := slices.BinarySearchFunc(list, v.version, func(e namedVersion, version int64) int { return int(min(1, max(-1, e.version-version))) })
 	list = slices.Insert(list, i, v)
-	n.versions[model] = list[max(0, len(list)-maxNamedVersions):]
+	for len(list) > maxNamedVersions {
+		// What the forgotten version had replaced counts as replaced by the next one.
+		if list[0].notBefore.Before(list[1].notBefore) {
+			list[1].notBefore = list[0].notBefore
+		}
+		list = list[1:]
+	}
+	n.versions[model] = list
 }
 
 // Newest returns the newest version of a model that operators have named, or 0 if there is none.
@@ -156,14 +164,15 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	Model    string
 	Version  int64
-	// NotBeforeMillis is how long ago it had not been named yet, rounded up.
+	// NotBeforeMillis is how long ago it had not been named yet, rounded up; -1 if that is not known.
 	NotBeforeMillis int64
 }
 
-// maxReportedAge is the age from which a version is not reported: whatever it replaced has been so for long.
-const maxReportedAge = time.Hour
+// maxAgeMillis bounds the ages that peers report.
+const maxAgeMillis = 1000 * 3600 * 24 * 365
 
-// ages returns the versions of all models whose earliest possible naming is known.
+// ages returns the versions of all models, also those whose earliest possible naming is not known: without them a
+// receiver would date what they replaced by the next version.
 func (n *NamedWeights) ages() []versionAge {
 	n.namedMu.Lock()
 	defer n.namedMu.Unlock()
@@ -171,17 +180,19 @@
 	var out []versionAge
 	for model, list := range n.versions {
 		for _, v := range list {
-			if age := v.notBeforeAge(now); age < maxReportedAge {
-				out = append(out, versionAge{Model: model, Version: v.version, NotBeforeMillis: age.Milliseconds() + 1})
+			millis := int64(-1)
+			if !v.notBefore.IsZero() {
+				millis = now.Sub(v.notBefore).Milliseconds() + 1
 			}
+			out = append(out, versionAge{Model: model, Version: v.version, NotBeforeMillis: millis})
 		}
 	}
 	return out
 }
 
-// merge records what a peer has responded to a request that was sent at a time. Each daemon's statement about a
-// version holds for the versions that it does not name as well, so all of them are taken, and of two statements
-// about one version the later time. Versions that this daemon has not received yet are left to the store.
+// merge records what a peer has responded to a request that was sent at a time. All versions that the peer knows are
+// taken, since its statement about one of them says nothing of those before, and of two statements about one version
+// the later time. Versions that this daemon has not received yet are left to the store.
 func (n *NamedWeights) merge(ages []versionAge, requested clock.Time) {
 	n.namedMu.Lock()
 	defer n.namedMu.Unlock()
@@ -190,12 +201,15 @@
 		if len(list) == 0 || age.Version > list[len(list)-1].version {
 			continue
 		}
-		millis := min(max(0, age.NotBeforeMillis), maxReportedAge.Milliseconds())
-		notBefore := requested.Add(-time.Duration(millis) * time.Millisecond)
-		i := slices.IndexFunc(list, func(v namedVersion) bool { return v.version == age.Version })
+		var notBefore clock.Time
+		if age.NotBeforeMillis >= 0 {
+			notBefore = requested.Add(-time.Duration(min(age.NotBeforeMillis, maxAgeMillis)) * time.Millisecond)
+		}
+		i := slices.IndexFunc(list, func(v namedVersion) bool { return v.version >= age.Version })
 		switch {
-		case i < 0:
-			n.insert(age.Model, namedVersion{version: age.Version, notBefore: notBefore, received: clock.Now()})
+		case list[i].version > age.Version:
+			// This daemon has known since then that what the version replaced is replaced.
+			n.insert(age.Model, namedVersion{version: age.Version, notBefore: notBefore, received: list[i].received})
 		case notBefore.After(list[i].notBefore):
 			list[i].notBefore = notBefore
 		}
--- a/core/order/named_test.go
+++ b/core/order/named_test.go
@@ -55,7 +55,7 @@
 			told: [][]versionAge{{{Model: "m", Version: 3, NotBeforeMillis: millis(time.Second)}}},
 		},
 		{
-			name: "a peer's age in the future", named: []naming{{2, clock.Time{}}}, version: 1, want: 0,
+			name: "a peer's age in the future", named: []naming{{2, clock.Time{}}}, version: 1, want: replacedForever,
 			told: [][]versionAge{{{Model: "m", Version: 2, NotBeforeMillis: -1 << 62}}},
 		},
 		{
@@ -73,7 +73,7 @@
 				n.merge(ages, now)
 			}
 			got := n.ReplacedFor("m", tc.version)
-			if tc.want == 0 && tc.version >= n.Newest("m") || tc.want == replacedForever {
+			if tc.want == 0 || tc.want == replacedForever {
 				g.Expect(got).To(gomega.Equal(tc.want))
 				return
 			}
@@ -155,3 +155,36 @@
 		})
 	}
 }
+
+func TestVersionsThatAPeerCannotDateDoNotCountAsNamedWithTheNextOne(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		notBefore clock.Time
+	}{
+		{"the peer has started after it", clock.Time{}},
+		{"long ago", clock.Now().Add(-2 * time.Hour)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var peer, started NamedWeights
+			peer.Name("m", 3, tc.notBefore)
+			peer.Name("m", 5, clock.Now().Add(-time.Second))
+			started.Name("m", 5, clock.Time{})
+			started.merge(peer.ages(), clock.Now())
+			g := gomega.NewWithT(t)
+			g.Expect(peer.ReplacedFor("m", 2)).To(gomega.BeNumerically(">=", time.Hour), "at the peer")
+			g.Expect(started.ReplacedFor("m", 2)).To(gomega.BeNumerically(">=", time.Hour))
+			g.Expect(started.ReplacedFor("m", 3)).To(gomega.BeNumerically("~", time.Second, 500*time.Millisecond))
+		})
+	}
+}
+
+func TestVersionsThatAreForgottenDoNotMakeTheOthersYounger(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var n NamedWeights
+	n.Name("m", 2, clock.Now().Add(-time.Minute))
+	for version := int64(3); version < 3+maxNamedVersions; version++ {
+		n.Name("m", version, clock.Now())
+	}
+	g.Expect(n.ReplacedFor("m", 1)).To(gomega.BeNumerically(">=", time.Minute))
+	g.Expect(n.ReplacedFor("m", 3)).To(gomega.BeNumerically("<", time.Minute))
+}
