Weights named after a start are dated also where the store may have been restored

A store that may have been restored lacks values only until peers were asked for them; after that what comes is new, and is dated by the copy as elsewhere. Open: a version that a restored store had lost, that no daemon knows any more and that operators write again is dated by the writing. Evidence: TestWeightsNamedAfterAllDaemonsRestartedServeOnForTheOlderOnes; the other tests of replaced weights hold.

--- a/emberd/internal/host/changes.go
+++ b/emberd/internal/host/changes.go
@@ -75,19 +75,13 @@
 }
 
 // notBefore returns a time by which operators had not written what the observers of the watch cache receive now; zero
-// if none is known. The first snapshot holds values of any age, and so does a store that may have been restored, for as
-// long as operators write again what it has lost. Only applyChanges calls it.
+// if none is known. The first snapshot holds values of any age. A store that may have been restored lacks values that
+// peers are still to be asked for.
 func (h *Host) notBefore() clock.Time {
-	fresh, incarnation := h.watchCache.FreshAsOf(), h.watchCache.StoreIncarnation()
-	if fresh.IsZero() {
-		h.firstIncarnation = incarnation
+	if h.watchCache.StoreIncarnation() > 0 && !h.applied.Ready() {
 		return clock.Time{}
 	}
-	original := incarnation == 0 || (h.settings.FirstStart && incarnation == h.firstIncarnation)
-	if !original && fresh.Before(h.watchCache.StoreIncarnationSince().Add(restoredGrace)) {
-		return clock.Time{}
-	}
-	return fresh
+	return h.watchCache.FreshAsOf()
 }
 
 // parseEntry returns the target's entry in a pair of the store; false if the pair is not one.
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -109,8 +109,6 @@
 
 	// unreadable holds the keys whose values cannot be parsed. Only logUnreadable uses it.
 	unreadable map[string]bool
-	// firstIncarnation is the store incarnation of the first snapshot. Only applyChanges uses it.
-	firstIncarnation int64
 	// started is when the process started.
 	started time.Time
 	// draining is set when the shutdown begins.
