--- a/core/order/named.go
+++ b/core/order/named.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -64,7 +65,7 @@
 		n.versions = map[string][]namedVersion{}
 	}
 	list := n.versions[model]
-	i, _ := slices.BinarySearchFunc(list, v.version, func(e namedVersion, version int64) int { return int(min(1, max(-1, e.version-version))) })
+	i, _ := slices.BinarySearchFunc(list, v.version, func(e namedVersion, version int64) int { return cmp.Compare(e.version, version) })
 	list = slices.Insert(list, i, v)
 	for len(list) > maxNamedVersions {
 		// What the forgotten version had replaced counts as replaced by the next one.
@@ -198,7 +199,7 @@
 	defer n.namedMu.Unlock()
 	for _, age := range ages {
 		list := n.versions[age.Model]
-		if len(list) == 0 || age.Version > list[len(list)-1].version {
+		if age.Version <= 0 || len(list) == 0 || age.Version > list[len(list)-1].version {
 			continue
 		}
 		var notBefore clock.Time
--- a/core/order/named_test.go
+++ b/core/order/named_test.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -188,3 +189,24 @@
 	g.Expect(n.ReplacedFor("m", 1)).To(gomega.BeNumerically(">=", time.Minute))
 	g.Expect(n.ReplacedFor("m", 3)).To(gomega.BeNumerically("<", time.Minute))
 }
+
+func TestImpossibleVersionsOfAPeerChangeNothing(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		age  versionAge
+	}{
+		{"the least number", versionAge{Model: "m", Version: math.MinInt64, NotBeforeMillis: 1}},
+		{"negative", versionAge{Model: "m", Version: -1, NotBeforeMillis: 1}},
+		{"named after the request", versionAge{Model: "m", Version: 5, NotBeforeMillis: -1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var n NamedWeights
+			n.Name("m", 5, clock.Time{})
+			n.merge([]versionAge{tc.age}, clock.Now())
+			g := gomega.NewWithT(t)
+			g.Expect(n.Newest("m")).To(gomega.Equal(int64(5)))
+			g.Expect(n.ReplacedFor("m", 4)).To(gomega.Equal(replacedForever))
+			g.Expect(n.versions["m"]).To(gomega.HaveLen(1))
+		})
+	}
+}
