Orders that are sent again are for the newest weights; targets without weights are no workers of a plain service

The version is read again before each order. A plain service's other targets counted as workers, so that all of a few workers might have been updated at once. The line of an attempt states the version that the target is told. Evidence: TestAnOrderThatIsSentAgainIsForTheNewestWeights and TestTargetsWithoutWeightsDoNotCountAsWorkersOfAPlainService failed before.

--- a/core/order/update.go
+++ b/core/order/update.go
@@ -118,6 +118,7 @@
 			return errTimeout
 		}
 		if u.orderDue() {
+			u.version = max(u.version, u.updater.o.Desired(u.model))
 			if err := u.sendOrder(ctx); err != nil {
 				return err
 			}
--- a/core/order/updater.go
+++ b/core/order/updater.go
@@ -250,6 +250,9 @@
 		if leadership == nil {
 			continue
 		}
+		if _, reported := t.Entry().Weights[model]; !reported && svc.Engine == nil {
+			continue
+		}
 		pr.workers++
 		switch {
 		case s.updates[t.ID()] != nil:
--- a/core/order/updater_test.go
+++ b/core/order/updater_test.go
@@ -366,3 +366,42 @@
 	r.desired.Store(3)
 	r.g.Expect(r.updater.startable()).To(gomega.BeEmpty())
 }
+
+func TestAnOrderThatIsSentAgainIsForTheNewestWeights(t *testing.T) {
+	r := newTestUpdaterWith(t, 1, func(*WeightUpdaterOptions) {})
+	r.workers.mu.Lock()
+	r.workers.verdict = func(n int, _ WeightOrder) (Verdict, error) {
+		if n == 0 {
+			r.desired.Store(3)
+			return Accepted, errors.New("the response is lost")
+		}
+		return Accepted, nil
+	}
+	r.workers.mu.Unlock()
+	r.g.Eventually(r.outdated, "30s", "10ms").Should(gomega.BeZero())
+	orders := r.workers.sentOrders()
+	r.g.Expect(orders[0].Version).To(gomega.Equal(int64(2)))
+	for _, o := range orders[1:] {
+		r.g.Expect(o.Version).To(gomega.Equal(int64(3)))
+	}
+}
+
+func TestTargetsWithoutWeightsDoNotCountAsWorkersOfAPlainService(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ros := roster.New(&event.Log{}, nil)
+	for i := range 30 {
+		e := roster.Entry{ID: fmt.Sprint(i), Service: "app"}
+		if i < 3 {
+			e.Weights = map[string]int64{"m": 1}
+		}
+		ros.Put(e)
+	}
+	s := NewWeightUpdater(WeightUpdaterOptions{
+		Leaderships: []Leadership{&fakeLeadership{fence: 1}}, Roster: ros, Log: &event.Log{},
+		Desired: func(string) int64 { return 2 },
+	})
+	s.updatesMu.Lock()
+	defer s.updatesMu.Unlock()
+	pr := s.progress(&table.Service{Name: "app"}, "m", 2, time.Now())
+	g.Expect(pr.workers).To(gomega.Equal(3))
+}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -344,7 +344,7 @@
 
 // noteReplacedWeights records that the target of a choice has replaced weights.
 func (p *proxiedRequest) noteReplacedWeights(c *choice) {
-	version := c.target.Entry().Weights[p.meta.Model]
+	version := c.weightVersion
 	desired := p.relay.options.DesiredWeights(p.meta.Model)
 	if version == 0 || version >= desired || p.relay.options.ReplacedFor == nil {
 		return
