Failed connections are dated by the beginning of their attempt, not by its end

Attempts that had begun before something arrived failed after it, and counted as evidence that the box was partitioned again, or that a path was broken that nobody had tried since. Now a failure says nothing of the time after its attempt began, of a path that has worked since, or of single paths if the box was partitioned meanwhile.

--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -60,10 +60,11 @@
 
 // openInGroup opens a connection, which reserve has counted.
 func (p *Pool) openInGroup(ctx context.Context, address, group string) (*poolConn, error) {
+	began := time.Now()
 	conn, err := p.connect(ctx, address, group)
 	if err != nil && ctx.Err() == nil {
 		p.countFailure(err)
-		p.pathFailed(address, err)
+		p.pathFailed(address, began, err)
 	}
 	return conn, err
 }
@@ -196,7 +197,7 @@
 		p.Detour.RecordLost(s.conn.box)
 		return
 	}
-	p.pathFailed(s.conn.address, nil)
+	p.pathFailed(s.conn.address, s.sent, nil)
 	p.closeSilent(s.conn.address, s.sent)
 	s.onSilent()
 }
--- a/core/target/detour_test.go
+++ b/core/target/detour_test.go
@@ -230,7 +230,7 @@
 		r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 	r.listeners[0].Close()
-	r.pool.pathFailed(r.paths[0], syscall.ECONNREFUSED)
+	r.pool.pathFailed(r.paths[0], time.Now(), syscall.ECONNREFUSED)
 	// The box is not partitioned.
 	_, err := r.send(1)
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -254,7 +254,7 @@
 	for i := range 2 {
 		r.listeners[i].Close()
 		r.pool.CloseIdle(r.paths[i])
-		r.pool.pathFailed(r.paths[i], syscall.ECONNREFUSED)
+		r.pool.pathFailed(r.paths[i], time.Now(), syscall.ECONNREFUSED)
 	}
 	r.g.Expect(r.pool.Partitioned()).To(gomega.BeTrue())
 	box, err := r.send(2)
@@ -288,7 +288,7 @@
 			for i := range tc.failing {
 				r.listeners[i].Close()
 				r.pool.CloseIdle(r.paths[i])
-				r.pool.pathFailed(r.paths[i], os.ErrDeadlineExceeded)
+				r.pool.pathFailed(r.paths[i], time.Now(), os.ErrDeadlineExceeded)
 			}
 			r.g.Eventually(func() error { _, err := r.send(targets - 1); return err }).Should(gomega.Succeed())
 			_, err := r.pool.Dial(context.Background(), r.paths[0])
@@ -297,3 +297,32 @@
 		})
 	}
 }
+
+func TestFailuresThatBeganBeforeAnArrivalAreNoPartition(t *testing.T) {
+	r := newPathRig(t, 3)
+	for i := range r.paths {
+		_, err := r.send(i)
+		r.g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	began := time.Now()
+	time.Sleep(time.Millisecond)
+	r.pool.pathWorks(r.paths[0])
+	for _, path := range r.paths {
+		r.pool.pathFailed(path, began, os.ErrDeadlineExceeded)
+	}
+	r.g.Expect(r.pool.Partitioned()).To(gomega.BeFalse(), "the attempts began before the box was seen to reach a target")
+	r.g.Expect(r.pool.BrokenPaths()).To(gomega.Equal(2), "a path that has worked since is not broken")
+	began = time.Now()
+	for _, path := range r.paths {
+		r.pool.pathFailed(path, began, os.ErrDeadlineExceeded)
+	}
+	r.g.Expect(r.pool.Partitioned()).To(gomega.BeTrue())
+	time.Sleep(time.Millisecond)
+	for _, path := range r.paths {
+		r.pool.pathWorks(path)
+	}
+	for _, path := range r.paths {
+		r.pool.pathFailed(path, began, os.ErrDeadlineExceeded)
+	}
+	r.g.Expect(r.pool.BrokenPaths()).To(gomega.BeZero(), "the attempts began while the box was partitioned")
+}
--- a/core/target/open.go
+++ b/core/target/open.go
@@ -102,7 +102,7 @@
 	}
 	dialCtx, cancel := context.WithCancel(context.Background())
 	o := opener{
-		pool: p, address: address, req: req, cancel: cancel,
+		pool: p, address: address, req: req, began: time.Now(), cancel: cancel,
 		result: make(chan openResult), abandoned: make(chan struct{}),
 	}
 	go o.run(dialCtx)
@@ -114,6 +114,7 @@
 	pool    *Pool
 	address string
 	req     *Request
+	began   time.Time
 	// cancel ends the opening.
 	cancel context.CancelFunc
 	// result is received by the request, unless abandoned is closed.
@@ -211,7 +212,7 @@
 		return r.conn, r.err
 	default:
 		o.abandonOpening()
-		o.pool.pathFailed(o.address, nil)
+		o.pool.pathFailed(o.address, o.began, nil)
 		return nil, errors.WithStack(ErrSlowOpen)
 	}
 }
--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -35,9 +35,12 @@
 
 // path is the state of this box's own path to an address.
 type path struct {
-	// failedAt is when a direct connection failed or gave no sign of life for longer than usual; zero if
-	// none did since something last arrived on one.
+	// failedAt is when the last attempt began at which a direct connection failed or gave no sign of life for
+	// longer than usual; zero if none did since something last arrived on one. How the path is after the
+	// beginning, the failure does not tell.
 	failedAt time.Time
+	// workedAt is when a direct connection last opened.
+	workedAt time.Time
 	// broken is set by a definite failure, until a direct connection opens. refused is set if that was a
 	// refused connection.
 	broken, refused bool
@@ -58,14 +61,23 @@
 // last returns the time of the last arrival, or one before any failure.
 func (a *arrivals) last() time.Time { return start.Add(time.Duration(a.nanos.Load())) }
 
-// pathFailed records that a direct connection could not be opened, or without a cause that one gave no
-// sign of life for longer than usual.
-func (p *Pool) pathFailed(address string, cause error) {
+// pathFailed records that a direct connection could not be opened in an attempt that began at a time, or
+// without a cause that one gave no sign of life for longer than usual since then.
+func (p *Pool) pathFailed(address string, began time.Time, cause error) {
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	state := p.state(address)
-	p.lastFailedAt = time.Now()
-	state.path.failedAt, state.path.wantedAt = p.lastFailedAt, p.lastFailedAt
+	if began.Before(state.path.workedAt) || began.Before(p.recoveredAt) {
+		// The path has worked since, or what failed was all paths.
+		return
+	}
+	if began.After(p.lastFailedAt) {
+		p.lastFailedAt = began
+	}
+	if began.After(state.path.failedAt) {
+		state.path.failedAt = began
+	}
+	state.path.wantedAt = time.Now()
 	if cause != nil {
 		state.path.broken, state.path.refused = true, errors.Is(cause, syscall.ECONNREFUSED)
 	}
@@ -76,11 +88,14 @@
 
 // pathWorks records that a direct connection to an address opened.
 func (p *Pool) pathWorks(address string) {
-	p.arrivals.record()
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
+	if p.partitioned() {
+		p.recoveredAt = time.Now()
+	}
+	p.arrivals.record()
 	if state := p.addresses[address]; state != nil {
-		state.path.failedAt, state.path.broken = time.Time{}, false
+		state.path.failedAt, state.path.broken, state.path.workedAt = time.Time{}, false, time.Now()
 	}
 }
 
@@ -254,6 +269,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, p.OpenLimit(address, ""))
 	defer cancel()
+	began := time.Now()
 	conn, err := dialer().DialContext(dialCtx, "tcp", address)
 	if err == nil {
 		p.pathWorks(address)
@@ -261,9 +277,9 @@
 	}
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	if refused {
-		p.pathFailed(address, err)
+		p.pathFailed(address, began, err)
 	} else {
-		p.pathFailed(address, nil)
+		p.pathFailed(address, began, nil)
 	}
 	return nil, p.verdict(ctx, address, refused, err)
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -40,8 +40,10 @@
 	addresses map[string]*addressState // guarded by poolMu
 	openTimes map[string]*openTimes    // by Request.Group; guarded by poolMu
 	searching bool                     // a pathSearch runs; guarded by poolMu
-	// lastFailedAt is when a path last failed. Guarded by poolMu.
+	// lastFailedAt is when the last attempt began at which a path failed. Guarded by poolMu.
 	lastFailedAt time.Time
+	// recoveredAt is when something arrived after this box had counted as partitioned. Guarded by poolMu.
+	recoveredAt time.Time
 }
 
 // addressState is the state of the connections to one address.
@@ -247,7 +249,7 @@
 func (p *Pool) connectionFailed(conn *poolConn, err error) {
 	switch {
 	case conn.box == "":
-		p.pathFailed(conn.address, nil)
+		p.pathFailed(conn.address, time.Now(), nil)
 	case errors.Is(err, ErrDetourLost):
 		p.Detour.RecordLost(conn.box)
 	}
