Test: answers that end in their head reach no caller

Five forms of an answer, closed or reset in the head, on four routes, after each byte with one attempt and after each third byte with two. With a second target the caller gets its whole answer; with one attempt 502 (it is not known whether the request ran), never 503.

--- /dev/null
+++ b/core/relay/cut_test.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/clock"
+	"embertally.dev/core/roster"
+)
+
+// answerForms are forms of an answer's head. Fields are those of the rig's dialect.
+var answerForms = []struct {
+	name string
+	// marked reports whether the framing marks the end of the body.
+	marked bool
+	encode func(fields, body string) (head, framed string)
+}{
+	{"length", true, func(f, b string) (string, string) {
+		return "HTTP/1.1 200 OK\r\n" + f + "Content-Length: " + strconv.Itoa(len(b)) + "\r\n\r\n", b
+	}},
+	{"chunks", true, func(f, b string) (string, string) {
+		return "HTTP/1.1 200 OK\r\n" + f + "Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(b), b)
+	}},
+	{"folded chunks and trailers", true, func(f, b string) (string, string) {
+		return "HTTP/1.1 200 OK\r\n" + f + "Transfer-Encoding:\r\n chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\nSum: 1\r\n\r\n", len(b), b)
+	}},
+	{"connection", false, func(f, b string) (string, string) { return "HTTP/1.1 200 OK\r\n" + f + "\r\n", b }},
+	{"early hints", true, func(f, b string) (string, string) {
+		return "HTTP/1.1 103 X\r\nLink: </a>\r\n" + f + "\r\nHTTP/1.1 200 OK\r\n" + f + "Content-Length: " + strconv.Itoa(len(b)) + "\r\n\r\n", b
+	}},
+}
+
+// answerFields are the fields of an answer to a request of either kind.
+const answerFields = "Id: try-1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n"
+
+// writeRest writes a whole answer, of a stream with what its caller lacks of the body.
+func writeRest(c net.Conn, req *http.Request, service, body string) {
+	if service == "llm" {
+		body = eventsAfter(req.Header.Get("After"))
+	}
+	lines, framed := frames[1].encode(body)
+	writeHead(c, req, http.StatusOK, lines)
+	io.WriteString(c, framed)
+}
+
+// wholeTarget adds a target that answers whole, and is chosen second.
+func (r *rig) wholeTarget(id, service, body string) {
+	r.rawTarget(id, service, func(c net.Conn, req *http.Request) ending {
+		writeRest(c, req, service, body)
+		return endsWhole
+	})
+	r.roster.Target(id).AddLoad(roster.Load{Running: hedgeRigLoad[service]})
+}
+
+// sendToNew sends a request to new targets, of which nothing has been learned: one sends the start of an answer and, with
+// retried, another one answers whole. isFirst is set if the former got the request first; its connection may be slow to open.
+func (r *rig) sendToNew(n int, path, service, body, sent string, end ending, retried bool) (got callerAnswer, isFirst bool) {
+	a, b := fmt.Sprintf("a-%d", n), fmt.Sprintf("b-%d", n)
+	r.rawTarget(a, service, func(c net.Conn, _ *http.Request) ending {
+		io.WriteString(c, sent)
+		return end
+	})
+	defer r.roster.Remove(a, clock.Now())
+	if retried {
+		r.wholeTarget(b, service, body)
+		defer r.roster.Remove(b, clock.Now())
+	}
+	before := len(r.received())
+	got = r.send(http.MethodPost, path, "x", "Model", "m")
+	received := r.received()[before:]
+	return got, len(received) > 0 && received[0].target == a
+}
+
+// cutsPerRig is how many cut answers a rig's budget of retries is enough for.
+const cutsPerRig = 10
+
+// Guards against an answer that ends in its head and reaches its caller as 200, or as a refusal that says that the request
+// did not run.
+func TestAnswersCutInTheirHeadAreNoAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, service, body string
+		// retried is set if the request may be sent to a second target.
+		retried bool
+		step    int
+	}{
+		{"stream", "/stream/x", "llm", eventsAfter(""), true, 3},
+		{"plain", "/read/x", "plain", "0123456789", true, 3},
+		{"stream with one attempt", "/single/x", "llm", eventsAfter(""), false, 1},
+		{"plain with one attempt", "/once/x", "plain", "0123456789", false, 1},
+	} {
+		for _, form := range answerForms {
+			for _, end := range []ending{endsClosed, endsReset} {
+				t.Run(fmt.Sprintf("%s, %s, %d", tc.name, form.name, end), func(t *testing.T) {
+					head, framed := form.encode(answerFields, tc.body)
+					var r *rig
+					sends := 0
+					for cut := len(head); cut >= 0; cut -= tc.step {
+						var got callerAnswer
+						for isFirst := false; !isFirst; sends++ {
+							if sends%cutsPerRig == 0 {
+								r = newRig(t, nil)
+							}
+							r.g.Expect(sends).To(gomega.BeNumerically("<", 2*len(head)))
+							got, isFirst = r.sendToNew(sends, tc.path, tc.service, tc.body, (head + framed)[:cut], end, tc.retried)
+						}
+						at := fmt.Sprintf("cut after %q: %d, %q, %v", (head + framed)[:cut], got.status, got.body, got.err)
+						switch {
+						case cut == len(head) && canNotTell(tc.service, form.marked, end, ""):
+						case tc.retried:
+							r.g.Expect(got.err).NotTo(gomega.HaveOccurred(), at)
+							r.g.Expect([]any{got.status, got.body}).To(gomega.Equal([]any{http.StatusOK, tc.body}), at)
+						default:
+							r.g.Expect(got.err != nil || got.status == http.StatusBadGateway).To(gomega.BeTrue(), at)
+						}
+					}
+				})
+			}
+		}
+	}
+}
