A stream that ends without an event does not end the other attempt

What happened: a request had been sent to two workers, since the first one was late. One of them sent a head without a length or chunks and closed, and the other one answered. The caller got 502, "whether it ran is not known".

Cause: the first response of which a byte of the body or its end has come counts as the answer, and the other attempt is cancelled. For a stream an end that no framing marks is none if there was no event: the stream was then taken for broken, with all attempts of the route used up.

Evidence: TestCutAnswerDoesNotEndTheOtherAttempt, five forms of the first answer, closed or reset in the status line, in each field, after the head and in the body, on two routes.

Why it works: such a response is not usable as an answer, so that it is concluded as broken and the other attempt is waited for, as after any broken one.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -144,12 +144,17 @@
 	if respMeta.WeightVersion > 0 {
 		p.relay.options.Roster.RecordVersion(c.target.ID(), p.meta.Model, respMeta.WeightVersion)
 	}
-	if p.route.Kind == table.Stream && resp.Status == http.StatusOK {
+	if p.passesOnEvents(resp) {
 		return p.passOnStream(c, resp, &respMeta, f.sent, f.recordFirst), nil
 	}
 	return p.passOnPlain(c, resp, &respMeta, f.sent)
 }
 
+// passesOnEvents reports whether a response is passed on event by event.
+func (p *proxiedRequest) passesOnEvents(resp *target.Response) bool {
+	return p.route.Kind == table.Stream && resp.Status == http.StatusOK
+}
+
 // errSlow ends the wait for a slow target if another one may be faster.
 var errSlow = errors.New("the target is too slow")
 
--- a/core/relay/cut_test.go
+++ b/core/relay/cut_test.go
@@ -6,7 +6,10 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -124,3 +127,87 @@
 		}
 	}
 }
+
+// cutHedge sends a request whose first attempt gets the start of an answer after a second one has been sent, which is
+// answered then. hedged is not set if there was none, since this process had no processor in time.
+func cutHedge(t *testing.T, path, service, body, sent string, end ending) (got callerAnswer, hedged bool) {
+	r := newRig(t, nil)
+	second, ended := make(chan struct{}), make(chan struct{})
+	var attempts atomic.Int64
+	r.rawTarget("a", service, func(c net.Conn, _ *http.Request) ending {
+		select {
+		case <-second:
+		case <-time.After(time.Second):
+			close(ended)
+			return endsReset
+		}
+		io.WriteString(c, sent)
+		time.AfterFunc(50*time.Millisecond, func() { close(ended) })
+		return end
+	})
+	r.rawTarget("b", service, func(c net.Conn, req *http.Request) ending {
+		if attempts.Add(1) == 1 {
+			close(second)
+			<-ended
+		}
+		writeRest(c, req, service, body)
+		return endsWhole
+	})
+	r.roster.Target("b").AddLoad(roster.Load{Running: 3})
+	if service == "plain" {
+		r.roster.Target("b").AddLoad(roster.Load{Running: 12})
+	}
+	defer r.front.Close()
+	return r.send(http.MethodPost, path, "x", "Model", "m"), r.relay.options.Stats.Hedges.Get() > 0
+}
+
+// Guards against a cut answer that is preferred to the whole one of the other attempt.
+func TestCutAnswerDoesNotEndTheOtherAttempt(t *testing.T) {
+	for _, tc := range []struct{ name, path, service, body string }{
+		{"stream", "/stream/x", "llm", eventsAfter("")},
+		{"plain", "/read/x", "plain", "0123456789"},
+	} {
+		for _, form := range answerForms {
+			for _, end := range []ending{endsClosed, endsReset} {
+				t.Run(fmt.Sprintf("%s, %s, %d", tc.name, form.name, end), func(t *testing.T) {
+					t.Parallel()
+					g := gomega.NewWithT(t)
+					head, framed := form.encode(answerFields, tc.body)
+					whole := head + framed
+					// Before and in each line of the head, and in the body.
+					cuts := []int{0, 9, 15, len(head) - 1, len(head), len(head) + 1, len(whole) - 1}
+					for cut := 25; cut < len(head)-1; cut += 23 {
+						cuts = append(cuts, cut)
+					}
+					answers, hedged := make([]callerAnswer, len(cuts)), make([]bool, len(cuts))
+					var wg sync.WaitGroup
+					for i, cut := range cuts {
+						wg.Go(func() {
+							for range 10 {
+								if answers[i], hedged[i] = cutHedge(t, tc.path, tc.service, tc.body, whole[:cut], end); hedged[i] {
+									return
+								}
+							}
+						})
+					}
+					wg.Wait()
+					for i, cut := range cuts {
+						got := answers[i]
+						at := fmt.Sprintf("cut after %q: %d, %q, %v", whole[:cut], got.status, got.body, got.err)
+						g.Expect(hedged[i]).To(gomega.BeTrue(), at)
+						switch {
+						case canNotTell(tc.service, form.marked, end, framed[:max(0, cut-len(head))]) && cut >= len(head):
+						case cut <= len(head):
+							g.Expect(got.err).NotTo(gomega.HaveOccurred(), at)
+							g.Expect([]any{got.status, got.body}).To(gomega.Equal([]any{http.StatusOK, tc.body}), at)
+						case got.err == nil && got.status == http.StatusOK:
+							g.Expect(got.body).To(gomega.Equal(tc.body), at)
+						default:
+							g.Expect(got.err != nil || got.status == http.StatusBadGateway).To(gomega.BeTrue(), at)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -328,6 +328,10 @@
 		f.resp.Status == http.StatusMisdirectedRequest {
 		return false
 	}
+	if p.passesOnEvents(f.resp) && f.resp.EndedUnmarked() {
+		// A stream without an event is broken unless its framing marks the end.
+		return false
+	}
 	meta := p.relay.options.Dialect.ParseResponse(f.resp.Status, f.resp.Header)
 	signed := meta.Signed || f.resp.Status/100 != 2
 	return signed && !meta.Encoded && !meta.NotExecuted && meta.AttemptID != "" && meta.AttemptID == p.meta.AttemptID
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -197,6 +197,9 @@
 	return err
 }
 
+// EndedUnmarked reports whether a read has ended with ErrUnmarkedEnd.
+func (resp *Response) EndedUnmarked() bool { return errors.Is(resp.readErr, ErrUnmarkedEnd) }
+
 // Framing returns what tells where the body ends.
 func (resp *Response) Framing() Framing { return resp.framing }
 
