A request that waits in a worker's queue is given up before it may no longer begin there

VERSION counts when a request begins.

Cause: the only bound of the wait was the caller's deadline. Daemons send nothing to replaced weights in the last 4 s of the bound; a prompt with a deadline of more than 4 s may begin after it.

Why it works: an attempt at a worker with weights that may be replaced ends half a second before the bound if it has had no event, and its connection is closed, upon which workers drop a request that waits; it goes to another worker, if its route allows one more. An attempt that has begun goes on. The time is looked up again when it is over, so that a version that is named while the request waits counts too. The target does not count as crashed.

Not bounded: requests that may be sent once, which nobody else could answer (with deadlines of up to 4 s they cannot begin late), and workers that do not drop a request whose connection closes.

--- a/core/order/named.go
+++ b/core/order/named.go
@@ -110,6 +110,19 @@
 	return v.notBeforeAge(clock.Now())
 }
 
+// minRecheck is how soon it is looked again at the earliest whether a version that is in use has been replaced.
+const minRecheck = time.Second
+
+// UsableFor returns for how much longer requests may begin on a version that may be used for a time after a newer one was
+// named. If there is no newer one, it returns when to ask again.
+func (n *NamedWeights) UsableFor(model string, version int64, usable time.Duration) time.Duration {
+	replaced := n.ReplacedFor(model, version)
+	if replaced == 0 {
+		return max(usable, minRecheck)
+	}
+	return usable - replaced
+}
+
 // OutdatedFor returns for how long a version may not begin requests any more, as far as this daemon has known of it; 0
 // if it may. It may while no newer version can have been named for longer than usable.
 func (n *NamedWeights) OutdatedFor(model string, version int64, usable time.Duration) time.Duration {
--- a/core/order/named_test.go
+++ b/core/order/named_test.go
@@ -153,6 +153,9 @@
 			g := gomega.NewWithT(t)
 			g.Expect(n.OutdatedFor("m", 1, usable)).To(gomega.And(gomega.BeNumerically(">=", tc.least), gomega.BeNumerically("<=", tc.most)))
 			g.Expect(n.OutdatedFor("m", 2, usable)).To(gomega.BeZero())
+			g.Expect(n.UsableFor("m", 1, usable) > 0).To(gomega.Equal(tc.least == 0))
+			g.Expect(n.UsableFor("m", 2, usable)).To(gomega.Equal(usable))
+			g.Expect(n.UsableFor("m", 2, -usable)).To(gomega.BeNumerically(">", 0))
 		})
 	}
 }
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -59,11 +59,16 @@
 	err, bodyErr error
 	// prefilled is set once the prompt no longer counts as queued: at the first event or response.
 	prefilled bool
+	// streams is set if a response with status 200 is a stream.
+	streams bool
+	// begin bounds when the request may begin at the target.
+	begin beginBound
 }
 
 // newFlight counts an attempt that is about to be sent.
 func (p *proxiedRequest) newFlight(c *choice) *flight {
-	f := &flight{relay: p.relay, service: p.service, version: c.target.Entry().Version, c: c}
+	f := &flight{relay: p.relay, service: p.service, version: c.target.Entry().Version, c: c, streams: p.route.Kind == table.Stream}
+	f.begin.left = p.beginsWithin(c)
 	c.addLoad()
 	p.relay.options.Canary.RequestStarted(f.service, f.version)
 	// If another cell made the choice, the context owner there publishes the load.
@@ -75,6 +80,7 @@
 
 // end takes back what newFlight counted.
 func (f *flight) end() {
+	f.begin.end()
 	load := f.c.load
 	if f.prefilled {
 		load.QueuedTokens = 0
@@ -85,8 +91,9 @@
 	f.c.report.reportEnd()
 }
 
-// recordFirst records that the prompt is prefilled.
+// recordFirst records that the request has begun, so that its prompt is prefilled.
 func (f *flight) recordFirst() {
+	f.begin.stop()
 	if !f.prefilled {
 		f.prefilled = true
 		f.c.target.RemoveLoad(roster.Load{QueuedTokens: f.c.load.QueuedTokens})
@@ -96,7 +103,7 @@
 
 // start counts the sending of the attempt and sets its context.
 func (f *flight) start(ctx context.Context) {
-	f.ctx, f.sent = ctx, time.Now()
+	f.ctx, f.sent = f.begin.start(ctx), time.Now()
 	f.c.sentAt = clock.Now()
 	f.relay.options.Stats.Attempts.Inc()
 	if f.c.permit.Taken {
@@ -115,9 +122,15 @@
 	f.resp, f.err = f.relay.options.Pool.Send(f.ctx, f.c.target.Entry().Address, req)
 	if f.err == nil {
 		f.relay.recordResponsive(f.c.target)
+		if !f.passesOnEvents() {
+			f.begin.stop()
+		}
 	}
 }
 
+// passesOnEvents reports whether the response is passed on event by event.
+func (f *flight) passesOnEvents() bool { return f.streams && f.resp.Status == http.StatusOK }
+
 // conclude records the result of sending and passes the response on.
 func (p *proxiedRequest) conclude(f *flight) (outcome, *bufferedResponse) {
 	c, resp := f.c, f.resp
@@ -144,17 +157,12 @@
 	if respMeta.WeightVersion > 0 {
 		p.relay.options.Roster.RecordVersion(c.target.ID(), p.meta.Model, respMeta.WeightVersion)
 	}
-	if p.passesOnEvents(resp) {
-		return p.passOnStream(c, resp, &respMeta, f.sent, f.recordFirst), nil
+	if f.passesOnEvents() {
+		return p.passOnStream(f, &respMeta), nil
 	}
 	return p.passOnPlain(c, resp, &respMeta, f.sent)
 }
 
-// passesOnEvents reports whether a response is passed on event by event.
-func (p *proxiedRequest) passesOnEvents(resp *target.Response) bool {
-	return p.route.Kind == table.Stream && resp.Status == http.StatusOK
-}
-
 // errSlow ends the wait for a slow target if another one may be faster.
 var errSlow = errors.New("the target is too slow")
 
@@ -203,7 +211,9 @@
 			p.recordResponse(c, false)
 		}
 		return outcomeTimedOut
-	case errors.Is(context.Cause(ctx), errSlow):
+	case errors.Is(err, errLateBegin) && !sent:
+		return outcomeUnavailable
+	case errors.Is(context.Cause(ctx), errSlow), errors.Is(err, errLateBegin):
 		p.recordResponse(c, false)
 		return outcomeIncomplete
 	}
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -328,7 +328,7 @@
 		f.resp.Status == http.StatusMisdirectedRequest {
 		return false
 	}
-	if p.passesOnEvents(f.resp) && f.resp.EndedUnmarked() {
+	if f.passesOnEvents() && f.resp.EndedUnmarked() {
 		// A stream without an event is broken unless its framing marks the end.
 		return false
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -81,6 +81,9 @@
 	// WeightsOutdated returns for how long this daemon has known that a version of the weights was superseded so long
 	// ago that no request may start on it; 0 if requests may.
 	WeightsOutdated func(model string, version int64) time.Duration
+	// WeightsUsableFor, if set, returns for how much longer requests that were sent may begin on a version of the weights, as
+	// far as this daemon knows. If the version is not replaced, it returns when to ask again.
+	WeightsUsableFor func(model string, version int64) time.Duration
 	// ReplacedFor, if set, returns for a log line how long a version of the weights has been replaced as far as this
 	// daemon knows; 0 if it is the newest.
 	ReplacedFor func(model string, version int64) time.Duration
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -81,7 +82,8 @@
 
 // passOnStream passes on the events of a response. If the stream breaks, another worker may resume
 // the request after the last event that the caller has received.
-func (p *proxiedRequest) passOnStream(c *choice, resp *target.Response, respMeta *ResponseMeta, sent time.Time, onFirst func()) outcome {
+func (p *proxiedRequest) passOnStream(f *flight, respMeta *ResponseMeta) outcome {
+	c, resp := f.c, f.resp
 	if !respMeta.Signed || respMeta.Encoded {
 		resp.Discard()
 		p.recordResponse(c, false)
@@ -98,6 +100,11 @@
 			return p.endStream(c, resp, st, err)
 		}
 		if err != nil {
+			if st.events == 0 && errors.Is(context.Cause(f.ctx), errLateBegin) {
+				p.note("%v", errLateBegin)
+				p.recordResponse(c, false)
+				return outcomeIncomplete
+			}
 			return p.classifyBrokenStream(c, st, err)
 		}
 		if ev.comment && !p.headerSent {
@@ -108,9 +115,9 @@
 		}
 		if !ev.comment {
 			if st.events++; st.events == 1 {
-				onFirst()
+				f.recordFirst()
 				p.recordResponse(c, true)
-				p.recordFirstAnswer(c, sent)
+				p.recordFirstAnswer(c, f.sent)
 				st.firstAt = time.Now()
 			} else if !st.proven && st.begun() >= poison.ProofTime {
 				st.proven = true
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -326,6 +326,10 @@
 // during it no request is sent to a worker with replaced weights.
 const oldWeightsMargin = 4 * time.Second
 
+// beginMargin is the part of it that is left when a request that still waits at the worker is given up: the time until
+// the worker learns of that.
+const beginMargin = 500 * time.Millisecond
+
 // workerCapacity returns how many tokens a worker's cache has room for; 0 if that is not known.
 func (h *Host) workerCapacity(worker string) int {
 	target, t := h.roster.Target(worker), h.relay.Table()
@@ -358,6 +362,9 @@
 		WeightsOutdated: func(model string, version int64) time.Duration {
 			return h.desired.OutdatedFor(model, version, h.settings.Bounds.OldWeights-oldWeightsMargin)
 		},
+		WeightsUsableFor: func(model string, version int64) time.Duration {
+			return h.desired.UsableFor(model, version, h.settings.Bounds.OldWeights-beginMargin)
+		},
 		ReplacedFor:   h.desired.ReplacedFor,
 		ViewAge:       h.viewAge,
 		Knowledge:     h.knowledge,
