Segments of replaced weights are kept while a daemon with a late view may still copy them

Callers could see: a prompt that ran on memory of a segment that its store had freed and given to others (MIXED). Cause: a daemon copies segments while it takes its view of the desired weights for less than 2.2 s old. It dates the view by the arrival of the store's response, at most until the end of the time for which the store may hold it; a response with changes may have been sent up to 1.35 s (spread.MaxDatingError) before. The sweeper waited for 2.2 + 1.2 + 0.8 s: a copy that is decided 3.55 s after the naming and counts until 4.75 s was outlived by its segment until 4.2 s only. It takes a daemon that is suspended, or whose link is disturbed, just when the store responds, and that gets no further response.

Change: the sweeper waits for the error of the view's age as well. The time since the reception is the safe end here, also for a daemon that has just started or hears late: it frees later. Cost: replaced segments stay for 1.35 s longer. Evidence: TestSweeperFreesSupersededSegmentsAfterDelay, now with an error of a second, failed before (freed a second early). The test's former steps stand; the last one now comes a second later, which is stricter.

--- a/core/cache/stores_test.go
+++ b/core/cache/stores_test.go
@@ -203,8 +203,9 @@
 	indexes := newFollowing(t, s, 1000)
 	g.Eventually(found(indexes, "1"), "10s", "5ms").Should(gomega.BeTrue())
 	since := clock.Now()
+	const viewError = time.Second
 	w := NewSweeper(SweepOptions{
-		Stores: indexes, Log: &event.Log{}, Rank: func(string) int { return 1 },
+		Stores: indexes, Log: &event.Log{}, Rank: func(string) int { return 1 }, ViewError: viewError,
 		Superseded: func(salt string) (clock.Time, bool) { return since, salt == "v1/m/" },
 	})
 	w.sweep(context.Background(), "a")
@@ -214,6 +215,9 @@
 	g.Expect(s.freed).To(gomega.BeEmpty(), "the daemon of rank 0 frees first")
 	since = since.Add(-sweepRankDelay)
 	w.sweep(context.Background(), "a")
+	g.Expect(s.freed).To(gomega.BeEmpty(), "a daemon whose view is older than it takes it for may still copy")
+	since = since.Add(-viewError)
+	w.sweep(context.Background(), "a")
 	g.Expect(s.freed).To(gomega.Equal([]SegmentName{{"v1/m/", "1"}}))
 	g.Expect(indexes.Tokens()).To(gomega.Equal(7))
 	// A transfer decided by a daemon that had not yet received the newer weights must be
--- a/core/cache/sweep.go
+++ b/core/cache/sweep.go
@@ -18,15 +18,18 @@
 	// Superseded returns when this daemon learned that newer weights than those of a salt
 	// are desired, or false if there are none.
 	Superseded func(salt string) (clock.Time, bool)
-	Log        *event.Log
+	// ViewError is by how much a daemon's view of the desired weights may be older than it takes it for.
+	ViewError time.Duration
+	Log       *event.Log
 }
 
 // Sweeper frees the segments of superseded weights in stores, which free nothing by
 // themselves.
 //
 // A segment may be freed only when no transfer of it can still be used. Daemons copy
-// segments only while their view of the desired weights is at most MaxDesiredAge old, and
-// engines discard transfers that take longer than TransferTimeout; the sweeper waits for both.
+// segments only while they take their view of the desired weights for at most MaxDesiredAge
+// old, and engines discard transfers that take longer than TransferTimeout; the sweeper waits
+// for both, and for the error of that age.
 type Sweeper struct{ o SweepOptions }
 
 // NewSweeper returns a sweeper.
@@ -36,8 +39,9 @@
 	// sweepInterval is the time between sweeps.
 	sweepInterval = 250 * time.Millisecond
 	// sweepDelay is the time from newer weights becoming desired until segments of the older
-	// ones are freed: MaxDesiredAge for daemons that have not yet received the change,
-	// transferTimeout for their last transfers, and a margin for network delay.
+	// ones are freed where ages have no error: MaxDesiredAge for daemons that have not yet
+	// received the change, transferTimeout for their last transfers, and a margin for network
+	// delay.
 	sweepDelay = MaxDesiredAge + transferTimeout + 800*time.Millisecond
 	// sweepRankDelay is the extra delay per rank of the daemons that free segments of one
 	// store. The event that reports the freeing takes about 0.2 s to arrive.
@@ -65,7 +69,7 @@
 // sweep frees one batch of superseded segments in one store.
 func (s *Sweeper) sweep(ctx context.Context, address string) {
 	now := clock.Now()
-	after := sweepDelay + time.Duration(s.o.Rank(address))*sweepRankDelay
+	after := sweepDelay + s.o.ViewError + time.Duration(s.o.Rank(address))*sweepRankDelay
 	segments, epoch := s.o.Stores.Outdated(address, sweepBatch, func(salt string) bool {
 		since, superseded := s.o.Superseded(salt)
 		return !superseded || now.Sub(since) < after
--- a/emberd/internal/host/assignments.go
+++ b/emberd/internal/host/assignments.go
@@ -11,6 +11,7 @@
 	"embertally.dev/core/lease"
 	"embertally.dev/core/order"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/spread"
 	"embertally.dev/platform"
 )
 
@@ -30,7 +31,7 @@
 		Table: h.relay.Table, Desired: h.desired.Newest, Notify: h.fleet.TriggerHeartbeat, Observer: h.updateNotifier, Log: h.log,
 	})
 	h.sweeper = cache.NewSweeper(cache.SweepOptions{
-		Stores: h.storeIndexes, Log: h.log, Superseded: h.desired.SupersededSince,
+		Stores: h.storeIndexes, Log: h.log, Superseded: h.desired.SupersededSince, ViewError: spread.MaxDatingError,
 		Rank: h.storeIndexSync.AssignmentRank,
 	})
 	h.presence = h.newPresence()
