Orders to load weights expire during a system suspend

Cause: the five seconds for which an order may be sent after its commit were measured by time.Time, whose monotonic reading stops during a system suspend. A daemon suspended with its machine between the commit and the sending sent the order after its successor, which waits for these five seconds, had begun. Only the time of day in the order, at engines that look at it, was left.

Change: the expiry is a clock.Time, which goes on during a suspend. Evidence: TestNoOrderIsSentAfterItExpiredDuringASystemSuspend failed before in the form in which the order has expired (1 order sent); the two other forms held.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -22,6 +22,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/cache"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
@@ -259,7 +260,7 @@
 	if err != nil {
 		return slots
 	}
-	expires := time.Now().Add(orderTTL)
+	expires := clock.Now().Add(orderTTL)
 	txn := plat.Txn{
 		Compares: []plat.Compare{h.lease.Guard(), {Key: key}},
 		Puts:     []plat.Put{{Key: key, Value: raw}},
@@ -286,7 +287,7 @@
 	if err != nil {
 		return
 	}
-	expires := time.Now().Add(orderTTL)
+	expires := clock.Now().Add(orderTTL)
 	txn := plat.Txn{
 		Compares: []plat.Compare{h.lease.Guard(), {Key: s.key, ModRevision: s.revision}},
 		Puts:     []plat.Put{{Key: s.key, Value: raw}},
@@ -322,20 +323,21 @@
 }
 
 // send sends an order unless it has expired since its commit.
-func (h *Holder) send(ctx context.Context, w wantedLoad, expires time.Time) {
+func (h *Holder) send(ctx context.Context, w wantedLoad, expires clock.Time) {
 	h.lastSent[w.worker] = time.Now()
 	ref := event.Ref{Target: w.worker}
-	if time.Now().After(expires) {
+	remaining := clock.Until(expires)
+	if remaining <= 0 {
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, expires)
+	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	fence := h.lease.Fence()
 	fencing := "fence checked"
 	if !w.target.ChecksFence {
 		fencing = "fence not checked, sent after the former holder's orders expired"
 	}
-	err := target.NewEngine(w.target.URL, h.o.Client).Order(ctx, w.order(fence, expires))
+	err := target.NewEngine(w.target.URL, h.o.Client).Order(ctx, w.order(fence, time.Now().Add(remaining)))
 	if err != nil {
 		h.o.Log.Emit(event.OrderRejected, ref, err.Error())
 		return
