What one daemon alone has taken for an outage of the store keeps no removed target

Callers could see: requests that reach a worker whose entry went while a box was cut off (DRAIN), after the box is back. Cause: an entry that disappears in an outage of the store may return, so its target is kept, as the last choice, for two seconds from the outage's end. Each daemon takes its own silence for an outage and dates its end by when the store answers it again: one that was cut off, or suspended, kept targets that all others had removed long before, for two seconds from its own hearing.

An outage ends when others reached it again, and is none if they reached it all the while. That may be heard after the removal, so it is checked again every 250 ms until the target is removed. Where nobody else reaches the store all is as before. TestTargetRemovedWhileOnlyThisDaemonWasCutOffGetsNoRequests fails without the change in the roster (kept for two seconds).

--- a/core/plat/contact.go
+++ b/core/plat/contact.go
@@ -79,16 +79,16 @@
 	w.reachedAt = now
 }
 
-// steadyReach is how long the store must have been reachable to count as such: after an outage the changes
+// SteadyReachTime is how long the store must have been reachable to count as such: after an outage the changes
 // made meanwhile take some time to arrive.
-const steadyReach = 1500 * time.Millisecond
+const SteadyReachTime = 1500 * time.Millisecond
 
 // SteadyReach returns when data of the store last arrived at this daemon; zero if the store has become
-// reachable less than steadyReach before that.
+// reachable less than SteadyReachTime before that.
 func (w *WatchCache) SteadyReach() clock.Time {
 	w.cacheMu.Lock()
 	defer w.cacheMu.Unlock()
-	if w.reachedAt.Sub(w.reachedSince) < steadyReach {
+	if w.reachedAt.Sub(w.reachedSince) < SteadyReachTime {
 		return clock.Time{}
 	}
 	return w.reachedAt
@@ -139,7 +139,7 @@
 	return w.lastContact
 }
 
-// LastOutage returns when the last outage ended, and how long it was.
+// LastOutage returns when the last outage ended, and how long it was, as seen by this daemon.
 func (w *WatchCache) LastOutage() (clock.Time, time.Duration) {
 	w.cacheMu.Lock()
 	defer w.cacheMu.Unlock()
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -69,7 +69,7 @@
 // Lock order: rosterMu before a target's targetMu.
 type Roster struct {
 	log *event.Log
-	// lastOutage returns when the list's last outage ended and how long it lasted.
+	// lastOutage returns when the list's last outage ended and how long it lasted, as far as is known by now.
 	lastOutage func() (clock.Time, time.Duration)
 	// byService holds the targets by service, or nil if they have changed since it was built.
 	byService atomic.Pointer[map[string][]*Target]
@@ -168,6 +168,9 @@
 	lapsedEntryTime = 2 * time.Second
 	// minLapseOutage is the shortest outage in which entries lapse.
 	minLapseOutage = 1500 * time.Millisecond
+	// lapseCheckInterval is how often it is checked whether an outage was one of the list: others may tell only after its
+	// end that they have reached the list meanwhile.
+	lapseCheckInterval = 250 * time.Millisecond
 	// peerLoadTTL is how long the loads reported by a peer count.
 	peerLoadTTL = 1200 * time.Millisecond
 )
@@ -278,20 +281,49 @@
 	if t == nil {
 		return
 	}
-	outageEnd, outage := r.lastOutage()
-	_, shuttingDown := r.shuttingDown(t)
-	if until := outageEnd.Add(lapsedEntryTime); outage >= minLapseOutage && now.Before(until) && !shuttingDown {
-		r.keepLapsed(t, until.Sub(now), "its entry lapsed in an outage of the list")
+	remaining := r.lapseRemaining(now)
+	if _, shuttingDown := r.shuttingDown(t); remaining > 0 && !shuttingDown {
+		r.markLapsed(t, remaining, "its entry lapsed in an outage of the list")
+		r.awaitReturn(t.id, now.Add(remaining))
 		return
 	}
 	r.remove(t)
 }
 
+// lapseRemaining returns for how much longer an entry that lapsed in an outage of the list may take to return; 0 if
+// there was none.
+func (r *Roster) lapseRemaining(now clock.Time) time.Duration {
+	end, length := r.lastOutage()
+	if length < minLapseOutage {
+		return 0
+	}
+	return max(0, end.Add(lapsedEntryTime).Sub(now))
+}
+
+// awaitReturn removes a target without an entry at the deadline or, if it turns out that the outage ended earlier or was
+// none of the list, when its entry would have had to return.
+func (r *Roster) awaitReturn(id string, deadline clock.Time) {
+	time.AfterFunc(min(lapseCheckInterval, clock.Until(deadline)), func() {
+		now := clock.Now()
+		remaining := min(deadline.Sub(now), r.lapseRemaining(now))
+		if remaining <= 0 {
+			r.removeLapsed(id)
+			return
+		}
+		r.awaitReturn(id, now.Add(remaining))
+	})
+}
+
 // keepLapsed keeps a target without an entry for a while. It is called with rosterMu held.
 func (r *Roster) keepLapsed(t *Target, duration time.Duration, reason string) {
+	r.markLapsed(t, duration, reason)
+	time.AfterFunc(duration, func() { r.removeLapsed(t.id) })
+}
+
+// markLapsed records that a target's entry has lapsed, and for how long it may. It is called with rosterMu held.
+func (r *Roster) markLapsed(t *Target, duration time.Duration, reason string) {
 	t.lapse(time.Now().Add(duration))
 	r.log.Emit(event.TargetSuspect, event.Ref{Target: t.id}, reason)
-	time.AfterFunc(duration, func() { r.removeLapsed(t.id) })
 }
 
 // RemoveUnusable records that a name's entry is unusable, as another writer may leave it. Unlike
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,6 +76,23 @@
 	}
 }
 
+func TestTargetRemovedWhileOnlyThisDaemonWasCutOffGetsNoRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := clock.Now()
+	var known atomic.Bool
+	r := New(&event.Log{}, func() (clock.Time, time.Duration) {
+		if known.Load() {
+			return start, 0
+		}
+		return start, 4 * time.Second
+	})
+	r.Put(entry("a"))
+	r.Remove("a", clock.Now())
+	g.Expect(r.Target("a").Health(time.Now()).Lapsed).To(gomega.BeTrue())
+	known.Store(true)
+	g.Eventually(func() *Target { return r.Target("a") }, lapsedEntryTime/2, "10ms").Should(gomega.BeNil())
+}
+
 func TestWeightsOnlyRise(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := New(&event.Log{}, nil)
--- a/core/spread/freshness.go
+++ b/core/spread/freshness.go
@@ -10,6 +10,7 @@
 
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
+	"embertally.dev/core/plat"
 	"embertally.dev/core/wait"
 	"embertally.dev/core/wire"
 )
@@ -61,6 +62,26 @@
 	return at
 }
 
+// LastOutage returns when the store's last outage ended, and how long it was. What this daemon alone has taken for an
+// outage is none.
+func (s *WatchCacheSync) LastOutage() (clock.Time, time.Duration) {
+	end, length := s.watchCache.LastOutage()
+	s.peersMu.Lock()
+	reached := s.peerReached
+	s.peersMu.Unlock()
+	return storeOutage(end, length, reached)
+}
+
+// storeOutage returns the end and the length of an outage, given those that this daemon has seen and when others last
+// reached the store. They have reached it steadily for SteadyReachTime then.
+func storeOutage(end clock.Time, length time.Duration, reached clock.Time) (clock.Time, time.Duration) {
+	since := reached.Add(-plat.SteadyReachTime)
+	if reached.Before(end.Add(-plat.SteadyReachTime)) || !since.Before(end) {
+		return end, length
+	}
+	return since, max(0, length-end.Sub(since))
+}
+
 // RecordPeerReach records that a peer said at a time that the store had been reachable a number of
 // milliseconds before; 0 says that it was not.
 func (s *WatchCacheSync) RecordPeerReach(at clock.Time, millis int64) {
--- a/core/spread/freshness_test.go
+++ b/core/spread/freshness_test.go
@@ -260,3 +260,36 @@
 	asker.watchCache.ApplyChanges(nil, 1, clock.Now())
 	g.Expect(asker.Collect(true)).NotTo(gomega.BeNil())
 }
+
+func TestOutageThatOthersHaveNotSeenIsNoneOfTheStore(t *testing.T) {
+	const s = time.Second
+	start := clock.Now()
+	at := func(d time.Duration) clock.Time { return start.Add(d) }
+	tests := []struct {
+		name string
+		// end and length are those of the outage that this daemon has seen, and reached is when others last reached the
+		// store; negative if they did not.
+		end, length, reached time.Duration
+		wantEnd, wantLength  time.Duration
+	}{
+		{"nobody has told", 10 * s, 6 * s, -1, 10 * s, 6 * s},
+		{"an outage for all", 10 * s, 6 * s, 4 * s, 10 * s, 6 * s},
+		{"a short outage for all, which others saw begin later", 10 * s, 2600 * time.Millisecond, 8 * s, 10 * s, 2600 * time.Millisecond},
+		{"others reached the store all the while", 10 * s, 6 * s, 10 * s, 8500 * time.Millisecond, 4500 * time.Millisecond},
+		{"others reached the store again earlier", 10 * s, 6 * s, 11 * s, 9500 * time.Millisecond, 5500 * time.Millisecond},
+		{"others reached the store again at the same time", 10 * s, 6 * s, 11500 * time.Millisecond, 10 * s, 6 * s},
+		{"a short one of this daemon", 10 * s, s, 9 * s, 7500 * time.Millisecond, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var reached clock.Time
+			if tc.reached >= 0 {
+				reached = at(tc.reached)
+			}
+			end, length := storeOutage(at(tc.end), tc.length, reached)
+			g.Expect(end.Sub(start)).To(gomega.Equal(tc.wantEnd))
+			g.Expect(length).To(gomega.Equal(tc.wantLength))
+		})
+	}
+}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -138,7 +138,7 @@
 	h.watchCache.Observe(h.applyChanges)
 	h.incarnationCheck = make(chan struct{}, 1)
 	h.watchCache.OnStoreIncarnation = h.triggerIncarnationCheck
-	h.roster = roster.New(h.log, h.watchCache.LastOutage)
+	h.roster = roster.New(h.log, func() (clock.Time, time.Duration) { return h.watchCacheSync.LastOutage() })
 	h.roster.VersionRetention = origin.Retention
 	h.fleet = fleet.New(fleet.Options{
 		Name: settings.Name, Incarnation: incarnation, Address: settings.Peers, Domain: settings.Domain,
