A resumed daemon verifies its configuration by questions that it asks after the suspension

Callers could see: requests handled by an older configuration (a revoked key accepted) at a daemon of emberd run that was suspended and then cannot reach the store, or no peer either. Cause: after a suspension a daemon is not ready until its configuration is confirmed. A heartbeat counted from its arrival, and so did what the watch of the store delivered: both may have waited in the sockets of the suspended process, and confirmed the configuration of before. Without the store a live peer was enough, but peers count as live for a while after a suspension without having said anything; nor did it matter whether a peer had a newer configuration.

Change: only the answer to a question counts, from when the question was asked. What arrives unasked is used as before for everything else. emberd host dates its copy by its requests already.

--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/memkv"
 	"embertally.dev/core/plat"
@@ -314,6 +315,28 @@
 	g.Expect(s.Confirmed()).NotTo(gomega.BeZero())
 }
 
+func TestWhatAWatchDeliversVerifiesNothingUntilTheStoreIsAsked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	writer := newDaemon(t, kv)
+	s := NewStore(&event.Log{})
+	syncer := NewSyncer(s, kv, noPeers{make(chan struct{})}, &event.Log{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { syncer.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	g.Eventually(func() bool { return s.Confirmed().After(s.Verified()) }, "20s", "10ms").Should(gomega.BeTrue(), "the watch has begun")
+	verified := s.Verified()
+	_, err := writer.put(KindDeployment, "d1", modelSpec, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(func() uint64 { return s.Snapshot().Seq() }, "20s", "10ms").Should(gomega.Equal(uint64(1)))
+	g.Expect(s.Verified()).To(gomega.Equal(verified))
+	asked := clock.Now()
+	syncer.Recheck()
+	g.Eventually(func() bool { return s.Verified().After(asked) }, pollInterval/2, "10ms").Should(gomega.BeTrue())
+}
+
 // slowKV is a coordination store whose read of the full configuration takes longer
 // than plat.CallTimeout.
 type slowKV struct{ *memkv.KV }
--- a/core/conf/store.go
+++ b/core/conf/store.go
@@ -36,9 +36,10 @@
 	recent []Change
 	// changed is closed and replaced at each change. Guarded by storeMu.
 	changed chan struct{}
-	// confirmed is when the snapshot was last verified to be the latest in
-	// the coordination store. Guarded by storeMu.
-	confirmed clock.Time
+	// confirmed is when the snapshot was last known to be the latest in the
+	// coordination store, and verified the same as shown by the answer to a
+	// question. Guarded by storeMu.
+	confirmed, verified clock.Time
 	// loaded is set once a full configuration was applied. Guarded by storeMu.
 	loaded bool
 }
@@ -71,6 +72,25 @@
 	return s.changed
 }
 
+// Verify is Confirm where the answer to a question has shown that seq was the latest
+// committed sequence at time t. What arrives unasked may have been under way for long.
+func (s *Store) Verify(seq uint64, t clock.Time) {
+	s.Confirm(seq, t)
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	if s.Snapshot().seq >= seq && t.After(s.verified) {
+		s.verified = t
+	}
+}
+
+// Verified returns when the snapshot was the latest for the last time, as shown by the
+// answer to a question.
+func (s *Store) Verified() clock.Time {
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	return s.verified
+}
+
 // Confirm records that seq was the latest committed sequence at time t. It has
 // no effect if the applied snapshot is older than seq.
 func (s *Store) Confirm(seq uint64, t clock.Time) {
--- a/core/conf/sync.go
+++ b/core/conf/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,11 +67,49 @@
 	log   *event.Log
 	// down is set while the latest synchronisation has failed; used only by Run.
 	down bool
+	// recheck has an element when the store is to be asked at once.
+	recheck chan struct{}
+
+	watchMu sync.Mutex
+	// endWatch ends the current watch; nil if there is none. Guarded by watchMu.
+	endWatch context.CancelFunc
 }
 
 // NewSyncer returns a syncer for store.
 func NewSyncer(store *Store, kv coordinationStore, peers Peers, log *event.Log) *Syncer {
-	return &Syncer{store: store, kv: kv, peers: peers, log: log}
+	return &Syncer{store: store, kv: kv, peers: peers, log: log, recheck: make(chan struct{}, 1)}
+}
+
+// Recheck has Run ask the coordination store at once for the latest sequence. What arrives from a watch may have
+// been under way while this process was suspended.
+func (s *Syncer) Recheck() {
+	select {
+	case s.recheck <- struct{}{}:
+	default:
+	}
+	s.watchMu.Lock()
+	defer s.watchMu.Unlock()
+	if s.endWatch != nil {
+		s.endWatch()
+	}
+}
+
+// pause waits for d, or until Recheck is called or ctx ends.
+func (s *Syncer) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.recheck:
+	case <-t.C:
+	}
+}
+
+// setEndWatch stores the function that ends the current watch, or nil.
+func (s *Syncer) setEndWatch(f context.CancelFunc) {
+	s.watchMu.Lock()
+	defer s.watchMu.Unlock()
+	s.endWatch = f
 }
 
 // Run keeps the store up to date until ctx is done.
@@ -85,7 +124,7 @@
 		if err != nil {
 			delay = syncRetryDelay
 		}
-		wait.For(ctx, delay)
+		s.pause(ctx, delay)
 	}
 	<-p.done
 }
@@ -148,7 +187,7 @@
 	if err := s.catchUpTo(ctx, seq); err != nil {
 		return err
 	}
-	s.store.Confirm(seq, requestedAt)
+	s.store.Verify(seq, requestedAt)
 	return nil
 }
 
@@ -200,6 +239,8 @@
 func (s *Syncer) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.setEndWatch(cancel)
+	defer s.setEndWatch(nil)
 	stallTimer := time.AfterFunc(watchStallTimeout, cancel)
 	defer stallTimer.Stop()
 	from := s.store.Snapshot().headRevision + 1
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -24,7 +24,17 @@
 	"embertally.dev/core/wire"
 )
 
-const kindSince wire.Kind = "conf.since"
+const (
+	kindSince wire.Kind = "conf.since"
+	kindState wire.Kind = "conf.state"
+)
+
+const (
+	// stateTimeout bounds the request for a peer's state.
+	stateTimeout = 500 * time.Millisecond
+	// statePeers is how many peers are asked at a time.
+	statePeers = 3
+)
 
 // sinceRequest requests the changes after a configuration sequence. The response is a compressed
 // conf.Delta.
@@ -71,6 +81,10 @@
 	states map[string]confState
 	// lastCurrent is when no peer was last seen ahead of this daemon. Guarded by statesMu.
 	lastCurrent clock.Time
+	// asked is the number of peers asked for their state, and answered when the last one was asked that has
+	// answered and had a configuration loaded. Guarded by statesMu.
+	asked    int
+	answered clock.Time
 	// stateChanged is closed and replaced when a peer's sequence changes. Guarded by statesMu.
 	stateChanged chan struct{}
 }
@@ -83,9 +97,70 @@
 	}
 	f.Attach("conf", s)
 	f.Mux().Register(kindSince, wire.Handle(s.handleSince))
+	f.Mux().Register(kindState, wire.Handle(s.handleState))
 	return s
 }
 
+// handleState sends a peer this daemon's state.
+func (s *ConfigReplicator) handleState(context.Context, string, *struct{}) (*confState, error) {
+	st := s.state()
+	return &st, nil
+}
+
+// Verify asks the next few live peers for their states, without waiting for the answers. Heartbeats may have been
+// under way for long if this process was suspended.
+func (s *ConfigReplicator) Verify(ctx context.Context) {
+	var live []string
+	for _, p := range s.fleet.View().Peers() {
+		if p.Alive {
+			live = append(live, p.Name)
+		}
+	}
+	s.statesMu.Lock()
+	defer s.statesMu.Unlock()
+	for range min(statePeers, len(live)) {
+		s.asked++
+		go stateQuery{s, live[s.asked%len(live)]}.run(ctx)
+	}
+}
+
+// Answered returns when the last peer was asked by Verify that has answered and had a configuration loaded; zero if
+// none has.
+func (s *ConfigReplicator) Answered() clock.Time {
+	s.statesMu.Lock()
+	defer s.statesMu.Unlock()
+	return s.answered
+}
+
+// stateQuery asks one peer for its state.
+type stateQuery struct {
+	*ConfigReplicator
+	peer string
+}
+
+func (q stateQuery) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	asked := clock.Now()
+	var st confState
+	if err := q.fleet.Query(ctx, q.peer, kindState, &struct{}{}, &st); err != nil {
+		// The next request goes to other peers.
+		return
+	}
+	q.recordState(q.peer, st)
+	if !st.Loaded {
+		return
+	}
+	if st.AgeMillis >= 0 {
+		q.store.Verify(st.Seq, asked.Add(-reportedAge(int64(st.AgeMillis)+1)))
+	}
+	q.statesMu.Lock()
+	defer q.statesMu.Unlock()
+	if asked.After(q.answered) {
+		q.answered = asked
+	}
+}
+
 // handleSince sends a peer the changes after a sequence.
 func (s *ConfigReplicator) handleSince(_ context.Context, _ string, req *sinceRequest) (*transfer, error) {
 	id := fmt.Sprintf("conf/%d/%d", req.Seq, s.store.Snapshot().Seq())
@@ -162,7 +237,10 @@
 }
 
 // Collect returns the configuration state of this daemon for its heartbeat.
-func (s *ConfigReplicator) Collect(bool) any {
+func (s *ConfigReplicator) Collect(bool) any { return s.state() }
+
+// state returns the configuration state of this daemon.
+func (s *ConfigReplicator) state() confState {
 	st := confState{Seq: s.store.Snapshot().Seq(), Loaded: s.store.Loaded(), AgeMillis: -1}
 	if at := s.store.Confirmed(); !at.IsZero() {
 		st.AgeMillis = int(clock.Since(at).Milliseconds())
@@ -176,6 +254,14 @@
 	if msgpack.Unmarshal(body, &st) != nil {
 		return
 	}
+	if st.Loaded && st.AgeMillis >= 0 {
+		s.store.Confirm(st.Seq, clock.Now().Add(-time.Duration(st.AgeMillis)*time.Millisecond))
+	}
+	s.recordState(peer, st)
+}
+
+// recordState records a peer's state, and wakes those who wait for a later sequence.
+func (s *ConfigReplicator) recordState(peer string, st confState) {
 	s.statesMu.Lock()
 	old := s.states[peer]
 	s.states[peer] = st
@@ -184,9 +270,6 @@
 		s.stateChanged = make(chan struct{})
 	}
 	s.statesMu.Unlock()
-	if st.Loaded && st.AgeMillis >= 0 {
-		s.store.Confirm(st.Seq, clock.Now().Add(-time.Duration(st.AgeMillis)*time.Millisecond))
-	}
 	if st.Loaded && (st.Seq > s.store.Snapshot().Seq() || !s.store.Loaded()) {
 		s.signalWake()
 	}
@@ -276,18 +359,6 @@
 	return now.Sub(s.lastCurrent) < maxLag
 }
 
-// AnyPeerLoaded reports whether any live peer reported a loaded configuration.
-func (s *ConfigReplicator) AnyPeerLoaded() bool {
-	s.statesMu.Lock()
-	defer s.statesMu.Unlock()
-	for _, p := range s.fleet.View().Peers() {
-		if p.Alive && s.states[p.Name].Loaded {
-			return true
-		}
-	}
-	return false
-}
-
 // Lagging returns the live or listed daemons of this cell, and the other cells, that have not
 // applied seq.
 func (s *ConfigReplicator) Lagging(ctx context.Context, seq uint64) []string {
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
@@ -57,3 +58,37 @@
 	g.Expect(stores[0].Replace(organisations(count))).To(gomega.BeTrue())
 	g.Eventually(func() int { return stores[1].Snapshot().Count(conf.KindOrganisation) }, longWait, pollInterval).Should(gomega.Equal(count))
 }
+
+func TestAnswersOfPeersCountFromTheQuestion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	seeds, listeners := seedsAndListeners(t, 2)
+	unreachable := &memkv.KV{}
+	unreachable.SetDown(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	var stores []*conf.Store
+	var replicators []*spread.ConfigReplicator
+	for i := range seeds {
+		name := seeds[i].Name
+		f := fleet.New(fleet.Options{
+			Name: name, Incarnation: name + "-1", Seeds: seeds, HeartbeatInterval: heartbeat,
+			SuspectAfter: suspect, Log: &event.Log{},
+		})
+		store := conf.NewStore(&event.Log{})
+		stores, replicators = append(stores, store), append(replicators, spread.New(store, f, unreachable))
+		wg.Go(func() { f.Run(ctx, listeners[i]) })
+		g.Expect(store.Replace(organisations(3))).To(gomega.BeTrue())
+	}
+	confirmed := clock.Now()
+	stores[0].Confirm(3, confirmed)
+	g.Eventually(func() bool { return !stores[1].Confirmed().IsZero() }, longWait, pollInterval).Should(gomega.BeTrue(), "by a heartbeat")
+	g.Expect(stores[1].Verified().IsZero()).To(gomega.BeTrue())
+	g.Expect(replicators[1].Answered().IsZero()).To(gomega.BeTrue())
+	asked := clock.Now()
+	replicators[1].Verify(ctx)
+	g.Eventually(replicators[1].Answered, longWait, pollInterval).ShouldNot(gomega.BeZero())
+	g.Expect(replicators[1].Answered().Before(asked)).To(gomega.BeFalse())
+	g.Expect(stores[1].Verified().After(confirmed)).To(gomega.BeFalse(), "never taken for younger than it is")
+	g.Expect(stores[1].Verified().IsZero()).To(gomega.BeFalse())
+}
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -91,6 +91,7 @@
 	d.fleet.OnResume(func(time.Duration) {
 		now := clock.Now()
 		d.resumedAt.Store(&now)
+		d.syncer.Recheck()
 	})
 	d.replicator = spread.New(d.config, d.fleet, d.kv)
 	d.syncer = conf.NewSyncer(d.config, d.kv, d.replicator, d.log)
@@ -215,16 +216,19 @@
 	return !last.IsZero() && clock.Since(last) > d.settings.Limits.IsolationTimeout
 }
 
-// confirmedSinceResume reports whether the configuration has been confirmed since the process
-// noticed that it had been suspended. If the coordination store is down, it is enough that a live
-// peer has loaded a configuration and Peers.Suspect has passed: in that time each live peer of the
-// cell has sent a heartbeat, and none of them had a newer configuration.
+// confirmedSinceResume reports whether the configuration has been verified since the process
+// noticed that it had been suspended. What arrived unasked may have waited in its sockets. If
+// the coordination store is down, it is enough that a live peer that was asked has loaded a
+// configuration and Peers.Suspect has passed: in that time each live peer of the cell has sent
+// a heartbeat, and none of them has a newer configuration.
 func (d *Daemon) confirmedSinceResume() bool {
 	at := d.resumedAt.Load()
 	if at == nil {
 		return true
 	}
-	if d.config.Confirmed().After(*at) || (d.replicator.AnyPeerLoaded() && clock.Since(*at) > d.settings.Peers.Suspect) {
+	byPeers := d.replicator.Answered().After(*at) && clock.Since(*at) > d.settings.Peers.Suspect &&
+		d.replicator.PeerAhead(d.config.Snapshot().Seq()) == ""
+	if d.config.Verified().After(*at) || byPeers {
 		d.resumedAt.CompareAndSwap(at, nil)
 		return true
 	}
@@ -346,6 +350,9 @@
 // watchReadiness logs changes of readiness until ctx is cancelled.
 func (d *Daemon) watchReadiness(ctx context.Context) {
 	wait.Every(ctx, readyPollInterval, func() {
+		if !d.confirmedSinceResume() {
+			d.replicator.Verify(ctx)
+		}
 		reason := d.NotReadyReason()
 		if d.ready.Swap(reason == "") == (reason == "") {
 			return
