The grace of an evacuation that a restored store lacks counts from the latest restore

Callers could see: requests at a failure domain that operators have evacuated. The timer of a first restore also ended the grace of a second one, after as little as no time. Change: at the end of the grace the time since the latest restore decides. Evidence: TestEvacuationOutlivesASecondRestoreByTheWholeGrace fails without the check (the evacuation ends at the first timer).

--- a/emberd/internal/host/applied.go
+++ b/emberd/internal/host/applied.go
@@ -176,12 +176,21 @@
 // endEvacuationLater ends an evacuation that is missing from a restored store. It does so after
 // restoredGrace, unless the evacuation has been written again by then.
 func (h *Host) endEvacuationLater(domain, key string) {
-	time.AfterFunc(restoredGrace, func() {
-		if _, present := h.watchCache.Pair(key); !present {
-			h.applied.Remove(key)
-			h.roster.Evacuate(domain, false, time.Now())
-		}
-	})
+	time.AfterFunc(restoredGrace, func() { h.endEvacuation(domain, key) })
+}
+
+// endEvacuation ends an evacuation that is missing from a restored store. If that has been restored once more
+// meanwhile, operators have the whole time again.
+func (h *Host) endEvacuation(domain, key string) {
+	if _, present := h.watchCache.Pair(key); present {
+		return
+	}
+	if remaining := restoredGrace - clock.Since(h.watchCache.StoreIncarnationSince()); remaining > 0 {
+		time.AfterFunc(remaining, func() { h.endEvacuation(domain, key) })
+		return
+	}
+	h.applied.Remove(key)
+	h.roster.Evacuate(domain, false, time.Now())
 }
 
 // applyFromStore applies a configuration of the store. If the store may have been restored from a
--- a/emberd/internal/host/applied_test.go
+++ b/emberd/internal/host/applied_test.go
@@ -67,6 +67,24 @@
 	g.Expect(h.desired.Newest("m")).To(gomega.Equal(int64(4)))
 }
 
+func TestEvacuationOutlivesASecondRestoreByTheWholeGrace(t *testing.T) {
+	g, h := newHost(t)
+	evacuated := func() bool {
+		_, on := h.roster.Evacuated("z1", time.Now())
+		return on
+	}
+	evacuation := plat.Pair{Key: "op/evacuate/z1", ModRevision: plat.Revision(1, 1)}
+	applyFullCopy(h, plat.Revision(1, 1), evacuation)
+	applyFullCopy(h, plat.Revision(2, 1))
+	clock.Suspend(restoredGrace)
+	applyFullCopy(h, plat.Revision(3, 1))
+	h.endEvacuation("z1", evacuation.Key)
+	g.Expect(evacuated()).To(gomega.BeTrue(), "the store was just restored again")
+	clock.Suspend(restoredGrace)
+	h.endEvacuation("z1", evacuation.Key)
+	g.Expect(evacuated()).To(gomega.BeFalse())
+}
+
 func TestInvalidValuesFromAPeerAreIgnored(t *testing.T) {
 	g, h := newHost(t)
 	applyFullCopy(h, 1, configPair("3", 1))
