A block in the store holds at a daemon whose time of day is ahead

Cause: a block's end is stored as a time of day. A daemon that starts took a block whose end had passed by its own clock for none. An unknown fell to the open side; a clock that was set back made a block longer than any is. Change: while its key is there, a block lasts for what its end says, and for its whole time if that is none or more. Crash trackers remove the key at the end, which releases the block everywhere. Where all daemons were away at its end it lasts once more; before, nobody removed the key then. Evidence: TestBlockInTheStoreHoldsAtADaemonWhoseTimeOfDayIsWrong, forms ahead and behind, failed before.

--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -338,6 +339,31 @@
 
 // A store restored from a copy without a block releases nothing, and the block is written to it
 // again.
+func TestBlockInTheStoreHoldsAtADaemonWhoseTimeOfDayIsWrong(t *testing.T) {
+	tests := []struct {
+		name string
+		// left is for how much longer the block lasts by the daemon's time of day.
+		left, want time.Duration
+	}{
+		{"right", initialBlockTime / 2, initialBlockTime / 2},
+		{"ahead", -time.Minute, initialBlockTime},
+		{"behind", 3 * initialBlockTime, initialBlockTime},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newTestFleet(t, 1)
+			value, err := json.Marshal(storedBlock{Organisation: "org", Expires: time.Now().Add(tc.left), Stamp: 1, Consecutive: 1})
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			request := Digest{1}
+			guard := r.daemons[0].guard
+			guard.Observe(plat.Change{Pair: plat.Pair{Key: BlockPrefix + request.String(), Value: value}})
+			remaining, blocked := guard.Blocked(Sent{Request: request})
+			r.g.Expect(blocked).To(gomega.BeTrue())
+			r.g.Expect(remaining).To(gomega.BeNumerically("~", tc.want, time.Minute/2))
+		})
+	}
+}
+
 func TestARestoredStoreReleasesNoBlock(t *testing.T) {
 	r := newTestFleet(t, 3)
 	d := digestOf("fatal")
--- a/core/poison/store.go
+++ b/core/poison/store.go
@@ -32,7 +32,7 @@
 // start.
 type storedBlock struct {
 	Organisation string `json:"organisation"`
-	// Expires is when the block expires by wall clock, which may differ by seconds between daemons.
+	// Expires is when the block expires by the time of day, which may differ between daemons.
 	Expires time.Time `json:"until"`
 	Stamp   int64     `json:"stamp"`
 	// Consecutive is the number of consecutive blocks of the request.
@@ -66,13 +66,18 @@
 		g.o.Log.Emit(event.ConfUnderived, event.Ref{Resource: c.Key}, err.Error())
 		return
 	}
-	b := block{
-		Request: d, Organisation: s.Organisation, Stamp: s.Stamp,
-		Consecutive: min(max(1, s.Consecutive), 16), Remaining: time.Until(s.Expires), Parts: s.Parts,
-	}
-	if b.Remaining > 0 {
-		g.blocks.merge([]block{b}, "it is in the coordination store")
+	b := block{Request: d, Organisation: s.Organisation, Stamp: s.Stamp, Consecutive: min(max(1, s.Consecutive), 16), Parts: s.Parts}
+	b.Remaining = s.remaining(b.duration())
+	g.blocks.merge([]block{b}, "it is in the coordination store")
+}
+
+// remaining returns how long the block lasts, at most the whole time of such a block. That is also assumed if it has
+// expired by the time of day, which may be wrong: crash trackers remove the key when the block ends.
+func (s *storedBlock) remaining(whole time.Duration) time.Duration {
+	if left := time.Until(s.Expires); left > 0 {
+		return min(left, whole)
 	}
+	return whole
 }
 
 // Run writes the blocks that this daemon tracks to the coordination store and removes expired ones,
