A target whose entry lapsed in an outage is kept also where a peer tells of it first

Callers saw: "no target is listed" for up to a second after an outage of the store in which an entry had lapsed, at boxes that the store answers later than others. Cause: whether an entry disappeared in an outage was known only when the store answered this daemon again. A peer that it answers first passes the change on; the target was then removed at once, and its disappearance counted as a crash. TestOutageThatLastsIsKnownBeforeTheStoreAnswersAgain failed before.

--- a/core/plat/contact.go
+++ b/core/plat/contact.go
@@ -139,9 +139,14 @@
 	return w.lastContact
 }
 
-// LastOutage returns when the last outage ended, and how long it was, as seen by this daemon.
+// LastOutage returns when the last outage ended, and how long it was, as seen by this daemon. One that lasts ends now:
+// peers may be answered again earlier.
 func (w *WatchCache) LastOutage() (clock.Time, time.Duration) {
 	w.cacheMu.Lock()
 	defer w.cacheMu.Unlock()
+	now := clock.Now()
+	if silent := now.Sub(w.lastContact); !w.lastContact.IsZero() && silent > outageAfter {
+		return now, silent
+	}
 	return w.outageEnd, w.outageLength
 }
--- a/core/plat/watchcache_test.go
+++ b/core/plat/watchcache_test.go
@@ -88,6 +88,27 @@
 	g.Eventually(m.value("a/2"), "10s", "5ms").Should(gomega.Equal("y"))
 }
 
+func TestOutageThatLastsIsKnownBeforeTheStoreAnswersAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kv := &memkv.KV{}
+	put(t, kv, "a/1", "x")
+	m := watch(kv)
+	m.start(t)
+	g.Eventually(m.value("a/1"), "10s", "5ms").Should(gomega.Equal("x"))
+	_, length := m.LastOutage()
+	g.Expect(length).To(gomega.BeZero())
+	const silent = 10 * time.Second
+	clock.Suspend(silent)
+	end, length := m.LastOutage()
+	g.Expect(length).To(gomega.BeNumerically(">=", silent))
+	g.Expect(clock.Since(end)).To(gomega.BeNumerically("<", time.Second))
+	put(t, kv, "a/2", "y")
+	g.Eventually(m.value("a/2"), "10s", "5ms").Should(gomega.Equal("y"))
+	answered, length := m.LastOutage()
+	g.Expect(answered.Before(end)).To(gomega.BeFalse())
+	g.Expect(length).To(gomega.BeNumerically(">=", silent))
+}
+
 // compactedOnce is a store whose first watch fails because the history was compacted.
 type compactedOnce struct {
 	*memkv.KV
