Weights that only an entry states are given up with the entry, or when the worker denies them

A worker whose entry another writer had left with weights of 2^63-1 got no request executed any more: each was asked for with these weights and answered 421, also after the worker had written its own entry again, until it restarted. Nor was it ever updated, since it did not count as outdated.

Cause: versions only rise within an incarnation, to keep what responses showed beside entries that were written before. The rule also kept what former entries stated, and peers were told all of it.

What was observed (responses, orders, peers) is now kept apart from what the entry states: the observed versions rise, the entry's are those of the latest entry, except in a list restored from an older copy. A worker that answers 421 with a lower version than the one that only its entry states denies the entry: it counts as having what was observed, and is updated like others. Peers are told what was observed only. A 421 of another worker at the same address no longer counts as the version of the expected one.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -276,10 +276,11 @@
 		return outcomeIncomplete, false
 	case misdirected:
 		p.relay.options.Stats.Misdirected.Inc()
-		if respMeta.WeightVersion > 0 {
-			p.relay.options.Roster.RecordVersion(c.target.ID(), p.meta.Model, respMeta.WeightVersion)
+		sameTarget := respMeta.Target == "" || respMeta.Target == c.target.Entry().Name
+		if respMeta.WeightVersion > 0 && sameTarget {
+			p.relay.options.Roster.RecordOtherVersion(c.target.ID(), p.meta.Model, c.weightVersion, respMeta.WeightVersion)
 		}
-		if respMeta.Target != "" && respMeta.Target != c.target.Entry().Name {
+		if !sameTarget {
 			// The address now belongs to another target.
 			p.recordNoResponse(c)
 		}
--- a/core/roster/target.go
+++ b/core/roster/target.go
@@ -37,6 +37,13 @@
 	// warmUpUntil is when the target stops warming up according to its entry. Guarded by targetMu.
 	warmUpUntil time.Time
 	removed     bool // guarded by targetMu
+
+	// observed holds the highest version of each model's weights that was seen at the target, apart from its entry.
+	// Guarded by the roster's rosterMu.
+	observed map[string]int64
+	// denied holds, by model, a version that the entry states and the target itself denied to have, until the entry
+	// states another one. Guarded by the roster's rosterMu.
+	denied map[string]int64
 }
 
 // ID returns the ID of this incarnation; see Entry.
@@ -48,24 +55,18 @@
 // set stores an entry, which ends a lapse. It is called with rosterMu held.
 func (t *Target) set(e Entry) {
 	old := t.entry.Load()
-	if old != nil {
-		// Entries are written rarely; versions observed since may be newer.
-		weights := maps.Clone(e.Weights)
-		for model, v := range old.Weights {
-			if weights != nil && weights[model] < v {
-				weights[model] = v
-			}
-		}
-		e.Weights = weights
+	// The entry is not newer if the list was restored from an older copy.
+	restored := old != nil && plat.StoreIncarnation(e.Revision) > plat.StoreIncarnation(old.Revision) &&
+		plat.StoreRevision(e.Revision) <= plat.StoreRevision(old.Revision)
+	if restored {
 		e.OrderCount = max(e.OrderCount, old.OrderCount)
 	}
+	e.Weights = t.weights(&e, old, restored)
 	t.entry.Store(&e)
 	t.targetMu.Lock()
 	defer t.targetMu.Unlock()
 	t.lapsedUntil = time.Time{}
-	if old != nil && plat.StoreIncarnation(e.Revision) > plat.StoreIncarnation(old.Revision) &&
-		plat.StoreRevision(e.Revision) <= plat.StoreRevision(old.Revision) {
-		// The entry is not newer: the list was restored from an older copy.
+	if restored {
 		return
 	}
 	t.warmUpUntil = time.Time{}
@@ -75,6 +76,30 @@
 	}
 }
 
+// weights returns the versions that the target has by a new entry and by what was observed, which may be newer. What
+// former entries stated doesn't count, since another writer may have left them, unless the list was restored from
+// an older copy. It is called with rosterMu held.
+func (t *Target) weights(e, old *Entry, restored bool) map[string]int64 {
+	out := maps.Clone(e.Weights)
+	for model, version := range t.denied {
+		if stated, ok := out[model]; ok && stated == version {
+			out[model] = t.observed[model]
+		} else {
+			delete(t.denied, model)
+		}
+	}
+	newer := t.observed
+	if restored {
+		newer = old.Weights
+	}
+	for model, version := range newer {
+		if out != nil && out[model] < version {
+			out[model] = version
+		}
+	}
+	return out
+}
+
 // warmingUp reports whether the target is still warming up according to its entry.
 func (t *Target) warmingUp(now time.Time) bool {
 	t.targetMu.Lock()
@@ -82,8 +107,27 @@
 	return now.Before(t.warmUpUntil)
 }
 
-// raiseVersion records a newer weights version of a model. It is called with rosterMu held.
-func (t *Target) raiseVersion(model string, version int64) {
+// observe records a version of a model's weights that was seen at the target. It is called with rosterMu held.
+func (t *Target) observe(model string, version int64) {
+	if t.observed == nil {
+		t.observed = map[string]int64{}
+	}
+	t.observed[model] = max(t.observed[model], version)
+	if t.observed[model] >= t.denied[model] {
+		delete(t.denied, model)
+	}
+}
+
+// deny records that the target doesn't have a version that its entry states. It is called with rosterMu held.
+func (t *Target) deny(model string, stated int64) {
+	if t.denied == nil {
+		t.denied = map[string]int64{}
+	}
+	t.denied[model] = stated
+}
+
+// setVersion sets the weights version of a model. It is called with rosterMu held.
+func (t *Target) setVersion(model string, version int64) {
 	e := *t.Entry()
 	e.Weights = maps.Clone(e.Weights)
 	if e.Weights == nil {
--- a/core/roster/updates.go
+++ b/core/roster/updates.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"time"
 
 	"embertally.dev/core/event"
@@ -116,14 +117,36 @@
 // recordVersion is RecordVersion with rosterMu held.
 func (r *Roster) recordVersion(id, model string, version int64) {
 	t := r.targets[id]
-	if t == nil || t.Entry().Weights[model] >= version {
+	if t == nil {
 		return
 	}
-	t.raiseVersion(model, version)
+	t.observe(model, version)
+	if t.Entry().Weights[model] >= version {
+		return
+	}
+	t.setVersion(model, version)
 	r.versionsSeen[id] = time.Now()
 	r.log.Emit(event.OrderDone, event.Ref{Target: id}, model+" version "+itoa(version))
 }
 
+// RecordOtherVersion records that a target that was expected to have a version of a model's weights has another one, as
+// its rejection states. If the expected version is higher and only the target's entry states it, the entry is not
+// believed: another writer may have left it.
+func (r *Roster) RecordOtherVersion(id, model string, expected, version int64) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	r.recordVersion(id, model, version)
+	t := r.find(id)
+	if t == nil || version >= expected || t.Entry().Weights[model] != expected || t.observed[model] >= expected {
+		return
+	}
+	t.observe(model, version)
+	t.deny(model, expected)
+	t.setVersion(model, t.observed[model])
+	r.log.Emit(event.TargetSuspect, event.Ref{Target: id},
+		"its entry states version "+itoa(expected)+" of "+model+", but it has "+itoa(version))
+}
+
 // versionNotifyTime is how long other daemons are notified of a newly seen version, because a few
 // heartbeats may be lost.
 const versionNotifyTime = 2 * time.Second
@@ -141,7 +164,7 @@
 		if out == nil {
 			out = map[string]map[string]int64{}
 		}
-		out[id] = t.Entry().Weights
+		out[id] = maps.Clone(t.observed)
 	}
 	return out
 }
