A start in the far future does not keep the worker's own entry out

An entry whose start lies years ahead was the current incarnation of its name for ever: the worker's own entry, written after it, seemed older and was kept aside until another incarnation responded in its place, which nothing asks for while no weights are updated.

Evidence: the row 'a start in the far future' failed on the former code. A start a little ahead still counts, since clocks differ.

--- a/core/roster/odd_entry_test.go
+++ b/core/roster/odd_entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -17,6 +18,7 @@
 		return e
 	}
 	overstated := odd(func(e *Entry) { e.Weights = map[string]int64{"m": math.MaxInt64} })
+	farFuture := incarnationEntry("a@future", time.Now().AddDate(60, 0, 0).UnixMilli())
 	for _, tc := range []struct {
 		name string
 		// steps change a roster whose target has version 1 by its entry.
@@ -63,6 +65,14 @@
 			r.Put(odd(func(e *Entry) { e.Weights, e.Revision = map[string]int64{"m": 2}, plat.Revision(1, 9) }))
 			r.Put(odd(func(e *Entry) { e.Revision = plat.Revision(2, 5) }))
 		}, "a@1000", 2},
+		{"a start in the far future, then the target's own entry", func(r *Roster) {
+			r.Put(farFuture)
+			r.Put(incarnationEntry("a@1000", 1000))
+		}, "a@1000", 1},
+		{"a start a little ahead, then a late entry", func(r *Roster) {
+			r.Put(incarnationEntry("a@ahead", time.Now().Add(time.Minute).UnixMilli()))
+			r.Put(incarnationEntry("a@1000", 1000))
+		}, "a@ahead", 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -192,7 +192,7 @@
 	if previous == nil && r.isStale(e) {
 		return nil
 	}
-	if previous != nil && e.Started.Before(previous.Entry().Started) {
+	if previous != nil && seemsOlder(&e, previous.Entry()) {
 		r.outOfOrder[e.Name] = e
 		r.log.Emit(event.TargetSuspect, event.Ref{Target: e.ID}, "its entry is older than incarnation "+previous.id)
 		return nil
@@ -204,6 +204,15 @@
 	return previous
 }
 
+// maxClockLead is how far ahead of this daemon's clock a target's may be. A later start was not written by a target,
+// and says nothing about which incarnation is older.
+const maxClockLead = 24 * time.Hour
+
+// seemsOlder reports whether an entry is of an older incarnation than the current one of its name, by their starts.
+func seemsOlder(e, current *Entry) bool {
+	return e.Started.Before(current.Started) && !current.Started.After(time.Now().Add(maxClockLead))
+}
+
 // notifyCapacity calls CapacityChanged. It must not be called with rosterMu held.
 func (r *Roster) notifyCapacity() {
 	if r.CapacityChanged != nil {
