A daemon rejects attempts of other daemons instead of answering them as a caller's

On a public route the daemon would have sent the request on again.

Cause: the daemon there took the attempt for a caller's request, and its refusal repeats the attempt's ID, so that the sender took it for the target's answer.

An attempt bears the name of a target and a salt and no key, as callers' requests don't. It is rejected with 421 and the name of the daemon, so that the sender takes the entry's address for that of another target, passes it over for a while, and sends the request elsewhere.

--- a/core/entry/refusal.go
+++ b/core/entry/refusal.go
@@ -31,6 +31,7 @@
 const (
 	CodeNotReady            Code = "notReady"
 	CodeBadKey              Code = "badKey"
+	CodeMisdirected         Code = "misdirected"
 	CodeBadRequest          Code = "badRequest"
 	CodeTooLarge            Code = "bodyTooLarge"
 	CodeHeaderTooLarge      Code = "headerTooLarge"
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -53,6 +53,11 @@
 	if err != nil {
 		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, err.Error(), 0)
 	}
+	if meta.ForTarget {
+		// Another writer's entry in the list of targets names this daemon's address.
+		p.relay.options.Dialect.WriteResponder(p.w.Header(), p.relay.options.Name)
+		return entry.NewRefusal(http.StatusMisdirectedRequest, entry.CodeMisdirected, entry.NotRun, "this is a daemon and no target", 0)
+	}
 	t := p.relay.Table()
 	p.table = t
 	if p.relay.refusing.Load() {
--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -33,6 +33,8 @@
 	LastEventID string
 	// Resumes is the ID of the caller's attempt that brought the first event of that stream, or "".
 	Resumes string
+	// ForTarget is set if a daemon sent the request, as an attempt at a target.
+	ForTarget bool
 }
 
 // AttemptMeta is the metadata that is sent to a target with a request. It is valid only with all that keeps
@@ -113,6 +115,8 @@
 	WriteAttempt(h http.Header, meta *AttemptMeta) error
 	// ParseResponse parses the header of a target's response.
 	ParseResponse(status int, h http.Header) ResponseMeta
+	// WriteResponder writes the name of the daemon that refuses an attempt at a target.
+	WriteResponder(h http.Header, name string)
 	// WriteRefusal writes the ID of the caller's attempt and the Retry-After.
 	WriteRefusal(h http.Header, id string, after time.Duration)
 }
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -32,7 +32,7 @@
 func (testDialect) ParseRequest(h http.Header) (RequestMeta, error) {
 	meta := RequestMeta{
 		AttemptID: h.Get("Id"), APIKey: h.Get("Key"), Model: h.Get("Model"),
-		LastEventID: h.Get("After"), Resumes: h.Get("Resumes"),
+		LastEventID: h.Get("After"), Resumes: h.Get("Resumes"), ForTarget: h.Get("Key") == "" && h.Get("Salt") != "",
 	}
 	ms, err := strconv.Atoi(h.Get("Deadline"))
 	if h.Get("Deadline") != "" && err != nil {
@@ -79,6 +79,8 @@
 	}
 }
 
+func (testDialect) WriteResponder(h http.Header, name string) { h.Set("Run", name) }
+
 func (testDialect) WriteRefusal(h http.Header, id string, after time.Duration) {
 	h.Set("Id", id)
 	if after > 0 {
