Ranking the first of a huge number of daemons reserves no memory for it

RankFirst reserved room for as many names as were asked for. One caller asks for as many as a target has slots by its entry, which another writer may have left: 2^40 of them end the process with an error that nothing can recover from (runtime: out of memory), seen in TestRankFirstNeedsNoMoreRoomThanThereAreNames on the former code.

Not seen with daemons: the caller asks only while this daemon's share of the target's slots is used up, so that the entry must change in that moment.

--- a/core/fleet/rank.go
+++ b/core/fleet/rank.go
@@ -43,7 +43,7 @@
 		name  string
 		score uint64
 	}
-	best := make([]scored, 0, n+1)
+	best := make([]scored, 0, min(n, len(names))+1)
 	for _, name := range names {
 		s := scored{name, score(key, name)}
 		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
--- a/core/fleet/rank_test.go
+++ b/core/fleet/rank_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math"
+	"strconv"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -49,3 +51,15 @@
 		}
 	}
 }
+
+// The number of slots that a target states was room reserved in memory.
+func TestRankFirstNeedsNoMoreRoomThanThereAreNames(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	for _, tc := range []struct{ n, want int }{{0, 0}, {1, 1}, {3, 3}, {4, 3}, {1 << 40, 3}, {math.MaxInt, 3}} {
+		t.Run(strconv.Itoa(tc.n), func(t *testing.T) {
+			got := RankFirst(7, names, tc.n)
+			gomega.NewWithT(t).Expect(got).To(gomega.HaveLen(tc.want))
+			gomega.NewWithT(t).Expect(RankFirst(7, names, len(names))[:tc.want]).To(gomega.Equal(got))
+		})
+	}
+}
