Keys of boxes that no daemon wrote are ignored, with a line that says why

The list of boxes took any value that parses under any key: one that named another box as leaving made that box's daemon drain for as long as it ran (which of the two keys counted was left to the order of a map), and values without name, address or role were members of the fleet. A box now has to be named as its key, with role, state and a port that a daemon could have written.

Evidence: with the checks taken out, 3 of the 11 rows of TestKeysThatNoDaemonWroteAreNoBoxes fail.

--- a/emberd/internal/host/box_list_test.go
+++ b/emberd/internal/host/box_list_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 func newBoxListRig(t *testing.T) *boxListRig {
 	r := &boxListRig{g: gomega.NewWithT(t), store: &memkv.KV{}}
 	r.watchCache = plat.NewWatchCache(r.store, plat.Prefix(""), &event.Log{})
-	r.boxes = &boxList{watchCache: r.watchCache}
+	r.boxes = &boxList{watchCache: r.watchCache, log: &event.Log{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { r.watchCache.Run(ctx) })
@@ -36,9 +37,14 @@
 
 // write puts a box's key into the store.
 func (r *boxListRig) write(name string) {
-	raw, err := json.Marshal(plat.Box{Name: name})
+	raw, err := json.Marshal(plat.Box{Name: name, Role: plat.RoleEntry, Address: "10.0.0.1:1", Domain: "z", State: plat.BoxLive})
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
-	_, err = r.store.Commit(context.Background(), plat.Txn{Puts: []plat.Put{{Key: keyBoxes + name, Value: raw}}})
+	r.writeValue(name, string(raw))
+}
+
+// writeValue puts any value into a box's key.
+func (r *boxListRig) writeValue(name, value string) {
+	_, err := r.store.Commit(context.Background(), plat.Txn{Puts: []plat.Put{{Key: keyBoxes + name, Value: []byte(value)}}})
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
@@ -92,3 +98,39 @@
 	r.awaitSync()
 	r.g.Expect(r.names()).To(gomega.ConsistOf("d"))
 }
+
+// A key that names another box as leaving took that box out of the fleet for good.
+func TestKeysThatNoDaemonWroteAreNoBoxes(t *testing.T) {
+	const box = `{"name":"odd","role":"entry","address":"10.0.0.1:1","domain":"z","state":"live"}`
+	for _, tc := range []struct {
+		name, value string
+		want        []string
+	}{
+		{"a box", box, []string{"a", "odd"}},
+		{"another box that leaves", strings.NewReplacer("odd", "a", "live", "leaving").Replace(box), []string{"a"}},
+		{"no name", `{}`, []string{"a"}},
+		{"a target", strings.Replace(box, "entry", "target", 1), []string{"a"}},
+		{"an unknown state", strings.Replace(box, "live", "asleep", 1), []string{"a"}},
+		{"a port out of range", strings.Replace(box, ":1\"", ":65536\"", 1), []string{"a"}},
+		{"no address", strings.Replace(box, "10.0.0.1:1", "", 1), []string{"a"}},
+		{"nested beyond the decoder's limit", strings.Repeat("[", 10_001), []string{"a"}},
+		{"a number beyond all numbers", `{"name":1e999}`, []string{"a"}},
+		{"nothing", "", []string{"a"}},
+		{"null", "null", []string{"a"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newBoxListRig(t)
+			r.write("a")
+			r.writeValue("odd", tc.value)
+			r.awaitSync()
+			list, _, err := r.boxes.Read(context.Background())
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			var names []string
+			for _, b := range list {
+				names = append(names, b.Name)
+				r.g.Expect(b.State).To(gomega.Equal(plat.BoxLive))
+			}
+			r.g.Expect(names).To(gomega.ConsistOf(tc.want))
+		})
+	}
+}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -143,7 +143,7 @@
 	h.fleet = fleet.New(fleet.Options{
 		Name: settings.Name, Incarnation: incarnation, Address: settings.Peers, Domain: settings.Domain,
 		HeartbeatInterval: settings.Tuning.Heartbeat, SuspectAfter: settings.Tuning.Suspect,
-		BoxPollInterval: boxPollInterval, Boxes: &boxList{watchCache: h.watchCache}, Log: h.log,
+		BoxPollInterval: boxPollInterval, Boxes: &boxList{watchCache: h.watchCache, log: h.log}, Log: h.log,
 	})
 	h.fleet.Attach("roster", roster.HeartbeatPart{Roster: h.roster})
 	h.fleet.Attach("slow", roster.SlowPart{Roster: h.roster})
--- a/emberd/internal/host/state.go
+++ b/emberd/internal/host/state.go
@@ -4,12 +4,16 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
 )
@@ -21,6 +25,9 @@
 // safe for concurrent use.
 type boxList struct {
 	watchCache *plat.WatchCache
+	log        *event.Log
+	// loggedInvalid holds the revisions of the keys that were logged as invalid.
+	loggedInvalid map[string]int64
 	// edits is the watch cache's edit count at the last read, and state the state of the boxes'
 	// keys.
 	edits int64
@@ -38,6 +45,39 @@
 // writes its key again within a quarter of boxTTL.
 const boxGrace = boxTTL / 2
 
+// readBox reads a box's key. A value that the daemon of that box didn't write is an error: one that names another box
+// could take that box out of the fleet for good.
+func readBox(p plat.Pair) (plat.Box, error) {
+	var box plat.Box
+	if err := json.Unmarshal(p.Value, &box); err != nil {
+		return box, errors.WithStack(err)
+	}
+	host, portText, _ := net.SplitHostPort(box.Address)
+	port, err := strconv.ParseUint(portText, 10, 16)
+	switch {
+	case p.Key != keyBoxes+box.Name:
+		return box, errors.Errorf("it names box %q", box.Name)
+	case box.Role != plat.RoleEntry:
+		return box, errors.Errorf("its role is %q", box.Role)
+	case box.State != plat.BoxLive && box.State != plat.BoxLeaving:
+		return box, errors.Errorf("its state is %q", box.State)
+	case host == "" || port == 0 || err != nil:
+		return box, errors.Errorf("its address is %q", box.Address)
+	}
+	return box, nil
+}
+
+// logInvalid logs, once for each change of the key, why a box's key is ignored.
+func (b *boxList) logInvalid(p plat.Pair, err error) {
+	if b.loggedInvalid == nil {
+		b.loggedInvalid = map[string]int64{}
+	}
+	if b.loggedInvalid[p.Key] != p.ModRevision {
+		b.loggedInvalid[p.Key] = p.ModRevision
+		b.log.Emit(event.ConfUnderived, event.Ref{Resource: p.Key}, err.Error())
+	}
+}
+
 // boxKeysState shows whether the boxes' keys have changed: a new or changed key raises the latest
 // revision, and a removed one changes the count.
 type boxKeysState struct {
@@ -72,11 +112,12 @@
 	}
 	b.last, b.incarnation = map[string]plat.Box{}, incarnation
 	for _, p := range pairs {
-		var box plat.Box
-		if err := json.Unmarshal(p.Value, &box); err == nil {
-			b.last[p.Key] = box
+		box, err := readBox(p)
+		if err != nil {
+			b.logInvalid(p, err)
+			continue
 		}
-		// A value that cannot be parsed was not written by a daemon, and is ignored.
+		b.last[p.Key] = box
 	}
 	for key, box := range b.missing {
 		if _, listed := b.last[key]; !listed {
