One invalid item of the store's response does not keep out the others

A page or a watch response with one item that can't be decoded (a value that is no base64, a key that is no string, a revision of 1e999) failed as a whole: the copy was neither read nor followed for as long as the item was there. A page that ended with an item without a key, or with the key before, was read again without end, and a revision beyond 40 bits would have counted as one of a later incarnation of the store, after which no change is newer.

Such an item now has no value, so that whoever decodes it says so, and the revision of the response if it states no valid one; an item without a key is left out and counted (store_items_invalid_total). Pages have to advance, and a response without a valid revision fails. What is no JSON at all still fails as a whole.

The protocol says that the store encodes values itself, so that another writer alone can't bring this about.

--- a/core/plat/revision.go
+++ b/core/plat/revision.go
@@ -9,6 +9,8 @@
 const (
 	// incarnationShift is the number of bits of a revision that hold the store's own number.
 	incarnationShift = 40
+	// MaxStoreRevision is the highest number of the store's own that a revision can hold.
+	MaxStoreRevision = 1<<incarnationShift - 1
 	// MaxStoreIncarnation is the highest store incarnation that a revision can hold. Revisions
 	// serve as fencing tokens, which are sent as numbers that must be exact in a float64.
 	MaxStoreIncarnation = 1<<(53-incarnationShift) - 1
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -126,6 +126,7 @@
 		{"knowledge_missing_seconds", func() float64 { return secondsSince(h.watchCache.UnfetchedSince()) }},
 		{"peer_knowledge_age_seconds", func() float64 { return secondsSince(h.watchCacheSync.FreshestPeerCopy()) }},
 		{"store_read_seconds_max", func() float64 { return h.store.LongestRead().Seconds() }},
+		{"store_items_invalid_total", func() float64 { return float64(h.store.InvalidItems()) }},
 		{"mirror_bytes_told_total", func() float64 { return float64(h.watchCacheSync.BytesSent()) }},
 		{"mirror_questions_failed_total", func() float64 { return float64(h.watchCacheSync.RequestsFailed()) }},
 		{"blocked_requests", func() float64 { return float64(h.poison.BlockedCount()) }},
