A leadership whose key holds the value of no daemon is taken over

What callers would see: weights that are never updated. Another writer's value under the key of a leadership belongs to no session and doesn't expire, and no daemon takes a key that exists.

A value that is no name and incarnation of a daemon is replaced, in a transaction that compares its revision, after the time within which a former holder may have acted, and with a line that shows it. A value in the form of ours without a session is not recognised.

--- a/core/lease/timed.go
+++ b/core/lease/timed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -51,6 +52,9 @@
 	// LastContact returns when the coordination store last confirmed the contents of the watch cache, to
 	// this daemon or a peer; nil stands for its last contact with this daemon.
 	LastContact func() clock.Time
+	// MayHold, if set, reports whether a value of the key is that of a holder. Another one was not written with a
+	// session, and doesn't expire: it is replaced.
+	MayHold func(value string) bool
 	// Rank returns how many daemons try to take the lease before this one.
 	Rank func() int
 	// Ineligible reports that this daemon must not hold the lease.
@@ -126,20 +130,33 @@
 		return clock.Time{}
 	}
 	// Without contact to the store the lease could not be taken.
-	_, taken := t.o.WatchCache.Pair(t.o.Key)
-	if taken || clock.Since(t.lastContact()) > maxContactAge || t.recentlyRestored() {
+	pair, exists := t.o.WatchCache.Pair(t.o.Key)
+	if t.isTaken(pair, exists) || clock.Since(t.lastContact()) > maxContactAge || t.recentlyRestored() {
 		return clock.Time{}
 	}
 	if freeSince.IsZero() {
 		freeSince = clock.Now()
 	}
-	if clock.Since(freeSince) < time.Duration(t.o.Rank())*rankDelay {
+	delay := time.Duration(t.o.Rank()) * rankDelay
+	if exists {
+		// The value may have replaced that of a holder which has not heard of it yet.
+		delay += t.o.MinGap
+	}
+	if clock.Since(freeSince) < delay {
 		return freeSince
 	}
-	t.take(ctx)
+	if exists {
+		t.o.Log.Emit(event.ConfUnderived, event.Ref{Resource: t.o.Key}, "its value "+strconv.Quote(string(pair.Value))+" is that of no holder, and is replaced")
+	}
+	t.take(ctx, pair.ModRevision)
 	return clock.Now()
 }
 
+// isTaken reports whether the key is held by any daemon.
+func (t *Timed) isTaken(pair plat.Pair, exists bool) bool {
+	return exists && (t.o.MayHold == nil || t.o.MayHold(string(pair.Value)))
+}
+
 // recentlyRestored reports whether the store was restored from an older copy so recently that a
 // holder whose key the copy lacks may have acted within MinGap. A daemon that has just started can't
 // tell when that was, and assumes now.
@@ -222,8 +239,9 @@
 	t.o.Log.Emit(event.LeaseTaken, event.Ref{Resource: t.o.Key}, "may act "+delay.String()+" from now")
 }
 
-// take opens a session and writes the key under it, unless the key exists.
-func (t *Timed) take(ctx context.Context) {
+// take opens a session and writes the key under it, unless the key has another revision than the given one, 0 for a
+// key that doesn't exist.
+func (t *Timed) take(ctx context.Context, revision int64) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	t.timedMu.Lock()
@@ -239,7 +257,7 @@
 	}
 	sent := clock.Now()
 	out, err := t.o.Store.Commit(ctx, plat.Txn{
-		Compares: []plat.Compare{{Key: t.o.Key}},
+		Compares: []plat.Compare{{Key: t.o.Key, ModRevision: revision}},
 		Puts:     []plat.Put{{Key: t.o.Key, Value: []byte(t.o.Holder), Session: session}},
 	})
 	t.timedMu.Lock()
--- a/core/lease/timed_test.go
+++ b/core/lease/timed_test.go
@@ -40,7 +40,7 @@
 	h := &holder{cache: cache}
 	h.lease = NewTimed(TimedOptions{
 		Key: "duty", Holder: name, MinGap: minGap, Store: kv, WatchCache: cache, Log: log,
-		Rank: func() int { return rank }, Ineligible: h.ineligible.Load, HasWork: func() bool { return true },
+		Rank: func() int { return rank }, Ineligible: h.ineligible.Load, MayHold: func(value string) bool { return value != "odd" }, HasWork: func() bool { return true },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -270,3 +270,46 @@
 	g.Expect(next).To(gomega.BeNumerically(">", fence), "a target has seen the former fence")
 	g.Expect(first.mayAct()).To(gomega.BeFalse())
 }
+
+// A value without a session never expires, and kept all daemons from holding the lease.
+func TestValueOfAnotherWriterIsReplaced(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// held is set if a holder has the key first.
+		held bool
+	}{
+		{"nobody holds the lease", false},
+		{"a holder loses its key", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			kv := &memkv.KV{}
+			write := func() {
+				_, err := kv.Commit(context.Background(), plat.Txn{Puts: []plat.Put{{Key: "duty", Value: []byte("odd")}}})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			if !tc.held {
+				write()
+			}
+			first := newHolder(t, kv, "a", 0)
+			g.Eventually(first.mayAct, "10s", "5ms").Should(gomega.BeTrue())
+			before, _ := first.lease.Act()
+			second := newHolder(t, kv, "b", 1)
+			write()
+			lost := time.Now()
+			g.Eventually(first.lease.Held, "10s", "1ms").Should(gomega.BeFalse())
+			var fence uint64
+			g.Eventually(func() bool {
+				for _, h := range []*holder{first, second} {
+					if acted, allowed := h.lease.Act(); allowed {
+						fence = acted
+						return true
+					}
+				}
+				return false
+			}, "10s", "1ms").Should(gomega.BeTrue())
+			g.Expect(time.Since(lost)).To(gomega.BeNumerically(">=", minGap))
+			g.Expect(fence).To(gomega.BeNumerically(">", before))
+		})
+	}
+}
--- a/emberd/internal/host/assignments.go
+++ b/emberd/internal/host/assignments.go
@@ -41,7 +41,7 @@
 func (h *Host) buildRollouts(incarnation string) {
 	owner := h.settings.Name + ownerSeparator + incarnation
 	leadership := lease.NewTimed(lease.TimedOptions{
-		Key: keyRollouts, Holder: owner, MinGap: h.settings.Bounds.OrderGap, Store: h.store, WatchCache: h.watchCache, Log: h.log,
+		Key: keyRollouts, Holder: owner, MinGap: h.settings.Bounds.OrderGap, Store: h.store, WatchCache: h.watchCache, Log: h.log, MayHold: mayHoldLease,
 		Rank:       func() int { return h.assignmentRank(keyRollouts) },
 		HasWork:    func() bool { return !h.canary.AllDecided() },
 		Ineligible: func() bool { return h.ineligible() || h.canary.AllDecided() },
--- a/emberd/internal/host/leaderships.go
+++ b/emberd/internal/host/leaderships.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/lease"
 	"embertally.dev/core/order"
@@ -28,13 +30,19 @@
 	key := keyWeightUpdates + strconv.Itoa(partition)
 	return lease.NewTimed(lease.TimedOptions{
 		Key: key, Holder: h.settings.Name + ownerSeparator + incarnation, MinGap: h.settings.Bounds.OrderGap,
-		Store: h.store, WatchCache: h.watchCache, Log: h.log,
+		Store: h.store, WatchCache: h.watchCache, Log: h.log, MayHold: mayHoldLease,
 		Rank:       func() int { return h.assignmentRank(key) + ranksPerLeadership*h.heldLeaderships() },
 		HasWork:    func() bool { return h.weightUpdater.HasOutdated(partition) },
 		Ineligible: func() bool { return h.ineligible() || h.reachesNoTarget() },
 	})
 }
 
+// mayHoldLease reports whether the value of a lease's key is that of a daemon: its name and its incarnation.
+func mayHoldLease(value string) bool {
+	i := strings.LastIndex(value, ownerSeparator)
+	return i > 0 && uuid.Validate(value[i+len(ownerSeparator):]) == nil
+}
+
 // cellLeadership holds the lease to send weight updates to the workers of this daemon's cell, for
 // services whose workers are divided among the cells. The cell may change.
 type cellLeadership struct {
@@ -81,7 +89,7 @@
 func (c *cellLeadership) newLease(label string) *lease.Timed {
 	h, key := c.host, keyCells+label
 	return lease.NewTimed(lease.TimedOptions{
-		Key: key, Holder: c.owner, MinGap: h.settings.Bounds.OrderGap, Store: h.store, WatchCache: h.watchCache, Log: h.log, LastContact: h.watchCache.FreshAsOf,
+		Key: key, Holder: c.owner, MinGap: h.settings.Bounds.OrderGap, Store: h.store, WatchCache: h.watchCache, Log: h.log, LastContact: h.watchCache.FreshAsOf, MayHold: mayHoldLease,
 		Rank:    func() int { return fleet.RankOf(fleet.Key(key), h.fleet.View().ExpectedEligible(), h.settings.Name) },
 		HasWork: h.weightUpdater.CellHasOutdated,
 		Ineligible: func() bool {
