A block whose stamp no later one exceeds is not believed

The block with the higher stamp counts, and a release is a block with the next stamp.

Evidence: two rows of TestEachBlockCanBeReleased failed without the limit.

--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -219,12 +219,16 @@
 	return b, l.merge([]block{b}, why)
 }
 
+// maxStamp returns the highest stamp that a daemon whose clock is ahead may have given. A block with a higher one could
+// not be released any more.
+func maxStamp() int64 { return time.Now().Add(maxBlockTime).UnixNano() }
+
 // merge applies blocks that are newer than the recorded ones, and reports whether there were any.
 func (l *blockList) merge(list []block, why string) bool {
 	var accepted []block
 	l.blocksMu.Lock()
 	for _, b := range list {
-		if old, found := l.entries[b.Request]; found && old.Stamp >= b.Stamp {
+		if old, found := l.entries[b.Request]; (found && old.Stamp >= b.Stamp) || b.Stamp > maxStamp() {
 			continue
 		}
 		b.expires = clock.Now().Add(min(max(0, b.Remaining), maxBlockTime))
--- a/core/poison/blocks_test.go
+++ b/core/poison/blocks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -133,3 +134,34 @@
 	g.Expect(crashes).To(gomega.Equal(1))
 	g.Expect(mustBlock).To(gomega.BeFalse())
 }
+
+// A stamp that no later one exceeds kept a block from being released.
+func TestEachBlockCanBeReleased(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		stamp int64
+		// blocked is set if the block is believed.
+		blocked bool
+	}{
+		{"a stamp of now", time.Now().UnixNano(), true},
+		{"a clock that is ahead", time.Now().Add(time.Hour).UnixNano(), true},
+		{"the highest stamp", math.MaxInt64, false},
+		{"a stamp of another century", time.Now().AddDate(100, 0, 0).UnixNano(), false},
+		{"the lowest stamp", math.MinInt64, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			l, d := newTestBlockList(), digestOf("a")
+			l.merge([]block{{Request: d, Organisation: "org", Stamp: tc.stamp, Consecutive: 1, Remaining: time.Hour}}, "")
+			_, blocked := l.remaining(d)
+			g.Expect(blocked).To(gomega.Equal(tc.blocked))
+			l.add(d, "org", "")
+			_, blocked = l.remaining(d)
+			g.Expect(blocked).To(gomega.BeTrue())
+			_, released := l.release(d, "")
+			g.Expect(released).To(gomega.BeTrue())
+			_, blocked = l.remaining(d)
+			g.Expect(blocked).To(gomega.BeFalse())
+		})
+	}
+}
--- a/core/poison/store.go
+++ b/core/poison/store.go
@@ -66,6 +66,10 @@
 		g.o.Log.Emit(event.ConfUnderived, event.Ref{Resource: c.Key}, err.Error())
 		return
 	}
+	if s.Stamp > maxStamp() {
+		g.o.Log.Emit(event.ConfUnderived, event.Ref{Resource: c.Key}, "its stamp lies far in the future")
+		return
+	}
 	b := block{
 		Request: d, Organisation: s.Organisation, Stamp: s.Stamp,
 		Consecutive: min(max(1, s.Consecutive), 16), Remaining: time.Until(s.Expires), Parts: s.Parts,
@@ -119,7 +123,7 @@
 			return nil
 		}
 		txn.Deletes = []string{name}
-	case found && json.Unmarshal(pair.Value, &s) == nil && s.Stamp >= b.Stamp:
+	case found && json.Unmarshal(pair.Value, &s) == nil && s.Stamp >= b.Stamp && s.Stamp <= maxStamp():
 		return nil
 	default:
 		raw, err := json.Marshal(storedBlock{b.Organisation, time.Now().Add(b.Remaining), b.Stamp, b.Consecutive, b.Parts})
