States of rollouts that no daemon can have written are ignored

A state with an unknown phase took off the limit on the requests that a version on trial gets, and no step followed; one of an order that comes later than the write was newer than all true ones, so that daemons wrote it again; {} and null made them forget the versions that were rolled back. Such a value now leaves the former state in force, with a line, and the next decision overwrites it.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"embertally.dev/core/plat"
 )
 
@@ -69,6 +71,17 @@
 	Reason string `json:"why,omitempty"`
 }
 
+// validate returns an error if a state that was written at a revision is not one that a daemon can have written.
+func (st *State) validate(revision int64) error {
+	switch {
+	case st.Order <= 0 || st.Order > revision:
+		return errors.Errorf("the state is of order %d, which did not exist at revision %d", st.Order, revision)
+	case st.Phase != Trying && st.Phase != Moving && !st.Phase.Decided():
+		return errors.Errorf("unknown phase %q", st.Phase)
+	}
+	return nil
+}
+
 // isFor reports whether the state belongs to an order. An order read from a store restored from an
 // older copy, or written there again, is the same one under another revision.
 func (st *State) isFor(o *Order) bool {
--- a/core/canary/control.go
+++ b/core/canary/control.go
@@ -268,7 +268,11 @@
 	}
 	var st State
 	if !change.Deleted {
-		if err := json.Unmarshal(change.Value, &st); err != nil {
+		err := json.Unmarshal(change.Value, &st)
+		if err == nil {
+			err = st.validate(change.ModRevision)
+		}
+		if err != nil {
 			c.o.Log.Emit(event.ConfUnderived, event.Ref{Resource: change.Key}, err.Error())
 			return
 		}
--- a/core/canary/control_test.go
+++ b/core/canary/control_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -249,3 +251,33 @@
 		})
 	}
 }
+
+// A state that no daemon wrote took off the limit on requests to a version on trial, or was newer than all later ones.
+func TestStatesThatNoDaemonWroteAreIgnored(t *testing.T) {
+	const written = 9
+	trial := State{Order: 5, Version: "v2", Phase: Trying, Blocked: []string{"v0"}}
+	for _, tc := range []struct{ name, value string }{
+		{"an unknown phase", `{"order":5,"version":"v2","phase":"paused"}`},
+		{"no phase", `{"order":5,"version":"v2"}`},
+		{"an order that comes later", `{"order":10,"version":"v3","phase":"completed"}`},
+		{"the highest order", `{"order":9223372036854775807,"version":"v3","phase":"completed"}`},
+		{"no order", `{}`},
+		{"a negative order", `{"order":-1,"version":"v2","phase":"completed"}`},
+		{"null", `null`},
+		{"nothing", ``},
+		{"a number beyond all numbers", `{"order":1e999}`},
+		{"nested beyond the decoder's limit", strings.Repeat("[", 10_001)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var guard Guard
+			c := &Controller{o: Options{Guard: &guard, Log: &event.Log{}}}
+			raw, err := json.Marshal(trial)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			for _, value := range []string{string(raw), tc.value} {
+				c.Observe(plat.Change{Pair: plat.Pair{Key: StatePrefix + "s", Value: []byte(value), ModRevision: written}})
+			}
+			g.Expect(guard.services["s"].state).To(gomega.Equal(trial))
+		})
+	}
+}
