Log what a box says of the versions when it refuses to resume a stream

The line of a refused resumption said how many other daemons did not answer, but not why this daemon could not tell the version by itself: records lost, or a proof of a single version missing.

--- a/core/origin/book.go
+++ b/core/origin/book.go
@@ -22,6 +22,17 @@
 	Sole
 )
 
+// String returns the proof for a log line.
+func (p Proof) String() string {
+	switch p {
+	case Sole:
+		return "a single version"
+	case Unproven:
+		return "a single version, not seen for long"
+	}
+	return "several versions, or not known"
+}
+
 // Options configures a Book.
 type Options struct {
 	// Fleet reaches the other daemons. Nil means that there are none.
@@ -87,6 +98,8 @@
 	// Known means that Stream is where the stream began, and Sole that it follows from the service's having had a
 	// single version.
 	Known, Sole bool
+	// Proof is what this daemon says of the versions by itself.
+	Proof Proof
 	// Asked and Unanswered count the other daemons that were asked, and those of them that did not answer.
 	Asked, Unanswered int
 }
@@ -108,7 +121,7 @@
 	}
 	version, proof := b.o.Versions(service)
 	if proof == Sole {
-		return Finding{Stream: Stream{Service: service, Version: version}, Known: true, Sole: true}
+		return Finding{Stream: Stream{Service: service, Version: version}, Known: true, Sole: true, Proof: proof}
 	}
 	return b.findElsewhere(ctx, k, attempt, service, version, proof)
 }
@@ -126,7 +139,7 @@
 // findElsewhere asks other daemons for a record. version and proof are what this daemon says of the service.
 func (b *Book) findElsewhere(ctx context.Context, k key, attempt, service, version string, proof Proof) Finding {
 	peers := b.holders(k)
-	out := Finding{Asked: len(peers)}
+	out := Finding{Proof: proof, Asked: len(peers)}
 	ctx, cancel := context.WithTimeout(ctx, b.timeout)
 	defer cancel()
 	answers := make(chan *findResponse, len(peers))
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -161,7 +161,7 @@
 	fleet := startDaemons(t, 3, Sole)
 	fleet[0].book.Record("org", "try", begun)
 	g.Consistently(func() bool { return fleet[1].has("org", "try") }, "200ms", "20ms").Should(gomega.BeFalse())
-	g.Expect(fleet[1].book.Find(context.Background(), "org", "try", "llm")).To(gomega.Equal(Finding{Stream: begun, Known: true, Sole: true}))
+	g.Expect(fleet[1].book.Find(context.Background(), "org", "try", "llm")).To(gomega.Equal(Finding{Stream: begun, Known: true, Sole: true, Proof: Sole}))
 	for _, d := range fleet {
 		d.set("", Several)
 	}
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -78,7 +78,7 @@
 // know did not answer, that does not change until the deadline.
 func (p *proxiedRequest) refuseUnknownOrigin(found *origin.Finding) *entry.Refusal {
 	p.relay.options.Stats.StreamsUnknown.Inc()
-	p.note("%d of %d other daemons did not answer", found.Unanswered, found.Asked)
+	p.note("no record here, versions here: %s; %d of %d other daemons did not answer", found.Proof, found.Unanswered, found.Asked)
 	const text = "it is not known which version of the target began the stream"
 	if found.Unanswered > 0 {
 		return p.refuseFor(entry.CodeNoTarget, text, minRetryAfter)
