Where streams began is kept in the coordination store as well

Which version began a stream was known to all daemons of a cell and to nothing else, so that the records ended with the processes. Lines of the refusals: all daemons that were asked answered, none had a record.

One daemon of each cell now writes the records to the store, at most every 0.3 s and only while a single version is not proven. A daemon that finds no record at its peers looks into its copy of the store. A record is a fact that stays true, so that late, lost and repeated writes do no harm; what is not there, differs, or names a service that the route has left stays unknown and is refused. The value is JSON: msgpack allocates what a damaged length says.

--- /dev/null
+++ b/core/origin/archive_test.go
@@ -0,0 +1,212 @@
+package origin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
+	"embertally.dev/core/fleet"
+	"embertally.dev/core/memkv"
+	"embertally.dev/core/plat"
+)
+
+// testStore is a coordination store as one daemon sees it.
+type testStore struct {
+	*memkv.KV
+	// refuses is set while this daemon may not write.
+	refuses bool
+}
+
+func (s *testStore) Down() bool { return false }
+
+func (s *testStore) Commit(ctx context.Context, t plat.Txn) (plat.Outcome, error) {
+	if s.refuses {
+		return plat.Outcome{}, errors.New("refused")
+	}
+	return s.KV.Commit(ctx, t)
+}
+
+// first returns which daemon writes the records of the cell.
+func first(daemons []*testDaemon) int {
+	for i, d := range daemons {
+		if d.book.archive.rank() == 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// Guards against records that end with the processes: after the loss of all daemons at once nobody knows where streams began.
+func TestRecordsOutliveAllDaemons(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault memkv.Fault
+	}{
+		{"store in order", memkv.NoFault},
+		{"responses of writes are lost", memkv.LostResponse},
+		{"writes are lost", memkv.LostRequest},
+		{"writes are late", memkv.Delayed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var kv memkv.KV
+			var commits atomic.Int64
+			kv.SetFault(func() memkv.Fault {
+				if commits.Add(1)%2 == 1 {
+					return tc.fault
+				}
+				return memkv.NoFault
+			})
+			store := func(int) *testStore { return &testStore{KV: &kv} }
+			before := startDaemonsAt(t, 3, Several, store)
+			const streams = 3*pageRecords + 7
+			version := func(i int) Stream { return Stream{Service: "llm", Version: fmt.Sprint("v", i%3)} }
+			for i := range streams {
+				before[i%3].book.Record("org", fmt.Sprint("try-", i), version(i))
+				if i%pageRecords == 0 {
+					time.Sleep(saveInterval)
+				}
+			}
+			for _, d := range before {
+				g.Eventually(d.book.Unsaved, maxWait, "5ms").Should(gomega.BeZero())
+			}
+			for _, d := range before {
+				d.stop()
+			}
+			after := startDaemonsAt(t, 3, Several, store)
+			for i := range streams {
+				found := after[i%3].book.Find(context.Background(), "org", fmt.Sprint("try-", i), "llm")
+				g.Expect(found.Stored).To(gomega.BeTrue())
+				g.Expect(found.Stream).To(gomega.Equal(version(i)))
+			}
+			g.Expect(after[0].book.Find(context.Background(), "other", "try-1", "llm").Known).To(gomega.BeFalse())
+			g.Expect(after[0].book.Find(context.Background(), "org", "", "llm").Known).To(gomega.BeFalse())
+		})
+	}
+}
+
+// A daemon that the store rejects must not be the only one that writes.
+func TestAnotherDaemonWritesRecordsIfTheStoreRejectsTheFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var kv memkv.KV
+	stores := []*testStore{{KV: &kv}, {KV: &kv}, {KV: &kv}}
+	daemons := startDaemonsAt(t, 3, Several, func(i int) *testStore { return stores[i] })
+	stores[first(daemons)].refuses = true
+	daemons[0].book.Record("org", "try", begun)
+	g.Eventually(func() int { return len(kv.WithPrefix(KeyPrefix)) }, maxWait, "20ms").Should(gomega.Equal(1))
+	for _, d := range daemons {
+		g.Eventually(d.book.Unsaved, maxWait, "20ms").Should(gomega.BeZero(), d.name)
+	}
+}
+
+// The platform charges for each write and bounds their number.
+func TestRecordsAreWrittenAFewTimesASecond(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var kv memkv.KV
+	daemons := startDaemonsAt(t, 3, Several, func(int) *testStore { return &testStore{KV: &kv} })
+	const period = 2 * time.Second
+	start := time.Now()
+	for i := 0; time.Since(start) < period; i++ {
+		daemons[i%3].book.Record("org", fmt.Sprint("try-", i), begun)
+		time.Sleep(5 * time.Millisecond)
+	}
+	g.Eventually(daemons[first(daemons)].book.Unsaved, maxWait, "5ms").Should(gomega.BeZero())
+	g.Expect(kv.Writes()).To(gomega.BeNumerically("<=", time.Since(start)/saveInterval+2))
+	g.Expect(kv.WithPrefix(KeyPrefix)).To(gomega.HaveLen(2), "pages are written again until they are full")
+}
+
+// While a service has one version nothing is written.
+func TestNothingIsWrittenWhileAServiceHasOneVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var kv memkv.KV
+	daemons := startDaemonsAt(t, 2, Sole, func(int) *testStore { return &testStore{KV: &kv} })
+	daemons[0].book.Record("org", "try", begun)
+	g.Consistently(kv.Writes, "500ms", "20ms").Should(gomega.BeZero())
+	for _, d := range daemons {
+		d.set("", Several)
+	}
+	g.Eventually(kv.Writes, maxWait, "20ms").Should(gomega.Equal(1))
+}
+
+// What other writers leave among the records, or records that differ, must not decide where a stream goes on.
+func TestOnlyStoredRecordsThatAgreeAreUsed(t *testing.T) {
+	page := func(streams ...Stream) []byte {
+		var list []toldRecord
+		for _, s := range streams {
+			list = append(list, toldRecord{key: newKey("org", "try"), stream: s})
+		}
+		value, err := json.Marshal(storedGroups(list))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	other := Stream{Service: "llm", Version: "v2"}
+	good := page(begun)
+	for _, tc := range []struct {
+		name  string
+		pages [][]byte
+		known bool
+	}{
+		{"one", [][]byte{good}, true},
+		{"twice the same", [][]byte{good, good}, true},
+		{"none", nil, false},
+		{"two that differ", [][]byte{good, page(other)}, false},
+		{"two that differ in one page", [][]byte{page(begun, other)}, false},
+		{"beside one that is no page", [][]byte{[]byte(`{"a":1}`), good, nil, []byte(`[{"keys":1e999}]`), bytes.Repeat([]byte("["), 1<<20)}, true},
+		{"a key cut off", [][]byte{[]byte(`[{"service":"llm","version":"v1","keys":"AAAA"}]`)}, false},
+		{"cut off", [][]byte{good[:len(good)-1]}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var kv memkv.KV
+			for i, value := range tc.pages {
+				_, err := kv.Commit(context.Background(), plat.Txn{Puts: []plat.Put{{Key: KeyPrefix + fmt.Sprint(i), Value: value}}})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			b := New(Options{Copy: &testStore{KV: &kv}, Log: &event.Log{}, Versions: func(string) (string, Proof) { return "", Several }})
+			found := b.Find(context.Background(), "org", "try", "llm")
+			g.Expect(found.Known).To(gomega.Equal(tc.known))
+			if tc.known {
+				g.Expect(found.Stream).To(gomega.Equal(begun))
+			}
+		})
+	}
+}
+
+// Pages of daemons that are gone are removed as well, but not before the streams in them can no longer be resumed.
+func TestOldPagesAreRemoved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var kv memkv.KV
+	write := func(key string) {
+		_, err := kv.Commit(context.Background(), plat.Txn{Puts: []plat.Put{{Key: KeyPrefix + key, Value: []byte("[]")}}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	f := fleet.New(fleet.Options{Name: "d", Incarnation: "1", Address: "127.0.0.1:1", Domain: "z", Boxes: boxes{}, Log: &event.Log{}})
+	b := New(Options{Fleet: f, Copy: &testStore{KV: &kv}, Store: &kv, Log: &event.Log{}, Versions: func(string) (string, Proof) { return "", Several }})
+	for i := range maxDeletes {
+		write(fmt.Sprint("gone/", i))
+	}
+	write("changed/1")
+	count := func() int {
+		g.Expect(b.archive.clean(context.Background())).To(gomega.Succeed())
+		return len(kv.WithPrefix(KeyPrefix))
+	}
+	g.Expect(count()).To(gomega.Equal(maxDeletes + 1))
+	clock.Suspend(Retention - time.Second)
+	write("changed/1")
+	g.Expect(count()).To(gomega.Equal(maxDeletes + 1))
+	clock.Suspend(2 * time.Second)
+	g.Expect(count()).To(gomega.Equal(1), "the page that was written again")
+	clock.Suspend(Retention)
+	g.Expect(count()).To(gomega.BeZero())
+}
--- a/core/origin/book.go
+++ b/core/origin/book.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
+	"embertally.dev/core/plat"
 	"embertally.dev/core/wire"
 )
 
@@ -42,6 +44,14 @@
 	Versions func(service string) (string, Proof)
 	// Inherit records that another daemon has proven that a service has had a single version. Nil does nothing.
 	Inherit func(service string)
+	// Copy is this daemon's copy of the coordination store, where records are looked up, and Store is the store, where
+	// they are written. Nil means that there is none. Incarnation identifies the process, and Log gets what fails.
+	Copy        Copy
+	Store       plat.Writer
+	Incarnation string
+	Log         *event.Log
+	// Durable reports whether the records of a service are to be written to Store. It must not block. Nil means all.
+	Durable func(service string) bool
 }
 
 // Book holds the records of this daemon and exchanges them with others. Its methods are safe for concurrent use.
@@ -51,6 +61,8 @@
 	wake chan struct{}
 	// timeout bounds the wait for other daemons.
 	timeout time.Duration
+	// archive is nil without a store.
+	archive *archive
 
 	bookMu  sync.Mutex
 	records records // guarded by bookMu
@@ -61,6 +73,8 @@
 	recent []toldRecord
 	// outbox holds the records for other cells. Guarded by bookMu.
 	outbox []toldRecord
+	// unsaved holds the records of this cell that are not known to be in the store. Guarded by bookMu.
+	unsaved []toldRecord
 }
 
 // New returns a Book. It must be called before the fleet runs.
@@ -71,6 +85,11 @@
 		o.Fleet.Mux().Register(kindFind, wire.Handle(b.handleFind))
 		o.Fleet.Mux().Register(kindRecord, wire.Handle(b.handleRecords))
 	}
+	if o.Copy != nil {
+		b.archive = &archive{
+			book: b, fleet: o.Fleet, store: o.Store, copy: o.Copy, log: o.Log, incarnation: o.Incarnation, wake: make(chan struct{}, 1),
+		}
+	}
 	return b
 }
 
@@ -95,9 +114,9 @@
 // Finding is what is known of where a stream began.
 type Finding struct {
 	Stream
-	// Known means that Stream is where the stream began, and Sole that it follows from the service's having had a
-	// single version.
-	Known, Sole bool
+	// Known means that Stream is where the stream began, Sole that it follows from the service's having had a single
+	// version, and Stored that it was found in the coordination store only.
+	Known, Sole, Stored bool
 	// Proof is what this daemon says of the versions by itself.
 	Proof Proof
 	// Asked and Unanswered count the other daemons that were asked, and those of them that did not answer.
@@ -123,7 +142,23 @@
 	if proof == Sole {
 		return Finding{Stream: Stream{Service: service, Version: version}, Known: true, Sole: true, Proof: proof}
 	}
-	return b.findElsewhere(ctx, k, attempt, service, version, proof)
+	out := b.findElsewhere(ctx, k, attempt, service, version, proof)
+	if out.Known {
+		return out
+	}
+	if s, found := b.findStored(k, attempt); found {
+		// A daemon that did not answer may know where the stream has gone on since, after its route was moved.
+		out.Stream, out.Known, out.Stored = s, true, true
+	}
+	return out
+}
+
+// findStored returns the record in the coordination store.
+func (b *Book) findStored(k key, attempt string) (Stream, bool) {
+	if attempt == "" || b.archive == nil {
+		return Stream{}, false
+	}
+	return b.archive.find(k)
 }
 
 // findLocal returns the record of this daemon.
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -44,6 +45,14 @@
 	d.version, d.proof = version, proof
 }
 
+// observe passes changes of the store to the book.
+func (d *testDaemon) observe(changes []plat.Change, _ int64, _ clock.Time) error {
+	for _, c := range changes {
+		d.book.Observe(c)
+	}
+	return nil
+}
+
 // boxes is a fixed box list.
 type boxes []plat.Box
 
@@ -51,6 +60,11 @@
 
 // startDaemons starts daemons that know each other.
 func startDaemons(t *testing.T, n int, proof Proof) []*testDaemon {
+	return startDaemonsAt(t, n, proof, func(int) *testStore { return nil })
+}
+
+// startDaemonsAt starts daemons that know each other. store returns the store of each; nil if it has none.
+func startDaemonsAt(t *testing.T, n int, proof Proof, store func(i int) *testStore) []*testDaemon {
 	g := gomega.NewWithT(t)
 	var list boxes
 	var listeners []net.Listener
@@ -67,17 +81,25 @@
 			Name: d.name, Incarnation: "1", Address: list[i].Address, Domain: "z", HeartbeatInterval: 20 * time.Millisecond,
 			SuspectAfter: time.Second, BoxPollInterval: 20 * time.Millisecond, Boxes: list, Log: &event.Log{},
 		})
-		d.book = New(Options{Fleet: f, Versions: d.versions, Inherit: func(s string) {
+		o := Options{Fleet: f, Versions: d.versions, Log: &event.Log{}, Inherit: func(s string) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			d.inherited = append(d.inherited, s)
-		}})
+		}}
+		if s := store(i); s != nil {
+			o.Copy, o.Store, o.Incarnation = s, s, uuid.NewString()
+		}
+		d.book = New(o)
 		// A busy machine takes longer than a daemon may.
 		d.book.timeout = 10 * time.Second
 		ctx, stop := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		wg.Go(func() { f.Run(ctx, listeners[i]) })
 		wg.Go(func() { d.book.Run(ctx) })
+		if s := store(i); s != nil {
+			// The watch ends with its context.
+			wg.Go(func() { _ = s.Watch(ctx, plat.Prefix(KeyPrefix), 1, d.observe) })
+		}
 		d.stop = sync.OnceFunc(func() { stop(); wg.Wait() })
 		t.Cleanup(d.stop)
 		out = append(out, d)
--- a/core/origin/told.go
+++ b/core/origin/told.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -53,6 +54,7 @@
 		return
 	}
 	b.recent = append(b.recent, r)
+	b.addUnsaved(r)
 	b.o.Fleet.TriggerHeartbeat()
 }
 
@@ -90,6 +92,11 @@
 // keyBytes is the length of a key in toldGroup.
 const keyBytes = 16
 
+// bytes returns the key as in toldGroup.
+func (k key) bytes() []byte {
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(make([]byte, 0, keyBytes), k.Organisation), k.Attempt)
+}
+
 // group returns records in the form in which they are sent.
 func group(list []toldRecord) []toldGroup {
 	var out []toldGroup
@@ -101,8 +108,7 @@
 			index[r.stream] = i
 			out = append(out, toldGroup{Stream: r.stream})
 		}
-		out[i].Keys = binary.BigEndian.AppendUint64(out[i].Keys, r.key.Organisation)
-		out[i].Keys = binary.BigEndian.AppendUint64(out[i].Keys, r.key.Attempt)
+		out[i].Keys = append(out[i].Keys, r.key.bytes()...)
 	}
 	return out
 }
@@ -163,7 +169,7 @@
 	b.addAll(groups)
 }
 
-// addAll adds the records of other daemons and returns them.
+// addAll adds the records of other daemons and returns them. Those that are new are also written to the store.
 func (b *Book) addAll(groups []toldGroup) []toldRecord {
 	now := clock.Now()
 	b.bookMu.Lock()
@@ -171,9 +177,14 @@
 	var out []toldRecord
 	for i := range groups {
 		list := groups[i].ungroup(now)
+		var added []toldRecord
 		for _, r := range list {
+			if s, found := b.records.find(r.key, now); !found || s != r.stream {
+				added = append(added, r)
+			}
 			b.records.add(r.key, r.stream, now)
 		}
+		b.addUnsaved(added...)
 		out = append(out, list...)
 	}
 	return out
@@ -199,8 +210,14 @@
 	return struct{}{}, nil
 }
 
-// Run sends records to other cells until ctx ends.
+// Run sends records to other cells and to the coordination store until ctx ends.
 func (b *Book) Run(ctx context.Context) {
+	if b.archive != nil {
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		wg.Go(func() { b.archive.run(ctx) })
+		wg.Go(func() { b.archive.runClean(ctx) })
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -55,10 +55,11 @@
 	if p.relay.options.Origins != nil {
 		found = p.relay.options.Origins.Find(ctx, p.organisationName(), p.meta.Resumes, p.service)
 	}
+	moved := found.Service != p.service && !p.route.Includes(found.Service)
 	switch {
-	case !found.Known:
+	case !found.Known, found.Stored && moved:
 		return p.refuseUnknownOrigin(&found)
-	case found.Service != p.service && !p.route.Includes(found.Service):
+	case moved:
 		// Operators have moved the route: no target of the former service may get the request.
 		p.note("began at service %s, which the route no longer leads to", found.Service)
 		return nil
@@ -66,9 +67,12 @@
 	p.service = found.Service
 	p.bind(found.Version)
 	stats.StreamsBound.Inc()
-	if found.Sole {
+	switch {
+	case found.Sole:
 		p.note("bound to version %q, the only one known%s", found.Version, p.relay.knowledge())
-	} else {
+	case found.Stored:
+		p.note("bound to version %q, which began it according to the coordination store", found.Version)
+	default:
 		p.note("bound to version %q, which began it", found.Version)
 	}
 	return nil
--- a/core/relay/resume_test.go
+++ b/core/relay/resume_test.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,7 +12,9 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/canary"
+	"embertally.dev/core/fleet"
 	"embertally.dev/core/origin"
+	"embertally.dev/core/plat"
 	"embertally.dev/core/roster"
 )
 
@@ -163,6 +168,42 @@
 	}
 }
 
+// storedRecord is a copy of the coordination store with where the stream of the attempt "first" began.
+type storedRecord struct{ origin.Stream }
+
+func (s storedRecord) Down() bool { return false }
+
+func (s storedRecord) WithPrefix(string) []plat.Pair {
+	attempt := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, fleet.Key("org")), fleet.Key("first"))
+	value := fmt.Sprintf(`[{"service":%q,"version":%q,"keys":%q}]`, s.Service, s.Version, base64.StdEncoding.EncodeToString(attempt))
+	return []plat.Pair{{Key: origin.KeyPrefix + "box/1", Value: []byte(value)}}
+}
+
+// A record in the store lacks what has happened to the stream since: nothing goes on by it at a service other than its own.
+func TestStoredRecordBindsOnlyWithinTheRoute(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		stream origin.Stream
+		status int
+		want   string
+	}{
+		{"same service", origin.Stream{Service: "llm", Version: "v2"}, 200, "b"},
+		{"a service that the route has left", origin.Stream{Service: "former", Version: "v2"}, 503, ""},
+		{"a version that is not there", origin.Stream{Service: "llm", Version: "v3"}, 503, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			r.relay.options.Origins = origin.New(origin.Options{Versions: r.versions, Copy: storedRecord{tc.stream}})
+			r.worker("a", "v1", 0, stream(true, event2))
+			r.worker("b", "v2", 9, stream(true, event2))
+			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "Deadline", "4000", "Resumes", "first", "After", "1")
+			r.g.Expect(got.status).To(gomega.Equal(tc.status))
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
 // What a service has always had a single version of may be resumed by anybody.
 func TestResumptionOfTheOnlyVersion(t *testing.T) {
 	r := newRig(t, nil)
--- a/emberd/internal/host/changes.go
+++ b/emberd/internal/host/changes.go
@@ -44,6 +44,7 @@
 func (h *Host) applyChange(c plat.Change, notBefore clock.Time) *table.Table {
 	h.poison.Observe(c)
 	h.rollouts.Observe(c)
+	h.origins.Observe(c)
 	update, err := h.decoder.Decode(c)
 	h.logUnreadable(c.Key, err)
 	switch {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -182,7 +182,10 @@
 		h.versionWatch.restart()
 	}
 	h.fleet.OnResume(func(time.Duration) { h.versionWatch.restart() })
-	h.origins = origin.New(origin.Options{Fleet: h.fleet, Versions: h.serviceVersions, Inherit: h.versionWatch.inherit})
+	h.origins = origin.New(origin.Options{
+		Fleet: h.fleet, Versions: h.serviceVersions, Inherit: h.versionWatch.inherit,
+		Copy: h.watchCache, Store: h.store, Incarnation: incarnation, Log: h.log, Durable: h.keepsOrigins,
+	})
 	h.buildRelay()
 	h.roster.CapacityChanged = h.relay.CapacityChanged
 	h.fleet.Attach("division", h.relay.DivisionPart())
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -143,6 +143,7 @@
 		{"detours_forwarded", func() float64 { return float64(h.detours.Forwarded()) }},
 		{"targets_ended_total", func() float64 { return float64(h.poison.CrashCount()) }},
 		{"targets_listed", func() float64 { listed, _ := h.roster.Sizes(); return float64(listed) }},
+		{"stream_origins_unsaved", func() float64 { return float64(h.origins.Unsaved()) }},
 		{"versions_unsettled", func() float64 { return float64(h.unsettledVersions()) }},
 		{"targets_guests", func() float64 { _, external := h.roster.Sizes(); return float64(external) }},
 		{"cell_daemons", func() float64 { return float64(h.fleet.View().CellSize()) }},
