--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -4,8 +4,8 @@
 //
 // A daemon tells the records of the streams that it serves to the daemons of the cell that their keys fall into, and
 // one that does not find a record asks some of these. One daemon of each cell also writes them to the coordination store,
-// a few times a second, for the case that all processes of the cell end at once. Nothing is told or written while a
-// service has had a single version for as long as a stream may be resumed.
+// a few times a second, for the case that all processes of the cell end at once. Nothing is told while a service has had
+// a single version for as long as a stream may be resumed, and nothing written while only one is known.
 //
 // The package must not know how targets are chosen, or what a stream contains.
 package origin
--- a/emberd/internal/host/origins.go
+++ b/emberd/internal/host/origins.go
@@ -115,10 +115,10 @@
 	return versions[0], origin.Unproven
 }
 
-// keepsOrigins reports whether it is worth the writes to keep in the coordination store where streams of a service began.
-// A sharded service is never proven to have a single version, so that its records are always told.
+// keepsOrigins reports whether it is worth the writes to keep in the coordination store where streams of a service began:
+// this daemon knows several versions of it.
 func (h *Host) keepsOrigins(service string) bool {
-	return !h.watchCacheSync.Sharded(service) || len(h.roster.Versions(service, origin.Retention)) > 1
+	return len(h.roster.Versions(service, origin.Retention)) > 1
 }
 
 // checkVersionWatch records that versions may have been missed while the watch cache is old, or empty though the whole
--- a/emberd/internal/host/origins_test.go
+++ b/emberd/internal/host/origins_test.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// Writes to the store are paid for: there are none for a service of which one version is known, as after most starts.
+func TestOriginsAreKeptWhileSeveralVersionsAreKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newTestHost(t)
+	h.versionWatch.restart()
+	g.Expect(h.keepsOrigins("llm")).To(gomega.BeFalse())
+	h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
+	g.Expect(h.keepsOrigins("llm")).To(gomega.BeTrue())
+	h.roster.RemoveUnusable("a")
+	g.Expect(h.keepsOrigins("llm")).To(gomega.BeTrue(), "streams of the former one may still be resumed")
+	clock.Suspend(origin.Retention + time.Second)
+	g.Expect(h.keepsOrigins("llm")).To(gomega.BeFalse())
+}
+
 // newTestHost returns a host with one target of version v1, as the system's first start leaves it.
 func newTestHost(t *testing.T) *Host {
 	settings := Defaults()
