Records told before the daemon that writes knows a second version are written as well

The daemon of a cell that writes records to the store asked whether a service has several versions when it was told a record. It may hear of a new version after the daemon that tells the records, also of the many that are told at that moment. Streams of these could not be resumed after a loss of all boxes. It asks when it writes now.

--- a/core/origin/archive.go
+++ b/core/origin/archive.go
@@ -33,8 +33,8 @@
 	// saveTimeout bounds one write, and saveRetryDelay is the pause after one that failed.
 	saveTimeout    = time.Second
 	saveRetryDelay = time.Second
-	// saveRankDelay is for how long a daemon leaves a record to each of those that rank before it, and maxUnsavedAge
-	// for how long a record is kept for that.
+	// saveRankDelay is for how long a daemon leaves a record to each of those that rank before it. maxUnsavedAge is for
+	// how long a record is kept for that, and until this daemon knows several versions.
 	saveRankDelay = 3 * time.Second
 	maxUnsavedAge = 3 * saveRankDelay
 	// maxUnsaved bounds the records that are to be written; the oldest are dropped first.
@@ -292,19 +292,10 @@
 
 // addUnsaved has records written to the store. It is called with bookMu held.
 func (b *Book) addUnsaved(list ...toldRecord) {
-	if b.archive == nil {
+	if b.archive == nil || len(list) == 0 {
 		return
 	}
-	worth := map[string]bool{}
-	for _, r := range list {
-		service := r.stream.Service
-		if _, known := worth[service]; !known {
-			worth[service] = b.o.Durable == nil || b.o.Durable(service)
-		}
-		if worth[service] {
-			b.unsaved = append(b.unsaved, r)
-		}
-	}
+	b.unsaved = append(b.unsaved, list...)
 	b.unsaved = b.unsaved[max(0, len(b.unsaved)-maxUnsaved):]
 	select {
 	case b.archive.wake <- struct{}{}:
@@ -319,14 +310,20 @@
 	return len(b.unsaved)
 }
 
-// dueUnsaved returns the unsaved records that are older than delay, and drops those that are too old.
+// dueUnsaved returns the unsaved records that are older than delay and worth a write, and drops those that are too old.
 func (b *Book) dueUnsaved(now clock.Time, delay time.Duration) []toldRecord {
 	b.bookMu.Lock()
 	defer b.bookMu.Unlock()
 	b.unsaved = slices.DeleteFunc(b.unsaved, func(r toldRecord) bool { return now.Sub(r.at) > maxUnsavedAge })
+	durable := map[string]bool{}
 	var out []toldRecord
 	for _, r := range b.unsaved {
-		if now.Sub(r.at) >= delay {
+		service := r.stream.Service
+		if _, known := durable[service]; !known {
+			// This daemon may hear of a second version only after the one that tells the records.
+			durable[service] = b.o.Durable == nil || b.o.Durable(service)
+		}
+		if durable[service] && now.Sub(r.at) >= delay {
 			out = append(out, r)
 		}
 	}
--- a/core/origin/archive_test.go
+++ b/core/origin/archive_test.go
@@ -137,6 +137,21 @@
 	g.Eventually(kv.Writes, maxWait, "20ms").Should(gomega.Equal(1))
 }
 
+// The daemon that writes may be the last to hear of a second version: records that it was told before are written then.
+func TestRecordsAreWrittenOnceASecondVersionIsKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var kv memkv.KV
+	daemons := startDaemonsAt(t, 2, Several, func(int) *testStore { return &testStore{KV: &kv} })
+	var several atomic.Bool
+	for _, d := range daemons {
+		d.book.o.Durable = func(string) bool { return several.Load() }
+	}
+	daemons[0].book.Record("org", "try", begun)
+	g.Consistently(kv.Writes, "500ms", "20ms").Should(gomega.BeZero())
+	several.Store(true)
+	g.Eventually(kv.Writes, maxWait, "20ms").Should(gomega.Equal(1))
+}
+
 // What other writers leave among the records, or records that differ, must not decide where a stream goes on.
 func TestOnlyStoredRecordsThatAgreeAreUsed(t *testing.T) {
 	page := func(streams ...Stream) []byte {
