Where streams began is written every 0.1 s

Boxes count from 3 s after their start on, when those come back whose first event had gone out just before the loss, so that the store had no record of them.

--- a/core/origin/archive.go
+++ b/core/origin/archive.go
@@ -29,7 +29,7 @@
 
 const (
 	// saveInterval is the time between two writes of the whole fleet.
-	saveInterval = 200 * time.Millisecond
+	saveInterval = 100 * time.Millisecond
 	// saveTimeout bounds one write, and saveRetryDelay is the pause after one that failed.
 	saveTimeout    = time.Second
 	saveRetryDelay = time.Second
