--- a/core/target/cut_test.go
+++ b/core/target/cut_test.go
@@ -272,6 +272,8 @@
 		t.Run(tc.pause.String(), func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var sent atomic.Value
+			// written receives once what follows a response is on its way.
+			written := make(chan struct{}, 1)
 			s := serve(t, func(c net.Conn, _ int64, _ *http.Request) bool {
 				answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 				if tc.pause == 0 {
@@ -281,6 +283,7 @@
 				io.WriteString(c, answer)
 				time.Sleep(tc.pause)
 				io.WriteString(c, sent.Load().(string))
+				written <- struct{}{}
 				return true
 			})
 			pool := &Pool{}
@@ -292,7 +295,10 @@
 					body, err := get(pool, s.address)
 					g.Expect(err).NotTo(gomega.HaveOccurred(), "after %q", extra[:cut])
 					g.Expect(body).To(gomega.Equal("ok"), "after %q", extra[:cut])
-					time.Sleep(2 * tc.pause)
+					if tc.pause > 0 {
+						<-written
+						time.Sleep(tc.pause)
+					}
 				}
 			}
 			g.Expect(s.conns.Load()).To(gomega.BeNumerically("==", sends))
