Lines say by which peer a version of weights was dated

From logs alone it could be told since when a daemon took weights for replaced by its own copy, but not by whose word once a peer had dated them; a peer that did not answer left no line. No decision is changed.

--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -177,7 +177,7 @@
 	{ConfDropped, "confDropped", Info, "A received copy of the coordination store's data was older than the cached data and was discarded; the text has both revisions."},
 	{ServiceRestored, "serviceRestored", Warning, "The coordination store was restored from an older copy; the text has the store incarnation and revision of the copy, and the highest revision seen before: what was written after the copy was made is lost until its writers write it again."},
 	{ValueInForce, "valueInForce", Warning, "The coordination store has an older value than the one that a peer has applied; the text has the version taken from the peer."},
-	{WeightsNamed, "weightsNamed", Info, "This daemon received a version of the weights that operators want; the text says from where, and up to when it was current without it."},
+	{WeightsNamed, "weightsNamed", Info, "This daemon received a version of the weights that operators want; or a peer has dated one; the text says up to when this daemon was current without it, or what the peer knows."},
 
 	{RequestAccepted, "requestAccepted", Debug, "A caller's request was authenticated and read."},
 	{RequestPlaced, "requestPlaced", Info, "A target was chosen; the text has the reasons and the candidates that were compared."},
--- a/core/order/named.go
+++ b/core/order/named.go
@@ -206,8 +206,9 @@
 
 // merge records what a peer has responded to a request that was sent at a time. All versions that the peer knows are
 // taken, since its statement about one of them says nothing of those before, and of two statements about one version
-// the later time. Versions that this daemon has not received yet are left to the store.
-func (n *NamedWeights) merge(ages []versionAge, requested clock.Time) {
+// the later time. Versions that this daemon has not received yet are left to the store. It returns what it has dated
+// by the peer.
+func (n *NamedWeights) merge(ages []versionAge, requested clock.Time) (dated []versionAge) {
 	n.namedMu.Lock()
 	defer n.namedMu.Unlock()
 	for _, age := range ages {
@@ -226,6 +227,10 @@
 			n.insert(age.Model, namedVersion{version: age.Version, notBefore: notBefore, received: list[i].received})
 		case notBefore.After(list[i].notBefore):
 			list[i].notBefore = notBefore
+		default:
+			continue
 		}
+		dated = append(dated, age)
 	}
+	return dated
 }
--- a/core/order/namedsync.go
+++ b/core/order/namedsync.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"embertally.dev/core/clock"
+	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/wait"
 	"embertally.dev/core/wire"
@@ -26,6 +28,7 @@
 type NamedWeightsSync struct {
 	named *NamedWeights
 	fleet *fleet.Fleet
+	log   *event.Log
 	// within is for how long after its reception the age of a version matters.
 	within time.Duration
 	// asked is the number of requests sent so far. Only Run uses it.
@@ -47,8 +50,8 @@
 
 // NewNamedWeightsSync returns a NamedWeightsSync. It must be called before the fleet runs. within is for how long
 // replaced weights may be used.
-func NewNamedWeightsSync(n *NamedWeights, f *fleet.Fleet, within time.Duration) *NamedWeightsSync {
-	s := &NamedWeightsSync{named: n, fleet: f, within: within}
+func NewNamedWeightsSync(n *NamedWeights, f *fleet.Fleet, within time.Duration, log *event.Log) *NamedWeightsSync {
+	s := &NamedWeightsSync{named: n, fleet: f, within: within, log: log}
 	f.Mux().Register(kindNamedWeights, wire.Handle(s.handleNamed))
 	return s
 }
@@ -95,7 +98,19 @@
 	var got namedResponse
 	if err := q.fleet.Query(ctx, q.peer, kindNamedWeights, &namedRequest{}, &got); err != nil {
 		// The next request goes to other peers.
+		q.log.Emit(event.PeerNotTold, event.Ref{}, q.peer+", dates of named weights: "+err.Error())
 		return
 	}
-	q.named.merge(got.Versions, requested)
+	for _, age := range q.named.merge(got.Versions, requested) {
+		q.log.Emit(event.WeightsNamed, event.Ref{Resource: age.Model}, age.text(q.peer))
+	}
+}
+
+// text describes for a log line what a peer has responded about a version.
+func (a versionAge) text(peer string) string {
+	out := "version " + strconv.FormatInt(a.Version, 10) + " by " + peer
+	if a.NotBeforeMillis < 0 {
+		return out + ", which cannot date it"
+	}
+	return out + ", not named before " + (time.Duration(a.NotBeforeMillis) * time.Millisecond).String() + " ago"
 }
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -191,7 +191,7 @@
 	h.contextOwners = relay.NewContextOwners(h.relay, h.fleet)
 	h.updateNotifier = spread.NewWeightUpdateNotifier(h.fleet, h.roster)
 	h.updateNotifier.Sharded = h.watchCacheSync.Sharded
-	h.desiredSync = order.NewNamedWeightsSync(&h.desired, h.fleet, settings.Bounds.OldWeights)
+	h.desiredSync = order.NewNamedWeightsSync(&h.desired, h.fleet, settings.Bounds.OldWeights, h.log)
 	h.buildAssignments(incarnation, engines)
 	h.registerGauges()
 	return h
