Lines and metrics tell how an answer whose caller has left ended, and events out of order

Of a request whose caller has closed its connection nothing said whether the caller had some of the answer, and after which event; net/http reports the same when only the sending half is closed. Nothing told events without an ID, or with an ID that is not higher than the one before, by which a stream can not be resumed, nor a resumption that was answered with a status of its own. No logic changes.

Tests of core/relay pass (79.5 s).

--- a/core/relay/finish.go
+++ b/core/relay/finish.go
@@ -9,6 +9,7 @@
 
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
+	"embertally.dev/core/table"
 )
 
 // finish answers the request if that has not been done, and writes the log line.
@@ -18,6 +19,7 @@
 	switch {
 	case callerDisconnected(p.r.Context()):
 		stats.CallersDisconnected.Inc()
+		p.noteLeft(refusal)
 		p.writeLog(event.CallerGone, took)
 	case refusal != nil:
 		if refusal.Ran == entry.NotRun {
@@ -42,6 +44,24 @@
 	}
 }
 
+// noteLeft records what the caller had of the answer when it closed its connection or the sending half of it, after which
+// it may still read.
+func (p *proxiedRequest) noteLeft(refusal *entry.Refusal) {
+	switch {
+	case p.headerSent && p.route.Kind == table.Stream:
+		p.note("left after event %q", p.lastEventID)
+	case p.headerSent:
+		p.note("left after the header")
+	case refusal != nil:
+		p.note("left before %v", refusal)
+	default:
+		p.note("left before the header")
+	}
+	if p.headerSent {
+		p.relay.options.Stats.AnswersLeft.Inc()
+	}
+}
+
 // abort ends the caller's connection so that the answer does not look complete. With chunks or a length it is
 // enough to close it.
 func (p *proxiedRequest) abort() {
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -30,6 +30,9 @@
 
 // passOnPlain passes on a response that is not a stream.
 func (p *proxiedRequest) passOnPlain(c *choice, resp *target.Response, respMeta *ResponseMeta, sent time.Time) (outcome, *bufferedResponse) {
+	if p.headerSent {
+		p.note("status %d after event %q", resp.Status, p.lastEventID)
+	}
 	began := time.Now()
 	body, whole, err := p.readStart(resp)
 	if err != nil {
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -15,6 +15,9 @@
 	// answer, Refused before a target may have executed them, Failed after that, AnswersTruncated with a
 	// truncated answer, and CallersDisconnected with the caller disconnected.
 	Requests, Completed, Refused, Failed, AnswersTruncated, CallersDisconnected *metrics.Counter
+	// AnswersLeft counts the answers that were not complete when their caller closed its connection, or the sending half
+	// of it, though some of them had been passed on.
+	AnswersLeft *metrics.Counter
 	// Attempts counts the attempts, Retries those that repeat an earlier one, and StreamsResumed
 	// broken streams that another attempt may resume. MismatchedResponses counts responses to
 	// another request, NotExecuted those that report that the request was not executed, and
@@ -34,6 +37,8 @@
 	// to the version that began it, StreamsUnknown those refused since it was not known, and StreamsStranded requests
 	// that were given up since no target of their stream's version may get them.
 	StreamsTakenUp, StreamsBound, StreamsUnknown, StreamsStranded *metrics.Counter
+	// EventsUnordered counts events without an ID, or with one that is not higher than that of the event before.
+	EventsUnordered *metrics.Counter
 	// FirstSeconds is the time to the first event of a stream, TotalSeconds the time to the end of
 	// a complete answer.
 	FirstSeconds, TotalSeconds *metrics.Histogram
@@ -93,6 +98,7 @@
 	return &Stats{
 		set: set, Requests: c("requests_total"), Completed: c("requests_done_total"), Refused: c("requests_refused_total"),
 		Failed: c("requests_failed_total"), AnswersTruncated: c("answers_cut_total"), CallersDisconnected: c("callers_gone_total"),
+		AnswersLeft: c("answers_left_total"), EventsUnordered: c("stream_events_unordered_total"),
 		Attempts: c("sends_total"), Retries: c("sends_repeated_total"), StreamsResumed: c("streams_resumed_total"),
 		MismatchedResponses: c("answers_foreign_total"), NotExecuted: c("targets_refused_total"),
 		Misdirected: c("targets_moved_total"),
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -124,6 +124,7 @@
 				p.relay.options.Poison.RecordProgress(p.sent, c.target.ID())
 			}
 			st.gaps.received()
+			p.noteOrder(st, ev.id)
 			newer := isNewerEvent(ev.id, p.lastEventID)
 			st.caughtUp = st.caughtUp || newer || ev.id == p.lastEventID
 			if !newer {
@@ -154,11 +155,26 @@
 	// caughtUp is set once an event came that the caller did not have before this response, or the last one
 	// that it had.
 	caughtUp bool
+	// lastID is the ID of the last event, and unordered is set once one had none or one that was not higher.
+	lastID    string
+	unordered bool
 	// comments precede the first event that is passed on. A response that breaks off after them is replaced
 	// like one without any event.
 	comments []byte
 }
 
+// noteOrder records an event whose ID does not tell its place in the stream.
+func (p *proxiedRequest) noteOrder(st *responseStream, id string) {
+	if id == "" || !isNewerEvent(id, st.lastID) {
+		p.relay.options.Stats.EventsUnordered.Inc()
+		if !st.unordered {
+			st.unordered = true
+			p.note("event %d has ID %q after %q", st.events, id, st.lastID)
+		}
+	}
+	st.lastID = id
+}
+
 // begun returns how long ago the first event arrived, or 0 if there is none yet.
 func (st *responseStream) begun() time.Duration {
 	if st.events == 0 {
