A stream is continued by events only

Cause: a response that is not a stream was passed on as the answer, whether or not the header of a stream and some of its events had been. net/http ignored the second status and appended the body.

Now such a response counts as a failed attempt, and the stream is resumed elsewhere or cut off.

--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -31,7 +31,11 @@
 // passOnPlain passes on a response that is not a stream.
 func (p *proxiedRequest) passOnPlain(c *choice, resp *target.Response, respMeta *ResponseMeta, sent time.Time) (outcome, *bufferedResponse) {
 	if p.headerSent {
+		// Only events can follow the events that the caller has.
 		p.note("status %d after event %q", resp.Status, p.lastEventID)
+		resp.Discard()
+		p.recordResponse(c, resp.Status < http.StatusInternalServerError)
+		return outcomeFailed, nil
 	}
 	began := time.Now()
 	body, whole, err := p.readStart(resp)
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"io"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -70,3 +72,24 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on with the body of another target's failure, and ends as a whole one.
+func TestStreamIsNotContinuedByAPlainResponse(t *testing.T) {
+	for _, status := range []int{201, 204, 301, 400, 404, 429, 500, 503} {
+		for _, body := range []string{"", "no such thing", strings.Repeat("x", maxBufferedBytes+1)} {
+			if status == http.StatusNoContent && body != "" {
+				continue
+			}
+			t.Run(strconv.Itoa(status)+" with "+strconv.Itoa(len(body))+" bytes", func(t *testing.T) {
+				r := newRig(t, nil)
+				r.relay.options.Disabled.Hedges = true
+				r.worker("a", "v1", 0, stream(false, event1))
+				r.worker("b", "v1", 3, respond(status, body))
+				got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m")
+				r.g.Expect(r.targetsInOrder()).To(gomega.Equal("a b"))
+				r.g.Expect(got.body).To(gomega.Equal(event1))
+				r.g.Expect(got.err).To(gomega.HaveOccurred(), "it looks complete")
+			})
+		}
+	}
+}
