A response that ends before what the caller has is no end of the stream

Cause: whether a response had caught up with what the caller has was asked only where its framing does not mark the end.

Now such a response is a failed attempt. A marked end without any event still ends the stream: the caller has all of it.

--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -189,6 +189,11 @@
 		p.note("no event")
 		p.relay.options.Stats.StreamsWithoutEvents.Inc()
 	}
+	if !st.caughtUp && st.events > 0 {
+		p.note("ended before event %q, which the caller has", p.lastEventID)
+		p.recordResponse(c, false)
+		return outcomeIncomplete
+	}
 	if errors.Is(err, target.ErrUnmarkedEnd) && !st.caughtUp {
 		return p.classifyBrokenStream(c, st, err)
 	}
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -93,3 +93,37 @@
 		}
 	}
 }
+
+// Guards against a stream that ends as a whole one when another target runs the request anew and makes less than the caller has.
+func TestStreamDoesNotEndBeforeWhatTheCallerHas(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		first   handler
+		second  handler
+		headers []string
+		body    string
+		whole   bool
+	}{
+		{"fewer events", stream(false, event1, event2), stream(true, event1), nil, event1 + event2, false},
+		{"as many events", stream(false, event1, event2), stream(true, event1, event2), nil, event1 + event2, true},
+		{"no event after the last one", stream(false, event1, event2), stream(true), nil, event1 + event2, true},
+		{"fewer than a caller has that takes the stream up", stream(true, event1), stream(true, event1), []string{"After", "2"}, "", false},
+		{"as many as such a caller has", stream(true, event1, event2), stream(true), []string{"After", "2"}, "", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			r.worker("a", "v1", 0, tc.first)
+			r.worker("b", "v1", 3, tc.second)
+			got := r.send(http.MethodPost, "/stream/x", "x", append([]string{"Model", "m"}, tc.headers...)...)
+			if tc.whole {
+				r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+				r.g.Expect(got.status).To(gomega.Equal(http.StatusOK))
+				r.g.Expect(got.body).To(gomega.Equal(tc.body))
+				return
+			}
+			r.g.Expect(got.err != nil || got.status != http.StatusOK).To(gomega.BeTrue(), "%q looks complete", got.body)
+			r.g.Expect(got.status != http.StatusOK || got.body == tc.body).To(gomega.BeTrue(), "%q", got.body)
+		})
+	}
+}
