Events of one response are passed on whatever their IDs

Cause: each event was compared with the last one passed on, also where nothing had been resumed; what did not come after it counted as received from the target before.

Now only the start of a response that continues a stream is compared, up to the first event that the caller lacks.

TestEventsOfOneResponseArePassedOnWhateverTheirIDs: 5 of 5 forms failed before, none now.

--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -125,10 +125,7 @@
 			}
 			st.gaps.received()
 			p.noteOrder(st, ev.id)
-			newer := isNewerEvent(ev.id, p.lastEventID)
-			st.caughtUp = st.caughtUp || newer || ev.id == p.lastEventID
-			if !newer {
-				// The caller received this event from the previous worker.
+			if p.skipsEvent(st, ev.id) {
 				continue
 			}
 		}
@@ -155,6 +152,9 @@
 	// caughtUp is set once an event came that the caller did not have before this response, or the last one
 	// that it had.
 	caughtUp bool
+	// continued is set once an event came that the caller did not have before this response. What follows is passed on
+	// whatever its ID.
+	continued bool
 	// lastID is the ID of the last event, and unordered is set once one had none or one that was not higher.
 	lastID    string
 	unordered bool
@@ -163,6 +163,16 @@
 	comments []byte
 }
 
+// skipsEvent reports whether the caller has received an event from the target that served the stream before.
+func (p *proxiedRequest) skipsEvent(st *responseStream, id string) bool {
+	if !st.continued && !isNewerEvent(id, p.lastEventID) {
+		st.caughtUp = st.caughtUp || id == p.lastEventID
+		return true
+	}
+	st.continued, st.caughtUp = true, true
+	return false
+}
+
 // noteOrder records an event whose ID does not tell its place in the stream.
 func (p *proxiedRequest) noteOrder(st *responseStream, id string) {
 	if id == "" || !isNewerEvent(id, st.lastID) {
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -127,3 +127,27 @@
 		})
 	}
 }
+
+// Guards against events that are left out of a stream since their IDs do not rise as decimal numbers.
+func TestEventsOfOneResponseArePassedOnWhateverTheirIDs(t *testing.T) {
+	event := func(id, data string) string { return "id: " + id + "\ndata: " + data + "\n\n" }
+	for _, tc := range []struct {
+		name   string
+		events []string
+	}{
+		{"falling", []string{event("9", "a"), event("8", "b"), event("7", "c")}},
+		{"repeated", []string{event("1", "a"), event("1", "b"), event("1", "c")}},
+		{"no numbers", []string{event("f3", "a"), event("07", "b"), event("zz", "c")}},
+		{"some without", []string{event("5", "a"), "data: b\n\n", event("2", "c")}},
+		{"counted from 0 again", []string{event("98", "a"), event("99", "b"), event("0", "c")}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.worker("a", "v1", 0, stream(true, tc.events...))
+			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m")
+			r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(got.body).To(gomega.Equal(strings.Join(tc.events, "")))
+			r.g.Expect(r.relay.options.Stats.EventsUnordered.Get()).NotTo(gomega.BeZero())
+		})
+	}
+}
