A stream is continued only after an event that its ID tells

Cause: a broken stream was resumed after the last ID that was passed on, whether or not that told what the caller had. Without IDs the second target began anew and all its events were passed on.

Now such a stream is cut off, and the caller decides. Events without an ID between others that have one, such as pings, do not prevent a resumption after the next ID.

--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -68,6 +68,9 @@
 	headerSent bool
 	// lastEventID is the ID of the last stream event that the caller has received.
 	lastEventID string
+	// unnumbered is set while the last event passed on had no ID, and unordered once the ID of one was not higher than the
+	// one before. No target can continue the stream then, since lastEventID does not tell what the caller has.
+	unnumbered, unordered bool
 	// originRecorded is set once the version of the targets that the stream is bound to is recorded.
 	originRecorded bool
 	// firstAt is when the first event or the header of a response was passed on; zero before that.
@@ -310,6 +313,9 @@
 	switch {
 	case time.Until(p.deadline) < minAttemptTime:
 		return false
+	case p.unnumbered || p.unordered:
+		p.note("not continued: the last event is not told by its ID")
+		return false
 	case out != outcomeRejected && !p.route.MayRepeat():
 		return false
 	case p.executions >= p.route.MaxAttempts:
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -247,6 +247,10 @@
 	if _, err := p.w.Write(ev.raw); err != nil {
 		return errors.WithStack(err)
 	}
+	if !ev.comment {
+		p.unnumbered = ev.id == ""
+		p.unordered = p.unordered || !isNewerEvent(ev.id, p.lastEventID)
+	}
 	if ev.id != "" {
 		p.lastEventID = ev.id
 	}
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -151,3 +151,44 @@
 		})
 	}
 }
+
+// Guards against events that come twice, or not at all, where a stream is continued although no ID tells what the caller has of it.
+func TestStreamIsContinuedOnlyAfterAnEventThatItsIDTells(t *testing.T) {
+	const noID, ping = "data: word\n\n", "event: ping\ndata: {}\n\n"
+	for _, tc := range []struct {
+		name string
+		sent []string
+		want bool
+	}{
+		{"no IDs", []string{noID, noID}, false},
+		{"none in the last event", []string{event1, noID}, false},
+		{"none in an event before the last one", []string{event1, ping, event2}, true},
+		{"falling", []string{event2, event1}, false},
+		{"repeated", []string{event1, event1}, false},
+		{"rising again", []string{event2, event1, "id: 3\ndata: x\n\n"}, false},
+		{"rising", []string{event1, event2}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			last := "id: 4\ndata: word 4\n\n"
+			r.worker("a", "v1", 0, stream(false, tc.sent...))
+			r.worker("b", "v1", 3, func(w *bufio.Writer, req *http.Request) error {
+				if req.Header.Get("After") == "" {
+					return stream(true, append(tc.sent, last)...)(w, req)
+				}
+				return stream(true, last)(w, req)
+			})
+			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m")
+			begun := strings.Join(tc.sent, "")
+			if tc.want {
+				r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+				r.g.Expect(got.body).To(gomega.Equal(begun + last))
+				return
+			}
+			r.g.Expect(got.err).To(gomega.HaveOccurred(), "it looks complete: %q", got.body)
+			r.g.Expect(got.body).To(gomega.Equal(begun))
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal("a"))
+		})
+	}
+}
