Prompts and calls that were not answered whole end no answer as whole

What callers saw: an empty body with 200 in place of a whole answer, or a stream without its end but with the last chunk, after they had closed the sending half of their connection and read on; and a begun stream that went on with the body of a refusal and then ended as whole, after a broken invariant in the daemon.

Cause: a handler that returned had answered, whatever it had passed on. net/http then writes the last chunk, or a response of its own. A refusal was written whether or not an answer had begun.

Now a request is marked when a whole answer, a refusal, or the event that ends a broken stream was passed on; what is not marked is cut off, and a refusal is written only where nothing has begun. Only marked requests count as answered whole.

--- a/core/entry/prompt.go
+++ b/core/entry/prompt.go
@@ -388,7 +388,7 @@
 	p.s.stats.StreamsBroken.Add(1)
 	broken := refuse(0, CodeStreamBroken, Unknown, "the answer could not be continued: "+r.Message)
 	p.s.o.Log.Emit(event.StreamBroken, p.ref(), r.Error())
-	p.out.event(broken.asEvent(p.q.id))
+	p.s.recordWritten(p.q, p.out.event(broken.asEvent(p.q.id)))
 	return nil
 }
 
@@ -516,8 +516,7 @@
 	st.Tokens.Add(int64(p.tokens))
 	st.PromptTokens.Add(int64(p.usage.PromptTokens))
 	st.CachedTokens.Add(int64(p.usage.Details.CachedTokens))
-	if err := p.out.finish(); err != nil {
-		p.s.callerDisconnected(p.q)
+	if p.s.recordWritten(p.q, p.out.finish()); !p.q.complete {
 		return nil
 	}
 	p.s.o.Log.Emit(event.RequestDone, p.ref(), fmt.Sprintf("%d of %d prompt tokens cached, %d tokens, first after %v",
--- a/core/entry/refusal.go
+++ b/core/entry/refusal.go
@@ -148,11 +148,13 @@
 	return raw
 }
 
-// writeRefusal counts and logs the refusal and sends it to the caller.
-func (s *Server) writeRefusal(c echo.Context, q *request, r *Refusal) error {
+// writeRefusal counts and logs the refusal and sends it to the caller, unless an answer has begun.
+func (s *Server) writeRefusal(c echo.Context, q *request, r *Refusal) {
 	s.stats.Refused.Add(1)
 	s.o.Log.Emit(event.RequestRefused, q.ref(""), r.Error())
-	return r.write(c, q.id)
+	if !c.Response().Committed {
+		s.recordWritten(q, r.write(c, q.id))
+	}
 }
 
 // isTooLarge reports whether reading a body failed at the size limit.
--- a/core/entry/server.go
+++ b/core/entry/server.go
@@ -98,7 +98,8 @@
 	e.Any("/services/:service/*", s.handle(s.service))
 	e.RouteNotFound("/*", func(c echo.Context) error {
 		q := &request{id: uuid.NewString()}
-		return s.writeRefusal(c, q, refuse(http.StatusNotFound, CodeNotFound, NotRun, "there is no such path"))
+		s.writeRefusal(c, q, refuse(http.StatusNotFound, CodeNotFound, NotRun, "there is no such path"))
+		return q.end()
 	})
 }
 
@@ -111,6 +112,8 @@
 	start        time.Time
 	// digest is the request digest of a prompt, under which crashes are counted.
 	digest poison.Digest
+	// complete is set once a whole answer, or a refusal, has been passed on.
+	complete bool
 }
 
 // sent returns the request as crashes are counted for it. Prompts here name no parts: each of their blocks is
@@ -126,6 +129,14 @@
 // HeaderRequestID is the header that carries the request ID to callers and targets.
 const HeaderRequestID = "X-Request-Id"
 
+// end ends the answer. One that was not passed on to its end must not look complete, whatever the reason.
+func (q *request) end() error {
+	if !q.complete {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
 // handle returns a handler that authenticates and admits a request before it calls f. A refusal that
 // f returns is sent to the caller.
 func (s *Server) handle(f func(echo.Context, *request) *Refusal) echo.HandlerFunc {
@@ -136,15 +147,17 @@
 		q := &request{id: uuid.NewString(), snap: s.o.Conf.Snapshot(), view: s.o.Fleet.View(), start: time.Now()}
 		c.Response().Header().Set(HeaderRequestID, q.id)
 		if r := s.admit(c, q); r != nil {
-			return s.writeRefusal(c, q, r.forKey(c.Request()))
+			s.writeRefusal(c, q, r.forKey(c.Request()))
+			return q.end()
 		}
 		defer s.releaseSlot(q)
 		s.o.Log.Emit(event.RequestAccepted, q.ref(""), c.Request().Method+" "+c.Path())
 		if r := s.callRecovering(f, c, q); r != nil {
-			return s.writeRefusal(c, q, r)
+			s.writeRefusal(c, q, r)
+		} else if q.complete {
+			s.stats.Completed.Add(1)
 		}
-		s.stats.Completed.Add(1)
-		return nil
+		return q.end()
 	}
 }
 
@@ -256,10 +269,17 @@
 		Object string  `json:"object"`
 		Data   []model `json:"data"`
 	}{"list", list}
-	if err := c.JSON(http.StatusOK, body); err != nil {
+	s.recordWritten(q, c.JSON(http.StatusOK, body))
+	return nil
+}
+
+// recordWritten records that a whole answer was passed on, unless writing it failed.
+func (s *Server) recordWritten(q *request, err error) {
+	if err != nil {
 		s.callerDisconnected(q)
+		return
 	}
-	return nil
+	q.complete = true
 }
 
 // callerDisconnected records that the caller closed its connection.
--- a/core/entry/service.go
+++ b/core/entry/service.go
@@ -130,9 +130,7 @@
 	if r != nil {
 		return r
 	}
-	if err := ans.write(c); err != nil {
-		s.callerDisconnected(q)
-	}
+	s.recordWritten(q, ans.write(c))
 	return nil
 }
 
@@ -150,9 +148,7 @@
 	response := struct {
 		Ticket string `json:"ticket"`
 	}{s.o.Once.NewTicket(q.organisation, body.Service)}
-	if err := c.JSON(http.StatusOK, response); err != nil {
-		s.callerDisconnected(q)
-	}
+	s.recordWritten(q, c.JSON(http.StatusOK, response))
 	return nil
 }
 
--- a/embplay/prove/scenario_answers_test.go
+++ b/embplay/prove/scenario_answers_test.go
@@ -1,9 +1,13 @@
 package prove
 
 import (
+	"bufio"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/google/uuid"
@@ -61,6 +65,44 @@
 		expectAnswer(<-got, "v1", prompt, long)
 	})
 
+	It("or one that breaks off, after the caller has closed the sending half of its connection", func() {
+		r := startSite(nil)
+		const tokens = 200
+		var cut []string
+		executions := func() (n int) {
+			for _, e := range r.site.Engines {
+				n += len(e.Executions())
+			}
+			return n
+		}
+		for _, tc := range []struct {
+			name   string
+			stream bool
+			// begun is set if the caller closes when an engine has begun, and not with its request.
+			begun bool
+		}{
+			{"stream, with the request", true, false},
+			{"stream, after its beginning", true, true},
+			{"whole answer, with the request", false, false},
+			{"whole answer, while it is made", false, true},
+		} {
+			before := executions()
+			status, body, err := r.sendAndCloseWrite(tc.stream, tokens, func() {
+				if tc.begun {
+					Eventually(executions).Should(BeNumerically(">", before))
+				}
+			})
+			last := `"finish_reason":"`
+			if tc.stream {
+				last = "data: [DONE]\n\n"
+			}
+			if err == nil && status == http.StatusOK && !strings.Contains(body, last) {
+				cut = append(cut, tc.name)
+			}
+		}
+		Expect(cut).To(BeEmpty(), "cut, and complete as far as the caller can tell")
+	})
+
 	It("ends with an explicit error when no engine can continue", func() {
 		r := startSite(func(o *fake.SiteOptions) { o.Engines = 1 })
 		got := make(chan play.Reply, 1)
@@ -136,6 +178,30 @@
 	})
 })
 
+// sendAndCloseWrite sends a prompt on a connection of its own, whose sending half it closes when wait returns, and returns
+// the answer.
+func (r *testbed) sendAndCloseWrite(stream bool, tokens int, wait func()) (status int, body string, err error) {
+	GinkgoHelper()
+	box, err := url.Parse(r.daemons[0].Callers)
+	Expect(err).NotTo(HaveOccurred())
+	c, err := tls.Dial("tcp", box.Host, r.caller.HTTP().Transport.(*http.Transport).TLSClientConfig)
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	prompt := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":%t}`, fake.SiteDeployment, longText(2), tokens, stream)
+	_, err = fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		box.Host, r.site.File.CallerKeys[orgOne], len(prompt), prompt)
+	Expect(err).NotTo(HaveOccurred())
+	wait()
+	Expect(c.CloseWrite()).To(Succeed())
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw), err
+}
+
 // refusalOf sends a request that must be refused and returns its refusal.
 func (r *testbed) refusalOf(key, idempotency, path, body string) play.Refusal {
 	GinkgoHelper()
