An HTTP/1.0 answer that breaks off ends in a reset

What callers saw: over HTTP/1.0, where the end of the connection ends an answer, the start of an answer as a whole one when a handler of emberd run was cut off or panicked, when the server was closed at the end of a shutdown, and when the process was killed.

Cause: closing a connection is the default end, and over HTTP/1.0 it says whole. Only the relay reset the connection, and only where it ended the answer itself.

Ruled out: a reset in each place that cuts an answer off; the end of the process passes none.

Now the servers of both daemons set HTTP/1.0 connections to reset when they are closed, until the handler has returned and all is written.

--- a/core/entry/complete_test.go
+++ b/core/entry/complete_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/labstack/echo/v4"
@@ -38,7 +39,7 @@
 		c.Response().Flush()
 	}
 	refusal := refuse(http.StatusBadGateway, CodeTargetFailed, Unknown, "no target gave an answer")
-	for _, protocol := range []string{"HTTP/1.1"} {
+	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
 		for _, tc := range []struct {
 			name, key string
 			handler   func(s *Server, c echo.Context, q *request) *Refusal
@@ -49,11 +50,20 @@
 				s.recordWritten(q, c.String(http.StatusOK, "whole"))
 				return nil
 			}, http.StatusOK},
+			{"large", "secret", func(s *Server, c echo.Context, q *request) *Refusal {
+				s.recordWritten(q, c.String(http.StatusOK, strings.Repeat("x", 1<<20)))
+				return nil
+			}, http.StatusOK},
 			{"refused for its key", "nobody", nil, http.StatusUnauthorized},
 			{"refused", "secret", func(*Server, echo.Context, *request) *Refusal { return refusal }, http.StatusBadGateway},
 			{"refused after its beginning", "secret", func(_ *Server, c echo.Context, _ *request) *Refusal { begin(c); return refusal }, 0},
 			{"panic", "secret", func(*Server, echo.Context, *request) *Refusal { panic("a broken invariant") }, http.StatusInternalServerError},
 			{"panic after the beginning", "secret", func(_ *Server, c echo.Context, _ *request) *Refusal { begin(c); panic("a broken invariant") }, 0},
+			{"server closed after the beginning", "secret", func(_ *Server, c echo.Context, _ *request) *Refusal {
+				begin(c)
+				c.Request().Context().Value(http.ServerContextKey).(*http.Server).Close()
+				return nil
+			}, 0},
 			{"caller left", "secret", func(*Server, echo.Context, *request) *Refusal { return nil }, 0},
 			{"caller left after the beginning", "secret", func(_ *Server, c echo.Context, _ *request) *Refusal { begin(c); return nil }, 0},
 		} {
@@ -61,7 +71,9 @@
 				g, s := gomega.NewWithT(t), newTestServer(t)
 				e := echo.New()
 				e.GET("/", s.handle(func(c echo.Context, q *request) *Refusal { return tc.handler(s, c, q) }))
-				server := httptest.NewServer(e)
+				server := httptest.NewUnstartedServer(MarkEnds(e))
+				server.Config.ConnContext = ConnContext
+				server.Start()
 				t.Cleanup(server.Close)
 				c, err := net.Dial("tcp", server.Listener.Addr().String())
 				g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -306,7 +306,10 @@
 
 // serve starts a server on a listener. It runs until it is closed.
 func (d *Daemon) serve(wg *sync.WaitGroup, l net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	srv := &http.Server{
+		Handler: entry.MarkEnds(h), ConnContext: entry.ConnContext,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	wg.Go(func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			bugs.Report("listener %v failed: %v", l.Addr(), err)
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/clock"
+	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
 	"embertally.dev/core/memory"
 	"embertally.dev/core/plat"
@@ -52,7 +53,10 @@
 
 // serve starts a server on a listener. It runs until it is closed.
 func (h *Host) serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler) *http.Server {
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	srv := &http.Server{
+		Handler: entry.MarkEnds(handler), ConnContext: entry.ConnContext,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	wg.Go(func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			h.log.Emit(event.InvariantBroken, event.Ref{}, "listener "+l.Addr().String()+" failed: "+err.Error())
