A broken connection counts for a crash within lossWindow of its own

Callers saw: requests that had long ended could be blocked for an hour. Where connections of one target broke again and again (a lossy path, a target that resets some), a crash of that target was put down to each request that had ever been under way on one of them, and was dated by the first of them, so that the crashes of other targets at the same time did not count as such.

Cause: what a daemon records of broken connections was dropped lossWindow (6 s) after the last one of the incarnation, not after each one: with one every 5 s none was ever dropped.

Evidence: TestACrashIsPutDownToNoLossLongBefore, 2 of 6 forms failed before: of ten connections that broke 5 s apart all ten counted, where two may have been broken by the crash.

Each one is now dropped by its own age. A target whose earlier ones are dropped is probed again at the next one: the former probe says nothing of it.

--- a/core/poison/attempts.go
+++ b/core/poison/attempts.go
@@ -99,8 +99,8 @@
 func shortKey(d Digest) uint64 { return binary.BigEndian.Uint64(d[:]) }
 
 // recordLoss records that a connection broke under a request. crashed reports that the incarnation
-// is recorded as crashed, first that this is its first broken connection, so that it must be
-// probed.
+// is recorded as crashed, first that this is its first broken connection within lossWindow, so that
+// it must be probed.
 func (s *attempts) recordLoss(incarnation string, sent Sent) (crashed, first bool) {
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
@@ -119,7 +119,8 @@
 // expire drops entries that are too old. It is called with attemptsMu held.
 func (s *attempts) expire(now clock.Time) {
 	for incarnation, list := range s.losses {
-		if now.Sub(list[len(list)-1].at) > lossWindow {
+		list = slices.DeleteFunc(list, func(l connectionLoss) bool { return now.Sub(l.at) > lossWindow })
+		if s.losses[incarnation] = list; len(list) == 0 {
 			delete(s.losses, incarnation)
 		}
 	}
--- a/core/poison/attempts_test.go
+++ b/core/poison/attempts_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
+
+	"embertally.dev/core/clock"
 )
 
 func TestRepeatedSuccessesRuleOutARequestAsCause(t *testing.T) {
@@ -35,3 +38,51 @@
 		})
 	}
 }
+
+// Where connections of a target broke again and again, a crash was put down to all requests that were ever under way on one.
+func TestACrashIsPutDownToNoLossLongBefore(t *testing.T) {
+	const interval = lossWindow - time.Second
+	tests := []struct {
+		name string
+		// losses is how many connections break, one each interval, and wait the time from the last one to the crash.
+		losses int
+		wait   time.Duration
+		// want is how many of them, the last ones, may have been broken by the crash.
+		want int
+	}{
+		{"one, at the crash", 1, 0, 1},
+		{"one, long before", 1, lossWindow + time.Second, 0},
+		{"two, the first may still be", 2, 0, 2},
+		{"two, the first too long before", 2, 2 * time.Second, 1},
+		{"ten over a minute", 10, 0, 2},
+		{"ten, the last too long before", 10, lossWindow + time.Second, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var s attempts
+			var want []Sent
+			lost := clock.Now()
+			for i := range tc.losses {
+				if i > 0 {
+					clock.Suspend(interval)
+				}
+				sent := sentOf(digestOf(fmt.Sprint(i)))
+				if i == tc.losses-tc.want {
+					lost = clock.Now()
+				}
+				s.recordLoss("a", sent)
+				if i >= tc.losses-tc.want {
+					want = append(want, sent)
+				}
+			}
+			clock.Suspend(tc.wait)
+			inFlight, at, first := s.recordCrash("a", false)
+			g.Expect(first).To(gomega.BeTrue())
+			g.Expect(inFlight).To(gomega.Equal(want))
+			if tc.want > 0 {
+				g.Expect(at.Sub(lost)).To(gomega.BeNumerically("~", 0, time.Second), "the time of the crash")
+			}
+		})
+	}
+}
