A block that has ended is kept from its end, not from when a daemon heard of it

Cause: an expired block is kept for as long again as it lasted, so that a request that still crashes targets is blocked at once. In messages the time until its end was cut off at 0, so that a daemon that started meanwhile took it for one that ends now, kept it from then on, and told the others so when theirs was gone. With one start an hour the record never went.

Evidence: TestAnExpiredBlockIsForgottenByDaemonsThatHeardOfItLate, both forms failed before: with a daemon that starts each half hour the record was still there after 2 hours, and renewed.

Messages now carry how long ago a block ended, and a daemon takes none that it would not keep.

--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -41,7 +41,7 @@
 	Stamp    int64
 	// Consecutive is the number of consecutive blocks of the request.
 	Consecutive int
-	// Remaining is the time until the block expires, as of when it was sent.
+	// Remaining is the time until the block expires, as of when it was sent; negative if it has expired.
 	Remaining time.Duration
 	// Parts are the IDs of the parts that a request must hold all of to be blocked. If there are any, Request is their
 	// digest, and Organisation "" means the requests of all.
@@ -67,6 +67,9 @@
 	return text
 }
 
+// isForgotten reports whether a block with this much remaining time is kept no longer.
+func (b *block) isForgotten(remaining time.Duration) bool { return remaining < -b.duration() }
+
 // duration returns the total time of a block.
 func (b *block) duration() time.Duration {
 	return min(initialBlockTime<<max(0, min(b.Consecutive-1, 16)), maxBlockTime)
@@ -231,7 +234,10 @@
 		if old, found := l.entries[b.Request]; (found && old.Stamp >= b.Stamp) || b.Stamp > maxStamp() {
 			continue
 		}
-		b.expires = clock.Now().Add(min(max(0, b.Remaining), maxBlockTime))
+		if b.isForgotten(b.Remaining) {
+			continue
+		}
+		b.expires = clock.Now().Add(min(b.Remaining, maxBlockTime))
 		l.entries[b.Request] = b
 		if len(b.Parts) > 0 {
 			l.combinations[b.Request] = true
@@ -262,6 +268,9 @@
 		l.log.Emit(event.RequestReleased, ref, b.text()+"; "+why)
 		return
 	}
+	if b.Remaining <= 0 {
+		return
+	}
 	l.log.Emit(event.RequestBlocked, ref, b.text()+" for "+
 		b.Remaining.Round(time.Second).String()+", block "+strconv.Itoa(b.Consecutive)+"; "+why)
 }
@@ -270,7 +279,7 @@
 // held.
 func (l *blockList) evict() {
 	for d, b := range l.entries {
-		if -clock.Until(b.expires) > b.duration() {
+		if b.isForgotten(clock.Until(b.expires)) {
 			l.remove(d)
 		}
 	}
@@ -312,7 +321,7 @@
 func (l *blockList) listLocked() []block {
 	out := make([]block, 0, len(l.entries))
 	for _, b := range l.entries {
-		b.Remaining = max(0, clock.Until(b.expires))
+		b.Remaining = clock.Until(b.expires)
 		out = append(out, b)
 	}
 	slices.SortFunc(out, func(a, b block) int { return slices.Compare(a.Request[:], b.Request[:]) })
--- a/core/poison/blocks_test.go
+++ b/core/poison/blocks_test.go
@@ -107,6 +107,45 @@
 	g.Expect(l.count()).To(gomega.Equal(1))
 }
 
+// Daemons that started after a block had ended took it for one that ends as they hear of it, and told the others so: one
+// crash hours later blocked the request again, for longer.
+func TestAnExpiredBlockIsForgottenByDaemonsThatHeardOfItLate(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(*blockList, Digest)
+	}{
+		{"it expired", func(*blockList, Digest) {}},
+		{"it was released", func(l *blockList, d Digest) { l.release(d, "test") }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			d := digestOf("fatal")
+			lists := []*blockList{newTestBlockList()}
+			lists[0].add(d, "org", "test")
+			tc.end(lists[0], d)
+			const restart = initialBlockTime / 2
+			for passed := time.Duration(0); passed <= 6*initialBlockTime; passed += restart {
+				for _, from := range lists {
+					for _, to := range lists {
+						exchange(g, from, to, true)
+					}
+				}
+				for _, l := range lists {
+					g.Expect(len(l.list()) > 0).To(gomega.Equal(passed < 2*initialBlockTime), "after %s", passed)
+					_, blocked := l.remaining(d)
+					g.Expect(blocked && passed >= initialBlockTime).To(gomega.BeFalse(), "after %s", passed)
+				}
+				lists = append(lists, newTestBlockList())
+				for _, from := range lists {
+					exchange(g, from, lists[len(lists)-1], true)
+				}
+				lists = lists[max(0, len(lists)-3):]
+				clock.Suspend(restart)
+			}
+		})
+	}
+}
+
 // Suspects with the fewest crashes are evicted first.
 func TestSuspectsWithFewestCrashesAreEvicted(t *testing.T) {
 	g := gomega.NewWithT(t)
