Test processes listen at loopback addresses of their own

Cause: all test processes listened at 127.0.0.1:0. Linux takes such ports from 7,058 (the odd ones of the lower half of the ephemeral range, for sockets with SO_REUSEADDR), so that a port that one process frees, or expects to be closed, is soon another's.

core/nettest gives each process a block of 127.0.0.0/8 that it claims by listening on a port of its first address, and each listener an address of the block. Outgoing connections have the source 127.0.0.1, so that none takes such a port either.

No check is changed, except that checkProtection no longer passes over requests without an ID, which only another process could have sent.

--- a/core/canary/control_test.go
+++ b/core/canary/control_test.go
@@ -17,6 +17,7 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/wait"
 )
@@ -60,7 +61,7 @@
 	var seeds []fleet.Peer
 	var listeners []net.Listener
 	for i := range daemons {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := nettest.Listen()
 		tr.g.Expect(err).NotTo(gomega.HaveOccurred())
 		listeners = append(listeners, l)
 		seeds = append(seeds, fleet.Peer{Name: fmt.Sprintf("entry-%d", i), Address: l.Addr().String()})
--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -16,6 +16,7 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/target"
 )
 
@@ -77,7 +78,7 @@
 }
 
 func (r *boxesRig) listen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	return l
 }
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -14,6 +14,7 @@
 	"embertally.dev/core/clock"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/event"
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
 )
 
@@ -124,7 +125,7 @@
 	var seeds []Peer
 	var ls []net.Listener
 	for _, name := range names(n) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := nettest.Listen()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -208,7 +209,7 @@
 		default:
 		}
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +15,7 @@
 	"embertally.dev/core/home"
 	"embertally.dev/core/lease"
 	"embertally.dev/core/memkv"
+	"embertally.dev/core/nettest"
 )
 
 // idleWorkers are workers that load nothing.
@@ -37,7 +37,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var sent atomic.Int64
-			engine := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { sent.Add(1) }))
+			engine := nettest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { sent.Add(1) }))
 			t.Cleanup(engine.Close)
 			kv := &memkv.KV{}
 			h := New(Options{Name: "a", Workers: idleWorkers{}, KV: kv, Log: &event.Log{}, Client: engine.Client()})
--- a/core/plat/client_test.go
+++ b/core/plat/client_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +12,7 @@
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
 )
 
@@ -58,7 +58,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var slow atomic.Bool
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			srv := nettest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				if slow.Load() {
 					time.Sleep(3 * silence)
 				}
--- a/core/plat/kv_test.go
+++ b/core/plat/kv_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/wait"
 )
@@ -35,7 +35,7 @@
 			g := gomega.NewWithT(t)
 			interval := plat.CallTimeout * 5 / 4 / time.Duration(len(response))
 			done := make(chan struct{})
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			srv := nettest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				for _, char := range strings.Split(response, "")[:tc.bytes] {
 					wait.For(r.Context(), interval)
 					// An error means that the caller has disconnected, and is ignored.
--- a/core/plat/probedbody_test.go
+++ b/core/plat/probedbody_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
 )
 
@@ -34,7 +34,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			probed, resume := make(chan struct{}, 10), make(chan struct{})
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			srv := nettest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/probe" {
 					probed <- struct{}{}
 					if tc.hangs {
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,6 +18,7 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
 )
 
@@ -49,17 +49,11 @@
 	alive   atomic.Bool
 }
 
-// loopbackAddress returns an address that no other process and no outgoing connection uses, so that a port may be
-// listened on again.
-func loopbackAddress() string {
-	return fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, os.Getpid()/250%250)
-}
-
 func newTestFleet(t *testing.T, daemons int) *testFleet {
 	r := &testFleet{g: gomega.NewWithT(t), t: t, store: &memkv.KV{}}
 	var listeners []net.Listener
 	for i := range daemons {
-		l, err := net.Listen("tcp", loopbackAddress()+":0")
+		l, err := nettest.Listen()
 		r.g.Expect(err).NotTo(gomega.HaveOccurred())
 		listeners = append(listeners, l)
 		r.seeds = append(r.seeds, fleet.Peer{Name: fmt.Sprintf("entry-%03d", i), Address: l.Addr().String()})
--- a/core/relay/framing_test.go
+++ b/core/relay/framing_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/onsi/gomega"
 
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/target"
 )
@@ -32,7 +33,7 @@
 // rawTarget adds a target that writes the responses itself and then closes its connection, with a reset
 // if respond returns endsReset.
 func (r *rig) rawTarget(id, service string, respond func(c net.Conn, req *http.Request) ending) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	r.t.Cleanup(func() { l.Close() })
 	go func() {
@@ -217,7 +218,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	if err != nil {
 		return nil, "", err
 	}
--- a/core/relay/hedge_test.go
+++ b/core/relay/hedge_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -13,13 +12,14 @@
 
 	"embertally.dev/core/canary"
 	"embertally.dev/core/event"
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/roster"
 )
 
 // silentTarget adds a target that reads requests and does not respond. The channel receives the time
 // between each request and the end of its connection.
 func (r *rig) silentTarget(id, service string) <-chan time.Duration {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	r.t.Cleanup(func() { l.Close() })
 	closed := make(chan time.Duration, 100)
--- a/core/relay/openrace_test.go
+++ b/core/relay/openrace_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"syscall"
@@ -13,6 +14,7 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/event"
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/target"
 )
@@ -31,11 +33,12 @@
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	file = os.NewFile(uintptr(fd), "listener")
 	r.t.Cleanup(func() { file.Close() })
-	r.g.Expect(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(gomega.Succeed())
+	ip := nettest.IP()
+	r.g.Expect(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: netip.MustParseAddr(ip).As4()})).To(gomega.Succeed())
 	r.g.Expect(syscall.Listen(fd, 0)).To(gomega.Succeed())
 	name, err := syscall.Getsockname(fd)
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
-	address = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	address = fmt.Sprint(ip, ":", name.(*syscall.SockaddrInet4).Port)
 	for range 4 {
 		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
 		if err != nil {
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -19,6 +19,7 @@
 	"embertally.dev/core/cache"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/origin"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
@@ -265,7 +266,7 @@
 		},
 		Organisations: testOrganisations,
 	}))
-	r.front = httptest.NewServer(r.relay)
+	r.front = nettest.NewServer(r.relay)
 	t.Cleanup(r.checkProtection)
 	t.Cleanup(r.front.Close)
 	return r
@@ -276,10 +277,6 @@
 func (r *rig) checkProtection() {
 	salts := map[string]bool{}
 	for _, req := range r.received() {
-		if req.header.Get("Id") == "" {
-			// Of another test process, which had the port before.
-			continue
-		}
 		salt, isolated := req.header.Get("Salt"), req.header.Get("Organisation") == "isolated"
 		before, found := salts[salt]
 		gomega.NewWithT(r.t).Expect(!found || before == isolated).To(gomega.BeTrue(), "%s: %q is for others as well", req.uri, salt)
@@ -307,7 +304,7 @@
 
 // versionTarget adds a target of a service and version.
 func (r *rig) versionTarget(id, service, version string, handle func(n int) handler) *fakeTarget {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	f := &fakeTarget{id: id, rig: r, l: l, handle: handle}
 	r.t.Cleanup(func() { l.Close() })
--- a/core/target/cut_test.go
+++ b/core/target/cut_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"embertally.dev/core/nettest"
 )
 
 // cutForms are forms of a response with the body "0123456789".
@@ -72,7 +74,7 @@
 }
 
 func newCutTarget(t *testing.T, before int) *cutTarget {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/target/detour_test.go
+++ b/core/target/detour_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"embertally.dev/core/nettest"
 )
 
 // An answer without a length that the box in between cut off must not look whole.
@@ -54,7 +56,7 @@
 	if err != nil {
 		return nil, "", errors.WithStack(ErrTargetRefused)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	if err != nil {
 		return nil, "", err
 	}
@@ -101,8 +103,7 @@
 	for range targets {
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") })}
 		for _, addresses := range []*[]string{&r.paths, &r.targets} {
-			// No outgoing connection uses this address, so that a port may be listened on again.
-			l, err := net.Listen("tcp", "127.0.0.2:0")
+			l, err := nettest.Listen()
 			r.g.Expect(err).NotTo(gomega.HaveOccurred())
 			*addresses = append(*addresses, l.Addr().String())
 			if addresses == &r.paths {
--- a/core/target/head_test.go
+++ b/core/target/head_test.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/memory"
+	"embertally.dev/core/nettest"
 )
 
 // endlessHeads are forms of bytes that never become a head.
@@ -59,7 +60,7 @@
 	for _, tc := range endlessHeads {
 		t.Run(tc.name, func(t *testing.T) {
 			g, link := gomega.NewWithT(t), &limitedLink{}
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			l, err := nettest.Listen()
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			defer l.Close()
 			go func() {
--- a/core/target/lend_test.go
+++ b/core/target/lend_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"embertally.dev/core/nettest"
 )
 
 // lendingPools are daemons that divide the connections to one target and lend them to each other.
@@ -44,7 +46,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			l, err := nettest.Listen()
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			t.Cleanup(func() { l.Close() })
 			p, address, ctx := &Pool{}, l.Addr().String(), context.Background()
@@ -80,7 +82,7 @@
 
 func TestBorrowedConnectionsCountAtTheLender(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { l.Close() })
 	pools, address := lendingPools{{}, {}, {}}, l.Addr().String()
--- a/core/wire/health_test.go
+++ b/core/wire/health_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"embertally.dev/core/nettest"
 )
 
 // silentListener makes the first connection that it accepts silent: nothing is read from it or written
@@ -30,7 +32,7 @@
 
 // serveSilent serves m behind a silentListener.
 func serveSilent(t *testing.T, m *Mux) *silentListener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/wire/stop_test.go
+++ b/core/wire/stop_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+
+	"embertally.dev/core/nettest"
 )
 
 // twoConnListener accepts one connection at once, and another one after the first was closed.
@@ -37,7 +39,7 @@
 // closes it, since the peer may be waiting in the same way.
 func TestConnectionAcceptedDuringShutdownIsClosed(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	first, firstPeer := net.Pipe()
 	second, secondPeer := net.Pipe()
--- a/core/wire/wire_test.go
+++ b/core/wire/wire_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"embertally.dev/core/bugs"
+	"embertally.dev/core/nettest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -26,7 +27,7 @@
 // serve serves m on a new listener until the test ends.
 func serve(t *testing.T, m *Mux) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/embctl/internal/ctl/ctl_test.go
+++ b/embctl/internal/ctl/ctl_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,12 +15,13 @@
 
 	"embertally.dev/core/conf"
 	"embertally.dev/core/event"
+	"embertally.dev/core/nettest"
 )
 
 // newDaemon starts an HTTP server in place of a daemon's operators' API and returns its URL.
 func newDaemon(t *testing.T, h http.HandlerFunc) string {
 	t.Helper()
-	s := httptest.NewServer(h)
+	s := nettest.NewServer(h)
 	t.Cleanup(s.Close)
 	return s.URL
 }
--- a/emberd/internal/daemon/daemon_test.go
+++ b/emberd/internal/daemon/daemon_test.go
@@ -13,6 +13,7 @@
 
 	"embertally.dev/core/certs"
 	"embertally.dev/core/event"
+	"embertally.dev/core/nettest"
 )
 
 // validSettings sets all required keys.
@@ -134,7 +135,7 @@
 	ownDir, otherDir := t.TempDir(), t.TempDir()
 	k := issuedKeys(t, ownDir, "entry-01")
 	otherKeys := issuedKeys(t, otherDir, "entry-01")
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := nettest.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer l.Close()
 	go func() {
