--- a/embfake/fake/site.go
+++ b/embfake/fake/site.go
@@ -24,6 +24,8 @@
 type SiteOptions struct {
 	// Dir is an existing directory for the daemons' settings, the resources and site.json.
 	Dir string
+	// IP is the address that emulators and daemons listen on, 127.0.0.1 by default.
+	IP string
 	// Daemons, Engines, Stores, Services and Domains are counts; Domains of failure domains.
 	Daemons, Engines, Stores, Services, Domains int
 	// Organisations is the number of organisations.
@@ -57,6 +59,9 @@
 			*v = d
 		}
 	}
+	if o.IP == "" {
+		o.IP = "127.0.0.1"
+	}
 	setDefault(&o.Daemons, 3)
 	setDefault(&o.Engines, 3)
 	setDefault(&o.Stores, 2)
@@ -190,8 +195,8 @@
 	lastPort int
 }
 
-// anyPort lets the system choose a port.
-const anyPort = "127.0.0.1:0"
+// anyPort returns an address for which the system chooses a port.
+func (s *Site) anyPort() string { return s.o.IP + ":0" }
 
 // NewSite starts the emulators and writes the files of a site.
 func NewSite(o SiteOptions) (*Site, error) {
@@ -231,13 +236,13 @@
 
 // startPlatform starts coordination store, box list and weight store.
 func (s *Site) startPlatform() (err error) {
-	if s.KeyValue, err = NewKeyValue(anyPort); err != nil {
+	if s.KeyValue, err = NewKeyValue(s.anyPort()); err != nil {
 		return err
 	}
-	if s.Boxes, err = NewBoxes(anyPort); err != nil {
+	if s.Boxes, err = NewBoxes(s.anyPort()); err != nil {
 		return err
 	}
-	if s.Weights, err = NewWeightStore(anyPort, s.o.WeightLoads, s.o.WeightTime); err != nil {
+	if s.Weights, err = NewWeightStore(s.anyPort(), s.o.WeightLoads, s.o.WeightTime); err != nil {
 		return err
 	}
 	s.Boxes.Lag = s.o.BoxLag
@@ -262,7 +267,7 @@
 		o.Weights = []target.Weights{{Model: SiteModel, Version: SiteVersion, Adapters: []string{"contracts"}}}
 		o.WeightStore = s.Weights.URL()
 		o.ChecksFence = i%2 == 0
-		e, err := NewEngine(anyPort, o)
+		e, err := NewEngine(s.anyPort(), o)
 		if err != nil {
 			return err
 		}
@@ -271,7 +276,7 @@
 		s.addBox(o.Name, i)
 	}
 	for i := range s.o.Stores {
-		st, err := NewStore(anyPort, s.o.Store)
+		st, err := NewStore(s.anyPort(), s.o.Store)
 		if err != nil {
 			return err
 		}
@@ -282,7 +287,7 @@
 	}
 	for i := range s.o.Services {
 		name := fmt.Sprintf("payments-%d", i+1)
-		v, err := NewService(anyPort, name)
+		v, err := NewService(s.anyPort(), name)
 		if err != nil {
 			return err
 		}
@@ -310,7 +315,7 @@
 	var lastErr error
 	for range portTries {
 		s.lastPort++
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+s.lastPort%portCount)
+		address := fmt.Sprintf("%s:%d", s.o.IP, firstPort+s.lastPort%portCount)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, errors.WithStack(l.Close())
@@ -364,7 +369,7 @@
 	if ca == nil {
 		scheme = "http://"
 	} else {
-		cert, key, err := ca.Issue(d.Name, net.ParseIP("127.0.0.1"))
+		cert, key, err := ca.Issue(d.Name, net.ParseIP(s.o.IP))
 		if err != nil {
 			return err
 		}
--- a/embplay/prove/proxy_test.go
+++ b/embplay/prove/proxy_test.go
@@ -34,8 +34,9 @@
 	proxied map[*proxiedConn]bool
 }
 
-func newProxy(to string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newProxy starts a proxy that listens at an IP address.
+func newProxy(ip, to string) (*proxy, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/embplay/prove/testbed_test.go
+++ b/embplay/prove/testbed_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
 	"embertally.dev/embfake/fake"
 	"embertally.dev/embplay/internal/play"
@@ -40,8 +41,10 @@
 
 // testbed is a site of fake targets with running daemons.
 type testbed struct {
-	site    *fake.Site
-	dir     string
+	site *fake.Site
+	dir  string
+	// ip is the address that all of the site listens on.
+	ip      string
 	daemons []*daemonProcess
 	caller  *play.Caller
 }
@@ -66,12 +69,12 @@
 
 // newSite starts fake targets and prepares daemons, without proxies.
 func newSite(dir string, o fake.SiteOptions) (*testbed, error) {
-	o.Dir = dir
+	o.Dir, o.IP = dir, nettest.IP()
 	site, err := fake.NewSite(o)
 	if err != nil {
 		return nil, err
 	}
-	r := &testbed{site: site, dir: dir}
+	r := &testbed{site: site, dir: dir, ip: o.IP}
 	if r.caller, err = play.NewCaller(site.File.CA); err != nil {
 		return nil, err
 	}
@@ -94,16 +97,16 @@
 // peers, and gives it a box list of its own with their addresses.
 func (r *testbed) insertProxies(p *daemonProcess) error {
 	var err error
-	if p.storeProxy, err = newProxy(strings.TrimPrefix(r.site.File.KeyValue, "http://")); err != nil {
+	if p.storeProxy, err = newProxy(r.ip, strings.TrimPrefix(r.site.File.KeyValue, "http://")); err != nil {
 		return err
 	}
-	if p.boxes, err = fake.NewBoxes("127.0.0.1:0"); err != nil {
+	if p.boxes, err = fake.NewBoxes(r.ip + ":0"); err != nil {
 		return err
 	}
 	for _, d := range r.site.File.Daemons {
 		box := plat.Box{Name: d.Name, Role: plat.RoleEntry, Address: d.Peers, Domain: d.Domain, State: plat.BoxLive}
 		if d.Name != p.Name {
-			link, err := newProxy(d.Peers)
+			link, err := newProxy(r.ip, d.Peers)
 			if err != nil {
 				return err
 			}
