Attempts that fail together count as one failure

What callers saw: 503 "this box reaches no target, nor does another for it" for up to 2 s at a box without paths of its own, after the boxes that forward for it were slow once, for 0.3 s. The same class: a prompt goes to workers of another cell for up to 5 s, since the owners of its cell were slow once.

Cause: each failed attempt doubled the backoff, also those that had waited for the same thing at the same time. 20 requests that time out together raised it from 0.2 to 2 s (0.05 to 0.4 s for lent connections, 0.3 to 5 s for owners) at once. An attempt that failed late even began a backoff if later ones had succeeded meanwhile.

Now a failure counts only if its attempt began after the last result. That holds for all five backoffs, since they share the type.

--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -175,12 +175,13 @@
 
 // openThrough requests a connection from one box.
 func (b *Boxes) openThrough(ctx context.Context, box, targetID string) (net.Conn, verdict) {
+	began := time.Now()
 	conn, verdict := b.request(ctx, box, kindOpen, targetID)
 	switch {
 	case verdict != cannotTell:
-		b.backoff.RecordSuccess(box)
+		b.backoff.RecordSuccess(box, time.Now())
 	case ctx.Err() == nil:
-		b.backoff.RecordFailure(box, time.Now())
+		b.backoff.RecordFailure(box, began, time.Now())
 	default:
 		// The request that needed the connection is over, as with the slower one of two attempts. That shows
 		// nothing of the box.
@@ -296,7 +297,7 @@
 // RecordLost implements target.Detour.
 func (b *Boxes) RecordLost(box string) {
 	now := time.Now()
-	b.backoff.RecordFailure(box, now)
+	b.backoff.RecordFailure(box, now, now)
 	b.boxesMu.Lock()
 	defer b.boxesMu.Unlock()
 	b.lostAt[box] = now
--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -36,6 +36,8 @@
 	mu sync.Mutex // guards targets
 	// targets holds, for each box, the addresses at which it reaches the targets.
 	targets []map[string]string
+	// stalled holds, for each box, a lock that keeps it from responding to requests for connections.
+	stalled []*sync.RWMutex
 }
 
 // newBoxesRig starts a box in each of some domains.
@@ -55,11 +57,13 @@
 			Name: seed.Name, Incarnation: seed.Name, Domain: seed.Domain, Address: seed.Address, Seeds: seeds,
 			HeartbeatInterval: 50 * time.Millisecond, SuspectAfter: 10 * time.Second, Log: &event.Log{},
 		})
-		addresses := map[string]string{}
+		addresses, stalled := map[string]string{}, &sync.RWMutex{}
 		b := New(Options{
 			Domain: seed.Domain, Fleet: f, Pool: &target.Pool{}, Opened: counter{}, Failed: counter{}, Forwarded: counter{}, Borrowed: counter{}, Lent: counter{},
 			ConnectionShare: func(string) int { return 10 },
 			Locate: func(id string) (string, string, bool) {
+				stalled.RLock()
+				defer stalled.RUnlock()
 				r.mu.Lock()
 				defer r.mu.Unlock()
 				address, listed := addresses[id]
@@ -70,6 +74,7 @@
 		t.Cleanup(cancel)
 		wg.Go(func() { f.Run(ctx, listeners[i]) })
 		r.boxes, r.fleets, r.stop, r.targets = append(r.boxes, b), append(r.fleets, f), append(r.stop, cancel), append(r.targets, addresses)
+		r.stalled = append(r.stalled, stalled)
 	}
 	for _, f := range r.fleets {
 		r.g.Eventually(func() int { return len(f.View().Eligible()) }, "30s", "10ms").Should(gomega.Equal(len(domains)))
@@ -262,6 +267,37 @@
 	}
 }
 
+// Guards against a box that is passed over for seconds after it was slow once, since each of the requests that waited for
+// it doubled the time.
+func TestRequestsThatFailTogetherCountOnceAgainstABox(t *testing.T) {
+	const requests = 20
+	for _, tc := range []struct {
+		name string
+		open func(*Boxes, context.Context, string) (net.Conn, string, error)
+		// ready reports whether box 1 is asked at a time.
+		ready func(b *Boxes, now time.Time) bool
+		first time.Duration
+	}{
+		{"forwarded", (*Boxes).Open, func(b *Boxes, now time.Time) bool { return b.backoff.Ready("box-1", now) }, backoffFirst},
+		{"lent", (*Boxes).Borrow, func(b *Boxes, now time.Time) bool { return b.lendBackoff.Ready("box-1", now) }, lendBackoffFirst},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newBoxesRig(t, "a", "b")
+			r.locate(1, "t-1", r.echo(make(chan struct{}, 1)))
+			r.stalled[1].Lock()
+			failed := make(chan error, requests)
+			for range requests {
+				go func() { _, _, err := tc.open(r.boxes[0], t.Context(), "t-1"); failed <- err }()
+			}
+			for range requests {
+				r.g.Expect(<-failed).NotTo(gomega.Succeed())
+			}
+			r.stalled[1].Unlock()
+			r.g.Expect(tc.ready(r.boxes[0], time.Now().Add(tc.first))).To(gomega.BeTrue())
+		})
+	}
+}
+
 // Guards against boxes that are passed over because requests ended while their connections were being opened: where the
 // first attempts of a burst lost against hedged ones, the others found no box to ask and were refused.
 func TestEndedRequestsDoNotCountAgainstABox(t *testing.T) {
--- a/core/detour/forward.go
+++ b/core/detour/forward.go
@@ -65,16 +65,17 @@
 	_, domain, _ := b.o.Locate(targetID)
 	candidates, _ := b.candidates(domain, &b.lendBackoff, time.Now())
 	for _, box := range candidates[:min(len(candidates), maxLenders)] {
+		began := time.Now()
 		conn, verdict := b.request(ctx, box, kindLend, targetID)
 		if verdict == opened {
-			b.lendBackoff.RecordSuccess(box)
+			b.lendBackoff.RecordSuccess(box, time.Now())
 			b.o.Borrowed.Inc()
 			return conn, box, nil
 		}
 		if ctx.Err() != nil {
 			break
 		}
-		b.lendBackoff.RecordFailure(box, time.Now())
+		b.lendBackoff.RecordFailure(box, began, time.Now())
 	}
 	return nil, "", errors.WithStack(target.ErrFull)
 }
--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -466,12 +466,13 @@
 	ctx, cancel := context.WithTimeout(ctx, co.timeout)
 	defer cancel()
 	var response placementResponse
+	began := time.Now()
 	err := co.fleet.Call(ctx, peer, kindPlacementRequest, request, &response)
 	if err != nil && !errors.Is(err, wire.ErrRemote) {
-		co.backoff.RecordFailure(peer, time.Now())
+		co.backoff.RecordFailure(peer, began, time.Now())
 		return nil, err
 	}
-	co.backoff.RecordSuccess(peer)
+	co.backoff.RecordSuccess(peer, time.Now())
 	return &response, err
 }
 
--- a/core/spread/storeindex.go
+++ b/core/spread/storeindex.go
@@ -173,16 +173,17 @@
 		if sourceErr != nil {
 			return ev, cmp.Or(err, sourceErr)
 		}
+		began := time.Now()
 		ev, err = request(source)
 		if source.peer == "" {
 			return ev, err
 		}
 		link := indexLink{source.peer, address}
 		if err == nil {
-			s.backoff.RecordSuccess(link)
+			s.backoff.RecordSuccess(link, time.Now())
 			return ev, nil
 		}
-		s.backoff.RecordFailure(link, time.Now())
+		s.backoff.RecordFailure(link, began, time.Now())
 		if ctx.Err() != nil {
 			return ev, err
 		}
--- a/core/spread/watchcache.go
+++ b/core/spread/watchcache.go
@@ -194,7 +194,7 @@
 	if peer == "" {
 		return
 	}
-	start := clock.Now()
+	start, began := clock.Now(), time.Now()
 	err := s.pullFrom(ctx, peer)
 	if err != nil {
 		s.requestsFailed.Add(1)
@@ -211,9 +211,9 @@
 			s.shardMismatches.Store(0)
 		}
 	case err != nil, clock.Since(s.watchCache.CachedAsOf()) > staleAfter:
-		s.relayBackoff.RecordFailure(relay, time.Now())
+		s.relayBackoff.RecordFailure(relay, began, time.Now())
 	default:
-		s.relayBackoff.RecordSuccess(relay)
+		s.relayBackoff.RecordSuccess(relay, time.Now())
 		s.shardMismatches.Store(0)
 	}
 }
