The result of a call is delivered as long as its key is known

Callers saw: a call with an idempotency key that ended while the store or the shard's owner could not be reached counted as running for the rest of the ten minutes: its caller was told 409 inProgress, could not learn of the outcome that is promised, nor send the call again where it had been told notRun.

Cause: a result was given up 20 s after its delivery had begun, while the claim that waits for it is recorded until the key expires. Besides, an owner that had a result but could not commit it acknowledged the second delivery of it; where the shard then changed its owner, the result was lost.

Evidence: TestOutcomesOutliveAnOutageThatTheirKeysOutlive (outages of 22 s), 3 of 4 forms failed before: the owner cut off, after a call that ran and after one that was not sent, and the store down with a change of owner after it. The fourth, the store down alone, passed by the owner's own retries.

A result that could not be delivered is tried again after the others that wait, until the claim is recorded no longer, so that it keeps none of the 64 senders; a repeated delivery waits for the commit of the first one.

--- a/core/once/msgs.go
+++ b/core/once/msgs.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/wire"
 )
 
@@ -123,6 +124,8 @@
 	Outcome Outcome       `msgpack:"o"`
 	// issuer is the daemon that issued the ticket; empty for a claim by idempotency key.
 	issuer string
+	// recorded is as in Attempt.
+	recorded clock.Time
 }
 
 // attemptResult is how an attempt ended; zero while it has no result.
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -15,10 +15,12 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/lease"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/wait"
 	"embertally.dev/core/wire"
 )
 
@@ -190,6 +192,13 @@
 	id   string
 	// issuer is the daemon that issued the ticket; empty for a claim by idempotency key.
 	issuer string
+	// recorded is until when the claim is recorded, and with it the result of the attempt.
+	recorded clock.Time
+}
+
+// recordedUntil returns until when the claim of a key is recorded, by this daemon's time of day.
+func (c *Once) recordedUntil(keyMillis int64) clock.Time {
+	return clock.Now().Add(min(time.Until(time.UnixMilli(keyMillis)), maxClockSkew) + c.window + maxClockSkew)
 }
 
 // Claim requests the right to run a call. Unless the state is Granted, the call must not be run and
@@ -201,7 +210,7 @@
 		Key: key, KeyMillis: keyTime.UnixMilli(), Attempt: uuid.NewString(),
 		Requester: c.name, Incarnation: c.incarnation, Digest: digest,
 	}
-	a := &Attempt{once: c, key: key, id: m.Attempt}
+	a := &Attempt{once: c, key: key, id: m.Attempt, recorded: c.recordedUntil(m.KeyMillis)}
 	ans := c.claimFromOwner(ctx, m)
 	if ans.State == Unavailable {
 		// The claim may have been committed nevertheless: release it.
@@ -266,7 +275,7 @@
 
 func (a *Attempt) settle(r attemptResult, o Outcome) {
 	select {
-	case a.once.settlements <- &settlement{Key: a.key, Attempt: a.id, Result: r, Outcome: o, issuer: a.issuer}:
+	case a.once.settlements <- &settlement{Key: a.key, Attempt: a.id, Result: r, Outcome: o, issuer: a.issuer, recorded: a.recorded}:
 	default:
 		// A claim without a result counts as running or unknown, which is safe.
 	}
@@ -275,11 +284,8 @@
 // settler sends results of attempts to the owners of their shards and to the issuers of tickets.
 type settler struct{ *Once }
 
-// settleTimeout bounds the delivery of one result, with all retries.
-const settleTimeout = 20 * time.Second
-
-// settleCallTimeout bounds one request to an owner, which responds once the result is committed.
-const settleCallTimeout = 5 * time.Second
+// settleTimeout bounds one delivery of a result to an owner, which responds once the result is committed.
+const settleTimeout = 5 * time.Second
 
 func (s settler) run(ctx context.Context) {
 	for {
@@ -287,27 +293,29 @@
 		case <-ctx.Done():
 			return
 		case m := <-s.settlements:
-			s.handle(ctx, m)
+			if !s.deliver(ctx, m) {
+				s.retryLater(ctx, m)
+			}
 		}
 	}
 }
 
-func (s settler) handle(ctx context.Context, m *settlement) {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
-	defer cancel()
-	for !s.deliver(ctx, m) {
-		t := time.NewTimer(retryInterval)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return
-		case <-t.C:
-		}
+// retryLater has a result delivered again after the others that wait, unless the claim is recorded no longer.
+func (s settler) retryLater(ctx context.Context, m *settlement) {
+	if !wait.For(ctx, retryInterval) || clock.Until(m.recorded) <= 0 {
+		return
+	}
+	select {
+	case s.settlements <- m:
+	default:
+		// As in Attempt.settle.
 	}
 }
 
 // deliver sends a result once and reports whether it was accepted.
 func (s settler) deliver(ctx context.Context, m *settlement) bool {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
 	n := m.Key.shard()
 	to, kind := s.ownerOf(n), kindSettle
 	if m.issuer != "" {
@@ -320,8 +328,6 @@
 	case to == s.name:
 		return s.shards[n].settleAndWait(ctx, m)
 	}
-	ctx, cancel := context.WithTimeout(ctx, settleCallTimeout)
-	defer cancel()
 	var accepted bool
 	return s.peers.Call(ctx, to, kind, m, &accepted) == nil && accepted
 }
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// setDead sets whether a node responds to the others.
+func (m *mesh) setDead(name string, dead bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dead[name] = dead
+}
+
 func newMesh(kv kv, names ...string) *mesh {
 	m := &mesh{nodes: map[string]*Once{}, owner: map[string]string{}, dead: map[string]bool{}}
 	for _, n := range names {
@@ -200,6 +207,70 @@
 	g.Expect(ans.State).To(gomega.Equal(Granted))
 }
 
+// The outcome of a call that ended in an outage was given up after a while, so that the call counted as running until its
+// key expired: its caller could neither learn of the outcome nor run it.
+func TestOutcomesOutliveAnOutageThatTheirKeysOutlive(t *testing.T) {
+	const outage = 22 * time.Second
+	tests := []struct {
+		name string
+		// begin and end are those of the outage.
+		begin, end func(m *mesh, store *memkv.KV)
+		settle     func(*Attempt)
+		want       State
+	}{
+		{
+			"the store is down, the call ran", func(_ *mesh, store *memkv.KV) { store.SetDown(true) },
+			func(_ *mesh, store *memkv.KV) { store.SetDown(false) },
+			func(a *Attempt) { a.RecordOutcome(Outcome{Status: 201}) }, Ran,
+		},
+		{
+			"the owner is cut off, the call ran", func(m *mesh, _ *memkv.KV) { m.setDead("a", true) },
+			func(m *mesh, _ *memkv.KV) { m.setDead("a", false) },
+			func(a *Attempt) { a.RecordOutcome(Outcome{Status: 201}) }, Ran,
+		},
+		{
+			"the store is down, then the owner is lost, the call ran", func(_ *mesh, store *memkv.KV) { store.SetDown(true) },
+			func(m *mesh, store *memkv.KV) {
+				m.assign("c")
+				for m.nodes["a"].OwnedShards() > 0 {
+					time.Sleep(time.Millisecond)
+				}
+				store.SetDown(false)
+			},
+			func(a *Attempt) { a.RecordOutcome(Outcome{Status: 201}) }, Ran,
+		},
+		{
+			"the owner is cut off, nothing was sent", func(m *mesh, _ *memkv.KV) { m.setDead("a", true) },
+			func(m *mesh, _ *memkv.KV) { m.setDead("a", false) },
+			func(a *Attempt) { a.Release() }, Granted,
+		},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			store := &memkv.KV{}
+			m := newMesh(store, "a", "b", "c")
+			m.start(t)
+			id, at := newIdempotencyKey(t)
+			key := NewKey("org", "pay", id)
+			attempt, ans := claimUntilAvailable(g, m.nodes["b"], key, at, 1)
+			g.Expect(ans.State).To(gomega.Equal(Granted))
+			tc.begin(m, store)
+			tc.settle(attempt)
+			time.Sleep(outage)
+			tc.end(m, store)
+			g.Eventually(func() State {
+				_, ans = m.nodes["c"].Claim(context.Background(), key, at, 1)
+				return ans.State
+			}, "10s", "20ms").Should(gomega.Equal(tc.want))
+			if tc.want == Ran {
+				g.Expect(ans.Outcome.Status).To(gomega.Equal(201))
+			}
+		})
+	}
+}
+
 // A pending claim is answered even if its shard changes its owner meanwhile.
 func TestPendingClaimSurvivesAChangeOfOwner(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/core/once/shard.go
+++ b/core/once/shard.go
@@ -66,8 +66,15 @@
 
 type pendingEntry struct {
 	entry
-	// done receives whether the entry was committed; its buffer holds that value.
-	done chan bool
+	// waiting receive whether the entry was committed; their buffers hold that value.
+	waiting []chan bool
+}
+
+// end reports whether the entry was committed.
+func (p *pendingEntry) end(committed bool) {
+	for _, done := range p.waiting {
+		done <- committed
+	}
 }
 
 // loggedBatch is a committed batch: the number of its log key and its MaxMillis.
@@ -185,8 +192,8 @@
 		s.once.log.Emit(event.ShardLost, event.Ref{}, strconv.Itoa(s.n))
 	}
 	s.owned, s.lease, s.table, s.logged = false, lease.Lease{}, table{}, nil
-	for _, p := range s.pending {
-		p.done <- false
+	for i := range s.pending {
+		s.pending[i].end(false)
 	}
 	s.pending = nil
 }
@@ -290,31 +297,48 @@
 	s.table.apply(&e)
 	s.table.claims[c.Key].committed = false
 	done := make(chan bool, 1)
-	s.pending = append(s.pending, pendingEntry{entry: e, done: done})
+	s.pending = append(s.pending, pendingEntry{e, []chan bool{done}})
 	return done, ClaimResponse{}
 }
 
-// settle adds the result of an attempt to the pending entries. The channel receives whether it was
-// committed; it is nil if this daemon doesn't own the shard or too many entries are pending.
+// settle adds the result of an attempt to the pending entries, unless it is among them. The channel receives whether it
+// was committed; it is nil if this daemon doesn't own the shard or too many entries are pending.
 func (s *shard) settle(m *settlement) chan bool {
 	s.shardMu.Lock()
 	defer s.shardMu.Unlock()
-	if !s.owned || len(s.pending) >= maxPending {
+	if !s.owned {
 		return nil
 	}
 	done := make(chan bool, 1)
 	c := s.table.claims[m.Key]
 	if c == nil || c.attempt != m.Attempt || c.result != 0 {
+		if p := s.pendingResult(m); p != nil {
+			p.waiting = append(p.waiting, done)
+			return done
+		}
 		done <- true
 		return done
 	}
+	if len(s.pending) >= maxPending {
+		return nil
+	}
 	e := entry{Key: m.Key, KeyMillis: c.keyMillis, Attempt: m.Attempt, Result: m.Result, Outcome: m.Outcome}
 	s.table.apply(&e)
-	s.pending = append(s.pending, pendingEntry{entry: e, done: done})
+	s.pending = append(s.pending, pendingEntry{e, []chan bool{done}})
 	s.wake()
 	return done
 }
 
+// pendingResult returns the pending entry with the result of an attempt, or nil. It is called with shardMu held.
+func (s *shard) pendingResult(m *settlement) *pendingEntry {
+	for i := range s.pending {
+		if p := &s.pending[i]; p.Key == m.Key && p.Attempt == m.Attempt && p.Result != 0 {
+			return p
+		}
+	}
+	return nil
+}
+
 // settleAndWait adds the result of an attempt and reports whether it was committed.
 func (s *shard) settleAndWait(ctx context.Context, m *settlement) bool {
 	done := s.settle(m)
@@ -338,15 +362,14 @@
 		s.shardMu.Unlock()
 		return
 	}
-	list := s.pending[:n:n]
 	seq, guard := s.seq+1, s.lease.Guard()
-	s.shardMu.Unlock()
-
 	b := batch{Entries: make([]entry, n)}
-	for i, p := range list {
-		b.Entries[i] = p.entry
-		b.MaxMillis = max(b.MaxMillis, p.KeyMillis)
+	for i := range b.Entries {
+		b.Entries[i] = s.pending[i].entry
+		b.MaxMillis = max(b.MaxMillis, s.pending[i].KeyMillis)
 	}
+	s.shardMu.Unlock()
+
 	raw, err := msgpack.Marshal(b)
 	if err != nil {
 		return
@@ -404,11 +427,12 @@
 	}
 	s.seq = seq
 	s.logged = append(s.logged, loggedBatch{seq, maxMillis})
-	for _, p := range s.pending[:n] {
+	for i := range s.pending[:n] {
+		p := &s.pending[i]
 		if c := s.table.claims[p.Key]; c != nil && c.attempt == p.Attempt {
 			c.committed = true
 		}
-		p.done <- true
+		p.end(true)
 	}
 	s.pending = append([]pendingEntry(nil), s.pending[n:]...)
 	if len(s.pending) > 0 {
--- a/core/once/ticket.go
+++ b/core/once/ticket.go
@@ -150,7 +150,9 @@
 			Requester: c.name, Incarnation: c.incarnation, Digest: digest,
 		},
 	}
-	a := &Attempt{once: c, key: m.Claim.Key, id: m.Claim.Attempt, issuer: tk.issuer}
+	a := &Attempt{
+		once: c, key: m.Claim.Key, id: m.Claim.Attempt, issuer: tk.issuer, recorded: c.recordedUntil(m.Claim.KeyMillis),
+	}
 	ans := c.claimFromIssuer(ctx, tk, m)
 	if ans.State != Granted {
 		return nil, ans, nil
