A claim that arrives after its release is not granted

Callers saw: claimUnavailable says that the same key may be sent again; where the shard's owner had been stopped or its connection replaced, each later try was answered 409 inProgress until the key expired, while no call ran.

Cause: a claim that its requester had given up was granted when the owner at last read it. Its release had been acknowledged and forgotten before: the owner counts the claim's 3 s from when it reads it, the requester from when it sends it.

The owner keeps the release of a claim that it does not know until the key is refused anyhow, and answers the claim "unavailable". Another try with the key is granted.

--- a/core/once/msgs.go
+++ b/core/once/msgs.go
@@ -118,10 +118,12 @@
 
 // settlement reports the result of an attempt.
 type settlement struct {
-	Key     Key           `msgpack:"k"`
-	Attempt string        `msgpack:"a"`
-	Result  attemptResult `msgpack:"e"`
-	Outcome Outcome       `msgpack:"o"`
+	Key Key `msgpack:"k"`
+	// KeyMillis is as in Claim; 0 from a daemon that doesn't send it.
+	KeyMillis int64         `msgpack:"t,omitempty"`
+	Attempt   string        `msgpack:"a"`
+	Result    attemptResult `msgpack:"e"`
+	Outcome   Outcome       `msgpack:"o"`
 	// issuer is the daemon that issued the ticket; empty for a claim by idempotency key.
 	issuer string
 	// recorded is as in Attempt.
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -187,9 +187,10 @@
 
 // Attempt is a granted claim. Exactly one of its methods must be called.
 type Attempt struct {
-	once *Once
-	key  Key
-	id   string
+	once      *Once
+	key       Key
+	keyMillis int64
+	id        string
 	// issuer is the daemon that issued the ticket; empty for a claim by idempotency key.
 	issuer string
 	// recorded is until when the claim is recorded, and with it the result of the attempt.
@@ -210,7 +211,7 @@
 		Key: key, KeyMillis: keyTime.UnixMilli(), Attempt: uuid.NewString(),
 		Requester: c.name, Incarnation: c.incarnation, Digest: digest,
 	}
-	a := &Attempt{once: c, key: key, id: m.Attempt, recorded: c.recordedUntil(m.KeyMillis)}
+	a := &Attempt{once: c, key: key, keyMillis: m.KeyMillis, id: m.Attempt, recorded: c.recordedUntil(m.KeyMillis)}
 	ans := c.claimFromOwner(ctx, m)
 	if ans.State == Unavailable {
 		// The claim may have been committed nevertheless: release it.
@@ -274,8 +275,9 @@
 func (a *Attempt) RecordUnknown() { a.settle(resultUnknown, Outcome{}) }
 
 func (a *Attempt) settle(r attemptResult, o Outcome) {
+	m := &settlement{Key: a.key, KeyMillis: a.keyMillis, Attempt: a.id, Result: r, Outcome: o, issuer: a.issuer, recorded: a.recorded}
 	select {
-	case a.once.settlements <- &settlement{Key: a.key, Attempt: a.id, Result: r, Outcome: o, issuer: a.issuer, recorded: a.recorded}:
+	case a.once.settlements <- m:
 	default:
 		// A claim without a result counts as running or unknown, which is safe.
 	}
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -271,6 +271,26 @@
 	}
 }
 
+// The owner read a claim only after its requester had given it up: it was granted to nobody, and the key could not be
+// used any more.
+func TestAClaimThatIsReadAfterItsReleaseIsNotGranted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMesh(&memkv.KV{}, "a")
+	m.start(t)
+	firstID, at := newIdempotencyKey(t)
+	claimUntilAvailable(g, m.nodes["a"], NewKey("org", "pay", firstID), at, 1)
+	id, at := newIdempotencyKey(t)
+	key := NewKey("org", "pay", id)
+	owner := m.nodes["a"].shards[key.shard()]
+	late := &Claim{Key: key, KeyMillis: at.UnixMilli(), Attempt: "late", Requester: "b", Incarnation: "b-1", Digest: 1}
+	g.Eventually(func() bool {
+		return owner.settleAndWait(context.Background(), &settlement{Key: key, KeyMillis: late.KeyMillis, Attempt: late.Attempt, Result: resultNotRun})
+	}, "10s", "20ms").Should(gomega.BeTrue())
+	g.Expect(owner.claim(context.Background(), late).State).To(gomega.Equal(Unavailable))
+	_, ans := claimUntilAvailable(g, m.nodes["a"], key, at, 1)
+	g.Expect(ans.State).To(gomega.Equal(Granted), "to another attempt")
+}
+
 // A pending claim is answered even if its shard changes its owner meanwhile.
 func TestPendingClaimSurvivesAChangeOfOwner(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/core/once/shard.go
+++ b/core/once/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -60,6 +61,9 @@
 	// logged lists the batches in the coordination store, oldest first. Guarded by shardMu.
 	logged []loggedBatch
 	seq    uint64 // number of the last log key; guarded by shardMu
+	// released holds the key times, by attempt, of claims that were released before they arrived. They are kept until
+	// their keys expire, maxClaims at most. Guarded by shardMu.
+	released map[string]int64
 	// wakeup wakes run.
 	wakeup chan struct{}
 }
@@ -287,6 +291,9 @@
 	if len(s.pending) >= maxPending {
 		return nil, ClaimResponse{State: Unavailable}
 	}
+	if _, released := s.released[c.Attempt]; released {
+		return nil, ClaimResponse{State: Unavailable}
+	}
 	if ans := s.table.check(c, time.Now(), s.once.window, s.once.running); ans.State != "" {
 		return nil, ans
 	}
@@ -316,6 +323,9 @@
 			p.waiting = append(p.waiting, done)
 			return done
 		}
+		if m.Result == resultNotRun && (c == nil || c.attempt != m.Attempt) {
+			s.recordReleased(m)
+		}
 		done <- true
 		return done
 	}
@@ -329,6 +339,17 @@
 	return done
 }
 
+// recordReleased records that a claim which has not arrived must not be granted: its requester has given it up, and it
+// may still be under way. It is called with shardMu held.
+func (s *shard) recordReleased(m *settlement) {
+	if s.released == nil {
+		s.released = map[string]int64{}
+	}
+	if len(s.released) < maxClaims {
+		s.released[m.Attempt] = m.KeyMillis
+	}
+}
+
 // pendingResult returns the pending entry with the result of an attempt, or nil. It is called with shardMu held.
 func (s *shard) pendingResult(m *settlement) *pendingEntry {
 	for i := range s.pending {
@@ -445,6 +466,7 @@
 	s.shardMu.Lock()
 	s.table.expire(time.Now(), s.once.window)
 	floor, guard := s.table.floor, s.lease.Guard()
+	maps.DeleteFunc(s.released, func(_ string, keyMillis int64) bool { return keyMillis <= floor })
 	expired := 0
 	for expired < len(s.logged) && s.logged[expired].maxMillis <= floor {
 		expired++
--- a/core/once/ticket.go
+++ b/core/once/ticket.go
@@ -151,7 +151,8 @@
 		},
 	}
 	a := &Attempt{
-		once: c, key: m.Claim.Key, id: m.Claim.Attempt, issuer: tk.issuer, recorded: c.recordedUntil(m.Claim.KeyMillis),
+		once: c, key: m.Claim.Key, keyMillis: m.Claim.KeyMillis, id: m.Claim.Attempt, issuer: tk.issuer,
+		recorded: c.recordedUntil(m.Claim.KeyMillis),
 	}
 	ans := c.claimFromIssuer(ctx, tk, m)
 	if ans.State != Granted {
