What a target reports about itself is kept from the last report on

Callers saw: requests went to targets that had said that they were shutting down, or that they wanted none for a time, once their entry had gone and come back (an outage of the list, a list restored from an older copy), and to targets of other cells without that. Such requests are rejected or lost.

Cause: reports are to outlive the entry by an hour, but the hour counted from the first report of any kind. Of a target that had reported anything more than an hour before, all was dropped as soon as it was unlisted and any other target reported something; of targets that other cells list, while in use.

Evidence: TestSelfReportsAreKeptFromTheLastReportOrTheEndOfTheEntry, 4 of 4 forms failed before: the target got requests.

The hour now counts from the last report and from the end of the entry, whichever is later.

--- a/core/roster/availability_test.go
+++ b/core/roster/availability_test.go
@@ -86,6 +86,57 @@
 	g.Expect(r.RecentShutdowns()).To(gomega.BeEmpty())
 }
 
+// What a target had reported about itself was dropped an hour after its first report, whatever it had reported since: its
+// entry went and came back, and it got requests although it was shutting down or had just asked for none.
+func TestSelfReportsAreKeptFromTheLastReportOrTheEndOfTheEntry(t *testing.T) {
+	report := func(r *Roster, id string) { r.RecordRejection(id, Pushback{Duration: time.Second}) }
+	tests := []struct {
+		name   string
+		report func(r *Roster, id string)
+		// external is set if the list does not contain the target.
+		external bool
+		want     UnavailabilityReason
+	}{
+		{"it asks for a rest, for the second time", func(r *Roster, id string) {
+			report(r, id)
+			clock.Suspend(selfReportTTL + time.Minute)
+			r.RecordRejection(id, Pushback{Duration: MaxPushback})
+		}, false, UnderPushback},
+		{"it asks for a rest, for the second time, external", func(r *Roster, id string) {
+			report(r, id)
+			clock.Suspend(selfReportTTL + time.Minute)
+			r.RecordRejection(id, Pushback{Duration: MaxPushback})
+		}, true, UnderPushback},
+		{"it has been shutting down for long", func(r *Roster, id string) {
+			r.RecordShutdown(id, ByResponse)
+			clock.Suspend(selfReportTTL + time.Minute)
+		}, false, ShuttingDown},
+		{"it reports its shutdown again, external", func(r *Roster, id string) {
+			r.RecordShutdown(id, ByResponse)
+			clock.Suspend(selfReportTTL + time.Minute)
+			r.RecordShutdown(id, ByResponse)
+		}, true, ShuttingDown},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := New(&event.Log{}, nil)
+			if tc.external {
+				r.AddExternal(entry("a"))
+			} else {
+				r.Put(entry("a"))
+			}
+			tc.report(r, "a")
+			r.Remove("a", clock.Now())
+			report(r, "b")
+			if !tc.external {
+				r.Put(entry("a"))
+			}
+			g.Expect(r.Admit(r.Target("a"), Permit{})).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
 // Reports of removed incarnations are kept in case their entries return, but not for ever.
 func TestSelfReportsExpire(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/core/roster/selfreport.go
+++ b/core/roster/selfreport.go
@@ -25,9 +25,10 @@
 	// again, whatever its entry shows later.
 	shuttingDown bool
 	source       Source
-	// since is when the shutdown was first reported, or else when the first report of any kind
-	// arrived.
+	// since is when the shutdown was first reported.
 	since clock.Time
+	// lastReport is when the last report of any kind arrived.
+	lastReport clock.Time
 	// pushback is the pushback for this daemon. It is not sent to other daemons: how much a target
 	// accepts from one of them is no measure for the next.
 	pushback pushback
@@ -39,27 +40,33 @@
 	invalidLogged bool
 }
 
-// selfReportTTL is how long an incarnation's report is kept after its entry disappeared, in case
-// the entry returns. It is longer than any observed outage of the list (20 s), and longer than a
+// selfReportTTL is how long an incarnation's report is kept after its entry disappeared, and after
+// it last reported anything, in case the entry returns. It is longer than any observed outage of the list (20 s), and longer than a
 // target continues to serve after its shutdown was announced.
 const selfReportTTL = time.Hour
 
 // selfReportOf returns an incarnation's report for modification, and creates it if needed. It is
 // called with rosterMu held.
 func (r *Roster) selfReportOf(id string) *selfReport {
+	now := clock.Now()
 	report := r.selfReports[id]
-	if report != nil {
-		return report
+	if report == nil {
+		r.removeOldReports(now)
+		report = &selfReport{}
+		r.selfReports[id] = report
 	}
-	now := clock.Now()
-	for other, old := range r.selfReports {
-		if r.targets[other] == nil && now.Sub(old.since) > selfReportTTL {
-			delete(r.selfReports, other)
+	report.lastReport = now
+	return report
+}
+
+// removeOldReports removes the reports of incarnations that have neither been listed nor reported
+// anything for selfReportTTL. It is called with rosterMu held.
+func (r *Roster) removeOldReports(now clock.Time) {
+	for id, report := range r.selfReports {
+		if r.targets[id] == nil && now.Sub(report.lastReport) > selfReportTTL && now.Sub(r.removed[id].at) > selfReportTTL {
+			delete(r.selfReports, id)
 		}
 	}
-	report = &selfReport{since: now}
-	r.selfReports[id] = report
-	return report
 }
 
 // RecordShutdown records that an incarnation reported that it is shutting down, and the source of
@@ -72,10 +79,10 @@
 
 // recordShutdown is RecordShutdown with rosterMu held.
 func (r *Roster) recordShutdown(id string, source Source) bool {
-	if report := r.selfReports[id]; report != nil && report.shuttingDown {
+	report := r.selfReportOf(id)
+	if report.shuttingDown {
 		return false
 	}
-	report := r.selfReportOf(id)
 	report.shuttingDown, report.source, report.since = true, source, clock.Now()
 	r.log.Emit(event.TargetSaysLeaving, event.Ref{Target: id}, "reported by "+string(source))
 	return true
