A weight update goes on while the worker carries out the order

Callers saw: requests were sent to workers that carried out an order and rejected them, and were tried elsewhere, late. Where runs take minutes each worker got requests again every nine seconds until its runs had ended, and another worker was ordered meanwhile beyond the number that may be out at a time.

Cause: an update was given up 9 s after its start, while the order lasts as long as the worker's longest run, since it makes the worker finish its runs first. The mark that keeps requests away was renewed by the worker's answers only: it lapsed 1 s after the last one, while three requests for its state take 2.5 s to fail.

The 9 s now count from the last report that the order is carried out, and the mark is renewed with each request for the state.

--- a/core/order/update.go
+++ b/core/order/update.go
@@ -27,12 +27,13 @@
 	// reorderAfter is how long an order without a response may take to show in the
 	// worker's state before it is sent again.
 	reorderAfter = 900 * time.Millisecond
-	// updateTimeout bounds one weight update: the worker first finishes its
-	// requests, and a load takes about a second, longer while many load.
+	// updateTimeout is how long an update goes on without the worker reporting that it carries out the order. The
+	// worker first finishes its requests, however long they run, and a load takes about a second, longer while many
+	// load.
 	updateTimeout = 9 * time.Second
 	// initialMarkTime is how long a worker is marked as about to change its
 	// weights from the start of its update, and markTime from each state
-	// response on. EndUpdate removes the mark sooner; these times bound it if this
+	// request on. EndUpdate removes the mark sooner; these times bound it if this
 	// daemon is lost.
 	initialMarkTime = updateTimeout / 3
 	markTime        = time.Second
@@ -57,6 +58,8 @@
 	version int64
 	// ordered is when the order was last sent; zero before.
 	ordered time.Time
+	// busy is when the worker last reported that it carries out an order, or when the update started.
+	busy time.Time
 	// notified is when the observer was last notified that the update is in
 	// progress.
 	notified time.Time
@@ -66,10 +69,9 @@
 
 // run executes the update and records its result.
 func (u *weightUpdate) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
-	defer cancel()
 	s, id := u.updater, u.target.ID()
-	s.o.Roster.BeginUpdate(id, time.Now().Add(initialMarkTime))
+	u.busy = time.Now()
+	s.o.Roster.BeginUpdate(id, u.busy.Add(initialMarkTime))
 	s.o.Notify()
 	u.notifyProgress()
 	err := u.execute(ctx)
@@ -114,7 +116,7 @@
 		return err
 	}
 	for u.state.Weights[u.model] < u.version || u.state.Busy {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || time.Since(u.busy) > updateTimeout {
 			return errTimeout
 		}
 		if u.orderDue() {
@@ -127,8 +129,6 @@
 		if err := u.pollState(ctx); err != nil && ctx.Err() == nil {
 			return err
 		}
-		u.updater.o.Roster.BeginUpdate(u.target.ID(), time.Now().Add(markTime))
-		u.notifyProgress()
 	}
 	return nil
 }
@@ -138,10 +138,12 @@
 	return !u.state.Busy && u.state.Weights[u.model] < u.version && time.Since(u.ordered) > reorderAfter
 }
 
-// pollState requests the worker's state. Responses may be lost.
+// pollState requests the worker's state, and marks the worker meanwhile. Responses may be lost.
 func (u *weightUpdate) pollState(ctx context.Context) error {
 	var err error
 	for range stateTries {
+		u.updater.o.Roster.BeginUpdate(u.target.ID(), time.Now().Add(markTime))
+		u.notifyProgress()
 		tryCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		var st WorkerState
 		st, err = u.updater.o.Client.State(tryCtx, u.target.Entry().Address, u.target.ID())
@@ -151,7 +153,9 @@
 			return errOtherIncarnation
 		}
 		if err == nil {
-			u.state = st
+			if u.state = st; st.Busy {
+				u.busy = time.Now()
+			}
 			return nil
 		}
 		wait.For(ctx, pollInterval)
