The slot of a load is kept while its order may still be carried out

Cause: a load that is no longer wanted counted as over as soon as the last report of its worker showed none. That report could be up to 4 s old, from before the order, and an order may be carried out until it expires, 5 s after it was committed. So a fact of one date (no load) ended a permit that counts from another (the order).

The slot is now kept until a report from after the order's expiry shows no load, the worker has the weights, or it is out of use; where it reports nothing, until the order has expired. A new holder counts from when it took over.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -432,7 +432,8 @@
 }
 
 // WorkerStatus is the recent state of a worker, for operators. QueuedTokens counts prompt tokens,
-// Running requests, FreeBlocks and TotalBlocks KV-cache blocks; LoadedWeights names the loaded weights.
+// Running requests, FreeBlocks and TotalBlocks KV-cache blocks; LoadedWeights names the loaded weights. Age is the time
+// since the worker reported it.
 type WorkerStatus struct {
 	QueuedTokens  int
 	Running       int
@@ -440,12 +441,14 @@
 	TotalBlocks   int
 	LoadedWeights []string
 	Loading       bool
+	Age           time.Duration
 }
 
 // WorkerStatus returns the state of a worker, or false if there is no recent report.
 func (h *Owner) WorkerStatus(name string) (WorkerStatus, bool) {
-	l, ok := h.loads.load(name, 0, time.Now())
-	return WorkerStatus{l.tokensAhead, l.Running, l.Free, l.Total, l.Weights, l.Loading}, ok
+	now := time.Now()
+	l, ok := h.loads.load(name, 0, now)
+	return WorkerStatus{l.tokensAhead, l.Running, l.Free, l.Total, l.Weights, l.Loading, now.Sub(l.takenAt)}, ok
 }
 
 // LinkStatus returns the backlog of a store's link in bytes and its rate in bytes per
--- a/core/home/loads.go
+++ b/core/home/loads.go
@@ -188,6 +188,8 @@
 	// availableBlocks is the worker's capacity in blocks, less the prompts of the requests
 	// that this daemon placed there and that have no first token yet.
 	availableBlocks int
+	// takenAt is as in report.
+	takenAt time.Time
 }
 
 // load returns the load that a request of the priority would find at a worker, or false if
@@ -199,7 +201,7 @@
 	if !ok || now.Sub(r.takenAt) > maxReportAge || now.Before(l.failedUntil[worker]) {
 		return estimatedLoad{}, false
 	}
-	w := estimatedLoad{workerLoad: r.workerLoad, availableBlocks: r.Total}
+	w := estimatedLoad{workerLoad: r.workerLoad, availableBlocks: r.Total, takenAt: r.takenAt}
 	for p := priority; p < len(r.Queued); p++ {
 		w.tokensAhead += r.Queued[p]
 	}
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -71,13 +71,13 @@
 	o     Options
 	lease lease.Lease
 	// takenAt is when the lease was taken.
-	takenAt time.Time
+	takenAt clock.Time
 	// lastSent is when each worker was last sent an order.
-	lastSent map[string]time.Time
+	lastSent map[string]clock.Time
 }
 
 // New returns a Holder.
-func New(o Options) *Holder { return &Holder{o: o, lastSent: map[string]time.Time{}} }
+func New(o Options) *Holder { return &Holder{o: o, lastSent: map[string]clock.Time{}} }
 
 const (
 	// checkInterval is the time between checks of the weights that workers
@@ -147,7 +147,7 @@
 	if err != nil {
 		return
 	}
-	slots = h.releaseSlots(ctx, view, slots, missing)
+	slots = h.releaseSlots(ctx, snap, view, slots, missing)
 	for _, w := range missing {
 		if slots = h.startLoad(ctx, w, slots); !h.lease.Held() {
 			return
@@ -196,7 +196,7 @@
 	if err != nil {
 		return false
 	}
-	h.lease, h.takenAt = l, time.Now()
+	h.lease, h.takenAt = l, clock.Now()
 	h.o.Log.Emit(event.LeaseTaken, event.Ref{}, fmt.Sprintf("%s, epoch %d", Assignment(view.Cell()), l.Epoch()))
 	return true
 }
@@ -218,13 +218,12 @@
 
 // releaseSlots frees the slots of this cell whose load is finished or no longer
 // wanted, and returns the remaining slots.
-func (h *Holder) releaseSlots(ctx context.Context, view *fleet.View, slots []slot, missing []wantedLoad) []slot {
+func (h *Holder) releaseSlots(ctx context.Context, snap *conf.Snapshot, view *fleet.View, slots []slot, missing []wantedLoad) []slot {
 	var remaining []slot
 	for _, s := range slots {
 		wanted := slices.ContainsFunc(missing, func(w wantedLoad) bool { return w.worker == s.Worker && w.deployment == s.Deployment })
-		st, found := h.o.Workers.WorkerStatus(s.Worker)
 		local := view.CellOf(s.Worker) == view.Cell()
-		if !local || wanted || (found && st.Loading) {
+		if !local || wanted || h.mayLoad(snap, view, s) {
 			remaining = append(remaining, s)
 			continue
 		}
@@ -242,6 +241,31 @@
 	return remaining
 }
 
+// mayLoad reports whether the worker of a slot loads, or may still begin to: until its order has expired, a report that it
+// doesn't load says nothing unless it has the weights.
+func (h *Holder) mayLoad(snap *conf.Snapshot, view *fleet.View, s slot) bool {
+	st, found := h.o.Workers.WorkerStatus(s.Worker)
+	if found && st.Loading {
+		return true
+	}
+	if !view.Usable(s.Worker, snap.Target(s.Worker)) {
+		return false
+	}
+	d := snap.Deployment(s.Deployment)
+	if found && d != nil && d.WeightVersion == s.Version && hasWeights(st, d) {
+		return false
+	}
+	sent, known := h.lastSent[s.Worker]
+	if !known {
+		// A former holder sent it.
+		sent = h.takenAt
+	}
+	if !found {
+		st.Age = 0
+	}
+	return clock.Since(sent)-st.Age <= orderTTL
+}
+
 // startLoad reserves a slot for a load and sends the order. If the worker has a
 // slot already, it may send the order again.
 func (h *Holder) startLoad(ctx context.Context, w wantedLoad, slots []slot) []slot {
@@ -274,13 +298,13 @@
 
 // mayOrder reports whether this holder may send orders to a worker yet.
 func (h *Holder) mayOrder(w wantedLoad) bool {
-	return w.target.ChecksFence || time.Since(h.takenAt) > orderTTL
+	return w.target.ChecksFence || clock.Since(h.takenAt) > orderTTL
 }
 
 // resend sends an order again if the worker does not report that it is loading.
 func (h *Holder) resend(ctx context.Context, w wantedLoad, s slot) {
 	st, found := h.o.Workers.WorkerStatus(w.worker)
-	if !found || st.Loading || time.Since(h.lastSent[w.worker]) < resendAfter || !h.mayOrder(w) {
+	if !found || st.Loading || clock.Since(h.lastSent[w.worker]) < resendAfter || !h.mayOrder(w) {
 		return
 	}
 	raw, err := json.Marshal(slot{Worker: w.worker, Deployment: w.deployment, Version: w.spec.WeightVersion, Fence: h.lease.Fence()})
@@ -324,7 +348,7 @@
 
 // send sends an order unless it has expired since its commit.
 func (h *Holder) send(ctx context.Context, w wantedLoad, expires clock.Time) {
-	h.lastSent[w.worker] = time.Now()
+	h.lastSent[w.worker] = clock.Now()
 	ref := event.Ref{Target: w.worker}
 	remaining := clock.Until(expires)
 	if remaining <= 0 {
