A rollout waits for the requests of daemons that are silent

Operators saw: a rollout completed because "nothing runs at old targets any more" while a daemon that was stopped or cut off for two seconds had requests there, which are lost when the old targets are removed.

Cause: a daemon's report that it has requests at old targets counted for 2 s after it came. What it says lasts as long as the requests.

Evidence: TestARolloutWaitsForRequestsOfDaemonsThatAreSilent, 2 of 7 forms failed before because old targets counted as idle (a third, a daemon that starts again, failed the other way and shows that a new start is now taken for the end).

The last report of each daemon counts until a later one or a later incarnation of it replaces it. Where a box is lost for good the rollout completes when its time is up, as before where requests go on.

--- a/core/canary/control.go
+++ b/core/canary/control.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/plat"
@@ -56,10 +55,12 @@
 	reports map[string]map[string]receivedReport
 }
 
-// receivedReport is a report and the time it was received.
+// receivedReport is the last report of an incarnation of a daemon.
 type receivedReport struct {
 	report Report
-	at     clock.Time
+	daemon string
+	// ended states that a later incarnation of the daemon has reported.
+	ended bool
 }
 
 // Times of rollouts.
@@ -72,9 +73,6 @@
 	// reportTimeout bounds the sending of a report, and writeTimeout a write to the store.
 	reportTimeout = 500 * time.Millisecond
 	writeTimeout  = time.Second
-	// reportTTL is how long after its last report a daemon counts as possibly having requests in
-	// flight on old targets.
-	reportTTL = 2 * time.Second
 )
 
 // NewController returns a Controller. It must be called before the fleet runs.
@@ -117,7 +115,7 @@
 	switch holder := c.o.Holder(); holder {
 	case "":
 	case self:
-		c.storeReports(c.o.Incarnation, reports)
+		c.storeReports(self, c.o.Incarnation, reports)
 	default:
 		c.sendReports(ctx, holder, &reportMessage{Incarnation: c.o.Incarnation, Reports: reports})
 	}
@@ -136,25 +134,31 @@
 }
 
 // receive stores another daemon's reports.
-func (c *Controller) receive(_ context.Context, _ string, m *reportMessage) (struct{}, error) {
-	c.storeReports(m.Incarnation, m.Reports)
+func (c *Controller) receive(_ context.Context, from string, m *reportMessage) (struct{}, error) {
+	c.storeReports(from, m.Incarnation, m.Reports)
 	return struct{}{}, nil
 }
 
 // storeReports stores the reports of one incarnation of a daemon.
-func (c *Controller) storeReports(incarnation string, reports []Report) {
+func (c *Controller) storeReports(daemon, incarnation string, reports []Report) {
 	c.reportsMu.Lock()
 	defer c.reportsMu.Unlock()
 	for _, r := range reports {
 		if c.reports[r.Service] == nil {
 			c.reports[r.Service] = map[string]receivedReport{}
 		}
-		c.reports[r.Service][incarnation] = receivedReport{r, clock.Now()}
+		for other, last := range c.reports[r.Service] {
+			if last.daemon == daemon && other != incarnation {
+				last.ended = true
+				c.reports[r.Service][other] = last
+			}
+		}
+		c.reports[r.Service][incarnation] = receivedReport{report: r, daemon: daemon}
 	}
 }
 
 // evidence returns all daemons' statistics for an order, and whether the old targets have finished
-// their requests.
+// their requests. Those of a daemon that is silent go on for all that is known.
 func (c *Controller) evidence(o *Order, phase Phase) (Evidence, bool) {
 	c.reportsMu.Lock()
 	defer c.reportsMu.Unlock()
@@ -165,7 +169,7 @@
 			continue
 		}
 		e.add(last.report.Routes)
-		if clock.Since(last.at) <= reportTTL && (last.report.Phase != phase || last.report.RunningOnOld > 0) {
+		if !last.ended && (last.report.Phase != phase || last.report.RunningOnOld > 0) {
 			idle = false
 		}
 	}
--- a/core/canary/control_test.go
+++ b/core/canary/control_test.go
@@ -14,6 +14,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/goleak"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
@@ -281,3 +282,40 @@
 		})
 	}
 }
+
+// A daemon that had been silent for two seconds, stopped or cut off, counted as having no requests at old targets, so that
+// a rollout was completed and its streams were lost with these.
+func TestARolloutWaitsForRequestsOfDaemonsThatAreSilent(t *testing.T) {
+	report := func(phase Phase, running int) []Report {
+		return []Report{{Service: "s", Order: 1, Phase: phase, RunningOnOld: running}}
+	}
+	tests := []struct {
+		name  string
+		after func(c *Controller) // what happens after daemon b has last reported two requests
+		want  bool
+	}{
+		{"it reports none", func(c *Controller) { c.storeReports("b", "b/1", report(Moving, 0)) }, true},
+		{"it goes on", func(*Controller) {}, false},
+		{"it is silent", func(*Controller) { clock.Suspend(time.Minute) }, false},
+		{"it is silent since the phase before", func(c *Controller) {
+			c.storeReports("b", "b/1", report(Trying, 0))
+			clock.Suspend(time.Minute)
+		}, false},
+		{"it was silent and reports again", func(c *Controller) {
+			clock.Suspend(time.Minute)
+			c.storeReports("b", "b/1", report(Moving, 0))
+		}, true},
+		{"it starts again", func(c *Controller) { c.storeReports("b", "b/2", report(Moving, 0)) }, true},
+		{"it starts again and has requests", func(c *Controller) { c.storeReports("b", "b/2", report(Moving, 1)) }, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := NewController(Options{Fleet: fleet.New(fleet.Options{Name: "a", Log: &event.Log{}})})
+			c.storeReports("b", "b/1", report(Moving, 2))
+			tc.after(c)
+			c.storeReports("a", "a/1", report(Moving, 0))
+			_, idle := c.evidence(&Order{Service: "s", Revision: 1}, Moving)
+			gomega.NewWithT(t).Expect(idle).To(gomega.Equal(tc.want))
+		})
+	}
+}
--- a/core/canary/evaluate.go
+++ b/core/canary/evaluate.go
@@ -108,7 +108,7 @@
 	Elapsed, Duration time.Duration
 	Evidence          Evidence
 	// OldIdle reports that no daemon has requests in flight on old targets, and that all daemons
-	// that reported recently apply the phase.
+	// that have reported apply the phase.
 	OldIdle bool
 }
 
