--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -94,7 +94,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var ordered atomic.Int64
-			engine := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ordered.Add(1) }))
+			engine := nettest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ordered.Add(1) }))
 			t.Cleanup(engine.Close)
 			store, seq := conf.NewStore(&event.Log{}), uint64(0)
 			set := func(kind conf.Kind, name, spec string) conf.Change {
