Lines of streams that are taken up tell by whose word and how old it is

Logs said that a stream was bound to a version, but not whether this daemon, another one, the store or the lack of other versions said so, nor how old that was; nothing told afterwards that a stream had been joined from two versions. The line of a bound resumption now names the daemon or the key and the age of the record or of the view behind a proof. A record that names another version of the same service than an earlier one of the same attempt is counted in embertally_stream_origins_conflicting_total at each daemon that hears of both.

--- a/core/origin/archive.go
+++ b/core/origin/archive.go
@@ -171,11 +171,9 @@
 	return append(out, p)
 }
 
-// find returns the stream of a key, unless the pages hold none or several.
-func (a *archive) find(k key) (Stream, bool) {
+// find returns the stream of a key, and the key of a page that has it, unless the pages hold none or several.
+func (a *archive) find(k key) (out Stream, page string, found bool) {
 	wanted := k.bytes()
-	var out Stream
-	found := false
 	for _, pair := range a.copy.WithPrefix(KeyPrefix) {
 		groups, err := parsePage(pair.Value)
 		if err != nil {
@@ -187,12 +185,12 @@
 				continue
 			}
 			if found && out != groups[i].Stream {
-				return Stream{}, false
+				return Stream{}, "", false
 			}
-			out, found = groups[i].Stream, true
+			out, page, found = groups[i].Stream, pair.Key, true
 		}
 	}
-	return out, found
+	return out, page, found
 }
 
 // storedGroup is a toldGroup in the coordination store, a page being a list of them.
--- a/core/origin/book.go
+++ b/core/origin/book.go
@@ -42,6 +42,8 @@
 	// Versions returns what this daemon can say of a service's versions: the version unless it is Several. It must
 	// not block.
 	Versions func(service string) (string, Proof)
+	// ViewAge returns how old the view is by which Versions says so. It must not block. Nil means that it is current.
+	ViewAge func() time.Duration
 	// Inherit records that another daemon has proven that a service has had a single version. Nil does nothing.
 	Inherit func(service string)
 	// Copy is this daemon's copy of the coordination store, where records are looked up, and Store is the store, where
@@ -75,6 +77,9 @@
 	outbox []toldRecord
 	// unsaved holds the records of this cell that are not known to be in the store. Guarded by bookMu.
 	unsaved []toldRecord
+	// conflicts counts the records that name another version of a service than an earlier one of the same attempt.
+	// Guarded by bookMu.
+	conflicts uint64
 }
 
 // New returns a Book. It must be called before the fleet runs.
@@ -100,7 +105,7 @@
 	_, proof := b.o.Versions(s.Service)
 	b.bookMu.Lock()
 	defer b.bookMu.Unlock()
-	b.records.add(told.key, s, now)
+	b.add(told)
 	if b.o.Fleet == nil {
 		return
 	}
@@ -111,12 +116,42 @@
 	b.tell(told)
 }
 
+// add keeps a record. It is called with bookMu held.
+func (b *Book) add(r toldRecord) {
+	if s, _, found := b.records.find(r.key, r.at); found && s.Service == r.stream.Service && s.Version != r.stream.Version {
+		b.conflicts++
+	}
+	b.records.add(r.key, r.stream, r.at)
+}
+
+// Conflicts returns how many records named another version of a service than an earlier one of the same attempt: a stream
+// that began at one went on at the other.
+func (b *Book) Conflicts() uint64 {
+	b.bookMu.Lock()
+	defer b.bookMu.Unlock()
+	return b.conflicts
+}
+
+// viewAge returns how old the view is by which this daemon knows versions.
+func (b *Book) viewAge() time.Duration {
+	if b.o.ViewAge == nil {
+		return 0
+	}
+	return b.o.ViewAge()
+}
+
 // Finding is what is known of where a stream began.
 type Finding struct {
 	Stream
 	// Known means that Stream is where the stream began, Sole that it follows from the service's having had a single
 	// version, and Stored that it was found in the coordination store only.
 	Known, Sole, Stored bool
+	// By is the daemon that has the record or has proven the single version, or the key of the store that holds the
+	// record; empty for this daemon.
+	By string
+	// Age is how old that daemon's record is, or the view by which it has proven the single version. It is 0 for a
+	// stored record.
+	Age time.Duration
 	// Proof is what this daemon says of the versions by itself.
 	Proof Proof
 	// Asked and Unanswered count the other daemons that were asked, and those of them that did not answer.
@@ -135,36 +170,36 @@
 // empty if the caller does not name it. service is the one that the stream is resumed at.
 func (b *Book) Find(ctx context.Context, organisation, attempt, service string) Finding {
 	k := newKey(organisation, attempt)
-	if s, found := b.findLocal(k, attempt); found {
-		return Finding{Stream: s, Known: true}
+	if s, age, found := b.findLocal(k, attempt); found {
+		return Finding{Stream: s, Known: true, Age: age}
 	}
 	version, proof := b.o.Versions(service)
 	if proof == Sole {
-		return Finding{Stream: Stream{Service: service, Version: version}, Known: true, Sole: true, Proof: proof}
+		return Finding{Stream: Stream{Service: service, Version: version}, Known: true, Sole: true, Proof: proof, Age: b.viewAge()}
 	}
 	out := b.findElsewhere(ctx, k, attempt, service, version, proof)
 	if out.Known {
 		return out
 	}
-	if s, found := b.findStored(k, attempt); found {
+	if s, page, found := b.findStored(k, attempt); found {
 		// A daemon that did not answer may know where the stream has gone on since, after its route was moved.
-		out.Stream, out.Known, out.Stored = s, true, true
+		out.Stream, out.Known, out.Stored, out.By = s, true, true, page
 	}
 	return out
 }
 
-// findStored returns the record in the coordination store.
-func (b *Book) findStored(k key, attempt string) (Stream, bool) {
+// findStored returns the record in the coordination store, and the key of a page that has it.
+func (b *Book) findStored(k key, attempt string) (s Stream, page string, found bool) {
 	if attempt == "" || b.archive == nil {
-		return Stream{}, false
+		return Stream{}, "", false
 	}
 	return b.archive.find(k)
 }
 
-// findLocal returns the record of this daemon.
-func (b *Book) findLocal(k key, attempt string) (Stream, bool) {
+// findLocal returns the record of this daemon, and its age.
+func (b *Book) findLocal(k key, attempt string) (s Stream, age time.Duration, found bool) {
 	if attempt == "" {
-		return Stream{}, false
+		return Stream{}, 0, false
 	}
 	b.bookMu.Lock()
 	defer b.bookMu.Unlock()
@@ -177,31 +212,32 @@
 	out := Finding{Proof: proof, Asked: len(peers)}
 	ctx, cancel := context.WithTimeout(ctx, b.timeout)
 	defer cancel()
-	answers := make(chan *findResponse, len(peers))
+	answers := make(chan findAnswer, len(peers))
 	for _, peer := range peers {
 		go finder{b.o.Fleet, peer, &findRequest{Key: k, Named: attempt != "", Service: service}, answers}.run(ctx)
 	}
-	sole := false
+	var sole *findAnswer
 	for range peers {
 		answer := <-answers
 		switch {
-		case answer == nil:
+		case answer.response == nil:
 			out.Unanswered++
-		case answer.Found:
+		case answer.response.Found:
 			b.bookMu.Lock()
-			b.records.add(k, answer.Stream, clock.Now())
+			b.add(toldRecord{key: k, stream: answer.response.Stream, at: clock.Now()})
 			b.bookMu.Unlock()
-			out.Stream, out.Known = answer.Stream, true
+			out.Stream, out.Known, out.By, out.Age = answer.response.Stream, true, answer.peer, answer.response.age()
 			return out
-		case answer.Proof == Sole && proof == Unproven && answer.Stream.Version == version:
-			sole = true
+		case answer.response.Proof == Sole && proof == Unproven && answer.response.Stream.Version == version:
+			sole = &answer
 		}
 	}
-	if sole {
+	if sole != nil {
 		if b.o.Inherit != nil {
 			b.o.Inherit(service)
 		}
 		out.Stream, out.Known, out.Sole = Stream{Service: service, Version: version}, true, true
+		out.By, out.Age = sole.peer, sole.response.age()
 	}
 	return out
 }
@@ -230,17 +266,23 @@
 	fleet   *fleet.Fleet
 	peer    string
 	request *findRequest
-	answers chan<- *findResponse
+	answers chan<- findAnswer
 }
 
-// run sends the answer, or nil if there is none.
+// findAnswer is a daemon's answer; its response is nil if there is none.
+type findAnswer struct {
+	peer     string
+	response *findResponse
+}
+
+// run sends the answer.
 func (f finder) run(ctx context.Context) {
 	var response findResponse
 	if err := f.fleet.Query(ctx, f.peer, kindFind, f.request, &response); err != nil {
-		f.answers <- nil
+		f.answers <- findAnswer{f.peer, nil}
 		return
 	}
-	f.answers <- &response
+	f.answers <- findAnswer{f.peer, &response}
 }
 
 // kindFind is the kind of the query for a record.
@@ -263,18 +305,23 @@
 	Found    bool
 	Stream   Stream
 	Proof    Proof
+	// AgeMillis is the age of the record, or else that of the view that Proof follows from.
+	AgeMillis int64
 }
 
+// age returns the age that a daemon has reported.
+func (r *findResponse) age() time.Duration { return time.Duration(r.AgeMillis) * time.Millisecond }
+
 // handleFind answers another daemon's query.
 func (b *Book) handleFind(_ context.Context, _ string, request *findRequest) (*findResponse, error) {
 	if request.Named {
 		b.bookMu.Lock()
-		s, found := b.records.find(request.Key, clock.Now())
+		s, age, found := b.records.find(request.Key, clock.Now())
 		b.bookMu.Unlock()
 		if found {
-			return &findResponse{Found: true, Stream: s}, nil
+			return &findResponse{Found: true, Stream: s, AgeMillis: age.Milliseconds()}, nil
 		}
 	}
 	version, proof := b.o.Versions(request.Service)
-	return &findResponse{Stream: Stream{Service: request.Service, Version: version}, Proof: proof}, nil
+	return &findResponse{Stream: Stream{Service: request.Service, Version: version}, Proof: proof, AgeMillis: b.viewAge().Milliseconds()}, nil
 }
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -84,10 +84,11 @@
 	r.size++
 }
 
-// find returns where a stream began.
-func (r *records) find(k key, now clock.Time) (Stream, bool) {
-	found, ok := r.streams[k]
-	return found.stream, ok && now.Sub(found.at) <= Retention
+// find returns where a stream began, and how old the record is.
+func (r *records) find(k key, now clock.Time) (s Stream, age time.Duration, found bool) {
+	record, ok := r.streams[k]
+	age = now.Sub(record.at)
+	return record.stream, age, ok && age <= Retention
 }
 
 // expire drops the records of an organisation that are too old.
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -120,7 +120,7 @@
 
 // has returns whether a daemon has a record of its own.
 func (d *testDaemon) has(organisation, attempt string) bool {
-	_, found := d.book.findLocal(newKey(organisation, attempt), attempt)
+	_, _, found := d.book.findLocal(newKey(organisation, attempt), attempt)
 	return found
 }
 
@@ -231,9 +231,9 @@
 	}
 	g.Expect(r.size).To(gomega.Equal(maxRecords))
 	g.Expect(len(r.streams)).To(gomega.Equal(maxRecords))
-	_, found := r.find(newKey("small", "try"), now)
+	_, _, found := r.find(newKey("small", "try"), now)
 	g.Expect(found).To(gomega.BeTrue())
-	_, found = r.find(newKey("large", "0"), now)
+	_, _, found = r.find(newKey("large", "0"), now)
 	g.Expect(found).To(gomega.BeFalse())
 }
 
@@ -248,10 +248,10 @@
 	r.add(kept, Stream{Service: "llm", Version: "v2"}, start.Add(Retention))
 	later := start.Add(Retention + time.Second)
 	r.add(newKey("org", "new"), begun, later)
-	s, found := r.find(kept, later)
+	s, _, found := r.find(kept, later)
 	g.Expect(found).To(gomega.BeTrue())
 	g.Expect(s.Version).To(gomega.Equal("v2"))
-	_, found = r.find(old, later)
+	_, _, found = r.find(old, later)
 	g.Expect(found).To(gomega.BeFalse())
 	g.Expect(r.size).To(gomega.Equal(2))
 	g.Expect(len(r.streams)).To(gomega.Equal(2))
@@ -274,3 +274,37 @@
 		}
 	})
 }
+
+// A stream that was joined from two versions must be told afterwards, at the daemons that hear of both.
+func TestRecordsOfTwoVersionsOfOneAttemptAreCounted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fleet := startDaemons(t, 2, Several)
+	fleet[0].book.Record("org", "try", begun)
+	g.Eventually(func() bool { return fleet[1].has("org", "try") }, maxWait, "5ms").Should(gomega.BeTrue())
+	fleet[0].book.Record("org", "try", begun)
+	fleet[0].book.Record("org", "try", Stream{Service: "other", Version: "v2"})
+	fleet[0].book.Record("org", "try", begun)
+	for _, d := range fleet {
+		g.Expect(d.book.Conflicts()).To(gomega.BeZero(), "a route may have been moved to another service")
+	}
+	fleet[1].book.Record("org", "try", Stream{Service: "llm", Version: "v2"})
+	for _, d := range fleet {
+		g.Eventually(d.book.Conflicts, maxWait, "5ms").Should(gomega.BeNumerically(">", 0))
+	}
+}
+
+// The log line of a stream that is taken up tells by whose word, and how old that is.
+func TestFindingTellsWhoseWordItIsAndItsAge(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fleet := startDaemons(t, 2, Several)
+	fleet[0].book.Record("org", "try", begun)
+	g.Eventually(func() bool { return fleet[1].has("org", "try") }, maxWait, "5ms").Should(gomega.BeTrue())
+	clock.Suspend(10 * time.Second)
+	found := fleet[1].book.Find(context.Background(), "org", "try", "llm")
+	g.Expect(found.By).To(gomega.BeEmpty())
+	g.Expect(found.Age).To(gomega.BeNumerically("~", 10*time.Second, 5*time.Second))
+	fleet[1].book.records = records{}
+	found = fleet[1].book.Find(context.Background(), "org", "try", "llm")
+	g.Expect(found.By).To(gomega.Equal(fleet[0].name))
+	g.Expect(found.Age).To(gomega.BeNumerically("~", 10*time.Second, 5*time.Second))
+}
--- a/core/origin/told.go
+++ b/core/origin/told.go
@@ -179,10 +179,10 @@
 		list := groups[i].ungroup(now)
 		var added []toldRecord
 		for _, r := range list {
-			if s, found := b.records.find(r.key, now); !found || s != r.stream {
+			if s, _, found := b.records.find(r.key, now); !found || s != r.stream {
 				added = append(added, r)
 			}
-			b.records.add(r.key, r.stream, now)
+			b.add(r)
 		}
 		b.addUnsaved(added...)
 		out = append(out, list...)
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -67,13 +67,18 @@
 	p.service = found.Service
 	p.bind(found.Version)
 	stats.StreamsBound.Inc()
+	age := found.Age.Round(time.Millisecond)
 	switch {
+	case found.Sole && found.By != "":
+		p.note("bound to version %q, the only one known to %s by a view of %s ago%s", found.Version, found.By, age, p.relay.knowledge())
 	case found.Sole:
 		p.note("bound to version %q, the only one known%s", found.Version, p.relay.knowledge())
 	case found.Stored:
-		p.note("bound to version %q, which began it according to the coordination store", found.Version)
+		p.note("bound to version %q, which began it according to %s in the coordination store", found.Version, found.By)
+	case found.By != "":
+		p.note("bound to version %q, which began it according to %s %s ago", found.Version, found.By, age)
 	default:
-		p.note("bound to version %q, which began it", found.Version)
+		p.note("bound to version %q, which began it according to this daemon %s ago", found.Version, age)
 	}
 	return nil
 }
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -181,7 +181,7 @@
 	}
 	h.fleet.OnResume(func(time.Duration) { h.versionWatch.restart() })
 	h.origins = origin.New(origin.Options{
-		Fleet: h.fleet, Versions: h.serviceVersions, Inherit: h.versionWatch.inherit,
+		Fleet: h.fleet, Versions: h.serviceVersions, ViewAge: h.viewAge, Inherit: h.versionWatch.inherit,
 		Copy: h.watchCache, Store: h.store, Incarnation: incarnation, Log: h.log, Durable: h.keepsOrigins,
 	})
 	h.buildRelay()
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -145,6 +145,7 @@
 		{"targets_ended_total", func() float64 { return float64(h.poison.CrashCount()) }},
 		{"targets_listed", func() float64 { listed, _ := h.roster.Sizes(); return float64(listed) }},
 		{"stream_origins_unsaved", func() float64 { return float64(h.origins.Unsaved()) }},
+		{"stream_origins_conflicting_total", func() float64 { return float64(h.origins.Conflicts()) }},
 		{"versions_unsettled", func() float64 { return float64(h.unsettledVersions()) }},
 		{"targets_guests", func() float64 { _, external := h.roster.Sizes(); return float64(external) }},
 		{"cell_daemons", func() float64 { return float64(h.fleet.View().CellSize()) }},
