A version that returns is new unless this daemon's own list shows that it was away for a moment

Callers would get streams of two versions after a release that was withdrawn and made again a minute later: one daemon began streams at the version at once, as a known one, while another had forgotten it and took those streams up at the version that it held for the only one. A version was known for a minute after this daemon heard of its going, or after a peer said that it listed it, and forgotten a minute after the other daemon heard of it: the same time from two dates, of which one is moved by each late message.

How long a version was away now follows from this daemon's own list alone, from as of when the last view that had it was current, and may be half of what others remember. What a peer says of a time before a list without the version is about a former listing and no longer makes the version older.

--- a/core/roster/heartbeat.go
+++ b/core/roster/heartbeat.go
@@ -41,7 +41,7 @@
 
 // Collect returns this daemon's part of a heartbeat.
 func (s HeartbeatPart) Collect(full bool) any {
-	body := heartbeatBody{Loads: s.busy.loads()}
+	body, memory := heartbeatBody{Loads: s.busy.loads()}, s.versionMemory()
 	s.rosterMu.Lock()
 	defer s.rosterMu.Unlock()
 	now := time.Now()
@@ -52,7 +52,7 @@
 	body.RejectionLimits = s.brittleUpdates()
 	body.Versions = s.recentVersions(now)
 	if body.Full = full; full {
-		body.SoftwareVersions = s.versionAges()
+		body.SoftwareVersions = s.versionAges(memory)
 	}
 	return &body
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -89,8 +89,15 @@
 	// CapacityChanged, if set, is called when a target may have capacity by the list or by the loads of
 	// peers. It is set before use.
 	CapacityChanged func()
-	// VersionRetention is how long a version is remembered after its targets have gone. It is set before use.
-	VersionRetention time.Duration
+	// VersionMemory, if set, returns how long a version is told to peers after its targets have gone. It is set before use,
+	// and called without rosterMu.
+	VersionMemory func() time.Duration
+	// MaxVersionAbsence is for how long the targets of a version may be away without its being new when they return. It is
+	// set before use.
+	MaxVersionAbsence time.Duration
+	// ListAsOf, if set, returns as of when the list was current before the change that is being recorded; zero before the
+	// first list. It is set before use, and called with rosterMu held.
+	ListAsOf func() clock.Time
 
 	rosterMu sync.Mutex
 	targets  map[string]*Target // by ID; guarded by rosterMu
@@ -251,11 +258,11 @@
 	}
 	old := t.Entry()
 	serviceChanged := e.Service != old.Service
+	t.set(e)
 	if serviceChanged || e.Version != old.Version {
-		r.recordVersionUnlisted(old)
 		r.recordVersionListed(e.Service, e.Version)
+		r.recordVersionUnlisted(old)
 	}
-	t.set(e)
 	if serviceChanged {
 		r.invalidateLists()
 	}
@@ -378,8 +385,8 @@
 // delist takes a target off the lists. It is called with rosterMu held.
 func (r *Roster) delist(t *Target) {
 	name := t.Entry().Name
-	r.recordVersionUnlisted(t.Entry())
 	delete(r.targets, t.id)
+	r.recordVersionUnlisted(t.Entry())
 	delete(r.updating, t.id)
 	if r.incarnations[name] == t.id {
 		delete(r.incarnations, name)
--- a/core/roster/versions.go
+++ b/core/roster/versions.go
@@ -9,10 +9,15 @@
 
 // versionRecord is what is known of one version of a service's targets.
 type versionRecord struct {
-	// since is from when on a daemon has had a target of the version on its list. The list had it before.
+	// since is from when on a daemon has had a target of the version on its list, but for absences up to
+	// MaxVersionAbsence. The list had it before.
 	since clock.Time
 	// unlistedAt is when a target of the version was last taken off a list or changed its version; zero if none was.
 	unlistedAt clock.Time
+	// listed is whether this daemon's own list has a target of the version. listedAsOf is as of when the last such list was
+	// current before the present absence, lackedAt as of when the last list was that had none; zero if there was none.
+	listed               bool
+	listedAsOf, lackedAt clock.Time
 	// settled is set by SettleVersion.
 	settled bool
 }
@@ -70,7 +75,7 @@
 }
 
 // VersionSettled reports whether SettleVersion was called for a version since its targets were last away for longer than
-// VersionRetention.
+// MaxVersionAbsence.
 func (r *Roster) VersionSettled(service, version string) bool {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
@@ -130,7 +135,7 @@
 	oldest, found := "", false
 	records := r.versions[service]
 	for version, record := range records {
-		if !record.unlistedAt.IsZero() && (!found || record.unlistedAt.Before(records[oldest].unlistedAt)) {
+		if !record.listed && !record.unlistedAt.IsZero() && (!found || record.unlistedAt.Before(records[oldest].unlistedAt)) {
 			oldest, found = version, true
 		}
 	}
@@ -139,26 +144,56 @@
 	}
 }
 
+// listAsOf returns as of when the list was current before the change that is being recorded; zero before the first list.
+func (r *Roster) listAsOf() clock.Time {
+	if r.ListAsOf == nil {
+		return clock.Time{}
+	}
+	return r.ListAsOf()
+}
+
 // recordVersionListed records that a target of a version is listed. It is called with rosterMu held.
 func (r *Roster) recordVersionListed(service, version string) {
 	now := clock.Now()
 	record := r.versionRecord(service, version, now)
-	if record.unlistedAt.IsZero() || record.recent(now, r.VersionRetention) {
+	if record.listed {
+		return
+	}
+	record.listed = true
+	if !record.listedAsOf.IsZero() && now.Sub(record.listedAsOf) <= r.MaxVersionAbsence {
 		return
 	}
+	// Other daemons may have forgotten it, if they knew it. Only this daemon's own list tells for how long it was away: what a
+	// peer says of it may have been under way for any time.
+	record.lackedAt = r.listAsOf()
+	if !record.listedAsOf.IsZero() || record.since.Before(record.lackedAt) {
+		record.since, record.settled = now, false
+	}
+}
+
+// recordVersionUnlisted records that a target with an entry is no longer listed. It is called with rosterMu held, once
+// that is so.
+func (r *Roster) recordVersionUnlisted(e *Entry) {
+	now := clock.Now()
+	record := r.versionRecord(e.Service, e.Version, now)
+	record.unlistedAt = now
 	for _, t := range r.targets {
-		if e := t.Entry(); e.Service == service && e.Version == version {
+		if other := t.Entry(); other.Service == e.Service && other.Version == e.Version {
 			return
 		}
 	}
-	// Other daemons may have forgotten it.
-	*record = versionRecord{since: now}
+	record.listed, record.listedAsOf = false, r.listAsOf()
+	if record.listedAsOf.IsZero() {
+		record.listedAsOf = now
+	}
 }
 
-// recordVersionUnlisted records that a target with an entry is no longer listed. It is called with rosterMu held.
-func (r *Roster) recordVersionUnlisted(e *Entry) {
-	now := clock.Now()
-	r.versionRecord(e.Service, e.Version, now).unlistedAt = now
+// versionMemory returns for how long a version is remembered after its targets have gone.
+func (r *Roster) versionMemory() time.Duration {
+	if r.VersionMemory == nil {
+		return 0
+	}
+	return r.VersionMemory()
 }
 
 // versionAge is a version in a heartbeat.
@@ -172,8 +207,8 @@
 	ListedMillis, UnlistedMillis int64
 }
 
-// versionAges returns the versions that are listed or were so within VersionRetention. It is called with rosterMu held.
-func (r *Roster) versionAges() []versionAge {
+// versionAges returns the versions that are listed or were so within memory. It is called with rosterMu held.
+func (r *Roster) versionAges(memory time.Duration) []versionAge {
 	listed, now := r.listedVersions(), clock.Now()
 	var out []versionAge
 	for service, records := range r.versions {
@@ -181,7 +216,7 @@
 			age := versionAge{Service: service, Version: version, ListedMillis: now.Sub(record.since).Milliseconds(), UnlistedMillis: -1}
 			switch {
 			case listed[serviceVersion{service, version}]:
-			case record.recent(now, r.VersionRetention):
+			case record.recent(now, memory):
 				age.UnlistedMillis = now.Sub(record.unlistedAt).Milliseconds()
 			default:
 				continue
@@ -215,7 +250,8 @@
 	}
 	for _, age := range ages {
 		record := r.versionRecord(age.Service, age.Version, now)
-		if since := ago(age.ListedMillis); since.Before(record.since) {
+		// What is older than a list without the version is about a former time.
+		if since := ago(age.ListedMillis); since.Before(record.since) && !since.Before(record.lackedAt) {
 			record.since = since
 		}
 		unlistedAt := now
--- a/emberd/internal/host/origins.go
+++ b/emberd/internal/host/origins.go
@@ -23,6 +23,10 @@
 // nobody reaches: it follows that all streams that may be resumed there began at that one.
 const versionSettleTime = versionMaxViewAge + spread.MaxDatingError + settleMargin
 
+// maxVersionAbsence is for how long a version's targets may be away without its being new when they return: less than all
+// daemons remember it for, since each hears of its going at another time.
+const maxVersionAbsence = 30 * time.Second
+
 // untilSettled returns for how much longer no stream may begin at a version of a service's targets.
 func (h *Host) untilSettled(service, version string) time.Duration {
 	if h.watchCacheSync.Sharded(service) {
