A version is remembered for as long as a stream that began there may be resumed

"A service has had a single version" was proven by a minute without another one in the list, which bounds neither how long a stream runs that began there nor how old the list was by which it began.

The proof now needs another version's absence for the longest time that the configuration lets an attempt at such a stream take, plus the minute in which it may be taken up, the age up to which lists are used to begin streams (30 s) and the settling time. All daemons know the configuration, so that no message is needed and a daemon that nobody reaches keeps to it as well. A configuration that bounds attempts less counts only once the streams of its predecessor are over; without a timeout versions are never forgotten.

--- a/core/table/table.go
+++ b/core/table/table.go
@@ -253,6 +253,23 @@
 // Organisation returns the organisation that holds a key, or nil.
 func (t *Table) Organisation(key string) *Organisation { return t.keys[key] }
 
+// LongestResumable returns the longest time that a request for a stream that may be resumed takes, and whether there is a
+// bound.
+func (t *Table) LongestResumable() (longest time.Duration, bounded bool) {
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.Kind != Stream || !r.Resumable {
+				continue
+			}
+			if r.Timeout <= 0 {
+				return 0, false
+			}
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest, true
+}
+
 // Service returns a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -113,3 +113,28 @@
 		})
 	}
 }
+
+// A route without a timeout bounds nothing, whatever the others do.
+func TestLongestResumable(t *testing.T) {
+	stream := func(timeout time.Duration, resumable bool) Route {
+		return Route{Host: "h", Prefix: "/" + timeout.String() + "/", Kind: Stream, Resumable: resumable, Timeout: timeout}
+	}
+	plain := Route{Host: "other", Prefix: "/p/", Kind: Repeatable, Resumable: true, Timeout: time.Hour}
+	for _, tc := range []struct {
+		name    string
+		routes  []Route
+		longest time.Duration
+		bounded bool
+	}{
+		{"none", []Route{plain, stream(time.Hour, false), stream(0, false)}, 0, true},
+		{"several", []Route{plain, stream(time.Second, true), stream(time.Minute, true), stream(time.Hour, false)}, time.Minute, true},
+		{"not bounded", []Route{stream(0, true), stream(time.Minute, true)}, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			longest, bounded := New(Spec{Routes: tc.routes}).LongestResumable()
+			g.Expect(longest).To(gomega.Equal(tc.longest))
+			g.Expect(bounded).To(gomega.Equal(tc.bounded))
+		})
+	}
+}
--- a/emberd/internal/host/applied.go
+++ b/emberd/internal/host/applied.go
@@ -215,6 +215,7 @@
 		h.log.Emit(event.ConfRejected, event.Ref{}, "version "+itoa(t.Version())+" is older than the applied "+itoa(old.Version()))
 		return
 	}
+	h.attemptBound.set(t.LongestResumable())
 	h.relay.SetTable(t)
 	h.log.Emit(event.ConfApplied, event.Ref{}, "version "+itoa(t.Version()))
 	tokenBytes := 0
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -89,6 +89,7 @@
 	canary         canary.Guard
 	origins        *origin.Book
 	versionWatch   versionWatch
+	attemptBound   attemptBound
 	rollouts       *canary.Controller
 	leaderships    []*lease.Timed
 	cellLeadership *cellLeadership
@@ -137,7 +138,7 @@
 	h.incarnationCheck = make(chan struct{}, 1)
 	h.watchCache.OnStoreIncarnation = h.triggerIncarnationCheck
 	h.roster = roster.New(h.log, func() (clock.Time, time.Duration) { return h.watchCacheSync.LastOutage() })
-	h.roster.VersionMemory, h.roster.MaxVersionAbsence, h.roster.ListAsOf = func() time.Duration { return origin.Retention }, maxVersionAbsence, h.watchCache.FreshAsOf
+	h.roster.VersionMemory, h.roster.MaxVersionAbsence, h.roster.ListAsOf = h.versionWindow, maxVersionAbsence, h.watchCache.FreshAsOf
 	h.fleet = fleet.New(fleet.Options{
 		Name: settings.Name, Incarnation: incarnation, Address: settings.Peers, Domain: settings.Domain,
 		HeartbeatInterval: settings.Tuning.Heartbeat, SuspectAfter: settings.Tuning.Suspect,
--- a/emberd/internal/host/origins.go
+++ b/emberd/internal/host/origins.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -23,9 +24,82 @@
 // nobody reaches: it follows that all streams that may be resumed there began at that one.
 const versionSettleTime = versionMaxViewAge + spread.MaxDatingError + settleMargin
 
-// maxVersionAbsence is for how long a version's targets may be away without its being new when they return: less than all
-// daemons remember it for, since each hears of its going at another time.
-const maxVersionAbsence = 30 * time.Second
+const (
+	// maxListAge is the age of a list by which streams still begin at the versions that it has: a daemon that is cut off
+	// cannot know of a version's going. It includes the last writes of a stream after its deadline.
+	maxListAge = 30 * time.Second
+	// maxVersionAbsence is for how long a version's targets may be away without its being new when they return: less than
+	// all daemons remember it for, since each hears of its going at another time.
+	maxVersionAbsence = 30 * time.Second
+)
+
+// versionWindow returns for how long after its targets have left the list a version counts as one at which streams have
+// begun that may be resumed: targets that are no longer listed go on writing. noBound means for ever.
+func (h *Host) versionWindow() time.Duration { return h.attemptBound.window(clock.Now()) }
+
+// noBound is the time of attempts that a configuration does not bound.
+const noBound = time.Duration(math.MaxInt64)
+
+// attemptBound knows the longest time that an attempt takes at a stream that may be resumed, by all configurations under
+// which streams began that may still be resumed. Each daemon knows it without a message, also one that nobody reaches. The
+// zero value bounds attempts by 0: without a configuration there are none.
+type attemptBound struct {
+	boundMu sync.Mutex
+	// current is that of the latest configuration. Guarded by boundMu.
+	current time.Duration
+	// former are those of earlier ones that bound attempts less. Guarded by boundMu.
+	former []formerBound
+}
+
+// formerBound is a bound that counts until a time, or for ever if it is noBound.
+type formerBound struct {
+	bound time.Duration
+	until clock.Time
+}
+
+// windowOf returns the version window where attempts take up to a time.
+func windowOf(attempt time.Duration) time.Duration {
+	const others = origin.Retention + maxListAge + versionSettleTime
+	if attempt > noBound-others {
+		return noBound
+	}
+	return attempt + others
+}
+
+// set records the bound of a configuration that is being applied.
+func (a *attemptBound) set(longest time.Duration, bounded bool) {
+	if !bounded {
+		longest = noBound
+	}
+	now := clock.Now()
+	a.boundMu.Lock()
+	defer a.boundMu.Unlock()
+	a.former = slices.DeleteFunc(a.former, func(f formerBound) bool { return f.over(now) || f.bound <= longest })
+	if a.current > longest {
+		f := formerBound{bound: a.current}
+		if a.current != noBound {
+			f.until = now.Add(windowOf(a.current))
+		}
+		a.former = append(a.former, f)
+	}
+	a.current = longest
+}
+
+// over reports whether a bound no longer counts.
+func (f formerBound) over(now clock.Time) bool { return f.bound != noBound && now.After(f.until) }
+
+// window returns the version window.
+func (a *attemptBound) window(now clock.Time) time.Duration {
+	a.boundMu.Lock()
+	defer a.boundMu.Unlock()
+	longest := a.current
+	for _, f := range a.former {
+		if !f.over(now) {
+			longest = max(longest, f.bound)
+		}
+	}
+	return windowOf(longest)
+}
 
 // untilSettled returns for how much longer no stream may begin at a version of a service's targets.
 func (h *Host) untilSettled(service, version string) time.Duration {
@@ -47,10 +121,10 @@
 // onlyVersion reports whether a service has had a single version for as long as streams may be resumed: this daemon has
 // seen all versions since, or each other daemon that is listed has reported those that it knows.
 func (h *Host) onlyVersion(service string) bool {
-	if len(h.roster.Versions(service, origin.Retention)) != 1 {
+	if len(h.roster.Versions(service, h.versionWindow())) != 1 {
 		return false
 	}
-	return h.versionWatch.complete(service) || !slices.ContainsFunc(h.fleet.View().Peers(), func(p fleet.Peer) bool {
+	return h.versionWatch.complete(service, h.versionWindow()) || !slices.ContainsFunc(h.fleet.View().Peers(), func(p fleet.Peer) bool {
 		return p.Listed && !h.roster.HeardVersions(p.Name)
 	})
 }
@@ -96,11 +170,11 @@
 	v.inherited[service] = true
 }
 
-// complete reports whether all versions that streams may be resumed at have been seen.
-func (v *versionWatch) complete(service string) bool {
+// complete reports whether all versions of a service have been seen that were listed within a window.
+func (v *versionWatch) complete(service string, window time.Duration) bool {
 	v.watchMu.Lock()
 	defer v.watchMu.Unlock()
-	return v.since.IsZero() || v.inherited[service] || clock.Since(v.since) >= origin.Retention
+	return v.since.IsZero() || v.inherited[service] || clock.Since(v.since) >= window
 }
 
 // serviceVersions returns what this daemon can say of the versions of a service's targets.
@@ -109,11 +183,12 @@
 	if h.viewAge() > versionMaxViewAge || h.watchCacheSync.Sharded(service) {
 		return "", origin.Several
 	}
-	versions := h.roster.Versions(service, origin.Retention)
+	window := h.versionWindow()
+	versions := h.roster.Versions(service, window)
 	switch {
 	case len(versions) != 1:
 		return "", origin.Several
-	case h.versionWatch.complete(service):
+	case h.versionWatch.complete(service, window):
 		return versions[0], origin.Sole
 	}
 	return versions[0], origin.Unproven
@@ -122,7 +197,7 @@
 // keepsOrigins reports whether it is worth the writes to keep in the coordination store where streams of a service began:
 // this daemon knows several versions of it.
 func (h *Host) keepsOrigins(service string) bool {
-	return len(h.roster.Versions(service, origin.Retention)) > 1
+	return len(h.roster.Versions(service, h.versionWindow())) > 1
 }
 
 // checkVersionWatch records that versions may have been missed while the watch cache is old, or empty though the whole
--- a/emberd/internal/host/origins_test.go
+++ b/emberd/internal/host/origins_test.go
@@ -27,7 +27,7 @@
 		{"just started", false, func(*Host) {}, origin.Unproven},
 		{"just started, a peer has proven it", false, func(h *Host) { h.versionWatch.inherit("llm") }, origin.Sole},
 		{"proven for another service", false, func(h *Host) { h.versionWatch.inherit("other") }, origin.Unproven},
-		{"has run for long", false, func(h *Host) { h.refresh(clock.Now()); clock.Suspend(origin.Retention); h.refresh(clock.Now()) }, origin.Sole},
+		{"has run for long", false, func(h *Host) { h.refresh(clock.Now()); clock.Suspend(h.versionWindow()); h.refresh(clock.Now()) }, origin.Sole},
 		{"a second version", true, func(h *Host) { h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"}) }, origin.Several},
 		{"a second version that has gone", true, func(h *Host) {
 			h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
@@ -67,7 +67,9 @@
 	g.Expect(h.keepsOrigins("llm")).To(gomega.BeTrue())
 	h.roster.RemoveUnusable("a")
 	g.Expect(h.keepsOrigins("llm")).To(gomega.BeTrue(), "streams of the former one may still be resumed")
-	clock.Suspend(origin.Retention + time.Second)
+	clock.Suspend(h.versionWindow() - time.Second)
+	g.Expect(h.keepsOrigins("llm")).To(gomega.BeTrue())
+	clock.Suspend(2 * time.Second)
 	g.Expect(h.keepsOrigins("llm")).To(gomega.BeFalse())
 }
 
