The record of where a stream began lives as long as the stream

A stream that ran for over a minute could be taken up nowhere else once its box was killed: its record counted from the first event, so that all daemons and the store had dropped it while the stream went on.

The daemon that serves a stream records it again every third of the minute, with the events that it passes on. Records are kept for a third longer than a stream may be resumed, in memory, among those held back while there is a single version, and in pages of the store. A record that is made again counts as new at the daemons that hear of it, so that the one that writes the pages writes it: before, only the daemon that served the stream would have, if its rank let it in time. A lost record only means a refusal.

TestRecordLivesAsLongAsItsStream fails without the renewal, TestRecordsOfLongStreamsAreRenewed without the new rule for what is written (one of its two forms). The tests of expiry count from the longer time.

--- a/core/origin/archive.go
+++ b/core/origin/archive.go
@@ -51,7 +51,7 @@
 
 // archive keeps the records of this daemon's cell in the coordination store, for daemons that start when no other one is
 // left. Each key is a page, which is written again until it is full. What a page says stays true, so that it needs no
-// lease: that it is removed after Retention only saves space.
+// lease: that it is removed after recordTTL only saves space.
 type archive struct {
 	book  *Book
 	fleet *fleet.Fleet
@@ -253,7 +253,7 @@
 			age = pageAge{pair.ModRevision, now}
 		}
 		ages[pair.Key] = age
-		if now.Sub(age.since) <= Retention || len(txn.Deletes) >= maxDeletes {
+		if now.Sub(age.since) <= recordTTL || len(txn.Deletes) >= maxDeletes {
 			continue
 		}
 		if fleet.RankOf(fleet.Key(pair.Key), view.NotDraining(), view.Self()) == 0 {
--- a/core/origin/archive_test.go
+++ b/core/origin/archive_test.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
@@ -217,11 +219,110 @@
 		return len(kv.WithPrefix(KeyPrefix))
 	}
 	g.Expect(count()).To(gomega.Equal(maxDeletes + 1))
-	clock.Suspend(Retention - time.Second)
+	clock.Suspend(recordTTL - time.Second)
 	write("changed/1")
 	g.Expect(count()).To(gomega.Equal(maxDeletes + 1))
 	clock.Suspend(2 * time.Second)
 	g.Expect(count()).To(gomega.Equal(1), "the page that was written again")
-	clock.Suspend(Retention)
+	clock.Suspend(recordTTL)
 	g.Expect(count()).To(gomega.BeZero())
 }
+
+// Guards against records of long streams that end while the streams go on: those in memory, those held back while there is a
+// single version, and the pages of the store, which another daemon may write.
+func TestRecordsOfLongStreamsAreRenewed(t *testing.T) {
+	const rounds = 6
+	// last is the time that passes after the last record.
+	const last = Retention - time.Second
+	for _, tc := range []struct {
+		name  string
+		proof Proof
+	}{{"several versions", Several}, {"held back", Sole}} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var kv memkv.KV
+			store := func(int) *testStore { return &testStore{KV: &kv} }
+			daemons := startDaemonsAt(t, 5, tc.proof, store)
+			// The cleaner knows no other daemon, so that it is to remove all old pages.
+			f := fleet.New(fleet.Options{Name: "cleaner", Incarnation: "1", Address: "127.0.0.1:1", Domain: "z", Boxes: boxes{}, Log: &event.Log{}})
+			cleaner := New(Options{Fleet: f, Copy: &testStore{KV: &kv}, Store: &kv, Log: &event.Log{}, Versions: func(string) (string, Proof) { return "", Several }})
+			// The daemon that serves the stream is the last to write, too late for a record.
+			ranked := slices.SortedFunc(slices.Values(daemons), func(a, b *testDaemon) int { return a.book.archive.rank() - b.book.archive.rank() })
+			other, serves := ranked[1], ranked[4]
+			for range rounds {
+				writes := kv.Writes()
+				serves.book.Record("org", "try", begun)
+				if tc.proof == Several {
+					g.Eventually(kv.Writes, maxWait, "5ms").Should(gomega.BeNumerically(">", writes))
+					g.Eventually(func() int { return serves.book.Unsaved() + other.book.Unsaved() }, maxWait, "5ms").Should(gomega.BeZero())
+				}
+				g.Expect(cleaner.archive.clean(context.Background())).To(gomega.Succeed())
+				clock.Suspend(RenewInterval)
+			}
+			clock.Suspend(last - RenewInterval)
+			for _, d := range daemons {
+				d.set("", Several)
+			}
+			g.Eventually(func() bool { return other.has("org", "try") }, maxWait, "5ms").Should(gomega.BeTrue())
+			if tc.proof == Sole {
+				return
+			}
+			g.Expect(cleaner.archive.clean(context.Background())).To(gomega.Succeed())
+			for _, d := range daemons {
+				d.stop()
+			}
+			found := startDaemonsAt(t, 1, Several, store)[0].book.Find(context.Background(), "org", "try", "llm")
+			g.Expect(found.Stored).To(gomega.BeTrue())
+			g.Expect(found.Stream).To(gomega.Equal(begun))
+		})
+	}
+}
+
+// BenchmarkLongStreams measures what records of streams of ten minutes cost while several versions serve: bytes in
+// heartbeats to one peer, and records that are written to the store.
+func BenchmarkLongStreams(b *testing.B) {
+	const (
+		streams   = 1000
+		length    = 10 * time.Minute
+		interval  = 150 * time.Millisecond
+		fullEvery = 20
+	)
+	heartbeatBytes, stored, pages := 0, 0, 0
+	for b.Loop() {
+		f := fleet.New(fleet.Options{Name: "d", Incarnation: "1", Address: "127.0.0.1:1", Domain: "z", Boxes: boxes{}, Log: &event.Log{}})
+		var kv memkv.KV
+		book := New(Options{Fleet: f, Copy: &testStore{KV: &kv}, Store: &kv, Log: &event.Log{}, Versions: func(string) (string, Proof) { return "", Several }})
+		last := make([]clock.Time, streams)
+		for start, n := clock.Now(), 0; clock.Since(start) < length; n++ {
+			now := clock.Now()
+			for i := range last {
+				// The streams begin one after another.
+				if now.Sub(start) >= time.Duration(i)*RenewInterval/streams && (last[i].IsZero() || now.Sub(last[i]) >= RenewInterval) {
+					book.Record("org", fmt.Sprint("try-", i), begun)
+					last[i] = now
+				}
+			}
+			if body := book.Collect(n%fullEvery == 0); body != nil {
+				raw, err := msgpack.Marshal(body)
+				if err != nil {
+					b.Fatal(err)
+				}
+				heartbeatBytes += len(raw)
+			}
+			book.Told()
+			before := book.Unsaved()
+			if err := book.archive.save(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+			if written := before - book.Unsaved(); written > 0 {
+				stored += written
+				pages++
+			}
+			clock.Suspend(interval)
+		}
+	}
+	perMinute := float64(b.N) * streams * length.Minutes()
+	b.ReportMetric(float64(heartbeatBytes)/perMinute, "heartbeatB/stream-min")
+	b.ReportMetric(float64(stored)/perMinute, "records/stream-min")
+	b.ReportMetric(float64(pages)/float64(b.N)/length.Seconds(), "writes/s")
+}
--- a/core/origin/book.go
+++ b/core/origin/book.go
@@ -98,7 +98,8 @@
 	return b
 }
 
-// Record records that an organisation's attempt brought events of a stream.
+// Record records that an organisation's attempt brought events of a stream. While it goes on, that is to be recorded again
+// each RenewInterval.
 func (b *Book) Record(organisation, attempt string, s Stream) {
 	now := clock.Now()
 	told := toldRecord{key: newKey(organisation, attempt), stream: s, at: now}
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -25,9 +25,16 @@
 	Service, Version string
 }
 
-// Retention is how long after an event a stream may still be resumed: longer than routes let callers wait, also
-// with some attempts in a row.
-const Retention = time.Minute
+const (
+	// Retention is how long after its last event a stream may still be resumed.
+	Retention = time.Minute
+	// RenewInterval is the time after which a stream that goes on is recorded again.
+	RenewInterval = Retention / 3
+	// recordTTL is how long a record is kept: for Retention after the last event before the next one would be due.
+	recordTTL = Retention + RenewInterval
+	// minRenewalAge is the least age of a record at which another one of the same stream is a new one and no repetition.
+	minRenewalAge = RenewInterval / 2
+)
 
 // key identifies a stream by a caller's attempt. An attempt of another organisation has another key.
 type key struct {
@@ -47,7 +54,7 @@
 // maxRecords bounds the records of a daemon, some 2 MB.
 const maxRecords = 16 << 10
 
-// records holds where streams began, for Retention after they were last added. The zero value is ready for use.
+// records holds where streams began, for recordTTL after they were last added. The zero value is ready for use.
 type records struct {
 	streams map[key]record
 	// queues holds the keys of each organisation in the order in which they were added, also those that were
@@ -88,12 +95,12 @@
 func (r *records) find(k key, now clock.Time) (s Stream, age time.Duration, found bool) {
 	record, ok := r.streams[k]
 	age = now.Sub(record.at)
-	return record.stream, age, ok && age <= Retention
+	return record.stream, age, ok && age <= recordTTL
 }
 
 // expire drops the records of an organisation that are too old.
 func (r *records) expire(organisation uint64, now clock.Time) {
-	for len(r.queues[organisation]) > 0 && now.Sub(r.queues[organisation][0].at) > Retention {
+	for len(r.queues[organisation]) > 0 && now.Sub(r.queues[organisation][0].at) > recordTTL {
 		r.dropOldest(organisation)
 	}
 }
--- a/core/origin/told.go
+++ b/core/origin/told.go
@@ -61,7 +61,7 @@
 // release has the held records told whose services may have several versions by now, and drops old ones. It is called
 // with bookMu held.
 func (b *Book) release(now clock.Time) {
-	for len(b.held) > 0 && now.Sub(b.held[0].at) > Retention {
+	for len(b.held) > 0 && now.Sub(b.held[0].at) > recordTTL {
 		b.held = b.held[1:]
 	}
 	proofs := map[string]Proof{}
@@ -169,7 +169,8 @@
 	b.addAll(groups)
 }
 
-// addAll adds the records of other daemons and returns them. Those that are new are also written to the store.
+// addAll adds the records of other daemons and returns them. Those that are new or were made again are also written to the
+// store.
 func (b *Book) addAll(groups []toldGroup) []toldRecord {
 	now := clock.Now()
 	b.bookMu.Lock()
@@ -179,7 +180,7 @@
 		list := groups[i].ungroup(now)
 		var added []toldRecord
 		for _, r := range list {
-			if s, _, found := b.records.find(r.key, now); !found || s != r.stream {
+			if s, age, found := b.records.find(r.key, now); !found || s != r.stream || age >= minRenewalAge {
 				added = append(added, r)
 			}
 			b.add(r)
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -7,6 +7,7 @@
 
 	"embertally.dev/core/cache"
 	"embertally.dev/core/canary"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
@@ -68,8 +69,8 @@
 	headerSent bool
 	// lastEventID is the ID of the last stream event that the caller has received.
 	lastEventID string
-	// originRecorded is set once the version of the targets that the stream is bound to is recorded.
-	originRecorded bool
+	// recordedAt is when the version of the targets that the stream is bound to was last recorded; zero before that.
+	recordedAt clock.Time
 	// firstAt is when the first event or the header of a response was passed on; zero before that.
 	firstAt time.Time
 	// skipped lists targets that the last choice skipped for their self-reported state, with the
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/entry"
 	"embertally.dev/core/origin"
 	"embertally.dev/core/table"
@@ -101,19 +102,30 @@
 }
 
 // bindToStream binds the request to the version of the target whose event is about to be passed on, and records that
-// version for resumptions by the caller.
+// version. The record is renewed for as long as events come.
 func (p *proxiedRequest) bindToStream(c *choice) {
-	if p.originRecorded || !p.route.Resumable {
+	if !p.route.Resumable {
+		return
+	}
+	if !p.recordedAt.IsZero() {
+		if clock.Since(p.recordedAt) >= origin.RenewInterval {
+			p.recordOrigin()
+		}
 		return
 	}
-	p.originRecorded = true
 	version := c.target.Entry().Version
 	p.bind(version)
 	p.note("events of version %q, known for %s", version, p.relay.options.Roster.VersionAge(p.service, version).Round(time.Millisecond))
+	p.recordOrigin()
+}
+
+// recordOrigin records the version that the stream is bound to, for resumptions by the caller.
+func (p *proxiedRequest) recordOrigin() {
+	p.recordedAt = clock.Now()
 	if p.relay.options.Origins == nil {
 		return
 	}
-	s := origin.Stream{Service: p.service, Version: version}
+	s := origin.Stream{Service: p.service, Version: p.versions.Only}
 	for _, id := range []string{p.meta.AttemptID, p.meta.Resumes} {
 		if id != "" {
 			p.relay.options.Origins.Record(p.organisationName(), id, s)
--- a/core/relay/resume_test.go
+++ b/core/relay/resume_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"bufio"
 	"encoding/base64"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +14,7 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/canary"
+	"embertally.dev/core/clock"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/origin"
 	"embertally.dev/core/plat"
@@ -282,3 +285,27 @@
 		})
 	}
 }
+
+// Guards against a record that ends while its stream goes on: what takes the stream up then knows nothing of its beginning.
+func TestRecordLivesAsLongAsItsStream(t *testing.T) {
+	r := newRig(t, nil)
+	r.worker("a", "v1", 0, func(w *bufio.Writer, req *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", req.Header.Get("Id"))
+		for i := range 10 {
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+			w.Flush()
+			time.Sleep(20 * time.Millisecond)
+			clock.Suspend(origin.RenewInterval)
+		}
+		return io.ErrClosedPipe
+	})
+	// It has served another version, so that only the record tells.
+	r.worker("b", "v2", 9, stream(true, event2))
+	r.relay.options.Disabled.Retries = true
+	r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "Id", "one")
+	clock.Suspend(origin.Retention - origin.RenewInterval)
+	found := r.relay.options.Origins.Find(t.Context(), "org", "one", "llm")
+	r.g.Expect(found.Known).To(gomega.BeTrue())
+	r.g.Expect(found.Sole).To(gomega.BeFalse())
+	r.g.Expect(found.Version).To(gomega.Equal("v1"))
+}
