--- a/core/origin/archive.go
+++ b/core/origin/archive.go
@@ -51,7 +51,7 @@
 
 // archive keeps the records of this daemon's cell in the coordination store, for daemons that start when no other one is
 // left. Each key is a page, which is written again until it is full. What a page says stays true, so that it needs no
-// lease: that it is removed after Retention only saves space.
+// lease: that it is removed after recordTTL only saves space.
 type archive struct {
 	book  *Book
 	fleet *fleet.Fleet
@@ -171,11 +171,9 @@
 	return append(out, p)
 }
 
-// find returns the stream of a key, unless the pages hold none or several.
-func (a *archive) find(k key) (Stream, bool) {
+// find returns the stream of a key, and the key of a page that has it, unless the pages hold none or several.
+func (a *archive) find(k key) (out Stream, page string, found bool) {
 	wanted := k.bytes()
-	var out Stream
-	found := false
 	for _, pair := range a.copy.WithPrefix(KeyPrefix) {
 		groups, err := parsePage(pair.Value)
 		if err != nil {
@@ -187,12 +185,12 @@
 				continue
 			}
 			if found && out != groups[i].Stream {
-				return Stream{}, false
+				return Stream{}, "", false
 			}
-			out, found = groups[i].Stream, true
+			out, page, found = groups[i].Stream, pair.Key, true
 		}
 	}
-	return out, found
+	return out, page, found
 }
 
 // storedGroup is a toldGroup in the coordination store, a page being a list of them.
@@ -255,7 +253,7 @@
 			age = pageAge{pair.ModRevision, now}
 		}
 		ages[pair.Key] = age
-		if now.Sub(age.since) <= Retention || len(txn.Deletes) >= maxDeletes {
+		if now.Sub(age.since) <= recordTTL || len(txn.Deletes) >= maxDeletes {
 			continue
 		}
 		if fleet.RankOf(fleet.Key(pair.Key), view.NotDraining(), view.Self()) == 0 {
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -31,6 +31,8 @@
 	version   string
 	proof     Proof
 	inherited []string
+	// seenSince is the revision since which the daemon has seen all versions.
+	seenSince int64
 	stop      context.CancelFunc
 }
 
@@ -82,10 +84,14 @@
 			Name: d.name, Incarnation: "1", Address: list[i].Address, Domain: "z", HeartbeatInterval: 20 * time.Millisecond,
 			SuspectAfter: time.Second, BoxPollInterval: 20 * time.Millisecond, Boxes: list, Log: &event.Log{},
 		})
-		o := Options{Fleet: f, Versions: d.versions, Log: &event.Log{}, Inherit: func(s string) {
+		o := Options{Fleet: f, Versions: d.versions, Log: &event.Log{}, Revision: func() int64 { return 7 }, Inherit: func(s string, revision int64) bool {
 			d.mu.Lock()
 			defer d.mu.Unlock()
+			if revision < d.seenSince {
+				return false
+			}
 			d.inherited = append(d.inherited, s)
+			return true
 		}}
 		if s := store(i); s != nil {
 			o.Copy, o.Store, o.Incarnation = s, s, uuid.NewString()
@@ -121,7 +127,7 @@
 
 // has returns whether a daemon has a record of its own.
 func (d *testDaemon) has(organisation, attempt string) bool {
-	_, found := d.book.findLocal(newKey(organisation, attempt), attempt)
+	_, _, found := d.book.findLocal(newKey(organisation, attempt), attempt)
 	return found
 }
 
@@ -199,13 +205,15 @@
 		name        string
 		own, others Proof
 		version     string
+		seenSince   int64
 		known       bool
 	}{
-		{"a peer has seen one version for long", Unproven, Sole, "v1", true},
-		{"all have just started", Unproven, Unproven, "v1", false},
-		{"this one has seen two versions", Several, Sole, "v1", false},
-		{"a peer that has not heard of the new version", Unproven, Sole, "v2", false},
-		{"a peer has seen two versions", Unproven, Several, "", false},
+		{"a peer has seen one version for long", Unproven, Sole, "v1", 7, true},
+		{"a peer that may not have seen a version which this one missed", Unproven, Sole, "v1", 8, false},
+		{"all have just started", Unproven, Unproven, "v1", 0, false},
+		{"this one has seen two versions", Several, Sole, "v1", 0, false},
+		{"a peer that has not heard of the new version", Unproven, Sole, "v2", 0, false},
+		{"a peer has seen two versions", Unproven, Several, "", 0, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -213,6 +221,7 @@
 			for _, d := range fleet[1:] {
 				d.set(tc.version, tc.others)
 			}
+			fleet[0].seenSince = tc.seenSince
 			found := fleet[0].book.Find(context.Background(), "org", "try", "llm")
 			g.Expect(found.Known).To(gomega.Equal(tc.known))
 			g.Expect(found.Unanswered).To(gomega.BeZero())
@@ -232,9 +241,9 @@
 	}
 	g.Expect(r.size).To(gomega.Equal(maxRecords))
 	g.Expect(len(r.streams)).To(gomega.Equal(maxRecords))
-	_, found := r.find(newKey("small", "try"), now)
+	_, _, found := r.find(newKey("small", "try"), now)
 	g.Expect(found).To(gomega.BeTrue())
-	_, found = r.find(newKey("large", "0"), now)
+	_, _, found = r.find(newKey("large", "0"), now)
 	g.Expect(found).To(gomega.BeFalse())
 }
 
@@ -246,13 +255,13 @@
 	kept, old := newKey("org", "kept"), newKey("org", "old")
 	r.add(kept, begun, start)
 	r.add(old, begun, start)
-	r.add(kept, Stream{Service: "llm", Version: "v2"}, start.Add(Retention))
-	later := start.Add(Retention + time.Second)
+	r.add(kept, Stream{Service: "llm", Version: "v2"}, start.Add(recordTTL))
+	later := start.Add(recordTTL + time.Second)
 	r.add(newKey("org", "new"), begun, later)
-	s, found := r.find(kept, later)
+	s, _, found := r.find(kept, later)
 	g.Expect(found).To(gomega.BeTrue())
 	g.Expect(s.Version).To(gomega.Equal("v2"))
-	_, found = r.find(old, later)
+	_, _, found = r.find(old, later)
 	g.Expect(found).To(gomega.BeFalse())
 	g.Expect(r.size).To(gomega.Equal(2))
 	g.Expect(len(r.streams)).To(gomega.Equal(2))
@@ -275,3 +284,37 @@
 		}
 	})
 }
+
+// A stream that was joined from two versions must be told afterwards, at the daemons that hear of both.
+func TestRecordsOfTwoVersionsOfOneAttemptAreCounted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fleet := startDaemons(t, 2, Several)
+	fleet[0].book.Record("org", "try", begun)
+	g.Eventually(func() bool { return fleet[1].has("org", "try") }, maxWait, "5ms").Should(gomega.BeTrue())
+	fleet[0].book.Record("org", "try", begun)
+	fleet[0].book.Record("org", "try", Stream{Service: "other", Version: "v2"})
+	fleet[0].book.Record("org", "try", begun)
+	for _, d := range fleet {
+		g.Expect(d.book.Conflicts()).To(gomega.BeZero(), "a route may have been moved to another service")
+	}
+	fleet[1].book.Record("org", "try", Stream{Service: "llm", Version: "v2"})
+	for _, d := range fleet {
+		g.Eventually(d.book.Conflicts, maxWait, "5ms").Should(gomega.BeNumerically(">", 0))
+	}
+}
+
+// The log line of a stream that is taken up tells by whose word, and how old that is.
+func TestFindingTellsWhoseWordItIsAndItsAge(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fleet := startDaemons(t, 2, Several)
+	fleet[0].book.Record("org", "try", begun)
+	g.Eventually(func() bool { return fleet[1].has("org", "try") }, maxWait, "5ms").Should(gomega.BeTrue())
+	clock.Suspend(10 * time.Second)
+	found := fleet[1].book.Find(context.Background(), "org", "try", "llm")
+	g.Expect(found.By).To(gomega.BeEmpty())
+	g.Expect(found.Age).To(gomega.BeNumerically("~", 10*time.Second, 5*time.Second))
+	fleet[1].book.records = records{}
+	found = fleet[1].book.Find(context.Background(), "org", "try", "llm")
+	g.Expect(found.By).To(gomega.Equal(fleet[0].name))
+	g.Expect(found.Age).To(gomega.BeNumerically("~", 10*time.Second, 5*time.Second))
+}
