A single version is proven only by lists between which none can have come and gone

An answer with a proof tells the revision of the store up to which it knows all versions, and counts only if the asking daemon has seen all since. So no list needs to be judged by its age here: changes are never skipped unseen.

A peer of a former release tells revision 0, so that its proof does not count.

--- a/core/origin/book.go
+++ b/core/origin/book.go
@@ -44,8 +44,12 @@
 	Versions func(service string) (string, Proof)
 	// ViewAge returns how old the view is by which Versions says so. It must not block. Nil means that it is current.
 	ViewAge func() time.Duration
-	// Inherit records that another daemon has proven that a service has had a single version. Nil does nothing.
-	Inherit func(service string)
+	// Revision returns the revision of the coordination store up to which Versions knows all versions that are listed, or a
+	// lower one. It must not block. Nil means 0.
+	Revision func() int64
+	// Inherit records that another daemon, which knows all versions up to a revision, has proven that a service has had a
+	// single version. It reports whether this daemon has seen all versions since that revision. Nil means that it has.
+	Inherit func(service string, revision int64) bool
 	// Copy is this daemon's copy of the coordination store, where records are looked up, and Store is the store, where
 	// they are written. Nil means that there is none. Incarnation identifies the process, and Log gets what fails.
 	Copy        Copy
@@ -229,14 +233,12 @@
 			b.bookMu.Unlock()
 			out.Stream, out.Known, out.By, out.Age = answer.response.Stream, true, answer.peer, answer.response.age()
 			return out
-		case answer.response.Proof == Sole && proof == Unproven && answer.response.Stream.Version == version:
+		case answer.response.Proof == Sole && proof == Unproven && answer.response.Stream.Version == version &&
+			(b.o.Inherit == nil || b.o.Inherit(service, answer.response.Revision)):
 			sole = &answer
 		}
 	}
 	if sole != nil {
-		if b.o.Inherit != nil {
-			b.o.Inherit(service)
-		}
 		out.Stream, out.Known, out.Sole = Stream{Service: service, Version: version}, true, true
 		out.By, out.Age = sole.peer, sole.response.age()
 	}
@@ -308,6 +310,8 @@
 	Proof    Proof
 	// AgeMillis is the age of the record, or else that of the view that Proof follows from.
 	AgeMillis int64
+	// Revision is that up to which the daemon knows all versions.
+	Revision int64
 }
 
 // age returns the age that a daemon has reported.
@@ -323,6 +327,12 @@
 			return &findResponse{Found: true, Stream: s, AgeMillis: age.Milliseconds()}, nil
 		}
 	}
+	response := &findResponse{AgeMillis: b.viewAge().Milliseconds()}
+	if b.o.Revision != nil {
+		// Before the versions, which may be newer.
+		response.Revision = b.o.Revision()
+	}
 	version, proof := b.o.Versions(request.Service)
-	return &findResponse{Stream: Stream{Service: request.Service, Version: version}, Proof: proof, AgeMillis: b.viewAge().Milliseconds()}, nil
+	response.Stream, response.Proof = Stream{Service: request.Service, Version: version}, proof
+	return response, nil
 }
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -30,6 +30,8 @@
 	version   string
 	proof     Proof
 	inherited []string
+	// seenSince is the revision since which the daemon has seen all versions.
+	seenSince int64
 	stop      context.CancelFunc
 }
 
@@ -81,10 +83,14 @@
 			Name: d.name, Incarnation: "1", Address: list[i].Address, Domain: "z", HeartbeatInterval: 20 * time.Millisecond,
 			SuspectAfter: time.Second, BoxPollInterval: 20 * time.Millisecond, Boxes: list, Log: &event.Log{},
 		})
-		o := Options{Fleet: f, Versions: d.versions, Log: &event.Log{}, Inherit: func(s string) {
+		o := Options{Fleet: f, Versions: d.versions, Log: &event.Log{}, Revision: func() int64 { return 7 }, Inherit: func(s string, revision int64) bool {
 			d.mu.Lock()
 			defer d.mu.Unlock()
+			if revision < d.seenSince {
+				return false
+			}
 			d.inherited = append(d.inherited, s)
+			return true
 		}}
 		if s := store(i); s != nil {
 			o.Copy, o.Store, o.Incarnation = s, s, uuid.NewString()
@@ -198,13 +204,15 @@
 		name        string
 		own, others Proof
 		version     string
+		seenSince   int64
 		known       bool
 	}{
-		{"a peer has seen one version for long", Unproven, Sole, "v1", true},
-		{"all have just started", Unproven, Unproven, "v1", false},
-		{"this one has seen two versions", Several, Sole, "v1", false},
-		{"a peer that has not heard of the new version", Unproven, Sole, "v2", false},
-		{"a peer has seen two versions", Unproven, Several, "", false},
+		{"a peer has seen one version for long", Unproven, Sole, "v1", 7, true},
+		{"a peer that may not have seen a version which this one missed", Unproven, Sole, "v1", 8, false},
+		{"all have just started", Unproven, Unproven, "v1", 0, false},
+		{"this one has seen two versions", Several, Sole, "v1", 0, false},
+		{"a peer that has not heard of the new version", Unproven, Sole, "v2", 0, false},
+		{"a peer has seen two versions", Unproven, Several, "", 0, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -212,6 +220,7 @@
 			for _, d := range fleet[1:] {
 				d.set(tc.version, tc.others)
 			}
+			fleet[0].seenSince = tc.seenSince
 			found := fleet[0].book.Find(context.Background(), "org", "try", "llm")
 			g.Expect(found.Known).To(gomega.Equal(tc.known))
 			g.Expect(found.Unanswered).To(gomega.BeZero())
--- a/core/plat/restore_test.go
+++ b/core/plat/restore_test.go
@@ -180,3 +180,29 @@
 		t.Fatal(err)
 	}
 }
+
+// Whoever concludes from having seen all changes must learn that a snapshot may have skipped some, before it is applied.
+func TestSnapshotsThatMaySkipChangesAreReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := plat.NewWatchCache(nil, plat.Prefix(""), &event.Log{})
+	var reported []int64
+	applied := 0
+	w.OnSnapshot = func(last, _ clock.Time, revision int64) {
+		g.Expect(last.IsZero()).To(gomega.Equal(len(reported) == 0))
+		g.Expect(applied).To(gomega.Equal(len(reported)), "before the observers")
+		reported = append(reported, revision)
+	}
+	w.Observe(func([]plat.Change) { applied++ })
+	pair := func(revision int64) []plat.Change {
+		return []plat.Change{{Pair: plat.Pair{Key: "a", ModRevision: revision}}}
+	}
+	w.ApplySnapshot(pair(1), 1, "", "", clock.Now())
+	w.ApplySnapshot(pair(1), 1, "", "", clock.Now())
+	g.Expect(reported).To(gomega.Equal([]int64{1}), "nothing is skipped at the same revision")
+	w.ApplySnapshot(pair(3), 3, "", "", clock.Now())
+	g.Expect(w.AppliedRevision()).To(gomega.Equal(int64(3)))
+	g.Expect(reported).To(gomega.Equal([]int64{1, 3}))
+	w.ApplyChanges(pair(4), 4, clock.Now())
+	g.Expect(reported).To(gomega.HaveLen(2), "changes skip nothing")
+	g.Expect(w.AppliedRevision()).To(gomega.Equal(int64(4)))
+}
--- a/core/plat/watchcache.go
+++ b/core/plat/watchcache.go
@@ -42,6 +42,10 @@
 	// OnStoreIncarnation, if set, is called at the first snapshot of each store incarnation, with
 	// cacheMu held; it must not block. It is set before Run.
 	OnStoreIncarnation func()
+	// OnSnapshot, if set, is called before the observers are notified of a snapshot, which may skip values that were
+	// written and removed since the cache was last current. It is passed as of when that was, zero before the first
+	// snapshot, as of when the snapshot is current, and its revision.
+	OnSnapshot func(last, asOf clock.Time, revision int64)
 
 	// notifyMu serialises changes of the cache and the calls of observers: the store and a peer
 	// may report changes at the same time.
@@ -71,6 +75,8 @@
 	// appliedAsOf is the same for what the observers have been notified of; it follows cachedAsOf.
 	// Guarded by cacheMu.
 	appliedAsOf clock.Time
+	// appliedRevision is the revision up to which the observers have been notified. Guarded by cacheMu.
+	appliedRevision int64
 	// lastContact is when the store last answered this daemon, whatever the answer contained. Guarded
 	// by cacheMu.
 	lastContact clock.Time
@@ -297,6 +303,7 @@
 	}
 	changes := w.differences(all, revision, otherShard)
 	sameKeys := !otherShard && StoreIncarnation(revision) == StoreIncarnation(w.revision)
+	skips := !sameKeys || revision > w.revision
 	w.recordIncarnation(revision)
 	w.update(changes)
 	w.shard, w.watchable = shard, w.watchable && shard == ""
@@ -307,11 +314,22 @@
 		w.cachedAsOf = asOf
 	}
 	w.wakeWaiters()
+	last := w.appliedAsOf
 	w.cacheMu.Unlock()
+	if skips {
+		w.reportSnapshot(last, asOf, revision)
+	}
 	w.notify(changes)
 	return true
 }
 
+// reportSnapshot calls OnSnapshot. It is called with notifyMu held.
+func (w *WatchCache) reportSnapshot(last, asOf clock.Time, revision int64) {
+	if w.OnSnapshot != nil {
+		w.OnSnapshot(last, asOf, revision)
+	}
+}
+
 // differences returns the changes from the cache to a snapshot. If the snapshot is of another
 // shard, keys that it lacks may still exist in the store. It is called with cacheMu held.
 func (w *WatchCache) differences(all []Change, revision int64, otherShard bool) []Change {
@@ -429,6 +447,7 @@
 	for _, c := range fetched {
 		w.settleUnfetched(c)
 	}
+	w.appliedRevision = w.revision
 	if w.appliedAsOf != w.cachedAsOf {
 		w.appliedAsOf = w.cachedAsOf
 		w.wakeWaiters()
@@ -501,6 +520,14 @@
 	return w.revision
 }
 
+// AppliedRevision returns the revision up to which the observers have been notified of all changes, except for unfetched
+// values; 0 before the first snapshot.
+func (w *WatchCache) AppliedRevision() int64 {
+	w.cacheMu.Lock()
+	defer w.cacheMu.Unlock()
+	return w.appliedRevision
+}
+
 // SwitchShard switches the cache to another shard. changes come from a peer and are what the cache
 // lacks of that shard; pairs that remove accepts are removed from the cache. fromShard and asOf are as
 // in ApplySnapshot, and changes from a peer that is behind are discarded as there.
@@ -541,7 +568,9 @@
 	w.shard, w.watchable, w.revision = shard, false, revision
 	w.cachedAsOf = asOf
 	w.wakeWaiters()
+	last := w.appliedAsOf
 	w.cacheMu.Unlock()
+	w.reportSnapshot(last, asOf, revision)
 	w.notify(newer)
 	return true
 }
--- a/core/roster/versions.go
+++ b/core/roster/versions.go
@@ -188,6 +188,25 @@
 	}
 }
 
+// RenewVersions records that each version may have been away for longer than MaxVersionAbsence without being seen.
+func (r *Roster) RenewVersions() {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	now := clock.Now()
+	for _, records := range r.versions {
+		for _, record := range records {
+			record.since, record.lackedAt, record.settled = now, now, false
+		}
+	}
+}
+
+// ForgetHeardVersions records that what peers have told may lack versions that this daemon has not seen.
+func (r *Roster) ForgetHeardVersions() {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	r.versionPeers = nil
+}
+
 // versionMemory returns for how long a version is remembered after its targets have gone.
 func (r *Roster) versionMemory() time.Duration {
 	if r.VersionMemory == nil {
--- a/emberd/internal/host/config_current_test.go
+++ b/emberd/internal/host/config_current_test.go
@@ -20,7 +20,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	h := New(settings)
 	h.workCtx = t.Context()
-	t.Cleanup(h.spool.Close)
+	// Its spool stays open, since the end of an evacuation that the store lost is logged some time later.
 	return g, h
 }
 
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -105,6 +105,8 @@
 	// capacity is 1.
 	incarnationCheck chan struct{}
 	daemonCounter    daemonCounter
+	// listedPeers returns the names of the other daemons that are listed.
+	listedPeers func() []string
 
 	applyMu sync.Mutex // serialises applyTable
 
@@ -172,17 +174,19 @@
 	})
 	h.pool.OnPartitioned = h.recordPartition
 	h.daemonCounter.view = h.fleet.View
+	h.listedPeers = func() []string { return listedNames(h.fleet.View()) }
 	h.poison = poison.New(poison.Options{Fleet: h.fleet, Dial: h.pool.Connect, Log: h.log, Store: h.store, WatchCache: h.watchCache})
 	h.roster.Removed = h.incarnationRemoved
 	h.roster.Rank = h.targetRank
 	h.canary.CanaryShare = settings.Bounds.CanaryShare
 	h.canary.OrdersCurrent = func() bool { return h.viewAge() < rolloutMaxViewAge }
 	if !settings.FirstStart {
-		h.versionWatch.restart()
+		h.restartVersionWatch(0)
 	}
-	h.fleet.OnResume(func(time.Duration) { h.versionWatch.restart() })
+	h.fleet.OnResume(func(time.Duration) { h.restartVersionWatch(h.watchCache.Revision()) })
+	h.watchCache.OnSnapshot = h.recordSnapshot
 	h.origins = origin.New(origin.Options{
-		Fleet: h.fleet, Versions: h.serviceVersions, ViewAge: h.viewAge, Inherit: h.versionWatch.inherit,
+		Fleet: h.fleet, Versions: h.serviceVersions, ViewAge: h.viewAge, Revision: h.watchCache.AppliedRevision, Inherit: h.versionWatch.inherit,
 		Copy: h.watchCache, Store: h.store, Incarnation: incarnation, Log: h.log, Durable: h.keepsOrigins,
 	})
 	h.buildRelay()
--- a/emberd/internal/host/origins.go
+++ b/emberd/internal/host/origins.go
@@ -9,6 +9,7 @@
 	"embertally.dev/core/clock"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/origin"
+	"embertally.dev/core/plat"
 	"embertally.dev/core/spread"
 )
 
@@ -124,9 +125,19 @@
 	if len(h.roster.Versions(service, h.versionWindow())) != 1 {
 		return false
 	}
-	return h.versionWatch.complete(service, h.versionWindow()) || !slices.ContainsFunc(h.fleet.View().Peers(), func(p fleet.Peer) bool {
-		return p.Listed && !h.roster.HeardVersions(p.Name)
-	})
+	return h.versionWatch.complete(service, h.versionWindow()) ||
+		!slices.ContainsFunc(h.listedPeers(), func(peer string) bool { return !h.roster.HeardVersions(peer) })
+}
+
+// listedNames returns the names of the other daemons of a view that are listed.
+func listedNames(view *fleet.View) []string {
+	var out []string
+	for _, p := range view.Peers() {
+		if p.Listed {
+			out = append(out, p.Name)
+		}
+	}
+	return out
 }
 
 // unsettledVersions returns the number of listed versions at which no stream may begin yet.
@@ -148,26 +159,34 @@
 	// since is from when on no version can have been missed; zero for the beginning of the whole system. Guarded by
 	// watchMu.
 	since clock.Time
+	// sinceRevision is a revision of the store from which on none can have been missed. Guarded by watchMu.
+	sinceRevision int64
 	// inherited holds the services for which that is the beginning, since another daemon has proven it. Guarded by
 	// watchMu.
 	inherited map[string]bool
 }
 
-// restart records that versions may have been missed until now.
-func (v *versionWatch) restart() {
+// restart records that versions may have been missed until now, up to a revision of the store.
+func (v *versionWatch) restart(revision int64) {
 	v.watchMu.Lock()
 	defer v.watchMu.Unlock()
-	v.since, v.inherited = clock.Now(), nil
+	v.since, v.sinceRevision, v.inherited = clock.Now(), revision, nil
 }
 
-// inherit records that another daemon has proven that a service has had a single version.
-func (v *versionWatch) inherit(service string) {
+// inherit records that another daemon, which knows all versions up to a revision of the store, has proven that a service has
+// had a single version. It does nothing and returns false if versions may have been missed after that revision: one that
+// came and went before this daemon's first list is in neither list.
+func (v *versionWatch) inherit(service string, revision int64) bool {
 	v.watchMu.Lock()
 	defer v.watchMu.Unlock()
+	if plat.StoreIncarnation(revision) != plat.StoreIncarnation(v.sinceRevision) || revision < v.sinceRevision {
+		return false
+	}
 	if v.inherited == nil {
 		v.inherited = map[string]bool{}
 	}
 	v.inherited[service] = true
+	return true
 }
 
 // complete reports whether all versions of a service have been seen that were listed within a window.
@@ -177,6 +196,24 @@
 	return v.since.IsZero() || v.inherited[service] || clock.Since(v.since) >= window
 }
 
+// restartVersionWatch records that versions may have been missed until now, up to a revision of the store.
+func (h *Host) restartVersionWatch(revision int64) {
+	h.versionWatch.restart(revision)
+	h.roster.ForgetHeardVersions()
+}
+
+// recordSnapshot records that a snapshot is about to replace what was known as of last: a version that came and went in
+// between is not in it, and one that is may have been away.
+func (h *Host) recordSnapshot(last, asOf clock.Time, revision int64) {
+	if last.IsZero() && h.settings.FirstStart {
+		return
+	}
+	h.restartVersionWatch(revision)
+	if !last.IsZero() && asOf.Sub(last) > maxVersionAbsence {
+		h.roster.RenewVersions()
+	}
+}
+
 // serviceVersions returns what this daemon can say of the versions of a service's targets.
 func (h *Host) serviceVersions(service string) (string, origin.Proof) {
 	// The list holds only a shard of the targets of a sharded service.
@@ -208,6 +245,6 @@
 		return
 	}
 	if fresh.IsZero() || clock.Since(fresh) > versionMaxViewAge {
-		h.versionWatch.restart()
+		h.restartVersionWatch(h.watchCache.Revision())
 	}
 }
--- a/emberd/internal/host/origins_test.go
+++ b/emberd/internal/host/origins_test.go
@@ -25,8 +25,8 @@
 	}{
 		{"the whole system starts", true, func(*Host) {}, origin.Sole},
 		{"just started", false, func(*Host) {}, origin.Unproven},
-		{"just started, a peer has proven it", false, func(h *Host) { h.versionWatch.inherit("llm") }, origin.Sole},
-		{"proven for another service", false, func(h *Host) { h.versionWatch.inherit("other") }, origin.Unproven},
+		{"just started, a peer has proven it", false, func(h *Host) { h.versionWatch.inherit("llm", h.watchCache.AppliedRevision()) }, origin.Sole},
+		{"proven for another service", false, func(h *Host) { h.versionWatch.inherit("other", h.watchCache.AppliedRevision()) }, origin.Unproven},
 		{"has run for long", false, func(h *Host) { h.refresh(clock.Now()); clock.Suspend(h.versionWindow()); h.refresh(clock.Now()) }, origin.Sole},
 		{"a second version", true, func(h *Host) { h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"}) }, origin.Several},
 		{"a second version that has gone", true, func(h *Host) {
@@ -61,7 +61,7 @@
 func TestOriginsAreKeptWhileSeveralVersionsAreKnown(t *testing.T) {
 	g := gomega.NewWithT(t)
 	h := newTestHost(t)
-	h.versionWatch.restart()
+	h.restartVersionWatch(0)
 	g.Expect(h.keepsOrigins("llm")).To(gomega.BeFalse())
 	h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
 	g.Expect(h.keepsOrigins("llm")).To(gomega.BeTrue())
@@ -129,7 +129,7 @@
 			h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
 			h.roster.RemoveUnusable("a")
 		}, "v2", false},
-		{"the only one, after a start without peers", func(h *Host) { h.versionWatch.restart() }, "v1", true},
+		{"the only one, after a start without peers", func(h *Host) { h.restartVersionWatch(0) }, "v1", true},
 		{"another service's", func(h *Host) { h.roster.Put(roster.Entry{ID: "b", Service: "other", Version: "v2"}) }, "v1", true},
 		{"gone for longer than others may be behind", func(h *Host) {
 			h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
