The version of an entry that a daemon ignores is remembered as well

A daemon ignores an entry of the list that seems older than the current incarnation of its name, is of one that was replaced, or may have been written before the list was restored; others, which have not seen what came before, use its target. If that entry was the only one of its version, the daemon that ignored it could prove that the service has had another version only, and take up streams there that began at the ignored one (read, shown by a test; not met).

Such a version now counts as one that was just taken off the list. TestVersionOfAnIgnoredEntryIsRemembered: 3 of 3 forms failed before. go test of core/roster passes.

--- a/core/roster/odd_entry_test.go
+++ b/core/roster/odd_entry_test.go
@@ -99,3 +99,40 @@
 	sendHeartbeat(g, from, to)
 	g.Expect(to.Target("a").Entry().Weights["m"]).To(gomega.Equal(int64(2)))
 }
+
+// Guards against a version that one daemon denies since it ignores the only entry that names it, while others use the
+// target of that entry.
+func TestVersionOfAnIgnoredEntryIsRemembered(t *testing.T) {
+	now := time.Now()
+	for _, tc := range []struct {
+		name    string
+		prepare func(r *Roster)
+		entry   Entry
+	}{
+		{"it seems older than the current incarnation", func(r *Roster) {
+			r.Put(Entry{ID: "new", Name: "a", Service: "s", Version: "v1", Started: now})
+		}, Entry{ID: "old", Name: "a", Service: "s", Version: "v2", Started: now.Add(-time.Minute)}},
+		{"it is of a replaced incarnation", func(r *Roster) {
+			r.Put(Entry{ID: "old", Name: "a", Service: "s", Version: "v1"})
+			r.RecordReplaced("old")
+			r.Put(Entry{ID: "b", Service: "s", Version: "v1"})
+		}, Entry{ID: "old", Name: "a", Service: "s", Version: "v2"}},
+		{"it was removed before the list was restored", func(r *Roster) {
+			r.Put(Entry{ID: "old", Name: "a", Service: "s", Version: "v1", Revision: plat.Revision(1, 9)})
+			r.RemoveUnusable("a")
+			r.Put(Entry{ID: "b", Service: "s", Version: "v1"})
+		}, Entry{ID: "old", Name: "a", Service: "s", Version: "v2", Revision: plat.Revision(2, 5)}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := New(&event.Log{}, nil)
+			tc.prepare(r)
+			g.Expect(r.Versions("s", time.Minute)).To(gomega.ConsistOf("v1"))
+			r.Put(tc.entry)
+			for _, listed := range r.ByService("s") {
+				g.Expect(listed.Entry().Version).To(gomega.Equal("v1"), "the entry is ignored")
+			}
+			g.Expect(r.Versions("s", time.Minute)).To(gomega.ConsistOf("v1", "v2"))
+		})
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -192,6 +192,7 @@
 		e.Name = e.ID
 	}
 	if r.replaced[e.Name] == e.ID {
+		r.recordVersionIgnored(&e)
 		return nil
 	}
 	previous = r.targets[r.incarnations[e.Name]]
@@ -200,9 +201,11 @@
 		return nil
 	}
 	if previous == nil && r.isStale(e) {
+		r.recordVersionIgnored(&e)
 		return nil
 	}
 	if previous != nil && seemsOlder(&e, previous.Entry()) {
+		r.recordVersionIgnored(&e)
 		r.outOfOrder[e.Name] = e
 		r.log.Emit(event.TargetSuspect, event.Ref{Target: e.ID}, "its entry is older than incarnation "+previous.id)
 		return nil
--- a/core/roster/versions.go
+++ b/core/roster/versions.go
@@ -188,6 +188,13 @@
 	}
 }
 
+// recordVersionIgnored records that the list has an entry that this daemon does not use, though others may. It is called
+// with rosterMu held.
+func (r *Roster) recordVersionIgnored(e *Entry) {
+	now := clock.Now()
+	r.versionRecord(e.Service, e.Version, now).unlistedAt = now
+}
+
 // RenewVersions records that each version may have been away for longer than MaxVersionAbsence without being seen.
 func (r *Roster) RenewVersions() {
 	r.rosterMu.Lock()
