A stream is bound to a version only if the list named it when the request was sent as well

The version of a stream was read from the list when its first event came. If the entry of the target had changed since the request was sent, as another writer may change it, nobody knew which of the two had written: the stream was on record under the later one, so that it could go on there, and a stream that was resumed at its version got events of a target that no longer named it (read and shown by a test with stand-ins; not met on real daemons, whose workers have a new incarnation for each version).

Both times are compared for each attempt. A stream that begins so is passed on, but not recorded, and neither this daemon nor its caller can go on with it. One that has begun elsewhere does not take such events and is sent to another target of its version. A change after the first event changes nothing.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -67,7 +67,8 @@
 
 // newFlight counts an attempt that is about to be sent.
 func (p *proxiedRequest) newFlight(c *choice) *flight {
-	f := &flight{relay: p.relay, service: p.service, version: c.target.Entry().Version, c: c, streams: p.route.Kind == table.Stream}
+	c.sentVersion = c.target.Entry().Version
+	f := &flight{relay: p.relay, service: p.service, version: c.sentVersion, c: c, streams: p.route.Kind == table.Stream}
 	f.begin.left = p.beginsWithin(c)
 	c.addLoad()
 	p.relay.options.Canary.RequestStarted(f.service, f.version)
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -52,6 +52,10 @@
 	// permit is the permit for a target with a rate limit, and sentAt when the request was sent.
 	permit roster.Permit
 	sentAt clock.Time
+	// sentVersion is the software version in the target's entry when the request was sent. bound is set once an event of the
+	// answer has been passed on as one of that version.
+	sentVersion string
+	bound       bool
 }
 
 // transfers is which segments a target copies from elsewhere and stores. Its fields are those of AttemptMeta.
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -58,10 +58,11 @@
 	if !good && p.route.MayRepeat() && whole {
 		return outcomeFailed, answer
 	}
-	p.firstAt = time.Now()
-	if resp.Status/100 == 2 && p.route.Kind == table.Stream {
-		p.bindToStream(c)
+	if resp.Status/100 == 2 && p.route.Kind == table.Stream && !p.bindToStream(c) {
+		resp.Discard()
+		return outcomeIncomplete, nil
 	}
+	p.firstAt = time.Now()
 	if whole {
 		answer.write(p)
 		return outcomeDone, nil
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -71,6 +71,8 @@
 	lastEventID string
 	// recordedAt is when the version of the targets that the stream is bound to was last recorded; zero before that.
 	recordedAt clock.Time
+	// originUnknown is set once events were passed on of a target whose version was not known.
+	originUnknown bool
 	// firstAt is when the first event or the header of a response was passed on; zero before that.
 	firstAt time.Time
 	// skipped lists targets that the last choice skipped for their self-reported state, with the
@@ -315,6 +317,8 @@
 		return false
 	case p.executions >= p.route.MaxAttempts:
 		return false
+	case p.originUnknown && p.headerSent:
+		return false
 	case p.attempts-p.executions > maxRejections, p.relay.options.Disabled.Retries:
 		return false
 	case p.blocked():
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -102,21 +102,34 @@
 }
 
 // bindToStream binds the request to the version of the target whose event is about to be passed on, and records that
-// version. The record is renewed for as long as events come.
-func (p *proxiedRequest) bindToStream(c *choice) {
-	if !p.route.Resumable {
-		return
+// version. The record is renewed for as long as events come. If the target's entry names another version than when the
+// request was sent, it is not known which of them answers: a stream that has begun elsewhere does not go on with it, for
+// which bindToStream returns false, and one that begins is not recorded and does not go on after it breaks.
+func (p *proxiedRequest) bindToStream(c *choice) bool {
+	if !p.route.Resumable || p.originUnknown {
+		return true
 	}
-	if !p.recordedAt.IsZero() {
+	if c.bound {
 		if clock.Since(p.recordedAt) >= origin.RenewInterval {
 			p.recordOrigin()
 		}
-		return
+		return true
 	}
 	version := c.target.Entry().Version
+	switch {
+	case p.versions.Bound && (c.sentVersion != p.versions.Only || version != p.versions.Only):
+		p.note("its entry names version %q, and %q when it was sent", version, c.sentVersion)
+		return false
+	case version != c.sentVersion:
+		p.originUnknown = true
+		p.note("its entry names version %q, and %q when it was sent: not recorded", version, c.sentVersion)
+		return true
+	}
+	c.bound = true
 	p.bind(version)
 	p.note("events of version %q, known for %s", version, p.relay.options.Roster.VersionAge(p.service, version).Round(time.Millisecond))
 	p.recordOrigin()
+	return true
 }
 
 // recordOrigin records the version that the stream is bound to, for resumptions by the caller.
--- a/core/relay/resume_test.go
+++ b/core/relay/resume_test.go
@@ -309,3 +309,71 @@
 	r.g.Expect(found.Sole).To(gomega.BeFalse())
 	r.g.Expect(found.Version).To(gomega.Equal("v1"))
 }
+
+// Guards against a stream that is bound to the version that the list names when its first event comes, though another one was
+// named when the request was sent.
+func TestVersionThatChangesBeforeTheFirstEventIsNotKnown(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// after is the number of events after which the entry changes.
+		after   int
+		whole   bool
+		headers []string
+		want    string
+		status  int
+		body    string
+		// recorded is the version on record afterwards.
+		recorded string
+	}{
+		{"a stream that begins", 0, true, nil, "a", 200, event1 + event2, ""},
+		{"a stream that begins and breaks", 0, false, nil, "a", 200, event1 + event2, ""},
+		{"changes later", 1, false, nil, "a c", 200, event1 + event2, "v1"},
+		{"a stream that is resumed", 0, true, []string{"Resumes", "first", "After", "1"}, "a c", 200, event2, "v1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			r.relay.options.Origins.Record("org", "first", origin.Stream{Service: "llm", Version: "v1"})
+			r.worker("a", "v1", 0, func(w *bufio.Writer, req *http.Request) error {
+				change := func() {
+					e := *r.roster.Target("a").Entry()
+					e.Version = "v2"
+					r.roster.Put(e)
+				}
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
+				events := []string{event1, event2}
+				if req.Header.Get("After") == "1" {
+					events = events[1:]
+				}
+				if tc.after == 1 {
+					events = events[:1]
+				}
+				for i, event := range events {
+					if i == tc.after {
+						change()
+					}
+					fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+					w.Flush()
+					time.Sleep(20 * time.Millisecond)
+				}
+				if tc.after == len(events) {
+					change()
+				}
+				if !tc.whole {
+					return io.ErrClosedPipe
+				}
+				fmt.Fprint(w, "0\r\n\r\n")
+				return nil
+			})
+			r.worker("b", "v2", 3, stream(true, event2))
+			r.worker("c", "v1", 6, stream(true, event2))
+			got := r.send(http.MethodPost, "/stream/x", "x", append([]string{"Model", "m", "Id", "one", "Deadline", "4000"}, tc.headers...)...)
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal(tc.want))
+			r.g.Expect(got.status).To(gomega.Equal(tc.status))
+			r.g.Expect(got.body).To(gomega.Equal(tc.body))
+			r.g.Expect(got.err == nil).To(gomega.Equal(tc.whole || tc.after == 1))
+			found := r.relay.options.Origins.Find(t.Context(), "org", "one", "llm")
+			r.g.Expect(found.Version).To(gomega.Equal(tc.recorded))
+		})
+	}
+}
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -133,8 +133,9 @@
 			}
 		}
 		ev.raw, st.comments = append(st.comments, ev.raw...), nil
-		if !ev.comment {
-			p.bindToStream(c)
+		if !ev.comment && !p.bindToStream(c) {
+			resp.Discard()
+			return outcomeIncomplete
 		}
 		if err := p.writeEvent(resp, ev); err != nil {
 			resp.Discard()
