Requests count at old targets from when they begin, not from the order

Operators saw: a rollout completed because "nothing runs at old targets any more" while requests of minutes, begun before the order, ran there; these are lost when the old targets are removed.

Cause: a daemon counted the requests on each version only from when it had received an order. Those begun before were not counted, and each of them that ended was taken for the end of one begun after.

Evidence: TestRequestsThatBeganBeforeTheOrderCountUntilTheyEnd, 3 of 8 forms failed before: 0 requests in place of 1.

Requests in flight are counted by service and version at all times.

--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -22,8 +22,14 @@
 
 	guardMu  sync.Mutex
 	services map[string]*service // by name; guarded by guardMu
+	// running counts the requests in flight by version, also while there is no rollout: those that began before an
+	// order end after it. Guarded by guardMu.
+	running map[serviceVersion]int
 }
 
+// serviceVersion is a version of the targets of a service.
+type serviceVersion struct{ service, version string }
+
 // service is a service that has or had a rollout.
 type service struct {
 	order Order
@@ -35,8 +41,6 @@
 	// requests counts the service's requests since receivedAt, and canaryRequests those that were
 	// to go to the canary version.
 	requests, canaryRequests int
-	// runningOnOld counts the requests in flight on versions other than the order's.
-	runningOnOld int
 	// routes holds the statistics of answers by route.
 	routes map[string]*Pair
 }
@@ -188,14 +192,29 @@
 // RequestEnded reverts what RequestStarted counted.
 func (g *Guard) RequestEnded(name, version string) { g.addRunning(name, version, -1) }
 
-// addRunning changes the count of requests on versions other than the new one. Requests sent before
-// the order was received were not counted; the count stays at zero when they end.
+// addRunning changes the count of requests on a version.
 func (g *Guard) addRunning(name, version string, delta int) {
 	g.guardMu.Lock()
 	defer g.guardMu.Unlock()
-	if s := g.services[name]; s != nil && version != s.order.Version {
-		s.runningOnOld = max(0, s.runningOnOld+delta)
+	if g.running == nil {
+		g.running = map[serviceVersion]int{}
+	}
+	k := serviceVersion{name, version}
+	if g.running[k] += delta; g.running[k] <= 0 {
+		delete(g.running, k)
+	}
+}
+
+// runningOnOld returns the number of requests in flight on versions of a service other than the order's. It is called with
+// guardMu held.
+func (g *Guard) runningOnOld(o *Order) int {
+	n := 0
+	for k, running := range g.running {
+		if k.service == o.Service && k.version != o.Version {
+			n += running
+		}
 	}
+	return n
 }
 
 // RecordAnswer counts a version's answer. good reports that it was not a failure of the target.
@@ -250,7 +269,7 @@
 		if s.phase().Decided() {
 			continue
 		}
-		r := Report{Service: name, Order: s.order.Revision, Phase: s.phase(), RunningOnOld: s.runningOnOld, Routes: map[string]Pair{}}
+		r := Report{Service: name, Order: s.order.Revision, Phase: s.phase(), RunningOnOld: g.runningOnOld(&s.order), Routes: map[string]Pair{}}
 		for route, p := range s.routes {
 			r.Routes[route] = *p
 		}
--- a/core/canary/guard_test.go
+++ b/core/canary/guard_test.go
@@ -148,3 +148,43 @@
 		})
 	}
 }
+
+// Requests that had begun before an order came were not counted, and their ends were taken for those of later ones: the
+// old targets counted as idle while requests of minutes ran there.
+func TestRequestsThatBeganBeforeTheOrderCountUntilTheyEnd(t *testing.T) {
+	tests := []struct {
+		name string
+		// before and after are the versions of the requests that begin before and after the order, and ended those of
+		// the requests that end then.
+		before, after, ended []string
+		want                 int // requests at old targets
+	}{
+		{"none", nil, nil, nil, 0},
+		{"begun after", nil, []string{"v1", "v2"}, nil, 1},
+		{"begun after, ended", nil, []string{"v1", "v2"}, []string{"v1"}, 0},
+		{"begun before", []string{"v1"}, nil, nil, 1},
+		{"begun before, ended", []string{"v1"}, nil, []string{"v1"}, 0},
+		{"begun before and after, one ended", []string{"v1"}, []string{"v1"}, []string{"v1"}, 1},
+		{"begun before at the new version", []string{"v2"}, nil, nil, 0},
+		{"two old versions", []string{"v0", "v1"}, []string{"v2"}, []string{"v0"}, 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var guard Guard
+			for _, version := range tc.before {
+				guard.RequestStarted("s", version)
+			}
+			guard.SetOrder(Order{Service: "s", Version: "v2", Lasts: time.Minute, Revision: 1})
+			for _, version := range tc.after {
+				guard.RequestStarted("s", version)
+			}
+			for _, version := range tc.ended {
+				guard.RequestEnded("s", version)
+			}
+			reports := guard.Reports()
+			g.Expect(reports).To(gomega.HaveLen(1))
+			g.Expect(reports[0].RunningOnOld).To(gomega.Equal(tc.want))
+		})
+	}
+}
