An answer from before all crashes that count clears no request

Callers saw: a request that crashes each target that runs it was never blocked, and took one target after another, if it had once been answered well and little else had been served since; three crashes are stated to block it. A release that crashes on a request that is repeated now and then does that.

Cause: a crash counts for an hour, but what clears a request of crashes, that it completed well, was kept without an age: until 2,048 to 4,096 other requests had ended.

An answer counts for as long as a crash. That is a part only: an answer of the same hour, but from before the crashes, still clears a request, while for parts of prompts each crash is compared with the last answer.

--- a/core/poison/attempts.go
+++ b/core/poison/attempts.go
@@ -240,13 +240,15 @@
 	s.current[k] = success{incarnation: incarnation, at: clock.Now(), Sent: sent, consecutive: consecutive}
 }
 
-// recentlySucceeded reports whether a request recently completed well at an incarnation that did
-// not crash just after.
+// recentlySucceeded reports whether a request completed well at an incarnation that did not crash
+// just after. If that is longer ago than any crash that counts, it says nothing about these.
 func (s *attempts) recentlySucceeded(d Digest) bool {
 	s.attemptsMu.Lock()
 	defer s.attemptsMu.Unlock()
+	now := clock.Now()
 	for _, generation := range []map[uint64]success{s.current, s.previous} {
-		if last, found := generation[shortKey(d)]; found && last.Request == d && last.consecutive > 0 {
+		last, found := generation[shortKey(d)]
+		if found && last.Request == d && last.consecutive > 0 && now.Sub(last.at) <= crashWindow {
 			return true
 		}
 	}
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -205,6 +205,23 @@
 	r.g.Consistently(r.blockedDaemons(d), 5*heartbeat, "5ms").Should(gomega.BeZero())
 }
 
+// A request that had once been answered well was never blocked, as with targets of a release that it crashes.
+func TestAnAnswerFromBeforeAllCrashesThatCountClearsNoRequest(t *testing.T) {
+	r := newTestFleet(t, 2)
+	d := digestOf("fatal")
+	for i := range r.daemons {
+		r.daemons[i].guard.RecordSuccess(sentOf(d), "of the former release")
+	}
+	clock.Suspend(crashWindow + time.Second)
+	for i := range 3 {
+		r.crash(i, d, fmt.Sprintf("inc-%d", i))
+		if i < 2 {
+			r.waitForCrashes(d, i+1)
+		}
+	}
+	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.Equal(2))
+}
+
 // A target may crash just after its complete answer.
 func TestACrashJustAfterAnAnswerCounts(t *testing.T) {
 	r := newTestFleet(t, 2)
