A restored entry of a removed target is accepted once the list has shown it

Callers saw: requests to a target whose end had been acknowledged, where the store had been restored from an older copy and was then out of reach: the entry of the target in that copy was taken for one that stays.

Cause: such an entry is accepted after 10 s, by which one that nobody renews has gone from the list. The time counted from when the entry was seen, not from what the daemon knew of the list: without the store no entry goes.

Evidence: TestARestoredEntryIsAcceptedOnlyOnceTheListHasShownThatItStays, 2 of 3 forms failed before: accepted after 10 s, without any contact or with contact for half of that time.

The entry is accepted once the list is known up to 10 s after it was seen.

--- a/core/roster/restored.go
+++ b/core/roster/restored.go
@@ -11,7 +11,7 @@
 // A list that is restored from an older copy contains targets that were removed, shows ones that
 // are shutting down as ready, and lacks new ones. What was recorded about an incarnation is kept:
 // one that is shutting down does not become ready again, and one that was removed is accepted only
-// once its entry changes or has stayed for staleEntryTime.
+// once its entry changes or the list has shown it for staleEntryTime.
 
 // staleEntryTime is how long an entry of a removed incarnation is not accepted. It is longer than a
 // target continues to serve after its shutdown was announced, and longer than the platform keeps
@@ -51,11 +51,33 @@
 	r.stale[e.Name] = e
 	r.log.Emit(event.TargetSuspect, event.Ref{Target: e.ID},
 		"it was removed before the list was restored from an older copy")
-	time.AfterFunc(staleEntryTime, func() { r.acceptStale(e) })
+	r.acceptLater(e, clock.Now().Add(staleEntryTime), staleEntryTime)
 	return true
 }
 
-// acceptStale adds the incarnation of an entry that has stayed for staleEntryTime.
+// acceptLater accepts an entry after some time, or once the list is known up to a time if that is later: while the list
+// is out of reach an entry that is gone seems to stay.
+func (r *Roster) acceptLater(e Entry, shown clock.Time, after time.Duration) {
+	time.AfterFunc(after, func() {
+		if r.ListAsOf == nil || !r.ListAsOf().Before(shown) {
+			r.acceptStale(e)
+			return
+		}
+		if r.awaitsAcceptance(e) {
+			r.acceptLater(e, shown, lapseCheckInterval)
+		}
+	})
+}
+
+// awaitsAcceptance reports whether an entry is still the last one of a removed incarnation.
+func (r *Roster) awaitsAcceptance(e Entry) bool {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	old, exists := r.stale[e.Name]
+	return exists && old.ID == e.ID && old.Revision == e.Revision
+}
+
+// acceptStale adds the incarnation of an entry that the list has shown for staleEntryTime.
 func (r *Roster) acceptStale(e Entry) {
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
--- a/core/roster/restored_test.go
+++ b/core/roster/restored_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,6 +101,45 @@
 	}
 }
 
+// While the store was out of reach an entry of a removed target could not go, and counted as one that stays: the target got
+// requests after its end had been acknowledged.
+func TestARestoredEntryIsAcceptedOnlyOnceTheListHasShownThatItStays(t *testing.T) {
+	tests := []struct {
+		name string
+		// reached is how long after the restore the list is known to be current.
+		reached time.Duration
+		want    UnavailabilityReason
+	}{
+		{"the list is current", staleEntryTime + time.Second, Available},
+		{"not reached since the restore", 0, Removed},
+		{"not reached since half of the time", staleEntryTime / 2, Removed},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			r := New(&event.Log{}, nil)
+			var known atomic.Int64
+			known.Store(int64(tc.reached))
+			restored := clock.Now()
+			r.ListAsOf = func() clock.Time { return restored.Add(min(time.Duration(known.Load()), clock.Since(restored))) }
+			r.Put(entryAt("a", false, 1, 10))
+			r.Remove("a", clock.Now())
+			r.Put(entryAt("a", false, 2, 9))
+			state := func() UnavailabilityReason {
+				if target := r.Target("a"); target != nil {
+					return r.Admit(target, Permit{})
+				}
+				return Removed
+			}
+			time.Sleep(staleEntryTime + 500*time.Millisecond)
+			g.Expect(state()).To(gomega.Equal(tc.want))
+			known.Store(int64(time.Hour))
+			g.Eventually(state, "30s", "10ms").Should(gomega.Equal(Available), "it has stayed")
+		})
+	}
+}
+
 // A target that has warmed up does not count as warming up again because a restored list contains
 // its entry from before.
 func TestRestoredEntryDoesNotRestartWarmUp(t *testing.T) {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -89,6 +89,8 @@
 	// CapacityChanged, if set, is called when a target may have capacity by the list or by the loads of
 	// peers. It is set before use.
 	CapacityChanged func()
+	// ListAsOf, if set, returns the time up to which the list is known. It is set before use.
+	ListAsOf func() clock.Time
 	// VersionRetention is how long a version is remembered after its targets have gone. It is set before use.
 	VersionRetention time.Duration
 
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -138,6 +138,7 @@
 	h.watchCache.OnStoreIncarnation = h.triggerIncarnationCheck
 	h.roster = roster.New(h.log, func() (clock.Time, time.Duration) { return h.watchCacheSync.LastOutage() })
 	h.roster.VersionRetention = origin.Retention
+	h.roster.ListAsOf = h.watchCache.FreshAsOf
 	h.fleet = fleet.New(fleet.Options{
 		Name: settings.Name, Incarnation: incarnation, Address: settings.Peers, Domain: settings.Domain,
 		HeartbeatInterval: settings.Tuning.Heartbeat, SuspectAfter: settings.Tuning.Suspect,
