An evacuation does not end while its withdrawal cannot be seen

Callers saw: requests to a failure domain that operators had asked to be left alone, from a box that lost the store just after it had been restored from an older copy.

Cause: an evacuation that the copy lacks ends 10 s after the restore, unless operators write it again. The time counted also while the box did not reach the store, and could not see that they had.

Evidence: TestEvacuationDoesNotEndWhileTheStoreIsOutOfReach, 2 of 5 forms failed before: out of reach since the restore, and since half of the time.

The 10 s count as far as the box knows the store's contents. TestEvacuationOutlivesASecondRestoreByTheWholeGrace ended the evacuation without any contact for the whole time, which is the fault; it now has contact at the end, and the new test holds both cases.

--- a/emberd/internal/host/applied.go
+++ b/emberd/internal/host/applied.go
@@ -179,14 +179,19 @@
 	time.AfterFunc(restoredGrace, func() { h.endEvacuation(domain, key) })
 }
 
+// evacuationCheckInterval is the least time between checks whether an evacuation has ended.
+const evacuationCheckInterval = 250 * time.Millisecond
+
 // endEvacuation ends an evacuation that is missing from a restored store. If that has been restored once more
-// meanwhile, operators have the whole time again.
+// meanwhile, operators have the whole time again. Time for which this daemon does not know the store's contents does not
+// count: they may have written it again.
 func (h *Host) endEvacuation(domain, key string) {
 	if _, present := h.watchCache.Pair(key); present {
 		return
 	}
-	if remaining := restoredGrace - clock.Since(h.watchCache.StoreIncarnationSince()); remaining > 0 {
-		time.AfterFunc(remaining, func() { h.endEvacuation(domain, key) })
+	known := h.watchCache.FreshAsOf().Sub(h.watchCache.StoreIncarnationSince())
+	if remaining := restoredGrace - known; remaining > 0 {
+		time.AfterFunc(max(evacuationCheckInterval, min(remaining, restoredGrace)), func() { h.endEvacuation(domain, key) })
 		return
 	}
 	h.applied.Remove(key)
--- a/emberd/internal/host/applied_test.go
+++ b/emberd/internal/host/applied_test.go
@@ -81,10 +81,48 @@
 	h.endEvacuation("z1", evacuation.Key)
 	g.Expect(evacuated()).To(gomega.BeTrue(), "the store was just restored again")
 	clock.Suspend(restoredGrace)
+	applyFullCopy(h, plat.Revision(3, 1))
 	h.endEvacuation("z1", evacuation.Key)
 	g.Expect(evacuated()).To(gomega.BeFalse())
 }
 
+// A box that lost the store right after it had been restored could not see operators write an evacuation again, and ended
+// it as one that they had not.
+func TestEvacuationDoesNotEndWhileTheStoreIsOutOfReach(t *testing.T) {
+	evacuation := plat.Pair{Key: "op/evacuate/z1", ModRevision: plat.Revision(1, 1)}
+	again := plat.Pair{Key: evacuation.Key, ModRevision: plat.Revision(2, 2)}
+	tests := []struct {
+		name string
+		// reached is how long after the restore the store was last reached, and cut for how long it is not reached then.
+		reached, cut time.Duration
+		// after is what the store holds when it is reached again; nil if it is not.
+		after func(h *Host)
+		want  bool // the domain is still evacuated
+	}{
+		{"the store is reached all the time", restoredGrace, 0, nil, false},
+		{"out of reach since the restore", 0, restoredGrace, nil, true},
+		{"out of reach since half of the time", restoredGrace / 2, time.Minute, nil, true},
+		{"out of reach meanwhile, not written again", restoredGrace / 2, time.Minute, func(h *Host) { applyFullCopy(h, plat.Revision(2, 1)) }, false},
+		{"out of reach meanwhile, written again", restoredGrace / 2, time.Minute, func(h *Host) { applyFullCopy(h, plat.Revision(2, 2), again) }, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			g, h := newHost(t)
+			applyFullCopy(h, plat.Revision(1, 1), evacuation)
+			applyFullCopy(h, plat.Revision(2, 1))
+			clock.Suspend(tc.reached)
+			applyFullCopy(h, plat.Revision(2, 1))
+			clock.Suspend(tc.cut)
+			if tc.after != nil {
+				tc.after(h)
+			}
+			h.endEvacuation("z1", evacuation.Key)
+			_, on := h.roster.Evacuated("z1", time.Now())
+			g.Expect(on).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
 func TestInvalidValuesFromAPeerAreIgnored(t *testing.T) {
 	g, h := newHost(t)
 	applyFullCopy(h, 1, configPair("3", 1))
