--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -95,8 +95,8 @@
 	// MaxVersionAbsence is for how long the targets of a version may be away without its being new when they return. It is
 	// set before use.
 	MaxVersionAbsence time.Duration
-	// ListAsOf, if set, returns as of when the list was current before the change that is being recorded; zero before the
-	// first list. It is set before use, and called with rosterMu held.
+	// ListAsOf, if set, returns the time up to which the list is known, without a change that is being recorded; zero
+	// before the first list. It is set before use, and may be called with rosterMu held.
 	ListAsOf func() clock.Time
 
 	rosterMu sync.Mutex
