--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -267,11 +268,26 @@
 		Organisations: testOrganisations,
 	}))
 	r.front = nettest.NewServer(r.relay)
+	t.Cleanup(r.reportEvents)
 	t.Cleanup(r.checkProtection)
 	t.Cleanup(r.front.Close)
 	return r
 }
 
+// reportedEvents is how many of a relay's last events are reported if its test fails.
+const reportedEvents = 40
+
+// reportEvents reports a relay's last events if the test failed.
+func (r *rig) reportEvents() {
+	if !r.t.Failed() {
+		return
+	}
+	events := r.log.Since(0, math.MaxInt)
+	for _, ev := range events[max(0, len(events)-reportedEvents):] {
+		r.t.Log(ev.At.Format(time.StampMicro), ev.Name, ev.Request, ev.Target, ev.Text)
+	}
+}
+
 // checkProtection checks that no attempt, in whatever way it was sent, lacked what keeps organisations and
 // versions of weights apart.
 func (r *rig) checkProtection() {
