No end is marked on a connection that its handler has closed

What operators saw: lines of net/http on a response written to a hijacked connection, for each HTTP/1.0 request that the relay cuts off before its header.

Cause: the end of an answer is flushed after its handler, though the relay may have ended the connection itself.

--- a/core/entry/complete_test.go
+++ b/core/entry/complete_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -21,12 +23,12 @@
 // newTestServer returns a server whose only organisation has the key "secret".
 func newTestServer(t *testing.T) *Server {
 	t.Helper()
-	log := &event.Log{}
-	store := conf.NewStore(log)
+	events := &event.Log{}
+	store := conf.NewStore(events)
 	spec := fmt.Sprintf(`{"keyHashes":[%q]}`, conf.HashKey("secret"))
 	store.Replace(conf.Full{Seq: 1, Resources: []conf.Change{{Seq: 1, Kind: conf.KindOrganisation, Name: "one", Spec: []byte(spec)}}})
 	return New(Options{
-		Conf: store, Fleet: fleet.New(fleet.Options{Name: "box", Log: log}), Log: log, MaxRunningPerOrganisation: 1,
+		Conf: store, Fleet: fleet.New(fleet.Options{Name: "box", Log: events}), Log: events, MaxRunningPerOrganisation: 1,
 		NotReadyReason: func() string { return "" },
 	})
 }
@@ -64,6 +66,14 @@
 				c.Request().Context().Value(http.ServerContextKey).(*http.Server).Close()
 				return nil
 			}, 0},
+			{"connection closed by the handler", "secret", func(_ *Server, c echo.Context, q *request) *Refusal {
+				conn, _, err := c.Response().Hijack()
+				if err == nil {
+					conn.Close()
+				}
+				q.complete = true
+				return nil
+			}, 0},
 			{"caller left", "secret", func(*Server, echo.Context, *request) *Refusal { return nil }, 0},
 			{"caller left after the beginning", "secret", func(_ *Server, c echo.Context, _ *request) *Refusal { begin(c); return nil }, 0},
 		} {
@@ -73,8 +83,13 @@
 				e.GET("/", s.handle(func(c echo.Context, q *request) *Refusal { return tc.handler(s, c, q) }))
 				server := httptest.NewUnstartedServer(MarkEnds(e))
 				server.Config.ConnContext = ConnContext
+				var serverLog bytes.Buffer
+				server.Config.ErrorLog = log.New(&serverLog, "", 0)
 				server.Start()
-				t.Cleanup(server.Close)
+				t.Cleanup(func() {
+					server.Close()
+					g.Expect(serverLog.String()).To(gomega.BeEmpty())
+				})
 				c, err := net.Dial("tcp", server.Listener.Addr().String())
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 				defer c.Close()
--- a/core/entry/connection.go
+++ b/core/entry/connection.go
@@ -42,6 +42,10 @@
 			}
 		}()
 		h.ServeHTTP(w, r)
+		if conn.SetLinger(0) != nil {
+			// h has closed the connection.
+			return
+		}
 		if w.Header().Get("Content-Length") != "" || http.NewResponseController(w).Flush() == nil {
 			_ = conn.SetLinger(-1)
 			complete = true
