A hedge that was cancelled before it was sent is no attempt at its target

What callers saw: 502, or a stream that broke off, though another target was free: the first attempt had been slow to answer, a hedge was begun, the first attempt answered and broke, and the hedge's target got nothing, neither then nor afterwards.

Cause: an attempt counts at its target when it is chosen. A hedge that loses before anything of it is sent gave back its permit and not its count, so that its target was passed over: "no target is listed".

TestHedgeThatWasNotSentIsNoAttempt: 1 of 3 forms failed before.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -313,6 +313,7 @@
 	<-r.settled
 	if r.err != nil && !target.MayHaveArrived(r.err) {
 		p.relay.options.Roster.ReturnPermit(r.c.target, r.c.permit)
+		p.uncountAttempt(r.c.target.ID())
 		p.note("%s=cancelled before sending", r.c.target.ID())
 		return
 	}
--- a/core/relay/hedge_test.go
+++ b/core/relay/hedge_test.go
@@ -14,6 +14,7 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/nettest"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/target"
 )
 
 // silentTarget adds a target that reads requests and does not respond. The channel receives the time
@@ -212,3 +213,27 @@
 		})
 	}
 }
+
+// Guards against a stream that breaks and goes on nowhere, since the hedge that it won against counts as an attempt though nothing was sent.
+func TestHedgeThatWasNotSentIsNoAttempt(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		err             error
+		tried, attempts int
+	}{
+		{"cancelled before sending", &target.SendError{}, 0, 0},
+		{"cancelled after sending", &target.SendError{MayHaveArrived: true}, 1, 1},
+		{"answered", nil, 1, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("b", "llm", always(hangUp))
+			settled := make(chan struct{})
+			close(settled)
+			p := &proxiedRequest{relay: r.relay, tried: map[string]int{"b": 1}}
+			p.settle(&racer{flight: &flight{c: &choice{target: r.roster.Target("b")}, err: tc.err}, settled: settled})
+			r.g.Expect(p.tried["b"]).To(gomega.Equal(tc.tried))
+			r.g.Expect(p.attempts).To(gomega.Equal(tc.attempts))
+		})
+	}
+}
