Events are left out only where streams may be resumed

Cause: the last event that the caller names counted as received whatever the route, so that the target's events up to it were passed over, and a stream that ends before it was taken for a broken one.

Now only routes whose streams may be resumed leave events out; elsewhere the target's answer is passed on unchanged.

--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -163,9 +163,10 @@
 	comments []byte
 }
 
-// skipsEvent reports whether the caller has received an event from the target that served the stream before.
+// skipsEvent reports whether the caller has received an event from the target that served the stream before. On a route
+// whose streams may not be resumed it has none, whatever it names as the last one.
 func (p *proxiedRequest) skipsEvent(st *responseStream, id string) bool {
-	if !st.continued && !isNewerEvent(id, p.lastEventID) {
+	if !st.continued && p.route.Resumable && !isNewerEvent(id, p.lastEventID) {
 		st.caughtUp = st.caughtUp || id == p.lastEventID
 		return true
 	}
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -192,3 +192,20 @@
 		})
 	}
 }
+
+// Guards against events that are left out, or a refusal, where a caller names a last event on a route whose streams may not be resumed.
+func TestEventsAreLeftOutOnlyWhereStreamsMayBeResumed(t *testing.T) {
+	events := event1 + event2 + "id: 3\ndata: word 3\n\n"
+	for _, path := range []string{"/unresumed/x", "/single/x"} {
+		for _, after := range []string{"1", "2", "3", "20", "0", "-1", "007", "abc"} {
+			t.Run(path+" after "+after, func(t *testing.T) {
+				r := newRig(t, nil)
+				r.worker("a", "v1", 0, stream(true, events))
+				got := r.send(http.MethodPost, path, "x", "Model", "m", "After", after)
+				r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+				r.g.Expect(got.status).To(gomega.Equal(http.StatusOK))
+				r.g.Expect(got.body).To(gomega.Equal(events))
+			})
+		}
+	}
+}
