Events without an ID do not show what the caller lacks

Now the response has to show by an ID that it has reached what the caller has. Events without one among those that the caller has are left out with them; before the first ID, where nothing tells what they belong to, they are passed on and show nothing.

--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -155,6 +155,8 @@
 	// continued is set once an event came that the caller did not have before this response. What follows is passed on
 	// whatever its ID.
 	continued bool
+	// numbered is set once an event with an ID came.
+	numbered bool
 	// lastID is the ID of the last event, and unordered is set once one had none or one that was not higher.
 	lastID    string
 	unordered bool
@@ -166,8 +168,14 @@
 // skipsEvent reports whether the caller has received an event from the target that served the stream before. On a route
 // whose streams may not be resumed it has none, whatever it names as the last one.
 func (p *proxiedRequest) skipsEvent(st *responseStream, id string) bool {
-	if !st.continued && p.route.Resumable && !isNewerEvent(id, p.lastEventID) {
-		st.caughtUp = st.caughtUp || id == p.lastEventID
+	switch {
+	case st.continued:
+		return false
+	case id == "" && p.lastEventID != "" && p.route.Resumable:
+		// It is at the place of the event before, and is also passed on if it is the first one, which shows none.
+		return st.numbered && !st.caughtUp
+	case p.route.Resumable && !isNewerEvent(id, p.lastEventID):
+		st.numbered, st.caughtUp = true, st.caughtUp || id == p.lastEventID
 		return true
 	}
 	st.continued, st.caughtUp = true, true
@@ -200,12 +208,12 @@
 		p.note("no event")
 		p.relay.options.Stats.StreamsWithoutEvents.Inc()
 	}
-	if !st.caughtUp && st.events > 0 {
+	if !st.caughtUp && st.numbered {
 		p.note("ended before event %q, which the caller has", p.lastEventID)
 		p.recordResponse(c, false)
 		return outcomeIncomplete
 	}
-	if errors.Is(err, target.ErrUnmarkedEnd) && !st.caughtUp {
+	if errors.Is(err, target.ErrUnmarkedEnd) && !st.caughtUp && st.events == 0 {
 		return p.classifyBrokenStream(c, st, err)
 	}
 	st.gaps.finished()
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -209,3 +209,48 @@
 		}
 	}
 }
+
+// Guards against events that come twice where the response that continues a stream begins anew and some of its events have no ID.
+func TestEventsWithoutAnIDDoNotShowWhatTheCallerLacks(t *testing.T) {
+	const ping, done, event3 = "event: ping\ndata: {}\n\n", "data: done\n\n", "id: 3\ndata: word 3\n\n"
+	for _, tc := range []struct {
+		name string
+		// second continues the stream after event 2.
+		second []string
+		// want is what follows event 2, and whole whether the answer is complete after it.
+		want  string
+		whole bool
+	}{
+		{"anew, between known events", []string{event1, ping, event2, event3}, event3, true},
+		{"anew, before the first new event", []string{event1, event2, ping, event3}, ping + event3, true},
+		{"anew, after the first new event", []string{event1, event2, event3, ping}, event3 + ping, true},
+		{"anew, at the beginning", []string{ping, event1, event2, event3}, ping + event3, true},
+		{"anew, it ends too early", []string{ping, event1}, ping, false},
+		{"anew, it ends too early with such an event", []string{event1, done}, "", false},
+		{"anew, only the end is new", []string{event1, event2, done}, done, true},
+		{"resumed", []string{ping, event3}, ping + event3, true},
+		{"resumed, only the end is new", []string{done}, done, true},
+	} {
+		for _, byCaller := range []bool{false, true} {
+			t.Run(tc.name+map[bool]string{true: ", by the caller"}[byCaller], func(t *testing.T) {
+				r := newRig(t, nil)
+				r.relay.options.Disabled.Hedges = true
+				got, begun := callerAnswer{}, ""
+				if byCaller {
+					r.worker("b", "v1", 0, stream(true, tc.second...))
+					got = r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "After", "2")
+				} else {
+					begun = event1 + event2
+					r.worker("a", "v1", 0, stream(false, event1, event2))
+					r.worker("b", "v1", 3, stream(true, tc.second...))
+					got = r.send(http.MethodPost, "/stream/x", "x", "Model", "m")
+				}
+				complete := got.err == nil && got.status == http.StatusOK
+				r.g.Expect(complete).To(gomega.Equal(tc.whole), "%d %v %q", got.status, got.err, got.body)
+				if complete || !byCaller {
+					r.g.Expect(got.body).To(gomega.Equal(begun + tc.want))
+				}
+			})
+		}
+	}
+}
