Events are compared by the numbers that their IDs are

What callers saw: a stream taken up after an ID with leading zeros, or after one that is no number, lacked its next events and ended as whole, or was refused with 502 (ORDER: a piece is absent). A stream whose IDs are no numbers and rise by chance as texts was continued elsewhere and lacked the events whose IDs are lower as texts.

Cause: IDs were compared by length and then as texts, whoever had written them, and nothing checked that they are numbers.

Now they are compared without leading zeros. After an ID of the caller that is no number nothing is left out: the target alone knows what it means. A stream is not continued after an event whose ID is no number, as already after IDs that do not rise.

TestEventsAreComparedByTheNumberOfTheirID: 8 of 10 forms failed before, none now. TestStreamIsNotContinuedAfterAnIDThatIsNoNumber: 6 of 6 before, none now.

--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -69,8 +69,8 @@
 	headerSent bool
 	// lastEventID is the ID of the last stream event that the caller has received.
 	lastEventID string
-	// unnumbered is set while the last event passed on had no ID, and unordered once the ID of one was not higher than the
-	// one before. No target can continue the stream then, since lastEventID does not tell what the caller has.
+	// unnumbered is set while the last event passed on had no ID, and unordered once the ID of one was no number or not higher
+	// than the one before. No target can continue the stream then, since lastEventID does not tell what the caller has.
 	unnumbered, unordered bool
 	// recordedAt is when the version of the targets that the stream is bound to was last recorded; zero before that.
 	recordedAt clock.Time
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -175,7 +176,7 @@
 		// It is at the place of the event before, and is also passed on if it is the first one, which shows none.
 		return st.numbered && !st.caughtUp
 	case p.route.Resumable && !isNewerEvent(id, p.lastEventID):
-		st.numbered, st.caughtUp = true, st.caughtUp || id == p.lastEventID
+		st.numbered, st.caughtUp = true, st.caughtUp || !isNewerEvent(p.lastEventID, id)
 		return true
 	}
 	st.continued, st.caughtUp = true, true
@@ -184,7 +185,7 @@
 
 // noteOrder records an event whose ID does not tell its place in the stream.
 func (p *proxiedRequest) noteOrder(st *responseStream, id string) {
-	if id == "" || !isNewerEvent(id, st.lastID) {
+	if !isNextEvent(id, st.lastID) {
 		p.relay.options.Stats.EventsUnordered.Inc()
 		if !st.unordered {
 			st.unordered = true
@@ -230,16 +231,34 @@
 	return outcomeDone
 }
 
-// isNewerEvent reports whether an event comes after the last one passed on. IDs are rising decimal
-// numbers and are compared as digits.
+// eventNumber returns the digits of an event's ID without leading zeros, and whether it is a decimal number.
+func eventNumber(id string) (string, bool) {
+	for _, b := range []byte(id) {
+		if b < '0' || b > '9' {
+			return "", false
+		}
+	}
+	return strings.TrimLeft(id, "0"), id != ""
+}
+
+// isNewerEvent reports whether an event comes after the last one passed on, by the numbers of any length that their IDs are.
+// After an ID that is no number all events count as newer.
 func isNewerEvent(id, last string) bool {
-	if id == "" || last == "" {
+	lastNumber, known := eventNumber(last)
+	if id == "" || !known {
 		return true
 	}
-	if len(id) != len(last) {
-		return len(id) > len(last)
+	number, ok := eventNumber(id)
+	if !ok || len(number) != len(lastNumber) {
+		return ok && len(number) > len(lastNumber)
 	}
-	return id > last
+	return number > lastNumber
+}
+
+// isNextEvent reports whether the ID of an event tells that it comes after the last one.
+func isNextEvent(id, last string) bool {
+	_, ok := eventNumber(id)
+	return ok && isNewerEvent(id, last)
 }
 
 // writeEvent passes one event on to the caller.
@@ -258,7 +277,7 @@
 	}
 	if !ev.comment {
 		p.unnumbered = ev.id == ""
-		p.unordered = p.unordered || !isNewerEvent(ev.id, p.lastEventID)
+		p.unordered = p.unordered || ev.id != "" && !isNextEvent(ev.id, p.lastEventID)
 	}
 	if ev.id != "" {
 		p.lastEventID = ev.id
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -254,3 +254,60 @@
 		}
 	}
 }
+
+// Guards against events that are left out after a last event whose ID is written in another way than the target's, or is no number.
+func TestEventsAreComparedByTheNumberOfTheirID(t *testing.T) {
+	event := func(id string) string { return "id: " + id + "\ndata: word\n\n" }
+	for _, tc := range []struct {
+		name, after string
+		sent, want  []string
+	}{
+		{"leading zeros", "007", []string{"8", "9", "10"}, []string{"8", "9", "10"}},
+		{"leading zeros, anew", "007", []string{"6", "7", "8", "10"}, []string{"8", "10"}},
+		{"leading zeros at the target", "7", []string{"006", "007", "008"}, []string{"008"}},
+		{"0", "0", []string{"0", "1", "2"}, []string{"1", "2"}},
+		{"zeros", "000", []string{"1", "2"}, []string{"1", "2"}},
+		{"negative", "-1", []string{"8", "9", "10"}, []string{"8", "9", "10"}},
+		{"a sign", "+7", []string{"8", "9", "10"}, []string{"8", "9", "10"}},
+		{"text", "abc", []string{"98", "99", "100", "1000"}, []string{"98", "99", "100", "1000"}},
+		{"a fraction", "7.5", []string{"8", "9", "10"}, []string{"8", "9", "10"}},
+		{"long", "18446744073709551615", []string{"18446744073709551615", "18446744073709551616"}, []string{"18446744073709551616"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			sent, want := "", ""
+			for _, id := range tc.sent {
+				sent += event(id)
+			}
+			for _, id := range tc.want {
+				want += event(id)
+			}
+			r.worker("a", "v1", 0, stream(true, sent))
+			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "After", tc.after)
+			r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(got.status).To(gomega.Equal(http.StatusOK))
+			r.g.Expect(got.body).To(gomega.Equal(want))
+		})
+	}
+}
+
+// Guards against streams that are continued after an ID that is no number, so that nothing tells whether the next one follows it.
+func TestStreamIsNotContinuedAfterAnIDThatIsNoNumber(t *testing.T) {
+	event := func(id string) string { return "id: " + id + "\ndata: word\n\n" }
+	for _, ids := range [][]string{{"a1"}, {"a1", "c9"}, {"1", "2a"}, {"1", "22a"}, {"-3"}, {"1.1", "1.2"}} {
+		t.Run(strings.Join(ids, " "), func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			begun := ""
+			for _, id := range ids {
+				begun += event(id)
+			}
+			r.worker("a", "v1", 0, stream(false, begun))
+			r.worker("b", "v1", 3, stream(true, event("b4"), event("d0"), event("999")))
+			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m")
+			r.g.Expect(got.err).To(gomega.HaveOccurred(), "it looks complete: %q", got.body)
+			r.g.Expect(got.body).To(gomega.Equal(begun))
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal("a"))
+		})
+	}
+}
