Failing test: versions under configurations that a daemon did not apply

What callers may see: a stream of two versions, where a stream runs for minutes under a longer timeout, its version leaves, and then the timeout is lowered and a daemon starts anew; or where the route's streams could not be resumed when it began and may be now.

Cause: the window follows the configurations that this process has applied, and of those the routes whose streams may be resumed. A daemon that starts knows the present one only, and proves a single version after the short window of that. The random test of the invariant replays all former timeouts to a daemon that starts, which no store does.

--- a/emberd/internal/host/versions_test.go
+++ b/emberd/internal/host/versions_test.go
@@ -602,3 +602,47 @@
 		})
 	}
 }
+
+// Guards against a version that is forgotten while a stream goes on that began there under a configuration that this daemon has
+// not applied, or on a route whose streams could not be resumed then.
+func TestVersionIsRememberedUnderConfigurationsOfStreamsThatGoOn(t *testing.T) {
+	const long = 10 * time.Minute
+	apply := func(h *Host, version int64, resumable bool, timeout time.Duration) {
+		h.applyTable(table.New(table.Spec{Version: version, Routes: []table.Route{
+			{Host: "h", Prefix: "/s/", Kind: table.Stream, Resumable: resumable, Timeout: timeout, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+		}}))
+	}
+	for _, tc := range []struct {
+		name string
+		red  bool
+		// resumable is whether the route's streams may be resumed under the former configuration.
+		resumable bool
+		// restarted is set if the daemon starts after the version has gone.
+		restarted bool
+	}{
+		{"applied", false, true, false},
+		{"it has started since", true, true, true},
+		{"streams could not be resumed", true, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if tc.red {
+				knownRed(t)
+			}
+			g := gomega.NewWithT(t)
+			h := newTestHost(t)
+			apply(h, 1, tc.resumable, long)
+			h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
+			pass(2*versionSettleTime, h)
+			end := clock.Now().Add(long + origin.Retention)
+			h.roster.RemoveUnusable("b")
+			if tc.restarted {
+				h = newTestHost(t)
+				h.restartVersionWatch(0)
+			}
+			for apply(h, 2, true, 5*time.Second); clock.Until(end) > 0; pass(time.Second, h) {
+				version, proof := h.serviceVersions("llm")
+				g.Expect(proof).NotTo(gomega.Equal(origin.Sole), "%s is proven %s before the stream ends", version, clock.Until(end))
+			}
+		})
+	}
+}
