Streams wait for a new version also where its service is sharded

What callers may see: a stream of two versions, where the targets of a new version make its service large enough to be sharded: a daemon that knows of them begins a stream at the new version at once, while another one, whose list is up to 2 s older, still proves that the service has a single version and takes the stream up there. Not met on real daemons.

Cause: a sharded service was taken out of the wait since no daemon proves a single version of it. Whether a service is sharded follows from each daemon's own list, so that at the same moment another one may not know it.

Now the wait holds for all services. Targets of versions that are known longer are used meanwhile, as elsewhere.

Not tried with many daemons.

--- a/emberd/internal/host/origins.go
+++ b/emberd/internal/host/origins.go
@@ -104,10 +104,6 @@
 
 // untilSettled returns for how much longer no stream may begin at a version of a service's targets.
 func (h *Host) untilSettled(service, version string) time.Duration {
-	if h.watchCacheSync.Sharded(service) {
-		// No daemon proves a single version of it.
-		return 0
-	}
 	remaining := versionSettleTime - h.roster.VersionAge(service, version)
 	if remaining <= 0 || h.roster.VersionSettled(service, version) {
 		return 0
--- a/emberd/internal/host/versions_test.go
+++ b/emberd/internal/host/versions_test.go
@@ -646,3 +646,28 @@
 		})
 	}
 }
+
+// Guards against streams of two versions where the targets of a new version make a service so large that it is sharded: a daemon
+// that does not know of them still proves the other one.
+func TestNoStreamBeginsAtAVersionThatMakesItsServiceSharded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	begins, proves := listHost(t, true, 2), listHost(t, true, 2)
+	shard, err := msgpack.Marshal([]any{"cell", []string{"llm"}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	both := []plat.Change{listed(1, "a", "v1"), listed(3, "b", "v2")}
+	begins.watchCache.ApplySnapshot(both, 3, "", string(shard), clock.Now())
+	g.Expect(begins.watchCacheSync.Sharded("llm")).To(gomega.BeTrue())
+	const step = 20 * time.Millisecond
+	proven, begun := 0, false
+	for range 2 * versionSettleTime / step {
+		// The stream begins before the request that resumes it.
+		begun = begins.untilSettled("llm", "v2") == 0
+		if version, proof := proves.serviceVersions("llm"); proof == origin.Sole {
+			proven++
+			g.Expect(begun).To(gomega.BeFalse(), "a stream begins at v2 although a daemon proves %s", version)
+		}
+		clock.Suspend(step)
+	}
+	g.Expect(proven).To(gomega.BeNumerically(">", versionMaxViewAge/step/2))
+	g.Expect(begun).To(gomega.BeTrue())
+}
