--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -156,6 +157,8 @@
 	// continued is set once an event came that the caller did not have before this response. What follows is passed on
 	// whatever its ID.
 	continued bool
+	// numbered is set once an event with an ID came.
+	numbered bool
 	// lastID is the ID of the last event, and unordered is set once one had none or one that was not higher.
 	lastID    string
 	unordered bool
@@ -164,10 +167,17 @@
 	comments []byte
 }
 
-// skipsEvent reports whether the caller has received an event from the target that served the stream before.
+// skipsEvent reports whether the caller has received an event from the target that served the stream before. On a route
+// whose streams may not be resumed it has none, whatever it names as the last one.
 func (p *proxiedRequest) skipsEvent(st *responseStream, id string) bool {
-	if !st.continued && !isNewerEvent(id, p.lastEventID) {
-		st.caughtUp = st.caughtUp || id == p.lastEventID
+	switch {
+	case st.continued:
+		return false
+	case id == "" && p.lastEventID != "" && p.route.Resumable:
+		// It is at the place of the event before, and is also passed on if it is the first one, which shows none.
+		return st.numbered && !st.caughtUp
+	case p.route.Resumable && !isNewerEvent(id, p.lastEventID):
+		st.numbered, st.caughtUp = true, st.caughtUp || !isNewerEvent(p.lastEventID, id)
 		return true
 	}
 	st.continued, st.caughtUp = true, true
@@ -176,7 +186,7 @@
 
 // noteOrder records an event whose ID does not tell its place in the stream.
 func (p *proxiedRequest) noteOrder(st *responseStream, id string) {
-	if id == "" || !isNewerEvent(id, st.lastID) {
+	if !isNextEvent(id, st.lastID) {
 		p.relay.options.Stats.EventsUnordered.Inc()
 		if !st.unordered {
 			st.unordered = true
@@ -200,12 +210,12 @@
 		p.note("no event")
 		p.relay.options.Stats.StreamsWithoutEvents.Inc()
 	}
-	if !st.caughtUp && st.events > 0 {
+	if !st.caughtUp && st.numbered {
 		p.note("ended before event %q, which the caller has", p.lastEventID)
 		p.recordResponse(c, false)
 		return outcomeIncomplete
 	}
-	if errors.Is(err, target.ErrUnmarkedEnd) && !st.caughtUp {
+	if errors.Is(err, target.ErrUnmarkedEnd) && !st.caughtUp && st.events == 0 {
 		return p.classifyBrokenStream(c, st, err)
 	}
 	st.gaps.finished()
@@ -222,16 +232,34 @@
 	return outcomeDone
 }
 
-// isNewerEvent reports whether an event comes after the last one passed on. IDs are rising decimal
-// numbers and are compared as digits.
+// eventNumber returns the digits of an event's ID without leading zeros, and whether it is a decimal number.
+func eventNumber(id string) (string, bool) {
+	for _, b := range []byte(id) {
+		if b < '0' || b > '9' {
+			return "", false
+		}
+	}
+	return strings.TrimLeft(id, "0"), id != ""
+}
+
+// isNewerEvent reports whether an event comes after the last one passed on, by the numbers of any length that their IDs are.
+// After an ID that is no number all events count as newer.
 func isNewerEvent(id, last string) bool {
-	if id == "" || last == "" {
+	lastNumber, known := eventNumber(last)
+	if id == "" || !known {
 		return true
 	}
-	if len(id) != len(last) {
-		return len(id) > len(last)
+	number, ok := eventNumber(id)
+	if !ok || len(number) != len(lastNumber) {
+		return ok && len(number) > len(lastNumber)
 	}
-	return id > last
+	return number > lastNumber
+}
+
+// isNextEvent reports whether the ID of an event tells that it comes after the last one.
+func isNextEvent(id, last string) bool {
+	_, ok := eventNumber(id)
+	return ok && isNewerEvent(id, last)
 }
 
 // writeEvent passes one event on to the caller.
@@ -250,7 +278,7 @@
 	}
 	if !ev.comment {
 		p.unnumbered = ev.id == ""
-		p.unordered = p.unordered || !isNewerEvent(ev.id, p.lastEventID)
+		p.unordered = p.unordered || ev.id != "" && !isNextEvent(ev.id, p.lastEventID)
 	}
 	if ev.id != "" {
 		p.lastEventID = ev.id
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -192,3 +192,122 @@
 		})
 	}
 }
+
+// Guards against events that are left out, or a refusal, where a caller names a last event on a route whose streams may not be resumed.
+func TestEventsAreLeftOutOnlyWhereStreamsMayBeResumed(t *testing.T) {
+	events := event1 + event2 + "id: 3\ndata: word 3\n\n"
+	for _, path := range []string{"/unresumed/x", "/single/x"} {
+		for _, after := range []string{"1", "2", "3", "20", "0", "-1", "007", "abc"} {
+			t.Run(path+" after "+after, func(t *testing.T) {
+				r := newRig(t, nil)
+				r.worker("a", "v1", 0, stream(true, events))
+				got := r.send(http.MethodPost, path, "x", "Model", "m", "After", after)
+				r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+				r.g.Expect(got.status).To(gomega.Equal(http.StatusOK))
+				r.g.Expect(got.body).To(gomega.Equal(events))
+			})
+		}
+	}
+}
+
+// Guards against events that come twice where the response that continues a stream begins anew and some of its events have no ID.
+func TestEventsWithoutAnIDDoNotShowWhatTheCallerLacks(t *testing.T) {
+	const ping, done, event3 = "event: ping\ndata: {}\n\n", "data: done\n\n", "id: 3\ndata: word 3\n\n"
+	for _, tc := range []struct {
+		name string
+		// second continues the stream after event 2.
+		second []string
+		// want is what follows event 2, and whole whether the answer is complete after it.
+		want  string
+		whole bool
+	}{
+		{"anew, between known events", []string{event1, ping, event2, event3}, event3, true},
+		{"anew, before the first new event", []string{event1, event2, ping, event3}, ping + event3, true},
+		{"anew, after the first new event", []string{event1, event2, event3, ping}, event3 + ping, true},
+		{"anew, at the beginning", []string{ping, event1, event2, event3}, ping + event3, true},
+		{"anew, it ends too early", []string{ping, event1}, ping, false},
+		{"anew, it ends too early with such an event", []string{event1, done}, "", false},
+		{"anew, only the end is new", []string{event1, event2, done}, done, true},
+		{"resumed", []string{ping, event3}, ping + event3, true},
+		{"resumed, only the end is new", []string{done}, done, true},
+	} {
+		for _, byCaller := range []bool{false, true} {
+			t.Run(tc.name+map[bool]string{true: ", by the caller"}[byCaller], func(t *testing.T) {
+				r := newRig(t, nil)
+				r.relay.options.Disabled.Hedges = true
+				got, begun := callerAnswer{}, ""
+				if byCaller {
+					r.worker("b", "v1", 0, stream(true, tc.second...))
+					got = r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "After", "2")
+				} else {
+					begun = event1 + event2
+					r.worker("a", "v1", 0, stream(false, event1, event2))
+					r.worker("b", "v1", 3, stream(true, tc.second...))
+					got = r.send(http.MethodPost, "/stream/x", "x", "Model", "m")
+				}
+				complete := got.err == nil && got.status == http.StatusOK
+				r.g.Expect(complete).To(gomega.Equal(tc.whole), "%d %v %q", got.status, got.err, got.body)
+				if complete || !byCaller {
+					r.g.Expect(got.body).To(gomega.Equal(begun + tc.want))
+				}
+			})
+		}
+	}
+}
+
+// Guards against events that are left out after a last event whose ID is written in another way than the target's, or is no number.
+func TestEventsAreComparedByTheNumberOfTheirID(t *testing.T) {
+	event := func(id string) string { return "id: " + id + "\ndata: word\n\n" }
+	for _, tc := range []struct {
+		name, after string
+		sent, want  []string
+	}{
+		{"leading zeros", "007", []string{"8", "9", "10"}, []string{"8", "9", "10"}},
+		{"leading zeros, anew", "007", []string{"6", "7", "8", "10"}, []string{"8", "10"}},
+		{"leading zeros at the target", "7", []string{"006", "007", "008"}, []string{"008"}},
+		{"0", "0", []string{"0", "1", "2"}, []string{"1", "2"}},
+		{"zeros", "000", []string{"1", "2"}, []string{"1", "2"}},
+		{"negative", "-1", []string{"8", "9", "10"}, []string{"8", "9", "10"}},
+		{"a sign", "+7", []string{"8", "9", "10"}, []string{"8", "9", "10"}},
+		{"text", "abc", []string{"98", "99", "100", "1000"}, []string{"98", "99", "100", "1000"}},
+		{"a fraction", "7.5", []string{"8", "9", "10"}, []string{"8", "9", "10"}},
+		{"long", "18446744073709551615", []string{"18446744073709551615", "18446744073709551616"}, []string{"18446744073709551616"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			sent, want := "", ""
+			for _, id := range tc.sent {
+				sent += event(id)
+			}
+			for _, id := range tc.want {
+				want += event(id)
+			}
+			r.worker("a", "v1", 0, stream(true, sent))
+			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "After", tc.after)
+			r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(got.status).To(gomega.Equal(http.StatusOK))
+			r.g.Expect(got.body).To(gomega.Equal(want))
+		})
+	}
+}
+
+// Guards against streams that are continued after an ID that is no number, so that nothing tells whether the next one follows it.
+func TestStreamIsNotContinuedAfterAnIDThatIsNoNumber(t *testing.T) {
+	event := func(id string) string { return "id: " + id + "\ndata: word\n\n" }
+	for _, ids := range [][]string{{"a1"}, {"a1", "c9"}, {"1", "2a"}, {"1", "22a"}, {"-3"}, {"1.1", "1.2"}} {
+		t.Run(strings.Join(ids, " "), func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			begun := ""
+			for _, id := range ids {
+				begun += event(id)
+			}
+			r.worker("a", "v1", 0, stream(false, begun))
+			r.worker("b", "v1", 3, stream(true, event("b4"), event("d0"), event("999")))
+			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m")
+			r.g.Expect(got.err).To(gomega.HaveOccurred(), "it looks complete: %q", got.body)
+			r.g.Expect(got.body).To(gomega.Equal(begun))
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal("a"))
+		})
+	}
+}
