The crashes that a daemon was told count for an hour

Callers saw: a request that is repeated now and then, and under which two targets had crashed at some time, was not retried when a target failed it, hours later.

Evidence: TestCrashesThatAreReportedCountNoLongerThanCrashes failed before: 2 in place of 0 after an hour.

The number is now kept with its time and counts as long as a crash.

--- a/core/poison/guard.go
+++ b/core/poison/guard.go
@@ -60,7 +60,7 @@
 	countsMu sync.Mutex
 	// crashCounts holds the number of incarnations that crashed under each request that this daemon
 	// reported, as returned by crash trackers. Guarded by countsMu.
-	crashCounts map[Digest]int
+	crashCounts map[Digest]crashCount
 	// crashCount is the number of incarnations that crashed under requests of this daemon. Guarded
 	// by countsMu.
 	crashCount int64
@@ -68,7 +68,7 @@
 
 // New returns a Guard. It must be called before the fleet runs.
 func New(o Options) *Guard {
-	g := &Guard{o: o, tracker: newCrashTracker(o.Log), crashCounts: map[Digest]int{}}
+	g := &Guard{o: o, tracker: newCrashTracker(o.Log), crashCounts: map[Digest]crashCount{}}
 	g.blocks = newBlockList(o.Log, o.Fleet.TriggerHeartbeat, g.suspects.forget)
 	o.Fleet.Attach("blocks", g.blocks)
 	o.Fleet.Mux().Register(kindPartCrash, wire.Handle(g.receivePartCrash))
@@ -105,15 +105,25 @@
 	return g.blocks.text(d)
 }
 
+// crashCount is a number of crashes, and when it was reported.
+type crashCount struct {
+	crashes int
+	at      clock.Time
+}
+
 // Crashes returns the number of incarnations that crashed under a request, as last reported to
-// this daemon by crash trackers.
+// this daemon by crash trackers; 0 if none of them counts any more.
 func (g *Guard) Crashes(d Digest) int {
 	if g == nil {
 		return 0
 	}
 	g.countsMu.Lock()
 	defer g.countsMu.Unlock()
-	return g.crashCounts[d]
+	c, found := g.crashCounts[d]
+	if !found || clock.Since(c.at) > crashWindow {
+		return 0
+	}
+	return c.crashes
 }
 
 // RecordSuccess records that a request completed well at an incarnation of a target. If the request
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -222,6 +222,21 @@
 	r.g.Eventually(r.blockedDaemons(d), maxWait, "5ms").Should(gomega.Equal(2))
 }
 
+// A daemon went on taking a request for one that may crash targets, and did not retry it, when its crashes counted no
+// longer.
+func TestCrashesThatAreReportedCountNoLongerThanCrashes(t *testing.T) {
+	r := newTestFleet(t, 2)
+	d := digestOf("seldom")
+	for i := range 2 {
+		r.crash(0, d, fmt.Sprintf("inc-%d", i))
+		r.waitForCrashes(d, i+1)
+	}
+	clock.Suspend(crashWindow / 2)
+	r.g.Expect(r.daemons[0].guard.Crashes(d)).To(gomega.BeNumerically(">", 0))
+	clock.Suspend(crashWindow/2 + time.Second)
+	r.g.Expect(r.daemons[0].guard.Crashes(d)).To(gomega.BeZero())
+}
+
 // A target may crash just after its complete answer.
 func TestACrashJustAfterAnAnswerCounts(t *testing.T) {
 	r := newTestFleet(t, 2)
--- a/core/poison/report.go
+++ b/core/poison/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/wire"
@@ -127,7 +128,7 @@
 	if len(g.crashCounts) >= maxCrashCounts {
 		clear(g.crashCounts)
 	}
-	g.crashCounts[d] = crashes
+	g.crashCounts[d] = crashCount{crashes, clock.Now()}
 }
 
 // receiveCrash counts a crash reported to this daemon as a crash tracker.
