Attempts that began in a partition do not count against targets

Cause: whether a failure is the path's or the target's was asked when the attempt ended. An attempt that began while the box was partitioned, and for which no other box opened a connection, could end just after the first path was back, and counted against the target, with each attempt for twice as long, up to 2 s.

Now it is asked for the whole time of the attempt, and whether the path to the target has worked since it began.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -137,7 +137,7 @@
 	p.lastTarget = c.target
 	p.endProbe(c)
 	if f.err != nil {
-		return p.classifyNoResponse(f.ctx, c, f.err), nil
+		return p.classifyNoResponse(f), nil
 	}
 	defer resp.Close()
 	if f.bodyErr != nil {
@@ -186,7 +186,8 @@
 }
 
 // classifyNoResponse records an attempt without a response and returns its outcome.
-func (p *proxiedRequest) classifyNoResponse(ctx context.Context, c *choice, err error) outcome {
+func (p *proxiedRequest) classifyNoResponse(f *flight) outcome {
+	ctx, c, err := f.ctx, f.c, f.err
 	p.note("%v", errors.Cause(err))
 	sent := target.MayHaveArrived(err)
 	if sent {
@@ -217,14 +218,15 @@
 		p.recordResponse(c, false)
 		return outcomeIncomplete
 	}
-	verified, partitioned := !target.Unverified(err), p.relay.options.Pool.Partitioned()
+	verified, partitioned := !target.Unverified(err), p.relay.options.Pool.PartitionedSince(f.sent)
 	if !sent {
 		switch {
 		case verified:
 			p.recordNoResponse(c)
 			p.relay.options.Poison.RecordDialError(c.target.ID(), err)
-		case !partitioned:
-			// Only this box passes the target over, until it is known whether another one reaches it.
+		case !partitioned && !p.relay.options.Pool.WorkedSince(c.target.Entry().Address, f.sent):
+			// Only this box passes the target over, until it is known whether another one reaches it, or its own path
+			// works again.
 			c.target.RecordNoResponse(time.Now())
 		}
 		return outcomeNotSent
--- a/core/relay/ratelimit_test.go
+++ b/core/relay/ratelimit_test.go
@@ -94,19 +94,25 @@
 	unreachable.l.Close()
 	target := r.roster.Target("a")
 	permit := r.waitForPermit(target)
-	p := &proxiedRequest{
-		relay: r.relay, start: time.Now(), deadline: time.Now().Add(time.Second),
-		tried: map[string]int{}, table: r.relay.Table(), service: "plain", scope: r.relay.Table().Scope(nil),
-	}
-	p.r, _ = http.NewRequest(http.MethodPost, "/once/", http.NoBody)
-	p.r.RequestURI = "/once/"
-	p.route = r.relay.Table().Match("h", "/once/")
+	p := r.request(http.MethodPost, "/once/")
 	out, _ := p.attempt(p.r.Context(), &choice{target: target, load: roster.Load{Running: 1}, permit: permit})
 	r.g.Expect(out).To(gomega.Equal(outcomeNotSent))
 	_, granted := r.roster.TakePermit(target)
 	r.g.Expect(granted).To(gomega.BeTrue())
 }
 
+// request returns a request of the plain service that makes its attempts when a test tells it.
+func (r *rig) request(method, path string) *proxiedRequest {
+	p := &proxiedRequest{
+		relay: r.relay, start: time.Now(), deadline: time.Now().Add(time.Second),
+		tried: map[string]int{}, table: r.relay.Table(), service: "plain", scope: r.relay.Table().Scope(nil),
+	}
+	p.r, _ = http.NewRequest(method, path, http.NoBody)
+	p.r.RequestURI = path
+	p.route = r.relay.Table().Match("h", path)
+	return p
+}
+
 // waitForPermit raises the rate limit of a target and takes the next permit.
 func (r *rig) waitForPermit(target *roster.Target) (permit roster.Permit) {
 	r.roster.MergeRateLimits(map[string]roster.RateLimitUpdate{target.ID(): {Active: true, PerSecond: 20, Seq: 9}})
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// listenAgain makes a target whose listener was closed accept connections at the same address.
+func (t *fakeTarget) listenAgain() {
+	l, err := net.Listen("tcp", t.l.Addr().String())
+	t.rig.g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.rig.t.Cleanup(func() { l.Close() })
+	go (&fakeTarget{id: t.id, rig: t.rig, l: l, handle: t.handle}).loop()
+}
+
 func (t *fakeTarget) run(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
--- a/core/relay/unreachable_test.go
+++ b/core/relay/unreachable_test.go
@@ -1,11 +1,17 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"embertally.dev/core/roster"
 )
 
 // A box that reaches no target said "no target answers" where one of them had been passed over before the
@@ -30,3 +36,51 @@
 	r.g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
 	r.g.Expect(got.body).To(gomega.ContainSubstring("this box reaches no target"))
 }
+
+// recoveringDetour opens no connection, and says so only once the box's own paths work again.
+type recoveringDetour struct {
+	noDetour
+	// waits is set once connections are to be waited for. Each asks, and then waits until recovered is closed.
+	waits     atomic.Bool
+	asked     chan struct{}
+	recovered chan struct{}
+}
+
+func (d *recoveringDetour) Open(context.Context, string) (net.Conn, string, error) {
+	if d.waits.Load() {
+		d.asked <- struct{}{}
+		<-d.recovered
+	}
+	return nil, "", d.err
+}
+
+// Guards against a box that goes on refusing requests when its paths are back: attempts that began before counted against
+// the targets if they ended when the box no longer counted as partitioned.
+func TestRequestsThatBeganInAPartitionDoNotCountAgainstTargets(t *testing.T) {
+	r := newRig(t, nil)
+	box := &recoveringDetour{noDetour: noDetour{errors.New("no other box reaches the target")}, asked: make(chan struct{}, 1), recovered: make(chan struct{})}
+	pool := r.relay.options.Pool
+	pool.Detour = box
+	served, other := r.target("a", "plain", always(respond(http.StatusOK, "yes"))), r.target("b", "llm", always(reject))
+	for _, target := range []*fakeTarget{served, other} {
+		target.l.Close()
+		_, err := pool.Dial(t.Context(), target.l.Addr().String())
+		r.g.Expect(err).To(gomega.HaveOccurred())
+	}
+	r.g.Expect(pool.Partitioned()).To(gomega.BeTrue())
+	box.waits.Store(true)
+	chosen := r.roster.Target("a")
+	p := r.request(http.MethodPost, "/once/")
+	p.deadline = time.Now().Add(time.Minute)
+	ended := make(chan outcome)
+	go func() {
+		out, _ := p.attempt(t.Context(), &choice{target: chosen, load: roster.Load{Running: 1}})
+		ended <- out
+	}()
+	<-box.asked
+	other.listenAgain()
+	r.g.Eventually(pool.Partitioned, waitTimeout, pollInterval).Should(gomega.BeFalse())
+	close(box.recovered)
+	r.g.Expect(<-ended).To(gomega.Equal(outcomeNotSent))
+	r.g.Expect(chosen.Health(time.Now()).Suspect).To(gomega.BeFalse())
+}
--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -107,6 +107,21 @@
 	return p.partitioned()
 }
 
+// PartitionedSince reports whether this box counts as partitioned, or has done so at some time after the given one.
+func (p *Pool) PartitionedSince(then time.Time) bool {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	return p.partitioned() || then.Before(p.recoveredAt)
+}
+
+// WorkedSince reports whether a direct connection to an address has opened after a time.
+func (p *Pool) WorkedSince(address string, then time.Time) bool {
+	p.poolMu.Lock()
+	defer p.poolMu.Unlock()
+	state := p.addresses[address]
+	return state != nil && then.Before(state.path.workedAt)
+}
+
 // SinceArrival returns the time since something last arrived from any target on a direct connection.
 func (p *Pool) SinceArrival() time.Duration { return time.Since(p.arrivals.last()) }
 
