Targets are used as soon as their paths are back

Cause: a box that has found some of its paths, but not yet those to the targets of a service, passes these over when no other box opens a connection, for up to 2 s after failures in a row. Nothing told it when its search found the path: the target was passed over with an open connection to it.

Now the search tells the relay, which uses the target at once and looks at its waiting requests again.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -197,9 +197,21 @@
 		arrivalRates: map[string]*learn.Rate{},
 	}
 	rl.admission = newAdmission(&rl.options)
+	if o.Pool != nil {
+		o.Pool.OnFound = rl.recordReachable
+	}
 	return rl
 }
 
+// recordReachable records that the path to an address works again, so that the target there is no longer passed over
+// for it.
+func (rl *Relay) recordReachable(address string) {
+	for _, t := range rl.options.Roster.AtAddress(address) {
+		t.RecordResponse()
+	}
+	rl.CapacityChanged()
+}
+
 // CapacityChanged is called when a target may have become able to take a request by what others
 // report.
 func (rl *Relay) CapacityChanged() { rl.admission.capacityChanged(false) }
--- a/core/relay/unreachable_test.go
+++ b/core/relay/unreachable_test.go
@@ -84,3 +84,28 @@
 	r.g.Expect(<-ended).To(gomega.Equal(outcomeNotSent))
 	r.g.Expect(chosen.Health(time.Now()).Suspect).To(gomega.BeFalse())
 }
+
+// Guards against a box that goes on refusing requests when all its paths are back: targets to which it had found no path
+// were passed over for as long as their failures in a row had lasted.
+func TestTargetsAreUsedOnceTheirPathsAreBack(t *testing.T) {
+	r := newRig(t, nil)
+	pool := r.relay.options.Pool
+	pool.Detour = noDetour{errors.New("no other box reaches the target")}
+	r.target("b", "plain", always(respond(http.StatusOK, "yes")))
+	r.g.Expect(r.send(http.MethodPost, "/once/x", "x").status).To(gomega.Equal(http.StatusOK))
+	lost := r.target("a", "plain", always(respond(http.StatusOK, "yes")))
+	lost.l.Close()
+	target := r.roster.Target("a")
+	const attempts = 5
+	for range attempts {
+		p := r.request(http.MethodPost, "/once/")
+		p.deadline = time.Now().Add(time.Minute)
+		out, _ := p.attempt(t.Context(), &choice{target: target, load: roster.Load{Running: 1}})
+		r.g.Expect(out).To(gomega.Equal(outcomeNotSent))
+	}
+	r.g.Expect(pool.Partitioned()).To(gomega.BeFalse())
+	r.g.Expect(target.Health(time.Now()).Suspect).To(gomega.BeTrue())
+	lost.listenAgain()
+	r.g.Eventually(pool.BrokenPaths, waitTimeout, pollInterval).Should(gomega.BeZero())
+	r.g.Eventually(func() bool { return target.Health(time.Now()).Suspect }, "100ms", pollInterval).Should(gomega.BeFalse())
+}
--- a/core/roster/slow.go
+++ b/core/roster/slow.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -361,3 +362,8 @@
 	}
 	return out
 }
+
+// AtAddress returns the listed targets whose entries name an address.
+func (r *Roster) AtAddress(address string) []*Target {
+	return slices.DeleteFunc(r.all(), func(t *Target) bool { return t.Entry().Address != address })
+}
--- a/core/target/paths.go
+++ b/core/target/paths.go
@@ -265,6 +265,9 @@
 	conn, err := b.pool.connect(ctx, b.address, "")
 	if err == nil {
 		b.pool.putUnused(conn)
+		if b.pool.OnFound != nil {
+			b.pool.OnFound(b.address)
+		}
 	}
 	b.result <- err == nil
 }
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -34,6 +34,10 @@
 	// failing, by one goroutine at a time.
 	OnPartitioned func(partitioned bool)
 
+	// OnFound, if set, is called with an address when the search for paths that work again has opened a
+	// connection there. It is set before use.
+	OnFound func(address string)
+
 	arrivals arrivals
 
 	poolMu    sync.Mutex
