Failing test: streams of split routes are taken up at another service

Cause: the service is drawn before it is asked where the stream began, and the proof that the drawn service has had a single version counts as the answer. It tells the version of each stream that began at this service, not that this one did. While each service has a single version, records are held back, so that other daemons have none.

TestStreamOfASplitRouteIsNotTakenUpAtAnotherService: 2 of 2 forms fail.

--- a/core/relay/resume_test.go
+++ b/core/relay/resume_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -19,6 +20,7 @@
 	"embertally.dev/core/origin"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/table"
 )
 
 // worker adds a worker of a version. Of two that may serve a request, the one with less load is chosen.
@@ -309,3 +311,26 @@
 	r.g.Expect(found.Sole).To(gomega.BeFalse())
 	r.g.Expect(found.Version).To(gomega.Equal("v1"))
 }
+
+// Guards against a stream that goes on at another service: its route leads to several, each with a single version, and the daemon
+// that takes it up has no record of where it began.
+func TestStreamOfASplitRouteIsNotTakenUpAtAnotherService(t *testing.T) {
+	knownRed(t)
+	for _, random := range []float64{0.1, 0.9} {
+		t.Run(strconv.FormatFloat(random, 'g', -1, 64), func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Random = func() float64 { return random }
+			r.relay.SetTable(table.New(table.Spec{
+				Version: 2, Organisations: testOrganisations, Services: []table.Service{{Name: "s1"}, {Name: "s2"}},
+				Routes: []table.Route{{
+					Name: "split", Host: "h", Prefix: "/split/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second,
+					LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "s1", Weight: 1}, {Service: "s2", Weight: 1}},
+				}},
+			}))
+			r.versionTarget("a", "s1", "v1", always(stream(true, "id: 3\ndata: of s1\n\n")))
+			r.versionTarget("b", "s2", "v7", always(stream(true, "id: 3\ndata: of s2\n\n")))
+			got := r.send(http.MethodPost, "/split/x", "", "After", "2", "Resumes", "try-0")
+			r.g.Expect(got.status).NotTo(gomega.Equal(http.StatusOK), "either may have begun it: %q", got.body)
+		})
+	}
+}
