--- a/core/canary/control_test.go
+++ b/core/canary/control_test.go
@@ -18,8 +18,8 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 	"embertally.dev/core/wait"
 )
 
@@ -62,7 +62,7 @@
 	var seeds []fleet.Peer
 	var listeners []net.Listener
 	for i := range daemons {
-		l, err := nettest.Listen()
+		l, err := testip.Listen()
 		tr.g.Expect(err).NotTo(gomega.HaveOccurred())
 		listeners = append(listeners, l)
 		seeds = append(seeds, fleet.Peer{Name: fmt.Sprintf("entry-%d", i), Address: l.Addr().String()})
--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -16,8 +16,8 @@
 
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/target"
+	"embertally.dev/core/testip"
 )
 
 // counter is a counter that nobody reads.
@@ -83,7 +83,7 @@
 }
 
 func (r *boxesRig) listen() net.Listener {
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	return l
 }
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -14,8 +14,8 @@
 	"embertally.dev/core/clock"
 	"embertally.dev/core/conf"
 	"embertally.dev/core/event"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 )
 
 func names(n int) []string {
@@ -125,7 +125,7 @@
 	var seeds []Peer
 	var ls []net.Listener
 	for _, name := range names(n) {
-		l, err := nettest.Listen()
+		l, err := testip.Listen()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -209,7 +209,7 @@
 		default:
 		}
 	})
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/core/fleet/heartbeat_test.go
+++ b/core/fleet/heartbeat_test.go
@@ -9,14 +9,14 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/event"
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 	"embertally.dev/core/wire"
 )
 
 func TestHeartbeatAfterALostConnectionIsFull(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := New(Options{Name: "a", Incarnation: "a-1", Log: &event.Log{}})
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	peer := Peer{Name: "b", Address: l.Addr().String()}
 	f.peerStates["b"] = &peerState{ackedIncarnation: "a-1"}
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -18,7 +18,7 @@
 	"embertally.dev/core/home"
 	"embertally.dev/core/lease"
 	"embertally.dev/core/memkv"
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // idleWorkers are workers that load nothing.
@@ -40,7 +40,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var sent atomic.Int64
-			engine := nettest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { sent.Add(1) }))
+			engine := testip.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { sent.Add(1) }))
 			t.Cleanup(engine.Close)
 			kv := &memkv.KV{}
 			h := New(Options{Name: "a", Workers: idleWorkers{}, KV: kv, Log: &event.Log{}, Client: engine.Client()})
@@ -94,7 +94,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var ordered atomic.Int64
-			engine := nettest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ordered.Add(1) }))
+			engine := testip.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ordered.Add(1) }))
 			t.Cleanup(engine.Close)
 			store, seq := conf.NewStore(&event.Log{}), uint64(0)
 			set := func(kind conf.Kind, name, spec string) conf.Change {
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -16,8 +16,8 @@
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 )
 
 const maxWait = "10s"
@@ -72,7 +72,7 @@
 	var list boxes
 	var listeners []net.Listener
 	for i := range n {
-		l, err := nettest.Listen()
+		l, err := testip.Listen()
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		listeners = append(listeners, l)
 		list = append(list, plat.Box{Name: fmt.Sprintf("d%02d", i), Role: plat.RoleEntry, Address: l.Addr().String(), Domain: "z", State: plat.BoxLive})
--- a/core/plat/bound_test.go
+++ b/core/plat/bound_test.go
@@ -12,7 +12,7 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/memory"
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // Guards against a target that answers an order or a request for a report with bytes without end: each response has a bound,
@@ -30,7 +30,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			server := nettest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := testip.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				chunk := []byte(strings.Repeat("x", 32<<10))
 				for {
 					if _, err := w.Write(chunk); err != nil {
--- a/core/plat/client_test.go
+++ b/core/plat/client_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/onsi/gomega"
 
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 )
 
 // silencedConn is a connection on which nothing arrives once its transport is silent.
@@ -58,7 +58,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			var slow atomic.Bool
-			srv := nettest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			srv := testip.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				if slow.Load() {
 					time.Sleep(3 * silence)
 				}
--- a/core/plat/kv_test.go
+++ b/core/plat/kv_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/onsi/gomega"
 
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 	"embertally.dev/core/wait"
 )
 
@@ -35,7 +35,7 @@
 			g := gomega.NewWithT(t)
 			interval := plat.CallTimeout * 5 / 4 / time.Duration(len(response))
 			done := make(chan struct{})
-			srv := nettest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			srv := testip.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				for _, char := range strings.Split(response, "")[:tc.bytes] {
 					wait.For(r.Context(), interval)
 					// An error means that the caller has disconnected, and is ignored.
--- a/core/plat/probedbody_test.go
+++ b/core/plat/probedbody_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/onsi/gomega"
 
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 )
 
 // A connection that goes silent within a response must not keep the reader until the response's time
@@ -34,7 +34,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			probed, resume := make(chan struct{}, 10), make(chan struct{})
-			srv := nettest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			srv := testip.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/probe" {
 					probed <- struct{}{}
 					if tc.hangs {
--- a/core/poison/guard_test.go
+++ b/core/poison/guard_test.go
@@ -18,8 +18,8 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 )
 
 // Times of the test fleet.
@@ -53,7 +53,7 @@
 	r := &testFleet{g: gomega.NewWithT(t), t: t, store: &memkv.KV{}}
 	var listeners []net.Listener
 	for i := range daemons {
-		l, err := nettest.Listen()
+		l, err := testip.Listen()
 		r.g.Expect(err).NotTo(gomega.HaveOccurred())
 		listeners = append(listeners, l)
 		r.seeds = append(r.seeds, fleet.Peer{Name: fmt.Sprintf("entry-%03d", i), Address: l.Addr().String()})
--- a/core/relay/framing_test.go
+++ b/core/relay/framing_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/onsi/gomega"
 
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/target"
+	"embertally.dev/core/testip"
 )
 
 // ending is how a target ends a response: after some bytes of the body it goes on as if nothing
@@ -33,7 +33,7 @@
 // rawTarget adds a target that writes the responses itself and then closes its connection, with a reset
 // if respond returns endsReset.
 func (r *rig) rawTarget(id, service string, respond func(c net.Conn, req *http.Request) ending) {
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	r.t.Cleanup(func() { l.Close() })
 	go func() {
@@ -235,7 +235,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	if err != nil {
 		return nil, "", err
 	}
--- a/core/relay/hedge_test.go
+++ b/core/relay/hedge_test.go
@@ -12,15 +12,15 @@
 
 	"embertally.dev/core/canary"
 	"embertally.dev/core/event"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/target"
+	"embertally.dev/core/testip"
 )
 
 // silentTarget adds a target that reads requests and does not respond. The channel receives the time
 // between each request and the end of its connection.
 func (r *rig) silentTarget(id, service string) <-chan time.Duration {
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	r.t.Cleanup(func() { l.Close() })
 	closed := make(chan time.Duration, 100)
--- a/core/relay/openrace_test.go
+++ b/core/relay/openrace_test.go
@@ -14,9 +14,9 @@
 	"github.com/onsi/gomega"
 
 	"embertally.dev/core/event"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/target"
+	"embertally.dev/core/testip"
 )
 
 // darkTarget adds a target that accepts no connections: the queue of its listener is full, so that
@@ -33,7 +33,7 @@
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	file = os.NewFile(uintptr(fd), "listener")
 	r.t.Cleanup(func() { file.Close() })
-	ip := nettest.IP()
+	ip := testip.IP()
 	r.g.Expect(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: netip.MustParseAddr(ip).As4()})).To(gomega.Succeed())
 	r.g.Expect(syscall.Listen(fd, 0)).To(gomega.Succeed())
 	name, err := syscall.Getsockname(fd)
--- a/core/relay/owners_test.go
+++ b/core/relay/owners_test.go
@@ -17,8 +17,8 @@
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/testip"
 )
 
 // Bounds of polling: events take milliseconds, but much longer on a busy box.
@@ -51,7 +51,7 @@
 	var seeds []fleet.Peer
 	var listeners []net.Listener
 	for i := range daemons {
-		l, err := nettest.Listen()
+		l, err := testip.Listen()
 		h.g.Expect(err).NotTo(gomega.HaveOccurred())
 		listeners = append(listeners, l)
 		seeds = append(seeds, fleet.Peer{Name: fmt.Sprintf("entry-%02d", i), Address: l.Addr().String()})
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -20,12 +20,12 @@
 	"embertally.dev/core/cache"
 	"embertally.dev/core/event"
 	"embertally.dev/core/learn"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/origin"
 	"embertally.dev/core/roster"
 	"embertally.dev/core/route"
 	"embertally.dev/core/table"
 	"embertally.dev/core/target"
+	"embertally.dev/core/testip"
 )
 
 // testDialect is a dialect with header names of its own.
@@ -275,7 +275,7 @@
 		},
 		Organisations: testOrganisations,
 	}))
-	r.front = nettest.NewServer(r.relay)
+	r.front = testip.NewServer(r.relay)
 	t.Cleanup(r.reportEvents)
 	t.Cleanup(r.checkProtection)
 	t.Cleanup(r.front.Close)
@@ -328,7 +328,7 @@
 
 // versionTarget adds a target of a service and version.
 func (r *rig) versionTarget(id, service, version string, handle func(n int) handler) *fakeTarget {
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	f := &fakeTarget{id: id, rig: r, l: l, handle: handle}
 	r.t.Cleanup(func() { l.Close() })
--- a/core/spread/freshness_test.go
+++ b/core/spread/freshness_test.go
@@ -15,8 +15,8 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 	"embertally.dev/core/wire"
 )
 
@@ -213,7 +213,7 @@
 	var listeners []net.Listener
 	var seeds []fleet.Peer
 	for _, name := range []string{"asker", "other"} {
-		l, err := nettest.Listen()
+		l, err := testip.Listen()
 		gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 		listeners = append(listeners, l)
 		seeds = append(seeds, fleet.Peer{Name: name, Address: l.Addr().String()})
--- a/core/spread/watchcache_test.go
+++ b/core/spread/watchcache_test.go
@@ -18,9 +18,9 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/memkv"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/spread"
+	"embertally.dev/core/testip"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -98,7 +98,7 @@
 	var seeds []fleet.Peer
 	var listeners []net.Listener
 	for i := range daemons {
-		l, err := nettest.Listen()
+		l, err := testip.Listen()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -211,7 +211,7 @@
 // over all connections.
 func slowLink(t *testing.T, rate int) func(address string) string {
 	return func(address string) string {
-		l, err := nettest.Listen()
+		l, err := testip.Listen()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/core/target/cut_test.go
+++ b/core/target/cut_test.go
@@ -15,7 +15,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // cutForms are forms of a response with the body "0123456789".
@@ -74,7 +74,7 @@
 }
 
 func newCutTarget(t *testing.T, before int) *cutTarget {
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/target/detour_test.go
+++ b/core/target/detour_test.go
@@ -15,7 +15,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // An answer without a length that the box in between cut off must not look whole.
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, "", errors.WithStack(ErrTargetRefused)
 	}
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	if err != nil {
 		return nil, "", err
 	}
@@ -103,7 +103,7 @@
 	for range targets {
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") })}
 		for _, addresses := range []*[]string{&r.paths, &r.targets} {
-			l, err := nettest.Listen()
+			l, err := testip.Listen()
 			r.g.Expect(err).NotTo(gomega.HaveOccurred())
 			*addresses = append(*addresses, l.Addr().String())
 			if addresses == &r.paths {
--- a/core/target/exchange_test.go
+++ b/core/target/exchange_test.go
@@ -15,7 +15,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // A connection reports a reset once and an ordinary end afterwards; whoever read again took a broken answer
@@ -36,7 +36,7 @@
 		for _, awaited := range []bool{false, true} {
 			t.Run(tc.name, func(t *testing.T) {
 				g := gomega.NewWithT(t)
-				l, err := nettest.Listen()
+				l, err := testip.Listen()
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 				defer l.Close()
 				go func() {
@@ -80,7 +80,7 @@
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10)
 		})
 	}}
-	l, err := config.Listen(context.Background(), "tcp", nettest.IP()+":0")
+	l, err := config.Listen(context.Background(), "tcp", testip.IP()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/target/head_test.go
+++ b/core/target/head_test.go
@@ -18,7 +18,7 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/memory"
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // endlessHeads are forms of bytes that never become a head.
@@ -60,7 +60,7 @@
 	for _, tc := range endlessHeads {
 		t.Run(tc.name, func(t *testing.T) {
 			g, link := gomega.NewWithT(t), &limitedLink{}
-			l, err := nettest.Listen()
+			l, err := testip.Listen()
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			defer l.Close()
 			go func() {
--- a/core/target/lend_test.go
+++ b/core/target/lend_test.go
@@ -8,7 +8,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // lendingPools are daemons that divide the connections to one target and lend them to each other.
@@ -46,7 +46,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			l, err := nettest.Listen()
+			l, err := testip.Listen()
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			t.Cleanup(func() { l.Close() })
 			p, address, ctx := &Pool{}, l.Addr().String(), context.Background()
@@ -82,7 +82,7 @@
 
 func TestBorrowedConnectionsCountAtTheLender(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { l.Close() })
 	pools, address := lendingPools{{}, {}, {}}, l.Addr().String()
--- a/core/target/pool_test.go
+++ b/core/target/pool_test.go
@@ -17,7 +17,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // server responds to each request on each connection by a function.
@@ -28,7 +28,7 @@
 }
 
 func serve(t *testing.T, respond func(c net.Conn, n int64, r *http.Request) bool) *server {
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,7 +149,7 @@
 
 func TestUnsentRequestIsReported(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	address := l.Addr().String()
 	l.Close()
@@ -215,7 +215,7 @@
 // measurement or, without one, the time to open a connection.
 func TestRoundTrip(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer l.Close()
 	var p Pool
@@ -258,7 +258,7 @@
 // TCP_USER_TIMEOUT, where it is set, decides when keep-alive probes give up, whatever their number.
 func TestSocketOptionsOutlastASilentSecond(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer l.Close()
 	conn, err := dialer().Dial("tcp", l.Addr().String())
--- a/core/nettest/nettest.go
+++ b/core/testip/testip.go
@@ -1,9 +1,9 @@
-// Package nettest owns the loopback addresses of test processes. No two processes that run at the
+// Package testip owns the loopback addresses of test processes. No two processes that run at the
 // same time listen at the same IP address, and no outgoing connection has one of them as its source.
 // A port that a test closes therefore stays closed until the test listens on it again.
 //
 // It needs a system on which all of 127.0.0.0/8 is local, such as Linux.
-package nettest
+package testip
 
 import (
 	"fmt"
@@ -70,7 +70,7 @@
 func IP() string {
 	b, err := own()
 	if err != nil {
-		panic(fmt.Sprint("nettest: no block of loopback addresses is free: ", err))
+		panic(fmt.Sprint("testip: no block of loopback addresses is free: ", err))
 	}
 	return b.nextIP()
 }
@@ -92,7 +92,7 @@
 func NewUnstartedServer(handler http.Handler) *httptest.Server {
 	l, err := Listen()
 	if err != nil {
-		panic(fmt.Sprint("nettest: ", err))
+		panic(fmt.Sprint("testip: ", err))
 	}
 	return &httptest.Server{Listener: l, Config: &http.Server{Handler: handler}}
 }
--- a/core/nettest/nettest_test.go
+++ b/core/testip/testip_test.go
@@ -1,4 +1,4 @@
-package nettest
+package testip
 
 import (
 	"bufio"
--- a/core/wire/health_test.go
+++ b/core/wire/health_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/onsi/gomega"
 
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // silentListener makes the first connection that it accepts silent: nothing is read from it or written
@@ -32,7 +32,7 @@
 
 // serveSilent serves m behind a silentListener.
 func serveSilent(t *testing.T, m *Mux) *silentListener {
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/wire/stop_test.go
+++ b/core/wire/stop_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/onsi/gomega"
 
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // twoConnListener accepts one connection at once, and another one after the first was closed.
@@ -39,7 +39,7 @@
 // closes it, since the peer may be waiting in the same way.
 func TestConnectionAcceptedDuringShutdownIsClosed(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	first, firstPeer := net.Pipe()
 	second, secondPeer := net.Pipe()
--- a/core/wire/wire_test.go
+++ b/core/wire/wire_test.go
@@ -15,7 +15,7 @@
 	"go.uber.org/goleak"
 
 	"embertally.dev/core/bugs"
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -27,7 +27,7 @@
 // serve serves m on a new listener until the test ends.
 func serve(t *testing.T, m *Mux) string {
 	t.Helper()
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/embctl/internal/ctl/ctl_test.go
+++ b/embctl/internal/ctl/ctl_test.go
@@ -15,13 +15,13 @@
 
 	"embertally.dev/core/conf"
 	"embertally.dev/core/event"
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // newDaemon starts an HTTP server in place of a daemon's operators' API and returns its URL.
 func newDaemon(t *testing.T, h http.HandlerFunc) string {
 	t.Helper()
-	s := nettest.NewServer(h)
+	s := testip.NewServer(h)
 	t.Cleanup(s.Close)
 	return s.URL
 }
--- a/emberd/internal/daemon/daemon_test.go
+++ b/emberd/internal/daemon/daemon_test.go
@@ -13,7 +13,7 @@
 
 	"embertally.dev/core/certs"
 	"embertally.dev/core/event"
-	"embertally.dev/core/nettest"
+	"embertally.dev/core/testip"
 )
 
 // validSettings sets all required keys.
@@ -135,7 +135,7 @@
 	ownDir, otherDir := t.TempDir(), t.TempDir()
 	k := issuedKeys(t, ownDir, "entry-01")
 	otherKeys := issuedKeys(t, otherDir, "entry-01")
-	l, err := nettest.Listen()
+	l, err := testip.Listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer l.Close()
 	go func() {
--- a/embfake/fake/fake_test.go
+++ b/embfake/fake/fake_test.go
@@ -10,14 +10,14 @@
 	"github.com/pkg/errors"
 
 	"embertally.dev/core/clock"
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 )
 
 // newKeyValue starts a coordination store and returns it with a client.
 func newKeyValue(t *testing.T) (*KeyValue, *plat.KV) {
 	t.Helper()
-	k, err := NewKeyValue(nettest.IP() + ":0")
+	k, err := NewKeyValue(testip.IP() + ":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,7 +94,7 @@
 
 func TestBoxListReportsOnlyChanges(t *testing.T) {
 	g := gomega.NewWithT(t)
-	b, err := NewBoxes(nettest.IP() + ":0")
+	b, err := NewBoxes(testip.IP() + ":0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer b.Close()
 	list := plat.NewBoxList(b.URL()+"/v1/boxes", &plat.Client{})
@@ -136,7 +136,7 @@
 
 func TestWeightStoreCountsConcurrentLoads(t *testing.T) {
 	g := gomega.NewWithT(t)
-	w, err := NewWeightStore(nettest.IP()+":0", 2, 10*time.Millisecond)
+	w, err := NewWeightStore(testip.IP()+":0", 2, 10*time.Millisecond)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer w.Close()
 	done := make(chan error, 3)
--- a/embplay/prove/testbed_test.go
+++ b/embplay/prove/testbed_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/pkg/errors"
 
-	"embertally.dev/core/nettest"
 	"embertally.dev/core/plat"
+	"embertally.dev/core/testip"
 	"embertally.dev/embfake/fake"
 	"embertally.dev/embplay/internal/play"
 )
@@ -69,7 +69,7 @@
 
 // newSite starts fake targets and prepares daemons, without proxies.
 func newSite(dir string, o fake.SiteOptions) (*testbed, error) {
-	o.Dir, o.IP = dir, nettest.IP()
+	o.Dir, o.IP = dir, testip.IP()
 	site, err := fake.NewSite(o)
 	if err != nil {
 		return nil, err
