--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PROGRAMS := emberd embctl embfake embplay
 BIN := $(CURDIR)/bin
 
-.PHONY: all build demo test compare lint prove slopes added bench race tour
+.PHONY: all build demo test compare lint prove slopes added bench race tour soak
 all: build
 
 build:
@@ -32,6 +32,10 @@
 prove: build
 	@cd embplay && go test ./prove -run 'TestProve' -count=1 -timeout 10m -v -proveSeed=$(SEED) -provePromise=$(PROMISE) | grep -v '^=== \|^--- \|^time='
 
+# make soak SEED=n plays the soaks once, and with MINUTES=m with fresh seeds in a row.
+soak:
+	@scripts/soak.sh $(SEED) $(MINUTES)
+
 # make slopes writes docs/measurements/slopes.json
 slopes: build
 	@cd embplay && go test ./prove -run 'TestSlopes' -count=1 -timeout 20m -v -slopes=$(CURDIR)/docs/measurements | grep -v '^=== \|^--- \|^time='
