Failing test: streams of a service that a daemon's configuration lacks

Cause: a new version of a service waits for 3.5 s, so that each daemon whose list is younger than 2 s knows it before a stream begins there. A service that a configuration adds to a route, or moves it to, does not wait: streams begin there at once, while a daemon without the configuration says that the former service has had a single version, and takes the stream up there. It asks nobody before. SplitsStreams and Route.Includes look at the daemon's own table only.

Change: a test of two hosts by the clock of tests, listed in KNOWN-RED.txt.

--- a/emberd/internal/host/versions_test.go
+++ b/emberd/internal/host/versions_test.go
@@ -671,3 +671,48 @@
 	g.Expect(proven).To(gomega.BeNumerically(">", versionMaxViewAge/step/2))
 	g.Expect(begun).To(gomega.BeTrue())
 }
+
+// Guards against streams of two services: one begins at a service that its route has just got, while a daemon that has not received
+// that configuration proves a single version of the former one, and takes the stream up there.
+func TestNoStreamBeginsAtAServiceWhileADaemonTakesItUpAtAnother(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		services []string
+	}{
+		{"the route is divided", []string{"llm", "other"}},
+		{"the route is moved", []string{"other"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			knownRed(t)
+			g := gomega.NewWithT(t)
+			apply := func(h *Host, version int64, services ...string) {
+				r := table.Route{Host: "h", Prefix: "/s/", Kind: table.Stream, Resumable: true, Timeout: 10 * time.Second}
+				for _, s := range services {
+					r.Splits = append(r.Splits, table.Split{Service: s, Weight: 1})
+				}
+				h.applyTable(table.New(table.Spec{Version: version, Routes: []table.Route{r}}))
+			}
+			begins, proves := newTestHost(t), newTestHost(t)
+			for _, h := range []*Host{begins, proves} {
+				h.roster.Put(roster.Entry{ID: "b", Service: "other", Version: "v7"})
+				apply(h, 1, "llm")
+			}
+			pass(2*versionSettleTime, begins, proves)
+			apply(begins, 2, tc.services...)
+			const step = 20 * time.Millisecond
+			proven, begun := 0, false
+			for range 2 * versionSettleTime / step {
+				// The stream begins before the request that resumes it.
+				begun = begins.untilSettled("other", "v7") == 0
+				if version, proof := proves.serviceVersions("llm"); proof == origin.Sole && proves.configOverdue(clock.Now()) == 0 {
+					proven++
+					g.Expect(begun).To(gomega.BeFalse(), "a stream begins at v7 of the other service although a daemon goes on with it at %s", version)
+				}
+				clock.Suspend(step)
+				begins.refresh(clock.Now())
+			}
+			g.Expect(proven).To(gomega.BeNumerically(">", versionMaxViewAge/step/2))
+			g.Expect(begun).To(gomega.BeTrue())
+		})
+	}
+}
