Failing test: a late record replaces where a stream went on

Cause: records are told without their age, and the one received last replaces the others (Book.add). A stream whose route was moved has two: one of the former service, which is repeated by full heartbeats for 5 s, or held back and told up to 80 s later, and one of the latter. If the former comes last, the next resumption finds it, takes the route for moved once more (bindResumed) and goes on at any version of the latter service.

--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -318,3 +318,40 @@
 	g.Expect(found.By).To(gomega.Equal(fleet[0].name))
 	g.Expect(found.Age).To(gomega.BeNumerically("~", 10*time.Second, 5*time.Second))
 }
+
+// Guards against a stream of two versions of the service that its route was moved to: what is told late of where it was replaces what
+// is known of where it went on.
+func TestLateRecordDoesNotReplaceWhereAStreamWentOn(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// proof is what the daemon that began the stream says of its versions then.
+		proof Proof
+	}{
+		{"it was held back", Sole},
+		{"it is repeated", Several},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			knownRed(t)
+			g := gomega.NewWithT(t)
+			fleet := startDaemons(t, 3, tc.proof)
+			found := func() (out []Stream) {
+				for _, d := range fleet {
+					out = append(out, d.book.Find(context.Background(), "org", "try", "other").Stream)
+				}
+				return out
+			}
+			fleet[0].book.Record("org", "try", begun)
+			if tc.proof == Several {
+				g.Eventually(found, maxWait, "5ms").Should(gomega.HaveEach(begun))
+			}
+			moved := Stream{Service: "other", Version: "v7"}
+			fleet[1].set("", Several)
+			fleet[1].book.Record("org", "try", moved)
+			g.Eventually(found, maxWait, "5ms").Should(gomega.HaveEach(moved))
+			for _, d := range fleet {
+				d.set("", Several)
+			}
+			g.Consistently(found, "1s", "5ms").Should(gomega.HaveEach(moved))
+		})
+	}
+}
