Tests of context owners depend on no real time

Four tests of fleets of 24 relays failed beside load. Causes: - The rig turns off what relays learn of times and targets, but not what they learn of retention: one first answer that is slow on a busy machine counts as a context that its worker has lost (cached 4808 of 6000 tokens in the owner's choice, 4/5), which costs more than to leave the cell. - 503 and 504: two queries may take 10 s each in this rig, the request ends after 5 s.

Change: the rig does not learn retention. The four tests wait until each daemon reaches the owners that it queries, their requests and objective outlast the queries, and no hedge, which asks no owner, takes part. No checked bound is longer. TestFullOwnerCell also checks after each request that no owner is in backoff, whatever time has passed.

--- a/core/relay/owners_test.go
+++ b/core/relay/owners_test.go
@@ -12,13 +12,16 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"embertally.dev/core/cache"
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/roster"
+	"embertally.dev/core/table"
 	"embertally.dev/core/testip"
+	"embertally.dev/core/wire"
 )
 
 // Bounds of polling: events take milliseconds, but much longer on a busy box.
@@ -60,8 +63,9 @@
 	t.Cleanup(wg.Wait)
 	for i, seed := range seeds {
 		r := newRig(t, nil)
-		// The priors are the times of real engines; those of this rig must not be learned.
-		r.relay.options.Disabled.Times, r.relay.options.Disabled.Targets = true, true
+		// The priors are the times of real engines; those of this rig must not be learned, nor what they say about caches.
+		disabled := &r.relay.options.Disabled
+		disabled.Times, disabled.Targets, disabled.Retention = true, true, true
 		f := fleet.New(fleet.Options{
 			Name: seed.Name, Incarnation: seed.Name + "-1", Seeds: seeds,
 			HeartbeatInterval: 250 * time.Millisecond, SuspectAfter: 10 * time.Second, Log: &event.Log{},
@@ -95,6 +99,54 @@
 	return h
 }
 
+// slowRequest is longer than all queries to owners of a request may take together, and than their choice then needs.
+const slowRequest = 30 * time.Second
+
+// allowSlowOwners makes choices independent of how long a query takes, and waits until each daemon reaches the owners that it
+// queries in other cells.
+func (h *fleetRig) allowSlowOwners() {
+	for i, r := range h.rigs {
+		routes := slices.Clone(testRoutes)
+		for j := range routes {
+			routes[j].Timeout, routes[j].LatencyObjective = slowRequest, slowRequest
+		}
+		r.relay.SetTable(table.New(table.Spec{
+			Version: 2, Routes: routes, Organisations: testOrganisations,
+			Services: []table.Service{{Name: "llm", Engine: &table.Engine{Models: []string{"m"}, Slots: 4, MemoryTokens: 1 << 20}}},
+		}))
+		// The second attempt of a hedge asks no owner.
+		r.relay.options.Disabled.Hedges = true
+		f := h.fleets[i]
+		for cell := range f.View().Cells() {
+			if cell != f.View().Cell() {
+				h.g.Eventually(func() error { return reachOwners(f, cell) }, waitTimeout, pollInterval).Should(gomega.Succeed())
+			}
+		}
+	}
+}
+
+// queriedOwners returns the owners in a cell that a daemon queries.
+func queriedOwners(f *fleet.Fleet, cell int) []string {
+	return f.View().Owners(cell, fleet.Key("home/"+f.View().Self()), maxOwnerQueries)
+}
+
+// reachOwners calls the owners in a cell that a daemon queries.
+func reachOwners(f *fleet.Fleet, cell int) error {
+	owners := queriedOwners(f, cell)
+	if len(owners) < maxOwnerQueries {
+		return errors.Errorf("%d owners", len(owners))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), slowRequest)
+	defer cancel()
+	for _, owner := range owners {
+		// It refuses a request without a service.
+		if err := f.Call(ctx, owner, kindPlacementRequest, &placementRequest{}, &placementResponse{}); !errors.Is(err, wire.ErrRemote) {
+			return errors.Errorf("%s: %v", owner, err)
+		}
+	}
+	return nil
+}
+
 // ownerCell returns the cell that owns a context, and the workers that this cell uses.
 func (h *fleetRig) ownerCell(context string) (cell int, workers []string) {
 	cell = h.fleets[0].View().WeightedCell(fleet.Key(context))
@@ -160,9 +212,9 @@
 // Without owners, a fleet of two cells caches each context in both, and only half as many requests
 // find theirs cached.
 func TestContextStaysInOwnerCell(t *testing.T) {
-	knownRed(t)
 	const daemons = 24
 	h := newFleetRig(t, daemons, 6, always(stream(true, "id: 1\ndata: a\n\n")))
+	h.allowSlowOwners()
 	for _, context := range []string{"a1", "b2", "c3", "d4"} {
 		before := len(h.rigs[0].received())
 		cell, workers := h.ownerCell(context)
@@ -180,9 +232,9 @@
 
 // A daemon that cannot reach the owner decides itself.
 func TestUnreachableOwnerCell(t *testing.T) {
-	knownRed(t)
 	const daemons = 24
 	h := newFleetRig(t, daemons, 6, always(stream(true, "id: 1\ndata: a\n\n")))
+	h.allowSlowOwners()
 	cell, _ := h.ownerCell("a1")
 	for i, f := range h.fleets {
 		if f.View().Cell() == cell {
@@ -200,8 +252,9 @@
 func TestFullOwnerCell(t *testing.T) {
 	const daemons = 24
 	h := newFleetRig(t, daemons, 6, always(stream(true, "id: 1\ndata: a\n\n")))
+	h.allowSlowOwners()
 	cell, workers := h.ownerCell("a1")
-	full := roster.Load{Running: 1, QueuedTokens: 1 << 20, OccupiedTokens: 1 << 20}
+	full := roster.Load{Running: 1, QueuedTokens: 1 << 30, OccupiedTokens: 1 << 20}
 	for i, f := range h.fleets {
 		if f.View().Cell() == cell {
 			for _, id := range workers {
@@ -211,7 +264,9 @@
 	}
 	for i, f := range h.fleets {
 		if f.View().Cell() != cell {
+			before, owners := time.Now(), queriedOwners(f, cell)
 			h.g.Expect(h.send(i, "a1").status).To(gomega.Equal(http.StatusOK))
+			h.g.Expect(h.owners[i].responsive(owners, before)).To(gomega.HaveLen(maxOwnerQueries), "having no free target does not put an owner into backoff")
 		}
 	}
 	// Another context of the same owner, since the first is now cached elsewhere.
@@ -228,7 +283,7 @@
 		}
 	}
 	h.waitIdle()
-	// The owner is queried again: having no free target does not put it into backoff.
+	// The owner is queried again.
 	for i, f := range h.fleets {
 		if f.View().Cell() != cell {
 			h.g.Expect(h.send(i, other).status).To(gomega.Equal(http.StatusOK))
--- a/core/relay/sharded_test.go
+++ b/core/relay/sharded_test.go
@@ -29,9 +29,9 @@
 // Daemons that list only their cell's workers serve each prompt from the cell that owns its
 // context.
 func TestShardedPromptsAreServedByOwnerCell(t *testing.T) {
-	knownRed(t)
 	const daemons = 24
 	h := newFleetRig(t, daemons, 12, always(stream(true, "id: 1\ndata: a\n\n")))
+	h.allowSlowOwners()
 	h.shard(func(int) bool { return false })
 	const context = "c1"
 	owner := h.fleets[0].View().KeyCell(fleet.Key(context))
