--- a/core/spread/fuzz_test.go
+++ b/core/spread/fuzz_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"math"
-	"os"
 	"testing"
 	"time"
 
@@ -17,13 +16,6 @@
 	"embertally.dev/core/memkv"
 )
 
-// knownRed skips a test that KNOWN-RED.txt lists where CI runs.
-func knownRed(t *testing.T) {
-	if os.Getenv("KNOWN_RED") != "" {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
-}
-
 // Guards against a value that reads otherwise than it was compressed, and against a damaged form that is taken for whole or
 // expands without bound.
 func FuzzDecompress(f *testing.F) {
