--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -22,4 +22,5 @@
   if ((SECONDS >= end)); then break; fi
 done
 echo "$failed plays fail"
-((failed == 0))
+if ((failed > 0)); then exit 1; fi
+rm -r "$out"
