The line of a resumed stream tells how old the stored record is

Whoever reads the line of a stream that was taken up saw by whose word it was bound and how old that was, but not for a record of the coordination store. A page now has the time of its last write by its writer's clock, some 24 bytes for each version in it; nothing is decided by it. Pages of daemons before this one have none and count as just written in the line.

TestStoredRecordTellsWhenItWasWritten; go test ./origin and the tests of resumptions in ./relay pass.

--- a/core/origin/archive.go
+++ b/core/origin/archive.go
@@ -126,7 +126,7 @@
 	pages := a.paginate(due, now)
 	var txn plat.Txn
 	for _, p := range pages {
-		value, err := json.Marshal(storedGroups(p.records))
+		value, err := json.Marshal(storedGroups(p.records, time.Now()))
 		if err != nil {
 			return err
 		}
@@ -171,30 +171,41 @@
 	return append(out, p)
 }
 
-// find returns the stream of a key, and the key of a page that has it, unless the pages hold none or several.
-func (a *archive) find(k key) (out Stream, page string, found bool) {
+// storedRecord is where a stream began according to the coordination store.
+type storedRecord struct {
+	stream Stream
+	// page is the key that holds it, and written when that was last written by its writer's clock; zero if not known.
+	page    string
+	written time.Time
+}
+
+// find returns the record of a key, unless the pages hold none or several.
+func (a *archive) find(k key) (out storedRecord, found bool) {
 	wanted := k.bytes()
 	for _, pair := range a.copy.WithPrefix(KeyPrefix) {
-		groups, err := parsePage(pair.Value)
+		stored, err := parsePage(pair.Value)
 		if err != nil {
 			a.log.Emit(event.ConfUnderived, event.Ref{Resource: pair.Key}, err.Error())
 			continue
 		}
-		for i := range groups {
-			if !groups[i].contains(wanted) {
+		for _, g := range stored {
+			if !g.contains(wanted) {
 				continue
 			}
-			s := groups[i].Stream
-			if found && s.precedes(out) {
+			s := g.stream()
+			if found && s.precedes(out.stream) {
 				continue
 			}
-			if found && !s.sameTarget(out) && !out.precedes(s) {
-				return Stream{}, "", false
+			if found && !s.sameTarget(out.stream) && !out.stream.precedes(s) {
+				return storedRecord{}, false
+			}
+			out, found = storedRecord{stream: s, page: pair.Key}, true
+			if g.Written > 0 {
+				out.written = time.Unix(g.Written, 0)
 			}
-			out, page, found = s, pair.Key, true
 		}
 	}
-	return out, page, found
+	return out, found
 }
 
 // storedGroup is a toldGroup in the coordination store, a page being a list of them.
@@ -202,33 +213,38 @@
 	Service string `json:"service"`
 	Version string `json:"version"`
 	Config  int64  `json:"config,omitempty"`
+	// Written is when the page was written, in seconds since 1970 by the writer's clock. Only log lines use it.
+	Written int64  `json:"written,omitempty"`
 	Keys    []byte `json:"keys"`
 }
 
-// storedGroups returns records in the form in which they are stored.
-func storedGroups(list []toldRecord) []storedGroup {
+// stream returns the place that the records of the group name.
+func (g storedGroup) stream() Stream {
+	return Stream{Service: g.Service, Version: g.Version, Config: g.Config}
+}
+
+// storedGroups returns records in the form in which they are stored at a time.
+func storedGroups(list []toldRecord, written time.Time) []storedGroup {
 	var out []storedGroup
 	for _, g := range group(list) {
-		out = append(out, storedGroup{g.Stream.Service, g.Stream.Version, g.Stream.Config, g.Keys})
+		out = append(out, storedGroup{
+			Service: g.Stream.Service, Version: g.Stream.Version, Config: g.Stream.Config, Written: written.Unix(), Keys: g.Keys,
+		})
 	}
 	return out
 }
 
 // parsePage parses the value of a page.
-func parsePage(value []byte) ([]toldGroup, error) {
-	var stored []storedGroup
-	if err := json.Unmarshal(value, &stored); err != nil {
+func parsePage(value []byte) ([]storedGroup, error) {
+	var out []storedGroup
+	if err := json.Unmarshal(value, &out); err != nil {
 		return nil, err
 	}
-	groups := make([]toldGroup, len(stored))
-	for i, g := range stored {
-		groups[i] = toldGroup{Stream: Stream{Service: g.Service, Version: g.Version, Config: g.Config}, Keys: g.Keys}
-	}
-	return groups, nil
+	return out, nil
 }
 
 // contains reports whether a group has a key.
-func (g *toldGroup) contains(k []byte) bool {
+func (g storedGroup) contains(k []byte) bool {
 	for b := g.Keys; len(b) >= keyBytes; b = b[keyBytes:] {
 		if bytes.Equal(b[:keyBytes], k) {
 			return true
@@ -287,8 +303,9 @@
 		return
 	}
 	var saved []toldRecord
-	for i := range groups {
-		saved = append(saved, groups[i].ungroup(clock.Time{})...)
+	for _, g := range groups {
+		told := toldGroup{Stream: g.stream(), Keys: g.Keys}
+		saved = append(saved, told.ungroup(clock.Time{})...)
 	}
 	b.dropUnsaved(saved)
 }
--- a/core/origin/archive_test.go
+++ b/core/origin/archive_test.go
@@ -162,7 +162,7 @@
 		for _, s := range streams {
 			list = append(list, toldRecord{key: newKey("org", "try"), stream: s})
 		}
-		value, err := json.Marshal(storedGroups(list))
+		value, err := json.Marshal(storedGroups(list, time.Now()))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -334,3 +334,30 @@
 	b.ReportMetric(float64(stored)/perMinute, "records/stream-min")
 	b.ReportMetric(float64(pages)/float64(b.N)/length.Seconds(), "writes/s")
 }
+
+// Guards against lines of resumed streams that do not tell how old the stored record is that bound them.
+func TestStoredRecordTellsWhenItWasWritten(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		ago      time.Duration
+		min, max time.Duration
+	}{
+		{"just now", 0, 0, 30 * time.Second},
+		{"before all daemons were killed", 40 * time.Second, 39 * time.Second, 70 * time.Second},
+		{"by a clock that is ahead", -time.Hour, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var kv memkv.KV
+			list := []toldRecord{{key: newKey("org", "try"), stream: begun}}
+			value, err := json.Marshal(storedGroups(list, time.Now().Add(-tc.ago)))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = kv.Commit(context.Background(), plat.Txn{Puts: []plat.Put{{Key: KeyPrefix + "d/1", Value: value}}})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			b := New(Options{Copy: &testStore{KV: &kv}, Log: &event.Log{}, Versions: func(string) (string, Proof) { return "", Several }})
+			found := b.Find(context.Background(), "org", "try", "llm")
+			g.Expect(found.Stored).To(gomega.BeTrue())
+			g.Expect(found.Age).To(gomega.And(gomega.BeNumerically(">=", tc.min), gomega.BeNumerically("<=", tc.max)))
+		})
+	}
+}
--- a/core/origin/book.go
+++ b/core/origin/book.go
@@ -160,8 +160,8 @@
 	// By is the daemon that has the record or has proven the single version, or the key of the store that holds the
 	// record; empty for this daemon.
 	By string
-	// Age is how old that daemon's record is, or the view by which it has proven the single version. It is 0 for a
-	// stored record.
+	// Age is how old that daemon's record is, or the view by which it has proven the single version. For a stored record it
+	// is the time since that was last written, by the writer's clock; 0 if that is not known.
 	Age time.Duration
 	// Proof is what this daemon says of the versions by itself.
 	Proof Proof
@@ -192,17 +192,20 @@
 	if out.Known {
 		return out
 	}
-	if s, page, found := b.findStored(k, attempt); found {
+	if r, found := b.findStored(k, attempt); found {
 		// A daemon that did not answer may know where the stream has gone on since, after its route was moved.
-		out.Stream, out.Known, out.Stored, out.By = s, true, true, page
+		out.Stream, out.Known, out.Stored, out.By = r.stream, true, true, r.page
+		if !r.written.IsZero() {
+			out.Age = max(0, time.Since(r.written))
+		}
 	}
 	return out
 }
 
-// findStored returns the record in the coordination store, and the key of a page that has it.
-func (b *Book) findStored(k key, attempt string) (s Stream, page string, found bool) {
+// findStored returns the record in the coordination store.
+func (b *Book) findStored(k key, attempt string) (r storedRecord, found bool) {
 	if attempt == "" || b.archive == nil {
-		return Stream{}, "", false
+		return storedRecord{}, false
 	}
 	return b.archive.find(k)
 }
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -75,7 +75,7 @@
 	case found.Sole:
 		p.note("bound to version %q, the only one known%s", found.Version, p.relay.knowledge())
 	case found.Stored:
-		p.note("bound to version %q, which began it according to %s in the coordination store", found.Version, found.By)
+		p.note("bound to version %q, which began it according to %s in the coordination store %s ago", found.Version, found.By, age)
 	case found.By != "":
 		p.note("bound to version %q, which began it according to %s %s ago", found.Version, found.By, age)
 	default:
