Streams begin at a service only after their route has led there for 3.5 s

Callers: after operators added a service to a streaming route, or moved the route to it, a stream that had begun at the new service and broke could be taken up at a box that had not received that configuration, and went on at the former service.

Cause: the box, with a list of under 2 s, proves a single version of the former service. A new version of a service waits until no list that is young enough lacks it, but that wait counts from when the version was listed, and not from when requests of the route may go there. Class: a fact dropped by an age that counts from another moment than the promise it serves.

Change: a daemon knows since when the requests of each host and prefix go to each service, by the configurations that it has applied. Why it works: within 3.5 s each list that is young enough to prove anything holds the configuration.

No message; callers of a route that is moved are refused for 3.5 s where they were not before.

--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -62,6 +62,7 @@
 	availability, reloading := p.relay.options.Roster.Availability(now), p.relay.options.Roster.Reloading(now)
 	unavailable := unavailability{bound: p.versions.Bound}
 	list = p.applyRollout(list)
+	untilRouteSettled := p.untilRouteSettled(p.service)
 	for _, t := range list {
 		if p.tried[t.ID()] > 0 {
 			continue
@@ -75,7 +76,7 @@
 			unavailable.excludedVersions++
 			continue
 		}
-		if wait := p.untilSettled(candidate.entry.Version); wait > 0 {
+		if wait := max(untilRouteSettled, p.untilSettled(candidate.entry.Version)); wait > 0 {
 			unavailable.countUnsettled(wait)
 			continue
 		}
@@ -138,6 +139,9 @@
 	}
 	out = p.preferVersion(out)
 	reason := unavailable.reason()
+	if reason == allUnsettled && untilRouteSettled > 0 {
+		reason = routeUnsettled
+	}
 	p.skipped, p.rateLimited = unavailable.skipped, unavailable.rateLimitedTarget
 	p.notOpen, p.full = unavailable.opening, unavailable.full
 	p.sharedTarget = unavailable.sharedTarget
@@ -174,11 +178,13 @@
 	allOutdated = "all targets hold weights that were replaced too long ago"
 	// allUnsettled: the request would begin a stream at a version that some daemon may not know yet.
 	allUnsettled = "all targets are of versions that have just been listed"
+	// routeUnsettled: the request would begin a stream at a service to which some daemon may not know that the route leads.
+	routeUnsettled = "the route has just been led to the service"
 )
 
 // endsAtKnownTime reports whether it is known when a reason ends.
 func endsAtKnownTime(reason string) bool {
-	return reason == allUnderPushback || reason == allRateLimited || reason == allUnsettled
+	return reason == allUnderPushback || reason == allRateLimited || reason == allUnsettled || reason == routeUnsettled
 }
 
 // unavailability counts the targets that may not get a request, by reason.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -70,6 +70,9 @@
 	// UntilSettled returns for how much longer no stream may begin at a version of a service's targets, since a daemon
 	// may not know yet that the service has it. Nil means that streams begin anywhere.
 	UntilSettled func(service, version string) time.Duration
+	// UntilRouteSettled returns for how much longer no stream may begin at a service by the route of a host and path, since
+	// a daemon may not know yet that the route leads there. Nil means that streams begin at once.
+	UntilRouteSettled func(host, path, service string) time.Duration
 	// Placement is the policy that chooses workers. The zero value means route.LowestCost.
 	Placement route.Placement
 	// Domain is the failure domain of this daemon.
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -125,7 +125,7 @@
 
 // run sends the request until it is answered, or returns the refusal.
 func (p *proxiedRequest) run() *entry.Refusal {
-	p.service = p.route.Service(p.relay.randomFraction())
+	p.service = p.drawService()
 	p.lastEventID = p.meta.LastEventID
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.deadline.Add(deadlineMargin))
 	defer cancel()
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"embertally.dev/core/clock"
@@ -34,6 +35,36 @@
 	return p.relay.options.UntilSettled(p.service, version)
 }
 
+// untilRouteSettled returns for how much longer no stream may begin at a service, because the route has just been led there.
+// Where another daemon sends the request, that daemon checks it.
+func (p *proxiedRequest) untilRouteSettled(service string) time.Duration {
+	if p.remote || !p.beginsStream() || p.relay.options.UntilRouteSettled == nil {
+		return 0
+	}
+	path, _, _ := strings.Cut(p.r.RequestURI, "?")
+	return p.relay.options.UntilRouteSettled(p.r.Host, path, service)
+}
+
+// drawService draws the request's service by weight. A request that may begin a stream goes to one at which streams of its
+// route may begin, if there is one.
+func (p *proxiedRequest) drawService() string {
+	if !p.beginsStream() {
+		return p.route.Service(p.relay.randomFraction())
+	}
+	random := p.relay.randomFraction()
+	settled := table.Route{Splits: slices.DeleteFunc(slices.Clone(p.route.Splits), func(s table.Split) bool {
+		remaining := p.untilRouteSettled(s.Service)
+		if remaining > 0 {
+			p.note("no stream begins at service %s for %s: the route has just been led there", s.Service, remaining.Round(time.Millisecond))
+		}
+		return remaining > 0 || s.Weight <= 0
+	})}
+	if len(settled.Splits) == 0 {
+		return p.route.Service(random)
+	}
+	return settled.Service(random)
+}
+
 // beginsStream reports whether the next answer begins a stream that callers may resume.
 func (p *proxiedRequest) beginsStream() bool {
 	return p.route.Kind == table.Stream && p.route.Resumable && !p.versions.Bound
@@ -66,6 +97,12 @@
 		return nil
 	}
 	p.service = found.Service
+	if found.Sole {
+		if remaining := p.untilRouteSettled(p.service); remaining > 0 {
+			// A daemon that does not know that the route leads here would go on elsewhere with what goes on here.
+			return p.refuseUntil(entry.CodeNoTarget, "no target takes the request now: "+routeUnsettled, remaining)
+		}
+	}
 	p.bind(found.Version)
 	stats.StreamsBound.Inc()
 	age := found.Age.Round(time.Millisecond)
--- a/core/relay/resume_test.go
+++ b/core/relay/resume_test.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -401,3 +403,93 @@
 		})
 	}
 }
+
+// Guards against a stream that begins at a service of which other daemons may not know yet that its route leads there: it begins
+// at another service of the route, or is refused until they know. Nothing else waits.
+func TestStreamsBeginWhereTheirRouteHasLedForLong(t *testing.T) {
+	const wait, requests = 1500 * time.Millisecond, 20
+	both, moved := []table.Split{{Service: "old", Weight: 1}, {Service: "new", Weight: 1}}, []table.Split{{Service: "new", Weight: 1}}
+	for _, tc := range []struct {
+		name   string
+		splits []table.Split
+		path   string
+		// headers are those of each request, and at are the services that get requests during the wait.
+		headers []string
+		at      []string
+		// record is the service of the attempt "first" that is on record, if any.
+		record string
+	}{
+		{"divided", both, "/stream/x?y", nil, []string{"old"}, ""},
+		{"moved", moved, "/stream/x?y", nil, nil, ""},
+		{"moved, the former service has no weight", []table.Split{{Service: "old"}, {Service: "new", Weight: 1}}, "/stream/x?y", nil, nil, ""},
+		{"not led elsewhere", both, "/other/x", nil, []string{"old", "new"}, ""},
+		{"not resumable", moved, "/unresumed/x", nil, []string{"new"}, ""},
+		{"no stream", moved, "/plain/x", nil, []string{"new"}, ""},
+		{"on record there", both, "/stream/x?y", []string{"Resumes", "first", "After", "1"}, []string{"new"}, "new"},
+		{"on record elsewhere", both, "/stream/x?y", []string{"Resumes", "first", "After", "1"}, []string{"old"}, "old"},
+		{"on record where the route no longer leads", moved, "/stream/x?y", []string{"Resumes", "first", "After", "1"}, nil, "old"},
+		{"the only version of the new service", moved, "/stream/x?y", []string{"Resumes", "first", "After", "1"}, nil, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			var settled atomic.Bool
+			r.relay.options.UntilRouteSettled = func(host, path, service string) time.Duration {
+				r.g.Expect(host).To(gomega.Equal("h"))
+				if path == "/stream/x" && service == "new" && !settled.Load() {
+					return wait
+				}
+				return 0
+			}
+			routes := []table.Route{
+				{Host: "h", Prefix: "/stream/", Kind: table.Stream, Resumable: true}, {Host: "h", Prefix: "/other/", Kind: table.Stream, Resumable: true},
+				{Host: "h", Prefix: "/unresumed/", Kind: table.Stream}, {Host: "h", Prefix: "/plain/", Kind: table.Repeatable},
+			}
+			for i := range routes {
+				routes[i].Timeout, routes[i].LatencyObjective, routes[i].MaxAttempts, routes[i].Splits = 5*time.Second, time.Second, 2, tc.splits
+			}
+			r.relay.SetTable(table.New(table.Spec{Organisations: testOrganisations, Routes: routes, Services: []table.Service{{Name: "old"}, {Name: "new"}}}))
+			answer := stream(true, event2)
+			if tc.path == "/plain/x" {
+				answer = respond(http.StatusOK, "x")
+			}
+			r.versionTarget("old", "old", "v1", always(answer))
+			r.versionTarget("new", "new", "v7", always(answer))
+			if tc.record != "" {
+				version := map[string]string{"old": "v1", "new": "v7"}[tc.record]
+				r.relay.options.Origins.Record("org", "first", origin.Stream{Service: tc.record, Version: version})
+			}
+			send := func() callerAnswer { return r.send(http.MethodPost, tc.path, "", tc.headers...) }
+			for range requests {
+				got := send()
+				if len(tc.at) > 0 {
+					r.g.Expect(got.status).To(gomega.Equal(http.StatusOK), "nobody is refused")
+					continue
+				}
+				r.g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
+				after, err := time.ParseDuration(got.header.Get("Come-Back"))
+				r.g.Expect(err).NotTo(gomega.HaveOccurred())
+				r.g.Expect(after).To(gomega.And(gomega.BeNumerically(">=", wait), gomega.BeNumerically("<=", 3*wait/2)))
+			}
+			r.g.Expect(services(r)).To(gomega.ConsistOf(tc.at))
+			settled.Store(true)
+			for range requests {
+				r.g.Expect(send().status).To(gomega.Equal(http.StatusOK))
+			}
+			if tc.record != "old" || len(tc.splits) == 1 {
+				r.g.Expect(services(r)).To(gomega.ContainElement("new"), "it is used afterwards")
+			}
+		})
+	}
+}
+
+// services returns the targets that have received requests, each once.
+func services(r *rig) []string {
+	var out []string
+	for _, req := range r.received() {
+		if !slices.Contains(out, req.target) {
+			out = append(out, req.target)
+		}
+	}
+	return out
+}
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -275,6 +275,9 @@
 // Organisation returns the organisation that holds a key, or nil.
 func (t *Table) Organisation(key string) *Organisation { return t.keys[key] }
 
+// Routes returns all routes.
+func (t *Table) Routes() []*Route { return slices.Concat(slices.Collect(maps.Values(t.hosts))...) }
+
 // LongestResumable returns the longest time that a request for a stream that may be resumed takes, and whether there is a
 // bound.
 func (t *Table) LongestResumable() (longest time.Duration, bounded bool) {
--- a/emberd/internal/host/applied.go
+++ b/emberd/internal/host/applied.go
@@ -221,6 +221,7 @@
 		return
 	}
 	h.attemptBound.set(t.LongestResumable())
+	h.routeServices.set(t, clock.Now())
 	h.relay.SetTable(t)
 	h.log.Emit(event.ConfApplied, event.Ref{}, "version "+itoa(t.Version()))
 	tokenBytes := 0
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -90,6 +90,7 @@
 	origins        *origin.Book
 	versionWatch   versionWatch
 	attemptBound   attemptBound
+	routeServices  routeServices
 	rollouts       *canary.Controller
 	leaderships    []*lease.Timed
 	cellLeadership *cellLeadership
@@ -356,7 +357,7 @@
 	h.relay = relay.New(relay.Options{
 		Name: h.settings.Name, Dialect: platform.Dialect{}, Roster: h.roster, Pool: h.pool, StoreIndex: h.storeIndexes, WorkerCaches: &h.workerCaches, Links: &h.links, LateCopies: &h.lateCopies, Retention: &h.retention, Pauses: &h.pauses, FirstAnswerTimes: h.firstAnswerTimes, TargetStats: &h.targetStats,
 		EnginePrior: h.settings.Expected.Engines.prior(), CallPrior: h.settings.Expected.Calls.prior(), Costs: h.settings.Costs.model(), Disabled: h.settings.Disabled,
-		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary, Origins: h.origins, UntilSettled: h.untilSettled,
+		Log: h.log, Stats: h.stats, Poison: h.poison, Canary: &h.canary, Origins: h.origins, UntilSettled: h.untilSettled, UntilRouteSettled: h.untilRouteSettled,
 		Placement: route.Placement(h.settings.Placement), PublishState: h.fleet.TriggerHeartbeat,
 		Domain: h.settings.Domain, Regions: h.settings.Regions, DesiredWeights: h.desired.Newest, DaemonCount: h.daemonCounter.count,
 		OwnTargets:   func(names []string) []string { return h.fleet.View().CellShare(names) },
--- a/emberd/internal/host/versions_test.go
+++ b/emberd/internal/host/versions_test.go
@@ -683,7 +683,6 @@
 		{"the route is moved", []string{"other"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			knownRed(t)
 			g := gomega.NewWithT(t)
 			apply := func(h *Host, version int64, services ...string) {
 				r := table.Route{Host: "h", Prefix: "/s/", Kind: table.Stream, Resumable: true, Timeout: 10 * time.Second}
@@ -703,7 +702,7 @@
 			proven, begun := 0, false
 			for range 2 * versionSettleTime / step {
 				// The stream begins before the request that resumes it.
-				begun = begins.untilSettled("other", "v7") == 0
+				begun = begins.untilSettled("other", "v7") == 0 && begins.untilRouteSettled("h", "/s/1", "other") == 0
 				if version, proof := proves.serviceVersions("llm"); proof == origin.Sole && proves.configOverdue(clock.Now()) == 0 {
 					proven++
 					g.Expect(begun).To(gomega.BeFalse(), "a stream begins at v7 of the other service although a daemon goes on with it at %s", version)
