A version is remembered for streams that a configuration makes resumable

Callers: after operators made the streams of a route resumable, one that had begun before and ran for longer than the new configuration lets any run could go on at another version of its service.

Cause: a version counts as gone after the longest time of an attempt at a resumable stream, of the configurations that the daemon has applied. Streams that could not be resumed when they began were left out, also once they may be. Class: a fact dropped by an age that counts from another moment than the promise it serves.

Change: the longest time of all streams is known beside that of resumable ones, with the same memory of former configurations. A configuration that makes streams resumable, by host and prefix, adds it for its window. Sites whose routes stay as they are have the window that they had.

--- a/core/table/table.go
+++ b/core/table/table.go
@@ -235,7 +235,7 @@
 	out := map[string]bool{}
 	for i := range routes {
 		r := &routes[i]
-		if r.Kind != Stream || !r.Resumable || len(r.Splits) < 2 {
+		if !r.streamResumable() || len(r.Splits) < 2 {
 			continue
 		}
 		for _, s := range r.Splits {
@@ -281,9 +281,19 @@
 // LongestResumable returns the longest time that a request for a stream that may be resumed takes, and whether there is a
 // bound.
 func (t *Table) LongestResumable() (longest time.Duration, bounded bool) {
+	return t.longest((*Route).streamResumable)
+}
+
+// LongestStream is LongestResumable for all streams.
+func (t *Table) LongestStream() (longest time.Duration, bounded bool) {
+	return t.longest(func(r *Route) bool { return r.Kind == Stream })
+}
+
+// longest returns the longest time that a request of some routes takes, and whether there is a bound.
+func (t *Table) longest(include func(*Route) bool) (longest time.Duration, bounded bool) {
 	for _, routes := range t.hosts {
 		for _, r := range routes {
-			if r.Kind != Stream || !r.Resumable {
+			if !include(r) {
 				continue
 			}
 			if r.Timeout <= 0 {
@@ -295,6 +305,18 @@
 	return longest, true
 }
 
+// streamResumable reports whether the route's streams may be resumed.
+func (r *Route) streamResumable() bool { return r.Kind == Stream && r.Resumable }
+
+// MakesResumable reports whether streams may be resumed that began by a former configuration in which they could not be.
+func (t *Table) MakesResumable(former *Table) bool {
+	became := func(now, before *Route) bool {
+		return now != nil && now.streamResumable() && before != nil && before.Kind == Stream && !before.Resumable
+	}
+	return slices.ContainsFunc(t.Routes(), func(r *Route) bool { return became(r, former.Match(r.Host, r.Prefix)) }) ||
+		slices.ContainsFunc(former.Routes(), func(r *Route) bool { return became(t.Match(r.Host, r.Prefix), r) })
+}
+
 // Service returns a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -163,3 +163,44 @@
 		})
 	}
 }
+
+// Guards against streams that a daemon takes for such as cannot be resumed, though a later configuration lets callers resume them.
+func TestMakesResumable(t *testing.T) {
+	route := func(prefix string, resumable bool) Route {
+		return Route{Host: "h", Prefix: prefix, Kind: Stream, Resumable: resumable}
+	}
+	plain := Route{Host: "h", Prefix: "/s/", Kind: Repeatable}
+	for _, tc := range []struct {
+		name         string
+		former, then []Route
+		want         bool
+	}{
+		{"unchanged", []Route{route("/s/", false)}, []Route{route("/s/", false)}, false},
+		{"resumable before", []Route{route("/s/", true)}, []Route{route("/s/", true)}, false},
+		{"resumable by now", []Route{route("/s/", false)}, []Route{route("/s/", true)}, true},
+		{"no longer resumable", []Route{route("/s/", true)}, []Route{route("/s/", false)}, false},
+		{"a new route", []Route{route("/t/", false)}, []Route{route("/t/", false), route("/s/", true)}, false},
+		{"a longer prefix", []Route{route("/s/", false)}, []Route{route("/s/", false), route("/s/x/", true)}, true},
+		{"a longer prefix that is removed", []Route{route("/s/", true), route("/s/x/", false)}, []Route{route("/s/", true)}, true},
+		{"plain requests before", []Route{plain}, []Route{route("/s/", true)}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			g.Expect(New(Spec{Routes: tc.then}).MakesResumable(New(Spec{Routes: tc.former}))).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
+// A stream that cannot be resumed counts, and one without a timeout bounds nothing.
+func TestLongestStream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	routes := []Route{
+		{Host: "h", Prefix: "/a/", Kind: Stream, Resumable: true, Timeout: time.Second}, {Host: "h", Prefix: "/b/", Kind: Stream, Timeout: time.Minute},
+		{Host: "h", Prefix: "/c/", Kind: Repeatable, Timeout: time.Hour},
+	}
+	longest, bounded := New(Spec{Routes: routes}).LongestStream()
+	g.Expect(longest).To(gomega.Equal(time.Minute))
+	g.Expect(bounded).To(gomega.BeTrue())
+	_, bounded = New(Spec{Routes: append(routes, Route{Host: "h", Prefix: "/d/", Kind: Stream})}).LongestStream()
+	g.Expect(bounded).To(gomega.BeFalse())
+}
--- a/emberd/internal/host/applied.go
+++ b/emberd/internal/host/applied.go
@@ -216,10 +216,15 @@
 func (h *Host) applyTable(t *table.Table) {
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
-	if old := h.relay.Table(); old != nil && old.Version() > t.Version() {
+	old := h.relay.Table()
+	if old != nil && old.Version() > t.Version() {
 		h.log.Emit(event.ConfRejected, event.Ref{}, "version "+itoa(t.Version())+" is older than the applied "+itoa(old.Version()))
 		return
 	}
+	if old != nil && t.MakesResumable(old) {
+		h.attemptBound.add(h.streamBound.longest(clock.Now()))
+	}
+	h.streamBound.set(t.LongestStream())
 	h.attemptBound.set(t.LongestResumable())
 	h.routeServices.set(t, clock.Now())
 	h.relay.SetTable(t)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -90,6 +90,7 @@
 	origins        *origin.Book
 	versionWatch   versionWatch
 	attemptBound   attemptBound
+	streamBound    attemptBound // of all streams, since a configuration may make them resumable
 	routeServices  routeServices
 	rollouts       *canary.Controller
 	leaderships    []*lease.Timed
--- a/emberd/internal/host/origins.go
+++ b/emberd/internal/host/origins.go
@@ -77,20 +77,35 @@
 	defer a.boundMu.Unlock()
 	a.former = slices.DeleteFunc(a.former, func(f formerBound) bool { return f.over(now) || f.bound <= longest })
 	if a.current > longest {
-		f := formerBound{bound: a.current}
-		if a.current != noBound {
-			f.until = now.Add(windowOf(a.current))
-		}
-		a.former = append(a.former, f)
+		a.former = append(a.former, newFormerBound(a.current, now))
 	}
 	a.current = longest
 }
 
+// add records the bound of attempts that began until now at streams that could not be resumed, and now may be.
+func (a *attemptBound) add(bound time.Duration) {
+	a.boundMu.Lock()
+	defer a.boundMu.Unlock()
+	a.former = append(a.former, newFormerBound(bound, clock.Now()))
+}
+
+// newFormerBound returns the bound of attempts that no longer begin.
+func newFormerBound(bound time.Duration, now clock.Time) formerBound {
+	f := formerBound{bound: bound}
+	if bound != noBound {
+		f.until = now.Add(windowOf(bound))
+	}
+	return f
+}
+
 // over reports whether a bound no longer counts.
 func (f formerBound) over(now clock.Time) bool { return f.bound != noBound && now.After(f.until) }
 
 // window returns the version window.
-func (a *attemptBound) window(now clock.Time) time.Duration {
+func (a *attemptBound) window(now clock.Time) time.Duration { return windowOf(a.longest(now)) }
+
+// longest returns the longest time of an attempt.
+func (a *attemptBound) longest(now clock.Time) time.Duration {
 	a.boundMu.Lock()
 	defer a.boundMu.Unlock()
 	longest := a.current
@@ -99,7 +114,7 @@
 			longest = max(longest, f.bound)
 		}
 	}
-	return windowOf(longest)
+	return longest
 }
 
 // untilSettled returns for how much longer no stream may begin at a version of a service's targets.
