--- a/core/entry/finished_test.go
+++ b/core/entry/finished_test.go
@@ -73,6 +73,53 @@
 	}
 }
 
+// answerOf returns the text of the answer to a prompt that emberd run gives to one of two engines, and its body.
+func answerOf(t *testing.T, engine http.Handler, stream bool) (text string, body []byte) {
+	g := gomega.NewWithT(t)
+	events := &event.Log{}
+	resources := []conf.Change{
+		{Kind: conf.KindOrganisation, Name: "one", Spec: fmt.Appendf(nil, `{"keyHashes":[%q]}`, conf.HashKey("secret"))},
+		{Kind: conf.KindDeployment, Name: "d", Spec: []byte(`{"model":"m","weightVersion":"v1"}`)},
+		{Kind: conf.KindPolicy, Name: "p", Spec: []byte(`{"organisation":"one","deployments":["d"]}`)},
+	}
+	for _, name := range []string{"w1", "w2"} {
+		server := httptest.NewServer(engine)
+		t.Cleanup(server.Close)
+		resources = append(resources, conf.Change{Kind: conf.KindTarget, Name: name, Spec: fmt.Appendf(nil, `{"type":"engine","url":%q,"deployments":["d"]}`, server.URL)})
+	}
+	for i := range resources {
+		resources[i].Seq = uint64(i + 1)
+	}
+	store, f := conf.NewStore(events), fleet.New(fleet.Options{Name: "box", Log: events})
+	store.Replace(conf.Full{Seq: uint64(len(resources)), Resources: resources})
+	client := &http.Client{Transport: target.NewTransport()}
+	owner := home.New(home.Options{Placement: route.LowestCost, Conf: store, Fleet: f, Log: events, Client: client, LoadInterval: 20 * time.Millisecond})
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { owner.Run(ctx) })
+	t.Cleanup(func() { stop(); wg.Wait(); client.CloseIdleConnections() })
+	g.Eventually(owner.WarmedUp, "10s", "10ms").Should(gomega.BeTrue())
+	e := echo.New()
+	New(Options{
+		Conf: store, Fleet: f, ContextOwner: owner, Log: events, EngineClient: client, MaxBodyBytes: 1 << 20, MaxRunningPerOrganisation: 1,
+		NotReadyReason: func() string { return "" },
+	}).Register(e)
+	server := httptest.NewServer(MarkEnds(e))
+	defer server.Close()
+	req, err := http.NewRequest(http.MethodPost, server.URL+"/v1/completions", strings.NewReader(fmt.Sprintf(`{"model":"d","prompt":"x","stream":%t}`, stream)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := client.Do(req)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer resp.Body.Close()
+	body, err = io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, m := range regexp.MustCompile(`"text":"([^"]*)"`).FindAllSubmatch(body, -1) {
+		text += string(m[1])
+	}
+	return text, body
+}
+
 // Guards against tokens of a second run behind those of one that had told its end, whose connection was lost before the end marker.
 func TestAnswerThatToldItsEndIsNotContinued(t *testing.T) {
 	for _, tc := range []struct {
@@ -86,50 +133,56 @@
 		{"end", false, "one two"},
 	} {
 		t.Run(fmt.Sprintf("lost before the %s, stream %t", tc.last, tc.stream), func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			engine, events := &brokenEngine{last: tc.last}, &event.Log{}
-			resources := []conf.Change{
-				{Kind: conf.KindOrganisation, Name: "one", Spec: fmt.Appendf(nil, `{"keyHashes":[%q]}`, conf.HashKey("secret"))},
-				{Kind: conf.KindDeployment, Name: "d", Spec: []byte(`{"model":"m","weightVersion":"v1"}`)},
-				{Kind: conf.KindPolicy, Name: "p", Spec: []byte(`{"organisation":"one","deployments":["d"]}`)},
-			}
-			for _, name := range []string{"w1", "w2"} {
-				server := httptest.NewServer(engine)
-				t.Cleanup(server.Close)
-				resources = append(resources, conf.Change{Kind: conf.KindTarget, Name: name, Spec: fmt.Appendf(nil, `{"type":"engine","url":%q,"deployments":["d"]}`, server.URL)})
-			}
-			for i := range resources {
-				resources[i].Seq = uint64(i + 1)
-			}
-			store, f := conf.NewStore(events), fleet.New(fleet.Options{Name: "box", Log: events})
-			store.Replace(conf.Full{Seq: uint64(len(resources)), Resources: resources})
-			client := &http.Client{Transport: target.NewTransport()}
-			owner := home.New(home.Options{Placement: route.LowestCost, Conf: store, Fleet: f, Log: events, Client: client, LoadInterval: 20 * time.Millisecond})
-			ctx, stop := context.WithCancel(context.Background())
-			var wg sync.WaitGroup
-			wg.Go(func() { owner.Run(ctx) })
-			t.Cleanup(func() { stop(); wg.Wait(); client.CloseIdleConnections() })
-			g.Eventually(owner.WarmedUp, "10s", "10ms").Should(gomega.BeTrue())
-			e := echo.New()
-			New(Options{
-				Conf: store, Fleet: f, ContextOwner: owner, Log: events, EngineClient: client, MaxBodyBytes: 1 << 20, MaxRunningPerOrganisation: 1,
-				NotReadyReason: func() string { return "" },
-			}).Register(e)
-			server := httptest.NewServer(MarkEnds(e))
-			defer server.Close()
-			req, err := http.NewRequest(http.MethodPost, server.URL+"/v1/completions", strings.NewReader(fmt.Sprintf(`{"model":"d","prompt":"x","stream":%t}`, tc.stream)))
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			req.Header.Set("Authorization", "Bearer secret")
-			resp, err := client.Do(req)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			defer resp.Body.Close()
-			body, err := io.ReadAll(resp.Body)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			text := ""
-			for _, m := range regexp.MustCompile(`"text":"([^"]*)"`).FindAllSubmatch(body, -1) {
-				text += string(m[1])
+			engine := &brokenEngine{last: tc.last}
+			text, body := answerOf(t, engine, tc.stream)
+			gomega.NewWithT(t).Expect(text).To(gomega.Equal(tc.text), "after %d runs: %s", engine.runs.Load(), body)
+		})
+	}
+}
+
+// gapEngine first runs the prompt in two messages, between which tokens may be lost, and breaks off its resumption.
+type gapEngine struct {
+	brokenEngine
+	// id and text are those of the last message of that run.
+	id, text string
+}
+
+// ServeHTTP implements http.Handler.
+func (e *gapEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/v1/streams/"):
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case r.URL.Path != "/v1/completions" || e.runs.Load() > 0:
+		e.brokenEngine.ServeHTTP(w, r)
+		return
+	}
+	e.runs.Add(1)
+	const message = "id: %s\ndata: {\"id\":%q,\"system_fingerprint\":\"v1\",\"choices\":[{\"text\":%q,\"finish_reason\":%s}]}\n\n"
+	id := r.Header.Get(target.HeaderRequestID)
+	fmt.Fprintf(w, message, "1", id, "one ", "null")
+	fmt.Fprintf(w, message, e.id, id, e.text, `"stop"`)
+}
+
+// Guards against an answer that ends early as whole, by the end that a message states which shows that tokens are missing.
+func TestEndThatWasStatedAfterAGapIsNoEnd(t *testing.T) {
+	for _, tc := range []struct {
+		name, id, text string
+		stream         bool
+		want           string
+	}{
+		{"no gap", "2", "two", true, "one two"},
+		{"a token is missing", "3", "last", true, "one three four"},
+		{"a token is missing, not streamed", "3", "last", false, "one three four"},
+		{"the token has no number", "", "last", true, "one three four"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if tc.name != "no gap" {
+				knownRed(t)
 			}
-			g.Expect(text).To(gomega.Equal(tc.text), "after %d runs: %s", engine.runs.Load(), body)
+			engine := &gapEngine{id: tc.id, text: tc.text}
+			text, body := answerOf(t, engine, tc.stream)
+			gomega.NewWithT(t).Expect(text).To(gomega.Equal(tc.want), "after %d runs: %s", engine.runs.Load(), body)
 		})
 	}
 }
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -379,3 +379,59 @@
 		})
 	}
 }
+
+// Guards against a stream of two versions of a service that its route was moved to, taken up at the daemon that began it.
+func TestOwnRecordIsNoneOfWhereAStreamWentOn(t *testing.T) {
+	first, moved := Stream{Service: "llm", Version: "v1", Config: 1}, Stream{Service: "other", Version: "v7", Config: 2}
+	for _, tc := range []struct {
+		name    string
+		service string
+		want    Stream
+	}{
+		{"taken up where it went on", "other", moved},
+		{"taken up at a third service", "third", moved},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			knownRed(t)
+			g := gomega.NewWithT(t)
+			fleet := startDaemons(t, 3, Several)
+			for i, s := range []Stream{moved, moved, first} {
+				fleet[i].book.bookMu.Lock()
+				fleet[i].book.records.add(newKey("org", "try"), s, clock.Now())
+				fleet[i].book.bookMu.Unlock()
+			}
+			found := fleet[2].book.Find(context.Background(), "org", "try", tc.service)
+			g.Expect(found.Stream).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
+// Guards against a stream that goes on where it was before its route was moved away and back.
+func TestRecordsOfARouteThatWasMovedBackCountByTheirConfiguration(t *testing.T) {
+	at := func(service, version string, config int64) Stream {
+		return Stream{Service: service, Version: version, Config: config}
+	}
+	for _, tc := range []struct {
+		name    string
+		records []Stream
+		want    Stream
+	}{
+		{"in order", []Stream{at("llm", "v1", 1), at("other", "v7", 2), at("llm", "v2", 3)}, at("llm", "v2", 3)},
+		{"the first one again", []Stream{at("llm", "v1", 1), at("other", "v7", 2), at("llm", "v2", 3), at("llm", "v1", 1)}, at("llm", "v2", 3)},
+		{"both again, same version", []Stream{at("llm", "v1", 1), at("other", "v7", 2), at("llm", "v1", 3), at("llm", "v1", 1), at("other", "v7", 2)}, at("llm", "v1", 3)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if tc.name != "in order" {
+				knownRed(t)
+			}
+			g := gomega.NewWithT(t)
+			b := New(Options{Versions: func(string) (string, Proof) { return "", Several }})
+			for _, s := range tc.records {
+				b.Record("org", "try", s)
+			}
+			found := b.Find(context.Background(), "org", "try", "llm")
+			g.Expect(found.Known).To(gomega.BeTrue())
+			g.Expect(found.Stream.sameTarget(tc.want)).To(gomega.BeTrue(), "%+v", found.Stream)
+		})
+	}
+}
--- a/core/relay/resume_test.go
+++ b/core/relay/resume_test.go
@@ -401,3 +401,76 @@
 		})
 	}
 }
+
+// Guards against a stream of two services: a daemon has not received the configuration by which the stream began.
+func TestStreamIsNotTakenUpByAnOlderConfigurationThanItBeganBy(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		config int64
+		status int
+		want   string
+	}{
+		{"began before the route was moved", 2, 200, "a"},
+		{"began by a configuration that is not known", 0, 200, "a"},
+		{"began by a newer configuration", 4, 503, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if tc.config == 4 {
+				knownRed(t)
+			}
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			r.relay.SetTable(table.New(table.Spec{
+				Version: 3, Routes: testRoutes, Organisations: testOrganisations,
+				Services: []table.Service{{Name: "llm", Engine: &table.Engine{Models: []string{"m"}, Slots: 4, MemoryTokens: 1 << 20}}},
+			}))
+			r.worker("a", "v1", 0, stream(true, event2))
+			r.relay.options.Origins.Record("org", "first", origin.Stream{Service: "other", Version: "v9", Config: tc.config})
+			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "Deadline", "4000", "Resumes", "first", "After", "1")
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal(tc.want))
+			r.g.Expect(got.status).To(gomega.Equal(tc.status))
+		})
+	}
+}
+
+// Guards against a stream that ends early as whole, by a target whose events would not be passed on.
+func TestEndByATargetOfUnknownVersionIsNoEndOfAStream(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(r *rig)
+		// last is all that the target sends whose entry changes.
+		last    []string
+		headers []string
+		want    string
+		body    string
+	}{
+		{"taken up by the caller, an event more", nil, []string{event2}, []string{"Resumes", "first", "After", "1"}, "a c", event2},
+		{"taken up by the caller, no event", nil, nil, []string{"Resumes", "first", "After", "1"}, "a c", event2},
+		{"taken up by the caller, the event that it has", nil, []string{event1}, []string{"Resumes", "first", "After", "1"}, "a c", event2},
+		{"within one answer, no event", func(r *rig) { r.worker("b", "v1", 0, stream(false, event1)) }, nil, nil, "b a c", event1 + event2},
+		{"within one answer, the event that the caller has", func(r *rig) { r.worker("b", "v1", 0, stream(false, event1)) }, []string{event1}, nil, "b a c", event1 + event2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if !strings.HasSuffix(tc.name, "more") {
+				knownRed(t)
+			}
+			r := newRig(t, nil)
+			r.relay.options.Disabled.Hedges = true
+			r.relay.options.Origins.Record("org", "first", origin.Stream{Service: "llm", Version: "v1"})
+			r.worker("a", "v1", 3, func(w *bufio.Writer, req *http.Request) error {
+				e := *r.roster.Target("a").Entry()
+				e.Version = "v2"
+				r.roster.Put(e)
+				return stream(true, tc.last...)(w, req)
+			})
+			r.worker("c", "v1", 6, stream(true, event2))
+			if tc.prepare != nil {
+				tc.prepare(r)
+			}
+			got := r.send(http.MethodPost, "/raced/x", "x", append([]string{"Model", "m", "Id", "one", "Deadline", "4000"}, tc.headers...)...)
+			r.g.Expect(got.body).To(gomega.Equal(tc.body))
+			r.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			r.g.Expect(r.targetsInOrder()).To(gomega.Equal(tc.want))
+		})
+	}
+}
