Failing tests: stored records of a route that was moved back, records of earlier daemons, answers with all their tokens

The stand-in of the last one does not obey max_tokens: an engine that does ends such an answer as whole, one that rejects 0 leaves it broken.

--- a/core/entry/finished_test.go
+++ b/core/entry/finished_test.go
@@ -74,7 +74,7 @@
 }
 
 // answerOf returns the text of the answer to a prompt that emberd run gives to one of two engines, and its body.
-func answerOf(t *testing.T, engine http.Handler, stream bool) (text string, body []byte) {
+func answerOf(t *testing.T, engine http.Handler, prompt string) (text string, body []byte) {
 	g := gomega.NewWithT(t)
 	events := &event.Log{}
 	resources := []conf.Change{
@@ -106,7 +106,7 @@
 	}).Register(e)
 	server := httptest.NewServer(MarkEnds(e))
 	defer server.Close()
-	req, err := http.NewRequest(http.MethodPost, server.URL+"/v1/completions", strings.NewReader(fmt.Sprintf(`{"model":"d","prompt":"x","stream":%t}`, stream)))
+	req, err := http.NewRequest(http.MethodPost, server.URL+"/v1/completions", strings.NewReader(prompt))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	req.Header.Set("Authorization", "Bearer secret")
 	resp, err := client.Do(req)
@@ -134,7 +134,7 @@
 	} {
 		t.Run(fmt.Sprintf("lost before the %s, stream %t", tc.last, tc.stream), func(t *testing.T) {
 			engine := &brokenEngine{last: tc.last}
-			text, body := answerOf(t, engine, tc.stream)
+			text, body := answerOf(t, engine, fmt.Sprintf(`{"model":"d","prompt":"x","stream":%t}`, tc.stream))
 			gomega.NewWithT(t).Expect(text).To(gomega.Equal(tc.text), "after %d runs: %s", engine.runs.Load(), body)
 		})
 	}
@@ -181,7 +181,31 @@
 				knownRed(t)
 			}
 			engine := &gapEngine{id: tc.id, text: tc.text}
-			text, body := answerOf(t, engine, tc.stream)
+			text, body := answerOf(t, engine, fmt.Sprintf(`{"model":"d","prompt":"x","stream":%t}`, tc.stream))
+			gomega.NewWithT(t).Expect(text).To(gomega.Equal(tc.want), "after %d runs: %s", engine.runs.Load(), body)
+		})
+	}
+}
+
+// Guards against more tokens than the caller allows, by a second run behind one that had made them all and was cut off before its end.
+func TestAnswerThatHasAllItsTokensIsNotContinued(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		last      string
+		maxTokens int
+		stream    bool
+		want      string
+	}{
+		{"more are allowed", "finish", 4, true, "one twothree four"},
+		{"no more are allowed", "finish", 2, true, "one two"},
+		{"no more are allowed, not streamed", "finish", 2, false, "one two"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if strings.HasPrefix(tc.name, "no more") {
+				knownRed(t)
+			}
+			engine := &brokenEngine{last: tc.last}
+			text, body := answerOf(t, engine, fmt.Sprintf(`{"model":"d","prompt":"x","max_tokens":%d,"stream":%t}`, tc.maxTokens, tc.stream))
 			gomega.NewWithT(t).Expect(text).To(gomega.Equal(tc.want), "after %d runs: %s", engine.runs.Load(), body)
 		})
 	}
--- a/core/origin/archive_test.go
+++ b/core/origin/archive_test.go
@@ -208,6 +208,33 @@
 	}
 }
 
+// Guards against a stream that goes on where it was before its route was moved back, by the order in which pages are read.
+func TestStoredRecordsOfARouteThatWasMovedBackCountByTheirConfiguration(t *testing.T) {
+	for _, configs := range [][]int64{{1, 2, 3}, {1, 3, 2}, {2, 1, 3}, {2, 3, 1}, {3, 1, 2}, {3, 2, 1}} {
+		t.Run(fmt.Sprint(configs), func(t *testing.T) {
+			if configs[2] == 2 && configs[0] == 3 {
+				knownRed(t)
+			}
+			g := gomega.NewWithT(t)
+			var kv memkv.KV
+			for i, config := range configs {
+				s := begun
+				if s.Config = config; config == 2 {
+					s.Service = "other"
+				}
+				value, err := json.Marshal(storedGroups([]toldRecord{{key: newKey("org", "try"), stream: s}}))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = kv.Commit(context.Background(), plat.Txn{Puts: []plat.Put{{Key: KeyPrefix + fmt.Sprint(i), Value: value}}})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			b := New(Options{Copy: &testStore{KV: &kv}, Log: &event.Log{}, Versions: func(string) (string, Proof) { return "", Several }})
+			found := b.Find(context.Background(), "org", "try", begun.Service)
+			g.Expect(found.Known).To(gomega.BeTrue())
+			g.Expect(found.Stream.sameTarget(begun)).To(gomega.BeTrue(), "%+v", found.Stream)
+		})
+	}
+}
+
 // Pages of daemons that are gone are removed as well, but not before the streams in them can no longer be resumed.
 func TestOldPagesAreRemoved(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -435,3 +435,15 @@
 		})
 	}
 }
+
+// Guards against records that are lost while daemons are updated one after another: those of a daemon that names no configuration.
+func TestRecordsOfEarlierDaemonsAreKept(t *testing.T) {
+	knownRed(t)
+	g := gomega.NewWithT(t)
+	k := newKey("org", "try")
+	body, err := msgpack.Marshal([]any{[]any{[]any{begun.Service, begun.Version}, k.bytes()}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	b := New(Options{Versions: func(string) (string, Proof) { return "", Several }})
+	b.Receive("earlier", body)
+	g.Expect(b.Find(context.Background(), "org", "try", begun.Service).Stream).To(gomega.Equal(begun))
+}
