Records of two versions are counted also where an older one arrives late

A record that gives way to one by a later configuration was not counted as a conflict, so that a joined stream could go untold at a daemon that hears of it in that order. A refusal for a configuration that has not arrived says notReady, as others of its kind.

--- a/core/origin/book.go
+++ b/core/origin/book.go
@@ -125,12 +125,12 @@
 // It is called with bookMu held.
 func (b *Book) add(r toldRecord) bool {
 	s, age, found := b.records.find(r.key, r.at)
-	if found && r.stream.precedes(s) {
-		return false
-	}
 	if found && s.Service == r.stream.Service && s.Version != r.stream.Version {
 		b.conflicts++
 	}
+	if found && r.stream.precedes(s) {
+		return false
+	}
 	b.records.add(r.key, r.stream, r.at)
 	return !found || !s.sameTarget(r.stream) || s.precedes(r.stream) || age >= minRenewalAge
 }
--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -92,8 +92,8 @@
 	case !found.Known, found.Stored && moved, found.Sole && p.table.SplitsStreams(found.Service):
 		return p.refuseUnknownOrigin(&found)
 	case moved && found.Config > p.table.Version():
-		p.note("began at service %s by configuration %d, which has not arrived", found.Service, found.Config)
-		return p.refuseFor(entry.CodeNoTarget, "the configuration by which the stream began has not arrived", minRetryAfter)
+		p.note("began at service %s by configuration %d", found.Service, found.Config)
+		return p.refuseFor(entry.CodeNotReady, "the configuration by which the stream began may not have arrived", minRetryAfter)
 	case moved:
 		// Operators have moved the route: no target of the former service may get the request.
 		p.note("began at service %s, which the route no longer leads to", found.Service)
