emberd run: an end that is stated after a gap is none

Callers: an answer that ends as whole with tokens missing. An engine's message that skips a token, or has none of a number, was rejected, but the finish reason in it was kept; where the resumption broke off as well, that reason ended the answer.

Cause: the reason was recorded before the token's number was checked. Class: success by default. Now it is recorded after.

--- a/core/entry/relay.go
+++ b/core/entry/relay.go
@@ -280,22 +280,24 @@
 // token forwards one token to the caller. The id of its event is the token's number within the
 // attempt, from 1; after a resumption, tokens that were received before are skipped.
 func (a *attempt) token(id string, ch choice) error {
+	if ch.Text != "" {
+		n, err := strconv.Atoi(id)
+		if err != nil {
+			return errors.Wrap(err, "token number in event id")
+		}
+		if n > a.tokens+1 {
+			return errors.WithStack(errTokenGap)
+		}
+		if n <= a.tokens {
+			ch.Text = ""
+		}
+	}
 	if ch.FinishReason != nil {
 		a.finish = *ch.FinishReason
 	}
 	if ch.Text == "" {
 		return nil
 	}
-	n, err := strconv.Atoi(id)
-	if err != nil {
-		return errors.Wrap(err, "token number in event id")
-	}
-	if n <= a.tokens {
-		return nil
-	}
-	if n != a.tokens+1 {
-		return errors.WithStack(errTokenGap)
-	}
 	a.tokens++
 	a.promptRequest.tokens++
 	if a.tokens == 1 {
