emberd run: an answer that has all its tokens is not continued

Callers: more tokens than max_tokens, those of a second run behind the first one's. An answer with all its tokens whose connection was lost before the finish reason went to another engine with max_tokens 0, which engines need not obey.

It now ends with the reason "length".

--- a/core/entry/finished_test.go
+++ b/core/entry/finished_test.go
@@ -177,9 +177,6 @@
 		{"the token has no number", "", "last", true, "one three four"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if tc.name != "no gap" {
-				knownRed(t)
-			}
 			engine := &gapEngine{id: tc.id, text: tc.text}
 			text, body := answerOf(t, engine, fmt.Sprintf(`{"model":"d","prompt":"x","stream":%t}`, tc.stream))
 			gomega.NewWithT(t).Expect(text).To(gomega.Equal(tc.want), "after %d runs: %s", engine.runs.Load(), body)
@@ -201,9 +198,6 @@
 		{"no more are allowed, not streamed", "finish", 2, false, "one two"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if strings.HasPrefix(tc.name, "no more") {
-				knownRed(t)
-			}
 			engine := &brokenEngine{last: tc.last}
 			text, body := answerOf(t, engine, fmt.Sprintf(`{"model":"d","prompt":"x","max_tokens":%d,"stream":%t}`, tc.maxTokens, tc.stream))
 			gomega.NewWithT(t).Expect(text).To(gomega.Equal(tc.want), "after %d runs: %s", engine.runs.Load(), body)
--- a/core/entry/relay.go
+++ b/core/entry/relay.go
@@ -160,6 +160,9 @@
 	r := bufio.NewReaderSize(resp.Body, 4<<10)
 	for !a.done {
 		ev, err := readEvent(r)
+		if err != nil && a.finish == "" && a.promptRequest.tokens >= a.body.MaxTokens {
+			a.finish = "length"
+		}
 		if err != nil && a.finish != "" {
 			a.complete()
 			return nil
