--- a/emberd/internal/host/routes.go
+++ b/emberd/internal/host/routes.go
@@ -103,13 +103,33 @@
 	if s.prefixes == nil {
 		return 0
 	}
-	since := s.led[s.prefixes.Match(host, path)].since[service]
+	return untilSettledSince(s.led[s.prefixes.Match(host, path)].since[service], now)
+}
+
+// untilSettledSince returns for how much longer no stream may begin where requests go since a time.
+func untilSettledSince(since, now clock.Time) time.Duration {
 	if since.IsZero() {
 		return 0
 	}
 	return max(0, versionSettleTime-now.Sub(since))
 }
 
+// unsettled returns the number of routes that lead to a service at which no stream may begin yet.
+func (s *routeServices) unsettled(now clock.Time) int {
+	s.prefixesMu.Lock()
+	defer s.prefixesMu.Unlock()
+	n := 0
+	for _, l := range s.led {
+		for _, since := range l.since {
+			if untilSettledSince(since, now) > 0 {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
 // untilRouteSettled returns for how much longer no stream may begin at a service by the route of a host and path.
 func (h *Host) untilRouteSettled(host, path, service string) time.Duration {
 	return h.routeServices.untilSettled(host, path, service, clock.Now())
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -151,6 +151,7 @@
 		{"stream_origins_unsaved", func() float64 { return float64(h.origins.Unsaved()) }},
 		{"stream_origins_conflicting_total", func() float64 { return float64(h.origins.Conflicts()) }},
 		{"versions_unsettled", func() float64 { return float64(h.unsettledVersions()) }},
+		{"routes_unsettled", func() float64 { return float64(h.routeServices.unsettled(clock.Now())) }},
 		{"targets_guests", func() float64 { _, external := h.roster.Sizes(); return float64(external) }},
 		{"cell_daemons", func() float64 { return float64(h.fleet.View().CellSize()) }},
 		{"rollouts_undecided", func() float64 { return float64(h.canary.Undecided()) }},
