A report of a worker with an invalid age is left out

A peer's report of a worker with an age of -1 h was from a time to come, so that no later report replaced it for an hour; one with an age over what a duration holds likewise.

Cause: the age is multiplied without a bound and its sign was not checked.

Change: such a report is left out; the others of the message count.

--- a/core/home/fuzz_test.go
+++ b/core/home/fuzz_test.go
@@ -21,7 +21,6 @@
 
 // A report with an age below 0 or over the bounds of durations was from a time to come, so that no later one replaced it.
 func TestReportOfAWorkerIsNotFromATimeToCome(t *testing.T) {
-	knownRed(t)
 	for _, age := range []int{-3_600_000, math.MaxInt64 / 3} {
 		t.Run(strconv.Itoa(age), func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -50,7 +49,6 @@
 		f.Add(raw)
 		f.Add(raw[:len(raw)-2])
 	}
-	const longestAge = 1 << 40
 	f.Fuzz(func(t *testing.T, body []byte) {
 		if bytes.IndexByte(body, 0xdd) >= 0 || bytes.IndexByte(body, 0xdf) >= 0 {
 			t.Skip("it may state a list longer than itself, which takes the memory of the list")
@@ -61,8 +59,7 @@
 			t.Fatalf("%d reports from %d bytes", len(l.reports), len(body))
 		}
 		for name, r := range l.reports {
-			// TestReportOfAWorkerIsNotFromATimeToCome guards the ages that are left out.
-			if r.Worker != name || r.Weights == nil || (r.AgeMillis >= 0 && r.AgeMillis < longestAge && r.takenAt.After(time.Now())) {
+			if r.Worker != name || r.Weights == nil || r.takenAt.After(time.Now()) {
 				t.Fatalf("%q: %+v", name, r)
 			}
 		}
--- a/core/home/loads.go
+++ b/core/home/loads.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -263,7 +264,10 @@
 	return out
 }
 
-// Receive records the reports that a peer sent.
+// maxAgeMillis bounds the ages that peers report, so that a duration holds them.
+const maxAgeMillis = math.MaxInt64 / int64(time.Millisecond)
+
+// Receive records the reports that a peer sent, without those from a time to come, which no later one would replace.
 func (l *loads) Receive(_ string, body []byte) {
 	var list []workerLoad
 	if msgpack.Unmarshal(body, &list) != nil {
@@ -271,6 +275,8 @@
 	}
 	now := time.Now()
 	for _, w := range list {
-		l.set(w, now)
+		if w.AgeMillis >= 0 && int64(w.AgeMillis) <= maxAgeMillis {
+			l.set(w, now)
+		}
 	}
 }
