Frames whose lists are nested deeply are rejected

A frame of a peer may nest 33 million lists within each other. Only peers with a certificate send frames.

Cause: of a frame only the size was checked.

Change: before a frame is decoded one pass over its bytes checks that each length that it states is within what follows and that nothing is nested deeper than 64. It follows no value recursively and allocates nothing. Frames that are whole and not deeper are decoded as before.

--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -72,7 +72,7 @@
 		return nil, 0, err
 	}
 	var e envelope
-	if err := msgpack.Unmarshal(body, &e); err != nil {
+	if err := Unmarshal(body, &e); err != nil {
 		return nil, 0, errors.Wrap(err, "frame")
 	}
 	return &e, headerSize + size, nil
