Metrics tell resumptions at another service and by a newer configuration

A stream that goes on at the service to which its route was moved, and a resumption that is refused since its stream began by a configuration that has not arrived, were told by a line only; the first one's line did not name the configuration. embertally_streams_moved_total and streams_ahead_total count them. TestStreamIsNotTakenUpByAnOlderConfigurationThanItBeganBy checks both.

--- a/core/relay/resume.go
+++ b/core/relay/resume.go
@@ -92,11 +92,13 @@
 	case !found.Known, found.Stored && moved, found.Sole && p.table.SplitsStreams(found.Service):
 		return p.refuseUnknownOrigin(&found)
 	case moved && found.Config > p.table.Version():
+		stats.StreamsAhead.Inc()
 		p.note("began at service %s by configuration %d", found.Service, found.Config)
 		return p.refuseFor(entry.CodeNotReady, "the configuration by which the stream began may not have arrived", minRetryAfter)
 	case moved:
 		// Operators have moved the route: no target of the former service may get the request.
-		p.note("began at service %s, which the route no longer leads to", found.Service)
+		stats.StreamsMoved.Inc()
+		p.note("began at service %s by configuration %d, which the route no longer leads to", found.Service, found.Config)
 		return nil
 	}
 	p.service = found.Service
--- a/core/relay/resume_test.go
+++ b/core/relay/resume_test.go
@@ -518,6 +518,8 @@
 			got := r.send(http.MethodPost, "/stream/x", "x", "Model", "m", "Deadline", "4000", "Resumes", "first", "After", "1")
 			r.g.Expect(r.targetsInOrder()).To(gomega.Equal(tc.want))
 			r.g.Expect(got.status).To(gomega.Equal(tc.status))
+			ahead, moved := r.relay.options.Stats.StreamsAhead.Get(), r.relay.options.Stats.StreamsMoved.Get()
+			r.g.Expect([]bool{ahead == 1, moved == 1}).To(gomega.Equal([]bool{tc.status == 503, tc.status == 200}))
 		})
 	}
 }
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -35,8 +35,10 @@
 	StreamsWithoutEvents *metrics.Counter
 	// StreamsTakenUp counts the requests by which callers resume a stream, StreamsBound those of them that were bound
 	// to the version that began it, StreamsUnknown those refused since it was not known, and StreamsStranded requests
-	// that were given up since no target of their stream's version may get them.
-	StreamsTakenUp, StreamsBound, StreamsUnknown, StreamsStranded *metrics.Counter
+	// that were given up since no target of their stream's version may get them. StreamsMoved counts those that go on at
+	// another service, since operators have moved their route, and StreamsAhead those refused since they began by a
+	// configuration that this daemon does not have.
+	StreamsTakenUp, StreamsBound, StreamsUnknown, StreamsStranded, StreamsMoved, StreamsAhead *metrics.Counter
 	// EventsUnordered counts events without an ID, or with one that is not higher than that of the event before.
 	EventsUnordered *metrics.Counter
 	// FirstSeconds is the time to the first event of a stream, TotalSeconds the time to the end of
@@ -113,6 +115,7 @@
 		},
 		StreamsTakenUp: c("streams_taken_up_total"), StreamsBound: c("streams_bound_total"),
 		StreamsUnknown: c("streams_origin_unknown_total"), StreamsStranded: c("streams_stranded_total"),
+		StreamsMoved: c("streams_moved_total"), StreamsAhead: c("streams_ahead_total"),
 		StreamsWithoutEvents: c("streams_without_events_total"),
 		FirstSeconds:         set.NewHistogram("embertally_first_seconds"),
 		TotalSeconds:         set.NewHistogram("embertally_whole_seconds"),
