A shutdown of emberd run closes no connection without notice

What callers saw: a prompt sent on a kept connection at the moment of SIGTERM ended in EOF or a reset, with nothing that says whether it ran.

Cause: the shutdown began with Server.SetKeepAlivesEnabled(false), for each connection to be closed after its next response. That call also closes all idle connections at once, and connections after responses whose head had gone out before and did not say so. net/http's client does not repeat a POST on such a connection by itself.

Now responses say "Connection: close" while the daemon drains, and connections stay until then or until the server is closed after noticeTime, as emberd host does it.

The scenario now names the daemon, the request and its time against the signal when a prompt fails.

--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -258,9 +258,6 @@
 	operators := d.serve(&wg, ls.operators, d.operatorRoutes())
 	d.log.Emit(event.DaemonStarted, event.Ref{}, "callers "+ls.callers.Addr().String()+", operators "+ls.operators.Addr().String())
 	<-ctx.Done()
-	// Each connection is closed after its next response. A connection closed while it is
-	// idle could break a request that a caller has just sent.
-	callers.SetKeepAlivesEnabled(false)
 	d.drain()
 	d.closeServer(callers)
 	d.log.Emit(event.DaemonStopped, event.Ref{}, "")
@@ -321,11 +318,26 @@
 // callerRoutes returns the handler of the callers' listener.
 func (d *Daemon) callerRoutes() http.Handler {
 	e := echo.New()
+	e.Use(d.closeWhileDraining)
 	d.entry.Register(e)
 	d.registerHealth(e)
 	return e
 }
 
+// closeWhileDraining is middleware that closes each connection after its next response while the daemon shuts down. The
+// response says so. Server.SetKeepAlivesEnabled also closes idle connections, on which a caller may have just sent a
+// request, and connections after responses that did not say so.
+func (d *Daemon) closeWhileDraining(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			if d.draining.Load() {
+				c.Response().Header().Set("Connection", "close")
+			}
+		})
+		return next(c)
+	}
+}
+
 // operatorRoutes returns the handler of the operators' listener.
 func (d *Daemon) operatorRoutes() http.Handler {
 	e := echo.New()
@@ -370,8 +382,8 @@
 
 // Times of a graceful shutdown.
 const (
-	// noticeTime is how long the daemon still accepts new connections, so that the load balancer
-	// can notice the shutdown. Requests on them are refused as not executed.
+	// noticeTime is how long the daemon still accepts new connections and keeps idle ones, so that the
+	// load balancer can notice the shutdown. Requests on them are refused as not executed.
 	noticeTime = time.Second
 	// drainPollInterval is the interval at which drain checks for running requests.
 	drainPollInterval = 50 * time.Millisecond
--- a/embplay/prove/load_test.go
+++ b/embplay/prove/load_test.go
@@ -25,7 +25,10 @@
 	organisation string
 	prompt       string
 	tokens       int
-	reply        play.Reply
+	// box is the daemon of the last attempt, and sentAt its time.
+	box    int
+	sentAt time.Time
+	reply  play.Reply
 }
 
 // version returns the weight version whose complete answer was received, or "".
@@ -143,6 +146,7 @@
 		defer cancel()
 		for range 3 {
 			box := l.nextBox()
+			a.box, a.sentAt = box, time.Now()
 			a.reply = l.testbed.caller.Prompt(ctx, l.testbed.daemons[box].Callers, l.testbed.site.File.CallerKeys[a.organisation], fake.SiteDeployment, text, answerTokens)
 			if !retryOtherDaemon(&a.reply) {
 				return
--- a/embplay/prove/scenario_shutdown_test.go
+++ b/embplay/prove/scenario_shutdown_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
@@ -76,7 +77,9 @@
 		running := make(chan play.Reply, 1)
 		go func() { running <- r.sendPrompt(0, orgOne, "a lasting answer", long) }()
 		Eventually(func() int { return r.requestsRunning(r.daemons[0]) }).Should(BeNumerically(">", 0))
+		signalled := make([]time.Time, len(r.daemons))
 		for i, p := range r.daemons {
+			signalled[i] = time.Now()
 			p.signal(syscall.SIGTERM)
 			Eventually(func() string { return r.readinessError(p) }).ShouldNot(BeEmpty())
 			l.exclude(i, true)
@@ -89,8 +92,10 @@
 		expectAnswer(<-running, "v1", "a lasting answer", long)
 		Expect(len(l.prompts)).To(BeNumerically(">", 20))
 		for _, a := range l.prompts {
-			Expect(a.reply.Err).NotTo(HaveOccurred())
-			Expect(a.reply.Refusal).To(BeNil())
+			where := fmt.Sprintf("request %q to %s, sent %v after its signal, ended after %v: %+v", a.reply.Request, r.daemons[a.box].Name,
+				a.sentAt.Sub(signalled[a.box]), a.reply.Elapsed, a.reply.Refusal)
+			Expect(a.reply.Err).NotTo(HaveOccurred(), where)
+			Expect(a.reply.Refusal).To(BeNil(), where)
 			expectAnswer(a.reply, "v1", a.prompt, a.tokens)
 		}
 		runs := r.executionsByMark()
