Daemons that start learn from the store for how long streams may run

Callers: after a timeout of a streaming route was lowered, a box that had started since could take a stream up at another version of its service than the one that began it, while streams that had begun under the longer timeout still ran.

Cause: a version counts as gone after the longest time of an attempt, by the configurations that the daemon has applied. A daemon that starts, or that gets several configurations at once, applies only the latest one. Class: a fact dropped by an age that counts from another moment than the promise it serves.

Change: embertally/attempts in the store holds the longest time of attempts that may still be resumed. A daemon raises it to what its own configurations allow and lowers it once its window has passed; what it reads there counts for its window from then on, and raises nothing, else two daemons would write in turn. Why it works: a proof needs a list of under 2 s, and the key is in that list. Told in heartbeats it would be lost when all boxes start at once, and for a single box. The removal of the key by operators ends bounds that never end by themselves (routes without a timeout).

Cost: no bytes in heartbeats, 24 bytes in the store, a write for each change of the longest timeout and one after its window. Left: an attempt of the first second or so of a configuration, if all daemons that applied it are lost before the key is written.

--- a/emberd/internal/host/changes.go
+++ b/emberd/internal/host/changes.go
@@ -45,6 +45,7 @@
 	h.poison.Observe(c)
 	h.rollouts.Observe(c)
 	h.origins.Observe(c)
+	h.observeAttempts(c)
 	update, err := h.decoder.Decode(c)
 	h.logUnreadable(c.Key, err)
 	switch {
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -91,6 +91,7 @@
 	versionWatch   versionWatch
 	attemptBound   attemptBound
 	streamBound    attemptBound // of all streams, since a configuration may make them resumable
+	storedBound    storedBound
 	routeServices  routeServices
 	rollouts       *canary.Controller
 	leaderships    []*lease.Timed
@@ -420,7 +421,7 @@
 // start runs the background loops. Those that need an assignment stop with assignmentCtx, at the
 // start of the shutdown; the others stop with workCtx.
 func (h *Host) start(workCtx, assignmentCtx context.Context, wg *sync.WaitGroup) {
-	for _, run := range []func(context.Context){h.watchCache.Run, h.watchCacheSync.Run, h.contextOwners.Run, h.origins.Run, h.detours.Run, h.desiredSync.Run, h.presence.Run, h.poison.Run, h.rollouts.Run, h.watchStoreIncarnations, h.watchReadiness} {
+	for _, run := range []func(context.Context){h.watchCache.Run, h.watchCacheSync.Run, h.contextOwners.Run, h.origins.Run, h.detours.Run, h.desiredSync.Run, h.presence.Run, h.poison.Run, h.rollouts.Run, h.keepAttempts, h.watchStoreIncarnations, h.watchReadiness} {
 		wg.Go(func() { run(workCtx) })
 	}
 	for _, run := range []func(context.Context){h.weightUpdater.Run, h.sweeper.Run} {
--- a/emberd/internal/host/origins.go
+++ b/emberd/internal/host/origins.go
@@ -56,6 +56,8 @@
 type formerBound struct {
 	bound time.Duration
 	until clock.Time
+	// read is set if the bound was read from the store, and is not of a configuration that this daemon has applied.
+	read bool
 }
 
 // windowOf returns the version window where attempts take up to a time.
@@ -77,7 +79,7 @@
 	defer a.boundMu.Unlock()
 	a.former = slices.DeleteFunc(a.former, func(f formerBound) bool { return f.over(now) || f.bound <= longest })
 	if a.current > longest {
-		a.former = append(a.former, newFormerBound(a.current, now))
+		a.former = append(a.former, newFormerBound(a.current, now, false))
 	}
 	a.current = longest
 }
@@ -86,12 +88,29 @@
 func (a *attemptBound) add(bound time.Duration) {
 	a.boundMu.Lock()
 	defer a.boundMu.Unlock()
-	a.former = append(a.former, newFormerBound(bound, clock.Now()))
+	a.former = append(a.former, newFormerBound(bound, clock.Now(), false))
+}
+
+// addRead records the bound of attempts that the store holds: they may begin until now by a configuration that this daemon
+// has not applied.
+func (a *attemptBound) addRead(bound time.Duration) {
+	now := clock.Now()
+	a.boundMu.Lock()
+	defer a.boundMu.Unlock()
+	a.former = slices.DeleteFunc(a.former, func(f formerBound) bool { return f.over(now) || (f.read && f.bound <= bound) })
+	a.former = append(a.former, newFormerBound(bound, now, true))
+}
+
+// forgetFormer records that no attempt goes on that began by a former configuration.
+func (a *attemptBound) forgetFormer() {
+	a.boundMu.Lock()
+	defer a.boundMu.Unlock()
+	a.former = nil
 }
 
 // newFormerBound returns the bound of attempts that no longer begin.
-func newFormerBound(bound time.Duration, now clock.Time) formerBound {
-	f := formerBound{bound: bound}
+func newFormerBound(bound time.Duration, now clock.Time, read bool) formerBound {
+	f := formerBound{bound: bound, read: read}
 	if bound != noBound {
 		f.until = now.Add(windowOf(bound))
 	}
@@ -105,12 +124,18 @@
 func (a *attemptBound) window(now clock.Time) time.Duration { return windowOf(a.longest(now)) }
 
 // longest returns the longest time of an attempt.
-func (a *attemptBound) longest(now clock.Time) time.Duration {
+func (a *attemptBound) longest(now clock.Time) time.Duration { return a.longestOf(now, true) }
+
+// appliedLongest returns the longest time of an attempt by the configurations that this daemon has applied.
+func (a *attemptBound) appliedLongest(now clock.Time) time.Duration { return a.longestOf(now, false) }
+
+// longestOf returns the longest time of an attempt, with those that were read if read is set.
+func (a *attemptBound) longestOf(now clock.Time, read bool) time.Duration {
 	a.boundMu.Lock()
 	defer a.boundMu.Unlock()
 	longest := a.current
 	for _, f := range a.former {
-		if !f.over(now) {
+		if !f.over(now) && (read || !f.read) {
 			longest = max(longest, f.bound)
 		}
 	}
--- a/emberd/internal/host/versions_test.go
+++ b/emberd/internal/host/versions_test.go
@@ -264,6 +264,28 @@
 	calm int
 	// begun counts the streams, and proven how often a daemon proved a version.
 	begun, proven int
+	// saved counts the writes of the longest time of an attempt.
+	saved int
+}
+
+// save returns what the store holds under keyAttempts after each daemon has written there, and tells all of them.
+func save(t *testing.T, stored []plat.Change, hosts ...*Host) []plat.Change {
+	for _, h := range hosts {
+		txn, _, differs := h.storedBound.write(&h.attemptBound, clock.Now())
+		if !differs {
+			continue
+		}
+		var revision int64
+		if len(stored) > 0 {
+			revision = stored[0].ModRevision
+		}
+		gomega.NewWithT(t).Expect(txn.Compares).To(gomega.Equal([]plat.Compare{{Key: keyAttempts, ModRevision: revision}}))
+		stored = []plat.Change{{Pair: plat.Pair{Key: keyAttempts, Value: txn.Puts[0].Value, ModRevision: revision + 1}}}
+		for _, other := range hosts {
+			other.applyChanges(stored)
+		}
+	}
+	return stored
 }
 
 // simChange is a change of the store, or of the timeout of its routes.
@@ -364,13 +386,17 @@
 		asOf = now
 	}
 	var changes []plat.Change
+	former := d.timeout
 	for _, c := range s.log[d.read:read] {
 		changes = append(changes, c.Change)
 		if c.timeout > 0 {
 			d.timeout = c.timeout
-			d.h.attemptBound.set(c.timeout, true)
 		}
 	}
+	if d.timeout != former {
+		// Only the latest of several configurations is applied.
+		d.h.attemptBound.set(d.timeout, true)
+	}
 	d.read, d.completeTo = read, completeTo
 	if !d.snapshot {
 		d.h.watchCache.ApplyChanges(changes, int64(read), asOf)
@@ -444,6 +470,7 @@
 		}
 		d.h.checkVersionWatch()
 		s.sendVersions(d, now)
+		s.saveAttempts(d, now)
 	}
 	s.mail = slices.DeleteFunc(s.mail, func(m simMail) bool {
 		if m.at.After(now) || !now.After(m.to.cutUntil) {
@@ -454,6 +481,15 @@
 	})
 }
 
+// saveAttempts writes the longest time of an attempt as a daemon knows it, if it reaches the store.
+func (s *versionSim) saveAttempts(d *simDaemon, now clock.Time) {
+	txn, _, differs := d.h.storedBound.write(&d.h.attemptBound, now)
+	if differs && now.After(d.cutUntil) && d.h.viewAge() <= versionMaxViewAge && s.values[keyAttempts].ModRevision == txn.Compares[0].ModRevision {
+		s.write(plat.Change{Pair: plat.Pair{Key: keyAttempts, Value: txn.Puts[0].Value}}, 0)
+		s.saved++
+	}
+}
+
 // sendVersions sends a daemon's versions to another one, some of them late.
 func (s *versionSim) sendVersions(d *simDaemon, now clock.Time) {
 	to := s.daemons[s.random.IntN(len(s.daemons))]
@@ -552,7 +588,7 @@
 					t.Fatalf("step %d: %s", i, broken)
 				}
 			}
-			t.Logf("%d streams, %d proofs", s.begun, s.proven)
+			t.Logf("%d streams, %d proofs, %d writes", s.begun, s.proven, s.saved)
 		})
 	}
 }
@@ -614,23 +650,20 @@
 	}
 	for _, tc := range []struct {
 		name string
-		red  bool
 		// resumable is whether the route's streams may be resumed under the former configuration.
 		resumable bool
 		// restarted is set if the daemon starts after the version has gone.
 		restarted bool
 	}{
-		{"applied", false, true, false},
-		{"it has started since", true, true, true},
-		{"streams could not be resumed", false, false, false},
+		{"applied", true, false},
+		{"it has started since", true, true},
+		{"streams could not be resumed", false, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if tc.red {
-				knownRed(t)
-			}
 			g := gomega.NewWithT(t)
 			h := newTestHost(t)
 			apply(h, 1, tc.resumable, long)
+			stored := save(t, nil, h)
 			h.roster.Put(roster.Entry{ID: "b", Service: "llm", Version: "v2"})
 			pass(2*versionSettleTime, h)
 			end := clock.Now().Add(long + origin.Retention)
@@ -638,6 +671,7 @@
 			if tc.restarted {
 				h = newTestHost(t)
 				h.restartVersionWatch(0)
+				h.applyChanges(stored)
 			}
 			for apply(h, 2, true, 5*time.Second); clock.Until(end) > 0; pass(time.Second, h) {
 				version, proof := h.serviceVersions("llm")
