Requests of the relay's tests have no deadline of 2 s

The routes of the test rig gave a request 2 or 5 s by the real clock, which no promise names. A process that stands still for longer gets 504. In the trace of a run pinned to one core beside a busy loop, requests of 5 s ended with "context deadline exceeded" after 5.6 to 17.8 s. The routes now allow a minute; requests whose deadline is tested state it or use the route /short/.

--- a/core/relay/cut_test.go
+++ b/core/relay/cut_test.go
@@ -178,9 +178,6 @@
 		for _, form := range answerForms {
 			for _, end := range []ending{endsClosed, endsReset} {
 				t.Run(fmt.Sprintf("%s, %s, %d", tc.name, form.name, end), func(t *testing.T) {
-					if tc.name == "plain" && (form.name == "length" && end == endsClosed || form.name == "chunks" && end == endsReset) {
-						knownRed(t)
-					}
 					t.Parallel()
 					g := gomega.NewWithT(t)
 					head, framed := form.encode(answerFields, tc.body)
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -212,16 +212,24 @@
 
 func (fakeStores) Free(context.Context, string, int64, []cache.SegmentName) error { return nil }
 
+// routeTimeout is longer than a test process stands still on a busy machine: no check waits until a request's deadline unless
+// the request states one, or its route's is shorter.
+const routeTimeout = time.Minute
+
+// maxPlays is how often a test plays a case in which a process that stood still changed what was to be tested, such as a hedge
+// that was not sent since its timer was late.
+const maxPlays = 20
+
 var testRoutes = []table.Route{
-	{Name: "once", Host: "h", Prefix: "/once/", Kind: table.Once, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 1, Splits: []table.Split{{Service: "plain", Weight: 1}}},
-	{Name: "repeatable", Host: "h", Prefix: "/repeatable/", Kind: table.Repeatable, Timeout: 2 * time.Second, LatencyObjective: 10 * time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
-	{Name: "read", Host: "h", Prefix: "/read/", Kind: table.Repeatable, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
-	{Name: "attempted", Host: "h", Prefix: "/attempted/", Kind: table.Once, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
-	{Name: "unresumed", Host: "h", Prefix: "/unresumed/", Kind: table.Stream, Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
-	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
-	{Name: "raced", Host: "h", Prefix: "/raced/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 3, Splits: []table.Split{{Service: "llm", Weight: 1}}},
-	{Name: "single", Host: "h", Prefix: "/single/", Kind: table.Stream, Timeout: 5 * time.Second, LatencyObjective: time.Second, MaxAttempts: 1, Splits: []table.Split{{Service: "llm", Weight: 1}}},
-	{Name: "gap", Host: "h", Prefix: "/gap/", Kind: table.Stream, Resumable: true, Timeout: 5 * time.Second, LatencyObjective: time.Second, GapObjective: 400 * time.Millisecond, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+	{Name: "once", Host: "h", Prefix: "/once/", Kind: table.Once, Timeout: routeTimeout, LatencyObjective: time.Second, MaxAttempts: 1, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+	{Name: "repeatable", Host: "h", Prefix: "/repeatable/", Kind: table.Repeatable, Timeout: routeTimeout, LatencyObjective: 10 * time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+	{Name: "read", Host: "h", Prefix: "/read/", Kind: table.Repeatable, Timeout: routeTimeout, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+	{Name: "attempted", Host: "h", Prefix: "/attempted/", Kind: table.Once, Timeout: routeTimeout, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "plain", Weight: 1}}},
+	{Name: "unresumed", Host: "h", Prefix: "/unresumed/", Kind: table.Stream, Timeout: routeTimeout, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: table.Stream, Resumable: true, Timeout: routeTimeout, LatencyObjective: time.Second, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+	{Name: "raced", Host: "h", Prefix: "/raced/", Kind: table.Stream, Resumable: true, Timeout: routeTimeout, LatencyObjective: time.Second, MaxAttempts: 3, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+	{Name: "single", Host: "h", Prefix: "/single/", Kind: table.Stream, Timeout: routeTimeout, LatencyObjective: time.Second, MaxAttempts: 1, Splits: []table.Split{{Service: "llm", Weight: 1}}},
+	{Name: "gap", Host: "h", Prefix: "/gap/", Kind: table.Stream, Resumable: true, Timeout: routeTimeout, LatencyObjective: time.Second, GapObjective: 400 * time.Millisecond, MaxAttempts: 2, Splits: []table.Split{{Service: "llm", Weight: 1}}},
 	{Name: "public", Host: "h", Prefix: "/public/", Kind: table.Once, Timeout: time.Second, MaxAttempts: 1, Public: true, Splits: []table.Split{{Service: "plain", Weight: 1}}},
 	{Name: "short", Host: "h", Prefix: "/short/", Kind: table.Once, Timeout: 150 * time.Millisecond, MaxAttempts: 1, Splits: []table.Split{{Service: "plain", Weight: 1}}},
 }
