Tests of hedges wait until the second attempt has come

A hedge is not sent if the timers of the daemon were late, since the response may have arrived unnoticed: a process that stands still at these times answers without one. The first target then answered after a fixed time, and the tests expected a second attempt.

--- a/core/relay/hedge_test.go
+++ b/core/relay/hedge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -139,52 +140,97 @@
 	}
 }
 
+// secondAttempt is what the two targets of a hedged request know of each other.
+type secondAttempt struct {
+	once  sync.Once
+	begun chan struct{}
+}
+
+func newSecondAttempt() *secondAttempt { return &secondAttempt{begun: make(chan struct{})} }
+
+// first returns a handler that responds some time after the second target has received the request. If that does not happen, as
+// where the hedge's timers were late, it responds in the end.
+func (s *secondAttempt) first(after time.Duration, respond handler) handler {
+	return func(w *bufio.Writer, req *http.Request) error {
+		select {
+		case <-s.begun:
+			time.Sleep(after)
+		case <-time.After(2 * time.Second):
+		}
+		return respond(w, req)
+	}
+}
+
+// second returns a handler of the second target.
+func (s *secondAttempt) second(respond handler) handler {
+	return func(w *bufio.Writer, req *http.Request) error {
+		s.once.Do(func() { close(s.begun) })
+		return respond(w, req)
+	}
+}
+
+// isHedged reports whether the rig's request went to two targets, to a first one and to another as its hedge.
+func (r *rig) isHedged(first string) bool {
+	received := r.received()
+	return len(received) == 2 && received[0].target == first && r.relay.options.Stats.Hedges.Get() == 1
+}
+
 // The first attempt may still be answered first, and a hedge that fails must not end it.
 func TestFirstAttemptMayWin(t *testing.T) {
 	for _, tc := range []struct {
-		name   string
-		second handler
-		slow   time.Duration
+		name string
+		// second is the response to the hedge, which comes before that to the first attempt unless it waits for its end.
+		second func(end <-chan struct{}) handler
 	}{
-		{"the hedge is slower", func(*bufio.Writer, *http.Request) error {
-			time.Sleep(2 * time.Second)
-			return nil
-		}, 600 * time.Millisecond},
-		{"the hedge breaks", hangUp, 600 * time.Millisecond},
-		{"the hedge is rejected", reject, 600 * time.Millisecond},
-		{"the hedge is answered without an ID", func(w *bufio.Writer, _ *http.Request) error {
-			fmt.Fprint(w, "HTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\nno")
-			return nil
-		}, 600 * time.Millisecond},
+		{"the hedge is slower", func(end <-chan struct{}) handler {
+			return func(*bufio.Writer, *http.Request) error {
+				<-end
+				return nil
+			}
+		}},
+		{"the hedge breaks", func(<-chan struct{}) handler { return hangUp }},
+		{"the hedge is rejected", func(<-chan struct{}) handler { return reject }},
+		{"the hedge is answered without an ID", func(<-chan struct{}) handler {
+			return func(w *bufio.Writer, _ *http.Request) error {
+				fmt.Fprint(w, "HTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\nno")
+				return nil
+			}
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			r := newRig(t, nil)
-			r.target("a", "llm", always(func(w *bufio.Writer, req *http.Request) error {
-				time.Sleep(tc.slow)
-				return stream(true, "id: 1\ndata: first\n\n")(w, req)
-			}))
-			r.target("b", "llm", always(tc.second))
-			r.roster.Target("b").AddLoad(roster.Load{Running: 3})
-			got := r.send("POST", "/stream/x", "body", "Model", "m")
+			var r *rig
+			var got callerAnswer
+			for plays := 0; r == nil || !r.isHedged("a"); plays++ {
+				r = newRig(t, nil)
+				r.g.Expect(plays).To(gomega.BeNumerically("<", maxPlays), "no second attempt")
+				end, attempts := make(chan struct{}), newSecondAttempt()
+				r.target("a", "llm", always(attempts.first(500*time.Millisecond, stream(true, "id: 1\ndata: first\n\n"))))
+				r.target("b", "llm", always(attempts.second(tc.second(end))))
+				r.roster.Target("b").AddLoad(roster.Load{Running: 3})
+				got = r.send("POST", "/stream/x", "body", "Model", "m")
+				close(end)
+			}
 			r.g.Expect(got.body).To(gomega.Equal("id: 1\ndata: first\n\n"))
 			r.g.Expect(r.relay.options.Stats.Hedges.Get()).To(gomega.Equal(uint64(1)))
 			r.g.Expect(r.relay.options.Stats.HedgesWon.Get()).To(gomega.BeZero())
-			r.g.Eventually(func() int { return r.roster.Target("b").LocalLoad().Running }).Should(gomega.Equal(3))
+			r.g.Eventually(func() int { return r.roster.Target("b").LocalLoad().Running }, waitTimeout, pollInterval).Should(gomega.Equal(3))
 		})
 	}
 }
 
 // If both attempts fail, the request ends as after a retry.
 func TestBothAttemptsFail(t *testing.T) {
-	r := newRig(t, nil)
-	for i, id := range []string{"a", "b"} {
-		r.target(id, "plain", always(func(w *bufio.Writer, req *http.Request) error {
-			time.Sleep(time.Duration(400-350*i) * time.Millisecond)
-			return respond(500, "no")(w, req)
-		}))
+	var r *rig
+	var got callerAnswer
+	for plays := 0; r == nil || !r.isHedged("a"); plays++ {
+		r = newRig(t, nil)
+		r.g.Expect(plays).To(gomega.BeNumerically("<", maxPlays), "no second attempt")
+		attempts := newSecondAttempt()
+		r.target("a", "plain", always(attempts.first(300*time.Millisecond, respond(500, "no"))))
+		r.target("b", "plain", always(attempts.second(respond(500, "no"))))
+		r.roster.Target("b").AddLoad(roster.Load{Running: 15})
+		got = r.send("POST", "/read/x", "body")
 	}
-	r.roster.Target("b").AddLoad(roster.Load{Running: 15})
-	got := r.send("POST", "/read/x", "body")
 	r.g.Expect([]any{got.status, got.body, len(r.received())}).To(gomega.Equal([]any{500, "no", 2}))
 }
 
