A daemon that stood still sends no requests to the worker that it updates

A worker is marked for a second from each state request on, also at the daemon that updates it. If that daemon did not run for longer, its requests went to the worker, which still carried out the order and rejected them, until the next state request. The daemon now keeps its own updates until they end; the times bound what peers are told, as before.

--- a/core/order/update.go
+++ b/core/order/update.go
@@ -31,7 +31,7 @@
 	// worker first finishes its requests, however long they run, and a load takes about a second, longer while many
 	// load.
 	updateTimeout = 9 * time.Second
-	// initialMarkTime is how long a worker is marked as about to change its
+	// initialMarkTime is how long peers mark a worker as about to change its
 	// weights from the start of its update, and markTime from each state
 	// request on. EndUpdate removes the mark sooner; these times bound it if this
 	// daemon is lost.
@@ -71,6 +71,7 @@
 func (u *weightUpdate) run(ctx context.Context) {
 	s, id := u.updater, u.target.ID()
 	u.busy = time.Now()
+	s.o.Roster.HoldUpdate(id)
 	s.o.Roster.BeginUpdate(id, u.busy.Add(initialMarkTime))
 	s.o.Notify()
 	u.notifyProgress()
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -123,6 +123,8 @@
 	// updating holds, by ID, until when a target has a weight update pending that this daemon
 	// recorded. Guarded by rosterMu.
 	updating map[string]time.Time
+	// heldUpdates holds the IDs of the targets that this daemon updates. Guarded by rosterMu.
+	heldUpdates map[string]bool
 	// peerUpdating holds the same for each peer, from its last heartbeat. It is not forwarded.
 	// Guarded by rosterMu.
 	peerUpdating map[string]map[string]time.Time
@@ -391,6 +393,7 @@
 	delete(r.targets, t.id)
 	r.recordVersionUnlisted(t.Entry())
 	delete(r.updating, t.id)
+	delete(r.heldUpdates, t.id)
 	if r.incarnations[name] == t.id {
 		delete(r.incarnations, name)
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -310,3 +310,21 @@
 		})
 	}
 }
+
+// Guards against requests to a target that this daemon updates after its process has not run for a while.
+func TestOwnWeightUpdateLastsUntilItsEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	owner, peer := New(&event.Log{}, nil), New(&event.Log{}, nil)
+	owner.Put(entry("a"))
+	now := time.Now()
+	owner.BeginUpdate("a", now.Add(time.Second))
+	owner.HoldUpdate("a")
+	sendHeartbeat(g, owner, peer)
+	later := now.Add(time.Minute)
+	g.Expect(owner.Updating(later)).To(gomega.HaveKey("a"))
+	g.Expect(owner.Availability(later).Reason(owner.Target("a"))).To(gomega.Equal(UpdatingWeights))
+	g.Expect(owner.Admit(owner.Target("a"), Permit{})).To(gomega.Equal(UpdatingWeights))
+	g.Expect(peer.Updating(later)).To(gomega.BeEmpty(), "the daemon may be lost")
+	owner.EndUpdate("a")
+	g.Expect(owner.Updating(now)).To(gomega.BeEmpty())
+}
--- a/core/roster/updates.go
+++ b/core/roster/updates.go
@@ -17,6 +17,17 @@
 	}
 }
 
+// HoldUpdate records that this daemon updates a target. The target gets no new work from it until EndUpdate, even if the
+// deadlines of BeginUpdate pass because this process does not run.
+func (r *Roster) HoldUpdate(id string) {
+	r.rosterMu.Lock()
+	defer r.rosterMu.Unlock()
+	if r.heldUpdates == nil {
+		r.heldUpdates = map[string]bool{}
+	}
+	r.heldUpdates[id] = true
+}
+
 // setPeerUpdating replaces the targets for which a peer reports a pending weight update, each with
 // the milliseconds remaining. It is called with rosterMu held.
 func (r *Roster) setPeerUpdating(peer string, millis map[string]int64, now time.Time) {
@@ -36,6 +47,7 @@
 	r.rosterMu.Lock()
 	defer r.rosterMu.Unlock()
 	delete(r.updating, id)
+	delete(r.heldUpdates, id)
 	for _, updating := range r.peerUpdating {
 		delete(updating, id)
 	}
@@ -51,7 +63,10 @@
 
 // updatingNow is Updating with rosterMu held.
 func (r *Roster) updatingNow(now time.Time) map[string]bool {
-	out := map[string]bool{}
+	out := maps.Clone(r.heldUpdates)
+	if out == nil {
+		out = map[string]bool{}
+	}
 	addPending(out, r.updating, now)
 	for _, updating := range r.peerUpdating {
 		addPending(out, updating, now)
@@ -62,7 +77,7 @@
 // isUpdating reports whether one target has a pending weight update. It is called with rosterMu
 // held.
 func (r *Roster) isUpdating(id string, now time.Time) bool {
-	if now.Before(r.updating[id]) {
+	if r.heldUpdates[id] || now.Before(r.updating[id]) {
 		return true
 	}
 	for _, updating := range r.peerUpdating {
