The load of the proofs retries through a daemon that it has not tried

A balancer of the proofs may send a refused prompt or call to two other daemons. What is expected of the replies is unchanged.

--- a/embplay/prove/load_test.go
+++ b/embplay/prove/load_test.go
@@ -114,13 +114,15 @@
 	l.excluded[i] = excluded
 }
 
-// nextBox returns the index of the next daemon that is not excluded, or 0.
-func (l *load) nextBox() int {
+// nextBox returns the index of the next daemon that is neither excluded nor among the tried ones, or 0, and adds it to
+// the tried ones.
+func (l *load) nextBox(tried map[int]bool) int {
 	l.loadMu.Lock()
 	defer l.loadMu.Unlock()
 	for range l.testbed.daemons {
 		i := int(l.boxCounter.Add(1)) % len(l.testbed.daemons)
-		if !l.excluded[i] {
+		if !l.excluded[i] && !tried[i] {
+			tried[i] = true
 			return i
 		}
 	}
@@ -144,8 +146,9 @@
 	l.done.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), promptTimeout)
 		defer cancel()
+		tried := map[int]bool{}
 		for range 3 {
-			box := l.nextBox()
+			box := l.nextBox(tried)
 			a.box, a.sentAt = box, time.Now()
 			a.reply = l.testbed.caller.Prompt(ctx, l.testbed.daemons[box].Callers, l.testbed.site.File.CallerKeys[a.organisation], fake.SiteDeployment, text, answerTokens)
 			if !retryOtherDaemon(&a.reply) {
@@ -206,8 +209,9 @@
 	defer cancel()
 	body := []byte(`{"mark":"` + c.mark + `"}`)
 	var r play.Reply
+	tried := map[int]bool{}
 	for range 3 {
-		box := l.testbed.daemons[l.nextBox()]
+		box := l.testbed.daemons[l.nextBox(tried)]
 		r = l.testbed.caller.Call(ctx, box.Callers, l.testbed.site.File.CallerKeys[c.organisation], http.MethodPost,
 			"/services/"+fake.SiteService+"/renewals", c.key, body)
 		if !retryOtherDaemon(&r) {
