--- a/core/relay/resume_test.go
+++ b/core/relay/resume_test.go
@@ -442,8 +442,10 @@
 				return 0
 			}
 			routes := []table.Route{
-				{Host: "h", Prefix: "/stream/", Kind: table.Stream, Resumable: true}, {Host: "h", Prefix: "/other/", Kind: table.Stream, Resumable: true},
-				{Host: "h", Prefix: "/unresumed/", Kind: table.Stream}, {Host: "h", Prefix: "/plain/", Kind: table.Repeatable},
+				{Host: "h", Prefix: "/stream/", Kind: table.Stream, Resumable: true},
+				{Host: "h", Prefix: "/other/", Kind: table.Stream, Resumable: true},
+				{Host: "h", Prefix: "/unresumed/", Kind: table.Stream},
+				{Host: "h", Prefix: "/plain/", Kind: table.Repeatable},
 			}
 			for i := range routes {
 				routes[i].Timeout, routes[i].LatencyObjective, routes[i].MaxAttempts, routes[i].Splits = 5*time.Second, time.Second, 2, tc.splits
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -195,7 +195,8 @@
 func TestLongestStream(t *testing.T) {
 	g := gomega.NewWithT(t)
 	routes := []Route{
-		{Host: "h", Prefix: "/a/", Kind: Stream, Resumable: true, Timeout: time.Second}, {Host: "h", Prefix: "/b/", Kind: Stream, Timeout: time.Minute},
+		{Host: "h", Prefix: "/a/", Kind: Stream, Resumable: true, Timeout: time.Second},
+		{Host: "h", Prefix: "/b/", Kind: Stream, Timeout: time.Minute},
 		{Host: "h", Prefix: "/c/", Kind: Repeatable, Timeout: time.Hour},
 	}
 	longest, bounded := New(Spec{Routes: routes}).LongestStream()
