--- a/core/relay/owners_test.go
+++ b/core/relay/owners_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -30,13 +29,6 @@
 	pollInterval = "10ms"
 )
 
-// knownRed skips a test that KNOWN-RED.txt lists where CI runs.
-func knownRed(t *testing.T) {
-	if os.Getenv("KNOWN_RED") != "" {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
-}
-
 // fleetRig is a fleet of relays in front of the same workers.
 type fleetRig struct {
 	g      *gomega.WithT
