Tests of the queue that name a route's timeout of 2 s have it again

TestHopelessRequestIsRejectedEarly expects an answer before the route's timeout, which it takes for 2 s; since the rig's routes have a minute, of which such a request waits 20 s. That test and TestQueueChecksDeadlinesAfterSuspend have a rig whose routes time out after 2 s, as before. go test ./relay: passes.

--- a/core/relay/queue_test.go
+++ b/core/relay/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -25,10 +26,17 @@
 // fullLoad is what fills the target.
 var fullLoad = roster.Load{Running: plainMaxLoad}
 
-func newQueueRig(t *testing.T) *queueRig {
+func newQueueRig(t *testing.T) *queueRig { return newQueueRigWithTimeout(t, routeTimeout) }
+
+// newQueueRigWithTimeout returns a rig all of whose routes have a timeout.
+func newQueueRigWithTimeout(t *testing.T, timeout time.Duration) *queueRig {
 	q := &queueRig{rig: newRig(t, nil)}
+	routes := slices.Clone(testRoutes)
+	for i := range routes {
+		routes[i].Timeout = timeout
+	}
 	q.relay.SetTable(table.New(table.Spec{
-		Version: 1, Routes: testRoutes, Services: []table.Service{{Name: "plain"}},
+		Version: 1, Routes: routes, Services: []table.Service{{Name: "plain"}},
 		Organisations: []table.Organisation{{Name: "urgent", Keys: []string{"urgent"}}, {Name: "other", Keys: []string{"other"}, Priority: 2}},
 	}))
 	f := q.target("t", "plain", always(respond(200, "x")))
@@ -109,7 +117,7 @@
 
 // A request must not wait until its deadline once it is known that nothing frees capacity.
 func TestHopelessRequestIsRejectedEarly(t *testing.T) {
-	q := newQueueRig(t)
+	q := newQueueRigWithTimeout(t, 2*time.Second)
 	start := time.Now()
 	got := q.send(http.MethodPost, "/once/", "x", "Key", "other", "Deadline", "60000")
 	q.g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
@@ -133,7 +141,7 @@
 // The clock of timers stops while the box is suspended, so that requests would wait on after their
 // deadline.
 func TestQueueChecksDeadlinesAfterSuspend(t *testing.T) {
-	q := newQueueRig(t)
+	q := newQueueRigWithTimeout(t, 2*time.Second)
 	q.sendWaiting("/repeatable/", "other")
 	start := time.Now()
 	clock.Suspend(time.Minute)
