Revert the wider replay of a test: its failure is listed as not traced

That a lost packet explains the 1.305 s was inferred from the figure alone, and no trace shows it, so the check of TestRequestThatHasNotBegunInTimeGoesToAnotherTarget is as strict as before and its failure stands in KNOWN-RED.txt.

--- a/core/relay/begin_test.go
+++ b/core/relay/begin_test.go
@@ -113,8 +113,7 @@
 				took, stood := b.wait(), stop()
 				r.g.Expect(err).NotTo(gomega.HaveOccurred())
 				r.g.Expect(body).To(gomega.Equal(eventsAfter("")))
-				// A packet that the kernel lost while a connection opens is sent again after a second.
-				if (stood > mayStandStill || took > time.Second) && took >= late && plays < maxPlays {
+				if stood > mayStandStill && took >= late && plays < maxPlays {
 					continue
 				}
 				var targets []string
