Log line and metric tell what a response said of the request's execution

Cause: a true rejection and a statement that belongs to another request looked alike: the log line had the outcome 'refused' only, the metric one number, and a target's own 408, 429 or 503 looked like any answer. Change: each rejection, each response that does not name just the request, and each status that callers take for a promise is quoted in the request's line; rejections_unbound_total counts those that nothing binds to the request. Behaviour is as before; core/relay passes.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -282,11 +282,18 @@
 func (p *proxiedRequest) checkResponse(c *choice, resp *target.Response, respMeta *ResponseMeta) (outcome, bool) {
 	misdirected := resp.Status == http.StatusMisdirectedRequest
 	p.recordSelfReport(c, misdirected, respMeta)
+	id := respMeta.firstAttemptID()
+	if respMeta.NotExecuted || id != p.meta.AttemptID || isPromise(resp.Status) {
+		p.note("%s: %s", c.target.ID(), respMeta.describe(resp.Status, p.meta.AttemptID))
+	}
+	if respMeta.NotExecuted && (len(respMeta.AttemptIDs) != 1 || id != p.meta.AttemptID) {
+		p.relay.options.Stats.UnboundRejections.Inc()
+	}
 	switch {
-	case respMeta.AttemptID != "" && respMeta.AttemptID != p.meta.AttemptID, respMeta.AttemptID == "" && !respMeta.NotExecuted && !misdirected:
+	case id != "" && id != p.meta.AttemptID, id == "" && !respMeta.NotExecuted && !misdirected:
 		p.relay.options.Stats.MismatchedResponses.Inc()
 		p.relay.options.Log.Emit(event.AnswerRejected, p.ref(),
-			"the response is for request "+strconv.Quote(respMeta.AttemptID))
+			"the response is for request "+strconv.Quote(id))
 		resp.Discard()
 		p.attempts++
 		p.executions++
--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -81,8 +81,8 @@
 
 // ResponseMeta is the metadata in the header of a target's response.
 type ResponseMeta struct {
-	// AttemptID identifies the attempt that the target responds to.
-	AttemptID string
+	// AttemptIDs identify the attempt that the target responds to: one in a valid response.
+	AttemptIDs []string
 	// Signed is set if the target signed the response.
 	Signed bool
 	// NotExecuted is set if the target did not execute the request and never will.
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -335,7 +335,7 @@
 	}
 	meta := p.relay.options.Dialect.ParseResponse(f.resp.Status, f.resp.Header)
 	signed := meta.Signed || f.resp.Status/100 != 2
-	return signed && !meta.Encoded && !meta.NotExecuted && meta.AttemptID != "" && meta.AttemptID == p.meta.AttemptID
+	return signed && !meta.Encoded && !meta.NotExecuted && meta.firstAttemptID() != "" && meta.firstAttemptID() == p.meta.AttemptID
 }
 
 // outcomeRanks orders the outcomes of attempts that were not answered: of two, the higher one
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -74,7 +74,7 @@
 	return ResponseMeta{
 		RateLimit: roster.RateLimit{Stated: err == nil, PerSecond: rate},
 
-		AttemptID: h.Get("Id"), Signed: h.Get("Seal") != "", NotExecuted: h.Get("Not-Run") != "",
+		AttemptIDs: h.Values("Id"), Signed: h.Get("Seal") != "", NotExecuted: h.Get("Not-Run") != "",
 		Target:        h.Get("Run"),
 		WeightVersion: version, Encoded: h.Get("Content-Encoding") != "",
 		ShuttingDown: h.Get("Leaves") != "", Pushback: pushback,
--- a/core/relay/selfreport.go
+++ b/core/relay/selfreport.go
@@ -56,5 +56,6 @@
 	if misdirected {
 		return respMeta.Target == c.target.Entry().Name
 	}
-	return respMeta.AttemptID == p.meta.AttemptID || (respMeta.AttemptID == "" && respMeta.NotExecuted)
+	id := respMeta.firstAttemptID()
+	return id == p.meta.AttemptID || (id == "" && respMeta.NotExecuted)
 }
