A rejection counts only if it names just this request and does not contradict itself

Callers saw: a payment, or a stream that may not be resumed, ran at a target and was then sent to another one (TWICE), or was refused with 503 (REFUSED). Cause: checkResponse compared the attempt ID only where a response had one, so a rejection or a 421 without an ID, of any request, counted as one of the request in flight; of two IDs the first one counted; a mark of rejection counted with any status, 200 included. Class: a statement about a request that is believed though nothing binds it to that request and that sending. Change: one function (ResponseMeta.statement) decides what a response says of this sending; plain answers, streams and hedges go through it. A sending counts as executed from before its first byte, and only a proof takes that back: that statement, or an error without a byte written. A refusal as not run with an unproven sending is replaced by 502 where refusals are written. Shutdown, pushback and limits are no longer believed of such responses either. Tests that were wrong: the rig's and the stand-in's rejections and 421 lacked the ID that each answer of a target carries; a shutdown in a rejection without ID was expected to be believed. They carry it now, and the forms without it are expected not to be believed.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -81,6 +81,10 @@
 	if p.organisation == nil && t.RequiresKeys() && !p.route.Public {
 		return p.refuseUnknown(http.StatusUnauthorized, entry.CodeBadKey, "the key is not known")
 	}
+	if meta.AttemptID == "" {
+		// No response could be told to be for the request.
+		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, "the request has no ID", 0)
+	}
 	p.scope = t.Scope(p.organisation)
 	p.regions = regionsOf(p.route, p.organisation)
 	p.setDeadline()
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -40,6 +39,7 @@
 	defer f.end()
 	ctx, cancel := p.waitBudget(ctx, c)
 	defer cancel()
+	p.beginExecution()
 	f.send(ctx, req)
 	return p.conclude(f)
 }
@@ -153,7 +153,6 @@
 		return out, nil
 	}
 	p.attempts++
-	p.executions++
 	p.relay.options.Poison.RecordResponsive(c.target.ID())
 	if respMeta.WeightVersion > 0 {
 		p.relay.options.Roster.RecordVersion(c.target.ID(), p.meta.Model, respMeta.WeightVersion)
@@ -190,10 +189,9 @@
 func (p *proxiedRequest) classifyNoResponse(f *flight) outcome {
 	ctx, c, err := f.ctx, f.c, f.err
 	p.note("%v", errors.Cause(err))
-	sent := target.MayHaveArrived(err)
+	sent := !p.retract(proofOfNothingSent(err))
 	if sent {
 		p.attempts++
-		p.executions++
 	} else {
 		p.relay.options.Roster.ReturnPermit(c.target, c.permit)
 	}
@@ -277,28 +275,25 @@
 	return p.organisation.Name
 }
 
-// checkResponse reports whether a response is the target's to this request; if not it returns
+// checkResponse reports whether a response is the target's answer to this request; if not it returns
 // the outcome of the attempt.
 func (p *proxiedRequest) checkResponse(c *choice, resp *target.Response, respMeta *ResponseMeta) (outcome, bool) {
+	says := respMeta.statement(p.meta.AttemptID)
+	p.noteStatement(c, resp.Status, respMeta, says)
 	misdirected := resp.Status == http.StatusMisdirectedRequest
-	p.recordSelfReport(c, misdirected, respMeta)
-	id := respMeta.firstAttemptID()
-	if respMeta.NotExecuted || id != p.meta.AttemptID || isPromise(resp.Status) {
-		p.note("%s: %s", c.target.ID(), respMeta.describe(resp.Status, p.meta.AttemptID))
+	if says != saysNothing {
+		p.recordSelfReport(c, misdirected, respMeta)
 	}
-	if respMeta.NotExecuted && (len(respMeta.AttemptIDs) != 1 || id != p.meta.AttemptID) {
-		p.relay.options.Stats.UnboundRejections.Inc()
+	if says == saysExecuted {
+		return outcomeDone, true
 	}
-	switch {
-	case id != "" && id != p.meta.AttemptID, id == "" && !respMeta.NotExecuted && !misdirected:
-		p.relay.options.Stats.MismatchedResponses.Inc()
-		p.relay.options.Log.Emit(event.AnswerRejected, p.ref(),
-			"the response is for request "+strconv.Quote(id))
+	p.attempts++
+	if !p.retract(proofOfRejection(says)) {
 		resp.Discard()
-		p.attempts++
-		p.executions++
 		p.recordResponse(c, false)
 		return outcomeIncomplete, false
+	}
+	switch {
 	case misdirected:
 		p.relay.options.Stats.Misdirected.Inc()
 		sameTarget := respMeta.Target == "" || respMeta.Target == c.target.Entry().Name
@@ -309,18 +304,32 @@
 			// The address now belongs to another target.
 			p.recordNoResponse(c)
 		}
-	case respMeta.NotExecuted:
+	default:
 		p.relay.options.Stats.NotExecuted.Inc()
 		p.recordReload(c)
-	default:
-		return outcomeDone, true
 	}
 	// If this fails, only the connection is not reused; the rejection is already known.
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrainBytes))
-	p.attempts++
 	return outcomeRejected, false
 }
 
+// noteStatement records what a response says of the request's execution, unless it is an ordinary answer.
+func (p *proxiedRequest) noteStatement(c *choice, status int, respMeta *ResponseMeta, says statement) {
+	if says == saysExecuted && !isPromise(status) {
+		return
+	}
+	text := respMeta.describe(status, p.meta.AttemptID)
+	p.note("%s: %s: %s", c.target.ID(), text, says)
+	if says != saysNothing {
+		return
+	}
+	p.relay.options.Stats.MismatchedResponses.Inc()
+	if respMeta.NotExecuted || respMeta.Contradictory {
+		p.relay.options.Stats.UnprovenRejections.Inc()
+	}
+	p.relay.options.Log.Emit(event.AnswerRejected, p.ref(), "the response is not used: "+text)
+}
+
 // reloadTime is how long all daemons of the cell skip a worker that rejected a request while its
 // weights were older than desired. Weight-update orders are published only in the cell of the
 // daemon that gives them, which may be another one.
--- a/core/relay/dialect.go
+++ b/core/relay/dialect.go
@@ -85,8 +85,11 @@
 	AttemptIDs []string
 	// Signed is set if the target signed the response.
 	Signed bool
-	// NotExecuted is set if the target did not execute the request and never will.
+	// NotExecuted is set if the response says that the target did not execute the request and never will.
 	NotExecuted bool
+	// Contradictory is set if the response says so in a way in which targets do not, such as with the status
+	// of a success.
+	Contradictory bool
 	// Target is the name of the target that responded, or "" if not given.
 	Target string
 	// WeightVersion is the version of the weights; 0 if not given.
--- a/core/relay/finish.go
+++ b/core/relay/finish.go
@@ -25,8 +25,13 @@
 	}
 }
 
-// refuse answers the request with a refusal.
+// refuse answers the request with a refusal. One that tells that the request was not executed needs the proof for each
+// attempt.
 func (p *proxiedRequest) refuse(refusal *entry.Refusal) {
+	if p.executions > 0 && (isPromise(refusal.Status) || refusal.Ran == entry.NotRun) {
+		p.relay.options.Log.Emit(event.InvariantBroken, p.ref(), "refused as not run after it was sent: "+refusal.Error())
+		*refusal = *p.outcomeUnknown()
+	}
 	p.relay.options.Dialect.WriteRefusal(p.w.Header(), p.meta.AttemptID, refusal.RetryAfter)
 	p.note("%s", refusal.Error())
 	if err := refusal.Write(p.w, p.meta.AttemptID); err != nil {
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -188,6 +188,7 @@
 func (p *proxiedRequest) launch(ctx context.Context, f *flight, req *target.Request) *racer {
 	ctx, cancel := context.WithCancel(ctx)
 	r := &racer{flight: f, done: make(chan struct{}), cancel: cancel, settled: make(chan struct{})}
+	p.beginExecution()
 	f.start(ctx)
 	go runner{f, req, r.done}.run()
 	return r
@@ -311,14 +312,13 @@
 // settle counts a cancelled flight once it has ended.
 func (p *proxiedRequest) settle(r *racer) {
 	<-r.settled
-	if r.err != nil && !target.MayHaveArrived(r.err) {
+	if p.retract(proofOfNothingSent(r.err)) {
 		p.relay.options.Roster.ReturnPermit(r.c.target, r.c.permit)
 		p.uncountAttempt(r.c.target.ID())
 		p.note("%s=cancelled before sending", r.c.target.ID())
 		return
 	}
 	p.attempts++
-	p.executions++
 	p.note("%s=cancelled", r.c.target.ID())
 }
 
@@ -335,7 +335,7 @@
 	}
 	meta := p.relay.options.Dialect.ParseResponse(f.resp.Status, f.resp.Header)
 	signed := meta.Signed || f.resp.Status/100 != 2
-	return signed && !meta.Encoded && !meta.NotExecuted && meta.firstAttemptID() != "" && meta.firstAttemptID() == p.meta.AttemptID
+	return signed && !meta.Encoded && meta.statement(p.meta.AttemptID) == saysExecuted
 }
 
 // outcomeRanks orders the outcomes of attempts that were not answered: of two, the higher one
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -57,9 +57,11 @@
 
 	// tried counts the attempts at each target, by ID.
 	tried map[string]int
-	// attempts counts the attempts that reached a target or may have, executions those of them that
-	// the target may have executed.
-	attempts, executions int
+	// attempts counts the attempts that reached a target or may have, once they have ended.
+	attempts int
+	// executions counts the attempts that a target may have executed, each from before its first byte is written.
+	// Only retract decreases it.
+	executions int
 	// slowOpens counts the attempts that were abandoned because the connection was slow to open, and
 	// unopened those whose connection failed to open.
 	slowOpens, unopened int
@@ -376,7 +378,12 @@
 	case !time.Now().Before(p.deadline):
 		return entry.NewRefusal(http.StatusGatewayTimeout, entry.CodeTimeout, entry.Unknown, "no answer came in time", 0)
 	}
-	return entry.NewRefusal(http.StatusBadGateway, entry.CodeOutcomeUnknown, entry.Unknown, "the target gave no answer; whether it ran is not known", 0)
+	return p.outcomeUnknown()
+}
+
+// outcomeUnknown returns the refusal of a request that a target may have executed.
+func (p *proxiedRequest) outcomeUnknown() *entry.Refusal {
+	return entry.NewRefusal(http.StatusBadGateway, entry.CodeOutcomeUnknown, entry.Unknown, "the target gave no answer that can be passed on; whether it ran is not known", 0)
 }
 
 // cacheSalt returns the cache salt of the request's segments for a version of the weights.
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -67,14 +67,15 @@
 	return nil
 }
 
-func (testDialect) ParseResponse(_ int, h http.Header) ResponseMeta {
+func (testDialect) ParseResponse(status int, h http.Header) ResponseMeta {
 	version, _ := strconv.ParseInt(h.Get("Weights"), 10, 64)
 	pushback, _ := time.ParseDuration(h.Get("Rest"))
 	rate, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	return ResponseMeta{
 		RateLimit: roster.RateLimit{Stated: err == nil, PerSecond: rate},
 
-		AttemptIDs: h.Values("Id"), Signed: h.Get("Seal") != "", NotExecuted: h.Get("Not-Run") != "",
+		AttemptIDs: h.Values("Id"), Signed: h.Get("Seal") != "", NotExecuted: h.Get("Not-Run") != "" && status >= 400 || status == http.StatusMisdirectedRequest,
+		Contradictory: h.Get("Not-Run") != "" && status < 400,
 		Target:        h.Get("Run"),
 		WeightVersion: version, Encoded: h.Get("Content-Encoding") != "",
 		ShuttingDown: h.Get("Leaves") != "", Pushback: pushback,
@@ -363,8 +364,8 @@
 }
 
 // reject responds that the request was not executed.
-func reject(w *bufio.Writer, _ *http.Request) error {
-	fmt.Fprint(w, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+func reject(w *bufio.Writer, r *http.Request) error {
+	fmt.Fprintf(w, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
 	return nil
 }
 
--- a/core/relay/selfreport.go
+++ b/core/relay/selfreport.go
@@ -3,7 +3,8 @@
 import "embertally.dev/core/roster"
 
 // recordSelfReport records the self-reported state in the header of a target's response. It is
-// called for every response to a caller's request before any of it is passed on.
+// called for every response to a caller's request before any of it is passed on, but not for those
+// that nothing binds to the request.
 func (p *proxiedRequest) recordSelfReport(c *choice, misdirected bool, respMeta *ResponseMeta) {
 	if !p.isFromTarget(c, misdirected, respMeta) {
 		return
@@ -49,13 +50,9 @@
 	}
 }
 
-// isFromTarget reports whether a response comes from the target that the request was sent to.
-// A response to another request may come from any target. One that reports a misdirected request
-// comes from the target that has the address now, unless it names this one.
+// isFromTarget reports whether a response to this request comes from the target that it was sent to.
+// One that reports a misdirected request comes from the target that has the address now, unless it
+// names this one.
 func (p *proxiedRequest) isFromTarget(c *choice, misdirected bool, respMeta *ResponseMeta) bool {
-	if misdirected {
-		return respMeta.Target == c.target.Entry().Name
-	}
-	id := respMeta.firstAttemptID()
-	return id == p.meta.AttemptID || (id == "" && respMeta.NotExecuted)
+	return !misdirected || respMeta.Target == c.target.Entry().Name
 }
--- a/core/relay/selfreport_test.go
+++ b/core/relay/selfreport_test.go
@@ -39,7 +39,7 @@
 		{"a complete response", "/once/", respondHead(200, "Id: try-1\r\nLeaves: 1\r\n"), true},
 		{"an error", "/once/", respondHead(500, "Id: try-1\r\nLeaves: 1\r\n"), true},
 		{"a rejection", "/once/", respondHead(503, "Id: try-1\r\nNot-Run: 1\r\nLeaves: 1\r\n"), true},
-		{"a rejection without ID", "/once/", respondHead(503, "Not-Run: 1\r\nLeaves: 1\r\n"), true},
+		{"a rejection without ID", "/once/", respondHead(503, "Not-Run: 1\r\nLeaves: 1\r\n"), false},
 		{"a response without a signature", "/repeatable/", func(w *bufio.Writer, _ *http.Request) error {
 			fmt.Fprint(w, "HTTP/1.1 200 X\r\nId: try-1\r\nLeaves: 1\r\nContent-Length: 0\r\n\r\n")
 			return nil
@@ -50,9 +50,11 @@
 		}, true},
 		{"a response to another request", "/once/", respondHead(200, "Id: try-9\r\nLeaves: 1\r\n"), false},
 		{"a response without ID", "/once/", respondHead(200, "Leaves: 1\r\n"), false},
-		{"another target at the address", "/once/", respondHead(421, "Run: other\r\nLeaves: 1\r\n"), false},
-		{"an unnamed target at the address", "/once/", respondHead(421, "Leaves: 1\r\n"), false},
-		{"the target itself, with other weights", "/stream/", respondHead(421, "Run: a\r\nLeaves: 1\r\n"), true},
+		{"another target at the address", "/once/", respondHead(421, "Id: try-1\r\nRun: other\r\nLeaves: 1\r\n"), false},
+		{"an unnamed target at the address", "/once/", respondHead(421, "Id: try-1\r\nLeaves: 1\r\n"), false},
+		{"the target itself, with other weights", "/stream/", respondHead(421, "Id: try-1\r\nRun: a\r\nLeaves: 1\r\n"), true},
+		{"the target itself, with other weights, without ID", "/stream/", respondHead(421, "Run: a\r\nLeaves: 1\r\n"), false},
+		{"a response to two requests", "/once/", respondHead(503, "Id: try-1\r\nId: try-9\r\nNot-Run: 1\r\nLeaves: 1\r\n"), false},
 		{"no HTTP response", "/once/", func(w *bufio.Writer, _ *http.Request) error {
 			fmt.Fprint(w, "Leaves: 1\r\n\r\n")
 			return http.ErrAbortHandler
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -19,12 +19,12 @@
 	// of it, though some of them had been passed on.
 	AnswersLeft *metrics.Counter
 	// Attempts counts the attempts, Retries those that repeat an earlier one, and StreamsResumed
-	// broken streams that another attempt may resume. MismatchedResponses counts responses to
-	// another request, NotExecuted those that report that the request was not executed, and
+	// broken streams that another attempt may resume. MismatchedResponses counts responses that
+	// nothing binds to the request or that contradict themselves, NotExecuted those that report that the request was not executed, and
 	// Misdirected those with the status for misdirected requests.
 	Attempts, Retries, StreamsResumed, MismatchedResponses, NotExecuted, Misdirected *metrics.Counter
-	// UnboundRejections counts responses that say that a request was not executed and do not name just this one.
-	UnboundRejections *metrics.Counter
+	// UnprovenRejections counts those of MismatchedResponses that say that a request was not executed.
+	UnprovenRejections *metrics.Counter
 	// InvalidAttempts counts the attempts that were not sent since they lacked a cache salt or, at engines, a
 	// version of the weights. InvalidPrompts counts requests that were refused since a header about the prompt
 	// cannot be parsed or names no model.
@@ -105,7 +105,7 @@
 		AnswersLeft: c("answers_left_total"), EventsUnordered: c("stream_events_unordered_total"),
 		Attempts: c("sends_total"), Retries: c("sends_repeated_total"), StreamsResumed: c("streams_resumed_total"),
 		MismatchedResponses: c("answers_foreign_total"), NotExecuted: c("targets_refused_total"),
-		Misdirected: c("targets_moved_total"), UnboundRejections: c("rejections_unbound_total"),
+		Misdirected: c("targets_moved_total"), UnprovenRejections: c("rejections_unproven_total"),
 		Disconnects: map[bool]*metrics.Counter{
 			false: c(`requests_disconnected_total{answer="none"}`), true: c(`requests_disconnected_total{answer="begun"}`),
 		},
