A target's own 408, 429 or 503 is not passed on where the request may run once

Callers saw: 408, 429 or 503 to a payment that had run, which tells them that it has not run and never will (REFUSED); a caller that keeps to that sends it again. Cause: passOnPlain passed any status of a target on. Only the mark of a rejection says that a request was not executed; without it these statuses mean that it was, but to callers they are the promise that it was not. Requests that may be repeated get such an answer unchanged, as before: for them no promise is broken.

--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -55,6 +55,14 @@
 	}
 	p.recordResponse(c, good)
 	p.recordFirstAnswer(c, sent)
+	if isPromise(resp.Status) && !p.route.MayRepeat() {
+		// To callers the status is the promise that the request has not been executed.
+		p.relay.options.Stats.PromisesWithheld.Inc()
+		if !whole {
+			resp.Discard()
+		}
+		return outcomeIncomplete, nil
+	}
 	if !good && p.route.MayRepeat() && whole {
 		return outcomeFailed, answer
 	}
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -24,7 +24,8 @@
 	// Misdirected those with the status for misdirected requests.
 	Attempts, Retries, StreamsResumed, MismatchedResponses, NotExecuted, Misdirected *metrics.Counter
 	// UnprovenRejections counts those of MismatchedResponses that say that a request was not executed.
-	UnprovenRejections *metrics.Counter
+	// PromisesWithheld counts answers with a status that would tell callers the same, which were not passed on.
+	UnprovenRejections, PromisesWithheld *metrics.Counter
 	// InvalidAttempts counts the attempts that were not sent since they lacked a cache salt or, at engines, a
 	// version of the weights. InvalidPrompts counts requests that were refused since a header about the prompt
 	// cannot be parsed or names no model.
@@ -106,6 +107,7 @@
 		Attempts: c("sends_total"), Retries: c("sends_repeated_total"), StreamsResumed: c("streams_resumed_total"),
 		MismatchedResponses: c("answers_foreign_total"), NotExecuted: c("targets_refused_total"),
 		Misdirected: c("targets_moved_total"), UnprovenRejections: c("rejections_unproven_total"),
+		PromisesWithheld: c("answers_withheld_total"),
 		Disconnects: map[bool]*metrics.Counter{
 			false: c(`requests_disconnected_total{answer="none"}`), true: c(`requests_disconnected_total{answer="begun"}`),
 		},
