A planned stop takes only requests whose time ends before it, and answers what is left

Callers saw: in a planned stop of one box, in calm, requests sent late in the notice were taken and passed on, ran, and were cut off at the end of the stop without an answer, among them payments (LOST). A caller that takes such a close for "not read" sends the payment again. Cause: drain took requests for 2.6 s whatever time their route allows, and closed the connections of what was left at the end. Class: a limit on the beginning stands for one on the end. Change: a request is taken while its time (the lesser of its route's and its caller's) ends before the stop does, else refused with 503, Retry-After and Connection: close. 0.2 s before the end what is left is ended: what waits in a queue is refused, what was sent gets 502, streams that have begun break off. None of that counts against the targets.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -88,6 +88,9 @@
 	p.scope = t.Scope(p.organisation)
 	p.regions = regionsOf(p.route, p.organisation)
 	p.setDeadline()
+	if end := p.relay.stopAt.Load(); end != nil && p.deadline.After(*end) {
+		return p.refuseFor(entry.CodeNotReady, "the daemon may stop before the request's time is up", minRetryAfter)
+	}
 	return p.readBody(t.Limits())
 }
 
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -201,6 +201,8 @@
 		return outcomeUnavailable
 	case callerDisconnected(p.r.Context()):
 		return outcomeCallerDisconnected
+	case p.relay.isEnded():
+		return outcomeStopped
 	case errors.Is(err, target.ErrFull):
 		return outcomeNotSent
 	case errors.Is(err, target.ErrSlowOpen):
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -29,9 +29,11 @@
 	outcomeSlowOpen
 	// outcomeInvalid: no byte was sent, since something was missing that every attempt must have.
 	outcomeInvalid
+	// outcomeStopped: the daemon stops; the request may have been executed.
+	outcomeStopped
 )
 
-var outcomeNames = [...]string{"done", "notSent", "stopped", "refused", "broken", "bad", "left", "late", "cut", "slowOpen", "invalid"}
+var outcomeNames = [...]string{"done", "notSent", "stopped", "refused", "broken", "bad", "left", "late", "cut", "slowOpen", "invalid", "ended"}
 
 // String returns the outcome as written in log lines.
 func (o outcome) String() string { return outcomeNames[o] }
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -133,6 +133,9 @@
 // classifyReadError records a response that ended early and returns the outcome. begun is how long ago it began.
 func (p *proxiedRequest) classifyReadError(c *choice, err error, begun time.Duration) outcome {
 	p.note("%v", errors.Cause(err))
+	if p.relay.isEnded() {
+		return outcomeStopped
+	}
 	now := time.Now()
 	if !errors.Is(err, target.ErrDetourLost) {
 		p.recordResponse(c, false)
@@ -158,7 +161,7 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	if p.relay.closeConnections.Load() {
+	if p.relay.stopping() {
 		h.Set("Connection", "close")
 	}
 	p.headerSent = true
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -158,10 +158,13 @@
 	// start is the origin of the monotonic time used by retryBudgets.
 	start   time.Time
 	running atomic.Int64
-	// closeConnections is set by CloseConnections.
-	closeConnections atomic.Bool
-	// refusing is set near the end of a graceful shutdown: new requests are refused.
+	// stopAt is when a graceful shutdown ends; nil before it begins.
+	stopAt atomic.Pointer[time.Time]
+	// refusing is set late in a graceful shutdown: new requests are refused.
 	refusing atomic.Bool
+	// ended is cancelled at the end of a graceful shutdown: requests that are left are answered without their targets.
+	ended context.Context
+	end   context.CancelFunc
 	// owners queries the owners of contexts in other cells. It may be nil, and is set before the
 	// first request.
 	owners *ContextOwners
@@ -200,6 +203,7 @@
 		arrivalRates: map[string]*learn.Rate{},
 	}
 	rl.admission = newAdmission(&rl.options)
+	rl.ended, rl.end = context.WithCancel(context.Background())
 	if o.Pool != nil {
 		o.Pool.OnFound = rl.recordReachable
 	}
@@ -234,12 +238,23 @@
 // Waiting returns the number of requests that wait for a target.
 func (rl *Relay) Waiting() int64 { return rl.admission.waiting.Load() }
 
-// CloseConnections starts a graceful shutdown: from now on each answer closes its connection.
-func (rl *Relay) CloseConnections() { rl.closeConnections.Store(true) }
+// BeginStop starts a graceful shutdown: from now on each answer closes its connection, and requests that may
+// take longer than until end are refused.
+func (rl *Relay) BeginStop(end time.Time) { rl.stopAt.Store(&end) }
 
-// RefuseRequests makes the relay refuse new requests, near the end of a graceful shutdown.
+// stopping reports whether a graceful shutdown has begun.
+func (rl *Relay) stopping() bool { return rl.stopAt.Load() != nil }
+
+// RefuseRequests makes the relay refuse new requests, late in a graceful shutdown.
 func (rl *Relay) RefuseRequests() { rl.refusing.Store(true) }
 
+// EndRequests ends the requests that are left at the end of a graceful shutdown: those that were not sent are refused, and
+// those without an answer get one that tells that the outcome is unknown. Streams that have begun break off.
+func (rl *Relay) EndRequests() { rl.end() }
+
+// isEnded reports whether EndRequests was called.
+func (rl *Relay) isEnded() bool { return rl.ended.Err() != nil }
+
 // minOutage is the least expected remaining time of an outage of the coordination store: outages
 // last for seconds.
 const minOutage = time.Second
@@ -273,7 +288,7 @@
 	rl.running.Add(1)
 	defer rl.running.Add(-1)
 	rl.options.Stats.Requests.Inc()
-	if rl.closeConnections.Load() {
+	if rl.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	p := &proxiedRequest{
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -439,7 +439,7 @@
 func TestGracefulShutdown(t *testing.T) {
 	r := newRig(t, nil)
 	r.target("t1", "plain", always(respond(200, "yes")))
-	r.relay.CloseConnections()
+	r.relay.BeginStop(time.Now().Add(time.Hour))
 	a := r.send(http.MethodPost, "/once/", "x")
 	r.g.Expect(a.status).To(gomega.Equal(200))
 	r.relay.RefuseRequests()
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -131,6 +131,7 @@
 	p.lastEventID = p.meta.LastEventID
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.deadline.Add(deadlineMargin))
 	defer cancel()
+	defer context.AfterFunc(p.relay.ended, cancel)()
 	if refusal := p.bindResumed(ctx); refusal != nil {
 		return refusal
 	}
@@ -167,6 +168,8 @@
 			return nil
 		case outcomeTimedOut:
 			return p.giveUp(failed, "the time is up")
+		case outcomeStopped:
+			return p.giveUp(failed, daemonStops)
 		case outcomeUnavailable:
 			// While the target is unavailable it is not eligible anyway.
 			p.uncountAttempt(c.target.ID())
@@ -188,6 +191,9 @@
 	}
 }
 
+// daemonStops is the reason for giving up requests that are left at the end of a graceful shutdown.
+const daemonStops = "the daemon stops"
+
 // unreachableReason returns why no connection opens. A box that is partitioned, and for which no other one
 // opens connections, expects to remain so for as long as it has been.
 func (p *proxiedRequest) unreachableReason() string {
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -294,8 +294,11 @@
 // classifyBrokenStream records a stream that broke and returns the outcome.
 func (p *proxiedRequest) classifyBrokenStream(c *choice, st *responseStream, err error) outcome {
 	p.note("%v", errors.Cause(err))
-	if callerDisconnected(p.r.Context()) {
+	switch {
+	case callerDisconnected(p.r.Context()):
 		return outcomeCallerDisconnected
+	case p.relay.isEnded():
+		return outcomeStopped
 	}
 	now := time.Now()
 	if !errors.Is(err, target.ErrDetourLost) {
--- a/emberd/internal/host/ready.go
+++ b/emberd/internal/host/ready.go
@@ -52,21 +52,24 @@
 	noticeTime = 2600 * time.Millisecond
 	// stopMargin is the part of Bounds.Stop that is reserved for the exit of the process.
 	stopMargin = 700 * time.Millisecond
+	// answerMargin is the part before that in which requests that are left are answered without their targets.
+	answerMargin = 200 * time.Millisecond
 	// drainPollInterval is the interval at which drain checks for running requests.
 	drainPollInterval = 50 * time.Millisecond
 )
 
-// drain serves new requests until the platform has stopped sending connections. Then it refuses
-// requests on connections that stayed open, since a long answer might not finish before the
-// deadline, and waits for running requests.
+// drain serves new requests until the platform has stopped sending connections, if their time ends before
+// the shutdown does. Then it refuses requests on connections that stayed open, and waits for running
+// requests. Those that are left at its end are answered without their targets.
 func (h *Host) drain(callers *http.Server) {
 	started := time.Now()
+	deadline := started.Add(h.settings.Bounds.Stop - stopMargin)
+	end := deadline.Add(-answerMargin)
 	h.draining.Store(true)
-	h.relay.CloseConnections()
+	h.relay.BeginStop(end)
 	h.fleet.Drain()
 	h.detours.Close()
 	h.log.Emit(event.DaemonDraining, event.Ref{}, "")
-	deadline := started.Add(h.settings.Bounds.Stop - stopMargin)
 	for time.Now().Before(deadline) {
 		if time.Since(started) > noticeTime {
 			h.relay.RefuseRequests()
@@ -74,9 +77,12 @@
 				break
 			}
 		}
+		if time.Now().After(end) {
+			h.relay.EndRequests()
+		}
 		time.Sleep(drainPollInterval)
 	}
-	// What remains are idle connections, and requests that run longer than the shutdown may take.
+	// What remains are idle connections, and streams to callers that do not read.
 	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(drainPollInterval)
 }
