Messages of other daemons and answers of the store have a memory budget

Operators of systems like this saw bytes without end take a machine over its memory. Targets were bounded before; other senders were open. Cause: a frame may have 32 MiB on each of 1,024 connections, and an answer of the store 32 MiB a call; no sum. Class: a bound for each does not bound their sum. Change: both count in a budget of their own, a fifth of the memory, so that callers' requests take no room from them. Who finds none is cut off and tries again; 16 KiB each always find room. held_bytes has "frames".

--- a/core/fleet/call.go
+++ b/core/fleet/call.go
@@ -23,6 +23,7 @@
 			f.closeLink(l)
 		}
 		l = wire.NewLink(f.opts.Name, p.Name, p.Address, f.opts.TLS)
+		l.Memory = f.opts.Memory
 		l.OnReplaced = func(silence time.Duration) { f.connectionReplaced(p.Name, silence) }
 		f.links[p.Name] = l
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"embertally.dev/core/clock"
 	"embertally.dev/core/event"
+	"embertally.dev/core/memory"
 	"embertally.dev/core/plat"
 	"embertally.dev/core/wire"
 )
@@ -48,7 +49,9 @@
 	Boxes BoxLister
 	// TLS returns the client-side configuration; nil for connections without TLS.
 	TLS func() *tls.Config
-	Log *event.Log
+	// Memory, if set, bounds what is held of messages while they are read.
+	Memory *memory.Budget
+	Log    *event.Log
 }
 
 // Fleet tracks the daemons of the fleet and maintains the current View.
@@ -91,6 +94,7 @@
 		opts: opts, trigger: make(chan struct{}, 1), peerStates: map[string]*peerState{}, links: map[string]*wire.Link{},
 		drainOrders: map[string]DrainOrder{}, lostUntil: map[string]clock.Time{},
 	}
+	f.mux.Memory = opts.Memory
 	f.mux.Register(kindHeartbeat, wire.Handle(f.receive))
 	f.Attach("marks", (*drainOrderPart)(f))
 	f.rebuild()
--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -27,17 +27,19 @@
 	Events
 	// Calls are responses to calls other than callers' requests: orders, reports and lists of targets.
 	Calls
+	// Frames are messages of other daemons that are being read.
+	Frames
 	// kinds is the number of kinds.
 	kinds
 )
 
-var kindNames = [kinds]string{"requests", "heads", "bodies", "events", "calls"}
+var kindNames = [kinds]string{"requests", "heads", "bodies", "events", "calls", "frames"}
 
 // String returns the kind as written in log lines and metrics.
 func (k Kind) String() string { return kindNames[k] }
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Requests, Heads, Bodies, Events, Calls} }
+func Kinds() []Kind { return []Kind{Requests, Heads, Bodies, Events, Calls, Frames} }
 
 // ErrFull means that a budget has no room for more bytes.
 var ErrFull = errors.New("the memory for requests and responses is used up")
--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"embertally.dev/core/memory"
 )
 
 // Kind identifies the type of a message.
@@ -57,8 +59,9 @@
 // arrived, so that a sender that states a false length must send bytes before more is allocated.
 const firstRead = 64 << 10
 
-// decode reads one frame from r and returns its content and the frame's size in bytes.
-func decode(r io.Reader) (*envelope, int, error) {
+// decode reads one frame from r and returns its content and the frame's size in bytes. budget, which may be nil, bounds what
+// is held of all frames while they are read.
+func decode(r io.Reader, budget *memory.Budget) (*envelope, int, error) {
 	var header [headerSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, 0, errors.WithStack(err)
@@ -67,7 +70,9 @@
 	if size > MaxFrame {
 		return nil, 0, errors.WithStack(ErrTooLarge)
 	}
-	body, err := readBody(r, size)
+	held := budget.Hold(memory.Frames)
+	defer held.Release()
+	body, err := readBody(r, size, held)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -78,11 +83,14 @@
 	return &e, headerSize + size, nil
 }
 
-func readBody(r io.Reader, size int) ([]byte, error) {
+func readBody(r io.Reader, size int, held *memory.Holding) ([]byte, error) {
 	body := make([]byte, 0, min(size, firstRead))
 	for len(body) < size {
 		at := len(body)
 		step := min(size-at, max(at, firstRead))
+		if err := held.Grow(int64(step)); err != nil {
+			return nil, err
+		}
 		body = append(body, make([]byte, step)...)
 		if _, err := io.ReadFull(r, body[at:]); err != nil {
 			return nil, errors.WithStack(err)
--- a/core/wire/frame_bench_test.go
+++ b/core/wire/frame_bench_test.go
@@ -45,7 +45,7 @@
 	frame := usualFrame(b)
 	b.SetBytes(int64(len(frame)))
 	for b.Loop() {
-		if _, _, err := decode(bytes.NewReader(frame)); err != nil {
+		if _, _, err := decode(bytes.NewReader(frame), nil); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -56,7 +56,7 @@
 	handler := Handle(func(context.Context, string, *[]benchRecord) (any, error) { return nil, nil })
 	b.SetBytes(int64(len(frame)))
 	for b.Loop() {
-		e, _, err := decode(bytes.NewReader(frame))
+		e, _, err := decode(bytes.NewReader(frame), nil)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -17,10 +17,10 @@
 		frame, err := encode(e)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		for cut := range frame {
-			_, _, err := decode(bytes.NewReader(frame[:cut]))
+			_, _, err := decode(bytes.NewReader(frame[:cut]), nil)
 			g.Expect(err).To(gomega.HaveOccurred(), "cut after %d of %d bytes", cut, len(frame))
 		}
-		_, n, err := decode(bytes.NewReader(frame))
+		_, n, err := decode(bytes.NewReader(frame), nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(n).To(gomega.Equal(len(frame)))
 	}
--- a/core/wire/fuzz_test.go
+++ b/core/wire/fuzz_test.go
@@ -31,7 +31,7 @@
 		var stream []byte
 		decoded := func(r io.Reader) (list []*envelope, used int) {
 			for {
-				e, n, err := decode(r)
+				e, n, err := decode(r, nil)
 				if err != nil {
 					return list, used
 				}
@@ -48,11 +48,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, n, err := decode(bytes.NewReader(frame))
+		got, n, err := decode(bytes.NewReader(frame), nil)
 		if err != nil || n != len(frame) || got.ID != id || got.Kind != Kind(kind) || got.Err != text || !sameMessage(got.Body, sent.Body) {
 			t.Fatalf("%+v as %+v, %v", sent, got, err)
 		}
-		if e, _, err := decode(bytes.NewReader(frame[:int(id%uint64(len(frame)))])); err == nil {
+		if e, _, err := decode(bytes.NewReader(frame[:int(id%uint64(len(frame)))]), nil); err == nil {
 			t.Fatalf("a cut frame as %+v", e)
 		}
 		stream = append(append(stream, frame...), more...)
@@ -95,6 +95,6 @@
 	body := append(bytes.Repeat([]byte{0x91}, depth), 0xc0)
 	raw := append([]byte{0x94, 1, 0xa1, 'k', 0xa0}, body...)
 	frame := append(binary.BigEndian.AppendUint32(nil, uint32(len(raw))), raw...)
-	_, _, err := decode(bytes.NewReader(frame))
+	_, _, err := decode(bytes.NewReader(frame), nil)
 	gomega.NewWithT(t).Expect(err).To(gomega.HaveOccurred())
 }
--- a/core/wire/health.go
+++ b/core/wire/health.go
@@ -177,7 +177,7 @@
 	stop := context.AfterFunc(ctx, d.fail)
 	defer stop()
 	prober{d}.run()
-	e, _, err := decode(d)
+	e, _, err := decode(d, d.link.Memory)
 	if err != nil {
 		return false
 	}
--- a/core/wire/link.go
+++ b/core/wire/link.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"embertally.dev/core/memory"
 )
 
 // ErrRemote wraps errors returned by the peer's handler. After any other error of a call except
@@ -33,6 +35,8 @@
 	// on their connection either.
 	unheardCalls atomic.Int64
 
+	// Memory, if set, bounds what is held of frames while they are read. It is set before the first call.
+	Memory *memory.Budget
 	// OnReplaced, if set, is called when another connection has replaced one that had gone silent. It
 	// is set before the first call.
 	OnReplaced func(silence time.Duration)
@@ -307,7 +311,7 @@
 	d.watchHealth()
 	r := bufio.NewReaderSize(d, readBuffer)
 	for {
-		e, n, err := decode(r)
+		e, n, err := decode(r, d.link.Memory)
 		if err != nil {
 			return
 		}
--- a/core/wire/mux.go
+++ b/core/wire/mux.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"embertally.dev/core/bugs"
+	"embertally.dev/core/memory"
 )
 
 // Handler handles one kind of message and returns the response. from is the sender's name; with
@@ -40,7 +41,9 @@
 	// OnReject, if set, is called for each connection that is rejected because the peer did not
 	// prove its name.
 	OnReject func(address string, err error)
-	bytes    atomic.Int64
+	// Memory, if set, bounds what is held of frames while they are read. It is set before Serve.
+	Memory *memory.Budget
+	bytes  atomic.Int64
 
 	connsMu sync.Mutex
 	// conns are the open connections. Guarded by connsMu.
@@ -171,7 +174,7 @@
 	r := bufio.NewReaderSize(s.conn, readBuffer)
 	for {
 		s.conn.SetReadDeadline(time.Now().Add(idleLimit))
-		e, n, err := decode(r)
+		e, n, err := decode(r, s.mux.Memory)
 		if err != nil {
 			return
 		}
@@ -205,7 +208,7 @@
 		}
 		names = certNames(tc)
 	}
-	e, _, err := decode(s.conn)
+	e, _, err := decode(s.conn, s.mux.Memory)
 	if err != nil {
 		return err
 	}
--- a/core/wire/stream.go
+++ b/core/wire/stream.go
@@ -93,7 +93,7 @@
 	if _, err := conn.Write(request); err != nil {
 		return errors.WithStack(err)
 	}
-	response, _, err := decode(conn)
+	response, _, err := decode(conn, nil)
 	if err != nil {
 		return err
 	}
--- a/core/wire/wire_test.go
+++ b/core/wire/wire_test.go
@@ -148,7 +148,7 @@
 	f.Add(binary.BigEndian.AppendUint32(nil, MaxFrame+1))
 	f.Add(binary.BigEndian.AppendUint32(nil, MaxFrame))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		e, n, err := decode(bytes.NewReader(raw))
+		e, n, err := decode(bytes.NewReader(raw), nil)
 		if err != nil {
 			return
 		}
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -79,9 +79,11 @@
 	firstAnswerTimes *learn.Times
 	targetStats      learn.Targets
 	// memory bounds what is held of requests and responses.
-	memory  memory.Budget
-	pool    *target.Pool
-	detours *detour.Boxes
+	memory memory.Budget
+	// controlMemory bounds what is held of other daemons' messages and the store's responses: requests leave room for these.
+	controlMemory memory.Budget
+	pool          *target.Pool
+	detours       *detour.Boxes
 	// partitioned is the last result of recordPartition.
 	partitioned    atomic.Bool
 	relay          *relay.Relay
@@ -137,6 +139,7 @@
 	h.storeClient.OnReplaced = func() { h.log.Emit(event.ConnectionReplaced, event.Ref{}, "the coordination store") }
 	h.engineClient.ManyServices = true
 	h.memory.Limit = int64(heldShare * float64(settings.MemoryMB<<20))
+	h.controlMemory.Limit, h.storeClient.Memory = h.memory.Limit, &h.controlMemory
 	h.engineClient.Memory, h.engineClient.MaxResponse = &h.memory, maxCallResponse
 	h.store = platform.NewStore("http://"+settings.Store, h.storeClient)
 	h.watchCache = plat.NewWatchCache(h.store, plat.Prefix(""), h.log)
@@ -148,7 +151,7 @@
 	h.fleet = fleet.New(fleet.Options{
 		Name: settings.Name, Incarnation: incarnation, Address: settings.Peers, Domain: settings.Domain,
 		HeartbeatInterval: settings.Tuning.Heartbeat, SuspectAfter: settings.Tuning.Suspect,
-		BoxPollInterval: boxPollInterval, Boxes: &boxList{watchCache: h.watchCache, log: h.log}, Log: h.log,
+		BoxPollInterval: boxPollInterval, Boxes: &boxList{watchCache: h.watchCache, log: h.log}, Memory: &h.controlMemory, Log: h.log,
 	})
 	h.fleet.Attach("roster", roster.HeartbeatPart{Roster: h.roster})
 	h.fleet.Attach("slow", roster.SlowPart{Roster: h.roster})
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -163,14 +163,21 @@
 		{"target_control_connections_replaced_total", func() float64 { return float64(h.engineClient.Replaced()) }},
 		{"store_calls_unheard_total", func() float64 { return float64(h.storeClient.UnheardCalls()) }},
 		{"target_calls_unheard_total", func() float64 { return float64(h.engineClient.UnheardCalls()) }},
-		{"holdings_refused_total", func() float64 { return float64(h.memory.Refused()) }},
+		{"holdings_refused_total", func() float64 { return float64(h.memory.Refused() + h.controlMemory.Refused()) }},
 		{"retry_extra", h.relay.RetryExtra},
 		{"peer_bytes_total", func() float64 { return float64(h.fleet.Bytes()) }},
 	} {
 		h.stats.Gauge(g.name, g.f)
 	}
 	for _, kind := range memory.Kinds() {
-		h.stats.Gauge(`held_bytes{of="`+kind.String()+`"}`, func() float64 { now, _ := h.memory.Held(kind); return float64(now) })
-		h.stats.Gauge(`held_bytes_max{of="`+kind.String()+`"}`, func() float64 { _, most := h.memory.Held(kind); return float64(most) })
+		held := func() (now, most float64) {
+			for _, budget := range []*memory.Budget{&h.memory, &h.controlMemory} {
+				n, m := budget.Held(kind)
+				now, most = now+float64(n), most+float64(m)
+			}
+			return now, most
+		}
+		h.stats.Gauge(`held_bytes{of="`+kind.String()+`"}`, func() float64 { now, _ := held(); return now })
+		h.stats.Gauge(`held_bytes_max{of="`+kind.String()+`"}`, func() float64 { _, most := held(); return most })
 	}
 }
