--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -187,7 +187,7 @@
 	{StreamResumed, "streamResumed", Warning, "A broken stream continues after the last token that was delivered."},
 	{StreamBroken, "streamBroken", Warning, "A stream could not be resumed and was ended with an explicit error."},
 	{CallerGone, "callerGone", Info, "The caller closed its connection; the request is cancelled at the target."},
-	{AnswerRejected, "answerRejected", Error, "A target's response belongs to another request or weights version and was discarded."},
+	{AnswerRejected, "answerRejected", Error, "A target's response names another request or weights version, or no request, or contradicts itself; it was discarded."},
 	{RequestSuspected, "requestSuspected", Warning, "Two incarnations of targets crashed while they processed the same request; the text has the request digest and the incarnations."},
 	{RequestBlocked, "requestBlocked", Error, "A request is no longer sent, because incarnations of targets crash under it; the text has the request digest, the parts if all prompts that hold them are blocked, how long, how often so far, and the crashes or the daemon that reported it."},
 	{RequestReleased, "requestReleased", Info, "A blocked request may be sent again; the text has the reason."},
