emberd run: an answer without an ID counts only on a connection of its own

Callers saw: the answer to another call, of whatever organisation, where a target sent one late on a connection that was used again. Change: a target gets calls on shared connections only while its answers name their calls; an answer without ID on a used connection, or with several IDs, is discarded and the call goes elsewhere. Targets that repeat no ID cost a connection for each call.

--- a/core/entry/server.go
+++ b/core/entry/server.go
@@ -36,7 +36,8 @@
 	Poison *poison.Guard
 	Log    *event.Log
 	// EngineClient is the client for engines, RepeatableClient that for repeatable calls of plain
-	// services, and OnceClient that for calls of plain services that may not be repeated.
+	// services, and OnceClient, which opens a connection for each call, that for calls of plain services that
+	// may not be repeated or whose target does not name the call in its answers.
 	EngineClient, RepeatableClient, OnceClient *http.Client
 	// MaxBodyBytes bounds the body of a request, in bytes.
 	MaxBodyBytes int64
--- a/core/entry/service.go
+++ b/core/entry/service.go
@@ -46,7 +46,9 @@
 	// avoidUntil is the time until which a target is avoided after a failed call, by target. Guarded
 	// by inflightMu.
 	avoidUntil map[string]time.Time
-	offset     int // where the next search starts; guarded by inflightMu
+	// named holds the targets whose last answer named the call that it is for. Guarded by inflightMu.
+	named  map[string]bool
+	offset int // where the next search starts; guarded by inflightMu
 }
 
 // avoidTime is how long a target is avoided after a failed call while there are others.
@@ -90,6 +92,23 @@
 	}
 }
 
+// recordNamed records whether an answer of a target named its call.
+func (f *inflight) recordNamed(name string, named bool) {
+	f.inflightMu.Lock()
+	defer f.inflightMu.Unlock()
+	if f.named == nil {
+		f.named = map[string]bool{}
+	}
+	f.named[name] = named
+}
+
+// namesCalls reports whether the last answer of a target named its call.
+func (f *inflight) namesCalls(name string) bool {
+	f.inflightMu.Lock()
+	defer f.inflightMu.Unlock()
+	return f.named[name]
+}
+
 // call is one call of a plain service.
 type call struct {
 	s       *Server
@@ -417,7 +436,11 @@
 			tried = append(tried, name)
 			continue
 		}
-		ans, _, err := k.send(ctx, k.s.o.RepeatableClient, name)
+		client := k.s.o.OnceClient
+		if k.s.calls.namesCalls(name) {
+			client = k.s.o.RepeatableClient
+		}
+		ans, _, err := k.send(ctx, client, name)
 		k.s.calls.done(name, err != nil, time.Now())
 		if err == nil && !isTransient(ans.status) {
 			return ans, nil
@@ -442,9 +465,12 @@
 func (k *call) send(ctx context.Context, client *http.Client, name string) (ans *answer, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, k.route.Timeout.Or(defaultCallTimeout))
 	defer cancel()
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(info.Reused)
+		},
 	})
 	req, err := k.newRequest(ctx, k.q.snap.Target(name))
 	if err != nil {
@@ -456,8 +482,12 @@
 		return nil, connected.Load(), errors.WithStack(err)
 	}
 	defer resp.Body.Close()
-	if id := resp.Header.Get(HeaderRequestID); id != "" && id != k.q.id {
-		k.s.o.Log.Emit(event.AnswerRejected, k.q.ref(name), "answer "+id)
+	ids := resp.Header.Values(HeaderRequestID)
+	named := len(ids) == 1 && ids[0] == k.q.id
+	k.s.calls.recordNamed(name, named)
+	if !named && (len(ids) > 0 || reused.Load()) {
+		// On a connection of its own, an answer without ID can only be that to the call.
+		k.s.o.Log.Emit(event.AnswerRejected, k.q.ref(name), fmt.Sprintf("answer to %q", ids))
 		return nil, true, errors.WithStack(errWrongResponse)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
