Log and metric of the connection that carried a request

The lines of a request named the target's ID only, so that a request sent again to the same process under another ID, or on a connection that had carried it, could not be told from one sent elsewhere. A connection now has a number and remembers the IDs that it carried; a request's line names the connection of each response that is a rejection or proves nothing, and of each attempt after the first, and sends_repeated_on_connection_total counts attempts on a connection that had carried their ID. No choice depends on it.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -144,6 +144,9 @@
 	if f.bodyErr != nil {
 		p.note("broke off before the first byte of its body: %v", errors.Cause(f.bodyErr))
 	}
+	if carriage := resp.Carriage(); p.attempts > 0 || carriage.Repeated() {
+		p.note("%s: %s", c.target.ID(), carriage)
+	}
 	if box := resp.Box(); box != "" {
 		p.note("by way of %s", box)
 		p.relay.options.Stats.DetouredAttempts.Inc()
@@ -189,6 +192,9 @@
 func (p *proxiedRequest) classifyNoResponse(f *flight) outcome {
 	ctx, c, err := f.ctx, f.c, f.err
 	p.note("%v", errors.Cause(err))
+	if carriage, ok := target.CarriageOf(err); ok {
+		p.note("%s: %s", c.target.ID(), carriage)
+	}
 	sent := !p.retract(proofOfNothingSent(err))
 	if sent {
 		p.attempts++
@@ -281,7 +287,7 @@
 // the outcome of the attempt.
 func (p *proxiedRequest) checkResponse(c *choice, resp *target.Response, respMeta *ResponseMeta) (outcome, bool) {
 	says := respMeta.statement(p.meta.AttemptID)
-	p.noteStatement(c, resp.Status, respMeta, says)
+	p.noteStatement(c, resp, respMeta, says)
 	misdirected := resp.Status == http.StatusMisdirectedRequest
 	if says != saysNothing {
 		p.recordSelfReport(c, misdirected, respMeta)
@@ -316,12 +322,12 @@
 }
 
 // noteStatement records what a response says of the request's execution, unless it is an ordinary answer.
-func (p *proxiedRequest) noteStatement(c *choice, status int, respMeta *ResponseMeta, says statement) {
-	if says == saysExecuted && !isPromise(status) {
+func (p *proxiedRequest) noteStatement(c *choice, resp *target.Response, respMeta *ResponseMeta, says statement) {
+	if says == saysExecuted && !isPromise(resp.Status) {
 		return
 	}
-	text := respMeta.describe(status, p.meta.AttemptID)
-	p.note("%s: %s: %s", c.target.ID(), text, says)
+	text := respMeta.describe(resp.Status, p.meta.AttemptID)
+	p.note("%s: %s: %s; %s", c.target.ID(), text, says, resp.Carriage())
 	if says != saysNothing {
 		return
 	}
@@ -369,7 +375,7 @@
 	p.note("%s is told salt %q, weights %d, priority %d", meta.Target, meta.CacheSalt, meta.WeightVersion, meta.Priority)
 	p.noteReplacedWeights(c)
 	out := &target.Request{
-		Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body,
+		ID: p.meta.AttemptID, Method: p.r.Method, URI: p.r.RequestURI, Host: p.r.Host, Header: h, Body: p.body,
 		BeforeWrite: p.availabilityCheck(c),
 	}
 	if !p.route.MayRepeat() {
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -63,6 +63,8 @@
 	// Opened counts the connections opened to targets, OpensRefused the attempts to open one that were
 	// refused, and OpensUnanswered those that got no answer.
 	Opened, OpensRefused, OpensUnanswered *metrics.Counter
+	// RepeatedOnConnection counts the attempts on a connection that had carried an attempt with the same ID before.
+	RepeatedOnConnection *metrics.Counter
 	// DetoursOpened counts the connections to targets that were opened through another box, DetoursFailed
 	// those that none opened, and DetoursForwarded those opened for other boxes. DetouredAttempts counts
 	// the attempts that were answered by way of another box.
@@ -129,7 +131,8 @@
 		Opened:             c("target_connections_opened_total"),
 		OpensRefused:       c("target_connections_refused_total"),
 		OpensUnanswered:    c("target_connections_unanswered_total"), Blocked: c("requests_blocked_total"),
-		StreamsJudged: c("streams_judged_total"), StreamsPaused: c("streams_paused_total"),
+		RepeatedOnConnection: c("sends_repeated_on_connection_total"),
+		StreamsJudged:        c("streams_judged_total"), StreamsPaused: c("streams_paused_total"),
 		StreamsReserved: c("streams_reserved_total"), StreamsOverflowed: c("streams_overflowed_total"),
 		PromptsOnReserved: c("prompts_on_reserved_total"),
 		ReportedShutdown:  c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
--- /dev/null
+++ b/core/target/carried.go
@@ -0,0 +1,88 @@
+package target
+
+import (
+	"fmt"
+	"hash/maphash"
+
+	"github.com/pkg/errors"
+)
+
+// A response is matched with its request by the request's ID. If a connection carries one ID twice, what a target sent
+// about the first request cannot be told from what it sends about the second.
+
+// maxCarried is how many requests a connection remembers.
+const maxCarried = 1024
+
+// carriedSeed makes hashes of IDs that callers cannot foresee.
+var carriedSeed = maphash.MakeSeed()
+
+// carriedIDs remembers the IDs of the requests that one connection has carried. The zero value is empty.
+type carriedIDs struct {
+	// hashes holds one hash for each ID, at most maxCarried. Two IDs with one hash count as the same ID.
+	hashes []uint64
+}
+
+// has reports whether the connection has carried an ID. An empty ID names no request.
+func (c *carriedIDs) has(id string) bool {
+	if id == "" {
+		return false
+	}
+	hash := maphash.String(carriedSeed, id)
+	for _, h := range c.hashes {
+		if h == hash {
+			return true
+		}
+	}
+	return false
+}
+
+// add remembers an ID.
+func (c *carriedIDs) add(id string) {
+	if id != "" && !c.full() {
+		c.hashes = append(c.hashes, maphash.String(carriedSeed, id))
+	}
+}
+
+// full reports whether no more IDs are remembered.
+func (c *carriedIDs) full() bool { return len(c.hashes) >= maxCarried }
+
+// Carriage tells which connection carried a request. The zero value means that the request was not sent.
+type Carriage struct {
+	address string
+	// connection tells the connection from the others of the pool, and requests is the number of requests that it has carried,
+	// with this one.
+	connection uint64
+	requests   int
+	repeated   bool
+}
+
+// Repeated reports whether the connection had carried a request with the same ID before.
+func (c Carriage) Repeated() bool { return c.repeated }
+
+// String describes the connection for log lines.
+func (c Carriage) String() string {
+	out := fmt.Sprintf("connection %d to %s, request %d on it", c.connection, c.address, c.requests)
+	if c.repeated {
+		out += ", which had carried its ID before"
+	}
+	return out
+}
+
+// carry records that a request is about to be written to the connection.
+func (c *poolConn) carry(req *Request) Carriage {
+	out := Carriage{address: c.address, connection: c.number, requests: len(c.carried.hashes) + 1, repeated: c.carried.has(req.ID)}
+	if out.repeated && c.pool.Repeated != nil {
+		c.pool.Repeated.Inc()
+	}
+	c.carried.add(req.ID)
+	return out
+}
+
+// CarriageOf returns which connection carried a request without a response, by the error of Send.
+func CarriageOf(err error) (carriage Carriage, sent bool) {
+	var s *SendError
+	if !errors.As(err, &s) || !s.MayHaveArrived {
+		return Carriage{}, false
+	}
+	return s.carriage, true
+}
--- a/core/target/conn.go
+++ b/core/target/conn.go
@@ -36,6 +36,10 @@
 type poolConn struct {
 	pool    *Pool
 	address string
+	// number tells it from the other connections of the pool.
+	number uint64
+	// carried holds the requests that were written to it.
+	carried carriedIDs
 	// stream carries requests; tcp is the connection under it.
 	stream net.Conn
 	tcp    *net.TCPConn
@@ -90,7 +94,7 @@
 	}
 	head := &headReader{r: arrivalConn{conn, &p.arrivals}}
 	return &poolConn{
-		pool: p, address: address, stream: conn, tcp: conn.(*net.TCPConn),
+		pool: p, address: address, number: p.connections.Add(1), stream: conn, tcp: conn.(*net.TCPConn),
 		head: head, r: bufio.NewReaderSize(head, readBufferSize),
 	}, nil
 }
--- a/core/target/detour.go
+++ b/core/target/detour.go
@@ -156,7 +156,7 @@
 
 // throughBox returns a connection to a target that leads through another box.
 func (p *Pool) throughBox(address string, conn net.Conn, box string) *poolConn {
-	c := &poolConn{pool: p, address: address, stream: conn, tcp: rawConn(conn), box: box}
+	c := &poolConn{pool: p, address: address, number: p.connections.Add(1), stream: conn, tcp: rawConn(conn), box: box}
 	c.detour = NewDetourReader(conn)
 	c.head = &headReader{r: c.detour}
 	c.r = bufio.NewReaderSize(c.head, readBufferSize)
--- a/core/target/exchange.go
+++ b/core/target/exchange.go
@@ -14,6 +14,8 @@
 
 // Request is one request to a target.
 type Request struct {
+	// ID names the request in the responses to it, and is the same each time the request is sent.
+	ID     string
 	Method string
 	// URI is the path and query as the caller sent them.
 	URI    string
@@ -63,6 +65,8 @@
 	// arrived on it: the target closed it before it received the request.
 	ClosedEarly bool
 	cause       error
+	// carriage is valid if MayHaveArrived is set.
+	carriage Carriage
 }
 
 // Error returns the cause and whether the request may have been sent.
@@ -149,6 +153,8 @@
 	conn *poolConn
 	// box is the box that the connection leads through, or "".
 	box string
+	// carriage tells the connection also after conn is nil.
+	carriage Carriage
 	// stopCancel detaches the connection from the context, and reports false if the context had
 	// ended before.
 	stopCancel func() bool
@@ -203,6 +209,9 @@
 // Framing returns what tells where the body ends.
 func (resp *Response) Framing() Framing { return resp.framing }
 
+// Carriage returns which connection the response came on.
+func (resp *Response) Carriage() Carriage { return resp.carriage }
+
 // Box returns the box that the response came by way of, or "".
 func (resp *Response) Box() string { return resp.box }
 
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,8 @@
 	// Opened, if set, counts the connections that were opened. Refused counts attempts to open one that
 	// were refused, and Unanswered those that got no answer at all.
 	Opened, Refused, Unanswered interface{ Inc() }
+	// Repeated, if set, counts the requests that were written to a connection that had carried their ID before.
+	Repeated interface{ Inc() }
 	// Detour, if set, opens connections where this box's own path to a target is broken.
 	Detour Detour
 	// Lender, if set, opens connections where this box's share of a target's connections is used up.
@@ -39,6 +42,8 @@
 	OnFound func(address string)
 
 	arrivals arrivals
+	// connections is the number of connections that were opened, and the number of the last one.
+	connections atomic.Uint64
 
 	poolMu    sync.Mutex
 	addresses map[string]*addressState // guarded by poolMu
@@ -209,7 +214,7 @@
 	}
 	resp := &Response{conn: conn, written: make(chan struct{}), done: ctx.Done()}
 	start := time.Now()
-	resp.box = conn.box
+	resp.box, resp.carriage = conn.box, conn.carry(req)
 	resp.stopCancel = context.AfterFunc(ctx, func() { conn.tcp.SetDeadline(time.Unix(1, 0)) })
 	w := writer{conn, req, &resp.writes, resp.written}
 	resp.writes.Begin()
@@ -234,7 +239,7 @@
 		if c := context.Cause(ctx); c != nil {
 			err = c
 		}
-		return nil, &SendError{MayHaveArrived: true, ClosedEarly: early, cause: err}
+		return nil, &SendError{MayHaveArrived: true, ClosedEarly: early, cause: err, carriage: resp.carriage}
 	}
 	p.recordResponse(address)
 	return resp, nil
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -173,7 +173,7 @@
 	h.storeIndexSync = spread.NewStoreIndexes(engines, h.fleet)
 	h.storeIndexes = cache.NewStoreIndexes(h.storeIndexSync, h.log)
 	h.storeIndexSync.Serve(h.storeIndexes)
-	h.pool = &target.Pool{Memory: &h.memory, Opened: h.stats.Opened, Refused: h.stats.OpensRefused, Unanswered: h.stats.OpensUnanswered}
+	h.pool = &target.Pool{Memory: &h.memory, Opened: h.stats.Opened, Refused: h.stats.OpensRefused, Unanswered: h.stats.OpensUnanswered, Repeated: h.stats.RepeatedOnConnection}
 	h.detours = detour.New(detour.Options{
 		Domain: settings.Domain, Fleet: h.fleet, Pool: h.pool, Locate: h.locateTarget,
 		Opened: h.stats.DetoursOpened, Failed: h.stats.DetoursFailed, Forwarded: h.stats.DetoursForwarded,
