A connection to a target carries no attempt ID twice

Callers got 503 for requests that ran, and requests that may run once ran twice.

Cause: a response is matched with its request by the attempt ID, and a copy of an earlier rejection bears it too. Attempts are counted by the ID of a target's incarnation, connections are kept by address. If the list names another start while the process goes on, the request goes again to the same process, on the connection that carried its first sending, and a copy of that rejection is believed.

Change: each connection remembers a hash of every ID that it carried, and a request is sent on another one if it has carried its ID; an idle one makes room where no more may be opened. A connection is closed after 1,024 attempts, since it remembers no more. Why this works: on one connection no two sendings bear one ID, so the ID tells what a response belongs to, whoever brought the request there: another name of the process, a peer's choice, a resumed stream, or the caller. Connections through other boxes are covered, as each is opened for one pool and never shared.

Not chosen: closing each connection on which a request was rejected, since connections are priced and rejections come in hundreds when targets are full.

--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -65,6 +65,9 @@
 	Opened, OpensRefused, OpensUnanswered *metrics.Counter
 	// RepeatedOnConnection counts the attempts on a connection that had carried an attempt with the same ID before.
 	RepeatedOnConnection *metrics.Counter
+	// ConnectionsPassedOver counts the attempts that were not sent on an idle connection since it had carried one with the same
+	// ID, and ConnectionsRetired the connections that were closed since they remember no more attempts.
+	ConnectionsPassedOver, ConnectionsRetired *metrics.Counter
 	// DetoursOpened counts the connections to targets that were opened through another box, DetoursFailed
 	// those that none opened, and DetoursForwarded those opened for other boxes. DetouredAttempts counts
 	// the attempts that were answered by way of another box.
@@ -131,8 +134,9 @@
 		Opened:             c("target_connections_opened_total"),
 		OpensRefused:       c("target_connections_refused_total"),
 		OpensUnanswered:    c("target_connections_unanswered_total"), Blocked: c("requests_blocked_total"),
-		RepeatedOnConnection: c("sends_repeated_on_connection_total"),
-		StreamsJudged:        c("streams_judged_total"), StreamsPaused: c("streams_paused_total"),
+		RepeatedOnConnection:  c("sends_repeated_on_connection_total"),
+		ConnectionsPassedOver: c("target_connections_passed_over_total"), ConnectionsRetired: c("target_connections_retired_total"),
+		StreamsJudged: c("streams_judged_total"), StreamsPaused: c("streams_paused_total"),
 		StreamsReserved: c("streams_reserved_total"), StreamsOverflowed: c("streams_overflowed_total"),
 		PromptsOnReserved: c("prompts_on_reserved_total"),
 		ReportedShutdown:  c("targets_said_leaving_total"), Pushbacks: c("targets_asked_rest_total"),
--- a/core/target/carried.go
+++ b/core/target/carried.go
@@ -10,7 +10,7 @@
 // A response is matched with its request by the request's ID. If a connection carries one ID twice, what a target sent
 // about the first request cannot be told from what it sends about the second.
 
-// maxCarried is how many requests a connection remembers.
+// maxCarried is how many requests a connection carries at the most: it remembers the IDs of all of them.
 const maxCarried = 1024
 
 // carriedSeed makes hashes of IDs that callers cannot foresee.
@@ -38,12 +38,12 @@
 
 // add remembers an ID.
 func (c *carriedIDs) add(id string) {
-	if id != "" && !c.full() {
+	if id != "" {
 		c.hashes = append(c.hashes, maphash.String(carriedSeed, id))
 	}
 }
 
-// full reports whether no more IDs are remembered.
+// full reports whether the connection may carry no more requests.
 func (c *carriedIDs) full() bool { return len(c.hashes) >= maxCarried }
 
 // Carriage tells which connection carried a request. The zero value means that the request was not sent.
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -25,8 +25,10 @@
 	// Opened, if set, counts the connections that were opened. Refused counts attempts to open one that
 	// were refused, and Unanswered those that got no answer at all.
 	Opened, Refused, Unanswered interface{ Inc() }
-	// Repeated, if set, counts the requests that were written to a connection that had carried their ID before.
-	Repeated interface{ Inc() }
+	// Repeated, if set, counts the requests that were written to a connection that had carried their ID before, which no
+	// request should be. PassedOver counts those that were not sent on an idle connection for that reason, Retired the
+	// connections that were closed since they remember no more requests.
+	Repeated, PassedOver, Retired interface{ Inc() }
 	// Detour, if set, opens connections where this box's own path to a target is broken.
 	Detour Detour
 	// Lender, if set, opens connections where this box's share of a target's connections is used up.
@@ -341,7 +343,7 @@
 // ends.
 func (p *Pool) get(ctx context.Context, address string, req *Request) (*poolConn, error) {
 	for {
-		conn, canOpen := p.reserve(address, req.MaxIdle, req.NewConnection)
+		conn, canOpen := p.reserve(address, req)
 		if conn != nil {
 			return conn, nil
 		}
@@ -357,26 +359,31 @@
 	}
 }
 
-// reserve returns an idle connection that is still alive, or whether a new one may be opened. In
-// that case the new one is counted already. With onlyNew no idle connection is returned, and one is
-// closed if that makes room for a new one.
-func (p *Pool) reserve(address string, maxIdle time.Duration, onlyNew bool) (*poolConn, bool) {
+// reserve returns an idle connection that is still alive and has not carried the request, or whether a new one may be
+// opened. In that case the new one is counted already. With NewConnection no idle connection is returned. One that may
+// not be used is closed if that makes room for a new one.
+func (p *Pool) reserve(address string, req *Request) (*poolConn, bool) {
 	p.poolMu.Lock()
 	defer p.poolMu.Unlock()
 	state := p.state(address)
 	state.removed = false
 	p.want(state)
 	maxIdleTime := state.keepAlive
-	if maxIdle > 0 {
-		maxIdleTime = min(maxIdleTime, maxIdle)
+	if req.MaxIdle > 0 {
+		maxIdleTime = min(maxIdleTime, req.MaxIdle)
 	}
-	partitioned := p.partitioned()
+	onlyNew, partitioned := req.NewConnection, p.partitioned()
+	var carried *poolConn
 	for i := len(state.idle) - 1; i >= 0 && (!onlyNew || state.full()); i-- {
 		conn := state.idle[i]
 		if partitioned && conn.box == "" && !onlyNew {
 			// It may carry requests again once the box has its paths back.
 			continue
 		}
+		if !onlyNew && conn.carried.has(req.ID) {
+			carried = conn
+			continue
+		}
 		state.idle = slices.Delete(state.idle, i, i+1)
 		if !onlyNew && time.Since(conn.lastUsed) < maxIdleTime && !conn.isDead() && p.fits(conn, state, partitioned) {
 			return conn, false
@@ -384,6 +391,12 @@
 		conn.stream.Close()
 		state.remove(conn)
 	}
+	if carried != nil && p.PassedOver != nil {
+		p.PassedOver.Inc()
+	}
+	if carried != nil && state.full() {
+		state.dropIdle(carried)
+	}
 	if state.full() {
 		return nil, false
 	}
@@ -461,7 +474,11 @@
 	if d, ok := parseKeepAlive(keepAlive); ok {
 		state.keepAlive = d
 	}
-	if state.removed || len(state.idle) >= maxIdle {
+	retired := conn.carried.full()
+	if retired && p.Retired != nil {
+		p.Retired.Inc()
+	}
+	if state.removed || retired || len(state.idle) >= maxIdle {
 		conn.stream.Close()
 		state.remove(conn)
 		p.forget(conn.address, state)
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -173,7 +173,10 @@
 	h.storeIndexSync = spread.NewStoreIndexes(engines, h.fleet)
 	h.storeIndexes = cache.NewStoreIndexes(h.storeIndexSync, h.log)
 	h.storeIndexSync.Serve(h.storeIndexes)
-	h.pool = &target.Pool{Memory: &h.memory, Opened: h.stats.Opened, Refused: h.stats.OpensRefused, Unanswered: h.stats.OpensUnanswered, Repeated: h.stats.RepeatedOnConnection}
+	h.pool = &target.Pool{
+		Memory: &h.memory, Opened: h.stats.Opened, Refused: h.stats.OpensRefused, Unanswered: h.stats.OpensUnanswered,
+		Repeated: h.stats.RepeatedOnConnection, PassedOver: h.stats.ConnectionsPassedOver, Retired: h.stats.ConnectionsRetired,
+	}
 	h.detours = detour.New(detour.Options{
 		Domain: settings.Domain, Fleet: h.fleet, Pool: h.pool, Locate: h.locateTarget,
 		Opened: h.stats.DetoursOpened, Failed: h.stats.DetoursFailed, Forwarded: h.stats.DetoursForwarded,
