A request is not sent again to a process that rejected it, whatever it is listed as

Which targets a request had been sent to was kept by the ID of the incarnation, so that an entry that names another start made a new target of the process that had just rejected the request (payments and streams that run once alike).

Change: a rejection records the address that it came from, and no choice, this daemon's or a peer's, names a target there again for that request. A 421 that names another target is no rejection by the process that was meant. An attempt without a response still counts by the ID: a target that restarts at its address may get a request that may be repeated.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -301,10 +301,13 @@
 		p.recordResponse(c, false)
 		return outcomeIncomplete, false
 	}
+	sameTarget := respMeta.Target == "" || respMeta.Target == c.target.Entry().Name
+	if !misdirected || sameTarget {
+		p.rejectedAt[resp.Carriage().Address()] = true
+	}
 	switch {
 	case misdirected:
 		p.relay.options.Stats.Misdirected.Inc()
-		sameTarget := respMeta.Target == "" || respMeta.Target == c.target.Entry().Name
 		if respMeta.WeightVersion > 0 && sameTarget {
 			p.relay.options.Roster.RecordOtherVersion(c.target.ID(), p.meta.Model, c.weightVersion, respMeta.WeightVersion)
 		}
--- a/core/relay/eligible.go
+++ b/core/relay/eligible.go
@@ -64,10 +64,10 @@
 	list = p.applyRollout(list)
 	untilRouteSettled := p.untilRouteSettled(p.service)
 	for _, t := range list {
-		if p.tried[t.ID()] > 0 {
+		candidate := eligibleTarget{target: t, entry: t.Entry(), health: t.Health(now), load: t.Load()}
+		if p.attempted(t, candidate.entry.Address) {
 			continue
 		}
-		candidate := eligibleTarget{target: t, entry: t.Entry(), health: t.Health(now), load: t.Load()}
 		if !p.domainAllowed(candidate.entry.Domain) {
 			unavailable.outsideRegions++
 			continue
--- a/core/relay/owners.go
+++ b/core/relay/owners.go
@@ -399,7 +399,7 @@
 	if p.relay.sharded(p.service) && response.ListAge <= maxExternalListAge {
 		t = p.relay.options.Roster.AddExternal(response.entry(p.service, p.meta.Model))
 	}
-	if t == nil || !p.domainAllowed(t.Entry().Domain) || !p.versions.Allows(t.Entry().Version) || p.untilRouteSettled(p.service) > 0 ||
+	if t == nil || p.attempted(t, t.Entry().Address) || !p.domainAllowed(t.Entry().Domain) || !p.versions.Allows(t.Entry().Version) || p.untilRouteSettled(p.service) > 0 ||
 		p.untilSettled(t.Entry().Version) > 0 ||
 		(svc.Engine != nil && response.WeightVersion <= 0) || p.weightsOutdated(response.WeightVersion) > 0 {
 		return nil
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -293,7 +293,7 @@
 	}
 	p := &proxiedRequest{
 		relay: rl, w: w, r: r, start: time.Now(), suspends: newSuspendDetector(),
-		originDomain: rl.options.Domain, tried: map[string]int{},
+		originDomain: rl.options.Domain, tried: map[string]int{}, rejectedAt: map[string]bool{},
 	}
 	defer p.releaseHoldings()
 	refusal := p.admit()
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -57,6 +57,8 @@
 
 	// tried counts the attempts at each target, by ID.
 	tried map[string]int
+	// rejectedAt holds the addresses of the processes that rejected the request, each of which may be listed by several IDs.
+	rejectedAt map[string]bool
 	// attempts counts the attempts that reached a target or may have, once they have ended.
 	attempts int
 	// executions counts the attempts that a target may have executed, each from before its first byte is written.
@@ -219,6 +221,11 @@
 	}
 }
 
+// attempted reports whether the request was sent to a target, or was rejected by the process at its address.
+func (p *proxiedRequest) attempted(t *roster.Target, address string) bool {
+	return p.tried[t.ID()] > 0 || p.rejectedAt[address]
+}
+
 // uncountAttempt takes back one attempt at a target.
 func (p *proxiedRequest) uncountAttempt(id string) {
 	if p.tried[id]--; p.tried[id] <= 0 {
--- a/core/target/carried.go
+++ b/core/target/carried.go
@@ -56,6 +56,9 @@
 	repeated   bool
 }
 
+// Address returns the address of the target.
+func (c Carriage) Address() string { return c.address }
+
 // Repeated reports whether the connection had carried a request with the same ID before.
 func (c Carriage) Repeated() bool { return c.repeated }
 
