An attempt ID is admitted once where requests may run once

A caller that was told that its request never runs, and sends it again under the same ID, had it run; a copy of the earlier rejection then gave it another 503 for what was running, and it sent it once more.

Requests that may be repeated are not concerned.

Tests that sent several requests that may run once under one ID give each an ID of its own; the bytes of fake responses name the request that they answer in place of a constant.

--- a/core/entry/refusal.go
+++ b/core/entry/refusal.go
@@ -45,6 +45,7 @@
 	CodeOutcomeUnknown      Code = "outcomeUnknown"
 	CodeInProgress          Code = "inProgress"
 	CodeKeyReused           Code = "keyReused"
+	CodeIDReused            Code = "idReused"
 	CodeKeyExpired          Code = "keyExpired"
 	CodeBadIdempotencyKey   Code = "badIdempotencyKey"
 	CodeClaimUnavailable    Code = "claimUnavailable"
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -85,6 +85,11 @@
 		// No response could be told to be for the request.
 		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, "the request has no ID", 0)
 	}
+	if !p.route.MayRepeat() && !p.relay.usedIDs.use(meta.AttemptID) {
+		p.relay.options.Stats.ReusedIDs.Inc()
+		return entry.NewRefusal(http.StatusBadRequest, entry.CodeIDReused, entry.Unknown,
+			"the ID is that of an earlier attempt, which may have run; each attempt of a request that may run once needs its own", 0)
+	}
 	p.scope = t.Scope(p.organisation)
 	p.regions = regionsOf(p.route, p.organisation)
 	p.setDeadline()
--- a/core/relay/cut_test.go
+++ b/core/relay/cut_test.go
@@ -41,7 +41,7 @@
 }
 
 // answerFields are the fields of an answer to a request of either kind.
-const answerFields = "Id: try-1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n"
+const answerFields = "Id: " + ownID + "\r\nSeal: s\r\nContent-Type: text/event-stream\r\n"
 
 // writeRest writes a whole answer, of a stream with what its caller lacks of the body.
 func writeRest(c net.Conn, req *http.Request, service, body string) {
@@ -66,8 +66,8 @@
 // retried, another one answers whole. isFirst is set if the former got the request first; its connection may be slow to open.
 func (r *rig) sendToNew(n int, path, service, body, sent string, end ending, retried bool) (got callerAnswer, isFirst bool) {
 	a, b := fmt.Sprintf("a-%d", n), fmt.Sprintf("b-%d", n)
-	r.rawTarget(a, service, func(c net.Conn, _ *http.Request) ending {
-		io.WriteString(c, sent)
+	r.rawTarget(a, service, func(c net.Conn, req *http.Request) ending {
+		io.WriteString(c, withOwnID(sent, req))
 		return end
 	})
 	defer r.roster.Remove(a, clock.Now())
@@ -137,7 +137,7 @@
 	var attempts atomic.Int64
 	var wasSent atomic.Bool
 	endOnce := sync.OnceFunc(func() { close(ended) })
-	r.rawTarget("a", service, func(c net.Conn, _ *http.Request) ending {
+	r.rawTarget("a", service, func(c net.Conn, req *http.Request) ending {
 		select {
 		case <-second:
 		case <-time.After(time.Second):
@@ -145,7 +145,7 @@
 			return endsReset
 		}
 		wasSent.Store(true)
-		io.WriteString(c, sent)
+		io.WriteString(c, withOwnID(sent, req))
 		time.AfterFunc(50*time.Millisecond, endOnce)
 		return end
 	})
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -175,6 +175,8 @@
 	// admission holds the requests that wait for a target.
 	admission *admission
 	hedgeGate hedgeGate
+	// usedIDs are those that no further request that may run once may have.
+	usedIDs usedIDs
 
 	// chooseMu is held from reading the targets' load until the chosen target's load is updated.
 	chooseMu sync.Mutex
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,6 +165,8 @@
 
 // rig is a relay in front of fake targets.
 type rig struct {
+	// sent is the number of requests that send has sent. Each has an ID of its own, unless a test sets it.
+	sent       atomic.Int64
 	t          *testing.T
 	g          *gomega.WithT
 	relay      *Relay
@@ -346,6 +349,14 @@
 	return f
 }
 
+// ownID stands for the ID of the request in the bytes of a response.
+const ownID = "{id}"
+
+// withOwnID returns the bytes of the response to a request.
+func withOwnID(sent string, r *http.Request) string {
+	return strings.ReplaceAll(sent, ownID, r.Header.Get("Id"))
+}
+
 // always responds to every request in the same way.
 func always(h handler) func(int) handler { return func(int) handler { return h } }
 
@@ -402,7 +413,7 @@
 	req, err := http.NewRequest(method, r.front.URL+path, strings.NewReader(body))
 	r.g.Expect(err).NotTo(gomega.HaveOccurred())
 	req.Host = "h"
-	req.Header.Set("Id", "try-1")
+	req.Header.Set("Id", "try-"+strconv.FormatInt(r.sent.Add(1), 10))
 	req.Header.Set("Key", "secret")
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
--- a/core/relay/selfreport_test.go
+++ b/core/relay/selfreport_test.go
@@ -16,8 +16,8 @@
 
 // respondHead responds with the given header lines and no body.
 func respondHead(status int, head string) handler {
-	return func(w *bufio.Writer, _ *http.Request) error {
-		fmt.Fprintf(w, "HTTP/1.1 %d X\r\nSeal: s\r\nContent-Length: 0\r\n%s\r\n", status, head)
+	return func(w *bufio.Writer, r *http.Request) error {
+		fmt.Fprintf(w, "HTTP/1.1 %d X\r\nSeal: s\r\nContent-Length: 0\r\n%s\r\n", status, withOwnID(head, r))
 		return nil
 	}
 }
@@ -36,30 +36,30 @@
 		response   handler
 		want       bool
 	}{
-		{"a complete response", "/once/", respondHead(200, "Id: try-1\r\nLeaves: 1\r\n"), true},
-		{"an error", "/once/", respondHead(500, "Id: try-1\r\nLeaves: 1\r\n"), true},
-		{"a rejection", "/once/", respondHead(503, "Id: try-1\r\nNot-Run: 1\r\nLeaves: 1\r\n"), true},
+		{"a complete response", "/once/", respondHead(200, "Id: "+ownID+"\r\nLeaves: 1\r\n"), true},
+		{"an error", "/once/", respondHead(500, "Id: "+ownID+"\r\nLeaves: 1\r\n"), true},
+		{"a rejection", "/once/", respondHead(503, "Id: "+ownID+"\r\nNot-Run: 1\r\nLeaves: 1\r\n"), true},
 		{"a rejection without ID", "/once/", respondHead(503, "Not-Run: 1\r\nLeaves: 1\r\n"), false},
-		{"a response without a signature", "/repeatable/", func(w *bufio.Writer, _ *http.Request) error {
-			fmt.Fprint(w, "HTTP/1.1 200 X\r\nId: try-1\r\nLeaves: 1\r\nContent-Length: 0\r\n\r\n")
+		{"a response without a signature", "/repeatable/", func(w *bufio.Writer, req *http.Request) error {
+			fmt.Fprint(w, "HTTP/1.1 200 X\r\nId: "+req.Header.Get("Id")+"\r\nLeaves: 1\r\nContent-Length: 0\r\n\r\n")
 			return nil
 		}, true},
-		{"the header of a stream", "/stream/", func(w *bufio.Writer, _ *http.Request) error {
-			fmt.Fprint(w, "HTTP/1.1 200 X\r\nId: try-1\r\nSeal: s\r\nLeaves: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+		{"the header of a stream", "/stream/", func(w *bufio.Writer, req *http.Request) error {
+			fmt.Fprint(w, "HTTP/1.1 200 X\r\nId: "+req.Header.Get("Id")+"\r\nSeal: s\r\nLeaves: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
 			return nil
 		}, true},
 		{"a response to another request", "/once/", respondHead(200, "Id: try-9\r\nLeaves: 1\r\n"), false},
 		{"a response without ID", "/once/", respondHead(200, "Leaves: 1\r\n"), false},
-		{"another target at the address", "/once/", respondHead(421, "Id: try-1\r\nRun: other\r\nLeaves: 1\r\n"), false},
-		{"an unnamed target at the address", "/once/", respondHead(421, "Id: try-1\r\nLeaves: 1\r\n"), false},
-		{"the target itself, with other weights", "/stream/", respondHead(421, "Id: try-1\r\nRun: a\r\nLeaves: 1\r\n"), true},
+		{"another target at the address", "/once/", respondHead(421, "Id: "+ownID+"\r\nRun: other\r\nLeaves: 1\r\n"), false},
+		{"an unnamed target at the address", "/once/", respondHead(421, "Id: "+ownID+"\r\nLeaves: 1\r\n"), false},
+		{"the target itself, with other weights", "/stream/", respondHead(421, "Id: "+ownID+"\r\nRun: a\r\nLeaves: 1\r\n"), true},
 		{"the target itself, with other weights, without ID", "/stream/", respondHead(421, "Run: a\r\nLeaves: 1\r\n"), false},
-		{"a response to two requests", "/once/", respondHead(503, "Id: try-1\r\nId: try-9\r\nNot-Run: 1\r\nLeaves: 1\r\n"), false},
+		{"a response to two requests", "/once/", respondHead(503, "Id: "+ownID+"\r\nId: try-9\r\nNot-Run: 1\r\nLeaves: 1\r\n"), false},
 		{"no HTTP response", "/once/", func(w *bufio.Writer, _ *http.Request) error {
 			fmt.Fprint(w, "Leaves: 1\r\n\r\n")
 			return http.ErrAbortHandler
 		}, false},
-		{"a response without a report", "/once/", respondHead(200, "Id: try-1\r\n"), false},
+		{"a response without a report", "/once/", respondHead(200, "Id: "+ownID+"\r\n"), false},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -83,7 +83,7 @@
 	r.target("a", "plain", always(func(w *bufio.Writer, req *http.Request) error {
 		arrived <- struct{}{}
 		<-release
-		return respondHead(200, "Id: try-1\r\nLeaves: 1\r\n")(w, req)
+		return respondHead(200, "Id: "+ownID+"\r\nLeaves: 1\r\n")(w, req)
 	}))
 	r.relay.options.Pool.SetMaxConns(r.roster.Target("a").Entry().Address, 1)
 	first := make(chan callerAnswer)
@@ -222,7 +222,7 @@
 // A report in the response to one daemon reaches its whole cell within some heartbeats.
 func TestShutdownReportReachesWholeCell(t *testing.T) {
 	const daemons = 24
-	h := newFleetRig(t, daemons, 8, always(respondHead(200, "Id: try-1\r\nLeaves: 1\r\n")))
+	h := newFleetRig(t, daemons, 8, always(respondHead(200, "Id: "+ownID+"\r\nLeaves: 1\r\n")))
 	// Without a shared segment, so that no owner is queried.
 	h.rigs[0].send(http.MethodPost, "/stream/", "x", "Model", "m", "Parts", "own:100")
 	received := h.rigs[0].received()
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -30,6 +30,8 @@
 	// version of the weights. InvalidPrompts counts requests that were refused since a header about the prompt
 	// cannot be parsed or names no model.
 	InvalidAttempts, InvalidPrompts *metrics.Counter
+	// ReusedIDs counts requests that were refused since they may run once and an earlier one had their attempt ID.
+	ReusedIDs *metrics.Counter
 	// ReplacedAttempts counts the attempts at targets whose weights are older than desired.
 	ReplacedAttempts *metrics.Counter
 	// AnswersByFraming counts the responses that ended without an error, by what told their end.
@@ -116,6 +118,7 @@
 		Disconnects: map[bool]*metrics.Counter{
 			false: c(`requests_disconnected_total{answer="none"}`), true: c(`requests_disconnected_total{answer="begun"}`),
 		},
+		ReusedIDs:        c("requests_reused_id_total"),
 		ReplacedAttempts: c("sends_replaced_weights_total"),
 		InvalidAttempts:  c("sends_invalid_total"), InvalidPrompts: c("prompts_invalid_total"),
 		AnswersByFraming: map[target.Framing]*metrics.Counter{
