An attempt that would break "at most once" is not sent

That an attempt follows one that may have run rested on each of the outcomes that lead to a further one.

Change: where an attempt's request is made, for retries and hedges alike, it is not sent if the request may run once and an earlier attempt counts as executed; the request gets 502, and the line invariantBroken and sends_invalid_total tell. TestAttemptAfterOneThatMayHaveRunIsNotSent: without the change the request arrives.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -361,6 +361,9 @@
 
 // targetRequest returns the request as it is sent to the target, or an error if it must not be sent.
 func (p *proxiedRequest) targetRequest(c *choice) (*target.Request, error) {
+	if p.executions > 0 && !p.route.MayRepeat() {
+		return nil, p.invalidAttempt(errors.New("the request may run once, and an earlier attempt may have run"))
+	}
 	h := make(http.Header, len(p.r.Header)+8)
 	hopByHop := strings.Split(p.r.Header.Get("Connection"), ",")
 	for name, values := range p.r.Header {
@@ -371,9 +374,7 @@
 	p.adjustForSuspend()
 	meta := p.attemptMeta(c)
 	if err := p.relay.options.Dialect.WriteAttempt(h, &meta); err != nil {
-		p.relay.options.Stats.InvalidAttempts.Inc()
-		p.relay.options.Log.Emit(event.InvariantBroken, p.ref(), err.Error())
-		return nil, err
+		return nil, p.invalidAttempt(err)
 	}
 	p.note("%s is told salt %q, weights %d, priority %d", meta.Target, meta.CacheSalt, meta.WeightVersion, meta.Priority)
 	p.noteReplacedWeights(c)
@@ -388,6 +389,13 @@
 	return out, nil
 }
 
+// invalidAttempt records why an attempt must not be sent, and returns it.
+func (p *proxiedRequest) invalidAttempt(err error) error {
+	p.relay.options.Stats.InvalidAttempts.Inc()
+	p.relay.options.Log.Emit(event.InvariantBroken, p.ref(), err.Error())
+	return err
+}
+
 // noteReplacedWeights records that the target of a choice has replaced weights.
 func (p *proxiedRequest) noteReplacedWeights(c *choice) {
 	version := c.weightVersion
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -27,7 +27,8 @@
 	outcomeTruncated
 	// outcomeSlowOpen: no byte was sent, since the connection took longer to open than usual.
 	outcomeSlowOpen
-	// outcomeInvalid: no byte was sent, since something was missing that every attempt must have.
+	// outcomeInvalid: no byte was sent, since something was missing that every attempt must have, or since the request may
+	// run once and an earlier attempt may have run.
 	outcomeInvalid
 	// outcomeStopped: the daemon stops; the request may have been executed.
 	outcomeStopped
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -176,7 +176,7 @@
 			// While the target is unavailable it is not eligible anyway.
 			p.uncountAttempt(c.target.ID())
 		case outcomeInvalid:
-			return p.giveUp(failed, "it lacks what keeps organisations apart")
+			return p.giveUp(failed, "the attempt would break an invariant")
 		case outcomeSlowOpen:
 			// maxSlowOpens bounds their number.
 		case outcomeNotSent:
--- a/core/relay/statement_test.go
+++ b/core/relay/statement_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,6 +14,8 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+
+	"embertally.dev/core/roster"
 )
 
 // headRig is a relay before two targets. The one that gets a request first answers with what the test gives for it, and the
@@ -211,3 +214,29 @@
 	r.g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable), a.body)
 	r.g.Expect(r.received()).To(gomega.HaveLen(1))
 }
+
+// Guards against TWICE: an attempt of a request that may run once after one that may have run.
+func TestAttemptAfterOneThatMayHaveRunIsNotSent(t *testing.T) {
+	tests := []struct {
+		name, path string
+		executions int
+		want       outcome
+	}{
+		{"may run once", "/attempted/", 1, outcomeInvalid},
+		{"may run once, the first attempt", "/attempted/", 0, outcomeDone},
+		{"may be repeated", "/read/", 1, outcomeDone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("a", "plain", always(respond(http.StatusOK, "yes")))
+			p := r.request(http.MethodPost, test.path)
+			p.w, p.executions = httptest.NewRecorder(), test.executions
+			p.meta.AttemptID = "one"
+			p.r.Header.Set("Id", "one")
+			out, _ := p.attempt(p.r.Context(), &choice{target: r.roster.Target("a"), load: roster.Load{Running: 1}})
+			r.g.Expect(out).To(gomega.Equal(test.want))
+			r.g.Expect(r.received()).To(gomega.HaveLen(map[bool]int{true: 0, false: 1}[test.want == outcomeInvalid]))
+		})
+	}
+}
--- a/core/relay/stats.go
+++ b/core/relay/stats.go
@@ -27,7 +27,7 @@
 	// PromisesWithheld counts answers with a status that would tell callers the same, which were not passed on.
 	UnprovenRejections, PromisesWithheld *metrics.Counter
 	// InvalidAttempts counts the attempts that were not sent since they lacked a cache salt or, at engines, a
-	// version of the weights. InvalidPrompts counts requests that were refused since a header about the prompt
+	// version of the weights, or since the request may run once and an earlier attempt may have run. InvalidPrompts counts requests that were refused since a header about the prompt
 	// cannot be parsed or names no model.
 	InvalidAttempts, InvalidPrompts *metrics.Counter
 	// ReusedIDs counts requests that were refused since they may run once and an earlier one had their attempt ID.
