--- a/core/target/carried.go
+++ b/core/target/carried.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/maphash"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -22,24 +23,24 @@
 	hashes []uint64
 }
 
-// has reports whether the connection has carried an ID. An empty ID names no request.
-func (c *carriedIDs) has(id string) bool {
+// noID is the hash of an empty ID, which names no request. No ID has it.
+const noID = 0
+
+// hashID returns the hash of an ID.
+func hashID(id string) uint64 {
 	if id == "" {
-		return false
-	}
-	hash := maphash.String(carriedSeed, id)
-	for _, h := range c.hashes {
-		if h == hash {
-			return true
-		}
+		return noID
 	}
-	return false
+	return max(maphash.String(carriedSeed, id), noID+1)
 }
 
-// add remembers an ID.
-func (c *carriedIDs) add(id string) {
-	if id != "" {
-		c.hashes = append(c.hashes, maphash.String(carriedSeed, id))
+// has reports whether the connection has carried an ID with a hash.
+func (c *carriedIDs) has(hash uint64) bool { return hash != noID && slices.Contains(c.hashes, hash) }
+
+// add remembers an ID with a hash.
+func (c *carriedIDs) add(hash uint64) {
+	if hash != noID {
+		c.hashes = append(c.hashes, hash)
 	}
 }
 
@@ -73,11 +74,12 @@
 
 // carry records that a request is about to be written to the connection.
 func (c *poolConn) carry(req *Request) Carriage {
-	out := Carriage{address: c.address, connection: c.number, requests: len(c.carried.hashes) + 1, repeated: c.carried.has(req.ID)}
+	id := hashID(req.ID)
+	out := Carriage{address: c.address, connection: c.number, requests: len(c.carried.hashes) + 1, repeated: c.carried.has(id)}
 	if out.repeated && c.pool.Repeated != nil {
 		c.pool.Repeated.Inc()
 	}
-	c.carried.add(req.ID)
+	c.carried.add(id)
 	return out
 }
 
--- a/core/target/carried_test.go
+++ b/core/target/carried_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+
+	"embertally.dev/core/testip"
 )
 
 // carry sends a request with an ID and returns the connection that carried it.
@@ -80,3 +82,27 @@
 	g.Expect(carry(t, p, s.address, "next").connection).NotTo(gomega.Equal(first.connection))
 	g.Expect(s.conns.Load()).To(gomega.BeEquivalentTo(2))
 }
+
+// Guards against a connection that is borrowed though an idle one of the own share can make room.
+func TestRoomForARequestIsMadeAmongOwnConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := testip.Listen()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { l.Close() })
+	pools, address := lendingPools{{}, {}}, l.Addr().String()
+	p := pools[0]
+	p.Lender, p.Detour = pools, &fakeDetour{}
+	p.SetMaxConns(address, 1)
+	own, err := p.get(t.Context(), address, &Request{Target: address})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	borrowed, err := p.get(t.Context(), address, &Request{Target: address})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(borrowed.borrowed).To(gomega.BeTrue())
+	for _, conn := range []*poolConn{borrowed, own} {
+		conn.carried.add(hashID("a"))
+		p.put(conn, "")
+	}
+	conn, err := p.get(t.Context(), address, &Request{ID: "a", Target: address})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.borrowed).To(gomega.BeFalse())
+}
--- a/core/target/pool.go
+++ b/core/target/pool.go
@@ -373,15 +373,19 @@
 		maxIdleTime = min(maxIdleTime, req.MaxIdle)
 	}
 	onlyNew, partitioned := req.NewConnection, p.partitioned()
+	// carried is an idle connection that has carried the request, if possible one whose end makes room.
 	var carried *poolConn
+	id := hashID(req.ID)
 	for i := len(state.idle) - 1; i >= 0 && (!onlyNew || state.full()); i-- {
 		conn := state.idle[i]
 		if partitioned && conn.box == "" && !onlyNew {
 			// It may carry requests again once the box has its paths back.
 			continue
 		}
-		if !onlyNew && conn.carried.has(req.ID) {
-			carried = conn
+		if !onlyNew && conn.carried.has(id) {
+			if carried == nil || !conn.borrowed {
+				carried = conn
+			}
 			continue
 		}
 		state.idle = slices.Delete(state.idle, i, i+1)
@@ -394,7 +398,7 @@
 	if carried != nil && p.PassedOver != nil {
 		p.PassedOver.Inc()
 	}
-	if carried != nil && state.full() {
+	if carried != nil && !carried.borrowed && state.full() {
 		state.dropIdle(carried)
 	}
 	if state.full() {
