No promise is given under an ID that is running, and a broken body uses up none

An ID is admitted once the request has arrived whole. Whoever writes a refusal that promises asks whether another request with the ID may run, and answers 400 if so.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -46,7 +46,8 @@
 	return max(min(after, limit), time.Millisecond)
 }
 
-// admit parses the request, finds its route and organisation, and reads its body.
+// admit parses the request, finds its route and organisation, reads its body, and checks that its ID is new where that
+// matters.
 func (p *proxiedRequest) admit() *entry.Refusal {
 	meta, err := p.relay.options.Dialect.ParseRequest(p.r.Header)
 	p.meta = meta
@@ -85,18 +86,16 @@
 		// No response could be told to be for the request.
 		return entry.NewRefusal(http.StatusBadRequest, entry.CodeBadRequest, entry.NotRun, "the request has no ID", 0)
 	}
-	if !p.route.MayRepeat() && !p.relay.usedIDs.use(meta.AttemptID) {
-		p.relay.options.Stats.ReusedIDs.Inc()
-		return entry.NewRefusal(http.StatusBadRequest, entry.CodeIDReused, entry.Unknown,
-			"the ID is that of an earlier attempt, which may have run; each attempt of a request that may run once needs its own", 0)
-	}
 	p.scope = t.Scope(p.organisation)
 	p.regions = regionsOf(p.route, p.organisation)
 	p.setDeadline()
 	if end := p.relay.stopAt.Load(); end != nil && p.deadline.After(*end) {
 		return p.refuseFor(entry.CodeNotReady, "the daemon may stop before the request's time is up", minRetryAfter)
 	}
-	return p.readBody(t.Limits())
+	if refusal := p.readBody(t.Limits()); refusal != nil {
+		return refusal
+	}
+	return p.admitID()
 }
 
 // headerBytes returns the size of a request's header fields as they are sent.
--- a/core/relay/finish.go
+++ b/core/relay/finish.go
@@ -32,9 +32,9 @@
 		p.relay.options.Log.Emit(event.InvariantBroken, p.ref(), "refused as not run after it was sent: "+refusal.Error())
 		*refusal = *p.outcomeUnknown()
 	}
-	if isPromise(refusal.Status) && p.meta.AttemptID != "" && (p.route == nil || !p.route.MayRepeat()) {
-		// Whether the ID was known already does not matter.
-		_ = p.relay.usedIDs.use(p.meta.AttemptID)
+	if isPromise(refusal.Status) && !p.mayPromise() {
+		p.note("another request with its ID may run: %s", refusal.Error())
+		*refusal = *p.refuseID()
 	}
 	p.relay.options.Dialect.WriteRefusal(p.w.Header(), p.meta.AttemptID, refusal.RetryAfter)
 	p.note("%s", refusal.Error())
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -59,6 +59,8 @@
 	tried map[string]int
 	// rejectedAt holds the addresses of the processes that rejected the request, each of which may be listed by several IDs.
 	rejectedAt map[string]bool
+	// ownsID is set once the request, which may run once, was admitted, so that no other one with its ID is.
+	ownsID bool
 	// attempts counts the attempts that reached a target or may have, once they have ended.
 	attempts int
 	// executions counts the attempts that a target may have executed, each from before its first byte is written.
