An order for weights has a connection of its own

Answers to orders name none, and orders went on kept connections: the copy of an earlier 412, 421, 400 or 409 was taken for the answer to the next order, which the worker had taken with 202. After such a 412 the daemon gives up a valid leadership of the updates. Orders are a few for each worker and version; each now takes one connection that carries nothing else.

--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -71,6 +71,15 @@
 	return c.bound(e.resp), e.err
 }
 
+// DoAlone is Do on a connection of its own, on which nothing that arrives can be about another request.
+func (c *Client) DoAlone(req *http.Request) (*http.Response, error) {
+	alone := c.transport().Clone()
+	alone.DisableKeepAlives = true
+	e := newExchange(c, alone, req)
+	e.run()
+	return c.bound(e.resp), e.err
+}
+
 // bound bounds the body of a response, which may be nil.
 func (c *Client) bound(resp *http.Response) *http.Response {
 	if resp == nil || (c.MaxResponse == 0 && c.Memory == nil) {
