An answer to an earlier query of a KV-cache store brings nothing back

The position in a store's events was set to what an answer names, also if that is before the position reached: the copy of an earlier answer brought a segment back that the store had dropped, until the next poll (TestAnswerToAnEarlierQueryBringsNothingBack fails on the code before). Such an answer now counts as a gap: the index is emptied and the contents are listed again.

--- a/core/cache/storefollower.go
+++ b/core/cache/storefollower.go
@@ -116,7 +116,7 @@
 	s.log.Emit(event.CacheResynced, event.Ref{Target: address}, strconv.Itoa(len(ix.segments))+" segments")
 }
 
-// apply applies changes to the index of a store. A gap or a new epoch empties it.
+// apply applies changes to the index of a store. A gap, a new epoch, or an answer to an earlier query empties it.
 func (s *StoreIndexes) apply(address string, ev SegmentEvents) {
 	s.indexesMu.Lock()
 	defer s.indexesMu.Unlock()
@@ -124,10 +124,10 @@
 	if ix == nil {
 		return
 	}
-	if ev.Epoch != ix.epoch || ev.Gap {
+	if ev.Epoch != ix.epoch || ev.Gap || ev.Next < ix.next {
 		ix.synced = false
 		ix.clear()
-		s.log.Emit(event.CacheGap, event.Ref{Target: address}, "epoch "+strconv.FormatInt(ev.Epoch, 10))
+		s.log.Emit(event.CacheGap, event.Ref{Target: address}, "epoch "+strconv.FormatInt(ev.Epoch, 10)+", position "+strconv.FormatInt(ev.Next, 10)+" after "+strconv.FormatInt(ix.next, 10))
 		return
 	}
 	ix.next = ev.Next
--- a/core/cache/stores_test.go
+++ b/core/cache/stores_test.go
@@ -153,6 +153,24 @@
 	}
 }
 
+// Guards against a segment that a store has dropped and that the copy of an earlier answer brings back.
+func TestAnswerToAnEarlierQueryBringsNothingBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	indexes := NewStoreIndexes(newFakeStore(), &event.Log{})
+	indexes.indexes = map[string]*storeIndex{"a": {info: StoreInfo{Address: "a"}, changed: make(chan struct{})}}
+	found := func() bool { return len(indexes.Find(SegmentName{"v1/m/", "x"}, clock.Now())) > 0 }
+	stored := SegmentEvents{Epoch: 1, Next: 2, Changes: []SegmentChange{change("x", 10)}, Clock: time.Minute}
+	indexes.replace("a", SegmentEvents{Epoch: 1, Next: 1})
+	indexes.apply("a", stored)
+	g.Expect(found()).To(gomega.BeTrue())
+	indexes.apply("a", SegmentEvents{Epoch: 1, Next: 3, Changes: []SegmentChange{change("x", 0)}, Clock: time.Minute})
+	g.Expect(found()).To(gomega.BeFalse())
+	indexes.apply("a", stored)
+	g.Expect(found()).To(gomega.BeFalse())
+	_, synced := indexes.position("a")
+	g.Expect(synced).To(gomega.BeFalse(), "the contents are listed again")
+}
+
 func TestUnreachableStoreIsNotUsed(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newFakeStore()
