--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -106,7 +106,7 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t, nil)
-			r.stale = tc.stale
+			r.stale.Store(tc.stale)
 			a := r.send(http.MethodPost, tc.path, "x", tc.headers...)
 			r.g.Expect(a.status).To(gomega.Equal(tc.status))
 			r.g.Expect(a.body).To(gomega.ContainSubstring(`"ran":"notRun"`))
@@ -120,13 +120,13 @@
 func TestOverdueConfigurationIsRefused(t *testing.T) {
 	r := newRig(t, nil)
 	r.target("t1", "plain", always(respond(200, "ok")))
-	r.configOverdue = time.Second
+	r.configOverdue.Store(int64(time.Second))
 	a := r.send(http.MethodPost, "/once/", "x")
 	r.g.Expect(a.status).To(gomega.Equal(503))
 	r.g.Expect(a.body).To(gomega.ContainSubstring(`"ran":"notRun"`))
 	r.g.Expect(a.header.Get("Come-Back")).NotTo(gomega.BeEmpty())
 	r.g.Expect(r.received()).To(gomega.BeEmpty())
-	r.configOverdue = 0
+	r.configOverdue.Store(0)
 	r.g.Expect(r.send(http.MethodPost, "/once/", "y").status).To(gomega.Equal(200))
 }
 
--- a/core/relay/rig_test.go
+++ b/core/relay/rig_test.go
@@ -178,9 +178,9 @@
 	minWeights int64
 	// outdatedSince is for how long older weights have been outdated; 0 stands for a millisecond.
 	outdatedSince time.Duration
-	stale         bool
-	// configOverdue is the result of Options.ConfigOverdue.
-	configOverdue time.Duration
+	stale         atomic.Bool
+	// configOverdue is the result of Options.ConfigOverdue, in nanoseconds.
+	configOverdue atomic.Int64
 
 	mu       sync.Mutex
 	requests []receivedRequest
@@ -273,7 +273,7 @@
 		Dialect: testDialect{}, Roster: r.roster, Pool: &target.Pool{}, StoreIndex: r.storeIndex,
 		WorkerCaches: &cache.WorkerCaches{}, Links: &learn.Links{}, LateCopies: &learn.LateCopies{}, Retention: &learn.Retention{}, Pauses: &learn.Pauses{},
 		Log: r.log, Stats: NewStats(), Origins: origin.New(origin.Options{Versions: r.versions}),
-		DesiredWeights: func(string) int64 { return r.desired }, ConfigCurrent: func() bool { return !r.stale }, ConfigOverdue: func() time.Duration { return r.configOverdue }, WeightsOutdated: func(_ string, v int64) time.Duration { return r.outdatedFor(v) }, MayCopy: func() bool { return true },
+		DesiredWeights: func(string) int64 { return r.desired }, ConfigCurrent: func() bool { return !r.stale.Load() }, ConfigOverdue: func() time.Duration { return time.Duration(r.configOverdue.Load()) }, WeightsOutdated: func(_ string, v int64) time.Duration { return r.outdatedFor(v) }, MayCopy: func() bool { return true },
 		FirstAnswerTimes: learn.NewTimes(), TargetStats: &learn.Targets{}, EnginePrior: enginePrior,
 		CallPrior: callPrior, Costs: testCosts,
 		DaemonCount: func() int { return 1 }, Rank: func(string, bool) (int, int) { return 0, 1 }, WarmUpFactor: 1, PublishState: func() {}, ViewAge: func() time.Duration { return 0 }, OwnTargets: func(names []string) []string { return names }, RetryShare: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
--- a/core/relay/used_test.go
+++ b/core/relay/used_test.go
@@ -53,8 +53,8 @@
 		header []string
 	}{
 		{"late in a stop", func(r *rig) { r.relay.RefuseRequests() }, nil},
-		{"overdue configuration", func(r *rig) { r.configOverdue = time.Second }, nil},
-		{"unknown key, configuration not current", func(r *rig) { r.stale = true }, []string{"Key", "other"}},
+		{"overdue configuration", func(r *rig) { r.configOverdue.Store(int64(time.Second)) }, nil},
+		{"unknown key, configuration not current", func(r *rig) { r.stale.Store(true) }, []string{"Key", "other"}},
 		{"admitted", func(*rig) {}, nil},
 	}
 	for _, test := range tests {
