Heads within the limit are served: no spaces are counted that were not sent

Cause: the limit of a head counts ": " for each field, and the space is optional. A head of 16 KB of lines of six bytes counts for up to a fifth more.

What callers saw: 431 for a single request within MaxHeaderBytes, in calm.

Change: headerBytes counts the least size that a field can have been sent with. A head that only its spaces take beyond the limit is served.

Measured: TestHeaderLimitCountsWhatWasSent fails before (431 in 2 of 3 forms, those of exactly the limit) and passes now; a head of 10 bytes beyond the limit gets 431 before and now.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -94,9 +94,9 @@
 	return p.readBody(t.Limits())
 }
 
-// headerBytes returns the size of a request's header fields as they are sent.
+// headerBytes returns the least size of a request's header fields as they are sent: a space before the value is optional.
 func headerBytes(r *http.Request) int {
-	const separators = len(": \r\n")
+	const separators = len(":\r\n")
 	sum := len("Host") + len(r.Host) + separators
 	for name, values := range r.Header {
 		for _, value := range values {
--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -1,9 +1,14 @@
 package relay
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -104,3 +109,42 @@
 		})
 	}
 }
+
+// Guards against heads within the limit that are refused since spaces are counted that were not sent.
+func TestHeaderLimitCountsWhatWasSent(t *testing.T) {
+	const limit = 16 << 10
+	for _, tc := range []struct {
+		name, line string
+		// bytes is the length of all fields.
+		bytes  int
+		status int
+	}{
+		{"short lines without spaces", "A:b\r\n", limit, http.StatusOK},
+		{"short lines with spaces", "A: b\r\n", limit, http.StatusOK},
+		{"short lines without spaces, beyond", "A:b\r\n", limit + 10, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.relay.SetTable(table.New(table.Spec{
+				Version: 2, Routes: testRoutes, Services: []table.Service{{Name: "plain"}},
+				Organisations: []table.Organisation{{Name: "org", Keys: []string{"secret"}}},
+				Limits:        table.Limits{MaxHeaderBytes: limit},
+			}))
+			r.target("a", "plain", always(respond(200, "")))
+			fields := "Host:h\r\nId:try-1\r\nKey:secret\r\nContent-Length:0\r\n"
+			const last = "B:%s\r\n"
+			fields += strings.Repeat(tc.line, (tc.bytes-len(fields)-len(last))/len(tc.line))
+			fields += fmt.Sprintf(last, strings.Repeat("x", tc.bytes-len(fields)-len("B:\r\n")))
+			conn, err := net.Dial("tcp", r.front.Listener.Addr().String())
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(10 * time.Second))
+			_, err = io.WriteString(conn, "POST /once/ HTTP/1.1\r\n"+fields+"\r\n")
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer resp.Body.Close()
+			r.g.Expect(resp.StatusCode).To(gomega.Equal(tc.status))
+		})
+	}
+}
