Clients cannot exhaust a process's memory or descriptors: package listen

Cause: MaxHeaderBytes was applied to a head that had been parsed, 256 KB of it on each connection whatever the limit, and parsed lines of six bytes take about twenty times their length. Nothing bounded the sum of all heads, the number of connections, or the time that a client may stand still.

What callers saw: a process over the memory of its box, which is killed with all requests in flight; with all descriptors held by idle clients, nothing answered.

Change: all listeners of both commands are wrapped. Bytes and lines of a head are charged to a budget of their own before the parser gets them, until the request has been answered; less than 16 KB, or a head alone, always fits, and others get 503, not run. Over MaxHeaderBytes and 8 KB: 431. Connections are bounded by descriptors and memory; a new one takes the place of the one that has waited longest for a head, a next request or a body, never of one that is being served. A client that reads nothing for 10 s, or does not send its body within 5 s after the answer, loses its connection. Settings maxConnections, limits.maxConnections, limits.headBytes; metrics and the event connectionEnded.

Without what endRequest carries over, all four forms of TestHeadsThatFollowAtOnceAreCounted fail.

--- a/core/entry/connection.go
+++ b/core/entry/connection.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"embertally.dev/core/listen"
 )
 
 // connectionKey is the key of a request's connection in its context.
@@ -19,12 +21,11 @@
 
 // tcpConnection returns the TCP connection of a request, or nil.
 func tcpConnection(ctx context.Context) *net.TCPConn {
-	c := ctx.Value(connectionKey{})
-	if inner, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = inner.NetConn()
+	c, ok := ctx.Value(connectionKey{}).(net.Conn)
+	if !ok {
+		return nil
 	}
-	tcp, _ := c.(*net.TCPConn)
-	return tcp
+	return listen.TCP(c)
 }
 
 // MarkEnds returns a handler whose answers look complete only if h has returned. Where nothing but the end of the connection
--- a/core/event/codes.go
+++ b/core/event/codes.go
@@ -45,6 +45,7 @@
 	TargetsReachable   Code = 2029
 	TargetBrittle      Code = 2030
 	TargetNotBrittle   Code = 2031
+	ConnectionEnded    Code = 2032
 
 	ConfApplied     Code = 3001
 	ConfWritten     Code = 3002
@@ -159,6 +160,7 @@
 	{TargetsReachable, "targetsReachable", Info, "A direct connection to a target works again."},
 	{TargetBrittle, "targetBrittle", Info, "An incarnation of a target reported how many requests a second it may reject for want of room before it fails, whichever daemons sent them; the text has the number and says whether this daemon or a peer received the response. At most one line per second and target."},
 	{TargetNotBrittle, "targetNotBrittle", Info, "An incarnation of a target no longer reports a limit on rejections. At most one line about it per second and target."},
+	{ConnectionEnded, "connectionEnded", Info, "The daemon ended a client's connection; the text has the listener, the client's address and the reason: unfinished, idle or noBody (its place was needed), full, headTooLong or noMemory. At most ten lines a second for each listener; the metrics count all."},
 
 	{ConfApplied, "confApplied", Debug, "A configuration change was applied by this daemon."},
 	{ConfWritten, "confWritten", Info, "A configuration change was committed through this daemon."},
--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -19,6 +19,8 @@
 const (
 	// Requests are bodies of callers' requests.
 	Requests Kind = iota
+	// CallerHeads are heads of requests, from their first byte until the request has been answered.
+	CallerHeads
 	// Heads are heads of responses that are being read.
 	Heads
 	// Bodies are the starts of responses, which are kept until they are passed on.
@@ -33,13 +35,13 @@
 	kinds
 )
 
-var kindNames = [kinds]string{"requests", "heads", "bodies", "events", "calls", "frames"}
+var kindNames = [kinds]string{"requests", "callerHeads", "heads", "bodies", "events", "calls", "frames"}
 
 // String returns the kind as written in log lines and metrics.
 func (k Kind) String() string { return kindNames[k] }
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Requests, Heads, Bodies, Events, Calls, Frames} }
+func Kinds() []Kind { return []Kind{Requests, CallerHeads, Heads, Bodies, Events, Calls, Frames} }
 
 // ErrFull means that a budget has no room for more bytes.
 var ErrFull = errors.New("the memory for requests and responses is used up")
@@ -101,11 +103,7 @@
 	for _, n := range b.held {
 		total += n
 	}
-	limit := b.Limit
-	if kind == Requests {
-		limit = int64(requestShare * float64(limit))
-	}
-	if b.Limit > 0 && total > limit && has+more > smallHolding {
+	if b.Limit > 0 && has+more > smallHolding && !b.fits(kind, has, more, total) {
 		b.refused++
 		return false
 	}
@@ -114,6 +112,19 @@
 	return true
 }
 
+// fits reports whether there is room for more bytes of a kind at a holder that has some. total includes them. It is called with budgetMu held.
+func (b *Budget) fits(kind Kind, has, more, total int64) bool {
+	switch kind {
+	case Requests:
+		return total <= int64(requestShare*float64(b.Limit))
+	case CallerHeads:
+		// A head alone always fits; its length is bounded otherwise.
+		return total <= b.Limit || total == has+more
+	default:
+		return total <= b.Limit
+	}
+}
+
 // remove takes back what add counted.
 func (b *Budget) remove(kind Kind, n int64) {
 	b.budgetMu.Lock()
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -26,6 +26,10 @@
 		{"a request beside responses", map[Kind]int64{Bodies: limit / 2}, Requests, limit / 4, false},
 		{"a response beside requests", map[Kind]int64{Requests: limit / 2}, Bodies, limit / 4, true},
 		{"a response beyond the limit", map[Kind]int64{Events: limit * 9 / 10}, Heads, limit / 4, false},
+		{"a long head within the limit", map[Kind]int64{CallerHeads: limit / 2}, CallerHeads, limit / 4, true},
+		{"a long head beyond the limit", map[Kind]int64{CallerHeads: limit / 2}, CallerHeads, limit * 3 / 4, false},
+		{"a long head alone", nil, CallerHeads, limit * 2, true},
+		{"a usual head while the budget is used up", map[Kind]int64{CallerHeads: limit}, CallerHeads, smallHolding, true},
 		{"a usual request while the budget is used up", map[Kind]int64{Events: limit}, Requests, smallHolding, true},
 		{"a usual response while the budget is used up", map[Kind]int64{Events: limit}, Heads, smallHolding, true},
 	} {
--- a/core/relay/finish.go
+++ b/core/relay/finish.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
+	"embertally.dev/core/listen"
 	"embertally.dev/core/table"
 )
 
@@ -94,7 +94,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp := listen.TCP(conn); tcp != nil {
 		// An error means that the connection has ended.
 		_ = tcp.SetLinger(0)
 	}
--- a/core/wire/mux.go
+++ b/core/wire/mux.go
@@ -162,7 +162,11 @@
 	defer cancel()
 	defer s.mux.remove(s.conn)
 	defer s.conn.Close()
-	if err := s.readHello(ctx); err != nil {
+	err := s.readHello(ctx)
+	if err == nil && !markServing(s.conn) {
+		return
+	}
+	if err != nil {
 		if s.mux.OnReject != nil && ctx.Err() == nil {
 			s.mux.OnReject(s.conn.RemoteAddr().String(), err)
 		}
@@ -192,6 +196,20 @@
 	}
 }
 
+// markServing tells a bounded listener that a peer has proved its name, so that its connection keeps its place. It returns
+// false if the connection has already lost it.
+func markServing(conn net.Conn) bool {
+	if inner, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		if bounded, ok := inner.NetConn().(interface{ Serve() bool }); ok {
+			return bounded.Serve()
+		}
+	}
+	if bounded, ok := conn.(interface{ Serve() bool }); ok {
+		return bounded.Serve()
+	}
+	return true
+}
+
 // readBuffer is the size in bytes of the buffer that frames are read through.
 const readBuffer = 8 << 10
 
--- a/emberd/internal/daemon/daemon.go
+++ b/emberd/internal/daemon/daemon.go
@@ -28,6 +28,8 @@
 	"embertally.dev/core/event"
 	"embertally.dev/core/fleet"
 	"embertally.dev/core/home"
+	"embertally.dev/core/listen"
+	"embertally.dev/core/memory"
 	"embertally.dev/core/once"
 	"embertally.dev/core/order"
 	"embertally.dev/core/plat"
@@ -61,6 +63,11 @@
 	// to and from targets, except for callers' requests.
 	platformMeter, targetMeter plat.Meter
 
+	// headMemory bounds what is held of the heads of requests.
+	headMemory memory.Budget
+	// connectionsEnded counts the connections that were ended since their place or memory was needed.
+	connectionsEnded atomic.Int64
+
 	// draining is set when the shutdown begins.
 	draining atomic.Bool
 	// ready is the readiness at the last check of watchReadiness.
@@ -73,6 +80,7 @@
 // New wires a daemon together; Run starts it.
 func New(settings Settings) (*Daemon, error) {
 	d := &Daemon{settings: settings}
+	d.headMemory.Limit = settings.Limits.HeadBytes
 	d.log = event.NewLog(settings.Name, os.Stderr, event.Format(settings.Log.Format), event.Level(settings.Log.Level))
 	bugs.Handle(func(text string, stack []byte) {
 		d.log.Emit(event.InvariantBroken, event.Ref{}, text+"\n"+string(stack))
@@ -268,19 +276,28 @@
 }
 
 // listeners holds the daemon's listening sockets.
-type listeners struct{ callers, operators, peers net.Listener }
+type listeners struct {
+	callers, operators *listen.Listener
+	peers              net.Listener
+}
 
 // listen opens all listeners. The error names the address that cannot be opened.
 func (d *Daemon) listen() (listeners, error) {
 	var ls listeners
+	sockets, err := listen.Sockets()
+	if err != nil {
+		return ls, err
+	}
+	// Heads are counted after decryption.
 	for _, l := range []struct {
-		into    *net.Listener
+		into    **listen.Listener
+		name    string
 		address string
 		keys    *tlsKeys
+		most    int
 	}{
-		{&ls.callers, d.settings.Callers.Address, d.callerKeys},
-		{&ls.operators, d.settings.Operators.Address, d.operatorKeys},
-		{&ls.peers, d.settings.Peers.Address, d.peerKeys},
+		{&ls.callers, "callers", d.settings.Callers.Address, d.callerKeys, listen.Share(sockets, listen.CallersShare, d.settings.Limits.MaxConnections)},
+		{&ls.operators, "operators", d.settings.Operators.Address, d.operatorKeys, listen.Share(sockets, listen.AuxiliaryShare, maxOperatorConns)},
 	} {
 		got, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -289,11 +306,35 @@
 		if l.keys != nil {
 			got = tls.NewListener(got, l.keys.server())
 		}
-		*l.into = got
+		*l.into = d.bound(got, l.name, listen.Options{MaxConnections: l.most, Heads: true, Memory: &d.headMemory})
+	}
+	peers, err := net.Listen("tcp", d.settings.Peers.Address)
+	if err != nil {
+		return ls, errors.WithStack(err)
+	}
+	// Package wire checks certificates.
+	ls.peers = d.bound(peers, "peers", listen.Options{MaxConnections: listen.Share(sockets, listen.PeersShare, maxPeerConns)})
+	if d.peerKeys != nil {
+		ls.peers = tls.NewListener(ls.peers, d.peerKeys.server())
 	}
 	return ls, nil
 }
 
+// Bounds of connections of operators and peers.
+const (
+	maxOperatorConns = 256
+	maxPeerConns     = 1024
+)
+
+// bound returns a listener whose connections are bounded.
+func (d *Daemon) bound(l net.Listener, name string, options listen.Options) *listen.Listener {
+	options.Ended = func(address string, reason listen.Reason) {
+		d.connectionsEnded.Add(1)
+		d.log.Emit(event.ConnectionEnded, event.Ref{}, name+", "+address+": "+reason.String())
+	}
+	return listen.New(l, options)
+}
+
 // Bounds of the HTTP servers' connections.
 const (
 	headerTimeout  = 10 * time.Second
@@ -304,9 +345,10 @@
 // serve starts a server on a listener. It runs until it is closed.
 func (d *Daemon) serve(wg *sync.WaitGroup, l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{
-		Handler: entry.MarkEnds(h), ConnContext: entry.ConnContext,
+		Handler: entry.MarkEnds(listen.Handler(h)), ConnContext: entry.ConnContext,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	listen.Attach(srv)
 	wg.Go(func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			bugs.Report("listener %v failed: %v", l.Addr(), err)
--- a/emberd/internal/daemon/settings.go
+++ b/emberd/internal/daemon/settings.go
@@ -77,6 +77,8 @@
 type LimitSettings struct {
 	MaxBodyBytes     int64         `yaml:"maxBodyBytes" doc:"Largest body of a caller's request."`
 	MaxRunning       int           `yaml:"maxRunning" doc:"Most running requests of one organisation, where it sets none itself."`
+	MaxConnections   int           `yaml:"maxConnections" doc:"Most open connections of callers, and at most half of the process's descriptors. Beyond it, connections that have not sent a whole request are closed, those that have waited longest first."`
+	HeadBytes        int64         `yaml:"headBytes" doc:"Memory for the heads of all requests that are being read or served, several times their length. Beyond it, heads that take more than 16 KB are refused."`
 	DrainTimeout     time.Duration `yaml:"drainLimit" doc:"How long a planned stop waits for running requests."`
 	ClaimWindow      time.Duration `yaml:"claimWindow" doc:"How long an idempotency key may be used after the time that it carries. The same on all daemons."`
 	IsolationTimeout time.Duration `yaml:"isolatedStop" doc:"How long a daemon that hears nothing of peers, box list and key-value service still takes requests."`
@@ -90,7 +92,7 @@
 		Platform: PlatformSettings{BoxListInterval: time.Second},
 		Log:      LogSettings{Format: "text", Level: "info"},
 		Limits: LimitSettings{
-			MaxBodyBytes: 8 << 20, MaxRunning: 1024, DrainTimeout: 10 * time.Minute,
+			MaxBodyBytes: 8 << 20, MaxRunning: 1024, MaxConnections: 2048, HeadBytes: 8 << 20, DrainTimeout: 10 * time.Minute,
 			ClaimWindow: 10 * time.Minute, IsolationTimeout: 10 * time.Second, LoadInterval: 250 * time.Millisecond,
 		},
 		Placement: string(route.LowestCost),
@@ -150,6 +152,8 @@
 func (c *checker) limits(l LimitSettings) {
 	c.Need(l.MaxBodyBytes > 0, "limits.maxBodyBytes", "must be more than 0")
 	c.Need(l.MaxRunning > 0, "limits.maxRunning", "must be more than 0")
+	c.Need(l.MaxConnections > 0, "limits.maxConnections", "must be more than 0")
+	c.Need(l.HeadBytes > 0, "limits.headBytes", "must be more than 0")
 	c.Positive("limits.drainLimit", l.DrainTimeout)
 	c.Positive("limits.claimWindow", l.ClaimWindow)
 	c.Positive("limits.isolatedStop", l.IsolationTimeout)
--- a/emberd/internal/daemon/vars.go
+++ b/emberd/internal/daemon/vars.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"embertally.dev/core/conf"
+	"embertally.dev/core/memory"
 )
 
 // variable is one metric published by expvar. docs/OPERATIONS.md lists all of them.
@@ -58,6 +59,8 @@
 	{"controlBytes", "Bytes of control: to and from peers, the platform's services, and targets beside callers' requests.", func(d *Daemon) any { return d.fleet.Bytes() + d.platformMeter.Bytes() + d.targetMeter.Bytes() }},
 	{"controlPlatformBytes", "The part of controlBytes to and from the platform's services.", func(d *Daemon) any { return d.platformMeter.Bytes() }},
 	{"controlTargetBytes", "The part of controlBytes to and from targets.", func(d *Daemon) any { return d.targetMeter.Bytes() }},
+	{"headBytes", "Memory counted for the heads of requests that are being read or served.", func(d *Daemon) any { now, _ := d.headMemory.Held(memory.CallerHeads); return now }},
+	{"connectionsEnded", "Clients' connections that were ended since their place or memory was needed; connectionEnded lines name the reasons.", counter(func(d *Daemon) *atomic.Int64 { return &d.connectionsEnded })},
 	{"processorSeconds", "Processor time of the process in seconds.", func(*Daemon) any { return processorTime().Seconds() }},
 	{"goroutines", "Goroutines of the process.", func(*Daemon) any { return runtime.NumGoroutine() }},
 }
--- a/emberd/internal/host/host.go
+++ b/emberd/internal/host/host.go
@@ -82,8 +82,10 @@
 	memory memory.Budget
 	// controlMemory bounds what is held of other daemons' messages and the store's responses: requests leave room for these.
 	controlMemory memory.Budget
-	pool          *target.Pool
-	detours       *detour.Boxes
+	// headMemory bounds what is held of the heads of requests on all listeners: bodies and responses leave room for these.
+	headMemory memory.Budget
+	pool       *target.Pool
+	detours    *detour.Boxes
 	// partitioned is the last result of recordPartition.
 	partitioned    atomic.Bool
 	relay          *relay.Relay
@@ -139,6 +141,7 @@
 	h.storeClient.OnReplaced = func() { h.log.Emit(event.ConnectionReplaced, event.Ref{}, "the coordination store") }
 	h.engineClient.ManyServices = true
 	h.memory.Limit = int64(heldShare * float64(settings.MemoryMB<<20))
+	h.headMemory.Limit = int64(headShare * float64(settings.MemoryMB<<20))
 	h.controlMemory.Limit, h.storeClient.Memory = h.memory.Limit, &h.controlMemory
 	h.engineClient.Memory, h.engineClient.MaxResponse = &h.memory, maxCallResponse
 	h.store = platform.NewStore("http://"+settings.Store, h.storeClient)
@@ -263,6 +266,9 @@
 // them and not collected yet takes about as much again.
 const heldShare = 0.2
 
+// headShare is the same for the heads of requests.
+const headShare = 0.06
+
 // Bounds of responses to control calls, by which a target that sends bytes without end cannot fill the memory: the heads
 // are a few hundred bytes long, and the longest body lists the segments of a KV-cache store, some 60 bytes each.
 const (
--- a/emberd/internal/host/serve.go
+++ b/emberd/internal/host/serve.go
@@ -11,35 +11,95 @@
 	"embertally.dev/core/clock"
 	"embertally.dev/core/entry"
 	"embertally.dev/core/event"
+	"embertally.dev/core/listen"
 	"embertally.dev/core/memory"
 	"embertally.dev/core/plat"
 	"embertally.dev/platform"
 )
 
 // listeners holds the daemon's listening sockets.
-type listeners struct{ callers, readiness, peers, metrics net.Listener }
+type listeners struct{ callers, readiness, peers, metrics *listen.Listener }
 
 // listen opens all listeners. The error names the address that cannot be opened.
 func (h *Host) listen() (listeners, error) {
 	var ls listeners
+	bounds, err := h.connectionBounds()
+	if err != nil {
+		return ls, err
+	}
 	for _, l := range []struct {
-		into    *net.Listener
-		address string
+		into           **listen.Listener
+		name, address  string
+		maxConnections int
+		options        listen.Options
 	}{
-		{&ls.callers, h.settings.Callers},
-		{&ls.readiness, h.settings.Readiness},
-		{&ls.peers, h.settings.Peers},
-		{&ls.metrics, h.settings.Metrics},
+		{&ls.callers, "callers", h.settings.Callers, bounds.callers, listen.Options{Heads: true, MaxHeadBytes: h.maxHeadBytes}},
+		{&ls.readiness, "readiness", h.settings.Readiness, bounds.auxiliary, listen.Options{Heads: true}},
+		{&ls.peers, "peers", h.settings.Peers, bounds.peers, listen.Options{}},
+		{&ls.metrics, "metrics", h.settings.Metrics, bounds.auxiliary, listen.Options{Heads: true}},
 	} {
 		got, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return ls, errors.WithStack(err)
 		}
-		*l.into = got
+		l.options.MaxConnections, l.options.Memory = l.maxConnections, &h.headMemory
+		l.options.Ended = func(address string, reason listen.Reason) {
+			h.log.Emit(event.ConnectionEnded, event.Ref{}, l.name+", "+address+": "+reason.String())
+		}
+		*l.into = listen.New(got, l.options)
+		h.registerConnections(l.name, *l.into)
 	}
 	return ls, nil
 }
 
+// registerConnections registers the metrics of a listener.
+func (h *Host) registerConnections(name string, l *listen.Listener) {
+	h.stats.Gauge(`connections{of="`+name+`"}`, func() float64 { return float64(l.Open()) })
+	for _, reason := range listen.Reasons() {
+		h.stats.Gauge(`connections_ended_total{of="`+name+`",reason="`+reason.String()+`"}`, func() float64 { return float64(l.Ended(reason)) })
+	}
+}
+
+// maxHeadBytes returns the longest head of a caller's request; 0 if the configuration sets no limit.
+func (h *Host) maxHeadBytes() int {
+	if t := h.relay.Table(); t != nil {
+		return t.Limits().MaxHeaderBytes
+	}
+	return 0
+}
+
+// connectionBounds bounds the open connections of the listeners.
+type connectionBounds struct{ callers, peers, auxiliary int }
+
+// Bounds of the listeners' connections beside the shares of the process's descriptors.
+const (
+	// connectionBytes is what an idle connection takes: two buffers, a stack and what the server keeps of it.
+	connectionBytes       = 24 << 10
+	connectionMemoryShare = 0.2
+	// maxCallers and maxPeers leave room below the 4,096 descriptors that a process may usually have.
+	maxCallers = 2048
+	maxPeers   = 1024
+	// maxAuxiliary is enough for probes and collectors of metrics, which are few.
+	maxAuxiliary = 64
+)
+
+// connectionBounds returns the bounds for the process's memory and descriptors.
+func (h *Host) connectionBounds() (connectionBounds, error) {
+	sockets, err := listen.Sockets()
+	if err != nil {
+		return connectionBounds{}, err
+	}
+	callers := h.settings.MaxConnections
+	if callers == 0 {
+		callers = min(maxCallers, int(connectionMemoryShare*float64(h.settings.MemoryMB<<20))/connectionBytes)
+	}
+	return connectionBounds{
+		callers:   listen.Share(sockets, listen.CallersShare, callers),
+		peers:     listen.Share(sockets, listen.PeersShare, maxPeers),
+		auxiliary: listen.Share(sockets, listen.AuxiliaryShare, maxAuxiliary),
+	}, nil
+}
+
 // Bounds of the HTTP servers' connections.
 const (
 	// headerTimeout is longer than the header time that the users' configurations allow callers (3 s).
@@ -54,9 +114,10 @@
 // serve starts a server on a listener. It runs until it is closed.
 func (h *Host) serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler) *http.Server {
 	srv := &http.Server{
-		Handler: entry.MarkEnds(handler), ConnContext: entry.ConnContext,
+		Handler: entry.MarkEnds(listen.Handler(handler)), ConnContext: entry.ConnContext,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	listen.Attach(srv)
 	wg.Go(func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			h.log.Emit(event.InvariantBroken, event.Ref{}, "listener "+l.Addr().String()+" failed: "+err.Error())
@@ -163,7 +224,9 @@
 		{"target_control_connections_replaced_total", func() float64 { return float64(h.engineClient.Replaced()) }},
 		{"store_calls_unheard_total", func() float64 { return float64(h.storeClient.UnheardCalls()) }},
 		{"target_calls_unheard_total", func() float64 { return float64(h.engineClient.UnheardCalls()) }},
-		{"holdings_refused_total", func() float64 { return float64(h.memory.Refused() + h.controlMemory.Refused()) }},
+		{"holdings_refused_total", func() float64 {
+			return float64(h.memory.Refused() + h.controlMemory.Refused() + h.headMemory.Refused())
+		}},
 		{"retry_extra", h.relay.RetryExtra},
 		{"peer_bytes_total", func() float64 { return float64(h.fleet.Bytes()) }},
 	} {
@@ -171,7 +234,7 @@
 	}
 	for _, kind := range memory.Kinds() {
 		held := func() (now, most float64) {
-			for _, budget := range []*memory.Budget{&h.memory, &h.controlMemory} {
+			for _, budget := range []*memory.Budget{&h.memory, &h.controlMemory, &h.headMemory} {
 				n, m := budget.Held(kind)
 				now, most = now+float64(n), most+float64(m)
 			}
--- a/emberd/internal/host/settings.go
+++ b/emberd/internal/host/settings.go
@@ -24,6 +24,8 @@
 	Metrics   string            `yaml:"metrics" doc:"IP address and port of the figures, GET /metrics. Required."`
 	Store     string            `yaml:"store" doc:"IP address and port of the platform's store. Required."`
 	MemoryMB  int64             `yaml:"memoryMB" doc:"Memory that the process may use. Required."`
+	// MaxConnections is bounded by half of the descriptors, so that targets, the store and other daemons can be reached.
+	MaxConnections int `yaml:"maxConnections" doc:"Most open connections of callers, and at most half of the process's descriptors; 0: as many as a fifth of memoryMB bears, and at most 2048. Beyond it, connections that have not sent a whole request are closed, those that have waited longest first."`
 	// FirstStart is false again when the daemon starts the next time.
 	FirstStart bool           `yaml:"firstStart" doc:"Whether the whole system starts for the first time, so that no stream was begun before."`
 	Placement  string         `yaml:"placement" doc:"How model workers are chosen: returning, or roundRobin, leastTokens or stickyHash to measure against; these copy nothing from stores."`
@@ -152,6 +154,7 @@
 		c.Address(a.field, a.value)
 	}
 	c.Need(s.MemoryMB >= minMemoryMB, "memoryMB", fmt.Sprintf("must be at least %d", minMemoryMB))
+	c.Need(s.MaxConnections >= 0, "maxConnections", "must not be negative")
 	c.Need(slices.Contains(hostPlacements, route.Placement(s.Placement)), "placement", "must be returning, roundRobin, leastTokens or stickyHash")
 	c.Need(s.LogRate > 0, "logRate", "must be more than 0")
 	c.Need(slices.Contains([]string{"debug", "info", "warning", "error"}, s.LogLevel), "logLevel", "must be debug, info, warning or error")
