A body that does not arrive in time ends its request with 408

What callers saw: a request without an end, which kept its connection for ever; a crowd of them takes all connections that a daemon serves.

Change: the request's deadline also bounds its body. A body that is not whole by then has not been sent anywhere, so that 408, not run, is a promise that holds.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -161,9 +162,15 @@
 	} else {
 		source = held.Reader(source)
 	}
+	if p.r.ContentLength != 0 {
+		// net/http removes the deadline at the end of the body. An error means that the connection has ended.
+		_ = http.NewResponseController(p.w).SetReadDeadline(p.deadline)
+	}
 	body, err := readAll(p.body, source)
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return entry.NewRefusal(http.StatusRequestTimeout, entry.CodeTimeout, entry.NotRun, "the body did not arrive in time", p.retryAfter(minRetryAfter))
 	case errors.Is(err, memory.ErrFull):
 		return p.refuseForMemory(err)
 	case errors.As(err, &large):
--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -148,3 +148,35 @@
 		})
 	}
 }
+
+// Guards against requests that go on for ever since their body does not arrive.
+func TestRequestsWhoseBodiesDoNotArriveEnd(t *testing.T) {
+	const head = "POST /once/ HTTP/1.1\r\nHost: h\r\nId: try-1\r\nKey: secret\r\nDeadline: 300\r\n"
+	for _, tc := range []struct {
+		name, sent string
+		status     int
+		ran        int
+	}{
+		{"a body that does not arrive", head + "Content-Length: 10\r\n\r\nbod", http.StatusRequestTimeout, 0},
+		{"chunks that do not end", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nbod\r\n", http.StatusRequestTimeout, 0},
+		{"a whole body", head + "Content-Length: 4\r\n\r\nbody", http.StatusOK, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.target("a", "plain", always(respond(200, "")))
+			conn, err := net.Dial("tcp", r.front.Listener.Addr().String())
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(30 * time.Second))
+			_, err = io.WriteString(conn, tc.sent)
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			r.g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer resp.Body.Close()
+			r.g.Expect(resp.StatusCode).To(gomega.Equal(tc.status))
+			r.g.Eventually(func() int { return len(r.received()) }, "10s", "5ms").Should(gomega.Equal(tc.ran))
+			r.g.Eventually(func() int { return int(r.relay.Running()) }, "30s", "5ms").Should(gomega.BeZero())
+			r.g.Expect(r.received()).To(gomega.HaveLen(tc.ran))
+		})
+	}
+}
