--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -24,6 +24,9 @@
 type Client struct {
 	// Transport opens the connections; if nil, the standard one does. It is set before use.
 	Transport *http.Transport
+	// Alone, if set, sends the calls of DoAlone. If nil, a copy of the transport in use does, which lacks the protocols that
+	// were registered with it. It is set before use.
+	Alone *http.Transport
 	// ManyServices means that the calls go to several services, so that a silent connection to one
 	// says nothing of the connections to the others. It is set before use.
 	ManyServices bool
@@ -73,8 +76,11 @@
 
 // DoAlone is Do on a connection of its own, on which nothing that arrives can be about another request.
 func (c *Client) DoAlone(req *http.Request) (*http.Response, error) {
-	alone := c.transport().Clone()
-	alone.DisableKeepAlives = true
+	alone := c.Alone
+	if alone == nil {
+		alone = c.transport().Clone()
+		alone.DisableKeepAlives = true
+	}
 	e := newExchange(c, alone, req)
 	e.run()
 	return c.bound(e.resp), e.err
