--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -11,7 +11,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(r *recorder, trouble bool) int{
-	"parts": runParts, "withheld": runWithheld, "withheld": runWithheld,
+	"parts":    runParts,
+	"withheld": runWithheld,
+	"blocked":  runBlocked,
 }
 
 func main() {
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -56,6 +56,8 @@
 	work time.Duration
 	// ended, if set, is called when a call has ended: whole, or because its connection closed.
 	ended func(worker, id string, whole bool)
+	// unframed means that answers to calls have no length and end with their connection.
+	unframed bool
 }
 
 // newWorker starts a worker and writes its entry.
@@ -221,7 +223,24 @@
 	if ended != nil {
 		ended(w.id, id, whole)
 	}
-	if whole {
-		_, _ = rw.Write([]byte(strings.Repeat("x", 800)))
+	if !whole {
+		return
+	}
+	body := strings.Repeat("x", 800)
+	if !w.unframed {
+		_, _ = rw.Write([]byte(body))
+		return
 	}
+	conn, _, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nEmbertally-Attempt-Id: %s\r\nEmbertally-Response-Seal: seal.%s.%s\r\nConnection: close\r\n\r\n%s", id, w.id, id, body)
+}
+
+// crash ends the worker: it closes its listener and its connections, and its entry goes after three heartbeats.
+func (w *worker) crash() {
+	_ = w.server.Close()
+	time.AfterFunc(3600*time.Millisecond, func() { w.store.remove("servers/" + w.id) })
 }
