--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strings"
 	"sync"
@@ -76,6 +77,8 @@
 	bytes  int
 	took   time.Duration
 	err    error
+	// kept means that the connection had carried a request before.
+	kept bool
 }
 
 // text describes an answer for the record.
@@ -111,6 +114,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.kept = i.Reused }}))
 	start := time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/review/rig-2/parts.go
+++ b/review/rig-2/parts.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -108,12 +111,21 @@
 		wg.Go(func() { keepWithinMemory(r, d, &ended[i], end) })
 	}
 	var many, ordinary tally
+	cut := make([]atomic.Int64, len(s.daemons))
+	countCut := func(daemon int, a answer) {
+		ran := func(w *worker) bool { return w.hasRun(a.id) }
+		if a.err != nil && a.kept && !errors.Is(a.err, context.DeadlineExceeded) && slices.ContainsFunc(s.workers, ran) {
+			cut[daemon].Add(1)
+			r.line("%s has run, and %s closed its kept connection without an answer", a.id, s.daemons[daemon].name)
+		}
+	}
 	prompts, calls := newClient(), newClient()
 	wg.Go(func() {
 		every(partsRate, end, func(i int) {
 			a := prompts.send(s.daemons[i%len(s.daemons)], "POST", pathReview+"2f", "key-1", 6*time.Second, "prompt",
 				"Embertally-Model", modelName, "Embertally-Token-Usage", fmt.Sprintf("%d,5", partsTokens), "Embertally-Prompt-Prefix", partList(n))
 			many.add(a)
+			countCut(i%len(s.daemons), a)
 			r.line("prompt %s", a.text())
 		})
 	})
@@ -121,6 +133,7 @@
 		every(20, end, func(i int) {
 			a := calls.send(s.daemons[i%len(s.daemons)], "GET", pathLook+"2f", "key-2", 1500*time.Millisecond, "")
 			ordinary.add(a)
+			countCut(i%len(s.daemons), a)
 			r.line("ordinary call %s", a.text())
 		})
 	})
@@ -129,7 +142,7 @@
 	r.say("ordinary calls of another tenant: %v", &ordinary)
 	machines := 0
 	for i, d := range s.daemons {
-		r.say("%s: most anonymous memory %d MB of %d MB; ended %d times for its memory", d.name, d.mostMB.Load(), partsMemoryMB, ended[i].Load())
+		r.say("%s: most anonymous memory %d MB of %d MB; ended %d times for its memory; closed %d kept connections without an answer to a request that ran", d.name, d.mostMB.Load(), partsMemoryMB, ended[i].Load(), cut[i].Load())
 		if ended[i].Load() >= 3 {
 			machines++
 		}
--- a/review/rig-2/withheld.go
+++ b/review/rig-2/withheld.go
@@ -17,8 +17,9 @@
 	withheldContact  = 4 * time.Second // ContactMs
 	withheldClients  = 1700            // connections to each daemon
 	withheldAfter    = 4 * time.Second
-	withheldTime     = 20 * time.Second
-	withheldOrdinary = 10 // clients of each daemon that open a new connection for each request
+	withheldTime     = 22 * time.Second
+	withheldWave     = 1500 * time.Millisecond // for how long a client whose connection was reset connects again
+	withheldOrdinary = 10                      // clients of each daemon that open a new connection for each request
 	withheldInterval = 100 * time.Millisecond
 )
 
@@ -28,7 +29,7 @@
 	taken bool
 }
 
-// runWithheld: many clients that hold no key begin a request with a body in chunks and leave its end out.
+// runWithheld: many clients begin a prompt with a body in chunks and leave its end out.
 func runWithheld(r *recorder, trouble bool) int {
 	maxFiles = withheldFiles
 	s := newSite(2, 4, 2, withheldMemoryMB, nil)
@@ -62,7 +63,7 @@
 		})
 	}
 	time.Sleep(withheldAfter)
-	r.say("%d clients connect to each daemon and send a request without a key", withheldClients)
+	r.say("%d clients connect to each daemon and send a prompt", withheldClients)
 	var answers [2]atomic.Int64
 	for _, d := range s.daemons {
 		for range withheldClients {
@@ -131,16 +132,31 @@
 	return at, ok && timeout.Timeout(), fmt.Sprintf("%s: no answer after %s: %v", id, time.Since(at).Round(time.Millisecond), err)
 }
 
-// withhold sends a request without a key whose body comes in chunks. With trouble its end is left out, and the bytes of
-// the only chunk are line ends. It reports whether there was an answer.
+// withhold sends a prompt whose body comes in chunks. With trouble its end is left out, and the bytes of the only chunk are
+// line ends. If the connection is reset in the first moments, the client connects again. It reports whether there was an
+// answer.
 func withhold(d *daemon, trouble bool, end time.Time) bool {
+	for again := time.Now().Add(withheldWave); ; time.Sleep(10 * time.Millisecond) {
+		if withholdOnce(d, trouble, end) {
+			return true
+		}
+		if time.Now().After(again) {
+			return false
+		}
+	}
+}
+
+// withholdOnce is withhold on one connection.
+func withholdOnce(d *daemon, trouble bool, end time.Time) bool {
 	conn, err := net.DialTimeout("tcp", d.callers, 2*time.Second)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
 	check(conn.SetDeadline(end))
-	text := fmt.Sprintf("POST %s2f HTTP/1.1\r\nHost: %s\r\nEmbertally-Attempt-Id: %s\r\nEmbertally-Deadline-Ms: 1500\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n\r\n\r\n\r\n", pathLook, host, newID())
+	text := fmt.Sprintf("POST %s2f HTTP/1.1\r\nHost: %s\r\nEmbertally-Attempt-Id: %s\r\nEmbertally-Deadline-Ms: 12000\r\nAuthorization: Bearer key-1\r\n"+
+		"Embertally-Model: %s\r\nEmbertally-Token-Usage: 20,2\r\nEmbertally-Prompt-Prefix: %s:20\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n\r\n\r\n\r\n",
+		pathReview, host, newID(), modelName, newID())
 	if !trouble {
 		text += "0\r\n\r\n"
 	}
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// hasRun reports whether a request ran at a worker.
+func (w *worker) hasRun(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ran[id] > 0
+}
+
 // refuse rejects a request that does not run.
 func refuse(rw http.ResponseWriter, id string, status int) {
 	rw.Header().Set("Embertally-Attempt-Id", id)
