--- a/review/rig-2/blocked.go
+++ b/review/rig-2/blocked.go
@@ -28,7 +28,7 @@
 	defer s.store.close()
 	started := 0
 	newApp := func() *worker {
-		w := newWorker(s.store, "127.0.9.2", fmt.Sprintf("i-app-%02d", started), callService, zones[started%len(zones)])
+		w := newWorker(s.store, "127.0.0.2", fmt.Sprintf("i-app-%02d", started), callService, zones[started%len(zones)])
 		started++
 		w.mu.Lock()
 		w.unframed, w.work = true, blockedWork
--- a/review/rig-2/parts.go
+++ b/review/rig-2/parts.go
@@ -43,12 +43,12 @@
 
 // newSite starts a store, workers of both services, a configuration and daemons, and waits until these are ready.
 func newSite(models, apps, daemons, memoryMB int, change func(map[string]any)) *site {
-	s := &site{store: newStore("127.0.9.1")}
+	s := &site{store: newStore("127.0.0.1")}
 	for i := range models {
-		s.workers = append(s.workers, newWorker(s.store, "127.0.9.2", fmt.Sprintf("i-model-%02d", i), modelService, zones[i%len(zones)]))
+		s.workers = append(s.workers, newWorker(s.store, "127.0.0.2", fmt.Sprintf("i-model-%02d", i), modelService, zones[i%len(zones)]))
 	}
 	for i := range apps {
-		s.workers = append(s.workers, newWorker(s.store, "127.0.9.2", fmt.Sprintf("i-app-%02d", i), callService, zones[i%len(zones)]))
+		s.workers = append(s.workers, newWorker(s.store, "127.0.0.2", fmt.Sprintf("i-app-%02d", i), callService, zones[i%len(zones)]))
 	}
 	configure(s.store, 1, change)
 	for i := range daemons {
